--- /dev/null
+++ b/bamboo-client/src/api.rs
@@ -0,0 +1,147 @@
+//! Calls of one daemon.
+
+use std::time::Duration;
+
+use awc::Client;
+use awc::ClientResponse;
+use awc::http::Method;
+use bytes::Bytes;
+use serde_json::Value;
+
+use crate::Failure;
+
+/// Time for one call.
+const TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for an upload.
+const UPLOAD_TIMEOUT: Duration = Duration::from_secs(3600);
+/// Largest answer, bytes.
+const ANSWER_MAX_BYTES: usize = 1 << 30;
+
+/// One interface of one daemon, with the key shown to it.
+#[derive(Clone)]
+pub struct Api {
+    client: Client,
+    base_url: String,
+    key: String,
+}
+
+/// A job to submit.
+#[derive(Debug, Clone, Default)]
+pub struct Upload {
+    /// JSONL items.
+    pub body: Bytes,
+    /// The caller's key, if any.
+    pub key: Option<String>,
+    /// Query of the submit, without `?`.
+    pub query: String,
+}
+
+impl Api {
+    /// An interface at `ip:port`.
+    ///
+    /// ```
+    /// let api = bamboo_client::Api::new("127.0.0.1:9", "key");
+    /// assert_eq!(api.base_url(), "http://127.0.0.1:9");
+    /// ```
+    pub fn new(address: &str, key: &str) -> Self {
+        let client = Client::builder().timeout(TIMEOUT).finish();
+        Api { client, base_url: format!("http://{address}"), key: key.to_owned() }
+    }
+
+    /// The interface's base URL.
+    pub fn base_url(&self) -> &str {
+        &self.base_url
+    }
+
+    /// Gets JSON.
+    ///
+    /// # Errors
+    /// Fails without an answer of success.
+    pub async fn get(&self, path: &str) -> Result<Value, Failure> {
+        self.call(Method::GET, path, Bytes::new()).await
+    }
+
+    /// Puts JSON text.
+    ///
+    /// # Errors
+    /// Fails without an answer of success.
+    pub async fn put(&self, path: &str, body: String) -> Result<Value, Failure> {
+        self.call(Method::PUT, path, body.into()).await
+    }
+
+    /// Posts JSON text.
+    ///
+    /// # Errors
+    /// Fails without an answer of success.
+    pub async fn post(&self, path: &str, body: String) -> Result<Value, Failure> {
+        self.call(Method::POST, path, body.into()).await
+    }
+
+    /// Deletes.
+    ///
+    /// # Errors
+    /// Fails without an answer of success.
+    pub async fn delete(&self, path: &str) -> Result<Value, Failure> {
+        self.call(Method::DELETE, path, Bytes::new()).await
+    }
+
+    /// Gets text.
+    ///
+    /// # Errors
+    /// Fails without an answer of success, or if the text breaks off.
+    pub async fn get_text(&self, path: &str) -> Result<String, Failure> {
+        let request = self.client.get(format!("{}{path}", self.base_url)).bearer_auth(&self.key);
+        let mut response = request.send().await.map_err(unreachable)?;
+        check(&mut response).await?;
+        let body = response.body().limit(ANSWER_MAX_BYTES).await.map_err(unreachable)?;
+        Ok(String::from_utf8_lossy(&body).into_owned())
+    }
+
+    /// Submits a job.
+    ///
+    /// # Errors
+    /// Fails unless the job was accepted.
+    pub async fn submit(&self, upload: Upload) -> Result<Value, Failure> {
+        let url = format!("{}/v1/batches?{}", self.base_url, upload.query);
+        let mut request = self.client.post(url).bearer_auth(&self.key).timeout(UPLOAD_TIMEOUT);
+        if let Some(key) = upload.key {
+            request = request.insert_header(("idempotency-key", key));
+        }
+        let request = request.content_type("application/jsonl");
+        let mut response = request.send_body(upload.body).await.map_err(unreachable)?;
+        check(&mut response).await?;
+        json_body(&mut response).await
+    }
+
+    async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Value, Failure> {
+        let request = self.client.request(method, format!("{}{path}", self.base_url)).bearer_auth(&self.key);
+        let request = request.content_type("application/json");
+        let mut response = request.send_body(body).await.map_err(unreachable)?;
+        check(&mut response).await?;
+        json_body(&mut response).await
+    }
+}
+
+async fn check(response: &mut ClientResponse) -> Result<(), Failure> {
+    if response.status().is_success() {
+        return Ok(());
+    }
+    let status = response.status().as_u16();
+    let body = response.json().await.unwrap_or(Value::Null);
+    Err(Failure::Answered { status, body })
+}
+
+async fn json_body(response: &mut ClientResponse) -> Result<Value, Failure> {
+    let body = response.body().limit(ANSWER_MAX_BYTES).await.map_err(unreachable)?;
+    if body.is_empty() {
+        return Ok(Value::Null);
+    }
+    serde_json::from_slice(&body).map_err(unreachable)
+}
+
+fn unreachable<E>(error: E) -> Failure
+where
+    E: std::fmt::Display,
+{
+    Failure::Unreachable(error.to_string())
+}
--- /dev/null
+++ b/bamboo-config/src/checker.rs
@@ -0,0 +1,170 @@
+//! Takes typed fields out of a TOML document and collects every fault with its line.
+
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::time::Duration;
+
+use toml::Spanned;
+use toml::de::DeTable;
+use toml::de::DeValue;
+
+/// One fault of a settings file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// Line, from 1; 0 for a field that is missing.
+    pub line: usize,
+    /// Path of the field.
+    pub field: String,
+    /// What is wrong.
+    pub reason: String,
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self.line {
+            0 => write!(formatter, "{}: {}", self.field, self.reason),
+            line => write!(formatter, "line {line}: {}: {}", self.field, self.reason),
+        }
+    }
+}
+
+/// The fields of one document that were not taken yet, and the faults so far.
+pub(crate) struct Checker<'text> {
+    text: &'text str,
+    sections: Vec<(String, DeTable<'text>)>,
+    taken: Vec<String>,
+    pub(crate) faults: Vec<Fault>,
+}
+
+impl<'text> Checker<'text> {
+    /// Parses the document. Only tables of the names in `sections` may stand in it.
+    pub(crate) fn parse(text: &'text str, sections: &[&str]) -> Result<Self, Fault> {
+        let document = DeTable::parse(text).map_err(|error| Fault {
+            line: error.span().map_or(0, |span| line_of(text, &span)),
+            field: "document".to_owned(),
+            reason: error.message().to_owned(),
+        })?;
+        let mut checker = Checker { text, sections: Vec::new(), taken: Vec::new(), faults: Vec::new() };
+        for (name, value) in document.into_inner() {
+            let line = line_of(text, &name.span());
+            let name = name.into_inner().into_owned();
+            match value.into_inner() {
+                DeValue::Table(table) if sections.contains(&name.as_str()) => checker.sections.push((name, table)),
+                _ => checker.fault(line, &name, "unknown section"),
+            }
+        }
+        Ok(checker)
+    }
+
+    /// Reports every field that nothing has taken.
+    pub(crate) fn finish(mut self) -> Vec<Fault> {
+        let mut unknown = Vec::new();
+        for (section, table) in &self.sections {
+            for (name, _) in table {
+                let field = format!("{section}.{}", name.get_ref());
+                if !self.taken.contains(&field) {
+                    unknown.push((line_of(self.text, &name.span()), field));
+                }
+            }
+        }
+        for (line, field) in unknown {
+            self.fault(line, &field, "unknown key");
+        }
+        self.faults.sort_by_key(|fault| fault.line);
+        self.faults
+    }
+
+    pub(crate) fn fault(&mut self, line: usize, field: &str, reason: &str) {
+        self.faults.push(Fault { line, field: field.to_owned(), reason: reason.to_owned() });
+    }
+
+    /// The line of a field, 0 if it is not there.
+    pub(crate) fn line(&self, field: &str) -> usize {
+        self.find(field).map_or(0, |value| line_of(self.text, &value.span()))
+    }
+
+    pub(crate) fn text(&mut self, field: &str) -> Option<String> {
+        self.take(field, "text", |value| value.as_str().map(str::to_owned))
+    }
+
+    pub(crate) fn required_text(&mut self, field: &str) -> String {
+        let is_missing = self.find(field).is_none();
+        let value = self.text(field);
+        if is_missing {
+            self.fault(0, field, "is missing");
+        }
+        value.unwrap_or_default()
+    }
+
+    pub(crate) fn address(&mut self, field: &str) -> Option<SocketAddr> {
+        let line = self.line(field);
+        let text = self.required_text(field);
+        match text.parse() {
+            Ok(address) => Some(address),
+            Err(_) if text.is_empty() => None,
+            Err(_) => {
+                self.fault(line, field, &format!("'{text}' is not ip:port"));
+                None
+            }
+        }
+    }
+
+    pub(crate) fn flag(&mut self, field: &str, default: bool) -> bool {
+        self.take(field, "true or false", |value| value.as_bool()).unwrap_or(default)
+    }
+
+    pub(crate) fn number(&mut self, field: &str, default: u64, range: std::ops::RangeInclusive<u64>) -> u64 {
+        let line = self.line(field);
+        let parse = |value: &DeValue<'_>| match value {
+            DeValue::Integer(number) => u64::from_str_radix(number.as_str(), number.radix()).ok(),
+            _ => None,
+        };
+        let value = self.take(field, "a whole number", parse).unwrap_or(default);
+        if !range.contains(&value) {
+            let reason = format!("{value} is not from {} to {}", range.start(), range.end());
+            self.fault(line, field, &reason);
+        }
+        value
+    }
+
+    /// A duration as text with its unit, such as "250ms" or "3s".
+    pub(crate) fn duration(&mut self, field: &str, default: Duration) -> Duration {
+        let line = self.line(field);
+        let Some(text) = self.take(field, "a duration in quotes with its unit, such as \"250ms\"", |value| {
+            value.as_str().map(str::to_owned)
+        }) else {
+            return default;
+        };
+        match humantime_serde::re::humantime::parse_duration(&text) {
+            Ok(duration) => duration,
+            Err(error) => {
+                self.fault(line, field, &format!("'{text}' is not a duration with a unit: {error}"));
+                default
+            }
+        }
+    }
+
+    fn take<T, F>(&mut self, field: &str, expected: &str, parse: F) -> Option<T>
+    where
+        F: Fn(&DeValue<'text>) -> Option<T>,
+    {
+        self.taken.push(field.to_owned());
+        let found = self.find(field)?;
+        let line = line_of(self.text, &found.span());
+        let parsed = parse(found.get_ref());
+        if parsed.is_none() {
+            self.fault(line, field, &format!("must be {expected}"));
+        }
+        parsed
+    }
+
+    fn find(&self, field: &str) -> Option<&Spanned<DeValue<'text>>> {
+        let (section, name) = field.split_once('.')?;
+        let (_, table) = self.sections.iter().find(|(of, _)| of == section)?;
+        table.iter().find(|(key, _)| key.get_ref() == name).map(|(_, value)| value)
+    }
+}
+
+fn line_of(text: &str, span: &Range<usize>) -> usize {
+    text.get(..span.start).map_or(0, |before| before.matches('\n').count() + 1)
+}
--- /dev/null
+++ b/bamboo-config/src/fold.rs
@@ -0,0 +1,220 @@
+//! The fold of the configuration stream.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use bamboo_log::Body;
+use bamboo_log::ConfigChange;
+use bamboo_log::Dedupe;
+use bamboo_log::Entry;
+use bamboo_log::Writer;
+use bamboo_types::Offset;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Kind;
+use crate::Resource;
+use crate::parse_resource;
+
+/// Number of changes and refusals kept for watchers.
+const HISTORY_MAX: usize = 1024;
+
+/// A resource with its revision.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Stored {
+    /// The resource.
+    pub resource: Resource,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
+/// What became of a change.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "outcome")]
+pub enum ChangeOutcome {
+    /// In force under this revision.
+    Applied {
+        /// The new revision.
+        revision: u64,
+    },
+    /// Another change came first.
+    Conflict {
+        /// Revision in force, 0 if the resource does not exist.
+        current_revision: u64,
+        /// The text in force.
+        current: Option<Resource>,
+    },
+    /// The text cannot be.
+    Refused {
+        /// Faults, as text.
+        faults: Vec<String>,
+    },
+}
+
+/// A change with its outcome, for watchers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LoggedChange {
+    /// Offset of the change.
+    pub offset: Offset,
+    /// Kind of the resource.
+    pub kind: String,
+    /// Name of the resource.
+    pub name: String,
+    /// What became of it.
+    pub outcome: ChangeOutcome,
+}
+
+/// All resources in force, as a function of the configuration stream up to an offset.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigFold {
+    resources: BTreeMap<(Kind, String), Stored>,
+    next_revision: u64,
+    next_offset: Offset,
+    dedupe: Dedupe,
+    history: VecDeque<LoggedChange>,
+}
+
+/// The lasting part of a configuration fold. The writers are a list, since JSON has no structured keys.
+#[derive(Serialize, Deserialize)]
+struct ConfigImage {
+    next_revision: u64,
+    next_offset: Offset,
+    writers: Vec<(Writer, u64)>,
+    resources: Vec<Stored>,
+}
+
+impl ConfigFold {
+    /// Applies one entry and returns each change's sequence number and outcome. Offsets already applied change nothing, so a fold never goes back.
+    ///
+    /// ```
+    /// use bamboo_config::{ChangeOutcome, ConfigFold};
+    /// use bamboo_log::{Body, ConfigChange, Entry};
+    /// let json = r#"{"kind":"model","name":"narrador","versions":["1"]}"#.to_string();
+    /// let change = ConfigChange { kind: "model".into(), name: "narrador".into(), based_on: 0, resource_json: Some(json) };
+    /// let entry = Entry { host: "h1".into(), incarnation: 1, at_ms: 0, first_sequence: 1, bodies: vec![Body::Config(change)] };
+    /// let mut fold = ConfigFold::default();
+    /// assert!(matches!(fold.apply(0, &entry)[0].1, ChangeOutcome::Applied { revision: 1 }));
+    /// ```
+    pub fn apply(&mut self, offset: Offset, entry: &Entry) -> Vec<(u64, ChangeOutcome)> {
+        if offset < self.next_offset {
+            return Vec::new();
+        }
+        self.next_offset = offset + 1;
+        let writer = Writer { host: entry.host.clone(), incarnation: entry.incarnation };
+        let mut outcomes = Vec::new();
+        for (slot, body) in entry.bodies.iter().enumerate() {
+            let Body::Config(change) = body else {
+                continue;
+            };
+            let sequence = entry.first_sequence + slot as u64;
+            if !self.dedupe.is_first(&writer, sequence) {
+                continue;
+            }
+            let outcome = self.apply_change(change);
+            self.remember(offset, change, &outcome);
+            outcomes.push((sequence, outcome));
+        }
+        outcomes
+    }
+
+    /// The resource of a kind and name.
+    pub fn get(&self, kind: Kind, name: &str) -> Option<&Stored> {
+        self.resources.get(&(kind, name.to_owned()))
+    }
+
+    /// All resources of a kind, by name.
+    pub fn list(&self, kind: Kind) -> impl Iterator<Item = &Stored> {
+        self.resources.iter().filter(move |((of, _), _)| *of == kind).map(|(_, stored)| stored)
+    }
+
+    /// Offset of the next entry to apply; everything before it is in force.
+    pub fn next_offset(&self) -> Offset {
+        self.next_offset
+    }
+
+    /// Changes and refusals from an offset on, as far as they are remembered.
+    pub fn history_from(&self, offset: Offset) -> Vec<LoggedChange> {
+        self.history.iter().filter(|change| change.offset >= offset).cloned().collect()
+    }
+
+    /// Encodes the lasting part as JSON.
+    ///
+    /// # Errors
+    /// Fails if the codec refuses a resource.
+    pub fn to_image(&self) -> Result<Vec<u8>, serde_json::Error> {
+        let image = ConfigImage {
+            next_revision: self.next_revision,
+            next_offset: self.next_offset,
+            writers: self.dedupe.clone().into_writers(),
+            resources: self.resources.values().cloned().collect(),
+        };
+        serde_json::to_vec(&image)
+    }
+
+    /// Takes an encoded image if it is newer than what is in force; tells whether it was taken.
+    ///
+    /// # Errors
+    /// Fails if the image does not decode.
+    pub fn take_image(&mut self, bytes: &[u8]) -> Result<bool, serde_json::Error> {
+        let image: ConfigImage = serde_json::from_slice(bytes)?;
+        if image.next_offset <= self.next_offset {
+            return Ok(false);
+        }
+        let named = |stored: Stored| ((stored.resource.kind(), stored.resource.name().to_owned()), stored);
+        self.resources = image.resources.into_iter().map(named).collect();
+        self.next_revision = image.next_revision;
+        self.next_offset = image.next_offset;
+        self.dedupe = Dedupe::from_writers(image.writers);
+        Ok(true)
+    }
+
+    fn apply_change(&mut self, change: &ConfigChange) -> ChangeOutcome {
+        let Some(kind) = Kind::parse(&change.kind) else {
+            return ChangeOutcome::Refused { faults: vec![format!("kind = {}: no such kind", change.kind)] };
+        };
+        let name = (kind, change.name.clone());
+        let current = self.resources.get(&name);
+        let current_revision = current.map_or(0, |stored| stored.revision);
+        if current_revision != change.based_on {
+            return ChangeOutcome::Conflict {
+                current_revision,
+                current: current.map(|stored| stored.resource.clone()),
+            };
+        }
+        let parsed = match &change.resource_json {
+            None => None,
+            Some(json) => match parse_named(json, &name) {
+                Ok(resource) => Some(resource),
+                Err(faults) => return ChangeOutcome::Refused { faults },
+            },
+        };
+        self.next_revision += 1;
+        let revision = self.next_revision;
+        match parsed {
+            Some(resource) => self.resources.insert(name, Stored { resource, revision }),
+            None => self.resources.remove(&name),
+        };
+        ChangeOutcome::Applied { revision }
+    }
+
+    fn remember(&mut self, offset: Offset, change: &ConfigChange, outcome: &ChangeOutcome) {
+        if self.history.len() == HISTORY_MAX {
+            self.history.pop_front();
+        }
+        self.history.push_back(LoggedChange {
+            offset,
+            kind: change.kind.clone(),
+            name: change.name.clone(),
+            outcome: outcome.clone(),
+        });
+    }
+}
+
+fn parse_named(json: &str, name: &(Kind, String)) -> Result<Resource, Vec<String>> {
+    let resource = parse_resource(json)
+        .map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<String>>())?;
+    if (resource.kind(), resource.name()) != (name.0, name.1.as_str()) {
+        return Err(vec![format!("name = {}: the change is addressed to {} {}", resource.name(), name.0, name.1)]);
+    }
+    Ok(resource)
+}
--- /dev/null
+++ b/bamboo-config/src/key.rs
@@ -0,0 +1,46 @@
+//! Bearer keys: configuration holds only their hashes.
+
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+
+/// SHA-256 of a bearer key, written as 64 hexadecimal digits.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct KeyHash(String);
+
+impl KeyHash {
+    /// The hash of a key.
+    ///
+    /// ```
+    /// let hash = bamboo_config::KeyHash::of("coach-key");
+    /// assert!(hash.matches("coach-key"));
+    /// assert!(!hash.matches("other"));
+    /// ```
+    pub fn of(key: &str) -> Self {
+        let digest = Sha256::digest(key.as_bytes());
+        KeyHash(digest.iter().map(|byte| format!("{byte:02x}")).collect())
+    }
+
+    /// Takes hexadecimal text, or `None` if it is no SHA-256.
+    ///
+    /// ```
+    /// assert!(bamboo_config::KeyHash::parse("abc").is_none());
+    /// ```
+    pub fn parse(text: &str) -> Option<Self> {
+        let is_hash = text.len() == 64 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        is_hash.then(|| KeyHash(text.to_ascii_lowercase()))
+    }
+
+    /// Whether a key has this hash, in time that does not depend on where they differ.
+    pub fn matches(&self, key: &str) -> bool {
+        self.0.as_bytes().ct_eq(KeyHash::of(key).0.as_bytes()).into()
+    }
+
+    /// The hexadecimal text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
--- /dev/null
+++ b/bamboo-config/src/lib.rs
@@ -0,0 +1,33 @@
+//! Resources that operators declare, their revisions, and the settings of a daemon.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod checker;
+mod fold;
+mod key;
+mod resource;
+mod settings;
+mod validate;
+
+pub use checker::Fault;
+pub use fold::ChangeOutcome;
+pub use fold::ConfigFold;
+pub use fold::LoggedChange;
+pub use fold::Stored;
+pub use key::KeyHash;
+pub use resource::BackendServer;
+pub use resource::Caller;
+pub use resource::Kind;
+pub use resource::Limits;
+pub use resource::Model;
+pub use resource::ModelVersion;
+pub use resource::PlainService;
+pub use resource::Resource;
+pub use resource::ServerRole;
+pub use resource::Serving;
+pub use settings::Settings;
+pub use settings::TlsSettings;
+pub use settings::check_settings;
+pub use validate::FieldFault;
+pub use validate::parse_resource;
+pub use validate::validate_resource;
--- /dev/null
+++ b/bamboo-engine/src/engine.rs
@@ -0,0 +1,238 @@
+//! The engine: iterations over a running batch.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::CacheEvent;
+use crate::EngineOptions;
+use crate::PrefixCache;
+
+/// Why a sequence is not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AddError {
+    /// Too many wait already.
+    QueueFull,
+    /// A sequence of this identity runs or waits.
+    Duplicate,
+    /// It would not fit into memory alone.
+    TooLarge,
+}
+
+/// One request to the engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sequence {
+    /// Identity.
+    pub id: String,
+    /// Tokens of the prompt.
+    pub prompt_tokens: usize,
+    /// Hashes of the prompt's prefix blocks.
+    pub blocks: Vec<u64>,
+    /// Tokens of the whole answer.
+    pub answer_tokens: usize,
+    /// Tokens of the answer that exist already.
+    pub resume_from: usize,
+}
+
+/// A token that an iteration made.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Token {
+    /// Sequence.
+    pub id: String,
+    /// Place in the answer, from 0.
+    pub index: usize,
+    /// Whether it is the last.
+    pub is_last: bool,
+}
+
+/// One iteration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Step {
+    /// How long it takes.
+    pub duration: Duration,
+    /// Tokens that it made, there at its end.
+    pub tokens: Vec<Token>,
+}
+
+/// Load of an engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineLoad {
+    /// Sequences that run.
+    pub running_count: usize,
+    /// Sequences that wait.
+    pub waiting_count: usize,
+    /// Tokens of memory in use.
+    pub memory_used_tokens: usize,
+}
+
+#[derive(Debug)]
+struct Running {
+    sequence: Sequence,
+    prefill_left: usize,
+    made: usize,
+    reserved_tokens: usize,
+}
+
+/// A modelled engine.
+#[derive(Debug)]
+pub struct Engine {
+    options: EngineOptions,
+    waiting: VecDeque<Sequence>,
+    running: Vec<Running>,
+    memory_used_tokens: usize,
+    cache: PrefixCache,
+    cache_events: Vec<CacheEvent>,
+}
+
+impl Engine {
+    /// An idle engine.
+    ///
+    /// ```
+    /// let mut engine = bamboo_engine::Engine::new(bamboo_engine::EngineOptions::default());
+    /// assert!(engine.step().is_none());
+    /// ```
+    pub fn new(options: EngineOptions) -> Self {
+        let cache = PrefixCache::new(options.cache_blocks);
+        Engine {
+            options,
+            waiting: VecDeque::new(),
+            running: Vec::new(),
+            memory_used_tokens: 0,
+            cache,
+            cache_events: Vec::new(),
+        }
+    }
+
+    /// Takes a sequence.
+    ///
+    /// # Errors
+    /// Refuses one that cannot wait, stands already, or never fits.
+    pub fn add(&mut self, sequence: Sequence) -> Result<(), AddError> {
+        if self.ids().any(|id| id == sequence.id) {
+            return Err(AddError::Duplicate);
+        }
+        if sequence.prompt_tokens + sequence.answer_tokens > self.options.memory_tokens {
+            return Err(AddError::TooLarge);
+        }
+        if self.waiting.len() >= self.options.queue_max {
+            return Err(AddError::QueueFull);
+        }
+        self.waiting.push_back(sequence);
+        Ok(())
+    }
+
+    /// Removes a sequence; tells whether it was there.
+    pub fn cancel(&mut self, id: &str) -> bool {
+        if let Some(index) = self.waiting.iter().position(|sequence| sequence.id == id) {
+            self.waiting.remove(index);
+            return true;
+        }
+        let Some(index) = self.running.iter().position(|running| running.sequence.id == id) else {
+            return false;
+        };
+        let running = self.running.remove(index);
+        self.memory_used_tokens -= running.reserved_tokens;
+        true
+    }
+
+    /// Identities of all sequences.
+    pub fn ids(&self) -> impl Iterator<Item = &str> {
+        let running = self.running.iter().map(|running| running.sequence.id.as_str());
+        running.chain(self.waiting.iter().map(|sequence| sequence.id.as_str()))
+    }
+
+    /// The load now.
+    pub fn load(&self) -> EngineLoad {
+        EngineLoad {
+            running_count: self.running.len(),
+            waiting_count: self.waiting.len(),
+            memory_used_tokens: self.memory_used_tokens,
+        }
+    }
+
+    /// Changes of the prefix cache since the last call.
+    pub fn take_cache_events(&mut self) -> Vec<CacheEvent> {
+        std::mem::take(&mut self.cache_events)
+    }
+
+    /// Runs one iteration, or `None` if there is nothing to run.
+    pub fn step(&mut self) -> Option<Step> {
+        self.admit();
+        if self.running.is_empty() {
+            return None;
+        }
+        let decoding: Vec<bool> = self.running.iter().map(|running| running.prefill_left == 0).collect();
+        let prefilled_tokens = self.prefill();
+        let decoding_count = decoding.iter().filter(|is_decoding| **is_decoding).count() as u32;
+        let duration = self.options.step_base
+            + self.options.step_per_sequence * decoding_count
+            + self.options.prefill_per_token * prefilled_tokens as u32;
+        let tokens = self.emit();
+        Some(Step { duration, tokens })
+    }
+
+    fn admit(&mut self) {
+        while self.running.len() < self.options.max_sequences {
+            let Some(next) = self.waiting.front() else {
+                return;
+            };
+            let reserved_tokens = next.prompt_tokens + next.answer_tokens;
+            if self.memory_used_tokens + reserved_tokens > self.options.memory_tokens {
+                return;
+            }
+            if let Some(sequence) = self.waiting.pop_front() {
+                self.start(sequence, reserved_tokens);
+            }
+        }
+    }
+
+    fn start(&mut self, sequence: Sequence, reserved_tokens: usize) {
+        let cached = self.cache.hit_count(&sequence.blocks) * self.options.block_tokens;
+        let to_compute = sequence.prompt_tokens + sequence.resume_from;
+        self.memory_used_tokens += reserved_tokens;
+        // The last prompt token is always computed, to get the first answer token from it.
+        let prefill_left = to_compute.saturating_sub(cached).max(1);
+        let made = sequence.resume_from;
+        self.running.push(Running { sequence, prefill_left, made, reserved_tokens });
+    }
+
+    fn prefill(&mut self) -> usize {
+        let mut room = self.options.prefill_chunk_tokens;
+        for running in &mut self.running {
+            let computed = running.prefill_left.min(room);
+            if computed == 0 {
+                continue;
+            }
+            running.prefill_left -= computed;
+            room -= computed;
+            if running.prefill_left == 0 {
+                self.cache_events.extend(self.cache.insert(&running.sequence.blocks));
+            }
+        }
+        self.options.prefill_chunk_tokens - room
+    }
+
+    fn emit(&mut self) -> Vec<Token> {
+        let mut tokens = Vec::new();
+        for running in &mut self.running {
+            if running.prefill_left > 0 {
+                continue;
+            }
+            let index = running.made;
+            running.made += 1;
+            let is_last = running.made >= running.sequence.answer_tokens;
+            tokens.push(Token { id: running.sequence.id.clone(), index, is_last });
+        }
+        let freed: usize =
+            self.running.iter().filter(|running| is_done(running)).map(|running| running.reserved_tokens).sum();
+        self.memory_used_tokens -= freed;
+        self.running.retain(|running| !is_done(running));
+        tokens
+    }
+}
+
+fn is_done(running: &Running) -> bool {
+    running.prefill_left == 0 && running.made >= running.sequence.answer_tokens
+}
--- /dev/null
+++ b/bamboo-events/src/ring.rs
@@ -0,0 +1,50 @@
+//! A bounded ring of events.
+
+use std::collections::VecDeque;
+
+use bamboo_types::HostId;
+use bamboo_types::Now;
+
+use crate::Event;
+use crate::EventKind;
+
+/// The newest events of one process.
+#[derive(Debug)]
+pub struct Ring {
+    host: HostId,
+    capacity: usize,
+    next_number: u64,
+    events: VecDeque<Event>,
+}
+
+impl Ring {
+    /// An empty ring.
+    ///
+    /// ```
+    /// use bamboo_events::{EventKind, Ring};
+    /// use std::time::Duration;
+    /// let mut ring = Ring::new("h1".into(), 1);
+    /// ring.push(Duration::ZERO, EventKind::Readiness, String::new(), "ready".into());
+    /// ring.push(Duration::ZERO, EventKind::Readiness, String::new(), "not ready".into());
+    /// assert_eq!(ring.events_about("").len(), 1);
+    /// ```
+    pub fn new(host: HostId, capacity: usize) -> Self {
+        Ring { host, capacity: capacity.max(1), next_number: 0, events: VecDeque::new() }
+    }
+
+    /// Adds an event; the oldest goes when the ring is full.
+    pub fn push(&mut self, now: Now, kind: EventKind, subject: String, detail: String) {
+        if self.events.len() == self.capacity {
+            self.events.pop_front();
+        }
+        let number = self.next_number;
+        self.next_number += 1;
+        let at_us = u64::try_from(now.as_micros()).unwrap_or(u64::MAX);
+        self.events.push_back(Event { at_us, host: self.host.clone(), number, kind, subject, detail });
+    }
+
+    /// Events whose subject starts with a text, in order.
+    pub fn events_about(&self, subject: &str) -> Vec<Event> {
+        self.events.iter().filter(|event| event.subject.starts_with(subject)).cloned().collect()
+    }
+}
--- /dev/null
+++ b/bamboo-host/src/asks.rs
@@ -0,0 +1,261 @@
+//! Questions to shard owners, wherever they are.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bamboo_result::Code;
+use bamboo_result::Refusal;
+use bamboo_types::HostId;
+use bamboo_types::Now;
+use bamboo_types::Offset;
+use bamboo_types::RequestId;
+use bamboo_types::ShardId;
+use bamboo_wire::PeerMessage;
+use bamboo_wire::Question;
+use bamboo_wire::Reply;
+
+use crate::Answer;
+use crate::HostCore;
+use crate::KeyedRequest;
+
+/// Time after which an unanswered question is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+/// When a caller should come back if a shard has no owner.
+const NO_OWNER_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Questions that an owner keeps until its fold has passed their offset.
+const WAITING_MAX: usize = 10_000;
+
+/// What the answer is for.
+#[derive(Debug)]
+pub(crate) enum Purpose {
+    /// The answer goes to the asker as it is.
+    Plain,
+    /// A submitted job; its digest must be this one.
+    Submitted {
+        /// Digest of the items.
+        digest: u128,
+    },
+    /// A keyed call that runs if its claim is the first.
+    Keyed(Box<KeyedRequest>),
+}
+
+#[derive(Debug)]
+struct Ask {
+    shard: ShardId,
+    question: Question,
+    purpose: Purpose,
+    deadline: Now,
+    asked_at: Option<Now>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    from: HostId,
+    request: RequestId,
+    shard: ShardId,
+    question: Question,
+    until: Now,
+}
+
+/// Questions under way at one host.
+#[derive(Debug, Default)]
+pub(crate) struct Asks {
+    open: BTreeMap<RequestId, Ask>,
+    holders: BTreeMap<ShardId, HostId>,
+    waiting: Vec<Waiting>,
+}
+
+impl HostCore {
+    pub(crate) fn ask(&mut self, now: Now, request: RequestId, shard: ShardId, question: Question, purpose: Purpose) {
+        if shard >= self.options.shard_count {
+            self.refuse(request, Refusal::new(Code::NotFound, format!("no shard {shard}")));
+            return;
+        }
+        let deadline = now + self.options.ask_wait;
+        self.asks.open.insert(request, Ask { shard, question, purpose, deadline, asked_at: None });
+        self.send_ask(now, request);
+    }
+
+    pub(crate) fn tick_asks(&mut self, now: Now) {
+        let due: Vec<RequestId> = self
+            .asks
+            .open
+            .iter()
+            .filter(|(_, ask)| ask.asked_at.is_none_or(|at| now.saturating_sub(at) >= ASK_AGAIN))
+            .map(|(request, _)| *request)
+            .collect();
+        for request in due {
+            if self.asks.open.get(&request).is_some_and(|ask| now >= ask.deadline) {
+                self.give_up_ask(now, request);
+            } else {
+                // The holder that was named did not answer, so the order over live hosts decides again.
+                if let Some(ask) = self.asks.open.get(&request) {
+                    self.asks.holders.remove(&ask.shard);
+                }
+                self.send_ask(now, request);
+            }
+        }
+        self.retry_waiting(now);
+    }
+
+    pub(crate) fn ask_heard(&mut self, now: Now, from: &str, request: RequestId, shard: ShardId, question: Question) {
+        if !self.owns_currently(shard) {
+            let holder = self.shards.get(usize::from(shard)).and_then(|role| role.claimant.holder());
+            let holder = holder.filter(|holder| *holder != self.options.host).map(str::to_owned);
+            self.send(from, PeerMessage::Answer { request, reply: Reply::NotOwner { holder } });
+            return;
+        }
+        match self.reply_to(now, shard, &question) {
+            Some(reply) => self.send(from, PeerMessage::Answer { request, reply }),
+            None if self.asks.waiting.len() < WAITING_MAX => {
+                let until = now + self.options.ask_wait;
+                self.asks.waiting.push(Waiting { from: from.to_owned(), request, shard, question, until });
+            }
+            None => {}
+        }
+    }
+
+    pub(crate) fn reply_heard(&mut self, now: Now, request: RequestId, reply: Reply) {
+        if let Reply::NotOwner { holder } = reply {
+            self.not_owner_heard(now, request, holder);
+            return;
+        }
+        let Some(ask) = self.asks.open.remove(&request) else {
+            return;
+        };
+        match ask.purpose {
+            Purpose::Plain => self.answer_plain(request, reply),
+            Purpose::Submitted { digest } => self.answer_submitted(request, digest, reply),
+            Purpose::Keyed(keyed) => self.keyed_replied(now, request, *keyed, reply),
+        }
+    }
+
+    /// Answers questions whose offset the fold has passed by now.
+    pub(crate) fn retry_waiting(&mut self, now: Now) {
+        for waiting in std::mem::take(&mut self.asks.waiting) {
+            if now >= waiting.until {
+                continue;
+            }
+            self.ask_heard(now, &waiting.from, waiting.request, waiting.shard, waiting.question);
+        }
+    }
+
+    fn send_ask(&mut self, now: Now, request: RequestId) {
+        let Some(ask) = self.asks.open.get_mut(&request) else {
+            return;
+        };
+        ask.asked_at = Some(now);
+        let (shard, question) = (ask.shard, ask.question.clone());
+        if let Some(owner) = self.shard_owner(now, shard) {
+            self.send(&owner, PeerMessage::Ask { request, shard, question });
+        }
+    }
+
+    /// The host to turn to for a shard: the holder that was last named, or the first in order.
+    pub(crate) fn shard_owner(&self, now: Now, shard: ShardId) -> Option<HostId> {
+        if self.owns(shard) {
+            return Some(self.options.host.clone());
+        }
+        let named = self.asks.holders.get(&shard).filter(|host| self.members.is_answering(now, host));
+        named.cloned().or_else(|| self.members.owner(now, &shard_name(shard)))
+    }
+
+    fn not_owner_heard(&mut self, now: Now, request: RequestId, holder: Option<HostId>) {
+        let Some(ask) = self.asks.open.get(&request) else {
+            return;
+        };
+        let shard = ask.shard;
+        match holder {
+            Some(holder) if self.asks.holders.get(&shard) != Some(&holder) => {
+                self.asks.holders.insert(shard, holder);
+                self.send_ask(now, request);
+            }
+            _ => {
+                self.asks.holders.remove(&shard);
+            }
+        }
+    }
+
+    fn give_up_ask(&mut self, now: Now, request: RequestId) {
+        let Some(ask) = self.asks.open.remove(&request) else {
+            return;
+        };
+        match ask.purpose {
+            Purpose::Plain => {
+                let message = format!("shard {} has no owner that answers", ask.shard);
+                self.refuse(request, Refusal::retry(Code::NoOwner, message, NO_OWNER_RETRY_AFTER));
+            }
+            Purpose::Submitted { .. } => {
+                let message = "the submit is stored but not confirmed yet; resend it with the same key";
+                self.refuse(request, Refusal::retry(Code::AppendUnknown, message, NO_OWNER_RETRY_AFTER));
+            }
+            Purpose::Keyed(keyed) => {
+                // The call has not run and its claim is taken back.
+                self.release_keyed(now, request, &keyed);
+                let message = format!("shard {} has no owner that answers; the call did not run", ask.shard);
+                self.refuse(request, Refusal::retry(Code::NoOwner, message, NO_OWNER_RETRY_AFTER));
+            }
+        }
+    }
+
+    fn answer_plain(&mut self, request: RequestId, reply: Reply) {
+        let answer = match reply {
+            Reply::Job(Some(view)) => Answer::Job(view),
+            Reply::Jobs(views) => Answer::Jobs(views),
+            Reply::Results { view: Some(view), offsets } => Answer::Results { view, offsets },
+            _ => Answer::Refused(Refusal::new(Code::NotFound, "no such job")),
+        };
+        self.answer(request, answer);
+    }
+
+    fn answer_submitted(&mut self, request: RequestId, digest: u128, reply: Reply) {
+        match reply {
+            Reply::Job(Some(view)) if view.digest == digest => self.answer(request, Answer::Job(view)),
+            Reply::Job(Some(_)) => {
+                let message = "the key was used before with other items";
+                self.refuse(request, Refusal::new(Code::KeyReused, message));
+            }
+            _ => {
+                let message = "items of the upload are missing in the log; nothing was accepted";
+                self.refuse(request, Refusal::retry(Code::LogUnavailable, message, NO_OWNER_RETRY_AFTER));
+            }
+        }
+    }
+
+    fn reply_to(&self, now: Now, shard: ShardId, question: &Question) -> Option<Reply> {
+        let role = self.shards.get(usize::from(shard))?;
+        let fold = role.stream.fold();
+        let has_passed = |offset: Offset| fold.next_offset() > offset;
+        match question {
+            Question::Job { job, after } => {
+                if !after.is_none_or(has_passed) {
+                    return None;
+                }
+                Some(Reply::Job(fold.job(*job).map(|found| role.hand_out.view(now, found))))
+            }
+            Question::Jobs { workspace } => {
+                let is_wanted = |name: &str| workspace.as_deref().is_none_or(|wanted| wanted == name);
+                let jobs = fold.jobs().filter(|job| is_wanted(&job.spec.workspace));
+                Some(Reply::Jobs(jobs.map(|job| role.hand_out.view(now, job)).collect()))
+            }
+            Question::Results { job } => {
+                let found = fold.job(*job);
+                let view = found.map(|found| role.hand_out.view(now, found));
+                let offsets = found.map(|found| found.outcome_offsets.clone()).unwrap_or_default();
+                Some(Reply::Results { view, offsets })
+            }
+            Question::Keyed { workspace, key, claim, after } => {
+                if !has_passed(*after) {
+                    return None;
+                }
+                let keyed = fold.keyed(workspace, key)?;
+                Some(crate::keyed::reply_for(keyed, claim))
+            }
+        }
+    }
+}
+
+/// Name of a shard in the rendezvous order.
+pub(crate) fn shard_name(shard: ShardId) -> String {
+    format!("shard-{shard}")
+}
--- /dev/null
+++ b/bamboo-host/src/config_role.rs
@@ -0,0 +1,176 @@
+//! Configuration at one host: the fold, its stream, and images from peers while the log is down.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bamboo_config::ConfigFold;
+use bamboo_events::EventKind;
+use bamboo_log::Body;
+use bamboo_log::ConfigChange;
+use bamboo_log::Entry;
+use bamboo_log::NextRead;
+use bamboo_log::ReadAnswer;
+use bamboo_log::ReadOutcome;
+use bamboo_log::Reader;
+use bamboo_log::StreamId;
+use bamboo_log::Ticket;
+use bamboo_types::Now;
+use bamboo_types::Offset;
+use bamboo_types::RequestId;
+use bamboo_wire::PeerMessage;
+
+use crate::Answer;
+use crate::HostCore;
+use crate::Output;
+use crate::waiters::Purpose;
+
+/// Interval between requests for a peer's configuration.
+const ASK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Configuration state of one host.
+#[derive(Debug)]
+pub(crate) struct ConfigRole {
+    fold: Arc<ConfigFold>,
+    reader: Reader,
+    has_reached_tail: bool,
+    has_image: bool,
+    fresh_at: Now,
+    asked_at: Option<Now>,
+}
+
+impl Default for ConfigRole {
+    fn default() -> Self {
+        ConfigRole {
+            fold: Arc::new(ConfigFold::default()),
+            reader: Reader::new(StreamId::Config, 0),
+            has_reached_tail: false,
+            has_image: false,
+            fresh_at: Duration::ZERO,
+            asked_at: None,
+        }
+    }
+}
+
+impl ConfigRole {
+    pub(crate) fn fold(&self) -> &ConfigFold {
+        &self.fold
+    }
+
+    /// The fold, shared rather than copied.
+    pub(crate) fn shared(&self) -> Arc<ConfigFold> {
+        Arc::clone(&self.fold)
+    }
+
+    /// Ready once the stream was read to its tail, or a peer's image stands in for it while the log is down; not
+    /// ready when neither log nor peers have been heard for too long.
+    pub(crate) fn is_ready(&self, now: Now, stale_max: Duration) -> bool {
+        (self.has_reached_tail || self.has_image) && now.saturating_sub(self.fresh_at) < stale_max
+    }
+}
+
+impl HostCore {
+    pub(crate) fn tick_config(&mut self, now: Now) {
+        if let NextRead::Read { stream, from } = self.config.reader.next(now) {
+            self.output(Output::Read { stream, from });
+        }
+        let needs_image = !self.config.has_reached_tail && self.config.reader.is_failing();
+        let is_due = self.config.asked_at.is_none_or(|at| now.saturating_sub(at) >= ASK_INTERVAL);
+        if needs_image && is_due {
+            self.ask_for_image(now);
+        }
+    }
+
+    pub(crate) fn config_read(&mut self, now: Now, answer: ReadAnswer) {
+        let oldest = answer.oldest;
+        let entries = match self.config.reader.answered(answer) {
+            ReadOutcome::Nothing => Vec::new(),
+            ReadOutcome::Entries(entries) => entries,
+            ReadOutcome::Gap(entries) => {
+                // Trimmed before this host read it: a peer that has folded it can fill the gap.
+                if oldest > self.config.fold.next_offset() {
+                    self.ask_for_image(now);
+                }
+                entries
+            }
+        };
+        let mut has_changed = false;
+        for (offset, entry) in entries {
+            has_changed |= entry.is_some_and(|entry| self.apply_config(offset, &entry));
+        }
+        self.config.fresh_at = now;
+        self.config.has_reached_tail |= self.config.reader.is_at_tail();
+        if has_changed {
+            self.publish_config(now);
+        }
+    }
+
+    pub(crate) fn config_read_failed(&mut self, now: Now) {
+        let random = self.random();
+        self.config.reader.failed(now, random);
+    }
+
+    pub(crate) fn propose_arrived(&mut self, now: Now, request: RequestId, change: ConfigChange) {
+        self.enqueue(now, request, StreamId::Config, Body::Config(change), Purpose::Propose);
+    }
+
+    pub(crate) fn config_heard(&mut self, now: Now, from: &str, offset: Offset) {
+        if from == self.options.host {
+            return;
+        }
+        // A peer that lives and is not ahead confirms that this configuration is as new as any.
+        if offset <= self.config.fold.next_offset() {
+            self.config.fresh_at = now;
+        } else if self.config.reader.is_failing() {
+            self.send(from, PeerMessage::ConfigAsk { have: self.config.fold.next_offset() });
+        }
+    }
+
+    pub(crate) fn config_asked(&mut self, from: &str, have: Offset) {
+        if self.config.fold.next_offset() <= have {
+            return;
+        }
+        if let Ok(bytes) = self.config.fold.to_image() {
+            self.send(from, PeerMessage::ConfigImage(bytes));
+        }
+    }
+
+    pub(crate) fn config_image_heard(&mut self, now: Now, bytes: &[u8]) {
+        let fold = Arc::make_mut(&mut self.config.fold);
+        if let Ok(true) = fold.take_image(bytes) {
+            self.config.has_image = true;
+            self.config.fresh_at = now;
+            self.publish_config(now);
+        }
+    }
+
+    fn ask_for_image(&mut self, now: Now) {
+        self.config.asked_at = Some(now);
+        let have = self.config.fold.next_offset();
+        let peers: Vec<String> = self.live.iter().filter(|host| **host != self.options.host).cloned().collect();
+        if peers.is_empty() {
+            return;
+        }
+        let index = (self.random() % peers.len() as u64) as usize;
+        self.send(&peers[index], PeerMessage::ConfigAsk { have });
+    }
+
+    fn apply_config(&mut self, offset: Offset, entry: &Entry) -> bool {
+        let outcomes = Arc::make_mut(&mut self.config.fold).apply(offset, entry);
+        let is_mine = entry.host == self.options.host && entry.incarnation == self.options.incarnation;
+        let has_changed = !outcomes.is_empty();
+        for (sequence, outcome) in outcomes {
+            self.event(EventKind::ConfigChanged, format!("config-{offset}"), format!("{outcome:?}"));
+            let ticket = Ticket { stream: StreamId::Config, sequence };
+            if is_mine && let Some(waiter) = self.waiters.remove(ticket) {
+                self.answer(waiter.request, Answer::Config(outcome));
+            }
+        }
+        has_changed
+    }
+
+    fn publish_config(&mut self, now: Now) {
+        let fold = Arc::clone(&self.config.fold);
+        self.output(Output::PublishConfig(fold));
+        self.refresh_servers(now);
+    }
+}
--- /dev/null
+++ b/bamboo-host/src/lib.rs
@@ -0,0 +1,28 @@
+//! Everything that a host decides, behind one step function without I/O, clock or randomness of its own.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod appends;
+mod asks;
+mod config_role;
+mod core;
+mod input;
+mod keyed;
+mod online;
+mod options;
+mod output;
+mod servers;
+mod shard_role;
+mod shards;
+mod waiters;
+
+pub use crate::core::HostCore;
+pub use crate::core::HostStatus;
+pub use crate::core::ShardStatus;
+pub use crate::input::Input;
+pub use crate::input::ItemEnd;
+pub use crate::input::KeyedRequest;
+pub use crate::options::HostOptions;
+pub use crate::output::Answer;
+pub use crate::output::Output;
+pub use crate::output::RunRef;
--- /dev/null
+++ b/bamboo-host/src/online.rs
@@ -0,0 +1,80 @@
+//! Online requests, and the counts that routers and server owners tell each other.
+
+use bamboo_events::EventKind;
+use bamboo_route::Attempt;
+use bamboo_route::EndStep;
+use bamboo_route::OnlineEnd;
+use bamboo_route::OnlineRequest;
+use bamboo_route::RouteStep;
+use bamboo_types::BackendServerId;
+use bamboo_types::Now;
+use bamboo_types::RequestId;
+use bamboo_wire::PeerMessage;
+use bamboo_wire::ServerLoad;
+
+use crate::Answer;
+use crate::HostCore;
+
+impl HostCore {
+    pub(crate) fn online_arrived(&mut self, now: Now, request: OnlineRequest) {
+        let id = request.request;
+        if !self.is_accepting() {
+            self.refuse_not_ready(id);
+            return;
+        }
+        let random = self.random();
+        match self.router.arrived(now, request, random) {
+            RouteStep::Send(attempt) => self.dispatch(id, attempt),
+            RouteStep::Refuse(refusal) => self.refuse(id, refusal),
+        }
+    }
+
+    pub(crate) fn online_ended(&mut self, now: Now, request: RequestId, end: OnlineEnd) {
+        if let Some(server) = self.router.server_of(request) {
+            self.touched.insert(server.to_owned());
+        }
+        let random = self.random();
+        let detail = format!("{end:?}");
+        match self.router.ended(now, request, end.clone(), random) {
+            EndStep::Send(attempt) => self.dispatch(request, attempt),
+            EndStep::Done => {
+                self.keyed_ended(now, request, &end);
+                self.event(EventKind::OnlineEnded, format!("{request:032x}"), detail);
+                self.answer(request, Answer::Done);
+            }
+            EndStep::Refuse(refusal) => {
+                self.keyed_ended(now, request, &end);
+                self.refuse(request, refusal);
+            }
+        }
+    }
+
+    pub(crate) fn dispatch(&mut self, request: RequestId, attempt: Attempt) {
+        self.touched.insert(attempt.server.clone());
+        let detail = format!("{} attempt {}", attempt.server, attempt.number);
+        self.event(EventKind::OnlineSent, format!("{request:032x}"), detail);
+        self.answer(request, Answer::Dispatch(attempt));
+    }
+
+    /// Tells the owners of servers whose count changed.
+    pub(crate) fn report_counts(&mut self, _now: Now) {
+        for server in std::mem::take(&mut self.touched) {
+            let in_flight = self.router.own_count(&server);
+            if let Some(owner) = self.servers.owner_of(&server).map(str::to_owned) {
+                self.send(&owner, PeerMessage::OnlineCount { server, in_flight });
+            }
+        }
+    }
+
+    pub(crate) fn online_count_heard(&mut self, now: Now, from: &str, server: &BackendServerId, in_flight: u32) {
+        if self.servers.count_online(now, server, from, in_flight) {
+            self.advance_server(now, server);
+        }
+    }
+
+    pub(crate) fn loads_heard(&mut self, now: Now, loads: Vec<ServerLoad>) {
+        for load in loads {
+            self.router.notice(now, &load.server, load.online_count, load.batch_count);
+        }
+    }
+}
--- /dev/null
+++ b/bamboo-host/src/shard_role.rs
@@ -0,0 +1,187 @@
+//! One job shard at one host: claim, reading, fold, hand-out and commit.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bamboo_jobs::FoldEvent;
+use bamboo_jobs::HandOut;
+use bamboo_jobs::StreamFold;
+use bamboo_log::Body;
+use bamboo_log::ItemOutcome;
+use bamboo_log::ItemVerdict;
+use bamboo_log::Reader;
+use bamboo_log::StreamId;
+use bamboo_member::Claimant;
+use bamboo_types::HostId;
+use bamboo_types::ItemIndex;
+use bamboo_types::JobId;
+use bamboo_types::Now;
+use bamboo_types::Offset;
+use bamboo_types::ShardId;
+use bamboo_types::millis;
+
+/// How long outcomes gather before they are given to the appender.
+const GATHER: Duration = Duration::from_millis(40);
+/// Interval of looking for jobs whose result lifetime is over.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
+/// Most outcomes in one record.
+const GROUP_MAX: usize = 2000;
+
+/// What a host knows and does of one shard.
+#[derive(Debug)]
+pub(crate) struct ShardRole {
+    pub(crate) shard: ShardId,
+    pub(crate) claimant: Claimant,
+    pub(crate) reader: Option<Reader>,
+    pub(crate) stream: StreamFold,
+    pub(crate) hand_out: HandOut,
+    pub(crate) owned: Option<Offset>,
+    pub(crate) is_release_sent: bool,
+    gathered: Vec<ItemOutcome>,
+    gathered_at: Now,
+    committing: BTreeMap<(JobId, ItemIndex), HostId>,
+    expired_at: Now,
+    pub(crate) snapshot_through: Offset,
+}
+
+impl ShardRole {
+    pub(crate) fn new(shard: ShardId, claimant: Claimant) -> Self {
+        ShardRole {
+            shard,
+            claimant,
+            reader: None,
+            stream: StreamFold::default(),
+            hand_out: HandOut::default(),
+            owned: None,
+            is_release_sent: false,
+            gathered: Vec::new(),
+            gathered_at: Duration::ZERO,
+            committing: BTreeMap::new(),
+            expired_at: Duration::ZERO,
+            snapshot_through: 0,
+        }
+    }
+
+    pub(crate) fn stream_id(&self) -> StreamId {
+        StreamId::Shard(self.shard)
+    }
+
+    /// Whether the stream has been read to its tail and nothing before it is missing.
+    pub(crate) fn is_current(&self) -> bool {
+        self.stream.is_whole() && self.reader.as_ref().is_some_and(Reader::is_at_tail)
+    }
+
+    /// Reads the stream from its start, if it is not being read.
+    pub(crate) fn start_reading(&mut self) {
+        if self.reader.is_none() {
+            self.stream = StreamFold::default();
+            self.claimant.reset();
+            self.reader = Some(Reader::new(self.stream_id(), 0));
+        }
+    }
+
+    /// Stops reading and forgets the fold.
+    pub(crate) fn stop_reading(&mut self) {
+        if self.reader.take().is_some() {
+            self.stream = StreamFold::default();
+            self.claimant.reset();
+        }
+    }
+
+    /// Becomes the owner under an epoch.
+    pub(crate) fn become_owner(&mut self, epoch: Offset) {
+        self.owned = Some(epoch);
+        self.is_release_sent = false;
+        self.hand_out = HandOut::default();
+        self.gathered.clear();
+        self.committing.clear();
+        self.snapshot_through = 0;
+    }
+
+    /// Is no longer the owner.
+    pub(crate) fn lose(&mut self) {
+        self.owned = None;
+        self.hand_out = HandOut::default();
+        self.gathered.clear();
+        self.committing.clear();
+    }
+
+    /// Takes reported outcomes to commit. Returns those that are settled already.
+    pub(crate) fn report(&mut self, now: Now, from: &str, outcomes: Vec<ItemOutcome>) -> Vec<(JobId, ItemIndex)> {
+        let mut settled = Vec::new();
+        for outcome in outcomes {
+            let name = (outcome.job, outcome.item);
+            let is_open = self.stream.fold().job(outcome.job).is_some_and(|job| {
+                job.is_running() && !job.ended.is_set(outcome.item)
+            });
+            if !is_open {
+                settled.push(name);
+                continue;
+            }
+            if self.committing.contains_key(&name) {
+                continue;
+            }
+            if self.gathered.is_empty() {
+                self.gathered_at = now;
+            }
+            self.committing.insert(name, from.to_owned());
+            let outcome = self.with_last_attempt(outcome);
+            self.gathered.push(outcome);
+        }
+        settled
+    }
+
+    /// The next record of outcomes, once enough have gathered or the first has waited long enough.
+    pub(crate) fn next_commit(&mut self, now: Now) -> Option<Body> {
+        let epoch = self.owned?;
+        let is_due = now.saturating_sub(self.gathered_at) >= GATHER || self.gathered.len() >= GROUP_MAX;
+        if self.gathered.is_empty() || !is_due {
+            return None;
+        }
+        let rest = self.gathered.split_off(self.gathered.len().min(GROUP_MAX));
+        let outcomes = std::mem::replace(&mut self.gathered, rest);
+        Some(Body::Outcomes { epoch, at_ms: millis(now), outcomes })
+    }
+
+    /// The host that reported an outcome which the fold has now decided on.
+    pub(crate) fn settled(&mut self, job: JobId, item: ItemIndex) -> Option<HostId> {
+        self.committing.remove(&(job, item))
+    }
+
+    /// Whether outcomes wait to be stored or read back.
+    pub(crate) fn is_committing(&self) -> bool {
+        !self.committing.is_empty()
+    }
+
+    /// Whether it is time to look for jobs whose result lifetime is over.
+    pub(crate) fn is_expiry_due(&mut self, now: Now) -> bool {
+        let is_due = now.saturating_sub(self.expired_at) >= EXPIRY_INTERVAL;
+        if is_due {
+            self.expired_at = now;
+        }
+        is_due
+    }
+
+    /// Notes a claim or release in the claimant.
+    pub(crate) fn note_claims(&mut self, event: &FoldEvent) {
+        match event {
+            FoldEvent::Claimed { host, incarnation, epoch } => self.claimant.claim_read(host, *incarnation, *epoch),
+            FoldEvent::Released { epoch } => self.claimant.release_read(*epoch),
+            _ => {}
+        }
+    }
+
+    /// A failure that uses up the item's attempts becomes final.
+    fn with_last_attempt(&self, outcome: ItemOutcome) -> ItemOutcome {
+        let ItemVerdict::ServerFault { reason, was_server_lost } = &outcome.verdict else {
+            return outcome;
+        };
+        let job = self.stream.fold().job(outcome.job);
+        let attempts = job.and_then(|job| job.attempts.get(&outcome.item)).copied().unwrap_or_default();
+        if !attempts.is_last(*was_server_lost) {
+            return outcome;
+        }
+        let verdict = ItemVerdict::GivenUp { reason: reason.clone() };
+        ItemOutcome { verdict, ..outcome }
+    }
+}
--- /dev/null
+++ b/bamboo-jobs/src/fold.rs
@@ -0,0 +1,362 @@
+//! The fold of one shard's stream. Every host that folds the same entries has the same state.
+
+use std::collections::BTreeMap;
+
+use bamboo_log::Body;
+use bamboo_log::Dedupe;
+use bamboo_log::Entry;
+use bamboo_log::ItemOutcome;
+use bamboo_log::ItemVerdict;
+use bamboo_log::JobSpec;
+use bamboo_log::KeyedCall;
+use bamboo_log::KeyedEnd;
+use bamboo_log::Position;
+use bamboo_log::RecordId;
+use bamboo_log::UploadId;
+use bamboo_log::Writer;
+use bamboo_types::HostId;
+use bamboo_types::Incarnation;
+use bamboo_types::ItemIndex;
+use bamboo_types::JobId;
+use bamboo_types::Offset;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ChunkRef;
+use crate::Job;
+use crate::JobState;
+use crate::Keyed;
+use crate::KeyedState;
+
+/// Entries after which an upload that no submit names is forgotten.
+const UPLOAD_LIFETIME_ENTRIES: u64 = 200_000;
+/// How long a keyed call is remembered, milliseconds.
+const KEYED_LIFETIME_MS: u64 = 24 * 3600 * 1000;
+
+/// What a record changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FoldEvent {
+    /// A claim of the stream; the newest holds it.
+    Claimed {
+        /// The claimant.
+        host: HostId,
+        /// The claimant's run.
+        incarnation: Incarnation,
+        /// The claim's epoch.
+        epoch: Offset,
+    },
+    /// The claim with this epoch was given up.
+    Released {
+        /// The epoch.
+        epoch: Offset,
+    },
+    /// A job was accepted.
+    JobAccepted(JobId),
+    /// A submit of a job that stands already.
+    JobRepeated(JobId),
+    /// A submit that names items which are not in the stream.
+    JobIncomplete(JobId),
+    /// An item's final outcome counted.
+    ItemEnded {
+        /// The job.
+        job: JobId,
+        /// The item.
+        item: ItemIndex,
+        /// Whether it was done, not failed.
+        is_done: bool,
+    },
+    /// A failed run counted; the item runs again.
+    ItemRetried {
+        /// The job.
+        job: JobId,
+        /// The item.
+        item: ItemIndex,
+    },
+    /// An outcome did not count: a repeat, of a stale owner, or after a cancel.
+    OutcomeIgnored {
+        /// The job.
+        job: JobId,
+        /// The item.
+        item: ItemIndex,
+    },
+    /// A job ended.
+    JobEnded {
+        /// The job.
+        job: JobId,
+        /// How.
+        state: JobState,
+    },
+    /// A job was forgotten.
+    JobExpired(JobId),
+}
+
+/// State of one shard.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardFold {
+    holder: Option<(Writer, Offset)>,
+    next_offset: Offset,
+    jobs: BTreeMap<JobId, Job>,
+    uploads: BTreeMap<UploadId, Vec<ChunkRef>>,
+    keyed: BTreeMap<(String, String), Keyed>,
+    dedupe: Dedupe,
+}
+
+impl ShardFold {
+    /// Applies one entry and tells what it changed. Entries at offsets already folded change nothing.
+    ///
+    /// ```
+    /// use bamboo_jobs::{FoldEvent, ShardFold};
+    /// use bamboo_log::{Body, Entry};
+    /// let entry = Entry { host: "h1".into(), incarnation: 1, at_ms: 0, first_sequence: 1, bodies: vec![Body::Claim] };
+    /// let mut fold = ShardFold::default();
+    /// assert!(matches!(fold.apply(0, &entry)[0], FoldEvent::Claimed { epoch: 0, .. }));
+    /// assert!(fold.apply(0, &entry).is_empty());
+    /// ```
+    pub fn apply(&mut self, offset: Offset, entry: &Entry) -> Vec<FoldEvent> {
+        let mut events = Vec::new();
+        if offset < self.next_offset {
+            return events;
+        }
+        self.next_offset = offset + 1;
+        let writer = Writer { host: entry.host.clone(), incarnation: entry.incarnation };
+        for (slot, body) in entry.bodies.iter().enumerate() {
+            let sequence = entry.first_sequence + slot as u64;
+            let is_first = self.dedupe.is_first(&writer, sequence);
+            if is_first || cfg!(feature = "mutate-no-dedupe") {
+                let id = RecordId { writer: writer.clone(), sequence };
+                self.apply_body(Position { offset, slot: slot as u32 }, id, body, &mut events);
+            }
+        }
+        events
+    }
+
+    /// Moves past an offset whose entry does not decode or was trimmed.
+    pub fn skip(&mut self, offset: Offset) {
+        self.next_offset = self.next_offset.max(offset + 1);
+    }
+
+    /// The next offset to fold.
+    pub fn next_offset(&self) -> Offset {
+        self.next_offset
+    }
+
+    /// The newest claim's offset.
+    pub fn epoch(&self) -> Option<Offset> {
+        self.holder.as_ref().map(|(_, epoch)| *epoch)
+    }
+
+    /// The newest claim: who made it, and its epoch.
+    pub fn holder(&self) -> Option<&(Writer, Offset)> {
+        self.holder.as_ref()
+    }
+
+    /// A job by its identifier.
+    pub fn job(&self, job: JobId) -> Option<&Job> {
+        self.jobs.get(&job)
+    }
+
+    /// All jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values()
+    }
+
+    /// A keyed call.
+    pub fn keyed(&self, workspace: &str, key: &str) -> Option<&Keyed> {
+        self.keyed.get(&(workspace.to_owned(), key.to_owned()))
+    }
+
+    /// Ended jobs whose result lifetime is over.
+    pub fn expired(&self, now_ms: u64) -> Vec<JobId> {
+        self.jobs
+            .values()
+            .filter(|job| job.ended_ms.is_some_and(|ended| ended + job.spec.result_lifetime_ms <= now_ms))
+            .map(|job| job.spec.job)
+            .collect()
+    }
+
+    fn apply_body(&mut self, at: Position, id: RecordId, body: &Body, events: &mut Vec<FoldEvent>) {
+        match body {
+            Body::Claim => self.apply_claim(at.offset, id.writer, events),
+            Body::Release { epoch } => self.apply_release(*epoch, events),
+            Body::Chunk { upload, first_item, items } => self.apply_chunk(at, *upload, *first_item, items.len()),
+            Body::Submit(spec) => self.apply_submit(spec, events),
+            Body::Outcomes { epoch, at_ms, outcomes } => {
+                self.apply_outcomes(at.offset, *epoch, *at_ms, outcomes, events);
+            }
+            Body::Cancel { job, at_ms } => self.apply_cancel(*job, *at_ms, events),
+            Body::Expire { epoch, job } => self.apply_expire(*epoch, *job, events),
+            Body::Carried { epoch, job, from, .. } => self.apply_carried(at.offset, *epoch, *job, *from),
+            Body::CarriedChunk { epoch, job, first_item, .. } => {
+                self.apply_carried_chunk(at, *epoch, *job, *first_item);
+            }
+            Body::KeyedCall(call) => self.apply_keyed_call(id, call),
+            Body::KeyedEnd(end) => self.apply_keyed_end(end),
+            Body::Probe | Body::Config(_) | Body::ServerClaim { .. } | Body::Snapshot(_) => {}
+        }
+    }
+
+    fn apply_claim(&mut self, offset: Offset, writer: Writer, events: &mut Vec<FoldEvent>) {
+        self.holder = Some((writer.clone(), offset));
+        events.push(FoldEvent::Claimed { host: writer.host, incarnation: writer.incarnation, epoch: offset });
+    }
+
+    fn apply_release(&mut self, epoch: Offset, events: &mut Vec<FoldEvent>) {
+        if self.epoch() == Some(epoch) {
+            self.holder = None;
+            events.push(FoldEvent::Released { epoch });
+        }
+    }
+
+    fn apply_chunk(&mut self, at: Position, upload: UploadId, first_item: ItemIndex, item_count: usize) {
+        let chunk = ChunkRef { at, first_item, item_count: item_count as u32 };
+        self.uploads.entry(upload).or_default().push(chunk);
+        let oldest = at.offset.saturating_sub(UPLOAD_LIFETIME_ENTRIES);
+        self.uploads.retain(|_, chunks| chunks.last().is_some_and(|chunk| chunk.at.offset >= oldest));
+    }
+
+    fn apply_submit(&mut self, spec: &JobSpec, events: &mut Vec<FoldEvent>) {
+        let chunks = self.uploads.remove(&spec.upload).unwrap_or_default();
+        if self.jobs.contains_key(&spec.job) {
+            events.push(FoldEvent::JobRepeated(spec.job));
+            return;
+        }
+        let item_count: u32 = chunks.iter().map(|chunk| chunk.item_count).sum();
+        if chunks.len() != spec.chunk_count as usize || item_count != spec.item_count {
+            events.push(FoldEvent::JobIncomplete(spec.job));
+            return;
+        }
+        self.jobs.insert(spec.job, Job::new(spec.clone(), chunks));
+        events.push(FoldEvent::JobAccepted(spec.job));
+    }
+
+    fn apply_outcomes(
+        &mut self,
+        offset: Offset,
+        epoch: Offset,
+        at_ms: u64,
+        outcomes: &[ItemOutcome],
+        events: &mut Vec<FoldEvent>,
+    ) {
+        let is_current = self.is_current(epoch);
+        for outcome in outcomes {
+            let counted = is_current.then(|| self.apply_outcome(offset, at_ms, outcome, events));
+            if counted != Some(true) {
+                events.push(FoldEvent::OutcomeIgnored { job: outcome.job, item: outcome.item });
+            }
+        }
+    }
+
+    fn apply_outcome(
+        &mut self,
+        offset: Offset,
+        at_ms: u64,
+        outcome: &ItemOutcome,
+        events: &mut Vec<FoldEvent>,
+    ) -> bool {
+        let Some(job) = self.jobs.get_mut(&outcome.job) else {
+            return false;
+        };
+        if !job.is_running() || outcome.item >= job.spec.item_count || job.ended.is_set(outcome.item) {
+            return false;
+        }
+        if let ItemVerdict::ServerFault { was_server_lost, .. } = outcome.verdict {
+            let attempts = job.attempts.entry(outcome.item).or_default();
+            attempts.runs = attempts.runs.saturating_add(1);
+            attempts.server_losses = attempts.server_losses.saturating_add(u8::from(was_server_lost));
+            events.push(FoldEvent::ItemRetried { job: outcome.job, item: outcome.item });
+            return true;
+        }
+        let is_done = matches!(outcome.verdict, ItemVerdict::Done { .. });
+        job.ended.set(outcome.item);
+        job.failed_count += u32::from(!is_done);
+        job.attempts.remove(&outcome.item);
+        if job.outcome_offsets.last() != Some(&offset) {
+            job.outcome_offsets.push(offset);
+        }
+        events.push(FoldEvent::ItemEnded { job: outcome.job, item: outcome.item, is_done });
+        if job.left_count() == 0 {
+            job.end(JobState::Completed, at_ms);
+            events.push(FoldEvent::JobEnded { job: outcome.job, state: JobState::Completed });
+        }
+        true
+    }
+
+    fn apply_cancel(&mut self, job: JobId, at_ms: u64, events: &mut Vec<FoldEvent>) {
+        let Some(found) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        if found.is_running() {
+            found.end(JobState::Cancelled, at_ms);
+            events.push(FoldEvent::JobEnded { job, state: JobState::Cancelled });
+        }
+    }
+
+    fn apply_expire(&mut self, epoch: Offset, job: JobId, events: &mut Vec<FoldEvent>) {
+        let is_ended = self.jobs.get(&job).is_some_and(|found| !found.is_running());
+        if self.is_current(epoch) && is_ended {
+            self.jobs.remove(&job);
+            events.push(FoldEvent::JobExpired(job));
+        }
+    }
+
+    fn apply_carried(&mut self, offset: Offset, epoch: Offset, job: JobId, from: Offset) {
+        if !self.is_current(epoch) {
+            return;
+        }
+        let Some(found) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        // Only a copy of a record that counted takes its place.
+        if let Ok(index) = found.outcome_offsets.binary_search(&from) {
+            found.outcome_offsets.remove(index);
+            if found.outcome_offsets.last() != Some(&offset) {
+                found.outcome_offsets.push(offset);
+            }
+        }
+    }
+
+    fn apply_carried_chunk(&mut self, at: Position, epoch: Offset, job: JobId, first_item: ItemIndex) {
+        if !self.is_current(epoch) {
+            return;
+        }
+        let chunk = self
+            .jobs
+            .get_mut(&job)
+            .and_then(|found| found.chunks.iter_mut().find(|chunk| chunk.first_item == first_item));
+        if let Some(chunk) = chunk {
+            chunk.at = at;
+        }
+    }
+
+    fn apply_keyed_call(&mut self, id: RecordId, call: &KeyedCall) {
+        let oldest_ms = call.claimed_ms.saturating_sub(KEYED_LIFETIME_MS);
+        let name = (call.workspace.clone(), call.key.clone());
+        let is_taken = self.keyed.get(&name).is_some_and(|keyed| keyed.claimed_ms >= oldest_ms);
+        if !is_taken {
+            let state = KeyedState::Claimed;
+            let keyed = Keyed { claim: id, digest: call.digest, claimed_ms: call.claimed_ms, state };
+            self.keyed.insert(name, keyed);
+        }
+    }
+
+    fn apply_keyed_end(&mut self, end: &KeyedEnd) {
+        let name = (end.workspace.clone(), end.key.clone());
+        let Some(keyed) = self.keyed.get_mut(&name) else {
+            return;
+        };
+        if keyed.claim != end.claim || keyed.state != KeyedState::Claimed {
+            return;
+        }
+        match end.status {
+            Some(status) => keyed.state = KeyedState::Ended { status, body: end.body.clone() },
+            None => {
+                self.keyed.remove(&name);
+            }
+        }
+    }
+
+    /// A record that needs ownership counts only under the newest claim before it.
+    fn is_current(&self, epoch: Offset) -> bool {
+        self.epoch() == Some(epoch) || cfg!(feature = "mutate-no-epoch")
+    }
+}
--- /dev/null
+++ b/bamboo-jobs/src/handout.rs
@@ -0,0 +1,349 @@
+//! Hands a shard's items to server owners that ask for work. Volatile: a new owner starts it empty.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bamboo_log::Position;
+use bamboo_types::BackendServerId;
+use bamboo_types::HostId;
+use bamboo_types::Incarnation;
+use bamboo_types::ItemIndex;
+use bamboo_types::JobId;
+use bamboo_types::ModelId;
+use bamboo_types::Now;
+
+use crate::Job;
+use crate::JobRate;
+use crate::JobView;
+use crate::ShardFold;
+use crate::slack;
+
+/// How long a demand stands without being renewed.
+const DEMAND_LIFETIME: Duration = Duration::from_secs(3);
+/// How long the counts of held items may differ before the list is asked for.
+const MISMATCH_MAX: Duration = Duration::from_secs(5);
+/// Age from which on an item that its holder does not list is free again; younger ones may be under way.
+const UNDER_WAY_MAX: Duration = Duration::from_secs(2);
+/// Most items assigned in one pass, so that a pass stays short.
+const ASSIGN_MAX: usize = 512;
+
+/// A server owner's wish for work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Demand {
+    /// Host of the server owner.
+    pub host: HostId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// The server.
+    pub server: BackendServerId,
+    /// Models that the server has loaded.
+    pub models: Vec<ModelId>,
+    /// Items wanted.
+    pub want_count: u32,
+    /// Items of this shard that the server owner holds.
+    pub held_count: u32,
+}
+
+/// What to do after a demand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DemandStep {
+    /// The demand stands.
+    Stands,
+    /// The counts of held items differ: ask the server owner for the list before handing out more.
+    Recount,
+}
+
+/// Who holds an item.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Holder {
+    /// Host of the server owner.
+    pub host: HostId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// The server.
+    pub server: BackendServerId,
+}
+
+/// An item handed out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Assignment {
+    /// Who gets it.
+    pub holder: Holder,
+    /// Job.
+    pub job: JobId,
+    /// Item.
+    pub item: ItemIndex,
+    /// Position of the chunk record that holds the item.
+    pub chunk: Position,
+    /// Index of the item within the chunk.
+    pub index_in_chunk: u32,
+    /// Model that the item needs.
+    pub model: ModelId,
+    /// Deadline of the job, milliseconds since the Unix epoch.
+    pub deadline_ms: u64,
+    /// Whether the item must run with no other batch item on its server.
+    pub must_run_alone: bool,
+}
+
+#[derive(Debug)]
+struct Standing {
+    demand: Demand,
+    renewed_at: Now,
+    mismatch_since: Option<Now>,
+    is_recounting: bool,
+}
+
+#[derive(Debug)]
+struct Held {
+    holder: Holder,
+    since: Now,
+}
+
+#[derive(Debug, Default)]
+struct Progress {
+    cursor: ItemIndex,
+    returned: BTreeSet<ItemIndex>,
+    held_count: u32,
+    rate: JobRate,
+}
+
+/// Items in flight and standing demands of one shard.
+#[derive(Debug, Default)]
+pub struct HandOut {
+    held: BTreeMap<(JobId, ItemIndex), Held>,
+    held_by: BTreeMap<Holder, u32>,
+    demands: BTreeMap<BackendServerId, Standing>,
+    progress: BTreeMap<JobId, Progress>,
+}
+
+impl HandOut {
+    /// Takes or renews a demand.
+    pub fn demand(&mut self, now: Now, demand: Demand) -> DemandStep {
+        let known = self.held_by.get(&holder_of(&demand)).copied().unwrap_or(0);
+        let before = self.demands.get(&demand.server);
+        let mismatch_since = match known == demand.held_count {
+            true => None,
+            false => Some(before.and_then(|standing| standing.mismatch_since).unwrap_or(now)),
+        };
+        // Items and outcomes under way explain a difference for a moment. Items that a new shard owner has never
+        // heard of do not, and would be handed out a second time.
+        let is_unheard = known == 0 && demand.held_count > 0 && before.is_none();
+        let is_overdue = mismatch_since.is_some_and(|since| now.saturating_sub(since) >= MISMATCH_MAX);
+        let is_recounting = is_unheard || is_overdue || before.is_some_and(|standing| standing.is_recounting);
+        let server = demand.server.clone();
+        self.demands.insert(server, Standing { demand, renewed_at: now, mismatch_since, is_recounting });
+        if is_recounting { DemandStep::Recount } else { DemandStep::Stands }
+    }
+
+    /// Takes the list of items that a server owner holds: others that it was thought to hold are free again.
+    pub fn holding(&mut self, now: Now, fold: &ShardFold, holder: &Holder, items: &[(JobId, ItemIndex)]) {
+        let listed: BTreeSet<(JobId, ItemIndex)> = items.iter().copied().collect();
+        let missing: Vec<(JobId, ItemIndex)> = self
+            .held
+            .iter()
+            .filter(|(name, held)| held.holder == *holder && !listed.contains(name))
+            .filter(|(_, held)| now.saturating_sub(held.since) >= UNDER_WAY_MAX)
+            .map(|(name, _)| *name)
+            .collect();
+        for (job, item) in missing {
+            self.returned(job, item);
+        }
+        for (job, item) in listed {
+            let is_open = fold.job(job).is_some_and(|found| found.is_running() && !found.ended.is_set(item));
+            if is_open && !self.held.contains_key(&(job, item)) {
+                self.hold(now, job, item, holder.clone());
+            }
+        }
+        if let Some(standing) = self.demands.get_mut(&holder.server) {
+            standing.mismatch_since = None;
+            standing.is_recounting = false;
+        }
+    }
+
+    /// An item came back without a final outcome.
+    pub fn returned(&mut self, job: JobId, item: ItemIndex) {
+        if self.release(job, item) {
+            self.progress.entry(job).or_default().returned.insert(item);
+        }
+    }
+
+    /// An item has its final outcome.
+    pub fn ended(&mut self, now: Now, job: JobId, item: ItemIndex) {
+        self.release(job, item);
+        let progress = self.progress.entry(job).or_default();
+        progress.returned.remove(&item);
+        progress.rate.ended(now);
+    }
+
+    /// A job ended: nothing of it is handed out any more. Returns who holds items of it.
+    pub fn job_ended(&mut self, job: JobId) -> Vec<Holder> {
+        let names: Vec<(JobId, ItemIndex)> =
+            self.held.range((job, 0)..=(job, ItemIndex::MAX)).map(|(name, _)| *name).collect();
+        let mut holders = BTreeSet::new();
+        for (job, item) in names {
+            if let Some(held) = self.held.get(&(job, item)) {
+                holders.insert(held.holder.clone());
+            }
+            self.release(job, item);
+        }
+        self.progress.remove(&job);
+        holders.into_iter().collect()
+    }
+
+    /// Takes back everything that holders which are gone had.
+    pub fn drop_holders<F>(&mut self, is_gone: F)
+    where
+        F: Fn(&Holder) -> bool,
+    {
+        let gone: Vec<Holder> = self.held_by.keys().filter(|holder| is_gone(holder)).cloned().collect();
+        for holder in gone {
+            let names: Vec<(JobId, ItemIndex)> =
+                self.held.iter().filter(|(_, held)| held.holder == holder).map(|(name, _)| *name).collect();
+            for (job, item) in names {
+                self.returned(job, item);
+            }
+            self.demands.retain(|_, standing| holder_of(&standing.demand) != holder);
+        }
+    }
+
+    /// Hands out items to standing demands, the most urgent job first.
+    pub fn assign(&mut self, now: Now, fold: &ShardFold) -> Vec<Assignment> {
+        self.demands.retain(|_, standing| now.saturating_sub(standing.renewed_at) < DEMAND_LIFETIME);
+        let mut assignments = Vec::new();
+        if self.demands.values().all(|standing| standing.demand.want_count == 0) {
+            return assignments;
+        }
+        for job in self.ordered_jobs(now, fold) {
+            self.assign_job(now, job, &mut assignments);
+            if assignments.len() >= ASSIGN_MAX {
+                break;
+            }
+        }
+        assignments
+    }
+
+    /// Items handed out at present.
+    pub fn held_count(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether the job will miss its deadline at its measured rate.
+    pub fn is_at_risk(&self, now: Now, job: &Job) -> bool {
+        let Some(progress) = self.progress.get(&job.spec.job) else {
+            return job.spec.deadline_ms < bamboo_types::millis(now);
+        };
+        slack(now, job, &progress.rate) < 0
+    }
+
+    /// A job as callers see it.
+    pub fn view(&self, now: Now, job: &Job) -> JobView {
+        let running_count = self.progress.get(&job.spec.job).map_or(0, |progress| progress.held_count);
+        JobView::new(job, running_count, self.is_at_risk(now, job))
+    }
+
+    fn ordered_jobs<'fold>(&self, now: Now, fold: &'fold ShardFold) -> Vec<&'fold Job> {
+        let unmeasured = JobRate::default();
+        let mut jobs: Vec<(i64, &Job)> = fold
+            .jobs()
+            .filter(|job| job.is_running())
+            .map(|job| {
+                let rate = self.progress.get(&job.spec.job).map_or(&unmeasured, |progress| &progress.rate);
+                (slack(now, job, rate), job)
+            })
+            .collect();
+        jobs.sort_by_key(|(slack, job)| (*slack, job.spec.job));
+        jobs.into_iter().map(|(_, job)| job).collect()
+    }
+
+    fn assign_job(&mut self, now: Now, job: &Job, assignments: &mut Vec<Assignment>) {
+        let servers: Vec<BackendServerId> = self
+            .demands
+            .iter()
+            .filter(|(_, standing)| !standing.is_recounting && standing.demand.want_count > 0)
+            .filter(|(_, standing)| standing.demand.models.contains(&job.spec.model))
+            .map(|(server, _)| server.clone())
+            .collect();
+        let mut open: Vec<BackendServerId> = servers;
+        // One item a server in turn, so that servers with equal demands get equal work.
+        while !open.is_empty() && assignments.len() < ASSIGN_MAX {
+            let mut still_open = Vec::new();
+            for server in open {
+                match self.assign_one(now, job, &server) {
+                    Some((assignment, has_more_room)) => {
+                        assignments.push(assignment);
+                        if has_more_room {
+                            still_open.push(server);
+                        }
+                    }
+                    None => return,
+                }
+            }
+            open = still_open;
+        }
+    }
+
+    fn assign_one(&mut self, now: Now, job: &Job, server: &BackendServerId) -> Option<(Assignment, bool)> {
+        let item = self.next_item(job)?;
+        let chunk = *job.chunk_of(item)?;
+        let standing = self.demands.get_mut(server)?;
+        let holder = holder_of(&standing.demand);
+        standing.demand.want_count -= 1;
+        standing.demand.held_count += 1;
+        let has_more_room = standing.demand.want_count > 0;
+        self.hold(now, job.spec.job, item, holder.clone());
+        let assignment = Assignment {
+            holder,
+            job: job.spec.job,
+            item,
+            chunk: chunk.at,
+            index_in_chunk: item - chunk.first_item,
+            model: job.spec.model.clone(),
+            deadline_ms: job.spec.deadline_ms,
+            must_run_alone: job.attempts.get(&item).is_some_and(|attempts| attempts.is_suspect()),
+        };
+        Some((assignment, has_more_room))
+    }
+
+    fn next_item(&mut self, job: &Job) -> Option<ItemIndex> {
+        let progress = self.progress.entry(job.spec.job).or_default();
+        while let Some(item) = progress.returned.pop_first() {
+            if !job.ended.is_set(item) && !self.held.contains_key(&(job.spec.job, item)) {
+                return Some(item);
+            }
+        }
+        while let Some(item) = job.ended.next_unset(progress.cursor, job.spec.item_count) {
+            progress.cursor = item + 1;
+            if !self.held.contains_key(&(job.spec.job, item)) {
+                return Some(item);
+            }
+        }
+        None
+    }
+
+    fn hold(&mut self, now: Now, job: JobId, item: ItemIndex, holder: Holder) {
+        *self.held_by.entry(holder.clone()).or_default() += 1;
+        self.held.insert((job, item), Held { holder, since: now });
+        self.progress.entry(job).or_default().held_count += 1;
+    }
+
+    fn release(&mut self, job: JobId, item: ItemIndex) -> bool {
+        let Some(Held { holder, .. }) = self.held.remove(&(job, item)) else {
+            return false;
+        };
+        if let Some(count) = self.held_by.get_mut(&holder) {
+            *count -= 1;
+            if *count == 0 {
+                self.held_by.remove(&holder);
+            }
+        }
+        if let Some(progress) = self.progress.get_mut(&job) {
+            progress.held_count = progress.held_count.saturating_sub(1);
+        }
+        true
+    }
+}
+
+fn holder_of(demand: &Demand) -> Holder {
+    Holder { host: demand.host.clone(), incarnation: demand.incarnation, server: demand.server.clone() }
+}
--- /dev/null
+++ b/bamboo-jobs/src/lib.rs
@@ -0,0 +1,39 @@
+//! Batch jobs of one shard: the fold of its stream, and the hand-out of items to server owners.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod bitmap;
+mod fold;
+mod handout;
+mod job;
+mod keyed;
+mod order;
+mod recovery;
+mod results;
+mod snapshot;
+mod view;
+
+pub use bitmap::Bitmap;
+pub use fold::FoldEvent;
+pub use fold::ShardFold;
+pub use handout::Assignment;
+pub use handout::Demand;
+pub use handout::DemandStep;
+pub use handout::HandOut;
+pub use handout::Holder;
+pub use job::Attempts;
+pub use job::ChunkRef;
+pub use job::Job;
+pub use job::JobState;
+pub use job::MAX_ATTEMPTS;
+pub use job::MAX_SERVER_LOSSES;
+pub use keyed::Keyed;
+pub use keyed::KeyedState;
+pub use order::JobRate;
+pub use order::slack;
+pub use recovery::StreamFold;
+pub use results::FinalOutcomes;
+pub use snapshot::SnapshotError;
+pub use snapshot::SnapshotReader;
+pub use snapshot::write_snapshot;
+pub use view::JobView;
--- /dev/null
+++ b/bamboo-jobs/src/order.rs
@@ -0,0 +1,53 @@
+//! Which job goes first: the one with the least slack.
+
+use std::time::Duration;
+
+use bamboo_types::Now;
+use bamboo_types::millis;
+
+use crate::Job;
+
+/// Weight of a new measurement in the rate.
+const RATE_GAIN: f64 = 0.2;
+/// Interval over which completions are counted before the rate is updated.
+const RATE_WINDOW: Duration = Duration::from_secs(1);
+
+/// Measured completions a second of one job.
+#[derive(Debug, Clone, Default)]
+pub struct JobRate {
+    items_per_s: Option<f64>,
+    window_started_at: Option<Now>,
+    window_count: u32,
+}
+
+impl JobRate {
+    /// Notes that an item ended.
+    pub fn ended(&mut self, now: Now) {
+        let started_at = *self.window_started_at.get_or_insert(now);
+        self.window_count += 1;
+        let elapsed = now.saturating_sub(started_at);
+        if elapsed >= RATE_WINDOW {
+            let measured = f64::from(self.window_count) / elapsed.as_secs_f64();
+            let before = self.items_per_s.unwrap_or(measured);
+            self.items_per_s = Some(before + RATE_GAIN * (measured - before));
+            self.window_started_at = Some(now);
+            self.window_count = 0;
+        }
+    }
+
+    /// Items a second, once measured.
+    ///
+    /// ```
+    /// assert_eq!(bamboo_jobs::JobRate::default().items_per_s(), None);
+    /// ```
+    pub fn items_per_s(&self) -> Option<f64> {
+        self.items_per_s
+    }
+}
+
+/// Milliseconds to spare until the job's deadline if it goes on at its rate; negative if it will be late.
+pub fn slack(now: Now, job: &Job, rate: &JobRate) -> i64 {
+    let until_deadline = job.spec.deadline_ms as i64 - millis(now) as i64;
+    let work = rate.items_per_s().map_or(0.0, |rate| f64::from(job.left_count()) / rate.max(1e-3) * 1000.0);
+    until_deadline.saturating_sub(work as i64)
+}
--- /dev/null
+++ b/bamboo-jobs/src/results.rs
@@ -0,0 +1,48 @@
+//! Reads a job's final outcomes back from the entries that hold them.
+
+use bamboo_log::Body;
+use bamboo_log::Entry;
+use bamboo_log::ItemOutcome;
+use bamboo_types::JobId;
+
+use crate::Bitmap;
+
+/// Collects the final outcomes of one job from its outcome entries, each item once.
+#[derive(Debug)]
+pub struct FinalOutcomes {
+    job: JobId,
+    seen: Bitmap,
+}
+
+impl FinalOutcomes {
+    /// A collector for a job of `item_count` items.
+    ///
+    /// ```
+    /// let collector = bamboo_jobs::FinalOutcomes::new(1, 10);
+    /// assert_eq!(collector.found_count(), 0);
+    /// ```
+    pub fn new(job: JobId, item_count: u32) -> Self {
+        FinalOutcomes { job, seen: Bitmap::new(item_count) }
+    }
+
+    /// Takes the outcomes of the job from one entry. Entries must come in the order of the job's offsets.
+    pub fn take(&mut self, entry: Entry) -> Vec<ItemOutcome> {
+        let mut found = Vec::new();
+        for body in entry.bodies {
+            let (Body::Outcomes { outcomes, .. } | Body::Carried { outcomes, .. }) = body else {
+                continue;
+            };
+            for outcome in outcomes {
+                if outcome.job == self.job && outcome.verdict.is_final() && self.seen.set(outcome.item) {
+                    found.push(outcome);
+                }
+            }
+        }
+        found
+    }
+
+    /// Number of items collected so far.
+    pub fn found_count(&self) -> u32 {
+        self.seen.count()
+    }
+}
--- /dev/null
+++ b/bamboo-log/src/dedupe.rs
@@ -0,0 +1,70 @@
+//! Drops records that a retried append stored a second time.
+
+use std::collections::BTreeMap;
+
+use bamboo_types::HostId;
+use bamboo_types::Incarnation;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A writer of records: one run of one host.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Writer {
+    /// The host.
+    pub host: HostId,
+    /// The host's run.
+    pub incarnation: Incarnation,
+}
+
+/// Highest sequence number seen of each writer in one stream.
+///
+/// An appender has one append in flight per stream and sends its records in order, so a sequence number at or
+/// below the highest one seen is a repeat.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Dedupe {
+    highest: BTreeMap<Writer, u64>,
+}
+
+impl Dedupe {
+    /// Notes a record and tells whether it is the first of its identity.
+    ///
+    /// ```
+    /// use bamboo_log::{Dedupe, Writer};
+    /// let writer = Writer { host: "h1".into(), incarnation: 1 };
+    /// let mut dedupe = Dedupe::default();
+    /// assert!(dedupe.is_first(&writer, 1));
+    /// assert!(!dedupe.is_first(&writer, 1));
+    /// ```
+    pub fn is_first(&mut self, writer: &Writer, sequence: u64) -> bool {
+        match self.highest.get_mut(writer) {
+            Some(highest) if sequence <= *highest => false,
+            Some(highest) => {
+                *highest = sequence;
+                true
+            }
+            None => {
+                self.highest.insert(writer.clone(), sequence);
+                true
+            }
+        }
+    }
+
+    /// Number of writers remembered.
+    ///
+    /// ```
+    /// assert_eq!(bamboo_log::Dedupe::default().writer_count(), 0);
+    /// ```
+    pub fn writer_count(&self) -> usize {
+        self.highest.len()
+    }
+
+    /// The writers with their highest sequence numbers.
+    pub fn into_writers(self) -> Vec<(Writer, u64)> {
+        self.highest.into_iter().collect()
+    }
+
+    /// A table of these writers.
+    pub fn from_writers(writers: Vec<(Writer, u64)>) -> Self {
+        Dedupe { highest: writers.into_iter().collect() }
+    }
+}
--- /dev/null
+++ b/bamboo-log/src/lib.rs
@@ -0,0 +1,40 @@
+//! What lasts: records of the platform's log, their deduplication, and the append state machine.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod appender;
+mod dedupe;
+mod entry;
+mod reader;
+mod record;
+mod stream;
+
+pub use appender::AppendAnswer;
+pub use appender::Appender;
+pub use appender::AppenderOptions;
+pub use appender::NextAppend;
+pub use appender::Stored;
+pub use appender::Ticket;
+pub use appender::Withdrawal;
+pub use dedupe::Dedupe;
+pub use dedupe::Writer;
+pub use entry::DecodeError;
+pub use entry::Entry;
+pub use entry::WireEntry;
+pub use reader::NextRead;
+pub use reader::ReadAnswer;
+pub use reader::ReadOutcome;
+pub use reader::Reader;
+pub use record::Body;
+pub use record::ConfigChange;
+pub use record::ItemBody;
+pub use record::ItemOutcome;
+pub use record::ItemVerdict;
+pub use record::JobSpec;
+pub use record::KeyedCall;
+pub use record::KeyedEnd;
+pub use record::Position;
+pub use record::RecordId;
+pub use record::SnapshotPart;
+pub use record::UploadId;
+pub use stream::StreamId;
--- /dev/null
+++ b/bamboo-member/src/claim.rs
@@ -0,0 +1,192 @@
+//! When to claim a stream, and when to stand down.
+
+use std::time::Duration;
+
+use bamboo_types::HostId;
+use bamboo_types::Incarnation;
+use bamboo_types::Now;
+use bamboo_types::Offset;
+
+/// Waits before a claim.
+#[derive(Debug, Clone)]
+pub struct ClaimOptions {
+    /// Shortest wait between the wish to own a stream and its claim.
+    pub wait_min: Duration,
+    /// Largest random wait on top.
+    pub random_wait_max: Duration,
+}
+
+impl Default for ClaimOptions {
+    fn default() -> Self {
+        ClaimOptions { wait_min: Duration::from_millis(300), random_wait_max: Duration::from_millis(300) }
+    }
+}
+
+/// What the claimant should do about its stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClaimStep {
+    /// Another host is the owner, or will be.
+    Stand,
+    /// Another host holds the stream that this host is first for: read on, so as to know when to claim.
+    Follow,
+    /// Read the stream to its tail, then claim.
+    Recover,
+    /// Append a claim.
+    Claim,
+    /// A claim is appended but not read back yet.
+    AwaitClaim,
+    /// Own the stream under this epoch.
+    Own(Offset),
+    /// Give the stream up by a release under this epoch.
+    Release(Offset),
+}
+
+/// The newest claim of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Holder {
+    host: HostId,
+    incarnation: Incarnation,
+    epoch: Offset,
+}
+
+/// What a host may and should own, when the claimant is asked.
+#[derive(Debug, Clone, Copy)]
+pub struct ClaimWish {
+    /// The host is live and not stopping.
+    pub may_own: bool,
+    /// The host is the first in the rendezvous order.
+    pub is_first: bool,
+    /// The stream has been read to its tail.
+    pub is_at_tail: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Wanted {
+    since: Now,
+    wait: Duration,
+}
+
+/// Decides about the claim of one stream at one host.
+#[derive(Debug)]
+pub struct Claimant {
+    host: HostId,
+    incarnation: Incarnation,
+    options: ClaimOptions,
+    holder: Option<Holder>,
+    wanted: Option<Wanted>,
+    is_claim_sent: bool,
+    stood_down_to: Option<HostId>,
+}
+
+impl Claimant {
+    /// A claimant that knows of no claim.
+    ///
+    /// ```
+    /// use bamboo_member::{ClaimOptions, ClaimStep, ClaimWish, Claimant};
+    /// let mut claimant = Claimant::new("h1".into(), 1, ClaimOptions::default());
+    /// let wish = ClaimWish { may_own: true, is_first: false, is_at_tail: false };
+    /// let step = claimant.step(std::time::Duration::ZERO, wish, |_| true, 0);
+    /// assert_eq!(step, ClaimStep::Stand);
+    /// ```
+    pub fn new(host: HostId, incarnation: Incarnation, options: ClaimOptions) -> Self {
+        Claimant {
+            host,
+            incarnation,
+            options,
+            holder: None,
+            wanted: None,
+            is_claim_sent: false,
+            stood_down_to: None,
+        }
+    }
+
+    /// Takes a claim read from the stream. The newest in log order holds.
+    pub fn claim_read(&mut self, host: &str, incarnation: Incarnation, epoch: Offset) {
+        let was_mine = self.epoch().is_some();
+        let is_mine = host == self.host && incarnation == self.incarnation;
+        self.holder = Some(Holder { host: host.to_owned(), incarnation, epoch });
+        if is_mine {
+            self.is_claim_sent = false;
+            self.stood_down_to = None;
+        } else if was_mine {
+            self.stood_down_to = Some(host.to_owned());
+        }
+    }
+
+    /// Takes a release read from the stream.
+    pub fn release_read(&mut self, epoch: Offset) {
+        if self.holder.as_ref().is_some_and(|holder| holder.epoch == epoch) {
+            self.holder = None;
+        }
+    }
+
+    /// Forgets what was read, before the stream is read again from elsewhere.
+    pub fn reset(&mut self) {
+        self.holder = None;
+        self.is_claim_sent = false;
+    }
+
+    /// The host that holds the stream, as far as this host has read it.
+    ///
+    /// ```
+    /// # use bamboo_member::{ClaimOptions, Claimant};
+    /// let mut claimant = Claimant::new("h1".into(), 1, ClaimOptions::default());
+    /// claimant.claim_read("h2", 4, 17);
+    /// assert_eq!(claimant.holder(), Some("h2"));
+    /// ```
+    pub fn holder(&self) -> Option<&str> {
+        self.holder.as_ref().map(|holder| holder.host.as_str())
+    }
+
+    /// The epoch under which this host owns the stream.
+    pub fn epoch(&self) -> Option<Offset> {
+        let holder = self.holder.as_ref()?;
+        (holder.host == self.host && holder.incarnation == self.incarnation).then_some(holder.epoch)
+    }
+
+    /// Chooses the next step.
+    ///
+    /// `is_answering` tells whether another host answers.
+    pub fn step<F>(&mut self, now: Now, wish: ClaimWish, is_answering: F, random: u64) -> ClaimStep
+    where
+        F: Fn(&str) -> bool,
+    {
+        if let Some(epoch) = self.epoch() {
+            self.wanted = None;
+            return if wish.may_own { ClaimStep::Own(epoch) } else { ClaimStep::Release(epoch) };
+        }
+        if !wish.may_own || !wish.is_first || self.defers_to_holder(&is_answering) {
+            self.wanted = None;
+            return if wish.may_own && wish.is_first { ClaimStep::Follow } else { ClaimStep::Stand };
+        }
+        if self.is_claim_sent {
+            return ClaimStep::AwaitClaim;
+        }
+        if !self.is_due(now, random) || !wish.is_at_tail {
+            return ClaimStep::Recover;
+        }
+        self.is_claim_sent = true;
+        ClaimStep::Claim
+    }
+
+    /// A host that stood down does not claim back while its successor answers, so two hosts whose views differ
+    /// do not take the stream from each other in turn.
+    fn defers_to_holder<F>(&self, is_answering: &F) -> bool
+    where
+        F: Fn(&str) -> bool,
+    {
+        match (&self.stood_down_to, &self.holder) {
+            (Some(_), Some(holder)) => holder.host != self.host && is_answering(&holder.host),
+            _ => false,
+        }
+    }
+
+    fn is_due(&mut self, now: Now, random: u64) -> bool {
+        let options = &self.options;
+        let wanted = self.wanted.get_or_insert_with(|| {
+            let random_wait = options.random_wait_max * (random % 1000) as u32 / 1000;
+            Wanted { since: now, wait: options.wait_min + random_wait }
+        });
+        now.saturating_sub(wanted.since) >= wanted.wait
+    }
+}
--- /dev/null
+++ b/bamboo-member/src/lib.rs
@@ -0,0 +1,18 @@
+//! Which hosts are live, who owns what, and how long a lease may be relied on.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod claim;
+mod lease;
+mod view;
+
+pub use claim::ClaimOptions;
+pub use claim::ClaimStep;
+pub use claim::ClaimWish;
+pub use claim::Claimant;
+pub use lease::Lease;
+pub use view::HostEntry;
+pub use view::HostState;
+pub use view::MemberView;
+pub use view::MemberViewOptions;
+pub use view::first_in_order;
--- /dev/null
+++ b/bamboo-node/src/callers/auth.rs
@@ -0,0 +1,24 @@
+//! Who sends a request.
+
+use actix_web::HttpRequest;
+use bamboo_config::Caller;
+use bamboo_result::Code;
+use bamboo_result::Refusal;
+
+use crate::config_table::ConfigTable;
+
+/// The bearer key of a request.
+pub(crate) fn bearer(request: &HttpRequest) -> Option<&str> {
+    request.headers().get("authorization")?.to_str().ok()?.strip_prefix("Bearer ")
+}
+
+/// The caller of a request.
+///
+/// # Errors
+/// Refuses a request without a known key.
+pub(crate) fn caller(table: &ConfigTable, request: &HttpRequest) -> Result<Caller, Refusal> {
+    let key = bearer(request)
+        .ok_or_else(|| Refusal::new(Code::Unauthenticated, "the header 'Authorization: Bearer KEY' is missing"))?;
+    let caller = table.caller(key).cloned();
+    caller.ok_or_else(|| Refusal::new(Code::Unauthenticated, "the bearer key is not known"))
+}
--- /dev/null
+++ b/bamboo-node/src/callers/jobs.rs
@@ -0,0 +1,413 @@
+//! Batch jobs: submit, list, get, cancel, results.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use bamboo_config::Caller;
+use bamboo_host::Answer;
+use bamboo_host::Input;
+use bamboo_jobs::FinalOutcomes;
+use bamboo_jobs::JobState;
+use bamboo_jobs::JobView;
+use bamboo_log::ItemBody;
+use bamboo_log::ItemOutcome;
+use bamboo_log::ItemVerdict;
+use bamboo_log::JobSpec;
+use bamboo_log::StreamId;
+use bamboo_log::UploadId;
+use bamboo_result::Code;
+use bamboo_result::Refusal;
+use bamboo_types::JobId;
+use bamboo_types::Offset;
+use bamboo_types::ShardId;
+use bamboo_types::job_id;
+use bamboo_types::job_id_text;
+use bamboo_types::millis;
+use bamboo_types::parse_job_id;
+use bamboo_types::shard_of_job;
+use bamboo_wire::Question;
+use bytes::Bytes;
+use futures_util::Stream;
+use futures_util::StreamExt;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+use super::Traffic;
+use super::auth;
+use super::lines::LineReader;
+use super::new_request_id;
+use crate::platform::Platform;
+use crate::reply::refuse;
+use crate::reply::refuse_unexpected;
+use crate::shared::OpenStream;
+
+/// Header that carries the caller's key of a job.
+const KEY_HEADER: &str = "idempotency-key";
+/// Time for a job that names neither deadline nor completion window.
+const DEFAULT_WINDOW: Duration = Duration::from_secs(24 * 3600);
+/// How long results stay readable after a job ended, if the caller does not say.
+const DEFAULT_RESULT_LIFETIME: Duration = Duration::from_secs(7 * 24 * 3600);
+/// Most times that an upload chunk is given to the log again after a refusal.
+const CHUNK_TRIES: usize = 5;
+
+/// Numbers the uploads of this process.
+static NEXT_UPLOAD: AtomicU64 = AtomicU64::new(1);
+
+/// What a submit says beside its items.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct SubmitQuery {
+    /// Deadline in RFC 3339.
+    deadline: Option<String>,
+    /// Time until the deadline, such as `6h`.
+    completion_window: Option<String>,
+    /// How long results stay readable, such as `7days`.
+    result_lifetime: Option<String>,
+}
+
+/// `POST /v1/batches`.
+pub(crate) async fn submit(
+    traffic: web::Data<Traffic>,
+    http: HttpRequest,
+    query: Result<web::Query<SubmitQuery>, actix_web::Error>,
+    body: web::Payload,
+) -> HttpResponse {
+    let _open = OpenStream::new(&traffic.shared);
+    let query = match query {
+        Ok(query) => query,
+        Err(error) => return refuse(&traffic.shared, &Refusal::new(Code::BadRequest, error.to_string())),
+    };
+    match try_submit(&traffic, &http, &query, body).await {
+        Ok(view) => {
+            traffic.shared.metrics.answered(Code::Accepted.name());
+            HttpResponse::Accepted().json(job_json(&view))
+        }
+        Err(refusal) => refuse(&traffic.shared, &refusal),
+    }
+}
+
+/// `GET /v1/batches`.
+pub(crate) async fn list(traffic: web::Data<Traffic>, http: HttpRequest) -> HttpResponse {
+    let caller = match auth::caller(&traffic.shared.config.load(), &http) {
+        Ok(caller) => caller,
+        Err(refusal) => return refuse(&traffic.shared, &refusal),
+    };
+    match list_jobs(&traffic, Some(caller.workspace)).await {
+        Ok(views) => {
+            let data: Vec<Value> = views.iter().map(job_json).collect();
+            HttpResponse::Ok().json(json!({ "object": "list", "data": data }))
+        }
+        Err(refusal) => refuse(&traffic.shared, &refusal),
+    }
+}
+
+/// `GET /v1/batches/{job}`.
+pub(crate) async fn get(traffic: web::Data<Traffic>, http: HttpRequest, path: web::Path<String>) -> HttpResponse {
+    match owned_job(&traffic, &http, &path).await {
+        Ok(view) => HttpResponse::Ok().json(job_json(&view)),
+        Err(refusal) => refuse(&traffic.shared, &refusal),
+    }
+}
+
+/// `POST /v1/batches/{job}/cancel`.
+pub(crate) async fn cancel(traffic: web::Data<Traffic>, http: HttpRequest, path: web::Path<String>) -> HttpResponse {
+    let view = match owned_job(&traffic, &http, &path).await {
+        Ok(view) => view,
+        Err(refusal) => return refuse(&traffic.shared, &refusal),
+    };
+    match cancel_job(&traffic, view.job).await {
+        Ok(view) => HttpResponse::Ok().json(job_json(&view)),
+        Err(refusal) => refuse(&traffic.shared, &refusal),
+    }
+}
+
+/// `GET /v1/batches/{job}/results`.
+pub(crate) async fn results(traffic: web::Data<Traffic>, http: HttpRequest, path: web::Path<String>) -> HttpResponse {
+    let view = match owned_job(&traffic, &http, &path).await {
+        Ok(view) => view,
+        Err(refusal) => return refuse(&traffic.shared, &refusal),
+    };
+    respond_results(&traffic, view.job).await
+}
+
+/// Streams a job's results as JSONL.
+pub(crate) async fn respond_results(traffic: &Traffic, job: JobId) -> HttpResponse {
+    let shard = shard_of_job(job, traffic.shared.settings.shard_count);
+    let request = new_request_id();
+    let question = Question::Results { job };
+    match traffic.control.ask(request, Input::Ask { request, shard, question }).await {
+        Answer::Results { view, offsets } => {
+            let lines = result_lines(traffic.platform.clone(), shard, view, offsets);
+            HttpResponse::Ok().content_type("application/jsonl").streaming(lines)
+        }
+        Answer::Refused(refusal) => refuse(&traffic.shared, &refusal),
+        _ => refuse_unexpected(&traffic.shared),
+    }
+}
+
+/// Cancels a job, whoever owns it.
+///
+/// # Errors
+/// Refuses if the log or the shard's owner does not answer.
+pub(crate) async fn cancel_job(traffic: &Traffic, job: JobId) -> Result<JobView, Refusal> {
+    let request = new_request_id();
+    job_of(traffic.control.ask(request, Input::Cancel { request, job }).await)
+}
+
+/// A job, whoever owns it.
+///
+/// # Errors
+/// Refuses if there is none or the shard's owner does not answer.
+pub(crate) async fn get_job(traffic: &Traffic, text: &str) -> Result<JobView, Refusal> {
+    let job = parse_job_id(text).ok_or_else(|| no_such_job(text))?;
+    let shard = shard_of_job(job, traffic.shared.settings.shard_count);
+    let request = new_request_id();
+    let question = Question::Job { job, after: None };
+    job_of(traffic.control.ask(request, Input::Ask { request, shard, question }).await)
+}
+
+/// Jobs of all shards, the newest first.
+///
+/// # Errors
+/// Refuses if an owner does not answer.
+pub(crate) async fn list_jobs(traffic: &Traffic, workspace: Option<String>) -> Result<Vec<JobView>, Refusal> {
+    let asks = (0..traffic.shared.settings.shard_count).map(|shard| {
+        let request = new_request_id();
+        let question = Question::Jobs { workspace: workspace.clone() };
+        traffic.control.ask(request, Input::Ask { request, shard, question })
+    });
+    let mut views = Vec::new();
+    for answer in futures_util::future::join_all(asks).await {
+        match answer {
+            Answer::Jobs(found) => views.extend(found),
+            Answer::Refused(refusal) => return Err(refusal),
+            _ => return Err(Refusal::new(Code::OutcomeUnknown, "a shard gave no list")),
+        }
+    }
+    views.sort_by_key(|view| (std::cmp::Reverse(view.created_ms), view.job));
+    Ok(views)
+}
+
+/// A job as JSON.
+pub(crate) fn job_json(view: &JobView) -> Value {
+    let status = match view.state {
+        JobState::Running if view.done_count + view.failed_count == 0 && view.running_count == 0 => "queued",
+        JobState::Running => "in_progress",
+        JobState::Completed => "completed",
+        JobState::Cancelled => "cancelled",
+    };
+    json!({
+        "id": job_id_text(view.job),
+        "object": "batch",
+        "workspace": view.workspace,
+        "serving": view.serving,
+        "model": view.model,
+        "status": status,
+        "is_at_risk": view.is_at_risk,
+        "created_at_ms": view.created_ms,
+        "deadline_ms": view.deadline_ms,
+        "ended_at_ms": view.ended_ms,
+        "request_counts": {
+            "total": view.total_count,
+            "completed": view.done_count,
+            "failed": view.failed_count,
+            "running": view.running_count,
+        },
+    })
+}
+
+async fn try_submit(
+    traffic: &Traffic,
+    http: &HttpRequest,
+    query: &SubmitQuery,
+    body: web::Payload,
+) -> Result<JobView, Refusal> {
+    let caller = auth::caller(&traffic.shared.config.load(), http)?;
+    let now_ms = millis(traffic.shared.clock.now());
+    let deadline_ms = deadline_ms(query, now_ms)?;
+    let result_lifetime_ms = match &query.result_lifetime {
+        Some(text) => millis(parse_duration("result_lifetime", text)?),
+        None => millis(DEFAULT_RESULT_LIFETIME),
+    };
+    let key = job_key(http)?;
+    let job = job_id(&caller.workspace, &key);
+    let mut upload = Upload::new(traffic, job);
+    let mut lines = LineReader::new();
+    upload.read(&mut lines, body).await?;
+    let spec = JobSpec {
+        job,
+        workspace: caller.workspace.clone(),
+        caller: caller.name.clone(),
+        key,
+        digest: lines.digest(),
+        serving: admitted_serving(traffic, &caller, &lines)?,
+        model: lines.model().unwrap_or_default().to_owned(),
+        upload: upload.id,
+        chunk_count: upload.chunk_count,
+        item_count: lines.item_count(),
+        created_ms: now_ms,
+        deadline_ms,
+        result_lifetime_ms,
+    };
+    let request = new_request_id();
+    job_of(traffic.control.ask(request, Input::Submit { request, spec }).await)
+}
+
+fn admitted_serving(traffic: &Traffic, caller: &Caller, lines: &LineReader) -> Result<String, Refusal> {
+    let model = lines.model().unwrap_or_default();
+    Ok(traffic.shared.config.load().admit(&caller.name, model)?.serving.clone())
+}
+
+/// Items on their way to the log.
+struct Upload<'traffic> {
+    traffic: &'traffic Traffic,
+    id: UploadId,
+    shard: ShardId,
+    chunk_count: u32,
+    next_item: u32,
+}
+
+impl<'traffic> Upload<'traffic> {
+    fn new(traffic: &'traffic Traffic, job: JobId) -> Self {
+        let number = NEXT_UPLOAD.fetch_add(1, Ordering::Relaxed);
+        let id = UploadId { incarnation: traffic.shared.incarnation, number };
+        let shard = shard_of_job(job, traffic.shared.settings.shard_count);
+        Upload { traffic, id, shard, chunk_count: 0, next_item: 0 }
+    }
+
+    async fn read(&mut self, lines: &mut LineReader, mut body: web::Payload) -> Result<(), Refusal> {
+        let max_bytes = self.traffic.shared.settings.job_max_bytes;
+        let mut read_bytes = 0;
+        while let Some(piece) = body.next().await {
+            let piece = piece.map_err(|error| Refusal::new(Code::BadRequest, format!("the body broke off: {error}")))?;
+            read_bytes += piece.len() as u64;
+            if read_bytes > max_bytes {
+                return Err(Refusal::new(Code::TooLarge, format!("the job is larger than {max_bytes} bytes")));
+            }
+            for chunk in lines.take(&piece)? {
+                self.store(chunk).await?;
+            }
+        }
+        if let Some(chunk) = lines.finish()? {
+            self.store(chunk).await?;
+        }
+        Ok(())
+    }
+
+    /// Stores a chunk before more of the body is read, so that memory stays bounded.
+    async fn store(&mut self, items: Vec<ItemBody>) -> Result<(), Refusal> {
+        let first_item = self.next_item;
+        self.next_item += items.len() as u32;
+        self.chunk_count += 1;
+        let mut tries = 0;
+        loop {
+            let request = new_request_id();
+            let (shard, upload) = (self.shard, self.id);
+            let input = Input::Upload { request, shard, upload, first_item, items: items.clone() };
+            match self.traffic.control.ask(request, input).await {
+                Answer::Stored => return Ok(()),
+                // A full queue clears within moments; an outage is told to the caller at once.
+                Answer::Refused(refusal) if tries + 1 < CHUNK_TRIES && is_brief(&refusal) => tries += 1,
+                Answer::Refused(refusal) => return Err(refusal),
+                _ => return Err(Refusal::new(Code::OutcomeUnknown, "an upload gave no answer")),
+            }
+            actix_rt::time::sleep(Duration::from_millis(200)).await;
+        }
+    }
+}
+
+fn is_brief(refusal: &Refusal) -> bool {
+    refusal.code == Code::LimitReached
+}
+
+async fn owned_job(traffic: &Traffic, http: &HttpRequest, text: &str) -> Result<JobView, Refusal> {
+    let caller = auth::caller(&traffic.shared.config.load(), http)?;
+    let view = get_job(traffic, text).await?;
+    // Another workspace's job is not visible at all.
+    if view.workspace == caller.workspace { Ok(view) } else { Err(no_such_job(text)) }
+}
+
+fn job_of(answer: Answer) -> Result<JobView, Refusal> {
+    match answer {
+        Answer::Job(view) => Ok(view),
+        Answer::Refused(refusal) => Err(refusal),
+        _ => Err(Refusal::new(Code::OutcomeUnknown, "the request ended without an answer")),
+    }
+}
+
+fn no_such_job(text: &str) -> Refusal {
+    Refusal::new(Code::NotFound, format!("no job '{text}'"))
+}
+
+fn job_key(http: &HttpRequest) -> Result<String, Refusal> {
+    match http.headers().get(KEY_HEADER) {
+        None => Ok(format!("{:032x}", new_request_id())),
+        Some(value) => {
+            let key = value.to_str().ok().filter(|key| !key.is_empty() && key.len() <= 256);
+            let message = format!("the header '{KEY_HEADER}' must be 1 to 256 visible characters");
+            Ok(key.ok_or_else(|| Refusal::new(Code::BadRequest, message))?.to_owned())
+        }
+    }
+}
+
+fn deadline_ms(query: &SubmitQuery, now_ms: u64) -> Result<u64, Refusal> {
+    let deadline_ms = match (&query.deadline, &query.completion_window) {
+        (Some(_), Some(_)) => {
+            return Err(Refusal::new(Code::BadDeadline, "give either 'deadline' or 'completion_window'"));
+        }
+        (Some(text), None) => {
+            let time = humantime::parse_rfc3339(text)
+                .map_err(|error| Refusal::new(Code::BadDeadline, format!("deadline '{text}': {error}")))?;
+            millis(time.duration_since(std::time::SystemTime::UNIX_EPOCH).unwrap_or_default())
+        }
+        (None, Some(text)) => now_ms + millis(parse_duration("completion_window", text)?),
+        (None, None) => now_ms + millis(DEFAULT_WINDOW),
+    };
+    if deadline_ms <= now_ms {
+        return Err(Refusal::new(Code::BadDeadline, "the deadline lies in the past"));
+    }
+    Ok(deadline_ms)
+}
+
+fn parse_duration(field: &str, text: &str) -> Result<Duration, Refusal> {
+    humantime::parse_duration(text)
+        .map_err(|error| Refusal::new(Code::BadDeadline, format!("{field} '{text}': {error}")))
+}
+
+fn result_lines(
+    platform: Platform,
+    shard: ShardId,
+    view: JobView,
+    offsets: Vec<Offset>,
+) -> impl Stream<Item = Result<Bytes, actix_web::Error>> {
+    let collector = FinalOutcomes::new(view.job, view.total_count);
+    let state = (platform, collector, offsets.into_iter());
+    futures_util::stream::unfold(state, move |(platform, mut collector, mut offsets)| async move {
+        let offset = offsets.next()?;
+        let lines = match platform.entry(StreamId::Shard(shard), offset).await {
+            Ok(Some(entry)) => Ok(collector.take(entry).iter().map(result_line).collect::<String>().into()),
+            // A gap must not pass as the end of the results.
+            Ok(None) => Err(actix_web::error::ErrorBadGateway("results are no longer kept")),
+            Err(error) => Err(actix_web::error::ErrorBadGateway(error.to_string())),
+        };
+        Some((lines, (platform, collector, offsets)))
+    })
+}
+
+fn result_line(outcome: &ItemOutcome) -> String {
+    let error = |code: Code, reason: &str| json!({ "code": code.number(), "name": code.name(), "message": reason });
+    let (response, error) = match &outcome.verdict {
+        ItemVerdict::Done { answer_json } => (serde_json::from_str(answer_json).unwrap_or(Value::Null), Value::Null),
+        ItemVerdict::ItemFault { reason } => (Value::Null, error(Code::ItemFailed, reason)),
+        ItemVerdict::GivenUp { reason } | ItemVerdict::ServerFault { reason, .. } => {
+            (Value::Null, error(Code::AttemptsUsedUp, reason))
+        }
+    };
+    let line = json!({ "custom_id": outcome.custom_id, "response": response, "error": error });
+    format!("{line}\n")
+}
--- /dev/null
+++ b/bamboo-node/src/callers/lines.rs
@@ -0,0 +1,164 @@
+//! The JSONL lines of a job: split and checked while they arrive, so that no job sits in memory whole.
+
+use std::collections::HashSet;
+
+use bamboo_log::ItemBody;
+use bamboo_result::Code;
+use bamboo_result::Refusal;
+use bytes::BytesMut;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Most items of one chunk.
+const CHUNK_MAX_ITEMS: usize = 1000;
+/// Most bytes of one chunk.
+const CHUNK_MAX_BYTES: usize = 192 * 1024;
+/// Longest line, bytes.
+const LINE_MAX_BYTES: usize = 512 * 1024;
+/// Longest custom id, bytes.
+const CUSTOM_ID_MAX_BYTES: usize = 256;
+/// Most items of one job.
+const ITEMS_MAX: u32 = 1_000_000;
+
+#[derive(Deserialize)]
+struct Line<'line> {
+    custom_id: String,
+    #[serde(borrow)]
+    body: &'line RawValue,
+}
+
+#[derive(Deserialize)]
+struct ModelOnly {
+    model: String,
+}
+
+/// Reads lines and gathers them into chunks.
+pub(crate) struct LineReader {
+    buffer: BytesMut,
+    line_number: u64,
+    seen: HashSet<u64>,
+    digest: Xxh3,
+    model: Option<String>,
+    chunk: Vec<ItemBody>,
+    chunk_bytes: usize,
+    item_count: u32,
+}
+
+impl LineReader {
+    pub(crate) fn new() -> Self {
+        LineReader {
+            buffer: BytesMut::new(),
+            line_number: 0,
+            seen: HashSet::new(),
+            digest: Xxh3::new(),
+            model: None,
+            chunk: Vec::new(),
+            chunk_bytes: 0,
+            item_count: 0,
+        }
+    }
+
+    /// Takes bytes of the body; returns the chunks that are full.
+    ///
+    /// # Errors
+    /// Refuses a broken line, naming its number.
+    pub(crate) fn take(&mut self, bytes: &[u8]) -> Result<Vec<Vec<ItemBody>>, Refusal> {
+        self.buffer.extend_from_slice(bytes);
+        let mut full = Vec::new();
+        while let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+            let line = self.buffer.split_to(end + 1);
+            full.extend(self.take_line(&line[..end])?);
+        }
+        if self.buffer.len() > LINE_MAX_BYTES {
+            return Err(self.bad_line(&format!("is longer than {LINE_MAX_BYTES} bytes")));
+        }
+        Ok(full)
+    }
+
+    /// Takes the last line and returns the last chunk, if any.
+    ///
+    /// # Errors
+    /// Refuses a broken line or a job without items.
+    pub(crate) fn finish(&mut self) -> Result<Option<Vec<ItemBody>>, Refusal> {
+        let rest = self.buffer.split();
+        if let Some(chunk) = self.take_line(&rest)? {
+            return Ok(Some(chunk));
+        }
+        if self.item_count == 0 {
+            return Err(Refusal::new(Code::BadItem, "the job has no items"));
+        }
+        Ok((!self.chunk.is_empty()).then(|| self.cut_chunk()))
+    }
+
+    /// Number of items read.
+    pub(crate) fn item_count(&self) -> u32 {
+        self.item_count
+    }
+
+    /// Digest of all lines.
+    pub(crate) fn digest(&self) -> u128 {
+        self.digest.digest128()
+    }
+
+    /// Model of all items.
+    pub(crate) fn model(&self) -> Option<&str> {
+        self.model.as_deref()
+    }
+
+    fn take_line(&mut self, line: &[u8]) -> Result<Option<Vec<ItemBody>>, Refusal> {
+        self.line_number += 1;
+        let line = line.trim_ascii();
+        if line.is_empty() {
+            return Ok(None);
+        }
+        if line.len() > LINE_MAX_BYTES {
+            return Err(self.bad_line(&format!("is longer than {LINE_MAX_BYTES} bytes")));
+        }
+        let item = self.read_line(line)?;
+        self.digest.update(line);
+        self.digest.update(b"\n");
+        let bytes = item.custom_id.len() + item.body_json.len();
+        // A chunk that would grow too large is closed before the item is added.
+        let is_full = self.chunk.len() >= CHUNK_MAX_ITEMS || self.chunk_bytes + bytes > CHUNK_MAX_BYTES;
+        let full = (is_full && !self.chunk.is_empty()).then(|| self.cut_chunk());
+        self.chunk.push(item);
+        self.chunk_bytes += bytes;
+        self.item_count += 1;
+        if self.item_count > ITEMS_MAX {
+            return Err(Refusal::new(Code::TooLarge, format!("the job has more than {ITEMS_MAX} items")));
+        }
+        Ok(full)
+    }
+
+    fn read_line(&mut self, line: &[u8]) -> Result<ItemBody, Refusal> {
+        let parsed: Line<'_> = serde_json::from_slice(line).map_err(|error| self.bad_line(&error.to_string()))?;
+        if parsed.custom_id.is_empty() || parsed.custom_id.len() > CUSTOM_ID_MAX_BYTES {
+            return Err(self.bad_line(&format!("custom_id must be 1 to {CUSTOM_ID_MAX_BYTES} bytes")));
+        }
+        let body: ModelOnly = serde_json::from_str(parsed.body.get())
+            .map_err(|error| self.bad_line(&format!("body: {error}")))?;
+        match &self.model {
+            None => self.model = Some(body.model),
+            Some(model) if *model == body.model => {}
+            Some(model) => {
+                let reason = format!("body.model is '{}', the lines before have '{model}'", body.model);
+                return Err(self.bad_line(&reason));
+            }
+        }
+        if !self.seen.insert(xxh3_64(parsed.custom_id.as_bytes())) {
+            return Err(self.bad_line(&format!("custom_id '{}' stands twice", parsed.custom_id)));
+        }
+        Ok(ItemBody { custom_id: parsed.custom_id, body_json: parsed.body.get().to_owned() })
+    }
+
+    fn cut_chunk(&mut self) -> Vec<ItemBody> {
+        self.chunk_bytes = 0;
+        std::mem::take(&mut self.chunk)
+    }
+
+    fn bad_line(&self, reason: &str) -> Refusal {
+        Refusal::new(Code::BadItem, format!("line {}: {reason}", self.line_number))
+    }
+}
--- /dev/null
+++ b/bamboo-node/src/callers/online.rs
@@ -0,0 +1,366 @@
+//! Online inference: one request, one answer, straight from the engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use awc::http::Method;
+use awc::http::header::CONTENT_TYPE;
+use awc::http::header::HeaderMap;
+use awc::http::header::HeaderValue;
+use bamboo_events::EventKind;
+use bamboo_host::Answer;
+use bamboo_host::Input;
+use bamboo_result::Code;
+use bamboo_result::Refusal;
+use bamboo_route::Attempt;
+use bamboo_route::OnlineEnd;
+use bamboo_route::OnlineRequest;
+use bamboo_route::Target;
+use bamboo_types::RequestId;
+use bytes::Bytes;
+use futures_util::Stream;
+use serde_json::Value;
+use serde_json::json;
+
+use super::Traffic;
+use super::auth;
+use super::new_request_id;
+use crate::engine_client::Call;
+use crate::engine_client::CallFailure;
+use crate::engine_client::EventStream;
+use crate::engine_client::StreamEvent;
+use crate::engine_client::check_engine_status;
+use crate::engine_client::send;
+use crate::engine_client::whole_body;
+use crate::reply::error_json;
+use crate::reply::refuse;
+use crate::reply::refuse_unexpected;
+use crate::shared::ControlHandle;
+use crate::shared::OpenStream;
+use crate::shared::Shared;
+
+/// Header by which a caller says how long it waits, milliseconds.
+const TIMEOUT_HEADER: &str = "x-timeout-ms";
+/// Bytes of the prompt that make up its prefix for routing.
+const PREFIX_BYTES: usize = 1024;
+/// Bytes of text that make about one token.
+const BYTES_PER_TOKEN: f64 = 4.0;
+/// Tokens of an answer whose request names no limit.
+const DEFAULT_ANSWER_TOKENS: f64 = 256.0;
+/// Largest whole answer, bytes.
+const ANSWER_MAX_BYTES: usize = 16 << 20;
+
+/// What is read from the body of a completion request.
+struct Completion {
+    model: String,
+    is_stream: bool,
+    prefix: u64,
+    token_count: f64,
+}
+
+/// Tells the control thread how an online request ended, also when its future is dropped.
+pub(crate) struct OnlineGuard {
+    request: RequestId,
+    control: ControlHandle,
+    is_ended: bool,
+}
+
+impl OnlineGuard {
+    pub(crate) fn new(request: RequestId, control: &ControlHandle) -> Self {
+        OnlineGuard { request, control: control.clone(), is_ended: false }
+    }
+
+    /// The attempt ended; the answer says what is next.
+    pub(crate) async fn attempt_ended(&self, end: OnlineEnd) -> Answer {
+        self.control.ask(self.request, Input::OnlineEnded { request: self.request, end }).await
+    }
+
+    /// The request ended.
+    pub(crate) fn end(&mut self, end: OnlineEnd) {
+        self.is_ended = true;
+        self.control.tell(Input::OnlineEnded { request: self.request, end });
+    }
+
+    /// The control thread has ended the request itself.
+    pub(crate) fn disarm(&mut self) {
+        self.is_ended = true;
+    }
+}
+
+impl Drop for OnlineGuard {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.end(OnlineEnd::CallerGone);
+        }
+    }
+}
+
+/// The end of an attempt that failed.
+pub(crate) fn end_of(failure: CallFailure) -> OnlineEnd {
+    match failure {
+        CallFailure::NotRun { reason } => OnlineEnd::NotRun { reason },
+        CallFailure::Unknown { code, reason, .. } => OnlineEnd::Unknown { code, reason },
+        CallFailure::Refused { .. } => OnlineEnd::Whole,
+    }
+}
+
+/// Time until the deadline that the caller names, or the usual one.
+pub(crate) fn timeout_of(shared: &Shared, request: &HttpRequest) -> Result<Duration, Refusal> {
+    let Some(value) = request.headers().get(TIMEOUT_HEADER) else {
+        return Ok(shared.settings.request_timeout);
+    };
+    let parsed = value.to_str().ok().and_then(|text| text.parse::<u64>().ok()).filter(|timeout_ms| *timeout_ms > 0);
+    let message = format!("the header '{TIMEOUT_HEADER}' must be a whole number of milliseconds above 0");
+    let timeout_ms = parsed.ok_or_else(|| Refusal::new(Code::BadDeadline, message))?;
+    Ok(Duration::from_millis(timeout_ms).min(shared.settings.request_timeout))
+}
+
+/// `POST /v1/completions` and `POST /v1/chat/completions`.
+pub(crate) async fn complete(traffic: web::Data<Traffic>, http: HttpRequest, body: Bytes) -> HttpResponse {
+    let open = OpenStream::new(&traffic.shared);
+    let arrived_at = Instant::now();
+    let (online, completion) = match admit(&traffic, &http, &body) {
+        Ok(admitted) => admitted,
+        Err(refusal) => return refuse(&traffic.shared, &refusal),
+    };
+    let request = online.request;
+    let until = traffic.shared.clock.instant_at(online.deadline);
+    let subject = format!("{request:032x}");
+    traffic.shared.event(EventKind::OnlineArrived, subject, format!("{} {}", online.caller, completion.model));
+    let mut guard = OnlineGuard::new(request, &traffic.control);
+    let mut answer = traffic.control.ask(request, Input::Online(online)).await;
+    loop {
+        let attempt = match answer {
+            Answer::Dispatch(attempt) => attempt,
+            Answer::Refused(refusal) => {
+                guard.disarm();
+                return refuse(&traffic.shared, &refusal);
+            }
+            _ => {
+                guard.disarm();
+                return refuse_unexpected(&traffic.shared);
+            }
+        };
+        let call = EngineCall { traffic: &traffic, http: &http, body: &body, attempt: &attempt, request, until };
+        let result = match completion.is_stream {
+            true => call.stream(arrived_at).await.map(Reached::Stream),
+            false => call.whole().await.map(Reached::Whole),
+        };
+        answer = match result {
+            Ok(Reached::Stream(stream)) => return respond_stream(&traffic, request, stream, guard, open),
+            Ok(Reached::Whole(bytes)) => {
+                guard.end(OnlineEnd::Whole);
+                traffic.shared.metrics.answered(Code::Ok.name());
+                return HttpResponse::Ok()
+                    .insert_header(("x-request-id", format!("{request:032x}")))
+                    .content_type("application/json")
+                    .body(bytes);
+            }
+            Err(CallFailure::Refused { status, body }) => {
+                guard.end(OnlineEnd::Whole);
+                return pass_refusal(&traffic.shared, status, body);
+            }
+            Err(failure) => guard.attempt_ended(end_of(failure)).await,
+        };
+    }
+}
+
+/// `GET /v1/models`.
+pub(crate) async fn list_models(traffic: web::Data<Traffic>, http: HttpRequest) -> HttpResponse {
+    let table = traffic.shared.config.load();
+    match auth::caller(&table, &http) {
+        Ok(caller) => {
+            let models = table.models_of(&caller.name);
+            let data: Vec<Value> = models.iter().map(|model| json!({ "id": model, "object": "model" })).collect();
+            HttpResponse::Ok().json(json!({ "object": "list", "data": data }))
+        }
+        Err(refusal) => refuse(&traffic.shared, &refusal),
+    }
+}
+
+enum Reached {
+    Stream(FirstEvent),
+    Whole(Bytes),
+}
+
+/// A stream whose first event has arrived.
+struct FirstEvent {
+    first: String,
+    events: EventStream,
+}
+
+struct EngineCall<'call> {
+    traffic: &'call Traffic,
+    http: &'call HttpRequest,
+    body: &'call Bytes,
+    attempt: &'call Attempt,
+    request: RequestId,
+    until: Instant,
+}
+
+impl EngineCall<'_> {
+    async fn stream(&self, arrived_at: Instant) -> Result<FirstEvent, CallFailure> {
+        let mut response = self.send().await?;
+        check_engine_status(&mut response).await?;
+        let mut events = EventStream::new(response, self.until);
+        match events.next().await? {
+            StreamEvent::Data(first) => {
+                self.traffic.shared.metrics.first_token(arrived_at.elapsed());
+                Ok(FirstEvent { first, events })
+            }
+            StreamEvent::End => Err(CallFailure::Unknown {
+                code: Code::AnswerCut,
+                reason: "the stream ended without a token".to_owned(),
+                was_server_lost: false,
+            }),
+        }
+    }
+
+    async fn whole(&self) -> Result<Bytes, CallFailure> {
+        let mut response = self.send().await?;
+        check_engine_status(&mut response).await?;
+        whole_body(&mut response, self.until, ANSWER_MAX_BYTES).await
+    }
+
+    async fn send(&self) -> Result<awc::ClientResponse, CallFailure> {
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let call = Call {
+            method: Method::POST,
+            url: format!("http://{}{}", self.attempt.address, self.http.path()),
+            headers: &headers,
+            body: self.body.clone(),
+            request_id: &format!("{:032x}-{}", self.request, self.attempt.number),
+            until: self.until,
+        };
+        send(&self.traffic.client, call).await
+    }
+}
+
+fn admit(traffic: &Traffic, http: &HttpRequest, body: &Bytes) -> Result<(OnlineRequest, Completion), Refusal> {
+    let table = traffic.shared.config.load();
+    let caller = auth::caller(&table, http)?;
+    let timeout = timeout_of(&traffic.shared, http)?;
+    let completion = read_completion(body)?;
+    let admission = table.admit(&caller.name, &completion.model)?;
+    let online = OnlineRequest {
+        request: new_request_id(),
+        caller: caller.name,
+        resource: admission.serving.clone(),
+        limits: Some(admission.limits),
+        target: Target::Model(completion.model.clone()),
+        prefix: Some(completion.prefix),
+        token_count: completion.token_count,
+        deadline: traffic.shared.clock.now() + timeout,
+        is_idempotent: true,
+    };
+    Ok((online, completion))
+}
+
+fn read_completion(body: &Bytes) -> Result<Completion, Refusal> {
+    let value: Value = serde_json::from_slice(body)
+        .map_err(|error| Refusal::new(Code::BadRequest, format!("the body is not valid JSON: {error}")))?;
+    let model = value["model"].as_str().ok_or_else(|| bad_field("model", "must be text"))?.to_owned();
+    let prompt = match (&value["prompt"], &value["messages"]) {
+        (Value::String(prompt), _) => prompt.clone(),
+        (_, Value::Array(messages)) if !messages.is_empty() => {
+            messages.iter().filter_map(|message| message["content"].as_str()).collect::<Vec<&str>>().join("\n")
+        }
+        _ => return Err(bad_field("prompt", "or 'messages' must be given")),
+    };
+    let answer_tokens = match &value["max_tokens"] {
+        Value::Null => DEFAULT_ANSWER_TOKENS,
+        given => given.as_u64().filter(|tokens| *tokens > 0).ok_or_else(|| bad_field("max_tokens", "must be above 0"))?
+            as f64,
+    };
+    let prefix = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
+    Ok(Completion {
+        model,
+        is_stream: value["stream"].as_bool().unwrap_or(false),
+        prefix: xxhash_rust::xxh3::xxh3_64(prefix),
+        token_count: prompt.len() as f64 / BYTES_PER_TOKEN + answer_tokens,
+    })
+}
+
+fn bad_field(field: &str, reason: &str) -> Refusal {
+    Refusal::new(Code::BadRequest, format!("field '{field}' {reason}"))
+}
+
+/// Passes on an engine's refusal of the request's own content.
+fn pass_refusal(shared: &Shared, status: u16, body: Bytes) -> HttpResponse {
+    shared.metrics.answered(Code::ItemFailed.name());
+    let status = actix_web::http::StatusCode::from_u16(status).unwrap_or(actix_web::http::StatusCode::BAD_REQUEST);
+    HttpResponse::build(status).content_type("application/json").body(body)
+}
+
+fn respond_stream(
+    traffic: &Traffic,
+    request: RequestId,
+    stream: FirstEvent,
+    guard: OnlineGuard,
+    open: OpenStream,
+) -> HttpResponse {
+    let state = PassOn {
+        pending: Some(stream.first),
+        events: Some(stream.events),
+        guard,
+        shared: Arc::clone(&traffic.shared),
+        _open: open,
+    };
+    HttpResponse::Ok()
+        .insert_header(("x-request-id", format!("{request:032x}")))
+        .insert_header(("cache-control", "no-cache"))
+        .content_type("text/event-stream")
+        .streaming(pass_on(state))
+}
+
+struct PassOn {
+    pending: Option<String>,
+    events: Option<EventStream>,
+    guard: OnlineGuard,
+    shared: Arc<Shared>,
+    _open: OpenStream,
+}
+
+fn pass_on(state: PassOn) -> impl Stream<Item = Result<Bytes, actix_web::Error>> {
+    futures_util::stream::unfold(state, |mut state| async {
+        if let Some(data) = state.pending.take() {
+            return Some((Ok(data_bytes(&data)), state));
+        }
+        let next = state.events.as_mut()?.next().await;
+        let bytes = match next {
+            Ok(StreamEvent::Data(data)) => data_bytes(&data),
+            Ok(StreamEvent::End) => {
+                state.events = None;
+                state.guard.end(OnlineEnd::Whole);
+                state.shared.metrics.answered(Code::Ok.name());
+                data_bytes("[DONE]")
+            }
+            Err(failure) => {
+                state.events = None;
+                state.guard.end(OnlineEnd::Broken);
+                broken_bytes(&state.shared, failure)
+            }
+        };
+        Some((Ok(bytes), state))
+    })
+}
+
+/// A stream that broke ends with an error in place of its end mark, so that nobody takes it for whole.
+fn broken_bytes(shared: &Shared, failure: CallFailure) -> Bytes {
+    let refusal = match failure {
+        CallFailure::Unknown { code, reason, .. } => Refusal::new(code, reason),
+        CallFailure::NotRun { reason } => Refusal::new(Code::AnswerCut, reason),
+        CallFailure::Refused { .. } => Refusal::new(Code::AnswerCut, "the server refused to go on"),
+    };
+    shared.metrics.answered(refusal.code.name());
+    data_bytes(&error_json(&refusal).to_string())
+}
+
+fn data_bytes(data: &str) -> Bytes {
+    Bytes::from(format!("data: {data}\n\n"))
+}
--- /dev/null
+++ b/bamboo-node/src/callers/services.rs
@@ -0,0 +1,221 @@
+//! Plain services: method, path, query, body and status are passed on.
+
+use std::time::Duration;
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::http::StatusCode;
+use actix_web::web;
+use awc::http::Method;
+use awc::http::header::HeaderMap;
+use awc::http::header::HeaderName;
+use awc::http::header::HeaderValue;
+use bamboo_config::PlainService;
+use bamboo_host::Answer;
+use bamboo_host::Input;
+use bamboo_host::KeyedRequest;
+use bamboo_result::Code;
+use bamboo_result::Refusal;
+use bamboo_route::OnlineEnd;
+use bamboo_route::OnlineRequest;
+use bamboo_route::Target;
+use bytes::Bytes;
+use xxhash_rust::xxh3::xxh3_128;
+
+use super::Traffic;
+use super::auth;
+use super::new_request_id;
+use super::online::OnlineGuard;
+use super::online::end_of;
+use super::online::timeout_of;
+use crate::engine_client::Call;
+use crate::engine_client::CallFailure;
+use crate::engine_client::send;
+use crate::engine_client::whole_body;
+use crate::reply::refuse;
+use crate::reply::refuse_unexpected;
+use crate::shared::OpenStream;
+
+/// Header that carries a caller's key for a call that may run only once.
+const KEY_HEADER: &str = "idempotency-key";
+/// Longest key, bytes.
+const KEY_MAX_BYTES: usize = 256;
+/// Largest answer, bytes.
+const ANSWER_MAX_BYTES: usize = 16 << 20;
+/// Headers of a request that are passed on.
+const PASSED_HEADERS: [&str; 4] = ["content-type", "accept", "accept-language", KEY_HEADER];
+
+/// A whole answer of a service.
+struct ServiceAnswer {
+    status: u16,
+    content_type: Option<HeaderValue>,
+    body: Bytes,
+}
+
+/// One call with all that is needed to send it.
+struct ServiceCall {
+    online: OnlineRequest,
+    method: Method,
+    tail: String,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Any method on `/services/{name}/{path}`.
+pub(crate) async fn call(
+    traffic: web::Data<Traffic>,
+    http: HttpRequest,
+    path: web::Path<(String, String)>,
+    body: Bytes,
+) -> HttpResponse {
+    let _open = OpenStream::new(&traffic.shared);
+    let (name, path) = path.into_inner();
+    let (call, keyed) = match prepare(&traffic, &http, &name, &path, body) {
+        Ok(prepared) => prepared,
+        Err(refusal) => return refuse(&traffic.shared, &refusal),
+    };
+    let request = call.online.request;
+    let mut guard = OnlineGuard::new(request, &traffic.control);
+    let input = match keyed {
+        Some(keyed) => Input::Keyed(keyed),
+        None => Input::Online(call.online.clone()),
+    };
+    let mut answer = traffic.control.ask(request, input).await;
+    loop {
+        let attempt = match answer {
+            Answer::Dispatch(attempt) => attempt,
+            Answer::Replay { status, body } => {
+                guard.disarm();
+                traffic.shared.metrics.answered(Code::Ok.name());
+                return respond(ServiceAnswer { status, content_type: None, body: body.into() }, true);
+            }
+            Answer::Refused(refusal) => {
+                guard.disarm();
+                return refuse(&traffic.shared, &refusal);
+            }
+            _ => {
+                guard.disarm();
+                return refuse_unexpected(&traffic.shared);
+            }
+        };
+        answer = match run(&traffic, &call, &attempt.address).await {
+            Ok(answer) => {
+                let (status, body) = (answer.status, answer.body.to_vec());
+                traffic.control.tell(Input::KeyedAnswer { request, status, body });
+                guard.end(OnlineEnd::Whole);
+                traffic.shared.metrics.answered(Code::Ok.name());
+                return respond(answer, false);
+            }
+            Err(failure) => guard.attempt_ended(end_of(failure)).await,
+        };
+    }
+}
+
+async fn run(traffic: &Traffic, call: &ServiceCall, address: &str) -> Result<ServiceAnswer, CallFailure> {
+    let until = traffic.shared.clock.instant_at(call.online.deadline);
+    let client = if call.online.is_idempotent { &traffic.client } else { &traffic.single_use_client };
+    let outgoing = Call {
+        method: call.method.clone(),
+        url: format!("http://{address}/{}", call.tail),
+        headers: &call.headers,
+        body: call.body.clone(),
+        request_id: &format!("{:032x}", call.online.request),
+        until,
+    };
+    let mut response = send(client, outgoing).await?;
+    let status = response.status().as_u16();
+    // A service may say 503 after work it did, so only a call that may be repeated goes elsewhere for it.
+    if status == 503 && call.online.is_idempotent {
+        return Err(CallFailure::NotRun { reason: "server answered 503".to_owned() });
+    }
+    let content_type = response.headers().get("content-type").cloned();
+    let body = whole_body(&mut response, until, ANSWER_MAX_BYTES).await?;
+    Ok(ServiceAnswer { status, content_type, body })
+}
+
+fn prepare(
+    traffic: &Traffic,
+    http: &HttpRequest,
+    name: &str,
+    path: &str,
+    body: Bytes,
+) -> Result<(ServiceCall, Option<KeyedRequest>), Refusal> {
+    let table = traffic.shared.config.load();
+    let caller = auth::caller(&table, http)?;
+    let service = table.service(&caller.name, name)?;
+    let timeout = timeout_of(&traffic.shared, http)?.min(Duration::from_millis(service.timeout_ms));
+    let method = Method::from_bytes(http.method().as_str().as_bytes())
+        .map_err(|_| Refusal::new(Code::BadRequest, "the method is not known"))?;
+    let is_idempotent = is_idempotent(service, &method, path);
+    let online = OnlineRequest {
+        request: new_request_id(),
+        caller: caller.name.clone(),
+        resource: format!("service {name}"),
+        limits: None,
+        target: Target::Service(name.to_owned()),
+        prefix: None,
+        token_count: 0.0,
+        deadline: traffic.shared.clock.now() + timeout,
+        is_idempotent,
+    };
+    let query = http.query_string();
+    let tail = if query.is_empty() { path.to_owned() } else { format!("{path}?{query}") };
+    let keyed = match key_of(http)? {
+        Some(key) if !is_idempotent => Some(KeyedRequest {
+            online: online.clone(),
+            workspace: caller.workspace,
+            key: format!("{name}/{key}"),
+            digest: digest(&method, &tail, &body),
+        }),
+        _ => None,
+    };
+    let call = ServiceCall { online, method, tail, headers: passed_headers(http), body };
+    Ok((call, keyed))
+}
+
+fn is_idempotent(service: &PlainService, method: &Method, path: &str) -> bool {
+    let path = format!("/{path}");
+    let matches = |prefixes: &[String]| prefixes.iter().any(|prefix| path.starts_with(prefix.as_str()));
+    if matches(&service.non_idempotent_paths) {
+        return false;
+    }
+    matches(&service.idempotent_paths) || method.is_idempotent()
+}
+
+fn key_of(http: &HttpRequest) -> Result<Option<String>, Refusal> {
+    let Some(value) = http.headers().get(KEY_HEADER) else {
+        return Ok(None);
+    };
+    let key = value.to_str().ok().filter(|key| !key.is_empty() && key.len() <= KEY_MAX_BYTES);
+    let message = format!("the header '{KEY_HEADER}' must be 1 to {KEY_MAX_BYTES} visible characters");
+    Ok(Some(key.ok_or_else(|| Refusal::new(Code::BadRequest, message))?.to_owned()))
+}
+
+fn digest(method: &Method, tail: &str, body: &[u8]) -> u128 {
+    let mut bytes = format!("{method} {tail}\n").into_bytes();
+    bytes.extend_from_slice(body);
+    xxh3_128(&bytes)
+}
+
+fn passed_headers(http: &HttpRequest) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for name in PASSED_HEADERS {
+        let value = http.headers().get(name).and_then(|value| HeaderValue::from_bytes(value.as_bytes()).ok());
+        if let Some(value) = value {
+            headers.insert(HeaderName::from_static(name), value);
+        }
+    }
+    headers
+}
+
+fn respond(answer: ServiceAnswer, is_replay: bool) -> HttpResponse {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponse::build(status);
+    if let Some(content_type) = answer.content_type.as_ref().and_then(|value| value.to_str().ok()) {
+        response.content_type(content_type);
+    }
+    if is_replay {
+        response.insert_header(("idempotent-replay", "true"));
+    }
+    response.body(answer.body)
+}
--- /dev/null
+++ b/bamboo-node/src/config_table.rs
@@ -0,0 +1,96 @@
+//! Configuration in the form that traffic threads look things up in.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bamboo_config::Caller;
+use bamboo_config::ConfigFold;
+use bamboo_config::KeyHash;
+use bamboo_config::Kind;
+use bamboo_config::Limits;
+use bamboo_config::PlainService;
+use bamboo_config::Resource;
+use bamboo_config::Serving;
+use bamboo_result::Code;
+use bamboo_result::Refusal;
+use bamboo_types::ModelId;
+
+/// A serving resource that admits a caller to a model.
+#[derive(Debug, Clone)]
+pub(crate) struct Admission {
+    pub(crate) serving: String,
+    pub(crate) limits: Limits,
+}
+
+/// An immutable view of one configuration.
+#[derive(Debug, Default)]
+pub(crate) struct ConfigTable {
+    pub(crate) fold: Arc<ConfigFold>,
+    callers: HashMap<String, Caller>,
+    admissions: BTreeMap<(String, ModelId), Admission>,
+    models: Vec<ModelId>,
+}
+
+impl ConfigTable {
+    pub(crate) fn new(fold: Arc<ConfigFold>) -> Self {
+        let mut table = ConfigTable { fold: Arc::clone(&fold), ..ConfigTable::default() };
+        for stored in fold.list(Kind::Caller) {
+            if let Resource::Caller(caller) = &stored.resource {
+                table.callers.insert(caller.key_sha256.as_str().to_owned(), caller.clone());
+            }
+        }
+        for stored in fold.list(Kind::Serving) {
+            if let Resource::Serving(serving) = &stored.resource {
+                table.add_serving(serving);
+            }
+        }
+        table.models.sort();
+        table.models.dedup();
+        table
+    }
+
+    /// The caller with this bearer key.
+    pub(crate) fn caller(&self, key: &str) -> Option<&Caller> {
+        self.callers.get(KeyHash::of(key).as_str())
+    }
+
+    /// Whether the caller may use the model, and under which serving resource.
+    pub(crate) fn admit(&self, caller: &str, model: &str) -> Result<&Admission, Refusal> {
+        let name = (caller.to_owned(), model.to_owned());
+        if let Some(admission) = self.admissions.get(&name) {
+            return Ok(admission);
+        }
+        let is_known = self.models.iter().any(|known| known == model);
+        let refusal = match is_known {
+            true => Refusal::new(Code::Forbidden, format!("caller '{caller}' may not reach model '{model}'")),
+            false => Refusal::new(Code::UnknownModel, format!("no model '{model}' is carried")),
+        };
+        Err(refusal)
+    }
+
+    /// Models that the caller may use.
+    pub(crate) fn models_of(&self, caller: &str) -> Vec<&ModelId> {
+        self.admissions.keys().filter(|(of, _)| of == caller).map(|(_, model)| model).collect()
+    }
+
+    /// The plain service, if the caller may reach it.
+    pub(crate) fn service(&self, caller: &str, name: &str) -> Result<&PlainService, Refusal> {
+        match self.fold.get(Kind::PlainService, name).map(|stored| &stored.resource) {
+            Some(Resource::PlainService(service)) if service.callers.iter().any(|of| of == caller) => Ok(service),
+            Some(_) => Err(Refusal::new(Code::Forbidden, format!("caller '{caller}' may not reach service '{name}'"))),
+            None => Err(Refusal::new(Code::NotFound, format!("no service '{name}'"))),
+        }
+    }
+
+    fn add_serving(&mut self, serving: &Serving) {
+        for version in &serving.models {
+            self.models.push(version.model.clone());
+            for caller in &serving.callers {
+                let limits = serving.caller_limits.get(caller).copied().unwrap_or(serving.limits);
+                let admission = Admission { serving: serving.name.clone(), limits };
+                self.admissions.insert((caller.clone(), version.model.clone()), admission);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bamboo-node/src/control.rs
@@ -0,0 +1,211 @@
+//! The control actor: the host core on its own thread, with its outputs carried out elsewhere.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix::Actor;
+use actix::AsyncContext;
+use actix::Context;
+use actix::Handler;
+use actix::Message;
+use bamboo_host::Answer;
+use bamboo_host::HostCore;
+use bamboo_host::HostStatus;
+use bamboo_host::Input;
+use bamboo_host::Output;
+use bamboo_types::RequestId;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+
+use crate::batch::BatchOrder;
+use crate::config_table::ConfigTable;
+use crate::links::LinkOrder;
+use crate::shared::Shared;
+
+/// Interval of the core's own time.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Something that happened.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Take {
+    pub(crate) input: Input,
+    pub(crate) sent_at: Instant,
+}
+
+/// A request that gets an answer.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Request {
+    pub(crate) request: RequestId,
+    pub(crate) input: Input,
+    pub(crate) reply: oneshot::Sender<Answer>,
+    pub(crate) sent_at: Instant,
+}
+
+/// Asks for the core's state.
+#[derive(Message)]
+#[rtype(result = "HostStatus")]
+pub(crate) struct GetStatus;
+
+/// Takes one deferred input.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Pump;
+
+/// The actor.
+pub(crate) struct Control {
+    core: HostCore,
+    shared: Arc<Shared>,
+    links: UnboundedSender<LinkOrder>,
+    batch: UnboundedSender<BatchOrder>,
+    waiting: HashMap<RequestId, oneshot::Sender<Answer>>,
+    deferred: VecDeque<Input>,
+    drained: Option<oneshot::Sender<()>>,
+}
+
+impl Control {
+    pub(crate) fn new(
+        core: HostCore,
+        shared: Arc<Shared>,
+        links: UnboundedSender<LinkOrder>,
+        batch: UnboundedSender<BatchOrder>,
+        drained: oneshot::Sender<()>,
+    ) -> Self {
+        Control {
+            core,
+            shared,
+            links,
+            batch,
+            waiting: HashMap::new(),
+            deferred: VecDeque::new(),
+            drained: Some(drained),
+        }
+    }
+
+    fn step(&mut self, input: Input, wait: Duration) {
+        let started_at = Instant::now();
+        let outputs = self.core.step(self.shared.clock.now(), input);
+        for output in outputs {
+            self.carry_out(output);
+        }
+        self.shared.metrics.control(wait, started_at.elapsed());
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Append { stream, bytes } => self.link(LinkOrder::Append { stream, bytes }),
+            Output::Read { stream, from } => self.link(LinkOrder::Read { stream, from }),
+            Output::Send { to, address, messages } => self.link(LinkOrder::Send { to, address, messages }),
+            Output::Answer { request, answer } => {
+                if let Some(reply) = self.waiting.remove(&request) {
+                    // The asker may be gone; then nobody needs the answer.
+                    let _ = reply.send(answer);
+                }
+            }
+            Output::StartItem { run, address, item } => self.run(BatchOrder::Start { run, address, item }),
+            Output::StopItem { run } => self.run(BatchOrder::Stop { run }),
+            Output::DropItem { run } => self.run(BatchOrder::Drop { run }),
+            Output::CancelStrays { server, address } => self.run(BatchOrder::CancelStrays { server, address }),
+            Output::PublishConfig(fold) => self.shared.config.store(Arc::new(ConfigTable::new(fold))),
+            Output::Ready(is_ready) => {
+                self.shared.is_ready.store(is_ready, Ordering::Relaxed);
+                log::info!("host {} is {}", self.shared.settings.host, if is_ready { "ready" } else { "not ready" });
+            }
+            Output::Event { kind, subject, detail } => {
+                self.shared.metrics.event(&format!("{kind:?}"));
+                if is_logged(kind) {
+                    log::info!("{kind:?} {subject} {detail}");
+                }
+                self.shared.event(kind, subject, detail);
+            }
+            Output::Drained => {
+                if let Some(drained) = self.drained.take() {
+                    let _ = drained.send(());
+                }
+            }
+        }
+    }
+
+    fn link(&self, order: LinkOrder) {
+        // The receiver lives as long as the daemon.
+        let _ = self.links.send(order);
+    }
+
+    fn run(&self, order: BatchOrder) {
+        let _ = self.batch.send(order);
+    }
+}
+
+impl Actor for Control {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        context.run_interval(TICK, |control, _| control.step(Input::Tick, Duration::ZERO));
+    }
+}
+
+impl Handler<Take> for Control {
+    type Result = ();
+
+    fn handle(&mut self, message: Take, context: &mut Self::Context) {
+        // Batch inputs go to the back of the mailbox one by one, so online requests pass them.
+        if is_batch(&message.input) {
+            self.deferred.push_back(message.input);
+            context.notify(Pump);
+            return;
+        }
+        self.step(message.input, message.sent_at.elapsed());
+    }
+}
+
+impl Handler<Pump> for Control {
+    type Result = ();
+
+    fn handle(&mut self, _: Pump, _: &mut Self::Context) {
+        if let Some(input) = self.deferred.pop_front() {
+            self.step(input, Duration::ZERO);
+        }
+    }
+}
+
+impl Handler<Request> for Control {
+    type Result = ();
+
+    fn handle(&mut self, message: Request, _: &mut Self::Context) {
+        self.waiting.insert(message.request, message.reply);
+        self.step(message.input, message.sent_at.elapsed());
+    }
+}
+
+impl Handler<GetStatus> for Control {
+    type Result = actix::MessageResult<GetStatus>;
+
+    fn handle(&mut self, _: GetStatus, _: &mut Self::Context) -> Self::Result {
+        actix::MessageResult(self.core.status(self.shared.clock.now()))
+    }
+}
+
+fn is_batch(input: &Input) -> bool {
+    matches!(input, Input::ReadAnswered { .. } | Input::ItemEnded { .. } | Input::ItemFirstToken(_))
+}
+
+/// Counters come first: only changes of state make a line.
+fn is_logged(kind: bamboo_events::EventKind) -> bool {
+    use bamboo_events::EventKind;
+    matches!(
+        kind,
+        EventKind::JobAccepted
+            | EventKind::JobEnded
+            | EventKind::ShardOwned
+            | EventKind::ShardLost
+            | EventKind::ServerOwned
+            | EventKind::ServerLost
+            | EventKind::ConfigChanged
+            | EventKind::LogState
+    )
+}
--- /dev/null
+++ b/bamboo-node/src/engine_client.rs
@@ -0,0 +1,178 @@
+//! Adapter to model engines and plain services. An engine with another interface is a change in this file.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use awc::Client;
+use awc::ClientResponse;
+use awc::error::SendRequestError;
+use awc::http::Method;
+use awc::http::header::HeaderMap;
+use bamboo_result::Code;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::Stream;
+use futures_util::StreamExt;
+
+/// Header that carries a request's identity there and back.
+pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Header that tells a server how long the caller waits, milliseconds.
+const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// The mark that ends a stream of events.
+const END_MARK: &str = "[DONE]";
+/// Largest event of a stream, bytes.
+const EVENT_MAX_BYTES: usize = 1 << 20;
+
+/// Why a call brought no whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum CallFailure {
+    /// The server got no byte of the request, or refused before work.
+    NotRun {
+        reason: String,
+    },
+    /// The server may have run the request.
+    Unknown {
+        code: Code,
+        reason: String,
+        was_server_lost: bool,
+    },
+    /// The server refused the request's own content.
+    Refused {
+        status: u16,
+        body: Bytes,
+    },
+}
+
+/// One call to a backend server.
+pub(crate) struct Call<'call> {
+    pub(crate) method: Method,
+    pub(crate) url: String,
+    pub(crate) headers: &'call HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) request_id: &'call str,
+    pub(crate) until: Instant,
+}
+
+/// Sends a call and returns the head of the answer, whatever its status.
+///
+/// # Errors
+/// Fails if no head came, or one with another identity.
+pub(crate) async fn send(client: &Client, call: Call<'_>) -> Result<ClientResponse, CallFailure> {
+    let left = call.until.saturating_duration_since(Instant::now());
+    let mut request = client.request(call.method, call.url).timeout(left.max(Duration::from_millis(1)));
+    for (name, value) in call.headers {
+        request = request.insert_header((name.clone(), value.clone()));
+    }
+    let request = request
+        .insert_header((REQUEST_ID_HEADER, call.request_id))
+        .insert_header((DEADLINE_HEADER, left.as_millis().to_string()));
+    let response = request.send_body(call.body).await.map_err(failure_of)?;
+    let shown = response.headers().get(REQUEST_ID_HEADER).and_then(|value| value.to_str().ok());
+    if shown.is_some_and(|shown| shown != call.request_id) {
+        return Err(unknown(Code::AnswerCrossed, "the answer bears another identity", false));
+    }
+    Ok(response)
+}
+
+/// Sorts the status of an engine's answer: only an answer to work that was done passes.
+///
+/// # Errors
+/// Fails for every status but 200.
+pub(crate) async fn check_engine_status(response: &mut ClientResponse) -> Result<(), CallFailure> {
+    let status = response.status().as_u16();
+    match status {
+        200 => Ok(()),
+        404 | 408 | 409 | 429 | 503 => Err(CallFailure::NotRun { reason: format!("server answered {status}") }),
+        400..=499 => {
+            let body = response.body().await.unwrap_or_default();
+            Err(CallFailure::Refused { status, body })
+        }
+        _ => Err(unknown(Code::OutcomeUnknown, &format!("server answered {status}"), false)),
+    }
+}
+
+/// The whole body of an answer.
+///
+/// # Errors
+/// Fails if it breaks off or takes too long.
+pub(crate) async fn whole_body(response: &mut ClientResponse, until: Instant, max_bytes: usize) -> Result<Bytes, CallFailure> {
+    let body = tokio::time::timeout_at(until.into(), response.body().limit(max_bytes)).await;
+    match body {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(error)) => Err(unknown(Code::AnswerCut, &format!("the answer broke off: {error}"), true)),
+        Err(_) => Err(unknown(Code::DeadlineInFlight, "the deadline passed during the answer", false)),
+    }
+}
+
+/// One event of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum StreamEvent {
+    /// An event's data.
+    Data(String),
+    /// The end mark: the answer is whole.
+    End,
+}
+
+/// Events of a streamed answer.
+pub(crate) struct EventStream {
+    response: ClientResponse,
+    buffer: BytesMut,
+    until: Instant,
+}
+
+impl EventStream {
+    pub(crate) fn new(response: ClientResponse, until: Instant) -> Self {
+        EventStream { response, buffer: BytesMut::new(), until }
+    }
+
+    /// The next event.
+    ///
+    /// # Errors
+    /// Fails if the stream breaks off without its end mark, or the deadline passes.
+    pub(crate) async fn next(&mut self) -> Result<StreamEvent, CallFailure> {
+        loop {
+            if let Some(event) = take_event(&mut self.buffer) {
+                return Ok(event);
+            }
+            if self.buffer.len() > EVENT_MAX_BYTES {
+                return Err(unknown(Code::AnswerCut, "an event of the stream is too large", false));
+            }
+            let piece = next_piece(&mut self.response, self.until).await?;
+            self.buffer.extend_from_slice(&piece);
+        }
+    }
+}
+
+async fn next_piece<S, E>(stream: &mut S, until: Instant) -> Result<Bytes, CallFailure>
+where
+    S: Stream<Item = Result<Bytes, E>> + Unpin,
+    E: std::fmt::Display,
+{
+    match tokio::time::timeout_at(until.into(), stream.next()).await {
+        Ok(Some(Ok(piece))) => Ok(piece),
+        Ok(Some(Err(error))) => Err(unknown(Code::AnswerCut, &format!("the stream broke off: {error}"), true)),
+        Ok(None) => Err(unknown(Code::AnswerCut, "the stream ended without its end mark", true)),
+        Err(_) => Err(unknown(Code::DeadlineInFlight, "the deadline passed during the stream", false)),
+    }
+}
+
+fn take_event(buffer: &mut BytesMut) -> Option<StreamEvent> {
+    let end = buffer.windows(2).position(|pair| pair == b"\n\n")?;
+    let event = buffer.split_to(end + 2);
+    let text = String::from_utf8_lossy(&event);
+    let data: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("data:")).map(str::trim_start).collect();
+    let data = data.join("\n");
+    Some(if data == END_MARK { StreamEvent::End } else { StreamEvent::Data(data) })
+}
+
+fn failure_of(error: SendRequestError) -> CallFailure {
+    match error {
+        SendRequestError::Connect(error) => CallFailure::NotRun { reason: format!("cannot connect: {error}") },
+        SendRequestError::Timeout => unknown(Code::DeadlineInFlight, "no answer before the deadline", false),
+        other => unknown(Code::OutcomeUnknown, &format!("no answer: {other}"), true),
+    }
+}
+
+fn unknown(code: Code, reason: &str, was_server_lost: bool) -> CallFailure {
+    CallFailure::Unknown { code, reason: reason.to_owned(), was_server_lost }
+}
--- /dev/null
+++ b/bamboo-node/src/links.rs
@@ -0,0 +1,114 @@
+//! The thread of links: appends, reads and host list at the platform, and messages to other hosts.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bamboo_host::Input;
+use bamboo_log::AppendAnswer;
+use bamboo_log::StreamId;
+use bamboo_types::HostId;
+use bamboo_types::Offset;
+use bamboo_wire::PeerMessage;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::peers::PeerLink;
+use crate::platform::Platform;
+use crate::shared::ControlHandle;
+use crate::shared::Shared;
+
+/// What the control thread wants from the links.
+pub(crate) enum LinkOrder {
+    /// Append to a stream.
+    Append {
+        /// Stream.
+        stream: StreamId,
+        /// Entry.
+        bytes: Vec<u8>,
+    },
+    /// Read a stream.
+    Read {
+        /// Stream.
+        stream: StreamId,
+        /// First offset.
+        from: Offset,
+    },
+    /// Send messages to a host.
+    Send {
+        /// Receiver.
+        to: HostId,
+        /// Its address.
+        address: String,
+        /// Messages.
+        messages: Vec<PeerMessage>,
+    },
+}
+
+/// Carries out orders until the daemon stops.
+pub(crate) async fn run_links(
+    shared: Arc<Shared>,
+    control: ControlHandle,
+    mut orders: UnboundedReceiver<LinkOrder>,
+) {
+    let settings = &shared.settings;
+    let platform = Platform::new(&settings.log_url, &settings.host_list_url);
+    actix_rt::spawn(watch_hosts(Arc::clone(&shared), platform.clone(), control.clone()));
+    let mut peers: HashMap<HostId, PeerLink> = HashMap::new();
+    while let Some(order) = orders.recv().await {
+        match order {
+            LinkOrder::Append { stream, bytes } => {
+                actix_rt::spawn(append(Arc::clone(&shared), platform.clone(), control.clone(), stream, bytes));
+            }
+            LinkOrder::Read { stream, from } => {
+                actix_rt::spawn(read(platform.clone(), control.clone(), stream, from));
+            }
+            LinkOrder::Send { to, address, messages } => {
+                let link = peers.entry(to).or_insert_with(|| PeerLink::open(&shared, &address));
+                if link.address() != address {
+                    *link = PeerLink::open(&shared, &address);
+                }
+                link.send(messages);
+            }
+        }
+    }
+}
+
+async fn append(shared: Arc<Shared>, platform: Platform, control: ControlHandle, stream: StreamId, bytes: Vec<u8>) {
+    let size = bytes.len();
+    let answer = platform.append(stream, bytes).await;
+    let kind = match answer {
+        AppendAnswer::Stored(_) => "stored",
+        AppendAnswer::Refused(_) => "refused",
+        AppendAnswer::Unknown => "unknown",
+    };
+    shared.metrics.appended(kind, size);
+    control.tell(Input::AppendAnswered { stream, answer });
+}
+
+async fn read(platform: Platform, control: ControlHandle, stream: StreamId, from: Offset) {
+    match platform.read(stream, from, true).await {
+        Ok(answer) => control.tell(Input::ReadAnswered { stream, answer }),
+        Err(_) => control.tell(Input::ReadFailed { stream }),
+    }
+}
+
+async fn watch_hosts(shared: Arc<Shared>, platform: Platform, control: ControlHandle) {
+    let mut is_failing = false;
+    loop {
+        match platform.host_list().await {
+            Ok((hosts, leaving_servers)) => {
+                if is_failing {
+                    log::info!("the host list answers again");
+                }
+                is_failing = false;
+                control.tell(Input::HostList { hosts, leaving_servers });
+            }
+            Err(error) => {
+                if !is_failing {
+                    log::warn!("the host list fails: {error}");
+                }
+                is_failing = true;
+            }
+        }
+        actix_rt::time::sleep(shared.settings.host_list_interval).await;
+    }
+}
--- /dev/null
+++ b/bamboo-node/src/operators/resources.rs
@@ -0,0 +1,165 @@
+//! Resources with revisions, and the stream of their changes and refusals.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use bamboo_config::ChangeOutcome;
+use bamboo_config::Kind;
+use bamboo_config::Stored;
+use bamboo_config::parse_resource;
+use bamboo_host::Answer;
+use bamboo_host::Input;
+use bamboo_log::ConfigChange;
+use bamboo_result::Code;
+use bamboo_result::Refusal;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+use super::check_operator;
+use crate::callers::Traffic;
+use crate::callers::new_request_id;
+use crate::reply::error_json;
+use crate::reply::refuse;
+use crate::reply::refuse_unexpected;
+
+/// Longest wait of a watch for something new.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Interval of looking for something new.
+const WATCH_INTERVAL: Duration = Duration::from_millis(50);
+
+#[derive(Deserialize)]
+pub(super) struct ChangeQuery {
+    #[serde(default)]
+    based_on: u64,
+}
+
+#[derive(Deserialize)]
+pub(super) struct WatchQuery {
+    #[serde(default)]
+    from: u64,
+}
+
+/// `GET /api/v1/resources/{kind}`.
+pub(super) async fn list(traffic: web::Data<Traffic>, http: HttpRequest, path: web::Path<String>) -> HttpResponse {
+    if let Err(refusal) = check_operator(&traffic, &http) {
+        return refuse(&traffic.shared, &refusal);
+    }
+    let Some(kind) = Kind::parse(&path) else {
+        return refuse(&traffic.shared, &unknown_kind(&path));
+    };
+    let table = traffic.shared.config.load();
+    let items: Vec<Value> = table.fold.list(kind).map(stored_json).collect();
+    HttpResponse::Ok().json(json!({ "items": items, "offset": table.fold.next_offset() }))
+}
+
+/// `GET /api/v1/resources/{kind}/{name}`.
+pub(super) async fn get(
+    traffic: web::Data<Traffic>,
+    http: HttpRequest,
+    path: web::Path<(String, String)>,
+) -> HttpResponse {
+    if let Err(refusal) = check_operator(&traffic, &http) {
+        return refuse(&traffic.shared, &refusal);
+    }
+    let (kind, name) = path.into_inner();
+    let Some(kind) = Kind::parse(&kind) else {
+        return refuse(&traffic.shared, &unknown_kind(&kind));
+    };
+    match traffic.shared.config.load().fold.get(kind, &name) {
+        Some(stored) => HttpResponse::Ok().json(stored_json(stored)),
+        None => refuse(&traffic.shared, &Refusal::new(Code::NotFound, format!("no {kind} '{name}'"))),
+    }
+}
+
+/// `PUT /api/v1/resources/{kind}/{name}?based_on=REVISION`.
+pub(super) async fn put(
+    traffic: web::Data<Traffic>,
+    http: HttpRequest,
+    path: web::Path<(String, String)>,
+    query: web::Query<ChangeQuery>,
+    body: Bytes,
+) -> HttpResponse {
+    if let Err(refusal) = check_operator(&traffic, &http) {
+        return refuse(&traffic.shared, &refusal);
+    }
+    let text = String::from_utf8_lossy(&body).into_owned();
+    if let Err(faults) = parse_resource(&text) {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        let refusal = Refusal::new(Code::BadResource, lines.join("; "));
+        let mut answer = error_json(&refusal);
+        answer["error"]["faults"] = json!(faults);
+        return HttpResponse::UnprocessableEntity().json(answer);
+    }
+    let (kind, name) = path.into_inner();
+    propose(&traffic, ConfigChange { kind, name, based_on: query.based_on, resource_json: Some(text) }).await
+}
+
+/// `DELETE /api/v1/resources/{kind}/{name}?based_on=REVISION`.
+pub(super) async fn delete(
+    traffic: web::Data<Traffic>,
+    http: HttpRequest,
+    path: web::Path<(String, String)>,
+    query: web::Query<ChangeQuery>,
+) -> HttpResponse {
+    if let Err(refusal) = check_operator(&traffic, &http) {
+        return refuse(&traffic.shared, &refusal);
+    }
+    let (kind, name) = path.into_inner();
+    propose(&traffic, ConfigChange { kind, name, based_on: query.based_on, resource_json: None }).await
+}
+
+/// `GET /api/v1/watch?from=OFFSET`: changes and refusals, as soon as there are any.
+pub(super) async fn watch(
+    traffic: web::Data<Traffic>,
+    http: HttpRequest,
+    query: web::Query<WatchQuery>,
+) -> HttpResponse {
+    if let Err(refusal) = check_operator(&traffic, &http) {
+        return refuse(&traffic.shared, &refusal);
+    }
+    let until = Instant::now() + WATCH_WAIT;
+    loop {
+        let table = traffic.shared.config.load_full();
+        let changes = table.fold.history_from(query.from);
+        if !changes.is_empty() || Instant::now() >= until {
+            return HttpResponse::Ok().json(json!({ "changes": changes, "next": table.fold.next_offset() }));
+        }
+        actix_rt::time::sleep(WATCH_INTERVAL).await;
+    }
+}
+
+async fn propose(traffic: &Traffic, change: ConfigChange) -> HttpResponse {
+    if Kind::parse(&change.kind).is_none() {
+        return refuse(&traffic.shared, &unknown_kind(&change.kind));
+    }
+    let request = new_request_id();
+    match traffic.control.ask(request, Input::Propose { request, change }).await {
+        Answer::Config(ChangeOutcome::Applied { revision }) => HttpResponse::Ok().json(json!({ "revision": revision })),
+        Answer::Config(ChangeOutcome::Conflict { current_revision, current }) => {
+            let message = format!("the resource has revision {current_revision}");
+            let mut answer = error_json(&Refusal::new(Code::Conflict, message));
+            answer["error"]["current_revision"] = json!(current_revision);
+            answer["error"]["current"] = json!(current);
+            HttpResponse::Conflict().json(answer)
+        }
+        Answer::Config(ChangeOutcome::Refused { faults }) => {
+            refuse(&traffic.shared, &Refusal::new(Code::BadResource, faults.join("; ")))
+        }
+        Answer::Refused(refusal) => refuse(&traffic.shared, &refusal),
+        _ => refuse_unexpected(&traffic.shared),
+    }
+}
+
+fn stored_json(stored: &Stored) -> Value {
+    json!({ "revision": stored.revision, "resource": stored.resource })
+}
+
+fn unknown_kind(kind: &str) -> Refusal {
+    let known: Vec<&str> = Kind::ALL.iter().map(|kind| kind.name()).collect();
+    Refusal::new(Code::BadRequest, format!("kind = {kind}: must be one of {}", known.join(", ")))
+}
--- /dev/null
+++ b/bamboo-node/src/operators/state.rs
@@ -0,0 +1,165 @@
+//! What runs: jobs, hosts, events, and the planned stop.
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use bamboo_config::Kind;
+use bamboo_host::HostStatus;
+use bamboo_host::Input;
+use bamboo_result::Code;
+use bamboo_result::Refusal;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+use super::check_operator;
+use crate::callers::Traffic;
+use crate::callers::cancel_job;
+use crate::callers::get_job;
+use crate::callers::job_json;
+use crate::callers::list_jobs;
+use crate::callers::respond_results;
+use crate::control::GetStatus;
+use crate::reply::refuse;
+
+#[derive(Deserialize)]
+pub(super) struct EventsQuery {
+    #[serde(default)]
+    about: String,
+}
+
+/// `GET /api/v1/jobs`.
+pub(super) async fn jobs(traffic: web::Data<Traffic>, http: HttpRequest) -> HttpResponse {
+    if let Err(refusal) = check_operator(&traffic, &http) {
+        return refuse(&traffic.shared, &refusal);
+    }
+    match list_jobs(&traffic, None).await {
+        Ok(views) => HttpResponse::Ok().json(views.iter().map(job_json).collect::<Vec<Value>>()),
+        Err(refusal) => refuse(&traffic.shared, &refusal),
+    }
+}
+
+/// `GET /api/v1/jobs/{job}`.
+pub(super) async fn job(traffic: web::Data<Traffic>, http: HttpRequest, path: web::Path<String>) -> HttpResponse {
+    if let Err(refusal) = check_operator(&traffic, &http) {
+        return refuse(&traffic.shared, &refusal);
+    }
+    match get_job(&traffic, &path).await {
+        Ok(view) => HttpResponse::Ok().json(job_json(&view)),
+        Err(refusal) => refuse(&traffic.shared, &refusal),
+    }
+}
+
+/// `POST /api/v1/jobs/{job}/cancel`.
+pub(super) async fn cancel(traffic: web::Data<Traffic>, http: HttpRequest, path: web::Path<String>) -> HttpResponse {
+    if let Err(refusal) = check_operator(&traffic, &http) {
+        return refuse(&traffic.shared, &refusal);
+    }
+    let cancelled = match get_job(&traffic, &path).await {
+        Ok(view) => cancel_job(&traffic, view.job).await,
+        Err(refusal) => Err(refusal),
+    };
+    match cancelled {
+        Ok(view) => HttpResponse::Ok().json(job_json(&view)),
+        Err(refusal) => refuse(&traffic.shared, &refusal),
+    }
+}
+
+/// `GET /api/v1/jobs/{job}/results`.
+pub(super) async fn results(traffic: web::Data<Traffic>, http: HttpRequest, path: web::Path<String>) -> HttpResponse {
+    if let Err(refusal) = check_operator(&traffic, &http) {
+        return refuse(&traffic.shared, &refusal);
+    }
+    match get_job(&traffic, &path).await {
+        Ok(view) => respond_results(&traffic, view.job).await,
+        Err(refusal) => refuse(&traffic.shared, &refusal),
+    }
+}
+
+/// `GET /api/v1/resources/{kind}/{name}/status`: a resource with its jobs.
+pub(super) async fn describe(
+    traffic: web::Data<Traffic>,
+    http: HttpRequest,
+    path: web::Path<(String, String)>,
+) -> HttpResponse {
+    if let Err(refusal) = check_operator(&traffic, &http) {
+        return refuse(&traffic.shared, &refusal);
+    }
+    let (kind, name) = path.into_inner();
+    let table = traffic.shared.config.load_full();
+    let Some(stored) = Kind::parse(&kind).and_then(|kind| table.fold.get(kind, &name)) else {
+        return refuse(&traffic.shared, &Refusal::new(Code::NotFound, format!("no {kind} '{name}'")));
+    };
+    let jobs = match list_jobs(&traffic, None).await {
+        Ok(views) => views,
+        Err(refusal) => return refuse(&traffic.shared, &refusal),
+    };
+    let is_queued = |serving: &str| kind == Kind::Serving.name() && serving == name;
+    let jobs: Vec<Value> = jobs.iter().filter(|view| is_queued(&view.serving)).map(job_json).collect();
+    let changes = table.fold.history_from(0).into_iter().filter(|change| change.kind == kind && change.name == name);
+    HttpResponse::Ok().json(json!({
+        "revision": stored.revision,
+        "resource": stored.resource,
+        "jobs": jobs,
+        "changes": changes.collect::<Vec<_>>(),
+    }))
+}
+
+/// `GET /api/v1/status`.
+pub(super) async fn status(traffic: web::Data<Traffic>, http: HttpRequest) -> HttpResponse {
+    if let Err(refusal) = check_operator(&traffic, &http) {
+        return refuse(&traffic.shared, &refusal);
+    }
+    match traffic.control.address.send(GetStatus).await {
+        Ok(status) => HttpResponse::Ok().json(status_json(&status)),
+        Err(_) => refuse(&traffic.shared, &Refusal::new(Code::NotReady, "the daemon is stopping")),
+    }
+}
+
+/// `GET /api/v1/events?about=SUBJECT`.
+pub(super) async fn events(
+    traffic: web::Data<Traffic>,
+    http: HttpRequest,
+    query: web::Query<EventsQuery>,
+) -> HttpResponse {
+    if let Err(refusal) = check_operator(&traffic, &http) {
+        return refuse(&traffic.shared, &refusal);
+    }
+    HttpResponse::Ok().json(traffic.shared.events_about(&query.about))
+}
+
+/// `POST /api/v1/drain`: the planned stop.
+pub(super) async fn drain(traffic: web::Data<Traffic>, http: HttpRequest) -> HttpResponse {
+    if let Err(refusal) = check_operator(&traffic, &http) {
+        return refuse(&traffic.shared, &refusal);
+    }
+    traffic.control.tell(Input::Drain);
+    HttpResponse::Accepted().finish()
+}
+
+fn status_json(status: &HostStatus) -> Value {
+    let shards = status.shards.iter().map(|shard| {
+        json!({
+            "shard": shard.shard,
+            "epoch": shard.epoch,
+            "next_offset": shard.next_offset,
+            "jobs": shard.job_count,
+            "held_items": shard.held_count,
+        })
+    });
+    let servers = status.servers.iter().map(|(server, online, batch)| {
+        json!({ "server": server, "online": online, "batch": batch })
+    });
+    json!({
+        "host": status.host,
+        "is_ready": status.is_ready,
+        "is_draining": status.is_draining,
+        "config_offset": status.config_offset,
+        "live_hosts": status.live_hosts,
+        "shards": shards.collect::<Vec<Value>>(),
+        "servers": servers.collect::<Vec<Value>>(),
+        "online_requests": status.online_count,
+        "unconfirmed_records": status.unconfirmed_count,
+        "unsettled_outcomes": status.unsettled_count,
+    })
+}
--- /dev/null
+++ b/bamboo-node/src/peers.rs
@@ -0,0 +1,177 @@
+//! Messages between daemons: h2 streams with bincode frames.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use bamboo_host::Input;
+use bamboo_wire::Frame;
+use bamboo_wire::PeerMessage;
+use bamboo_wire::WireFrame;
+use bytes::Bytes;
+use h2::client::SendRequest;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+use crate::shared::ControlHandle;
+use crate::shared::Shared;
+
+/// Header that carries the key daemons show each other.
+const KEY_HEADER: &str = "x-peer-key";
+/// Flow-control window, bytes, larger than any frame.
+const WINDOW_BYTES: u32 = 16 << 20;
+/// Largest frame, bytes.
+const FRAME_MAX_BYTES: usize = 12 << 20;
+/// Messages that wait for a slow peer; more are dropped, since all that matters is sent again.
+const QUEUE_MAX: usize = 1024;
+/// Time for connecting and for one frame.
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The way to one other daemon.
+pub(crate) struct PeerLink {
+    address: String,
+    queue: mpsc::Sender<Vec<PeerMessage>>,
+}
+
+impl PeerLink {
+    /// Starts a task that keeps a connection to the address.
+    pub(crate) fn open(shared: &Arc<Shared>, address: &str) -> Self {
+        let (queue, messages) = mpsc::channel(QUEUE_MAX);
+        actix_rt::spawn(run_link(Arc::clone(shared), address.to_owned(), messages));
+        PeerLink { address: address.to_owned(), queue }
+    }
+
+    pub(crate) fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Sends messages if the queue has room.
+    pub(crate) fn send(&self, messages: Vec<PeerMessage>) {
+        let _ = self.queue.try_send(messages);
+    }
+}
+
+async fn run_link(shared: Arc<Shared>, address: String, mut queue: mpsc::Receiver<Vec<PeerMessage>>) {
+    let mut connection: Option<SendRequest<Bytes>> = None;
+    while let Some(mut messages) = queue.recv().await {
+        while let Ok(more) = queue.try_recv() {
+            messages.extend(more);
+        }
+        let bytes = encode(&shared, messages);
+        let sent = tokio::time::timeout(SEND_TIMEOUT, send_frame(&shared, &address, &mut connection, bytes)).await;
+        if !matches!(sent, Ok(Ok(()))) {
+            connection = None;
+        }
+    }
+}
+
+fn encode(shared: &Shared, messages: Vec<PeerMessage>) -> Bytes {
+    for message in &messages {
+        let size = bincode::serde::encode_to_vec(message, bincode::config::standard()).map_or(0, |bytes| bytes.len());
+        shared.metrics.message_sent(message.kind(), size);
+    }
+    let frame = Frame { from: shared.settings.host.clone(), incarnation: shared.incarnation, messages };
+    Bytes::from(WireFrame::from(&frame).bytes)
+}
+
+async fn send_frame(
+    shared: &Shared,
+    address: &str,
+    connection: &mut Option<SendRequest<Bytes>>,
+    bytes: Bytes,
+) -> anyhow::Result<()> {
+    let sender = match connection.take() {
+        Some(sender) => sender,
+        None => connect(address).await?,
+    };
+    let mut sender = sender.ready().await?;
+    let request = http::Request::post(format!("http://{address}/frames"))
+        .header(KEY_HEADER, &shared.settings.peer_key)
+        .body(())?;
+    let (response, mut stream) = sender.send_request(request, false)?;
+    stream.send_data(bytes, true)?;
+    let status = response.await?.status();
+    anyhow::ensure!(status.is_success(), "peer answered {status}");
+    *connection = Some(sender);
+    Ok(())
+}
+
+async fn connect(address: &str) -> anyhow::Result<SendRequest<Bytes>> {
+    let stream = TcpStream::connect(address).await.context("connect to peer")?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = h2::client::handshake(stream).await?;
+    actix_rt::spawn(async move {
+        // A broken connection shows at the next send.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+/// Accepts connections of other daemons until the daemon stops.
+pub(crate) async fn accept_peers(shared: Arc<Shared>, control: ControlHandle, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                actix_rt::spawn(serve_connection(Arc::clone(&shared), control.clone(), stream));
+            }
+            Err(_) => actix_rt::time::sleep(Duration::from_millis(50)).await,
+        }
+    }
+}
+
+/// Binds the address for other daemons.
+///
+/// # Errors
+/// Fails if the address is in use.
+pub(crate) async fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| format!("cannot listen on {address} for peers"))
+}
+
+async fn serve_connection(shared: Arc<Shared>, control: ControlHandle, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let mut builder = h2::server::Builder::new();
+    builder.initial_window_size(WINDOW_BYTES).initial_connection_window_size(WINDOW_BYTES);
+    let Ok(mut connection) = builder.handshake::<_, Bytes>(stream).await else {
+        return;
+    };
+    while let Some(Ok((request, respond))) = connection.accept().await {
+        // Frames of one peer are taken in order.
+        actix_rt::spawn(serve_frame(Arc::clone(&shared), control.clone(), request, respond));
+    }
+}
+
+async fn serve_frame(
+    shared: Arc<Shared>,
+    control: ControlHandle,
+    request: http::Request<h2::RecvStream>,
+    mut respond: h2::server::SendResponse<Bytes>,
+) {
+    let key = request.headers().get(KEY_HEADER).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let is_known = bamboo_config::KeyHash::of(&shared.settings.peer_key).matches(key);
+    let status = match is_known {
+        false => 403,
+        true => match read_frame(request.into_body()).await {
+            Ok(frame) => {
+                control.tell(Input::Frame(frame));
+                204
+            }
+            Err(_) => 400,
+        },
+    };
+    if let Ok(response) = http::Response::builder().status(status).body(()) {
+        let _ = respond.send_response(response, true);
+    }
+}
+
+async fn read_frame(mut body: h2::RecvStream) -> anyhow::Result<Frame> {
+    let mut bytes = Vec::new();
+    while let Some(piece) = body.data().await {
+        let piece = piece?;
+        body.flow_control().release_capacity(piece.len())?;
+        bytes.extend_from_slice(&piece);
+        anyhow::ensure!(bytes.len() <= FRAME_MAX_BYTES, "frame is larger than {FRAME_MAX_BYTES} bytes");
+    }
+    Ok(Frame::try_from(bytes.as_slice())?)
+}
--- /dev/null
+++ b/bamboo-node/src/platform.rs
@@ -0,0 +1,147 @@
+//! Adapter to the platform: log service and host list. A platform with other interfaces is a change in this file.
+
+use std::time::Duration;
+
+use anyhow::Context;
+use awc::Client;
+use awc::error::SendRequestError;
+use bamboo_log::AppendAnswer;
+use bamboo_log::Entry;
+use bamboo_log::ReadAnswer;
+use bamboo_log::StreamId;
+use bamboo_member::HostEntry;
+use bamboo_member::HostState;
+use bamboo_types::BackendServerId;
+use bamboo_types::Offset;
+use serde::Deserialize;
+
+/// Time for one append.
+const APPEND_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long the service may hold a read that finds nothing.
+const READ_WAIT: Duration = Duration::from_millis(1500);
+/// Time for one read beyond its wait.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest answer to a read, bytes.
+const READ_MAX_BYTES: usize = 16 << 20;
+
+/// A page of a stream, as the log service encodes it.
+#[derive(Deserialize)]
+struct WirePage {
+    oldest: Offset,
+    tail: Offset,
+    entries: Vec<(Offset, Vec<u8>)>,
+}
+
+impl From<WirePage> for ReadAnswer {
+    fn from(page: WirePage) -> Self {
+        let entries = page.entries.into_iter();
+        let entries = entries.map(|(offset, bytes)| (offset, Entry::try_from(bytes.as_slice()).ok())).collect();
+        ReadAnswer { entries, oldest: page.oldest, tail: page.tail }
+    }
+}
+
+#[derive(Deserialize)]
+struct WireHost {
+    host: String,
+    data_centre: String,
+    peer_address: String,
+    #[serde(default)]
+    is_leaving: bool,
+}
+
+#[derive(Deserialize)]
+struct WireHostList {
+    hosts: Vec<WireHost>,
+    leaving_servers: Vec<BackendServerId>,
+}
+
+impl From<WireHost> for HostEntry {
+    fn from(host: WireHost) -> Self {
+        HostEntry {
+            host: host.host,
+            data_centre: host.data_centre,
+            peer_address: host.peer_address,
+            state: if host.is_leaving { HostState::Leaving } else { HostState::Live },
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct Appended {
+    offset: Offset,
+}
+
+/// Client of the platform on one thread.
+#[derive(Clone)]
+pub(crate) struct Platform {
+    client: Client,
+    log_url: String,
+    host_list_url: String,
+}
+
+impl Platform {
+    pub(crate) fn new(log_url: &str, host_list_url: &str) -> Self {
+        let client = Client::builder().timeout(READ_WAIT + READ_TIMEOUT).finish();
+        Platform { client, log_url: log_url.to_owned(), host_list_url: host_list_url.to_owned() }
+    }
+
+    /// Appends an entry. Only an answer that says so counts as stored or refused.
+    pub(crate) async fn append(&self, stream: StreamId, bytes: Vec<u8>) -> AppendAnswer {
+        let url = format!("{}/{stream}", self.log_url);
+        let mut response = match self.client.post(url).timeout(APPEND_TIMEOUT).send_body(bytes).await {
+            Ok(response) => response,
+            Err(SendRequestError::Connect(_)) => return AppendAnswer::Refused(Duration::ZERO),
+            Err(_) => return AppendAnswer::Unknown,
+        };
+        match response.status().as_u16() {
+            200 => match response.json::<Appended>().await {
+                Ok(appended) => AppendAnswer::Stored(appended.offset),
+                Err(_) => AppendAnswer::Unknown,
+            },
+            429 | 503 => {
+                let header = response.headers().get("retry-after-ms");
+                let wait_ms = header.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
+                AppendAnswer::Refused(Duration::from_millis(wait_ms))
+            }
+            _ => AppendAnswer::Unknown,
+        }
+    }
+
+    /// Reads a stream from an offset on; waits a while if there is nothing.
+    ///
+    /// # Errors
+    /// Fails if the service does not answer with a page.
+    pub(crate) async fn read(&self, stream: StreamId, from: Offset, wait: bool) -> anyhow::Result<ReadAnswer> {
+        let wait_ms = if wait { READ_WAIT.as_millis() } else { 0 };
+        let url = format!("{}/{stream}?from={from}&wait_ms={wait_ms}", self.log_url);
+        let response = self.client.get(url).send().await;
+        let mut response = response.map_err(|error| anyhow::anyhow!("log read: {error}"))?;
+        anyhow::ensure!(response.status().is_success(), "log read: status {}", response.status());
+        let bytes = response.body().limit(READ_MAX_BYTES).await.context("log read: body")?;
+        let (page, _): (WirePage, usize) =
+            bincode::serde::decode_from_slice(&bytes, bincode::config::standard()).context("log read: page")?;
+        Ok(page.into())
+    }
+
+    /// Reads the entry at an offset, `None` if it is no longer kept.
+    ///
+    /// # Errors
+    /// Fails if the service does not answer with a page.
+    pub(crate) async fn entry(&self, stream: StreamId, offset: Offset) -> anyhow::Result<Option<Entry>> {
+        let page = self.read(stream, offset, false).await?;
+        let found = page.entries.into_iter().find(|(at, _)| *at == offset);
+        Ok(found.and_then(|(_, entry)| entry))
+    }
+
+    /// The list of hosts and of backend servers that leave.
+    ///
+    /// # Errors
+    /// Fails if the platform does not answer with a list.
+    pub(crate) async fn host_list(&self) -> anyhow::Result<(Vec<HostEntry>, Vec<BackendServerId>)> {
+        let response = self.client.get(&self.host_list_url).send().await;
+        let mut response = response.map_err(|error| anyhow::anyhow!("host list: {error}"))?;
+        anyhow::ensure!(response.status().is_success(), "host list: status {}", response.status());
+        let list: WireHostList = response.json().limit(READ_MAX_BYTES).await.context("host list")?;
+        Ok((list.hosts.into_iter().map(HostEntry::from).collect(), list.leaving_servers))
+    }
+}
--- /dev/null
+++ b/bamboo-node/src/run.rs
@@ -0,0 +1,152 @@
+//! Starts and stops the daemon.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix::Actor;
+use actix_rt::Arbiter;
+use actix_web::App;
+use actix_web::HttpServer;
+use actix_web::dev::ServerHandle;
+use actix_web::web;
+use anyhow::Context;
+use bamboo_config::Settings;
+use bamboo_host::HostCore;
+use bamboo_host::HostOptions;
+use bamboo_host::Input;
+use bamboo_types::millis;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::oneshot;
+
+use crate::Clock;
+use crate::batch::run_batch;
+use crate::callers;
+use crate::callers::Traffic;
+use crate::control::Control;
+use crate::links::run_links;
+use crate::operators;
+use crate::peers::accept_peers;
+use crate::peers::listen;
+use crate::shared::ControlHandle;
+use crate::shared::Shared;
+
+/// Interval of looking whether streams are still open during a planned stop.
+const STREAM_CHECK: Duration = Duration::from_millis(50);
+/// Time for open connections to close once all answers are finished, seconds.
+const SHUTDOWN_TIMEOUT_S: u64 = 5;
+
+/// Runs the daemon until a planned stop is complete. The calling thread becomes the control thread.
+///
+/// # Errors
+/// Fails if an address cannot be used.
+pub async fn run(settings: Settings) -> anyhow::Result<()> {
+    let clock = Clock::start();
+    let incarnation = millis(clock.now());
+    let shared = Shared::new(settings, clock, incarnation);
+    let settings = &shared.settings;
+    let (links, link_orders) = unbounded_channel();
+    let (batch, batch_orders) = unbounded_channel();
+    let (drained, is_drained) = oneshot::channel();
+    let core = HostCore::new(HostOptions::from_settings(settings, incarnation, rand::random()));
+    let address = Control::new(core, Arc::clone(&shared), links, batch, drained).start();
+    let control = ControlHandle { address };
+
+    let link_thread = Arbiter::new();
+    let (link_shared, link_control) = (Arc::clone(&shared), control.clone());
+    link_thread.spawn_fn(move || {
+        actix_rt::spawn(run_links(link_shared, link_control, link_orders));
+    });
+    let batch_thread = Arbiter::new();
+    let (batch_shared, batch_control) = (Arc::clone(&shared), control.clone());
+    batch_thread.spawn_fn(move || {
+        actix_rt::spawn(run_batch(batch_shared, batch_control, batch_orders));
+    });
+    let peer_listener = listen(settings.peer_address).await?;
+    actix_rt::spawn(accept_peers(Arc::clone(&shared), control.clone(), peer_listener));
+
+    let caller_server = serve_callers(&shared, &control)?;
+    let operator_server = serve_operators(&shared, &control)?;
+    log::info!("host {} listens for callers on {}", settings.host, settings.caller_address);
+
+    wait_for_stop(&control, is_drained, settings.drain_max).await?;
+    wait_for_streams(&shared).await;
+    caller_server.stop(true).await;
+    operator_server.stop(true).await;
+    log::info!("host {} has stopped", settings.host);
+    link_thread.stop();
+    batch_thread.stop();
+    Ok(())
+}
+
+fn serve_callers(shared: &Arc<Shared>, control: &ControlHandle) -> anyhow::Result<ServerHandle> {
+    let (shared, control) = (Arc::clone(shared), control.clone());
+    let address = shared.settings.caller_address;
+    let threads = shared.settings.traffic_threads;
+    let body_max_bytes = shared.settings.body_max_bytes;
+    let server = HttpServer::new(move || {
+        let traffic = web::Data::new(Traffic::new(Arc::clone(&shared), control.clone()));
+        App::new()
+            .app_data(traffic)
+            .app_data(web::PayloadConfig::new(body_max_bytes))
+            .configure(callers::configure)
+    })
+    .workers(threads)
+    .disable_signals()
+    .shutdown_timeout(SHUTDOWN_TIMEOUT_S)
+    .bind(address)
+    .with_context(|| format!("cannot listen on {address} for callers"))?
+    .run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(handle)
+}
+
+fn serve_operators(shared: &Arc<Shared>, control: &ControlHandle) -> anyhow::Result<ServerHandle> {
+    let (shared, control) = (Arc::clone(shared), control.clone());
+    let address = shared.settings.operator_address;
+    let server = HttpServer::new(move || {
+        let traffic = web::Data::new(Traffic::new(Arc::clone(&shared), control.clone()));
+        App::new().app_data(traffic).configure(operators::configure)
+    })
+    .workers(1)
+    .disable_signals()
+    .shutdown_timeout(SHUTDOWN_TIMEOUT_S)
+    .bind(address)
+    .with_context(|| format!("cannot listen on {address} for operators"))?
+    .run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(handle)
+}
+
+/// Waits for a signal or an operator's order, then for the core to give up what it owns.
+async fn wait_for_stop(
+    control: &ControlHandle,
+    mut is_drained: oneshot::Receiver<()>,
+    drain_max: Duration,
+) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        _ = &mut is_drained => return Ok(()),
+    }
+    log::info!("a planned stop begins");
+    control.tell(Input::Drain);
+    if tokio::time::timeout(drain_max, is_drained).await.is_err() {
+        log::warn!("the planned stop took longer than {drain_max:?}; what is left is handed over by its owners' loss");
+    }
+    Ok(())
+}
+
+async fn wait_for_streams(shared: &Shared) {
+    let until = Instant::now() + shared.settings.drain_max;
+    while shared.streams_open.load(Ordering::Relaxed) > 0 && Instant::now() < until {
+        actix_rt::time::sleep(STREAM_CHECK).await;
+    }
+}
