--- /dev/null
+++ b/bamboo-node/src/shared.rs
@@ -0,0 +1,110 @@
+//! What all threads of a daemon share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use actix::Addr;
+use arc_swap::ArcSwap;
+use bamboo_config::Settings;
+use bamboo_events::EventKind;
+use bamboo_events::Ring;
+use bamboo_host::Answer;
+use bamboo_host::Input;
+use bamboo_result::Code;
+use bamboo_result::Refusal;
+use bamboo_types::Incarnation;
+use bamboo_types::RequestId;
+use tokio::sync::oneshot;
+
+use crate::Clock;
+use crate::config_table::ConfigTable;
+use crate::control::Control;
+use crate::control::Request;
+use crate::control::Take;
+use crate::metrics::Metrics;
+
+/// Events kept in the time line of one process.
+const RING_CAPACITY: usize = 20_000;
+
+/// Shared by all threads of a daemon; everything in it is safe to read at any time.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) config: ArcSwap<ConfigTable>,
+    pub(crate) metrics: Metrics,
+    pub(crate) is_ready: AtomicBool,
+    pub(crate) streams_open: AtomicUsize,
+    ring: Mutex<Ring>,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Settings, clock: Clock, incarnation: Incarnation) -> Arc<Self> {
+        let ring = Mutex::new(Ring::new(settings.host.clone(), RING_CAPACITY));
+        Arc::new(Shared {
+            settings,
+            clock,
+            incarnation,
+            config: ArcSwap::from_pointee(ConfigTable::default()),
+            metrics: Metrics::new(),
+            is_ready: AtomicBool::new(false),
+            streams_open: AtomicUsize::new(0),
+            ring,
+        })
+    }
+
+    /// Adds an event to the time line.
+    pub(crate) fn event(&self, kind: EventKind, subject: String, detail: String) {
+        let now = self.clock.now();
+        self.ring.lock().unwrap_or_else(PoisonError::into_inner).push(now, kind, subject, detail);
+    }
+
+    /// Events whose subject starts with a text.
+    pub(crate) fn events_about(&self, subject: &str) -> Vec<bamboo_events::Event> {
+        self.ring.lock().unwrap_or_else(PoisonError::into_inner).events_about(subject)
+    }
+}
+
+/// A handle on the control thread.
+#[derive(Clone)]
+pub(crate) struct ControlHandle {
+    pub(crate) address: Addr<Control>,
+}
+
+impl ControlHandle {
+    /// Tells the control thread something.
+    pub(crate) fn tell(&self, input: Input) {
+        self.address.do_send(Take { input, sent_at: std::time::Instant::now() });
+    }
+
+    /// Puts a request in and waits for its answer.
+    pub(crate) async fn ask(&self, request: RequestId, input: Input) -> Answer {
+        let (reply, answer) = oneshot::channel();
+        self.address.do_send(Request { request, input, reply, sent_at: std::time::Instant::now() });
+        answer.await.unwrap_or_else(|_| {
+            Answer::Refused(Refusal::new(Code::NotReady, "the daemon is stopping"))
+        })
+    }
+}
+
+/// Counts one open stream for as long as it lives.
+pub(crate) struct OpenStream {
+    shared: Arc<Shared>,
+}
+
+impl OpenStream {
+    pub(crate) fn new(shared: &Arc<Shared>) -> Self {
+        shared.streams_open.fetch_add(1, Ordering::Relaxed);
+        OpenStream { shared: Arc::clone(shared) }
+    }
+}
+
+impl Drop for OpenStream {
+    fn drop(&mut self) {
+        self.shared.streams_open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/bamboo-result/src/refusal.rs
@@ -0,0 +1,61 @@
+//! A refusal as callers and operators see it.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Code;
+
+/// A code with its message and, where it helps, the time to come back.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[error("{} {}: {message}", code.number(), code.name())]
+pub struct Refusal {
+    /// The numbered code.
+    pub code: Code,
+    /// What was wrong, and where.
+    pub message: String,
+    /// When a retry may succeed, counted from now.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal that a retry will not change.
+    ///
+    /// ```
+    /// use bamboo_result::{Code, Refusal};
+    /// let refusal = Refusal::new(Code::UnknownModel, "no model 'x'");
+    /// assert_eq!(refusal.to_string(), "2004 unknown_model: no model 'x'");
+    /// ```
+    pub fn new<M>(code: Code, message: M) -> Self
+    where
+        M: Into<String>,
+    {
+        Refusal { code, message: message.into(), retry_after: None }
+    }
+
+    /// A refusal that says when to come back.
+    ///
+    /// ```
+    /// use bamboo_result::{Code, Refusal};
+    /// let refusal = Refusal::retry(Code::Overloaded, "busy", std::time::Duration::from_secs(2));
+    /// assert_eq!(refusal.retry_after_s(), Some(2));
+    /// ```
+    pub fn retry<M>(code: Code, message: M, after: Duration) -> Self
+    where
+        M: Into<String>,
+    {
+        Refusal { code, message: message.into(), retry_after: Some(after) }
+    }
+
+    /// Whole seconds for a `Retry-After` header, rounded up, at least 1.
+    ///
+    /// ```
+    /// # use bamboo_result::{Code, Refusal};
+    /// let refusal = Refusal::retry(Code::Overloaded, "busy", std::time::Duration::from_millis(1200));
+    /// assert_eq!(refusal.retry_after_s(), Some(2));
+    /// ```
+    pub fn retry_after_s(&self) -> Option<u64> {
+        self.retry_after.map(|after| after.as_millis().div_ceil(1000).max(1) as u64)
+    }
+}
--- /dev/null
+++ b/bamboo-route/src/choose.rs
@@ -0,0 +1,134 @@
+//! Chooses one of several servers. A pure function, so that policies can be compared on the same load.
+
+use bamboo_types::weight;
+
+/// A server that can take the request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate<'server> {
+    /// Name.
+    pub server: &'server str,
+    /// Online requests on it, as far as known.
+    pub online_count: u32,
+    /// Batch sequences on it, as far as known.
+    pub batch_count: u32,
+    /// Sequences that it runs at once.
+    pub capacity: u32,
+}
+
+impl Candidate<'_> {
+    /// Online requests as a share of the capacity.
+    ///
+    /// ```
+    /// let candidate = bamboo_route::Candidate { server: "s1", online_count: 4, batch_count: 0, capacity: 8 };
+    /// assert_eq!(candidate.load(), 0.5);
+    /// ```
+    pub fn load(&self) -> f64 {
+        f64::from(self.online_count) / f64::from(self.capacity.max(1))
+    }
+}
+
+/// How servers are chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// Any server, by chance.
+    Random,
+    /// The server with the lowest load.
+    LeastInFlight,
+    /// The server that owns the prompt's prefix by rendezvous hashing.
+    PrefixHash,
+    /// The prefix owner unless its load exceeds the bound, then the next in its order.
+    BoundedPrefix,
+    /// The first server in a fixed order that has room below the pack share, so that the rest stay free of
+    /// online requests.
+    Packed,
+}
+
+/// Figures of the choice.
+#[derive(Debug, Clone)]
+pub struct ChoiceOptions {
+    /// The policy.
+    pub policy: Policy,
+    /// Bound on a server's load as a multiple of the average, for `BoundedPrefix`.
+    pub load_bound: f64,
+    /// Load up to which a server is filled before the next one is used, for `Packed`.
+    pub pack_share: f64,
+}
+
+impl Default for ChoiceOptions {
+    fn default() -> Self {
+        ChoiceOptions { policy: Policy::Packed, load_bound: 1.25, pack_share: 0.25 }
+    }
+}
+
+/// Chooses a candidate, or `None` if there is none. `prefix` names the prompt's prefix, `scope` the model.
+///
+/// ```
+/// use bamboo_route::{Candidate, ChoiceOptions, Policy, choose};
+/// let candidates = [
+///     Candidate { server: "s1", online_count: 3, batch_count: 0, capacity: 8 },
+///     Candidate { server: "s2", online_count: 1, batch_count: 0, capacity: 8 },
+/// ];
+/// let options = ChoiceOptions { policy: Policy::LeastInFlight, ..ChoiceOptions::default() };
+/// assert_eq!(choose(&candidates, &options, "stress-llm", None, 0), Some(1));
+/// ```
+pub fn choose(
+    candidates: &[Candidate<'_>],
+    options: &ChoiceOptions,
+    scope: &str,
+    prefix: Option<u64>,
+    random: u64,
+) -> Option<usize> {
+    if candidates.is_empty() {
+        return None;
+    }
+    match options.policy {
+        Policy::Random => Some((random % candidates.len() as u64) as usize),
+        Policy::LeastInFlight => least_loaded(candidates, random),
+        Policy::PrefixHash => prefix_order(candidates, scope, prefix, random).first().copied(),
+        Policy::BoundedPrefix => bounded_prefix(candidates, options, scope, prefix, random),
+        Policy::Packed => packed(candidates, options, scope, random),
+    }
+}
+
+fn least_loaded(candidates: &[Candidate<'_>], random: u64) -> Option<usize> {
+    let lowest = candidates.iter().map(Candidate::load).fold(f64::INFINITY, f64::min);
+    let ties: Vec<usize> = (0..candidates.len()).filter(|index| candidates[*index].load() <= lowest).collect();
+    ties.get((random % ties.len().max(1) as u64) as usize).copied()
+}
+
+fn prefix_order(candidates: &[Candidate<'_>], scope: &str, prefix: Option<u64>, random: u64) -> Vec<usize> {
+    let name = format!("{scope}/{:x}", prefix.unwrap_or(random));
+    let mut order: Vec<usize> = (0..candidates.len()).collect();
+    order.sort_by_key(|index| std::cmp::Reverse(weight(candidates[*index].server, &name)));
+    order
+}
+
+fn bounded_prefix(
+    candidates: &[Candidate<'_>],
+    options: &ChoiceOptions,
+    scope: &str,
+    prefix: Option<u64>,
+    random: u64,
+) -> Option<usize> {
+    if prefix.is_none() {
+        return least_loaded(candidates, random);
+    }
+    let total: u32 = candidates.iter().map(|candidate| candidate.online_count + 1).sum();
+    let capacity: u32 = candidates.iter().map(|candidate| candidate.capacity).sum();
+    let average = f64::from(total) / f64::from(capacity.max(1));
+    let has_room = |index: &usize| {
+        let candidate = &candidates[*index];
+        let after = f64::from(candidate.online_count + 1) / f64::from(candidate.capacity.max(1));
+        after <= options.load_bound * average
+    };
+    let order = prefix_order(candidates, scope, prefix, random);
+    order.into_iter().find(has_room).or_else(|| least_loaded(candidates, random))
+}
+
+fn packed(candidates: &[Candidate<'_>], options: &ChoiceOptions, scope: &str, random: u64) -> Option<usize> {
+    // All hosts order the servers alike, so they gather online requests on the same ones.
+    let mut order: Vec<usize> = (0..candidates.len()).collect();
+    order.sort_by_key(|index| std::cmp::Reverse(weight(candidates[*index].server, scope)));
+    let has_room = |index: &usize| candidates[*index].load() < options.pack_share;
+    order.into_iter().find(has_room).or_else(|| least_loaded(candidates, random))
+}
--- /dev/null
+++ b/bamboo-route/src/limits.rs
@@ -0,0 +1,85 @@
+//! Limits of one caller on one serving resource at one host.
+
+use bamboo_config::Limits;
+use bamboo_result::Code;
+use bamboo_result::Refusal;
+use bamboo_types::Now;
+use bamboo_types::TokenBucket;
+
+/// Seconds of a limit that may be used at once.
+const BURST_S: f64 = 2.0;
+
+/// Use of one caller's limits. The fleet's limit is shared evenly between the live hosts.
+#[derive(Debug)]
+pub struct CallerLimits {
+    limits: Limits,
+    host_count: usize,
+    requests: TokenBucket,
+    tokens: TokenBucket,
+    in_flight: u32,
+}
+
+impl CallerLimits {
+    /// Unused limits of one of `host_count` hosts.
+    pub fn new(limits: Limits, host_count: usize) -> Self {
+        let share = 1.0 / host_count.max(1) as f64;
+        let requests_per_s = limits.requests_per_s * share;
+        let tokens_per_s = limits.tokens_per_s * share;
+        CallerLimits {
+            limits,
+            host_count,
+            requests: TokenBucket::new(requests_per_s, (requests_per_s * BURST_S).max(1.0)),
+            tokens: TokenBucket::new(tokens_per_s, tokens_per_s * BURST_S),
+            in_flight: 0,
+        }
+    }
+
+    /// Whether these are the limits in force.
+    pub fn is_current(&self, limits: &Limits, host_count: usize) -> bool {
+        self.limits == *limits && self.host_count == host_count
+    }
+
+    /// Takes over the requests in flight from limits that were in force before.
+    pub fn carry_over(&mut self, before: &CallerLimits) {
+        self.in_flight = before.in_flight;
+    }
+
+    /// Takes one request of about `token_count` tokens.
+    ///
+    /// # Errors
+    /// Refuses with the time to come back when a limit is reached.
+    ///
+    /// ```
+    /// use bamboo_config::Limits;
+    /// use std::time::Duration;
+    /// let limits = Limits { requests_per_s: 1.0, tokens_per_s: 1000.0, in_flight_max: 1 };
+    /// let mut used = bamboo_route::CallerLimits::new(limits, 1);
+    /// assert!(used.take(Duration::ZERO, 100.0).is_ok());
+    /// assert!(used.take(Duration::ZERO, 100.0).is_err());
+    /// ```
+    pub fn take(&mut self, now: Now, token_count: f64) -> Result<(), Refusal> {
+        let in_flight_max = self.limits.in_flight_max.div_ceil(self.host_count.max(1) as u32).max(1);
+        if self.in_flight >= in_flight_max {
+            let message = format!("{} requests in flight at this host", self.in_flight);
+            return Err(Refusal::retry(Code::LimitReached, message, std::time::Duration::from_secs(1)));
+        }
+        if !self.requests.try_take(now, 1.0) {
+            let wait = self.requests.time_until(now, 1.0);
+            return Err(Refusal::retry(Code::LimitReached, "requests a second are used up", wait));
+        }
+        // A request larger than the burst passes when the bucket is full, or it could never pass.
+        let amount = token_count.min(self.limits.tokens_per_s * BURST_S / self.host_count.max(1) as f64);
+        if !self.tokens.try_take(now, amount) {
+            self.requests.give_back(1.0);
+            let wait = self.tokens.time_until(now, amount);
+            return Err(Refusal::retry(Code::LimitReached, "tokens a second are used up", wait));
+        }
+        self.in_flight += 1;
+        Ok(())
+    }
+
+    /// Gives back the place of a request that ended.
+    pub fn ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+}
--- /dev/null
+++ b/bamboo-standin/src/engine.rs
@@ -0,0 +1,450 @@
+//! A model engine over HTTP round the pure engine model.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::net::TcpListener;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_web::App;
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::HttpServer;
+use actix_web::web;
+use bamboo_engine::AddError;
+use bamboo_engine::CacheEvent;
+use bamboo_engine::Engine;
+use bamboo_engine::EngineLoad;
+use bamboo_engine::EngineOptions;
+use bamboo_engine::Sequence;
+use bamboo_engine::Token;
+use bamboo_engine::answer_length;
+use bamboo_engine::count_tokens;
+use bamboo_engine::prefix_blocks;
+use bamboo_engine::token_text;
+use futures_util::StreamExt;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use crate::faults::FaultSwitch;
+use crate::faults::Faults;
+use crate::faults::Verdict;
+
+/// Tokens of an answer if the request names no limit.
+const DEFAULT_MAX_TOKENS: usize = 64;
+/// Cache events kept for readers.
+const CACHE_EVENTS_MAX: usize = 10_000;
+/// Every n-th cache event is never published.
+const CACHE_EVENT_GAP: usize = 50;
+
+/// What one engine stand-in is.
+#[derive(Debug, Clone)]
+pub struct EngineStandin {
+    /// Name.
+    pub name: String,
+    /// Models that it has loaded at start.
+    pub models: Vec<String>,
+    /// Costs and memory.
+    pub options: EngineOptions,
+    /// How old load reports are.
+    pub load_lag: Duration,
+    /// How late cache events are published.
+    pub event_lag: Duration,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fencing: bool,
+}
+
+/// What a stream carries.
+enum Piece {
+    Token(Token),
+    Cancelled,
+}
+
+struct State {
+    engine: Engine,
+    streams: BTreeMap<String, mpsc::UnboundedSender<Piece>>,
+    ran: Vec<String>,
+    loads: VecDeque<(Instant, EngineLoad)>,
+    cache_events: VecDeque<(Instant, usize, CacheEvent)>,
+    next_event: usize,
+    models: Vec<String>,
+    highest_fencing: u64,
+}
+
+struct Standin {
+    what: EngineStandin,
+    state: Mutex<State>,
+    faults: FaultSwitch,
+}
+
+#[derive(Deserialize)]
+struct Request {
+    model: String,
+    #[serde(default)]
+    prompt: Option<String>,
+    #[serde(default)]
+    messages: Vec<Message>,
+    #[serde(default)]
+    max_tokens: Option<usize>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    resume_from: usize,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    #[serde(default)]
+    role: String,
+    content: String,
+}
+
+/// Form of the answer: chat or plain completion.
+#[derive(Clone, Copy)]
+struct Shape {
+    is_chat: bool,
+}
+
+impl Shape {
+    fn object(self) -> &'static str {
+        if self.is_chat { "chat.completion" } else { "text_completion" }
+    }
+
+    fn chunk_object(self) -> &'static str {
+        if self.is_chat { "chat.completion.chunk" } else { "text_completion" }
+    }
+
+    fn part(self, text: &str, finish_reason: Value) -> Value {
+        match self.is_chat {
+            true => json!({ "index": 0, "delta": { "content": text }, "finish_reason": finish_reason }),
+            false => json!({ "index": 0, "text": text, "finish_reason": finish_reason }),
+        }
+    }
+
+    fn whole(self, text: &str) -> Value {
+        match self.is_chat {
+            true => json!({
+                "index": 0, "message": { "role": "assistant", "content": text }, "finish_reason": "stop"
+            }),
+            false => json!({ "index": 0, "text": text, "finish_reason": "stop" }),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct Cancel {
+    #[serde(default)]
+    id: Option<String>,
+    #[serde(default)]
+    prefix: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Order {
+    fencing: u64,
+    #[serde(default)]
+    models: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct EventsQuery {
+    #[serde(default)]
+    from: usize,
+}
+
+/// Serves one engine until the process ends.
+///
+/// # Errors
+/// Fails if the listener cannot be used.
+pub async fn serve_engine(listener: TcpListener, what: EngineStandin) -> std::io::Result<()> {
+    let state = State {
+        engine: Engine::new(what.options.clone()),
+        streams: BTreeMap::new(),
+        ran: Vec::new(),
+        loads: VecDeque::new(),
+        cache_events: VecDeque::new(),
+        next_event: 0,
+        models: what.models.clone(),
+        highest_fencing: 0,
+    };
+    let standin = web::Data::new(Standin { what, state: Mutex::new(state), faults: FaultSwitch::default() });
+    actix_rt::spawn(iterate(standin.clone()));
+    HttpServer::new(move || {
+        App::new()
+            .app_data(standin.clone())
+            .app_data(web::JsonConfig::default().limit(16 << 20))
+            .route("/v1/completions", web::post().to(complete))
+            .route("/v1/chat/completions", web::post().to(complete))
+            .route("/v1/cancel", web::post().to(cancel))
+            .route("/running", web::get().to(list_running))
+            .route("/load", web::get().to(report_load))
+            .route("/events", web::get().to(list_events))
+            .route("/orders", web::post().to(take_order))
+            .route("/admin/faults", web::put().to(set_faults))
+            .route("/admin/ran", web::get().to(list_ran))
+    })
+    .workers(1)
+    .listen(listener)?
+    .run()
+    .await
+}
+
+/// Runs the engine's iterations in real time.
+async fn iterate(standin: web::Data<Standin>) {
+    let mut due = Instant::now();
+    loop {
+        let step = match standin.faults.get().is_frozen {
+            true => None,
+            false => lock(&standin.state).engine.step(),
+        };
+        let Some(step) = step else {
+            actix_rt::time::sleep(Duration::from_millis(1)).await;
+            due = Instant::now();
+            continue;
+        };
+        // Late timers are made up for, so that the modelled rate holds on average.
+        due += step.duration;
+        let now = Instant::now();
+        if due > now {
+            actix_rt::time::sleep(due - now).await;
+        } else if now - due > Duration::from_millis(50) {
+            due = now;
+        }
+        deliver(&standin, step.tokens);
+    }
+}
+
+fn deliver(standin: &Standin, tokens: Vec<Token>) {
+    let mut state = lock(&standin.state);
+    let now = Instant::now();
+    let load = state.engine.load();
+    state.loads.push_back((now, load));
+    while state.loads.len() > 2 && state.loads[1].0 + standin.what.load_lag < now {
+        state.loads.pop_front();
+    }
+    for event in state.engine.take_cache_events() {
+        let number = state.next_event;
+        state.next_event += 1;
+        if number % CACHE_EVENT_GAP != CACHE_EVENT_GAP - 1 {
+            state.cache_events.push_back((now, number, event));
+        }
+        if state.cache_events.len() > CACHE_EVENTS_MAX {
+            state.cache_events.pop_front();
+        }
+    }
+    for token in tokens {
+        let is_last = token.is_last;
+        let id = token.id.clone();
+        let is_gone = state.streams.get(&id).is_none_or(|stream| stream.send(Piece::Token(token)).is_err());
+        if is_last || is_gone {
+            state.streams.remove(&id);
+        }
+        if is_gone {
+            state.engine.cancel(&id);
+        }
+    }
+}
+
+async fn complete(standin: web::Data<Standin>, http: HttpRequest, request: web::Json<Request>) -> HttpResponse {
+    let verdict = standin.faults.pass().await;
+    if verdict == Verdict::Refuse {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let id = request_id(&http);
+    let prompt = prompt_of(&request);
+    if let Some(refusal) = refuse(&standin, &request, &prompt) {
+        return refusal;
+    }
+    let answer_tokens = answer_length(&prompt, request.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS));
+    let sequence = Sequence {
+        id: id.clone(),
+        prompt_tokens: count_tokens(&prompt),
+        blocks: prefix_blocks(&prompt, standin.what.options.block_tokens),
+        answer_tokens,
+        resume_from: request.resume_from.min(answer_tokens.saturating_sub(1)),
+    };
+    let (sender, receiver) = mpsc::unbounded_channel();
+    {
+        let mut state = lock(&standin.state);
+        match state.engine.add(sequence) {
+            Ok(()) => {}
+            Err(AddError::TooLarge) => return fault(400, "prompt does not fit into memory"),
+            Err(AddError::Duplicate) => return fault(409, "a request of this identity runs"),
+            Err(AddError::QueueFull) => return HttpResponse::ServiceUnavailable().finish(),
+        }
+        state.streams.insert(id.clone(), sender);
+        state.ran.push(id.clone());
+    }
+    let shape = Shape { is_chat: http.path().ends_with("/chat/completions") };
+    let shown_id = if verdict == Verdict::Cross { "another-request".to_owned() } else { id };
+    let is_broken = matches!(verdict, Verdict::Cut | Verdict::LoseAnswer);
+    if request.stream {
+        stream_answer(receiver, shown_id, shape, prompt, is_broken)
+    } else {
+        whole_answer(receiver, shown_id, shape, prompt, is_broken).await
+    }
+}
+
+fn refuse(standin: &Standin, request: &Request, prompt: &str) -> Option<HttpResponse> {
+    if !lock(&standin.state).models.contains(&request.model) {
+        return Some(fault(404, "model is not loaded"));
+    }
+    if prompt.trim().is_empty() {
+        return Some(fault(400, "prompt is empty"));
+    }
+    // A prompt that asks for it stands for content which an engine cannot do.
+    if prompt.contains("[impossible]") {
+        return Some(fault(422, "content cannot be processed"));
+    }
+    None
+}
+
+fn stream_answer(
+    receiver: mpsc::UnboundedReceiver<Piece>,
+    id: String,
+    shape: Shape,
+    prompt: String,
+    is_broken: bool,
+) -> HttpResponse {
+    let header = id.clone();
+    let tokens = futures_util::stream::unfold(receiver, |mut receiver| async {
+        receiver.recv().await.map(|piece| (piece, receiver))
+    });
+    let events = tokens.flat_map(move |piece| {
+        let Piece::Token(token) = piece else {
+            let chunk = json!({ "id": id, "choices": [shape.part("", Value::from("cancelled"))] });
+            let bytes = web::Bytes::from(format!("data: {chunk}\n\n"));
+            return futures_util::stream::iter(vec![Ok(bytes)]);
+        };
+        let text = token_text(&prompt, token.index);
+        let reason = if token.is_last { Value::from("stop") } else { Value::Null };
+        let chunk = json!({
+            "id": id, "object": shape.chunk_object(), "index": token.index, "choices": [shape.part(&text, reason)]
+        });
+        let mut pieces = Vec::new();
+        if is_broken && token.index >= 2 {
+            pieces.push(Err(std::io::Error::other("cut on demand")));
+        } else {
+            pieces.push(Ok(web::Bytes::from(format!("data: {chunk}\n\n"))));
+            if token.is_last {
+                pieces.push(Ok(web::Bytes::from_static(b"data: [DONE]\n\n")));
+            }
+        }
+        futures_util::stream::iter(pieces)
+    });
+    HttpResponse::Ok()
+        .insert_header(("x-request-id", header))
+        .content_type("text/event-stream")
+        .streaming(events)
+}
+
+async fn whole_answer(
+    mut receiver: mpsc::UnboundedReceiver<Piece>,
+    id: String,
+    shape: Shape,
+    prompt: String,
+    is_broken: bool,
+) -> HttpResponse {
+    let mut text = String::new();
+    let mut count = 0;
+    let mut is_whole = false;
+    while let Some(Piece::Token(token)) = receiver.recv().await {
+        text.push_str(&token_text(&prompt, token.index));
+        count += 1;
+        is_whole = token.is_last;
+    }
+    if !is_whole || is_broken {
+        return HttpResponse::GatewayTimeout().finish();
+    }
+    HttpResponse::Ok().insert_header(("x-request-id", id.clone())).json(json!({
+        "id": id,
+        "object": shape.object(),
+        "choices": [shape.whole(&text)],
+        "usage": { "prompt_tokens": count_tokens(&prompt), "completion_tokens": count },
+    }))
+}
+
+async fn cancel(standin: web::Data<Standin>, request: web::Json<Cancel>) -> HttpResponse {
+    let mut state = lock(&standin.state);
+    let is_meant = |id: &str| {
+        request.id.as_deref() == Some(id) || request.prefix.as_deref().is_some_and(|prefix| id.starts_with(prefix))
+    };
+    let ids: Vec<String> = state.engine.ids().filter(|id| is_meant(id)).map(str::to_owned).collect();
+    for id in &ids {
+        state.engine.cancel(id);
+        if let Some(stream) = state.streams.remove(id) {
+            // The reader may have gone; then nobody needs to be told.
+            let _ = stream.send(Piece::Cancelled);
+        }
+    }
+    HttpResponse::Ok().json(json!({ "cancelled": ids }))
+}
+
+async fn list_running(standin: web::Data<Standin>) -> HttpResponse {
+    let state = lock(&standin.state);
+    let ids: Vec<&str> = state.engine.ids().collect();
+    HttpResponse::Ok().json(json!({ "running": ids }))
+}
+
+async fn report_load(standin: web::Data<Standin>) -> HttpResponse {
+    let state = lock(&standin.state);
+    let oldest = state.loads.front().map(|(_, load)| *load).unwrap_or_default();
+    HttpResponse::Ok().json(json!({ "load": oldest, "models": state.models }))
+}
+
+async fn list_events(standin: web::Data<Standin>, query: web::Query<EventsQuery>) -> HttpResponse {
+    let state = lock(&standin.state);
+    let visible = state.cache_events.iter().filter(|(at, number, _)| {
+        *number >= query.from && at.elapsed() >= standin.what.event_lag
+    });
+    let events: Vec<Value> = visible.map(|(_, number, event)| json!({ "number": number, "event": event })).collect();
+    HttpResponse::Ok().json(events)
+}
+
+async fn take_order(standin: web::Data<Standin>, order: web::Json<Order>) -> HttpResponse {
+    let mut state = lock(&standin.state);
+    if standin.what.checks_fencing && order.fencing < state.highest_fencing {
+        return fault(409, "fencing number is old");
+    }
+    state.highest_fencing = state.highest_fencing.max(order.fencing);
+    state.models.clone_from(&order.models);
+    HttpResponse::NoContent().finish()
+}
+
+async fn set_faults(standin: web::Data<Standin>, faults: web::Json<Faults>) -> HttpResponse {
+    standin.faults.set(faults.into_inner());
+    HttpResponse::NoContent().finish()
+}
+
+async fn list_ran(standin: web::Data<Standin>) -> HttpResponse {
+    HttpResponse::Ok().json(&lock(&standin.state).ran)
+}
+
+fn request_id(http: &HttpRequest) -> String {
+    let given = http.headers().get("x-request-id").and_then(|value| value.to_str().ok());
+    given.map_or_else(|| format!("anonymous-{:016x}", rand::random::<u64>()), str::to_owned)
+}
+
+fn prompt_of(request: &Request) -> String {
+    match &request.prompt {
+        Some(prompt) => prompt.clone(),
+        None => {
+            let lines = request.messages.iter().map(|message| format!("{}: {}", message.role, message.content));
+            lines.collect::<Vec<String>>().join("\n")
+        }
+    }
+}
+
+fn fault(status: u16, reason: &str) -> HttpResponse {
+    let status = actix_web::http::StatusCode::from_u16(status).unwrap_or_default();
+    HttpResponse::build(status).json(json!({ "error": { "message": reason } }))
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/bamboo-standin/src/lib.rs
@@ -0,0 +1,20 @@
+//! Stand-ins of what surrounds bambooroute: the platform, model engines and plain services.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod engine;
+mod faults;
+mod log_service;
+mod plain;
+mod platform;
+
+pub use engine::EngineStandin;
+pub use engine::serve_engine;
+pub use faults::Faults;
+pub use log_service::LogOptions;
+pub use log_service::LogService;
+pub use log_service::ReadPage;
+pub use plain::serve_plain;
+pub use platform::HostRow;
+pub use platform::HostList;
+pub use platform::serve_platform;
--- /dev/null
+++ b/bamboo-standin/src/plain.rs
@@ -0,0 +1,103 @@
+//! A plain service that records every call it ran.
+
+use std::net::TcpListener;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use actix_web::App;
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::HttpServer;
+use actix_web::web;
+use serde::Serialize;
+
+use crate::faults::FaultSwitch;
+use crate::faults::Faults;
+use crate::faults::Verdict;
+
+/// One call that ran.
+#[derive(Debug, Clone, Serialize)]
+struct Call {
+    number: usize,
+    request_id: String,
+    key: String,
+    method: String,
+    path: String,
+    body: String,
+}
+
+struct Plain {
+    name: String,
+    calls: Mutex<Vec<Call>>,
+    faults: FaultSwitch,
+}
+
+/// Serves one copy of a plain service until the process ends.
+///
+/// # Errors
+/// Fails if the listener cannot be used.
+pub async fn serve_plain(listener: TcpListener, name: String) -> std::io::Result<()> {
+    let plain = web::Data::new(Plain { name, calls: Mutex::new(Vec::new()), faults: FaultSwitch::default() });
+    HttpServer::new(move || {
+        App::new()
+            .app_data(plain.clone())
+            .route("/admin/faults", web::put().to(set_faults))
+            .route("/admin/calls", web::get().to(list_calls))
+            .default_service(web::to(run))
+    })
+    .workers(1)
+    .listen(listener)?
+    .run()
+    .await
+}
+
+async fn run(plain: web::Data<Plain>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
+    let verdict = plain.faults.pass().await;
+    if verdict == Verdict::Refuse {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let call = record(&plain, &request, &body);
+    let request_id = match verdict {
+        Verdict::Cross => "another-request".to_owned(),
+        _ => call.request_id.clone(),
+    };
+    let mut response = HttpResponse::Ok();
+    response.insert_header(("x-request-id", request_id));
+    let answer = serde_json::json!({ "service": plain.name, "call": call });
+    match verdict {
+        Verdict::LoseAnswer | Verdict::Cut => {
+            let text = answer.to_string();
+            let part = web::Bytes::from(text[..text.len() / 2].to_owned());
+            let broken = futures_util::stream::iter([Ok(part), Err(std::io::Error::other("cut on demand"))]);
+            response.streaming(broken)
+        }
+        _ => response.json(answer),
+    }
+}
+
+fn record(plain: &Plain, request: &HttpRequest, body: &[u8]) -> Call {
+    let header = |name: &str| {
+        let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let mut calls = plain.calls.lock().unwrap_or_else(PoisonError::into_inner);
+    let call = Call {
+        number: calls.len(),
+        request_id: header("x-request-id"),
+        key: header("idempotency-key"),
+        method: request.method().to_string(),
+        path: request.uri().to_string(),
+        body: String::from_utf8_lossy(body).into_owned(),
+    };
+    calls.push(call.clone());
+    call
+}
+
+async fn list_calls(plain: web::Data<Plain>) -> HttpResponse {
+    HttpResponse::Ok().json(&*plain.calls.lock().unwrap_or_else(PoisonError::into_inner))
+}
+
+async fn set_faults(plain: web::Data<Plain>, faults: web::Json<Faults>) -> HttpResponse {
+    plain.faults.set(faults.into_inner());
+    HttpResponse::NoContent().finish()
+}
--- /dev/null
+++ b/bamboo-standin/src/platform.rs
@@ -0,0 +1,213 @@
+//! The platform over HTTP: log service, host list and weight store, with an admin path for faults.
+
+use std::net::TcpListener;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_web::App;
+use actix_web::HttpResponse;
+use actix_web::HttpServer;
+use actix_web::web;
+use bamboo_types::TokenBucket;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::LogOptions;
+use crate::LogService;
+use crate::faults::FaultSwitch;
+use crate::faults::Faults;
+use crate::faults::Verdict;
+
+/// Most bytes of entries in one read.
+const READ_MAX_BYTES: usize = 4 << 20;
+/// Interval of looking for new entries while a read waits.
+const POLL_INTERVAL: Duration = Duration::from_millis(3);
+/// Weight loads that the store serves a second.
+const WEIGHT_LOADS_PER_S: f64 = 0.5;
+
+/// One host in the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRow {
+    /// Name.
+    pub host: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Where peers reach it.
+    pub peer_address: String,
+    /// Whether it is to leave.
+    #[serde(default)]
+    pub is_leaving: bool,
+}
+
+/// The list of hosts, and of backend servers that leave.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostList {
+    /// Hosts.
+    #[serde(default)]
+    pub hosts: Vec<HostRow>,
+    /// Backend servers that leave.
+    #[serde(default)]
+    pub leaving_servers: Vec<String>,
+}
+
+/// Faults of the three parts.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct PlatformFaults {
+    log: Faults,
+    host_list: Faults,
+    weight_store: Faults,
+}
+
+struct Platform {
+    started_at: Instant,
+    log: Mutex<LogService>,
+    hosts: Mutex<Vec<(Instant, HostList)>>,
+    host_list_lag: Duration,
+    weights: Mutex<TokenBucket>,
+    log_faults: FaultSwitch,
+    host_list_faults: FaultSwitch,
+    weight_faults: FaultSwitch,
+}
+
+#[derive(Deserialize)]
+struct ReadQuery {
+    from: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+#[derive(Serialize)]
+struct Appended {
+    offset: u64,
+}
+
+/// Serves the platform until the process ends.
+///
+/// # Errors
+/// Fails if the listener cannot be used.
+pub async fn serve_platform(listener: TcpListener, options: LogOptions, host_list_lag: Duration) -> std::io::Result<()> {
+    let platform = web::Data::new(Platform {
+        started_at: Instant::now(),
+        log: Mutex::new(LogService::new(options)),
+        hosts: Mutex::new(vec![(Instant::now(), HostList::default())]),
+        host_list_lag,
+        weights: Mutex::new(TokenBucket::new(WEIGHT_LOADS_PER_S, 2.0)),
+        log_faults: FaultSwitch::default(),
+        host_list_faults: FaultSwitch::default(),
+        weight_faults: FaultSwitch::default(),
+    });
+    HttpServer::new(move || {
+        App::new()
+            .app_data(platform.clone())
+            .app_data(web::PayloadConfig::new(8 << 20))
+            .route("/log/{stream}", web::post().to(append))
+            .route("/log/{stream}", web::get().to(read))
+            .route("/hosts", web::get().to(list_hosts))
+            .route("/weights/{model}", web::get().to(load_weights))
+            .route("/admin/hosts", web::put().to(set_hosts))
+            .route("/admin/faults", web::put().to(set_faults))
+            .route("/admin/log", web::get().to(log_totals))
+    })
+    .workers(2)
+    .listen(listener)?
+    .run()
+    .await
+}
+
+async fn append(platform: web::Data<Platform>, stream: web::Path<String>, body: web::Bytes) -> HttpResponse {
+    let verdict = platform.log_faults.pass().await;
+    if verdict == Verdict::Refuse {
+        return unavailable();
+    }
+    let stored = {
+        let mut log = lock(&platform.log);
+        if !log.is_size_allowed(body.len()) {
+            return HttpResponse::PayloadTooLarge().finish();
+        }
+        log.append(platform.started_at.elapsed(), &stream, body.to_vec())
+    };
+    match (stored, verdict) {
+        (Ok(_), Verdict::LoseAnswer) => HttpResponse::GatewayTimeout().finish(),
+        (Ok(offset), _) => HttpResponse::Ok().json(Appended { offset }),
+        (Err(wait), _) => HttpResponse::TooManyRequests()
+            .insert_header(("retry-after-ms", (wait.as_millis() as u64 + 1).to_string()))
+            .finish(),
+    }
+}
+
+async fn read(platform: web::Data<Platform>, stream: web::Path<String>, query: web::Query<ReadQuery>) -> HttpResponse {
+    if platform.log_faults.pass().await == Verdict::Refuse {
+        return unavailable();
+    }
+    let until = Instant::now() + Duration::from_millis(query.wait_ms);
+    loop {
+        let page = lock(&platform.log).read(platform.started_at.elapsed(), &stream, query.from, READ_MAX_BYTES);
+        if !page.entries.is_empty() || Instant::now() >= until {
+            let faults = platform.log_faults.get();
+            if faults.is_out {
+                return unavailable();
+            }
+            return match bincode::serde::encode_to_vec(&page, bincode::config::standard()) {
+                Ok(bytes) => HttpResponse::Ok().body(bytes),
+                Err(_) => HttpResponse::InternalServerError().finish(),
+            };
+        }
+        actix_rt::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+async fn list_hosts(platform: web::Data<Platform>) -> HttpResponse {
+    if platform.host_list_faults.pass().await == Verdict::Refuse {
+        return unavailable();
+    }
+    let hosts = lock(&platform.hosts);
+    let visible = hosts.iter().rev().find(|(at, _)| at.elapsed() >= platform.host_list_lag);
+    let list = visible.or(hosts.first()).map(|(_, list)| list.clone()).unwrap_or_default();
+    HttpResponse::Ok().json(list)
+}
+
+async fn load_weights(platform: web::Data<Platform>, model: web::Path<String>) -> HttpResponse {
+    if platform.weight_faults.pass().await == Verdict::Refuse {
+        return unavailable();
+    }
+    let now = platform.started_at.elapsed();
+    let is_allowed = lock(&platform.weights).try_take(now, 1.0);
+    if is_allowed {
+        HttpResponse::Ok().body(model.into_inner())
+    } else {
+        HttpResponse::TooManyRequests().finish()
+    }
+}
+
+async fn set_hosts(platform: web::Data<Platform>, list: web::Json<HostList>) -> HttpResponse {
+    let mut hosts = lock(&platform.hosts);
+    let newest_visible = hosts.iter().rposition(|(at, _)| at.elapsed() >= platform.host_list_lag).unwrap_or(0);
+    hosts.drain(..newest_visible);
+    hosts.push((Instant::now(), list.into_inner()));
+    HttpResponse::NoContent().finish()
+}
+
+async fn set_faults(platform: web::Data<Platform>, faults: web::Json<PlatformFaults>) -> HttpResponse {
+    let faults = faults.into_inner();
+    platform.log_faults.set(faults.log);
+    platform.host_list_faults.set(faults.host_list);
+    platform.weight_faults.set(faults.weight_store);
+    HttpResponse::NoContent().finish()
+}
+
+async fn log_totals(platform: web::Data<Platform>) -> HttpResponse {
+    let (appends, bytes) = lock(&platform.log).totals();
+    HttpResponse::Ok().json(serde_json::json!({ "appends": appends, "bytes": bytes }))
+}
+
+fn unavailable() -> HttpResponse {
+    HttpResponse::ServiceUnavailable().finish()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/bamboo-types/src/budget.rs
@@ -0,0 +1,62 @@
+//! A token bucket over virtual time.
+
+use crate::Now;
+
+/// Tokens that refill at a steady rate up to a burst.
+#[derive(Debug, Clone)]
+pub struct TokenBucket {
+    rate_per_s: f64,
+    burst: f64,
+    tokens: f64,
+    updated_at: Option<Now>,
+}
+
+impl TokenBucket {
+    /// A full bucket.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut bucket = bamboo_types::TokenBucket::new(10.0, 1.0);
+    /// assert!(bucket.try_take(Duration::ZERO, 1.0));
+    /// assert!(!bucket.try_take(Duration::ZERO, 1.0));
+    /// assert!(bucket.try_take(Duration::from_millis(100), 1.0));
+    /// ```
+    pub fn new(rate_per_s: f64, burst: f64) -> Self {
+        TokenBucket { rate_per_s, burst, tokens: burst, updated_at: None }
+    }
+
+    /// Takes `amount` tokens if they are there.
+    pub fn try_take(&mut self, now: Now, amount: f64) -> bool {
+        self.refill(now);
+        // Rounding in the refill must not delay a token that is due.
+        if self.tokens + 1e-9 < amount {
+            return false;
+        }
+        self.tokens -= amount;
+        true
+    }
+
+    /// Gives tokens back, up to the burst.
+    pub fn give_back(&mut self, amount: f64) {
+        self.tokens = (self.tokens + amount).min(self.burst);
+    }
+
+    /// Share of the burst that is left, 0 to 1.
+    pub fn fill_share(&mut self, now: Now) -> f64 {
+        self.refill(now);
+        if self.burst > 0.0 { self.tokens / self.burst } else { 0.0 }
+    }
+
+    /// Time until `amount` tokens are there.
+    pub fn time_until(&mut self, now: Now, amount: f64) -> std::time::Duration {
+        self.refill(now);
+        let missing = (amount - self.tokens).max(0.0);
+        std::time::Duration::from_secs_f64(missing / self.rate_per_s.max(1e-6))
+    }
+
+    fn refill(&mut self, now: Now) {
+        let elapsed = self.updated_at.map_or(std::time::Duration::ZERO, |at| now.saturating_sub(at));
+        self.tokens = (self.tokens + elapsed.as_secs_f64() * self.rate_per_s).min(self.burst);
+        self.updated_at = Some(now);
+    }
+}
--- /dev/null
+++ b/bamboo-types/src/ids.rs
@@ -0,0 +1,90 @@
+//! Type aliases for identifiers, and the hashes that place them.
+
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_128;
+
+/// Name of a host that runs the daemon.
+pub type HostId = String;
+/// Name of a backend server: a model engine or one copy of a plain service.
+pub type BackendServerId = String;
+/// Name of a data centre.
+pub type DataCentreId = String;
+/// Name of a model.
+pub type ModelId = String;
+/// Name of a caller, as declared in configuration.
+pub type CallerId = String;
+/// Name of a workspace. Jobs and idempotency keys live within one.
+pub type WorkspaceId = String;
+/// One run of a daemon: later runs of the same host have higher numbers.
+pub type Incarnation = u64;
+/// Position of an entry in a log stream.
+pub type Offset = u64;
+/// Number of a job shard, from 0.
+pub type ShardId = u16;
+/// Position of an item within its job, from 0.
+pub type ItemIndex = u32;
+/// Identifier of a job, derived from its workspace and the caller's key.
+pub type JobId = u128;
+/// Identifier of one request, unique over all hosts.
+pub type RequestId = u128;
+
+/// Derives the identifier of a job, so that a resent submit names the same job.
+///
+/// ```
+/// let first = bamboo_types::job_id("federation", "rankings-2026-12");
+/// assert_eq!(first, bamboo_types::job_id("federation", "rankings-2026-12"));
+/// assert_ne!(first, bamboo_types::job_id("coaches", "rankings-2026-12"));
+/// ```
+pub fn job_id(workspace: &str, key: &str) -> JobId {
+    xxh3_128(format!("{}:{workspace}/{key}", workspace.len()).as_bytes())
+}
+
+/// Writes a job identifier the way callers see it.
+///
+/// ```
+/// let text = bamboo_types::job_id_text(7);
+/// assert_eq!(bamboo_types::parse_job_id(&text), Some(7));
+/// ```
+pub fn job_id_text(job: JobId) -> String {
+    format!("job-{job:032x}")
+}
+
+/// Reads a job identifier in the form that callers see, or `None` if it has another form.
+///
+/// ```
+/// assert_eq!(bamboo_types::parse_job_id("batch-1"), None);
+/// ```
+pub fn parse_job_id(text: &str) -> Option<JobId> {
+    let digits = text.strip_prefix("job-")?;
+    if digits.len() != 32 {
+        return None;
+    }
+    JobId::from_str_radix(digits, 16).ok()
+}
+
+/// The shard that holds a job.
+///
+/// ```
+/// assert_eq!(bamboo_types::shard_of_job(9, 4), 1);
+/// ```
+pub fn shard_of_job(job: JobId, shard_count: u16) -> ShardId {
+    (job % u128::from(shard_count.max(1))) as ShardId
+}
+
+/// The shard that holds a caller's idempotency key.
+///
+/// ```
+/// assert!(bamboo_types::shard_of_key("federation", "enter-athlete-12", 4) < 4);
+/// ```
+pub fn shard_of_key(workspace: &str, key: &str, shard_count: u16) -> ShardId {
+    shard_of_job(job_id(workspace, key), shard_count)
+}
+
+/// Rendezvous weight of a host for a named thing; the highest weight owns it.
+///
+/// ```
+/// assert_eq!(bamboo_types::weight("h1", "s1"), bamboo_types::weight("h1", "s1"));
+/// ```
+pub fn weight(host: &str, thing: &str) -> u64 {
+    xxh3_64(format!("{}:{host}/{thing}", host.len()).as_bytes())
+}
--- /dev/null
+++ b/bamboo-types/src/lib.rs
@@ -0,0 +1,30 @@
+//! Identifiers and time shared by every crate of bambooroute.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod budget;
+mod ids;
+mod time;
+
+pub use budget::TokenBucket;
+pub use ids::BackendServerId;
+pub use ids::CallerId;
+pub use ids::DataCentreId;
+pub use ids::HostId;
+pub use ids::Incarnation;
+pub use ids::ItemIndex;
+pub use ids::JobId;
+pub use ids::ModelId;
+pub use ids::Offset;
+pub use ids::RequestId;
+pub use ids::ShardId;
+pub use ids::WorkspaceId;
+pub use ids::job_id;
+pub use ids::job_id_text;
+pub use ids::parse_job_id;
+pub use ids::shard_of_job;
+pub use ids::shard_of_key;
+pub use ids::weight;
+pub use time::Now;
+pub use time::from_millis;
+pub use time::millis;
--- /dev/null
+++ b/bamboo-wire/src/lib.rs
@@ -0,0 +1,15 @@
+//! What daemons say to each other, and its wire form.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod frame;
+mod message;
+
+pub use frame::Frame;
+pub use frame::FrameError;
+pub use frame::WireFrame;
+pub use message::HandedItem;
+pub use message::PeerMessage;
+pub use message::Question;
+pub use message::Reply;
+pub use message::ServerLoad;
--- /dev/null
+++ b/bamboo/src/main.rs
@@ -0,0 +1,153 @@
+//! The operators' command line.
+
+mod help;
+mod jobs;
+mod output;
+mod resources;
+mod state;
+
+use std::process::ExitCode;
+
+use anyhow::Context;
+use bamboo_client::Api;
+use bamboo_client::Failure;
+use pico_args::Arguments;
+
+use crate::output::Format;
+
+/// Exit code for arguments that do not fit.
+const EXIT_USAGE: u8 = 2;
+
+/// How a command failed.
+pub(crate) enum CommandError {
+    /// The arguments do not fit.
+    Usage(String),
+    /// The daemon refused or did not answer.
+    Call(Failure),
+    /// Anything else, such as a file that cannot be read.
+    Other(anyhow::Error),
+}
+
+impl From<Failure> for CommandError {
+    fn from(failure: Failure) -> Self {
+        CommandError::Call(failure)
+    }
+}
+
+impl From<anyhow::Error> for CommandError {
+    fn from(error: anyhow::Error) -> Self {
+        CommandError::Other(error)
+    }
+}
+
+impl From<pico_args::Error> for CommandError {
+    fn from(error: pico_args::Error) -> Self {
+        CommandError::Usage(error.to_string())
+    }
+}
+
+/// What every command has.
+pub(crate) struct Session {
+    pub(crate) operator: Api,
+    pub(crate) caller: Option<Api>,
+    pub(crate) format: Format,
+}
+
+fn main() -> ExitCode {
+    let mut arguments = Arguments::from_env();
+    let wants_help = arguments.contains(["-h", "--help"]);
+    if arguments.contains("--version") {
+        println!("bamboo {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let verb = arguments.subcommand().ok().flatten();
+    if wants_help || verb.is_none() {
+        print!("{}", help::of(verb.as_deref()));
+        return if wants_help { ExitCode::SUCCESS } else { ExitCode::from(EXIT_USAGE) };
+    }
+    let verb = verb.unwrap_or_default();
+    let result = actix_rt::System::new().block_on(run(&verb, arguments));
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(error),
+    }
+}
+
+async fn run(verb: &str, mut arguments: Arguments) -> Result<(), CommandError> {
+    let session = open_session(&mut arguments)?;
+    match verb {
+        "apply" => resources::apply(&session, arguments).await,
+        "get" => resources::get(&session, arguments).await,
+        "describe" => resources::describe(&session, arguments).await,
+        "delete" => resources::delete(&session, arguments).await,
+        "watch" => resources::watch(&session, arguments).await,
+        "jobs" => jobs::run(&session, arguments).await,
+        "status" => state::status(&session, arguments).await,
+        "drain" => state::drain(&session, arguments).await,
+        other => Err(CommandError::Usage(format!("unknown verb '{other}'; see bamboo --help"))),
+    }
+}
+
+fn open_session(arguments: &mut Arguments) -> Result<Session, CommandError> {
+    let address = value_or_env(arguments, "--address", "BAMBOO_ADDRESS")?.unwrap_or_else(|| "127.0.0.1:7001".into());
+    let key = value_or_env(arguments, "--key", "BAMBOO_KEY")?.unwrap_or_default();
+    let caller_address = value_or_env(arguments, "--caller-address", "BAMBOO_CALLER_ADDRESS")?;
+    let caller_key = value_or_env(arguments, "--caller-key", "BAMBOO_CALLER_KEY")?.unwrap_or_default();
+    let format = match arguments.opt_value_from_str::<_, String>(["-o", "--output"])?.as_deref() {
+        None | Some("table") => Format::Table,
+        Some("json") => Format::Json,
+        Some(other) => return Err(CommandError::Usage(format!("--output {other}: must be json or table"))),
+    };
+    Ok(Session {
+        operator: Api::new(&address, &key),
+        caller: caller_address.map(|address| Api::new(&address, &caller_key)),
+        format,
+    })
+}
+
+fn value_or_env(arguments: &mut Arguments, flag: &'static str, name: &str) -> Result<Option<String>, CommandError> {
+    let given = arguments.opt_value_from_str(flag)?;
+    Ok(given.or_else(|| std::env::var(name).ok()))
+}
+
+/// Takes the next word of the command line.
+pub(crate) fn word(arguments: &mut Arguments, what: &str) -> Result<String, CommandError> {
+    arguments.free_from_str().map_err(|_| CommandError::Usage(format!("{what} is missing")))
+}
+
+/// Refuses words that nothing has taken.
+pub(crate) fn finish(arguments: Arguments) -> Result<(), CommandError> {
+    let rest = arguments.finish();
+    if rest.is_empty() { Ok(()) } else { Err(CommandError::Usage(format!("unknown arguments: {rest:?}"))) }
+}
+
+/// Reads a file, or standard input for `-`.
+pub(crate) fn read_file(path: &str) -> Result<String, CommandError> {
+    let text = match path {
+        "-" => std::io::read_to_string(std::io::stdin()),
+        path => std::fs::read_to_string(path),
+    };
+    Ok(text.with_context(|| format!("cannot read {path}"))?)
+}
+
+fn fail(error: CommandError) -> ExitCode {
+    match error {
+        CommandError::Usage(message) => {
+            eprintln!("bamboo: {message}");
+            ExitCode::from(EXIT_USAGE)
+        }
+        CommandError::Call(failure) => {
+            eprintln!("bamboo: {failure}");
+            if let Failure::Answered { body, .. } = &failure
+                && !body["error"]["current"].is_null()
+            {
+                eprintln!("in force: {}", body["error"]["current"]);
+            }
+            ExitCode::from(failure.exit_code())
+        }
+        CommandError::Other(error) => {
+            eprintln!("bamboo: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/bambood/src/main.rs
@@ -0,0 +1,72 @@
+//! The host daemon.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use anyhow::Context;
+use bamboo_config::Settings;
+use bamboo_config::check_settings;
+use logforth::layout::JsonLayout;
+use logforth::layout::TextLayout;
+use logforth::record::Level;
+use logforth::record::LevelFilter;
+use pico_args::Arguments;
+
+const HELP: &str = "\
+The host daemon of bambooroute.
+
+USAGE: bambood --settings FILE
+       bambood --check-settings FILE
+
+  --settings FILE        run with these settings
+  --check-settings FILE  check the settings, print every fault, exit 0 if there is none
+  --version              print the version
+SIGTERM or SIGINT begins a planned stop.
+";
+
+fn main() -> anyhow::Result<ExitCode> {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(ExitCode::SUCCESS);
+    }
+    if arguments.contains("--version") {
+        println!("bambood {}", env!("CARGO_PKG_VERSION"));
+        return Ok(ExitCode::SUCCESS);
+    }
+    if let Some(file) = arguments.opt_value_from_str::<_, String>("--check-settings")? {
+        return Ok(read_settings(Path::new(&file))?.map_or(ExitCode::from(2), |_| {
+            println!("{file}: no faults");
+            ExitCode::SUCCESS
+        }));
+    }
+    let file: String = arguments.value_from_str("--settings").context("give --settings FILE, or --help")?;
+    let Some(settings) = read_settings(Path::new(&file))? else {
+        return Ok(ExitCode::from(2));
+    };
+    start_logging(settings.is_log_json);
+    actix_rt::System::new().block_on(bamboo_node::run(settings))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Reads settings, or prints their faults.
+fn read_settings(file: &Path) -> anyhow::Result<Option<Settings>> {
+    let text = std::fs::read_to_string(file).with_context(|| format!("cannot read {}", file.display()))?;
+    match check_settings(&text) {
+        Ok(settings) => Ok(Some(settings)),
+        Err(faults) => {
+            for fault in faults {
+                eprintln!("{}: {fault}", file.display());
+            }
+            Ok(None)
+        }
+    }
+}
+
+fn start_logging(is_json: bool) {
+    let starter = logforth::starter_log::stderr().filter(LevelFilter::MoreSevereEqual(Level::Info));
+    match is_json {
+        true => starter.layout(JsonLayout::default()).apply(),
+        false => starter.layout(TextLayout::default().no_color()).apply(),
+    }
+}
