--- a/bamboo-admit/src/owner.rs
+++ b/bamboo-admit/src/owner.rs
@@ -102,7 +102,13 @@
     /// Takes a router's count of its online requests on this server.
     pub fn online(&mut self, now: Now, router: &str, in_flight: u32) {
         let before = self.online_count(now);
-        self.routers.insert(router.to_owned(), RouterCount { in_flight, heard_at: now });
+        self.routers.insert(
+            router.to_owned(),
+            RouterCount {
+                in_flight,
+                heard_at: now,
+            },
+        );
         let after = self.online_count(now);
         if after > 0 {
             self.free_since = None;
@@ -113,13 +119,19 @@
 
     /// Online requests on the server.
     pub fn online_count(&self, now: Now) -> u32 {
-        let fresh = self.routers.values().filter(|count| now.saturating_sub(count.heard_at) < COUNT_LIFETIME);
+        let fresh = self
+            .routers
+            .values()
+            .filter(|count| now.saturating_sub(count.heard_at) < COUNT_LIFETIME);
         fresh.map(|count| count.in_flight).sum()
     }
 
     /// Batch items that run.
     pub fn running_count(&self) -> u32 {
-        self.runs.values().filter(|run| run.state != RunState::Waiting).count() as u32
+        self.runs
+            .values()
+            .filter(|run| run.state != RunState::Waiting)
+            .count() as u32
     }
 
     /// Items that the owner holds.
@@ -129,7 +141,11 @@
 
     /// Takes an item that was handed out.
     pub fn take(&mut self, now: Now, item: WorkItem) -> RunKey {
-        let key = self.runs.insert(Run { item, state: RunState::Waiting, started_at: now });
+        let key = self.runs.insert(Run {
+            item,
+            state: RunState::Waiting,
+            started_at: now,
+        });
         self.waiting.push_back(key);
         key
     }
@@ -141,7 +157,9 @@
 
     /// The server failed a run by its own fault: nothing starts there for a while, longer each time.
     pub fn failed(&mut self, now: Now) {
-        let wait = BACKOFF_FIRST.saturating_mul(1 << self.failures.min(6)).min(BACKOFF_MAX);
+        let wait = BACKOFF_FIRST
+            .saturating_mul(1 << self.failures.min(6))
+            .min(BACKOFF_MAX);
         // Runs that fail together are one failure of the server.
         if now >= self.blocked_until {
             self.failures += 1;
@@ -191,12 +209,18 @@
     where
         F: Fn(&WorkItem) -> bool,
     {
-        self.runs.iter().filter(|(_, run)| matches(&run.item)).map(|(key, _)| key).collect()
+        self.runs
+            .iter()
+            .filter(|(_, run)| matches(&run.item))
+            .map(|(key, _)| key)
+            .collect()
     }
 
     /// Whether the item of a key runs or is being stopped.
     pub fn is_running(&self, key: RunKey) -> bool {
-        self.runs.get(key).is_some_and(|run| run.state != RunState::Waiting)
+        self.runs
+            .get(key)
+            .is_some_and(|run| run.state != RunState::Waiting)
     }
 
     /// Items that the owner wants beyond those it holds.
@@ -215,7 +239,11 @@
         if active > allowed && !self.is_closed {
             return self.stop_newest();
         }
-        if self.is_closed || self.is_blocked(now) || active >= allowed || self.prefilling_count() >= self.prefill_allowed(now) {
+        if self.is_closed
+            || self.is_blocked(now)
+            || active >= allowed
+            || self.prefilling_count() >= self.prefill_allowed(now)
+        {
             return AdmitStep::Idle;
         }
         self.start_next(now)
@@ -223,11 +251,18 @@
 
     fn start_next(&mut self, now: Now) -> AdmitStep {
         let active = self.active_count();
-        let alone_runs = self.runs.values().any(|run| run.item.must_run_alone && run.state != RunState::Waiting);
+        let alone_runs = self
+            .runs
+            .values()
+            .any(|run| run.item.must_run_alone && run.state != RunState::Waiting);
         if alone_runs {
             return AdmitStep::Idle;
         }
-        let startable = |key: &RunKey| self.runs.get(*key).is_some_and(|run| active == 0 || !run.item.must_run_alone);
+        let startable = |key: &RunKey| {
+            self.runs
+                .get(*key)
+                .is_some_and(|run| active == 0 || !run.item.must_run_alone)
+        };
         let Some(index) = self.waiting.iter().position(startable) else {
             return AdmitStep::Idle;
         };
@@ -270,7 +305,11 @@
     }
 
     fn prefill_allowed(&self, now: Now) -> u32 {
-        if self.is_free(now) { self.options.start_burst } else { self.options.prefill_beside_online }
+        if self.is_free(now) {
+            self.options.start_burst
+        } else {
+            self.options.prefill_beside_online
+        }
     }
 
     /// Hysteresis: a server counts as free only once no online request has been on it for the hold-off time.
@@ -278,7 +317,8 @@
         if self.online_count(now) > 0 {
             return false;
         }
-        self.free_since.is_none_or(|since| now.saturating_sub(since) >= self.options.hold_off)
+        self.free_since
+            .is_none_or(|since| now.saturating_sub(since) >= self.options.hold_off)
     }
 
     fn active_count(&self) -> u32 {
@@ -287,6 +327,9 @@
     }
 
     fn prefilling_count(&self) -> u32 {
-        self.runs.values().filter(|run| run.state == RunState::Prefilling).count() as u32
+        self.runs
+            .values()
+            .filter(|run| run.state == RunState::Prefilling)
+            .count() as u32
     }
 }
--- a/bamboo-client/src/api.rs
+++ b/bamboo-client/src/api.rs
@@ -45,7 +45,11 @@
     /// ```
     pub fn new(address: &str, key: &str) -> Self {
         let client = Client::builder().timeout(TIMEOUT).finish();
-        Api { client, base_url: format!("http://{address}"), key: key.to_owned() }
+        Api {
+            client,
+            base_url: format!("http://{address}"),
+            key: key.to_owned(),
+        }
     }
 
     /// The interface's base URL.
@@ -90,10 +94,17 @@
     /// # Errors
     /// Fails without an answer of success, or if the text breaks off.
     pub async fn get_text(&self, path: &str) -> Result<String, Failure> {
-        let request = self.client.get(format!("{}{path}", self.base_url)).bearer_auth(&self.key);
+        let request = self
+            .client
+            .get(format!("{}{path}", self.base_url))
+            .bearer_auth(&self.key);
         let mut response = request.send().await.map_err(unreachable)?;
         check(&mut response).await?;
-        let body = response.body().limit(ANSWER_MAX_BYTES).await.map_err(unreachable)?;
+        let body = response
+            .body()
+            .limit(ANSWER_MAX_BYTES)
+            .await
+            .map_err(unreachable)?;
         Ok(String::from_utf8_lossy(&body).into_owned())
     }
 
@@ -103,7 +114,11 @@
     /// Fails unless the job was accepted.
     pub async fn submit(&self, upload: Upload) -> Result<Value, Failure> {
         let url = format!("{}/v1/batches?{}", self.base_url, upload.query);
-        let mut request = self.client.post(url).bearer_auth(&self.key).timeout(UPLOAD_TIMEOUT);
+        let mut request = self
+            .client
+            .post(url)
+            .bearer_auth(&self.key)
+            .timeout(UPLOAD_TIMEOUT);
         if let Some(key) = upload.key {
             request = request.insert_header(("idempotency-key", key));
         }
@@ -114,7 +129,10 @@
     }
 
     async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Value, Failure> {
-        let request = self.client.request(method, format!("{}{path}", self.base_url)).bearer_auth(&self.key);
+        let request = self
+            .client
+            .request(method, format!("{}{path}", self.base_url))
+            .bearer_auth(&self.key);
         let request = request.content_type("application/json");
         let mut response = request.send_body(body).await.map_err(unreachable)?;
         check(&mut response).await?;
@@ -132,7 +150,11 @@
 }
 
 async fn json_body(response: &mut ClientResponse) -> Result<Value, Failure> {
-    let body = response.body().limit(ANSWER_MAX_BYTES).await.map_err(unreachable)?;
+    let body = response
+        .body()
+        .limit(ANSWER_MAX_BYTES)
+        .await
+        .map_err(unreachable)?;
     if body.is_empty() {
         return Ok(Value::Null);
     }
--- a/bamboo-client/src/failure.rs
+++ b/bamboo-client/src/failure.rs
@@ -28,7 +28,10 @@
             Failure::Unreachable(_) => 6,
             Failure::Answered { status: 409, .. } => 3,
             Failure::Answered { status: 404, .. } => 5,
-            Failure::Answered { status: 429 | 502..=504, .. } => 6,
+            Failure::Answered {
+                status: 429 | 502..=504,
+                ..
+            } => 6,
             Failure::Answered { .. } => 4,
         }
     }
--- a/bamboo-config/src/checker.rs
+++ b/bamboo-config/src/checker.rs
@@ -44,12 +44,19 @@
             field: "document".to_owned(),
             reason: error.message().to_owned(),
         })?;
-        let mut checker = Checker { text, sections: Vec::new(), taken: Vec::new(), faults: Vec::new() };
+        let mut checker = Checker {
+            text,
+            sections: Vec::new(),
+            taken: Vec::new(),
+            faults: Vec::new(),
+        };
         for (name, value) in document.into_inner() {
             let line = line_of(text, &name.span());
             let name = name.into_inner().into_owned();
             match value.into_inner() {
-                DeValue::Table(table) if sections.contains(&name.as_str()) => checker.sections.push((name, table)),
+                DeValue::Table(table) if sections.contains(&name.as_str()) => {
+                    checker.sections.push((name, table))
+                }
                 _ => checker.fault(line, &name, "unknown section"),
             }
         }
@@ -75,12 +82,17 @@
     }
 
     pub(crate) fn fault(&mut self, line: usize, field: &str, reason: &str) {
-        self.faults.push(Fault { line, field: field.to_owned(), reason: reason.to_owned() });
+        self.faults.push(Fault {
+            line,
+            field: field.to_owned(),
+            reason: reason.to_owned(),
+        });
     }
 
     /// The line of a field, 0 if it is not there.
     pub(crate) fn line(&self, field: &str) -> usize {
-        self.find(field).map_or(0, |value| line_of(self.text, &value.span()))
+        self.find(field)
+            .map_or(0, |value| line_of(self.text, &value.span()))
     }
 
     pub(crate) fn text(&mut self, field: &str) -> Option<String> {
@@ -110,10 +122,16 @@
     }
 
     pub(crate) fn flag(&mut self, field: &str, default: bool) -> bool {
-        self.take(field, "true or false", |value| value.as_bool()).unwrap_or(default)
+        self.take(field, "true or false", |value| value.as_bool())
+            .unwrap_or(default)
     }
 
-    pub(crate) fn number(&mut self, field: &str, default: u64, range: std::ops::RangeInclusive<u64>) -> u64 {
+    pub(crate) fn number(
+        &mut self,
+        field: &str,
+        default: u64,
+        range: std::ops::RangeInclusive<u64>,
+    ) -> u64 {
         let line = self.line(field);
         let parse = |value: &DeValue<'_>| match value {
             DeValue::Integer(number) => u64::from_str_radix(number.as_str(), number.radix()).ok(),
@@ -130,15 +148,21 @@
     /// A duration as text with its unit, such as "250ms" or "3s".
     pub(crate) fn duration(&mut self, field: &str, default: Duration) -> Duration {
         let line = self.line(field);
-        let Some(text) = self.take(field, "a duration in quotes with its unit, such as \"250ms\"", |value| {
-            value.as_str().map(str::to_owned)
-        }) else {
+        let Some(text) = self.take(
+            field,
+            "a duration in quotes with its unit, such as \"250ms\"",
+            |value| value.as_str().map(str::to_owned),
+        ) else {
             return default;
         };
         match humantime_serde::re::humantime::parse_duration(&text) {
             Ok(duration) => duration,
             Err(error) => {
-                self.fault(line, field, &format!("'{text}' is not a duration with a unit: {error}"));
+                self.fault(
+                    line,
+                    field,
+                    &format!("'{text}' is not a duration with a unit: {error}"),
+                );
                 default
             }
         }
@@ -161,10 +185,14 @@
     fn find(&self, field: &str) -> Option<&Spanned<DeValue<'text>>> {
         let (section, name) = field.split_once('.')?;
         let (_, table) = self.sections.iter().find(|(of, _)| of == section)?;
-        table.iter().find(|(key, _)| key.get_ref() == name).map(|(_, value)| value)
+        table
+            .iter()
+            .find(|(key, _)| key.get_ref() == name)
+            .map(|(_, value)| value)
     }
 }
 
 fn line_of(text: &str, span: &Range<usize>) -> usize {
-    text.get(..span.start).map_or(0, |before| before.matches('\n').count() + 1)
+    text.get(..span.start)
+        .map_or(0, |before| before.matches('\n').count() + 1)
 }
--- a/bamboo-config/src/fold.rs
+++ b/bamboo-config/src/fold.rs
@@ -100,7 +100,10 @@
             return Vec::new();
         }
         self.next_offset = offset + 1;
-        let writer = Writer { host: entry.host.clone(), incarnation: entry.incarnation };
+        let writer = Writer {
+            host: entry.host.clone(),
+            incarnation: entry.incarnation,
+        };
         let mut outcomes = Vec::new();
         for (slot, body) in entry.bodies.iter().enumerate() {
             let Body::Config(change) = body else {
@@ -124,7 +127,10 @@
 
     /// All resources of a kind, by name.
     pub fn list(&self, kind: Kind) -> impl Iterator<Item = &Stored> {
-        self.resources.iter().filter(move |((of, _), _)| *of == kind).map(|(_, stored)| stored)
+        self.resources
+            .iter()
+            .filter(move |((of, _), _)| *of == kind)
+            .map(|(_, stored)| stored)
     }
 
     /// Offset of the next entry to apply; everything before it is in force.
@@ -134,7 +140,11 @@
 
     /// Changes and refusals from an offset on, as far as they are remembered.
     pub fn history_from(&self, offset: Offset) -> Vec<LoggedChange> {
-        self.history.iter().filter(|change| change.offset >= offset).cloned().collect()
+        self.history
+            .iter()
+            .filter(|change| change.offset >= offset)
+            .cloned()
+            .collect()
     }
 
     /// Encodes the lasting part as JSON.
@@ -160,7 +170,12 @@
         if image.next_offset <= self.next_offset {
             return Ok(false);
         }
-        let named = |stored: Stored| ((stored.resource.kind(), stored.resource.name().to_owned()), stored);
+        let named = |stored: Stored| {
+            (
+                (stored.resource.kind(), stored.resource.name().to_owned()),
+                stored,
+            )
+        };
         self.resources = image.resources.into_iter().map(named).collect();
         self.next_revision = image.next_revision;
         self.next_offset = image.next_offset;
@@ -170,7 +185,9 @@
 
     fn apply_change(&mut self, change: &ConfigChange) -> ChangeOutcome {
         let Some(kind) = Kind::parse(&change.kind) else {
-            return ChangeOutcome::Refused { faults: vec![format!("kind = {}: no such kind", change.kind)] };
+            return ChangeOutcome::Refused {
+                faults: vec![format!("kind = {}: no such kind", change.kind)],
+            };
         };
         let name = (kind, change.name.clone());
         let current = self.resources.get(&name);
@@ -211,10 +228,19 @@
 }
 
 fn parse_named(json: &str, name: &(Kind, String)) -> Result<Resource, Vec<String>> {
-    let resource = parse_resource(json)
-        .map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<String>>())?;
+    let resource = parse_resource(json).map_err(|faults| {
+        faults
+            .iter()
+            .map(ToString::to_string)
+            .collect::<Vec<String>>()
+    })?;
     if (resource.kind(), resource.name()) != (name.0, name.1.as_str()) {
-        return Err(vec![format!("name = {}: the change is addressed to {} {}", resource.name(), name.0, name.1)]);
+        return Err(vec![format!(
+            "name = {}: the change is addressed to {} {}",
+            resource.name(),
+            name.0,
+            name.1
+        )]);
     }
     Ok(resource)
 }
--- a/bamboo-config/src/key.rs
+++ b/bamboo-config/src/key.rs
@@ -36,7 +36,10 @@
 
     /// Whether a key has this hash, in time that does not depend on where they differ.
     pub fn matches(&self, key: &str) -> bool {
-        self.0.as_bytes().ct_eq(KeyHash::of(key).0.as_bytes()).into()
+        self.0
+            .as_bytes()
+            .ct_eq(KeyHash::of(key).0.as_bytes())
+            .into()
     }
 
     /// The hexadecimal text.
--- a/bamboo-config/src/resource.rs
+++ b/bamboo-config/src/resource.rs
@@ -31,7 +31,13 @@
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Kind; 5] = [Kind::Model, Kind::BackendServer, Kind::PlainService, Kind::Serving, Kind::Caller];
+    pub const ALL: [Kind; 5] = [
+        Kind::Model,
+        Kind::BackendServer,
+        Kind::PlainService,
+        Kind::Serving,
+        Kind::Caller,
+    ];
 
     /// The kind's name in resources and paths.
     ///
--- a/bamboo-config/src/settings.rs
+++ b/bamboo-config/src/settings.rs
@@ -90,7 +90,18 @@
 /// assert!(faults.iter().any(|fault| fault.field == "host.size" && fault.line == 3));
 /// ```
 pub fn check_settings(text: &str) -> Result<Settings, Vec<Fault>> {
-    let sections = ["host", "listen", "keys", "platform", "log_budget", "timing", "limits", "traffic", "logging", "tls"];
+    let sections = [
+        "host",
+        "listen",
+        "keys",
+        "platform",
+        "log_budget",
+        "timing",
+        "limits",
+        "traffic",
+        "logging",
+        "tls",
+    ];
     let mut checker = Checker::parse(text, &sections).map_err(|fault| vec![fault])?;
     let settings = read(&mut checker);
     if let Some(settings) = &settings {
@@ -117,7 +128,11 @@
     let tls = read_tls(checker);
     // Every field is read before any of them can end the check, so that all faults are reported together.
     let shard_count = checker.number("log_budget.shard_count", 4, 1..=1024) as u16;
-    let fleet_appends_per_s = checker.number("log_budget.fleet_appends_per_s", 300, 1..=FLEET_APPENDS_PER_S_MAX);
+    let fleet_appends_per_s = checker.number(
+        "log_budget.fleet_appends_per_s",
+        300,
+        1..=FLEET_APPENDS_PER_S_MAX,
+    );
     let expected_hosts = checker.number("log_budget.expected_hosts", 12, 1..=10_000);
     let heartbeat = checker.duration("timing.heartbeat", Duration::from_millis(500));
     let suspect_after = checker.duration("timing.suspect_after", Duration::from_secs(2));
@@ -184,9 +199,10 @@
     let certificate = checker.text("tls.certificate_file");
     let key = checker.text("tls.key_file");
     match (certificate, key) {
-        (Some(certificate), Some(key)) => {
-            Some(TlsSettings { certificate_file: certificate.into(), key_file: key.into() })
-        }
+        (Some(certificate), Some(key)) => Some(TlsSettings {
+            certificate_file: certificate.into(),
+            key_file: key.into(),
+        }),
         (None, None) => None,
         _ => {
             checker.fault(0, "tls", "certificate_file and key_file go together");
@@ -198,11 +214,19 @@
 fn check_combinations(settings: &Settings, checker: &mut Checker<'_>) {
     if settings.suspect_after < settings.heartbeat * 3 {
         let line = checker.line("timing.suspect_after");
-        checker.fault(line, "timing.suspect_after", "must be at least 3 × timing.heartbeat");
+        checker.fault(
+            line,
+            "timing.suspect_after",
+            "must be at least 3 × timing.heartbeat",
+        );
     }
     if settings.lease < settings.suspect_after {
         let line = checker.line("timing.lease");
-        checker.fault(line, "timing.lease", "must be at least timing.suspect_after");
+        checker.fault(
+            line,
+            "timing.lease",
+            "must be at least timing.suspect_after",
+        );
     }
     let addresses = [
         ("listen.caller", settings.caller_address),
@@ -210,7 +234,9 @@
         ("listen.peer", settings.peer_address),
     ];
     for (index, (field, address)) in addresses.iter().enumerate() {
-        let stands_before = addresses[..index].iter().any(|(_, before)| before == address);
+        let stands_before = addresses[..index]
+            .iter()
+            .any(|(_, before)| before == address);
         if stands_before && address.port() != 0 {
             let line = checker.line(field);
             checker.fault(line, field, &format!("{address} is used twice"));
@@ -218,6 +244,10 @@
     }
     if u64::from(settings.shard_count) > settings.fleet_appends_per_s {
         let line = checker.line("log_budget.shard_count");
-        checker.fault(line, "log_budget.shard_count", "must not be above fleet_appends_per_s: each shard appends");
+        checker.fault(
+            line,
+            "log_budget.shard_count",
+            "must not be above fleet_appends_per_s: each shard appends",
+        );
     }
 }
--- a/bamboo-config/src/validate.rs
+++ b/bamboo-config/src/validate.rs
@@ -28,7 +28,11 @@
 
 impl std::fmt::Display for FieldFault {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(formatter, "{} = {}: {}", self.field, self.value, self.reason)
+        write!(
+            formatter,
+            "{} = {}: {}",
+            self.field, self.value, self.reason
+        )
     }
 }
 
@@ -42,10 +46,14 @@
 /// assert_eq!(faults[0].field, "versions");
 /// ```
 pub fn parse_resource(json: &str) -> Result<Resource, Vec<FieldFault>> {
-    let resource: Resource =
-        serde_json::from_str(json).map_err(|error| vec![fault("resource", "", &error.to_string())])?;
+    let resource: Resource = serde_json::from_str(json)
+        .map_err(|error| vec![fault("resource", "", &error.to_string())])?;
     let faults = validate_resource(&resource);
-    if faults.is_empty() { Ok(resource) } else { Err(faults) }
+    if faults.is_empty() {
+        Ok(resource)
+    } else {
+        Err(faults)
+    }
 }
 
 /// Lists the faults of a resource.
@@ -57,7 +65,11 @@
             check_not_empty("versions", model.versions.len(), &mut faults);
             for (index, version) in model.versions.iter().enumerate() {
                 if model.versions[..index].contains(version) {
-                    faults.push(fault(&format!("versions[{index}]"), version, "stands twice"));
+                    faults.push(fault(
+                        &format!("versions[{index}]"),
+                        version,
+                        "stands twice",
+                    ));
                 }
             }
         }
@@ -77,7 +89,11 @@
         Resource::Caller(caller) => {
             check_name("workspace", &caller.workspace, &mut faults);
             if KeyHash::parse(caller.key_sha256.as_str()).is_none() {
-                faults.push(fault("key_sha256", caller.key_sha256.as_str(), "must be 64 hexadecimal digits"));
+                faults.push(fault(
+                    "key_sha256",
+                    caller.key_sha256.as_str(),
+                    "must be 64 hexadecimal digits",
+                ));
             }
         }
     }
@@ -90,11 +106,17 @@
         faults.push(fault("address", &server.address, "must be ip:port"));
     }
     match &server.role {
-        ServerRole::Engine { models, max_sequences } => {
+        ServerRole::Engine {
+            models,
+            max_sequences,
+        } => {
             check_not_empty("role.engine.models", models.len(), faults);
             check_at_least_one("role.engine.max_sequences", *max_sequences, faults);
         }
-        ServerRole::Plain { service, max_requests } => {
+        ServerRole::Plain {
+            service,
+            max_requests,
+        } => {
             check_name("role.plain.service", service, faults);
             check_at_least_one("role.plain.max_requests", *max_requests, faults);
         }
@@ -104,7 +126,11 @@
 fn check_serving(serving: &Serving, faults: &mut Vec<FieldFault>) {
     check_not_empty("models", serving.models.len(), faults);
     if !(0.0..=1.0).contains(&serving.batch_weight) {
-        faults.push(fault("batch_weight", &serving.batch_weight.to_string(), "must be from 0 to 1"));
+        faults.push(fault(
+            "batch_weight",
+            &serving.batch_weight.to_string(),
+            "must be from 0 to 1",
+        ));
     }
     if serving.first_token_target_ms == 0 {
         faults.push(fault("first_token_target_ms", "0", "must be at least 1"));
@@ -112,25 +138,44 @@
     check_limits("limits", &serving.limits, faults);
     for (caller, limits) in &serving.caller_limits {
         if !serving.callers.contains(caller) {
-            faults.push(fault(&format!("caller_limits.{caller}"), caller, "is not among callers"));
+            faults.push(fault(
+                &format!("caller_limits.{caller}"),
+                caller,
+                "is not among callers",
+            ));
         }
         check_limits(&format!("caller_limits.{caller}"), limits, faults);
     }
 }
 
 fn check_limits(field: &str, limits: &Limits, faults: &mut Vec<FieldFault>) {
-    for (name, value) in [("requests_per_s", limits.requests_per_s), ("tokens_per_s", limits.tokens_per_s)] {
+    for (name, value) in [
+        ("requests_per_s", limits.requests_per_s),
+        ("tokens_per_s", limits.tokens_per_s),
+    ] {
         if !value.is_finite() || value <= 0.0 {
-            faults.push(fault(&format!("{field}.{name}"), &value.to_string(), "must be above 0"));
+            faults.push(fault(
+                &format!("{field}.{name}"),
+                &value.to_string(),
+                "must be above 0",
+            ));
         }
     }
-    check_at_least_one(&format!("{field}.in_flight_max"), limits.in_flight_max, faults);
+    check_at_least_one(
+        &format!("{field}.in_flight_max"),
+        limits.in_flight_max,
+        faults,
+    );
 }
 
 fn check_name(field: &str, name: &str, faults: &mut Vec<FieldFault>) {
     let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
     if name.is_empty() || name.len() > NAME_MAX_BYTES || !name.bytes().all(is_allowed) {
-        faults.push(fault(field, name, "must be 1 to 64 letters, digits, '-', '_' or '.'"));
+        faults.push(fault(
+            field,
+            name,
+            "must be 1 to 64 letters, digits, '-', '_' or '.'",
+        ));
     }
 }
 
@@ -147,5 +192,9 @@
 }
 
 fn fault(field: &str, value: &str, reason: &str) -> FieldFault {
-    FieldFault { field: field.to_owned(), value: value.to_owned(), reason: reason.to_owned() }
+    FieldFault {
+        field: field.to_owned(),
+        value: value.to_owned(),
+        reason: reason.to_owned(),
+    }
 }
--- a/bamboo-engine/src/cache.rs
+++ b/bamboo-engine/src/cache.rs
@@ -32,12 +32,17 @@
     /// ```
     pub fn new(capacity: usize) -> Self {
         let capacity = NonZeroUsize::new(capacity).unwrap_or(NonZeroUsize::MIN);
-        PrefixCache { blocks: LruCache::new(capacity) }
+        PrefixCache {
+            blocks: LruCache::new(capacity),
+        }
     }
 
     /// Number of leading blocks that are held; they count as used.
     pub fn hit_count(&mut self, blocks: &[u64]) -> usize {
-        blocks.iter().take_while(|block| self.blocks.get(block).is_some()).count()
+        blocks
+            .iter()
+            .take_while(|block| self.blocks.get(block).is_some())
+            .count()
     }
 
     /// Holds blocks, evicting the least recently used.
--- a/bamboo-engine/src/engine.rs
+++ b/bamboo-engine/src/engine.rs
@@ -129,7 +129,11 @@
             self.waiting.remove(index);
             return true;
         }
-        let Some(index) = self.running.iter().position(|running| running.sequence.id == id) else {
+        let Some(index) = self
+            .running
+            .iter()
+            .position(|running| running.sequence.id == id)
+        else {
             return false;
         };
         let running = self.running.remove(index);
@@ -139,7 +143,10 @@
 
     /// Identities of all sequences.
     pub fn ids(&self) -> impl Iterator<Item = &str> {
-        let running = self.running.iter().map(|running| running.sequence.id.as_str());
+        let running = self
+            .running
+            .iter()
+            .map(|running| running.sequence.id.as_str());
         running.chain(self.waiting.iter().map(|sequence| sequence.id.as_str()))
     }
 
@@ -163,7 +170,11 @@
         if self.running.is_empty() {
             return None;
         }
-        let decoding: Vec<bool> = self.running.iter().map(|running| running.prefill_left == 0).collect();
+        let decoding: Vec<bool> = self
+            .running
+            .iter()
+            .map(|running| running.prefill_left == 0)
+            .collect();
         let prefilled_tokens = self.prefill();
         let decoding_count = decoding.iter().filter(|is_decoding| **is_decoding).count() as u32;
         let duration = self.options.step_base
@@ -195,7 +206,12 @@
         // The last prompt token is always computed, to get the first answer token from it.
         let prefill_left = to_compute.saturating_sub(cached).max(1);
         let made = sequence.resume_from;
-        self.running.push(Running { sequence, prefill_left, made, reserved_tokens });
+        self.running.push(Running {
+            sequence,
+            prefill_left,
+            made,
+            reserved_tokens,
+        });
     }
 
     fn prefill(&mut self) -> usize {
@@ -208,7 +224,8 @@
             running.prefill_left -= computed;
             room -= computed;
             if running.prefill_left == 0 {
-                self.cache_events.extend(self.cache.insert(&running.sequence.blocks));
+                self.cache_events
+                    .extend(self.cache.insert(&running.sequence.blocks));
             }
         }
         self.options.prefill_chunk_tokens - room
@@ -223,10 +240,18 @@
             let index = running.made;
             running.made += 1;
             let is_last = running.made >= running.sequence.answer_tokens;
-            tokens.push(Token { id: running.sequence.id.clone(), index, is_last });
+            tokens.push(Token {
+                id: running.sequence.id.clone(),
+                index,
+                is_last,
+            });
         }
-        let freed: usize =
-            self.running.iter().filter(|running| is_done(running)).map(|running| running.reserved_tokens).sum();
+        let freed: usize = self
+            .running
+            .iter()
+            .filter(|running| is_done(running))
+            .map(|running| running.reserved_tokens)
+            .sum();
         self.memory_used_tokens -= freed;
         self.running.retain(|running| !is_done(running));
         tokens
--- a/bamboo-engine/src/text.rs
+++ b/bamboo-engine/src/text.rs
@@ -4,8 +4,8 @@
 
 /// Words that answers are made of.
 const WORDS: [&str; 16] = [
-    "nozzle", "load", "span", "support", "athlete", "ranking", "heat", "record", "stress", "thermal", "growth", "entry",
-    "code", "note", "meet", "line",
+    "nozzle", "load", "span", "support", "athlete", "ranking", "heat", "record", "stress",
+    "thermal", "growth", "entry", "code", "note", "meet", "line",
 ];
 
 /// Tokens of a text: its words.
--- a/bamboo-events/src/ring.rs
+++ b/bamboo-events/src/ring.rs
@@ -29,7 +29,12 @@
     /// assert_eq!(ring.events_about("").len(), 1);
     /// ```
     pub fn new(host: HostId, capacity: usize) -> Self {
-        Ring { host, capacity: capacity.max(1), next_number: 0, events: VecDeque::new() }
+        Ring {
+            host,
+            capacity: capacity.max(1),
+            next_number: 0,
+            events: VecDeque::new(),
+        }
     }
 
     /// Adds an event; the oldest goes when the ring is full.
@@ -40,11 +45,22 @@
         let number = self.next_number;
         self.next_number += 1;
         let at_us = u64::try_from(now.as_micros()).unwrap_or(u64::MAX);
-        self.events.push_back(Event { at_us, host: self.host.clone(), number, kind, subject, detail });
+        self.events.push_back(Event {
+            at_us,
+            host: self.host.clone(),
+            number,
+            kind,
+            subject,
+            detail,
+        });
     }
 
-    /// Events whose subject starts with a text, in order.
+    /// Events about a request, a job with its items, or one item, in order; all events for an empty subject.
     pub fn events_about(&self, subject: &str) -> Vec<Event> {
-        self.events.iter().filter(|event| event.subject.starts_with(subject)).cloned().collect()
+        let items = format!("{subject}/");
+        let is_meant = |event: &&Event| {
+            subject.is_empty() || event.subject == subject || event.subject.starts_with(&items)
+        };
+        self.events.iter().filter(is_meant).cloned().collect()
     }
 }
--- a/bamboo-host/src/appends.rs
+++ b/bamboo-host/src/appends.rs
@@ -38,14 +38,28 @@
 
 impl HostCore {
     /// Gives a record to the log for a request, or refuses at once while the log fails.
-    pub(crate) fn enqueue(&mut self, now: Now, request: RequestId, stream: StreamId, body: Body, purpose: Purpose) {
+    pub(crate) fn enqueue(
+        &mut self,
+        now: Now,
+        request: RequestId,
+        stream: StreamId,
+        body: Body,
+        purpose: Purpose,
+    ) {
         if self.appender.is_failing(stream) {
             self.refuse_log_unavailable(now, request, stream);
             return;
         }
         let deadline = now + self.options.append_wait;
         match self.appender.enqueue(now, stream, body) {
-            Some(ticket) => self.waiters.insert(ticket, Waiter { request, purpose, deadline }),
+            Some(ticket) => self.waiters.insert(
+                ticket,
+                Waiter {
+                    request,
+                    purpose,
+                    deadline,
+                },
+            ),
             None => self.refuse_log_unavailable(now, request, stream),
         }
     }
@@ -63,23 +77,36 @@
             self.refuse_not_ready(request);
             return;
         }
-        let body = Body::Chunk { upload, first_item, items };
+        let body = Body::Chunk {
+            upload,
+            first_item,
+            items,
+        };
         self.enqueue(now, request, StreamId::Shard(shard), body, Purpose::Upload);
     }
 
     pub(crate) fn submit_arrived(&mut self, now: Now, request: RequestId, spec: JobSpec) {
         if spec.deadline_ms <= millis(now) {
-            self.refuse(request, Refusal::new(Code::BadDeadline, "the deadline lies in the past"));
+            self.refuse(
+                request,
+                Refusal::new(Code::BadDeadline, "the deadline lies in the past"),
+            );
             return;
         }
         let stream = StreamId::Shard(shard_of_job(spec.job, self.options.shard_count));
-        let purpose = Purpose::Submit { job: spec.job, digest: spec.digest };
+        let purpose = Purpose::Submit {
+            job: spec.job,
+            digest: spec.digest,
+        };
         self.enqueue(now, request, stream, Body::Submit(spec), purpose);
     }
 
     pub(crate) fn cancel_arrived(&mut self, now: Now, request: RequestId, job: JobId) {
         let stream = StreamId::Shard(shard_of_job(job, self.options.shard_count));
-        let body = Body::Cancel { job, at_ms: millis(now) };
+        let body = Body::Cancel {
+            job,
+            at_ms: millis(now),
+        };
         self.enqueue(now, request, stream, body, Purpose::Cancel(job));
     }
 
@@ -91,7 +118,11 @@
         }
         let is_failing = self.appender.is_failing(stream);
         if was_failing != is_failing {
-            let detail = if is_failing { "appends fail" } else { "appends succeed" };
+            let detail = if is_failing {
+                "appends fail"
+            } else {
+                "appends succeed"
+            };
             self.event(EventKind::LogState, stream.to_string(), detail.to_owned());
         }
     }
@@ -115,14 +146,19 @@
     /// Answers requests whose records the log does not take: at once if the record was never sent.
     pub(crate) fn tick_waiters(&mut self, now: Now) {
         let appender = &self.appender;
-        let stuck = self
-            .waiters
-            .tickets_where(|ticket, waiter| now >= waiter.deadline || appender.is_failing(ticket.stream));
+        let stuck = self.waiters.tickets_where(|ticket, waiter| {
+            now >= waiter.deadline || appender.is_failing(ticket.stream)
+        });
         for ticket in stuck {
-            let is_overdue = self.waiters.deadline(ticket).is_some_and(|deadline| now >= deadline);
+            let is_overdue = self
+                .waiters
+                .deadline(ticket)
+                .is_some_and(|deadline| now >= deadline);
             match self.appender.withdraw(ticket) {
                 Withdrawal::NeverSent => self.give_up_unsent(now, ticket),
-                Withdrawal::MaybeStored | Withdrawal::Stored if is_overdue => self.give_up_sent(now, ticket),
+                Withdrawal::MaybeStored | Withdrawal::Stored if is_overdue => {
+                    self.give_up_sent(now, ticket)
+                }
                 Withdrawal::MaybeStored | Withdrawal::Stored => {}
             }
         }
@@ -130,7 +166,10 @@
 
     pub(crate) fn refuse_not_ready(&mut self, request: RequestId) {
         let message = "this host is stopping or not ready yet";
-        self.refuse(request, Refusal::retry(Code::NotReady, message, NOT_READY_RETRY_AFTER));
+        self.refuse(
+            request,
+            Refusal::retry(Code::NotReady, message, NOT_READY_RETRY_AFTER),
+        );
     }
 
     fn record_stored(&mut self, now: Now, stored: Stored) {
@@ -138,14 +177,23 @@
         if self.waiters.is_propose(stored.ticket) {
             return;
         }
-        let Some(Waiter { request, purpose, .. }) = self.waiters.remove(stored.ticket) else {
+        let Some(Waiter {
+            request, purpose, ..
+        }) = self.waiters.remove(stored.ticket)
+        else {
             return;
         };
         let offset = stored.position.offset;
         match purpose {
             Purpose::Upload => self.answer(request, Answer::Stored),
             Purpose::Submit { job, digest } => {
-                self.ask_job(now, request, job, offset, asks::Purpose::Submitted { digest });
+                self.ask_job(
+                    now,
+                    request,
+                    job,
+                    offset,
+                    asks::Purpose::Submitted { digest },
+                );
             }
             Purpose::Cancel(job) => self.ask_job(now, request, job, offset, asks::Purpose::Plain),
             Purpose::Keyed(keyed) => self.keyed_stored(now, stored.ticket, offset, keyed),
@@ -153,9 +201,25 @@
         }
     }
 
-    fn ask_job(&mut self, now: Now, request: RequestId, job: JobId, offset: u64, purpose: asks::Purpose) {
+    fn ask_job(
+        &mut self,
+        now: Now,
+        request: RequestId,
+        job: JobId,
+        offset: u64,
+        purpose: asks::Purpose,
+    ) {
         let shard = shard_of_job(job, self.options.shard_count);
-        self.ask(now, request, shard, Question::Job { job, after: Some(offset) }, purpose);
+        self.ask(
+            now,
+            request,
+            shard,
+            Question::Job {
+                job,
+                after: Some(offset),
+            },
+            purpose,
+        );
     }
 
     fn give_up_unsent(&mut self, now: Now, ticket: Ticket) {
@@ -174,16 +238,32 @@
             Purpose::Upload => self.refuse_log_unavailable(now, waiter.request, ticket.stream),
             Purpose::Keyed(keyed) => {
                 // The call has not run. Its claim may be stored, so it is taken back behind it.
-                let writer = Writer { host: self.options.host.clone(), incarnation: self.options.incarnation };
-                let claim = RecordId { writer, sequence: ticket.sequence };
-                let end =
-                    KeyedEnd { workspace: keyed.workspace, key: keyed.key, claim, status: None, body: Vec::new() };
-                self.appender.enqueue(now, ticket.stream, Body::KeyedEnd(end));
+                let writer = Writer {
+                    host: self.options.host.clone(),
+                    incarnation: self.options.incarnation,
+                };
+                let claim = RecordId {
+                    writer,
+                    sequence: ticket.sequence,
+                };
+                let end = KeyedEnd {
+                    workspace: keyed.workspace,
+                    key: keyed.key,
+                    claim,
+                    status: None,
+                    body: Vec::new(),
+                };
+                self.appender
+                    .enqueue(now, ticket.stream, Body::KeyedEnd(end));
                 self.refuse_log_unavailable(now, waiter.request, ticket.stream);
             }
             Purpose::Submit { .. } | Purpose::Cancel(_) | Purpose::Propose => {
-                let message = "the record was sent to the log and is not confirmed; send the request again";
-                self.refuse(waiter.request, Refusal::retry(Code::AppendUnknown, message, retry_after));
+                let message =
+                    "the record was sent to the log and is not confirmed; send the request again";
+                self.refuse(
+                    waiter.request,
+                    Refusal::retry(Code::AppendUnknown, message, retry_after),
+                );
             }
         }
     }
@@ -191,6 +271,9 @@
     fn refuse_log_unavailable(&mut self, now: Now, request: RequestId, stream: StreamId) {
         let retry_after = self.appender.retry_after(now, stream);
         let message = format!("the log does not take records of {stream}; nothing was accepted");
-        self.refuse(request, Refusal::retry(Code::LogUnavailable, message, retry_after));
+        self.refuse(
+            request,
+            Refusal::retry(Code::LogUnavailable, message, retry_after),
+        );
     }
 }
--- a/bamboo-host/src/asks.rs
+++ b/bamboo-host/src/asks.rs
@@ -66,13 +66,32 @@
 }
 
 impl HostCore {
-    pub(crate) fn ask(&mut self, now: Now, request: RequestId, shard: ShardId, question: Question, purpose: Purpose) {
+    pub(crate) fn ask(
+        &mut self,
+        now: Now,
+        request: RequestId,
+        shard: ShardId,
+        question: Question,
+        purpose: Purpose,
+    ) {
         if shard >= self.options.shard_count {
-            self.refuse(request, Refusal::new(Code::NotFound, format!("no shard {shard}")));
+            self.refuse(
+                request,
+                Refusal::new(Code::NotFound, format!("no shard {shard}")),
+            );
             return;
         }
         let deadline = now + self.options.ask_wait;
-        self.asks.open.insert(request, Ask { shard, question, purpose, deadline, asked_at: None });
+        self.asks.open.insert(
+            request,
+            Ask {
+                shard,
+                question,
+                purpose,
+                deadline,
+                asked_at: None,
+            },
+        );
         self.send_ask(now, request);
     }
 
@@ -81,11 +100,19 @@
             .asks
             .open
             .iter()
-            .filter(|(_, ask)| ask.asked_at.is_none_or(|at| now.saturating_sub(at) >= ASK_AGAIN))
+            .filter(|(_, ask)| {
+                ask.asked_at
+                    .is_none_or(|at| now.saturating_sub(at) >= ASK_AGAIN)
+            })
             .map(|(request, _)| *request)
             .collect();
         for request in due {
-            if self.asks.open.get(&request).is_some_and(|ask| now >= ask.deadline) {
+            if self
+                .asks
+                .open
+                .get(&request)
+                .is_some_and(|ask| now >= ask.deadline)
+            {
                 self.give_up_ask(now, request);
             } else {
                 // The holder that was named did not answer, so the order over live hosts decides again.
@@ -98,18 +125,42 @@
         self.retry_waiting(now);
     }
 
-    pub(crate) fn ask_heard(&mut self, now: Now, from: &str, request: RequestId, shard: ShardId, question: Question) {
+    pub(crate) fn ask_heard(
+        &mut self,
+        now: Now,
+        from: &str,
+        request: RequestId,
+        shard: ShardId,
+        question: Question,
+    ) {
         if !self.owns_currently(shard) {
-            let holder = self.shards.get(usize::from(shard)).and_then(|role| role.claimant.holder());
-            let holder = holder.filter(|holder| *holder != self.options.host).map(str::to_owned);
-            self.send(from, PeerMessage::Answer { request, reply: Reply::NotOwner { holder } });
+            let holder = self
+                .shards
+                .get(usize::from(shard))
+                .and_then(|role| role.claimant.holder());
+            let holder = holder
+                .filter(|holder| *holder != self.options.host)
+                .map(str::to_owned);
+            self.send(
+                from,
+                PeerMessage::Answer {
+                    request,
+                    reply: Reply::NotOwner { holder },
+                },
+            );
             return;
         }
         match self.reply_to(now, shard, &question) {
             Some(reply) => self.send(from, PeerMessage::Answer { request, reply }),
             None if self.asks.waiting.len() < WAITING_MAX => {
                 let until = now + self.options.ask_wait;
-                self.asks.waiting.push(Waiting { from: from.to_owned(), request, shard, question, until });
+                self.asks.waiting.push(Waiting {
+                    from: from.to_owned(),
+                    request,
+                    shard,
+                    question,
+                    until,
+                });
             }
             None => {}
         }
@@ -136,7 +187,13 @@
             if now >= waiting.until {
                 continue;
             }
-            self.ask_heard(now, &waiting.from, waiting.request, waiting.shard, waiting.question);
+            self.ask_heard(
+                now,
+                &waiting.from,
+                waiting.request,
+                waiting.shard,
+                waiting.question,
+            );
         }
     }
 
@@ -147,7 +204,14 @@
         ask.asked_at = Some(now);
         let (shard, question) = (ask.shard, ask.question.clone());
         if let Some(owner) = self.shard_owner(now, shard) {
-            self.send(&owner, PeerMessage::Ask { request, shard, question });
+            self.send(
+                &owner,
+                PeerMessage::Ask {
+                    request,
+                    shard,
+                    question,
+                },
+            );
         }
     }
 
@@ -156,8 +220,14 @@
         if self.owns(shard) {
             return Some(self.options.host.clone());
         }
-        let named = self.asks.holders.get(&shard).filter(|host| self.members.is_answering(now, host));
-        named.cloned().or_else(|| self.members.owner(now, &shard_name(shard)))
+        let named = self
+            .asks
+            .holders
+            .get(&shard)
+            .filter(|host| self.members.is_answering(now, host));
+        named
+            .cloned()
+            .or_else(|| self.members.owner(now, &shard_name(shard)))
     }
 
     fn not_owner_heard(&mut self, now: Now, request: RequestId, holder: Option<HostId>) {
@@ -183,17 +253,30 @@
         match ask.purpose {
             Purpose::Plain => {
                 let message = format!("shard {} has no owner that answers", ask.shard);
-                self.refuse(request, Refusal::retry(Code::NoOwner, message, NO_OWNER_RETRY_AFTER));
+                self.refuse(
+                    request,
+                    Refusal::retry(Code::NoOwner, message, NO_OWNER_RETRY_AFTER),
+                );
             }
             Purpose::Submitted { .. } => {
-                let message = "the submit is stored but not confirmed yet; resend it with the same key";
-                self.refuse(request, Refusal::retry(Code::AppendUnknown, message, NO_OWNER_RETRY_AFTER));
+                let message =
+                    "the submit is stored but not confirmed yet; resend it with the same key";
+                self.refuse(
+                    request,
+                    Refusal::retry(Code::AppendUnknown, message, NO_OWNER_RETRY_AFTER),
+                );
             }
             Purpose::Keyed(keyed) => {
                 // The call has not run and its claim is taken back.
                 self.release_keyed(now, request, &keyed);
-                let message = format!("shard {} has no owner that answers; the call did not run", ask.shard);
-                self.refuse(request, Refusal::retry(Code::NoOwner, message, NO_OWNER_RETRY_AFTER));
+                let message = format!(
+                    "shard {} has no owner that answers; the call did not run",
+                    ask.shard
+                );
+                self.refuse(
+                    request,
+                    Refusal::retry(Code::NoOwner, message, NO_OWNER_RETRY_AFTER),
+                );
             }
         }
     }
@@ -202,7 +285,10 @@
         let answer = match reply {
             Reply::Job(Some(view)) => Answer::Job(view),
             Reply::Jobs(views) => Answer::Jobs(views),
-            Reply::Results { view: Some(view), offsets } => Answer::Results { view, offsets },
+            Reply::Results {
+                view: Some(view),
+                offsets,
+            } => Answer::Results { view, offsets },
             _ => Answer::Refused(Refusal::new(Code::NotFound, "no such job")),
         };
         self.answer(request, answer);
@@ -210,14 +296,19 @@
 
     fn answer_submitted(&mut self, request: RequestId, digest: u128, reply: Reply) {
         match reply {
-            Reply::Job(Some(view)) if view.digest == digest => self.answer(request, Answer::Job(view)),
+            Reply::Job(Some(view)) if view.digest == digest => {
+                self.answer(request, Answer::Job(view))
+            }
             Reply::Job(Some(_)) => {
                 let message = "the key was used before with other items";
                 self.refuse(request, Refusal::new(Code::KeyReused, message));
             }
             _ => {
                 let message = "items of the upload are missing in the log; nothing was accepted";
-                self.refuse(request, Refusal::retry(Code::LogUnavailable, message, NO_OWNER_RETRY_AFTER));
+                self.refuse(
+                    request,
+                    Refusal::retry(Code::LogUnavailable, message, NO_OWNER_RETRY_AFTER),
+                );
             }
         }
     }
@@ -231,20 +322,32 @@
                 if !after.is_none_or(has_passed) {
                     return None;
                 }
-                Some(Reply::Job(fold.job(*job).map(|found| role.hand_out.view(now, found))))
+                Some(Reply::Job(
+                    fold.job(*job).map(|found| role.hand_out.view(now, found)),
+                ))
             }
             Question::Jobs { workspace } => {
-                let is_wanted = |name: &str| workspace.as_deref().is_none_or(|wanted| wanted == name);
+                let is_wanted =
+                    |name: &str| workspace.as_deref().is_none_or(|wanted| wanted == name);
                 let jobs = fold.jobs().filter(|job| is_wanted(&job.spec.workspace));
-                Some(Reply::Jobs(jobs.map(|job| role.hand_out.view(now, job)).collect()))
+                Some(Reply::Jobs(
+                    jobs.map(|job| role.hand_out.view(now, job)).collect(),
+                ))
             }
             Question::Results { job } => {
                 let found = fold.job(*job);
                 let view = found.map(|found| role.hand_out.view(now, found));
-                let offsets = found.map(|found| found.outcome_offsets.clone()).unwrap_or_default();
+                let offsets = found
+                    .map(|found| found.outcome_offsets.clone())
+                    .unwrap_or_default();
                 Some(Reply::Results { view, offsets })
             }
-            Question::Keyed { workspace, key, claim, after } => {
+            Question::Keyed {
+                workspace,
+                key,
+                claim,
+                after,
+            } => {
                 if !has_passed(*after) {
                     return None;
                 }
--- a/bamboo-host/src/config_role.rs
+++ b/bamboo-host/src/config_role.rs
@@ -74,7 +74,10 @@
             self.output(Output::Read { stream, from });
         }
         let needs_image = !self.config.has_reached_tail && self.config.reader.is_failing();
-        let is_due = self.config.asked_at.is_none_or(|at| now.saturating_sub(at) >= ASK_INTERVAL);
+        let is_due = self
+            .config
+            .asked_at
+            .is_none_or(|at| now.saturating_sub(at) >= ASK_INTERVAL);
         if needs_image && is_due {
             self.ask_for_image(now);
         }
@@ -110,7 +113,13 @@
     }
 
     pub(crate) fn propose_arrived(&mut self, now: Now, request: RequestId, change: ConfigChange) {
-        self.enqueue(now, request, StreamId::Config, Body::Config(change), Purpose::Propose);
+        self.enqueue(
+            now,
+            request,
+            StreamId::Config,
+            Body::Config(change),
+            Purpose::Propose,
+        );
     }
 
     pub(crate) fn config_heard(&mut self, now: Now, from: &str, offset: Offset) {
@@ -121,7 +130,12 @@
         if offset <= self.config.fold.next_offset() {
             self.config.fresh_at = now;
         } else if self.config.reader.is_failing() {
-            self.send(from, PeerMessage::ConfigAsk { have: self.config.fold.next_offset() });
+            self.send(
+                from,
+                PeerMessage::ConfigAsk {
+                    have: self.config.fold.next_offset(),
+                },
+            );
         }
     }
 
@@ -146,7 +160,12 @@
     fn ask_for_image(&mut self, now: Now) {
         self.config.asked_at = Some(now);
         let have = self.config.fold.next_offset();
-        let peers: Vec<String> = self.live.iter().filter(|host| **host != self.options.host).cloned().collect();
+        let peers: Vec<String> = self
+            .live
+            .iter()
+            .filter(|host| **host != self.options.host)
+            .cloned()
+            .collect();
         if peers.is_empty() {
             return;
         }
@@ -156,11 +175,19 @@
 
     fn apply_config(&mut self, offset: Offset, entry: &Entry) -> bool {
         let outcomes = Arc::make_mut(&mut self.config.fold).apply(offset, entry);
-        let is_mine = entry.host == self.options.host && entry.incarnation == self.options.incarnation;
+        let is_mine =
+            entry.host == self.options.host && entry.incarnation == self.options.incarnation;
         let has_changed = !outcomes.is_empty();
         for (sequence, outcome) in outcomes {
-            self.event(EventKind::ConfigChanged, format!("config-{offset}"), format!("{outcome:?}"));
-            let ticket = Ticket { stream: StreamId::Config, sequence };
+            self.event(
+                EventKind::ConfigChanged,
+                format!("config-{offset}"),
+                format!("{outcome:?}"),
+            );
+            let ticket = Ticket {
+                stream: StreamId::Config,
+                sequence,
+            };
             if is_mine && let Some(waiter) = self.waiters.remove(ticket) {
                 self.answer(waiter.request, Answer::Config(outcome));
             }
--- a/bamboo-host/src/core.rs
+++ b/bamboo-host/src/core.rs
@@ -111,13 +111,25 @@
     /// assert!(outputs.iter().any(|output| matches!(output, Output::Read { .. })));
     /// ```
     pub fn new(options: HostOptions) -> Self {
-        let claimant = || Claimant::new(options.host.clone(), options.incarnation, options.claims.clone());
-        let shards = (0..options.shard_count).map(|shard| ShardRole::new(shard, claimant())).collect();
+        let claimant = || {
+            Claimant::new(
+                options.host.clone(),
+                options.incarnation,
+                options.claims.clone(),
+            )
+        };
+        let shards = (0..options.shard_count)
+            .map(|shard| ShardRole::new(shard, claimant()))
+            .collect();
         HostCore {
             rng: ChaCha8Rng::seed_from_u64(options.seed),
             members: MemberView::new(options.host.clone(), options.members.clone()),
             live: Vec::new(),
-            appender: Appender::new(options.host.clone(), options.incarnation, options.appender.clone()),
+            appender: Appender::new(
+                options.host.clone(),
+                options.incarnation,
+                options.appender.clone(),
+            ),
             config: ConfigRole::default(),
             shards,
             servers: ServerTable::default(),
@@ -189,9 +201,16 @@
     fn take(&mut self, now: Now, input: Input) {
         match input {
             Input::Tick => self.tick(now),
-            Input::HostList { hosts, leaving_servers } => {
+            Input::HostList {
+                hosts,
+                leaving_servers,
+            } => {
                 self.members.listed(now, hosts);
-                self.addresses = self.members.peers().map(|peer| (peer.host.clone(), peer.peer_address.clone())).collect();
+                self.addresses = self
+                    .members
+                    .peers()
+                    .map(|peer| (peer.host.clone(), peer.peer_address.clone()))
+                    .collect();
                 self.servers.set_leaving(leaving_servers);
                 self.refresh_servers(now);
             }
@@ -201,14 +220,28 @@
             Input::ReadFailed { stream } => self.read_failed(now, stream),
             Input::Online(request) => self.online_arrived(now, request),
             Input::Keyed(request) => self.keyed_arrived(now, request),
-            Input::KeyedAnswer { request, status, body } => self.keyed.answered(request, status, body),
+            Input::KeyedAnswer {
+                request,
+                status,
+                body,
+            } => self.keyed.answered(request, status, body),
             Input::OnlineEnded { request, end } => self.online_ended(now, request, end),
-            Input::Upload { request, shard, upload, first_item, items } => {
+            Input::Upload {
+                request,
+                shard,
+                upload,
+                first_item,
+                items,
+            } => {
                 self.upload_arrived(now, request, shard, upload, first_item, items);
             }
             Input::Submit { request, spec } => self.submit_arrived(now, request, spec),
             Input::Cancel { request, job } => self.cancel_arrived(now, request, job),
-            Input::Ask { request, shard, question } => self.ask(now, request, shard, question, crate::asks::Purpose::Plain),
+            Input::Ask {
+                request,
+                shard,
+                question,
+            } => self.ask(now, request, shard, question, crate::asks::Purpose::Plain),
             Input::Propose { request, change } => self.propose_arrived(now, request, change),
             Input::ItemFirstToken(run) => self.item_first_token(&run),
             Input::ItemEnded { run, end } => self.item_ended(now, run, end),
@@ -242,17 +275,27 @@
         let config_offset = self.config.fold().next_offset();
         let hosts: Vec<HostId> = self.addresses.keys().cloned().collect();
         for host in hosts {
-            self.send(&host, PeerMessage::Heartbeat { is_draining, config_offset });
+            self.send(
+                &host,
+                PeerMessage::Heartbeat {
+                    is_draining,
+                    config_offset,
+                },
+            );
         }
     }
 
     fn take_frame(&mut self, now: Now, frame: Frame) {
-        if !self.members.heard(now, &frame.from, frame.incarnation, false) {
+        if !self
+            .members
+            .heard(now, &frame.from, frame.incarnation, false)
+        {
             return;
         }
         for message in frame.messages {
             if let PeerMessage::Heartbeat { is_draining, .. } = message {
-                self.members.heard(now, &frame.from, frame.incarnation, is_draining);
+                self.members
+                    .heard(now, &frame.from, frame.incarnation, is_draining);
             }
             self.take_message(now, &frame.from, frame.incarnation, message);
         }
@@ -260,10 +303,20 @@
 
     fn take_message(&mut self, now: Now, from: &str, incarnation: u64, message: PeerMessage) {
         match message {
-            PeerMessage::Heartbeat { config_offset, .. } => self.config_heard(now, from, config_offset),
-            PeerMessage::OnlineCount { server, in_flight } => self.online_count_heard(now, from, &server, in_flight),
+            PeerMessage::Heartbeat { config_offset, .. } => {
+                self.config_heard(now, from, config_offset)
+            }
+            PeerMessage::OnlineCount { server, in_flight } => {
+                self.online_count_heard(now, from, &server, in_flight)
+            }
             PeerMessage::Loads(loads) => self.loads_heard(now, loads),
-            PeerMessage::Demand { shard, server, models, want_count, held_count } => {
+            PeerMessage::Demand {
+                shard,
+                server,
+                models,
+                want_count,
+                held_count,
+            } => {
                 let demand = bamboo_jobs::Demand {
                     host: from.to_owned(),
                     incarnation,
@@ -275,16 +328,30 @@
                 self.demand_heard(now, shard, demand);
             }
             PeerMessage::Recount { shard, server } => self.recount_heard(from, shard, &server),
-            PeerMessage::Holding { shard, server, items } => {
-                let holder = bamboo_jobs::Holder { host: from.to_owned(), incarnation, server };
+            PeerMessage::Holding {
+                shard,
+                server,
+                items,
+            } => {
+                let holder = bamboo_jobs::Holder {
+                    host: from.to_owned(),
+                    incarnation,
+                    server,
+                };
                 self.holding_heard(now, shard, &holder, &items);
             }
             PeerMessage::Items { shard, items } => self.items_heard(now, from, shard, items),
             PeerMessage::Return { shard, items } => self.return_heard(shard, &items),
-            PeerMessage::Outcomes { shard, outcomes } => self.outcomes_heard(now, from, shard, outcomes),
+            PeerMessage::Outcomes { shard, outcomes } => {
+                self.outcomes_heard(now, from, shard, outcomes)
+            }
             PeerMessage::Settled { shard, items } => self.servers.settled(shard, &items),
             PeerMessage::StopJob { shard, job } => self.stop_job_heard(shard, job),
-            PeerMessage::Ask { request, shard, question } => self.ask_heard(now, from, request, shard, question),
+            PeerMessage::Ask {
+                request,
+                shard,
+                question,
+            } => self.ask_heard(now, from, request, shard, question),
             PeerMessage::Answer { request, reply } => self.reply_heard(now, request, reply),
             PeerMessage::ConfigAsk { have } => self.config_asked(from, have),
             PeerMessage::ConfigImage(bytes) => self.config_image_heard(now, &bytes),
@@ -311,7 +378,11 @@
     fn flush_sends(&mut self) {
         for (to, messages) in std::mem::take(&mut self.sends) {
             if let Some(address) = self.addresses.get(&to).cloned() {
-                self.outputs.push(Output::Send { to, address, messages });
+                self.outputs.push(Output::Send {
+                    to,
+                    address,
+                    messages,
+                });
             }
         }
     }
@@ -384,7 +455,11 @@
     }
 
     pub(crate) fn event(&mut self, kind: EventKind, subject: String, detail: String) {
-        self.outputs.push(Output::Event { kind, subject, detail });
+        self.outputs.push(Output::Event {
+            kind,
+            subject,
+            detail,
+        });
     }
 
     pub(crate) fn random(&mut self) -> u64 {
--- a/bamboo-host/src/keyed.rs
+++ b/bamboo-host/src/keyed.rs
@@ -75,7 +75,10 @@
         KeyedState::Claimed => None,
         KeyedState::Ended { status, body } => Some((*status, body.clone())),
     };
-    Reply::KeyedTaken { digest: keyed.digest, ended }
+    Reply::KeyedTaken {
+        digest: keyed.digest,
+        ended,
+    }
 }
 
 impl HostCore {
@@ -93,36 +96,73 @@
             claimed_ms: millis(now),
         };
         let purpose = Purpose::Keyed(Box::new(keyed));
-        self.enqueue(now, request, StreamId::Shard(shard), Body::KeyedCall(call), purpose);
+        self.enqueue(
+            now,
+            request,
+            StreamId::Shard(shard),
+            Body::KeyedCall(call),
+            purpose,
+        );
     }
 
     /// The claim is stored; the shard owner knows whether it is the first.
-    pub(crate) fn keyed_stored(&mut self, now: Now, ticket: Ticket, after: Offset, keyed: Box<KeyedRequest>) {
-        let writer = Writer { host: self.options.host.clone(), incarnation: self.options.incarnation };
-        let claim = RecordId { writer, sequence: ticket.sequence };
+    pub(crate) fn keyed_stored(
+        &mut self,
+        now: Now,
+        ticket: Ticket,
+        after: Offset,
+        keyed: Box<KeyedRequest>,
+    ) {
+        let writer = Writer {
+            host: self.options.host.clone(),
+            incarnation: self.options.incarnation,
+        };
+        let claim = RecordId {
+            writer,
+            sequence: ticket.sequence,
+        };
         let request = keyed.online.request;
         self.keyed.claims.insert(request, claim.clone());
-        let question =
-            Question::Keyed { workspace: keyed.workspace.clone(), key: keyed.key.clone(), claim, after };
+        let question = Question::Keyed {
+            workspace: keyed.workspace.clone(),
+            key: keyed.key.clone(),
+            claim,
+            after,
+        };
         let shard = self.keyed_shard(&keyed);
         self.ask(now, request, shard, question, asks::Purpose::Keyed(keyed));
     }
 
-    pub(crate) fn keyed_replied(&mut self, now: Now, request: RequestId, keyed: KeyedRequest, reply: Reply) {
+    pub(crate) fn keyed_replied(
+        &mut self,
+        now: Now,
+        request: RequestId,
+        keyed: KeyedRequest,
+        reply: Reply,
+    ) {
         match reply {
             Reply::KeyedFirst => self.run_keyed(now, request, keyed),
             Reply::KeyedTaken { digest, .. } if digest != keyed.digest => {
                 self.keyed.claims.remove(&request);
-                self.refuse(request, Refusal::new(Code::KeyReused, "the key was used before for another call"));
+                self.refuse(
+                    request,
+                    Refusal::new(Code::KeyReused, "the key was used before for another call"),
+                );
             }
-            Reply::KeyedTaken { ended: Some((status, body)), .. } => {
+            Reply::KeyedTaken {
+                ended: Some((status, body)),
+                ..
+            } => {
                 self.keyed.claims.remove(&request);
                 self.answer(request, Answer::Replay { status, body });
             }
             _ => {
                 self.keyed.claims.remove(&request);
                 let message = "the first call with this key still runs, or its outcome is lost";
-                self.refuse(request, Refusal::retry(Code::OutcomeUnknown, message, STILL_RUNNING_RETRY_AFTER));
+                self.refuse(
+                    request,
+                    Refusal::retry(Code::OutcomeUnknown, message, STILL_RUNNING_RETRY_AFTER),
+                );
             }
         }
     }
@@ -150,7 +190,14 @@
             return;
         };
         let shard = self.keyed_shard(keyed);
-        self.append_keyed_end(now, shard, keyed.workspace.clone(), keyed.key.clone(), claim, None);
+        self.append_keyed_end(
+            now,
+            shard,
+            keyed.workspace.clone(),
+            keyed.key.clone(),
+            claim,
+            None,
+        );
     }
 
     fn run_keyed(&mut self, now: Now, request: RequestId, keyed: KeyedRequest) {
@@ -161,7 +208,12 @@
                 let Some(claim) = self.keyed.claims.remove(&request) else {
                     return;
                 };
-                let run = Run { workspace: keyed.workspace, key: keyed.key, claim, answer: None };
+                let run = Run {
+                    workspace: keyed.workspace,
+                    key: keyed.key,
+                    claim,
+                    answer: None,
+                };
                 self.keyed.runs.insert(request, run);
                 self.dispatch(request, attempt);
             }
@@ -185,8 +237,15 @@
             Some((status, body)) => (Some(status), body),
             None => (None, Vec::new()),
         };
-        let end = KeyedEnd { workspace, key, claim, status, body };
-        self.appender.enqueue(now, StreamId::Shard(shard), Body::KeyedEnd(end));
+        let end = KeyedEnd {
+            workspace,
+            key,
+            claim,
+            status,
+            body,
+        };
+        self.appender
+            .enqueue(now, StreamId::Shard(shard), Body::KeyedEnd(end));
     }
 
     fn keyed_shard(&self, keyed: &KeyedRequest) -> ShardId {
--- a/bamboo-host/src/online.rs
+++ b/bamboo-host/src/online.rs
@@ -66,7 +66,13 @@
         }
     }
 
-    pub(crate) fn online_count_heard(&mut self, now: Now, from: &str, server: &BackendServerId, in_flight: u32) {
+    pub(crate) fn online_count_heard(
+        &mut self,
+        now: Now,
+        from: &str,
+        server: &BackendServerId,
+        in_flight: u32,
+    ) {
         if self.servers.count_online(now, server, from, in_flight) {
             self.advance_server(now, server);
         }
@@ -74,7 +80,8 @@
 
     pub(crate) fn loads_heard(&mut self, now: Now, loads: Vec<ServerLoad>) {
         for load in loads {
-            self.router.notice(now, &load.server, load.online_count, load.batch_count);
+            self.router
+                .notice(now, &load.server, load.online_count, load.batch_count);
         }
     }
 }
--- a/bamboo-host/src/options.rs
+++ b/bamboo-host/src/options.rs
@@ -87,7 +87,9 @@
             heartbeat: settings.heartbeat,
             stale_config_max: settings.stale_config_max,
             drain_wait: settings.drain_wait,
-            members: MemberViewOptions { suspect_after: settings.suspect_after },
+            members: MemberViewOptions {
+                suspect_after: settings.suspect_after,
+            },
             appender: AppenderOptions {
                 appends_per_s: of_host,
                 burst: (of_host * 2.0).max(2.0),
--- a/bamboo-host/src/servers.rs
+++ b/bamboo-host/src/servers.rs
@@ -91,7 +91,13 @@
         self.leaving = servers.into_iter().collect();
     }
 
-    pub(crate) fn count_online(&mut self, now: Now, server: &str, router: &str, in_flight: u32) -> bool {
+    pub(crate) fn count_online(
+        &mut self,
+        now: Now,
+        server: &str,
+        router: &str,
+        in_flight: u32,
+    ) -> bool {
         match self.owned.get_mut(server) {
             Some(owned) => {
                 owned.owner.online(now, router, in_flight);
@@ -112,11 +118,14 @@
     }
 
     pub(crate) fn is_empty(&self, _now: Now) -> bool {
-        self.owned.values().all(|owned| owned.owner.held_count() == 0)
+        self.owned
+            .values()
+            .all(|owned| owned.owner.held_count() == 0)
     }
 
     pub(crate) fn counts(&self, now: Now) -> Vec<(BackendServerId, u32, u32)> {
-        let counts = |owned: &OwnedServer| (owned.owner.online_count(now), owned.owner.running_count());
+        let counts =
+            |owned: &OwnedServer| (owned.owner.online_count(now), owned.owner.running_count());
         self.owned
             .iter()
             .map(|(server, owned)| {
@@ -127,10 +136,19 @@
     }
 
     fn held_of(&self, server: &str, shard: ShardId) -> Vec<(JobId, ItemIndex)> {
-        let running = self.owned.get(server).map(|owned| owned.owner.held_of(shard)).unwrap_or_default();
-        let reported = self.unsettled.range((shard, 0, 0)..=(shard, JobId::MAX, ItemIndex::MAX));
+        let running = self
+            .owned
+            .get(server)
+            .map(|owned| owned.owner.held_of(shard))
+            .unwrap_or_default();
+        let reported = self
+            .unsettled
+            .range((shard, 0, 0)..=(shard, JobId::MAX, ItemIndex::MAX));
         let of_server = reported.filter(|(_, unsettled)| unsettled.outcome.server == server);
-        running.into_iter().chain(of_server.map(|((_, job, item), _)| (*job, *item))).collect()
+        running
+            .into_iter()
+            .chain(of_server.map(|((_, job, item), _)| (*job, *item)))
+            .collect()
     }
 }
 
@@ -140,7 +158,10 @@
         let config = self.config.shared();
         let servers = backend_servers(&config);
         let leaving = &self.servers.leaving;
-        let table = servers.iter().map(|server| route_server(server, leaving.contains(&server.name))).collect();
+        let table = servers
+            .iter()
+            .map(|server| route_server(server, leaving.contains(&server.name)))
+            .collect();
         self.router.set_servers(table, self.live.len());
         self.refresh_owned(now, &config, &servers);
     }
@@ -179,7 +200,13 @@
         }
     }
 
-    pub(crate) fn items_heard(&mut self, now: Now, from: &str, shard: ShardId, items: Vec<HandedItem>) {
+    pub(crate) fn items_heard(
+        &mut self,
+        now: Now,
+        from: &str,
+        shard: ShardId,
+        items: Vec<HandedItem>,
+    ) {
         let mut refused = Vec::new();
         for item in items {
             match self.servers.owned.get_mut(&item.server) {
@@ -191,7 +218,13 @@
             }
         }
         if !refused.is_empty() {
-            self.send(from, PeerMessage::Return { shard, items: refused });
+            self.send(
+                from,
+                PeerMessage::Return {
+                    shard,
+                    items: refused,
+                },
+            );
         }
         let names: Vec<BackendServerId> = self.servers.owned.keys().cloned().collect();
         for server in names {
@@ -201,7 +234,14 @@
 
     pub(crate) fn recount_heard(&mut self, from: &str, shard: ShardId, server: &str) {
         let items = self.servers.held_of(server, shard);
-        self.send(from, PeerMessage::Holding { shard, server: server.to_owned(), items });
+        self.send(
+            from,
+            PeerMessage::Holding {
+                shard,
+                server: server.to_owned(),
+                items,
+            },
+        );
     }
 
     pub(crate) fn stop_job_heard(&mut self, shard: ShardId, job: JobId) {
@@ -209,7 +249,9 @@
         for server in names {
             self.drop_items(&server, |item| item.shard == shard && item.job == job);
         }
-        self.servers.unsettled.retain(|(of, unsettled_job, _), _| (*of, *unsettled_job) != (shard, job));
+        self.servers
+            .unsettled
+            .retain(|(of, unsettled_job, _), _| (*of, *unsettled_job) != (shard, job));
     }
 
     pub(crate) fn item_first_token(&mut self, run: &RunRef) {
@@ -244,9 +286,21 @@
                     let subject = item_subject(item.job, item.item);
                     self.event(EventKind::ItemRan, subject, run.server.clone());
                     let server = run.server.clone();
-                    let outcome = ItemOutcome { job: item.job, item: item.item, custom_id, server, verdict };
+                    let outcome = ItemOutcome {
+                        job: item.job,
+                        item: item.item,
+                        custom_id,
+                        server,
+                        verdict,
+                    };
                     let name = (item.shard, item.job, item.item);
-                    self.servers.unsettled.insert(name, Unsettled { outcome, reported_at: None });
+                    self.servers.unsettled.insert(
+                        name,
+                        Unsettled {
+                            outcome,
+                            reported_at: None,
+                        },
+                    );
                 }
             }
         }
@@ -269,8 +323,13 @@
         }
         let me = self.options.host.clone();
         let is_mine = |name: &str| owners.get(name).is_some_and(|owner| *owner == me);
-        let lost: Vec<BackendServerId> =
-            self.servers.owned.keys().filter(|name| !is_mine(name)).cloned().collect();
+        let lost: Vec<BackendServerId> = self
+            .servers
+            .owned
+            .keys()
+            .filter(|name| !is_mine(name))
+            .cloned()
+            .collect();
         let engines = servers.iter().filter(|server| is_mine(&server.name));
         let engines: Vec<&BackendServer> = engines.filter(|server| is_engine(server)).collect();
         for name in lost {
@@ -283,34 +342,46 @@
         self.servers.owners = owners;
         if has_moved {
             // New owners learn of the requests that are on their servers.
-            self.touched.extend(self.router.busy_servers().map(|(server, _)| server.clone()));
+            self.touched
+                .extend(self.router.busy_servers().map(|(server, _)| server.clone()));
         }
     }
 
     fn keep_server(&mut self, now: Now, config: &ConfigFold, server: &BackendServer) {
-        let ServerRole::Engine { models, max_sequences } = &server.role else {
+        let ServerRole::Engine {
+            models,
+            max_sequences,
+        } = &server.role
+        else {
             return;
         };
         let options = AdmitOptions::weighed(*max_sequences, batch_weight(config, server));
         let is_closed = server.is_draining || self.servers.leaving.contains(&server.name);
         let is_new = !self.servers.owned.contains_key(&server.name);
-        let owned = self.servers.owned.entry(server.name.clone()).or_insert_with(|| OwnedServer {
-            address: server.address.clone(),
-            models: Vec::new(),
-            owner: ServerOwner::new(options.clone()),
-            is_clean: false,
-            demanded_at: now,
-            had_work: BTreeMap::new(),
-            next_probe: 0,
-            last_load: None,
-        });
+        let owned = self
+            .servers
+            .owned
+            .entry(server.name.clone())
+            .or_insert_with(|| OwnedServer {
+                address: server.address.clone(),
+                models: Vec::new(),
+                owner: ServerOwner::new(options.clone()),
+                is_clean: false,
+                demanded_at: now,
+                had_work: BTreeMap::new(),
+                next_probe: 0,
+                last_load: None,
+            });
         owned.address.clone_from(&server.address);
         owned.models = models.iter().map(|version| version.model.clone()).collect();
         owned.owner.set_options(options);
         owned.owner.set_closed(is_closed);
         if is_new {
             self.event(EventKind::ServerOwned, server.name.clone(), String::new());
-            self.output(Output::CancelStrays { server: server.name.clone(), address: server.address.clone() });
+            self.output(Output::CancelStrays {
+                server: server.name.clone(),
+                address: server.address.clone(),
+            });
         }
         if is_closed {
             self.return_waiting(now, &server.name);
@@ -323,8 +394,17 @@
             None => return,
         };
         for key in keys {
-            let item = self.servers.owned.get_mut(server).and_then(|owned| owned.owner.remove(key));
-            self.output(Output::DropItem { run: RunRef { server: server.to_owned(), key } });
+            let item = self
+                .servers
+                .owned
+                .get_mut(server)
+                .and_then(|owned| owned.owner.remove(key));
+            self.output(Output::DropItem {
+                run: RunRef {
+                    server: server.to_owned(),
+                    key,
+                },
+            });
             if let Some(item) = item {
                 self.give_back(now, item);
             }
@@ -338,11 +418,24 @@
         let Some(owned) = self.servers.owned.get_mut(server) else {
             return;
         };
-        let waiting: Vec<RunKey> =
-            owned.owner.keys_where(|_| true).into_iter().filter(|key| !owned.owner.is_running(*key)).collect();
+        let waiting: Vec<RunKey> = owned
+            .owner
+            .keys_where(|_| true)
+            .into_iter()
+            .filter(|key| !owned.owner.is_running(*key))
+            .collect();
         for key in waiting {
-            let item = self.servers.owned.get_mut(server).and_then(|owned| owned.owner.remove(key));
-            self.output(Output::DropItem { run: RunRef { server: server.to_owned(), key } });
+            let item = self
+                .servers
+                .owned
+                .get_mut(server)
+                .and_then(|owned| owned.owner.remove(key));
+            self.output(Output::DropItem {
+                run: RunRef {
+                    server: server.to_owned(),
+                    key,
+                },
+            });
             if let Some(item) = item {
                 self.give_back(now, item);
             }
@@ -351,7 +444,11 @@
 
     /// Items do not wait for a server that fails while others could run them.
     fn return_if_blocked(&mut self, now: Now, server: &str) {
-        let is_blocked = self.servers.owned.get(server).is_some_and(|owned| owned.owner.is_blocked(now));
+        let is_blocked = self
+            .servers
+            .owned
+            .get(server)
+            .is_some_and(|owned| owned.owner.is_blocked(now));
         if is_blocked {
             self.return_waiting(now, server);
         }
@@ -369,28 +466,60 @@
             owned.owner.remove(*key);
         }
         for key in keys {
-            self.output(Output::DropItem { run: RunRef { server: server.to_owned(), key } });
+            self.output(Output::DropItem {
+                run: RunRef {
+                    server: server.to_owned(),
+                    key,
+                },
+            });
         }
     }
 
     fn give_back(&mut self, now: Now, item: WorkItem) {
         if let Some(owner) = self.shard_owner(now, item.shard) {
             let items = vec![(item.job, item.item)];
-            self.send(&owner, PeerMessage::Return { shard: item.shard, items });
+            self.send(
+                &owner,
+                PeerMessage::Return {
+                    shard: item.shard,
+                    items,
+                },
+            );
         }
     }
 
     fn apply_step(&mut self, server: &str, address: &str, step: AdmitStep) {
         match step {
             AdmitStep::Start(key) => {
-                let item = self.servers.owned.get(server).and_then(|owned| owned.owner.item(key)).cloned();
+                let item = self
+                    .servers
+                    .owned
+                    .get(server)
+                    .and_then(|owned| owned.owner.item(key))
+                    .cloned();
                 if let Some(item) = item {
-                    let run = RunRef { server: server.to_owned(), key };
-                    self.event(EventKind::ItemStarted, item_subject(item.job, item.item), server.to_owned());
-                    self.output(Output::StartItem { run, address: address.to_owned(), item });
+                    let run = RunRef {
+                        server: server.to_owned(),
+                        key,
+                    };
+                    self.event(
+                        EventKind::ItemStarted,
+                        item_subject(item.job, item.item),
+                        server.to_owned(),
+                    );
+                    self.output(Output::StartItem {
+                        run,
+                        address: address.to_owned(),
+                        item,
+                    });
                 }
             }
-            AdmitStep::Stop(key) => self.output(Output::StopItem { run: RunRef { server: server.to_owned(), key } }),
+            AdmitStep::Stop(key) => self.output(Output::StopItem {
+                run: RunRef {
+                    server: server.to_owned(),
+                    key,
+                },
+            }),
             AdmitStep::Idle => {}
         }
     }
@@ -401,8 +530,16 @@
         let Some(owned) = self.servers.owned.get_mut(server) else {
             return;
         };
-        let want = if is_full || !owned.is_clean { 0 } else { owned.owner.want_count(now) };
-        let interval = if want > 0 { DEMAND_INTERVAL } else { IDLE_DEMAND_INTERVAL };
+        let want = if is_full || !owned.is_clean {
+            0
+        } else {
+            owned.owner.want_count(now)
+        };
+        let interval = if want > 0 {
+            DEMAND_INTERVAL
+        } else {
+            IDLE_DEMAND_INTERVAL
+        };
         if now.saturating_sub(owned.demanded_at) < interval {
             return;
         }
@@ -454,9 +591,14 @@
     fn report_outcomes(&mut self, now: Now) {
         let mut due: BTreeMap<ShardId, Vec<ItemOutcome>> = BTreeMap::new();
         for ((shard, _, _), unsettled) in &mut self.servers.unsettled {
-            if unsettled.reported_at.is_none_or(|at| now.saturating_sub(at) >= REPORT_INTERVAL) {
+            if unsettled
+                .reported_at
+                .is_none_or(|at| now.saturating_sub(at) >= REPORT_INTERVAL)
+            {
                 unsettled.reported_at = Some(now);
-                due.entry(*shard).or_default().push(unsettled.outcome.clone());
+                due.entry(*shard)
+                    .or_default()
+                    .push(unsettled.outcome.clone());
             }
         }
         for (shard, outcomes) in due {
@@ -469,15 +611,28 @@
     /// Owners stop believing a count that is not renewed.
     fn renew_counts(&mut self, now: Now) {
         if self.servers.loads_at == now {
-            self.touched.extend(self.router.busy_servers().map(|(server, _)| server.clone()));
+            self.touched
+                .extend(self.router.busy_servers().map(|(server, _)| server.clone()));
         }
     }
 }
 
 /// Which shards a server asks, and for how many items each: those that gave items lately, and one other in turn.
-fn demand_shares(owned: &mut OwnedServer, now: Now, want: u32, shard_count: u16) -> Vec<(ShardId, u32)> {
-    owned.had_work.retain(|_, at| now.saturating_sub(*at) < WORK_MEMORY);
-    let mut shards: Vec<ShardId> = owned.had_work.keys().copied().take(SHARDS_ASKED_MAX - 1).collect();
+fn demand_shares(
+    owned: &mut OwnedServer,
+    now: Now,
+    want: u32,
+    shard_count: u16,
+) -> Vec<(ShardId, u32)> {
+    owned
+        .had_work
+        .retain(|_, at| now.saturating_sub(*at) < WORK_MEMORY);
+    let mut shards: Vec<ShardId> = owned
+        .had_work
+        .keys()
+        .copied()
+        .take(SHARDS_ASKED_MAX - 1)
+        .collect();
     let probes = SHARDS_ASKED_MAX - shards.len();
     for _ in 0..probes.min(usize::from(shard_count)) {
         owned.next_probe = (owned.next_probe + 1) % shard_count.max(1);
@@ -491,7 +646,11 @@
     shards
         .into_iter()
         .map(|shard| {
-            let want_count = if is_giving(&shard) { share } else { share.min(1) };
+            let want_count = if is_giving(&shard) {
+                share
+            } else {
+                share.min(1)
+            };
             (shard, want_count)
         })
         .collect()
@@ -513,11 +672,19 @@
 
 fn route_server(server: &BackendServer, is_leaving: bool) -> RouteServer {
     let (targets, capacity) = match &server.role {
-        ServerRole::Engine { models, max_sequences } => {
-            let models = models.iter().map(|version| Target::Model(version.model.clone()));
+        ServerRole::Engine {
+            models,
+            max_sequences,
+        } => {
+            let models = models
+                .iter()
+                .map(|version| Target::Model(version.model.clone()));
             (models.collect(), *max_sequences)
         }
-        ServerRole::Plain { service, max_requests } => (vec![Target::Service(service.clone())], *max_requests),
+        ServerRole::Plain {
+            service,
+            max_requests,
+        } => (vec![Target::Service(service.clone())], *max_requests),
     };
     RouteServer {
         server: server.name.clone(),
@@ -533,11 +700,18 @@
     let ServerRole::Engine { models, .. } = &server.role else {
         return DEFAULT_BATCH_WEIGHT;
     };
-    let carries = |serving: &Serving| serving.models.iter().any(|version| models.contains(version));
-    let weights = config.list(Kind::Serving).filter_map(|stored| match &stored.resource {
-        Resource::Serving(serving) if carries(serving) => Some(serving.batch_weight),
-        _ => None,
-    });
+    let carries = |serving: &Serving| {
+        serving
+            .models
+            .iter()
+            .any(|version| models.contains(version))
+    };
+    let weights = config
+        .list(Kind::Serving)
+        .filter_map(|stored| match &stored.resource {
+            Resource::Serving(serving) if carries(serving) => Some(serving.batch_weight),
+            _ => None,
+        });
     weights.reduce(f64::min).unwrap_or(DEFAULT_BATCH_WEIGHT)
 }
 
--- a/bamboo-host/src/shard_role.rs
+++ b/bamboo-host/src/shard_role.rs
@@ -107,13 +107,20 @@
     }
 
     /// Takes reported outcomes to commit. Returns those that are settled already.
-    pub(crate) fn report(&mut self, now: Now, from: &str, outcomes: Vec<ItemOutcome>) -> Vec<(JobId, ItemIndex)> {
+    pub(crate) fn report(
+        &mut self,
+        now: Now,
+        from: &str,
+        outcomes: Vec<ItemOutcome>,
+    ) -> Vec<(JobId, ItemIndex)> {
         let mut settled = Vec::new();
         for outcome in outcomes {
             let name = (outcome.job, outcome.item);
-            let is_open = self.stream.fold().job(outcome.job).is_some_and(|job| {
-                job.is_running() && !job.ended.is_set(outcome.item)
-            });
+            let is_open = self
+                .stream
+                .fold()
+                .job(outcome.job)
+                .is_some_and(|job| job.is_running() && !job.ended.is_set(outcome.item));
             if !is_open {
                 settled.push(name);
                 continue;
@@ -134,13 +141,18 @@
     /// The next record of outcomes, once enough have gathered or the first has waited long enough.
     pub(crate) fn next_commit(&mut self, now: Now) -> Option<Body> {
         let epoch = self.owned?;
-        let is_due = now.saturating_sub(self.gathered_at) >= GATHER || self.gathered.len() >= GROUP_MAX;
+        let is_due =
+            now.saturating_sub(self.gathered_at) >= GATHER || self.gathered.len() >= GROUP_MAX;
         if self.gathered.is_empty() || !is_due {
             return None;
         }
         let rest = self.gathered.split_off(self.gathered.len().min(GROUP_MAX));
         let outcomes = std::mem::replace(&mut self.gathered, rest);
-        Some(Body::Outcomes { epoch, at_ms: millis(now), outcomes })
+        Some(Body::Outcomes {
+            epoch,
+            at_ms: millis(now),
+            outcomes,
+        })
     }
 
     /// The host that reported an outcome which the fold has now decided on.
@@ -165,7 +177,11 @@
     /// Notes a claim or release in the claimant.
     pub(crate) fn note_claims(&mut self, event: &FoldEvent) {
         match event {
-            FoldEvent::Claimed { host, incarnation, epoch } => self.claimant.claim_read(host, *incarnation, *epoch),
+            FoldEvent::Claimed {
+                host,
+                incarnation,
+                epoch,
+            } => self.claimant.claim_read(host, *incarnation, *epoch),
             FoldEvent::Released { epoch } => self.claimant.release_read(*epoch),
             _ => {}
         }
@@ -173,15 +189,24 @@
 
     /// A failure that uses up the item's attempts becomes final.
     fn with_last_attempt(&self, outcome: ItemOutcome) -> ItemOutcome {
-        let ItemVerdict::ServerFault { reason, was_server_lost } = &outcome.verdict else {
+        let ItemVerdict::ServerFault {
+            reason,
+            was_server_lost,
+        } = &outcome.verdict
+        else {
             return outcome;
         };
         let job = self.stream.fold().job(outcome.job);
-        let attempts = job.and_then(|job| job.attempts.get(&outcome.item)).copied().unwrap_or_default();
+        let attempts = job
+            .and_then(|job| job.attempts.get(&outcome.item))
+            .copied()
+            .unwrap_or_default();
         if !attempts.is_last(*was_server_lost) {
             return outcome;
         }
-        let verdict = ItemVerdict::GivenUp { reason: reason.clone() };
+        let verdict = ItemVerdict::GivenUp {
+            reason: reason.clone(),
+        };
         ItemOutcome { verdict, ..outcome }
     }
 }
--- a/bamboo-host/src/shards.rs
+++ b/bamboo-host/src/shards.rs
@@ -34,12 +34,16 @@
 impl HostCore {
     /// Whether this host owns a shard, as far as it has read.
     pub(crate) fn owns(&self, shard: ShardId) -> bool {
-        self.shards.get(usize::from(shard)).is_some_and(|role| role.owned.is_some())
+        self.shards
+            .get(usize::from(shard))
+            .is_some_and(|role| role.owned.is_some())
     }
 
     /// Whether this host owns a shard and its fold is whole.
     pub(crate) fn owns_currently(&self, shard: ShardId) -> bool {
-        self.shards.get(usize::from(shard)).is_some_and(|role| role.owned.is_some() && role.stream.is_whole())
+        self.shards
+            .get(usize::from(shard))
+            .is_some_and(|role| role.owned.is_some() && role.stream.is_whole())
     }
 
     pub(crate) fn tick_shards(&mut self, now: Now) {
@@ -81,7 +85,11 @@
 
     pub(crate) fn shard_read_failed(&mut self, now: Now, shard: ShardId) {
         let random = self.random();
-        if let Some(reader) = self.shards.get_mut(usize::from(shard)).and_then(|role| role.reader.as_mut()) {
+        if let Some(reader) = self
+            .shards
+            .get_mut(usize::from(shard))
+            .and_then(|role| role.reader.as_mut())
+        {
             reader.failed(now, random);
         }
     }
@@ -100,12 +108,19 @@
         self.hand_out(now, shard);
     }
 
-    pub(crate) fn holding_heard(&mut self, now: Now, shard: ShardId, holder: &Holder, items: &[(JobId, ItemIndex)]) {
+    pub(crate) fn holding_heard(
+        &mut self,
+        now: Now,
+        shard: ShardId,
+        holder: &Holder,
+        items: &[(JobId, ItemIndex)],
+    ) {
         if !self.owns_currently(shard) {
             return;
         }
         if let Some(role) = self.shards.get_mut(usize::from(shard)) {
-            role.hand_out.holding(now, role.stream.fold(), holder, items);
+            role.hand_out
+                .holding(now, role.stream.fold(), holder, items);
         }
         self.hand_out(now, shard);
     }
@@ -118,7 +133,13 @@
         }
     }
 
-    pub(crate) fn outcomes_heard(&mut self, now: Now, from: &str, shard: ShardId, outcomes: Vec<ItemOutcome>) {
+    pub(crate) fn outcomes_heard(
+        &mut self,
+        now: Now,
+        from: &str,
+        shard: ShardId,
+        outcomes: Vec<ItemOutcome>,
+    ) {
         if !self.owns_currently(shard) {
             return;
         }
@@ -133,20 +154,28 @@
 
     fn step_claim(&mut self, now: Now, shard: ShardId) {
         let name = shard_name(shard);
-        let is_first = bamboo_member::first_in_order(&self.live, &name) == Some(self.options.host.as_str());
+        let is_first =
+            bamboo_member::first_in_order(&self.live, &name) == Some(self.options.host.as_str());
         let may_own = !self.members.is_draining() && self.is_accepting();
         let random = self.random();
         let members = &self.members;
         let Some(role) = self.shards.get_mut(usize::from(shard)) else {
             return;
         };
-        let wish = ClaimWish { may_own, is_first, is_at_tail: role.is_current() };
-        let step = role.claimant.step(now, wish, |host| members.is_answering(now, host), random);
+        let wish = ClaimWish {
+            may_own,
+            is_first,
+            is_at_tail: role.is_current(),
+        };
+        let step = role
+            .claimant
+            .step(now, wish, |host| members.is_answering(now, host), random);
         match step {
             ClaimStep::Stand => self.stand_down(shard),
             ClaimStep::Follow | ClaimStep::Recover => role.start_reading(),
             ClaimStep::Claim => {
-                self.appender.enqueue(now, StreamId::Shard(shard), Body::Claim);
+                self.appender
+                    .enqueue(now, StreamId::Shard(shard), Body::Claim);
             }
             ClaimStep::AwaitClaim | ClaimStep::Own(_) => {}
             ClaimStep::Release(epoch) => self.release(now, shard, epoch),
@@ -168,11 +197,15 @@
             return;
         }
         role.is_release_sent = true;
-        self.appender.enqueue(now, StreamId::Shard(shard), Body::Release { epoch });
+        self.appender
+            .enqueue(now, StreamId::Shard(shard), Body::Release { epoch });
     }
 
     fn next_read(&mut self, now: Now, shard: ShardId) {
-        let reader = self.shards.get_mut(usize::from(shard)).and_then(|role| role.reader.as_mut());
+        let reader = self
+            .shards
+            .get_mut(usize::from(shard))
+            .and_then(|role| role.reader.as_mut());
         if let Some(NextRead::Read { stream, from }) = reader.map(|reader| reader.next(now)) {
             self.output(Output::Read { stream, from });
         }
@@ -186,7 +219,8 @@
         let Some(epoch) = role.owned else {
             return;
         };
-        role.hand_out.drop_holders(|holder| !members.is_running(now, &holder.host, holder.incarnation));
+        role.hand_out
+            .drop_holders(|holder| !members.is_running(now, &holder.host, holder.incarnation));
         let stream = role.stream_id();
         if let Some(body) = role.next_commit(now) {
             self.appender.enqueue(now, stream, body);
@@ -205,7 +239,8 @@
         }
         let stream = role.stream_id();
         for job in role.stream.fold().expired(millis(now)) {
-            self.appender.enqueue(now, stream, Body::Expire { epoch, job });
+            self.appender
+                .enqueue(now, stream, Body::Expire { epoch, job });
         }
     }
 
@@ -239,7 +274,11 @@
         for (host, items) in by_host(assignments) {
             for item in &items {
                 let subject = item_subject(item.job, item.item);
-                self.event(EventKind::ItemHandedOut, subject, format!("{host} {}", item.server));
+                self.event(
+                    EventKind::ItemHandedOut,
+                    subject,
+                    format!("{host} {}", item.server),
+                );
             }
             self.send(&host, PeerMessage::Items { shard, items });
         }
@@ -252,7 +291,9 @@
         role.note_claims(&event);
         match event {
             FoldEvent::Claimed { .. } | FoldEvent::Released { .. } => self.update_ownership(shard),
-            FoldEvent::JobAccepted(job) => self.event(EventKind::JobAccepted, job_id_text(job), String::new()),
+            FoldEvent::JobAccepted(job) => {
+                self.event(EventKind::JobAccepted, job_id_text(job), String::new())
+            }
             FoldEvent::ItemEnded { job, item, is_done } => {
                 role.hand_out.ended(now, job, item);
                 let detail = if is_done { "done" } else { "failed" };
@@ -284,15 +325,27 @@
             None => role.lose(),
         }
         let rate = epoch.map(|_| self.options.shard_appends_per_s);
-        self.appender.set_stream_budget(StreamId::Shard(shard), rate);
+        self.appender
+            .set_stream_budget(StreamId::Shard(shard), rate);
         match epoch {
-            Some(epoch) => self.event(EventKind::ShardOwned, shard_name(shard), format!("epoch {epoch}")),
+            Some(epoch) => self.event(
+                EventKind::ShardOwned,
+                shard_name(shard),
+                format!("epoch {epoch}"),
+            ),
             None if had => self.event(EventKind::ShardLost, shard_name(shard), String::new()),
             None => {}
         }
     }
 
-    fn settle(&mut self, shard: ShardId, job: JobId, item: ItemIndex, kind: EventKind, detail: &str) {
+    fn settle(
+        &mut self,
+        shard: ShardId,
+        job: JobId,
+        item: ItemIndex,
+        kind: EventKind,
+        detail: &str,
+    ) {
         let Some(role) = self.shards.get_mut(usize::from(shard)) else {
             return;
         };
@@ -302,7 +355,13 @@
         }
         self.event(kind, item_subject(job, item), detail.to_owned());
         if let Some(reporter) = reporter {
-            self.send(&reporter, PeerMessage::Settled { shard, items: vec![(job, item)] });
+            self.send(
+                &reporter,
+                PeerMessage::Settled {
+                    shard,
+                    items: vec![(job, item)],
+                },
+            );
         }
     }
 
@@ -314,7 +373,8 @@
         if role.owned.is_some() {
             self.event(EventKind::JobEnded, job_id_text(job), format!("{state:?}"));
         }
-        let hosts: std::collections::BTreeSet<HostId> = holders.into_iter().map(|holder| holder.host).collect();
+        let hosts: std::collections::BTreeSet<HostId> =
+            holders.into_iter().map(|holder| holder.host).collect();
         for host in hosts {
             self.send(&host, PeerMessage::StopJob { shard, job });
         }
@@ -327,7 +387,8 @@
 }
 
 fn by_host(assignments: Vec<Assignment>) -> std::collections::BTreeMap<HostId, Vec<HandedItem>> {
-    let mut hosts: std::collections::BTreeMap<HostId, Vec<HandedItem>> = std::collections::BTreeMap::new();
+    let mut hosts: std::collections::BTreeMap<HostId, Vec<HandedItem>> =
+        std::collections::BTreeMap::new();
     for assignment in assignments {
         let item = HandedItem {
             server: assignment.holder.server,
--- a/bamboo-host/src/waiters.rs
+++ b/bamboo-host/src/waiters.rs
@@ -58,7 +58,9 @@
 
     /// Whether the record is a change of configuration.
     pub(crate) fn is_propose(&self, ticket: Ticket) -> bool {
-        self.by_ticket.get(&ticket).is_some_and(|waiter| matches!(waiter.purpose, Purpose::Propose))
+        self.by_ticket
+            .get(&ticket)
+            .is_some_and(|waiter| matches!(waiter.purpose, Purpose::Propose))
     }
 
     /// Tickets whose waiters are overdue or whose stream matches.
@@ -66,7 +68,11 @@
     where
         F: Fn(&Ticket, &Waiter) -> bool,
     {
-        self.by_ticket.iter().filter(|(ticket, waiter)| matches(ticket, waiter)).map(|(ticket, _)| *ticket).collect()
+        self.by_ticket
+            .iter()
+            .filter(|(ticket, waiter)| matches(ticket, waiter))
+            .map(|(ticket, _)| *ticket)
+            .collect()
     }
 
     pub(crate) fn count(&self) -> usize {
--- a/bamboo-jobs/src/bitmap.rs
+++ b/bamboo-jobs/src/bitmap.rs
@@ -20,7 +20,10 @@
     /// assert_eq!(bitmap.count(), 1);
     /// ```
     pub fn new(size: u32) -> Self {
-        Bitmap { words: vec![0; size.div_ceil(64) as usize], count: 0 }
+        Bitmap {
+            words: vec![0; size.div_ceil(64) as usize],
+            count: 0,
+        }
     }
 
     /// Sets a bit; `false` if it was set before or lies outside.
@@ -39,7 +42,9 @@
 
     /// Whether a bit is set.
     pub fn is_set(&self, index: u32) -> bool {
-        self.words.get((index / 64) as usize).is_some_and(|word| word & (1 << (index % 64)) != 0)
+        self.words
+            .get((index / 64) as usize)
+            .is_some_and(|word| word & (1 << (index % 64)) != 0)
     }
 
     /// Number of set bits.
--- a/bamboo-jobs/src/fold.rs
+++ b/bamboo-jobs/src/fold.rs
@@ -118,13 +118,27 @@
             return events;
         }
         self.next_offset = offset + 1;
-        let writer = Writer { host: entry.host.clone(), incarnation: entry.incarnation };
+        let writer = Writer {
+            host: entry.host.clone(),
+            incarnation: entry.incarnation,
+        };
         for (slot, body) in entry.bodies.iter().enumerate() {
             let sequence = entry.first_sequence + slot as u64;
             let is_first = self.dedupe.is_first(&writer, sequence);
             if is_first || cfg!(feature = "mutate-no-dedupe") {
-                let id = RecordId { writer: writer.clone(), sequence };
-                self.apply_body(Position { offset, slot: slot as u32 }, id, body, &mut events);
+                let id = RecordId {
+                    writer: writer.clone(),
+                    sequence,
+                };
+                self.apply_body(
+                    Position {
+                        offset,
+                        slot: slot as u32,
+                    },
+                    id,
+                    body,
+                    &mut events,
+                );
             }
         }
         events
@@ -169,7 +183,10 @@
     pub fn expired(&self, now_ms: u64) -> Vec<JobId> {
         self.jobs
             .values()
-            .filter(|job| job.ended_ms.is_some_and(|ended| ended + job.spec.result_lifetime_ms <= now_ms))
+            .filter(|job| {
+                job.ended_ms
+                    .is_some_and(|ended| ended + job.spec.result_lifetime_ms <= now_ms)
+            })
             .map(|job| job.spec.job)
             .collect()
     }
@@ -178,15 +195,30 @@
         match body {
             Body::Claim => self.apply_claim(at.offset, id.writer, events),
             Body::Release { epoch } => self.apply_release(*epoch, events),
-            Body::Chunk { upload, first_item, items } => self.apply_chunk(at, *upload, *first_item, items.len()),
+            Body::Chunk {
+                upload,
+                first_item,
+                items,
+            } => self.apply_chunk(at, *upload, *first_item, items.len()),
             Body::Submit(spec) => self.apply_submit(spec, events),
-            Body::Outcomes { epoch, at_ms, outcomes } => {
+            Body::Outcomes {
+                epoch,
+                at_ms,
+                outcomes,
+            } => {
                 self.apply_outcomes(at.offset, *epoch, *at_ms, outcomes, events);
             }
             Body::Cancel { job, at_ms } => self.apply_cancel(*job, *at_ms, events),
             Body::Expire { epoch, job } => self.apply_expire(*epoch, *job, events),
-            Body::Carried { epoch, job, from, .. } => self.apply_carried(at.offset, *epoch, *job, *from),
-            Body::CarriedChunk { epoch, job, first_item, .. } => {
+            Body::Carried {
+                epoch, job, from, ..
+            } => self.apply_carried(at.offset, *epoch, *job, *from),
+            Body::CarriedChunk {
+                epoch,
+                job,
+                first_item,
+                ..
+            } => {
                 self.apply_carried_chunk(at, *epoch, *job, *first_item);
             }
             Body::KeyedCall(call) => self.apply_keyed_call(id, call),
@@ -197,7 +229,11 @@
 
     fn apply_claim(&mut self, offset: Offset, writer: Writer, events: &mut Vec<FoldEvent>) {
         self.holder = Some((writer.clone(), offset));
-        events.push(FoldEvent::Claimed { host: writer.host, incarnation: writer.incarnation, epoch: offset });
+        events.push(FoldEvent::Claimed {
+            host: writer.host,
+            incarnation: writer.incarnation,
+            epoch: offset,
+        });
     }
 
     fn apply_release(&mut self, epoch: Offset, events: &mut Vec<FoldEvent>) {
@@ -207,11 +243,22 @@
         }
     }
 
-    fn apply_chunk(&mut self, at: Position, upload: UploadId, first_item: ItemIndex, item_count: usize) {
-        let chunk = ChunkRef { at, first_item, item_count: item_count as u32 };
+    fn apply_chunk(
+        &mut self,
+        at: Position,
+        upload: UploadId,
+        first_item: ItemIndex,
+        item_count: usize,
+    ) {
+        let chunk = ChunkRef {
+            at,
+            first_item,
+            item_count: item_count as u32,
+        };
         self.uploads.entry(upload).or_default().push(chunk);
         let oldest = at.offset.saturating_sub(UPLOAD_LIFETIME_ENTRIES);
-        self.uploads.retain(|_, chunks| chunks.last().is_some_and(|chunk| chunk.at.offset >= oldest));
+        self.uploads
+            .retain(|_, chunks| chunks.last().is_some_and(|chunk| chunk.at.offset >= oldest));
     }
 
     fn apply_submit(&mut self, spec: &JobSpec, events: &mut Vec<FoldEvent>) {
@@ -241,7 +288,10 @@
         for outcome in outcomes {
             let counted = is_current.then(|| self.apply_outcome(offset, at_ms, outcome, events));
             if counted != Some(true) {
-                events.push(FoldEvent::OutcomeIgnored { job: outcome.job, item: outcome.item });
+                events.push(FoldEvent::OutcomeIgnored {
+                    job: outcome.job,
+                    item: outcome.item,
+                });
             }
         }
     }
@@ -256,14 +306,25 @@
         let Some(job) = self.jobs.get_mut(&outcome.job) else {
             return false;
         };
-        if !job.is_running() || outcome.item >= job.spec.item_count || job.ended.is_set(outcome.item) {
+        if !job.is_running()
+            || outcome.item >= job.spec.item_count
+            || job.ended.is_set(outcome.item)
+        {
             return false;
         }
-        if let ItemVerdict::ServerFault { was_server_lost, .. } = outcome.verdict {
+        if let ItemVerdict::ServerFault {
+            was_server_lost, ..
+        } = outcome.verdict
+        {
             let attempts = job.attempts.entry(outcome.item).or_default();
             attempts.runs = attempts.runs.saturating_add(1);
-            attempts.server_losses = attempts.server_losses.saturating_add(u8::from(was_server_lost));
-            events.push(FoldEvent::ItemRetried { job: outcome.job, item: outcome.item });
+            attempts.server_losses = attempts
+                .server_losses
+                .saturating_add(u8::from(was_server_lost));
+            events.push(FoldEvent::ItemRetried {
+                job: outcome.job,
+                item: outcome.item,
+            });
             return true;
         }
         let is_done = matches!(outcome.verdict, ItemVerdict::Done { .. });
@@ -273,10 +334,17 @@
         if job.outcome_offsets.last() != Some(&offset) {
             job.outcome_offsets.push(offset);
         }
-        events.push(FoldEvent::ItemEnded { job: outcome.job, item: outcome.item, is_done });
+        events.push(FoldEvent::ItemEnded {
+            job: outcome.job,
+            item: outcome.item,
+            is_done,
+        });
         if job.left_count() == 0 {
             job.end(JobState::Completed, at_ms);
-            events.push(FoldEvent::JobEnded { job: outcome.job, state: JobState::Completed });
+            events.push(FoldEvent::JobEnded {
+                job: outcome.job,
+                state: JobState::Completed,
+            });
         }
         true
     }
@@ -287,7 +355,10 @@
         };
         if found.is_running() {
             found.end(JobState::Cancelled, at_ms);
-            events.push(FoldEvent::JobEnded { job, state: JobState::Cancelled });
+            events.push(FoldEvent::JobEnded {
+                job,
+                state: JobState::Cancelled,
+            });
         }
     }
 
@@ -315,14 +386,22 @@
         }
     }
 
-    fn apply_carried_chunk(&mut self, at: Position, epoch: Offset, job: JobId, first_item: ItemIndex) {
+    fn apply_carried_chunk(
+        &mut self,
+        at: Position,
+        epoch: Offset,
+        job: JobId,
+        first_item: ItemIndex,
+    ) {
         if !self.is_current(epoch) {
             return;
         }
-        let chunk = self
-            .jobs
-            .get_mut(&job)
-            .and_then(|found| found.chunks.iter_mut().find(|chunk| chunk.first_item == first_item));
+        let chunk = self.jobs.get_mut(&job).and_then(|found| {
+            found
+                .chunks
+                .iter_mut()
+                .find(|chunk| chunk.first_item == first_item)
+        });
         if let Some(chunk) = chunk {
             chunk.at = at;
         }
@@ -331,10 +410,18 @@
     fn apply_keyed_call(&mut self, id: RecordId, call: &KeyedCall) {
         let oldest_ms = call.claimed_ms.saturating_sub(KEYED_LIFETIME_MS);
         let name = (call.workspace.clone(), call.key.clone());
-        let is_taken = self.keyed.get(&name).is_some_and(|keyed| keyed.claimed_ms >= oldest_ms);
+        let is_taken = self
+            .keyed
+            .get(&name)
+            .is_some_and(|keyed| keyed.claimed_ms >= oldest_ms);
         if !is_taken {
             let state = KeyedState::Claimed;
-            let keyed = Keyed { claim: id, digest: call.digest, claimed_ms: call.claimed_ms, state };
+            let keyed = Keyed {
+                claim: id,
+                digest: call.digest,
+                claimed_ms: call.claimed_ms,
+                state,
+            };
             self.keyed.insert(name, keyed);
         }
     }
@@ -348,7 +435,12 @@
             return;
         }
         match end.status {
-            Some(status) => keyed.state = KeyedState::Ended { status, body: end.body.clone() },
+            Some(status) => {
+                keyed.state = KeyedState::Ended {
+                    status,
+                    body: end.body.clone(),
+                }
+            }
             None => {
                 self.keyed.remove(&name);
             }
--- a/bamboo-jobs/src/handout.rs
+++ b/bamboo-jobs/src/handout.rs
@@ -124,20 +124,44 @@
         let before = self.demands.get(&demand.server);
         let mismatch_since = match known == demand.held_count {
             true => None,
-            false => Some(before.and_then(|standing| standing.mismatch_since).unwrap_or(now)),
+            false => Some(
+                before
+                    .and_then(|standing| standing.mismatch_since)
+                    .unwrap_or(now),
+            ),
         };
         // Items and outcomes under way explain a difference for a moment. Items that a new shard owner has never
         // heard of do not, and would be handed out a second time.
         let is_unheard = known == 0 && demand.held_count > 0 && before.is_none();
-        let is_overdue = mismatch_since.is_some_and(|since| now.saturating_sub(since) >= MISMATCH_MAX);
-        let is_recounting = is_unheard || is_overdue || before.is_some_and(|standing| standing.is_recounting);
+        let is_overdue =
+            mismatch_since.is_some_and(|since| now.saturating_sub(since) >= MISMATCH_MAX);
+        let is_recounting =
+            is_unheard || is_overdue || before.is_some_and(|standing| standing.is_recounting);
         let server = demand.server.clone();
-        self.demands.insert(server, Standing { demand, renewed_at: now, mismatch_since, is_recounting });
-        if is_recounting { DemandStep::Recount } else { DemandStep::Stands }
+        self.demands.insert(
+            server,
+            Standing {
+                demand,
+                renewed_at: now,
+                mismatch_since,
+                is_recounting,
+            },
+        );
+        if is_recounting {
+            DemandStep::Recount
+        } else {
+            DemandStep::Stands
+        }
     }
 
     /// Takes the list of items that a server owner holds: others that it was thought to hold are free again.
-    pub fn holding(&mut self, now: Now, fold: &ShardFold, holder: &Holder, items: &[(JobId, ItemIndex)]) {
+    pub fn holding(
+        &mut self,
+        now: Now,
+        fold: &ShardFold,
+        holder: &Holder,
+        items: &[(JobId, ItemIndex)],
+    ) {
         let listed: BTreeSet<(JobId, ItemIndex)> = items.iter().copied().collect();
         let missing: Vec<(JobId, ItemIndex)> = self
             .held
@@ -150,7 +174,9 @@
             self.returned(job, item);
         }
         for (job, item) in listed {
-            let is_open = fold.job(job).is_some_and(|found| found.is_running() && !found.ended.is_set(item));
+            let is_open = fold
+                .job(job)
+                .is_some_and(|found| found.is_running() && !found.ended.is_set(item));
             if is_open && !self.held.contains_key(&(job, item)) {
                 self.hold(now, job, item, holder.clone());
             }
@@ -178,8 +204,11 @@
 
     /// A job ended: nothing of it is handed out any more. Returns who holds items of it.
     pub fn job_ended(&mut self, job: JobId) -> Vec<Holder> {
-        let names: Vec<(JobId, ItemIndex)> =
-            self.held.range((job, 0)..=(job, ItemIndex::MAX)).map(|(name, _)| *name).collect();
+        let names: Vec<(JobId, ItemIndex)> = self
+            .held
+            .range((job, 0)..=(job, ItemIndex::MAX))
+            .map(|(name, _)| *name)
+            .collect();
         let mut holders = BTreeSet::new();
         for (job, item) in names {
             if let Some(held) = self.held.get(&(job, item)) {
@@ -196,22 +225,37 @@
     where
         F: Fn(&Holder) -> bool,
     {
-        let gone: Vec<Holder> = self.held_by.keys().filter(|holder| is_gone(holder)).cloned().collect();
+        let gone: Vec<Holder> = self
+            .held_by
+            .keys()
+            .filter(|holder| is_gone(holder))
+            .cloned()
+            .collect();
         for holder in gone {
-            let names: Vec<(JobId, ItemIndex)> =
-                self.held.iter().filter(|(_, held)| held.holder == holder).map(|(name, _)| *name).collect();
+            let names: Vec<(JobId, ItemIndex)> = self
+                .held
+                .iter()
+                .filter(|(_, held)| held.holder == holder)
+                .map(|(name, _)| *name)
+                .collect();
             for (job, item) in names {
                 self.returned(job, item);
             }
-            self.demands.retain(|_, standing| holder_of(&standing.demand) != holder);
+            self.demands
+                .retain(|_, standing| holder_of(&standing.demand) != holder);
         }
     }
 
     /// Hands out items to standing demands, the most urgent job first.
     pub fn assign(&mut self, now: Now, fold: &ShardFold) -> Vec<Assignment> {
-        self.demands.retain(|_, standing| now.saturating_sub(standing.renewed_at) < DEMAND_LIFETIME);
+        self.demands
+            .retain(|_, standing| now.saturating_sub(standing.renewed_at) < DEMAND_LIFETIME);
         let mut assignments = Vec::new();
-        if self.demands.values().all(|standing| standing.demand.want_count == 0) {
+        if self
+            .demands
+            .values()
+            .all(|standing| standing.demand.want_count == 0)
+        {
             return assignments;
         }
         for job in self.ordered_jobs(now, fold) {
@@ -238,7 +282,10 @@
 
     /// A job as callers see it.
     pub fn view(&self, now: Now, job: &Job) -> JobView {
-        let running_count = self.progress.get(&job.spec.job).map_or(0, |progress| progress.held_count);
+        let running_count = self
+            .progress
+            .get(&job.spec.job)
+            .map_or(0, |progress| progress.held_count);
         JobView::new(job, running_count, self.is_at_risk(now, job))
     }
 
@@ -248,7 +295,10 @@
             .jobs()
             .filter(|job| job.is_running())
             .map(|job| {
-                let rate = self.progress.get(&job.spec.job).map_or(&unmeasured, |progress| &progress.rate);
+                let rate = self
+                    .progress
+                    .get(&job.spec.job)
+                    .map_or(&unmeasured, |progress| &progress.rate);
                 (slack(now, job, rate), job)
             })
             .collect();
@@ -283,7 +333,12 @@
         }
     }
 
-    fn assign_one(&mut self, now: Now, job: &Job, server: &BackendServerId) -> Option<(Assignment, bool)> {
+    fn assign_one(
+        &mut self,
+        now: Now,
+        job: &Job,
+        server: &BackendServerId,
+    ) -> Option<(Assignment, bool)> {
         let item = self.next_item(job)?;
         let chunk = *job.chunk_of(item)?;
         let standing = self.demands.get_mut(server)?;
@@ -300,7 +355,10 @@
             index_in_chunk: item - chunk.first_item,
             model: job.spec.model.clone(),
             deadline_ms: job.spec.deadline_ms,
-            must_run_alone: job.attempts.get(&item).is_some_and(|attempts| attempts.is_suspect()),
+            must_run_alone: job
+                .attempts
+                .get(&item)
+                .is_some_and(|attempts| attempts.is_suspect()),
         };
         Some((assignment, has_more_room))
     }
@@ -345,5 +403,9 @@
 }
 
 fn holder_of(demand: &Demand) -> Holder {
-    Holder { host: demand.host.clone(), incarnation: demand.incarnation, server: demand.server.clone() }
+    Holder {
+        host: demand.host.clone(),
+        incarnation: demand.incarnation,
+        server: demand.server.clone(),
+    }
 }
--- a/bamboo-jobs/src/job.rs
+++ b/bamboo-jobs/src/job.rs
@@ -116,7 +116,9 @@
 
     /// The chunk that holds an item.
     pub fn chunk_of(&self, item: ItemIndex) -> Option<&ChunkRef> {
-        let after = self.chunks.partition_point(|chunk| chunk.first_item <= item);
+        let after = self
+            .chunks
+            .partition_point(|chunk| chunk.first_item <= item);
         let chunk = self.chunks.get(after.checked_sub(1)?)?;
         (item < chunk.first_item + chunk.item_count).then_some(chunk)
     }
--- a/bamboo-jobs/src/recovery.rs
+++ b/bamboo-jobs/src/recovery.rs
@@ -58,7 +58,10 @@
 
     fn start_from(&mut self, fold: ShardFold) -> Vec<FoldEvent> {
         // Entries between the snapshot's end and the first one read would be missing.
-        if self.first_read.is_some_and(|first| first > fold.next_offset()) {
+        if self
+            .first_read
+            .is_some_and(|first| first > fold.next_offset())
+        {
             return Vec::new();
         }
         self.fold = fold;
@@ -66,7 +69,11 @@
         let mut events = Vec::new();
         if let Some((writer, epoch)) = self.fold.holder() {
             let (host, incarnation) = (writer.host.clone(), writer.incarnation);
-            events.push(FoldEvent::Claimed { host, incarnation, epoch: *epoch });
+            events.push(FoldEvent::Claimed {
+                host,
+                incarnation,
+                epoch: *epoch,
+            });
         }
         for (offset, entry) in std::mem::take(&mut self.waiting) {
             events.extend(self.fold.apply(offset, &entry));
--- a/bamboo-jobs/src/results.rs
+++ b/bamboo-jobs/src/results.rs
@@ -22,7 +22,10 @@
     /// assert_eq!(collector.found_count(), 0);
     /// ```
     pub fn new(job: JobId, item_count: u32) -> Self {
-        FinalOutcomes { job, seen: Bitmap::new(item_count) }
+        FinalOutcomes {
+            job,
+            seen: Bitmap::new(item_count),
+        }
     }
 
     /// Takes the outcomes of the job from one entry. Entries must come in the order of the job's offsets.
@@ -33,7 +36,10 @@
                 continue;
             };
             for outcome in outcomes {
-                if outcome.job == self.job && outcome.verdict.is_final() && self.seen.set(outcome.item) {
+                if outcome.job == self.job
+                    && outcome.verdict.is_final()
+                    && self.seen.set(outcome.item)
+                {
                     found.push(outcome);
                 }
             }
--- a/bamboo-jobs/src/snapshot.rs
+++ b/bamboo-jobs/src/snapshot.rs
@@ -38,7 +38,12 @@
     let parts = pieces.into_iter().enumerate();
     Ok(parts
         .map(|(part, piece)| {
-            Body::Snapshot(SnapshotPart { through, part: part as u32, part_count, bytes: piece.to_vec() })
+            Body::Snapshot(SnapshotPart {
+                through,
+                part: part as u32,
+                part_count,
+                bytes: piece.to_vec(),
+            })
         })
         .collect())
 }
@@ -65,7 +70,8 @@
             if self.accept(part) {
                 let bytes = std::mem::take(&mut self.bytes);
                 self.through = None;
-                let (fold, _) = bincode::serde::decode_from_slice(&bytes, bincode::config::standard())?;
+                let (fold, _) =
+                    bincode::serde::decode_from_slice(&bytes, bincode::config::standard())?;
                 return Ok(Some(fold));
             }
         }
--- /dev/null
+++ b/bamboo-load/src/fleet.rs
@@ -0,0 +1,343 @@
+//! A fleet of real processes on free loopback ports.
+
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+use bamboo_client::Api;
+use bamboo_config::KeyHash;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::deployment::CALLER_KEY;
+use crate::deployment::Deployment;
+use crate::process::Process;
+use crate::process::free_address;
+
+/// The operators' bearer key in every started fleet.
+pub(crate) const OPERATOR_KEY: &str = "operator-key";
+/// Longest wait for a fleet to become ready.
+const READY_MAX: Duration = Duration::from_secs(30);
+/// Interval of looking whether something is ready.
+const POLL: Duration = Duration::from_millis(50);
+
+/// One daemon of a fleet.
+#[derive(Debug)]
+pub(crate) struct Host {
+    pub(crate) name: String,
+    pub(crate) caller_address: String,
+    pub(crate) operator_address: String,
+    peer_address: String,
+    data_centre: String,
+    settings_file: PathBuf,
+    pub(crate) process: Option<Process>,
+}
+
+/// One backend server of a fleet.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) name: String,
+    pub(crate) address: String,
+    arguments: Vec<String>,
+    pub(crate) process: Option<Process>,
+}
+
+/// A fleet. All of its processes end when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub(crate) deployment: Deployment,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) engines: Vec<Server>,
+    pub(crate) plains: Vec<Server>,
+    pub(crate) platform_address: String,
+    _platform: Process,
+    folder: PathBuf,
+    shows_logs: bool,
+}
+
+impl Fleet {
+    /// Starts everything and waits until every host has the resources in force.
+    ///
+    /// # Errors
+    /// Fails if a process does not start or the fleet does not become ready in time.
+    pub(crate) async fn start(deployment: Deployment, shows_logs: bool) -> anyhow::Result<Self> {
+        let folder = std::env::temp_dir().join(format!("bamboo-fleet-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).context("folder for settings")?;
+        let platform_address = free_address()?;
+        let listen = vec![
+            "platform".to_owned(),
+            "--listen".to_owned(),
+            platform_address.clone(),
+        ];
+        let platform = Process::start("platform", "bamboo-standin", &listen, shows_logs)?;
+        let mut fleet = Fleet {
+            hosts: Vec::new(),
+            engines: Vec::new(),
+            plains: Vec::new(),
+            platform_address,
+            _platform: platform,
+            folder,
+            shows_logs,
+            deployment,
+        };
+        fleet.start_servers()?;
+        wait_for(&fleet.platform_address, "/hosts").await?;
+        fleet.start_hosts()?;
+        fleet.publish_hosts(&[]).await?;
+        fleet.wait_ready().await?;
+        fleet.apply_resources().await?;
+        Ok(fleet)
+    }
+
+    /// The operators' interface of a host.
+    pub(crate) fn operator(&self, index: usize) -> Api {
+        Api::new(&self.hosts[index].operator_address, OPERATOR_KEY)
+    }
+
+    /// The callers' interface of a host.
+    pub(crate) fn caller(&self, index: usize) -> Api {
+        Api::new(&self.hosts[index].caller_address, CALLER_KEY)
+    }
+
+    /// Callers' addresses of all hosts that run.
+    pub(crate) fn caller_addresses(&self) -> Vec<String> {
+        let running = self.hosts.iter().filter(|host| host.process.is_some());
+        running.map(|host| host.caller_address.clone()).collect()
+    }
+
+    /// Starts a host's process again.
+    ///
+    /// # Errors
+    /// Fails if the process does not start.
+    pub(crate) fn start_host(&mut self, index: usize) -> anyhow::Result<()> {
+        let host = &mut self.hosts[index];
+        let arguments = vec![
+            "--settings".to_owned(),
+            host.settings_file.display().to_string(),
+        ];
+        host.process = Some(Process::start(
+            &host.name,
+            "bambood",
+            &arguments,
+            self.shows_logs,
+        )?);
+        Ok(())
+    }
+
+    /// Starts an engine's process again.
+    ///
+    /// # Errors
+    /// Fails if the process does not start.
+    pub(crate) fn start_engine(&mut self, index: usize) -> anyhow::Result<()> {
+        let engine = &mut self.engines[index];
+        engine.process = Some(Process::start(
+            &engine.name,
+            "bamboo-standin",
+            &engine.arguments,
+            self.shows_logs,
+        )?);
+        Ok(())
+    }
+
+    /// Sets faults of the platform.
+    ///
+    /// # Errors
+    /// Fails if the platform does not answer.
+    pub(crate) async fn platform_faults(&self, faults: Value) -> anyhow::Result<()> {
+        Api::new(&self.platform_address, "")
+            .put("/admin/faults", faults.to_string())
+            .await?;
+        Ok(())
+    }
+
+    /// Publishes the list of hosts, without those named as gone.
+    ///
+    /// # Errors
+    /// Fails if the platform does not answer.
+    pub(crate) async fn publish_hosts(&self, gone: &[usize]) -> anyhow::Result<()> {
+        let listed = self
+            .hosts
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| !gone.contains(index));
+        let rows: Vec<Value> = listed
+            .map(|(_, host)| {
+                json!({
+                    "host": host.name, "data_centre": host.data_centre, "peer_address": host.peer_address
+                })
+            })
+            .collect();
+        let list = json!({ "hosts": rows, "leaving_servers": [] });
+        Api::new(&self.platform_address, "")
+            .put("/admin/hosts", list.to_string())
+            .await?;
+        Ok(())
+    }
+
+    /// Waits until every running host is ready and knows all others.
+    ///
+    /// # Errors
+    /// Fails if that takes too long.
+    pub(crate) async fn wait_ready(&self) -> anyhow::Result<()> {
+        let until = Instant::now() + READY_MAX;
+        for index in 0..self.hosts.len() {
+            if self.hosts[index].process.is_none() {
+                continue;
+            }
+            loop {
+                let status = self
+                    .operator(index)
+                    .get("/api/v1/status")
+                    .await
+                    .unwrap_or(Value::Null);
+                if status["is_ready"] == true {
+                    break;
+                }
+                anyhow::ensure!(
+                    Instant::now() < until,
+                    "host {} did not become ready",
+                    self.hosts[index].name
+                );
+                actix_rt::time::sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn start_servers(&mut self) -> anyhow::Result<()> {
+        for index in 0..self.deployment.engine_count {
+            let address = free_address()?;
+            let name = format!("{}-{index}", self.deployment.model);
+            let mut arguments = words(&["engine", "--listen", &address, "--name", &name]);
+            arguments.extend(words(&["--model", self.deployment.model]));
+            if index.is_multiple_of(2) {
+                arguments.push("--checks-fencing".to_owned());
+            }
+            self.engines.push(Server {
+                name,
+                address,
+                arguments,
+                process: None,
+            });
+            self.start_engine(index)?;
+        }
+        for index in 0..self.deployment.plain_count {
+            let address = free_address()?;
+            let name = format!("{}-{index}", self.deployment.service);
+            let arguments = words(&["plain", "--listen", &address, "--name", &name]);
+            let process = Some(Process::start(
+                &name,
+                "bamboo-standin",
+                &arguments,
+                self.shows_logs,
+            )?);
+            self.plains.push(Server {
+                name,
+                address,
+                arguments,
+                process,
+            });
+        }
+        Ok(())
+    }
+
+    fn start_hosts(&mut self) -> anyhow::Result<()> {
+        for index in 0..self.deployment.host_count {
+            let name = format!("host-{index}");
+            let data_centre = self.deployment.data_centre(index).to_owned();
+            let host = Host {
+                caller_address: free_address()?,
+                operator_address: free_address()?,
+                peer_address: free_address()?,
+                settings_file: self.folder.join(format!("{name}.toml")),
+                name,
+                data_centre,
+                process: None,
+            };
+            std::fs::write(&host.settings_file, self.settings_of(&host))
+                .context("settings file")?;
+            self.hosts.push(host);
+            self.start_host(index)?;
+        }
+        Ok(())
+    }
+
+    fn settings_of(&self, host: &Host) -> String {
+        let platform = &self.platform_address;
+        format!(
+            "[host]\nid = \"{}\"\ndata_centre = \"{}\"\n\n\
+             [listen]\ncaller = \"{}\"\noperator = \"{}\"\npeer = \"{}\"\n\n\
+             [keys]\noperator_sha256 = \"{}\"\npeer = \"peer-key\"\n\n\
+             [platform]\nlog_url = \"http://{platform}/log\"\nhost_list_url = \"http://{platform}/hosts\"\n\
+             weight_store_url = \"http://{platform}/weights\"\n\n\
+             [log_budget]\nexpected_hosts = {}\n",
+            host.name,
+            host.data_centre,
+            host.caller_address,
+            host.operator_address,
+            host.peer_address,
+            KeyHash::of(OPERATOR_KEY).as_str(),
+            self.deployment.host_count,
+        )
+    }
+
+    async fn apply_resources(&self) -> anyhow::Result<()> {
+        let addresses = |servers: &[Server]| {
+            servers
+                .iter()
+                .map(|server| server.address.clone())
+                .collect::<Vec<_>>()
+        };
+        let resources = self
+            .deployment
+            .resources(&addresses(&self.engines), &addresses(&self.plains));
+        let operator = self.operator(0);
+        let mut revision = 0;
+        for resource in &resources {
+            let path = format!(
+                "/api/v1/resources/{}/{}?based_on=0",
+                resource.kind(),
+                resource.name()
+            );
+            let answer = operator.put(&path, json!(resource).to_string()).await?;
+            revision = answer["revision"].as_u64().unwrap_or(revision);
+        }
+        let offset = operator.get("/api/v1/status").await?["config_offset"]
+            .as_u64()
+            .unwrap_or(0);
+        let until = Instant::now() + READY_MAX;
+        for index in 0..self.hosts.len() {
+            while self.operator(index).get("/api/v1/status").await?["config_offset"].as_u64()
+                < Some(offset)
+            {
+                anyhow::ensure!(
+                    Instant::now() < until,
+                    "configuration is not in force on every host"
+                );
+                actix_rt::time::sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // Settings of a fleet that has ended are of no use; a folder that stays does no harm.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+async fn wait_for(address: &str, path: &str) -> anyhow::Result<()> {
+    let until = Instant::now() + READY_MAX;
+    while Api::new(address, "").get(path).await.is_err() {
+        anyhow::ensure!(Instant::now() < until, "{address} does not answer");
+        actix_rt::time::sleep(POLL).await;
+    }
+    Ok(())
+}
+
+fn words(text: &[&str]) -> Vec<String> {
+    text.iter().map(|word| (*word).to_owned()).collect()
+}
--- a/bamboo-load/src/main.rs
+++ b/bamboo-load/src/main.rs
@@ -1,2 +1,49 @@
-//! x
-fn main() {}
+//! Load, experiments and fault runs, on stand-ins and daemons that it starts as processes.
+
+mod deployment;
+mod fleet;
+mod generate;
+mod online;
+mod process;
+mod quickstart;
+mod report;
+mod run;
+
+use std::process::ExitCode;
+
+use pico_args::Arguments;
+
+const HELP: &str = "\
+Load, experiments and fault runs of bambooroute. Everything it starts is ended when it ends.
+
+USAGE: bamboo-load COMMAND [OPTIONS]
+
+COMMANDS
+  quickstart                 the whole path once: online answer, batch job, results, status, time line
+  fleet                      start a fleet, print its addresses, run until interrupted
+  run                        online alone, batch alone and both; prints throughput and percentiles
+OPTIONS
+  --deployment quito|bangkok|small   sizes of the fleet [small]
+  --hosts N                  hosts [3 for small, 12 otherwise]
+  --seconds N                length of each part of a run [10]
+  --rate X                   online requests a second [20]
+  --items N                  batch items [2000]
+  --seed N                   seed of all randomness [1]
+  --logs                     show the daemons' logs
+";
+
+fn main() -> anyhow::Result<ExitCode> {
+    let mut arguments = Arguments::from_env();
+    let command = arguments.subcommand()?;
+    if arguments.contains(["-h", "--help"]) || command.is_none() {
+        print!("{HELP}");
+        return Ok(ExitCode::SUCCESS);
+    }
+    let system = actix_rt::System::new();
+    match command.as_deref().unwrap_or_default() {
+        "quickstart" => system.block_on(quickstart::quickstart(arguments)),
+        "fleet" => system.block_on(run::hold(arguments)),
+        "run" => system.block_on(run::run(arguments)),
+        other => anyhow::bail!("unknown command '{other}'; see bamboo-load --help"),
+    }
+}
--- /dev/null
+++ b/bamboo-load/src/online.rs
@@ -0,0 +1,146 @@
+//! Online load: open-loop arrivals of streamed requests, with times to and between tokens.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use awc::Client;
+use futures_util::StreamExt;
+use hdrhistogram::Histogram;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::deployment::CALLER_KEY;
+use crate::generate::gap;
+use crate::generate::prompt;
+
+/// Longest time that is measured, microseconds.
+const MAX_US: u64 = 600_000_000;
+/// Time for one request.
+const TIMEOUT: Duration = Duration::from_secs(60);
+
+/// What an online load saw.
+#[derive(Debug)]
+pub(crate) struct OnlineResult {
+    pub(crate) sent_count: u64,
+    pub(crate) whole_count: u64,
+    pub(crate) refused_count: u64,
+    pub(crate) broken_count: u64,
+    pub(crate) token_count: u64,
+    pub(crate) first_token_us: Histogram<u64>,
+    pub(crate) between_tokens_us: Histogram<u64>,
+}
+
+impl OnlineResult {
+    fn new() -> anyhow::Result<Self> {
+        Ok(OnlineResult {
+            sent_count: 0,
+            whole_count: 0,
+            refused_count: 0,
+            broken_count: 0,
+            token_count: 0,
+            first_token_us: Histogram::new_with_max(MAX_US, 3)?,
+            between_tokens_us: Histogram::new_with_max(MAX_US, 3)?,
+        })
+    }
+}
+
+/// Online load of one kind.
+#[derive(Debug, Clone)]
+pub(crate) struct OnlineLoad {
+    pub(crate) addresses: Vec<String>,
+    pub(crate) model: &'static str,
+    pub(crate) rate_per_s: f64,
+    pub(crate) duration: Duration,
+    pub(crate) max_tokens: usize,
+    pub(crate) seed: u64,
+}
+
+/// Sends requests at the load's rate and waits for all answers.
+///
+/// # Errors
+/// Fails if a histogram cannot be made.
+pub(crate) async fn run_online(load: OnlineLoad) -> anyhow::Result<OnlineResult> {
+    let result = Rc::new(RefCell::new(OnlineResult::new()?));
+    let client = Client::builder().timeout(TIMEOUT).finish();
+    let mut rng = ChaCha8Rng::seed_from_u64(load.seed);
+    let started_at = Instant::now();
+    let mut due = Duration::ZERO;
+    let mut tasks = Vec::new();
+    for number in 0.. {
+        due += gap(&mut rng, load.rate_per_s);
+        if due >= load.duration {
+            break;
+        }
+        let body = json!({
+            "model": load.model, "prompt": prompt(&mut rng), "max_tokens": load.max_tokens, "stream": true
+        });
+        actix_rt::time::sleep_until((started_at + due).into()).await;
+        let address = load.addresses[number % load.addresses.len()].clone();
+        tasks.push(actix_rt::spawn(send(
+            client.clone(),
+            address,
+            body,
+            Rc::clone(&result),
+        )));
+    }
+    for task in tasks {
+        task.await?;
+    }
+    let result =
+        Rc::try_unwrap(result).map_err(|_| anyhow::anyhow!("a request still holds the result"))?;
+    Ok(result.into_inner())
+}
+
+async fn send(client: Client, address: String, body: Value, result: Rc<RefCell<OnlineResult>>) {
+    result.borrow_mut().sent_count += 1;
+    let started_at = Instant::now();
+    let request = client
+        .post(format!("http://{address}/v1/completions"))
+        .bearer_auth(CALLER_KEY);
+    let mut response = match request.send_json(&body).await {
+        Ok(response) if response.status().is_success() => response,
+        Ok(response) if matches!(response.status().as_u16(), 429 | 503 | 504) => {
+            result.borrow_mut().refused_count += 1;
+            return;
+        }
+        _ => {
+            result.borrow_mut().broken_count += 1;
+            return;
+        }
+    };
+    let mut last_at = started_at;
+    let mut is_first = true;
+    let mut tail = Vec::new();
+    while let Some(Ok(piece)) = response.next().await {
+        let now = Instant::now();
+        let elapsed_us = (now - last_at).as_micros() as u64;
+        let mut result = result.borrow_mut();
+        let events = piece
+            .windows(6)
+            .filter(|window| *window == b"data: ")
+            .count() as u64;
+        result.token_count += events;
+        let histogram = if is_first {
+            &mut result.first_token_us
+        } else {
+            &mut result.between_tokens_us
+        };
+        histogram.saturating_record(elapsed_us);
+        is_first = false;
+        last_at = now;
+        tail.extend_from_slice(&piece);
+        let keep_from = tail.len().saturating_sub(64);
+        tail.drain(..keep_from);
+    }
+    let mut result = result.borrow_mut();
+    if tail.ends_with(b"data: [DONE]\n\n") {
+        result.whole_count += 1;
+        result.token_count -= 1;
+    } else {
+        result.broken_count += 1;
+    }
+}
--- /dev/null
+++ b/bamboo-load/src/process.rs
@@ -0,0 +1,99 @@
+//! Processes that this tool starts, and ends by their own identity.
+
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use anyhow::Context;
+
+/// A started process. It is ended when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Process {
+    pub(crate) name: String,
+    child: Child,
+}
+
+impl Process {
+    /// Starts a binary that lies beside this one.
+    ///
+    /// # Errors
+    /// Fails if the binary cannot be started.
+    pub(crate) fn start(
+        name: &str,
+        binary: &str,
+        arguments: &[String],
+        shows_logs: bool,
+    ) -> anyhow::Result<Self> {
+        let output = || {
+            if shows_logs {
+                Stdio::inherit()
+            } else {
+                Stdio::null()
+            }
+        };
+        let path = binary_path(binary)?;
+        let child = Command::new(&path)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(output())
+            .stderr(output())
+            .spawn()
+            .with_context(|| format!("cannot start {}", path.display()))?;
+        Ok(Process {
+            name: name.to_owned(),
+            child,
+        })
+    }
+
+    /// Ends the process at once, as a lost host does.
+    pub(crate) fn kill(&mut self) {
+        // A process that has ended already needs no end.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends a signal by name.
+    ///
+    /// # Errors
+    /// Fails if `kill` cannot be run.
+    pub(crate) fn signal(&self, signal: &str) -> anyhow::Result<()> {
+        let id = self.child.id().to_string();
+        Command::new("kill")
+            .args([format!("-{signal}"), id])
+            .status()
+            .context("kill")?;
+        Ok(())
+    }
+
+    /// Whether the process has ended, and how.
+    pub(crate) fn try_wait(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Path of a binary beside this one.
+///
+/// # Errors
+/// Fails if this process does not know its own path.
+pub(crate) fn binary_path(binary: &str) -> anyhow::Result<PathBuf> {
+    let own = std::env::current_exe().context("own path")?;
+    let folder = own.parent().context("folder of the own path")?;
+    Ok(folder.join(binary))
+}
+
+/// A loopback address that is free now.
+///
+/// # Errors
+/// Fails if no port is free.
+pub(crate) fn free_address() -> anyhow::Result<String> {
+    let listener = TcpListener::bind("127.0.0.1:0").context("no free port")?;
+    Ok(listener.local_addr()?.to_string())
+}
--- /dev/null
+++ b/bamboo-load/src/report.rs
@@ -0,0 +1,52 @@
+//! Prints what a load saw.
+
+use hdrhistogram::Histogram;
+
+use crate::online::OnlineResult;
+
+/// Headings of the online table.
+const HEADINGS: &str = "part            sent  whole refused broken | first token ms: p50    p95    p99 \
+                        | between ms: p50    p95    p99 | online tok/s  batch items/s";
+
+/// Prints the headings.
+pub(crate) fn print_headings() {
+    println!("{HEADINGS}");
+}
+
+/// Prints one part of a run.
+pub(crate) fn print_part(
+    part: &str,
+    online: Option<&OnlineResult>,
+    seconds: f64,
+    items_per_s: Option<f64>,
+) {
+    let items = items_per_s.map_or("-".to_owned(), |rate| format!("{rate:.1}"));
+    let Some(online) = online else {
+        println!(
+            "{part:<14} {:>5} {:>6} {:>7} {:>6} | {:>36} | {:>30} | {:>12}  {items:>13}",
+            "-", "-", "-", "-", "-", "-", "-"
+        );
+        return;
+    };
+    println!(
+        "{part:<14} {:>5} {:>6} {:>7} {:>6} | {:>20} {:>6} {:>8} | {:>14} {:>6} {:>8} | {:>12.0}  {items:>13}",
+        online.sent_count,
+        online.whole_count,
+        online.refused_count,
+        online.broken_count,
+        percentile_ms(&online.first_token_us, 50.0),
+        percentile_ms(&online.first_token_us, 95.0),
+        percentile_ms(&online.first_token_us, 99.0),
+        percentile_ms(&online.between_tokens_us, 50.0),
+        percentile_ms(&online.between_tokens_us, 95.0),
+        percentile_ms(&online.between_tokens_us, 99.0),
+        online.token_count as f64 / seconds,
+    );
+}
+
+fn percentile_ms(histogram: &Histogram<u64>, percentile: f64) -> String {
+    format!(
+        "{:.1}",
+        histogram.value_at_percentile(percentile) as f64 / 1000.0
+    )
+}
--- /dev/null
+++ b/bamboo-load/src/run.rs
@@ -0,0 +1,177 @@
+//! Online alone, batch alone and both, on real processes.
+
+use std::process::ExitCode;
+use std::time::Duration;
+use std::time::Instant;
+
+use bamboo_client::Upload;
+use pico_args::Arguments;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
+
+use crate::deployment::Deployment;
+use crate::fleet::Fleet;
+use crate::generate::items;
+use crate::online::OnlineLoad;
+use crate::online::run_online;
+use crate::report::print_headings;
+use crate::report::print_part;
+
+/// Longest answer of an online request, tokens.
+const ONLINE_MAX_TOKENS: usize = 64;
+/// Longest answer of a batch item, tokens.
+const BATCH_MAX_TOKENS: usize = 96;
+/// Interval of progress lines.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(5);
+
+/// What the command line says about a fleet and its load.
+#[derive(Debug, Clone)]
+pub(crate) struct RunOptions {
+    pub(crate) deployment: Deployment,
+    pub(crate) duration: Duration,
+    pub(crate) rate_per_s: f64,
+    pub(crate) item_count: usize,
+    pub(crate) seed: u64,
+    pub(crate) shows_logs: bool,
+}
+
+impl RunOptions {
+    /// Reads the options that fleets and loads have in common.
+    ///
+    /// # Errors
+    /// Fails for values that do not fit.
+    pub(crate) fn read(arguments: &mut Arguments) -> anyhow::Result<Self> {
+        let name: Option<String> = arguments.opt_value_from_str("--deployment")?;
+        let mut deployment = Deployment::named(name.as_deref().unwrap_or("small"))?;
+        if let Some(hosts) = arguments.opt_value_from_str("--hosts")? {
+            deployment.host_count = hosts;
+        }
+        Ok(RunOptions {
+            deployment,
+            duration: Duration::from_secs(arguments.opt_value_from_str("--seconds")?.unwrap_or(10)),
+            rate_per_s: arguments.opt_value_from_str("--rate")?.unwrap_or(20.0),
+            item_count: arguments.opt_value_from_str("--items")?.unwrap_or(2000),
+            seed: arguments.opt_value_from_str("--seed")?.unwrap_or(1),
+            shows_logs: arguments.contains("--logs"),
+        })
+    }
+}
+
+/// `bamboo-load fleet`.
+///
+/// # Errors
+/// Fails if the fleet does not start.
+pub(crate) async fn hold(mut arguments: Arguments) -> anyhow::Result<ExitCode> {
+    let options = RunOptions::read(&mut arguments)?;
+    let fleet = Fleet::start(options.deployment, options.shows_logs).await?;
+    println!("platform {}", fleet.platform_address);
+    for host in &fleet.hosts {
+        println!(
+            "{} callers {} operators {}",
+            host.name, host.caller_address, host.operator_address
+        );
+    }
+    for server in fleet.engines.iter().chain(&fleet.plains) {
+        println!("{} {}", server.name, server.address);
+    }
+    println!(
+        "operators' key {}  caller's key {}",
+        crate::fleet::OPERATOR_KEY,
+        crate::deployment::CALLER_KEY
+    );
+    println!("running until interrupted");
+    tokio::signal::ctrl_c().await?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// `bamboo-load run`.
+///
+/// # Errors
+/// Fails if the fleet does not start or a job is not accepted.
+pub(crate) async fn run(mut arguments: Arguments) -> anyhow::Result<ExitCode> {
+    let options = RunOptions::read(&mut arguments)?;
+    anyhow::ensure!(
+        arguments.finish().is_empty(),
+        "unknown arguments; see --help"
+    );
+    let fleet = Fleet::start(options.deployment.clone(), options.shows_logs).await?;
+    println!(
+        "{} hosts, {} engines, online {} requests/s for {:?} a part, seed {}",
+        fleet.hosts.len(),
+        fleet.engines.len(),
+        options.rate_per_s,
+        options.duration,
+        options.seed
+    );
+    print_headings();
+    let seconds = options.duration.as_secs_f64();
+    let load = online_load(&fleet, &options);
+    let alone = run_online(load.clone()).await?;
+    print_part("online alone", Some(&alone), seconds, None);
+    let batch = run_batch_for(&fleet, &options, 2, options.duration).await?;
+    print_part("batch alone", None, seconds, Some(batch));
+    let (both, batch) = tokio::join!(
+        run_online(load),
+        run_batch_for(&fleet, &options, 3, options.duration)
+    );
+    print_part("both", Some(&both?), seconds, Some(batch?));
+    Ok(ExitCode::SUCCESS)
+}
+
+/// The online load of a fleet.
+pub(crate) fn online_load(fleet: &Fleet, options: &RunOptions) -> OnlineLoad {
+    OnlineLoad {
+        addresses: fleet.caller_addresses(),
+        model: fleet.deployment.model,
+        rate_per_s: options.rate_per_s,
+        duration: options.duration,
+        max_tokens: ONLINE_MAX_TOKENS,
+        seed: options.seed,
+    }
+}
+
+/// Submits a job, counts its items for a time, and cancels it. Returns items a second.
+async fn run_batch_for(
+    fleet: &Fleet,
+    options: &RunOptions,
+    part: u64,
+    duration: Duration,
+) -> anyhow::Result<f64> {
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed ^ (part << 32));
+    let body = items(
+        &mut rng,
+        fleet.deployment.model,
+        options.item_count,
+        BATCH_MAX_TOKENS,
+    );
+    let api = fleet.caller(0);
+    let job = api
+        .submit(Upload {
+            body: body.into(),
+            key: None,
+            query: String::new(),
+        })
+        .await?;
+    let id = job["id"].as_str().unwrap_or_default().to_owned();
+    let started_at = Instant::now();
+    let mut shown_at = started_at;
+    loop {
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        let view = api.get(&format!("/v1/batches/{id}")).await?;
+        let done = view["request_counts"]["completed"].as_u64().unwrap_or(0);
+        if shown_at.elapsed() >= PROGRESS_INTERVAL {
+            shown_at = Instant::now();
+            eprintln!("  batch: {done} of {} items", options.item_count);
+        }
+        if view["status"] != "in_progress" && view["status"] != "queued"
+            || started_at.elapsed() >= duration
+        {
+            let rate = done as f64 / started_at.elapsed().as_secs_f64();
+            let _: Value = api
+                .post(&format!("/v1/batches/{id}/cancel"), String::new())
+                .await?;
+            return Ok(rate);
+        }
+    }
+}
--- a/bamboo-log/src/appender.rs
+++ b/bamboo-log/src/appender.rs
@@ -135,7 +135,11 @@
 
 impl Queue {
     fn unconfirmed(&self) -> usize {
-        self.waiting.len() + self.in_flight.as_ref().map_or(0, |group| group.count as usize)
+        self.waiting.len()
+            + self
+                .in_flight
+                .as_ref()
+                .map_or(0, |group| group.count as usize)
     }
 }
 
@@ -177,7 +181,9 @@
                 self.stream_budgets.remove(&stream);
             }
             Some(rate) => {
-                self.stream_budgets.entry(stream).or_insert_with(|| TokenBucket::new(rate, rate.max(1.0)));
+                self.stream_budgets
+                    .entry(stream)
+                    .or_insert_with(|| TokenBucket::new(rate, rate.max(1.0)));
             }
         }
     }
@@ -202,7 +208,11 @@
         }
         queue.next_sequence += 1;
         let sequence = queue.next_sequence;
-        queue.waiting.push_back(Waiting { sequence, body, given_at: now });
+        queue.waiting.push_back(Waiting {
+            sequence,
+            body,
+            given_at: now,
+        });
         Some(Ticket { stream, sequence })
     }
 
@@ -213,7 +223,9 @@
         for stream in streams {
             match self.next_of(now, stream) {
                 NextAppend::Idle => {}
-                NextAppend::WaitUntil(at) => wake = Some(wake.map_or(at, |earlier| earlier.min(at))),
+                NextAppend::WaitUntil(at) => {
+                    wake = Some(wake.map_or(at, |earlier| earlier.min(at)))
+                }
                 send @ NextAppend::Send { .. } => return send,
             }
         }
@@ -221,12 +233,19 @@
     }
 
     fn next_of(&mut self, now: Now, stream: StreamId) -> NextAppend {
-        let budget = self.stream_budgets.get_mut(&stream).unwrap_or(&mut self.host_budget);
+        let budget = self
+            .stream_budgets
+            .get_mut(&stream)
+            .unwrap_or(&mut self.host_budget);
         let is_low = budget.fill_share(now) < LOW_BUDGET_SHARE;
         let Some(queue) = self.queues.get_mut(&stream) else {
             return NextAppend::Idle;
         };
-        if queue.in_flight.as_ref().is_some_and(|in_flight| in_flight.is_sent) {
+        if queue
+            .in_flight
+            .as_ref()
+            .is_some_and(|in_flight| in_flight.is_sent)
+        {
             return NextAppend::Idle;
         }
         if queue.in_flight.is_none() && queue.waiting.is_empty() {
@@ -236,22 +255,40 @@
             return NextAppend::WaitUntil(queue.not_before);
         }
         if is_low && queue.in_flight.is_none() {
-            let due = queue.waiting.front().map_or(now, |first| first.given_at + self.options.gather);
-            let size: usize = queue.waiting.iter().map(|waiting| estimated_bytes(&waiting.body)).sum();
+            let due = queue
+                .waiting
+                .front()
+                .map_or(now, |first| first.given_at + self.options.gather);
+            let size: usize = queue
+                .waiting
+                .iter()
+                .map(|waiting| estimated_bytes(&waiting.body))
+                .sum();
             if now < due && size < self.options.group_max_bytes {
                 return NextAppend::WaitUntil(due);
             }
         }
         if !budget.try_take(now, 1.0) {
-            return NextAppend::WaitUntil(now + budget.time_until(now, 1.0).max(Duration::from_millis(1)));
+            return NextAppend::WaitUntil(
+                now + budget.time_until(now, 1.0).max(Duration::from_millis(1)),
+            );
         }
         if queue.in_flight.is_none() {
-            queue.in_flight = Some(form_group(now, &self.host, self.incarnation, queue, self.options.group_max_bytes));
+            queue.in_flight = Some(form_group(
+                now,
+                &self.host,
+                self.incarnation,
+                queue,
+                self.options.group_max_bytes,
+            ));
         }
         match queue.in_flight.as_mut() {
             Some(in_flight) => {
                 in_flight.is_sent = true;
-                NextAppend::Send { stream, bytes: in_flight.bytes.clone() }
+                NextAppend::Send {
+                    stream,
+                    bytes: in_flight.bytes.clone(),
+                }
             }
             None => NextAppend::Idle,
         }
@@ -260,7 +297,13 @@
     /// Takes the answer to the stream's append in flight and tells which records are stored.
     ///
     /// `random` spreads the retries of many hosts.
-    pub fn answered(&mut self, now: Now, stream: StreamId, answer: AppendAnswer, random: u64) -> Vec<Stored> {
+    pub fn answered(
+        &mut self,
+        now: Now,
+        stream: StreamId,
+        answer: AppendAnswer,
+        random: u64,
+    ) -> Vec<Stored> {
         let Some(queue) = self.queues.get_mut(&stream) else {
             return Vec::new();
         };
@@ -297,7 +340,11 @@
         let Some(queue) = self.queues.get_mut(&ticket.stream) else {
             return Withdrawal::Stored;
         };
-        if let Some(index) = queue.waiting.iter().position(|waiting| waiting.sequence == ticket.sequence) {
+        if let Some(index) = queue
+            .waiting
+            .iter()
+            .position(|waiting| waiting.sequence == ticket.sequence)
+        {
             queue.waiting.remove(index);
             return Withdrawal::NeverSent;
         }
@@ -324,12 +371,17 @@
     /// assert!(!appender.is_failing(StreamId::Config));
     /// ```
     pub fn is_failing(&self, stream: StreamId) -> bool {
-        self.queues.get(&stream).is_some_and(|queue| queue.failures >= 2)
+        self.queues
+            .get(&stream)
+            .is_some_and(|queue| queue.failures >= 2)
     }
 
     /// Time until the next try on a failing stream.
     pub fn retry_after(&self, now: Now, stream: StreamId) -> Duration {
-        let not_before = self.queues.get(&stream).map_or(Duration::ZERO, |queue| queue.not_before);
+        let not_before = self
+            .queues
+            .get(&stream)
+            .map_or(Duration::ZERO, |queue| queue.not_before);
         not_before.saturating_sub(now).max(Duration::from_secs(1))
     }
 
@@ -352,7 +404,8 @@
     while let Some(waiting) = queue.waiting.front() {
         let bytes = estimated_bytes(&waiting.body);
         // A withdrawn record leaves a gap, and the records of one entry are consecutive.
-        let is_consecutive = bodies.is_empty() || waiting.sequence == first_sequence + bodies.len() as u64;
+        let is_consecutive =
+            bodies.is_empty() || waiting.sequence == first_sequence + bodies.len() as u64;
         if !bodies.is_empty() && (size + bytes > max_bytes || !is_consecutive) {
             break;
         }
@@ -365,22 +418,42 @@
         }
     }
     let count = bodies.len() as u64;
-    let entry = Entry { host: host.clone(), incarnation, at_ms: millis(now), first_sequence, bodies };
+    let entry = Entry {
+        host: host.clone(),
+        incarnation,
+        at_ms: millis(now),
+        first_sequence,
+        bodies,
+    };
     let bytes = WireEntry::from(&entry).bytes;
-    InFlight { bytes, first_sequence, count, is_sent: false, was_ever_unknown: false }
+    InFlight {
+        bytes,
+        first_sequence,
+        count,
+        is_sent: false,
+        was_ever_unknown: false,
+    }
 }
 
 fn stored_records(stream: StreamId, offset: Offset, in_flight: &InFlight) -> Vec<Stored> {
     (0..in_flight.count)
         .map(|slot| Stored {
-            ticket: Ticket { stream, sequence: in_flight.first_sequence + slot },
-            position: Position { offset, slot: slot as u32 },
+            ticket: Ticket {
+                stream,
+                sequence: in_flight.first_sequence + slot,
+            },
+            position: Position {
+                offset,
+                slot: slot as u32,
+            },
         })
         .collect()
 }
 
 fn backoff(failures: u32, random: u64) -> Duration {
-    let full = BACKOFF_FIRST.saturating_mul(1 << failures.min(7)).min(BACKOFF_MAX);
+    let full = BACKOFF_FIRST
+        .saturating_mul(1 << failures.min(7))
+        .min(BACKOFF_MAX);
     let share = (random % 1000) as u32;
     full / 2 + full / 2 * share / 1000
 }
@@ -389,9 +462,10 @@
     const OVERHEAD_BYTES: usize = 64;
     OVERHEAD_BYTES
         + match body {
-            Body::Chunk { items, .. } | Body::CarriedChunk { items, .. } => {
-                items.iter().map(|item| item.custom_id.len() + item.body_json.len() + 8).sum()
-            }
+            Body::Chunk { items, .. } | Body::CarriedChunk { items, .. } => items
+                .iter()
+                .map(|item| item.custom_id.len() + item.body_json.len() + 8)
+                .sum(),
             Body::Outcomes { outcomes, .. } | Body::Carried { outcomes, .. } => {
                 outcomes.iter().map(outcome_bytes).sum()
             }
--- a/bamboo-log/src/dedupe.rs
+++ b/bamboo-log/src/dedupe.rs
@@ -65,6 +65,8 @@
 
     /// A table of these writers.
     pub fn from_writers(writers: Vec<(Writer, u64)>) -> Self {
-        Dedupe { highest: writers.into_iter().collect() }
+        Dedupe {
+            highest: writers.into_iter().collect(),
+        }
     }
 }
--- a/bamboo-log/src/reader.rs
+++ b/bamboo-log/src/reader.rs
@@ -72,7 +72,14 @@
     /// assert_eq!(reader.next(std::time::Duration::ZERO), read);
     /// ```
     pub fn new(stream: StreamId, from: Offset) -> Self {
-        Reader { stream, next: from, tail: None, is_reading: false, failures: 0, not_before: Duration::ZERO }
+        Reader {
+            stream,
+            next: from,
+            tail: None,
+            is_reading: false,
+            failures: 0,
+            not_before: Duration::ZERO,
+        }
     }
 
     /// Chooses the next read.
@@ -84,7 +91,10 @@
             return NextRead::WaitUntil(self.not_before);
         }
         self.is_reading = true;
-        NextRead::Read { stream: self.stream, from: self.next }
+        NextRead::Read {
+            stream: self.stream,
+            from: self.next,
+        }
     }
 
     /// Takes the answer to the read in flight.
@@ -94,7 +104,11 @@
         let has_gap = answer.oldest > self.next;
         self.next = self.next.max(answer.oldest);
         let first = self.next;
-        let entries: Vec<_> = answer.entries.into_iter().filter(|(offset, _)| *offset >= first).collect();
+        let entries: Vec<_> = answer
+            .entries
+            .into_iter()
+            .filter(|(offset, _)| *offset >= first)
+            .collect();
         if let Some((offset, _)) = entries.last() {
             self.next = offset + 1;
         }
@@ -109,7 +123,9 @@
     /// Notes that the read in flight failed.
     pub fn failed(&mut self, now: Now, random: u64) {
         self.is_reading = false;
-        let full = BACKOFF_FIRST.saturating_mul(1 << self.failures.min(6)).min(BACKOFF_MAX);
+        let full = BACKOFF_FIRST
+            .saturating_mul(1 << self.failures.min(6))
+            .min(BACKOFF_MAX);
         self.failures += 1;
         self.not_before = now + full / 2 + full / 2 * (random % 1000) as u32 / 1000;
     }
--- a/bamboo-member/src/claim.rs
+++ b/bamboo-member/src/claim.rs
@@ -18,7 +18,10 @@
 
 impl Default for ClaimOptions {
     fn default() -> Self {
-        ClaimOptions { wait_min: Duration::from_millis(300), random_wait_max: Duration::from_millis(300) }
+        ClaimOptions {
+            wait_min: Duration::from_millis(300),
+            random_wait_max: Duration::from_millis(300),
+        }
     }
 }
 
@@ -104,7 +107,11 @@
     pub fn claim_read(&mut self, host: &str, incarnation: Incarnation, epoch: Offset) {
         let was_mine = self.epoch().is_some();
         let is_mine = host == self.host && incarnation == self.incarnation;
-        self.holder = Some(Holder { host: host.to_owned(), incarnation, epoch });
+        self.holder = Some(Holder {
+            host: host.to_owned(),
+            incarnation,
+            epoch,
+        });
         if is_mine {
             self.is_claim_sent = false;
             self.stood_down_to = None;
@@ -115,7 +122,11 @@
 
     /// Takes a release read from the stream.
     pub fn release_read(&mut self, epoch: Offset) {
-        if self.holder.as_ref().is_some_and(|holder| holder.epoch == epoch) {
+        if self
+            .holder
+            .as_ref()
+            .is_some_and(|holder| holder.epoch == epoch)
+        {
             self.holder = None;
         }
     }
@@ -153,11 +164,19 @@
     {
         if let Some(epoch) = self.epoch() {
             self.wanted = None;
-            return if wish.may_own { ClaimStep::Own(epoch) } else { ClaimStep::Release(epoch) };
+            return if wish.may_own {
+                ClaimStep::Own(epoch)
+            } else {
+                ClaimStep::Release(epoch)
+            };
         }
         if !wish.may_own || !wish.is_first || self.defers_to_holder(&is_answering) {
             self.wanted = None;
-            return if wish.may_own && wish.is_first { ClaimStep::Follow } else { ClaimStep::Stand };
+            return if wish.may_own && wish.is_first {
+                ClaimStep::Follow
+            } else {
+                ClaimStep::Stand
+            };
         }
         if self.is_claim_sent {
             return ClaimStep::AwaitClaim;
@@ -185,7 +204,10 @@
         let options = &self.options;
         let wanted = self.wanted.get_or_insert_with(|| {
             let random_wait = options.random_wait_max * (random % 1000) as u32 / 1000;
-            Wanted { since: now, wait: options.wait_min + random_wait }
+            Wanted {
+                since: now,
+                wait: options.wait_min + random_wait,
+            }
         });
         now.saturating_sub(wanted.since) >= wanted.wait
     }
--- a/bamboo-member/src/lease.rs
+++ b/bamboo-member/src/lease.rs
@@ -27,7 +27,11 @@
     /// assert!(lease.is_over_for_successor(Duration::from_secs(11)));
     /// ```
     pub fn new(started_at: Now, duration: Duration, margin: Duration) -> Self {
-        Lease { started_at, duration, margin }
+        Lease {
+            started_at,
+            duration,
+            margin,
+        }
     }
 
     /// Whether the holder may still send.
--- a/bamboo-member/src/view.rs
+++ b/bamboo-member/src/view.rs
@@ -40,7 +40,9 @@
 
 impl Default for MemberViewOptions {
     fn default() -> Self {
-        MemberViewOptions { suspect_after: Duration::from_secs(2) }
+        MemberViewOptions {
+            suspect_after: Duration::from_secs(2),
+        }
     }
 }
 
@@ -71,15 +73,22 @@
     /// assert_eq!(view.live(std::time::Duration::ZERO), vec!["h1".to_string()]);
     /// ```
     pub fn new(me: HostId, options: MemberViewOptions) -> Self {
-        MemberView { me, options, peers: BTreeMap::new(), is_draining: false }
+        MemberView {
+            me,
+            options,
+            peers: BTreeMap::new(),
+            is_draining: false,
+        }
     }
 
     /// Takes the platform's list.
     pub fn listed(&mut self, now: Now, entries: Vec<HostEntry>) {
-        let names: std::collections::BTreeSet<HostId> = entries.iter().map(|entry| entry.host.clone()).collect();
+        let names: std::collections::BTreeSet<HostId> =
+            entries.iter().map(|entry| entry.host.clone()).collect();
         let suspect_after = self.options.suspect_after;
         // The list lags, so a host that still answers stays although it is not listed.
-        self.peers.retain(|host, peer| names.contains(host) || is_heard(peer, now, suspect_after));
+        self.peers
+            .retain(|host, peer| names.contains(host) || is_heard(peer, now, suspect_after));
         for entry in entries {
             if entry.host == self.me {
                 continue;
@@ -87,8 +96,13 @@
             match self.peers.get_mut(&entry.host) {
                 Some(peer) => peer.entry = entry,
                 None => {
-                    let peer =
-                        Peer { entry, listed_at: now, heard_at: None, incarnation: 0, is_draining: false };
+                    let peer = Peer {
+                        entry,
+                        listed_at: now,
+                        heard_at: None,
+                        incarnation: 0,
+                        is_draining: false,
+                    };
                     self.peers.insert(peer.entry.host.clone(), peer);
                 }
             }
@@ -96,7 +110,13 @@
     }
 
     /// Notes that a peer spoke. A message of an older incarnation is not counted, and `false` is returned.
-    pub fn heard(&mut self, now: Now, host: &str, incarnation: Incarnation, is_draining: bool) -> bool {
+    pub fn heard(
+        &mut self,
+        now: Now,
+        host: &str,
+        incarnation: Incarnation,
+        is_draining: bool,
+    ) -> bool {
         let Some(peer) = self.peers.get_mut(host) else {
             return true;
         };
@@ -126,8 +146,12 @@
 
     /// Hosts that may own something, in name order.
     pub fn live(&self, now: Now) -> Vec<HostId> {
-        let mut hosts: Vec<HostId> =
-            self.peers.values().filter(|peer| self.may_own(peer, now)).map(|peer| peer.entry.host.clone()).collect();
+        let mut hosts: Vec<HostId> = self
+            .peers
+            .values()
+            .filter(|peer| self.may_own(peer, now))
+            .map(|peer| peer.entry.host.clone())
+            .collect();
         if !self.is_draining {
             hosts.push(self.me.clone());
         }
@@ -138,7 +162,10 @@
     /// Whether a peer answers, also one that is leaving.
     pub fn is_answering(&self, now: Now, host: &str) -> bool {
         host == self.me
-            || self.peers.get(host).is_some_and(|peer| is_heard(peer, now, self.options.suspect_after))
+            || self
+                .peers
+                .get(host)
+                .is_some_and(|peer| is_heard(peer, now, self.options.suspect_after))
     }
 
     /// Whether this run of a host answers.
@@ -160,7 +187,8 @@
     }
 
     fn may_own(&self, peer: &Peer, now: Now) -> bool {
-        let newly_listed = peer.heard_at.is_none() && now.saturating_sub(peer.listed_at) < self.options.suspect_after;
+        let newly_listed = peer.heard_at.is_none()
+            && now.saturating_sub(peer.listed_at) < self.options.suspect_after;
         let answers = newly_listed || is_heard(peer, now, self.options.suspect_after);
         answers && !peer.is_draining && peer.entry.state == HostState::Live
     }
@@ -173,9 +201,13 @@
 /// assert!(bamboo_member::first_in_order(&hosts, "shard-0").is_some());
 /// ```
 pub fn first_in_order<'hosts>(hosts: &'hosts [HostId], thing: &str) -> Option<&'hosts str> {
-    hosts.iter().map(String::as_str).max_by_key(|host| (weight(host, thing), *host))
+    hosts
+        .iter()
+        .map(String::as_str)
+        .max_by_key(|host| (weight(host, thing), *host))
 }
 
 fn is_heard(peer: &Peer, now: Now, suspect_after: Duration) -> bool {
-    peer.heard_at.is_some_and(|at| now.saturating_sub(at) < suspect_after)
+    peer.heard_at
+        .is_some_and(|at| now.saturating_sub(at) < suspect_after)
 }
--- a/bamboo-node/src/batch.rs
+++ b/bamboo-node/src/batch.rs
@@ -64,13 +64,9 @@
         item: WorkItem,
     },
     /// Stop an item's stream and keep its tokens.
-    Stop {
-        run: RunRef,
-    },
+    Stop { run: RunRef },
     /// Forget an item.
-    Drop {
-        run: RunRef,
-    },
+    Drop { run: RunRef },
     /// Cancel all batch requests at a server.
     CancelStrays {
         server: BackendServerId,
@@ -106,7 +102,11 @@
 }
 
 /// Carries out orders until the daemon stops.
-pub(crate) async fn run_batch(shared: Arc<Shared>, control: ControlHandle, mut orders: UnboundedReceiver<BatchOrder>) {
+pub(crate) async fn run_batch(
+    shared: Arc<Shared>,
+    control: ControlHandle,
+    mut orders: UnboundedReceiver<BatchOrder>,
+) {
     let platform = Platform::new(&shared.settings.log_url, &shared.settings.host_list_url);
     let runner = Rc::new(Runner {
         shared,
@@ -163,7 +163,13 @@
     runner.control.tell(Input::ItemEnded { run, end });
 }
 
-async fn attempt(runner: &Runner, run: &RunRef, address: &str, item: &WorkItem, request_id: &str) -> ItemEnd {
+async fn attempt(
+    runner: &Runner,
+    run: &RunRef,
+    address: &str,
+    item: &WorkItem,
+    request_id: &str,
+) -> ItemEnd {
     let body = match runner.item_body(item).await {
         Ok(Some(body)) => body,
         Ok(None) | Err(_) => return ItemEnd::Returned,
@@ -174,14 +180,25 @@
         Err(ItemFailure::BadItem(reason)) => ItemVerdict::ItemFault { reason },
         Err(ItemFailure::Call(CallFailure::NotRun { .. })) => return ItemEnd::Returned,
         Err(ItemFailure::Call(CallFailure::Refused { status, body })) => {
-            let reason = format!("server answered {status}: {}", String::from_utf8_lossy(&body));
+            let reason = format!(
+                "server answered {status}: {}",
+                String::from_utf8_lossy(&body)
+            );
             ItemVerdict::ItemFault { reason }
         }
-        Err(ItemFailure::Call(CallFailure::Unknown { reason, was_server_lost, .. })) => {
-            ItemVerdict::ServerFault { reason, was_server_lost }
-        }
+        Err(ItemFailure::Call(CallFailure::Unknown {
+            reason,
+            was_server_lost,
+            ..
+        })) => ItemVerdict::ServerFault {
+            reason,
+            was_server_lost,
+        },
     };
-    ItemEnd::Verdict { custom_id: body.custom_id.clone(), verdict }
+    ItemEnd::Verdict {
+        custom_id: body.custom_id.clone(),
+        verdict,
+    }
 }
 
 enum ItemFailure {
@@ -208,11 +225,19 @@
     request_id: &str,
 ) -> Result<String, ItemFailure> {
     let name = (item.job, item.item);
-    let mut partial = runner.partials.borrow().get(&name).cloned().unwrap_or_default();
+    let mut partial = runner
+        .partials
+        .borrow()
+        .get(&name)
+        .cloned()
+        .unwrap_or_default();
     let request = ItemRequest::new(body, &partial).map_err(ItemFailure::BadItem)?;
     let until = Instant::now() + RUN_TIMEOUT;
     let mut headers = HeaderMap::new();
-    headers.insert(awc::http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(
+        awc::http::header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
     let call = Call {
         method: Method::POST,
         url: format!("http://{address}{}", request.path),
@@ -254,14 +279,28 @@
 
 impl ItemRequest {
     fn new(item: &ItemBody, partial: &Partial) -> Result<Self, String> {
-        let mut body: Value = serde_json::from_str(&item.body_json).map_err(|error| error.to_string())?;
+        let mut body: Value =
+            serde_json::from_str(&item.body_json).map_err(|error| error.to_string())?;
         let is_chat = body.get("messages").is_some();
         let fields = body.as_object_mut().ok_or("body is no object")?;
         fields.insert("stream".to_owned(), Value::from(true));
         fields.insert("resume_from".to_owned(), Value::from(partial.token_count));
-        let model = fields.get("model").and_then(Value::as_str).unwrap_or_default().to_owned();
-        let path = if is_chat { "/v1/chat/completions" } else { "/v1/completions" };
-        Ok(ItemRequest { path, body: Bytes::from(body.to_string()), is_chat, model })
+        let model = fields
+            .get("model")
+            .and_then(Value::as_str)
+            .unwrap_or_default()
+            .to_owned();
+        let path = if is_chat {
+            "/v1/chat/completions"
+        } else {
+            "/v1/completions"
+        };
+        Ok(ItemRequest {
+            path,
+            body: Bytes::from(body.to_string()),
+            is_chat,
+            model,
+        })
     }
 
     fn answer_json(&self, request_id: &str, partial: &Partial) -> String {
@@ -286,14 +325,20 @@
 
 fn text_of(chunk: &Value) -> &str {
     let choice = &chunk["choices"][0];
-    choice["text"].as_str().or_else(|| choice["delta"]["content"].as_str()).unwrap_or_default()
+    choice["text"]
+        .as_str()
+        .or_else(|| choice["delta"]["content"].as_str())
+        .unwrap_or_default()
 }
 
 impl Runner {
     fn next_request_id(&self) -> String {
         let mut number = self.next_number.borrow_mut();
         *number += 1;
-        format!("{BATCH_PREFIX}{}-{:x}-{number}", self.shared.settings.host, self.shared.incarnation)
+        format!(
+            "{BATCH_PREFIX}{}-{:x}-{number}",
+            self.shared.settings.host, self.shared.incarnation
+        )
     }
 
     async fn item_body(&self, item: &WorkItem) -> anyhow::Result<Option<ItemBody>> {
@@ -305,11 +350,17 @@
         };
         let entry = cell
             .get_or_try_init(|| async {
-                let entry = self.platform.entry(stream, item.chunk.offset).await.context("item chunk")?;
+                let entry = self
+                    .platform
+                    .entry(stream, item.chunk.offset)
+                    .await
+                    .context("item chunk")?;
                 anyhow::Ok(entry.map(Rc::new))
             })
             .await?;
-        let body = entry.as_ref().and_then(|entry| entry.bodies.get(item.chunk.slot as usize));
+        let body = entry
+            .as_ref()
+            .and_then(|entry| entry.bodies.get(item.chunk.slot as usize));
         Ok(match body {
             Some(Body::Chunk { items, .. } | Body::CarriedChunk { items, .. }) => {
                 items.get(item.index_in_chunk as usize).cloned()
@@ -329,6 +380,11 @@
 
 async fn cancel(runner: &Runner, address: &str, what: &Value) -> bool {
     let url = format!("http://{address}/v1/cancel");
-    let answer = runner.client.post(url).timeout(CANCEL_TIMEOUT).send_json(what).await;
+    let answer = runner
+        .client
+        .post(url)
+        .timeout(CANCEL_TIMEOUT)
+        .send_json(what)
+        .await;
     answer.is_ok_and(|response| response.status().is_success())
 }
--- a/bamboo-node/src/callers/auth.rs
+++ b/bamboo-node/src/callers/auth.rs
@@ -9,7 +9,12 @@
 
 /// The bearer key of a request.
 pub(crate) fn bearer(request: &HttpRequest) -> Option<&str> {
-    request.headers().get("authorization")?.to_str().ok()?.strip_prefix("Bearer ")
+    request
+        .headers()
+        .get("authorization")?
+        .to_str()
+        .ok()?
+        .strip_prefix("Bearer ")
 }
 
 /// The caller of a request.
@@ -17,8 +22,12 @@
 /// # Errors
 /// Refuses a request without a known key.
 pub(crate) fn caller(table: &ConfigTable, request: &HttpRequest) -> Result<Caller, Refusal> {
-    let key = bearer(request)
-        .ok_or_else(|| Refusal::new(Code::Unauthenticated, "the header 'Authorization: Bearer KEY' is missing"))?;
+    let key = bearer(request).ok_or_else(|| {
+        Refusal::new(
+            Code::Unauthenticated,
+            "the header 'Authorization: Bearer KEY' is missing",
+        )
+    })?;
     let caller = table.caller(key).cloned();
     caller.ok_or_else(|| Refusal::new(Code::Unauthenticated, "the bearer key is not known"))
 }
--- a/bamboo-node/src/callers/jobs.rs
+++ b/bamboo-node/src/callers/jobs.rs
@@ -80,7 +80,12 @@
     let _open = OpenStream::new(&traffic.shared);
     let query = match query {
         Ok(query) => query,
-        Err(error) => return refuse(&traffic.shared, &Refusal::new(Code::BadRequest, error.to_string())),
+        Err(error) => {
+            return refuse(
+                &traffic.shared,
+                &Refusal::new(Code::BadRequest, error.to_string()),
+            );
+        }
     };
     match try_submit(&traffic, &http, &query, body).await {
         Ok(view) => {
@@ -107,7 +112,11 @@
 }
 
 /// `GET /v1/batches/{job}`.
-pub(crate) async fn get(traffic: web::Data<Traffic>, http: HttpRequest, path: web::Path<String>) -> HttpResponse {
+pub(crate) async fn get(
+    traffic: web::Data<Traffic>,
+    http: HttpRequest,
+    path: web::Path<String>,
+) -> HttpResponse {
     match owned_job(&traffic, &http, &path).await {
         Ok(view) => HttpResponse::Ok().json(job_json(&view)),
         Err(refusal) => refuse(&traffic.shared, &refusal),
@@ -115,7 +124,11 @@
 }
 
 /// `POST /v1/batches/{job}/cancel`.
-pub(crate) async fn cancel(traffic: web::Data<Traffic>, http: HttpRequest, path: web::Path<String>) -> HttpResponse {
+pub(crate) async fn cancel(
+    traffic: web::Data<Traffic>,
+    http: HttpRequest,
+    path: web::Path<String>,
+) -> HttpResponse {
     let view = match owned_job(&traffic, &http, &path).await {
         Ok(view) => view,
         Err(refusal) => return refuse(&traffic.shared, &refusal),
@@ -127,7 +140,11 @@
 }
 
 /// `GET /v1/batches/{job}/results`.
-pub(crate) async fn results(traffic: web::Data<Traffic>, http: HttpRequest, path: web::Path<String>) -> HttpResponse {
+pub(crate) async fn results(
+    traffic: web::Data<Traffic>,
+    http: HttpRequest,
+    path: web::Path<String>,
+) -> HttpResponse {
     let view = match owned_job(&traffic, &http, &path).await {
         Ok(view) => view,
         Err(refusal) => return refuse(&traffic.shared, &refusal),
@@ -140,10 +157,23 @@
     let shard = shard_of_job(job, traffic.shared.settings.shard_count);
     let request = new_request_id();
     let question = Question::Results { job };
-    match traffic.control.ask(request, Input::Ask { request, shard, question }).await {
+    match traffic
+        .control
+        .ask(
+            request,
+            Input::Ask {
+                request,
+                shard,
+                question,
+            },
+        )
+        .await
+    {
         Answer::Results { view, offsets } => {
             let lines = result_lines(traffic.platform.clone(), shard, view, offsets);
-            HttpResponse::Ok().content_type("application/jsonl").streaming(lines)
+            HttpResponse::Ok()
+                .content_type("application/jsonl")
+                .streaming(lines)
         }
         Answer::Refused(refusal) => refuse(&traffic.shared, &refusal),
         _ => refuse_unexpected(&traffic.shared),
@@ -156,7 +186,12 @@
 /// Refuses if the log or the shard's owner does not answer.
 pub(crate) async fn cancel_job(traffic: &Traffic, job: JobId) -> Result<JobView, Refusal> {
     let request = new_request_id();
-    job_of(traffic.control.ask(request, Input::Cancel { request, job }).await)
+    job_of(
+        traffic
+            .control
+            .ask(request, Input::Cancel { request, job })
+            .await,
+    )
 }
 
 /// A job, whoever owns it.
@@ -168,18 +203,42 @@
     let shard = shard_of_job(job, traffic.shared.settings.shard_count);
     let request = new_request_id();
     let question = Question::Job { job, after: None };
-    job_of(traffic.control.ask(request, Input::Ask { request, shard, question }).await)
+    job_of(
+        traffic
+            .control
+            .ask(
+                request,
+                Input::Ask {
+                    request,
+                    shard,
+                    question,
+                },
+            )
+            .await,
+    )
 }
 
 /// Jobs of all shards, the newest first.
 ///
 /// # Errors
 /// Refuses if an owner does not answer.
-pub(crate) async fn list_jobs(traffic: &Traffic, workspace: Option<String>) -> Result<Vec<JobView>, Refusal> {
+pub(crate) async fn list_jobs(
+    traffic: &Traffic,
+    workspace: Option<String>,
+) -> Result<Vec<JobView>, Refusal> {
     let asks = (0..traffic.shared.settings.shard_count).map(|shard| {
         let request = new_request_id();
-        let question = Question::Jobs { workspace: workspace.clone() };
-        traffic.control.ask(request, Input::Ask { request, shard, question })
+        let question = Question::Jobs {
+            workspace: workspace.clone(),
+        };
+        traffic.control.ask(
+            request,
+            Input::Ask {
+                request,
+                shard,
+                question,
+            },
+        )
     });
     let mut views = Vec::new();
     for answer in futures_util::future::join_all(asks).await {
@@ -196,7 +255,11 @@
 /// A job as JSON.
 pub(crate) fn job_json(view: &JobView) -> Value {
     let status = match view.state {
-        JobState::Running if view.done_count + view.failed_count == 0 && view.running_count == 0 => "queued",
+        JobState::Running
+            if view.done_count + view.failed_count == 0 && view.running_count == 0 =>
+        {
+            "queued"
+        }
         JobState::Running => "in_progress",
         JobState::Completed => "completed",
         JobState::Cancelled => "cancelled",
@@ -255,12 +318,27 @@
         result_lifetime_ms,
     };
     let request = new_request_id();
-    job_of(traffic.control.ask(request, Input::Submit { request, spec }).await)
+    job_of(
+        traffic
+            .control
+            .ask(request, Input::Submit { request, spec })
+            .await,
+    )
 }
 
-fn admitted_serving(traffic: &Traffic, caller: &Caller, lines: &LineReader) -> Result<String, Refusal> {
+fn admitted_serving(
+    traffic: &Traffic,
+    caller: &Caller,
+    lines: &LineReader,
+) -> Result<String, Refusal> {
     let model = lines.model().unwrap_or_default();
-    Ok(traffic.shared.config.load().admit(&caller.name, model)?.serving.clone())
+    Ok(traffic
+        .shared
+        .config
+        .load()
+        .admit(&caller.name, model)?
+        .serving
+        .clone())
 }
 
 /// Items on their way to the log.
@@ -275,19 +353,37 @@
 impl<'traffic> Upload<'traffic> {
     fn new(traffic: &'traffic Traffic, job: JobId) -> Self {
         let number = NEXT_UPLOAD.fetch_add(1, Ordering::Relaxed);
-        let id = UploadId { incarnation: traffic.shared.incarnation, number };
+        let id = UploadId {
+            incarnation: traffic.shared.incarnation,
+            number,
+        };
         let shard = shard_of_job(job, traffic.shared.settings.shard_count);
-        Upload { traffic, id, shard, chunk_count: 0, next_item: 0 }
+        Upload {
+            traffic,
+            id,
+            shard,
+            chunk_count: 0,
+            next_item: 0,
+        }
     }
 
-    async fn read(&mut self, lines: &mut LineReader, mut body: web::Payload) -> Result<(), Refusal> {
+    async fn read(
+        &mut self,
+        lines: &mut LineReader,
+        mut body: web::Payload,
+    ) -> Result<(), Refusal> {
         let max_bytes = self.traffic.shared.settings.job_max_bytes;
         let mut read_bytes = 0;
         while let Some(piece) = body.next().await {
-            let piece = piece.map_err(|error| Refusal::new(Code::BadRequest, format!("the body broke off: {error}")))?;
+            let piece = piece.map_err(|error| {
+                Refusal::new(Code::BadRequest, format!("the body broke off: {error}"))
+            })?;
             read_bytes += piece.len() as u64;
             if read_bytes > max_bytes {
-                return Err(Refusal::new(Code::TooLarge, format!("the job is larger than {max_bytes} bytes")));
+                return Err(Refusal::new(
+                    Code::TooLarge,
+                    format!("the job is larger than {max_bytes} bytes"),
+                ));
             }
             for chunk in lines.take(&piece)? {
                 self.store(chunk).await?;
@@ -308,13 +404,26 @@
         loop {
             let request = new_request_id();
             let (shard, upload) = (self.shard, self.id);
-            let input = Input::Upload { request, shard, upload, first_item, items: items.clone() };
+            let input = Input::Upload {
+                request,
+                shard,
+                upload,
+                first_item,
+                items: items.clone(),
+            };
             match self.traffic.control.ask(request, input).await {
                 Answer::Stored => return Ok(()),
                 // A full queue clears within moments; an outage is told to the caller at once.
-                Answer::Refused(refusal) if tries + 1 < CHUNK_TRIES && is_brief(&refusal) => tries += 1,
+                Answer::Refused(refusal) if tries + 1 < CHUNK_TRIES && is_brief(&refusal) => {
+                    tries += 1
+                }
                 Answer::Refused(refusal) => return Err(refusal),
-                _ => return Err(Refusal::new(Code::OutcomeUnknown, "an upload gave no answer")),
+                _ => {
+                    return Err(Refusal::new(
+                        Code::OutcomeUnknown,
+                        "an upload gave no answer",
+                    ));
+                }
             }
             actix_rt::time::sleep(Duration::from_millis(200)).await;
         }
@@ -329,14 +438,21 @@
     let caller = auth::caller(&traffic.shared.config.load(), http)?;
     let view = get_job(traffic, text).await?;
     // Another workspace's job is not visible at all.
-    if view.workspace == caller.workspace { Ok(view) } else { Err(no_such_job(text)) }
+    if view.workspace == caller.workspace {
+        Ok(view)
+    } else {
+        Err(no_such_job(text))
+    }
 }
 
 fn job_of(answer: Answer) -> Result<JobView, Refusal> {
     match answer {
         Answer::Job(view) => Ok(view),
         Answer::Refused(refusal) => Err(refusal),
-        _ => Err(Refusal::new(Code::OutcomeUnknown, "the request ended without an answer")),
+        _ => Err(Refusal::new(
+            Code::OutcomeUnknown,
+            "the request ended without an answer",
+        )),
     }
 }
 
@@ -348,9 +464,14 @@
     match http.headers().get(KEY_HEADER) {
         None => Ok(format!("{:032x}", new_request_id())),
         Some(value) => {
-            let key = value.to_str().ok().filter(|key| !key.is_empty() && key.len() <= 256);
+            let key = value
+                .to_str()
+                .ok()
+                .filter(|key| !key.is_empty() && key.len() <= 256);
             let message = format!("the header '{KEY_HEADER}' must be 1 to 256 visible characters");
-            Ok(key.ok_or_else(|| Refusal::new(Code::BadRequest, message))?.to_owned())
+            Ok(key
+                .ok_or_else(|| Refusal::new(Code::BadRequest, message))?
+                .to_owned())
         }
     }
 }
@@ -358,18 +479,28 @@
 fn deadline_ms(query: &SubmitQuery, now_ms: u64) -> Result<u64, Refusal> {
     let deadline_ms = match (&query.deadline, &query.completion_window) {
         (Some(_), Some(_)) => {
-            return Err(Refusal::new(Code::BadDeadline, "give either 'deadline' or 'completion_window'"));
+            return Err(Refusal::new(
+                Code::BadDeadline,
+                "give either 'deadline' or 'completion_window'",
+            ));
         }
         (Some(text), None) => {
-            let time = humantime::parse_rfc3339(text)
-                .map_err(|error| Refusal::new(Code::BadDeadline, format!("deadline '{text}': {error}")))?;
-            millis(time.duration_since(std::time::SystemTime::UNIX_EPOCH).unwrap_or_default())
+            let time = humantime::parse_rfc3339(text).map_err(|error| {
+                Refusal::new(Code::BadDeadline, format!("deadline '{text}': {error}"))
+            })?;
+            millis(
+                time.duration_since(std::time::SystemTime::UNIX_EPOCH)
+                    .unwrap_or_default(),
+            )
         }
         (None, Some(text)) => now_ms + millis(parse_duration("completion_window", text)?),
         (None, None) => now_ms + millis(DEFAULT_WINDOW),
     };
     if deadline_ms <= now_ms {
-        return Err(Refusal::new(Code::BadDeadline, "the deadline lies in the past"));
+        return Err(Refusal::new(
+            Code::BadDeadline,
+            "the deadline lies in the past",
+        ));
     }
     Ok(deadline_ms)
 }
@@ -387,22 +518,35 @@
 ) -> impl Stream<Item = Result<Bytes, actix_web::Error>> {
     let collector = FinalOutcomes::new(view.job, view.total_count);
     let state = (platform, collector, offsets.into_iter());
-    futures_util::stream::unfold(state, move |(platform, mut collector, mut offsets)| async move {
-        let offset = offsets.next()?;
-        let lines = match platform.entry(StreamId::Shard(shard), offset).await {
-            Ok(Some(entry)) => Ok(collector.take(entry).iter().map(result_line).collect::<String>().into()),
-            // A gap must not pass as the end of the results.
-            Ok(None) => Err(actix_web::error::ErrorBadGateway("results are no longer kept")),
-            Err(error) => Err(actix_web::error::ErrorBadGateway(error.to_string())),
-        };
-        Some((lines, (platform, collector, offsets)))
-    })
+    futures_util::stream::unfold(
+        state,
+        move |(platform, mut collector, mut offsets)| async move {
+            let offset = offsets.next()?;
+            let lines = match platform.entry(StreamId::Shard(shard), offset).await {
+                Ok(Some(entry)) => Ok(collector
+                    .take(entry)
+                    .iter()
+                    .map(result_line)
+                    .collect::<String>()
+                    .into()),
+                // A gap must not pass as the end of the results.
+                Ok(None) => Err(actix_web::error::ErrorBadGateway(
+                    "results are no longer kept",
+                )),
+                Err(error) => Err(actix_web::error::ErrorBadGateway(error.to_string())),
+            };
+            Some((lines, (platform, collector, offsets)))
+        },
+    )
 }
 
 fn result_line(outcome: &ItemOutcome) -> String {
     let error = |code: Code, reason: &str| json!({ "code": code.number(), "name": code.name(), "message": reason });
     let (response, error) = match &outcome.verdict {
-        ItemVerdict::Done { answer_json } => (serde_json::from_str(answer_json).unwrap_or(Value::Null), Value::Null),
+        ItemVerdict::Done { answer_json } => (
+            serde_json::from_str(answer_json).unwrap_or(Value::Null),
+            Value::Null,
+        ),
         ItemVerdict::ItemFault { reason } => (Value::Null, error(Code::ItemFailed, reason)),
         ItemVerdict::GivenUp { reason } | ItemVerdict::ServerFault { reason, .. } => {
             (Value::Null, error(Code::AttemptsUsedUp, reason))
