--- a/bamboo-node/src/callers/lines.rs
+++ b/bamboo-node/src/callers/lines.rs
@@ -121,21 +121,28 @@
         self.digest.update(b"\n");
         let bytes = item.custom_id.len() + item.body_json.len();
         // A chunk that would grow too large is closed before the item is added.
-        let is_full = self.chunk.len() >= CHUNK_MAX_ITEMS || self.chunk_bytes + bytes > CHUNK_MAX_BYTES;
+        let is_full =
+            self.chunk.len() >= CHUNK_MAX_ITEMS || self.chunk_bytes + bytes > CHUNK_MAX_BYTES;
         let full = (is_full && !self.chunk.is_empty()).then(|| self.cut_chunk());
         self.chunk.push(item);
         self.chunk_bytes += bytes;
         self.item_count += 1;
         if self.item_count > ITEMS_MAX {
-            return Err(Refusal::new(Code::TooLarge, format!("the job has more than {ITEMS_MAX} items")));
+            return Err(Refusal::new(
+                Code::TooLarge,
+                format!("the job has more than {ITEMS_MAX} items"),
+            ));
         }
         Ok(full)
     }
 
     fn read_line(&mut self, line: &[u8]) -> Result<ItemBody, Refusal> {
-        let parsed: Line<'_> = serde_json::from_slice(line).map_err(|error| self.bad_line(&error.to_string()))?;
+        let parsed: Line<'_> =
+            serde_json::from_slice(line).map_err(|error| self.bad_line(&error.to_string()))?;
         if parsed.custom_id.is_empty() || parsed.custom_id.len() > CUSTOM_ID_MAX_BYTES {
-            return Err(self.bad_line(&format!("custom_id must be 1 to {CUSTOM_ID_MAX_BYTES} bytes")));
+            return Err(self.bad_line(&format!(
+                "custom_id must be 1 to {CUSTOM_ID_MAX_BYTES} bytes"
+            )));
         }
         let body: ModelOnly = serde_json::from_str(parsed.body.get())
             .map_err(|error| self.bad_line(&format!("body: {error}")))?;
@@ -143,14 +150,20 @@
             None => self.model = Some(body.model),
             Some(model) if *model == body.model => {}
             Some(model) => {
-                let reason = format!("body.model is '{}', the lines before have '{model}'", body.model);
+                let reason = format!(
+                    "body.model is '{}', the lines before have '{model}'",
+                    body.model
+                );
                 return Err(self.bad_line(&reason));
             }
         }
         if !self.seen.insert(xxh3_64(parsed.custom_id.as_bytes())) {
             return Err(self.bad_line(&format!("custom_id '{}' stands twice", parsed.custom_id)));
         }
-        Ok(ItemBody { custom_id: parsed.custom_id, body_json: parsed.body.get().to_owned() })
+        Ok(ItemBody {
+            custom_id: parsed.custom_id,
+            body_json: parsed.body.get().to_owned(),
+        })
     }
 
     fn cut_chunk(&mut self) -> Vec<ItemBody> {
@@ -159,6 +172,9 @@
     }
 
     fn bad_line(&self, reason: &str) -> Refusal {
-        Refusal::new(Code::BadItem, format!("line {}: {reason}", self.line_number))
+        Refusal::new(
+            Code::BadItem,
+            format!("line {}: {reason}", self.line_number),
+        )
     }
 }
--- a/bamboo-node/src/callers/mod.rs
+++ b/bamboo-node/src/callers/mod.rs
@@ -43,7 +43,10 @@
         let connector = awc::Connector::new().conn_keep_alive(std::time::Duration::ZERO);
         Traffic {
             client: Client::builder().timeout(timeout).finish(),
-            single_use_client: Client::builder().connector(connector).timeout(timeout).finish(),
+            single_use_client: Client::builder()
+                .connector(connector)
+                .timeout(timeout)
+                .finish(),
             platform,
             shared,
             control,
--- a/bamboo-node/src/callers/online.rs
+++ b/bamboo-node/src/callers/online.rs
@@ -71,18 +71,33 @@
 
 impl OnlineGuard {
     pub(crate) fn new(request: RequestId, control: &ControlHandle) -> Self {
-        OnlineGuard { request, control: control.clone(), is_ended: false }
+        OnlineGuard {
+            request,
+            control: control.clone(),
+            is_ended: false,
+        }
     }
 
     /// The attempt ended; the answer says what is next.
     pub(crate) async fn attempt_ended(&self, end: OnlineEnd) -> Answer {
-        self.control.ask(self.request, Input::OnlineEnded { request: self.request, end }).await
+        self.control
+            .ask(
+                self.request,
+                Input::OnlineEnded {
+                    request: self.request,
+                    end,
+                },
+            )
+            .await
     }
 
     /// The request ended.
     pub(crate) fn end(&mut self, end: OnlineEnd) {
         self.is_ended = true;
-        self.control.tell(Input::OnlineEnded { request: self.request, end });
+        self.control.tell(Input::OnlineEnded {
+            request: self.request,
+            end,
+        });
     }
 
     /// The control thread has ended the request itself.
@@ -113,14 +128,23 @@
     let Some(value) = request.headers().get(TIMEOUT_HEADER) else {
         return Ok(shared.settings.request_timeout);
     };
-    let parsed = value.to_str().ok().and_then(|text| text.parse::<u64>().ok()).filter(|timeout_ms| *timeout_ms > 0);
-    let message = format!("the header '{TIMEOUT_HEADER}' must be a whole number of milliseconds above 0");
+    let parsed = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse::<u64>().ok())
+        .filter(|timeout_ms| *timeout_ms > 0);
+    let message =
+        format!("the header '{TIMEOUT_HEADER}' must be a whole number of milliseconds above 0");
     let timeout_ms = parsed.ok_or_else(|| Refusal::new(Code::BadDeadline, message))?;
     Ok(Duration::from_millis(timeout_ms).min(shared.settings.request_timeout))
 }
 
 /// `POST /v1/completions` and `POST /v1/chat/completions`.
-pub(crate) async fn complete(traffic: web::Data<Traffic>, http: HttpRequest, body: Bytes) -> HttpResponse {
+pub(crate) async fn complete(
+    traffic: web::Data<Traffic>,
+    http: HttpRequest,
+    body: Bytes,
+) -> HttpResponse {
     let open = OpenStream::new(&traffic.shared);
     let arrived_at = Instant::now();
     let (online, completion) = match admit(&traffic, &http, &body) {
@@ -130,7 +154,11 @@
     let request = online.request;
     let until = traffic.shared.clock.instant_at(online.deadline);
     let subject = format!("{request:032x}");
-    traffic.shared.event(EventKind::OnlineArrived, subject, format!("{} {}", online.caller, completion.model));
+    traffic.shared.event(
+        EventKind::OnlineArrived,
+        subject,
+        format!("{} {}", online.caller, completion.model),
+    );
     let mut guard = OnlineGuard::new(request, &traffic.control);
     let mut answer = traffic.control.ask(request, Input::Online(online)).await;
     loop {
@@ -145,13 +173,22 @@
                 return refuse_unexpected(&traffic.shared);
             }
         };
-        let call = EngineCall { traffic: &traffic, http: &http, body: &body, attempt: &attempt, request, until };
+        let call = EngineCall {
+            traffic: &traffic,
+            http: &http,
+            body: &body,
+            attempt: &attempt,
+            request,
+            until,
+        };
         let result = match completion.is_stream {
             true => call.stream(arrived_at).await.map(Reached::Stream),
             false => call.whole().await.map(Reached::Whole),
         };
         answer = match result {
-            Ok(Reached::Stream(stream)) => return respond_stream(&traffic, request, stream, guard, open),
+            Ok(Reached::Stream(stream)) => {
+                return respond_stream(&traffic, request, stream, guard, open);
+            }
             Ok(Reached::Whole(bytes)) => {
                 guard.end(OnlineEnd::Whole);
                 traffic.shared.metrics.answered(Code::Ok.name());
@@ -175,7 +212,10 @@
     match auth::caller(&table, &http) {
         Ok(caller) => {
             let models = table.models_of(&caller.name);
-            let data: Vec<Value> = models.iter().map(|model| json!({ "id": model, "object": "model" })).collect();
+            let data: Vec<Value> = models
+                .iter()
+                .map(|model| json!({ "id": model, "object": "model" }))
+                .collect();
             HttpResponse::Ok().json(json!({ "object": "list", "data": data }))
         }
         Err(refusal) => refuse(&traffic.shared, &refusal),
@@ -209,7 +249,10 @@
         let mut events = EventStream::new(response, self.until);
         match events.next().await? {
             StreamEvent::Data(first) => {
-                self.traffic.shared.metrics.first_token(arrived_at.elapsed());
+                self.traffic
+                    .shared
+                    .metrics
+                    .first_token(arrived_at.elapsed());
                 Ok(FirstEvent { first, events })
             }
             StreamEvent::End => Err(CallFailure::Unknown {
@@ -241,7 +284,11 @@
     }
 }
 
-fn admit(traffic: &Traffic, http: &HttpRequest, body: &Bytes) -> Result<(OnlineRequest, Completion), Refusal> {
+fn admit(
+    traffic: &Traffic,
+    http: &HttpRequest,
+    body: &Bytes,
+) -> Result<(OnlineRequest, Completion), Refusal> {
     let table = traffic.shared.config.load();
     let caller = auth::caller(&table, http)?;
     let timeout = timeout_of(&traffic.shared, http)?;
@@ -262,20 +309,31 @@
 }
 
 fn read_completion(body: &Bytes) -> Result<Completion, Refusal> {
-    let value: Value = serde_json::from_slice(body)
-        .map_err(|error| Refusal::new(Code::BadRequest, format!("the body is not valid JSON: {error}")))?;
-    let model = value["model"].as_str().ok_or_else(|| bad_field("model", "must be text"))?.to_owned();
+    let value: Value = serde_json::from_slice(body).map_err(|error| {
+        Refusal::new(
+            Code::BadRequest,
+            format!("the body is not valid JSON: {error}"),
+        )
+    })?;
+    let model = value["model"]
+        .as_str()
+        .ok_or_else(|| bad_field("model", "must be text"))?
+        .to_owned();
     let prompt = match (&value["prompt"], &value["messages"]) {
         (Value::String(prompt), _) => prompt.clone(),
-        (_, Value::Array(messages)) if !messages.is_empty() => {
-            messages.iter().filter_map(|message| message["content"].as_str()).collect::<Vec<&str>>().join("\n")
-        }
+        (_, Value::Array(messages)) if !messages.is_empty() => messages
+            .iter()
+            .filter_map(|message| message["content"].as_str())
+            .collect::<Vec<&str>>()
+            .join("\n"),
         _ => return Err(bad_field("prompt", "or 'messages' must be given")),
     };
     let answer_tokens = match &value["max_tokens"] {
         Value::Null => DEFAULT_ANSWER_TOKENS,
-        given => given.as_u64().filter(|tokens| *tokens > 0).ok_or_else(|| bad_field("max_tokens", "must be above 0"))?
-            as f64,
+        given => given
+            .as_u64()
+            .filter(|tokens| *tokens > 0)
+            .ok_or_else(|| bad_field("max_tokens", "must be above 0"))? as f64,
     };
     let prefix = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
     Ok(Completion {
@@ -293,8 +351,11 @@
 /// Passes on an engine's refusal of the request's own content.
 fn pass_refusal(shared: &Shared, status: u16, body: Bytes) -> HttpResponse {
     shared.metrics.answered(Code::ItemFailed.name());
-    let status = actix_web::http::StatusCode::from_u16(status).unwrap_or(actix_web::http::StatusCode::BAD_REQUEST);
-    HttpResponse::build(status).content_type("application/json").body(body)
+    let status = actix_web::http::StatusCode::from_u16(status)
+        .unwrap_or(actix_web::http::StatusCode::BAD_REQUEST);
+    HttpResponse::build(status)
+        .content_type("application/json")
+        .body(body)
 }
 
 fn respond_stream(
--- a/bamboo-node/src/callers/services.rs
+++ b/bamboo-node/src/callers/services.rs
@@ -87,7 +87,14 @@
             Answer::Replay { status, body } => {
                 guard.disarm();
                 traffic.shared.metrics.answered(Code::Ok.name());
-                return respond(ServiceAnswer { status, content_type: None, body: body.into() }, true);
+                return respond(
+                    ServiceAnswer {
+                        status,
+                        content_type: None,
+                        body: body.into(),
+                    },
+                    true,
+                );
             }
             Answer::Refused(refusal) => {
                 guard.disarm();
@@ -101,7 +108,11 @@
         answer = match run(&traffic, &call, &attempt.address).await {
             Ok(answer) => {
                 let (status, body) = (answer.status, answer.body.to_vec());
-                traffic.control.tell(Input::KeyedAnswer { request, status, body });
+                traffic.control.tell(Input::KeyedAnswer {
+                    request,
+                    status,
+                    body,
+                });
                 guard.end(OnlineEnd::Whole);
                 traffic.shared.metrics.answered(Code::Ok.name());
                 return respond(answer, false);
@@ -111,9 +122,17 @@
     }
 }
 
-async fn run(traffic: &Traffic, call: &ServiceCall, address: &str) -> Result<ServiceAnswer, CallFailure> {
+async fn run(
+    traffic: &Traffic,
+    call: &ServiceCall,
+    address: &str,
+) -> Result<ServiceAnswer, CallFailure> {
     let until = traffic.shared.clock.instant_at(call.online.deadline);
-    let client = if call.online.is_idempotent { &traffic.client } else { &traffic.single_use_client };
+    let client = if call.online.is_idempotent {
+        &traffic.client
+    } else {
+        &traffic.single_use_client
+    };
     let outgoing = Call {
         method: call.method.clone(),
         url: format!("http://{address}/{}", call.tail),
@@ -126,11 +145,17 @@
     let status = response.status().as_u16();
     // A service may say 503 after work it did, so only a call that may be repeated goes elsewhere for it.
     if status == 503 && call.online.is_idempotent {
-        return Err(CallFailure::NotRun { reason: "server answered 503".to_owned() });
+        return Err(CallFailure::NotRun {
+            reason: "server answered 503".to_owned(),
+        });
     }
     let content_type = response.headers().get("content-type").cloned();
     let body = whole_body(&mut response, until, ANSWER_MAX_BYTES).await?;
-    Ok(ServiceAnswer { status, content_type, body })
+    Ok(ServiceAnswer {
+        status,
+        content_type,
+        body,
+    })
 }
 
 fn prepare(
@@ -159,7 +184,11 @@
         is_idempotent,
     };
     let query = http.query_string();
-    let tail = if query.is_empty() { path.to_owned() } else { format!("{path}?{query}") };
+    let tail = if query.is_empty() {
+        path.to_owned()
+    } else {
+        format!("{path}?{query}")
+    };
     let keyed = match key_of(http)? {
         Some(key) if !is_idempotent => Some(KeyedRequest {
             online: online.clone(),
@@ -169,13 +198,23 @@
         }),
         _ => None,
     };
-    let call = ServiceCall { online, method, tail, headers: passed_headers(http), body };
+    let call = ServiceCall {
+        online,
+        method,
+        tail,
+        headers: passed_headers(http),
+        body,
+    };
     Ok((call, keyed))
 }
 
 fn is_idempotent(service: &PlainService, method: &Method, path: &str) -> bool {
     let path = format!("/{path}");
-    let matches = |prefixes: &[String]| prefixes.iter().any(|prefix| path.starts_with(prefix.as_str()));
+    let matches = |prefixes: &[String]| {
+        prefixes
+            .iter()
+            .any(|prefix| path.starts_with(prefix.as_str()))
+    };
     if matches(&service.non_idempotent_paths) {
         return false;
     }
@@ -186,9 +225,16 @@
     let Some(value) = http.headers().get(KEY_HEADER) else {
         return Ok(None);
     };
-    let key = value.to_str().ok().filter(|key| !key.is_empty() && key.len() <= KEY_MAX_BYTES);
-    let message = format!("the header '{KEY_HEADER}' must be 1 to {KEY_MAX_BYTES} visible characters");
-    Ok(Some(key.ok_or_else(|| Refusal::new(Code::BadRequest, message))?.to_owned()))
+    let key = value
+        .to_str()
+        .ok()
+        .filter(|key| !key.is_empty() && key.len() <= KEY_MAX_BYTES);
+    let message =
+        format!("the header '{KEY_HEADER}' must be 1 to {KEY_MAX_BYTES} visible characters");
+    Ok(Some(
+        key.ok_or_else(|| Refusal::new(Code::BadRequest, message))?
+            .to_owned(),
+    ))
 }
 
 fn digest(method: &Method, tail: &str, body: &[u8]) -> u128 {
@@ -200,7 +246,10 @@
 fn passed_headers(http: &HttpRequest) -> HeaderMap {
     let mut headers = HeaderMap::new();
     for name in PASSED_HEADERS {
-        let value = http.headers().get(name).and_then(|value| HeaderValue::from_bytes(value.as_bytes()).ok());
+        let value = http
+            .headers()
+            .get(name)
+            .and_then(|value| HeaderValue::from_bytes(value.as_bytes()).ok());
         if let Some(value) = value {
             headers.insert(HeaderName::from_static(name), value);
         }
@@ -211,7 +260,11 @@
 fn respond(answer: ServiceAnswer, is_replay: bool) -> HttpResponse {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = HttpResponse::build(status);
-    if let Some(content_type) = answer.content_type.as_ref().and_then(|value| value.to_str().ok()) {
+    if let Some(content_type) = answer
+        .content_type
+        .as_ref()
+        .and_then(|value| value.to_str().ok())
+    {
         response.content_type(content_type);
     }
     if is_replay {
--- a/bamboo-node/src/clock.rs
+++ b/bamboo-node/src/clock.rs
@@ -21,8 +21,13 @@
     /// assert!(clock.now() >= clock.now() - std::time::Duration::from_secs(1));
     /// ```
     pub fn start() -> Self {
-        let wall_at_start = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        Clock { wall_at_start, started_at: Instant::now() }
+        let wall_at_start = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
+        Clock {
+            wall_at_start,
+            started_at: Instant::now(),
+        }
     }
 
     /// Time since the Unix epoch.
--- a/bamboo-node/src/config_table.rs
+++ b/bamboo-node/src/config_table.rs
@@ -34,10 +34,15 @@
 
 impl ConfigTable {
     pub(crate) fn new(fold: Arc<ConfigFold>) -> Self {
-        let mut table = ConfigTable { fold: Arc::clone(&fold), ..ConfigTable::default() };
+        let mut table = ConfigTable {
+            fold: Arc::clone(&fold),
+            ..ConfigTable::default()
+        };
         for stored in fold.list(Kind::Caller) {
             if let Resource::Caller(caller) = &stored.resource {
-                table.callers.insert(caller.key_sha256.as_str().to_owned(), caller.clone());
+                table
+                    .callers
+                    .insert(caller.key_sha256.as_str().to_owned(), caller.clone());
             }
         }
         for stored in fold.list(Kind::Serving) {
@@ -63,7 +68,10 @@
         }
         let is_known = self.models.iter().any(|known| known == model);
         let refusal = match is_known {
-            true => Refusal::new(Code::Forbidden, format!("caller '{caller}' may not reach model '{model}'")),
+            true => Refusal::new(
+                Code::Forbidden,
+                format!("caller '{caller}' may not reach model '{model}'"),
+            ),
             false => Refusal::new(Code::UnknownModel, format!("no model '{model}' is carried")),
         };
         Err(refusal)
@@ -71,14 +79,29 @@
 
     /// Models that the caller may use.
     pub(crate) fn models_of(&self, caller: &str) -> Vec<&ModelId> {
-        self.admissions.keys().filter(|(of, _)| of == caller).map(|(_, model)| model).collect()
+        self.admissions
+            .keys()
+            .filter(|(of, _)| of == caller)
+            .map(|(_, model)| model)
+            .collect()
     }
 
     /// The plain service, if the caller may reach it.
     pub(crate) fn service(&self, caller: &str, name: &str) -> Result<&PlainService, Refusal> {
-        match self.fold.get(Kind::PlainService, name).map(|stored| &stored.resource) {
-            Some(Resource::PlainService(service)) if service.callers.iter().any(|of| of == caller) => Ok(service),
-            Some(_) => Err(Refusal::new(Code::Forbidden, format!("caller '{caller}' may not reach service '{name}'"))),
+        match self
+            .fold
+            .get(Kind::PlainService, name)
+            .map(|stored| &stored.resource)
+        {
+            Some(Resource::PlainService(service))
+                if service.callers.iter().any(|of| of == caller) =>
+            {
+                Ok(service)
+            }
+            Some(_) => Err(Refusal::new(
+                Code::Forbidden,
+                format!("caller '{caller}' may not reach service '{name}'"),
+            )),
             None => Err(Refusal::new(Code::NotFound, format!("no service '{name}'"))),
         }
     }
@@ -87,9 +110,17 @@
         for version in &serving.models {
             self.models.push(version.model.clone());
             for caller in &serving.callers {
-                let limits = serving.caller_limits.get(caller).copied().unwrap_or(serving.limits);
-                let admission = Admission { serving: serving.name.clone(), limits };
-                self.admissions.insert((caller.clone(), version.model.clone()), admission);
+                let limits = serving
+                    .caller_limits
+                    .get(caller)
+                    .copied()
+                    .unwrap_or(serving.limits);
+                let admission = Admission {
+                    serving: serving.name.clone(),
+                    limits,
+                };
+                self.admissions
+                    .insert((caller.clone(), version.model.clone()), admission);
             }
         }
     }
--- a/bamboo-node/src/control.rs
+++ b/bamboo-node/src/control.rs
@@ -100,23 +100,45 @@
         match output {
             Output::Append { stream, bytes } => self.link(LinkOrder::Append { stream, bytes }),
             Output::Read { stream, from } => self.link(LinkOrder::Read { stream, from }),
-            Output::Send { to, address, messages } => self.link(LinkOrder::Send { to, address, messages }),
+            Output::Send {
+                to,
+                address,
+                messages,
+            } => self.link(LinkOrder::Send {
+                to,
+                address,
+                messages,
+            }),
             Output::Answer { request, answer } => {
                 if let Some(reply) = self.waiting.remove(&request) {
                     // The asker may be gone; then nobody needs the answer.
                     let _ = reply.send(answer);
                 }
             }
-            Output::StartItem { run, address, item } => self.run(BatchOrder::Start { run, address, item }),
+            Output::StartItem { run, address, item } => {
+                self.run(BatchOrder::Start { run, address, item })
+            }
             Output::StopItem { run } => self.run(BatchOrder::Stop { run }),
             Output::DropItem { run } => self.run(BatchOrder::Drop { run }),
-            Output::CancelStrays { server, address } => self.run(BatchOrder::CancelStrays { server, address }),
-            Output::PublishConfig(fold) => self.shared.config.store(Arc::new(ConfigTable::new(fold))),
+            Output::CancelStrays { server, address } => {
+                self.run(BatchOrder::CancelStrays { server, address })
+            }
+            Output::PublishConfig(fold) => {
+                self.shared.config.store(Arc::new(ConfigTable::new(fold)))
+            }
             Output::Ready(is_ready) => {
                 self.shared.is_ready.store(is_ready, Ordering::Relaxed);
-                log::info!("host {} is {}", self.shared.settings.host, if is_ready { "ready" } else { "not ready" });
+                log::info!(
+                    "host {} is {}",
+                    self.shared.settings.host,
+                    if is_ready { "ready" } else { "not ready" }
+                );
             }
-            Output::Event { kind, subject, detail } => {
+            Output::Event {
+                kind,
+                subject,
+                detail,
+            } => {
                 self.shared.metrics.event(&format!("{kind:?}"));
                 if is_logged(kind) {
                     log::info!("{kind:?} {subject} {detail}");
@@ -191,7 +213,10 @@
 }
 
 fn is_batch(input: &Input) -> bool {
-    matches!(input, Input::ReadAnswered { .. } | Input::ItemEnded { .. } | Input::ItemFirstToken(_))
+    matches!(
+        input,
+        Input::ReadAnswered { .. } | Input::ItemEnded { .. } | Input::ItemFirstToken(_)
+    )
 }
 
 /// Counters come first: only changes of state make a line.
--- a/bamboo-node/src/engine_client.rs
+++ b/bamboo-node/src/engine_client.rs
@@ -27,9 +27,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum CallFailure {
     /// The server got no byte of the request, or refused before work.
-    NotRun {
-        reason: String,
-    },
+    NotRun { reason: String },
     /// The server may have run the request.
     Unknown {
         code: Code,
@@ -37,10 +35,7 @@
         was_server_lost: bool,
     },
     /// The server refused the request's own content.
-    Refused {
-        status: u16,
-        body: Bytes,
-    },
+    Refused { status: u16, body: Bytes },
 }
 
 /// One call to a backend server.
@@ -59,7 +54,9 @@
 /// Fails if no head came, or one with another identity.
 pub(crate) async fn send(client: &Client, call: Call<'_>) -> Result<ClientResponse, CallFailure> {
     let left = call.until.saturating_duration_since(Instant::now());
-    let mut request = client.request(call.method, call.url).timeout(left.max(Duration::from_millis(1)));
+    let mut request = client
+        .request(call.method, call.url)
+        .timeout(left.max(Duration::from_millis(1)));
     for (name, value) in call.headers {
         request = request.insert_header((name.clone(), value.clone()));
     }
@@ -67,9 +64,16 @@
         .insert_header((REQUEST_ID_HEADER, call.request_id))
         .insert_header((DEADLINE_HEADER, left.as_millis().to_string()));
     let response = request.send_body(call.body).await.map_err(failure_of)?;
-    let shown = response.headers().get(REQUEST_ID_HEADER).and_then(|value| value.to_str().ok());
+    let shown = response
+        .headers()
+        .get(REQUEST_ID_HEADER)
+        .and_then(|value| value.to_str().ok());
     if shown.is_some_and(|shown| shown != call.request_id) {
-        return Err(unknown(Code::AnswerCrossed, "the answer bears another identity", false));
+        return Err(unknown(
+            Code::AnswerCrossed,
+            "the answer bears another identity",
+            false,
+        ));
     }
     Ok(response)
 }
@@ -82,12 +86,18 @@
     let status = response.status().as_u16();
     match status {
         200 => Ok(()),
-        404 | 408 | 409 | 429 | 503 => Err(CallFailure::NotRun { reason: format!("server answered {status}") }),
+        404 | 408 | 409 | 429 | 503 => Err(CallFailure::NotRun {
+            reason: format!("server answered {status}"),
+        }),
         400..=499 => {
             let body = response.body().await.unwrap_or_default();
             Err(CallFailure::Refused { status, body })
         }
-        _ => Err(unknown(Code::OutcomeUnknown, &format!("server answered {status}"), false)),
+        _ => Err(unknown(
+            Code::OutcomeUnknown,
+            &format!("server answered {status}"),
+            false,
+        )),
     }
 }
 
@@ -95,12 +105,24 @@
 ///
 /// # Errors
 /// Fails if it breaks off or takes too long.
-pub(crate) async fn whole_body(response: &mut ClientResponse, until: Instant, max_bytes: usize) -> Result<Bytes, CallFailure> {
+pub(crate) async fn whole_body(
+    response: &mut ClientResponse,
+    until: Instant,
+    max_bytes: usize,
+) -> Result<Bytes, CallFailure> {
     let body = tokio::time::timeout_at(until.into(), response.body().limit(max_bytes)).await;
     match body {
         Ok(Ok(body)) => Ok(body),
-        Ok(Err(error)) => Err(unknown(Code::AnswerCut, &format!("the answer broke off: {error}"), true)),
-        Err(_) => Err(unknown(Code::DeadlineInFlight, "the deadline passed during the answer", false)),
+        Ok(Err(error)) => Err(unknown(
+            Code::AnswerCut,
+            &format!("the answer broke off: {error}"),
+            true,
+        )),
+        Err(_) => Err(unknown(
+            Code::DeadlineInFlight,
+            "the deadline passed during the answer",
+            false,
+        )),
     }
 }
 
@@ -122,7 +144,11 @@
 
 impl EventStream {
     pub(crate) fn new(response: ClientResponse, until: Instant) -> Self {
-        EventStream { response, buffer: BytesMut::new(), until }
+        EventStream {
+            response,
+            buffer: BytesMut::new(),
+            until,
+        }
     }
 
     /// The next event.
@@ -135,7 +161,11 @@
                 return Ok(event);
             }
             if self.buffer.len() > EVENT_MAX_BYTES {
-                return Err(unknown(Code::AnswerCut, "an event of the stream is too large", false));
+                return Err(unknown(
+                    Code::AnswerCut,
+                    "an event of the stream is too large",
+                    false,
+                ));
             }
             let piece = next_piece(&mut self.response, self.until).await?;
             self.buffer.extend_from_slice(&piece);
@@ -150,9 +180,21 @@
 {
     match tokio::time::timeout_at(until.into(), stream.next()).await {
         Ok(Some(Ok(piece))) => Ok(piece),
-        Ok(Some(Err(error))) => Err(unknown(Code::AnswerCut, &format!("the stream broke off: {error}"), true)),
-        Ok(None) => Err(unknown(Code::AnswerCut, "the stream ended without its end mark", true)),
-        Err(_) => Err(unknown(Code::DeadlineInFlight, "the deadline passed during the stream", false)),
+        Ok(Some(Err(error))) => Err(unknown(
+            Code::AnswerCut,
+            &format!("the stream broke off: {error}"),
+            true,
+        )),
+        Ok(None) => Err(unknown(
+            Code::AnswerCut,
+            "the stream ended without its end mark",
+            true,
+        )),
+        Err(_) => Err(unknown(
+            Code::DeadlineInFlight,
+            "the deadline passed during the stream",
+            false,
+        )),
     }
 }
 
@@ -160,19 +202,37 @@
     let end = buffer.windows(2).position(|pair| pair == b"\n\n")?;
     let event = buffer.split_to(end + 2);
     let text = String::from_utf8_lossy(&event);
-    let data: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("data:")).map(str::trim_start).collect();
+    let data: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("data:"))
+        .map(str::trim_start)
+        .collect();
     let data = data.join("\n");
-    Some(if data == END_MARK { StreamEvent::End } else { StreamEvent::Data(data) })
+    Some(if data == END_MARK {
+        StreamEvent::End
+    } else {
+        StreamEvent::Data(data)
+    })
 }
 
 fn failure_of(error: SendRequestError) -> CallFailure {
     match error {
-        SendRequestError::Connect(error) => CallFailure::NotRun { reason: format!("cannot connect: {error}") },
-        SendRequestError::Timeout => unknown(Code::DeadlineInFlight, "no answer before the deadline", false),
+        SendRequestError::Connect(error) => CallFailure::NotRun {
+            reason: format!("cannot connect: {error}"),
+        },
+        SendRequestError::Timeout => unknown(
+            Code::DeadlineInFlight,
+            "no answer before the deadline",
+            false,
+        ),
         other => unknown(Code::OutcomeUnknown, &format!("no answer: {other}"), true),
     }
 }
 
 fn unknown(code: Code, reason: &str, was_server_lost: bool) -> CallFailure {
-    CallFailure::Unknown { code, reason: reason.to_owned(), was_server_lost }
+    CallFailure::Unknown {
+        code,
+        reason: reason.to_owned(),
+        was_server_lost,
+    }
 }
--- a/bamboo-node/src/links.rs
+++ b/bamboo-node/src/links.rs
@@ -51,18 +51,34 @@
 ) {
     let settings = &shared.settings;
     let platform = Platform::new(&settings.log_url, &settings.host_list_url);
-    actix_rt::spawn(watch_hosts(Arc::clone(&shared), platform.clone(), control.clone()));
+    actix_rt::spawn(watch_hosts(
+        Arc::clone(&shared),
+        platform.clone(),
+        control.clone(),
+    ));
     let mut peers: HashMap<HostId, PeerLink> = HashMap::new();
     while let Some(order) = orders.recv().await {
         match order {
             LinkOrder::Append { stream, bytes } => {
-                actix_rt::spawn(append(Arc::clone(&shared), platform.clone(), control.clone(), stream, bytes));
+                actix_rt::spawn(append(
+                    Arc::clone(&shared),
+                    platform.clone(),
+                    control.clone(),
+                    stream,
+                    bytes,
+                ));
             }
             LinkOrder::Read { stream, from } => {
                 actix_rt::spawn(read(platform.clone(), control.clone(), stream, from));
             }
-            LinkOrder::Send { to, address, messages } => {
-                let link = peers.entry(to).or_insert_with(|| PeerLink::open(&shared, &address));
+            LinkOrder::Send {
+                to,
+                address,
+                messages,
+            } => {
+                let link = peers
+                    .entry(to)
+                    .or_insert_with(|| PeerLink::open(&shared, &address));
                 if link.address() != address {
                     *link = PeerLink::open(&shared, &address);
                 }
@@ -72,7 +88,13 @@
     }
 }
 
-async fn append(shared: Arc<Shared>, platform: Platform, control: ControlHandle, stream: StreamId, bytes: Vec<u8>) {
+async fn append(
+    shared: Arc<Shared>,
+    platform: Platform,
+    control: ControlHandle,
+    stream: StreamId,
+    bytes: Vec<u8>,
+) {
     let size = bytes.len();
     let answer = platform.append(stream, bytes).await;
     let kind = match answer {
@@ -100,7 +122,10 @@
                     log::info!("the host list answers again");
                 }
                 is_failing = false;
-                control.tell(Input::HostList { hosts, leaving_servers });
+                control.tell(Input::HostList {
+                    hosts,
+                    leaving_servers,
+                });
             }
             Err(error) => {
                 if !is_failing {
--- a/bamboo-node/src/metrics.rs
+++ b/bamboo-node/src/metrics.rs
@@ -47,16 +47,51 @@
             control_step: Histogram::new(exponential_buckets(0.000_002, 2.5, 14)),
             registry: Mutex::new(Registry::default()),
         };
-        registry.register("answers", "Answers to callers by result code", metrics.answers.clone());
-        registry.register("control_messages", "Messages sent to other hosts by kind", metrics.control_messages.clone());
-        registry.register("control_bytes", "Encoded bytes sent to other hosts by kind", metrics.control_bytes.clone());
-        registry.register("appends", "Appends to the log by answer", metrics.appends.clone());
-        registry.register("append_bytes", "Bytes appended to the log", metrics.append_bytes.clone());
+        registry.register(
+            "answers",
+            "Answers to callers by result code",
+            metrics.answers.clone(),
+        );
+        registry.register(
+            "control_messages",
+            "Messages sent to other hosts by kind",
+            metrics.control_messages.clone(),
+        );
+        registry.register(
+            "control_bytes",
+            "Encoded bytes sent to other hosts by kind",
+            metrics.control_bytes.clone(),
+        );
+        registry.register(
+            "appends",
+            "Appends to the log by answer",
+            metrics.appends.clone(),
+        );
+        registry.register(
+            "append_bytes",
+            "Bytes appended to the log",
+            metrics.append_bytes.clone(),
+        );
         registry.register("events", "Events by kind", metrics.events.clone());
-        registry.register("first_token_seconds", "Time to the first token", metrics.first_token.clone());
-        registry.register("control_wait_seconds", "Wait for the control thread", metrics.control_wait.clone());
-        registry.register("control_step_seconds", "Time of one control step", metrics.control_step.clone());
-        *metrics.registry.lock().unwrap_or_else(PoisonError::into_inner) = registry;
+        registry.register(
+            "first_token_seconds",
+            "Time to the first token",
+            metrics.first_token.clone(),
+        );
+        registry.register(
+            "control_wait_seconds",
+            "Wait for the control thread",
+            metrics.control_wait.clone(),
+        );
+        registry.register(
+            "control_step_seconds",
+            "Time of one control step",
+            metrics.control_step.clone(),
+        );
+        *metrics
+            .registry
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = registry;
         metrics
     }
 
@@ -98,5 +133,9 @@
 }
 
 fn count(family: &Family<KindLabel, Counter>, kind: &str, amount: u64) {
-    family.get_or_create(&KindLabel { kind: kind.to_owned() }).inc_by(amount);
+    family
+        .get_or_create(&KindLabel {
+            kind: kind.to_owned(),
+        })
+        .inc_by(amount);
 }
--- a/bamboo-node/src/operators/mod.rs
+++ b/bamboo-node/src/operators/mod.rs
@@ -16,10 +16,22 @@
 pub(crate) fn configure(config: &mut web::ServiceConfig) {
     config
         .route("/api/v1/resources/{kind}", web::get().to(resources::list))
-        .route("/api/v1/resources/{kind}/{name}", web::get().to(resources::get))
-        .route("/api/v1/resources/{kind}/{name}", web::put().to(resources::put))
-        .route("/api/v1/resources/{kind}/{name}", web::delete().to(resources::delete))
-        .route("/api/v1/resources/{kind}/{name}/status", web::get().to(state::describe))
+        .route(
+            "/api/v1/resources/{kind}/{name}",
+            web::get().to(resources::get),
+        )
+        .route(
+            "/api/v1/resources/{kind}/{name}",
+            web::put().to(resources::put),
+        )
+        .route(
+            "/api/v1/resources/{kind}/{name}",
+            web::delete().to(resources::delete),
+        )
+        .route(
+            "/api/v1/resources/{kind}/{name}/status",
+            web::get().to(state::describe),
+        )
         .route("/api/v1/watch", web::get().to(resources::watch))
         .route("/api/v1/jobs", web::get().to(state::jobs))
         .route("/api/v1/jobs/{job}", web::get().to(state::job))
@@ -37,10 +49,16 @@
 /// # Errors
 /// Refuses a request without it.
 fn check_operator(traffic: &Traffic, http: &HttpRequest) -> Result<(), Refusal> {
-    let header = http.headers().get("authorization").and_then(|value| value.to_str().ok());
+    let header = http
+        .headers()
+        .get("authorization")
+        .and_then(|value| value.to_str().ok());
     let key = header.and_then(|text| text.strip_prefix("Bearer "));
     match key {
         Some(key) if traffic.shared.settings.operator_key_sha256.matches(key) => Ok(()),
-        _ => Err(Refusal::new(Code::Unauthenticated, "the operators' bearer key is missing or wrong")),
+        _ => Err(Refusal::new(
+            Code::Unauthenticated,
+            "the operators' bearer key is missing or wrong",
+        )),
     }
 }
--- a/bamboo-node/src/operators/resources.rs
+++ b/bamboo-node/src/operators/resources.rs
@@ -45,7 +45,11 @@
 }
 
 /// `GET /api/v1/resources/{kind}`.
-pub(super) async fn list(traffic: web::Data<Traffic>, http: HttpRequest, path: web::Path<String>) -> HttpResponse {
+pub(super) async fn list(
+    traffic: web::Data<Traffic>,
+    http: HttpRequest,
+    path: web::Path<String>,
+) -> HttpResponse {
     if let Err(refusal) = check_operator(&traffic, &http) {
         return refuse(&traffic.shared, &refusal);
     }
@@ -72,7 +76,10 @@
     };
     match traffic.shared.config.load().fold.get(kind, &name) {
         Some(stored) => HttpResponse::Ok().json(stored_json(stored)),
-        None => refuse(&traffic.shared, &Refusal::new(Code::NotFound, format!("no {kind} '{name}'"))),
+        None => refuse(
+            &traffic.shared,
+            &Refusal::new(Code::NotFound, format!("no {kind} '{name}'")),
+        ),
     }
 }
 
@@ -96,7 +103,16 @@
         return HttpResponse::UnprocessableEntity().json(answer);
     }
     let (kind, name) = path.into_inner();
-    propose(&traffic, ConfigChange { kind, name, based_on: query.based_on, resource_json: Some(text) }).await
+    propose(
+        &traffic,
+        ConfigChange {
+            kind,
+            name,
+            based_on: query.based_on,
+            resource_json: Some(text),
+        },
+    )
+    .await
 }
 
 /// `DELETE /api/v1/resources/{kind}/{name}?based_on=REVISION`.
@@ -110,7 +126,16 @@
         return refuse(&traffic.shared, &refusal);
     }
     let (kind, name) = path.into_inner();
-    propose(&traffic, ConfigChange { kind, name, based_on: query.based_on, resource_json: None }).await
+    propose(
+        &traffic,
+        ConfigChange {
+            kind,
+            name,
+            based_on: query.based_on,
+            resource_json: None,
+        },
+    )
+    .await
 }
 
 /// `GET /api/v1/watch?from=OFFSET`: changes and refusals, as soon as there are any.
@@ -127,7 +152,8 @@
         let table = traffic.shared.config.load_full();
         let changes = table.fold.history_from(query.from);
         if !changes.is_empty() || Instant::now() >= until {
-            return HttpResponse::Ok().json(json!({ "changes": changes, "next": table.fold.next_offset() }));
+            return HttpResponse::Ok()
+                .json(json!({ "changes": changes, "next": table.fold.next_offset() }));
         }
         actix_rt::time::sleep(WATCH_INTERVAL).await;
     }
@@ -138,18 +164,28 @@
         return refuse(&traffic.shared, &unknown_kind(&change.kind));
     }
     let request = new_request_id();
-    match traffic.control.ask(request, Input::Propose { request, change }).await {
-        Answer::Config(ChangeOutcome::Applied { revision }) => HttpResponse::Ok().json(json!({ "revision": revision })),
-        Answer::Config(ChangeOutcome::Conflict { current_revision, current }) => {
+    match traffic
+        .control
+        .ask(request, Input::Propose { request, change })
+        .await
+    {
+        Answer::Config(ChangeOutcome::Applied { revision }) => {
+            HttpResponse::Ok().json(json!({ "revision": revision }))
+        }
+        Answer::Config(ChangeOutcome::Conflict {
+            current_revision,
+            current,
+        }) => {
             let message = format!("the resource has revision {current_revision}");
             let mut answer = error_json(&Refusal::new(Code::Conflict, message));
             answer["error"]["current_revision"] = json!(current_revision);
             answer["error"]["current"] = json!(current);
             HttpResponse::Conflict().json(answer)
         }
-        Answer::Config(ChangeOutcome::Refused { faults }) => {
-            refuse(&traffic.shared, &Refusal::new(Code::BadResource, faults.join("; ")))
-        }
+        Answer::Config(ChangeOutcome::Refused { faults }) => refuse(
+            &traffic.shared,
+            &Refusal::new(Code::BadResource, faults.join("; ")),
+        ),
         Answer::Refused(refusal) => refuse(&traffic.shared, &refusal),
         _ => refuse_unexpected(&traffic.shared),
     }
@@ -161,5 +197,8 @@
 
 fn unknown_kind(kind: &str) -> Refusal {
     let known: Vec<&str> = Kind::ALL.iter().map(|kind| kind.name()).collect();
-    Refusal::new(Code::BadRequest, format!("kind = {kind}: must be one of {}", known.join(", ")))
+    Refusal::new(
+        Code::BadRequest,
+        format!("kind = {kind}: must be one of {}", known.join(", ")),
+    )
 }
--- a/bamboo-node/src/operators/state.rs
+++ b/bamboo-node/src/operators/state.rs
@@ -40,7 +40,11 @@
 }
 
 /// `GET /api/v1/jobs/{job}`.
-pub(super) async fn job(traffic: web::Data<Traffic>, http: HttpRequest, path: web::Path<String>) -> HttpResponse {
+pub(super) async fn job(
+    traffic: web::Data<Traffic>,
+    http: HttpRequest,
+    path: web::Path<String>,
+) -> HttpResponse {
     if let Err(refusal) = check_operator(&traffic, &http) {
         return refuse(&traffic.shared, &refusal);
     }
@@ -51,7 +55,11 @@
 }
 
 /// `POST /api/v1/jobs/{job}/cancel`.
-pub(super) async fn cancel(traffic: web::Data<Traffic>, http: HttpRequest, path: web::Path<String>) -> HttpResponse {
+pub(super) async fn cancel(
+    traffic: web::Data<Traffic>,
+    http: HttpRequest,
+    path: web::Path<String>,
+) -> HttpResponse {
     if let Err(refusal) = check_operator(&traffic, &http) {
         return refuse(&traffic.shared, &refusal);
     }
@@ -66,7 +74,11 @@
 }
 
 /// `GET /api/v1/jobs/{job}/results`.
-pub(super) async fn results(traffic: web::Data<Traffic>, http: HttpRequest, path: web::Path<String>) -> HttpResponse {
+pub(super) async fn results(
+    traffic: web::Data<Traffic>,
+    http: HttpRequest,
+    path: web::Path<String>,
+) -> HttpResponse {
     if let Err(refusal) = check_operator(&traffic, &http) {
         return refuse(&traffic.shared, &refusal);
     }
@@ -88,15 +100,26 @@
     let (kind, name) = path.into_inner();
     let table = traffic.shared.config.load_full();
     let Some(stored) = Kind::parse(&kind).and_then(|kind| table.fold.get(kind, &name)) else {
-        return refuse(&traffic.shared, &Refusal::new(Code::NotFound, format!("no {kind} '{name}'")));
+        return refuse(
+            &traffic.shared,
+            &Refusal::new(Code::NotFound, format!("no {kind} '{name}'")),
+        );
     };
     let jobs = match list_jobs(&traffic, None).await {
         Ok(views) => views,
         Err(refusal) => return refuse(&traffic.shared, &refusal),
     };
     let is_queued = |serving: &str| kind == Kind::Serving.name() && serving == name;
-    let jobs: Vec<Value> = jobs.iter().filter(|view| is_queued(&view.serving)).map(job_json).collect();
-    let changes = table.fold.history_from(0).into_iter().filter(|change| change.kind == kind && change.name == name);
+    let jobs: Vec<Value> = jobs
+        .iter()
+        .filter(|view| is_queued(&view.serving))
+        .map(job_json)
+        .collect();
+    let changes = table
+        .fold
+        .history_from(0)
+        .into_iter()
+        .filter(|change| change.kind == kind && change.name == name);
     HttpResponse::Ok().json(json!({
         "revision": stored.revision,
         "resource": stored.resource,
@@ -112,7 +135,10 @@
     }
     match traffic.control.address.send(GetStatus).await {
         Ok(status) => HttpResponse::Ok().json(status_json(&status)),
-        Err(_) => refuse(&traffic.shared, &Refusal::new(Code::NotReady, "the daemon is stopping")),
+        Err(_) => refuse(
+            &traffic.shared,
+            &Refusal::new(Code::NotReady, "the daemon is stopping"),
+        ),
     }
 }
 
@@ -147,9 +173,9 @@
             "held_items": shard.held_count,
         })
     });
-    let servers = status.servers.iter().map(|(server, online, batch)| {
-        json!({ "server": server, "online": online, "batch": batch })
-    });
+    let servers = status.servers.iter().map(
+        |(server, online, batch)| json!({ "server": server, "online": online, "batch": batch }),
+    );
     json!({
         "host": status.host,
         "is_ready": status.is_ready,
--- a/bamboo-node/src/peers.rs
+++ b/bamboo-node/src/peers.rs
@@ -40,7 +40,10 @@
     pub(crate) fn open(shared: &Arc<Shared>, address: &str) -> Self {
         let (queue, messages) = mpsc::channel(QUEUE_MAX);
         actix_rt::spawn(run_link(Arc::clone(shared), address.to_owned(), messages));
-        PeerLink { address: address.to_owned(), queue }
+        PeerLink {
+            address: address.to_owned(),
+            queue,
+        }
     }
 
     pub(crate) fn address(&self) -> &str {
@@ -53,14 +56,22 @@
     }
 }
 
-async fn run_link(shared: Arc<Shared>, address: String, mut queue: mpsc::Receiver<Vec<PeerMessage>>) {
+async fn run_link(
+    shared: Arc<Shared>,
+    address: String,
+    mut queue: mpsc::Receiver<Vec<PeerMessage>>,
+) {
     let mut connection: Option<SendRequest<Bytes>> = None;
     while let Some(mut messages) = queue.recv().await {
         while let Ok(more) = queue.try_recv() {
             messages.extend(more);
         }
         let bytes = encode(&shared, messages);
-        let sent = tokio::time::timeout(SEND_TIMEOUT, send_frame(&shared, &address, &mut connection, bytes)).await;
+        let sent = tokio::time::timeout(
+            SEND_TIMEOUT,
+            send_frame(&shared, &address, &mut connection, bytes),
+        )
+        .await;
         if !matches!(sent, Ok(Ok(()))) {
             connection = None;
         }
@@ -69,10 +80,15 @@
 
 fn encode(shared: &Shared, messages: Vec<PeerMessage>) -> Bytes {
     for message in &messages {
-        let size = bincode::serde::encode_to_vec(message, bincode::config::standard()).map_or(0, |bytes| bytes.len());
+        let size = bincode::serde::encode_to_vec(message, bincode::config::standard())
+            .map_or(0, |bytes| bytes.len());
         shared.metrics.message_sent(message.kind(), size);
     }
-    let frame = Frame { from: shared.settings.host.clone(), incarnation: shared.incarnation, messages };
+    let frame = Frame {
+        from: shared.settings.host.clone(),
+        incarnation: shared.incarnation,
+        messages,
+    };
     Bytes::from(WireFrame::from(&frame).bytes)
 }
 
@@ -99,7 +115,9 @@
 }
 
 async fn connect(address: &str) -> anyhow::Result<SendRequest<Bytes>> {
-    let stream = TcpStream::connect(address).await.context("connect to peer")?;
+    let stream = TcpStream::connect(address)
+        .await
+        .context("connect to peer")?;
     stream.set_nodelay(true)?;
     let (sender, connection) = h2::client::handshake(stream).await?;
     actix_rt::spawn(async move {
@@ -110,11 +128,19 @@
 }
 
 /// Accepts connections of other daemons until the daemon stops.
-pub(crate) async fn accept_peers(shared: Arc<Shared>, control: ControlHandle, listener: TcpListener) {
+pub(crate) async fn accept_peers(
+    shared: Arc<Shared>,
+    control: ControlHandle,
+    listener: TcpListener,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                actix_rt::spawn(serve_connection(Arc::clone(&shared), control.clone(), stream));
+                actix_rt::spawn(serve_connection(
+                    Arc::clone(&shared),
+                    control.clone(),
+                    stream,
+                ));
             }
             Err(_) => actix_rt::time::sleep(Duration::from_millis(50)).await,
         }
@@ -126,19 +152,28 @@
 /// # Errors
 /// Fails if the address is in use.
 pub(crate) async fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address).await.with_context(|| format!("cannot listen on {address} for peers"))
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("cannot listen on {address} for peers"))
 }
 
 async fn serve_connection(shared: Arc<Shared>, control: ControlHandle, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let mut builder = h2::server::Builder::new();
-    builder.initial_window_size(WINDOW_BYTES).initial_connection_window_size(WINDOW_BYTES);
+    builder
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES);
     let Ok(mut connection) = builder.handshake::<_, Bytes>(stream).await else {
         return;
     };
     while let Some(Ok((request, respond))) = connection.accept().await {
         // Frames of one peer are taken in order.
-        actix_rt::spawn(serve_frame(Arc::clone(&shared), control.clone(), request, respond));
+        actix_rt::spawn(serve_frame(
+            Arc::clone(&shared),
+            control.clone(),
+            request,
+            respond,
+        ));
     }
 }
 
@@ -148,7 +183,11 @@
     request: http::Request<h2::RecvStream>,
     mut respond: h2::server::SendResponse<Bytes>,
 ) {
-    let key = request.headers().get(KEY_HEADER).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let key = request
+        .headers()
+        .get(KEY_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
     let is_known = bamboo_config::KeyHash::of(&shared.settings.peer_key).matches(key);
     let status = match is_known {
         false => 403,
@@ -171,7 +210,10 @@
         let piece = piece?;
         body.flow_control().release_capacity(piece.len())?;
         bytes.extend_from_slice(&piece);
-        anyhow::ensure!(bytes.len() <= FRAME_MAX_BYTES, "frame is larger than {FRAME_MAX_BYTES} bytes");
+        anyhow::ensure!(
+            bytes.len() <= FRAME_MAX_BYTES,
+            "frame is larger than {FRAME_MAX_BYTES} bytes"
+        );
     }
     Ok(Frame::try_from(bytes.as_slice())?)
 }
--- a/bamboo-node/src/platform.rs
+++ b/bamboo-node/src/platform.rs
@@ -35,8 +35,14 @@
 impl From<WirePage> for ReadAnswer {
     fn from(page: WirePage) -> Self {
         let entries = page.entries.into_iter();
-        let entries = entries.map(|(offset, bytes)| (offset, Entry::try_from(bytes.as_slice()).ok())).collect();
-        ReadAnswer { entries, oldest: page.oldest, tail: page.tail }
+        let entries = entries
+            .map(|(offset, bytes)| (offset, Entry::try_from(bytes.as_slice()).ok()))
+            .collect();
+        ReadAnswer {
+            entries,
+            oldest: page.oldest,
+            tail: page.tail,
+        }
     }
 }
 
@@ -61,7 +67,11 @@
             host: host.host,
             data_centre: host.data_centre,
             peer_address: host.peer_address,
-            state: if host.is_leaving { HostState::Leaving } else { HostState::Live },
+            state: if host.is_leaving {
+                HostState::Leaving
+            } else {
+                HostState::Live
+            },
         }
     }
 }
@@ -82,13 +92,23 @@
 impl Platform {
     pub(crate) fn new(log_url: &str, host_list_url: &str) -> Self {
         let client = Client::builder().timeout(READ_WAIT + READ_TIMEOUT).finish();
-        Platform { client, log_url: log_url.to_owned(), host_list_url: host_list_url.to_owned() }
+        Platform {
+            client,
+            log_url: log_url.to_owned(),
+            host_list_url: host_list_url.to_owned(),
+        }
     }
 
     /// Appends an entry. Only an answer that says so counts as stored or refused.
     pub(crate) async fn append(&self, stream: StreamId, bytes: Vec<u8>) -> AppendAnswer {
         let url = format!("{}/{stream}", self.log_url);
-        let mut response = match self.client.post(url).timeout(APPEND_TIMEOUT).send_body(bytes).await {
+        let mut response = match self
+            .client
+            .post(url)
+            .timeout(APPEND_TIMEOUT)
+            .send_body(bytes)
+            .await
+        {
             Ok(response) => response,
             Err(SendRequestError::Connect(_)) => return AppendAnswer::Refused(Duration::ZERO),
             Err(_) => return AppendAnswer::Unknown,
@@ -100,7 +120,9 @@
             },
             429 | 503 => {
                 let header = response.headers().get("retry-after-ms");
-                let wait_ms = header.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
+                let wait_ms = header
+                    .and_then(|value| value.to_str().ok()?.parse().ok())
+                    .unwrap_or(0);
                 AppendAnswer::Refused(Duration::from_millis(wait_ms))
             }
             _ => AppendAnswer::Unknown,
@@ -111,15 +133,29 @@
     ///
     /// # Errors
     /// Fails if the service does not answer with a page.
-    pub(crate) async fn read(&self, stream: StreamId, from: Offset, wait: bool) -> anyhow::Result<ReadAnswer> {
+    pub(crate) async fn read(
+        &self,
+        stream: StreamId,
+        from: Offset,
+        wait: bool,
+    ) -> anyhow::Result<ReadAnswer> {
         let wait_ms = if wait { READ_WAIT.as_millis() } else { 0 };
         let url = format!("{}/{stream}?from={from}&wait_ms={wait_ms}", self.log_url);
         let response = self.client.get(url).send().await;
         let mut response = response.map_err(|error| anyhow::anyhow!("log read: {error}"))?;
-        anyhow::ensure!(response.status().is_success(), "log read: status {}", response.status());
-        let bytes = response.body().limit(READ_MAX_BYTES).await.context("log read: body")?;
+        anyhow::ensure!(
+            response.status().is_success(),
+            "log read: status {}",
+            response.status()
+        );
+        let bytes = response
+            .body()
+            .limit(READ_MAX_BYTES)
+            .await
+            .context("log read: body")?;
         let (page, _): (WirePage, usize) =
-            bincode::serde::decode_from_slice(&bytes, bincode::config::standard()).context("log read: page")?;
+            bincode::serde::decode_from_slice(&bytes, bincode::config::standard())
+                .context("log read: page")?;
         Ok(page.into())
     }
 
@@ -127,7 +163,11 @@
     ///
     /// # Errors
     /// Fails if the service does not answer with a page.
-    pub(crate) async fn entry(&self, stream: StreamId, offset: Offset) -> anyhow::Result<Option<Entry>> {
+    pub(crate) async fn entry(
+        &self,
+        stream: StreamId,
+        offset: Offset,
+    ) -> anyhow::Result<Option<Entry>> {
         let page = self.read(stream, offset, false).await?;
         let found = page.entries.into_iter().find(|(at, _)| *at == offset);
         Ok(found.and_then(|(_, entry)| entry))
@@ -140,8 +180,19 @@
     pub(crate) async fn host_list(&self) -> anyhow::Result<(Vec<HostEntry>, Vec<BackendServerId>)> {
         let response = self.client.get(&self.host_list_url).send().await;
         let mut response = response.map_err(|error| anyhow::anyhow!("host list: {error}"))?;
-        anyhow::ensure!(response.status().is_success(), "host list: status {}", response.status());
-        let list: WireHostList = response.json().limit(READ_MAX_BYTES).await.context("host list")?;
-        Ok((list.hosts.into_iter().map(HostEntry::from).collect(), list.leaving_servers))
+        anyhow::ensure!(
+            response.status().is_success(),
+            "host list: status {}",
+            response.status()
+        );
+        let list: WireHostList = response
+            .json()
+            .limit(READ_MAX_BYTES)
+            .await
+            .context("host list")?;
+        Ok((
+            list.hosts.into_iter().map(HostEntry::from).collect(),
+            list.leaving_servers,
+        ))
     }
 }
--- a/bamboo-node/src/reply.rs
+++ b/bamboo-node/src/reply.rs
@@ -23,7 +23,8 @@
 /// Answers with a refusal.
 pub(crate) fn refuse(shared: &Shared, refusal: &Refusal) -> HttpResponse {
     shared.metrics.answered(refusal.code.name());
-    let status = StatusCode::from_u16(refusal.code.http_status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let status = StatusCode::from_u16(refusal.code.http_status())
+        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = HttpResponse::build(status);
     if let Some(seconds) = refusal.retry_after_s() {
         response.insert_header(("retry-after", seconds.to_string()));
@@ -33,5 +34,8 @@
 
 /// Answers a request that the control thread answered in a form that does not fit.
 pub(crate) fn refuse_unexpected(shared: &Shared) -> HttpResponse {
-    refuse(shared, &Refusal::new(Code::OutcomeUnknown, "the request ended without an answer"))
+    refuse(
+        shared,
+        &Refusal::new(Code::OutcomeUnknown, "the request ended without an answer"),
+    )
 }
--- a/bamboo-node/src/run.rs
+++ b/bamboo-node/src/run.rs
@@ -51,7 +51,11 @@
     let (links, link_orders) = unbounded_channel();
     let (batch, batch_orders) = unbounded_channel();
     let (drained, is_drained) = oneshot::channel();
-    let core = HostCore::new(HostOptions::from_settings(settings, incarnation, rand::random()));
+    let core = HostCore::new(HostOptions::from_settings(
+        settings,
+        incarnation,
+        rand::random(),
+    ));
     let address = Control::new(core, Arc::clone(&shared), links, batch, drained).start();
     let control = ControlHandle { address };
 
@@ -66,11 +70,19 @@
         actix_rt::spawn(run_batch(batch_shared, batch_control, batch_orders));
     });
     let peer_listener = listen(settings.peer_address).await?;
-    actix_rt::spawn(accept_peers(Arc::clone(&shared), control.clone(), peer_listener));
+    actix_rt::spawn(accept_peers(
+        Arc::clone(&shared),
+        control.clone(),
+        peer_listener,
+    ));
 
     let caller_server = serve_callers(&shared, &control)?;
     let operator_server = serve_operators(&shared, &control)?;
-    log::info!("host {} listens for callers on {}", settings.host, settings.caller_address);
+    log::info!(
+        "host {} listens for callers on {}",
+        settings.host,
+        settings.caller_address
+    );
 
     wait_for_stop(&control, is_drained, settings.drain_max).await?;
     wait_for_streams(&shared).await;
@@ -139,7 +151,9 @@
     log::info!("a planned stop begins");
     control.tell(Input::Drain);
     if tokio::time::timeout(drain_max, is_drained).await.is_err() {
-        log::warn!("the planned stop took longer than {drain_max:?}; what is left is handed over by its owners' loss");
+        log::warn!(
+            "the planned stop took longer than {drain_max:?}; what is left is handed over by its owners' loss"
+        );
     }
     Ok(())
 }
--- a/bamboo-node/src/shared.rs
+++ b/bamboo-node/src/shared.rs
@@ -60,12 +60,18 @@
     /// Adds an event to the time line.
     pub(crate) fn event(&self, kind: EventKind, subject: String, detail: String) {
         let now = self.clock.now();
-        self.ring.lock().unwrap_or_else(PoisonError::into_inner).push(now, kind, subject, detail);
+        self.ring
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(now, kind, subject, detail);
     }
 
     /// Events whose subject starts with a text.
     pub(crate) fn events_about(&self, subject: &str) -> Vec<bamboo_events::Event> {
-        self.ring.lock().unwrap_or_else(PoisonError::into_inner).events_about(subject)
+        self.ring
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .events_about(subject)
     }
 }
 
@@ -78,13 +84,21 @@
 impl ControlHandle {
     /// Tells the control thread something.
     pub(crate) fn tell(&self, input: Input) {
-        self.address.do_send(Take { input, sent_at: std::time::Instant::now() });
+        self.address.do_send(Take {
+            input,
+            sent_at: std::time::Instant::now(),
+        });
     }
 
     /// Puts a request in and waits for its answer.
     pub(crate) async fn ask(&self, request: RequestId, input: Input) -> Answer {
         let (reply, answer) = oneshot::channel();
-        self.address.do_send(Request { request, input, reply, sent_at: std::time::Instant::now() });
+        self.address.do_send(Request {
+            request,
+            input,
+            reply,
+            sent_at: std::time::Instant::now(),
+        });
         answer.await.unwrap_or_else(|_| {
             Answer::Refused(Refusal::new(Code::NotReady, "the daemon is stopping"))
         })
@@ -99,7 +113,9 @@
 impl OpenStream {
     pub(crate) fn new(shared: &Arc<Shared>) -> Self {
         shared.streams_open.fetch_add(1, Ordering::Relaxed);
-        OpenStream { shared: Arc::clone(shared) }
+        OpenStream {
+            shared: Arc::clone(shared),
+        }
     }
 }
 
--- a/bamboo-result/src/refusal.rs
+++ b/bamboo-result/src/refusal.rs
@@ -31,7 +31,11 @@
     where
         M: Into<String>,
     {
-        Refusal { code, message: message.into(), retry_after: None }
+        Refusal {
+            code,
+            message: message.into(),
+            retry_after: None,
+        }
     }
 
     /// A refusal that says when to come back.
@@ -45,7 +49,11 @@
     where
         M: Into<String>,
     {
-        Refusal { code, message: message.into(), retry_after: Some(after) }
+        Refusal {
+            code,
+            message: message.into(),
+            retry_after: Some(after),
+        }
     }
 
     /// Whole seconds for a `Retry-After` header, rounded up, at least 1.
@@ -56,6 +64,7 @@
     /// assert_eq!(refusal.retry_after_s(), Some(2));
     /// ```
     pub fn retry_after_s(&self) -> Option<u64> {
-        self.retry_after.map(|after| after.as_millis().div_ceil(1000).max(1) as u64)
+        self.retry_after
+            .map(|after| after.as_millis().div_ceil(1000).max(1) as u64)
     }
 }
--- a/bamboo-route/src/choose.rs
+++ b/bamboo-route/src/choose.rs
@@ -56,7 +56,11 @@
 
 impl Default for ChoiceOptions {
     fn default() -> Self {
-        ChoiceOptions { policy: Policy::Packed, load_bound: 1.25, pack_share: 0.25 }
+        ChoiceOptions {
+            policy: Policy::Packed,
+            load_bound: 1.25,
+            pack_share: 0.25,
+        }
     }
 }
 
@@ -84,19 +88,32 @@
     match options.policy {
         Policy::Random => Some((random % candidates.len() as u64) as usize),
         Policy::LeastInFlight => least_loaded(candidates, random),
-        Policy::PrefixHash => prefix_order(candidates, scope, prefix, random).first().copied(),
+        Policy::PrefixHash => prefix_order(candidates, scope, prefix, random)
+            .first()
+            .copied(),
         Policy::BoundedPrefix => bounded_prefix(candidates, options, scope, prefix, random),
         Policy::Packed => packed(candidates, options, scope, random),
     }
 }
 
 fn least_loaded(candidates: &[Candidate<'_>], random: u64) -> Option<usize> {
-    let lowest = candidates.iter().map(Candidate::load).fold(f64::INFINITY, f64::min);
-    let ties: Vec<usize> = (0..candidates.len()).filter(|index| candidates[*index].load() <= lowest).collect();
-    ties.get((random % ties.len().max(1) as u64) as usize).copied()
+    let lowest = candidates
+        .iter()
+        .map(Candidate::load)
+        .fold(f64::INFINITY, f64::min);
+    let ties: Vec<usize> = (0..candidates.len())
+        .filter(|index| candidates[*index].load() <= lowest)
+        .collect();
+    ties.get((random % ties.len().max(1) as u64) as usize)
+        .copied()
 }
 
-fn prefix_order(candidates: &[Candidate<'_>], scope: &str, prefix: Option<u64>, random: u64) -> Vec<usize> {
+fn prefix_order(
+    candidates: &[Candidate<'_>],
+    scope: &str,
+    prefix: Option<u64>,
+    random: u64,
+) -> Vec<usize> {
     let name = format!("{scope}/{:x}", prefix.unwrap_or(random));
     let mut order: Vec<usize> = (0..candidates.len()).collect();
     order.sort_by_key(|index| std::cmp::Reverse(weight(candidates[*index].server, &name)));
@@ -113,7 +130,10 @@
     if prefix.is_none() {
         return least_loaded(candidates, random);
     }
-    let total: u32 = candidates.iter().map(|candidate| candidate.online_count + 1).sum();
+    let total: u32 = candidates
+        .iter()
+        .map(|candidate| candidate.online_count + 1)
+        .sum();
     let capacity: u32 = candidates.iter().map(|candidate| candidate.capacity).sum();
     let average = f64::from(total) / f64::from(capacity.max(1));
     let has_room = |index: &usize| {
@@ -122,13 +142,24 @@
         after <= options.load_bound * average
     };
     let order = prefix_order(candidates, scope, prefix, random);
-    order.into_iter().find(has_room).or_else(|| least_loaded(candidates, random))
+    order
+        .into_iter()
+        .find(has_room)
+        .or_else(|| least_loaded(candidates, random))
 }
 
-fn packed(candidates: &[Candidate<'_>], options: &ChoiceOptions, scope: &str, random: u64) -> Option<usize> {
+fn packed(
+    candidates: &[Candidate<'_>],
+    options: &ChoiceOptions,
+    scope: &str,
+    random: u64,
+) -> Option<usize> {
     // All hosts order the servers alike, so they gather online requests on the same ones.
     let mut order: Vec<usize> = (0..candidates.len()).collect();
     order.sort_by_key(|index| std::cmp::Reverse(weight(candidates[*index].server, scope)));
     let has_room = |index: &usize| candidates[*index].load() < options.pack_share;
-    order.into_iter().find(has_room).or_else(|| least_loaded(candidates, random))
+    order
+        .into_iter()
+        .find(has_room)
+        .or_else(|| least_loaded(candidates, random))
 }
--- a/bamboo-route/src/ejection.rs
+++ b/bamboo-route/src/ejection.rs
@@ -49,7 +49,9 @@
         if health.consecutive_failures < FAILURES_TO_EJECT {
             return false;
         }
-        let time = EJECT_FIRST.saturating_mul(1 << health.ejections.min(5)).min(EJECT_MAX);
+        let time = EJECT_FIRST
+            .saturating_mul(1 << health.ejections.min(5))
+            .min(EJECT_MAX);
         health.out_until = now + time;
         health.ejections += 1;
         // One further failure after the return ejects again.
@@ -59,7 +61,9 @@
 
     /// Whether the server is out.
     pub fn is_out(&self, now: Now, server: &str) -> bool {
-        self.servers.get(server).is_some_and(|health| now < health.out_until)
+        self.servers
+            .get(server)
+            .is_some_and(|health| now < health.out_until)
     }
 
     /// Keeps the servers that are in. If more than half would be out, the failures say nothing about single
@@ -68,10 +72,16 @@
     where
         F: Fn(&T) -> &str,
     {
-        let out_count = servers.iter().filter(|server| self.is_out(now, name(server))).count();
+        let out_count = servers
+            .iter()
+            .filter(|server| self.is_out(now, name(server)))
+            .count();
         if out_count * 2 > servers.len() {
             return servers;
         }
-        servers.into_iter().filter(|server| !self.is_out(now, name(server))).collect()
+        servers
+            .into_iter()
+            .filter(|server| !self.is_out(now, name(server)))
+            .collect()
     }
 }
--- a/bamboo-route/src/limits.rs
+++ b/bamboo-route/src/limits.rs
@@ -58,21 +58,38 @@
     /// assert!(used.take(Duration::ZERO, 100.0).is_err());
     /// ```
     pub fn take(&mut self, now: Now, token_count: f64) -> Result<(), Refusal> {
-        let in_flight_max = self.limits.in_flight_max.div_ceil(self.host_count.max(1) as u32).max(1);
+        let in_flight_max = self
+            .limits
+            .in_flight_max
+            .div_ceil(self.host_count.max(1) as u32)
+            .max(1);
         if self.in_flight >= in_flight_max {
             let message = format!("{} requests in flight at this host", self.in_flight);
-            return Err(Refusal::retry(Code::LimitReached, message, std::time::Duration::from_secs(1)));
+            return Err(Refusal::retry(
+                Code::LimitReached,
+                message,
+                std::time::Duration::from_secs(1),
+            ));
         }
         if !self.requests.try_take(now, 1.0) {
             let wait = self.requests.time_until(now, 1.0);
-            return Err(Refusal::retry(Code::LimitReached, "requests a second are used up", wait));
+            return Err(Refusal::retry(
+                Code::LimitReached,
+                "requests a second are used up",
+                wait,
+            ));
         }
         // A request larger than the burst passes when the bucket is full, or it could never pass.
-        let amount = token_count.min(self.limits.tokens_per_s * BURST_S / self.host_count.max(1) as f64);
+        let amount =
+            token_count.min(self.limits.tokens_per_s * BURST_S / self.host_count.max(1) as f64);
         if !self.tokens.try_take(now, amount) {
             self.requests.give_back(1.0);
             let wait = self.tokens.time_until(now, amount);
-            return Err(Refusal::retry(Code::LimitReached, "tokens a second are used up", wait));
+            return Err(Refusal::retry(
+                Code::LimitReached,
+                "tokens a second are used up",
+                wait,
+            ));
         }
         self.in_flight += 1;
         Ok(())
--- a/bamboo-route/src/router.rs
+++ b/bamboo-route/src/router.rs
@@ -166,27 +166,42 @@
     /// assert_eq!(router.in_flight_count(), 0);
     /// ```
     pub fn new(options: ChoiceOptions) -> Self {
-        Router { options, host_count: 1, ..Router::default() }
+        Router {
+            options,
+            host_count: 1,
+            ..Router::default()
+        }
     }
 
     /// Replaces the table of servers. Requests in flight are not touched.
     pub fn set_servers(&mut self, servers: Vec<RouteServer>, host_count: usize) {
-        self.servers = servers.into_iter().map(|server| (server.server.clone(), server)).collect();
+        self.servers = servers
+            .into_iter()
+            .map(|server| (server.server.clone(), server))
+            .collect();
         self.host_count = host_count.max(1);
-        self.notices.retain(|server, _| self.servers.contains_key(server));
+        self.notices
+            .retain(|server, _| self.servers.contains_key(server));
     }
 
     /// Takes a server owner's count of all requests on a server.
     pub fn notice(&mut self, now: Now, server: &str, online_count: u32, batch_count: u32) {
         let own = self.own_count(server);
-        let notice = Notice { elsewhere_count: online_count.saturating_sub(own), batch_count, at: now };
+        let notice = Notice {
+            elsewhere_count: online_count.saturating_sub(own),
+            batch_count,
+            at: now,
+        };
         self.notices.insert(server.to_owned(), notice);
     }
 
     /// Routes a request that arrived.
     pub fn arrived(&mut self, now: Now, request: OnlineRequest, random: u64) -> RouteStep {
         if now >= request.deadline {
-            return RouteStep::Refuse(Refusal::new(Code::DeadlinePassed, "the deadline has passed"));
+            return RouteStep::Refuse(Refusal::new(
+                Code::DeadlinePassed,
+                "the deadline has passed",
+            ));
         }
         let server = match self.pick(now, &request, &[], random) {
             Ok(server) => server,
@@ -198,7 +213,13 @@
             return RouteStep::Refuse(refusal);
         }
         let id = request.request;
-        self.in_flight.insert(id, InFlight { request, tried: Vec::new() });
+        self.in_flight.insert(
+            id,
+            InFlight {
+                request,
+                tried: Vec::new(),
+            },
+        );
         RouteStep::Send(self.begin(id, server))
     }
 
@@ -231,7 +252,10 @@
             OnlineEnd::Unknown { code, reason } => {
                 self.ejection.failed(now, &server);
                 let refusal = Refusal::new(code, reason);
-                let may_repeat = self.in_flight.get(&request).is_some_and(|found| found.request.is_idempotent);
+                let may_repeat = self
+                    .in_flight
+                    .get(&request)
+                    .is_some_and(|found| found.request.is_idempotent);
                 if may_repeat {
                     return self.retry_or(now, request, refusal, random);
                 }
@@ -248,7 +272,9 @@
 
     /// Servers with requests of this host.
     pub fn busy_servers(&self) -> impl Iterator<Item = (&BackendServerId, u32)> {
-        self.own_counts.iter().map(|(server, count)| (server, *count))
+        self.own_counts
+            .iter()
+            .map(|(server, count)| (server, *count))
     }
 
     /// Online requests of this host.
@@ -258,12 +284,18 @@
 
     /// Server that a request is on.
     pub fn server_of(&self, request: RequestId) -> Option<&str> {
-        self.in_flight.get(&request)?.tried.last().map(String::as_str)
+        self.in_flight
+            .get(&request)?
+            .tried
+            .last()
+            .map(String::as_str)
     }
 
     /// Whether any server is known for a target.
     pub fn has_target(&self, target: &Target) -> bool {
-        self.servers.values().any(|server| server.targets.contains(target))
+        self.servers
+            .values()
+            .any(|server| server.targets.contains(target))
     }
 
     fn retry_or(&mut self, now: Now, id: RequestId, refusal: Refusal, random: u64) -> EndStep {
@@ -299,7 +331,11 @@
         let usable = self.ejection.filter(now, usable, |server| &server.server);
         if usable.is_empty() {
             let message = format!("no usable server for {}", target_name(&request.target));
-            return Err(Refusal::retry(Code::NoServer, message, NO_SERVER_RETRY_AFTER));
+            return Err(Refusal::retry(
+                Code::NoServer,
+                message,
+                NO_SERVER_RETRY_AFTER,
+            ));
         }
         let candidates: Vec<Candidate<'_>> = usable
             .iter()
@@ -309,15 +345,23 @@
         let scope = target_name(&request.target);
         match choose(&candidates, &self.options, scope, request.prefix, random) {
             Some(index) => Ok(candidates[index].server.to_owned()),
-            None => Err(Refusal::retry(Code::Overloaded, "every server is full", OVERLOAD_RETRY_AFTER)),
+            None => Err(Refusal::retry(
+                Code::Overloaded,
+                "every server is full",
+                OVERLOAD_RETRY_AFTER,
+            )),
         }
     }
 
     fn candidate<'server>(&self, now: Now, server: &'server RouteServer) -> Candidate<'server> {
-        let notice = self.notices.get(&server.server).filter(|notice| now.saturating_sub(notice.at) < NOTICE_LIFETIME);
+        let notice = self
+            .notices
+            .get(&server.server)
+            .filter(|notice| now.saturating_sub(notice.at) < NOTICE_LIFETIME);
         Candidate {
             server: &server.server,
-            online_count: self.own_count(&server.server) + notice.map_or(0, |notice| notice.elsewhere_count),
+            online_count: self.own_count(&server.server)
+                + notice.map_or(0, |notice| notice.elsewhere_count),
             batch_count: notice.map_or(0, |notice| notice.batch_count),
             capacity: server.capacity,
         }
@@ -325,7 +369,11 @@
 
     fn begin(&mut self, id: RequestId, server: BackendServerId) -> Attempt {
         *self.own_counts.entry(server.clone()).or_default() += 1;
-        let address = self.servers.get(&server).map(|found| found.address.clone()).unwrap_or_default();
+        let address = self
+            .servers
+            .get(&server)
+            .map(|found| found.address.clone())
+            .unwrap_or_default();
         let number = match self.in_flight.get_mut(&id) {
             Some(found) => {
                 found.tried.push(server.clone());
@@ -333,7 +381,11 @@
             }
             None => 1,
         };
-        Attempt { server, address, number }
+        Attempt {
+            server,
+            address,
+            number,
+        }
     }
 
     fn end_attempt(&mut self, id: RequestId) -> Option<BackendServerId> {
@@ -351,15 +403,26 @@
         let Some(found) = self.in_flight.remove(&id) else {
             return;
         };
-        if let Some(limits) = self.limits.get_mut(&(found.request.resource, found.request.caller)) {
+        if let Some(limits) = self
+            .limits
+            .get_mut(&(found.request.resource, found.request.caller))
+        {
             limits.ended();
         }
     }
 
-    fn take_limits(&mut self, now: Now, request: &OnlineRequest, limits: Limits) -> Result<(), Refusal> {
+    fn take_limits(
+        &mut self,
+        now: Now,
+        request: &OnlineRequest,
+        limits: Limits,
+    ) -> Result<(), Refusal> {
         let host_count = self.host_count;
         let name = (request.resource.clone(), request.caller.clone());
-        let used = self.limits.entry(name).or_insert_with(|| CallerLimits::new(limits, host_count));
+        let used = self
+            .limits
+            .entry(name)
+            .or_insert_with(|| CallerLimits::new(limits, host_count));
         if !used.is_current(&limits, host_count) {
             let mut renewed = CallerLimits::new(limits, host_count);
             renewed.carry_over(used);
--- a/bamboo-standin/src/engine.rs
+++ b/bamboo-standin/src/engine.rs
@@ -112,16 +112,26 @@
 
 impl Shape {
     fn object(self) -> &'static str {
-        if self.is_chat { "chat.completion" } else { "text_completion" }
+        if self.is_chat {
+            "chat.completion"
+        } else {
+            "text_completion"
+        }
     }
 
     fn chunk_object(self) -> &'static str {
-        if self.is_chat { "chat.completion.chunk" } else { "text_completion" }
+        if self.is_chat {
+            "chat.completion.chunk"
+        } else {
+            "text_completion"
+        }
     }
 
     fn part(self, text: &str, finish_reason: Value) -> Value {
         match self.is_chat {
-            true => json!({ "index": 0, "delta": { "content": text }, "finish_reason": finish_reason }),
+            true => {
+                json!({ "index": 0, "delta": { "content": text }, "finish_reason": finish_reason })
+            }
             false => json!({ "index": 0, "text": text, "finish_reason": finish_reason }),
         }
     }
@@ -172,7 +182,11 @@
         models: what.models.clone(),
         highest_fencing: 0,
     };
-    let standin = web::Data::new(Standin { what, state: Mutex::new(state), faults: FaultSwitch::default() });
+    let standin = web::Data::new(Standin {
+        what,
+        state: Mutex::new(state),
+        faults: FaultSwitch::default(),
+    });
     actix_rt::spawn(iterate(standin.clone()));
     HttpServer::new(move || {
         App::new()
@@ -240,7 +254,10 @@
     for token in tokens {
         let is_last = token.is_last;
         let id = token.id.clone();
-        let is_gone = state.streams.get(&id).is_none_or(|stream| stream.send(Piece::Token(token)).is_err());
+        let is_gone = state
+            .streams
+            .get(&id)
+            .is_none_or(|stream| stream.send(Piece::Token(token)).is_err());
         if is_last || is_gone {
             state.streams.remove(&id);
         }
@@ -250,7 +267,11 @@
     }
 }
 
-async fn complete(standin: web::Data<Standin>, http: HttpRequest, request: web::Json<Request>) -> HttpResponse {
+async fn complete(
+    standin: web::Data<Standin>,
+    http: HttpRequest,
+    request: web::Json<Request>,
+) -> HttpResponse {
     let verdict = standin.faults.pass().await;
     if verdict == Verdict::Refuse {
         return HttpResponse::ServiceUnavailable().finish();
@@ -280,8 +301,14 @@
         state.streams.insert(id.clone(), sender);
         state.ran.push(id.clone());
     }
-    let shape = Shape { is_chat: http.path().ends_with("/chat/completions") };
-    let shown_id = if verdict == Verdict::Cross { "another-request".to_owned() } else { id };
+    let shape = Shape {
+        is_chat: http.path().ends_with("/chat/completions"),
+    };
+    let shown_id = if verdict == Verdict::Cross {
+        "another-request".to_owned()
+    } else {
+        id
+    };
     let is_broken = matches!(verdict, Verdict::Cut | Verdict::LoseAnswer);
     if request.stream {
         stream_answer(receiver, shown_id, shape, prompt, is_broken)
@@ -361,20 +388,31 @@
     if !is_whole || is_broken {
         return HttpResponse::GatewayTimeout().finish();
     }
-    HttpResponse::Ok().insert_header(("x-request-id", id.clone())).json(json!({
-        "id": id,
-        "object": shape.object(),
-        "choices": [shape.whole(&text)],
-        "usage": { "prompt_tokens": count_tokens(&prompt), "completion_tokens": count },
-    }))
+    HttpResponse::Ok()
+        .insert_header(("x-request-id", id.clone()))
+        .json(json!({
+            "id": id,
+            "object": shape.object(),
+            "choices": [shape.whole(&text)],
+            "usage": { "prompt_tokens": count_tokens(&prompt), "completion_tokens": count },
+        }))
 }
 
 async fn cancel(standin: web::Data<Standin>, request: web::Json<Cancel>) -> HttpResponse {
     let mut state = lock(&standin.state);
     let is_meant = |id: &str| {
-        request.id.as_deref() == Some(id) || request.prefix.as_deref().is_some_and(|prefix| id.starts_with(prefix))
+        request.id.as_deref() == Some(id)
+            || request
+                .prefix
+                .as_deref()
+                .is_some_and(|prefix| id.starts_with(prefix))
     };
-    let ids: Vec<String> = state.engine.ids().filter(|id| is_meant(id)).map(str::to_owned).collect();
+    let ids: Vec<String> = state
+        .engine
+        .ids()
+        .filter(|id| is_meant(id))
+        .map(str::to_owned)
+        .collect();
     for id in &ids {
         state.engine.cancel(id);
         if let Some(stream) = state.streams.remove(id) {
@@ -393,16 +431,23 @@
 
 async fn report_load(standin: web::Data<Standin>) -> HttpResponse {
     let state = lock(&standin.state);
-    let oldest = state.loads.front().map(|(_, load)| *load).unwrap_or_default();
+    let oldest = state
+        .loads
+        .front()
+        .map(|(_, load)| *load)
+        .unwrap_or_default();
     HttpResponse::Ok().json(json!({ "load": oldest, "models": state.models }))
 }
 
 async fn list_events(standin: web::Data<Standin>, query: web::Query<EventsQuery>) -> HttpResponse {
     let state = lock(&standin.state);
-    let visible = state.cache_events.iter().filter(|(at, number, _)| {
-        *number >= query.from && at.elapsed() >= standin.what.event_lag
-    });
-    let events: Vec<Value> = visible.map(|(_, number, event)| json!({ "number": number, "event": event })).collect();
+    let visible = state
+        .cache_events
+        .iter()
+        .filter(|(at, number, _)| *number >= query.from && at.elapsed() >= standin.what.event_lag);
+    let events: Vec<Value> = visible
+        .map(|(_, number, event)| json!({ "number": number, "event": event }))
+        .collect();
     HttpResponse::Ok().json(events)
 }
 
@@ -426,15 +471,24 @@
 }
 
 fn request_id(http: &HttpRequest) -> String {
-    let given = http.headers().get("x-request-id").and_then(|value| value.to_str().ok());
-    given.map_or_else(|| format!("anonymous-{:016x}", rand::random::<u64>()), str::to_owned)
+    let given = http
+        .headers()
+        .get("x-request-id")
+        .and_then(|value| value.to_str().ok());
+    given.map_or_else(
+        || format!("anonymous-{:016x}", rand::random::<u64>()),
+        str::to_owned,
+    )
 }
 
 fn prompt_of(request: &Request) -> String {
     match &request.prompt {
         Some(prompt) => prompt.clone(),
         None => {
-            let lines = request.messages.iter().map(|message| format!("{}: {}", message.role, message.content));
+            let lines = request
+                .messages
+                .iter()
+                .map(|message| format!("{}: {}", message.role, message.content));
             lines.collect::<Vec<String>>().join("\n")
         }
     }
--- a/bamboo-standin/src/faults.rs
+++ b/bamboo-standin/src/faults.rs
@@ -55,12 +55,18 @@
     }
 
     pub(crate) fn get(&self) -> Faults {
-        self.faults.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.faults
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Waits as the faults say, then tells what to do.
     pub(crate) async fn pass(&self) -> Verdict {
-        let number = self.counter.fetch_add(1, std::sync::atomic::Ordering::Relaxed) + 1;
+        let number = self
+            .counter
+            .fetch_add(1, std::sync::atomic::Ordering::Relaxed)
+            + 1;
         while self.get().is_frozen {
             actix_rt::time::sleep(Duration::from_millis(20)).await;
         }
--- a/bamboo-standin/src/log_service.rs
+++ b/bamboo-standin/src/log_service.rs
@@ -69,7 +69,13 @@
     /// ```
     pub fn new(options: LogOptions) -> Self {
         let budget = TokenBucket::new(options.appends_per_s, options.appends_per_s);
-        LogService { options, budget, streams: BTreeMap::new(), append_count: 0, append_bytes: 0 }
+        LogService {
+            options,
+            budget,
+            streams: BTreeMap::new(),
+            append_count: 0,
+            append_bytes: 0,
+        }
     }
 
     /// Appends an entry and returns its offset.
@@ -97,7 +103,11 @@
     pub fn read(&mut self, now: Now, stream: &str, from: u64, max_bytes: usize) -> ReadPage {
         self.trim(now, stream);
         let Some(stream) = self.streams.get(stream) else {
-            return ReadPage { oldest: 0, tail: 0, entries: Vec::new() };
+            return ReadPage {
+                oldest: 0,
+                tail: 0,
+                entries: Vec::new(),
+            };
         };
         let tail = stream.oldest + stream.entries.len() as u64;
         let first = from.max(stream.oldest);
@@ -111,7 +121,11 @@
             }
             entries.push((offset, bytes.clone()));
         }
-        ReadPage { oldest: stream.oldest, tail, entries }
+        ReadPage {
+            oldest: stream.oldest,
+            tail,
+            entries,
+        }
     }
 
     /// Appends and bytes so far.
@@ -123,7 +137,11 @@
         let Some(stream) = self.streams.get_mut(stream) else {
             return;
         };
-        while stream.entries.front().is_some_and(|(at, _)| now.saturating_sub(*at) > self.options.retention) {
+        while stream
+            .entries
+            .front()
+            .is_some_and(|(at, _)| now.saturating_sub(*at) > self.options.retention)
+        {
             stream.entries.pop_front();
             stream.oldest += 1;
         }
--- a/bamboo-standin/src/main.rs
+++ b/bamboo-standin/src/main.rs
@@ -39,9 +39,12 @@
         print!("{HELP}");
         return Ok(());
     }
-    let role = arguments.subcommand()?.context("name a role: platform, engine or plain")?;
+    let role = arguments
+        .subcommand()?
+        .context("name a role: platform, engine or plain")?;
     let address: String = arguments.value_from_str("--listen")?;
-    let listener = TcpListener::bind(&address).with_context(|| format!("cannot listen on {address}"))?;
+    let listener =
+        TcpListener::bind(&address).with_context(|| format!("cannot listen on {address}"))?;
     actix_rt::System::new().block_on(run(&role, listener, arguments))
 }
 
@@ -49,11 +52,19 @@
     match role {
         "platform" => {
             let options = LogOptions {
-                appends_per_s: arguments.opt_value_from_str("--appends-per-s")?.unwrap_or(400.0),
-                retention: Duration::from_secs(arguments.opt_value_from_str("--retention-s")?.unwrap_or(86_400)),
+                appends_per_s: arguments
+                    .opt_value_from_str("--appends-per-s")?
+                    .unwrap_or(400.0),
+                retention: Duration::from_secs(
+                    arguments
+                        .opt_value_from_str("--retention-s")?
+                        .unwrap_or(86_400),
+                ),
                 ..LogOptions::default()
             };
-            let lag_ms = arguments.opt_value_from_str("--host-list-lag-ms")?.unwrap_or(1000);
+            let lag_ms = arguments
+                .opt_value_from_str("--host-list-lag-ms")?
+                .unwrap_or(1000);
             finish(arguments)?;
             serve_platform(listener, options, Duration::from_millis(lag_ms)).await?;
         }
@@ -63,7 +74,9 @@
             serve_engine(listener, what).await?;
         }
         "plain" => {
-            let name = arguments.opt_value_from_str("--name")?.unwrap_or_else(|| "plain".to_owned());
+            let name = arguments
+                .opt_value_from_str("--name")?
+                .unwrap_or_else(|| "plain".to_owned());
             finish(arguments)?;
             serve_plain(listener, name).await?;
         }
@@ -79,10 +92,14 @@
         bail!("--speed must be above 0");
     }
     Ok(EngineStandin {
-        name: arguments.opt_value_from_str("--name")?.unwrap_or_else(|| "engine".to_owned()),
+        name: arguments
+            .opt_value_from_str("--name")?
+            .unwrap_or_else(|| "engine".to_owned()),
         models: arguments.values_from_str("--model")?,
         options: EngineOptions {
-            max_sequences: arguments.opt_value_from_str("--max-sequences")?.unwrap_or(defaults.max_sequences),
+            max_sequences: arguments
+                .opt_value_from_str("--max-sequences")?
+                .unwrap_or(defaults.max_sequences),
             step_base: defaults.step_base.div_f64(speed),
             step_per_sequence: defaults.step_per_sequence.div_f64(speed),
             prefill_per_token: defaults.prefill_per_token.div_f64(speed),
@@ -96,5 +113,9 @@
 
 fn finish(arguments: Arguments) -> anyhow::Result<()> {
     let rest = arguments.finish();
-    if rest.is_empty() { Ok(()) } else { bail!("unknown arguments: {rest:?}") }
+    if rest.is_empty() {
+        Ok(())
+    } else {
+        bail!("unknown arguments: {rest:?}")
+    }
 }
--- a/bamboo-standin/src/plain.rs
+++ b/bamboo-standin/src/plain.rs
@@ -37,7 +37,11 @@
 /// # Errors
 /// Fails if the listener cannot be used.
 pub async fn serve_plain(listener: TcpListener, name: String) -> std::io::Result<()> {
-    let plain = web::Data::new(Plain { name, calls: Mutex::new(Vec::new()), faults: FaultSwitch::default() });
+    let plain = web::Data::new(Plain {
+        name,
+        calls: Mutex::new(Vec::new()),
+        faults: FaultSwitch::default(),
+    });
     HttpServer::new(move || {
         App::new()
             .app_data(plain.clone())
@@ -68,7 +72,8 @@
         Verdict::LoseAnswer | Verdict::Cut => {
             let text = answer.to_string();
             let part = web::Bytes::from(text[..text.len() / 2].to_owned());
-            let broken = futures_util::stream::iter([Ok(part), Err(std::io::Error::other("cut on demand"))]);
+            let broken =
+                futures_util::stream::iter([Ok(part), Err(std::io::Error::other("cut on demand"))]);
             response.streaming(broken)
         }
         _ => response.json(answer),
@@ -77,7 +82,10 @@
 
 fn record(plain: &Plain, request: &HttpRequest, body: &[u8]) -> Call {
     let header = |name: &str| {
-        let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+        let value = request
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok());
         value.unwrap_or_default().to_owned()
     };
     let mut calls = plain.calls.lock().unwrap_or_else(PoisonError::into_inner);
--- a/bamboo-standin/src/platform.rs
+++ b/bamboo-standin/src/platform.rs
@@ -89,7 +89,11 @@
 ///
 /// # Errors
 /// Fails if the listener cannot be used.
-pub async fn serve_platform(listener: TcpListener, options: LogOptions, host_list_lag: Duration) -> std::io::Result<()> {
+pub async fn serve_platform(
+    listener: TcpListener,
+    options: LogOptions,
+    host_list_lag: Duration,
+) -> std::io::Result<()> {
     let platform = web::Data::new(Platform {
         started_at: Instant::now(),
         log: Mutex::new(LogService::new(options)),
@@ -118,7 +122,11 @@
     .await
 }
 
-async fn append(platform: web::Data<Platform>, stream: web::Path<String>, body: web::Bytes) -> HttpResponse {
+async fn append(
+    platform: web::Data<Platform>,
+    stream: web::Path<String>,
+    body: web::Bytes,
+) -> HttpResponse {
     let verdict = platform.log_faults.pass().await;
     if verdict == Verdict::Refuse {
         return unavailable();
@@ -139,13 +147,22 @@
     }
 }
 
-async fn read(platform: web::Data<Platform>, stream: web::Path<String>, query: web::Query<ReadQuery>) -> HttpResponse {
+async fn read(
+    platform: web::Data<Platform>,
+    stream: web::Path<String>,
+    query: web::Query<ReadQuery>,
+) -> HttpResponse {
     if platform.log_faults.pass().await == Verdict::Refuse {
         return unavailable();
     }
     let until = Instant::now() + Duration::from_millis(query.wait_ms);
     loop {
-        let page = lock(&platform.log).read(platform.started_at.elapsed(), &stream, query.from, READ_MAX_BYTES);
+        let page = lock(&platform.log).read(
+            platform.started_at.elapsed(),
+            &stream,
+            query.from,
+            READ_MAX_BYTES,
+        );
         if !page.entries.is_empty() || Instant::now() >= until {
             let faults = platform.log_faults.get();
             if faults.is_out {
@@ -165,8 +182,14 @@
         return unavailable();
     }
     let hosts = lock(&platform.hosts);
-    let visible = hosts.iter().rev().find(|(at, _)| at.elapsed() >= platform.host_list_lag);
-    let list = visible.or(hosts.first()).map(|(_, list)| list.clone()).unwrap_or_default();
+    let visible = hosts
+        .iter()
+        .rev()
+        .find(|(at, _)| at.elapsed() >= platform.host_list_lag);
+    let list = visible
+        .or(hosts.first())
+        .map(|(_, list)| list.clone())
+        .unwrap_or_default();
     HttpResponse::Ok().json(list)
 }
 
@@ -185,13 +208,19 @@
 
 async fn set_hosts(platform: web::Data<Platform>, list: web::Json<HostList>) -> HttpResponse {
     let mut hosts = lock(&platform.hosts);
-    let newest_visible = hosts.iter().rposition(|(at, _)| at.elapsed() >= platform.host_list_lag).unwrap_or(0);
+    let newest_visible = hosts
+        .iter()
+        .rposition(|(at, _)| at.elapsed() >= platform.host_list_lag)
+        .unwrap_or(0);
     hosts.drain(..newest_visible);
     hosts.push((Instant::now(), list.into_inner()));
     HttpResponse::NoContent().finish()
 }
 
-async fn set_faults(platform: web::Data<Platform>, faults: web::Json<PlatformFaults>) -> HttpResponse {
+async fn set_faults(
+    platform: web::Data<Platform>,
+    faults: web::Json<PlatformFaults>,
+) -> HttpResponse {
     let faults = faults.into_inner();
     platform.log_faults.set(faults.log);
     platform.host_list_faults.set(faults.host_list);
--- a/bamboo-timeline/src/main.rs
+++ b/bamboo-timeline/src/main.rs
@@ -27,11 +27,21 @@
     }
     let hosts: String = arguments.value_from_str("--hosts")?;
     let key: Option<String> = arguments.opt_value_from_str("--key")?;
-    let key = key.or_else(|| std::env::var("BAMBOO_KEY").ok()).unwrap_or_default();
+    let key = key
+        .or_else(|| std::env::var("BAMBOO_KEY").ok())
+        .unwrap_or_default();
     let about: String = arguments.opt_value_from_str("--about")?.unwrap_or_default();
-    let form: String = arguments.opt_value_from_str("--output")?.unwrap_or_else(|| "text".to_owned());
-    anyhow::ensure!(form == "text" || form == "json", "--output {form}: must be text or json");
-    anyhow::ensure!(arguments.finish().is_empty(), "unknown arguments; see --help");
+    let form: String = arguments
+        .opt_value_from_str("--output")?
+        .unwrap_or_else(|| "text".to_owned());
+    anyhow::ensure!(
+        form == "text" || form == "json",
+        "--output {form}: must be text or json"
+    );
+    anyhow::ensure!(
+        arguments.finish().is_empty(),
+        "unknown arguments; see --help"
+    );
     actix_rt::System::new().block_on(run(&hosts, &key, &about, form == "json"))
 }
 
@@ -39,7 +49,10 @@
     let mut events: Vec<Event> = Vec::new();
     let mut missing = 0;
     for address in hosts.split(',') {
-        match Api::new(address, key).get(&format!("/api/v1/events?about={about}")).await {
+        match Api::new(address, key)
+            .get(&format!("/api/v1/events?about={about}"))
+            .await
+        {
             Ok(answer) => {
                 let found: Vec<Event> = serde_json::from_value(answer).context("events")?;
                 events.extend(found);
@@ -56,7 +69,11 @@
     } else {
         print_text(&events);
     }
-    Ok(if missing == 0 { ExitCode::SUCCESS } else { ExitCode::from(6) })
+    Ok(if missing == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(6)
+    })
 }
 
 fn print_text(events: &[Event]) {
@@ -64,6 +81,9 @@
     for event in events {
         let since_ms = (event.at_us - start_us) as f64 / 1000.0;
         let kind = format!("{:?}", event.kind);
-        println!("{since_ms:>12.3} ms  {:<12} {kind:<16} {}  {}", event.host, event.subject, event.detail);
+        println!(
+            "{since_ms:>12.3} ms  {:<12} {kind:<16} {}  {}",
+            event.host, event.subject, event.detail
+        );
     }
 }
--- a/bamboo-types/src/budget.rs
+++ b/bamboo-types/src/budget.rs
@@ -22,7 +22,12 @@
     /// assert!(bucket.try_take(Duration::from_millis(100), 1.0));
     /// ```
     pub fn new(rate_per_s: f64, burst: f64) -> Self {
-        TokenBucket { rate_per_s, burst, tokens: burst, updated_at: None }
+        TokenBucket {
+            rate_per_s,
+            burst,
+            tokens: burst,
+            updated_at: None,
+        }
     }
 
     /// Takes `amount` tokens if they are there.
@@ -44,7 +49,11 @@
     /// Share of the burst that is left, 0 to 1.
     pub fn fill_share(&mut self, now: Now) -> f64 {
         self.refill(now);
-        if self.burst > 0.0 { self.tokens / self.burst } else { 0.0 }
+        if self.burst > 0.0 {
+            self.tokens / self.burst
+        } else {
+            0.0
+        }
     }
 
     /// Time until `amount` tokens are there.
@@ -55,7 +64,9 @@
     }
 
     fn refill(&mut self, now: Now) {
-        let elapsed = self.updated_at.map_or(std::time::Duration::ZERO, |at| now.saturating_sub(at));
+        let elapsed = self
+            .updated_at
+            .map_or(std::time::Duration::ZERO, |at| now.saturating_sub(at));
         self.tokens = (self.tokens + elapsed.as_secs_f64() * self.rate_per_s).min(self.burst);
         self.updated_at = Some(now);
     }
--- a/bamboo-wire/src/frame.rs
+++ b/bamboo-wire/src/frame.rs
@@ -59,10 +59,13 @@
     fn try_from(bytes: &[u8]) -> Result<Self, FrameError> {
         match bytes.split_first() {
             Some((&WIRE_VERSION, rest)) => {
-                let (frame, _) = bincode::serde::decode_from_slice(rest, bincode::config::standard())?;
+                let (frame, _) =
+                    bincode::serde::decode_from_slice(rest, bincode::config::standard())?;
                 Ok(frame)
             }
-            other => Err(FrameError::Version { found: other.map(|(version, _)| *version) }),
+            other => Err(FrameError::Version {
+                found: other.map(|(version, _)| *version),
+            }),
         }
     }
 }
--- a/bamboo/src/jobs.rs
+++ b/bamboo/src/jobs.rs
@@ -26,7 +26,10 @@
         "list" => {
             finish(arguments)?;
             let jobs = session.operator.get("/api/v1/jobs").await?;
-            print_jobs(session, jobs.as_array().map(Vec::as_slice).unwrap_or_default());
+            print_jobs(
+                session,
+                jobs.as_array().map(Vec::as_slice).unwrap_or_default(),
+            );
             Ok(())
         }
         "submit" => submit(session, arguments).await,
@@ -34,14 +37,23 @@
         "cancel" => {
             let job = word(&mut arguments, "JOB")?;
             finish(arguments)?;
-            let job = session.operator.post(&format!("/api/v1/jobs/{job}/cancel"), String::new()).await?;
+            let job = session
+                .operator
+                .post(&format!("/api/v1/jobs/{job}/cancel"), String::new())
+                .await?;
             print_jobs(session, &[job]);
             Ok(())
         }
         "results" => {
             let job = word(&mut arguments, "JOB")?;
             finish(arguments)?;
-            print!("{}", session.operator.get_text(&format!("/api/v1/jobs/{job}/results")).await?);
+            print!(
+                "{}",
+                session
+                    .operator
+                    .get_text(&format!("/api/v1/jobs/{job}/results"))
+                    .await?
+            );
             Ok(())
         }
         other => Err(CommandError::Usage(format!("unknown verb 'jobs {other}'"))),
@@ -54,11 +66,24 @@
     let window: Option<String> = arguments.opt_value_from_str("--window")?;
     let deadline: Option<String> = arguments.opt_value_from_str("--deadline")?;
     finish(arguments)?;
-    let caller = session.caller.as_ref().ok_or_else(|| CommandError::Usage("--caller-address is missing".into()))?;
+    let caller = session
+        .caller
+        .as_ref()
+        .ok_or_else(|| CommandError::Usage("--caller-address is missing".into()))?;
     let window = window.map(|window| format!("completion_window={window}"));
     let deadline = deadline.map(|deadline| format!("deadline={deadline}"));
-    let query = window.into_iter().chain(deadline).collect::<Vec<String>>().join("&");
-    let job = caller.submit(Upload { body: read_file(&file)?.into(), key, query }).await?;
+    let query = window
+        .into_iter()
+        .chain(deadline)
+        .collect::<Vec<String>>()
+        .join("&");
+    let job = caller
+        .submit(Upload {
+            body: read_file(&file)?.into(),
+            key,
+            query,
+        })
+        .await?;
     print_jobs(session, &[job]);
     Ok(())
 }
@@ -94,6 +119,14 @@
             cell(&job["is_at_risk"]),
         ]
     };
-    let headings = ["JOB", "WORKSPACE", "SERVING", "STATUS", "DONE", "FAILED", "AT RISK"];
+    let headings = [
+        "JOB",
+        "WORKSPACE",
+        "SERVING",
+        "STATUS",
+        "DONE",
+        "FAILED",
+        "AT RISK",
+    ];
     print_table(&headings, &jobs.iter().map(row).collect::<Vec<_>>());
 }
--- a/bamboo/src/main.rs
+++ b/bamboo/src/main.rs
@@ -60,22 +60,26 @@
         println!("bamboo {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let verb = arguments.subcommand().ok().flatten();
-    if wants_help || verb.is_none() {
-        print!("{}", help::of(verb.as_deref()));
-        return if wants_help { ExitCode::SUCCESS } else { ExitCode::from(EXIT_USAGE) };
+    if wants_help {
+        print!(
+            "{}",
+            help::of(arguments.subcommand().ok().flatten().as_deref())
+        );
+        return ExitCode::SUCCESS;
     }
-    let verb = verb.unwrap_or_default();
-    let result = actix_rt::System::new().block_on(run(&verb, arguments));
-    match result {
+    match actix_rt::System::new().block_on(run(arguments)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(error),
     }
 }
 
-async fn run(verb: &str, mut arguments: Arguments) -> Result<(), CommandError> {
+async fn run(mut arguments: Arguments) -> Result<(), CommandError> {
+    // Options may stand before the verb, so they are taken first.
     let session = open_session(&mut arguments)?;
-    match verb {
+    let verb = arguments
+        .subcommand()?
+        .ok_or_else(|| CommandError::Usage("no verb; see bamboo --help".into()))?;
+    match verb.as_str() {
         "apply" => resources::apply(&session, arguments).await,
         "get" => resources::get(&session, arguments).await,
         "describe" => resources::describe(&session, arguments).await,
@@ -84,19 +88,30 @@
         "jobs" => jobs::run(&session, arguments).await,
         "status" => state::status(&session, arguments).await,
         "drain" => state::drain(&session, arguments).await,
-        other => Err(CommandError::Usage(format!("unknown verb '{other}'; see bamboo --help"))),
+        other => Err(CommandError::Usage(format!(
+            "unknown verb '{other}'; see bamboo --help"
+        ))),
     }
 }
 
 fn open_session(arguments: &mut Arguments) -> Result<Session, CommandError> {
-    let address = value_or_env(arguments, "--address", "BAMBOO_ADDRESS")?.unwrap_or_else(|| "127.0.0.1:7001".into());
+    let address = value_or_env(arguments, "--address", "BAMBOO_ADDRESS")?
+        .unwrap_or_else(|| "127.0.0.1:7001".into());
     let key = value_or_env(arguments, "--key", "BAMBOO_KEY")?.unwrap_or_default();
     let caller_address = value_or_env(arguments, "--caller-address", "BAMBOO_CALLER_ADDRESS")?;
-    let caller_key = value_or_env(arguments, "--caller-key", "BAMBOO_CALLER_KEY")?.unwrap_or_default();
-    let format = match arguments.opt_value_from_str::<_, String>(["-o", "--output"])?.as_deref() {
+    let caller_key =
+        value_or_env(arguments, "--caller-key", "BAMBOO_CALLER_KEY")?.unwrap_or_default();
+    let format = match arguments
+        .opt_value_from_str::<_, String>(["-o", "--output"])?
+        .as_deref()
+    {
         None | Some("table") => Format::Table,
         Some("json") => Format::Json,
-        Some(other) => return Err(CommandError::Usage(format!("--output {other}: must be json or table"))),
+        Some(other) => {
+            return Err(CommandError::Usage(format!(
+                "--output {other}: must be json or table"
+            )));
+        }
     };
     Ok(Session {
         operator: Api::new(&address, &key),
@@ -105,20 +120,30 @@
     })
 }
 
-fn value_or_env(arguments: &mut Arguments, flag: &'static str, name: &str) -> Result<Option<String>, CommandError> {
+fn value_or_env(
+    arguments: &mut Arguments,
+    flag: &'static str,
+    name: &str,
+) -> Result<Option<String>, CommandError> {
     let given = arguments.opt_value_from_str(flag)?;
     Ok(given.or_else(|| std::env::var(name).ok()))
 }
 
 /// Takes the next word of the command line.
 pub(crate) fn word(arguments: &mut Arguments, what: &str) -> Result<String, CommandError> {
-    arguments.free_from_str().map_err(|_| CommandError::Usage(format!("{what} is missing")))
+    arguments
+        .free_from_str()
+        .map_err(|_| CommandError::Usage(format!("{what} is missing")))
 }
 
 /// Refuses words that nothing has taken.
 pub(crate) fn finish(arguments: Arguments) -> Result<(), CommandError> {
     let rest = arguments.finish();
-    if rest.is_empty() { Ok(()) } else { Err(CommandError::Usage(format!("unknown arguments: {rest:?}"))) }
+    if rest.is_empty() {
+        Ok(())
+    } else {
+        Err(CommandError::Usage(format!("unknown arguments: {rest:?}")))
+    }
 }
 
 /// Reads a file, or standard input for `-`.
--- a/bamboo/src/output.rs
+++ b/bamboo/src/output.rs
@@ -17,9 +17,15 @@
             *width = (*width).max(cell.chars().count());
         }
     }
-    let headings: Vec<String> = headings.iter().map(|heading| (*heading).to_owned()).collect();
+    let headings: Vec<String> = headings
+        .iter()
+        .map(|heading| (*heading).to_owned())
+        .collect();
     for row in std::iter::once(&headings).chain(rows) {
-        let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+        let cells = row
+            .iter()
+            .zip(&widths)
+            .map(|(cell, width)| format!("{cell:<width$}"));
         println!("{}", cells.collect::<Vec<String>>().join("  ").trim_end());
     }
 }
--- a/bamboo/src/resources.rs
+++ b/bamboo/src/resources.rs
@@ -49,7 +49,10 @@
     let items = match name {
         Some(name) => vec![session.operator.get(&path(&kind, &name)).await?],
         None => {
-            let list = session.operator.get(&format!("/api/v1/resources/{kind}")).await?;
+            let list = session
+                .operator
+                .get(&format!("/api/v1/resources/{kind}"))
+                .await?;
             list["items"].as_array().cloned().unwrap_or_default()
         }
     };
@@ -65,24 +68,36 @@
                 }
                 vec![name, cell(&item["revision"]), resource.to_string()]
             };
-            print_table(&["NAME", "REVISION", "FIELDS"], &items.iter().map(row).collect::<Vec<_>>());
+            print_table(
+                &["NAME", "REVISION", "FIELDS"],
+                &items.iter().map(row).collect::<Vec<_>>(),
+            );
         }
     }
     Ok(())
 }
 
 /// `bamboo describe`.
-pub(crate) async fn describe(session: &Session, mut arguments: Arguments) -> Result<(), CommandError> {
+pub(crate) async fn describe(
+    session: &Session,
+    mut arguments: Arguments,
+) -> Result<(), CommandError> {
     let kind = word(&mut arguments, "KIND")?;
     let name = word(&mut arguments, "NAME")?;
     finish(arguments)?;
-    let state = session.operator.get(&format!("{}/status", path(&kind, &name))).await?;
+    let state = session
+        .operator
+        .get(&format!("{}/status", path(&kind, &name)))
+        .await?;
     print_json(&state);
     Ok(())
 }
 
 /// `bamboo delete`.
-pub(crate) async fn delete(session: &Session, mut arguments: Arguments) -> Result<(), CommandError> {
+pub(crate) async fn delete(
+    session: &Session,
+    mut arguments: Arguments,
+) -> Result<(), CommandError> {
     let based_on: Option<u64> = arguments.opt_value_from_str("--based-on")?;
     let kind = word(&mut arguments, "KIND")?;
     let name = word(&mut arguments, "NAME")?;
@@ -90,9 +105,14 @@
     let path = path(&kind, &name);
     let based_on = match based_on {
         Some(revision) => revision,
-        None => session.operator.get(&path).await?["revision"].as_u64().unwrap_or(0),
+        None => session.operator.get(&path).await?["revision"]
+            .as_u64()
+            .unwrap_or(0),
     };
-    let answer = session.operator.delete(&format!("{path}?based_on={based_on}")).await?;
+    let answer = session
+        .operator
+        .delete(&format!("{path}?based_on={based_on}"))
+        .await?;
     println!("{kind} {name} deleted at revision {}", answer["revision"]);
     Ok(())
 }
@@ -103,7 +123,10 @@
     let is_once = arguments.contains("--once");
     finish(arguments)?;
     loop {
-        let answer = session.operator.get(&format!("/api/v1/watch?from={from}")).await?;
+        let answer = session
+            .operator
+            .get(&format!("/api/v1/watch?from={from}"))
+            .await?;
         for change in answer["changes"].as_array().into_iter().flatten() {
             match session.format {
                 Format::Json => println!("{change}"),
@@ -134,7 +157,9 @@
         Err(Failure::Answered { status: 404, .. }) => 0,
         Err(failure) => return Err(failure),
     };
-    let answer = api.put(&format!("{path}?based_on={based_on}"), wanted.to_string()).await?;
+    let answer = api
+        .put(&format!("{path}?based_on={based_on}"), wanted.to_string())
+        .await?;
     Ok(format!("applied at revision {}", answer["revision"]))
 }
 
@@ -157,7 +182,10 @@
     for (index, value) in list.into_iter().enumerate() {
         let name = cell(&value["name"]);
         let resource = serde_json::from_value(value).map_err(|error| {
-            CommandError::Other(anyhow::anyhow!("resource {} ('{name}'): {error}", index + 1))
+            CommandError::Other(anyhow::anyhow!(
+                "resource {} ('{name}'): {error}",
+                index + 1
+            ))
         })?;
         resources.push(resource);
     }
--- a/bamboo/src/state.rs
+++ b/bamboo/src/state.rs
@@ -19,24 +19,42 @@
         print_json(&status);
         return Ok(());
     }
-    for field in ["host", "is_ready", "is_draining", "config_offset", "online_requests", "unsettled_outcomes"] {
+    for field in [
+        "host",
+        "is_ready",
+        "is_draining",
+        "config_offset",
+        "online_requests",
+        "unsettled_outcomes",
+    ] {
         println!("{field}: {}", cell(&status[field]));
     }
     println!("live_hosts: {}", status["live_hosts"]);
     let rows = |list: &Value, fields: &[&str]| -> Vec<Vec<String>> {
         let items = list.as_array().into_iter().flatten();
-        items.map(|item| fields.iter().map(|field| cell(&item[field])).collect()).collect()
+        items
+            .map(|item| fields.iter().map(|field| cell(&item[field])).collect())
+            .collect()
     };
     let shard_fields = ["shard", "epoch", "next_offset", "jobs", "held_items"];
-    print_table(&["SHARD", "EPOCH", "NEXT OFFSET", "JOBS", "HELD"], &rows(&status["shards"], &shard_fields));
-    print_table(&["SERVER", "ONLINE", "BATCH"], &rows(&status["servers"], &["server", "online", "batch"]));
+    print_table(
+        &["SHARD", "EPOCH", "NEXT OFFSET", "JOBS", "HELD"],
+        &rows(&status["shards"], &shard_fields),
+    );
+    print_table(
+        &["SERVER", "ONLINE", "BATCH"],
+        &rows(&status["servers"], &["server", "online", "batch"]),
+    );
     Ok(())
 }
 
 /// `bamboo drain`.
 pub(crate) async fn drain(session: &Session, arguments: Arguments) -> Result<(), CommandError> {
     finish(arguments)?;
-    session.operator.post("/api/v1/drain", String::new()).await?;
+    session
+        .operator
+        .post("/api/v1/drain", String::new())
+        .await?;
     println!("the planned stop has begun");
     Ok(())
 }
--- a/bambood/src/main.rs
+++ b/bambood/src/main.rs
@@ -35,12 +35,16 @@
         return Ok(ExitCode::SUCCESS);
     }
     if let Some(file) = arguments.opt_value_from_str::<_, String>("--check-settings")? {
-        return Ok(read_settings(Path::new(&file))?.map_or(ExitCode::from(2), |_| {
-            println!("{file}: no faults");
-            ExitCode::SUCCESS
-        }));
+        return Ok(
+            read_settings(Path::new(&file))?.map_or(ExitCode::from(2), |_| {
+                println!("{file}: no faults");
+                ExitCode::SUCCESS
+            }),
+        );
     }
-    let file: String = arguments.value_from_str("--settings").context("give --settings FILE, or --help")?;
+    let file: String = arguments
+        .value_from_str("--settings")
+        .context("give --settings FILE, or --help")?;
     let Some(settings) = read_settings(Path::new(&file))? else {
         return Ok(ExitCode::from(2));
     };
@@ -51,7 +55,8 @@
 
 /// Reads settings, or prints their faults.
 fn read_settings(file: &Path) -> anyhow::Result<Option<Settings>> {
-    let text = std::fs::read_to_string(file).with_context(|| format!("cannot read {}", file.display()))?;
+    let text =
+        std::fs::read_to_string(file).with_context(|| format!("cannot read {}", file.display()))?;
     match check_settings(&text) {
         Ok(settings) => Ok(Some(settings)),
         Err(faults) => {
