--- a/bamboo-config/src/settings.rs
+++ b/bamboo-config/src/settings.rs
@@ -46,6 +46,8 @@
     pub host_list_url: String,
     /// Base URL of the platform's weight store.
     pub weight_store_url: String,
+    /// How long the log service keeps entries.
+    pub retention: Duration,
     /// Number of job shards; the same on every host.
     pub shard_count: u16,
     /// Appends a second of the whole fleet.
@@ -125,6 +127,7 @@
     let log_url = read_url(checker, "platform.log_url");
     let host_list_url = read_url(checker, "platform.host_list_url");
     let weight_store_url = read_url(checker, "platform.weight_store_url");
+    let retention = checker.duration("platform.retention", Duration::from_secs(24 * 3600));
     let tls = read_tls(checker);
     // Every field is read before any of them can end the check, so that all faults are reported together.
     let shard_count = checker.number("log_budget.shard_count", 4, 1..=1024) as u16;
@@ -157,6 +160,7 @@
         log_url,
         host_list_url,
         weight_store_url,
+        retention,
         shard_count,
         fleet_appends_per_s,
         expected_hosts,
--- a/bamboo-host/src/config_role.rs
+++ b/bamboo-host/src/config_role.rs
@@ -8,12 +8,15 @@
 use bamboo_log::Body;
 use bamboo_log::ConfigChange;
 use bamboo_log::Entry;
+use bamboo_log::GapBuffer;
 use bamboo_log::NextRead;
 use bamboo_log::ReadAnswer;
 use bamboo_log::ReadOutcome;
 use bamboo_log::Reader;
 use bamboo_log::StreamId;
 use bamboo_log::Ticket;
+use bamboo_log::split_snapshot;
+use bamboo_member::first_in_order;
 use bamboo_types::Now;
 use bamboo_types::Offset;
 use bamboo_types::RequestId;
@@ -24,6 +27,8 @@
 use crate::Output;
 use crate::waiters::Purpose;
 
+/// Entries of the configuration stream after which an image is written.
+const IMAGE_EVERY_ENTRIES: u64 = 500;
 /// Interval between requests for a peer's configuration.
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -31,7 +36,10 @@
 #[derive(Debug)]
 pub(crate) struct ConfigRole {
     fold: Arc<ConfigFold>,
+    gap: GapBuffer,
     reader: Reader,
+    image_through: Offset,
+    image_at: Now,
     has_reached_tail: bool,
     has_image: bool,
     fresh_at: Now,
@@ -42,6 +50,9 @@
     fn default() -> Self {
         ConfigRole {
             fold: Arc::new(ConfigFold::default()),
+            gap: GapBuffer::default(),
+            image_through: 0,
+            image_at: Duration::ZERO,
             reader: Reader::new(StreamId::Config, 0),
             has_reached_tail: false,
             has_image: false,
@@ -64,7 +75,7 @@
     /// Ready once the stream was read to its tail, or a peer's image stands in for it while the log is down; not
     /// ready when neither log nor peers have been heard for too long.
     pub(crate) fn is_ready(&self, now: Now, stale_max: Duration) -> bool {
-        (self.has_reached_tail || self.has_image) && now.saturating_sub(self.fresh_at) < stale_max
+        (self.has_reached_tail || self.has_image) && self.gap.is_whole() && now.saturating_sub(self.fresh_at) < stale_max
     }
 }
 
@@ -73,7 +84,9 @@
         if let NextRead::Read { stream, from } = self.config.reader.next(now) {
             self.output(Output::Read { stream, from });
         }
-        let needs_image = !self.config.has_reached_tail && self.config.reader.is_failing();
+        self.write_image(now);
+        let is_blind = !self.config.has_reached_tail && self.config.reader.is_failing();
+        let needs_image = is_blind || !self.config.gap.is_whole();
         let is_due = self
             .config
             .asked_at
@@ -89,8 +102,9 @@
             ReadOutcome::Nothing => Vec::new(),
             ReadOutcome::Entries(entries) => entries,
             ReadOutcome::Gap(entries) => {
-                // Trimmed before this host read it: a peer that has folded it can fill the gap.
-                if oldest > self.config.fold.next_offset() {
+                // Trimmed before this host read it: an image, in the stream or of a peer, fills the gap.
+                self.config.gap.gap(oldest, self.config.fold.next_offset());
+                if !self.config.gap.is_whole() {
                     self.ask_for_image(now);
                 }
                 entries
@@ -98,7 +112,7 @@
         };
         let mut has_changed = false;
         for (offset, entry) in entries {
-            has_changed |= entry.is_some_and(|entry| self.apply_config(offset, &entry));
+            has_changed |= entry.is_some_and(|entry| self.take_config(now, offset, entry));
         }
         self.config.fresh_at = now;
         self.config.has_reached_tail |= self.config.reader.is_at_tail();
@@ -149,14 +163,62 @@
     }
 
     pub(crate) fn config_image_heard(&mut self, now: Now, bytes: &[u8]) {
-        let fold = Arc::make_mut(&mut self.config.fold);
-        if let Ok(true) = fold.take_image(bytes) {
+        if self.take_image(bytes) {
             self.config.has_image = true;
             self.config.fresh_at = now;
             self.publish_config(now);
         }
     }
 
+    fn take_config(&mut self, now: Now, offset: Offset, entry: Entry) -> bool {
+        if self.config.gap.is_whole() {
+            return self.apply_config(offset, &entry);
+        }
+        let has_image = match self.config.gap.hold(offset, entry) {
+            Some(snapshot) => self.take_image(&snapshot.bytes),
+            None => false,
+        };
+        if has_image {
+            self.config.fresh_at = now;
+        }
+        has_image
+    }
+
+    /// Takes an image if it is newer, and applies what was held back on top of it.
+    fn take_image(&mut self, bytes: &[u8]) -> bool {
+        let fold = Arc::make_mut(&mut self.config.fold);
+        if !matches!(fold.take_image(bytes), Ok(true)) {
+            return false;
+        }
+        let next_offset = fold.next_offset();
+        for (offset, entry) in self.config.gap.fill(next_offset).unwrap_or_default() {
+            self.apply_config(offset, &entry);
+        }
+        true
+    }
+
+    /// The first host in order writes an image now and then, so that the stream can be read from its start.
+    fn write_image(&mut self, now: Now) {
+        let me = self.options.host.as_str();
+        let next_offset = self.config.fold.next_offset();
+        if self.config.image_at == Duration::ZERO {
+            self.config.image_at = now;
+        }
+        let by_count = next_offset >= self.config.image_through + IMAGE_EVERY_ENTRIES;
+        let by_age = now.saturating_sub(self.config.image_at) >= self.options.retention / 4;
+        let is_mine = first_in_order(&self.live, &StreamId::Config.to_string()) == Some(me);
+        if !(by_count || by_age) || !is_mine || !self.config.reader.is_at_tail() || !self.config.gap.is_whole() {
+            return;
+        }
+        self.config.image_through = next_offset;
+        self.config.image_at = now;
+        if let Ok(bytes) = self.config.fold.to_image() {
+            for part in split_snapshot(next_offset.saturating_sub(1), &bytes) {
+                self.appender.enqueue(now, StreamId::Config, part);
+            }
+        }
+    }
+
     fn ask_for_image(&mut self, now: Now) {
         self.config.asked_at = Some(now);
         let have = self.config.fold.next_offset();
--- a/bamboo-host/src/core.rs
+++ b/bamboo-host/src/core.rs
@@ -217,6 +217,7 @@
             Input::Frame(frame) => self.take_frame(now, frame),
             Input::AppendAnswered { stream, answer } => self.append_answered(now, stream, answer),
             Input::ReadAnswered { stream, answer } => self.read_answered(now, stream, answer),
+            Input::EntryRead { stream, offset, entry } => self.entry_read(now, stream, offset, entry),
             Input::ReadFailed { stream } => self.read_failed(now, stream),
             Input::Online(request) => self.online_arrived(now, request),
             Input::Keyed(request) => self.keyed_arrived(now, request),
--- a/bamboo-host/src/input.rs
+++ b/bamboo-host/src/input.rs
@@ -2,6 +2,7 @@
 
 use bamboo_log::AppendAnswer;
 use bamboo_log::ConfigChange;
+use bamboo_log::Entry;
 use bamboo_log::ItemBody;
 use bamboo_log::ItemVerdict;
 use bamboo_log::JobSpec;
@@ -14,6 +15,7 @@
 use bamboo_types::BackendServerId;
 use bamboo_types::ItemIndex;
 use bamboo_types::JobId;
+use bamboo_types::Offset;
 use bamboo_types::RequestId;
 use bamboo_types::ShardId;
 use bamboo_types::WorkspaceId;
@@ -79,6 +81,15 @@
         /// Answer.
         answer: ReadAnswer,
     },
+    /// A single entry was read; `None` if it is no longer kept or the read failed.
+    EntryRead {
+        /// Stream.
+        stream: StreamId,
+        /// Offset.
+        offset: Offset,
+        /// The entry.
+        entry: Option<Entry>,
+    },
     /// A read failed.
     ReadFailed {
         /// Stream.
--- a/bamboo-host/src/options.rs
+++ b/bamboo-host/src/options.rs
@@ -46,6 +46,8 @@
     pub shard_appends_per_s: f64,
     /// Entries of a shard after which its owner writes a snapshot.
     pub snapshot_every_entries: u64,
+    /// How long the log keeps entries; whatever is needed longer is copied forward at half of it.
+    pub retention: Duration,
     /// Routing.
     pub choice: ChoiceOptions,
 }
@@ -73,6 +75,7 @@
             appender: AppenderOptions::default(),
             shard_appends_per_s: SHARD_APPENDS_MAX,
             snapshot_every_entries: 2000,
+            retention: Duration::from_secs(24 * 3600),
             choice: ChoiceOptions::default(),
         }
     }
@@ -87,6 +90,7 @@
             heartbeat: settings.heartbeat,
             stale_config_max: settings.stale_config_max,
             drain_wait: settings.drain_wait,
+            retention: settings.retention,
             members: MemberViewOptions {
                 suspect_after: settings.suspect_after,
             },
--- a/bamboo-host/src/output.rs
+++ b/bamboo-host/src/output.rs
@@ -76,6 +76,13 @@
         /// First offset wanted.
         from: Offset,
     },
+    /// Read a single entry and put in the answer.
+    ReadEntry {
+        /// Stream.
+        stream: StreamId,
+        /// Offset.
+        offset: Offset,
+    },
     /// Send messages to a host.
     Send {
         /// Receiver.
--- a/bamboo-host/src/shard_role.rs
+++ b/bamboo-host/src/shard_role.rs
@@ -6,6 +6,7 @@
 use bamboo_jobs::FoldEvent;
 use bamboo_jobs::HandOut;
 use bamboo_jobs::StreamFold;
+use bamboo_jobs::next_to_carry;
 use bamboo_log::Body;
 use bamboo_log::ItemOutcome;
 use bamboo_log::ItemVerdict;
@@ -24,6 +25,8 @@
 const GATHER: Duration = Duration::from_millis(40);
 /// Interval of looking for jobs whose result lifetime is over.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
+/// Time after which a copy that has not been read back is made again.
+const CARRY_AGAIN: Duration = Duration::from_secs(5);
 /// Most outcomes in one record.
 const GROUP_MAX: usize = 2000;
 
@@ -41,7 +44,16 @@
     gathered_at: Now,
     committing: BTreeMap<(JobId, ItemIndex), HostId>,
     expired_at: Now,
-    pub(crate) snapshot_through: Offset,
+    snapshot_through: Offset,
+    snapshot_at: Now,
+    carrying: Option<Carrying>,
+}
+
+/// An entry that is being copied forward.
+#[derive(Debug, Clone, Copy)]
+struct Carrying {
+    offset: Offset,
+    since: Now,
 }
 
 impl ShardRole {
@@ -59,6 +71,8 @@
             committing: BTreeMap::new(),
             expired_at: Duration::ZERO,
             snapshot_through: 0,
+            snapshot_at: Duration::ZERO,
+            carrying: None,
         }
     }
 
@@ -96,6 +110,8 @@
         self.gathered.clear();
         self.committing.clear();
         self.snapshot_through = 0;
+        self.snapshot_at = Duration::ZERO;
+        self.carrying = None;
     }
 
     /// Is no longer the owner.
@@ -174,6 +190,38 @@
         is_due
     }
 
+    /// Whether a snapshot is due: after so many entries, or when the last one grows old.
+    pub(crate) fn is_snapshot_due(&mut self, now: Now, every_entries: u64, age_max: Duration) -> bool {
+        let next_offset = self.stream.fold().next_offset();
+        if self.snapshot_at == Duration::ZERO {
+            self.snapshot_at = now;
+        }
+        let by_count = next_offset >= self.snapshot_through + every_entries;
+        // A quiet shard is written again too, since the log forgets its last snapshot.
+        let by_age = now.saturating_sub(self.snapshot_at) >= age_max;
+        if !(by_count || by_age) || !self.is_current() {
+            return false;
+        }
+        self.snapshot_through = next_offset;
+        self.snapshot_at = now;
+        true
+    }
+
+    /// The next entry to copy forward, if none is under way.
+    pub(crate) fn next_carry(&mut self, now: Now, retention: Duration) -> Option<Offset> {
+        let horizon_ms = millis(now).saturating_sub(millis(retention / 2));
+        let horizon = self.stream.fold().offset_at(horizon_ms);
+        let next = next_to_carry(self.stream.fold(), horizon)?;
+        let is_under_way = self.carrying.is_some_and(|carrying| {
+            carrying.offset == next && now.saturating_sub(carrying.since) < CARRY_AGAIN
+        });
+        if is_under_way {
+            return None;
+        }
+        self.carrying = Some(Carrying { offset: next, since: now });
+        Some(next)
+    }
+
     /// Notes a claim or release in the claimant.
     pub(crate) fn note_claims(&mut self, event: &FoldEvent) {
         match event {
--- a/bamboo-host/src/shards.rs
+++ b/bamboo-host/src/shards.rs
@@ -7,8 +7,10 @@
 use bamboo_jobs::FoldEvent;
 use bamboo_jobs::Holder;
 use bamboo_jobs::JobState;
+use bamboo_jobs::carry_entry;
 use bamboo_jobs::write_snapshot;
 use bamboo_log::Body;
+use bamboo_log::Entry;
 use bamboo_log::ItemOutcome;
 use bamboo_log::NextRead;
 use bamboo_log::ReadAnswer;
@@ -227,6 +229,7 @@
         }
         self.expire(now, shard, epoch);
         self.write_snapshot(now, shard);
+        self.carry_forward(now, shard);
         self.hand_out(now, shard);
     }
 
@@ -246,14 +249,13 @@
 
     fn write_snapshot(&mut self, now: Now, shard: ShardId) {
         let every = self.options.snapshot_every_entries;
+        let age_max = self.options.retention / 4;
         let Some(role) = self.shards.get_mut(usize::from(shard)) else {
             return;
         };
-        let through = role.stream.fold().next_offset();
-        if through < role.snapshot_through + every || !role.is_current() {
+        if !role.is_snapshot_due(now, every, age_max) {
             return;
         }
-        role.snapshot_through = through;
         let stream = role.stream_id();
         if let Ok(parts) = write_snapshot(role.stream.fold()) {
             for part in parts {
@@ -262,6 +264,33 @@
         }
     }
 
+    fn carry_forward(&mut self, now: Now, shard: ShardId) {
+        let retention = self.options.retention;
+        let Some(role) = self.shards.get_mut(usize::from(shard)) else {
+            return;
+        };
+        let stream = role.stream_id();
+        if let Some(offset) = role.next_carry(now, retention) {
+            self.output(Output::ReadEntry { stream, offset });
+        }
+    }
+
+    /// An entry to copy forward has been read.
+    pub(crate) fn entry_read(&mut self, now: Now, stream: StreamId, offset: Offset, entry: Option<Entry>) {
+        let StreamId::Shard(shard) = stream else {
+            return;
+        };
+        let Some(role) = self.shards.get_mut(usize::from(shard)) else {
+            return;
+        };
+        let (Some(epoch), Some(entry)) = (role.owned, entry) else {
+            return;
+        };
+        for copy in carry_entry(role.stream.fold(), epoch, offset, &entry) {
+            self.appender.enqueue(now, stream, copy);
+        }
+    }
+
     fn hand_out(&mut self, now: Now, shard: ShardId) {
         let is_draining = self.members.is_draining();
         let Some(role) = self.shards.get_mut(usize::from(shard)) else {
--- /dev/null
+++ b/bamboo-host/tests/support/check.rs
@@ -0,0 +1,196 @@
+//! What must hold at the end of a history, read from the log itself and from what callers were told.
+
+use std::collections::BTreeMap;
+
+use bamboo_host::Answer;
+use bamboo_jobs::FinalOutcomes;
+use bamboo_jobs::JobState;
+use bamboo_jobs::ShardFold;
+use bamboo_log::Body;
+use bamboo_log::Entry;
+use bamboo_log::ItemVerdict;
+use bamboo_log::StreamId;
+use bamboo_types::ItemIndex;
+use bamboo_types::JobId;
+
+use super::world::World;
+
+/// Folds a stream from its first entry on.
+pub fn fold_all(world: &World, shard: u16) -> ShardFold {
+    let mut fold = ShardFold::default();
+    for (offset, entry) in world.log.all(StreamId::Shard(shard)) {
+        fold.apply(offset, &entry);
+    }
+    fold
+}
+
+/// A model of what counts, written apart from the fold: sequence numbers seen, newest claim, first outcome.
+struct Reference {
+    counted: BTreeMap<(JobId, ItemIndex), u32>,
+    cancelled_at: BTreeMap<JobId, u64>,
+}
+
+fn reference(entries: &[(u64, Entry)]) -> Reference {
+    let mut seen: BTreeMap<(String, u64), u64> = BTreeMap::new();
+    let mut epoch = None;
+    let mut reference = Reference { counted: BTreeMap::new(), cancelled_at: BTreeMap::new() };
+    for (offset, entry) in entries {
+        for (slot, body) in entry.bodies.iter().enumerate() {
+            let sequence = entry.first_sequence + slot as u64;
+            let highest = seen.entry((entry.host.clone(), entry.incarnation)).or_insert(0);
+            if sequence <= *highest {
+                continue;
+            }
+            *highest = sequence;
+            match body {
+                Body::Claim => epoch = Some(*offset),
+                Body::Release { epoch: released } if epoch == Some(*released) => epoch = None,
+                Body::Cancel { job, .. } => {
+                    reference.cancelled_at.entry(*job).or_insert(*offset);
+                }
+                Body::Outcomes { epoch: of, outcomes, .. } if epoch == Some(*of) => {
+                    for outcome in outcomes {
+                        let is_late = reference.cancelled_at.contains_key(&outcome.job);
+                        if outcome.verdict.is_final() && !is_late {
+                            *reference.counted.entry((outcome.job, outcome.item)).or_default() += 1;
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+    reference
+}
+
+/// Lists everything that does not hold.
+pub fn violations(world: &World) -> Vec<String> {
+    let mut found = Vec::new();
+    for shard in 0..2 {
+        check_shard(world, shard, &mut found);
+    }
+    check_config(world, &mut found);
+    if world.starts_after_cancel > 0 {
+        found.push(format!("{} items started long after their job's cancel", world.starts_after_cancel));
+    }
+    found
+}
+
+/// Whether every accepted job has ended.
+pub fn all_ended(world: &World) -> bool {
+    let folds: Vec<ShardFold> = (0..2).map(|shard| fold_all(world, shard)).collect();
+    world.accepted.keys().all(|job| {
+        let found = folds.iter().find_map(|fold| fold.job(*job));
+        found.is_some_and(|job| !job.is_running())
+    })
+}
+
+fn check_shard(world: &World, shard: u16, found: &mut Vec<String>) {
+    let entries = world.log.all(StreamId::Shard(shard));
+    let fold = fold_all(world, shard);
+    let reference = reference(&entries);
+    for (job, item_count) in &world.accepted {
+        if bamboo_types::shard_of_job(*job, 2) != shard {
+            continue;
+        }
+        let Some(state) = fold.job(*job) else {
+            found.push(format!("accepted job {job:x} is lost"));
+            continue;
+        };
+        let is_cancelled = world.cancelled.contains(job);
+        match state.state {
+            JobState::Running => found.push(format!("job {job:x} has not ended: {} left", state.left_count())),
+            JobState::Completed if is_cancelled && reference.cancelled_at.contains_key(job) => {
+                let completed = state.ended.count() == *item_count;
+                if !completed {
+                    found.push(format!("cancelled job {job:x} went on"));
+                }
+            }
+            JobState::Cancelled if !reference.cancelled_at.contains_key(job) => {
+                found.push(format!("job {job:x} ended as cancelled and nobody cancelled it"));
+            }
+            JobState::Completed | JobState::Cancelled => {}
+        }
+        check_results(world, shard, *job, *item_count, &fold, found);
+    }
+    // The fold may count an item once only where the reference counts it at all.
+    for job in fold.jobs() {
+        for item in 0..job.spec.item_count {
+            let is_counted = reference.counted.contains_key(&(job.spec.job, item));
+            if job.ended.is_set(item) != is_counted {
+                found.push(format!("item {:x}/{item}: fold {}, reference {is_counted}", job.spec.job, job.ended.is_set(item)));
+            }
+        }
+    }
+    check_live_fold(world, shard, &fold, found);
+}
+
+/// Results are read the way callers read them, through what the log still keeps.
+fn check_results(world: &World, shard: u16, job: JobId, item_count: u32, fold: &ShardFold, found: &mut Vec<String>) {
+    let Some(state) = fold.job(job) else {
+        return;
+    };
+    let mut collector = FinalOutcomes::new(job, item_count);
+    let mut outcomes = Vec::new();
+    for offset in &state.outcome_offsets {
+        match world.log.entry(StreamId::Shard(shard), *offset) {
+            Some(entry) => outcomes.extend(collector.take(entry)),
+            None => found.push(format!("results of {job:x} at {offset} are no longer kept")),
+        }
+    }
+    if outcomes.len() as u32 != state.ended.count() {
+        found.push(format!("job {job:x}: {} results for {} ended items", outcomes.len(), state.ended.count()));
+    }
+    for outcome in outcomes {
+        let is_bad = world.bad_items.contains(&(job, outcome.item));
+        let is_done = matches!(outcome.verdict, ItemVerdict::Done { .. });
+        if is_bad == is_done {
+            found.push(format!("item {job:x}/{} has the wrong verdict", outcome.item));
+        }
+    }
+}
+
+/// What an owner has in memory must be what the log says.
+fn check_live_fold(world: &World, shard: u16, fold: &ShardFold, found: &mut Vec<String>) {
+    let Some(owner) = world.shard_owner(shard) else {
+        return;
+    };
+    let live = world.core(&owner).and_then(|core| core.shard_fold(shard));
+    if let Some(live) = live.filter(|live| live.next_offset() == fold.next_offset()) {
+        let differs = live.jobs().zip(fold.jobs()).any(|(live, fold)| live != fold);
+        if differs || live.jobs().count() != fold.jobs().count() {
+            found.push(format!("{owner}'s fold of shard {shard} differs from the log's"));
+        }
+    }
+}
+
+fn check_config(world: &World, found: &mut Vec<String>) {
+    let mut newest = Vec::new();
+    for name in world.host_names() {
+        let offsets = world.config_offsets(&name);
+        if offsets.windows(2).any(|pair| pair[0] > pair[1]) {
+            found.push(format!("configuration of {name} went back"));
+        }
+        if let Some(core) = world.core(&name) {
+            newest.push((name, core.config().next_offset()));
+        }
+    }
+    if newest.windows(2).any(|pair| pair[0].1 != pair[1].1) {
+        found.push(format!("configurations differ: {newest:?}"));
+    }
+    for (name, revision) in &world.applied {
+        let up = world.host_names().into_iter().find(|host| world.core(host).is_some());
+        let core = up.and_then(|host| world.core(&host));
+        let stored = core.and_then(|core| core.config().get(bamboo_config::Kind::Model, name));
+        if stored.is_none_or(|stored| stored.revision < *revision) {
+            found.push(format!("accepted change of {name} to revision {revision} is not in force"));
+        }
+    }
+}
+
+/// Notes what callers were told.
+pub fn note_answer(world: &mut World, answer: &Answer) {
+    if let Answer::Job(view) = answer {
+        world.accepted.insert(view.job, view.total_count);
+    }
+}
--- /dev/null
+++ b/bamboo-host/tests/support/mod.rs
@@ -0,0 +1,6 @@
+//! Small fakes at the interfaces of host cores, in virtual time: log, network, engines, callers.
+#![allow(dead_code)]
+
+pub mod check;
+pub mod fake_log;
+pub mod world;
--- /dev/null
+++ b/bamboo-host/tests/support/world.rs
@@ -0,0 +1,534 @@
+//! Hosts, log, network, engines and callers in virtual time.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bamboo_host::Answer;
+use bamboo_host::HostCore;
+use bamboo_host::HostOptions;
+use bamboo_host::Input;
+use bamboo_host::ItemEnd;
+use bamboo_host::Output;
+use bamboo_host::RunRef;
+use bamboo_log::AppendAnswer;
+use bamboo_log::ConfigChange;
+use bamboo_log::Entry;
+use bamboo_log::ItemBody;
+use bamboo_log::ItemVerdict;
+use bamboo_log::JobSpec;
+use bamboo_log::StreamId;
+use bamboo_log::UploadId;
+use bamboo_member::HostEntry;
+use bamboo_member::HostState;
+use bamboo_types::ItemIndex;
+use bamboo_types::JobId;
+use bamboo_types::Now;
+use bamboo_types::RequestId;
+use bamboo_types::job_id;
+use bamboo_types::shard_of_job;
+use bamboo_wire::Frame;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::fake_log::FakeLog;
+
+/// Time of the world's start since the Unix epoch.
+pub const START: Duration = Duration::from_secs(1_000_000);
+/// Interval of ticks.
+const TICK: Duration = Duration::from_millis(20);
+/// Latency of one message.
+const LATENCY: Duration = Duration::from_millis(2);
+/// Longest wait of a read.
+const READ_WAIT: Duration = Duration::from_millis(400);
+/// Time after which an append without an answer is unknown.
+const APPEND_TIMEOUT: Duration = Duration::from_secs(3);
+/// Model of all engines.
+pub const MODEL: &str = "narrador";
+
+/// What happens to appends.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum AppendFault {
+    #[default]
+    None,
+    /// Stored now, answered as unknown.
+    LoseAnswer,
+    /// Stored after the time-out, answered as unknown before.
+    Late,
+    /// Refused before any effect.
+    Refuse,
+}
+
+#[derive(Debug)]
+enum Event {
+    Tick(String),
+    Input(String, u64, Box<Input>),
+    Store { host: String, incarnation: u64, stream: StreamId, bytes: Vec<u8>, is_answered: bool },
+    Poll { host: String, incarnation: u64, stream: StreamId, from: u64, until: Now },
+    RunEnds { host: String, incarnation: u64, run: RunRef, number: u64 },
+    Thaw(String),
+    Restart(String),
+}
+
+/// One host with what it may do.
+#[derive(Debug)]
+struct Host {
+    core: Option<HostCore>,
+    incarnation: u64,
+    is_frozen: bool,
+    held_back: VecDeque<Input>,
+    runs: BTreeMap<RunRef, ActiveRun>,
+    config_offsets: Vec<u64>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct ActiveRun {
+    job: JobId,
+    item: ItemIndex,
+    number: u64,
+}
+
+/// Everything.
+pub struct World {
+    pub now: Now,
+    pub log: FakeLog,
+    pub rng: ChaCha8Rng,
+    pub answers: BTreeMap<RequestId, Answer>,
+    pub accepted: BTreeMap<JobId, u32>,
+    pub cancelled: BTreeSet<JobId>,
+    pub applied: Vec<(String, u64)>,
+    pub append_fault: AppendFault,
+    pub append_fault_until: Now,
+    pub read_delay: Duration,
+    pub cuts: BTreeSet<(String, String)>,
+    pub ran_items: BTreeMap<(JobId, ItemIndex), u32>,
+    pub bad_items: BTreeSet<(JobId, ItemIndex)>,
+    pub cancel_seen: BTreeMap<JobId, Now>,
+    pub starts_after_cancel: u32,
+    pub outputs_seen: u64,
+    hosts: BTreeMap<String, Host>,
+    events: BTreeMap<(Now, u64), Event>,
+    next_event: u64,
+    next_request: u128,
+    next_upload: u64,
+    next_run: u64,
+    host_count: usize,
+    pub retention: Duration,
+    pub snapshot_every: u64,
+}
+
+impl World {
+    /// Hosts `h0`, `h1`, … with engines `e0`, `e1`, … in force.
+    pub fn new(seed: u64, host_count: usize, engine_count: usize) -> Self {
+        let mut world = World {
+            now: START,
+            log: FakeLog::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            answers: BTreeMap::new(),
+            accepted: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
+            applied: Vec::new(),
+            append_fault: AppendFault::None,
+            append_fault_until: Duration::ZERO,
+            read_delay: Duration::ZERO,
+            cuts: BTreeSet::new(),
+            ran_items: BTreeMap::new(),
+            bad_items: BTreeSet::new(),
+            cancel_seen: BTreeMap::new(),
+            starts_after_cancel: 0,
+            outputs_seen: 0,
+            hosts: BTreeMap::new(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            next_request: 1,
+            next_upload: 1,
+            next_run: 1,
+            host_count,
+            retention: Duration::from_secs(24 * 3600),
+            snapshot_every: 2000,
+        };
+        for index in 0..host_count {
+            world.start(&format!("h{index}"));
+        }
+        for index in 0..engine_count {
+            world.declare_engine(index);
+        }
+        world
+    }
+
+    /// Starts a host, or starts it again with a new incarnation.
+    pub fn start(&mut self, name: &str) {
+        let incarnation = self.hosts.get(name).map_or(1, |host| host.incarnation + 1);
+        let seed = self.rng.random();
+        let options = HostOptions {
+            shard_count: 2,
+            retention: self.retention,
+            snapshot_every_entries: self.snapshot_every,
+            ..HostOptions::new(name.to_owned(), incarnation, seed)
+        };
+        let host = Host {
+            core: Some(HostCore::new(options)),
+            incarnation,
+            is_frozen: false,
+            held_back: VecDeque::new(),
+            runs: BTreeMap::new(),
+            config_offsets: Vec::new(),
+        };
+        self.hosts.insert(name.to_owned(), host);
+        self.schedule(Duration::ZERO, Event::Tick(name.to_owned()));
+        let list = self.host_list();
+        self.input(name, Duration::ZERO, list);
+    }
+
+    /// Ends a host at once.
+    pub fn kill(&mut self, name: &str) {
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.core = None;
+            host.runs.clear();
+        }
+    }
+
+    /// Ends a host at once and starts it again later.
+    pub fn kill_for(&mut self, name: &str, time: Duration) {
+        self.kill(name);
+        self.schedule(time, Event::Restart(name.to_owned()));
+    }
+
+    /// Stops a host's clock for a while; what arrives meanwhile waits.
+    pub fn freeze(&mut self, name: &str, time: Duration) {
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.is_frozen = true;
+        }
+        self.schedule(time, Event::Thaw(name.to_owned()));
+    }
+
+    /// Cuts or heals the network between a host and all others.
+    pub fn isolate(&mut self, name: &str, is_cut: bool) {
+        let others: Vec<String> = self.hosts.keys().filter(|other| *other != name).cloned().collect();
+        for other in others {
+            for pair in [(name.to_owned(), other.clone()), (other.clone(), name.to_owned())] {
+                if is_cut {
+                    self.cuts.insert(pair);
+                } else {
+                    self.cuts.remove(&pair);
+                }
+            }
+        }
+    }
+
+    pub fn is_up(&self, name: &str) -> bool {
+        self.hosts.get(name).is_some_and(|host| host.core.is_some() && !host.is_frozen)
+    }
+
+    pub fn core(&self, name: &str) -> Option<&HostCore> {
+        self.hosts.get(name)?.core.as_ref()
+    }
+
+    pub fn host_names(&self) -> Vec<String> {
+        self.hosts.keys().cloned().collect()
+    }
+
+    /// Offsets of the configurations that a host has had in force, in order.
+    pub fn config_offsets(&self, name: &str) -> &[u64] {
+        self.hosts.get(name).map(|host| host.config_offsets.as_slice()).unwrap_or_default()
+    }
+
+    /// The owner of a shard, as far as one says so.
+    pub fn shard_owner(&self, shard: u16) -> Option<String> {
+        let owns = |host: &Host| {
+            let status = host.core.as_ref()?.status(self.now);
+            status.shards.into_iter().find(|of| of.shard == shard)?.epoch
+        };
+        let owners = self.hosts.iter().filter_map(|(name, host)| Some((owns(host)?, name.clone())));
+        owners.max().map(|(_, name)| name)
+    }
+
+    /// Gives a host an input at once.
+    pub fn tell(&mut self, name: &str, input: Input) {
+        self.input(name, Duration::ZERO, input);
+    }
+
+    pub fn new_request(&mut self) -> RequestId {
+        self.next_request += 1;
+        self.next_request
+    }
+
+    /// Uploads and submits a job through a host; returns the request of the submit.
+    pub fn submit(&mut self, host: &str, key: &str, item_count: u32) -> (RequestId, JobId) {
+        let job = job_id("workspace", key);
+        let shard = shard_of_job(job, 2);
+        self.next_upload += 1;
+        let upload = UploadId { incarnation: self.next_upload, number: 1 };
+        let bodies = (0..item_count).map(|item| ItemBody { custom_id: format!("i{item}"), body_json: "{}".into() });
+        let items = bodies.collect();
+        let request = self.new_request();
+        self.tell(host, Input::Upload { request, shard, upload, first_item: 0, items });
+        let now_ms = bamboo_types::millis(self.now);
+        let spec = JobSpec {
+            job,
+            workspace: "workspace".into(),
+            caller: "caller".into(),
+            key: key.into(),
+            digest: u128::from(item_count),
+            serving: "serving".into(),
+            model: MODEL.into(),
+            upload,
+            chunk_count: 1,
+            item_count,
+            created_ms: now_ms,
+            deadline_ms: now_ms + 3_600_000,
+            result_lifetime_ms: 3_600_000,
+        };
+        let request = self.new_request();
+        self.input(host, LATENCY, Input::Submit { request, spec });
+        (request, job)
+    }
+
+    /// Asks a host to cancel a job.
+    pub fn cancel(&mut self, host: &str, job: JobId) -> RequestId {
+        let request = self.new_request();
+        self.tell(host, Input::Cancel { request, job });
+        request
+    }
+
+    /// Proposes a model resource, for changes of configuration that disturb nothing.
+    pub fn propose(&mut self, host: &str, name: &str, based_on: u64, version: u64) -> RequestId {
+        let request = self.new_request();
+        let json = format!(r#"{{"kind":"model","name":"{name}","versions":["{version}"]}}"#);
+        let change = ConfigChange { kind: "model".into(), name: name.into(), based_on, resource_json: Some(json) };
+        self.tell(host, Input::Propose { request, change });
+        request
+    }
+
+    /// Runs for a time.
+    pub fn run(&mut self, time: Duration) {
+        self.run_until(self.now + time, |_| false);
+    }
+
+    /// Runs until a condition holds or a time is over; tells whether it held.
+    pub fn run_until<F>(&mut self, until: Now, is_met: F) -> bool
+    where
+        F: Fn(&World) -> bool,
+    {
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > until {
+                break;
+            }
+            let ((at, _), event) = entry.remove_entry();
+            self.now = at;
+            self.take(event);
+            if is_met(self) {
+                return true;
+            }
+        }
+        self.now = self.now.max(until);
+        false
+    }
+
+    fn declare_engine(&mut self, index: usize) {
+        let json = format!(
+            r#"{{"kind":"backend_server","name":"e{index}","data_centre":"d{index}","address":"127.0.0.1:{}",
+            "role":{{"engine":{{"models":[{{"model":"{MODEL}","version":"1"}}],"max_sequences":4}}}}}}"#,
+            index + 1
+        );
+        let change = ConfigChange {
+            kind: "backend_server".into(),
+            name: format!("e{index}"),
+            based_on: 0,
+            resource_json: Some(json),
+        };
+        let bodies = vec![bamboo_log::Body::Config(change)];
+        let first_sequence = index as u64 + 1;
+        let entry = Entry { host: "setup".into(), incarnation: 1, at_ms: 0, first_sequence, bodies };
+        self.log.append(StreamId::Config, bamboo_log::WireEntry::from(&entry).bytes);
+    }
+
+    fn host_list(&self) -> Input {
+        let entry = |index: usize| HostEntry {
+            host: format!("h{index}"),
+            data_centre: format!("d{index}"),
+            peer_address: format!("h{index}"),
+            state: HostState::Live,
+        };
+        Input::HostList { hosts: (0..self.host_count).map(entry).collect(), leaving_servers: Vec::new() }
+    }
+
+    fn schedule(&mut self, after: Duration, event: Event) {
+        self.next_event += 1;
+        self.events.insert((self.now + after, self.next_event), event);
+    }
+
+    fn input(&mut self, host: &str, after: Duration, input: Input) {
+        let incarnation = self.hosts.get(host).map_or(0, |host| host.incarnation);
+        self.schedule(after, Event::Input(host.to_owned(), incarnation, Box::new(input)));
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Tick(host) => {
+                if self.hosts.get(&host).is_some_and(|host| host.core.is_some()) {
+                    let frozen = self.hosts.get(&host).is_some_and(|host| host.is_frozen);
+                    if !frozen {
+                        self.step(&host, Input::Tick);
+                    }
+                    self.schedule(TICK, Event::Tick(host));
+                }
+            }
+            Event::Input(host, incarnation, input) => {
+                let is_same = self.hosts.get(&host).is_some_and(|host| host.incarnation == incarnation);
+                if is_same {
+                    self.step(&host, *input);
+                }
+            }
+            Event::Store { host, incarnation, stream, bytes, is_answered } => {
+                let offset = self.log.append(stream, bytes);
+                if is_answered {
+                    let input = Input::AppendAnswered { stream, answer: AppendAnswer::Stored(offset) };
+                    self.schedule(LATENCY, Event::Input(host, incarnation, Box::new(input)));
+                }
+            }
+            Event::Poll { host, incarnation, stream, from, until } => self.poll(host, incarnation, stream, from, until),
+            Event::RunEnds { host, incarnation, run, number } => self.run_ends(&host, incarnation, run, number),
+            Event::Thaw(host) => self.thaw(&host),
+            Event::Restart(host) => self.start(&host),
+        }
+    }
+
+    fn step(&mut self, name: &str, input: Input) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(name) else {
+            return;
+        };
+        if host.is_frozen {
+            host.held_back.push_back(input);
+            return;
+        }
+        let Some(core) = host.core.as_mut() else {
+            return;
+        };
+        let outputs = core.step(now, input);
+        let offset = core.config().next_offset();
+        if host.config_offsets.last() != Some(&offset) {
+            host.config_offsets.push(offset);
+        }
+        let incarnation = host.incarnation;
+        for output in outputs {
+            self.outputs_seen += 1;
+            self.carry_out(name, incarnation, output);
+        }
+    }
+
+    fn carry_out(&mut self, host: &str, incarnation: u64, output: Output) {
+        match output {
+            Output::Append { stream, bytes } => self.append(host, incarnation, stream, bytes),
+            Output::Read { stream, from } => {
+                let until = self.now + READ_WAIT;
+                let host = host.to_owned();
+                let delay = LATENCY + self.read_delay;
+                self.schedule(delay, Event::Poll { host, incarnation, stream, from, until });
+            }
+            Output::ReadEntry { stream, offset } => {
+                let entry = self.log.entry(stream, offset);
+                self.input(host, LATENCY, Input::EntryRead { stream, offset, entry });
+            }
+            Output::Send { to, messages, .. } => {
+                if !self.cuts.contains(&(host.to_owned(), to.clone())) {
+                    let frame = Frame { from: host.to_owned(), incarnation, messages };
+                    self.input(&to, LATENCY, Input::Frame(frame));
+                }
+            }
+            Output::Answer { request, answer } => {
+                self.answers.insert(request, answer);
+            }
+            Output::StartItem { run, item, .. } => self.start_item(host, incarnation, run, item.job, item.item),
+            Output::StopItem { run } => {
+                if let Some(host) = self.hosts.get_mut(host) {
+                    host.runs.remove(&run);
+                }
+                self.input(host, LATENCY, Input::ItemEnded { run, end: ItemEnd::Stopped });
+            }
+            Output::DropItem { run } => {
+                if let Some(host) = self.hosts.get_mut(host) {
+                    host.runs.remove(&run);
+                }
+            }
+            Output::CancelStrays { server, .. } => self.input(host, LATENCY, Input::StraysCancelled { server }),
+            Output::PublishConfig(_) | Output::Ready(_) | Output::Event { .. } | Output::Drained => {}
+        }
+    }
+
+    fn append(&mut self, host: &str, incarnation: u64, stream: StreamId, bytes: Vec<u8>) {
+        let fault = if self.now < self.append_fault_until { self.append_fault } else { AppendFault::None };
+        let host_name = host.to_owned();
+        let store = |is_answered| Event::Store { host: host_name.clone(), incarnation, stream, bytes, is_answered };
+        let unknown = Input::AppendAnswered { stream, answer: AppendAnswer::Unknown };
+        match fault {
+            AppendFault::None => self.schedule(LATENCY, store(true)),
+            AppendFault::LoseAnswer => {
+                self.schedule(LATENCY, store(false));
+                self.input(host, APPEND_TIMEOUT, unknown);
+            }
+            AppendFault::Late => {
+                self.schedule(APPEND_TIMEOUT + Duration::from_secs(1), store(false));
+                self.input(host, APPEND_TIMEOUT, unknown);
+            }
+            AppendFault::Refuse => {
+                let answer = AppendAnswer::Refused(Duration::from_millis(200));
+                self.input(host, LATENCY, Input::AppendAnswered { stream, answer });
+            }
+        }
+    }
+
+    fn poll(&mut self, host: String, incarnation: u64, stream: StreamId, from: u64, until: Now) {
+        if !self.log.has_news(stream, from) && self.now < until {
+            let again = Duration::from_millis(10);
+            self.schedule(again, Event::Poll { host, incarnation, stream, from, until });
+            return;
+        }
+        let answer = self.log.read(stream, from);
+        let input = Input::ReadAnswered { stream, answer };
+        self.schedule(LATENCY, Event::Input(host, incarnation, Box::new(input)));
+    }
+
+    fn start_item(&mut self, host: &str, incarnation: u64, run: RunRef, job: JobId, item: ItemIndex) {
+        let time = Duration::from_millis(self.rng.random_range(30..200));
+        self.next_run += 1;
+        let number = self.next_run;
+        if self.cancel_seen.get(&job).is_some_and(|at| self.now > *at + Duration::from_secs(5)) {
+            self.starts_after_cancel += 1;
+        }
+        if let Some(state) = self.hosts.get_mut(host) {
+            state.runs.insert(run.clone(), ActiveRun { job, item, number });
+        }
+        self.schedule(time, Event::RunEnds { host: host.to_owned(), incarnation, run, number });
+    }
+
+    fn run_ends(&mut self, name: &str, incarnation: u64, run: RunRef, number: u64) {
+        let Some(host) = self.hosts.get_mut(name).filter(|host| host.incarnation == incarnation) else {
+            return;
+        };
+        let Some(active) = host.runs.get(&run).copied().filter(|active| active.number == number) else {
+            return;
+        };
+        host.runs.remove(&run);
+        *self.ran_items.entry((active.job, active.item)).or_default() += 1;
+        let custom_id = format!("i{}", active.item);
+        let verdict = match self.bad_items.contains(&(active.job, active.item)) {
+            true => ItemVerdict::ItemFault { reason: "cannot be done".into() },
+            false => ItemVerdict::Done { answer_json: format!("\"run {number}\"") },
+        };
+        self.step(name, Input::ItemEnded { run, end: ItemEnd::Verdict { custom_id, verdict } });
+    }
+
+    fn thaw(&mut self, name: &str) {
+        let Some(host) = self.hosts.get_mut(name) else {
+            return;
+        };
+        host.is_frozen = false;
+        for input in std::mem::take(&mut host.held_back) {
+            self.step(name, input);
+        }
+    }
+}
--- a/bamboo-jobs/src/fold.rs
+++ b/bamboo-jobs/src/fold.rs
@@ -30,6 +30,10 @@
 
 /// Entries after which an upload that no submit names is forgotten.
 const UPLOAD_LIFETIME_ENTRIES: u64 = 200_000;
+/// Time between marks of the stream's age, milliseconds.
+const MARK_INTERVAL_MS: u64 = 1000;
+/// Most marks kept.
+const MARKS_MAX: usize = 4096;
 /// How long a keyed call is remembered, milliseconds.
 const KEYED_LIFETIME_MS: u64 = 24 * 3600 * 1000;
 
@@ -99,6 +103,14 @@
     uploads: BTreeMap<UploadId, Vec<ChunkRef>>,
     keyed: BTreeMap<(String, String), Keyed>,
     dedupe: Dedupe,
+    marks: Vec<TimeMark>,
+}
+
+/// The first offset at or after a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct TimeMark {
+    at_ms: u64,
+    offset: Offset,
 }
 
 impl ShardFold {
@@ -118,6 +130,7 @@
             return events;
         }
         self.next_offset = offset + 1;
+        self.mark(offset, entry.at_ms);
         let writer = Writer {
             host: entry.host.clone(),
             incarnation: entry.incarnation,
@@ -144,6 +157,27 @@
         events
     }
 
+    /// The first offset that may be younger than a time, as far as marks tell; earlier ones are older.
+    pub fn offset_at(&self, at_ms: u64) -> Offset {
+        let after = self.marks.partition_point(|mark| mark.at_ms <= at_ms);
+        after.checked_sub(1).map_or(0, |index| self.marks[index].offset)
+    }
+
+    fn mark(&mut self, offset: Offset, at_ms: u64) {
+        let is_due = self.marks.last().is_none_or(|mark| at_ms >= mark.at_ms + MARK_INTERVAL_MS);
+        if is_due {
+            if self.marks.len() == MARKS_MAX {
+                // Every other mark goes, so that marks cover any age at a coarser grain.
+                let mut is_kept = false;
+                self.marks.retain(|_| {
+                    is_kept = !is_kept;
+                    is_kept
+                });
+            }
+            self.marks.push(TimeMark { at_ms, offset });
+        }
+    }
+
     /// Moves past an offset whose entry does not decode or was trimmed.
     pub fn skip(&mut self, offset: Offset) {
         self.next_offset = self.next_offset.max(offset + 1);
--- a/bamboo-jobs/src/lib.rs
+++ b/bamboo-jobs/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod bitmap;
+mod carry;
 mod fold;
 mod handout;
 mod job;
@@ -14,6 +15,8 @@
 mod view;
 
 pub use bitmap::Bitmap;
+pub use carry::carry_entry;
+pub use carry::next_to_carry;
 pub use fold::FoldEvent;
 pub use fold::ShardFold;
 pub use handout::Assignment;
@@ -34,6 +37,6 @@
 pub use recovery::StreamFold;
 pub use results::FinalOutcomes;
 pub use snapshot::SnapshotError;
-pub use snapshot::SnapshotReader;
+pub use snapshot::read_snapshot;
 pub use snapshot::write_snapshot;
 pub use view::JobView;
--- a/bamboo-jobs/src/recovery.rs
+++ b/bamboo-jobs/src/recovery.rs
@@ -1,19 +1,18 @@
 //! Brings a fold up from a stream that may have been trimmed at its start.
 
 use bamboo_log::Entry;
+use bamboo_log::GapBuffer;
 use bamboo_types::Offset;
 
 use crate::FoldEvent;
 use crate::ShardFold;
-use crate::SnapshotReader;
+use crate::read_snapshot;
 
 /// A fold, and what was read while it still waits for a snapshot.
 #[derive(Debug, Default)]
 pub struct StreamFold {
     fold: ShardFold,
-    snapshot: SnapshotReader,
-    waiting: Vec<(Offset, Entry)>,
-    first_read: Option<Offset>,
+    gap: GapBuffer,
 }
 
 impl StreamFold {
@@ -28,15 +27,12 @@
     /// assert!(bamboo_jobs::StreamFold::default().is_whole());
     /// ```
     pub fn is_whole(&self) -> bool {
-        self.first_read.is_none_or(|first| first == 0)
+        self.gap.is_whole()
     }
 
     /// Notes that offsets before `oldest` were trimmed before they were read.
     pub fn gap(&mut self, oldest: Offset) {
-        if oldest > self.fold.next_offset() {
-            self.first_read = Some(oldest);
-            self.waiting.clear();
-        }
+        self.gap.gap(oldest, self.fold.next_offset());
     }
 
     /// Takes the next entry of the stream; `None` stands for one that does not decode.
@@ -48,34 +44,24 @@
         if self.is_whole() {
             return self.fold.apply(offset, &entry);
         }
-        let found = self.snapshot.take(&entry).ok().flatten();
-        self.waiting.push((offset, entry));
-        match found {
+        let snapshot = self.gap.hold(offset, entry);
+        match snapshot.and_then(|snapshot| read_snapshot(&snapshot.bytes).ok()) {
             Some(fold) => self.start_from(fold),
             None => Vec::new(),
         }
     }
 
     fn start_from(&mut self, fold: ShardFold) -> Vec<FoldEvent> {
-        // Entries between the snapshot's end and the first one read would be missing.
-        if self
-            .first_read
-            .is_some_and(|first| first > fold.next_offset())
-        {
+        let Some(waiting) = self.gap.fill(fold.next_offset()) else {
             return Vec::new();
-        }
+        };
         self.fold = fold;
-        self.first_read = Some(0);
         let mut events = Vec::new();
         if let Some((writer, epoch)) = self.fold.holder() {
             let (host, incarnation) = (writer.host.clone(), writer.incarnation);
-            events.push(FoldEvent::Claimed {
-                host,
-                incarnation,
-                epoch: *epoch,
-            });
+            events.push(FoldEvent::Claimed { host, incarnation, epoch: *epoch });
         }
-        for (offset, entry) in std::mem::take(&mut self.waiting) {
+        for (offset, entry) in waiting {
             events.extend(self.fold.apply(offset, &entry));
         }
         events
--- a/bamboo-log/src/lib.rs
+++ b/bamboo-log/src/lib.rs
@@ -7,6 +7,7 @@
 mod entry;
 mod reader;
 mod record;
+mod snapshot;
 mod stream;
 
 pub use appender::AppendAnswer;
@@ -37,4 +38,8 @@
 pub use record::RecordId;
 pub use record::SnapshotPart;
 pub use record::UploadId;
+pub use snapshot::GapBuffer;
+pub use snapshot::SnapshotAssembler;
+pub use snapshot::WholeSnapshot;
+pub use snapshot::split_snapshot;
 pub use stream::StreamId;
--- a/bamboo-node/src/control.rs
+++ b/bamboo-node/src/control.rs
@@ -100,6 +100,9 @@
         match output {
             Output::Append { stream, bytes } => self.link(LinkOrder::Append { stream, bytes }),
             Output::Read { stream, from } => self.link(LinkOrder::Read { stream, from }),
+            Output::ReadEntry { stream, offset } => {
+                self.link(LinkOrder::ReadEntry { stream, offset });
+            }
             Output::Send {
                 to,
                 address,
--- a/bamboo-node/src/links.rs
+++ b/bamboo-node/src/links.rs
@@ -32,6 +32,13 @@
         /// First offset.
         from: Offset,
     },
+    /// Read one entry.
+    ReadEntry {
+        /// Stream.
+        stream: StreamId,
+        /// Offset.
+        offset: Offset,
+    },
     /// Send messages to a host.
     Send {
         /// Receiver.
@@ -71,6 +78,9 @@
             LinkOrder::Read { stream, from } => {
                 actix_rt::spawn(read(platform.clone(), control.clone(), stream, from));
             }
+            LinkOrder::ReadEntry { stream, offset } => {
+                actix_rt::spawn(read_entry(platform.clone(), control.clone(), stream, offset));
+            }
             LinkOrder::Send {
                 to,
                 address,
@@ -113,6 +123,11 @@
     }
 }
 
+async fn read_entry(platform: Platform, control: ControlHandle, stream: StreamId, offset: Offset) {
+    let entry = platform.entry(stream, offset).await.ok().flatten();
+    control.tell(Input::EntryRead { stream, offset, entry });
+}
+
 async fn watch_hosts(shared: Arc<Shared>, platform: Platform, control: ControlHandle) {
     let mut is_failing = false;
     loop {
