--- a/bamboo-host/src/asks.rs
+++ b/bamboo-host/src/asks.rs
@@ -134,20 +134,10 @@
         question: Question,
     ) {
         if !self.owns_currently(shard) {
-            let holder = self
-                .shards
-                .get(usize::from(shard))
-                .and_then(|role| role.claimant.holder());
-            let holder = holder
-                .filter(|holder| *holder != self.options.host)
-                .map(str::to_owned);
-            self.send(
-                from,
-                PeerMessage::Answer {
-                    request,
-                    reply: Reply::NotOwner { holder },
-                },
-            );
+            let reply = Reply::NotOwner {
+                holder: self.known_holder(shard),
+            };
+            self.send(from, PeerMessage::Answer { request, reply });
             return;
         }
         match self.reply_to(now, shard, &question) {
@@ -215,19 +205,36 @@
         }
     }
 
-    /// The host to turn to for a shard: the holder that was last named, or the first in order.
+    /// The host to turn to for a shard: the holder as read from the stream, the one last named, or the first in
+    /// order.
     pub(crate) fn shard_owner(&self, now: Now, shard: ShardId) -> Option<HostId> {
         if self.owns(shard) {
             return Some(self.options.host.clone());
         }
         let named = self
-            .asks
-            .holders
-            .get(&shard)
-            .filter(|host| self.members.is_answering(now, host));
-        named
-            .cloned()
-            .or_else(|| self.members.owner(now, &shard_name(shard)))
+            .known_holder(shard)
+            .or_else(|| self.asks.holders.get(&shard).cloned());
+        let named = named.filter(|host| self.members.is_answering(now, host));
+        named.or_else(|| self.members.owner(now, &shard_name(shard)))
+    }
+
+    /// Tells a host that addressed this one as a shard's owner who the owner is.
+    pub(crate) fn redirect(&mut self, to: &str, shard: ShardId) {
+        let holder = self.known_holder(shard);
+        self.send(to, PeerMessage::ShardHolder { shard, holder });
+    }
+
+    pub(crate) fn holder_heard(&mut self, shard: ShardId, holder: Option<HostId>) {
+        match holder {
+            Some(holder) => self.asks.holders.insert(shard, holder),
+            None => self.asks.holders.remove(&shard),
+        };
+    }
+
+    /// Another host that holds a shard, as far as this host has read the stream.
+    fn known_holder(&self, shard: ShardId) -> Option<HostId> {
+        let holder = self.shards.get(usize::from(shard))?.claimant.holder()?;
+        (holder != self.options.host).then(|| holder.to_owned())
     }
 
     fn not_owner_heard(&mut self, now: Now, request: RequestId, holder: Option<HostId>) {
--- a/bamboo-host/src/config_role.rs
+++ b/bamboo-host/src/config_role.rs
@@ -75,7 +75,9 @@
     /// Ready once the stream was read to its tail, or a peer's image stands in for it while the log is down; not
     /// ready when neither log nor peers have been heard for too long.
     pub(crate) fn is_ready(&self, now: Now, stale_max: Duration) -> bool {
-        (self.has_reached_tail || self.has_image) && self.gap.is_whole() && now.saturating_sub(self.fresh_at) < stale_max
+        (self.has_reached_tail || self.has_image)
+            && self.gap.is_whole()
+            && now.saturating_sub(self.fresh_at) < stale_max
     }
 }
 
@@ -207,7 +209,11 @@
         let by_count = next_offset >= self.config.image_through + IMAGE_EVERY_ENTRIES;
         let by_age = now.saturating_sub(self.config.image_at) >= self.options.retention / 4;
         let is_mine = first_in_order(&self.live, &StreamId::Config.to_string()) == Some(me);
-        if !(by_count || by_age) || !is_mine || !self.config.reader.is_at_tail() || !self.config.gap.is_whole() {
+        if !(by_count || by_age)
+            || !is_mine
+            || !self.config.reader.is_at_tail()
+            || !self.config.gap.is_whole()
+        {
             return;
         }
         self.config.image_through = next_offset;
--- a/bamboo-host/src/core.rs
+++ b/bamboo-host/src/core.rs
@@ -217,7 +217,11 @@
             Input::Frame(frame) => self.take_frame(now, frame),
             Input::AppendAnswered { stream, answer } => self.append_answered(now, stream, answer),
             Input::ReadAnswered { stream, answer } => self.read_answered(now, stream, answer),
-            Input::EntryRead { stream, offset, entry } => self.entry_read(now, stream, offset, entry),
+            Input::EntryRead {
+                stream,
+                offset,
+                entry,
+            } => self.entry_read(now, stream, offset, entry),
             Input::ReadFailed { stream } => self.read_failed(now, stream),
             Input::Online(request) => self.online_arrived(now, request),
             Input::Keyed(request) => self.keyed_arrived(now, request),
@@ -347,6 +351,7 @@
                 self.outcomes_heard(now, from, shard, outcomes)
             }
             PeerMessage::Settled { shard, items } => self.servers.settled(shard, &items),
+            PeerMessage::ShardHolder { shard, holder } => self.holder_heard(shard, holder),
             PeerMessage::StopJob { shard, job } => self.stop_job_heard(shard, job),
             PeerMessage::Ask {
                 request,
--- a/bamboo-host/src/shard_role.rs
+++ b/bamboo-host/src/shard_role.rs
@@ -191,7 +191,12 @@
     }
 
     /// Whether a snapshot is due: after so many entries, or when the last one grows old.
-    pub(crate) fn is_snapshot_due(&mut self, now: Now, every_entries: u64, age_max: Duration) -> bool {
+    pub(crate) fn is_snapshot_due(
+        &mut self,
+        now: Now,
+        every_entries: u64,
+        age_max: Duration,
+    ) -> bool {
         let next_offset = self.stream.fold().next_offset();
         if self.snapshot_at == Duration::ZERO {
             self.snapshot_at = now;
@@ -218,7 +223,10 @@
         if is_under_way {
             return None;
         }
-        self.carrying = Some(Carrying { offset: next, since: now });
+        self.carrying = Some(Carrying {
+            offset: next,
+            since: now,
+        });
         Some(next)
     }
 
--- a/bamboo-host/src/shards.rs
+++ b/bamboo-host/src/shards.rs
@@ -98,6 +98,7 @@
 
     pub(crate) fn demand_heard(&mut self, now: Now, shard: ShardId, demand: Demand) {
         if !self.owns_currently(shard) {
+            self.redirect(&demand.host, shard);
             return;
         }
         let (host, server) = (demand.host.clone(), demand.server.clone());
@@ -143,6 +144,7 @@
         outcomes: Vec<ItemOutcome>,
     ) {
         if !self.owns_currently(shard) {
+            self.redirect(from, shard);
             return;
         }
         let Some(role) = self.shards.get_mut(usize::from(shard)) else {
@@ -169,9 +171,12 @@
             is_first,
             is_at_tail: role.is_current(),
         };
-        let step = role
-            .claimant
-            .step(now, wish, |host| members.is_answering(now, host), random);
+        let step = role.claimant.step(
+            now,
+            wish,
+            |host, run| members.is_running(now, host, run),
+            random,
+        );
         match step {
             ClaimStep::Stand => self.stand_down(shard),
             ClaimStep::Follow | ClaimStep::Recover => role.start_reading(),
@@ -276,7 +281,13 @@
     }
 
     /// An entry to copy forward has been read.
-    pub(crate) fn entry_read(&mut self, now: Now, stream: StreamId, offset: Offset, entry: Option<Entry>) {
+    pub(crate) fn entry_read(
+        &mut self,
+        now: Now,
+        stream: StreamId,
+        offset: Offset,
+        entry: Option<Entry>,
+    ) {
         let StreamId::Shard(shard) = stream else {
             return;
         };
--- a/bamboo-host/tests/core.rs
+++ b/bamboo-host/tests/core.rs
@@ -19,8 +19,15 @@
     world.run(SETTLE);
     let (request, job) = world.submit("h0", "first", 50);
     world.run(Duration::from_secs(1));
-    let answer = world.answers.get(&request).cloned().expect("answer to the submit");
-    assert!(matches!(&answer, Answer::Job(view) if view.job == job), "{answer:?}");
+    let answer = world
+        .answers
+        .get(&request)
+        .cloned()
+        .expect("answer to the submit");
+    assert!(
+        matches!(&answer, Answer::Job(view) if view.job == job),
+        "{answer:?}"
+    );
     note_answer(&mut world, &answer);
     let limit = world.now + Duration::from_secs(30);
     assert!(world.run_until(limit, all_ended), "the job did not end");
@@ -37,7 +44,9 @@
     assert_eq!(job, again);
     world.run(Duration::from_secs(2));
     for request in [first, second] {
-        assert!(matches!(world.answers.get(&request), Some(Answer::Job(view)) if view.total_count == 10));
+        assert!(
+            matches!(world.answers.get(&request), Some(Answer::Job(view)) if view.total_count == 10)
+        );
     }
 }
 
@@ -63,7 +72,9 @@
     world.run(Duration::from_secs(3));
     let request = world.cancel("h2", job);
     world.run(Duration::from_secs(2));
-    assert!(matches!(world.answers.get(&request), Some(Answer::Job(view)) if view.ended_ms.is_some()));
+    assert!(
+        matches!(world.answers.get(&request), Some(Answer::Job(view)) if view.ended_ms.is_some())
+    );
     let ran = world.ran_items.len();
     world.run(Duration::from_secs(5));
     assert_eq!(world.ran_items.len(), ran, "items ran after the cancel");
@@ -76,8 +87,24 @@
     let first = world.propose("h0", "model-a", 0, 1);
     let second = world.propose("h1", "model-a", 0, 2);
     world.run(Duration::from_secs(2));
-    let outcomes: Vec<String> =
-        [first, second].iter().map(|request| format!("{:?}", world.answers.get(request))).collect();
-    assert_eq!(outcomes.iter().filter(|text| text.contains("Applied")).count(), 1, "{outcomes:?}");
-    assert_eq!(outcomes.iter().filter(|text| text.contains("Conflict")).count(), 1, "{outcomes:?}");
+    let outcomes: Vec<String> = [first, second]
+        .iter()
+        .map(|request| format!("{:?}", world.answers.get(request)))
+        .collect();
+    assert_eq!(
+        outcomes
+            .iter()
+            .filter(|text| text.contains("Applied"))
+            .count(),
+        1,
+        "{outcomes:?}"
+    );
+    assert_eq!(
+        outcomes
+            .iter()
+            .filter(|text| text.contains("Conflict"))
+            .count(),
+        1,
+        "{outcomes:?}"
+    );
 }
--- a/bamboo-host/tests/support/check.rs
+++ b/bamboo-host/tests/support/check.rs
@@ -33,11 +33,16 @@
 fn reference(entries: &[(u64, Entry)]) -> Reference {
     let mut seen: BTreeMap<(String, u64), u64> = BTreeMap::new();
     let mut epoch = None;
-    let mut reference = Reference { counted: BTreeMap::new(), cancelled_at: BTreeMap::new() };
+    let mut reference = Reference {
+        counted: BTreeMap::new(),
+        cancelled_at: BTreeMap::new(),
+    };
     for (offset, entry) in entries {
         for (slot, body) in entry.bodies.iter().enumerate() {
             let sequence = entry.first_sequence + slot as u64;
-            let highest = seen.entry((entry.host.clone(), entry.incarnation)).or_insert(0);
+            let highest = seen
+                .entry((entry.host.clone(), entry.incarnation))
+                .or_insert(0);
             if sequence <= *highest {
                 continue;
             }
@@ -48,11 +53,18 @@
                 Body::Cancel { job, .. } => {
                     reference.cancelled_at.entry(*job).or_insert(*offset);
                 }
-                Body::Outcomes { epoch: of, outcomes, .. } if epoch == Some(*of) => {
+                Body::Outcomes {
+                    epoch: of,
+                    outcomes,
+                    ..
+                } if epoch == Some(*of) => {
                     for outcome in outcomes {
                         let is_late = reference.cancelled_at.contains_key(&outcome.job);
                         if outcome.verdict.is_final() && !is_late {
-                            *reference.counted.entry((outcome.job, outcome.item)).or_default() += 1;
+                            *reference
+                                .counted
+                                .entry((outcome.job, outcome.item))
+                                .or_default() += 1;
                         }
                     }
                 }
@@ -71,7 +83,10 @@
     }
     check_config(world, &mut found);
     if world.starts_after_cancel > 0 {
-        found.push(format!("{} items started long after their job's cancel", world.starts_after_cancel));
+        found.push(format!(
+            "{} items started long after their job's cancel",
+            world.starts_after_cancel
+        ));
     }
     found
 }
@@ -99,7 +114,10 @@
         };
         let is_cancelled = world.cancelled.contains(job);
         match state.state {
-            JobState::Running => found.push(format!("job {job:x} has not ended: {} left", state.left_count())),
+            JobState::Running => found.push(format!(
+                "job {job:x} has not ended: {} left",
+                state.left_count()
+            )),
             JobState::Completed if is_cancelled && reference.cancelled_at.contains_key(job) => {
                 let completed = state.ended.count() == *item_count;
                 if !completed {
@@ -107,7 +125,9 @@
                 }
             }
             JobState::Cancelled if !reference.cancelled_at.contains_key(job) => {
-                found.push(format!("job {job:x} ended as cancelled and nobody cancelled it"));
+                found.push(format!(
+                    "job {job:x} ended as cancelled and nobody cancelled it"
+                ));
             }
             JobState::Completed | JobState::Cancelled => {}
         }
@@ -118,7 +138,11 @@
         for item in 0..job.spec.item_count {
             let is_counted = reference.counted.contains_key(&(job.spec.job, item));
             if job.ended.is_set(item) != is_counted {
-                found.push(format!("item {:x}/{item}: fold {}, reference {is_counted}", job.spec.job, job.ended.is_set(item)));
+                found.push(format!(
+                    "item {:x}/{item}: fold {}, reference {is_counted}",
+                    job.spec.job,
+                    job.ended.is_set(item)
+                ));
             }
         }
     }
@@ -126,7 +150,14 @@
 }
 
 /// Results are read the way callers read them, through what the log still keeps.
-fn check_results(world: &World, shard: u16, job: JobId, item_count: u32, fold: &ShardFold, found: &mut Vec<String>) {
+fn check_results(
+    world: &World,
+    shard: u16,
+    job: JobId,
+    item_count: u32,
+    fold: &ShardFold,
+    found: &mut Vec<String>,
+) {
     let Some(state) = fold.job(job) else {
         return;
     };
@@ -139,13 +170,20 @@
         }
     }
     if outcomes.len() as u32 != state.ended.count() {
-        found.push(format!("job {job:x}: {} results for {} ended items", outcomes.len(), state.ended.count()));
+        found.push(format!(
+            "job {job:x}: {} results for {} ended items",
+            outcomes.len(),
+            state.ended.count()
+        ));
     }
     for outcome in outcomes {
         let is_bad = world.bad_items.contains(&(job, outcome.item));
         let is_done = matches!(outcome.verdict, ItemVerdict::Done { .. });
         if is_bad == is_done {
-            found.push(format!("item {job:x}/{} has the wrong verdict", outcome.item));
+            found.push(format!(
+                "item {job:x}/{} has the wrong verdict",
+                outcome.item
+            ));
         }
     }
 }
@@ -157,9 +195,14 @@
     };
     let live = world.core(&owner).and_then(|core| core.shard_fold(shard));
     if let Some(live) = live.filter(|live| live.next_offset() == fold.next_offset()) {
-        let differs = live.jobs().zip(fold.jobs()).any(|(live, fold)| live != fold);
+        let differs = live
+            .jobs()
+            .zip(fold.jobs())
+            .any(|(live, fold)| live != fold);
         if differs || live.jobs().count() != fold.jobs().count() {
-            found.push(format!("{owner}'s fold of shard {shard} differs from the log's"));
+            found.push(format!(
+                "{owner}'s fold of shard {shard} differs from the log's"
+            ));
         }
     }
 }
@@ -179,11 +222,16 @@
         found.push(format!("configurations differ: {newest:?}"));
     }
     for (name, revision) in &world.applied {
-        let up = world.host_names().into_iter().find(|host| world.core(host).is_some());
+        let up = world
+            .host_names()
+            .into_iter()
+            .find(|host| world.core(host).is_some());
         let core = up.and_then(|host| world.core(&host));
         let stored = core.and_then(|core| core.config().get(bamboo_config::Kind::Model, name));
         if stored.is_none_or(|stored| stored.revision < *revision) {
-            found.push(format!("accepted change of {name} to revision {revision} is not in force"));
+            found.push(format!(
+                "accepted change of {name} to revision {revision} is not in force"
+            ));
         }
     }
 }
--- /dev/null
+++ b/bamboo-host/tests/support/clients.rs
@@ -0,0 +1,172 @@
+//! Callers and operators who resend until they know.
+
+use std::time::Duration;
+
+use bamboo_config::ChangeOutcome;
+use bamboo_host::Answer;
+use bamboo_result::Ran;
+use bamboo_types::JobId;
+use bamboo_types::Now;
+use bamboo_types::RequestId;
+use bamboo_types::job_id;
+
+use super::world::World;
+
+/// Time without an answer after which a client sends again.
+const PATIENCE: Duration = Duration::from_secs(7);
+/// Wait before a refused request is sent again.
+const AGAIN: Duration = Duration::from_millis(700);
+
+/// What a client wants.
+#[derive(Debug, Clone)]
+pub enum Wish {
+    /// A job of so many items under a key.
+    Job { key: String, item_count: u32 },
+    /// A job's end, once it is accepted.
+    Cancel { key: String },
+    /// A model resource with a version, on top of whatever is in force.
+    Change { name: String, version: u64 },
+    /// One run of a call.
+    Call { key: String },
+}
+
+/// A client that is not done yet.
+#[derive(Debug)]
+pub struct Client {
+    pub wish: Wish,
+    start_at: Now,
+    next_host: usize,
+    request: Option<RequestId>,
+    sent_at: Now,
+    pub is_done: bool,
+}
+
+impl Client {
+    pub fn new(wish: Wish, start_at: Now, next_host: usize) -> Self {
+        Client {
+            wish,
+            start_at,
+            next_host,
+            request: None,
+            sent_at: Duration::ZERO,
+            is_done: false,
+        }
+    }
+
+    /// Looks at the answer, and sends or resends when it is time.
+    pub fn advance(&mut self, world: &mut World) {
+        if self.is_done || world.now < self.start_at {
+            return;
+        }
+        if let Some(request) = self.request {
+            match world.answers.get(&request).cloned() {
+                Some(answer) => self.take(world, request, &answer),
+                None if world.now < self.sent_at + PATIENCE => return,
+                None => {}
+            }
+        }
+        let may_send = self.request.is_none() || world.now >= self.sent_at + AGAIN;
+        if !self.is_done && may_send && !self.is_call_under_way(world) {
+            self.send(world);
+        }
+    }
+
+    /// Sends the same wish once more, whatever became of it.
+    pub fn resend(&mut self, world: &mut World) {
+        let (request, sent_at) = (self.request, self.sent_at);
+        self.send(world);
+        if request.is_some() {
+            (self.request, self.sent_at) = (request, sent_at);
+        }
+    }
+
+    /// A call that was sent to the service is answered there, or its host is lost.
+    fn is_call_under_way(&self, world: &World) -> bool {
+        let answer = self.request.and_then(|request| world.answers.get(&request));
+        matches!(answer, Some(Answer::Dispatch(_))) && world.now < self.sent_at + PATIENCE
+    }
+
+    fn take(&mut self, world: &mut World, request: RequestId, answer: &Answer) {
+        match (&self.wish, answer) {
+            (Wish::Job { .. }, Answer::Job(view)) => {
+                world.accepted.insert(view.job, view.total_count);
+                self.is_done = true;
+            }
+            (Wish::Cancel { .. }, Answer::Job(view)) => {
+                world.cancelled.insert(view.job);
+                world.cancel_seen.entry(view.job).or_insert(world.now);
+                self.is_done = true;
+            }
+            (Wish::Change { name, .. }, Answer::Config(ChangeOutcome::Applied { revision })) => {
+                world.applied.push((name.clone(), *revision));
+                self.is_done = true;
+            }
+            // The run itself is the answer; a host that dies before it leaves the outcome unknown.
+            (Wish::Call { .. }, Answer::Dispatch(_)) => {
+                self.is_done = world.ran_calls.contains_key(&request)
+            }
+            (Wish::Call { .. }, Answer::Replay { .. }) => self.is_done = true,
+            (Wish::Call { .. }, Answer::Refused(refusal)) if refusal.code.ran() == Ran::Unknown => {
+                self.is_done = true
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, world: &mut World) {
+        let names: Vec<String> = world
+            .host_names()
+            .into_iter()
+            .filter(|name| world.is_up(name))
+            .collect();
+        if names.is_empty() {
+            return;
+        }
+        let host = names[self.next_host % names.len()].clone();
+        self.next_host += 1;
+        self.sent_at = world.now;
+        self.request = Some(match &self.wish {
+            Wish::Job { key, item_count } => world.submit(&host, key, *item_count).0,
+            Wish::Cancel { key } => {
+                let job: JobId = job_id("workspace", key);
+                if !world.accepted.contains_key(&job) {
+                    self.request = None;
+                    return;
+                }
+                world.cancel(&host, job)
+            }
+            Wish::Change { name, version } => {
+                let core = world.core(&host);
+                let stored =
+                    core.and_then(|core| core.config().get(bamboo_config::Kind::Model, name));
+                let based_on = stored.map_or(0, |stored| stored.revision);
+                world.propose(&host, name, based_on, *version)
+            }
+            Wish::Call { key } => world.keyed_call(&host, key),
+        });
+    }
+}
+
+/// Lists calls that ran twice, or ran although their caller was told that they did not.
+pub fn call_violations(world: &World) -> Vec<String> {
+    let mut found = Vec::new();
+    let mut runs_of_key = std::collections::BTreeMap::new();
+    for (request, count) in &world.ran_calls {
+        *runs_of_key
+            .entry(world.call_keys.get(request).cloned())
+            .or_insert(0) += count;
+        if let Some(Answer::Refused(refusal)) = world.answers.get(request)
+            && refusal.code.ran() == Ran::No
+        {
+            found.push(format!(
+                "call {request} ran and was answered with {refusal}"
+            ));
+        }
+    }
+    for (key, count) in runs_of_key {
+        if count > 1 {
+            found.push(format!("call {key:?} ran {count} times"));
+        }
+    }
+    found
+}
--- a/bamboo-host/tests/support/fake_log.rs
+++ b/bamboo-host/tests/support/fake_log.rs
@@ -5,6 +5,7 @@
 use bamboo_log::Entry;
 use bamboo_log::ReadAnswer;
 use bamboo_log::StreamId;
+use bamboo_types::Now;
 
 /// Entries of one read.
 const PAGE: usize = 64;
@@ -13,6 +14,7 @@
 struct Stream {
     oldest: u64,
     entries: Vec<Vec<u8>>,
+    stored_at: Vec<Now>,
 }
 
 /// All streams. Nothing is forgotten for the checks, though reads see only what is kept.
@@ -24,45 +26,66 @@
 }
 
 impl FakeLog {
-    pub fn append(&mut self, stream: StreamId, bytes: Vec<u8>) -> u64 {
+    pub fn append(&mut self, now: Now, stream: StreamId, bytes: Vec<u8>) -> u64 {
         self.append_count += 1;
         self.append_bytes += bytes.len() as u64;
         let stream = self.streams.entry(stream).or_default();
         stream.entries.push(bytes);
+        stream.stored_at.push(now);
         stream.entries.len() as u64 - 1
     }
 
     pub fn read(&self, stream: StreamId, from: u64) -> ReadAnswer {
         let Some(stream) = self.streams.get(&stream) else {
-            return ReadAnswer { entries: Vec::new(), oldest: 0, tail: 0 };
+            return ReadAnswer {
+                entries: Vec::new(),
+                oldest: 0,
+                tail: 0,
+            };
         };
         let tail = stream.entries.len() as u64;
         let first = from.max(stream.oldest);
         let offsets = first..tail.min(first + PAGE as u64);
         let entries = offsets.map(|offset| (offset, decode(&stream.entries[offset as usize])));
-        ReadAnswer { entries: entries.collect(), oldest: stream.oldest, tail }
+        ReadAnswer {
+            entries: entries.collect(),
+            oldest: stream.oldest,
+            tail,
+        }
     }
 
     pub fn entry(&self, stream: StreamId, offset: u64) -> Option<Entry> {
-        let stream = self.streams.get(&stream).filter(|stream| offset >= stream.oldest)?;
+        let stream = self
+            .streams
+            .get(&stream)
+            .filter(|stream| offset >= stream.oldest)?;
         decode(stream.entries.get(offset as usize)?)
     }
 
     pub fn has_news(&self, stream: StreamId, from: u64) -> bool {
-        self.streams.get(&stream).is_some_and(|stream| stream.entries.len() as u64 > from)
+        self.streams
+            .get(&stream)
+            .is_some_and(|stream| stream.entries.len() as u64 > from)
     }
 
     /// Every entry ever stored, also those that reads no longer see.
     pub fn all(&self, stream: StreamId) -> Vec<(u64, Entry)> {
-        let entries = self.streams.get(&stream).map(|stream| stream.entries.as_slice()).unwrap_or_default();
+        let entries = self
+            .streams
+            .get(&stream)
+            .map(|stream| stream.entries.as_slice())
+            .unwrap_or_default();
         let decoded = entries.iter().enumerate();
-        decoded.filter_map(|(offset, bytes)| Some((offset as u64, decode(bytes)?))).collect()
+        decoded
+            .filter_map(|(offset, bytes)| Some((offset as u64, decode(bytes)?)))
+            .collect()
     }
 
-    /// Forgets entries before an offset.
-    pub fn trim(&mut self, stream: StreamId, oldest: u64) {
-        if let Some(stream) = self.streams.get_mut(&stream) {
-            stream.oldest = stream.oldest.max(oldest.min(stream.entries.len() as u64));
+    /// Forgets entries that were stored before a time.
+    pub fn trim_before(&mut self, time: Now) {
+        for stream in self.streams.values_mut() {
+            let oldest = stream.stored_at.partition_point(|at| *at < time) as u64;
+            stream.oldest = stream.oldest.max(oldest);
         }
     }
 
--- /dev/null
+++ b/bamboo-host/tests/support/matrix.rs
@@ -0,0 +1,357 @@
+//! The fault matrix: every fault at every step, generated as the product of the two lists.
+
+use std::time::Duration;
+
+use bamboo_events::EventKind;
+use bamboo_host::Input;
+use bamboo_host::Output;
+use bamboo_log::Body;
+use bamboo_log::Entry;
+
+use super::check::all_ended;
+use super::check::violations;
+use super::clients::Client;
+use super::clients::Wish;
+use super::clients::call_violations;
+use super::world::AppendFault;
+use super::world::World;
+
+/// A step of a protocol.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    Submit,
+    Claim,
+    HandOut,
+    Commit,
+    Cancel,
+    Snapshot,
+    CarryForward,
+    ConfigChange,
+    KeyedCall,
+    KeyedEnd,
+    PlannedStop,
+}
+
+/// Something that goes wrong at the step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    KilledBefore,
+    KilledAfter,
+    HostLostAfterAcknowledgement,
+    AppendLate,
+    AppendAnswerLost,
+    AppendRefused,
+    ReadsDelayed,
+    ReadsTrimmed,
+    FrozenPastLease,
+    TwoOwners,
+    ClientResends,
+    OperatorsRace,
+    KilledAndAnswerLost,
+    FrozenAndAppendLate,
+}
+
+impl Step {
+    pub const ALL: [Step; 11] = [
+        Step::Submit,
+        Step::Claim,
+        Step::HandOut,
+        Step::Commit,
+        Step::Cancel,
+        Step::Snapshot,
+        Step::CarryForward,
+        Step::ConfigChange,
+        Step::KeyedCall,
+        Step::KeyedEnd,
+        Step::PlannedStop,
+    ];
+
+    /// Whether an output is this step being taken.
+    pub fn matches(self, output: &Output) -> bool {
+        match output {
+            Output::Append { bytes, .. } => {
+                let entry = Entry::try_from(bytes.as_slice()).ok();
+                entry.is_some_and(|entry| entry.bodies.iter().any(|body| self.is_in(body)))
+            }
+            Output::Event {
+                kind: EventKind::ItemHandedOut,
+                ..
+            } => self == Step::HandOut,
+            _ => false,
+        }
+    }
+
+    fn is_in(self, body: &Body) -> bool {
+        match body {
+            Body::Submit(_) => self == Step::Submit,
+            Body::Claim => self == Step::Claim,
+            Body::Outcomes { .. } => self == Step::Commit,
+            Body::Cancel { .. } => self == Step::Cancel,
+            Body::Snapshot(_) => self == Step::Snapshot,
+            Body::Carried { .. } | Body::CarriedChunk { .. } => self == Step::CarryForward,
+            Body::Config(_) => self == Step::ConfigChange,
+            Body::KeyedCall(_) => self == Step::KeyedCall,
+            Body::KeyedEnd(_) => self == Step::KeyedEnd,
+            Body::Release { .. } => self == Step::PlannedStop,
+            _ => false,
+        }
+    }
+}
+
+impl Fault {
+    pub const ALL: [Fault; 14] = [
+        Fault::KilledBefore,
+        Fault::KilledAfter,
+        Fault::HostLostAfterAcknowledgement,
+        Fault::AppendLate,
+        Fault::AppendAnswerLost,
+        Fault::AppendRefused,
+        Fault::ReadsDelayed,
+        Fault::ReadsTrimmed,
+        Fault::FrozenPastLease,
+        Fault::TwoOwners,
+        Fault::ClientResends,
+        Fault::OperatorsRace,
+        Fault::KilledAndAnswerLost,
+        Fault::FrozenAndAppendLate,
+    ];
+}
+
+/// A fault that waits for its step.
+#[derive(Debug, Clone, Copy)]
+pub struct Armed {
+    pub step: Step,
+    pub fault: Fault,
+}
+
+/// How long a fault lasts.
+const FAULT_TIME: Duration = Duration::from_secs(6);
+/// How long a killed host is away.
+const AWAY: Duration = Duration::from_secs(4);
+/// Retention of the log in the matrix, short so that carry-forward happens.
+const RETENTION: Duration = Duration::from_secs(40);
+/// Time for everything to end once the faults are over.
+const END_MAX: Duration = Duration::from_secs(90);
+
+/// Carries out a fault at the moment of its step; `carry_out` takes the step.
+pub fn fire<F>(world: &mut World, host: &str, armed: Armed, carry_out: F)
+where
+    F: FnOnce(&mut World),
+{
+    let append_fault = |world: &mut World, fault| {
+        world.append_fault = fault;
+        world.append_fault_until = world.now + FAULT_TIME;
+    };
+    match armed.fault {
+        Fault::KilledBefore => world.kill_for(host, AWAY),
+        Fault::KilledAfter => {
+            carry_out(world);
+            world.kill_for(host, AWAY);
+        }
+        Fault::HostLostAfterAcknowledgement => {
+            carry_out(world);
+            world.lose_after_answer = Some(host.to_owned());
+        }
+        Fault::AppendLate => {
+            append_fault(world, AppendFault::Late);
+            carry_out(world);
+        }
+        Fault::AppendAnswerLost => {
+            append_fault(world, AppendFault::LoseAnswer);
+            carry_out(world);
+        }
+        Fault::AppendRefused => {
+            append_fault(world, AppendFault::Refuse);
+            carry_out(world);
+        }
+        Fault::ReadsDelayed => {
+            world.read_delay = Duration::from_secs(2);
+            carry_out(world);
+        }
+        Fault::ReadsTrimmed => {
+            carry_out(world);
+            // The log forgets a quarter of its retention early, and a host that starts now finds the starts gone.
+            world
+                .log
+                .trim_before(world.now.saturating_sub(world.retention / 2));
+            let other = world.host_names().into_iter().find(|name| name != host);
+            if let Some(other) = other {
+                world.kill_for(&other, AWAY);
+            }
+        }
+        Fault::FrozenPastLease => {
+            carry_out(world);
+            world.freeze(host, FAULT_TIME);
+        }
+        Fault::TwoOwners => {
+            carry_out(world);
+            world.isolate(host, true);
+        }
+        Fault::ClientResends => {
+            carry_out(world);
+            world.wants_resend = true;
+        }
+        Fault::OperatorsRace => {
+            carry_out(world);
+            race(world);
+        }
+        Fault::KilledAndAnswerLost => {
+            append_fault(world, AppendFault::LoseAnswer);
+            carry_out(world);
+            world.kill_for(host, AWAY);
+        }
+        Fault::FrozenAndAppendLate => {
+            append_fault(world, AppendFault::Late);
+            carry_out(world);
+            world.freeze(host, FAULT_TIME);
+        }
+    }
+}
+
+/// Two operators change one resource and cancel one job at the same time through different hosts.
+fn race(world: &mut World) {
+    let names: Vec<String> = world
+        .host_names()
+        .into_iter()
+        .filter(|name| world.is_up(name))
+        .collect();
+    let job = bamboo_types::job_id("workspace", "cancelled");
+    for (index, name) in names.iter().enumerate() {
+        world.propose(name, "raced", 0, index as u64);
+        if world.accepted.contains_key(&job) {
+            world.cancel(name, job);
+        }
+    }
+}
+
+/// What one cell showed.
+#[derive(Debug)]
+pub struct CellResult {
+    pub is_reached: bool,
+    pub violations: Vec<String>,
+}
+
+/// Runs one cell.
+pub fn run_cell(step: Step, fault: Fault, seed: u64) -> CellResult {
+    let mut world = World::new(seed, 3, 2);
+    world.declare_plain();
+    world.set_retention(RETENTION);
+    let armed = Some(Armed { step, fault });
+    if step == Step::Claim {
+        world.armed = armed;
+    }
+    world.run(Duration::from_secs(4));
+    world.armed = world.armed.or(if world.fired_at.is_some() {
+        None
+    } else {
+        armed
+    });
+    let mut clients = clients(&world);
+    let mut drain_at = Some(world.now + Duration::from_secs(3));
+    let limit = world.now + END_MAX;
+    let keep_until = world.now + RETENTION + Duration::from_secs(10);
+    while world.now < limit {
+        world.run(Duration::from_millis(250));
+        advance(&mut world, &mut clients);
+        if drain_at.is_some_and(|at| world.now >= at) && world.is_up("h2") {
+            drain_at = None;
+            world.tell("h2", Input::Drain);
+        }
+        let is_over = world.now >= keep_until && clients.iter().all(|client| client.is_done);
+        if is_over && all_ended(&world) && world.host_names().iter().all(|name| world.is_up(name)) {
+            break;
+        }
+    }
+    world.run(Duration::from_secs(4));
+    let mut found = violations(&world);
+    found.extend(call_violations(&world));
+    let open = clients.iter().filter(|client| !client.is_done);
+    found.extend(open.map(|client| format!("not done: {:?}", client.wish)));
+    CellResult {
+        is_reached: world.fired_at.is_some(),
+        violations: found,
+    }
+}
+
+fn clients(world: &World) -> Vec<Client> {
+    let key = |text: &str| text.to_owned();
+    let wishes = [
+        (
+            0,
+            Wish::Job {
+                key: key("kept"),
+                item_count: 60,
+            },
+        ),
+        (
+            200,
+            Wish::Job {
+                key: key("cancelled"),
+                item_count: 400,
+            },
+        ),
+        (
+            300,
+            Wish::Change {
+                name: key("model-a"),
+                version: 1,
+            },
+        ),
+        (400, Wish::Call { key: key("call-a") }),
+        (
+            1500,
+            Wish::Cancel {
+                key: key("cancelled"),
+            },
+        ),
+        (
+            1600,
+            Wish::Change {
+                name: key("model-a"),
+                version: 2,
+            },
+        ),
+        (1700, Wish::Call { key: key("call-b") }),
+        (
+            8000,
+            Wish::Job {
+                key: key("later"),
+                item_count: 40,
+            },
+        ),
+        (
+            8100,
+            Wish::Change {
+                name: key("model-b"),
+                version: 1,
+            },
+        ),
+        (9000, Wish::Call { key: key("call-a") }),
+    ];
+    let client = |(index, (after_ms, wish)): (usize, (u64, Wish))| {
+        Client::new(wish, world.now + Duration::from_millis(after_ms), index)
+    };
+    wishes.into_iter().enumerate().map(client).collect()
+}
+
+/// Lets clients act, and ends faults whose time is over.
+pub fn advance(world: &mut World, clients: &mut [Client]) {
+    for client in clients.iter_mut() {
+        client.advance(world);
+    }
+    if std::mem::take(&mut world.wants_resend) {
+        for client in clients.iter_mut() {
+            client.resend(world);
+        }
+    }
+    if world
+        .fired_at
+        .is_some_and(|at| world.now >= at + FAULT_TIME)
+    {
+        world.read_delay = Duration::ZERO;
+        world.cuts.clear();
+    }
+    for host in std::mem::take(&mut world.drained) {
+        world.kill_for(&host, Duration::from_secs(1));
+    }
+}
--- a/bamboo-host/tests/support/mod.rs
+++ b/bamboo-host/tests/support/mod.rs
@@ -2,5 +2,7 @@
 #![allow(dead_code)]
 
 pub mod check;
+pub mod clients;
 pub mod fake_log;
+pub mod matrix;
 pub mod world;
--- a/bamboo-host/tests/support/world.rs
+++ b/bamboo-host/tests/support/world.rs
@@ -10,6 +10,7 @@
 use bamboo_host::HostOptions;
 use bamboo_host::Input;
 use bamboo_host::ItemEnd;
+use bamboo_host::KeyedRequest;
 use bamboo_host::Output;
 use bamboo_host::RunRef;
 use bamboo_log::AppendAnswer;
@@ -22,6 +23,9 @@
 use bamboo_log::UploadId;
 use bamboo_member::HostEntry;
 use bamboo_member::HostState;
+use bamboo_route::OnlineEnd;
+use bamboo_route::OnlineRequest;
+use bamboo_route::Target;
 use bamboo_types::ItemIndex;
 use bamboo_types::JobId;
 use bamboo_types::Now;
@@ -34,6 +38,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::fake_log::FakeLog;
+use super::matrix;
+use super::matrix::Armed;
 
 /// Time of the world's start since the Unix epoch.
 pub const START: Duration = Duration::from_secs(1_000_000);
@@ -45,6 +51,8 @@
 const READ_WAIT: Duration = Duration::from_millis(400);
 /// Time after which an append without an answer is unknown.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time that the plain service takes.
+const SERVICE_TIME: Duration = Duration::from_millis(30);
 /// Model of all engines.
 pub const MODEL: &str = "narrador";
 
@@ -65,9 +73,27 @@
 enum Event {
     Tick(String),
     Input(String, u64, Box<Input>),
-    Store { host: String, incarnation: u64, stream: StreamId, bytes: Vec<u8>, is_answered: bool },
-    Poll { host: String, incarnation: u64, stream: StreamId, from: u64, until: Now },
-    RunEnds { host: String, incarnation: u64, run: RunRef, number: u64 },
+    Store {
+        host: String,
+        incarnation: u64,
+        stream: StreamId,
+        bytes: Vec<u8>,
+        is_answered: bool,
+    },
+    Poll {
+        host: String,
+        incarnation: u64,
+        stream: StreamId,
+        from: u64,
+        until: Now,
+    },
+    RunEnds {
+        host: String,
+        incarnation: u64,
+        run: RunRef,
+        number: u64,
+    },
+    CallRuns(String, u64, RequestId),
     Thaw(String),
     Restart(String),
 }
@@ -108,6 +134,13 @@
     pub cancel_seen: BTreeMap<JobId, Now>,
     pub starts_after_cancel: u32,
     pub outputs_seen: u64,
+    pub ran_calls: BTreeMap<RequestId, u32>,
+    pub call_keys: BTreeMap<RequestId, String>,
+    pub drained: Vec<String>,
+    pub armed: Option<Armed>,
+    pub fired_at: Option<Now>,
+    pub lose_after_answer: Option<String>,
+    pub wants_resend: bool,
     hosts: BTreeMap<String, Host>,
     events: BTreeMap<(Now, u64), Event>,
     next_event: u64,
@@ -139,6 +172,13 @@
             cancel_seen: BTreeMap::new(),
             starts_after_cancel: 0,
             outputs_seen: 0,
+            ran_calls: BTreeMap::new(),
+            call_keys: BTreeMap::new(),
+            drained: Vec::new(),
+            armed: None,
+            fired_at: None,
+            lose_after_answer: None,
+            wants_resend: false,
             hosts: BTreeMap::new(),
             events: BTreeMap::new(),
             next_event: 0,
@@ -158,6 +198,16 @@
         world
     }
 
+    /// Starts every host again with a log that keeps entries for a time.
+    pub fn set_retention(&mut self, retention: Duration) {
+        self.retention = retention;
+        self.snapshot_every = 40;
+        for name in self.host_names() {
+            self.kill(&name);
+            self.start(&name);
+        }
+    }
+
     /// Starts a host, or starts it again with a new incarnation.
     pub fn start(&mut self, name: &str) {
         let incarnation = self.hosts.get(name).map_or(1, |host| host.incarnation + 1);
@@ -206,9 +256,17 @@
 
     /// Cuts or heals the network between a host and all others.
     pub fn isolate(&mut self, name: &str, is_cut: bool) {
-        let others: Vec<String> = self.hosts.keys().filter(|other| *other != name).cloned().collect();
+        let others: Vec<String> = self
+            .hosts
+            .keys()
+            .filter(|other| *other != name)
+            .cloned()
+            .collect();
         for other in others {
-            for pair in [(name.to_owned(), other.clone()), (other.clone(), name.to_owned())] {
+            for pair in [
+                (name.to_owned(), other.clone()),
+                (other.clone(), name.to_owned()),
+            ] {
                 if is_cut {
                     self.cuts.insert(pair);
                 } else {
@@ -219,7 +277,9 @@
     }
 
     pub fn is_up(&self, name: &str) -> bool {
-        self.hosts.get(name).is_some_and(|host| host.core.is_some() && !host.is_frozen)
+        self.hosts
+            .get(name)
+            .is_some_and(|host| host.core.is_some() && !host.is_frozen)
     }
 
     pub fn core(&self, name: &str) -> Option<&HostCore> {
@@ -232,16 +292,26 @@
 
     /// Offsets of the configurations that a host has had in force, in order.
     pub fn config_offsets(&self, name: &str) -> &[u64] {
-        self.hosts.get(name).map(|host| host.config_offsets.as_slice()).unwrap_or_default()
+        self.hosts
+            .get(name)
+            .map(|host| host.config_offsets.as_slice())
+            .unwrap_or_default()
     }
 
     /// The owner of a shard, as far as one says so.
     pub fn shard_owner(&self, shard: u16) -> Option<String> {
         let owns = |host: &Host| {
             let status = host.core.as_ref()?.status(self.now);
-            status.shards.into_iter().find(|of| of.shard == shard)?.epoch
+            status
+                .shards
+                .into_iter()
+                .find(|of| of.shard == shard)?
+                .epoch
         };
-        let owners = self.hosts.iter().filter_map(|(name, host)| Some((owns(host)?, name.clone())));
+        let owners = self
+            .hosts
+            .iter()
+            .filter_map(|(name, host)| Some((owns(host)?, name.clone())));
         owners.max().map(|(_, name)| name)
     }
 
@@ -260,11 +330,26 @@
         let job = job_id("workspace", key);
         let shard = shard_of_job(job, 2);
         self.next_upload += 1;
-        let upload = UploadId { incarnation: self.next_upload, number: 1 };
-        let bodies = (0..item_count).map(|item| ItemBody { custom_id: format!("i{item}"), body_json: "{}".into() });
+        let upload = UploadId {
+            incarnation: self.next_upload,
+            number: 1,
+        };
+        let bodies = (0..item_count).map(|item| ItemBody {
+            custom_id: format!("i{item}"),
+            body_json: "{}".into(),
+        });
         let items = bodies.collect();
         let request = self.new_request();
-        self.tell(host, Input::Upload { request, shard, upload, first_item: 0, items });
+        self.tell(
+            host,
+            Input::Upload {
+                request,
+                shard,
+                upload,
+                first_item: 0,
+                items,
+            },
+        );
         let now_ms = bamboo_types::millis(self.now);
         let spec = JobSpec {
             job,
@@ -293,11 +378,42 @@
         request
     }
 
+    /// Sends a non-idempotent call with a key through a host.
+    pub fn keyed_call(&mut self, host: &str, key: &str) -> RequestId {
+        let request = self.new_request();
+        self.call_keys.insert(request, key.to_owned());
+        let online = OnlineRequest {
+            request,
+            caller: "caller".into(),
+            resource: "service ledger".into(),
+            limits: None,
+            target: Target::Service("ledger".into()),
+            prefix: None,
+            token_count: 0.0,
+            deadline: self.now + Duration::from_secs(20),
+            is_idempotent: false,
+        };
+        let workspace = "workspace".into();
+        let keyed = KeyedRequest {
+            online,
+            workspace,
+            key: key.to_owned(),
+            digest: 1,
+        };
+        self.tell(host, Input::Keyed(keyed));
+        request
+    }
+
     /// Proposes a model resource, for changes of configuration that disturb nothing.
     pub fn propose(&mut self, host: &str, name: &str, based_on: u64, version: u64) -> RequestId {
         let request = self.new_request();
         let json = format!(r#"{{"kind":"model","name":"{name}","versions":["{version}"]}}"#);
-        let change = ConfigChange { kind: "model".into(), name: name.into(), based_on, resource_json: Some(json) };
+        let change = ConfigChange {
+            kind: "model".into(),
+            name: name.into(),
+            based_on,
+            resource_json: Some(json),
+        };
         self.tell(host, Input::Propose { request, change });
         request
     }
@@ -333,16 +449,36 @@
             "role":{{"engine":{{"models":[{{"model":"{MODEL}","version":"1"}}],"max_sequences":4}}}}}}"#,
             index + 1
         );
+        self.declare(index as u64 + 1, &format!("e{index}"), json);
+    }
+
+    /// Declares one copy of the plain service.
+    pub fn declare_plain(&mut self) {
+        let json = r#"{"kind":"backend_server","name":"p0","data_centre":"d0","address":"127.0.0.1:99",
+            "role":{"plain":{"service":"ledger","max_requests":8}}}"#;
+        self.declare(100, "p0", json.to_owned());
+    }
+
+    fn declare(&mut self, first_sequence: u64, name: &str, json: String) {
         let change = ConfigChange {
             kind: "backend_server".into(),
-            name: format!("e{index}"),
+            name: name.to_owned(),
             based_on: 0,
             resource_json: Some(json),
         };
         let bodies = vec![bamboo_log::Body::Config(change)];
-        let first_sequence = index as u64 + 1;
-        let entry = Entry { host: "setup".into(), incarnation: 1, at_ms: 0, first_sequence, bodies };
-        self.log.append(StreamId::Config, bamboo_log::WireEntry::from(&entry).bytes);
+        let entry = Entry {
+            host: "setup".into(),
+            incarnation: 1,
+            at_ms: 0,
+            first_sequence,
+            bodies,
+        };
+        self.log.append(
+            self.now,
+            StreamId::Config,
+            bamboo_log::WireEntry::from(&entry).bytes,
+        );
     }
 
     fn host_list(&self) -> Input {
@@ -352,45 +488,84 @@
             peer_address: format!("h{index}"),
             state: HostState::Live,
         };
-        Input::HostList { hosts: (0..self.host_count).map(entry).collect(), leaving_servers: Vec::new() }
+        Input::HostList {
+            hosts: (0..self.host_count).map(entry).collect(),
+            leaving_servers: Vec::new(),
+        }
     }
 
     fn schedule(&mut self, after: Duration, event: Event) {
         self.next_event += 1;
-        self.events.insert((self.now + after, self.next_event), event);
+        self.events
+            .insert((self.now + after, self.next_event), event);
     }
 
     fn input(&mut self, host: &str, after: Duration, input: Input) {
         let incarnation = self.hosts.get(host).map_or(0, |host| host.incarnation);
-        self.schedule(after, Event::Input(host.to_owned(), incarnation, Box::new(input)));
+        self.schedule(
+            after,
+            Event::Input(host.to_owned(), incarnation, Box::new(input)),
+        );
     }
 
     fn take(&mut self, event: Event) {
         match event {
             Event::Tick(host) => {
-                if self.hosts.get(&host).is_some_and(|host| host.core.is_some()) {
+                if self
+                    .hosts
+                    .get(&host)
+                    .is_some_and(|host| host.core.is_some())
+                {
                     let frozen = self.hosts.get(&host).is_some_and(|host| host.is_frozen);
                     if !frozen {
                         self.step(&host, Input::Tick);
                     }
+                    self.log
+                        .trim_before(self.now.saturating_sub(self.retention));
                     self.schedule(TICK, Event::Tick(host));
                 }
             }
             Event::Input(host, incarnation, input) => {
-                let is_same = self.hosts.get(&host).is_some_and(|host| host.incarnation == incarnation);
+                let is_same = self
+                    .hosts
+                    .get(&host)
+                    .is_some_and(|host| host.incarnation == incarnation);
                 if is_same {
                     self.step(&host, *input);
                 }
             }
-            Event::Store { host, incarnation, stream, bytes, is_answered } => {
-                let offset = self.log.append(stream, bytes);
+            Event::Store {
+                host,
+                incarnation,
+                stream,
+                bytes,
+                is_answered,
+            } => {
+                let offset = self.log.append(self.now, stream, bytes);
                 if is_answered {
-                    let input = Input::AppendAnswered { stream, answer: AppendAnswer::Stored(offset) };
+                    let input = Input::AppendAnswered {
+                        stream,
+                        answer: AppendAnswer::Stored(offset),
+                    };
                     self.schedule(LATENCY, Event::Input(host, incarnation, Box::new(input)));
                 }
             }
-            Event::Poll { host, incarnation, stream, from, until } => self.poll(host, incarnation, stream, from, until),
-            Event::RunEnds { host, incarnation, run, number } => self.run_ends(&host, incarnation, run, number),
+            Event::Poll {
+                host,
+                incarnation,
+                stream,
+                from,
+                until,
+            } => self.poll(host, incarnation, stream, from, until),
+            Event::RunEnds {
+                host,
+                incarnation,
+                run,
+                number,
+            } => self.run_ends(&host, incarnation, run, number),
+            Event::CallRuns(host, incarnation, request) => {
+                self.call_runs(&host, incarnation, request)
+            }
             Event::Thaw(host) => self.thaw(&host),
             Event::Restart(host) => self.start(&host),
         }
@@ -416,6 +591,21 @@
         let incarnation = host.incarnation;
         for output in outputs {
             self.outputs_seen += 1;
+            let hits = self
+                .armed
+                .as_ref()
+                .is_some_and(|armed| armed.step.matches(&output));
+            let is_up = self.hosts.get(name).is_some_and(|host| host.core.is_some());
+            if !is_up {
+                return;
+            }
+            if hits && let Some(armed) = self.armed.take() {
+                self.fired_at = Some(self.now);
+                matrix::fire(self, name, armed, |world| {
+                    world.carry_out(name, incarnation, output)
+                });
+                continue;
+            }
             self.carry_out(name, incarnation, output);
         }
     }
@@ -427,43 +617,125 @@
                 let until = self.now + READ_WAIT;
                 let host = host.to_owned();
                 let delay = LATENCY + self.read_delay;
-                self.schedule(delay, Event::Poll { host, incarnation, stream, from, until });
+                self.schedule(
+                    delay,
+                    Event::Poll {
+                        host,
+                        incarnation,
+                        stream,
+                        from,
+                        until,
+                    },
+                );
             }
             Output::ReadEntry { stream, offset } => {
                 let entry = self.log.entry(stream, offset);
-                self.input(host, LATENCY, Input::EntryRead { stream, offset, entry });
+                self.input(
+                    host,
+                    LATENCY,
+                    Input::EntryRead {
+                        stream,
+                        offset,
+                        entry,
+                    },
+                );
             }
             Output::Send { to, messages, .. } => {
                 if !self.cuts.contains(&(host.to_owned(), to.clone())) {
-                    let frame = Frame { from: host.to_owned(), incarnation, messages };
+                    let frame = Frame {
+                        from: host.to_owned(),
+                        incarnation,
+                        messages,
+                    };
                     self.input(&to, LATENCY, Input::Frame(frame));
                 }
             }
-            Output::Answer { request, answer } => {
-                self.answers.insert(request, answer);
+            Output::Answer { request, answer } => self.answered(host, incarnation, request, answer),
+            Output::StartItem { run, item, .. } => {
+                self.start_item(host, incarnation, run, item.job, item.item)
             }
-            Output::StartItem { run, item, .. } => self.start_item(host, incarnation, run, item.job, item.item),
             Output::StopItem { run } => {
                 if let Some(host) = self.hosts.get_mut(host) {
                     host.runs.remove(&run);
                 }
-                self.input(host, LATENCY, Input::ItemEnded { run, end: ItemEnd::Stopped });
+                self.input(
+                    host,
+                    LATENCY,
+                    Input::ItemEnded {
+                        run,
+                        end: ItemEnd::Stopped,
+                    },
+                );
             }
             Output::DropItem { run } => {
                 if let Some(host) = self.hosts.get_mut(host) {
                     host.runs.remove(&run);
                 }
             }
-            Output::CancelStrays { server, .. } => self.input(host, LATENCY, Input::StraysCancelled { server }),
-            Output::PublishConfig(_) | Output::Ready(_) | Output::Event { .. } | Output::Drained => {}
+            Output::CancelStrays { server, .. } => {
+                self.input(host, LATENCY, Input::StraysCancelled { server })
+            }
+            Output::Drained => self.drained.push(host.to_owned()),
+            Output::PublishConfig(_) | Output::Ready(_) | Output::Event { .. } => {}
+        }
+    }
+
+    fn answered(&mut self, host: &str, incarnation: u64, request: RequestId, answer: Answer) {
+        if let Answer::Dispatch(_) = &answer {
+            self.schedule(
+                SERVICE_TIME,
+                Event::CallRuns(host.to_owned(), incarnation, request),
+            );
+        }
+        if self.lose_after_answer.as_deref() == Some(host) {
+            self.lose_after_answer = None;
+            self.kill_for(host, Duration::from_secs(8));
+        }
+        // The end of a call that was answered before changes nothing for its caller.
+        if answer != Answer::Done {
+            self.answers.insert(request, answer);
+        }
+    }
+
+    /// The plain service runs a call and answers it.
+    fn call_runs(&mut self, host: &str, incarnation: u64, request: RequestId) {
+        *self.ran_calls.entry(request).or_default() += 1;
+        for input in [
+            Input::KeyedAnswer {
+                request,
+                status: 200,
+                body: b"done".to_vec(),
+            },
+            Input::OnlineEnded {
+                request,
+                end: OnlineEnd::Whole,
+            },
+        ] {
+            self.schedule(
+                LATENCY,
+                Event::Input(host.to_owned(), incarnation, Box::new(input)),
+            );
         }
     }
 
     fn append(&mut self, host: &str, incarnation: u64, stream: StreamId, bytes: Vec<u8>) {
-        let fault = if self.now < self.append_fault_until { self.append_fault } else { AppendFault::None };
+        let fault = if self.now < self.append_fault_until {
+            self.append_fault
+        } else {
+            AppendFault::None
+        };
         let host_name = host.to_owned();
-        let store = |is_answered| Event::Store { host: host_name.clone(), incarnation, stream, bytes, is_answered };
-        let unknown = Input::AppendAnswered { stream, answer: AppendAnswer::Unknown };
+        let store = |is_answered| Event::Store {
+            host: host_name.clone(),
+            incarnation,
+            stream,
+            bytes,
+            is_answered,
+        };
+        let unknown = Input::AppendAnswered {
+            stream,
+            answer: AppendAnswer::Unknown,
+        };
         match fault {
             AppendFault::None => self.schedule(LATENCY, store(true)),
             AppendFault::LoseAnswer => {
@@ -484,7 +756,16 @@
     fn poll(&mut self, host: String, incarnation: u64, stream: StreamId, from: u64, until: Now) {
         if !self.log.has_news(stream, from) && self.now < until {
             let again = Duration::from_millis(10);
-            self.schedule(again, Event::Poll { host, incarnation, stream, from, until });
+            self.schedule(
+                again,
+                Event::Poll {
+                    host,
+                    incarnation,
+                    stream,
+                    from,
+                    until,
+                },
+            );
             return;
         }
         let answer = self.log.read(stream, from);
@@ -492,34 +773,74 @@
         self.schedule(LATENCY, Event::Input(host, incarnation, Box::new(input)));
     }
 
-    fn start_item(&mut self, host: &str, incarnation: u64, run: RunRef, job: JobId, item: ItemIndex) {
+    fn start_item(
+        &mut self,
+        host: &str,
+        incarnation: u64,
+        run: RunRef,
+        job: JobId,
+        item: ItemIndex,
+    ) {
         let time = Duration::from_millis(self.rng.random_range(30..200));
         self.next_run += 1;
         let number = self.next_run;
-        if self.cancel_seen.get(&job).is_some_and(|at| self.now > *at + Duration::from_secs(5)) {
+        if self
+            .cancel_seen
+            .get(&job)
+            .is_some_and(|at| self.now > *at + Duration::from_secs(5))
+        {
             self.starts_after_cancel += 1;
         }
         if let Some(state) = self.hosts.get_mut(host) {
-            state.runs.insert(run.clone(), ActiveRun { job, item, number });
+            state
+                .runs
+                .insert(run.clone(), ActiveRun { job, item, number });
         }
-        self.schedule(time, Event::RunEnds { host: host.to_owned(), incarnation, run, number });
+        self.schedule(
+            time,
+            Event::RunEnds {
+                host: host.to_owned(),
+                incarnation,
+                run,
+                number,
+            },
+        );
     }
 
     fn run_ends(&mut self, name: &str, incarnation: u64, run: RunRef, number: u64) {
-        let Some(host) = self.hosts.get_mut(name).filter(|host| host.incarnation == incarnation) else {
+        let Some(host) = self
+            .hosts
+            .get_mut(name)
+            .filter(|host| host.incarnation == incarnation)
+        else {
             return;
         };
-        let Some(active) = host.runs.get(&run).copied().filter(|active| active.number == number) else {
+        let Some(active) = host
+            .runs
+            .get(&run)
+            .copied()
+            .filter(|active| active.number == number)
+        else {
             return;
         };
         host.runs.remove(&run);
         *self.ran_items.entry((active.job, active.item)).or_default() += 1;
         let custom_id = format!("i{}", active.item);
         let verdict = match self.bad_items.contains(&(active.job, active.item)) {
-            true => ItemVerdict::ItemFault { reason: "cannot be done".into() },
-            false => ItemVerdict::Done { answer_json: format!("\"run {number}\"") },
+            true => ItemVerdict::ItemFault {
+                reason: "cannot be done".into(),
+            },
+            false => ItemVerdict::Done {
+                answer_json: format!("\"run {number}\""),
+            },
         };
-        self.step(name, Input::ItemEnded { run, end: ItemEnd::Verdict { custom_id, verdict } });
+        self.step(
+            name,
+            Input::ItemEnded {
+                run,
+                end: ItemEnd::Verdict { custom_id, verdict },
+            },
+        );
     }
 
     fn thaw(&mut self, name: &str) {
--- a/bamboo-jobs/src/fold.rs
+++ b/bamboo-jobs/src/fold.rs
@@ -157,14 +157,22 @@
         events
     }
 
-    /// The first offset that may be younger than a time, as far as marks tell; earlier ones are older.
+    /// Offset before which every entry is older than a time, but for the grain of the marks.
     pub fn offset_at(&self, at_ms: u64) -> Offset {
-        let after = self.marks.partition_point(|mark| mark.at_ms <= at_ms);
-        after.checked_sub(1).map_or(0, |index| self.marks[index].offset)
+        // Entries between two marks are as old as the first of them, within the interval.
+        let older = self.marks.partition_point(|mark| mark.at_ms <= at_ms);
+        match (older, self.marks.get(older)) {
+            (0, _) => 0,
+            (_, Some(next)) => next.offset,
+            (_, None) => self.next_offset,
+        }
     }
 
     fn mark(&mut self, offset: Offset, at_ms: u64) {
-        let is_due = self.marks.last().is_none_or(|mark| at_ms >= mark.at_ms + MARK_INTERVAL_MS);
+        let is_due = self
+            .marks
+            .last()
+            .is_none_or(|mark| at_ms >= mark.at_ms + MARK_INTERVAL_MS);
         if is_due {
             if self.marks.len() == MARKS_MAX {
                 // Every other mark goes, so that marks cover any age at a coarser grain.
--- a/bamboo-jobs/src/recovery.rs
+++ b/bamboo-jobs/src/recovery.rs
@@ -59,7 +59,11 @@
         let mut events = Vec::new();
         if let Some((writer, epoch)) = self.fold.holder() {
             let (host, incarnation) = (writer.host.clone(), writer.incarnation);
-            events.push(FoldEvent::Claimed { host, incarnation, epoch: *epoch });
+            events.push(FoldEvent::Claimed {
+                host,
+                incarnation,
+                epoch: *epoch,
+            });
         }
         for (offset, entry) in waiting {
             events.extend(self.fold.apply(offset, &entry));
--- a/bamboo-log/src/snapshot.rs
+++ b/bamboo-log/src/snapshot.rs
@@ -28,7 +28,12 @@
     let part_count = pieces.len() as u32;
     let part = |(part, piece): (usize, &[u8])| {
         let bytes = piece.to_vec();
-        Body::Snapshot(SnapshotPart { through, part: part as u32, part_count, bytes })
+        Body::Snapshot(SnapshotPart {
+            through,
+            part: part as u32,
+            part_count,
+            bytes,
+        })
     };
     pieces.into_iter().enumerate().map(part).collect()
 }
@@ -110,7 +115,10 @@
     pub fn hold(&mut self, offset: Offset, entry: Entry) -> Option<WholeSnapshot> {
         let found = self.assembler.take(&entry);
         self.waiting.push((offset, entry));
-        found.filter(|snapshot| self.first_read.is_none_or(|first| first <= snapshot.through + 1))
+        found.filter(|snapshot| {
+            self.first_read
+                .is_none_or(|first| first <= snapshot.through + 1)
+        })
     }
 
     /// The missing start has been filled up to `next_offset`: returns the entries to apply on top, or `None` if
--- a/bamboo-member/src/claim.rs
+++ b/bamboo-member/src/claim.rs
@@ -7,6 +7,11 @@
 use bamboo_types::Now;
 use bamboo_types::Offset;
 
+/// Time of ownership after which earlier losses are forgotten.
+const SETTLED_AFTER: Duration = Duration::from_secs(20);
+/// Most doublings of the wait before a claim.
+const LOSSES_MAX: u32 = 5;
+
 /// Waits before a claim.
 #[derive(Debug, Clone)]
 pub struct ClaimOptions {
@@ -79,6 +84,8 @@
     wanted: Option<Wanted>,
     is_claim_sent: bool,
     stood_down_to: Option<HostId>,
+    owned_since: Option<Now>,
+    losses: u32,
 }
 
 impl Claimant {
@@ -88,7 +95,7 @@
     /// use bamboo_member::{ClaimOptions, ClaimStep, ClaimWish, Claimant};
     /// let mut claimant = Claimant::new("h1".into(), 1, ClaimOptions::default());
     /// let wish = ClaimWish { may_own: true, is_first: false, is_at_tail: false };
-    /// let step = claimant.step(std::time::Duration::ZERO, wish, |_| true, 0);
+    /// let step = claimant.step(std::time::Duration::ZERO, wish, |_, _| true, 0);
     /// assert_eq!(step, ClaimStep::Stand);
     /// ```
     pub fn new(host: HostId, incarnation: Incarnation, options: ClaimOptions) -> Self {
@@ -100,6 +107,8 @@
             wanted: None,
             is_claim_sent: false,
             stood_down_to: None,
+            owned_since: None,
+            losses: 0,
         }
     }
 
@@ -117,6 +126,8 @@
             self.stood_down_to = None;
         } else if was_mine {
             self.stood_down_to = Some(host.to_owned());
+            self.owned_since = None;
+            self.losses += 1;
         }
     }
 
@@ -157,30 +168,35 @@
 
     /// Chooses the next step.
     ///
-    /// `is_answering` tells whether another host answers.
-    pub fn step<F>(&mut self, now: Now, wish: ClaimWish, is_answering: F, random: u64) -> ClaimStep
+    /// `is_running` tells whether a run of another host answers.
+    pub fn step<F>(&mut self, now: Now, wish: ClaimWish, is_running: F, random: u64) -> ClaimStep
     where
-        F: Fn(&str) -> bool,
+        F: Fn(&str, Incarnation) -> bool,
     {
         if let Some(epoch) = self.epoch() {
             self.wanted = None;
+            let since = *self.owned_since.get_or_insert(now);
+            if now.saturating_sub(since) >= SETTLED_AFTER {
+                self.losses = 0;
+            }
             return if wish.may_own {
                 ClaimStep::Own(epoch)
             } else {
                 ClaimStep::Release(epoch)
             };
         }
-        if !wish.may_own || !wish.is_first || self.defers_to_holder(&is_answering) {
-            self.wanted = None;
-            return if wish.may_own && wish.is_first {
-                ClaimStep::Follow
-            } else {
-                ClaimStep::Stand
-            };
-        }
         if self.is_claim_sent {
+            // The claim may be stored at any time, and nobody else would know that this host then owns the stream.
             return ClaimStep::AwaitClaim;
         }
+        if !wish.may_own || !wish.is_first {
+            self.wanted = None;
+            return ClaimStep::Stand;
+        }
+        if self.defers_to_holder(&is_running) {
+            self.wanted = None;
+            return ClaimStep::Follow;
+        }
         if !self.is_due(now, random) || !wish.is_at_tail {
             return ClaimStep::Recover;
         }
@@ -188,25 +204,30 @@
         ClaimStep::Claim
     }
 
-    /// A host that stood down does not claim back while its successor answers, so two hosts whose views differ
+    /// A host that stood down does not claim back while that run of its successor answers, so two hosts whose views differ
     /// do not take the stream from each other in turn.
-    fn defers_to_holder<F>(&self, is_answering: &F) -> bool
+    fn defers_to_holder<F>(&self, is_running: &F) -> bool
     where
-        F: Fn(&str) -> bool,
+        F: Fn(&str, Incarnation) -> bool,
     {
         match (&self.stood_down_to, &self.holder) {
-            (Some(_), Some(holder)) => holder.host != self.host && is_answering(&holder.host),
+            (Some(_), Some(holder)) => {
+                holder.host != self.host && is_running(&holder.host, holder.incarnation)
+            }
             _ => false,
         }
     }
 
     fn is_due(&mut self, now: Now, random: u64) -> bool {
         let options = &self.options;
+        let losses = self.losses;
         let wanted = self.wanted.get_or_insert_with(|| {
             let random_wait = options.random_wait_max * (random % 1000) as u32 / 1000;
+            // Each loss doubles the wait, so two hosts that do not hear each other claim ever more rarely.
+            let doubled = options.wait_min * (1 << losses.min(LOSSES_MAX));
             Wanted {
                 since: now,
-                wait: options.wait_min + random_wait,
+                wait: doubled + random_wait,
             }
         });
         now.saturating_sub(wanted.since) >= wanted.wait
--- a/bamboo-node/src/links.rs
+++ b/bamboo-node/src/links.rs
@@ -79,7 +79,12 @@
                 actix_rt::spawn(read(platform.clone(), control.clone(), stream, from));
             }
             LinkOrder::ReadEntry { stream, offset } => {
-                actix_rt::spawn(read_entry(platform.clone(), control.clone(), stream, offset));
+                actix_rt::spawn(read_entry(
+                    platform.clone(),
+                    control.clone(),
+                    stream,
+                    offset,
+                ));
             }
             LinkOrder::Send {
                 to,
@@ -125,7 +130,11 @@
 
 async fn read_entry(platform: Platform, control: ControlHandle, stream: StreamId, offset: Offset) {
     let entry = platform.entry(stream, offset).await.ok().flatten();
-    control.tell(Input::EntryRead { stream, offset, entry });
+    control.tell(Input::EntryRead {
+        stream,
+        offset,
+        entry,
+    });
 }
 
 async fn watch_hosts(shared: Arc<Shared>, platform: Platform, control: ControlHandle) {
--- a/bamboo-wire/src/message.rs
+++ b/bamboo-wire/src/message.rs
@@ -186,6 +186,13 @@
         /// Job and item of each.
         items: Vec<(JobId, ItemIndex)>,
     },
+    /// The sender does not own a shard that it was addressed for.
+    ShardHolder {
+        /// Shard.
+        shard: ShardId,
+        /// The owner, if it is known.
+        holder: Option<HostId>,
+    },
     /// A job ended early: its items are to stop.
     StopJob {
         /// Shard.
@@ -236,6 +243,7 @@
             PeerMessage::Return { .. } => "return",
             PeerMessage::Outcomes { .. } => "outcomes",
             PeerMessage::Settled { .. } => "settled",
+            PeerMessage::ShardHolder { .. } => "shard_holder",
             PeerMessage::StopJob { .. } => "stop_job",
             PeerMessage::Ask { .. } => "ask",
             PeerMessage::Answer { .. } => "answer",
