--- a/bamboo-host/src/asks.rs
+++ b/bamboo-host/src/asks.rs
@@ -294,8 +294,8 @@
             Reply::Jobs(views) => Answer::Jobs(views),
             Reply::Results {
                 view: Some(view),
-                offsets,
-            } => Answer::Results { view, offsets },
+                positions,
+            } => Answer::Results { view, positions },
             _ => Answer::Refused(Refusal::new(Code::NotFound, "no such job")),
         };
         self.answer(request, answer);
@@ -344,10 +344,10 @@
             Question::Results { job } => {
                 let found = fold.job(*job);
                 let view = found.map(|found| role.hand_out.view(now, found));
-                let offsets = found
-                    .map(|found| found.outcome_offsets.clone())
+                let positions = found
+                    .map(|found| found.outcome_positions.clone())
                     .unwrap_or_default();
-                Some(Reply::Results { view, offsets })
+                Some(Reply::Results { view, positions })
             }
             Question::Keyed {
                 workspace,
--- a/bamboo-host/src/output.rs
+++ b/bamboo-host/src/output.rs
@@ -8,6 +8,7 @@
 use bamboo_config::ConfigFold;
 use bamboo_events::EventKind;
 use bamboo_jobs::JobView;
+use bamboo_log::Position;
 use bamboo_log::StreamId;
 use bamboo_result::Refusal;
 use bamboo_route::Attempt;
@@ -41,12 +42,12 @@
     Job(JobView),
     /// Jobs.
     Jobs(Vec<JobView>),
-    /// A job and the offsets of its outcome entries.
+    /// A job and the positions of its outcome records.
     Results {
         /// The job.
         view: JobView,
-        /// Offsets, ascending.
-        offsets: Vec<Offset>,
+        /// Positions, ascending.
+        positions: Vec<Position>,
     },
     /// What became of a configuration change.
     Config(ChangeOutcome),
--- a/bamboo-host/src/shard_role.rs
+++ b/bamboo-host/src/shard_role.rs
@@ -6,7 +6,7 @@
 use bamboo_jobs::FoldEvent;
 use bamboo_jobs::HandOut;
 use bamboo_jobs::StreamFold;
-use bamboo_jobs::next_to_carry;
+use bamboo_jobs::due_to_carry;
 use bamboo_log::Body;
 use bamboo_log::ItemOutcome;
 use bamboo_log::ItemVerdict;
@@ -27,6 +27,8 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 /// Time after which a copy that has not been read back is made again.
 const CARRY_AGAIN: Duration = Duration::from_secs(5);
+/// Most entries whose copies are under way; the appender stores them in groups.
+const CARRIES_MAX: usize = 32;
 /// Most outcomes in one record.
 const GROUP_MAX: usize = 2000;
 
@@ -46,14 +48,7 @@
     expired_at: Now,
     snapshot_through: Offset,
     snapshot_at: Now,
-    carrying: Option<Carrying>,
-}
-
-/// An entry that is being copied forward.
-#[derive(Debug, Clone, Copy)]
-struct Carrying {
-    offset: Offset,
-    since: Now,
+    carrying: BTreeMap<Offset, Now>,
 }
 
 impl ShardRole {
@@ -72,7 +67,7 @@
             expired_at: Duration::ZERO,
             snapshot_through: 0,
             snapshot_at: Duration::ZERO,
-            carrying: None,
+            carrying: BTreeMap::new(),
         }
     }
 
@@ -111,7 +106,7 @@
         self.committing.clear();
         self.snapshot_through = 0;
         self.snapshot_at = Duration::ZERO;
-        self.carrying = None;
+        self.carrying.clear();
     }
 
     /// Is no longer the owner.
@@ -212,22 +207,21 @@
         true
     }
 
-    /// The next entry to copy forward, if none is under way.
-    pub(crate) fn next_carry(&mut self, now: Now, retention: Duration) -> Option<Offset> {
+    /// Entries to copy forward now, beside those whose copies are under way.
+    pub(crate) fn next_carries(&mut self, now: Now, retention: Duration) -> Vec<Offset> {
         let horizon_ms = millis(now).saturating_sub(millis(retention / 2));
         let horizon = self.stream.fold().offset_at(horizon_ms);
-        let next = next_to_carry(self.stream.fold(), horizon)?;
-        let is_under_way = self.carrying.is_some_and(|carrying| {
-            carrying.offset == next && now.saturating_sub(carrying.since) < CARRY_AGAIN
-        });
-        if is_under_way {
-            return None;
-        }
-        self.carrying = Some(Carrying {
-            offset: next,
-            since: now,
+        let due = due_to_carry(self.stream.fold(), horizon, CARRIES_MAX);
+        self.carrying.retain(|offset, since| {
+            due.contains(offset) && now.saturating_sub(*since) < CARRY_AGAIN
         });
-        Some(next)
+        let next: Vec<Offset> = due
+            .into_iter()
+            .filter(|offset| !self.carrying.contains_key(offset))
+            .collect();
+        self.carrying
+            .extend(next.iter().map(|offset| (*offset, now)));
+        next
     }
 
     /// Notes a claim or release in the claimant.
--- a/bamboo-host/src/shards.rs
+++ b/bamboo-host/src/shards.rs
@@ -121,9 +121,15 @@
         if !self.owns_currently(shard) {
             return;
         }
-        if let Some(role) = self.shards.get_mut(usize::from(shard)) {
-            role.hand_out
-                .holding(now, role.stream.fold(), holder, items);
+        let Some(role) = self.shards.get_mut(usize::from(shard)) else {
+            return;
+        };
+        // The holder has not heard that these jobs ended, or the order to stop them was lost.
+        for job in role
+            .hand_out
+            .holding(now, role.stream.fold(), holder, items)
+        {
+            self.send(&holder.host, PeerMessage::StopJob { shard, job });
         }
         self.hand_out(now, shard);
     }
@@ -275,7 +281,7 @@
             return;
         };
         let stream = role.stream_id();
-        if let Some(offset) = role.next_carry(now, retention) {
+        for offset in role.next_carries(now, retention) {
             self.output(Output::ReadEntry { stream, offset });
         }
     }
--- /dev/null
+++ b/bamboo-host/tests/histories.rs
@@ -0,0 +1,184 @@
+//! Checked histories of concurrent runs: random clients and random faults, from fixed seeds.
+
+mod support;
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use support::check::all_ended;
+use support::check::violations;
+use support::clients::Client;
+use support::clients::Wish;
+use support::clients::call_violations;
+use support::matrix::advance;
+use support::trace;
+use support::world::AppendFault;
+use support::world::World;
+
+/// Seeds of the histories.
+const SEEDS: std::ops::Range<u64> = 0..200;
+/// Least number of steps of a history.
+const STEPS_MIN: u64 = 10_000;
+/// Time in which clients act and faults happen.
+const BUSY: Duration = Duration::from_secs(40);
+/// Time for everything to end after the last fault.
+const END_MAX: Duration = Duration::from_secs(90);
+
+struct History {
+    steps: u64,
+    violations: Vec<String>,
+}
+
+fn run(seed: u64) -> History {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let host_count = rng.random_range(2..5);
+    let mut world = World::new(seed, host_count, rng.random_range(1..4));
+    world.declare_plain();
+    world.set_retention(Duration::from_secs(rng.random_range(40..80)));
+    world.run(Duration::from_secs(3));
+    let mut clients = random_clients(&world, &mut rng);
+    let busy_until = world.now + BUSY;
+    let limit = busy_until + BUSY + END_MAX;
+    let mut next_fault = world.now + Duration::from_millis(rng.random_range(200..3000));
+    while world.now < limit {
+        world.run(Duration::from_millis(200));
+        advance(&mut world, &mut clients);
+        let is_busy = world.now < busy_until || world.steps < STEPS_MIN;
+        if world.now >= next_fault && is_busy {
+            random_fault(&mut world, &mut rng);
+            next_fault = world.now + Duration::from_millis(rng.random_range(300..6000));
+        }
+        if !is_busy {
+            world.cuts.clear();
+            world.read_delay = Duration::ZERO;
+            let is_over = clients.iter().all(|client| client.is_done) && all_ended(&world);
+            if is_over && world.host_names().iter().all(|name| world.is_up(name)) {
+                break;
+            }
+        }
+    }
+    world.run(Duration::from_secs(5));
+    if trace::is_on() {
+        trace::print_log(&world);
+        trace::print_hosts(&world);
+    }
+    let mut found = violations(&world);
+    found.extend(call_violations(&world));
+    let open = clients.iter().filter(|client| !client.is_done);
+    found.extend(open.map(|client| format!("not done: {:?}", client.wish)));
+    History {
+        steps: world.steps,
+        violations: found,
+    }
+}
+
+fn random_clients(world: &World, rng: &mut ChaCha8Rng) -> Vec<Client> {
+    let mut clients = Vec::new();
+    for number in 0..rng.random_range(6..16) {
+        let key = format!("key-{}", rng.random_range(0..6));
+        let wish = match rng.random_range(0..4) {
+            0 => Wish::Job {
+                item_count: 10 + key.len() as u32 * 7,
+                key,
+            },
+            1 => Wish::Change {
+                name: format!("model-{}", rng.random_range(0..3)),
+                version: number,
+            },
+            2 => Wish::Call { key },
+            _ => Wish::Job {
+                item_count: 10 + key.len() as u32 * 7,
+                key: format!("{key}-long"),
+            },
+        };
+        let start_at =
+            world.now + Duration::from_millis(rng.random_range(0..BUSY.as_millis() as u64));
+        if let Wish::Job { key, .. } = &wish
+            && rng.random_bool(0.3)
+        {
+            let later = start_at + Duration::from_millis(rng.random_range(0..4000));
+            clients.push(Client::new(
+                Wish::Cancel { key: key.clone() },
+                later,
+                rng.random_range(0..8),
+            ));
+        }
+        clients.push(Client::new(wish, start_at, rng.random_range(0..8)));
+    }
+    clients
+}
+
+fn random_fault(world: &mut World, rng: &mut ChaCha8Rng) {
+    let names = world.host_names();
+    let name = names[rng.random_range(0..names.len())].clone();
+    let time = Duration::from_millis(rng.random_range(100..8000));
+    let fault = rng.random_range(0..9);
+    if trace::is_on() {
+        println!("{:?} fault {fault} at {name} for {time:?}", world.now);
+    }
+    match fault {
+        0 | 1 if world.is_up(&name) => world.kill_for(&name, time),
+        2 if world.is_up(&name) => world.freeze(&name, time),
+        3 => world.isolate(&name, true),
+        4 => world.cuts.clear(),
+        5 => {
+            let faults = [
+                AppendFault::LoseAnswer,
+                AppendFault::Late,
+                AppendFault::Refuse,
+            ];
+            world.append_fault = faults[rng.random_range(0..3)];
+            world.append_fault_until = world.now + time;
+        }
+        6 => world.read_delay = Duration::from_millis(rng.random_range(0..1500)),
+        7 if world.is_up(&name) => world.tell(&name, bamboo_host::Input::Drain),
+        _ => world.wants_resend = true,
+    }
+}
+
+#[test]
+fn histories_hold() {
+    let seeds: Vec<u64> = match std::env::var("HISTORY_SEED") {
+        Ok(seed) => vec![seed.parse().expect("HISTORY_SEED is a number")],
+        Err(_) => SEEDS.collect(),
+    };
+    let threads = std::thread::available_parallelism().map_or(4, usize::from);
+    let results: Vec<(u64, History)> = std::thread::scope(|scope| {
+        let parts: Vec<_> = (0..threads)
+            .map(|part| {
+                let own: Vec<u64> = seeds.iter().copied().skip(part).step_by(threads).collect();
+                scope.spawn(move || {
+                    own.into_iter()
+                        .map(|seed| (seed, run(seed)))
+                        .collect::<Vec<_>>()
+                })
+            })
+            .collect();
+        parts
+            .into_iter()
+            .flat_map(|part| part.join().expect("a history panicked"))
+            .collect()
+    });
+    let steps: u64 = results.iter().map(|(_, history)| history.steps).sum();
+    let fewest = results
+        .iter()
+        .map(|(_, history)| history.steps)
+        .min()
+        .unwrap_or(0);
+    println!(
+        "{} histories, {steps} steps, at least {fewest} in each",
+        results.len()
+    );
+    let mut broken: Vec<&(u64, History)> = results
+        .iter()
+        .filter(|(_, history)| !history.violations.is_empty())
+        .collect();
+    broken.sort_by_key(|(seed, _)| *seed);
+    for (seed, history) in &broken {
+        println!("seed {seed}: {}", history.violations.join("; "));
+    }
+    assert!(broken.is_empty(), "{} histories do not hold", broken.len());
+    assert!(fewest >= STEPS_MIN, "a history has only {fewest} steps");
+}
--- a/bamboo-host/tests/support/check.rs
+++ b/bamboo-host/tests/support/check.rs
@@ -163,10 +163,12 @@
     };
     let mut collector = FinalOutcomes::new(job, item_count);
     let mut outcomes = Vec::new();
-    for offset in &state.outcome_offsets {
-        match world.log.entry(StreamId::Shard(shard), *offset) {
-            Some(entry) => outcomes.extend(collector.take(entry)),
-            None => found.push(format!("results of {job:x} at {offset} are no longer kept")),
+    for position in &state.outcome_positions {
+        match world.log.entry(StreamId::Shard(shard), position.offset) {
+            Some(entry) => outcomes.extend(collector.take(&entry, position.slot)),
+            None => found.push(format!(
+                "results of {job:x} at {position:?} are no longer kept"
+            )),
         }
     }
     if outcomes.len() as u32 != state.ended.count() {
--- a/bamboo-host/tests/support/fake_log.rs
+++ b/bamboo-host/tests/support/fake_log.rs
@@ -38,6 +38,7 @@
     pub fn read(&self, stream: StreamId, from: u64) -> ReadAnswer {
         let Some(stream) = self.streams.get(&stream) else {
             return ReadAnswer {
+                from,
                 entries: Vec::new(),
                 oldest: 0,
                 tail: 0,
@@ -48,6 +49,7 @@
         let offsets = first..tail.min(first + PAGE as u64);
         let entries = offsets.map(|offset| (offset, decode(&stream.entries[offset as usize])));
         ReadAnswer {
+            from,
             entries: entries.collect(),
             oldest: stream.oldest,
             tail,
--- a/bamboo-host/tests/support/mod.rs
+++ b/bamboo-host/tests/support/mod.rs
@@ -5,4 +5,5 @@
 pub mod clients;
 pub mod fake_log;
 pub mod matrix;
+pub mod trace;
 pub mod world;
--- /dev/null
+++ b/bamboo-host/tests/support/trace.rs
@@ -0,0 +1,48 @@
+//! Prints what happened, for a seed that does not hold: `HISTORY_TRACE=1 HISTORY_SEED=41 cargo test …`.
+
+use bamboo_log::StreamId;
+
+use super::world::World;
+
+/// Most characters of a record.
+const RECORD_MAX_CHARS: usize = 120;
+
+/// Whether a trace is wanted.
+pub fn is_on() -> bool {
+    std::env::var_os("HISTORY_TRACE").is_some()
+}
+
+/// Prints every entry of every stream.
+pub fn print_log(world: &World) {
+    for stream in world.log.streams() {
+        for (offset, entry) in world.log.all(stream) {
+            let short = |body| {
+                format!("{body:?}")
+                    .chars()
+                    .take(RECORD_MAX_CHARS)
+                    .collect::<String>()
+            };
+            let bodies: Vec<String> = entry.bodies.iter().map(short).collect();
+            let writer = format!("{} run {}", entry.host, entry.incarnation);
+            println!(
+                "{stream} {offset} {writer} from {} at {}: {bodies:?}",
+                entry.first_sequence, entry.at_ms
+            );
+        }
+    }
+    let kept = |stream| world.log.read(stream, 0).oldest;
+    println!(
+        "now {:?}, shard 0 kept from {}",
+        world.now,
+        kept(StreamId::Shard(0))
+    );
+}
+
+/// Prints the state of every host.
+pub fn print_hosts(world: &World) {
+    for name in world.host_names() {
+        if let Some(core) = world.core(&name) {
+            println!("{:?} {:?}", world.now, core.status(world.now));
+        }
+    }
+}
--- a/bamboo-host/tests/support/world.rs
+++ b/bamboo-host/tests/support/world.rs
@@ -133,7 +133,7 @@
     pub bad_items: BTreeSet<(JobId, ItemIndex)>,
     pub cancel_seen: BTreeMap<JobId, Now>,
     pub starts_after_cancel: u32,
-    pub outputs_seen: u64,
+    pub steps: u64,
     pub ran_calls: BTreeMap<RequestId, u32>,
     pub call_keys: BTreeMap<RequestId, String>,
     pub drained: Vec<String>,
@@ -171,7 +171,7 @@
             bad_items: BTreeSet::new(),
             cancel_seen: BTreeMap::new(),
             starts_after_cancel: 0,
-            outputs_seen: 0,
+            steps: 0,
             ran_calls: BTreeMap::new(),
             call_keys: BTreeMap::new(),
             drained: Vec::new(),
@@ -583,6 +583,7 @@
         let Some(core) = host.core.as_mut() else {
             return;
         };
+        self.steps += 1;
         let outputs = core.step(now, input);
         let offset = core.config().next_offset();
         if host.config_offsets.last() != Some(&offset) {
@@ -590,7 +591,6 @@
         }
         let incarnation = host.incarnation;
         for output in outputs {
-            self.outputs_seen += 1;
             let hits = self
                 .armed
                 .as_ref()
--- a/bamboo-jobs/src/carry.rs
+++ b/bamboo-jobs/src/carry.rs
@@ -1,5 +1,7 @@
 //! What must be copied forward before the log forgets it.
 
+use std::collections::BTreeSet;
+
 use bamboo_log::Body;
 use bamboo_log::Entry;
 use bamboo_log::ItemOutcome;
@@ -8,34 +10,42 @@
 
 use crate::ShardFold;
 
-/// The oldest entry before `horizon` that still holds items or results which are needed.
+/// The oldest entries before `horizon` that still hold items or results which are needed, at most `limit`.
 ///
 /// ```
-/// assert_eq!(bamboo_jobs::next_to_carry(&bamboo_jobs::ShardFold::default(), 100), None);
+/// assert!(bamboo_jobs::due_to_carry(&bamboo_jobs::ShardFold::default(), 100, 8).is_empty());
 /// ```
-pub fn next_to_carry(fold: &ShardFold, horizon: Offset) -> Option<Offset> {
-    let results = fold
-        .jobs()
-        .filter_map(|job| job.outcome_offsets.first().copied());
-    let items = fold
-        .jobs()
-        .flat_map(|job| job.chunks.iter().map(|chunk| chunk.at.offset));
-    results
-        .chain(items)
-        .filter(|offset| *offset < horizon)
-        .min()
+pub fn due_to_carry(fold: &ShardFold, horizon: Offset, limit: usize) -> BTreeSet<Offset> {
+    let mut due = BTreeSet::new();
+    for job in fold.jobs() {
+        let results = job.outcome_positions.iter().map(|position| position.offset);
+        let items = job.chunks.iter().map(|chunk| chunk.at.offset);
+        // Results are in order, so the first that is young enough ends the search among them.
+        let old_results = results.take_while(|offset| *offset < horizon).take(limit);
+        due.extend(old_results.chain(items.filter(|offset| *offset < horizon)));
+        while due.len() > limit {
+            due.pop_last();
+        }
+    }
+    due
 }
 
 /// Copies of everything in the entry at `offset` that is still needed, as records of the owner with `epoch`.
 pub fn carry_entry(fold: &ShardFold, epoch: Offset, offset: Offset, entry: &Entry) -> Vec<Body> {
     let mut copies = Vec::new();
     for job in fold.jobs() {
-        if job.outcome_offsets.binary_search(&offset).is_ok() {
-            let outcomes = outcomes_of(entry, job.spec.job);
+        let first = job
+            .outcome_positions
+            .partition_point(|position| position.offset < offset);
+        let here = job.outcome_positions[first..]
+            .iter()
+            .take_while(|position| position.offset == offset);
+        for from in here {
+            let outcomes = outcomes_at(entry, from.slot, job.spec.job);
             copies.push(Body::Carried {
                 epoch,
                 job: job.spec.job,
-                from: offset,
+                from: *from,
                 outcomes,
             });
         }
@@ -54,16 +64,14 @@
     copies
 }
 
-fn outcomes_of(entry: &Entry, job: JobId) -> Vec<ItemOutcome> {
-    let outcomes = entry.bodies.iter().filter_map(|body| match body {
-        Body::Outcomes { outcomes, .. } => Some(outcomes),
-        Body::Carried {
-            outcomes, job: of, ..
-        } if *of == job => Some(outcomes),
-        _ => None,
-    });
+fn outcomes_at(entry: &Entry, slot: u32, job: JobId) -> Vec<ItemOutcome> {
+    let (Some(Body::Outcomes { outcomes, .. }) | Some(Body::Carried { outcomes, .. })) =
+        entry.bodies.get(slot as usize)
+    else {
+        return Vec::new();
+    };
     let is_needed = |outcome: &&ItemOutcome| outcome.job == job && outcome.verdict.is_final();
-    outcomes.flatten().filter(is_needed).cloned().collect()
+    outcomes.iter().filter(is_needed).cloned().collect()
 }
 
 fn items_at(entry: &Entry, slot: u32) -> Option<Vec<bamboo_log::ItemBody>> {
--- a/bamboo-jobs/src/fold.rs
+++ b/bamboo-jobs/src/fold.rs
@@ -248,13 +248,13 @@
                 at_ms,
                 outcomes,
             } => {
-                self.apply_outcomes(at.offset, *epoch, *at_ms, outcomes, events);
+                self.apply_outcomes(at, *epoch, *at_ms, outcomes, events);
             }
             Body::Cancel { job, at_ms } => self.apply_cancel(*job, *at_ms, events),
             Body::Expire { epoch, job } => self.apply_expire(*epoch, *job, events),
             Body::Carried {
                 epoch, job, from, ..
-            } => self.apply_carried(at.offset, *epoch, *job, *from),
+            } => self.apply_carried(at, *epoch, *job, *from),
             Body::CarriedChunk {
                 epoch,
                 job,
@@ -320,7 +320,7 @@
 
     fn apply_outcomes(
         &mut self,
-        offset: Offset,
+        at: Position,
         epoch: Offset,
         at_ms: u64,
         outcomes: &[ItemOutcome],
@@ -328,7 +328,7 @@
     ) {
         let is_current = self.is_current(epoch);
         for outcome in outcomes {
-            let counted = is_current.then(|| self.apply_outcome(offset, at_ms, outcome, events));
+            let counted = is_current.then(|| self.apply_outcome(at, at_ms, outcome, events));
             if counted != Some(true) {
                 events.push(FoldEvent::OutcomeIgnored {
                     job: outcome.job,
@@ -340,7 +340,7 @@
 
     fn apply_outcome(
         &mut self,
-        offset: Offset,
+        at: Position,
         at_ms: u64,
         outcome: &ItemOutcome,
         events: &mut Vec<FoldEvent>,
@@ -373,8 +373,8 @@
         job.ended.set(outcome.item);
         job.failed_count += u32::from(!is_done);
         job.attempts.remove(&outcome.item);
-        if job.outcome_offsets.last() != Some(&offset) {
-            job.outcome_offsets.push(offset);
+        if job.outcome_positions.last() != Some(&at) {
+            job.outcome_positions.push(at);
         }
         events.push(FoldEvent::ItemEnded {
             job: outcome.job,
@@ -412,7 +412,7 @@
         }
     }
 
-    fn apply_carried(&mut self, offset: Offset, epoch: Offset, job: JobId, from: Offset) {
+    fn apply_carried(&mut self, at: Position, epoch: Offset, job: JobId, from: Position) {
         if !self.is_current(epoch) {
             return;
         }
@@ -420,11 +420,9 @@
             return;
         };
         // Only a copy of a record that counted takes its place.
-        if let Ok(index) = found.outcome_offsets.binary_search(&from) {
-            found.outcome_offsets.remove(index);
-            if found.outcome_offsets.last() != Some(&offset) {
-                found.outcome_offsets.push(offset);
-            }
+        if let Ok(index) = found.outcome_positions.binary_search(&from) {
+            found.outcome_positions.remove(index);
+            found.outcome_positions.push(at);
         }
     }
 
--- a/bamboo-jobs/src/handout.rs
+++ b/bamboo-jobs/src/handout.rs
@@ -22,7 +22,7 @@
 /// How long a demand stands without being renewed.
 const DEMAND_LIFETIME: Duration = Duration::from_secs(3);
 /// How long the counts of held items may differ before the list is asked for.
-const MISMATCH_MAX: Duration = Duration::from_secs(5);
+const MISMATCH_MAX: Duration = Duration::from_secs(2);
 /// Age from which on an item that its holder does not list is free again; younger ones may be under way.
 const UNDER_WAY_MAX: Duration = Duration::from_secs(2);
 /// Most items assigned in one pass, so that a pass stays short.
@@ -155,13 +155,14 @@
     }
 
     /// Takes the list of items that a server owner holds: others that it was thought to hold are free again.
+    /// Returns jobs in the list that have ended, whose items are to stop.
     pub fn holding(
         &mut self,
         now: Now,
         fold: &ShardFold,
         holder: &Holder,
         items: &[(JobId, ItemIndex)],
-    ) {
+    ) -> BTreeSet<JobId> {
         let listed: BTreeSet<(JobId, ItemIndex)> = items.iter().copied().collect();
         let missing: Vec<(JobId, ItemIndex)> = self
             .held
@@ -173,7 +174,11 @@
         for (job, item) in missing {
             self.returned(job, item);
         }
+        let mut ended_jobs = BTreeSet::new();
         for (job, item) in listed {
+            if fold.job(job).is_none_or(|found| !found.is_running()) {
+                ended_jobs.insert(job);
+            }
             let is_open = fold
                 .job(job)
                 .is_some_and(|found| found.is_running() && !found.ended.is_set(item));
@@ -185,6 +190,7 @@
             standing.mismatch_since = None;
             standing.is_recounting = false;
         }
+        ended_jobs
     }
 
     /// An item came back without a final outcome.
--- a/bamboo-jobs/src/job.rs
+++ b/bamboo-jobs/src/job.rs
@@ -5,7 +5,6 @@
 use bamboo_log::JobSpec;
 use bamboo_log::Position;
 use bamboo_types::ItemIndex;
-use bamboo_types::Offset;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -85,8 +84,8 @@
     pub failed_count: u32,
     /// State.
     pub state: JobState,
-    /// Offsets of entries with final outcomes of this job, ascending.
-    pub outcome_offsets: Vec<Offset>,
+    /// Positions of records with final outcomes of this job, ascending.
+    pub outcome_positions: Vec<Position>,
     /// Failed runs of items that have any and no final outcome.
     pub attempts: BTreeMap<ItemIndex, Attempts>,
     /// When the job ended, milliseconds since the Unix epoch.
@@ -104,7 +103,7 @@
             ended,
             failed_count: 0,
             state: JobState::Running,
-            outcome_offsets: Vec::new(),
+            outcome_positions: Vec::new(),
             attempts: BTreeMap::new(),
             ended_ms: None,
         };
--- a/bamboo-jobs/src/results.rs
+++ b/bamboo-jobs/src/results.rs
@@ -28,20 +28,19 @@
         }
     }
 
-    /// Takes the outcomes of the job from one entry. Entries must come in the order of the job's offsets.
-    pub fn take(&mut self, entry: Entry) -> Vec<ItemOutcome> {
+    /// Takes the outcomes of the job from one record of an entry. Records must come in the order of the job's
+    /// positions.
+    pub fn take(&mut self, entry: &Entry, slot: u32) -> Vec<ItemOutcome> {
+        let (Some(Body::Outcomes { outcomes, .. }) | Some(Body::Carried { outcomes, .. })) =
+            entry.bodies.get(slot as usize)
+        else {
+            return Vec::new();
+        };
         let mut found = Vec::new();
-        for body in entry.bodies {
-            let (Body::Outcomes { outcomes, .. } | Body::Carried { outcomes, .. }) = body else {
-                continue;
-            };
-            for outcome in outcomes {
-                if outcome.job == self.job
-                    && outcome.verdict.is_final()
-                    && self.seen.set(outcome.item)
-                {
-                    found.push(outcome);
-                }
+        for outcome in outcomes {
+            if outcome.job == self.job && outcome.verdict.is_final() && self.seen.set(outcome.item)
+            {
+                found.push(outcome.clone());
             }
         }
         found
--- a/bamboo-log/src/reader.rs
+++ b/bamboo-log/src/reader.rs
@@ -16,6 +16,8 @@
 /// The log service's answer to one read.
 #[derive(Debug, Clone)]
 pub struct ReadAnswer {
+    /// The offset that was asked for.
+    pub from: Offset,
     /// Entries from the asked offset on, in order; entries that do not decode are `None`.
     pub entries: Vec<(Offset, Option<Entry>)>,
     /// Oldest offset that is still kept.
@@ -98,7 +100,12 @@
     }
 
     /// Takes the answer to the read in flight.
+    ///
+    /// An answer to an earlier reader's read, which would leave a gap, changes nothing.
     pub fn answered(&mut self, answer: ReadAnswer) -> ReadOutcome {
+        if !self.is_reading || answer.from != self.next {
+            return ReadOutcome::Nothing;
+        }
         self.is_reading = false;
         self.failures = 0;
         let has_gap = answer.oldest > self.next;
--- a/bamboo-log/src/record.rs
+++ b/bamboo-log/src/record.rs
@@ -243,8 +243,8 @@
         epoch: Offset,
         /// Job of the outcomes.
         job: JobId,
-        /// Offset of the record that they are copied from.
-        from: Offset,
+        /// Position of the record that they are copied from.
+        from: Position,
         /// The outcomes of the job that counted there.
         outcomes: Vec<ItemOutcome>,
     },
--- a/bamboo-member/src/claim.rs
+++ b/bamboo-member/src/claim.rs
@@ -83,6 +83,7 @@
     holder: Option<Holder>,
     wanted: Option<Wanted>,
     is_claim_sent: bool,
+    is_confirmed: bool,
     stood_down_to: Option<HostId>,
     owned_since: Option<Now>,
     losses: u32,
@@ -106,6 +107,7 @@
             holder: None,
             wanted: None,
             is_claim_sent: false,
+            is_confirmed: false,
             stood_down_to: None,
             owned_since: None,
             losses: 0,
@@ -121,7 +123,10 @@
             incarnation,
             epoch,
         });
-        if is_mine {
+        // A claim that this run made earlier and meets again while it reads the stream anew is history: later
+        // entries may take it away.
+        self.is_confirmed = is_mine && (self.is_claim_sent || was_mine);
+        if self.is_confirmed {
             self.is_claim_sent = false;
             self.stood_down_to = None;
         } else if was_mine {
@@ -146,6 +151,7 @@
     pub fn reset(&mut self) {
         self.holder = None;
         self.is_claim_sent = false;
+        self.is_confirmed = false;
     }
 
     /// The host that holds the stream, as far as this host has read it.
@@ -162,8 +168,8 @@
 
     /// The epoch under which this host owns the stream.
     pub fn epoch(&self) -> Option<Offset> {
-        let holder = self.holder.as_ref()?;
-        (holder.host == self.host && holder.incarnation == self.incarnation).then_some(holder.epoch)
+        let holder = self.holder.as_ref().filter(|_| self.is_confirmed)?;
+        Some(holder.epoch)
     }
 
     /// Chooses the next step.
--- a/bamboo-node/src/callers/jobs.rs
+++ b/bamboo-node/src/callers/jobs.rs
@@ -13,10 +13,12 @@
 use bamboo_jobs::FinalOutcomes;
 use bamboo_jobs::JobState;
 use bamboo_jobs::JobView;
+use bamboo_log::Entry;
 use bamboo_log::ItemBody;
 use bamboo_log::ItemOutcome;
 use bamboo_log::ItemVerdict;
 use bamboo_log::JobSpec;
+use bamboo_log::Position;
 use bamboo_log::StreamId;
 use bamboo_log::UploadId;
 use bamboo_result::Code;
@@ -169,8 +171,8 @@
         )
         .await
     {
-        Answer::Results { view, offsets } => {
-            let lines = result_lines(traffic.platform.clone(), shard, view, offsets);
+        Answer::Results { view, positions } => {
+            let lines = result_lines(traffic.platform.clone(), shard, view, positions);
             HttpResponse::Ok()
                 .content_type("application/jsonl")
                 .streaming(lines)
@@ -514,30 +516,53 @@
     platform: Platform,
     shard: ShardId,
     view: JobView,
-    offsets: Vec<Offset>,
+    positions: Vec<Position>,
 ) -> impl Stream<Item = Result<Bytes, actix_web::Error>> {
-    let collector = FinalOutcomes::new(view.job, view.total_count);
-    let state = (platform, collector, offsets.into_iter());
-    futures_util::stream::unfold(
-        state,
-        move |(platform, mut collector, mut offsets)| async move {
-            let offset = offsets.next()?;
-            let lines = match platform.entry(StreamId::Shard(shard), offset).await {
-                Ok(Some(entry)) => Ok(collector
-                    .take(entry)
-                    .iter()
-                    .map(result_line)
-                    .collect::<String>()
-                    .into()),
+    let state = ResultReader {
+        platform,
+        stream: StreamId::Shard(shard),
+        collector: FinalOutcomes::new(view.job, view.total_count),
+        positions: positions.into_iter(),
+        entry: None,
+    };
+    futures_util::stream::unfold(state, |mut state| async {
+        let position = state.positions.next()?;
+        Some((state.read(position).await, state))
+    })
+}
+
+/// Reads a job's results from the log, one record after the other.
+struct ResultReader {
+    platform: Platform,
+    stream: StreamId,
+    collector: FinalOutcomes,
+    positions: std::vec::IntoIter<Position>,
+    entry: Option<(Offset, Entry)>,
+}
+
+impl ResultReader {
+    async fn read(&mut self, position: Position) -> Result<Bytes, actix_web::Error> {
+        let kept = self
+            .entry
+            .take()
+            .filter(|(offset, _)| *offset == position.offset);
+        let entry = match kept {
+            Some((_, entry)) => entry,
+            None => match self.platform.entry(self.stream, position.offset).await {
+                Ok(Some(entry)) => entry,
                 // A gap must not pass as the end of the results.
-                Ok(None) => Err(actix_web::error::ErrorBadGateway(
-                    "results are no longer kept",
-                )),
-                Err(error) => Err(actix_web::error::ErrorBadGateway(error.to_string())),
-            };
-            Some((lines, (platform, collector, offsets)))
-        },
-    )
+                Ok(None) => {
+                    return Err(actix_web::error::ErrorBadGateway(
+                        "results are no longer kept",
+                    ));
+                }
+                Err(error) => return Err(actix_web::error::ErrorBadGateway(error.to_string())),
+            },
+        };
+        let outcomes = self.collector.take(&entry, position.slot);
+        self.entry = Some((position.offset, entry));
+        Ok(outcomes.iter().map(result_line).collect::<String>().into())
+    }
 }
 
 fn result_line(outcome: &ItemOutcome) -> String {
--- a/bamboo-node/src/platform.rs
+++ b/bamboo-node/src/platform.rs
@@ -32,13 +32,15 @@
     entries: Vec<(Offset, Vec<u8>)>,
 }
 
-impl From<WirePage> for ReadAnswer {
-    fn from(page: WirePage) -> Self {
+impl WirePage {
+    fn into_answer(self, from: Offset) -> ReadAnswer {
+        let page = self;
         let entries = page.entries.into_iter();
         let entries = entries
             .map(|(offset, bytes)| (offset, Entry::try_from(bytes.as_slice()).ok()))
             .collect();
         ReadAnswer {
+            from,
             entries,
             oldest: page.oldest,
             tail: page.tail,
@@ -156,7 +158,7 @@
         let (page, _): (WirePage, usize) =
             bincode::serde::decode_from_slice(&bytes, bincode::config::standard())
                 .context("log read: page")?;
-        Ok(page.into())
+        Ok(page.into_answer(from))
     }
 
     /// Reads the entry at an offset, `None` if it is no longer kept.
--- a/bamboo-wire/src/message.rs
+++ b/bamboo-wire/src/message.rs
@@ -87,12 +87,12 @@
     Job(Option<JobView>),
     /// Jobs.
     Jobs(Vec<JobView>),
-    /// A job with the offsets of its outcome entries.
+    /// A job with the positions of its outcome records.
     Results {
         /// The job, if it stands.
         view: Option<JobView>,
-        /// Offsets, ascending.
-        offsets: Vec<Offset>,
+        /// Positions, ascending.
+        positions: Vec<Position>,
     },
     /// The asker's claim is the first: it may run the call.
     KeyedFirst,
