--- a/bamboo-admit/src/item.rs
+++ b/bamboo-admit/src/item.rs
@@ -1,6 +1,7 @@
 //! A batch item at its server owner.
 
 use bamboo_log::Position;
+use bamboo_types::HostId;
 use bamboo_types::ItemIndex;
 use bamboo_types::JobId;
 use bamboo_types::ModelId;
@@ -16,6 +17,8 @@
 pub struct WorkItem {
     /// Shard of the job.
     pub shard: ShardId,
+    /// Host that handed the item out.
+    pub given_by: HostId,
     /// Job.
     pub job: JobId,
     /// Item.
--- a/bamboo-admit/src/owner.rs
+++ b/bamboo-admit/src/owner.rs
@@ -216,11 +216,17 @@
             .collect()
     }
 
-    /// Whether the item of a key runs or is being stopped.
-    pub fn is_running(&self, key: RunKey) -> bool {
+    /// Keys of items that match and have not started.
+    pub fn waiting_where<F>(&self, matches: F) -> Vec<RunKey>
+    where
+        F: Fn(&WorkItem) -> bool,
+    {
+        let is_meant = |run: &Run| run.state == RunState::Waiting && matches(&run.item);
         self.runs
-            .get(key)
-            .is_some_and(|run| run.state != RunState::Waiting)
+            .iter()
+            .filter(|(_, run)| is_meant(run))
+            .map(|(key, _)| key)
+            .collect()
     }
 
     /// Items that the owner wants beyond those it holds.
--- a/bamboo-host/src/config_role.rs
+++ b/bamboo-host/src/config_role.rs
@@ -13,6 +13,7 @@
 use bamboo_log::ReadAnswer;
 use bamboo_log::ReadOutcome;
 use bamboo_log::Reader;
+use bamboo_log::SnapshotMark;
 use bamboo_log::StreamId;
 use bamboo_log::Ticket;
 use bamboo_log::split_snapshot;
@@ -29,6 +30,8 @@
 
 /// Entries of the configuration stream after which an image is written.
 const IMAGE_EVERY_ENTRIES: u64 = 500;
+/// Time after which an image that has not been read back is written again.
+const IMAGE_AGAIN: Duration = Duration::from_secs(3);
 /// Interval between requests for a peer's configuration.
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -38,8 +41,8 @@
     fold: Arc<ConfigFold>,
     gap: GapBuffer,
     reader: Reader,
-    image_through: Offset,
-    image_at: Now,
+    image: SnapshotMark,
+    image_sent_at: Option<Now>,
     has_reached_tail: bool,
     has_image: bool,
     fresh_at: Now,
@@ -51,8 +54,8 @@
         ConfigRole {
             fold: Arc::new(ConfigFold::default()),
             gap: GapBuffer::default(),
-            image_through: 0,
-            image_at: Duration::ZERO,
+            image: SnapshotMark::default(),
+            image_sent_at: None,
             reader: Reader::new(StreamId::Config, 0),
             has_reached_tail: false,
             has_image: false,
@@ -173,6 +176,7 @@
     }
 
     fn take_config(&mut self, now: Now, offset: Offset, entry: Entry) -> bool {
+        self.config.image.note(&entry);
         if self.config.gap.is_whole() {
             return self.apply_config(offset, &entry);
         }
@@ -203,21 +207,22 @@
     fn write_image(&mut self, now: Now) {
         let me = self.options.host.as_str();
         let next_offset = self.config.fold.next_offset();
-        if self.config.image_at == Duration::ZERO {
-            self.config.image_at = now;
-        }
-        let by_count = next_offset >= self.config.image_through + IMAGE_EVERY_ENTRIES;
-        let by_age = now.saturating_sub(self.config.image_at) >= self.options.retention / 4;
+        let is_due = self.config.image.is_due(
+            now,
+            next_offset,
+            IMAGE_EVERY_ENTRIES,
+            self.options.retention / 4,
+        );
+        let is_under_way = self
+            .config
+            .image_sent_at
+            .is_some_and(|at| now.saturating_sub(at) < IMAGE_AGAIN);
         let is_mine = first_in_order(&self.live, &StreamId::Config.to_string()) == Some(me);
-        if !(by_count || by_age)
-            || !is_mine
-            || !self.config.reader.is_at_tail()
-            || !self.config.gap.is_whole()
-        {
+        let is_current = self.config.reader.is_at_tail() && self.config.gap.is_whole();
+        if !is_due || is_under_way || !is_mine || !is_current {
             return;
         }
-        self.config.image_through = next_offset;
-        self.config.image_at = now;
+        self.config.image_sent_at = Some(now);
         if let Ok(bytes) = self.config.fold.to_image() {
             for part in split_snapshot(next_offset.saturating_sub(1), &bytes) {
                 self.appender.enqueue(now, StreamId::Config, part);
--- a/bamboo-host/src/servers.rs
+++ b/bamboo-host/src/servers.rs
@@ -170,6 +170,7 @@
         let names: Vec<BackendServerId> = self.servers.owned.keys().cloned().collect();
         for server in &names {
             self.return_if_blocked(now, server);
+            self.return_unconfirmed(now, server);
             self.advance_server(now, server);
             self.send_demands(now, server);
         }
@@ -212,7 +213,7 @@
             match self.servers.owned.get_mut(&item.server) {
                 Some(owned) => {
                     owned.had_work.insert(shard, now);
-                    owned.owner.take(now, work_item(shard, item));
+                    owned.owner.take(now, work_item(shard, from, item));
                 }
                 None => refused.push((item.job, item.item)),
             }
@@ -389,52 +390,33 @@
     }
 
     fn lose_server(&mut self, now: Now, server: &str) {
-        let keys = match self.servers.owned.get(server) {
-            Some(owned) => owned.owner.keys_where(|_| true),
-            None => return,
+        let Some(owned) = self.servers.owned.get(server) else {
+            return;
         };
-        for key in keys {
-            let item = self
-                .servers
-                .owned
-                .get_mut(server)
-                .and_then(|owned| owned.owner.remove(key));
-            self.output(Output::DropItem {
-                run: RunRef {
-                    server: server.to_owned(),
-                    key,
-                },
-            });
-            if let Some(item) = item {
-                self.give_back(now, item);
-            }
-        }
+        let keys = owned.owner.keys_where(|_| true);
+        self.return_items(now, server, keys);
         self.servers.owned.remove(server);
         self.event(EventKind::ServerLost, server.to_owned(), String::new());
     }
 
     /// Gives back items that have not started on a server which takes no new work.
     fn return_waiting(&mut self, now: Now, server: &str) {
-        let Some(owned) = self.servers.owned.get_mut(server) else {
-            return;
-        };
-        let waiting: Vec<RunKey> = owned
-            .owner
-            .keys_where(|_| true)
-            .into_iter()
-            .filter(|key| !owned.owner.is_running(*key))
-            .collect();
-        for key in waiting {
+        if let Some(owned) = self.servers.owned.get(server) {
+            let waiting = owned.owner.waiting_where(|_| true);
+            self.return_items(now, server, waiting);
+        }
+    }
+
+    fn return_items(&mut self, now: Now, server: &str, keys: Vec<RunKey>) {
+        for key in keys {
             let item = self
                 .servers
                 .owned
                 .get_mut(server)
                 .and_then(|owned| owned.owner.remove(key));
+            let server = server.to_owned();
             self.output(Output::DropItem {
-                run: RunRef {
-                    server: server.to_owned(),
-                    key,
-                },
+                run: RunRef { server, key },
             });
             if let Some(item) = item {
                 self.give_back(now, item);
@@ -454,6 +436,17 @@
         }
     }
 
+    /// Items whose shard owner no longer answers do not start: their job may have been cancelled meanwhile.
+    fn return_unconfirmed(&mut self, now: Now, server: &str) {
+        let Some(owned) = self.servers.owned.get(server) else {
+            return;
+        };
+        let waiting = owned
+            .owner
+            .waiting_where(|item| !self.members.is_answering(now, &item.given_by));
+        self.return_items(now, server, waiting);
+    }
+
     fn drop_items<F>(&mut self, server: &str, matches: F)
     where
         F: Fn(&WorkItem) -> bool,
@@ -715,9 +708,10 @@
     weights.reduce(f64::min).unwrap_or(DEFAULT_BATCH_WEIGHT)
 }
 
-fn work_item(shard: ShardId, item: HandedItem) -> WorkItem {
+fn work_item(shard: ShardId, from: &str, item: HandedItem) -> WorkItem {
     WorkItem {
         shard,
+        given_by: from.to_owned(),
         job: item.job,
         item: item.item,
         chunk: item.chunk,
--- a/bamboo-host/src/shard_role.rs
+++ b/bamboo-host/src/shard_role.rs
@@ -27,6 +27,8 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 /// Time after which a copy that has not been read back is made again.
 const CARRY_AGAIN: Duration = Duration::from_secs(5);
+/// Time after which a snapshot that has not been read back is written again.
+const SNAPSHOT_AGAIN: Duration = Duration::from_secs(3);
 /// Most entries whose copies are under way; the appender stores them in groups.
 const CARRIES_MAX: usize = 32;
 /// Most outcomes in one record.
@@ -46,8 +48,7 @@
     gathered_at: Now,
     committing: BTreeMap<(JobId, ItemIndex), HostId>,
     expired_at: Now,
-    snapshot_through: Offset,
-    snapshot_at: Now,
+    snapshot_sent_at: Option<Now>,
     carrying: BTreeMap<Offset, Now>,
 }
 
@@ -65,8 +66,7 @@
             gathered_at: Duration::ZERO,
             committing: BTreeMap::new(),
             expired_at: Duration::ZERO,
-            snapshot_through: 0,
-            snapshot_at: Duration::ZERO,
+            snapshot_sent_at: None,
             carrying: BTreeMap::new(),
         }
     }
@@ -104,8 +104,7 @@
         self.hand_out = HandOut::default();
         self.gathered.clear();
         self.committing.clear();
-        self.snapshot_through = 0;
-        self.snapshot_at = Duration::ZERO;
+        self.snapshot_sent_at = None;
         self.carrying.clear();
     }
 
@@ -185,25 +184,24 @@
         is_due
     }
 
-    /// Whether a snapshot is due: after so many entries, or when the last one grows old.
+    /// Whether a snapshot is due that is not under way.
     pub(crate) fn is_snapshot_due(
         &mut self,
         now: Now,
         every_entries: u64,
         age_max: Duration,
     ) -> bool {
-        let next_offset = self.stream.fold().next_offset();
-        if self.snapshot_at == Duration::ZERO {
-            self.snapshot_at = now;
-        }
-        let by_count = next_offset >= self.snapshot_through + every_entries;
-        // A quiet shard is written again too, since the log forgets its last snapshot.
-        let by_age = now.saturating_sub(self.snapshot_at) >= age_max;
-        if !(by_count || by_age) || !self.is_current() {
+        let fold = self.stream.fold();
+        let is_due = fold
+            .snapshot()
+            .is_due(now, fold.next_offset(), every_entries, age_max);
+        let is_under_way = self
+            .snapshot_sent_at
+            .is_some_and(|at| now.saturating_sub(at) < SNAPSHOT_AGAIN);
+        if !is_due || is_under_way || !self.is_current() {
             return false;
         }
-        self.snapshot_through = next_offset;
-        self.snapshot_at = now;
+        self.snapshot_sent_at = Some(now);
         true
     }
 
--- a/bamboo-host/src/shards.rs
+++ b/bamboo-host/src/shards.rs
@@ -234,10 +234,15 @@
         };
         role.hand_out
             .drop_holders(|holder| !members.is_running(now, &holder.host, holder.incarnation));
+        let silent = role.hand_out.silent_holders(now);
         let stream = role.stream_id();
         if let Some(body) = role.next_commit(now) {
             self.appender.enqueue(now, stream, body);
         }
+        for holder in silent {
+            let server = holder.server;
+            self.send(&holder.host, PeerMessage::Recount { shard, server });
+        }
         self.expire(now, shard, epoch);
         self.write_snapshot(now, shard);
         self.carry_forward(now, shard);
--- a/bamboo-jobs/src/fold.rs
+++ b/bamboo-jobs/src/fold.rs
@@ -12,6 +12,7 @@
 use bamboo_log::KeyedEnd;
 use bamboo_log::Position;
 use bamboo_log::RecordId;
+use bamboo_log::SnapshotMark;
 use bamboo_log::UploadId;
 use bamboo_log::Writer;
 use bamboo_types::HostId;
@@ -104,6 +105,7 @@
     keyed: BTreeMap<(String, String), Keyed>,
     dedupe: Dedupe,
     marks: Vec<TimeMark>,
+    snapshot: SnapshotMark,
 }
 
 /// The first offset at or after a time.
@@ -131,6 +133,7 @@
         }
         self.next_offset = offset + 1;
         self.mark(offset, entry.at_ms);
+        self.snapshot.note(entry);
         let writer = Writer {
             host: entry.host.clone(),
             incarnation: entry.incarnation,
@@ -201,6 +204,11 @@
         self.holder.as_ref().map(|(_, epoch)| *epoch)
     }
 
+    /// The newest snapshot in the stream.
+    pub fn snapshot(&self) -> &SnapshotMark {
+        &self.snapshot
+    }
+
     /// The newest claim: who made it, and its epoch.
     pub fn holder(&self) -> Option<&(Writer, Offset)> {
         self.holder.as_ref()
--- a/bamboo-jobs/src/handout.rs
+++ b/bamboo-jobs/src/handout.rs
@@ -23,6 +23,8 @@
 const DEMAND_LIFETIME: Duration = Duration::from_secs(3);
 /// How long the counts of held items may differ before the list is asked for.
 const MISMATCH_MAX: Duration = Duration::from_secs(2);
+/// How long a holder may be silent before the list is asked for.
+const SILENCE_MAX: Duration = Duration::from_secs(3);
 /// Age from which on an item that its holder does not list is free again; younger ones may be under way.
 const UNDER_WAY_MAX: Duration = Duration::from_secs(2);
 /// Most items assigned in one pass, so that a pass stays short.
@@ -115,6 +117,7 @@
     held_by: BTreeMap<Holder, u32>,
     demands: BTreeMap<BackendServerId, Standing>,
     progress: BTreeMap<JobId, Progress>,
+    silent_since: BTreeMap<Holder, Now>,
 }
 
 impl HandOut {
@@ -252,6 +255,33 @@
         }
     }
 
+    /// Holders that have items and have not renewed a demand for long: they are to say what they hold.
+    pub fn silent_holders(&mut self, now: Now) -> Vec<Holder> {
+        let demands = &self.demands;
+        let is_heard = |holder: &Holder| {
+            demands
+                .get(&holder.server)
+                .is_some_and(|standing| holder_of(&standing.demand) == *holder)
+        };
+        let silent: Vec<Holder> = self
+            .held_by
+            .keys()
+            .filter(|holder| !is_heard(holder))
+            .cloned()
+            .collect();
+        self.silent_since
+            .retain(|holder, _| silent.contains(holder));
+        let mut due = Vec::new();
+        for holder in silent {
+            let since = self.silent_since.entry(holder.clone()).or_insert(now);
+            if now.saturating_sub(*since) >= SILENCE_MAX {
+                *since = now;
+                due.push(holder);
+            }
+        }
+        due
+    }
+
     /// Hands out items to standing demands, the most urgent job first.
     pub fn assign(&mut self, now: Now, fold: &ShardFold) -> Vec<Assignment> {
         self.demands
--- a/bamboo-log/src/lib.rs
+++ b/bamboo-log/src/lib.rs
@@ -40,6 +40,7 @@
 pub use record::UploadId;
 pub use snapshot::GapBuffer;
 pub use snapshot::SnapshotAssembler;
+pub use snapshot::SnapshotMark;
 pub use snapshot::WholeSnapshot;
 pub use snapshot::split_snapshot;
 pub use stream::StreamId;
--- a/bamboo-log/src/snapshot.rs
+++ b/bamboo-log/src/snapshot.rs
@@ -1,6 +1,12 @@
 //! Snapshots in a stream: split into parts, gathered again, and used where a stream was trimmed.
 
+use std::time::Duration;
+
+use bamboo_types::Now;
 use bamboo_types::Offset;
+use bamboo_types::millis;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::Body;
 use crate::Entry;
@@ -9,6 +15,56 @@
 /// Largest part, bytes.
 const PART_MAX_BYTES: usize = 192 * 1024;
 
+/// The newest snapshot of a stream, as told by the stream itself, so that its age outlives its writer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SnapshotMark {
+    /// Last offset that it covers; 0 while there is none.
+    pub through: Offset,
+    /// When it was written, or when the stream began, milliseconds since the Unix epoch.
+    pub at_ms: Option<u64>,
+}
+
+impl SnapshotMark {
+    /// Notes an entry of the stream.
+    ///
+    /// ```
+    /// use bamboo_log::{Body, Entry, SnapshotMark};
+    /// let bodies = vec![Body::Probe];
+    /// let entry = Entry { host: "h1".into(), incarnation: 1, at_ms: 5, first_sequence: 1, bodies };
+    /// let mut mark = SnapshotMark::default();
+    /// mark.note(&entry);
+    /// assert_eq!(mark.at_ms, Some(5));
+    /// ```
+    pub fn note(&mut self, entry: &Entry) {
+        self.at_ms.get_or_insert(entry.at_ms);
+        for body in &entry.bodies {
+            if let Body::Snapshot(part) = body
+                && part.part + 1 == part.part_count
+            {
+                *self = SnapshotMark {
+                    through: part.through,
+                    at_ms: Some(entry.at_ms),
+                };
+            }
+        }
+    }
+
+    /// Whether the next snapshot is due: after so many entries, or when the last one grows old.
+    pub fn is_due(
+        &self,
+        now: Now,
+        next_offset: Offset,
+        every_entries: u64,
+        age_max: Duration,
+    ) -> bool {
+        let by_count = next_offset >= self.through + every_entries;
+        let by_age = self
+            .at_ms
+            .is_some_and(|at_ms| millis(now) >= at_ms + millis(age_max));
+        by_count || by_age
+    }
+}
+
 /// A snapshot with all of its parts.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WholeSnapshot {
