fix: a stopping host stays known as stopping, and hand-outs of an earlier owner are refused

Cause: any frame of a stopping host marked it as live again until its next heartbeat, so ownership of its shards flapped and nobody claimed them (seeds 637, 973, 2212); an owner that had been frozen handed out items of a job that was cancelled meanwhile (seed 494 and others): hand-outs now carry the epoch.

--- a/bamboo-host/src/core.rs
+++ b/bamboo-host/src/core.rs
@@ -291,16 +291,12 @@
     }
 
     fn take_frame(&mut self, now: Now, frame: Frame) {
-        if !self
-            .members
-            .heard(now, &frame.from, frame.incarnation, false)
-        {
+        if !self.members.heard(now, &frame.from, frame.incarnation) {
             return;
         }
         for message in frame.messages {
             if let PeerMessage::Heartbeat { is_draining, .. } = message {
-                self.members
-                    .heard(now, &frame.from, frame.incarnation, is_draining);
+                self.members.draining_heard(&frame.from, is_draining);
             }
             self.take_message(now, &frame.from, frame.incarnation, message);
         }
@@ -345,7 +341,11 @@
                 };
                 self.holding_heard(now, shard, &holder, &items);
             }
-            PeerMessage::Items { shard, items } => self.items_heard(now, from, shard, items),
+            PeerMessage::Items {
+                shard,
+                epoch,
+                items,
+            } => self.items_heard(now, from, shard, epoch, items),
             PeerMessage::Return { shard, items } => self.return_heard(shard, &items),
             PeerMessage::Outcomes { shard, outcomes } => {
                 self.outcomes_heard(now, from, shard, outcomes)
--- a/bamboo-host/src/servers.rs
+++ b/bamboo-host/src/servers.rs
@@ -26,6 +26,7 @@
 use bamboo_types::JobId;
 use bamboo_types::ModelId;
 use bamboo_types::Now;
+use bamboo_types::Offset;
 use bamboo_types::ShardId;
 use bamboo_wire::HandedItem;
 use bamboo_wire::PeerMessage;
@@ -79,6 +80,7 @@
     owned: BTreeMap<BackendServerId, OwnedServer>,
     leaving: BTreeSet<BackendServerId>,
     unsettled: BTreeMap<(ShardId, JobId, ItemIndex), Unsettled>,
+    shard_epochs: BTreeMap<ShardId, Offset>,
     loads_at: Now,
 }
 
@@ -113,6 +115,12 @@
         }
     }
 
+    /// Notes the epoch of a shard, so that hand-outs of earlier owners are known as such.
+    pub(crate) fn note_epoch(&mut self, shard: ShardId, epoch: Offset) {
+        let newest = self.shard_epochs.entry(shard).or_insert(epoch);
+        *newest = (*newest).max(epoch);
+    }
+
     pub(crate) fn unsettled_count(&self) -> usize {
         self.unsettled.len()
     }
@@ -206,8 +214,16 @@
         now: Now,
         from: &str,
         shard: ShardId,
+        epoch: Offset,
         items: Vec<HandedItem>,
     ) {
+        // An owner that was frozen may hand out before it reads that another has taken over.
+        let newest = self.servers.shard_epochs.entry(shard).or_insert(epoch);
+        if epoch < *newest {
+            self.redirect(from, shard);
+            return;
+        }
+        *newest = epoch;
         let mut refused = Vec::new();
         for item in items {
             match self.servers.owned.get_mut(&item.server) {
--- a/bamboo-host/src/shards.rs
+++ b/bamboo-host/src/shards.rs
@@ -318,9 +318,12 @@
         let Some(role) = self.shards.get_mut(usize::from(shard)) else {
             return;
         };
-        if role.owned.is_none() || is_draining || !role.stream.is_whole() {
+        let Some(epoch) = role
+            .owned
+            .filter(|_| !is_draining && role.stream.is_whole())
+        else {
             return;
-        }
+        };
         let assignments = role.hand_out.assign(now, role.stream.fold());
         for (host, items) in by_host(assignments) {
             for item in &items {
@@ -331,7 +334,14 @@
                     format!("{host} {}", item.server),
                 );
             }
-            self.send(&host, PeerMessage::Items { shard, items });
+            self.send(
+                &host,
+                PeerMessage::Items {
+                    shard,
+                    epoch,
+                    items,
+                },
+            );
         }
     }
 
@@ -341,7 +351,11 @@
         };
         role.note_claims(&event);
         match event {
-            FoldEvent::Claimed { .. } | FoldEvent::Released { .. } => self.update_ownership(shard),
+            FoldEvent::Claimed { epoch, .. } => {
+                self.servers.note_epoch(shard, epoch);
+                self.update_ownership(shard);
+            }
+            FoldEvent::Released { .. } => self.update_ownership(shard),
             FoldEvent::JobAccepted(job) => {
                 self.event(EventKind::JobAccepted, job_id_text(job), String::new())
             }
--- a/bamboo-host/tests/support/world.rs
+++ b/bamboo-host/tests/support/world.rs
@@ -789,6 +789,13 @@
             .get(&job)
             .is_some_and(|at| self.now > *at + Duration::from_secs(5))
         {
+            if super::trace::is_on() {
+                println!(
+                    "{:?} late start of {job:x}/{item} at {host}, cancel seen {:?}",
+                    self.now,
+                    self.cancel_seen.get(&job)
+                );
+            }
             self.starts_after_cancel += 1;
         }
         if let Some(state) = self.hosts.get_mut(host) {
--- a/bamboo-member/src/view.rs
+++ b/bamboo-member/src/view.rs
@@ -110,25 +110,28 @@
     }
 
     /// Notes that a peer spoke. A message of an older incarnation is not counted, and `false` is returned.
-    pub fn heard(
-        &mut self,
-        now: Now,
-        host: &str,
-        incarnation: Incarnation,
-        is_draining: bool,
-    ) -> bool {
+    pub fn heard(&mut self, now: Now, host: &str, incarnation: Incarnation) -> bool {
         let Some(peer) = self.peers.get_mut(host) else {
             return true;
         };
         if incarnation < peer.incarnation {
             return false;
         }
-        peer.incarnation = incarnation;
+        if incarnation > peer.incarnation {
+            peer.incarnation = incarnation;
+            peer.is_draining = false;
+        }
         peer.heard_at = Some(now);
-        peer.is_draining = is_draining;
         true
     }
 
+    /// Notes what a peer says of its own planned stop.
+    pub fn draining_heard(&mut self, host: &str, is_draining: bool) {
+        if let Some(peer) = self.peers.get_mut(host) {
+            peer.is_draining = is_draining;
+        }
+    }
+
     /// Marks the own host as stopping: it owns nothing from now on.
     pub fn drain(&mut self) {
         self.is_draining = true;
--- a/bamboo-wire/src/message.rs
+++ b/bamboo-wire/src/message.rs
@@ -162,6 +162,8 @@
     Items {
         /// Shard that they come from.
         shard: ShardId,
+        /// Epoch under which the sender owns it.
+        epoch: Offset,
         /// The items.
         items: Vec<HandedItem>,
     },
