fix: a connection that breaks after the request was sent is never reported as not run

Cause: the HTTP client reports such a break as a connect error, and every connect error was taken as 'not run' (seen: a POST that the plain service had recorded was answered with 3007 server_refused). Only errors before the first byte count now; the log adapter had the same fault. Unknown paths and oversize bodies now get numbered codes. Ruled out: the router (it was told 'not run').

--- a/bamboo-node/src/callers/mod.rs
+++ b/bamboo-node/src/callers/mod.rs
@@ -14,6 +14,7 @@
 use bamboo_types::RequestId;
 
 use crate::platform::Platform;
+use crate::reply::no_such_path;
 use crate::shared::ControlHandle;
 use crate::shared::Shared;
 
@@ -73,5 +74,6 @@
         .route("/services/{name}/{path:.*}", web::to(services::call))
         .route("/healthz", web::get().to(probes::healthz))
         .route("/readyz", web::get().to(probes::readyz))
-        .route("/metrics", web::get().to(probes::metrics));
+        .route("/metrics", web::get().to(probes::metrics))
+        .default_service(web::to(no_such_path));
 }
--- a/bamboo-node/src/callers/online.rs
+++ b/bamboo-node/src/callers/online.rs
@@ -36,6 +36,7 @@
 use crate::engine_client::check_engine_status;
 use crate::engine_client::send;
 use crate::engine_client::whole_body;
+use crate::reply::body_of;
 use crate::reply::error_json;
 use crate::reply::refuse;
 use crate::reply::refuse_unexpected;
@@ -143,10 +144,14 @@
 pub(crate) async fn complete(
     traffic: web::Data<Traffic>,
     http: HttpRequest,
-    body: Bytes,
+    body: Result<Bytes, actix_web::Error>,
 ) -> HttpResponse {
     let open = OpenStream::new(&traffic.shared);
     let arrived_at = Instant::now();
+    let body = match body_of(&traffic.shared, body) {
+        Ok(body) => body,
+        Err(refusal) => return refuse(&traffic.shared, &refusal),
+    };
     let (online, completion) = match admit(&traffic, &http, &body) {
         Ok(admitted) => admitted,
         Err(refusal) => return refuse(&traffic.shared, &refusal),
--- a/bamboo-node/src/callers/services.rs
+++ b/bamboo-node/src/callers/services.rs
@@ -32,6 +32,7 @@
 use crate::engine_client::CallFailure;
 use crate::engine_client::send;
 use crate::engine_client::whole_body;
+use crate::reply::body_of;
 use crate::reply::refuse;
 use crate::reply::refuse_unexpected;
 use crate::shared::OpenStream;
@@ -66,10 +67,14 @@
     traffic: web::Data<Traffic>,
     http: HttpRequest,
     path: web::Path<(String, String)>,
-    body: Bytes,
+    body: Result<Bytes, actix_web::Error>,
 ) -> HttpResponse {
     let _open = OpenStream::new(&traffic.shared);
     let (name, path) = path.into_inner();
+    let body = match body_of(&traffic.shared, body) {
+        Ok(body) => body,
+        Err(refusal) => return refuse(&traffic.shared, &refusal),
+    };
     let (call, keyed) = match prepare(&traffic, &http, &name, &path, body) {
         Ok(prepared) => prepared,
         Err(refusal) => return refuse(&traffic.shared, &refusal),
--- a/bamboo-node/src/engine_client.rs
+++ b/bamboo-node/src/engine_client.rs
@@ -1,10 +1,12 @@
 //! Adapter to model engines and plain services. An engine with another interface is a change in this file.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 use std::time::Instant;
 
 use awc::Client;
 use awc::ClientResponse;
+use awc::error::ConnectError;
 use awc::error::SendRequestError;
 use awc::http::Method;
 use awc::http::header::HeaderMap;
@@ -217,7 +219,7 @@
 
 fn failure_of(error: SendRequestError) -> CallFailure {
     match error {
-        SendRequestError::Connect(error) => CallFailure::NotRun {
+        SendRequestError::Connect(error) if is_before_first_byte(&error) => CallFailure::NotRun {
             reason: format!("cannot connect: {error}"),
         },
         SendRequestError::Timeout => unknown(
@@ -229,6 +231,22 @@
     }
 }
 
+/// Whether no connection came about. The client also reports a connection that breaks before the answer's head as
+/// a connect error, and then the server may have run the request.
+pub(crate) fn is_before_first_byte(error: &ConnectError) -> bool {
+    match error {
+        ConnectError::Io(error) => matches!(
+            error.kind(),
+            ErrorKind::ConnectionRefused
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable
+        ),
+        ConnectError::Resolver(_) | ConnectError::NoRecords | ConnectError::Unresolved => true,
+        ConnectError::Timeout => true,
+        _ => false,
+    }
+}
+
 fn unknown(code: Code, reason: &str, was_server_lost: bool) -> CallFailure {
     CallFailure::Unknown {
         code,
--- a/bamboo-node/src/operators/mod.rs
+++ b/bamboo-node/src/operators/mod.rs
@@ -11,6 +11,7 @@
 use crate::callers::Traffic;
 use crate::callers::metrics;
 use crate::callers::readyz;
+use crate::reply::no_such_path;
 
 /// The routes.
 pub(crate) fn configure(config: &mut web::ServiceConfig) {
@@ -41,7 +42,8 @@
         .route("/api/v1/events", web::get().to(state::events))
         .route("/api/v1/drain", web::post().to(state::drain))
         .route("/readyz", web::get().to(readyz))
-        .route("/metrics", web::get().to(metrics));
+        .route("/metrics", web::get().to(metrics))
+        .default_service(web::to(no_such_path));
 }
 
 /// Checks the operators' key.
--- a/bamboo-node/src/platform.rs
+++ b/bamboo-node/src/platform.rs
@@ -15,6 +15,8 @@
 use bamboo_types::Offset;
 use serde::Deserialize;
 
+use crate::engine_client::is_before_first_byte;
+
 /// Time for one append.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long the service may hold a read that finds nothing.
@@ -112,7 +114,9 @@
             .await
         {
             Ok(response) => response,
-            Err(SendRequestError::Connect(_)) => return AppendAnswer::Refused(Duration::ZERO),
+            Err(SendRequestError::Connect(error)) if is_before_first_byte(&error) => {
+                return AppendAnswer::Refused(Duration::ZERO);
+            }
             Err(_) => return AppendAnswer::Unknown,
         };
         match response.status().as_u16() {
--- a/bamboo-node/src/reply.rs
+++ b/bamboo-node/src/reply.rs
@@ -1,12 +1,16 @@
 //! Refusals as HTTP answers.
 
+use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::http::StatusCode;
+use actix_web::web;
 use bamboo_result::Code;
 use bamboo_result::Refusal;
+use bytes::Bytes;
 use serde_json::Value;
 use serde_json::json;
 
+use crate::callers::Traffic;
 use crate::shared::Shared;
 
 /// The JSON form of a refusal.
@@ -32,6 +36,37 @@
     response.json(error_json(refusal))
 }
 
+/// The body of a request.
+///
+/// # Errors
+/// Refuses one that is too large or breaks off.
+pub(crate) fn body_of(
+    shared: &Shared,
+    body: Result<Bytes, actix_web::Error>,
+) -> Result<Bytes, Refusal> {
+    body.map_err(|error| {
+        let is_too_large = error.as_response_error().status_code() == StatusCode::PAYLOAD_TOO_LARGE;
+        if is_too_large {
+            let max_bytes = shared.settings.body_max_bytes;
+            Refusal::new(
+                Code::TooLarge,
+                format!("the body is larger than {max_bytes} bytes"),
+            )
+        } else {
+            Refusal::new(
+                Code::BadRequest,
+                format!("the body cannot be read: {error}"),
+            )
+        }
+    })
+}
+
+/// Answers a request for a path that does not exist.
+pub(crate) async fn no_such_path(traffic: web::Data<Traffic>, http: HttpRequest) -> HttpResponse {
+    let message = format!("no path {} {}", http.method(), http.path());
+    refuse(&traffic.shared, &Refusal::new(Code::NotFound, message))
+}
+
 /// Answers a request that the control thread answered in a form that does not fit.
 pub(crate) fn refuse_unexpected(shared: &Shared) -> HttpResponse {
     refuse(
--- /dev/null
+++ b/bamboo-node/tests/support/mod.rs
@@ -0,0 +1,226 @@
+//! One host with the platform, an engine and a plain service in threads, on free loopback ports.
+#![allow(dead_code)]
+
+use std::future::Future;
+use std::net::TcpListener;
+use std::time::Duration;
+use std::time::Instant;
+
+use bamboo_client::Api;
+use bamboo_client::Failure;
+use bamboo_config::KeyHash;
+use bamboo_config::check_settings;
+use bamboo_standin::EngineStandin;
+use bamboo_standin::LogOptions;
+use bamboo_standin::serve_engine;
+use bamboo_standin::serve_plain;
+use bamboo_standin::serve_platform;
+use serde_json::Value;
+use serde_json::json;
+
+/// Longest wait for anything in a test; only a failing test takes as long.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Addresses of one running host and what surrounds it.
+pub struct Host {
+    pub platform: String,
+    pub engine: String,
+    pub plain: String,
+    pub callers: String,
+    pub operators: String,
+}
+
+impl Host {
+    /// Starts everything and declares the resources.
+    pub async fn start() -> Host {
+        let (platform, listener) = listen();
+        spawn(move || serve_platform(listener, LogOptions::default(), Duration::ZERO));
+        let (engine, listener) = listen();
+        spawn(move || serve_engine(listener, engine_standin()));
+        let (plain, listener) = listen();
+        spawn(move || serve_plain(listener, "ledger-api-0".to_owned()));
+        let (callers, operators, peers) = (free_address(), free_address(), free_address());
+        let text = settings(&platform, &callers, &operators, &peers);
+        let settings = check_settings(&text).expect("settings of the test");
+        spawn(move || bamboo_node::run(settings));
+        let host = Host {
+            platform,
+            engine,
+            plain,
+            callers,
+            operators,
+        };
+        host.publish(&peers).await;
+        until(|| async { host.operator().get("/readyz").await.is_ok() || host.is_ready().await })
+            .await;
+        host.declare().await;
+        host
+    }
+
+    /// The operators' interface.
+    pub fn operator(&self) -> Api {
+        Api::new(&self.operators, "operator-key")
+    }
+
+    /// The callers' interface with the key of the caller that everything is declared for.
+    pub fn caller(&self) -> Api {
+        Api::new(&self.callers, "office-key")
+    }
+
+    /// The callers' interface with another caller's key.
+    pub fn other_caller(&self) -> Api {
+        Api::new(&self.callers, "coach-key")
+    }
+
+    /// Sets faults of a stand-in.
+    pub async fn set_faults(&self, address: &str, faults: Value) {
+        Api::new(address, "")
+            .put("/admin/faults", faults.to_string())
+            .await
+            .expect("faults");
+    }
+
+    async fn is_ready(&self) -> bool {
+        self.operator()
+            .get("/api/v1/status")
+            .await
+            .is_ok_and(|status| status["is_ready"] == true)
+    }
+
+    async fn publish(&self, peers: &str) {
+        let list = json!({ "hosts": [{ "host": "h0", "data_centre": "quito-norte", "peer_address": peers }] });
+        let platform = Api::new(&self.platform, "");
+        until(|| async { platform.put("/admin/hosts", list.to_string()).await.is_ok() }).await;
+    }
+
+    async fn declare(&self) {
+        let key = |text| KeyHash::of(text).as_str().to_owned();
+        let version = json!({ "model": "narrador", "version": "1" });
+        let resources = [
+            json!({ "kind": "caller", "name": "office", "workspace": "federation", "key_sha256": key("office-key") }),
+            json!({ "kind": "caller", "name": "coach", "workspace": "club", "key_sha256": key("coach-key") }),
+            json!({ "kind": "model", "name": "narrador", "versions": ["1"] }),
+            json!({
+                "kind": "serving", "name": "narratives", "models": [version], "callers": ["office"],
+                "limits": { "requests_per_s": 1000.0, "tokens_per_s": 1e6, "in_flight_max": 100 },
+                "batch_weight": 0.5
+            }),
+            json!({ "kind": "plain_service", "name": "ledger-api", "callers": ["office"] }),
+            json!({
+                "kind": "backend_server", "name": "narrador-0", "data_centre": "quito-norte",
+                "address": self.engine, "role": { "engine": { "models": [version], "max_sequences": 8 } }
+            }),
+            json!({
+                "kind": "backend_server", "name": "ledger-api-0", "data_centre": "quito-norte",
+                "address": self.plain, "role": { "plain": { "service": "ledger-api", "max_requests": 8 } }
+            }),
+        ];
+        for resource in resources {
+            let kind = resource["kind"].as_str().unwrap_or_default();
+            let name = resource["name"].as_str().unwrap_or_default();
+            let path = format!("/api/v1/resources/{kind}/{name}?based_on=0");
+            self.operator()
+                .put(&path, resource.to_string())
+                .await
+                .expect("resource");
+        }
+    }
+}
+
+/// Runs a test's body on a system of its own.
+pub fn run<F>(body: F)
+where
+    F: Future<Output = ()>,
+{
+    actix_rt::System::new().block_on(body);
+}
+
+/// Waits until a condition holds.
+pub async fn until<F, R>(condition: F)
+where
+    F: Fn() -> R,
+    R: Future<Output = bool>,
+{
+    let limit = Instant::now() + PATIENCE;
+    while !condition().await {
+        assert!(Instant::now() < limit, "the condition did not come to hold");
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// The numbered code of a refusal.
+pub fn code(result: Result<Value, Failure>) -> u64 {
+    match result {
+        Err(Failure::Answered { body, .. }) => {
+            body["error"]["code"].as_u64().expect("a numbered code")
+        }
+        other => panic!("not a refusal: {other:?}"),
+    }
+}
+
+/// Whether a refused request ran, as its caller is told.
+pub fn ran(result: Result<Value, Failure>) -> String {
+    match result {
+        Err(Failure::Answered { body, .. }) => {
+            body["error"]["ran"].as_str().unwrap_or_default().to_owned()
+        }
+        other => panic!("not a refusal: {other:?}"),
+    }
+}
+
+/// The message of a refusal.
+pub fn message(result: Result<Value, Failure>) -> String {
+    match result {
+        Err(Failure::Answered { body, .. }) => body["error"]["message"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned(),
+        other => panic!("not a refusal: {other:?}"),
+    }
+}
+
+fn engine_standin() -> EngineStandin {
+    EngineStandin {
+        name: "narrador-0".to_owned(),
+        models: vec!["narrador".to_owned()],
+        options: Default::default(),
+        load_lag: Duration::ZERO,
+        event_lag: Duration::ZERO,
+        checks_fencing: true,
+    }
+}
+
+fn settings(platform: &str, callers: &str, operators: &str, peers: &str) -> String {
+    format!(
+        "[host]\nid = 'h0'\ndata_centre = 'quito-norte'\n\
+         [listen]\ncaller = '{callers}'\noperator = '{operators}'\npeer = '{peers}'\n\
+         [keys]\noperator_sha256 = '{}'\npeer = 'peer-key'\n\
+         [platform]\nlog_url = 'http://{platform}/log'\nhost_list_url = 'http://{platform}/hosts'\n\
+         weight_store_url = 'http://{platform}/weights'\n\
+         [log_budget]\nexpected_hosts = 1\n[limits]\nbody_max_bytes = 4096\n",
+        KeyHash::of("operator-key").as_str()
+    )
+}
+
+fn listen() -> (String, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    (
+        listener.local_addr().expect("its address").to_string(),
+        listener,
+    )
+}
+
+fn free_address() -> String {
+    listen().0
+}
+
+/// Runs a server on a thread of its own until the test process ends.
+fn spawn<F, R, T>(serve: F)
+where
+    F: FnOnce() -> R + Send + 'static,
+    R: Future<Output = T>,
+{
+    std::thread::spawn(move || {
+        actix_rt::System::new().block_on(serve());
+    });
+}
