--- /dev/null
+++ b/bamboo-config/tests/examples.rs
@@ -0,0 +1,46 @@
+//! The documented examples of both users are what the daemon accepts.
+
+use bamboo_config::Kind;
+use bamboo_config::Resource;
+use bamboo_config::check_settings;
+use bamboo_config::validate_resource;
+use test_case::test_case;
+
+#[derive(serde::Deserialize)]
+struct File {
+    resource: Vec<Resource>,
+}
+
+fn read(deployment: &str, file: &str) -> String {
+    let path = format!(
+        "{}/../examples/{deployment}/{file}",
+        env!("CARGO_MANIFEST_DIR")
+    );
+    std::fs::read_to_string(path).expect("the example")
+}
+
+#[test_case("quito"; "registry")]
+#[test_case("bangkok"; "consortium")]
+fn settings_have_no_faults(deployment: &str) {
+    assert!(check_settings(&read(deployment, "settings.toml")).is_ok());
+}
+
+#[test_case("quito", 10; "registry")]
+#[test_case("bangkok", 20; "consortium")]
+fn resources_have_no_faults(deployment: &str, engine_count: usize) {
+    let file: File = toml::from_str(&read(deployment, "resources.toml")).expect("TOML");
+    for resource in &file.resource {
+        assert_eq!(
+            validate_resource(resource),
+            Vec::new(),
+            "{}",
+            resource.name()
+        );
+    }
+    let servers = file
+        .resource
+        .iter()
+        .filter(|resource| resource.kind() == Kind::BackendServer)
+        .count();
+    assert_eq!(servers, engine_count + 4);
+}
--- /dev/null
+++ b/bamboo-config/tests/fold.rs
@@ -0,0 +1,88 @@
+//! Revisions by log order.
+
+use bamboo_config::ChangeOutcome;
+use bamboo_config::ConfigFold;
+use bamboo_config::Kind;
+use bamboo_log::Body;
+use bamboo_log::ConfigChange;
+use bamboo_log::Entry;
+
+fn entry(host: &str, sequence: u64, based_on: u64, versions: Option<&str>) -> Entry {
+    let resource_json =
+        versions.map(|list| format!(r#"{{"kind":"model","name":"m","versions":{list}}}"#));
+    let change = ConfigChange {
+        kind: "model".into(),
+        name: "m".into(),
+        based_on,
+        resource_json,
+    };
+    let bodies = vec![Body::Config(change)];
+    Entry {
+        host: host.into(),
+        incarnation: 1,
+        at_ms: 0,
+        first_sequence: sequence,
+        bodies,
+    }
+}
+
+fn apply(fold: &mut ConfigFold, offset: u64, entry: &Entry) -> ChangeOutcome {
+    fold.apply(offset, entry).remove(0).1
+}
+
+#[test]
+fn the_first_in_log_order_wins_and_the_other_sees_its_text() {
+    let mut fold = ConfigFold::default();
+    let first = apply(&mut fold, 0, &entry("h1", 1, 0, Some(r#"["1"]"#)));
+    assert_eq!(first, ChangeOutcome::Applied { revision: 1 });
+    let second = apply(&mut fold, 1, &entry("h2", 1, 0, Some(r#"["2"]"#)));
+    assert!(matches!(
+        second,
+        ChangeOutcome::Conflict {
+            current_revision: 1,
+            current: Some(_)
+        }
+    ));
+}
+
+#[test]
+fn a_repeated_record_changes_nothing() {
+    let mut fold = ConfigFold::default();
+    let change = entry("h1", 1, 0, Some(r#"["1"]"#));
+    apply(&mut fold, 0, &change);
+    assert!(fold.apply(1, &change).is_empty());
+    assert!(fold.apply(0, &change).is_empty());
+}
+
+#[test]
+fn a_deleted_name_starts_anew_with_a_higher_revision() {
+    let mut fold = ConfigFold::default();
+    apply(&mut fold, 0, &entry("h1", 1, 0, Some(r#"["1"]"#)));
+    apply(&mut fold, 1, &entry("h1", 2, 1, None));
+    assert!(fold.get(Kind::Model, "m").is_none());
+    let again = apply(&mut fold, 2, &entry("h1", 3, 0, Some(r#"["1"]"#)));
+    assert_eq!(again, ChangeOutcome::Applied { revision: 3 });
+}
+
+#[test]
+fn an_image_is_taken_only_if_it_is_newer() {
+    let mut old = ConfigFold::default();
+    apply(&mut old, 0, &entry("h1", 1, 0, Some(r#"["1"]"#)));
+    let image = old.to_image().expect("an image");
+    let mut new = ConfigFold::default();
+    assert!(new.take_image(&image).expect("it decodes"));
+    assert!(!new.take_image(&image).expect("it decodes"));
+    apply(&mut new, 1, &entry("h1", 2, 1, Some(r#"["2"]"#)));
+    assert!(!new.take_image(&image).expect("it decodes"));
+    assert_eq!(new.next_offset(), 2);
+}
+
+#[test]
+fn a_text_that_cannot_be_is_refused_with_its_field() {
+    let mut fold = ConfigFold::default();
+    let ChangeOutcome::Refused { faults } = apply(&mut fold, 0, &entry("h1", 1, 0, Some("[]")))
+    else {
+        panic!("not refused");
+    };
+    assert!(faults[0].starts_with("versions = "), "{faults:?}");
+}
--- /dev/null
+++ b/bamboo-config/tests/settings.rs
@@ -0,0 +1,73 @@
+//! Settings are checked whole.
+
+use std::time::Duration;
+
+use bamboo_config::Fault;
+use bamboo_config::Settings;
+use bamboo_config::check_settings;
+use test_case::test_case;
+
+const GOOD: &str = include_str!("../../examples/quito/settings.toml");
+
+fn faults(text: &str) -> Vec<Fault> {
+    check_settings(text).expect_err("faults")
+}
+
+fn good() -> Settings {
+    check_settings(GOOD).expect("the example is good")
+}
+
+#[test]
+fn units_are_read() {
+    assert_eq!(good().lease, Duration::from_secs(10));
+    assert_eq!(good().drain_max, Duration::from_secs(120));
+}
+
+#[test_case("lease = \"10s\"", "lease = 10", "timing.lease"; "a duration without a unit")]
+#[test_case("heartbeat = \"500ms\"", "heartbeat = \"fast\"", "timing.heartbeat"; "a duration that is none")]
+#[test_case("threads = 2", "threads = 0", "traffic.threads"; "a number out of range")]
+#[test_case("threads = 2", "thread = 2", "traffic.thread"; "an unknown key")]
+#[test_case("[traffic]", "[trafic]", "trafic"; "an unknown section")]
+#[test_case("shard_count = 4", "shard_count = 400", "log_budget.shard_count"; "more shards than appends")]
+#[test_case("lease = \"10s\"", "lease = \"1s\"", "timing.lease"; "a lease below the suspicion time")]
+#[test_case("suspect_after = \"2s\"", "suspect_after = \"1s\"", "timing.suspect_after"; "suspicion below three heartbeats")]
+#[test_case(":7001\"", ":7000\"", "listen.operator"; "an address used twice")]
+#[test_case("json = true", "json = 1", "logging.json"; "a number for a flag")]
+fn a_fault_names_line_and_field(good: &str, bad: &str, field: &str) {
+    let text = GOOD.replacen(good, bad, 1);
+    let found = faults(&text);
+    let fault = found
+        .iter()
+        .find(|fault| fault.field == field)
+        .unwrap_or_else(|| panic!("{found:?}"));
+    let line = text.lines().nth(fault.line - 1).expect("its line");
+    let name = field.rsplit('.').next().expect("a name");
+    assert!(line.contains(name), "line {} is {line:?}", fault.line);
+}
+
+#[test]
+fn all_faults_come_together() {
+    let text = GOOD
+        .replace("threads = 2", "threads = 0")
+        .replace("lease = \"10s\"", "lease = 10")
+        .replace("[keys]", "[key]");
+    let fields: Vec<String> = faults(&text).into_iter().map(|fault| fault.field).collect();
+    for field in [
+        "traffic.threads",
+        "timing.lease",
+        "key",
+        "keys.peer",
+        "keys.operator_sha256",
+    ] {
+        assert!(
+            fields.iter().any(|found| found == field),
+            "{field} is not among {fields:?}"
+        );
+    }
+}
+
+#[test]
+fn text_that_is_no_toml_is_one_fault_with_its_line() {
+    let found = faults("[host]\nid = \n");
+    assert_eq!((found.len(), found[0].line), (1, 2));
+}
--- /dev/null
+++ b/bamboo-load/src/faults.rs
@@ -0,0 +1,344 @@
+//! Faults against real processes, with the plain service's own record of what ran as witness.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use awc::Client;
+use bamboo_client::Api;
+use bamboo_client::Upload;
+use pico_args::Arguments;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::deployment::CALLER_KEY;
+use crate::fleet::Fleet;
+use crate::generate::items;
+use crate::run::RunOptions;
+
+/// Items of each job.
+const JOB_ITEMS: usize = 120;
+/// Longest answer of an item, tokens.
+const MAX_TOKENS: usize = 24;
+/// Time for everything to end after the last fault.
+const END_MAX: Duration = Duration::from_secs(120);
+/// Longest pause of a frozen host, beyond the lease.
+const FREEZE: Duration = Duration::from_secs(12);
+/// Time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// What callers did and were told.
+#[derive(Debug, Default)]
+struct Told {
+    accepted: BTreeMap<String, String>,
+    submitted: usize,
+    not_run: BTreeSet<String>,
+    calls: usize,
+    whole_calls: usize,
+    unknown_calls: usize,
+    keys: BTreeSet<String>,
+}
+
+/// `bamboo-load faults`.
+///
+/// # Errors
+/// Fails if the fleet does not start.
+pub(crate) async fn faults(mut arguments: Arguments) -> anyhow::Result<ExitCode> {
+    let mut options = RunOptions::read(&mut arguments)?;
+    anyhow::ensure!(
+        arguments.finish().is_empty(),
+        "unknown arguments; see --help"
+    );
+    options.deployment.host_count = options.deployment.host_count.max(4);
+    let mut fleet = Fleet::start(options.deployment.clone(), options.shows_logs).await?;
+    println!(
+        "{} hosts, {} engines, faults for {:?}, seed {}",
+        fleet.hosts.len(),
+        fleet.engines.len(),
+        options.duration,
+        options.seed
+    );
+    let told = Rc::new(RefCell::new(Told::default()));
+    let addresses: Vec<String> = fleet
+        .hosts
+        .iter()
+        .map(|host| host.caller_address.clone())
+        .collect();
+    let until = Instant::now() + options.duration;
+    let jobs = actix_rt::spawn(submit_jobs(
+        options.clone(),
+        addresses.clone(),
+        until,
+        Rc::clone(&told),
+    ));
+    let calls = actix_rt::spawn(send_calls(
+        options.clone(),
+        addresses,
+        until,
+        Rc::clone(&told),
+    ));
+    inject(&mut fleet, &options, until).await?;
+    fleet.wait_ready().await?;
+    jobs.await?;
+    calls.await?;
+    let verdict = judge(&fleet, &told.borrow()).await?;
+    Ok(if verdict {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+async fn inject(fleet: &mut Fleet, options: &RunOptions, until: Instant) -> anyhow::Result<()> {
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    while Instant::now() < until {
+        actix_rt::time::sleep(Duration::from_millis(rng.random_range(500..3000))).await;
+        let host = rng.random_range(0..fleet.hosts.len());
+        let pause = Duration::from_millis(rng.random_range(500..5000));
+        match rng.random_range(0..6) {
+            0 | 1 => {
+                println!("  kill {} for {pause:?}", fleet.hosts[host].name);
+                fleet.hosts[host].process = None;
+                actix_rt::time::sleep(pause).await;
+                fleet.start_host(host)?;
+            }
+            2 => {
+                let engine = rng.random_range(0..fleet.engines.len());
+                println!("  kill {} for {pause:?}", fleet.engines[engine].name);
+                fleet.engines[engine].process = None;
+                actix_rt::time::sleep(pause).await;
+                fleet.start_engine(engine)?;
+            }
+            3 => {
+                println!("  freeze {} for {FREEZE:?}", fleet.hosts[host].name);
+                signal(fleet, host, "STOP")?;
+                actix_rt::time::sleep(FREEZE).await;
+                signal(fleet, host, "CONT")?;
+            }
+            4 => {
+                println!("  log outage for {pause:?}");
+                fleet
+                    .platform_faults(json!({ "log": { "is_out": true } }))
+                    .await?;
+                actix_rt::time::sleep(pause).await;
+            }
+            _ => {
+                println!("  log answers lost for {pause:?}");
+                fleet
+                    .platform_faults(json!({ "log": { "lose_answer_every": 3 } }))
+                    .await?;
+                actix_rt::time::sleep(pause).await;
+            }
+        }
+        fleet.platform_faults(json!({})).await?;
+    }
+    Ok(())
+}
+
+fn signal(fleet: &Fleet, host: usize, signal: &str) -> anyhow::Result<()> {
+    match &fleet.hosts[host].process {
+        Some(process) => process.signal(signal),
+        None => Ok(()),
+    }
+}
+
+/// Submits jobs one after the other, each again under its key until it is accepted.
+async fn submit_jobs(
+    options: RunOptions,
+    addresses: Vec<String>,
+    until: Instant,
+    told: Rc<RefCell<Told>>,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed ^ 1);
+    for number in 0.. {
+        if Instant::now() >= until {
+            return;
+        }
+        let key = format!("job-{number}");
+        let body = items(&mut rng, options.deployment.model, JOB_ITEMS, MAX_TOKENS);
+        told.borrow_mut().submitted += 1;
+        loop {
+            let address = &addresses[rng.random_range(0..addresses.len())];
+            let upload = Upload {
+                body: body.clone().into(),
+                key: Some(key.clone()),
+                query: String::new(),
+            };
+            let api = Api::new(address, CALLER_KEY);
+            let answer = tokio::time::timeout(CALL_TIMEOUT, api.submit(upload)).await;
+            if let Ok(Ok(job)) = answer {
+                let id = job["id"].as_str().unwrap_or_default().to_owned();
+                told.borrow_mut().accepted.insert(key, id);
+                break;
+            }
+            actix_rt::time::sleep(Duration::from_millis(300)).await;
+        }
+        actix_rt::time::sleep(Duration::from_millis(rng.random_range(200..1500))).await;
+    }
+}
+
+/// Sends non-idempotent calls: some with a key and resent, some without and never resent.
+async fn send_calls(
+    options: RunOptions,
+    addresses: Vec<String>,
+    until: Instant,
+    told: Rc<RefCell<Told>>,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed ^ 2);
+    let mut tasks = Vec::new();
+    for number in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        actix_rt::time::sleep(Duration::from_millis(rng.random_range(20..120))).await;
+        let key = (number % 2 == 0).then(|| format!("call-{number}"));
+        let hosts = (0..4)
+            .map(|_| addresses[rng.random_range(0..addresses.len())].clone())
+            .collect();
+        let service = options.deployment.service;
+        tasks.push(actix_rt::spawn(call(
+            service,
+            number,
+            key,
+            hosts,
+            Rc::clone(&told),
+        )));
+    }
+    for task in tasks {
+        // A call that panicked would show as a missing verdict.
+        let _ = task.await;
+    }
+}
+
+async fn call(
+    service: &'static str,
+    number: usize,
+    key: Option<String>,
+    hosts: Vec<String>,
+    told: Rc<RefCell<Told>>,
+) {
+    let tries = if key.is_some() { hosts.len() } else { 1 };
+    if let Some(key) = &key {
+        told.borrow_mut().keys.insert(key.clone());
+    }
+    for (attempt, address) in hosts.iter().take(tries).enumerate() {
+        // Keyed calls must not change between attempts; unkeyed ones name theirs.
+        let path = match &key {
+            Some(key) => format!("/entries/{key}"),
+            None => format!("/unkeyed/{number}-{attempt}"),
+        };
+        told.borrow_mut().calls += 1;
+        let client = Client::builder().timeout(CALL_TIMEOUT).finish();
+        let mut request = client
+            .post(format!("http://{address}/services/{service}{path}"))
+            .bearer_auth(CALLER_KEY);
+        if let Some(key) = &key {
+            request = request.insert_header(("idempotency-key", key.clone()));
+        }
+        let ran = match request.send_body("entry").await {
+            Ok(mut response) if response.status().is_success() => {
+                let whole = response.body().await.is_ok();
+                if whole { Ran::Whole } else { Ran::Unknown }
+            }
+            Ok(mut response) => match response.json::<Value>().await {
+                Ok(body) if body["error"]["ran"] == "no" => Ran::No,
+                _ => Ran::Unknown,
+            },
+            Err(_) => Ran::Unknown,
+        };
+        match ran {
+            Ran::Whole => {
+                told.borrow_mut().whole_calls += 1;
+                return;
+            }
+            Ran::No if key.is_none() => {
+                told.borrow_mut().not_run.insert(path);
+            }
+            Ran::No => {}
+            Ran::Unknown => told.borrow_mut().unknown_calls += 1,
+        }
+        actix_rt::time::sleep(Duration::from_millis(400)).await;
+    }
+}
+
+enum Ran {
+    Whole,
+    No,
+    Unknown,
+}
+
+/// Compares what callers were told with what ran. Returns whether every promise held.
+async fn judge(fleet: &Fleet, told: &Told) -> anyhow::Result<bool> {
+    let mut lost = 0;
+    let mut doubled = 0;
+    let mut completed = 0;
+    let until = Instant::now() + END_MAX;
+    for id in told.accepted.values() {
+        let ids = results_of(fleet, id, until).await?;
+        completed += usize::from(ids.len() >= JOB_ITEMS);
+        let distinct: BTreeSet<&String> = ids.iter().collect();
+        lost += JOB_ITEMS.saturating_sub(distinct.len());
+        doubled += ids.len() - distinct.len();
+    }
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for plain in &fleet.plains {
+        let calls = Api::new(&plain.address, "").get("/admin/calls").await?;
+        for call in calls.as_array().into_iter().flatten() {
+            *runs
+                .entry(call["path"].as_str().unwrap_or_default().to_owned())
+                .or_default() += 1;
+        }
+    }
+    let ran_twice = runs.values().filter(|count| **count > 1).count();
+    let told_not_run = told
+        .not_run
+        .iter()
+        .filter(|path| runs.contains_key(*path))
+        .count();
+    println!(
+        "submitted {} jobs, accepted {}, completed {completed}",
+        told.submitted,
+        told.accepted.len()
+    );
+    println!(
+        "calls {}, whole {}, unknown to their callers {}",
+        told.calls, told.whole_calls, told.unknown_calls
+    );
+    println!("items lost                {lost}");
+    println!("items doubled             {doubled}");
+    println!("ran but told 'not run'    {told_not_run}");
+    println!("calls that ran twice      {ran_twice}");
+    Ok(lost + doubled + told_not_run + ran_twice == 0)
+}
+
+/// Custom ids in the results of a job, once it has ended.
+async fn results_of(fleet: &Fleet, id: &str, until: Instant) -> anyhow::Result<Vec<String>> {
+    loop {
+        let view = fleet
+            .caller(0)
+            .get(&format!("/v1/batches/{id}"))
+            .await
+            .unwrap_or(Value::Null);
+        if view["status"] == "completed" || Instant::now() >= until {
+            break;
+        }
+        actix_rt::time::sleep(Duration::from_millis(200)).await;
+    }
+    let text = fleet
+        .caller(0)
+        .get_text(&format!("/v1/batches/{id}/results"))
+        .await
+        .unwrap_or_default();
+    let id_of = |line: &str| {
+        let value: Value = serde_json::from_str(line).ok()?;
+        Some(value["custom_id"].as_str()?.to_owned())
+    };
+    Ok(text.lines().filter_map(id_of).collect())
+}
--- a/bamboo-load/src/fleet.rs
+++ b/bamboo-load/src/fleet.rs
@@ -70,7 +70,7 @@
             "--listen".to_owned(),
             platform_address.clone(),
         ];
-        let platform = Process::start("platform", "bamboo-standin", &listen, shows_logs)?;
+        let platform = Process::start("bamboo-standin", &listen, shows_logs)?;
         let mut fleet = Fleet {
             hosts: Vec::new(),
             engines: Vec::new(),
@@ -116,12 +116,7 @@
             "--settings".to_owned(),
             host.settings_file.display().to_string(),
         ];
-        host.process = Some(Process::start(
-            &host.name,
-            "bambood",
-            &arguments,
-            self.shows_logs,
-        )?);
+        host.process = Some(Process::start("bambood", &arguments, self.shows_logs)?);
         Ok(())
     }
 
@@ -132,7 +127,6 @@
     pub(crate) fn start_engine(&mut self, index: usize) -> anyhow::Result<()> {
         let engine = &mut self.engines[index];
         engine.process = Some(Process::start(
-            &engine.name,
             "bamboo-standin",
             &engine.arguments,
             self.shows_logs,
@@ -227,7 +221,6 @@
             let name = format!("{}-{index}", self.deployment.service);
             let arguments = words(&["plain", "--listen", &address, "--name", &name]);
             let process = Some(Process::start(
-                &name,
                 "bamboo-standin",
                 &arguments,
                 self.shows_logs,
--- a/bamboo-load/src/main.rs
+++ b/bamboo-load/src/main.rs
@@ -1,6 +1,7 @@
 //! Load, experiments and fault runs, on stand-ins and daemons that it starts as processes.
 
 mod deployment;
+mod faults;
 mod fleet;
 mod generate;
 mod online;
@@ -22,6 +23,7 @@
   quickstart                 the whole path once: online answer, batch job, results, status, time line
   fleet                      start a fleet, print its addresses, run until interrupted
   run                        online alone, batch alone and both; prints throughput and percentiles
+  faults                     kills, freezes and outages against processes; exit 1 if a promise broke
 OPTIONS
   --deployment quito|bangkok|small   sizes of the fleet [small]
   --hosts N                  hosts [3 for small, 12 otherwise]
@@ -43,6 +45,7 @@
     match command.as_deref().unwrap_or_default() {
         "quickstart" => system.block_on(quickstart::quickstart(arguments)),
         "fleet" => system.block_on(run::hold(arguments)),
+        "faults" => system.block_on(faults::faults(arguments)),
         "run" => system.block_on(run::run(arguments)),
         other => anyhow::bail!("unknown command '{other}'; see bamboo-load --help"),
     }
--- a/bamboo-load/src/process.rs
+++ b/bamboo-load/src/process.rs
@@ -11,7 +11,6 @@
 /// A started process. It is ended when this is dropped.
 #[derive(Debug)]
 pub(crate) struct Process {
-    pub(crate) name: String,
     child: Child,
 }
 
@@ -21,7 +20,6 @@
     /// # Errors
     /// Fails if the binary cannot be started.
     pub(crate) fn start(
-        name: &str,
         binary: &str,
         arguments: &[String],
         shows_logs: bool,
@@ -41,10 +39,7 @@
             .stderr(output())
             .spawn()
             .with_context(|| format!("cannot start {}", path.display()))?;
-        Ok(Process {
-            name: name.to_owned(),
-            child,
-        })
+        Ok(Process { child })
     }
 
     /// Ends the process at once, as a lost host does.
@@ -66,11 +61,6 @@
             .context("kill")?;
         Ok(())
     }
-
-    /// Whether the process has ended, and how.
-    pub(crate) fn try_wait(&mut self) -> Option<std::process::ExitStatus> {
-        self.child.try_wait().ok().flatten()
-    }
 }
 
 impl Drop for Process {
--- /dev/null
+++ b/bamboo-result/tests/table.rs
@@ -0,0 +1,54 @@
+//! The documented table of codes against the code.
+
+use bamboo_result::Code;
+use bamboo_result::Ran;
+
+fn row(code: Code) -> String {
+    let ran = match code.ran() {
+        Ran::Yes => "ran",
+        Ran::No => "not run",
+        Ran::Unknown => "unknown",
+    };
+    format!(
+        "| {} | `{}` | {} | {ran} |",
+        code.number(),
+        code.name(),
+        code.http_status()
+    )
+}
+
+#[test]
+fn the_page_lists_every_code_as_it_is() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/RESULT-CODES.md");
+    let page = std::fs::read_to_string(path).expect("docs/RESULT-CODES.md");
+    let documented: Vec<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("| ") && line.contains('`'))
+        .collect();
+    for code in Code::ALL {
+        let start = row(*code);
+        assert!(
+            documented.iter().any(|line| line.starts_with(&start)),
+            "the page lacks {start}"
+        );
+    }
+    assert_eq!(
+        documented.len(),
+        Code::ALL.len(),
+        "the page has rows that the code does not"
+    );
+}
+
+#[test]
+fn numbers_and_names_are_unique() {
+    let mut numbers: Vec<u16> = Code::ALL.iter().map(|code| code.number()).collect();
+    let mut names: Vec<&str> = Code::ALL.iter().map(|code| code.name()).collect();
+    numbers.sort_unstable();
+    numbers.dedup();
+    names.sort_unstable();
+    names.dedup();
+    assert_eq!(
+        (numbers.len(), names.len()),
+        (Code::ALL.len(), Code::ALL.len())
+    );
+}
