fix: a stream whose log failed takes records again; routing no longer grows with hashing per server

Cause of the first: after an outage a host refused every record of a stream because it had failed, and had nothing left that could have found the log well again. Ruled out: the stand-in (it answered) and claims (shards had owners). Cause of the second: each choice hashed every server. The order is now made once per table. Also: ownership and the live list are looked at every 100 ms, not at every tick, and loads go to all hosts only in fleets up to 16.

--- a/bamboo-admit/src/owner.rs
+++ b/bamboo-admit/src/owner.rs
@@ -126,6 +126,11 @@
         fresh.map(|count| count.in_flight).sum()
     }
 
+    /// Routers that have reported a count.
+    pub fn routers(&self) -> impl Iterator<Item = &HostId> {
+        self.routers.keys()
+    }
+
     /// Batch items that run.
     pub fn running_count(&self) -> u32 {
         self.runs
--- a/bamboo-host/src/appends.rs
+++ b/bamboo-host/src/appends.rs
@@ -48,7 +48,7 @@
         body: Body,
         purpose: Purpose,
     ) {
-        if self.appender.is_failing(stream) {
+        if self.appender.is_failing(now, stream) {
             self.refuse_log_unavailable(now, request, stream);
             return;
         }
@@ -117,12 +117,12 @@
     }
 
     pub(crate) fn append_answered(&mut self, now: Now, stream: StreamId, answer: AppendAnswer) {
-        let was_failing = self.appender.is_failing(stream);
+        let was_failing = self.appender.is_failing(now, stream);
         let random = self.random();
         for stored in self.appender.answered(now, stream, answer, random) {
             self.record_stored(now, stored);
         }
-        let is_failing = self.appender.is_failing(stream);
+        let is_failing = self.appender.is_failing(now, stream);
         if was_failing != is_failing {
             let detail = if is_failing {
                 "appends fail"
@@ -153,7 +153,7 @@
     pub(crate) fn tick_waiters(&mut self, now: Now) {
         let appender = &self.appender;
         let stuck = self.waiters.tickets_where(|ticket, waiter| {
-            now >= waiter.deadline || appender.is_failing(ticket.stream)
+            now >= waiter.deadline || appender.is_failing(now, ticket.stream)
         });
         for ticket in stuck {
             let is_overdue = self
--- a/bamboo-host/src/asks.rs
+++ b/bamboo-host/src/asks.rs
@@ -215,7 +215,12 @@
             .known_holder(shard)
             .or_else(|| self.asks.holders.get(&shard).cloned());
         let named = named.filter(|host| self.members.is_answering(now, host));
-        named.or_else(|| self.members.owner(now, &shard_name(shard)))
+        named.or_else(|| self.first_of(shard).cloned())
+    }
+
+    /// The first live host in the rendezvous order of a shard.
+    pub(crate) fn first_of(&self, shard: ShardId) -> Option<&HostId> {
+        self.firsts.get(usize::from(shard))?.as_ref()
     }
 
     /// Tells a host that addressed this one as a shard's owner who the owner is.
--- a/bamboo-host/src/config_role.rs
+++ b/bamboo-host/src/config_role.rs
@@ -217,9 +217,12 @@
             .config
             .image_sent_at
             .is_some_and(|at| now.saturating_sub(at) < IMAGE_AGAIN);
-        let is_mine = first_in_order(&self.live, &StreamId::Config.to_string()) == Some(me);
         let is_current = self.config.reader.is_at_tail() && self.config.gap.is_whole();
-        if !is_due || is_under_way || !is_mine || !is_current {
+        if !is_due || is_under_way || !is_current {
+            return;
+        }
+        let is_mine = first_in_order(&self.live, &StreamId::Config.to_string()) == Some(me);
+        if !is_mine {
             return;
         }
         self.config.image_sent_at = Some(now);
--- a/bamboo-host/src/core.rs
+++ b/bamboo-host/src/core.rs
@@ -10,6 +10,7 @@
 use bamboo_log::NextAppend;
 use bamboo_member::Claimant;
 use bamboo_member::MemberView;
+use bamboo_member::first_in_order;
 use bamboo_result::Refusal;
 use bamboo_route::Router;
 use bamboo_types::BackendServerId;
@@ -29,12 +30,15 @@
 use crate::Input;
 use crate::Output;
 use crate::asks::Asks;
+use crate::asks::shard_name;
 use crate::config_role::ConfigRole;
 use crate::keyed::KeyedRuns;
 use crate::servers::ServerTable;
 use crate::shard_role::ShardRole;
 use crate::waiters::Waiters;
 
+/// Interval of looking which hosts are live.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between steps from which on the host counts as having been paused.
 const PAUSE_MIN: Duration = Duration::from_secs(1);
 
@@ -85,6 +89,8 @@
     pub(crate) rng: ChaCha8Rng,
     pub(crate) members: MemberView,
     pub(crate) live: Vec<HostId>,
+    pub(crate) firsts: Vec<Option<HostId>>,
+    looked_at: Now,
     pub(crate) appender: Appender,
     pub(crate) config: ConfigRole,
     pub(crate) shards: Vec<ShardRole>,
@@ -131,6 +137,8 @@
             rng: ChaCha8Rng::seed_from_u64(options.seed),
             members: MemberView::new(options.host.clone(), options.members.clone()),
             live: Vec::new(),
+            firsts: Vec::new(),
+            looked_at: Now::ZERO,
             appender: Appender::new(
                 options.host.clone(),
                 options.incarnation,
@@ -265,10 +273,8 @@
     }
 
     fn tick(&mut self, now: Now) {
-        let live = self.members.live(now);
-        if live != self.live {
-            self.live = live;
-            self.refresh_servers(now);
+        if now.saturating_sub(self.looked_at) >= LOOK_INTERVAL {
+            self.look_at_members(now);
         }
         self.send_heartbeats(now);
         self.tick_config(now);
@@ -298,6 +304,22 @@
             .is_some_and(|at| now.saturating_sub(at) < PAUSE_MIN)
     }
 
+    /// Notices which hosts are live, and who is first for each shard then.
+    fn look_at_members(&mut self, now: Now) {
+        self.looked_at = now;
+        let live = self.members.live(now);
+        if live != self.live {
+            self.set_live(now, live);
+        }
+    }
+
+    fn set_live(&mut self, now: Now, live: Vec<HostId>) {
+        self.live = live;
+        let first = |shard| first_in_order(&self.live, &shard_name(shard)).map(str::to_owned);
+        self.firsts = (0..self.options.shard_count).map(first).collect();
+        self.refresh_servers(now);
+    }
+
     fn send_heartbeats(&mut self, now: Now) {
         if now < self.heartbeat_at {
             return;
@@ -439,8 +461,8 @@
         self.members.drain();
         self.accept_until = Some(now + self.options.drain_wait);
         self.heartbeat_at = now;
-        self.live = self.members.live(now);
-        self.refresh_servers(now);
+        let live = self.members.live(now);
+        self.set_live(now, live);
         self.update_readiness(now);
     }
 
--- a/bamboo-host/src/servers.rs
+++ b/bamboo-host/src/servers.rs
@@ -48,6 +48,8 @@
 const SHARDS_ASKED_MAX: usize = 4;
 /// Interval between load notices to routers.
 const LOADS_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of hosts up to which all are told loads.
+const LOADS_TO_ALL_MAX: usize = 16;
 /// Interval after which unsettled outcomes are reported again.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Unsettled outcomes above which a host starts no further items.
@@ -605,11 +607,25 @@
         if changed.is_empty() {
             return;
         }
-        for host in self.live.clone() {
+        for host in self.load_readers() {
             self.send(&host, PeerMessage::Loads(changed.clone()));
         }
     }
 
+    /// Hosts that are told loads: all of a small fleet, else those that have requests on owned servers.
+    fn load_readers(&self) -> Vec<HostId> {
+        if self.live.len() <= LOADS_TO_ALL_MAX {
+            return self.live.clone();
+        }
+        let readers: BTreeSet<&HostId> = self
+            .servers
+            .owned
+            .values()
+            .flat_map(|owned| owned.owner.routers())
+            .collect();
+        readers.into_iter().cloned().collect()
+    }
+
     fn report_outcomes(&mut self, now: Now) {
         let mut due: BTreeMap<ShardId, Vec<ItemOutcome>> = BTreeMap::new();
         for ((shard, _, _), unsettled) in &mut self.servers.unsettled {
--- a/bamboo-host/src/shards.rs
+++ b/bamboo-host/src/shards.rs
@@ -163,9 +163,7 @@
     }
 
     fn step_claim(&mut self, now: Now, shard: ShardId) {
-        let name = shard_name(shard);
-        let is_first =
-            bamboo_member::first_in_order(&self.live, &name) == Some(self.options.host.as_str());
+        let is_first = self.first_of(shard) == Some(&self.options.host);
         let may_own = !self.members.is_draining() && self.is_accepting();
         let random = self.random();
         let members = &self.members;
--- a/bamboo-log/src/appender.rs
+++ b/bamboo-log/src/appender.rs
@@ -365,15 +365,17 @@
 
     /// Whether appends to the stream fail at present.
     ///
+    /// Once the wait after a failure is over and nothing is left to try with, the next record may try.
+    ///
     /// ```
     /// use bamboo_log::{Appender, AppenderOptions, StreamId};
     /// let appender = Appender::new("h1".into(), 1, AppenderOptions::default());
-    /// assert!(!appender.is_failing(StreamId::Config));
+    /// assert!(!appender.is_failing(std::time::Duration::ZERO, StreamId::Config));
     /// ```
-    pub fn is_failing(&self, stream: StreamId) -> bool {
-        self.queues
-            .get(&stream)
-            .is_some_and(|queue| queue.failures >= 2)
+    pub fn is_failing(&self, now: Now, stream: StreamId) -> bool {
+        self.queues.get(&stream).is_some_and(|queue| {
+            queue.failures >= 2 && (now < queue.not_before || queue.unconfirmed() > 0)
+        })
     }
 
     /// Time until the next try on a failing stream.
--- a/bamboo-route/src/choose.rs
+++ b/bamboo-route/src/choose.rs
@@ -64,7 +64,8 @@
     }
 }
 
-/// Chooses a candidate, or `None` if there is none. `prefix` names the prompt's prefix, `scope` the model.
+/// Chooses a candidate, or `None` if there is none. Candidates come in the order that all hosts share; `prefix`
+/// names the prompt's prefix, `scope` the model.
 ///
 /// ```
 /// use bamboo_route::{Candidate, ChoiceOptions, Policy, choose};
@@ -92,7 +93,7 @@
             .first()
             .copied(),
         Policy::BoundedPrefix => bounded_prefix(candidates, options, scope, prefix, random),
-        Policy::Packed => packed(candidates, options, scope, random),
+        Policy::Packed => packed(candidates, options, random),
     }
 }
 
@@ -148,18 +149,10 @@
         .or_else(|| least_loaded(candidates, random))
 }
 
-fn packed(
-    candidates: &[Candidate<'_>],
-    options: &ChoiceOptions,
-    scope: &str,
-    random: u64,
-) -> Option<usize> {
-    // All hosts order the servers alike, so they gather online requests on the same ones.
-    let mut order: Vec<usize> = (0..candidates.len()).collect();
-    order.sort_by_key(|index| std::cmp::Reverse(weight(candidates[*index].server, scope)));
-    let has_room = |index: &usize| candidates[*index].load() < options.pack_share;
-    order
-        .into_iter()
-        .find(has_room)
-        .or_else(|| least_loaded(candidates, random))
+fn packed(candidates: &[Candidate<'_>], options: &ChoiceOptions, random: u64) -> Option<usize> {
+    // All hosts list the servers in the same order, so they gather online requests on the same ones.
+    let first = candidates
+        .iter()
+        .position(|candidate| candidate.load() < options.pack_share);
+    first.or_else(|| least_loaded(candidates, random))
 }
--- a/bamboo-route/src/ejection.rs
+++ b/bamboo-route/src/ejection.rs
@@ -72,6 +72,9 @@
     where
         F: Fn(&T) -> &str,
     {
+        if self.servers.is_empty() {
+            return servers;
+        }
         let out_count = servers
             .iter()
             .filter(|server| self.is_out(now, name(server)))
--- a/bamboo-route/src/router.rs
+++ b/bamboo-route/src/router.rs
@@ -1,6 +1,8 @@
 //! The router of one host.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bamboo_config::Limits;
@@ -11,6 +13,8 @@
 use bamboo_types::ModelId;
 use bamboo_types::Now;
 use bamboo_types::RequestId;
+use bamboo_types::weight;
+use slotmap::SlotMap;
 
 use crate::CallerLimits;
 use crate::Candidate;
@@ -137,6 +141,19 @@
     tried: Vec<BackendServerId>,
 }
 
+slotmap::new_key_type! {
+    /// Key of a server in the router's table.
+    struct ServerKey;
+}
+
+/// A server with what this host knows of its load.
+#[derive(Debug)]
+struct ServerState {
+    server: RouteServer,
+    own_count: u32,
+    notice: Option<Notice>,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Notice {
     elsewhere_count: u32,
@@ -148,9 +165,9 @@
 #[derive(Debug, Default)]
 pub struct Router {
     options: ChoiceOptions,
-    servers: BTreeMap<BackendServerId, RouteServer>,
-    own_counts: BTreeMap<BackendServerId, u32>,
-    notices: BTreeMap<BackendServerId, Notice>,
+    servers: SlotMap<ServerKey, ServerState>,
+    by_name: BTreeMap<BackendServerId, ServerKey>,
+    by_target: BTreeMap<Target, Vec<ServerKey>>,
     in_flight: BTreeMap<RequestId, InFlight>,
     limits: BTreeMap<(String, CallerId), CallerLimits>,
     ejection: Ejection,
@@ -173,26 +190,85 @@
         }
     }
 
-    /// Replaces the table of servers. Requests in flight are not touched.
+    /// Replaces the table of servers. Requests in flight keep their places; a server that is gone goes on being
+    /// counted until they end.
     pub fn set_servers(&mut self, servers: Vec<RouteServer>, host_count: usize) {
-        self.servers = servers
-            .into_iter()
-            .map(|server| (server.server.clone(), server))
-            .collect();
         self.host_count = host_count.max(1);
-        self.notices
-            .retain(|server, _| self.servers.contains_key(server));
+        let names: BTreeSet<&str> = servers
+            .iter()
+            .map(|server| server.server.as_str())
+            .collect();
+        for (_, state) in &mut self.servers {
+            if !names.contains(state.server.server.as_str()) {
+                state.server.is_usable = false;
+                state.server.targets.clear();
+            }
+        }
+        for server in servers {
+            match self.by_name.get(&server.server) {
+                Some(key) => {
+                    if let Some(state) = self.servers.get_mut(*key) {
+                        state.server = server;
+                    }
+                }
+                None => {
+                    let name = server.server.clone();
+                    let key = self.servers.insert(ServerState {
+                        server,
+                        own_count: 0,
+                        notice: None,
+                    });
+                    self.by_name.insert(name, key);
+                }
+            }
+        }
+        self.drop_unused();
+        self.order_targets();
+    }
+
+    /// Forgets servers that are gone and have no request left.
+    fn drop_unused(&mut self) {
+        let by_name = &mut self.by_name;
+        self.servers.retain(|_, state| {
+            let is_kept =
+                state.server.is_usable || state.own_count > 0 || !state.server.targets.is_empty();
+            if !is_kept {
+                by_name.remove(&state.server.server);
+            }
+            is_kept
+        });
+    }
+
+    /// Lists the servers of each target in the order that all hosts share, once for each table.
+    fn order_targets(&mut self) {
+        self.by_target.clear();
+        for (key, state) in &self.servers {
+            for target in &state.server.targets {
+                self.by_target.entry(target.clone()).or_default().push(key);
+            }
+        }
+        let servers = &self.servers;
+        for (target, keys) in &mut self.by_target {
+            let name = target_name(target);
+            keys.sort_by_cached_key(|key| {
+                let server = servers
+                    .get(*key)
+                    .map_or("", |state| state.server.server.as_str());
+                Reverse((weight(server, name), server.to_owned()))
+            });
+        }
     }
 
     /// Takes a server owner's count of all requests on a server.
     pub fn notice(&mut self, now: Now, server: &str, online_count: u32, batch_count: u32) {
-        let own = self.own_count(server);
-        let notice = Notice {
-            elsewhere_count: online_count.saturating_sub(own),
-            batch_count,
-            at: now,
-        };
-        self.notices.insert(server.to_owned(), notice);
+        if let Some(state) = self.state_mut(server) {
+            let elsewhere_count = online_count.saturating_sub(state.own_count);
+            state.notice = Some(Notice {
+                elsewhere_count,
+                batch_count,
+                at: now,
+            });
+        }
     }
 
     /// Routes a request that arrived.
@@ -267,14 +343,15 @@
 
     /// Online requests of this host on a server.
     pub fn own_count(&self, server: &str) -> u32 {
-        self.own_counts.get(server).copied().unwrap_or(0)
+        let key = self.by_name.get(server);
+        key.and_then(|key| self.servers.get(*key))
+            .map_or(0, |state| state.own_count)
     }
 
     /// Servers with requests of this host.
     pub fn busy_servers(&self) -> impl Iterator<Item = (&BackendServerId, u32)> {
-        self.own_counts
-            .iter()
-            .map(|(server, count)| (server, *count))
+        let busy = self.servers.values().filter(|state| state.own_count > 0);
+        busy.map(|state| (&state.server.server, state.own_count))
     }
 
     /// Online requests of this host.
@@ -291,13 +368,6 @@
             .map(String::as_str)
     }
 
-    /// Whether any server is known for a target.
-    pub fn has_target(&self, target: &Target) -> bool {
-        self.servers
-            .values()
-            .any(|server| server.targets.contains(target))
-    }
-
     fn retry_or(&mut self, now: Now, id: RequestId, refusal: Refusal, random: u64) -> EndStep {
         let Some(found) = self.in_flight.get(&id) else {
             return EndStep::Refuse(refusal);
@@ -322,13 +392,19 @@
         tried: &[BackendServerId],
         random: u64,
     ) -> Result<BackendServerId, Refusal> {
-        let usable: Vec<&RouteServer> = self
-            .servers
-            .values()
-            .filter(|server| server.is_usable && server.targets.contains(&request.target))
-            .filter(|server| !tried.contains(&server.server))
+        let keys = self
+            .by_target
+            .get(&request.target)
+            .map(Vec::as_slice)
+            .unwrap_or_default();
+        let usable: Vec<&ServerState> = keys
+            .iter()
+            .filter_map(|key| self.servers.get(*key))
+            .filter(|state| state.server.is_usable && !tried.contains(&state.server.server))
             .collect();
-        let usable = self.ejection.filter(now, usable, |server| &server.server);
+        let usable = self
+            .ejection
+            .filter(now, usable, |state| &state.server.server);
         if usable.is_empty() {
             let message = format!("no usable server for {}", target_name(&request.target));
             return Err(Refusal::retry(
@@ -338,8 +414,8 @@
             ));
         }
         let candidates: Vec<Candidate<'_>> = usable
-            .iter()
-            .map(|server| self.candidate(now, server))
+            .into_iter()
+            .map(|state| candidate(now, state))
             .filter(|candidate| candidate.load() < OVERLOAD_SHARE)
             .collect();
         let scope = target_name(&request.target);
@@ -353,27 +429,14 @@
         }
     }
 
-    fn candidate<'server>(&self, now: Now, server: &'server RouteServer) -> Candidate<'server> {
-        let notice = self
-            .notices
-            .get(&server.server)
-            .filter(|notice| now.saturating_sub(notice.at) < NOTICE_LIFETIME);
-        Candidate {
-            server: &server.server,
-            online_count: self.own_count(&server.server)
-                + notice.map_or(0, |notice| notice.elsewhere_count),
-            batch_count: notice.map_or(0, |notice| notice.batch_count),
-            capacity: server.capacity,
-        }
-    }
-
     fn begin(&mut self, id: RequestId, server: BackendServerId) -> Attempt {
-        *self.own_counts.entry(server.clone()).or_default() += 1;
-        let address = self
-            .servers
-            .get(&server)
-            .map(|found| found.address.clone())
-            .unwrap_or_default();
+        let address = match self.state_mut(&server) {
+            Some(state) => {
+                state.own_count += 1;
+                state.server.address.clone()
+            }
+            None => String::new(),
+        };
         let number = match self.in_flight.get_mut(&id) {
             Some(found) => {
                 found.tried.push(server.clone());
@@ -390,15 +453,17 @@
 
     fn end_attempt(&mut self, id: RequestId) -> Option<BackendServerId> {
         let server = self.in_flight.get(&id)?.tried.last()?.clone();
-        if let Some(count) = self.own_counts.get_mut(&server) {
-            *count -= 1;
-            if *count == 0 {
-                self.own_counts.remove(&server);
-            }
+        if let Some(state) = self.state_mut(&server) {
+            state.own_count = state.own_count.saturating_sub(1);
         }
         Some(server)
     }
 
+    fn state_mut(&mut self, server: &str) -> Option<&mut ServerState> {
+        let key = self.by_name.get(server)?;
+        self.servers.get_mut(*key)
+    }
+
     fn finish(&mut self, id: RequestId) {
         let Some(found) = self.in_flight.remove(&id) else {
             return;
@@ -432,6 +497,18 @@
     }
 }
 
+fn candidate(now: Now, state: &ServerState) -> Candidate<'_> {
+    let notice = state
+        .notice
+        .filter(|notice| now.saturating_sub(notice.at) < NOTICE_LIFETIME);
+    Candidate {
+        server: &state.server.server,
+        online_count: state.own_count + notice.map_or(0, |notice| notice.elsewhere_count),
+        batch_count: notice.map_or(0, |notice| notice.batch_count),
+        capacity: state.server.capacity,
+    }
+}
+
 fn target_name(target: &Target) -> &str {
     match target {
         Target::Model(name) | Target::Service(name) => name,
