perf: each host is watched by a few others in fleets above 16 hosts

Now six hosts in a ring watch a host and announce its loss to all. Half of the histories run that way with two watchers; all hold.

--- a/bamboo-host/src/core.rs
+++ b/bamboo-host/src/core.rs
@@ -9,6 +9,7 @@
 use bamboo_log::Appender;
 use bamboo_log::NextAppend;
 use bamboo_member::Claimant;
+use bamboo_member::Loss;
 use bamboo_member::MemberView;
 use bamboo_member::first_in_order;
 use bamboo_result::Refusal;
@@ -107,6 +108,7 @@
     stepped_at: Option<Now>,
     resumed_at: Option<Now>,
     heartbeat_at: Now,
+    must_announce: bool,
     is_drained: bool,
     sends: BTreeMap<HostId, Vec<PeerMessage>>,
     to_self: Vec<PeerMessage>,
@@ -159,6 +161,7 @@
             stepped_at: None,
             resumed_at: None,
             heartbeat_at: Now::ZERO,
+            must_announce: true,
             is_drained: false,
             sends: BTreeMap::new(),
             to_self: Vec::new(),
@@ -307,6 +310,7 @@
     /// Notices which hosts are live, and who is first for each shard then.
     fn look_at_members(&mut self, now: Now) {
         self.looked_at = now;
+        self.announce_losses(now);
         let live = self.members.live(now);
         if live != self.live {
             self.set_live(now, live);
@@ -320,14 +324,20 @@
         self.refresh_servers(now);
     }
 
+    /// Tells the watchers that this host lives, and all hosts when that is news.
     fn send_heartbeats(&mut self, now: Now) {
         if now < self.heartbeat_at {
             return;
         }
         self.heartbeat_at = now + self.options.heartbeat;
+        let has_news = self.must_announce && !self.addresses.is_empty();
+        self.must_announce &= !has_news;
+        let hosts: Vec<HostId> = match has_news {
+            true => self.addresses.keys().cloned().collect(),
+            false => self.members.watchers().cloned().collect(),
+        };
         let is_draining = self.members.is_draining();
         let config_offset = self.config.fold().next_offset();
-        let hosts: Vec<HostId> = self.addresses.keys().cloned().collect();
         for host in hosts {
             self.send(
                 &host,
@@ -339,10 +349,40 @@
         }
     }
 
+    /// Announces to all hosts which of the watched ones are lost.
+    fn announce_losses(&mut self, now: Now) {
+        for loss in self.members.new_losses(now) {
+            self.members.loss_heard(&loss);
+            let hosts: Vec<HostId> = self.addresses.keys().cloned().collect();
+            for host in hosts {
+                let (lost, incarnation) = (loss.host.clone(), loss.incarnation);
+                self.send(
+                    &host,
+                    PeerMessage::Lost {
+                        host: lost,
+                        incarnation,
+                    },
+                );
+            }
+        }
+    }
+
+    /// A host that is taken as lost and lives says so to all.
+    fn loss_heard(&mut self, now: Now, loss: Loss) {
+        if self.members.loss_heard(&loss) {
+            self.must_announce = true;
+            self.heartbeat_at = now;
+        }
+    }
+
     fn take_frame(&mut self, now: Now, frame: Frame) {
         if !self.members.heard(now, &frame.from, frame.incarnation) {
             return;
         }
+        if self.members.take_back_loss(&frame.from) {
+            let (host, incarnation) = (frame.from.clone(), frame.incarnation);
+            self.send(&frame.from, PeerMessage::Lost { host, incarnation });
+        }
         for message in frame.messages {
             if let PeerMessage::Heartbeat { is_draining, .. } = message {
                 self.members.draining_heard(&frame.from, is_draining);
@@ -356,6 +396,9 @@
             PeerMessage::Heartbeat { config_offset, .. } => {
                 self.config_heard(now, from, config_offset)
             }
+            PeerMessage::Lost { host, incarnation } => {
+                self.loss_heard(now, Loss { host, incarnation });
+            }
             PeerMessage::OnlineCount { server, in_flight } => {
                 self.online_count_heard(now, from, &server, in_flight)
             }
@@ -461,6 +504,7 @@
         self.members.drain();
         self.accept_until = Some(now + self.options.drain_wait);
         self.heartbeat_at = now;
+        self.must_announce = true;
         let live = self.members.live(now);
         self.set_live(now, live);
         self.update_readiness(now);
--- a/bamboo-host/src/options.rs
+++ b/bamboo-host/src/options.rs
@@ -93,6 +93,7 @@
             retention: settings.retention,
             members: MemberViewOptions {
                 suspect_after: settings.suspect_after,
+                ..MemberViewOptions::default()
             },
             appender: AppenderOptions {
                 appends_per_s: of_host,
--- a/bamboo-host/tests/histories.rs
+++ b/bamboo-host/tests/histories.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use bamboo_member::MemberViewOptions;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -41,6 +42,14 @@
     let host_count = rng.random_range(2..5);
     let mut world = World::new(seed, host_count, rng.random_range(1..4));
     world.declare_plain();
+    if seed % 2 == 1 {
+        // As in a large fleet: each host is watched by two others, which tell the rest.
+        world.members = MemberViewOptions {
+            mesh_max: 0,
+            watcher_count: 2,
+            ..MemberViewOptions::default()
+        };
+    }
     world.set_retention(Duration::from_secs(rng.random_range(40..80)));
     world.run(Duration::from_secs(3));
     let mut clients = random_clients(&world, &mut rng);
--- a/bamboo-host/tests/support/world.rs
+++ b/bamboo-host/tests/support/world.rs
@@ -23,6 +23,7 @@
 use bamboo_log::UploadId;
 use bamboo_member::HostEntry;
 use bamboo_member::HostState;
+use bamboo_member::MemberViewOptions;
 use bamboo_route::OnlineEnd;
 use bamboo_route::OnlineRequest;
 use bamboo_route::Target;
@@ -150,6 +151,7 @@
     host_count: usize,
     pub retention: Duration,
     pub snapshot_every: u64,
+    pub members: MemberViewOptions,
 }
 
 impl World {
@@ -188,6 +190,7 @@
             host_count,
             retention: Duration::from_secs(24 * 3600),
             snapshot_every: 2000,
+            members: MemberViewOptions::default(),
         };
         for index in 0..host_count {
             world.start(&format!("h{index}"));
@@ -215,6 +218,7 @@
         let options = HostOptions {
             shard_count: 2,
             retention: self.retention,
+            members: self.members.clone(),
             snapshot_every_entries: self.snapshot_every,
             ..HostOptions::new(name.to_owned(), incarnation, seed)
         };
--- a/bamboo-member/src/lib.rs
+++ b/bamboo-member/src/lib.rs
@@ -13,6 +13,7 @@
 pub use lease::Lease;
 pub use view::HostEntry;
 pub use view::HostState;
+pub use view::Loss;
 pub use view::MemberView;
 pub use view::MemberViewOptions;
 pub use view::first_in_order;
--- a/bamboo-member/src/view.rs
+++ b/bamboo-member/src/view.rs
@@ -1,6 +1,7 @@
 //! The live hosts, from the platform's lagging list and from what peers say themselves.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bamboo_types::DataCentreId;
@@ -36,12 +37,18 @@
 pub struct MemberViewOptions {
     /// A host that was silent for this long is taken as lost, whatever the list says.
     pub suspect_after: Duration,
+    /// Number of hosts up to which all watch each other.
+    pub mesh_max: usize,
+    /// Number of hosts that watch a host in larger fleets.
+    pub watcher_count: usize,
 }
 
 impl Default for MemberViewOptions {
     fn default() -> Self {
         MemberViewOptions {
             suspect_after: Duration::from_secs(2),
+            mesh_max: 16,
+            watcher_count: 6,
         }
     }
 }
@@ -53,6 +60,19 @@
     heard_at: Option<Now>,
     incarnation: Incarnation,
     is_draining: bool,
+    is_watched: bool,
+    is_watcher: bool,
+    is_reported_lost: bool,
+    has_announced_loss: bool,
+}
+
+/// A run of a host that its watchers no longer hear.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Loss {
+    /// Host.
+    pub host: HostId,
+    /// Its run.
+    pub incarnation: Incarnation,
 }
 
 /// A host's view of all hosts.
@@ -62,6 +82,7 @@
     options: MemberViewOptions,
     peers: BTreeMap<HostId, Peer>,
     is_draining: bool,
+    is_mesh: bool,
 }
 
 impl MemberView {
@@ -78,17 +99,18 @@
             options,
             peers: BTreeMap::new(),
             is_draining: false,
+            is_mesh: true,
         }
     }
 
     /// Takes the platform's list.
     pub fn listed(&mut self, now: Now, entries: Vec<HostEntry>) {
-        let names: std::collections::BTreeSet<HostId> =
-            entries.iter().map(|entry| entry.host.clone()).collect();
+        let names: BTreeSet<HostId> = entries.iter().map(|entry| entry.host.clone()).collect();
+        let before: Vec<HostId> = self.peers.keys().cloned().collect();
         let suspect_after = self.options.suspect_after;
         // The list lags, so a host that still answers stays although it is not listed.
         self.peers
-            .retain(|host, peer| names.contains(host) || is_heard(peer, now, suspect_after));
+            .retain(|host, peer| names.contains(host) || was_heard(peer, now, suspect_after));
         for entry in entries {
             if entry.host == self.me {
                 continue;
@@ -96,17 +118,85 @@
             match self.peers.get_mut(&entry.host) {
                 Some(peer) => peer.entry = entry,
                 None => {
-                    let peer = Peer {
-                        entry,
-                        listed_at: now,
-                        heard_at: None,
-                        incarnation: 0,
-                        is_draining: false,
-                    };
-                    self.peers.insert(peer.entry.host.clone(), peer);
+                    self.peers.insert(entry.host.clone(), Peer::new(entry, now));
                 }
             }
         }
+        if !self.peers.keys().eq(before.iter()) {
+            self.assign_watchers();
+        }
+    }
+
+    /// In a large fleet a host is watched by the next few in a ring of all hosts, so that what a host hears and
+    /// sends does not grow with the fleet.
+    fn assign_watchers(&mut self) {
+        self.is_mesh = self.peers.len() < self.options.mesh_max;
+        let mut ring: Vec<HostId> = self.peers.keys().cloned().collect();
+        ring.push(self.me.clone());
+        ring.sort_by_cached_key(|host| (weight(host, "ring"), host.clone()));
+        let size = ring.len();
+        let count = self.options.watcher_count.min(size - 1);
+        let place = ring.iter().position(|host| *host == self.me).unwrap_or(0);
+        let watchers: BTreeSet<&HostId> = (1..=count)
+            .map(|step| &ring[(place + step) % size])
+            .collect();
+        let watched: BTreeSet<&HostId> = (1..=count)
+            .map(|step| &ring[(place + size - step) % size])
+            .collect();
+        for (host, peer) in &mut self.peers {
+            peer.is_watcher = self.is_mesh || watchers.contains(host);
+            peer.is_watched = self.is_mesh || watched.contains(host);
+        }
+    }
+
+    /// Hosts that watch this one: they get its heartbeats.
+    pub fn watchers(&self) -> impl Iterator<Item = &HostId> {
+        self.peers
+            .iter()
+            .filter(|(_, peer)| peer.is_watcher)
+            .map(|(host, _)| host)
+    }
+
+    /// Runs of watched hosts that have fallen silent and are not announced yet. In a small fleet, where all watch
+    /// each other, there is nothing to announce.
+    pub fn new_losses(&mut self, now: Now) -> Vec<Loss> {
+        let suspect_after = self.options.suspect_after;
+        if self.is_mesh {
+            return Vec::new();
+        }
+        let mut losses = Vec::new();
+        for (host, peer) in &mut self.peers {
+            let is_silent = peer.heard_at.is_some() && !was_heard(peer, now, suspect_after);
+            if peer.is_watched && is_silent && !peer.has_announced_loss {
+                peer.has_announced_loss = true;
+                losses.push(Loss {
+                    host: host.clone(),
+                    incarnation: peer.incarnation,
+                });
+            }
+        }
+        losses
+    }
+
+    /// Takes a watcher's announcement of a loss. Tells whether it is this host that is taken as lost.
+    pub fn loss_heard(&mut self, loss: &Loss) -> bool {
+        if loss.host == self.me {
+            return true;
+        }
+        if let Some(peer) = self.peers.get_mut(&loss.host)
+            && peer.incarnation <= loss.incarnation
+        {
+            peer.is_reported_lost = true;
+        }
+        false
+    }
+
+    /// Whether a host that was just heard was announced as lost before: it is to be told, so that it speaks to all.
+    pub fn take_back_loss(&mut self, host: &str) -> bool {
+        match self.peers.get_mut(host) {
+            Some(peer) => std::mem::take(&mut peer.has_announced_loss),
+            None => false,
+        }
     }
 
     /// Notes that a peer spoke. A message of an older incarnation is not counted, and `false` is returned.
@@ -122,6 +212,7 @@
             peer.is_draining = false;
         }
         peer.heard_at = Some(now);
+        peer.is_reported_lost = false;
         true
     }
 
@@ -168,15 +259,16 @@
             || self
                 .peers
                 .get(host)
-                .is_some_and(|peer| is_heard(peer, now, self.options.suspect_after))
+                .is_some_and(|peer| self.is_up(peer, now))
     }
 
     /// Whether this run of a host answers.
     pub fn is_running(&self, now: Now, host: &str, incarnation: Incarnation) -> bool {
         host == self.me
-            || self.peers.get(host).is_some_and(|peer| {
-                is_heard(peer, now, self.options.suspect_after) && peer.incarnation == incarnation
-            })
+            || self
+                .peers
+                .get(host)
+                .is_some_and(|peer| self.is_up(peer, now) && peer.incarnation == incarnation)
     }
 
     /// Peers with their addresses, whatever their state.
@@ -184,17 +276,36 @@
         self.peers.values().map(|peer| &peer.entry)
     }
 
-    /// Owner of a named thing by rendezvous over the live hosts.
-    pub fn owner(&self, now: Now, thing: &str) -> Option<HostId> {
-        first_in_order(&self.live(now), thing).map(str::to_owned)
-    }
-
     fn may_own(&self, peer: &Peer, now: Now) -> bool {
         let newly_listed = peer.heard_at.is_none()
             && now.saturating_sub(peer.listed_at) < self.options.suspect_after;
-        let answers = newly_listed || is_heard(peer, now, self.options.suspect_after);
+        let answers = newly_listed || self.is_up(peer, now);
         answers && !peer.is_draining && peer.entry.state == HostState::Live
     }
+
+    /// A watched host is up while it is heard; of the others, the watchers would tell.
+    fn is_up(&self, peer: &Peer, now: Now) -> bool {
+        match peer.is_watched {
+            true => was_heard(peer, now, self.options.suspect_after),
+            false => !peer.is_reported_lost,
+        }
+    }
+}
+
+impl Peer {
+    fn new(entry: HostEntry, now: Now) -> Self {
+        Peer {
+            entry,
+            listed_at: now,
+            heard_at: None,
+            incarnation: 0,
+            is_draining: false,
+            is_watched: true,
+            is_watcher: true,
+            is_reported_lost: false,
+            has_announced_loss: false,
+        }
+    }
 }
 
 /// The first of some hosts in the rendezvous order of a named thing.
@@ -210,7 +321,7 @@
         .max_by_key(|host| (weight(host, thing), *host))
 }
 
-fn is_heard(peer: &Peer, now: Now, suspect_after: Duration) -> bool {
+fn was_heard(peer: &Peer, now: Now, suspect_after: Duration) -> bool {
     peer.heard_at
         .is_some_and(|at| now.saturating_sub(at) < suspect_after)
 }
--- a/bamboo-wire/src/message.rs
+++ b/bamboo-wire/src/message.rs
@@ -6,6 +6,7 @@
 use bamboo_log::RecordId;
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
+use bamboo_types::Incarnation;
 use bamboo_types::ItemIndex;
 use bamboo_types::JobId;
 use bamboo_types::ModelId;
@@ -120,6 +121,13 @@
         /// Next offset of the sender's configuration.
         config_offset: Offset,
     },
+    /// A run of a host that the sender watches is no longer heard.
+    Lost {
+        /// Host.
+        host: HostId,
+        /// Its run.
+        incarnation: Incarnation,
+    },
     /// Online requests of the sender on a server that the receiver owns.
     OnlineCount {
         /// Server.
@@ -236,6 +244,7 @@
     pub fn kind(&self) -> &'static str {
         match self {
             PeerMessage::Heartbeat { .. } => "heartbeat",
+            PeerMessage::Lost { .. } => "lost",
             PeerMessage::OnlineCount { .. } => "online_count",
             PeerMessage::Loads(_) => "loads",
             PeerMessage::Demand { .. } => "demand",
