fix: wrong reports of a loss are repaired, and copies forward do not pile up while the log fails

Now hosts reported lost that are still listed are asked every 5 s, the longest wait is 3 s, and copying pauses on a backlog.

--- a/bamboo-host/src/core.rs
+++ b/bamboo-host/src/core.rs
@@ -311,6 +311,7 @@
     fn look_at_members(&mut self, now: Now) {
         self.looked_at = now;
         self.announce_losses(now);
+        self.ask_doubted(now);
         let live = self.members.live(now);
         if live != self.live {
             self.set_live(now, live);
@@ -367,6 +368,15 @@
         }
     }
 
+    /// Asks hosts that were reported lost; one that lives speaks to all then.
+    fn ask_doubted(&mut self, now: Now) {
+        for loss in self.members.doubted_losses(now) {
+            let Loss { host, incarnation } = loss;
+            let to = host.clone();
+            self.send(&to, PeerMessage::Lost { host, incarnation });
+        }
+    }
+
     /// A host that is taken as lost and lives says so to all.
     fn loss_heard(&mut self, now: Now, loss: Loss) {
         if self.members.loss_heard(&loss) {
--- a/bamboo-host/src/shards.rs
+++ b/bamboo-host/src/shards.rs
@@ -33,6 +33,9 @@
 use crate::Output;
 use crate::asks::shard_name;
 
+/// Records that wait for the log, from which on nothing more is copied forward.
+const CARRY_BACKLOG_MAX: usize = 32;
+
 impl HostCore {
     /// Whether this host owns a shard, as far as it has read.
     pub(crate) fn owns(&self, shard: ShardId) -> bool {
@@ -284,6 +287,10 @@
             return;
         };
         let stream = role.stream_id();
+        // Copies that wait for the log are not made a second time.
+        if self.appender.unconfirmed_of(stream) >= CARRY_BACKLOG_MAX {
+            return;
+        }
         for offset in role.next_carries(now, retention) {
             self.output(Output::ReadEntry { stream, offset });
         }
--- a/bamboo-load/src/slopes.rs
+++ b/bamboo-load/src/slopes.rs
@@ -51,6 +51,10 @@
 const RUN: Duration = Duration::from_secs(10);
 /// Interval of the daemon's ticks.
 const TICK: Duration = Duration::from_millis(10);
+/// Hosts up to which all watch each other.
+const MESH_MAX: usize = 16;
+/// Hosts that a host watches in larger fleets.
+const WATCHED: usize = 6;
 /// Items of one chunk.
 const CHUNK_ITEMS: u32 = 1000;
 /// Outcomes of one group commit, as at 20 groups a second and 27 items a second of one shard or more.
@@ -176,7 +180,13 @@
         let mut inputs = vec![Input::Tick];
         if now >= next_beat {
             next_beat += Duration::from_millis(500);
-            inputs.extend((1..hosts).map(|peer| Input::Frame(heartbeat(peer, tail))));
+            // Only hosts that this one watches send it heartbeats; in a small fleet that is all of them.
+            let watched = if hosts <= MESH_MAX {
+                hosts - 1
+            } else {
+                WATCHED
+            };
+            inputs.extend((1..=watched).map(|peer| Input::Frame(heartbeat(peer, tail))));
         }
         for input in inputs {
             let started_at = Instant::now();
--- a/bamboo-log/src/appender.rs
+++ b/bamboo-log/src/appender.rs
@@ -23,7 +23,7 @@
 /// First wait after a failed append.
 const BACKOFF_FIRST: Duration = Duration::from_millis(100);
 /// Longest wait after failed appends.
-const BACKOFF_MAX: Duration = Duration::from_secs(10);
+const BACKOFF_MAX: Duration = Duration::from_secs(3);
 
 /// Limits of group commit.
 #[derive(Debug, Clone)]
--- a/bamboo-member/src/view.rs
+++ b/bamboo-member/src/view.rs
@@ -32,6 +32,9 @@
     pub state: HostState,
 }
 
+/// Interval of asking a host that was reported lost whether it is.
+const ASK_LOST_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Times by which a host is judged.
 #[derive(Debug, Clone)]
 pub struct MemberViewOptions {
@@ -64,6 +67,7 @@
     is_watcher: bool,
     is_reported_lost: bool,
     has_announced_loss: bool,
+    asked_at: Option<Now>,
 }
 
 /// A run of a host that its watchers no longer hear.
@@ -178,6 +182,25 @@
         losses
     }
 
+    /// Runs that were reported lost although the platform still lists their hosts as live. They are asked now and
+    /// then, since a report may be wrong and its denial may have been missed.
+    pub fn doubted_losses(&mut self, now: Now) -> Vec<Loss> {
+        let mut doubted = Vec::new();
+        for (host, peer) in &mut self.peers {
+            let is_due = peer
+                .asked_at
+                .is_none_or(|at| now.saturating_sub(at) >= ASK_LOST_INTERVAL);
+            if peer.is_reported_lost && peer.entry.state == HostState::Live && is_due {
+                peer.asked_at = Some(now);
+                doubted.push(Loss {
+                    host: host.clone(),
+                    incarnation: peer.incarnation,
+                });
+            }
+        }
+        doubted
+    }
+
     /// Takes a watcher's announcement of a loss. Tells whether it is this host that is taken as lost.
     pub fn loss_heard(&mut self, loss: &Loss) -> bool {
         if loss.host == self.me {
@@ -304,6 +327,7 @@
             is_watcher: true,
             is_reported_lost: false,
             has_announced_loss: false,
+            asked_at: None,
         }
     }
 }
