--- a/bamboo-load/src/online.rs
+++ b/bamboo-load/src/online.rs
@@ -29,18 +29,25 @@
     pub(crate) whole_count: u64,
     pub(crate) refused_count: u64,
     pub(crate) broken_count: u64,
+    pub(crate) first_failure: Option<String>,
     pub(crate) token_count: u64,
     pub(crate) first_token_us: Histogram<u64>,
     pub(crate) between_tokens_us: Histogram<u64>,
 }
 
 impl OnlineResult {
+    fn broken(&mut self, reason: String) {
+        self.broken_count += 1;
+        self.first_failure.get_or_insert(reason);
+    }
+
     fn new() -> anyhow::Result<Self> {
         Ok(OnlineResult {
             sent_count: 0,
             whole_count: 0,
             refused_count: 0,
             broken_count: 0,
+            first_failure: None,
             token_count: 0,
             first_token_us: Histogram::new_with_max(MAX_US, 3)?,
             between_tokens_us: Histogram::new_with_max(MAX_US, 3)?,
@@ -107,8 +114,14 @@
             result.borrow_mut().refused_count += 1;
             return;
         }
-        _ => {
-            result.borrow_mut().broken_count += 1;
+        Ok(response) => {
+            result
+                .borrow_mut()
+                .broken(format!("{address}: status {}", response.status()));
+            return;
+        }
+        Err(error) => {
+            result.borrow_mut().broken(format!("{address}: {error}"));
             return;
         }
     };
@@ -141,6 +154,6 @@
         result.whole_count += 1;
         result.token_count -= 1;
     } else {
-        result.broken_count += 1;
+        result.broken(format!("{address}: no end mark"));
     }
 }
--- a/bamboo-load/src/report.rs
+++ b/bamboo-load/src/report.rs
@@ -42,6 +42,9 @@
         percentile_ms(&online.between_tokens_us, 99.0),
         online.token_count as f64 / seconds,
     );
+    if let Some(reason) = &online.first_failure {
+        println!("  first failure: {reason}");
+    }
 }
 
 fn percentile_ms(histogram: &Histogram<u64>, percentile: f64) -> String {
--- a/bamboo-load/src/run.rs
+++ b/bamboo-load/src/run.rs
@@ -109,12 +109,11 @@
     let load = online_load(&fleet, &options);
     let alone = run_online(load.clone()).await?;
     print_part("online alone", Some(&alone), seconds, None);
-    let batch = run_batch_for(&fleet, &options, 2, options.duration).await?;
+    let body = job_body(&fleet, &options, 2);
+    let batch = run_batch_for(&fleet, &options, body).await?;
     print_part("batch alone", None, seconds, Some(batch));
-    let (both, batch) = tokio::join!(
-        run_online(load),
-        run_batch_for(&fleet, &options, 3, options.duration)
-    );
+    let body = job_body(&fleet, &options, 3);
+    let (both, batch) = tokio::join!(run_online(load), run_batch_for(&fleet, &options, body));
     print_part("both", Some(&both?), seconds, Some(batch?));
     Ok(ExitCode::SUCCESS)
 }
@@ -131,20 +130,20 @@
     }
 }
 
-/// Submits a job, counts its items for a time, and cancels it. Returns items a second.
-async fn run_batch_for(
-    fleet: &Fleet,
-    options: &RunOptions,
-    part: u64,
-    duration: Duration,
-) -> anyhow::Result<f64> {
+/// The JSONL text of a part's job. Made before the part begins, since making it takes a while.
+fn job_body(fleet: &Fleet, options: &RunOptions, part: u64) -> String {
     let mut rng = ChaCha8Rng::seed_from_u64(options.seed ^ (part << 32));
-    let body = items(
+    items(
         &mut rng,
         fleet.deployment.model,
         options.item_count,
         BATCH_MAX_TOKENS,
-    );
+    )
+}
+
+/// Submits a job, counts its items for a time, and cancels it. Returns items a second.
+async fn run_batch_for(fleet: &Fleet, options: &RunOptions, body: String) -> anyhow::Result<f64> {
+    let duration = options.duration;
     let api = fleet.caller(0);
     let job = api
         .submit(Upload {
