--- a/bamboo-config/src/fold.rs
+++ b/bamboo-config/src/fold.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use bamboo_log::Body;
 use bamboo_log::ConfigChange;
@@ -64,10 +65,10 @@
     pub outcome: ChangeOutcome,
 }
 
-/// All resources in force, as a function of the configuration stream up to an offset.
+/// All resources in force, as a function of the configuration stream up to an offset. Copies share the resources.
 #[derive(Debug, Clone, Default)]
 pub struct ConfigFold {
-    resources: BTreeMap<(Kind, String), Stored>,
+    resources: BTreeMap<(Kind, String), Arc<Stored>>,
     next_revision: u64,
     next_offset: Offset,
     dedupe: Dedupe,
@@ -80,7 +81,7 @@
     next_revision: u64,
     next_offset: Offset,
     writers: Vec<(Writer, u64)>,
-    resources: Vec<Stored>,
+    resources: Vec<Arc<Stored>>,
 }
 
 impl ConfigFold {
@@ -122,7 +123,9 @@
 
     /// The resource of a kind and name.
     pub fn get(&self, kind: Kind, name: &str) -> Option<&Stored> {
-        self.resources.get(&(kind, name.to_owned()))
+        self.resources
+            .get(&(kind, name.to_owned()))
+            .map(Arc::as_ref)
     }
 
     /// All resources of a kind, by name.
@@ -130,7 +133,7 @@
         self.resources
             .iter()
             .filter(move |((of, _), _)| *of == kind)
-            .map(|(_, stored)| stored)
+            .map(|(_, stored)| stored.as_ref())
     }
 
     /// Offset of the next entry to apply; everything before it is in force.
@@ -170,7 +173,7 @@
         if image.next_offset <= self.next_offset {
             return Ok(false);
         }
-        let named = |stored: Stored| {
+        let named = |stored: Arc<Stored>| {
             (
                 (stored.resource.kind(), stored.resource.name().to_owned()),
                 stored,
@@ -208,7 +211,9 @@
         self.next_revision += 1;
         let revision = self.next_revision;
         match parsed {
-            Some(resource) => self.resources.insert(name, Stored { resource, revision }),
+            Some(resource) => self
+                .resources
+                .insert(name, Arc::new(Stored { resource, revision })),
             None => self.resources.remove(&name),
         };
         ChangeOutcome::Applied { revision }
--- a/bamboo-host/src/config_role.rs
+++ b/bamboo-host/src/config_role.rs
@@ -17,7 +17,6 @@
 use bamboo_log::StreamId;
 use bamboo_log::Ticket;
 use bamboo_log::split_snapshot;
-use bamboo_member::first_in_order;
 use bamboo_types::Now;
 use bamboo_types::Offset;
 use bamboo_types::RequestId;
@@ -205,7 +204,6 @@
 
     /// The first host in order writes an image now and then, so that the stream can be read from its start.
     fn write_image(&mut self, now: Now) {
-        let me = self.options.host.as_str();
         let next_offset = self.config.fold.next_offset();
         let is_due = self.config.image.is_due(
             now,
@@ -218,11 +216,7 @@
             .image_sent_at
             .is_some_and(|at| now.saturating_sub(at) < IMAGE_AGAIN);
         let is_current = self.config.reader.is_at_tail() && self.config.gap.is_whole();
-        if !is_due || is_under_way || !is_current {
-            return;
-        }
-        let is_mine = first_in_order(&self.live, &StreamId::Config.to_string()) == Some(me);
-        if !is_mine {
+        if !is_due || is_under_way || !is_current || !self.writes_images {
             return;
         }
         self.config.image_sent_at = Some(now);
--- a/bamboo-host/src/core.rs
+++ b/bamboo-host/src/core.rs
@@ -8,6 +8,7 @@
 use bamboo_events::EventKind;
 use bamboo_log::Appender;
 use bamboo_log::NextAppend;
+use bamboo_log::StreamId;
 use bamboo_member::Claimant;
 use bamboo_member::Loss;
 use bamboo_member::MemberView;
@@ -91,6 +92,7 @@
     pub(crate) members: MemberView,
     pub(crate) live: Vec<HostId>,
     pub(crate) firsts: Vec<Option<HostId>>,
+    pub(crate) writes_images: bool,
     looked_at: Now,
     pub(crate) appender: Appender,
     pub(crate) config: ConfigRole,
@@ -140,6 +142,7 @@
             members: MemberView::new(options.host.clone(), options.members.clone()),
             live: Vec::new(),
             firsts: Vec::new(),
+            writes_images: false,
             looked_at: Now::ZERO,
             appender: Appender::new(
                 options.host.clone(),
@@ -312,8 +315,8 @@
         self.looked_at = now;
         self.announce_losses(now);
         self.ask_doubted(now);
-        let live = self.members.live(now);
-        if live != self.live {
+        if !self.members.is_live_list(now, &self.live) {
+            let live = self.members.live(now);
             self.set_live(now, live);
         }
     }
@@ -322,6 +325,8 @@
         self.live = live;
         let first = |shard| first_in_order(&self.live, &shard_name(shard)).map(str::to_owned);
         self.firsts = (0..self.options.shard_count).map(first).collect();
+        let config = StreamId::Config.to_string();
+        self.writes_images = first_in_order(&self.live, &config) == Some(&self.options.host);
         self.refresh_servers(now);
     }
 
--- a/bamboo-load/src/process.rs
+++ b/bamboo-load/src/process.rs
@@ -5,6 +5,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 
 use anyhow::Context;
 
@@ -79,11 +81,27 @@
     Ok(folder.join(binary))
 }
 
-/// A loopback address that is free now.
+/// First port that is tried.
+const FIRST_PORT: u16 = 20_000;
+/// Number of ports that are tried. They lie below those that the system gives to outgoing connections, one of which
+/// could otherwise take an address before its process listens on it.
+const PORT_COUNT: u16 = 12_000;
+
+/// Ports that were tried so far, from a place that differs between processes.
+static TRIED: AtomicU16 = AtomicU16::new(0);
+
+/// A loopback address that is free now and is given out once.
 ///
 /// # Errors
 /// Fails if no port is free.
 pub(crate) fn free_address() -> anyhow::Result<String> {
-    let listener = TcpListener::bind("127.0.0.1:0").context("no free port")?;
-    Ok(listener.local_addr()?.to_string())
+    let start = std::process::id() as u16 % PORT_COUNT;
+    for _ in 0..PORT_COUNT {
+        let tried = TRIED.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (start + tried % PORT_COUNT) % PORT_COUNT;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return Ok(listener.local_addr()?.to_string());
+        }
+    }
+    anyhow::bail!("no free port")
 }
--- a/bamboo-load/src/slopes.rs
+++ b/bamboo-load/src/slopes.rs
@@ -237,6 +237,13 @@
             fold.apply(index, &config_entry(index, &caller(index)));
         }
         let change_us = started_at.elapsed().as_secs_f64() * 1e6 / 100.0;
+        let before_copies_kb = self::memory_kb()?;
+        let started_at = Instant::now();
+        let copies: Vec<ConfigFold> = (0..4).map(|_| fold.clone()).collect();
+        let copy_ms = started_at.elapsed().as_secs_f64() * 1000.0 / 4.0;
+        let copy_kb = (self::memory_kb()? - before_copies_kb) / 4;
+        drop(copies);
+        println!("a copy of the fold of {callers} callers: {copy_ms:.1} ms, {copy_kb} KB");
         println!(
             "{callers:>8} {memory_kb:>12} {:>14} {image_ms:>14.1} {change_us:>16.1}",
             image.len() / 1024
--- a/bamboo-member/src/view.rs
+++ b/bamboo-member/src/view.rs
@@ -263,17 +263,24 @@
 
     /// Hosts that may own something, in name order.
     pub fn live(&self, now: Now) -> Vec<HostId> {
-        let mut hosts: Vec<HostId> = self
-            .peers
-            .values()
-            .filter(|peer| self.may_own(peer, now))
-            .map(|peer| peer.entry.host.clone())
-            .collect();
-        if !self.is_draining {
-            hosts.push(self.me.clone());
-        }
-        hosts.sort();
-        hosts
+        self.live_names(now).cloned().collect()
+    }
+
+    /// Whether these are the hosts that may own something; nothing is built for the answer.
+    pub fn is_live_list(&self, now: Now, hosts: &[HostId]) -> bool {
+        self.live_names(now).eq(hosts.iter())
+    }
+
+    fn live_names(&self, now: Now) -> impl Iterator<Item = &HostId> {
+        let is_before = move |peer: &&Peer| peer.entry.host < self.me;
+        let others = move |peer: &&Peer| self.may_own(peer, now);
+        let before = self.peers.values().take_while(is_before).filter(others);
+        let after = self.peers.values().skip_while(is_before).filter(others);
+        let own = (!self.is_draining).then_some(&self.me);
+        before
+            .map(|peer| &peer.entry.host)
+            .chain(own)
+            .chain(after.map(|peer| &peer.entry.host))
     }
 
     /// Whether a peer answers, also one that is leaving.
--- a/bamboo-node/src/lib.rs
+++ b/bamboo-node/src/lib.rs
@@ -18,4 +18,6 @@
 mod shared;
 
 pub use clock::Clock;
+pub use run::Listeners;
 pub use run::run;
+pub use run::run_on;
--- a/bamboo-node/src/peers.rs
+++ b/bamboo-node/src/peers.rs
@@ -1,6 +1,5 @@
 //! Messages between daemons: h2 streams with bincode frames.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -147,14 +146,13 @@
     }
 }
 
-/// Binds the address for other daemons.
+/// The socket for other daemons in the form that its thread waits on.
 ///
 /// # Errors
-/// Fails if the address is in use.
-pub(crate) async fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .with_context(|| format!("cannot listen on {address} for peers"))
+/// Fails if the socket cannot be used.
+pub(crate) fn peer_listener(listener: std::net::TcpListener) -> anyhow::Result<TcpListener> {
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener).context("socket for peers")
 }
 
 async fn serve_connection(shared: Arc<Shared>, control: ControlHandle, stream: TcpStream) {
--- a/bamboo-node/src/run.rs
+++ b/bamboo-node/src/run.rs
@@ -1,5 +1,7 @@
 //! Starts and stops the daemon.
 
+use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -30,7 +32,7 @@
 use crate::links::run_links;
 use crate::operators;
 use crate::peers::accept_peers;
-use crate::peers::listen;
+use crate::peers::peer_listener;
 use crate::shared::ControlHandle;
 use crate::shared::Shared;
 
@@ -39,11 +41,49 @@
 /// Time for open connections to close once all answers are finished, seconds.
 const SHUTDOWN_TIMEOUT_S: u64 = 5;
 
+/// The sockets that a daemon listens on.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For callers.
+    pub caller: TcpListener,
+    /// For operators.
+    pub operator: TcpListener,
+    /// For other daemons.
+    pub peer: TcpListener,
+}
+
+impl Listeners {
+    /// Binds the addresses of the settings.
+    ///
+    /// # Errors
+    /// Fails if one of them cannot be used.
+    pub fn bind(settings: &Settings) -> anyhow::Result<Self> {
+        Ok(Listeners {
+            caller: bind(settings.caller_address, "callers")?,
+            operator: bind(settings.operator_address, "operators")?,
+            peer: bind(settings.peer_address, "peers")?,
+        })
+    }
+}
+
+fn bind(address: SocketAddr, whom: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address).with_context(|| format!("cannot listen on {address} for {whom}"))
+}
+
 /// Runs the daemon until a planned stop is complete. The calling thread becomes the control thread.
 ///
 /// # Errors
-/// Fails if an address cannot be used.
+/// Fails if an address of the settings cannot be used.
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
+    let listeners = Listeners::bind(&settings)?;
+    run_on(settings, listeners).await
+}
+
+/// Runs the daemon on sockets that are bound already.
+///
+/// # Errors
+/// Fails if a socket cannot be used.
+pub async fn run_on(settings: Settings, listeners: Listeners) -> anyhow::Result<()> {
     let clock = Clock::start();
     let incarnation = millis(clock.now());
     let shared = Shared::new(settings, clock, incarnation);
@@ -69,15 +109,15 @@
     batch_thread.spawn_fn(move || {
         actix_rt::spawn(run_batch(batch_shared, batch_control, batch_orders));
     });
-    let peer_listener = listen(settings.peer_address).await?;
+    let peer_listener = peer_listener(listeners.peer)?;
     actix_rt::spawn(accept_peers(
         Arc::clone(&shared),
         control.clone(),
         peer_listener,
     ));
 
-    let caller_server = serve_callers(&shared, &control)?;
-    let operator_server = serve_operators(&shared, &control)?;
+    let caller_server = serve_callers(&shared, &control, listeners.caller)?;
+    let operator_server = serve_operators(&shared, &control, listeners.operator)?;
     log::info!(
         "host {} listens for callers on {}",
         settings.host,
@@ -94,9 +134,12 @@
     Ok(())
 }
 
-fn serve_callers(shared: &Arc<Shared>, control: &ControlHandle) -> anyhow::Result<ServerHandle> {
+fn serve_callers(
+    shared: &Arc<Shared>,
+    control: &ControlHandle,
+    listener: TcpListener,
+) -> anyhow::Result<ServerHandle> {
     let (shared, control) = (Arc::clone(shared), control.clone());
-    let address = shared.settings.caller_address;
     let threads = shared.settings.traffic_threads;
     let body_max_bytes = shared.settings.body_max_bytes;
     let server = HttpServer::new(move || {
@@ -109,17 +152,19 @@
     .workers(threads)
     .disable_signals()
     .shutdown_timeout(SHUTDOWN_TIMEOUT_S)
-    .bind(address)
-    .with_context(|| format!("cannot listen on {address} for callers"))?
+    .listen(listener)?
     .run();
     let handle = server.handle();
     actix_rt::spawn(server);
     Ok(handle)
 }
 
-fn serve_operators(shared: &Arc<Shared>, control: &ControlHandle) -> anyhow::Result<ServerHandle> {
+fn serve_operators(
+    shared: &Arc<Shared>,
+    control: &ControlHandle,
+    listener: TcpListener,
+) -> anyhow::Result<ServerHandle> {
     let (shared, control) = (Arc::clone(shared), control.clone());
-    let address = shared.settings.operator_address;
     let server = HttpServer::new(move || {
         let traffic = web::Data::new(Traffic::new(Arc::clone(&shared), control.clone()));
         App::new().app_data(traffic).configure(operators::configure)
@@ -127,8 +172,7 @@
     .workers(1)
     .disable_signals()
     .shutdown_timeout(SHUTDOWN_TIMEOUT_S)
-    .bind(address)
-    .with_context(|| format!("cannot listen on {address} for operators"))?
+    .listen(listener)?
     .run();
     let handle = server.handle();
     actix_rt::spawn(server);
--- a/bamboo-node/tests/support/mod.rs
+++ b/bamboo-node/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use bamboo_client::Failure;
 use bamboo_config::KeyHash;
 use bamboo_config::check_settings;
+use bamboo_node::Listeners;
 use bamboo_standin::EngineStandin;
 use bamboo_standin::LogOptions;
 use bamboo_standin::serve_engine;
@@ -39,10 +40,16 @@
         spawn(move || serve_engine(listener, engine_standin()));
         let (plain, listener) = listen();
         spawn(move || serve_plain(listener, "ledger-api-0".to_owned()));
-        let (callers, operators, peers) = (free_address(), free_address(), free_address());
+        let ((callers, caller), (operators, operator), (peers, peer)) =
+            (listen(), listen(), listen());
         let text = settings(&platform, &callers, &operators, &peers);
         let settings = check_settings(&text).expect("settings of the test");
-        spawn(move || bamboo_node::run(settings));
+        let listeners = Listeners {
+            caller,
+            operator,
+            peer,
+        };
+        spawn(move || bamboo_node::run_on(settings, listeners));
         let host = Host {
             platform,
             engine,
@@ -210,10 +217,6 @@
     )
 }
 
-fn free_address() -> String {
-    listen().0
-}
-
 /// Runs a server on a thread of its own until the test process ends.
 fn spawn<F, R, T>(serve: F)
 where
