--- a/bamboo-load/src/main.rs
+++ b/bamboo-load/src/main.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod fleet;
 mod generate;
+mod isolation;
 mod online;
 mod process;
 mod quickstart;
@@ -27,6 +28,7 @@
   run                        online alone, batch alone and both; prints throughput and percentiles
   faults                     kills, freezes and outages against processes; exit 1 if a promise broke
   slopes                     cost per host, server, workspace, item and request, for docs/CAPACITY.md
+  experiment isolation       ways of yielding to online requests side by side; --json FILE writes the rows
 OPTIONS
   --deployment quito|bangkok|small   sizes of the fleet [small]
   --hosts N                  hosts [3 for small, 12 otherwise]
@@ -50,7 +52,16 @@
         "fleet" => system.block_on(run::hold(arguments)),
         "faults" => system.block_on(faults::faults(arguments)),
         "slopes" => slopes::slopes(arguments),
+        "experiment" => experiment(arguments),
         "run" => system.block_on(run::run(arguments)),
         other => anyhow::bail!("unknown command '{other}'; see bamboo-load --help"),
     }
 }
+
+fn experiment(mut arguments: Arguments) -> anyhow::Result<ExitCode> {
+    match arguments.subcommand()?.as_deref() {
+        Some("isolation") => isolation::isolation(arguments),
+        Some(other) => anyhow::bail!("unknown experiment '{other}'; see bamboo-load --help"),
+        None => anyhow::bail!("name an experiment; see bamboo-load --help"),
+    }
+}
