perf: batch yields by a small share beside online on the least loaded server; packing is given up

Tried and ruled out: longer hold-off, no decoding beside, gathering by demand. Also: the TLS settings are gone, since nothing carried them out.

--- a/bamboo-admit/src/options.rs
+++ b/bamboo-admit/src/options.rs
@@ -7,7 +7,7 @@
 pub struct AdmitOptions {
     /// Sequences that the server runs at once.
     pub capacity: u32,
-    /// Batch sequences that may go on decoding while online requests are present, as a share of the capacity.
+    /// Batch sequences that may run while online requests are present, as a share of the capacity.
     pub decode_share: f64,
     /// Batch sequences that may start while online requests are present, at a time.
     pub prefill_beside_online: u32,
@@ -19,10 +19,9 @@
     pub start_burst: u32,
 }
 
-/// Share of the capacity that decodes beside online requests at weight 0 and 1.
-const DECODE_SHARE_RANGE: (f64, f64) = (0.125, 0.5);
-/// Weight from which on one batch prefill at a time may run beside online requests.
-const PREFILL_WEIGHT: f64 = 0.75;
+/// Share of the capacity that runs batch beside online requests, at growing weights. Up to 0.8 the share stays where
+/// the tail of the first token hardly feels it; beyond, batch is bought with tail.
+const BESIDE_ONLINE_SHARES: [(f64, f64); 3] = [(0.0, 0.02), (0.8, 0.06), (1.0, 0.4)];
 
 impl AdmitOptions {
     /// Options for a server of this capacity, with batch weighed from 0 (guard online most) to 1.
@@ -34,14 +33,23 @@
     /// ```
     pub fn weighed(capacity: u32, batch_weight: f64) -> Self {
         let weight = batch_weight.clamp(0.0, 1.0);
-        let (low, high) = DECODE_SHARE_RANGE;
         AdmitOptions {
             capacity,
-            decode_share: low + (high - low) * weight,
-            prefill_beside_online: u32::from(weight >= PREFILL_WEIGHT),
+            decode_share: beside_online_share(weight),
+            prefill_beside_online: 1,
             hold_off: Duration::from_millis(60).mul_f64(2.0 - weight),
             prefetch: (capacity / 4).max(2),
             start_burst: (capacity / 2).max(1),
         }
     }
 }
+
+fn beside_online_share(weight: f64) -> f64 {
+    let [low, middle, high] = BESIDE_ONLINE_SHARES;
+    let (from, to) = if weight < middle.0 {
+        (low, middle)
+    } else {
+        (middle, high)
+    };
+    from.1 + (to.1 - from.1) * (weight - from.0) / (to.0 - from.0)
+}
--- a/bamboo-config/src/lib.rs
+++ b/bamboo-config/src/lib.rs
@@ -26,7 +26,6 @@
 pub use resource::ServerRole;
 pub use resource::Serving;
 pub use settings::Settings;
-pub use settings::TlsSettings;
 pub use settings::check_settings;
 pub use validate::FieldFault;
 pub use validate::parse_resource;
--- a/bamboo-config/src/settings.rs
+++ b/bamboo-config/src/settings.rs
@@ -1,7 +1,6 @@
 //! Settings of one daemon, checked whole at start.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::Duration;
 
 use bamboo_types::DataCentreId;
@@ -14,15 +13,6 @@
 /// Appends a second that the platform's log takes from the whole fleet.
 const FLEET_APPENDS_PER_S_MAX: u64 = 1000;
 
-/// Certificates for TLS.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TlsSettings {
-    /// PEM file with the certificate chain.
-    pub certificate_file: PathBuf,
-    /// PEM file with the private key.
-    pub key_file: PathBuf,
-}
-
 /// Settings of one daemon.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -78,8 +68,6 @@
     pub request_timeout: Duration,
     /// Whether log lines are JSON.
     pub is_log_json: bool,
-    /// TLS towards callers and operators, if any.
-    pub tls: Option<TlsSettings>,
 }
 
 /// Checks a settings file whole.
@@ -102,7 +90,6 @@
         "limits",
         "traffic",
         "logging",
-        "tls",
     ];
     let mut checker = Checker::parse(text, &sections).map_err(|fault| vec![fault])?;
     let settings = read(&mut checker);
@@ -128,7 +115,6 @@
     let host_list_url = read_url(checker, "platform.host_list_url");
     let weight_store_url = read_url(checker, "platform.weight_store_url");
     let retention = checker.duration("platform.retention", Duration::from_secs(24 * 3600));
-    let tls = read_tls(checker);
     // Every field is read before any of them can end the check, so that all faults are reported together.
     let shard_count = checker.number("log_budget.shard_count", 4, 1..=1024) as u16;
     let fleet_appends_per_s = checker.number(
@@ -176,7 +162,6 @@
         traffic_threads,
         request_timeout,
         is_log_json,
-        tls,
     })
 }
 
@@ -199,22 +184,6 @@
     text.trim_end_matches('/').to_owned()
 }
 
-fn read_tls(checker: &mut Checker<'_>) -> Option<TlsSettings> {
-    let certificate = checker.text("tls.certificate_file");
-    let key = checker.text("tls.key_file");
-    match (certificate, key) {
-        (Some(certificate), Some(key)) => Some(TlsSettings {
-            certificate_file: certificate.into(),
-            key_file: key.into(),
-        }),
-        (None, None) => None,
-        _ => {
-            checker.fault(0, "tls", "certificate_file and key_file go together");
-            None
-        }
-    }
-}
-
 fn check_combinations(settings: &Settings, checker: &mut Checker<'_>) {
     if settings.suspect_after < settings.heartbeat * 3 {
         let line = checker.line("timing.suspect_after");
--- a/bamboo-load/src/isolation.rs
+++ b/bamboo-load/src/isolation.rs
@@ -41,6 +41,17 @@
 /// Rate within a burst as a multiple of the calm rate.
 const BURST_FACTOR: f64 = 2.0;
 
+/// Decode shares and prefills beside online requests that the sweep tries.
+const SWEEP: [(f64, u32); 7] = [
+    (0.0, 0),
+    (0.03, 1),
+    (0.06, 1),
+    (0.125, 1),
+    (0.25, 1),
+    (0.25, 2),
+    (0.4, 1),
+];
+
 /// How batch work is admitted.
 #[derive(Debug, Clone, Copy)]
 enum Admission {
@@ -54,14 +65,37 @@
     StopAll,
     /// The server owner with a weight.
     Weighed(f64),
+    /// The server owner with figures of the sweep.
+    Figures(Figures),
+}
+
+/// Figures that the sweep tries.
+#[derive(Debug, Clone, Copy)]
+struct Figures {
+    decode_share: f64,
+    prefill_beside_online: u32,
+    hold_off: Duration,
 }
 
 struct Arm {
-    name: &'static str,
+    name: String,
     policy: Policy,
+    pack_share: f64,
     admission: Admission,
 }
 
+impl Arm {
+    fn new(name: &str, policy: Policy, admission: Admission) -> Self {
+        let pack_share = ChoiceOptions::default().pack_share;
+        Arm {
+            name: name.to_owned(),
+            policy,
+            pack_share,
+            admission,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Online {
     arrived_at: Duration,
@@ -91,49 +125,47 @@
 /// Fails if a histogram cannot be made or a file cannot be written.
 pub(crate) fn isolation(mut arguments: Arguments) -> anyhow::Result<ExitCode> {
     let options = RunOptions::read(&mut arguments)?;
+    let is_sweep = arguments.contains("--sweep");
     let file: Option<String> = arguments.opt_value_from_str("--json")?;
     anyhow::ensure!(
         arguments.finish().is_empty(),
         "unknown arguments; see --help"
     );
     let weight = options.deployment.batch_weight;
-    let arms = [
-        Arm {
-            name: "online alone, least loaded",
-            policy: Policy::LeastInFlight,
-            admission: Admission::None,
-        },
-        Arm {
-            name: "no isolation",
-            policy: Policy::LeastInFlight,
-            admission: Admission::Unlimited,
-        },
-        Arm {
-            name: "fixed cap of 8",
-            policy: Policy::LeastInFlight,
-            admission: Admission::Cap(8),
-        },
-        Arm {
-            name: "stop all, least loaded",
-            policy: Policy::LeastInFlight,
-            admission: Admission::StopAll,
-        },
-        Arm {
-            name: "stop all, packed",
-            policy: Policy::Packed,
-            admission: Admission::StopAll,
-        },
-        Arm {
-            name: "weighed, least loaded",
-            policy: Policy::LeastInFlight,
-            admission: Admission::Weighed(weight),
-        },
-        Arm {
-            name: "weighed, packed",
-            policy: Policy::Packed,
-            admission: Admission::Weighed(weight),
-        },
+    let mut arms = vec![
+        Arm::new(
+            "online alone, least loaded",
+            Policy::LeastInFlight,
+            Admission::None,
+        ),
+        Arm::new("no isolation", Policy::LeastInFlight, Admission::Unlimited),
+        Arm::new("fixed cap of 8", Policy::LeastInFlight, Admission::Cap(8)),
+        Arm::new(
+            "stop all, least loaded",
+            Policy::LeastInFlight,
+            Admission::StopAll,
+        ),
+        Arm::new("stop all, packed", Policy::Packed, Admission::StopAll),
+        Arm::new(
+            "weighed, least loaded",
+            Policy::LeastInFlight,
+            Admission::Weighed(weight),
+        ),
+        Arm::new(
+            "weighed, gathered",
+            Policy::Gathered,
+            Admission::Weighed(weight),
+        ),
+        Arm::new(
+            "weighed, packed",
+            Policy::Packed,
+            Admission::Weighed(weight),
+        ),
     ];
+    if is_sweep {
+        arms.truncate(1);
+        arms.extend(sweep_arms());
+    }
     let servers = options.deployment.engine_count;
     println!(
         "{servers} engines, batch weight {weight}, {RUN:?} of virtual time, seed {}",
@@ -146,7 +178,7 @@
             share * 100.0
         );
         println!(
-            "{:<28} {:>9} {:>9} {:>9} {:>9} {:>8} {:>8} {:>12} {:>7}",
+            "{:<44} {:>9} {:>9} {:>9} {:>9} {:>8} {:>8} {:>12} {:>7}",
             "way",
             "first p50",
             "first p95",
@@ -169,7 +201,7 @@
             let (base_p99, base_next) = *base.get_or_insert((p99, next));
             let tokens_per_s = outcome.batch_tokens as f64 / RUN.as_secs_f64();
             println!(
-                "{:<28} {:>9.1} {:>9.1} {:>9.1} {:>9.1} {:>8.2} {:>8.2} {:>12.0} {:>7.1}",
+                "{:<44} {:>9.1} {:>9.1} {:>9.1} {:>9.1} {:>8.2} {:>8.2} {:>12.0} {:>7.1}",
                 arm.name,
                 ms(&outcome.first_token_us, 0.5),
                 ms(&outcome.first_token_us, 0.95),
@@ -192,6 +224,32 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Figures of the owner for each way of routing, each with each.
+fn sweep_arms() -> Vec<Arm> {
+    let mut arms = Vec::new();
+    for (policy, share) in [
+        (Policy::LeastInFlight, 0.0),
+        (Policy::Packed, 0.1),
+        (Policy::Packed, 0.25),
+    ] {
+        for (decode_share, prefill_beside_online) in SWEEP {
+            let hold_off = Duration::from_millis(100);
+            let figures = Figures {
+                decode_share,
+                prefill_beside_online,
+                hold_off,
+            };
+            let name =
+                format!("{policy:?} {share} decode {decode_share} prefill {prefill_beside_online}");
+            arms.push(Arm {
+                pack_share: share,
+                ..Arm::new(&name, policy, Admission::Figures(figures))
+            });
+        }
+    }
+    arms
+}
+
 fn simulate(arm: &Arm, server_count: usize, share: f64, seed: u64) -> anyhow::Result<Outcome> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut servers: Vec<Server> = (0..server_count)
@@ -244,7 +302,7 @@
             next_arrival += 1;
         }
         for (_, index, count) in notices.extract_if(.., |(due, _, _)| *due <= now) {
-            servers[index].owner.online(now, "router", count);
+            servers[index].online_heard(now, count);
         }
         for (index, server) in servers.iter_mut().enumerate() {
             if server.busy_until > now {
@@ -299,6 +357,12 @@
                 capacity: cap,
                 ..AdmitOptions::weighed(CAPACITY, 0.5)
             },
+            Admission::Figures(figures) => AdmitOptions {
+                decode_share: figures.decode_share,
+                prefill_beside_online: figures.prefill_beside_online,
+                hold_off: figures.hold_off,
+                ..AdmitOptions::weighed(CAPACITY, 0.5)
+            },
             Admission::None | Admission::Unlimited => AdmitOptions::weighed(CAPACITY, 0.5),
         };
         Server {
@@ -312,6 +376,16 @@
         }
     }
 
+    /// A baseline that does not look at online requests is an owner that is never told of any.
+    fn online_heard(&mut self, now: Duration, count: u32) {
+        match self.admission {
+            Admission::None | Admission::Unlimited | Admission::Cap(_) => {}
+            Admission::StopAll | Admission::Weighed(_) | Admission::Figures(_) => {
+                self.owner.online(now, "router", count);
+            }
+        }
+    }
+
     fn batch_token(&mut self, token: &bamboo_engine::Token) {
         let Some(key) = self.batch.get(&token.id).copied() else {
             return;
@@ -325,11 +399,8 @@
 
     /// Gives the owner items without end, and carries out what it decides.
     fn admit(&mut self, now: Duration, next_item: &mut u32, rng: &mut ChaCha8Rng) {
-        // A baseline that does not look at online requests is an owner that is never told of any.
-        match self.admission {
-            Admission::None => return,
-            Admission::Unlimited | Admission::Cap(_) => self.owner.online(now, "router", 0),
-            Admission::StopAll | Admission::Weighed(_) => {}
+        if matches!(self.admission, Admission::None) {
+            return;
         }
         while self.owner.want_count(now) > 0 {
             *next_item += 1;
@@ -377,6 +448,7 @@
         .collect();
     let options = ChoiceOptions {
         policy: arm.policy,
+        pack_share: arm.pack_share,
         ..ChoiceOptions::default()
     };
     choose(&candidates, &options, "model", None, rng.random()).unwrap_or(0)
--- a/bamboo-route/src/choose.rs
+++ b/bamboo-route/src/choose.rs
@@ -2,6 +2,9 @@
 
 use bamboo_types::weight;
 
+/// Servers that `Gathered` uses beyond those that the pack share asks for.
+const GATHER_RESERVE: usize = 1;
+
 /// A server that can take the request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Candidate<'server> {
@@ -41,6 +44,9 @@
     /// The first server in a fixed order that has room below the pack share, so that the rest stay free of
     /// online requests.
     Packed,
+    /// The least loaded of as many servers, in the fixed order, as hold all online requests at the pack share, and
+    /// one more for a burst.
+    Gathered,
 }
 
 /// Figures of the choice.
@@ -50,14 +56,14 @@
     pub policy: Policy,
     /// Bound on a server's load as a multiple of the average, for `BoundedPrefix`.
     pub load_bound: f64,
-    /// Load up to which a server is filled before the next one is used, for `Packed`.
+    /// Load up to which a server is filled before the next one is used, for `Packed` and `Gathered`.
     pub pack_share: f64,
 }
 
 impl Default for ChoiceOptions {
     fn default() -> Self {
         ChoiceOptions {
-            policy: Policy::Packed,
+            policy: Policy::LeastInFlight,
             load_bound: 1.25,
             pack_share: 0.25,
         }
@@ -94,6 +100,7 @@
             .copied(),
         Policy::BoundedPrefix => bounded_prefix(candidates, options, scope, prefix, random),
         Policy::Packed => packed(candidates, options, random),
+        Policy::Gathered => gathered(candidates, options, random),
     }
 }
 
@@ -149,6 +156,24 @@
         .or_else(|| least_loaded(candidates, random))
 }
 
+fn gathered(candidates: &[Candidate<'_>], options: &ChoiceOptions, random: u64) -> Option<usize> {
+    let online: u32 = candidates
+        .iter()
+        .map(|candidate| candidate.online_count)
+        .sum();
+    let mut room = 0.0;
+    let holds_all = |candidate: &Candidate<'_>| {
+        room += f64::from(candidate.capacity) * options.pack_share;
+        room > f64::from(online)
+    };
+    let needed = candidates
+        .iter()
+        .position(holds_all)
+        .map_or(candidates.len(), |index| index + 1);
+    let used = (needed + GATHER_RESERVE).min(candidates.len());
+    least_loaded(&candidates[..used], random)
+}
+
 fn packed(candidates: &[Candidate<'_>], options: &ChoiceOptions, random: u64) -> Option<usize> {
     // All hosts list the servers in the same order, so they gather online requests on the same ones.
     let first = candidates
