--- /dev/null
+++ b/bamboo-admit/tests/owner.rs
@@ -0,0 +1,129 @@
+//! Batch admission on one server.
+
+use std::time::Duration;
+
+use bamboo_admit::AdmitOptions;
+use bamboo_admit::AdmitStep;
+use bamboo_admit::RunKey;
+use bamboo_admit::ServerOwner;
+use bamboo_admit::WorkItem;
+use bamboo_log::Position;
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn item(item: u32, must_run_alone: bool) -> WorkItem {
+    WorkItem {
+        shard: 0,
+        given_by: "h1".into(),
+        job: 1,
+        item,
+        chunk: Position { offset: 0, slot: 0 },
+        index_in_chunk: item,
+        model: "m".into(),
+        deadline_ms: 0,
+        must_run_alone,
+    }
+}
+
+/// An owner of eight sequences, two of them beside online, with `count` items.
+fn owner(count: u32) -> ServerOwner {
+    let mut options = AdmitOptions::weighed(8, 0.5);
+    options.decode_share = 0.25;
+    options.start_burst = 8;
+    let mut owner = ServerOwner::new(options);
+    for index in 0..count {
+        owner.take(at(0), item(index, false));
+    }
+    owner
+}
+
+fn steps(owner: &mut ServerOwner, now: Duration) -> (Vec<RunKey>, Vec<RunKey>) {
+    let (mut started, mut stopped) = (Vec::new(), Vec::new());
+    loop {
+        match owner.step(now) {
+            AdmitStep::Start(key) => started.push(key),
+            AdmitStep::Stop(key) => stopped.push(key),
+            AdmitStep::Idle => return (started, stopped),
+        }
+    }
+}
+
+#[test]
+fn a_free_server_is_filled_and_no_further() {
+    let mut owner = owner(12);
+    let (started, stopped) = steps(&mut owner, at(0));
+    assert_eq!((started.len(), stopped.len()), (8, 0));
+}
+
+#[test]
+fn an_online_request_stops_all_but_the_share_beside_it_at_once() {
+    let mut owner = owner(12);
+    steps(&mut owner, at(0));
+    owner.online(at(10), "r1", 1);
+    let (started, stopped) = steps(&mut owner, at(10));
+    assert_eq!((started.len(), stopped.len()), (0, 6));
+}
+
+#[test]
+fn batch_comes_back_after_the_hold_off_and_not_before() {
+    let mut owner = owner(12);
+    owner.online(at(0), "r1", 1);
+    steps(&mut owner, at(0));
+    owner.online(at(1000), "r1", 0);
+    let beside = owner.running_count();
+    assert!(beside <= 2);
+    steps(&mut owner, at(1001));
+    assert!(owner.running_count() <= 2, "within the hold-off");
+    steps(&mut owner, at(1200));
+    assert_eq!(owner.running_count(), 8);
+}
+
+#[test]
+fn counts_of_routers_add_up_and_lapse() {
+    let mut owner = owner(0);
+    owner.online(at(0), "r1", 2);
+    owner.online(at(0), "r2", 3);
+    assert_eq!(owner.online_count(at(1)), 5);
+    owner.online(at(2500), "r2", 3);
+    assert_eq!(
+        owner.online_count(at(4000)),
+        3,
+        "r1 was not heard for too long"
+    );
+}
+
+#[test]
+fn a_suspect_item_runs_with_no_other() {
+    let mut owner = owner(0);
+    owner.take(at(0), item(0, true));
+    owner.take(at(0), item(1, false));
+    let (started, _) = steps(&mut owner, at(0));
+    assert_eq!(started.len(), 1);
+    owner.remove(started[0]);
+    assert_eq!(steps(&mut owner, at(1)).0.len(), 1);
+}
+
+#[test]
+fn a_server_that_fails_gets_nothing_for_a_growing_while() {
+    let mut owner = owner(12);
+    owner.failed(at(0));
+    assert!(steps(&mut owner, at(100)).0.is_empty());
+    assert_eq!(owner.want_count(at(100)), 0);
+    owner.failed(at(100));
+    assert!(
+        !owner.is_blocked(at(200)),
+        "failures of one moment count once"
+    );
+    owner.failed(at(300));
+    assert!(owner.is_blocked(at(600)));
+}
+
+#[test]
+fn a_closed_server_starts_nothing() {
+    let mut owner = owner(3);
+    owner.set_closed(true);
+    assert!(steps(&mut owner, at(0)).0.is_empty());
+    assert_eq!(owner.want_count(at(0)), 0);
+}
--- /dev/null
+++ b/bamboo-route/tests/router.rs
@@ -0,0 +1,208 @@
+//! The router of one host.
+
+use std::time::Duration;
+
+use bamboo_config::Limits;
+use bamboo_result::Code;
+use bamboo_route::ChoiceOptions;
+use bamboo_route::EndStep;
+use bamboo_route::OnlineEnd;
+use bamboo_route::OnlineRequest;
+use bamboo_route::RouteServer;
+use bamboo_route::RouteStep;
+use bamboo_route::Router;
+use bamboo_route::Target;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn server(name: &str) -> RouteServer {
+    RouteServer {
+        server: name.into(),
+        address: "127.0.0.1:9".into(),
+        targets: vec![Target::Model("m".into())],
+        capacity: 4,
+        is_usable: true,
+    }
+}
+
+fn router(names: &[&str]) -> Router {
+    let mut router = Router::new(ChoiceOptions::default());
+    router.set_servers(names.iter().map(|name| server(name)).collect(), 1);
+    router
+}
+
+fn request(id: u128, is_idempotent: bool) -> OnlineRequest {
+    OnlineRequest {
+        request: id,
+        caller: "c".into(),
+        resource: "s".into(),
+        limits: None,
+        target: Target::Model("m".into()),
+        prefix: None,
+        token_count: 10.0,
+        deadline: NOW + Duration::from_secs(10),
+        is_idempotent,
+    }
+}
+
+fn sent(step: RouteStep) -> String {
+    match step {
+        RouteStep::Send(attempt) => attempt.server,
+        RouteStep::Refuse(refusal) => panic!("{refusal}"),
+    }
+}
+
+fn refused(step: RouteStep) -> Code {
+    match step {
+        RouteStep::Refuse(refusal) => refusal.code,
+        RouteStep::Send(attempt) => panic!("{attempt:?}"),
+    }
+}
+
+fn not_run() -> OnlineEnd {
+    OnlineEnd::NotRun {
+        reason: "refused".into(),
+    }
+}
+
+fn unknown() -> OnlineEnd {
+    OnlineEnd::Unknown {
+        code: Code::OutcomeUnknown,
+        reason: "reset".into(),
+    }
+}
+
+#[test]
+fn requests_spread_over_the_least_loaded() {
+    let mut router = router(&["a", "b"]);
+    let first = sent(router.arrived(NOW, request(1, true), 0));
+    let second = sent(router.arrived(NOW, request(2, true), 0));
+    assert_ne!(first, second);
+}
+
+#[test]
+fn a_request_that_did_not_run_goes_to_another_server() {
+    let mut router = router(&["a", "b"]);
+    let first = sent(router.arrived(NOW, request(1, false), 0));
+    let EndStep::Send(attempt) = router.ended(NOW, 1, not_run(), 0) else {
+        panic!("not sent again");
+    };
+    assert_ne!(attempt.server, first);
+}
+
+#[test]
+fn a_non_idempotent_request_of_unknown_outcome_is_not_sent_again() {
+    let mut router = router(&["a", "b"]);
+    sent(router.arrived(NOW, request(1, false), 0));
+    let EndStep::Refuse(refusal) = router.ended(NOW, 1, unknown(), 0) else {
+        panic!("sent again");
+    };
+    assert_eq!(refusal.code, Code::OutcomeUnknown);
+    assert_eq!(router.in_flight_count(), 0);
+}
+
+#[test]
+fn an_idempotent_request_of_unknown_outcome_is_sent_again() {
+    let mut router = router(&["a", "b"]);
+    sent(router.arrived(NOW, request(1, true), 0));
+    assert!(matches!(
+        router.ended(NOW, 1, unknown(), 0),
+        EndStep::Send(_)
+    ));
+}
+
+#[test]
+fn retries_cannot_multiply_an_overload() {
+    let mut router = router(&["a", "b", "c"]);
+    let mut sends = 0;
+    for id in 0..1000 {
+        if let RouteStep::Send(_) = router.arrived(NOW, request(id, true), id as u64) {
+            sends += 1;
+            while let EndStep::Send(_) = router.ended(NOW, id, not_run(), id as u64) {
+                sends += 1;
+            }
+        }
+    }
+    assert!(sends <= 1010, "{sends} sends for 1000 requests");
+}
+
+#[test]
+fn a_full_fleet_refuses_at_once_and_says_when_to_come_back() {
+    let mut router = router(&["a"]);
+    for id in 0..6 {
+        sent(router.arrived(NOW, request(id, true), 0));
+    }
+    let RouteStep::Refuse(refusal) = router.arrived(NOW, request(9, true), 0) else {
+        panic!("not refused");
+    };
+    assert_eq!(
+        (refusal.code, refusal.retry_after_s()),
+        (Code::Overloaded, Some(1))
+    );
+}
+
+#[test]
+fn a_leaving_server_gets_no_new_request_and_keeps_its_old_ones() {
+    let mut router = router(&["a"]);
+    sent(router.arrived(NOW, request(1, true), 0));
+    router.set_servers(Vec::new(), 1);
+    assert_eq!(
+        refused(router.arrived(NOW, request(2, true), 0)),
+        Code::NoServer
+    );
+    assert_eq!(router.own_count("a"), 1);
+    assert_eq!(router.ended(NOW, 1, OnlineEnd::Whole, 0), EndStep::Done);
+    assert_eq!(router.own_count("a"), 0);
+}
+
+#[test]
+fn a_passed_deadline_is_refused_before_any_server_is_asked() {
+    let mut router = router(&["a"]);
+    let late = OnlineRequest {
+        deadline: NOW,
+        ..request(1, true)
+    };
+    assert_eq!(refused(router.arrived(NOW, late, 0)), Code::DeadlinePassed);
+}
+
+#[test]
+fn limits_of_a_caller_hold_and_come_back() {
+    let mut router = router(&["a", "b"]);
+    let limits = Some(Limits {
+        requests_per_s: 1.0,
+        tokens_per_s: 1000.0,
+        in_flight_max: 100,
+    });
+    let limited = |id| OnlineRequest {
+        limits,
+        ..request(id, true)
+    };
+    sent(router.arrived(NOW, limited(1), 0));
+    sent(router.arrived(NOW, limited(2), 0));
+    assert_eq!(
+        refused(router.arrived(NOW, limited(3), 0)),
+        Code::LimitReached
+    );
+    sent(router.arrived(NOW + Duration::from_secs(1), limited(4), 0));
+}
+
+#[test]
+fn a_failing_server_is_taken_out_unless_most_fail() {
+    let mut router = router(&["a", "b", "c"]);
+    for id in 0..9 {
+        let server = sent(router.arrived(NOW, request(id, true), id as u64));
+        let end = if server == "a" {
+            OnlineEnd::Broken
+        } else {
+            OnlineEnd::Whole
+        };
+        router.ended(NOW, id, end, 0);
+    }
+    let others: Vec<String> = (20..24)
+        .map(|id| sent(router.arrived(NOW, request(id, true), id as u64)))
+        .collect();
+    assert!(
+        others.iter().filter(|server| *server == "a").count() <= 1,
+        "{others:?}"
+    );
+}
