--- a/bamboo-load/src/faults.rs
+++ b/bamboo-load/src/faults.rs
@@ -88,7 +88,8 @@
     fleet.wait_ready().await?;
     jobs.await?;
     calls.await?;
-    let verdict = judge(&fleet, &told.borrow()).await?;
+    let told = told.take();
+    let verdict = judge(&fleet, &told).await?;
     Ok(if verdict {
         ExitCode::SUCCESS
     } else {
