refactor: servers, batch items and reports are modules of their own; rolling run; watch of one resource

Read as a newcomer: servers.rs had three jobs, record identities were made in two places, two functions took a time they did not use, and a comment said that a keyed call is never sent twice where the router may, if it did not run.

--- a/bamboo-host/src/appends.rs
+++ b/bamboo-host/src/appends.rs
@@ -11,13 +11,11 @@
 use bamboo_log::JobSpec;
 use bamboo_log::KeyedEnd;
 use bamboo_log::ReadAnswer;
-use bamboo_log::RecordId;
 use bamboo_log::Stored;
 use bamboo_log::StreamId;
 use bamboo_log::Ticket;
 use bamboo_log::UploadId;
 use bamboo_log::Withdrawal;
-use bamboo_log::Writer;
 use bamboo_result::Code;
 use bamboo_result::Refusal;
 use bamboo_types::ItemIndex;
@@ -244,14 +242,7 @@
             Purpose::Upload => self.refuse_log_unavailable(now, waiter.request, ticket.stream),
             Purpose::Keyed(keyed) => {
                 // The call has not run. Its claim may be stored, so it is taken back behind it.
-                let writer = Writer {
-                    host: self.options.host.clone(),
-                    incarnation: self.options.incarnation,
-                };
-                let claim = RecordId {
-                    writer,
-                    sequence: ticket.sequence,
-                };
+                let claim = self.record_id(ticket.sequence);
                 let end = KeyedEnd {
                     workspace: keyed.workspace,
                     key: keyed.key,
--- /dev/null
+++ b/bamboo-host/src/batch_items.rs
@@ -0,0 +1,313 @@
+//! Batch items at servers that this host owns: taken, started, stopped, ended, given back.
+
+use bamboo_admit::AdmitStep;
+use bamboo_admit::RunKey;
+use bamboo_admit::WorkItem;
+use bamboo_events::EventKind;
+use bamboo_log::ItemOutcome;
+use bamboo_types::BackendServerId;
+use bamboo_types::JobId;
+use bamboo_types::Now;
+use bamboo_types::Offset;
+use bamboo_types::ShardId;
+use bamboo_wire::HandedItem;
+use bamboo_wire::PeerMessage;
+
+use crate::HostCore;
+use crate::Output;
+use crate::RunRef;
+use crate::input::ItemEnd;
+use crate::servers::UNSETTLED_MAX;
+use crate::servers::Unsettled;
+use crate::shards::item_subject;
+
+impl HostCore {
+    /// Starts and stops what the server's owner decides.
+    pub(crate) fn advance_server(&mut self, now: Now, server: &str) {
+        let has_room = self.servers.unsettled_count() < UNSETTLED_MAX;
+        let Some(owned) = self.servers.owned.get_mut(server) else {
+            return;
+        };
+        if !owned.is_clean || !has_room {
+            return;
+        }
+        let address = owned.address.clone();
+        let mut steps = Vec::new();
+        loop {
+            match owned.owner.step(now) {
+                AdmitStep::Idle => break,
+                step => steps.push(step),
+            }
+        }
+        for step in steps {
+            self.apply_step(server, &address, step);
+        }
+    }
+
+    pub(crate) fn items_heard(
+        &mut self,
+        now: Now,
+        from: &str,
+        shard: ShardId,
+        epoch: Offset,
+        items: Vec<HandedItem>,
+    ) {
+        // An owner that was frozen may hand out before it reads that another has taken over.
+        let newest = self.servers.shard_epochs.entry(shard).or_insert(epoch);
+        if epoch < *newest {
+            self.redirect(from, shard);
+            return;
+        }
+        *newest = epoch;
+        if self.is_resuming(now) {
+            let items = items.iter().map(|item| (item.job, item.item)).collect();
+            self.send(from, PeerMessage::Return { shard, items });
+            return;
+        }
+        let mut refused = Vec::new();
+        for item in items {
+            match self.servers.owned.get_mut(&item.server) {
+                Some(owned) => {
+                    owned.had_work.insert(shard, now);
+                    owned.owner.take(now, work_item(shard, from, item));
+                }
+                None => refused.push((item.job, item.item)),
+            }
+        }
+        if !refused.is_empty() {
+            self.send(
+                from,
+                PeerMessage::Return {
+                    shard,
+                    items: refused,
+                },
+            );
+        }
+        let names: Vec<BackendServerId> = self.servers.owned.keys().cloned().collect();
+        for server in names {
+            self.advance_server(now, &server);
+        }
+    }
+
+    pub(crate) fn recount_heard(&mut self, from: &str, shard: ShardId, server: &str) {
+        let items = self.servers.held_of(server, shard);
+        self.send(
+            from,
+            PeerMessage::Holding {
+                shard,
+                server: server.to_owned(),
+                items,
+            },
+        );
+    }
+
+    pub(crate) fn stop_job_heard(&mut self, shard: ShardId, job: JobId) {
+        let names: Vec<BackendServerId> = self.servers.owned.keys().cloned().collect();
+        for server in names {
+            self.drop_items(&server, |item| item.shard == shard && item.job == job);
+        }
+        self.servers
+            .unsettled
+            .retain(|(of, unsettled_job, _), _| (*of, *unsettled_job) != (shard, job));
+    }
+
+    pub(crate) fn item_first_token(&mut self, run: &RunRef) {
+        if let Some(owned) = self.servers.owned.get_mut(&run.server) {
+            owned.owner.first_token(run.key);
+        }
+    }
+
+    pub(crate) fn item_ended(&mut self, now: Now, run: RunRef, end: ItemEnd) {
+        let Some(owned) = self.servers.owned.get_mut(&run.server) else {
+            return;
+        };
+        match end {
+            ItemEnd::Stopped => {
+                owned.owner.stopped(run.key);
+                if let Some(item) = owned.owner.item(run.key) {
+                    let subject = item_subject(item.job, item.item);
+                    self.event(EventKind::ItemStopped, subject, run.server.clone());
+                }
+            }
+            ItemEnd::Returned => {
+                owned.owner.failed(now);
+                if let Some(item) = owned.owner.remove(run.key) {
+                    self.give_back(now, item);
+                }
+            }
+            ItemEnd::Verdict { custom_id, verdict } => {
+                if !verdict.is_final() {
+                    owned.owner.failed(now);
+                }
+                if let Some(item) = owned.owner.remove(run.key) {
+                    let subject = item_subject(item.job, item.item);
+                    self.event(EventKind::ItemRan, subject, run.server.clone());
+                    let server = run.server.clone();
+                    let outcome = ItemOutcome {
+                        job: item.job,
+                        item: item.item,
+                        custom_id,
+                        server,
+                        verdict,
+                    };
+                    let name = (item.shard, item.job, item.item);
+                    self.servers.unsettled.insert(
+                        name,
+                        Unsettled {
+                            outcome,
+                            reported_at: None,
+                        },
+                    );
+                }
+            }
+        }
+        self.advance_server(now, &run.server);
+    }
+
+    pub(crate) fn strays_cancelled(&mut self, now: Now, server: &str) {
+        if let Some(owned) = self.servers.owned.get_mut(server) {
+            owned.is_clean = true;
+        }
+        self.advance_server(now, server);
+    }
+
+    /// Gives back items that have not started on a server which takes no new work.
+    pub(crate) fn return_waiting(&mut self, now: Now, server: &str) {
+        if let Some(owned) = self.servers.owned.get(server) {
+            let waiting = owned.owner.waiting_where(|_| true);
+            self.return_items(now, server, waiting);
+        }
+    }
+
+    /// Gives back all items that have not started.
+    pub(crate) fn return_all_waiting(&mut self, now: Now) {
+        let names: Vec<BackendServerId> = self.servers.owned.keys().cloned().collect();
+        for server in names {
+            self.return_waiting(now, &server);
+        }
+    }
+
+    pub(crate) fn return_items(&mut self, now: Now, server: &str, keys: Vec<RunKey>) {
+        for key in keys {
+            let item = self
+                .servers
+                .owned
+                .get_mut(server)
+                .and_then(|owned| owned.owner.remove(key));
+            let server = server.to_owned();
+            self.output(Output::DropItem {
+                run: RunRef { server, key },
+            });
+            if let Some(item) = item {
+                self.give_back(now, item);
+            }
+        }
+    }
+
+    /// Items do not wait for a server that fails while others could run them.
+    pub(crate) fn return_if_blocked(&mut self, now: Now, server: &str) {
+        let is_blocked = self
+            .servers
+            .owned
+            .get(server)
+            .is_some_and(|owned| owned.owner.is_blocked(now));
+        if is_blocked {
+            self.return_waiting(now, server);
+        }
+    }
+
+    /// Items whose shard owner no longer answers do not start: their job may have been cancelled meanwhile.
+    pub(crate) fn return_unconfirmed(&mut self, now: Now, server: &str) {
+        let Some(owned) = self.servers.owned.get(server) else {
+            return;
+        };
+        let waiting = owned
+            .owner
+            .waiting_where(|item| !self.members.is_answering(now, &item.given_by));
+        self.return_items(now, server, waiting);
+    }
+
+    fn drop_items<F>(&mut self, server: &str, matches: F)
+    where
+        F: Fn(&WorkItem) -> bool,
+    {
+        let Some(owned) = self.servers.owned.get_mut(server) else {
+            return;
+        };
+        let keys = owned.owner.keys_where(matches);
+        for key in &keys {
+            owned.owner.remove(*key);
+        }
+        for key in keys {
+            self.output(Output::DropItem {
+                run: RunRef {
+                    server: server.to_owned(),
+                    key,
+                },
+            });
+        }
+    }
+
+    fn give_back(&mut self, now: Now, item: WorkItem) {
+        if let Some(owner) = self.shard_owner(now, item.shard) {
+            let items = vec![(item.job, item.item)];
+            self.send(
+                &owner,
+                PeerMessage::Return {
+                    shard: item.shard,
+                    items,
+                },
+            );
+        }
+    }
+
+    fn apply_step(&mut self, server: &str, address: &str, step: AdmitStep) {
+        match step {
+            AdmitStep::Start(key) => {
+                let item = self
+                    .servers
+                    .owned
+                    .get(server)
+                    .and_then(|owned| owned.owner.item(key))
+                    .cloned();
+                if let Some(item) = item {
+                    let run = RunRef {
+                        server: server.to_owned(),
+                        key,
+                    };
+                    self.event(
+                        EventKind::ItemStarted,
+                        item_subject(item.job, item.item),
+                        server.to_owned(),
+                    );
+                    self.output(Output::StartItem {
+                        run,
+                        address: address.to_owned(),
+                        item,
+                    });
+                }
+            }
+            AdmitStep::Stop(key) => self.output(Output::StopItem {
+                run: RunRef {
+                    server: server.to_owned(),
+                    key,
+                },
+            }),
+            AdmitStep::Idle => {}
+        }
+    }
+}
+
+fn work_item(shard: ShardId, from: &str, item: HandedItem) -> WorkItem {
+    WorkItem {
+        shard,
+        given_by: from.to_owned(),
+        job: item.job,
+        item: item.item,
+        chunk: item.chunk,
+        index_in_chunk: item.index_in_chunk,
+        model: item.model,
+        deadline_ms: item.deadline_ms,
+        must_run_alone: item.must_run_alone,
+    }
+}
--- a/bamboo-host/src/core.rs
+++ b/bamboo-host/src/core.rs
@@ -8,7 +8,9 @@
 use bamboo_events::EventKind;
 use bamboo_log::Appender;
 use bamboo_log::NextAppend;
+use bamboo_log::RecordId;
 use bamboo_log::StreamId;
+use bamboo_log::Writer;
 use bamboo_member::Claimant;
 use bamboo_member::Loss;
 use bamboo_member::MemberView;
@@ -179,7 +181,7 @@
         self.take(now, input);
         self.deliver_to_self(now);
         self.advance_appends(now);
-        self.report_counts(now);
+        self.report_counts();
         self.deliver_to_self(now);
         self.flush_sends();
         std::mem::take(&mut self.outputs)
@@ -289,7 +291,7 @@
         self.tick_asks(now);
         self.tick_waiters(now);
         self.update_readiness(now);
-        self.check_drained(now);
+        self.check_drained();
     }
 
     /// A host that was paused acts on nothing it was given before: its place may have been taken meanwhile.
@@ -525,11 +527,11 @@
         self.update_readiness(now);
     }
 
-    fn check_drained(&mut self, now: Now) {
+    fn check_drained(&mut self) {
         let is_idle = self.members.is_draining()
             && !self.is_accepting
             && self.router.in_flight_count() == 0
-            && self.servers.is_empty(now)
+            && self.servers.is_empty()
             && self.servers.unsettled_count() == 0
             && self.waiters.count() == 0
             && self.keyed.is_empty()
@@ -576,6 +578,15 @@
         });
     }
 
+    /// Identity under which this run writes records.
+    pub(crate) fn record_id(&self, sequence: u64) -> RecordId {
+        let writer = Writer {
+            host: self.options.host.clone(),
+            incarnation: self.options.incarnation,
+        };
+        RecordId { writer, sequence }
+    }
+
     pub(crate) fn random(&mut self) -> u64 {
         self.rng.next_u64()
     }
--- a/bamboo-host/src/keyed.rs
+++ b/bamboo-host/src/keyed.rs
@@ -11,7 +11,6 @@
 use bamboo_log::RecordId;
 use bamboo_log::StreamId;
 use bamboo_log::Ticket;
-use bamboo_log::Writer;
 use bamboo_result::Code;
 use bamboo_result::Refusal;
 use bamboo_route::OnlineEnd;
@@ -113,14 +112,7 @@
         after: Offset,
         keyed: Box<KeyedRequest>,
     ) {
-        let writer = Writer {
-            host: self.options.host.clone(),
-            incarnation: self.options.incarnation,
-        };
-        let claim = RecordId {
-            writer,
-            sequence: ticket.sequence,
-        };
+        let claim = self.record_id(ticket.sequence);
         let request = keyed.online.request;
         self.keyed.claims.insert(request, claim.clone());
         let question = Question::Keyed {
@@ -202,7 +194,7 @@
 
     fn run_keyed(&mut self, now: Now, request: RequestId, keyed: KeyedRequest) {
         let random = self.random();
-        // A call that may run only once is not given to a second server, whatever its attempt says.
+        // The router gives the call to a second server only if the first truly did not run it.
         match self.router.arrived(now, keyed.online.clone(), random) {
             RouteStep::Send(attempt) => {
                 let Some(claim) = self.keyed.claims.remove(&request) else {
--- a/bamboo-host/src/lib.rs
+++ b/bamboo-host/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod appends;
 mod asks;
+mod batch_items;
 mod config_role;
 mod core;
 mod input;
@@ -11,6 +12,7 @@
 mod online;
 mod options;
 mod output;
+mod server_reports;
 mod servers;
 mod shard_role;
 mod shards;
--- a/bamboo-host/src/online.rs
+++ b/bamboo-host/src/online.rs
@@ -57,7 +57,7 @@
     }
 
     /// Tells the owners of servers whose count changed.
-    pub(crate) fn report_counts(&mut self, _now: Now) {
+    pub(crate) fn report_counts(&mut self) {
         for server in std::mem::take(&mut self.touched) {
             let in_flight = self.router.own_count(&server);
             if let Some(owner) = self.servers.owner_of(&server).map(str::to_owned) {
--- /dev/null
+++ b/bamboo-host/src/server_reports.rs
@@ -0,0 +1,178 @@
+//! What a server owner tells others: demands to shard owners, loads to routers, outcomes to commit.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bamboo_log::ItemOutcome;
+use bamboo_types::HostId;
+use bamboo_types::Now;
+use bamboo_types::ShardId;
+use bamboo_wire::PeerMessage;
+use bamboo_wire::ServerLoad;
+
+use crate::HostCore;
+use crate::servers::OwnedServer;
+use crate::servers::UNSETTLED_MAX;
+
+/// Interval between demands of one server while it wants items.
+const DEMAND_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval between demands of one server that wants nothing.
+const IDLE_DEMAND_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a shard that gave items counts as having more.
+const WORK_MEMORY: Duration = Duration::from_secs(2);
+/// Shards that one server asks at a time.
+const SHARDS_ASKED_MAX: usize = 4;
+/// Interval between load notices to routers.
+const LOADS_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of hosts up to which all are told loads.
+const LOADS_TO_ALL_MAX: usize = 16;
+/// Interval after which unsettled outcomes are reported again.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+impl HostCore {
+    pub(crate) fn send_demands(&mut self, now: Now, server: &str) {
+        let shard_count = self.options.shard_count;
+        let is_full = self.servers.unsettled_count() >= UNSETTLED_MAX;
+        let Some(owned) = self.servers.owned.get_mut(server) else {
+            return;
+        };
+        let want = if is_full || !owned.is_clean {
+            0
+        } else {
+            owned.owner.want_count(now)
+        };
+        let interval = if want > 0 {
+            DEMAND_INTERVAL
+        } else {
+            IDLE_DEMAND_INTERVAL
+        };
+        if now.saturating_sub(owned.demanded_at) < interval {
+            return;
+        }
+        owned.demanded_at = now;
+        let models = owned.models.clone();
+        let shares = demand_shares(owned, now, want, shard_count);
+        for (shard, want_count) in shares {
+            let held_count = self.servers.held_of(server, shard).len() as u32;
+            let message = PeerMessage::Demand {
+                shard,
+                server: server.to_owned(),
+                models: models.clone(),
+                want_count,
+                held_count,
+            };
+            if let Some(owner) = self.shard_owner(now, shard) {
+                self.send(&owner, message);
+            }
+        }
+    }
+
+    pub(crate) fn send_loads(&mut self, now: Now) {
+        if now.saturating_sub(self.servers.loads_at) < LOADS_INTERVAL {
+            return;
+        }
+        self.servers.loads_at = now;
+        let mut changed = Vec::new();
+        for (server, owned) in &mut self.servers.owned {
+            let load = ServerLoad {
+                server: server.clone(),
+                online_count: owned.owner.online_count(now),
+                batch_count: owned.owner.running_count(),
+            };
+            let is_known = owned.last_load.as_ref() == Some(&load);
+            // A busy server is renewed, since routers stop believing a count that is not.
+            if !is_known || load.online_count > 0 {
+                owned.last_load = Some(load.clone());
+                changed.push(load);
+            }
+        }
+        if changed.is_empty() {
+            return;
+        }
+        for host in self.load_readers() {
+            self.send(&host, PeerMessage::Loads(changed.clone()));
+        }
+    }
+
+    /// Hosts that are told loads: all of a small fleet, else those that have requests on owned servers.
+    pub(crate) fn load_readers(&self) -> Vec<HostId> {
+        if self.live.len() <= LOADS_TO_ALL_MAX {
+            return self.live.clone();
+        }
+        let readers: BTreeSet<&HostId> = self
+            .servers
+            .owned
+            .values()
+            .flat_map(|owned| owned.owner.routers())
+            .collect();
+        readers.into_iter().cloned().collect()
+    }
+
+    pub(crate) fn report_outcomes(&mut self, now: Now) {
+        let mut due: BTreeMap<ShardId, Vec<ItemOutcome>> = BTreeMap::new();
+        for ((shard, _, _), unsettled) in &mut self.servers.unsettled {
+            if unsettled
+                .reported_at
+                .is_none_or(|at| now.saturating_sub(at) >= REPORT_INTERVAL)
+            {
+                unsettled.reported_at = Some(now);
+                due.entry(*shard)
+                    .or_default()
+                    .push(unsettled.outcome.clone());
+            }
+        }
+        for (shard, outcomes) in due {
+            if let Some(owner) = self.shard_owner(now, shard) {
+                self.send(&owner, PeerMessage::Outcomes { shard, outcomes });
+            }
+        }
+    }
+
+    /// Owners stop believing a count that is not renewed.
+    pub(crate) fn renew_counts(&mut self, now: Now) {
+        if self.servers.loads_at == now {
+            self.touched
+                .extend(self.router.busy_servers().map(|(server, _)| server.clone()));
+        }
+    }
+}
+
+/// Which shards a server asks, and for how many items each: those that gave items lately, and one other in turn.
+fn demand_shares(
+    owned: &mut OwnedServer,
+    now: Now,
+    want: u32,
+    shard_count: u16,
+) -> Vec<(ShardId, u32)> {
+    owned
+        .had_work
+        .retain(|_, at| now.saturating_sub(*at) < WORK_MEMORY);
+    let mut shards: Vec<ShardId> = owned
+        .had_work
+        .keys()
+        .copied()
+        .take(SHARDS_ASKED_MAX - 1)
+        .collect();
+    let probes = SHARDS_ASKED_MAX - shards.len();
+    for _ in 0..probes.min(usize::from(shard_count)) {
+        owned.next_probe = (owned.next_probe + 1) % shard_count.max(1);
+        if !shards.contains(&owned.next_probe) {
+            shards.push(owned.next_probe);
+        }
+    }
+    let giving = owned.had_work.len().min(SHARDS_ASKED_MAX - 1) as u32;
+    let share = want.div_ceil(giving.max(1));
+    let is_giving = |shard: &ShardId| giving == 0 || owned.had_work.contains_key(shard);
+    shards
+        .into_iter()
+        .map(|shard| {
+            let want_count = if is_giving(&shard) {
+                share
+            } else {
+                share.min(1)
+            };
+            (shard, want_count)
+        })
+        .collect()
+}
--- a/bamboo-host/src/servers.rs
+++ b/bamboo-host/src/servers.rs
@@ -1,14 +1,10 @@
-//! Backend servers: the router's table, and the servers whose batch work this host owns.
+//! Backend servers: the router's table, and which servers this host owns.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use bamboo_admit::AdmitOptions;
-use bamboo_admit::AdmitStep;
-use bamboo_admit::RunKey;
 use bamboo_admit::ServerOwner;
-use bamboo_admit::WorkItem;
 use bamboo_config::BackendServer;
 use bamboo_config::ConfigFold;
 use bamboo_config::Kind;
@@ -28,62 +24,43 @@
 use bamboo_types::Now;
 use bamboo_types::Offset;
 use bamboo_types::ShardId;
-use bamboo_wire::HandedItem;
-use bamboo_wire::PeerMessage;
 use bamboo_wire::ServerLoad;
 
 use crate::HostCore;
 use crate::Output;
-use crate::RunRef;
-use crate::input::ItemEnd;
-use crate::shards::item_subject;
 
-/// Interval between demands of one server while it wants items.
-const DEMAND_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval between demands of one server that wants nothing.
-const IDLE_DEMAND_INTERVAL: Duration = Duration::from_secs(1);
-/// How long a shard that gave items counts as having more.
-const WORK_MEMORY: Duration = Duration::from_secs(2);
-/// Shards that one server asks at a time.
-const SHARDS_ASKED_MAX: usize = 4;
-/// Interval between load notices to routers.
-const LOADS_INTERVAL: Duration = Duration::from_millis(250);
-/// Number of hosts up to which all are told loads.
-const LOADS_TO_ALL_MAX: usize = 16;
-/// Interval after which unsettled outcomes are reported again.
-const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Unsettled outcomes above which a host starts no further items.
-const UNSETTLED_MAX: usize = 20_000;
+pub(crate) const UNSETTLED_MAX: usize = 20_000;
 /// Weight of batch work on a server that no serving resource names.
 const DEFAULT_BATCH_WEIGHT: f64 = 0.5;
 
 #[derive(Debug)]
-struct OwnedServer {
-    address: String,
-    models: Vec<ModelId>,
-    owner: ServerOwner,
-    is_clean: bool,
-    demanded_at: Now,
-    had_work: BTreeMap<ShardId, Now>,
-    next_probe: ShardId,
-    last_load: Option<ServerLoad>,
+pub(crate) struct OwnedServer {
+    pub(crate) address: String,
+    pub(crate) models: Vec<ModelId>,
+    pub(crate) owner: ServerOwner,
+    pub(crate) is_clean: bool,
+    pub(crate) demanded_at: Now,
+    pub(crate) had_work: BTreeMap<ShardId, Now>,
+    pub(crate) next_probe: ShardId,
+    pub(crate) last_load: Option<ServerLoad>,
 }
 
 #[derive(Debug)]
-struct Unsettled {
-    outcome: ItemOutcome,
-    reported_at: Option<Now>,
+pub(crate) struct Unsettled {
+    pub(crate) outcome: ItemOutcome,
+    pub(crate) reported_at: Option<Now>,
 }
 
 /// Servers as one host sees them.
 #[derive(Debug, Default)]
 pub(crate) struct ServerTable {
-    owners: BTreeMap<BackendServerId, HostId>,
-    owned: BTreeMap<BackendServerId, OwnedServer>,
-    leaving: BTreeSet<BackendServerId>,
-    unsettled: BTreeMap<(ShardId, JobId, ItemIndex), Unsettled>,
-    shard_epochs: BTreeMap<ShardId, Offset>,
-    loads_at: Now,
+    pub(crate) owners: BTreeMap<BackendServerId, HostId>,
+    pub(crate) owned: BTreeMap<BackendServerId, OwnedServer>,
+    pub(crate) leaving: BTreeSet<BackendServerId>,
+    pub(crate) unsettled: BTreeMap<(ShardId, JobId, ItemIndex), Unsettled>,
+    pub(crate) shard_epochs: BTreeMap<ShardId, Offset>,
+    pub(crate) loads_at: Now,
 }
 
 impl ServerTable {
@@ -127,7 +104,7 @@
         self.unsettled.len()
     }
 
-    pub(crate) fn is_empty(&self, _now: Now) -> bool {
+    pub(crate) fn is_empty(&self) -> bool {
         self.owned
             .values()
             .all(|owned| owned.owner.held_count() == 0)
@@ -145,7 +122,7 @@
             .collect()
     }
 
-    fn held_of(&self, server: &str, shard: ShardId) -> Vec<(JobId, ItemIndex)> {
+    pub(crate) fn held_of(&self, server: &str, shard: ShardId) -> Vec<(JobId, ItemIndex)> {
         let running = self
             .owned
             .get(server)
@@ -189,155 +166,6 @@
         self.renew_counts(now);
     }
 
-    /// Starts and stops what the server's owner decides.
-    pub(crate) fn advance_server(&mut self, now: Now, server: &str) {
-        let has_room = self.servers.unsettled_count() < UNSETTLED_MAX;
-        let Some(owned) = self.servers.owned.get_mut(server) else {
-            return;
-        };
-        if !owned.is_clean || !has_room {
-            return;
-        }
-        let address = owned.address.clone();
-        let mut steps = Vec::new();
-        loop {
-            match owned.owner.step(now) {
-                AdmitStep::Idle => break,
-                step => steps.push(step),
-            }
-        }
-        for step in steps {
-            self.apply_step(server, &address, step);
-        }
-    }
-
-    pub(crate) fn items_heard(
-        &mut self,
-        now: Now,
-        from: &str,
-        shard: ShardId,
-        epoch: Offset,
-        items: Vec<HandedItem>,
-    ) {
-        // An owner that was frozen may hand out before it reads that another has taken over.
-        let newest = self.servers.shard_epochs.entry(shard).or_insert(epoch);
-        if epoch < *newest {
-            self.redirect(from, shard);
-            return;
-        }
-        *newest = epoch;
-        if self.is_resuming(now) {
-            let items = items.iter().map(|item| (item.job, item.item)).collect();
-            self.send(from, PeerMessage::Return { shard, items });
-            return;
-        }
-        let mut refused = Vec::new();
-        for item in items {
-            match self.servers.owned.get_mut(&item.server) {
-                Some(owned) => {
-                    owned.had_work.insert(shard, now);
-                    owned.owner.take(now, work_item(shard, from, item));
-                }
-                None => refused.push((item.job, item.item)),
-            }
-        }
-        if !refused.is_empty() {
-            self.send(
-                from,
-                PeerMessage::Return {
-                    shard,
-                    items: refused,
-                },
-            );
-        }
-        let names: Vec<BackendServerId> = self.servers.owned.keys().cloned().collect();
-        for server in names {
-            self.advance_server(now, &server);
-        }
-    }
-
-    pub(crate) fn recount_heard(&mut self, from: &str, shard: ShardId, server: &str) {
-        let items = self.servers.held_of(server, shard);
-        self.send(
-            from,
-            PeerMessage::Holding {
-                shard,
-                server: server.to_owned(),
-                items,
-            },
-        );
-    }
-
-    pub(crate) fn stop_job_heard(&mut self, shard: ShardId, job: JobId) {
-        let names: Vec<BackendServerId> = self.servers.owned.keys().cloned().collect();
-        for server in names {
-            self.drop_items(&server, |item| item.shard == shard && item.job == job);
-        }
-        self.servers
-            .unsettled
-            .retain(|(of, unsettled_job, _), _| (*of, *unsettled_job) != (shard, job));
-    }
-
-    pub(crate) fn item_first_token(&mut self, run: &RunRef) {
-        if let Some(owned) = self.servers.owned.get_mut(&run.server) {
-            owned.owner.first_token(run.key);
-        }
-    }
-
-    pub(crate) fn item_ended(&mut self, now: Now, run: RunRef, end: ItemEnd) {
-        let Some(owned) = self.servers.owned.get_mut(&run.server) else {
-            return;
-        };
-        match end {
-            ItemEnd::Stopped => {
-                owned.owner.stopped(run.key);
-                if let Some(item) = owned.owner.item(run.key) {
-                    let subject = item_subject(item.job, item.item);
-                    self.event(EventKind::ItemStopped, subject, run.server.clone());
-                }
-            }
-            ItemEnd::Returned => {
-                owned.owner.failed(now);
-                if let Some(item) = owned.owner.remove(run.key) {
-                    self.give_back(now, item);
-                }
-            }
-            ItemEnd::Verdict { custom_id, verdict } => {
-                if !verdict.is_final() {
-                    owned.owner.failed(now);
-                }
-                if let Some(item) = owned.owner.remove(run.key) {
-                    let subject = item_subject(item.job, item.item);
-                    self.event(EventKind::ItemRan, subject, run.server.clone());
-                    let server = run.server.clone();
-                    let outcome = ItemOutcome {
-                        job: item.job,
-                        item: item.item,
-                        custom_id,
-                        server,
-                        verdict,
-                    };
-                    let name = (item.shard, item.job, item.item);
-                    self.servers.unsettled.insert(
-                        name,
-                        Unsettled {
-                            outcome,
-                            reported_at: None,
-                        },
-                    );
-                }
-            }
-        }
-        self.advance_server(now, &run.server);
-    }
-
-    pub(crate) fn strays_cancelled(&mut self, now: Now, server: &str) {
-        if let Some(owned) = self.servers.owned.get_mut(server) {
-            owned.is_clean = true;
-        }
-        self.advance_server(now, server);
-    }
-
     fn refresh_owned(&mut self, now: Now, config: &ConfigFold, servers: &[BackendServer]) {
         let mut owners = BTreeMap::new();
         for server in servers {
@@ -421,277 +249,6 @@
         self.servers.owned.remove(server);
         self.event(EventKind::ServerLost, server.to_owned(), String::new());
     }
-
-    /// Gives back items that have not started on a server which takes no new work.
-    fn return_waiting(&mut self, now: Now, server: &str) {
-        if let Some(owned) = self.servers.owned.get(server) {
-            let waiting = owned.owner.waiting_where(|_| true);
-            self.return_items(now, server, waiting);
-        }
-    }
-
-    /// Gives back all items that have not started.
-    pub(crate) fn return_all_waiting(&mut self, now: Now) {
-        let names: Vec<BackendServerId> = self.servers.owned.keys().cloned().collect();
-        for server in names {
-            self.return_waiting(now, &server);
-        }
-    }
-
-    fn return_items(&mut self, now: Now, server: &str, keys: Vec<RunKey>) {
-        for key in keys {
-            let item = self
-                .servers
-                .owned
-                .get_mut(server)
-                .and_then(|owned| owned.owner.remove(key));
-            let server = server.to_owned();
-            self.output(Output::DropItem {
-                run: RunRef { server, key },
-            });
-            if let Some(item) = item {
-                self.give_back(now, item);
-            }
-        }
-    }
-
-    /// Items do not wait for a server that fails while others could run them.
-    fn return_if_blocked(&mut self, now: Now, server: &str) {
-        let is_blocked = self
-            .servers
-            .owned
-            .get(server)
-            .is_some_and(|owned| owned.owner.is_blocked(now));
-        if is_blocked {
-            self.return_waiting(now, server);
-        }
-    }
-
-    /// Items whose shard owner no longer answers do not start: their job may have been cancelled meanwhile.
-    fn return_unconfirmed(&mut self, now: Now, server: &str) {
-        let Some(owned) = self.servers.owned.get(server) else {
-            return;
-        };
-        let waiting = owned
-            .owner
-            .waiting_where(|item| !self.members.is_answering(now, &item.given_by));
-        self.return_items(now, server, waiting);
-    }
-
-    fn drop_items<F>(&mut self, server: &str, matches: F)
-    where
-        F: Fn(&WorkItem) -> bool,
-    {
-        let Some(owned) = self.servers.owned.get_mut(server) else {
-            return;
-        };
-        let keys = owned.owner.keys_where(matches);
-        for key in &keys {
-            owned.owner.remove(*key);
-        }
-        for key in keys {
-            self.output(Output::DropItem {
-                run: RunRef {
-                    server: server.to_owned(),
-                    key,
-                },
-            });
-        }
-    }
-
-    fn give_back(&mut self, now: Now, item: WorkItem) {
-        if let Some(owner) = self.shard_owner(now, item.shard) {
-            let items = vec![(item.job, item.item)];
-            self.send(
-                &owner,
-                PeerMessage::Return {
-                    shard: item.shard,
-                    items,
-                },
-            );
-        }
-    }
-
-    fn apply_step(&mut self, server: &str, address: &str, step: AdmitStep) {
-        match step {
-            AdmitStep::Start(key) => {
-                let item = self
-                    .servers
-                    .owned
-                    .get(server)
-                    .and_then(|owned| owned.owner.item(key))
-                    .cloned();
-                if let Some(item) = item {
-                    let run = RunRef {
-                        server: server.to_owned(),
-                        key,
-                    };
-                    self.event(
-                        EventKind::ItemStarted,
-                        item_subject(item.job, item.item),
-                        server.to_owned(),
-                    );
-                    self.output(Output::StartItem {
-                        run,
-                        address: address.to_owned(),
-                        item,
-                    });
-                }
-            }
-            AdmitStep::Stop(key) => self.output(Output::StopItem {
-                run: RunRef {
-                    server: server.to_owned(),
-                    key,
-                },
-            }),
-            AdmitStep::Idle => {}
-        }
-    }
-
-    fn send_demands(&mut self, now: Now, server: &str) {
-        let shard_count = self.options.shard_count;
-        let is_full = self.servers.unsettled_count() >= UNSETTLED_MAX;
-        let Some(owned) = self.servers.owned.get_mut(server) else {
-            return;
-        };
-        let want = if is_full || !owned.is_clean {
-            0
-        } else {
-            owned.owner.want_count(now)
-        };
-        let interval = if want > 0 {
-            DEMAND_INTERVAL
-        } else {
-            IDLE_DEMAND_INTERVAL
-        };
-        if now.saturating_sub(owned.demanded_at) < interval {
-            return;
-        }
-        owned.demanded_at = now;
-        let models = owned.models.clone();
-        let shares = demand_shares(owned, now, want, shard_count);
-        for (shard, want_count) in shares {
-            let held_count = self.servers.held_of(server, shard).len() as u32;
-            let message = PeerMessage::Demand {
-                shard,
-                server: server.to_owned(),
-                models: models.clone(),
-                want_count,
-                held_count,
-            };
-            if let Some(owner) = self.shard_owner(now, shard) {
-                self.send(&owner, message);
-            }
-        }
-    }
-
-    fn send_loads(&mut self, now: Now) {
-        if now.saturating_sub(self.servers.loads_at) < LOADS_INTERVAL {
-            return;
-        }
-        self.servers.loads_at = now;
-        let mut changed = Vec::new();
-        for (server, owned) in &mut self.servers.owned {
-            let load = ServerLoad {
-                server: server.clone(),
-                online_count: owned.owner.online_count(now),
-                batch_count: owned.owner.running_count(),
-            };
-            let is_known = owned.last_load.as_ref() == Some(&load);
-            // A busy server is renewed, since routers stop believing a count that is not.
-            if !is_known || load.online_count > 0 {
-                owned.last_load = Some(load.clone());
-                changed.push(load);
-            }
-        }
-        if changed.is_empty() {
-            return;
-        }
-        for host in self.load_readers() {
-            self.send(&host, PeerMessage::Loads(changed.clone()));
-        }
-    }
-
-    /// Hosts that are told loads: all of a small fleet, else those that have requests on owned servers.
-    fn load_readers(&self) -> Vec<HostId> {
-        if self.live.len() <= LOADS_TO_ALL_MAX {
-            return self.live.clone();
-        }
-        let readers: BTreeSet<&HostId> = self
-            .servers
-            .owned
-            .values()
-            .flat_map(|owned| owned.owner.routers())
-            .collect();
-        readers.into_iter().cloned().collect()
-    }
-
-    fn report_outcomes(&mut self, now: Now) {
-        let mut due: BTreeMap<ShardId, Vec<ItemOutcome>> = BTreeMap::new();
-        for ((shard, _, _), unsettled) in &mut self.servers.unsettled {
-            if unsettled
-                .reported_at
-                .is_none_or(|at| now.saturating_sub(at) >= REPORT_INTERVAL)
-            {
-                unsettled.reported_at = Some(now);
-                due.entry(*shard)
-                    .or_default()
-                    .push(unsettled.outcome.clone());
-            }
-        }
-        for (shard, outcomes) in due {
-            if let Some(owner) = self.shard_owner(now, shard) {
-                self.send(&owner, PeerMessage::Outcomes { shard, outcomes });
-            }
-        }
-    }
-
-    /// Owners stop believing a count that is not renewed.
-    fn renew_counts(&mut self, now: Now) {
-        if self.servers.loads_at == now {
-            self.touched
-                .extend(self.router.busy_servers().map(|(server, _)| server.clone()));
-        }
-    }
-}
-
-/// Which shards a server asks, and for how many items each: those that gave items lately, and one other in turn.
-fn demand_shares(
-    owned: &mut OwnedServer,
-    now: Now,
-    want: u32,
-    shard_count: u16,
-) -> Vec<(ShardId, u32)> {
-    owned
-        .had_work
-        .retain(|_, at| now.saturating_sub(*at) < WORK_MEMORY);
-    let mut shards: Vec<ShardId> = owned
-        .had_work
-        .keys()
-        .copied()
-        .take(SHARDS_ASKED_MAX - 1)
-        .collect();
-    let probes = SHARDS_ASKED_MAX - shards.len();
-    for _ in 0..probes.min(usize::from(shard_count)) {
-        owned.next_probe = (owned.next_probe + 1) % shard_count.max(1);
-        if !shards.contains(&owned.next_probe) {
-            shards.push(owned.next_probe);
-        }
-    }
-    let giving = owned.had_work.len().min(SHARDS_ASKED_MAX - 1) as u32;
-    let share = want.div_ceil(giving.max(1));
-    let is_giving = |shard: &ShardId| giving == 0 || owned.had_work.contains_key(shard);
-    shards
-        .into_iter()
-        .map(|shard| {
-            let want_count = if is_giving(&shard) {
-                share
-            } else {
-                share.min(1)
-            };
-            (shard, want_count)
-        })
-        .collect()
 }
 
 fn backend_servers(config: &ConfigFold) -> Vec<BackendServer> {
@@ -752,17 +309,3 @@
         });
     weights.reduce(f64::min).unwrap_or(DEFAULT_BATCH_WEIGHT)
 }
-
-fn work_item(shard: ShardId, from: &str, item: HandedItem) -> WorkItem {
-    WorkItem {
-        shard,
-        given_by: from.to_owned(),
-        job: item.job,
-        item: item.item,
-        chunk: item.chunk,
-        index_in_chunk: item.index_in_chunk,
-        model: item.model,
-        deadline_ms: item.deadline_ms,
-        must_run_alone: item.must_run_alone,
-    }
-}
--- a/bamboo-load/src/main.rs
+++ b/bamboo-load/src/main.rs
@@ -9,6 +9,7 @@
 mod process;
 mod quickstart;
 mod report;
+mod rolling;
 mod run;
 mod slopes;
 mod stats;
@@ -29,6 +30,7 @@
   faults                     kills, freezes and outages against processes; exit 1 if a promise broke
   slopes                     cost per host, server, workspace, item and request, for docs/CAPACITY.md
   experiment isolation       ways of yielding to online requests side by side; --json FILE writes the rows
+  rolling                    a planned stop of every host in turn under load; exit 1 if a request was cut off
 OPTIONS
   --deployment quito|bangkok|small   sizes of the fleet [small]
   --hosts N                  hosts [3 for small, 12 otherwise]
@@ -53,6 +55,7 @@
         "faults" => system.block_on(faults::faults(arguments)),
         "slopes" => slopes::slopes(arguments),
         "experiment" => experiment(arguments),
+        "rolling" => system.block_on(rolling::rolling(arguments)),
         "run" => system.block_on(run::run(arguments)),
         other => anyhow::bail!("unknown command '{other}'; see bamboo-load --help"),
     }
--- a/bamboo-load/src/online.rs
+++ b/bamboo-load/src/online.rs
@@ -58,7 +58,8 @@
 /// Online load of one kind.
 #[derive(Debug, Clone)]
 pub(crate) struct OnlineLoad {
-    pub(crate) addresses: Vec<String>,
+    /// Hosts that the balancer sends to; may change while the load runs.
+    pub(crate) addresses: Rc<RefCell<Vec<String>>>,
     pub(crate) model: &'static str,
     pub(crate) rate_per_s: f64,
     pub(crate) duration: Duration,
@@ -86,7 +87,10 @@
             "model": load.model, "prompt": prompt(&mut rng), "max_tokens": load.max_tokens, "stream": true
         });
         actix_rt::time::sleep_until((started_at + due).into()).await;
-        let address = load.addresses[number % load.addresses.len()].clone();
+        let address = {
+            let addresses = load.addresses.borrow();
+            addresses[number % addresses.len()].clone()
+        };
         tasks.push(actix_rt::spawn(send(
             client.clone(),
             address,
--- a/bamboo-load/src/process.rs
+++ b/bamboo-load/src/process.rs
@@ -63,6 +63,11 @@
             .context("kill")?;
         Ok(())
     }
+
+    /// Whether the process has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
 }
 
 impl Drop for Process {
--- /dev/null
+++ b/bamboo-load/src/rolling.rs
@@ -0,0 +1,143 @@
+//! A planned stop of every host in turn, under online load and beside a job: no request may be cut off.
+
+use std::cell::RefCell;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bamboo_client::Api;
+use bamboo_client::Upload;
+use pico_args::Arguments;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::fleet::Fleet;
+use crate::generate::items;
+use crate::online::run_online;
+use crate::report::print_headings;
+use crate::report::print_part;
+use crate::run::RunOptions;
+use crate::run::online_load;
+
+/// Interval at which the balancer asks whether hosts are ready.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+/// Time of load for each host that is rolled.
+const TIME_PER_HOST: Duration = Duration::from_secs(9);
+/// Longest planned stop of one host.
+const STOP_MAX: Duration = Duration::from_secs(60);
+/// Longest answer of an item, tokens.
+const MAX_TOKENS: usize = 48;
+
+/// `bamboo-load rolling`.
+///
+/// # Errors
+/// Fails if the fleet does not start or a host does not stop.
+pub(crate) async fn rolling(mut arguments: Arguments) -> anyhow::Result<ExitCode> {
+    let options = RunOptions::read(&mut arguments)?;
+    anyhow::ensure!(
+        arguments.finish().is_empty(),
+        "unknown arguments; see --help"
+    );
+    let mut fleet = Fleet::start(options.deployment.clone(), options.shows_logs).await?;
+    let mut load = online_load(&fleet, &options);
+    load.duration = TIME_PER_HOST * fleet.hosts.len() as u32;
+    let duration = load.duration;
+    let balancer = actix_rt::spawn(balance(
+        fleet.caller_addresses(),
+        Rc::clone(&load.addresses),
+        duration,
+    ));
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    let body = items(
+        &mut rng,
+        fleet.deployment.model,
+        options.item_count,
+        MAX_TOKENS,
+    );
+    let upload = Upload {
+        body: body.into(),
+        key: Some("rolling".into()),
+        query: String::new(),
+    };
+    let job = fleet.caller(0).submit(upload).await?;
+    let online = actix_rt::spawn(run_online(load));
+    for index in 0..fleet.hosts.len() {
+        roll(&mut fleet, index).await?;
+    }
+    let online = online.await??;
+    balancer.await?;
+    print_headings();
+    print_part("rolling", Some(&online), duration.as_secs_f64(), None);
+    let id = job["id"].as_str().unwrap_or_default();
+    let is_whole = job_is_whole(&fleet, id, options.item_count).await;
+    println!(
+        "cut off or broken {}, job whole: {is_whole}",
+        online.broken_count
+    );
+    Ok(if online.broken_count == 0 && is_whole {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+async fn roll(fleet: &mut Fleet, index: usize) -> anyhow::Result<()> {
+    let started_at = Instant::now();
+    let host = &mut fleet.hosts[index];
+    if let Some(process) = &host.process {
+        process.signal("TERM")?;
+    }
+    while host
+        .process
+        .as_mut()
+        .is_some_and(|process| !process.has_ended())
+    {
+        anyhow::ensure!(
+            started_at.elapsed() < STOP_MAX,
+            "{} does not stop",
+            host.name
+        );
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+    println!(
+        "  {} stopped after {:.1} s",
+        host.name,
+        started_at.elapsed().as_secs_f64()
+    );
+    fleet.start_host(index)?;
+    fleet.wait_ready().await
+}
+
+/// Keeps the list of hosts that say they are ready, as the platform's balancer does.
+async fn balance(all: Vec<String>, ready: Rc<RefCell<Vec<String>>>, duration: Duration) {
+    let until = Instant::now() + duration;
+    while Instant::now() < until {
+        let mut found = Vec::new();
+        for address in &all {
+            if Api::new(address, "").get_text("/readyz").await.is_ok() {
+                found.push(address.clone());
+            }
+        }
+        if !found.is_empty() {
+            *ready.borrow_mut() = found;
+        }
+        actix_rt::time::sleep(PROBE_INTERVAL).await;
+    }
+}
+
+async fn job_is_whole(fleet: &Fleet, id: &str, item_count: usize) -> bool {
+    let until = Instant::now() + STOP_MAX;
+    while Instant::now() < until {
+        let view = fleet
+            .caller(0)
+            .get(&format!("/v1/batches/{id}"))
+            .await
+            .unwrap_or_default();
+        if view["status"] == "completed" {
+            return view["request_counts"]["completed"] == item_count;
+        }
+        actix_rt::time::sleep(PROBE_INTERVAL).await;
+    }
+    false
+}
--- a/bamboo-load/src/run.rs
+++ b/bamboo-load/src/run.rs
@@ -1,6 +1,8 @@
 //! Online alone, batch alone and both, on real processes.
 
+use std::cell::RefCell;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -121,7 +123,7 @@
 /// The online load of a fleet.
 pub(crate) fn online_load(fleet: &Fleet, options: &RunOptions) -> OnlineLoad {
     OnlineLoad {
-        addresses: fleet.caller_addresses(),
+        addresses: Rc::new(RefCell::new(fleet.caller_addresses())),
         model: fleet.deployment.model,
         rate_per_s: options.rate_per_s,
         duration: options.duration,
--- a/bamboo/src/help.rs
+++ b/bamboo/src/help.rs
@@ -10,7 +10,7 @@
   get KIND [NAME]            show resources
   describe KIND NAME         a resource with its jobs, changes and refusals
   delete KIND NAME           delete a resource
-  watch [--from OFFSET]      follow changes and refusals
+  watch [KIND NAME]          follow changes and refusals, or one resource with its jobs
   jobs list|submit|get|cancel|results
                              batch jobs
   status                     one host as it sees itself
@@ -54,8 +54,9 @@
 
 const WATCH: &str = "\
 USAGE: bamboo watch [--from OFFSET] [--once]
+       bamboo watch KIND NAME [--once]
 
-Prints each change and refusal as it happens; --once stops after the first answer.
+With KIND and NAME, prints the resource with its jobs, changes and refusals whenever they differ. Without, prints each change and refusal as it happens; --once stops after the first answer.
 ";
 
 const JOBS: &str = "\
--- a/bamboo/src/resources.rs
+++ b/bamboo/src/resources.rs
@@ -1,5 +1,7 @@
 //! Resources: apply, get, describe, delete, watch.
 
+use std::time::Duration;
+
 use bamboo_client::Api;
 use bamboo_client::Failure;
 use bamboo_config::Resource;
@@ -17,6 +19,9 @@
 use crate::read_file;
 use crate::word;
 
+/// Interval of looking at a watched resource.
+const WATCH_INTERVAL: Duration = Duration::from_millis(500);
+
 /// `bamboo apply`.
 pub(crate) async fn apply(session: &Session, mut arguments: Arguments) -> Result<(), CommandError> {
     let file: String = arguments.value_from_str(["-f", "--file"])?;
@@ -121,6 +126,12 @@
 pub(crate) async fn watch(session: &Session, mut arguments: Arguments) -> Result<(), CommandError> {
     let mut from: u64 = arguments.opt_value_from_str("--from")?.unwrap_or(0);
     let is_once = arguments.contains("--once");
+    let kind: Option<String> = arguments.opt_free_from_str()?;
+    if let Some(kind) = kind {
+        let name = word(&mut arguments, "NAME")?;
+        finish(arguments)?;
+        return watch_one(session, &path(&kind, &name), is_once).await;
+    }
     finish(arguments)?;
     loop {
         let answer = session
@@ -146,6 +157,22 @@
     }
 }
 
+/// Prints a resource with its jobs, changes and refusals whenever any of them differs.
+async fn watch_one(session: &Session, path: &str, is_once: bool) -> Result<(), CommandError> {
+    let mut shown = Value::Null;
+    loop {
+        let state = session.operator.get(&format!("{path}/status")).await?;
+        if state != shown {
+            print_json(&state);
+            shown = state;
+        }
+        if is_once {
+            return Ok(());
+        }
+        actix_rt::time::sleep(WATCH_INTERVAL).await;
+    }
+}
+
 async fn apply_one(api: &Api, resource: &Resource) -> Result<String, Failure> {
     let path = path(resource.kind().name(), resource.name());
     let wanted = json!(resource);
