fix: a call whose key is taken back meanwhile is claimed again at once

Cause: a second call's claim could lie before the end of the first one's; once that had been taken back the owner knew no claim of the key and kept the question until it lapsed, so the caller was held for 5 s.

--- a/bamboo-host/src/asks.rs
+++ b/bamboo-host/src/asks.rs
@@ -363,8 +363,10 @@
                 if !has_passed(*after) {
                     return None;
                 }
-                let keyed = fold.keyed(workspace, key)?;
-                Some(crate::keyed::reply_for(keyed, claim))
+                Some(match fold.keyed(workspace, key) {
+                    Some(keyed) => crate::keyed::reply_for(keyed, claim),
+                    None => Reply::KeyedFree,
+                })
             }
         }
     }
--- a/bamboo-host/src/keyed.rs
+++ b/bamboo-host/src/keyed.rs
@@ -134,6 +134,10 @@
     ) {
         match reply {
             Reply::KeyedFirst => self.run_keyed(now, request, keyed),
+            Reply::KeyedFree => {
+                self.keyed.claims.remove(&request);
+                self.keyed_arrived(now, keyed);
+            }
             Reply::KeyedTaken { digest, .. } if digest != keyed.digest => {
                 self.keyed.claims.remove(&request);
                 self.refuse(
--- a/bamboo-host/tests/core.rs
+++ b/bamboo-host/tests/core.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bamboo_host::Answer;
+use bamboo_result::Code;
 use support::check::all_ended;
 use support::check::note_answer;
 use support::check::violations;
@@ -61,7 +62,7 @@
     let Some(Answer::Refused(refusal)) = world.answers.get(&request) else {
         panic!("{:?}", world.answers.get(&request));
     };
-    assert_eq!(refusal.code, bamboo_result::Code::KeyReused);
+    assert_eq!(refusal.code, Code::KeyReused);
 }
 
 #[test]
@@ -108,3 +109,23 @@
         "{outcomes:?}"
     );
 }
+
+#[test]
+fn a_call_whose_key_is_taken_back_meanwhile_is_answered_at_once() {
+    for delay_ms in 0..60 {
+        let mut world = World::new(6, 3, 1);
+        world.run(SETTLE);
+        // No server is there for the calls, so the first claim is taken back, before or after the second is judged.
+        world.keyed_call("h0", "key");
+        world.run(Duration::from_millis(delay_ms));
+        let second = world.keyed_call("h1", "key");
+        world.run(Duration::from_secs(1));
+        let answer = world.answers.get(&second);
+        let code = match answer {
+            Some(Answer::Refused(refusal)) => refusal.code,
+            other => panic!("{delay_ms} ms: {other:?}"),
+        };
+        let is_true = matches!(code, Code::NoServer | Code::OutcomeUnknown);
+        assert!(is_true, "{delay_ms} ms: {code:?}");
+    }
+}
--- a/bamboo-wire/src/message.rs
+++ b/bamboo-wire/src/message.rs
@@ -104,6 +104,8 @@
         /// Status and body, if it ended.
         ended: Option<(u16, Vec<u8>)>,
     },
+    /// The claim that came first was taken back, so nobody holds the key: claim again.
+    KeyedFree,
     /// The host does not own the shard.
     NotOwner {
         /// The owner, if it is known.
