fix: tokens of dropped items are forgotten, and the server table is rebuilt only when something changed

The batch thread kept the tokens of a dropped item for good, although a drop says to forget them, and copied an item's whole text at every token; the router's table was rebuilt at each reading of the host list, every second, also when nothing was new. Behaviour is otherwise as it was; no test reaches the batch thread's memory.

--- a/bamboo-host/src/core.rs
+++ b/bamboo-host/src/core.rs
@@ -236,8 +236,9 @@
                     .peers()
                     .map(|peer| (peer.host.clone(), peer.peer_address.clone()))
                     .collect();
-                self.servers.set_leaving(leaving_servers);
-                self.refresh_servers(now);
+                if self.servers.set_leaving(leaving_servers) {
+                    self.refresh_servers(now);
+                }
             }
             Input::Frame(frame) => self.take_frame(now, frame),
             Input::AppendAnswered { stream, answer } => self.append_answered(now, stream, answer),
--- a/bamboo-host/src/servers.rs
+++ b/bamboo-host/src/servers.rs
@@ -68,8 +68,12 @@
         self.owners.get(server).map(String::as_str)
     }
 
-    pub(crate) fn set_leaving(&mut self, servers: Vec<BackendServerId>) {
-        self.leaving = servers.into_iter().collect();
+    /// Takes the servers that are leaving; tells whether they are others than before.
+    pub(crate) fn set_leaving(&mut self, servers: Vec<BackendServerId>) -> bool {
+        let leaving = servers.into_iter().collect();
+        let has_changed = self.leaving != leaving;
+        self.leaving = leaving;
+        has_changed
     }
 
     pub(crate) fn count_online(
--- a/bamboo-node/src/batch.rs
+++ b/bamboo-node/src/batch.rs
@@ -23,8 +23,6 @@
 use bamboo_log::ItemVerdict;
 use bamboo_log::StreamId;
 use bamboo_types::BackendServerId;
-use bamboo_types::ItemIndex;
-use bamboo_types::JobId;
 use bamboo_types::Offset;
 use bytes::Bytes;
 use lru::LruCache;
@@ -90,7 +88,7 @@
     platform: Platform,
     client: Client,
     stops: RefCell<HashMap<RunRef, oneshot::Sender<()>>>,
-    partials: RefCell<HashMap<(JobId, ItemIndex), Partial>>,
+    partials: RefCell<HashMap<RunRef, Partial>>,
     chunks: RefCell<LruCache<(StreamId, Offset), ChunkCell>>,
     next_number: RefCell<u64>,
 }
@@ -121,14 +119,16 @@
     while let Some(order) = orders.recv().await {
         match order {
             BatchOrder::Start { run, address, item } => {
+                // From here on only a drop or the item's end forgets its tokens.
+                runner.partials.borrow_mut().entry(run.clone()).or_default();
                 let (stop, stopped) = oneshot::channel();
                 runner.stops.borrow_mut().insert(run.clone(), stop);
                 actix_rt::spawn(run_item(Rc::clone(&runner), run, address, item, stopped));
             }
-            BatchOrder::Stop { run } | BatchOrder::Drop { run } => {
-                if let Some(stop) = runner.stops.borrow_mut().remove(&run) {
-                    let _ = stop.send(());
-                }
+            BatchOrder::Stop { run } => runner.stop(&run),
+            BatchOrder::Drop { run } => {
+                runner.partials.borrow_mut().remove(&run);
+                runner.stop(&run);
             }
             BatchOrder::CancelStrays { server, address } => {
                 actix_rt::spawn(cancel_strays(Rc::clone(&runner), server, address));
@@ -158,7 +158,7 @@
         }
     };
     if end != ItemEnd::Stopped {
-        runner.partials.borrow_mut().remove(&(item.job, item.item));
+        runner.partials.borrow_mut().remove(&run);
     }
     runner.control.tell(Input::ItemEnded { run, end });
 }
@@ -174,7 +174,7 @@
         Ok(Some(body)) => body,
         Ok(None) | Err(_) => return ItemEnd::Returned,
     };
-    let verdict = match stream_item(runner, run, address, item, &body, request_id).await {
+    let verdict = match stream_item(runner, run, address, &body, request_id).await {
         Ok(answer_json) => ItemVerdict::Done { answer_json },
         Err(ItemFailure::Cancelled) => return ItemEnd::Returned,
         Err(ItemFailure::BadItem(reason)) => ItemVerdict::ItemFault { reason },
@@ -220,17 +220,10 @@
     runner: &Runner,
     run: &RunRef,
     address: &str,
-    item: &WorkItem,
     body: &ItemBody,
     request_id: &str,
 ) -> Result<String, ItemFailure> {
-    let name = (item.job, item.item);
-    let mut partial = runner
-        .partials
-        .borrow()
-        .get(&name)
-        .cloned()
-        .unwrap_or_default();
+    let partial = runner.partial_of(run);
     let request = ItemRequest::new(body, &partial).map_err(ItemFailure::BadItem)?;
     let until = Instant::now() + RUN_TIMEOUT;
     let mut headers = HeaderMap::new();
@@ -252,16 +245,14 @@
     let mut is_first = true;
     loop {
         let data = match events.next().await? {
-            StreamEvent::End => return Ok(request.answer_json(request_id, &partial)),
+            StreamEvent::End => return Ok(request.answer_json(request_id, &runner.partial_of(run))),
             StreamEvent::Data(data) => data,
         };
         let chunk: Value = serde_json::from_str(&data).unwrap_or_default();
         if chunk["choices"][0]["finish_reason"] == "cancelled" {
             return Err(ItemFailure::Cancelled);
         }
-        partial.text.push_str(text_of(&chunk));
-        partial.token_count += 1;
-        runner.partials.borrow_mut().insert(name, partial.clone());
+        runner.keep_token(run, text_of(&chunk));
         if is_first {
             is_first = false;
             runner.control.tell(Input::ItemFirstToken(run.clone()));
@@ -332,6 +323,26 @@
 }
 
 impl Runner {
+    /// Ends an item's stream, if it runs.
+    fn stop(&self, run: &RunRef) {
+        if let Some(stop) = self.stops.borrow_mut().remove(run) {
+            // The run may have ended by itself meanwhile.
+            let _ = stop.send(());
+        }
+    }
+
+    /// Adds a token to what an item has; an item that was dropped meanwhile has nothing to add to.
+    fn keep_token(&self, run: &RunRef, text: &str) {
+        if let Some(partial) = self.partials.borrow_mut().get_mut(run) {
+            partial.text.push_str(text);
+            partial.token_count += 1;
+        }
+    }
+
+    fn partial_of(&self, run: &RunRef) -> Partial {
+        self.partials.borrow().get(run).cloned().unwrap_or_default()
+    }
+
     fn next_request_id(&self) -> String {
         let mut number = self.next_number.borrow_mut();
         *number += 1;
