fix: a late verdict of an earlier ownership is never taken for another item

Keys of items begin anew when a host loses a server and owns it again, so a verdict under way meanwhile could be taken for the item that had got the same key: its answer under another item's name. Runs now bear the number of the time of ownership. The batch thread's own tables use the same identity.

--- a/bamboo-host/src/batch_items.rs
+++ b/bamboo-host/src/batch_items.rs
@@ -112,13 +112,13 @@
     }
 
     pub(crate) fn item_first_token(&mut self, run: &RunRef) {
-        if let Some(owned) = self.servers.owned.get_mut(&run.server) {
+        if let Some(owned) = self.servers.server_of_run(run) {
             owned.owner.first_token(run.key);
         }
     }
 
     pub(crate) fn item_ended(&mut self, now: Now, run: RunRef, end: ItemEnd) {
-        let Some(owned) = self.servers.owned.get_mut(&run.server) else {
+        let Some(owned) = self.servers.server_of_run(&run) else {
             return;
         };
         match end {
@@ -194,10 +194,8 @@
                 .owned
                 .get_mut(server)
                 .and_then(|owned| owned.owner.remove(key));
-            let server = server.to_owned();
-            self.output(Output::DropItem {
-                run: RunRef { server, key },
-            });
+            let run = self.servers.run_ref(server, key);
+            self.output(Output::DropItem { run });
             if let Some(item) = item {
                 self.give_back(now, item);
             }
@@ -239,12 +237,8 @@
             owned.owner.remove(*key);
         }
         for key in keys {
-            self.output(Output::DropItem {
-                run: RunRef {
-                    server: server.to_owned(),
-                    key,
-                },
-            });
+            let run = self.servers.run_ref(server, key);
+            self.output(Output::DropItem { run });
         }
     }
 
@@ -271,10 +265,7 @@
                     .and_then(|owned| owned.owner.item(key))
                     .cloned();
                 if let Some(item) = item {
-                    let run = RunRef {
-                        server: server.to_owned(),
-                        key,
-                    };
+                    let run = self.servers.run_ref(server, key);
                     self.event(
                         EventKind::ItemStarted,
                         item_subject(item.job, item.item),
@@ -287,12 +278,10 @@
                     });
                 }
             }
-            AdmitStep::Stop(key) => self.output(Output::StopItem {
-                run: RunRef {
-                    server: server.to_owned(),
-                    key,
-                },
-            }),
+            AdmitStep::Stop(key) => {
+                let run = self.servers.run_ref(server, key);
+                self.output(Output::StopItem { run });
+            }
             AdmitStep::Idle => {}
         }
     }
--- a/bamboo-host/src/output.rs
+++ b/bamboo-host/src/output.rs
@@ -23,6 +23,8 @@
 pub struct RunRef {
     /// Server.
     pub server: BackendServerId,
+    /// Number of the time of ownership in which it was started; keys are unique within one.
+    pub tenure: u64,
     /// Key at its owner.
     pub key: RunKey,
 }
--- a/bamboo-host/src/servers.rs
+++ b/bamboo-host/src/servers.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use bamboo_admit::AdmitOptions;
+use bamboo_admit::RunKey;
 use bamboo_admit::ServerOwner;
 use bamboo_config::BackendServer;
 use bamboo_config::ConfigFold;
@@ -28,6 +29,7 @@
 
 use crate::HostCore;
 use crate::Output;
+use crate::RunRef;
 
 /// Unsettled outcomes above which a host starts no further items.
 pub(crate) const UNSETTLED_MAX: usize = 20_000;
@@ -36,6 +38,7 @@
 
 #[derive(Debug)]
 pub(crate) struct OwnedServer {
+    pub(crate) tenure: u64,
     pub(crate) address: String,
     pub(crate) models: Vec<ModelId>,
     pub(crate) owner: ServerOwner,
@@ -55,6 +58,7 @@
 /// Servers as one host sees them.
 #[derive(Debug, Default)]
 pub(crate) struct ServerTable {
+    pub(crate) last_tenure: u64,
     pub(crate) owners: BTreeMap<BackendServerId, HostId>,
     pub(crate) owned: BTreeMap<BackendServerId, OwnedServer>,
     pub(crate) leaving: BTreeSet<BackendServerId>,
@@ -68,6 +72,22 @@
         self.owners.get(server).map(String::as_str)
     }
 
+    /// A run of an item on a server that this host owns now.
+    pub(crate) fn run_ref(&self, server: &str, key: RunKey) -> RunRef {
+        let tenure = self.owned.get(server).map_or(0, |owned| owned.tenure);
+        RunRef {
+            server: server.to_owned(),
+            tenure,
+            key,
+        }
+    }
+
+    /// The server of a run, unless the run stems from an earlier time of ownership.
+    pub(crate) fn server_of_run(&mut self, run: &RunRef) -> Option<&mut OwnedServer> {
+        let owned = self.owned.get_mut(&run.server)?;
+        (owned.tenure == run.tenure).then_some(owned)
+    }
+
     /// Takes the servers that are leaving; tells whether they are others than before.
     pub(crate) fn set_leaving(&mut self, servers: Vec<BackendServerId>) -> bool {
         let leaving = servers.into_iter().collect();
@@ -214,11 +234,14 @@
         let options = AdmitOptions::weighed(*max_sequences, batch_weight(config, server));
         let is_closed = server.is_draining || self.servers.leaving.contains(&server.name);
         let is_new = !self.servers.owned.contains_key(&server.name);
+        self.servers.last_tenure += u64::from(is_new);
+        let tenure = self.servers.last_tenure;
         let owned = self
             .servers
             .owned
             .entry(server.name.clone())
             .or_insert_with(|| OwnedServer {
+                tenure,
                 address: server.address.clone(),
                 models: Vec::new(),
                 owner: ServerOwner::new(options.clone()),
