--- /dev/null
+++ b/bamboo-fleet/src/lib.rs
@@ -0,0 +1,22 @@
+//! What a deployment consists of: routes, services and backend servers, as operators and servers declare them.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod config;
+mod directory;
+mod events;
+
+pub use config::EngineProfile;
+pub use config::FleetConfig;
+pub use config::Limits;
+pub use config::Route;
+pub use config::RouteKind;
+pub use config::Service;
+pub use config::ServiceId;
+pub use config::Target;
+pub use directory::Directory;
+pub use directory::DirectoryChange;
+pub use directory::Server;
+pub use directory::ServerState;
+pub use events::EventSplitter;
+pub use events::StreamEvent;
--- /dev/null
+++ b/bamboo-gateway/src/body.rs
@@ -0,0 +1,64 @@
+//! Bodies of answers to callers.
+
+use std::io;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+use tokio::sync::mpsc;
+
+/// Pieces of a streamed answer that wait for a slow caller.
+pub(crate) const STREAM_QUEUE: usize = 32;
+
+/// Body of an answer: whole, or pieces as they come.
+#[derive(Debug)]
+pub(crate) enum AnswerBody {
+    /// All bytes.
+    Whole(Option<Bytes>),
+    /// Pieces; an error breaks the connection, so that the answer never looks complete.
+    Pieces(mpsc::Receiver<io::Result<Bytes>>),
+}
+
+impl AnswerBody {
+    pub(crate) fn whole<B>(bytes: B) -> Self
+    where
+        B: Into<Bytes>,
+    {
+        let bytes = bytes.into();
+        AnswerBody::Whole((!bytes.is_empty()).then_some(bytes))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match self.get_mut() {
+            AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            AnswerBody::Pieces(pieces) => pieces
+                .poll_recv(context)
+                .map(|piece| piece.map(|piece| piece.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, AnswerBody::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            AnswerBody::Pieces(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/bamboo-gateway/src/coordinate.rs
@@ -0,0 +1,362 @@
+//! Which host coordinates slots, and what that host keeps of the others.
+//!
+//! The coordinator is the first host, by size and hash, that answers. Nobody is elected: a host that others take for
+//! the coordinator serves them, and two at once only cost some precision, since servers queue what is too much.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bamboo_types::HostId;
+use bamboo_types::weight;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::mesh::Beat;
+use crate::mesh::Board;
+use crate::mesh::HostInfo;
+
+/// Interval of signs of life.
+pub(crate) const BEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// Silence after which a coordinator is passed over: two beats and a loaded host.
+const SILENCE_MAX: Duration = Duration::from_millis(700);
+/// First time for which a silent host is passed over; doubles up to the longest.
+const PASS_OVER_FIRST: Duration = Duration::from_secs(1);
+/// Longest time for which a silent host is passed over.
+const PASS_OVER_MAX: Duration = Duration::from_secs(4);
+/// Silence after which the coordinator drops a host: six beats.
+const HOST_LOST_AFTER: Duration = Duration::from_millis(1500);
+/// Missed answers in a row after which a coordinator is passed over.
+const SLOW_ANSWERS_MAX: u32 = 2;
+/// Share of the waiting tokens that may be given out while some partitions have no known owner.
+const UNSURE_SHARE: f64 = 0.5;
+
+#[derive(Debug, Default)]
+struct Suspicion {
+    until: Duration,
+    count: u32,
+}
+
+/// The host's view: who coordinates.
+#[derive(Debug)]
+pub(crate) struct Coordination {
+    me: HostInfo,
+    hosts: BTreeMap<HostId, HostInfo>,
+    suspicions: HashMap<HostId, Suspicion>,
+    current: HostId,
+    heard_at: Duration,
+    slow_answers: u32,
+    /// Board of the coordinator.
+    pub(crate) board: Board,
+    /// Digest of the board.
+    pub(crate) board_digest: u64,
+}
+
+impl Coordination {
+    pub(crate) fn new(me: HostInfo) -> Self {
+        let hosts = BTreeMap::from([(me.host.clone(), me.clone())]);
+        Coordination {
+            current: me.host.clone(),
+            me,
+            hosts,
+            suspicions: HashMap::new(),
+            heard_at: Duration::ZERO,
+            slow_answers: 0,
+            board: Board::default(),
+            board_digest: 0,
+        }
+    }
+
+    /// The coordinator.
+    pub(crate) fn current(&self) -> &HostId {
+        &self.current
+    }
+
+    /// Whether this host coordinates.
+    pub(crate) fn is_me(&self) -> bool {
+        self.current == self.me.host
+    }
+
+    /// Takes note of a host.
+    pub(crate) fn learn(&mut self, info: &HostInfo) {
+        self.hosts.insert(info.host.clone(), info.clone());
+    }
+
+    /// Takes note of a host of which only the address is known.
+    pub(crate) fn learn_address(&mut self, host: HostId) {
+        let info = HostInfo {
+            host: host.clone(),
+            data_centre: String::new(),
+            size: self.me.size,
+            run: 0,
+        };
+        self.hosts.entry(host).or_insert(info);
+    }
+
+    /// All other hosts that are not passed over.
+    pub(crate) fn others(&self, now: Duration) -> Vec<HostId> {
+        self.hosts
+            .keys()
+            .filter(|host| **host != self.me.host && !self.is_suspect(host, now))
+            .cloned()
+            .collect()
+    }
+
+    /// Hosts that are passed over and should be asked for a sign of life now.
+    pub(crate) fn probes(&mut self, now: Duration) -> Vec<HostId> {
+        let me = &self.me.host;
+        let hosts = &self.hosts;
+        let ranked_before = |host: &HostId| match (hosts.get(host), hosts.get(me)) {
+            (Some(other), Some(mine)) => rank(other) < rank(mine),
+            _ => false,
+        };
+        let mut probes = Vec::new();
+        for (host, suspicion) in &mut self.suspicions {
+            if now >= suspicion.until && ranked_before(host) {
+                suspicion.count += 1;
+                suspicion.until = now + pass_over_time(suspicion.count);
+                probes.push(host.clone());
+            }
+        }
+        probes
+    }
+
+    /// Takes a sign of life of a host.
+    pub(crate) fn heard(&mut self, host: &str, now: Duration) {
+        self.suspicions.remove(host);
+        if host == self.current {
+            self.heard_at = now;
+            self.slow_answers = 0;
+        }
+    }
+
+    /// Takes note that the coordinator missed an answer.
+    pub(crate) fn missed_answer(&mut self, now: Duration) {
+        self.slow_answers += 1;
+        if self.slow_answers >= SLOW_ANSWERS_MAX {
+            self.suspect_current(now);
+        }
+    }
+
+    fn suspect_current(&mut self, now: Duration) {
+        if self.is_me() {
+            return;
+        }
+        let suspicion = self.suspicions.entry(self.current.clone()).or_default();
+        suspicion.count += 1;
+        suspicion.until = now + pass_over_time(suspicion.count);
+    }
+
+    fn is_suspect(&self, host: &str, _now: Duration) -> bool {
+        self.suspicions.contains_key(host)
+    }
+
+    /// Chooses the coordinator anew. Returns whether it is another one.
+    pub(crate) fn choose(&mut self, now: Duration) -> bool {
+        if !self.is_me() && now.saturating_sub(self.heard_at) > SILENCE_MAX {
+            self.suspect_current(now);
+        }
+        let first = self
+            .hosts
+            .values()
+            .filter(|info| !self.is_suspect(&info.host, now))
+            .min_by_key(|info| rank(info))
+            .map_or_else(|| self.me.host.clone(), |info| info.host.clone());
+        if first == self.current {
+            return false;
+        }
+        self.current = first;
+        self.heard_at = now;
+        self.slow_answers = 0;
+        true
+    }
+
+    /// Takes the coordinator's board.
+    pub(crate) fn take_board(&mut self, board: Board) {
+        for info in &board.hosts {
+            if info.host != self.me.host {
+                self.learn(info);
+            }
+        }
+        self.board_digest = digest(&board);
+        self.board = board;
+    }
+
+    /// Owner of a partition of jobs.
+    pub(crate) fn owner_of(&self, partition: u32) -> Option<HostId> {
+        let owners = self.board.owners.iter();
+        owners
+            .filter(|(owned, _, _)| *owned == partition)
+            .max_by_key(|(_, _, epoch)| *epoch)
+            .map(|(_, host, _)| host.clone())
+    }
+}
+
+fn pass_over_time(count: u32) -> Duration {
+    (PASS_OVER_FIRST * 2u32.saturating_pow(count.saturating_sub(1).min(8))).min(PASS_OVER_MAX)
+}
+
+fn rank(info: &HostInfo) -> (std::cmp::Reverse<u64>, u64, &HostId) {
+    (
+        std::cmp::Reverse(info.size),
+        weight(&info.host, "coordinator"),
+        &info.host,
+    )
+}
+
+fn digest(board: &Board) -> u64 {
+    match bincode::serde::encode_to_vec(board, bincode::config::standard()) {
+        Ok(bytes) => xxh3_64(&bytes),
+        Err(error) => {
+            log::error!("the board cannot be encoded: {error}");
+            0
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Report {
+    info: HostInfo,
+    beat: Beat,
+    at: Duration,
+}
+
+#[derive(Debug)]
+struct Reservation {
+    host: HostId,
+    number: u64,
+    route: String,
+    tokens: u64,
+}
+
+/// Whether tokens may wait on a route.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Room {
+    /// Yes, under this number.
+    Reserved(u64),
+    /// No.
+    Full,
+    /// Too little is known.
+    NotSure,
+}
+
+/// The coordinator's view: what the hosts report.
+#[derive(Debug, Default)]
+pub(crate) struct Reports {
+    reports: BTreeMap<HostId, Report>,
+    reservations: Vec<Reservation>,
+    next_reservation: u64,
+}
+
+impl Reports {
+    /// Takes a sign of life. Returns whether the host is new, or runs anew.
+    pub(crate) fn take(&mut self, info: &HostInfo, beat: Beat, now: Duration) -> bool {
+        let is_new = self
+            .reports
+            .get(&info.host)
+            .is_none_or(|report| report.info.run != info.run);
+        self.reservations.retain(|reservation| {
+            reservation.host != info.host || reservation.number > beat.reservation
+        });
+        let report = Report {
+            info: info.clone(),
+            beat,
+            at: now,
+        };
+        self.reports.insert(info.host.clone(), report);
+        is_new
+    }
+
+    /// Drops hosts that have fallen silent and returns them.
+    pub(crate) fn drop_lost(&mut self, now: Duration) -> Vec<HostId> {
+        let lost: Vec<HostId> = self
+            .reports
+            .iter()
+            .filter(|(_, report)| now.saturating_sub(report.at) > HOST_LOST_AFTER)
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in &lost {
+            self.reports.remove(host);
+        }
+        lost
+    }
+
+    /// Hosts and owners as they are now.
+    pub(crate) fn board(&self) -> Board {
+        let mut owners: BTreeMap<u32, (HostId, u64)> = BTreeMap::new();
+        for (host, report) in &self.reports {
+            for (partition, epoch) in &report.beat.partitions {
+                let owner = owners.entry(*partition).or_insert((host.clone(), *epoch));
+                if *epoch > owner.1 {
+                    *owner = (host.clone(), *epoch);
+                }
+            }
+        }
+        Board {
+            hosts: self
+                .reports
+                .values()
+                .map(|report| report.info.clone())
+                .collect(),
+            owners: owners
+                .into_iter()
+                .map(|(partition, (host, epoch))| (partition, host, epoch))
+                .collect(),
+        }
+    }
+
+    /// The digest of a board, as hosts compute it.
+    pub(crate) fn digest_of(board: &Board) -> u64 {
+        digest(board)
+    }
+
+    /// Reserves room for tokens that will wait on a route.
+    pub(crate) fn reserve(
+        &mut self,
+        host: &str,
+        route: &str,
+        tokens: u64,
+        max_tokens: u64,
+        partition_count: u32,
+    ) -> Room {
+        let known = self.board().owners.len() as u32;
+        let reported: u64 = self
+            .reports
+            .values()
+            .flat_map(|report| &report.beat.waiting_tokens)
+            .filter(|(name, _)| name == route)
+            .map(|(_, tokens)| tokens)
+            .sum();
+        let reserved: u64 = self
+            .reservations
+            .iter()
+            .filter(|reservation| reservation.route == route)
+            .map(|reservation| reservation.tokens)
+            .sum();
+        let waiting = reported + reserved + tokens;
+        if known < partition_count {
+            let scale = f64::from(partition_count) / f64::from(known.max(1));
+            if waiting as f64 * scale > max_tokens as f64 * UNSURE_SHARE {
+                return Room::NotSure;
+            }
+        }
+        if waiting > max_tokens {
+            return Room::Full;
+        }
+        self.next_reservation += 1;
+        self.reservations.push(Reservation {
+            host: host.to_owned(),
+            number: self.next_reservation,
+            route: route.to_owned(),
+            tokens,
+        });
+        Room::Reserved(self.next_reservation)
+    }
+
+    /// Hosts with the configuration versions that they have.
+    pub(crate) fn newest_config(&self) -> Option<(HostId, u64)> {
+        self.reports
+            .iter()
+            .map(|(host, report)| (host.clone(), report.beat.config_version))
+            .max_by_key(|(_, version)| *version)
+    }
+}
--- /dev/null
+++ b/bamboo-gateway/src/jobs.rs
@@ -0,0 +1,96 @@
+//! Jobs: shards of this host, calls about jobs, and the runs of their items.
+
+mod calls;
+mod items;
+mod ownership;
+mod part;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use crate::store::Partition;
+
+use items::ItemTimes;
+pub(crate) use ownership::keep_hosts;
+pub(crate) use ownership::keep_shards;
+pub(crate) use ownership::leave_shards;
+use part::OwnedPart;
+
+/// Shards of this host and what it has reserved for them.
+#[derive(Default)]
+pub(crate) struct JobShards {
+    parts: RefCell<BTreeMap<Partition, Rc<OwnedPart>>>,
+    has_joined: Cell<bool>,
+    member_until: Cell<Duration>,
+    reservation: Cell<u64>,
+    reserved_tokens: RefCell<HashMap<String, u64>>,
+    item_times: ItemTimes,
+    config_changes: Notify,
+}
+
+impl JobShards {
+    /// Whether the store has answered this host's wish to own shards.
+    pub(crate) fn has_joined(&self) -> bool {
+        self.has_joined.get()
+    }
+
+    /// Partitions that are folded and served here, with their epochs.
+    pub(crate) fn owned(&self) -> Vec<(Partition, u64)> {
+        let parts = self.parts.borrow();
+        parts
+            .values()
+            .filter(|part| part.is_open())
+            .map(|part| (part.partition, part.epoch))
+            .collect()
+    }
+
+    /// Tokens that wait here, by route, with those that are reserved.
+    pub(crate) fn waiting_tokens(&self) -> Vec<(String, u64)> {
+        let mut waiting: HashMap<String, u64> = self.reserved_tokens.borrow().clone();
+        for part in self.parts.borrow().values() {
+            for (route, tokens) in part.shard.borrow().waiting_tokens() {
+                *waiting.entry(route).or_default() += tokens;
+            }
+        }
+        waiting.into_iter().filter(|(_, tokens)| *tokens > 0).collect()
+    }
+
+    /// Number of the last reservation of the current coordinator.
+    pub(crate) fn reservation(&self) -> u64 {
+        self.reservation.get()
+    }
+
+    /// Another host coordinates, and numbers reservations anew.
+    pub(crate) fn forget_reservation(&self) {
+        self.reservation.set(0);
+    }
+
+    /// Items look at their routes again.
+    pub(crate) fn config_changed(&self) {
+        self.config_changes.notify_waiters();
+    }
+
+    fn part(&self, partition: Partition) -> Option<Rc<OwnedPart>> {
+        self.parts.borrow().get(&partition).cloned()
+    }
+
+    fn add_reserved(&self, route: &str, tokens: u64) {
+        *self
+            .reserved_tokens
+            .borrow_mut()
+            .entry(route.to_owned())
+            .or_default() += tokens;
+    }
+
+    fn remove_reserved(&self, route: &str, tokens: u64) {
+        if let Some(reserved) = self.reserved_tokens.borrow_mut().get_mut(route) {
+            *reserved = reserved.saturating_sub(tokens);
+        }
+    }
+}
--- /dev/null
+++ b/bamboo-gateway/src/jobs/calls.rs
@@ -0,0 +1,373 @@
+//! Calls about jobs, at any host: answered by the owner of the job's shard.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboo_fleet::RouteKind;
+use bamboo_shards::JobRecord;
+use bamboo_shards::Record;
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::body::AnswerBody;
+use crate::dialect::JobCall;
+use crate::gateway::Gateway;
+use crate::jobs::JobShards;
+use crate::jobs::part::OwnedPart;
+use crate::jobs::part::Stored;
+use crate::mesh::PeerReply;
+use crate::mesh::PeerRequest;
+use crate::store::Partition;
+
+/// Time for an answer of a shard's owner, beyond the time that it may wait.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time for an answer of a shard's owner to a submission: below the 4 s that callers wait.
+const SUBMIT_TIMEOUT: Duration = Duration::from_millis(3600);
+/// Time for the store to take a record that a caller waits for.
+const STORE_PATIENCE: Duration = Duration::from_millis(3000);
+/// Failure of appends after which submissions are refused before they are tried.
+const STORE_FAILING: Duration = Duration::from_millis(400);
+/// Time for the coordinator to reserve room.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait for a result.
+const RESULT_WAIT_MAX: Duration = Duration::from_millis(1000);
+/// Bytes of text in one answer.
+const PAGE_MAX_BYTES: usize = 900_000;
+/// When to come back to a shard without an owner that answers.
+const RETRY_AFTER: &str = "0.3";
+
+fn http_reply(status: StatusCode, body: Vec<u8>) -> PeerReply {
+    PeerReply::Http {
+        status: status.as_u16(),
+        body,
+    }
+}
+
+fn not_sure() -> PeerReply {
+    http_reply(StatusCode::SERVICE_UNAVAILABLE, Vec::new())
+}
+
+fn to_response(reply: Option<PeerReply>) -> Response<AnswerBody> {
+    let (status, body) = match reply {
+        Some(PeerReply::Http { status, body }) => (status, body),
+        _ => (StatusCode::SERVICE_UNAVAILABLE.as_u16(), Vec::new()),
+    };
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = Response::new(AnswerBody::whole(body));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    if status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER));
+    }
+    response
+}
+
+impl JobShards {
+    fn partition_of(&self, gateway: &Gateway, job: &str) -> Partition {
+        (xxh3_64(job.as_bytes()) % u64::from(gateway.settings.store.shard_count)) as Partition
+    }
+
+    fn is_here(&self, partition: Partition) -> bool {
+        self.part(partition).is_some_and(|part| part.is_open())
+    }
+
+    /// Submits a job for a caller.
+    pub(crate) async fn submit(
+        &self,
+        gateway: &Rc<Gateway>,
+        job: &str,
+        host: &str,
+        path: &str,
+        body: Bytes,
+    ) -> Response<AnswerBody> {
+        let partition = self.partition_of(gateway, job);
+        let started = gateway.clock.now();
+        let reply = if self.is_here(partition) {
+            Some(self.submit_here(gateway, job, host, path, &body).await)
+        } else {
+            let owner = gateway.coordination.borrow().owner_of(partition);
+            match owner {
+                Some(owner) if owner != gateway.me.host => {
+                    let request = PeerRequest::Submit {
+                        job: job.to_owned(),
+                        host: host.to_owned(),
+                        path: path.to_owned(),
+                        body: body.to_vec(),
+                    };
+                    let reply = gateway
+                        .mesh
+                        .call(&owner, request, SUBMIT_TIMEOUT, started)
+                        .await;
+                    // Without an answer the job may be accepted: that is no promise that it is not.
+                    reply.or_else(|| Some(http_reply(StatusCode::GATEWAY_TIMEOUT, Vec::new())))
+                }
+                _ => Some(not_sure()),
+            }
+        };
+        let response = to_response(reply);
+        let took_ms = gateway.clock.now().saturating_sub(started).as_millis() as u64;
+        log::info!(
+            event = "job_submitted", job, partition, status = response.status().as_u16(), took_ms;
+            "job submitted"
+        );
+        response
+    }
+
+    /// Answers a call about a job for a caller.
+    pub(crate) async fn call(&self, gateway: &Rc<Gateway>, call: JobCall) -> Response<AnswerBody> {
+        let partition = self.partition_of(gateway, call.job());
+        if self.is_here(partition) {
+            return to_response(Some(self.call_here(gateway, call).await));
+        }
+        let owner = gateway.coordination.borrow().owner_of(partition);
+        let reply = match owner {
+            Some(owner) if owner != gateway.me.host => {
+                let timeout = OWNER_TIMEOUT
+                    + match call {
+                        JobCall::Read { wait, .. } => wait.min(RESULT_WAIT_MAX),
+                        JobCall::End { .. } => STORE_PATIENCE,
+                        JobCall::ItemBody { .. } => Duration::ZERO,
+                    };
+                let now = gateway.clock.now();
+                gateway
+                    .mesh
+                    .call(&owner, PeerRequest::Job(call), timeout, now)
+                    .await
+            }
+            _ => None,
+        };
+        to_response(reply)
+    }
+
+    /// Submits a job as the owner of its shard.
+    pub(crate) async fn submit_here(
+        &self,
+        gateway: &Rc<Gateway>,
+        job: &str,
+        host: &str,
+        path: &str,
+        body: &[u8],
+    ) -> PeerReply {
+        let partition = self.partition_of(gateway, job);
+        let Some(part) = self.part(partition).filter(|part| part.is_open()) else {
+            return not_sure();
+        };
+        if part.shard.borrow().job(job).is_some() {
+            return http_reply(StatusCode::ACCEPTED, Vec::new());
+        }
+        let record = match job_record(gateway, job, host, path, body) {
+            Ok(record) => Rc::new(record),
+            Err(reply) => return reply,
+        };
+        if part.failing_for(gateway.clock.now()) > STORE_FAILING {
+            return not_sure();
+        }
+        let tokens = record.items.iter().map(|item| item.tokens).sum();
+        if let Err(reply) = self.reserve(gateway, &record, tokens).await {
+            return reply;
+        }
+        let route = record.route.clone();
+        let stored = part
+            .append_and_wait(Record::Accepted(record), STORE_PATIENCE)
+            .await;
+        self.remove_reserved(&route, tokens);
+        match stored {
+            Stored::Yes => http_reply(StatusCode::ACCEPTED, Vec::new()),
+            Stored::No => not_sure(),
+            Stored::Unknown => http_reply(StatusCode::GATEWAY_TIMEOUT, Vec::new()),
+        }
+    }
+
+    /// Reserves room for the tokens of a job on its route.
+    async fn reserve(
+        &self,
+        gateway: &Rc<Gateway>,
+        record: &JobRecord,
+        tokens: u64,
+    ) -> Result<(), PeerReply> {
+        let max_tokens = match gateway
+            .config()
+            .and_then(|config| {
+                config
+                    .routes
+                    .iter()
+                    .find(|route| route.name == record.route)
+                    .map(|route| route.kind.clone())
+            }) {
+            Some(RouteKind::Batch {
+                waiting_max_tokens, ..
+            }) => waiting_max_tokens,
+            _ => return Err(not_sure()),
+        };
+        if max_tokens == 0 {
+            self.add_reserved(&record.route, tokens);
+            return Ok(());
+        }
+        let coordinator = gateway.coordination.borrow().current().clone();
+        let reply = if coordinator == gateway.me.host {
+            Some(gateway.reserve(&gateway.me.host, &record.route, tokens, max_tokens))
+        } else {
+            let request = PeerRequest::Reserve {
+                route: record.route.clone(),
+                tokens,
+                max_tokens,
+            };
+            let now = gateway.clock.now();
+            gateway
+                .mesh
+                .call(&coordinator, request, RESERVE_TIMEOUT, now)
+                .await
+        };
+        match reply {
+            Some(PeerReply::Reserved(Some(number))) => {
+                self.reservation.set(self.reservation.get().max(number));
+                self.add_reserved(&record.route, tokens);
+                Ok(())
+            }
+            Some(PeerReply::Reserved(None)) => {
+                Err(http_reply(StatusCode::TOO_MANY_REQUESTS, Vec::new()))
+            }
+            _ => Err(not_sure()),
+        }
+    }
+
+    /// Answers a call as the owner of the job's shard.
+    pub(crate) async fn call_here(&self, gateway: &Rc<Gateway>, call: JobCall) -> PeerReply {
+        let partition = self.partition_of(gateway, call.job());
+        let Some(part) = self.part(partition).filter(|part| part.is_open()) else {
+            return not_sure();
+        };
+        match call {
+            JobCall::Read { job, after, wait } => {
+                self.read(gateway, &part, &job, after, wait).await
+            }
+            JobCall::ItemBody { job, item } => self.item_body(gateway, &part, &job, &item),
+            JobCall::End { job } => self.end(gateway, &part, &job).await,
+        }
+    }
+
+    /// Whether this host surely is still the owner of what the store dealt to it.
+    fn is_member(&self, gateway: &Gateway) -> bool {
+        gateway.clock.now() < self.member_until.get()
+    }
+
+    fn not_found(&self, gateway: &Gateway) -> PeerReply {
+        match self.is_member(gateway) {
+            true => http_reply(StatusCode::NOT_FOUND, Vec::new()),
+            false => not_sure(),
+        }
+    }
+
+    async fn read(
+        &self,
+        gateway: &Rc<Gateway>,
+        part: &OwnedPart,
+        job: &str,
+        after: usize,
+        wait: Duration,
+    ) -> PeerReply {
+        let until = gateway.clock.now() + wait.min(RESULT_WAIT_MAX);
+        loop {
+            let changed = part.listed.notified();
+            let answer = {
+                let shard = part.shard.borrow();
+                let Some(found) = shard.job(job) else {
+                    return self.not_found(gateway);
+                };
+                let page = found.page(after, PAGE_MAX_BYTES);
+                let is_final = !page.results.is_empty()
+                    || found.is_complete()
+                    || found.is_ended()
+                    || gateway.clock.now() >= until;
+                if is_final && page.results.is_empty() && !self.is_member(gateway) {
+                    return not_sure();
+                }
+                is_final.then(|| (gateway.dialect.results_page)(&found.record, &page))
+            };
+            match answer {
+                Some(Ok(body)) => return http_reply(StatusCode::OK, body),
+                Some(Err(error)) => {
+                    log::error!(event = "page_failed", job; "results cannot be written: {error:#}");
+                    return http_reply(StatusCode::INTERNAL_SERVER_ERROR, Vec::new());
+                }
+                None if part.is_lost() => return not_sure(),
+                None => {
+                    let left = until.saturating_sub(gateway.clock.now());
+                    // Without a change the loop answers with what there is.
+                    let _ = tokio::time::timeout(left, changed).await;
+                }
+            }
+        }
+    }
+
+    fn item_body(&self, gateway: &Gateway, part: &OwnedPart, job: &str, item: &str) -> PeerReply {
+        let shard = part.shard.borrow();
+        let Some(found) = shard.job(job) else {
+            return self.not_found(gateway);
+        };
+        match found.find_item(item) {
+            Some(index) if !found.is_listed(index) && !found.is_ended() => {
+                http_reply(StatusCode::OK, found.record.items[index as usize].body.clone())
+            }
+            _ => self.not_found(gateway),
+        }
+    }
+
+    async fn end(&self, gateway: &Rc<Gateway>, part: &OwnedPart, job: &str) -> PeerReply {
+        let is_ended = match part.shard.borrow().job(job) {
+            Some(found) => found.is_ended(),
+            None => return self.not_found(gateway),
+        };
+        if is_ended {
+            return http_reply(StatusCode::OK, Vec::new());
+        }
+        let record = Record::Ended {
+            job: job.to_owned(),
+        };
+        match part.append_and_wait(record, STORE_PATIENCE).await {
+            Stored::Yes => http_reply(StatusCode::OK, Vec::new()),
+            Stored::No | Stored::Unknown => not_sure(),
+        }
+    }
+}
+
+fn job_record(
+    gateway: &Gateway,
+    job: &str,
+    host: &str,
+    path: &str,
+    body: &[u8],
+) -> Result<JobRecord, PeerReply> {
+    let items = (gateway.dialect.job_items)(body).map_err(|error| {
+        log::info!(event = "job_malformed", job; "a submitted job cannot be read: {error:#}");
+        http_reply(StatusCode::BAD_REQUEST, Vec::new())
+    })?;
+    let config = gateway.config().ok_or_else(not_sure)?;
+    let route = config.find_route(host, path).ok_or_else(not_sure)?;
+    let RouteKind::Batch {
+        completion_target,
+        retention,
+        ..
+    } = route.kind
+    else {
+        return Err(not_sure());
+    };
+    Ok(JobRecord {
+        id: job.to_owned(),
+        host: host.to_owned(),
+        route: route.name.clone(),
+        submitted_at_ms: gateway.clock.unix_ms(),
+        completion_target_ms: completion_target.as_millis() as u64,
+        retention_ms: retention.as_millis() as u64,
+        attempts_max: route.attempts_max.max(1),
+        items,
+    })
+}
--- /dev/null
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -0,0 +1,326 @@
+//! Runs items of jobs at model engines.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboo_fleet::FleetConfig;
+use bamboo_shards::AttemptEnd;
+use bamboo_shards::ItemNext;
+use bamboo_shards::ItemResult;
+use bamboo_shards::ItemRun;
+use bamboo_shards::JobRecord;
+use bamboo_shards::Record;
+use bamboo_shards::ResultState;
+use bamboo_slots::RunOutcome;
+use bamboo_slots::Work;
+use bamboo_types::BackendServerId;
+use bamboo_types::ItemIndex;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::header;
+use rand::RngExt;
+
+use crate::asks::Slot;
+use crate::asks::ask_slot;
+use crate::gateway::Gateway;
+use crate::jobs::part::OwnedPart;
+use crate::task::OwnedTask;
+use crate::traffic::EngineRequest;
+use crate::traffic::Next;
+use crate::traffic::OpenError;
+use crate::traffic::open_stream;
+
+/// Time from sending to the first event after which an item is tried elsewhere.
+const FIRST_EVENT_MAX: Duration = Duration::from_millis(800);
+/// Pause between events after which an item is continued elsewhere.
+const GAP_MAX: Duration = Duration::from_millis(500);
+/// Pause after a failed attempt.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Events of an item before any has been seen.
+const EVENTS_FIRST_GUESS: f64 = 60.0;
+/// Time between events before any has been seen.
+const EVENT_TIME_FIRST_GUESS: Duration = Duration::from_millis(22);
+/// Weight of one more item in the running means.
+const MEAN_WEIGHT: f64 = 0.1;
+/// Shortest time that an item is taken to run.
+const LEFT_MIN: Duration = Duration::from_millis(100);
+
+/// How long items run, from those that are done.
+#[derive(Debug)]
+pub(super) struct ItemTimes {
+    events: Cell<f64>,
+    event_time: Cell<Duration>,
+}
+
+impl Default for ItemTimes {
+    fn default() -> Self {
+        ItemTimes {
+            events: Cell::new(EVENTS_FIRST_GUESS),
+            event_time: Cell::new(EVENT_TIME_FIRST_GUESS),
+        }
+    }
+}
+
+impl ItemTimes {
+    fn left(&self, run: &ItemRun) -> Duration {
+        let events = self.events.get() - f64::from(run.event_count());
+        self.event_time.get().mul_f64(events.max(0.0)).max(LEFT_MIN)
+    }
+
+    fn done(&self, run: &ItemRun) {
+        let events = f64::from(run.event_count());
+        self.events
+            .set(self.events.get() * (1.0 - MEAN_WEIGHT) + events * MEAN_WEIGHT);
+    }
+}
+
+/// Starts the items of every open job.
+pub(super) fn start_open_items(gateway: &Rc<Gateway>, part: &Rc<OwnedPart>) {
+    let jobs: Vec<String> = part
+        .shard
+        .borrow()
+        .jobs()
+        .map(|job| job.record.id.clone())
+        .collect();
+    for job in jobs {
+        start_job(gateway, part, &job);
+    }
+}
+
+/// Starts the open items of a job.
+pub(super) fn start_job(gateway: &Rc<Gateway>, part: &Rc<OwnedPart>, id: &str) {
+    let shard = part.shard.borrow();
+    let Some(job) = shard.job(id).filter(|job| !job.is_ended()) else {
+        return;
+    };
+    for item in job.open_items() {
+        let run = run_item(
+            Rc::clone(gateway),
+            Rc::clone(part),
+            Rc::clone(&job.record),
+            item,
+        );
+        part.own_task(OwnedTask::spawn(run));
+    }
+}
+
+/// What an item waits for, or that it needs no more runs.
+enum Standing {
+    Runnable { service: String, due_in: Duration },
+    Closed,
+    Expired,
+}
+
+fn standing(gateway: &Gateway, part: &OwnedPart, job: &JobRecord, item: ItemIndex) -> Standing {
+    let shard = part.shard.borrow();
+    let is_open = shard
+        .job(&job.id)
+        .is_some_and(|found| !found.is_ended() && !found.is_listed(item));
+    if !is_open || part.is_lost() {
+        return Standing::Closed;
+    }
+    let age_ms = gateway.clock.unix_ms().saturating_sub(job.submitted_at_ms);
+    let service = gateway
+        .config()
+        .and_then(|config| service_of(&config, job, item));
+    match service {
+        Some(service) if age_ms < job.retention_ms => Standing::Runnable {
+            service,
+            due_in: Duration::from_millis(job.completion_target_ms.saturating_sub(age_ms)),
+        },
+        _ => Standing::Expired,
+    }
+}
+
+/// Service of an item by the configuration in force; `None` if its route is gone.
+fn service_of(config: &FleetConfig, job: &JobRecord, item: ItemIndex) -> Option<String> {
+    let path = &job.items[item as usize].path;
+    let route = config.find_route(&job.host, path)?;
+    route.pick_service(rand::rng().random()).cloned()
+}
+
+/// Runs an item until it has a result.
+async fn run_item(gateway: Rc<Gateway>, part: Rc<OwnedPart>, job: Rc<JobRecord>, item: ItemIndex) {
+    let mut run = ItemRun::default();
+    let mut excluded: Vec<BackendServerId> = Vec::new();
+    let request = engine_request(&gateway, &job, item);
+    loop {
+        let (service, due_in) = match standing(&gateway, &part, &job, item) {
+            Standing::Runnable { service, due_in } => (service, due_in),
+            Standing::Closed => return,
+            Standing::Expired => return list(&gateway, &part, &job, item, &run, ResultState::DeadLetter),
+        };
+        let work = Work::Batch {
+            due: gateway.clock.now() + due_in,
+            left: gateway.jobs.item_times.left(&run),
+        };
+        let Ok(slot) = ask_slot(&gateway, &service, work, std::mem::take(&mut excluded)).await else {
+            actix_rt::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        if matches!(standing(&gateway, &part, &job, item), Standing::Closed) {
+            return;
+        }
+        let server = slot.server.id.clone();
+        let (end, outcome) = attempt(&gateway, &part, &job, &slot, &request, &mut run).await;
+        slot.set_outcome(outcome);
+        drop(slot);
+        if !matches!(outcome, RunOutcome::Done | RunOutcome::Cancelled) {
+            excluded.push(server.clone());
+        }
+        if end != AttemptEnd::Whole && outcome != RunOutcome::Cancelled {
+            log::info!(
+                event = "item_attempt", job = job.id.as_str(), item = request.id.as_str(), server = server.as_str(),
+                end:? = end, outcome:? = outcome, events = run.event_count(); "an attempt at an item ended early"
+            );
+        }
+        match run.after_attempt(end, job.attempts_max) {
+            ItemNext::Finish => {
+                gateway.jobs.item_times.done(&run);
+                return list(&gateway, &part, &job, item, &run, ResultState::Done);
+            }
+            ItemNext::GiveUp => {
+                return list(&gateway, &part, &job, item, &run, ResultState::DeadLetter);
+            }
+            ItemNext::RunAgain if outcome == RunOutcome::Cancelled => gateway.metrics.item("preempted"),
+            ItemNext::RunAgain => {
+                gateway.metrics.item("retried");
+                actix_rt::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn list(
+    gateway: &Gateway,
+    part: &OwnedPart,
+    job: &JobRecord,
+    item: ItemIndex,
+    run: &ItemRun,
+    state: ResultState,
+) {
+    gateway.metrics.item(match state {
+        ResultState::Done => "done",
+        ResultState::DeadLetter => "dead_letter",
+    });
+    if state == ResultState::DeadLetter {
+        log::info!(
+            event = "item_given_up", job = job.id.as_str(), item = job.items[item as usize].id.as_str();
+            "an item is given up"
+        );
+    }
+    let text = match state {
+        ResultState::Done => run.text(),
+        ResultState::DeadLetter => String::new(),
+    };
+    part.append(Record::Results {
+        job: job.id.clone(),
+        results: vec![ItemResult { item, state, text }],
+    });
+}
+
+fn engine_request(gateway: &Gateway, job: &JobRecord, item: ItemIndex) -> EngineRequest {
+    let item = &job.items[item as usize];
+    let mut headers = HeaderMap::new();
+    for (name, value) in &item.headers {
+        match (name.parse::<HeaderName>(), HeaderValue::from_str(value)) {
+            (Ok(name), Ok(value)) => {
+                headers.append(name, value);
+            }
+            _ => log::warn!(event = "item_header", item = item.id.as_str(), name; "a header of an item cannot be sent"),
+        }
+    }
+    if let Ok(id) = HeaderValue::from_str(&item.id) {
+        headers.insert(&gateway.dialect.headers.request_id, id);
+    }
+    if let Ok(host) = HeaderValue::from_str(&job.host) {
+        headers.insert(header::HOST, host);
+    }
+    EngineRequest {
+        id: item.id.clone(),
+        method: Method::POST,
+        target: item.path.clone(),
+        headers,
+        body: Bytes::from(item.body.clone()),
+    }
+}
+
+/// One attempt at an item: until it is whole, fails, is stopped, or its job ends.
+async fn attempt(
+    gateway: &Rc<Gateway>,
+    part: &OwnedPart,
+    job: &JobRecord,
+    slot: &Slot,
+    request: &EngineRequest,
+    run: &mut ItemRun,
+) -> (AttemptEnd, RunOutcome) {
+    let is_over = async {
+        loop {
+            part.listed.notified().await;
+            let shard = part.shard.borrow();
+            if shard.job(&job.id).is_none_or(|found| found.is_ended()) {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        biased;
+        () = slot.stop.notified() => (AttemptEnd::Interrupted, RunOutcome::Cancelled),
+        () = is_over => (AttemptEnd::Interrupted, RunOutcome::Cancelled),
+        ended = read_events(gateway, slot, request, run) => ended,
+    }
+}
+
+async fn read_events(
+    gateway: &Rc<Gateway>,
+    slot: &Slot,
+    request: &EngineRequest,
+    run: &mut ItemRun,
+) -> (AttemptEnd, RunOutcome) {
+    let opened = open_stream(
+        gateway,
+        &slot.server,
+        request,
+        run.last_event(),
+        None,
+        FIRST_EVENT_MAX,
+    )
+    .await;
+    let mut stream = match opened {
+        Ok(stream) => stream,
+        Err(OpenError::NotRun(outcome) | OpenError::Failed(outcome)) => {
+            return (AttemptEnd::Interrupted, outcome);
+        }
+        Err(OpenError::Answered(head, _)) => {
+            let end = match head.status {
+                StatusCode::UNPROCESSABLE_ENTITY => AttemptEnd::Unprocessable,
+                StatusCode::INTERNAL_SERVER_ERROR => AttemptEnd::Failed,
+                _ => AttemptEnd::Interrupted,
+            };
+            return (end, RunOutcome::Done);
+        }
+    };
+    let mut silence = FIRST_EVENT_MAX;
+    loop {
+        match stream.next(gateway, silence).await {
+            Next::Event(event) => {
+                silence = GAP_MAX;
+                if !run.push_event(event.id, event.data()) {
+                    run.restart();
+                    return (AttemptEnd::Interrupted, RunOutcome::Broken);
+                }
+            }
+            Next::End if run.event_count() > 0 => {
+                stream.finish(gateway);
+                return (AttemptEnd::Whole, RunOutcome::Done);
+            }
+            Next::End | Next::Broken => return (AttemptEnd::Interrupted, RunOutcome::Broken),
+            Next::Silent => return (AttemptEnd::Interrupted, RunOutcome::Silent),
+        }
+    }
+}
--- /dev/null
+++ b/bamboo-gateway/src/jobs/part.rs
@@ -0,0 +1,338 @@
+//! One shard that this host owns: its fold, and the appends that wait.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context;
+use bamboo_shards::Applied;
+use bamboo_shards::Joiner;
+use bamboo_shards::Record;
+use bamboo_shards::Shard;
+use bamboo_shards::split;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use crate::gateway::Gateway;
+use crate::jobs::items;
+use crate::store::Fence;
+use crate::store::Partition;
+use crate::store::StoreError;
+use crate::store::StoreReply;
+use crate::store::StoreRequest;
+use crate::task::OwnedTask;
+
+/// Topic of the job shards.
+pub(super) const TOPIC: &str = "bamboo-jobs";
+/// Pause after a call that the store refused or did not answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Bytes that each record costs in an append beside its own.
+const RECORD_OVERHEAD_BYTES: usize = 8;
+
+/// How an append ended for the one who waits for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Stored {
+    /// The store holds it.
+    Yes,
+    /// It never left this host.
+    No,
+    /// The store may hold it.
+    Unknown,
+}
+
+struct Pending {
+    number: u64,
+    record: Record,
+    waiter: Option<oneshot::Sender<()>>,
+}
+
+/// A shard of this host.
+pub(super) struct OwnedPart {
+    pub(super) partition: Partition,
+    pub(super) epoch: u64,
+    pub(super) shard: RefCell<Shard>,
+    is_open: Cell<bool>,
+    is_lost: Cell<bool>,
+    queue: RefCell<VecDeque<Pending>>,
+    next_number: Cell<u64>,
+    wake: Notify,
+    failing_since: Cell<Option<Duration>>,
+    /// Told when results are listed or a job ends.
+    pub(super) listed: Notify,
+    tasks: RefCell<Vec<OwnedTask>>,
+}
+
+impl OwnedPart {
+    pub(super) fn new(partition: Partition, epoch: u64) -> Rc<Self> {
+        Rc::new(OwnedPart {
+            partition,
+            epoch,
+            shard: RefCell::new(Shard::default()),
+            is_open: Cell::new(false),
+            is_lost: Cell::new(false),
+            queue: RefCell::new(VecDeque::new()),
+            next_number: Cell::new(0),
+            wake: Notify::new(),
+            failing_since: Cell::new(None),
+            listed: Notify::new(),
+            tasks: RefCell::new(Vec::new()),
+        })
+    }
+
+    /// Whether its records are folded and it is still owned.
+    pub(super) fn is_open(&self) -> bool {
+        self.is_open.get() && !self.is_lost.get()
+    }
+
+    pub(super) fn is_lost(&self) -> bool {
+        self.is_lost.get()
+    }
+
+    /// How long the store has not taken appends.
+    pub(super) fn failing_for(&self, now: Duration) -> Duration {
+        self.failing_since
+            .get()
+            .map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.queue.borrow().is_empty()
+    }
+
+    /// Ends everything that runs for the shard.
+    pub(super) fn close(&self) {
+        self.is_lost.set(true);
+        self.tasks.borrow_mut().clear();
+        self.queue.borrow_mut().clear();
+        self.listed.notify_waiters();
+        self.wake.notify_waiters();
+    }
+
+    /// Stops the runs of items and keeps appending what is there.
+    pub(super) fn stop_items(&self) {
+        // The first task is the one that appends.
+        self.tasks.borrow_mut().truncate(1);
+    }
+
+    pub(super) fn own_task(&self, task: OwnedTask) {
+        let mut tasks = self.tasks.borrow_mut();
+        tasks.retain(|task| !task.is_finished());
+        tasks.push(task);
+    }
+
+    /// Queues a record without waiting for it.
+    pub(super) fn append(&self, record: Record) {
+        self.push(record, None);
+    }
+
+    /// Queues a record and waits until it is stored, at most for `patience`.
+    pub(super) async fn append_and_wait(&self, record: Record, patience: Duration) -> Stored {
+        let (waiter, stored) = oneshot::channel();
+        let number = self.push(record, Some(waiter));
+        match tokio::time::timeout(patience, stored).await {
+            Ok(Ok(())) => Stored::Yes,
+            Ok(Err(_)) => Stored::Unknown,
+            Err(_) => match self.withdraw(number) {
+                true => Stored::No,
+                false => Stored::Unknown,
+            },
+        }
+    }
+
+    fn push(&self, record: Record, waiter: Option<oneshot::Sender<()>>) -> u64 {
+        let number = self.next_number.get() + 1;
+        self.next_number.set(number);
+        self.queue.borrow_mut().push_back(Pending {
+            number,
+            record,
+            waiter,
+        });
+        self.wake.notify_one();
+        number
+    }
+
+    /// Takes a record back that no append has contained yet.
+    fn withdraw(&self, number: u64) -> bool {
+        let mut queue = self.queue.borrow_mut();
+        let before = queue.len();
+        queue.retain(|pending| pending.number != number);
+        queue.len() < before
+    }
+
+    /// Records for the next append, encoded.
+    fn next_batch(&self, record_max_bytes: usize, append_max_bytes: usize) -> (Vec<Pending>, Vec<Vec<u8>>) {
+        let mut queue = self.queue.borrow_mut();
+        let mut batch = Vec::new();
+        let mut fragments = Vec::new();
+        let mut size_bytes = 0;
+        while let Some(pending) = queue.front() {
+            let bytes = match pending.record.to_bytes() {
+                Ok(bytes) => bytes,
+                Err(error) => {
+                    log::error!(event = "record_lost", partition = self.partition; "a record cannot be encoded: {error}");
+                    queue.pop_front();
+                    continue;
+                }
+            };
+            let pieces = split(&bytes, record_max_bytes);
+            let needed_bytes: usize = pieces
+                .iter()
+                .map(|piece| piece.len() + RECORD_OVERHEAD_BYTES)
+                .sum();
+            if !batch.is_empty() && size_bytes + needed_bytes > append_max_bytes {
+                break;
+            }
+            size_bytes += needed_bytes;
+            fragments.extend(pieces);
+            batch.extend(queue.pop_front());
+        }
+        (batch, fragments)
+    }
+}
+
+/// Takes a shard over and serves its appends until it is lost.
+pub(super) async fn serve_part(gateway: Rc<Gateway>, part: Rc<OwnedPart>) {
+    let started = gateway.clock.now();
+    match open_part(&gateway, &part).await {
+        Ok(true) => {}
+        Ok(false) => {
+            part.is_lost.set(true);
+            return;
+        }
+        Err(error) => {
+            log::error!(event = "shard_unreadable", partition = part.partition; "a shard cannot be folded: {error:#}");
+            part.is_lost.set(true);
+            return;
+        }
+    }
+    part.is_open.set(true);
+    log::info!(
+        event = "shard_opened", partition = part.partition, epoch = part.epoch,
+        jobs = part.shard.borrow().jobs().count(),
+        took_ms = gateway.clock.now().saturating_sub(started).as_millis() as u64; "shard opened"
+    );
+    items::start_open_items(&gateway, &part);
+    append_forever(&gateway, &part).await;
+}
+
+/// Fences earlier owners off and folds the records. Returns whether the shard is still this host's.
+async fn open_part(gateway: &Gateway, part: &OwnedPart) -> anyhow::Result<bool> {
+    let StoreReply::Appended { mut end, .. } = append(gateway, part, 0, Vec::new()).await else {
+        return Ok(false);
+    };
+    let mut from = 0;
+    let mut joiner = Joiner::default();
+    while from < end {
+        let request = StoreRequest::Read {
+            topic: TOPIC.to_owned(),
+            partition: part.partition,
+            from,
+            wait: Duration::ZERO,
+        };
+        match gateway.store_call(&request).await {
+            Ok(StoreReply::Records { records, end: now_end }) => {
+                end = end.max(now_end);
+                if records.is_empty() {
+                    break;
+                }
+                from += records.len() as u64;
+                for fragment in records {
+                    let Some(bytes) = joiner.push(&fragment).context("fragment")? else {
+                        continue;
+                    };
+                    match Record::try_from(bytes.as_slice()) {
+                        Ok(record) => {
+                            part.shard.borrow_mut().apply(record);
+                        }
+                        Err(error) => log::error!(
+                            event = "record_unreadable", partition = part.partition, from;
+                            "a record is passed over: {error}"
+                        ),
+                    }
+                }
+            }
+            Ok(StoreReply::Trimmed { first }) => {
+                // What is no longer kept belongs to jobs whose results need not be kept either.
+                from = first;
+                joiner = Joiner::default();
+            }
+            Ok(other) => anyhow::bail!("unexpected answer {other:?}"),
+            Err(_) => actix_rt::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+    Ok(true)
+}
+
+/// Appends under the shard's fence until there is an answer.
+async fn append(
+    gateway: &Gateway,
+    part: &OwnedPart,
+    sequence: u64,
+    records: Vec<Vec<u8>>,
+) -> StoreReply {
+    let request = StoreRequest::Append {
+        topic: TOPIC.to_owned(),
+        partition: part.partition,
+        records,
+        fence: Some(Fence {
+            producer: format!("shard-{}", part.partition),
+            epoch: part.epoch,
+            sequence,
+        }),
+    };
+    loop {
+        match gateway.store_call(&request).await {
+            Ok(reply) => {
+                part.failing_since.set(None);
+                return reply;
+            }
+            Err(StoreError::Refused(_) | StoreError::Unknown(_)) => {
+                let since = part.failing_since.get();
+                part.failing_since
+                    .set(Some(since.unwrap_or_else(|| gateway.clock.now())));
+                actix_rt::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn append_forever(gateway: &Rc<Gateway>, part: &Rc<OwnedPart>) {
+    let store = &gateway.settings.store;
+    let mut sequence = 0;
+    while !part.is_lost() {
+        let (batch, fragments) = part.next_batch(store.record_max_bytes, store.append_max_bytes);
+        if batch.is_empty() {
+            part.wake.notified().await;
+            continue;
+        }
+        sequence += 1;
+        match append(gateway, part, sequence, fragments).await {
+            StoreReply::Appended { .. } => {}
+            reply => {
+                log::warn!(
+                    event = "shard_lost", partition = part.partition, epoch = part.epoch, reply:? = reply;
+                    "another host owns the shard"
+                );
+                part.is_lost.set(true);
+                return;
+            }
+        }
+        for pending in batch {
+            let applied = part.shard.borrow_mut().apply(pending.record);
+            match &applied {
+                Applied::Accepted(job) => items::start_job(gateway, part, job),
+                Applied::Listed(_, items) => {
+                    items.iter().for_each(|_| gateway.metrics.item("listed"));
+                }
+                Applied::Ended(_) | Applied::Nothing => {}
+            }
+            if let Some(waiter) = pending.waiter {
+                // The one who waits may have given up.
+                let _ = waiter.send(());
+            }
+        }
+        part.listed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/bamboo-gateway/src/lib.rs
@@ -0,0 +1,40 @@
+//! The gateway process: callers' connections, backend servers, job shards and the links between hosts.
+//!
+//! What differs between platforms comes in as a [`Dialect`]; every decision is made here or in the pure crates.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod asks;
+mod body;
+mod clock;
+mod coordinate;
+mod dialect;
+mod gateway;
+mod jobs;
+mod mesh;
+mod metrics;
+mod net;
+mod run;
+mod settings;
+mod store;
+mod task;
+mod traffic;
+mod watch;
+
+pub use clock::Clock;
+pub use dialect::Dialect;
+pub use dialect::HeaderNames;
+pub use dialect::JobCall;
+pub use dialect::StoreCall;
+pub use run::run;
+pub use settings::PromiseSettings;
+pub use settings::Settings;
+pub use settings::SettingsError;
+pub use settings::StoreSettings;
+pub use store::Fence;
+pub use store::KeyedRecord;
+pub use store::Partition;
+pub use store::StoreClient;
+pub use store::StoreError;
+pub use store::StoreReply;
+pub use store::StoreRequest;
--- /dev/null
+++ b/bamboo-gateway/src/mesh.rs
@@ -0,0 +1,90 @@
+//! Messages between hosts: one h2 stream a direction with length-prefixed bincode frames.
+
+mod accept;
+mod link;
+mod message;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bamboo_types::HostId;
+use tokio::sync::oneshot;
+
+pub(crate) use accept::accept_peers;
+use link::Link;
+pub(crate) use message::AskNote;
+pub(crate) use message::Beat;
+pub(crate) use message::Board;
+pub(crate) use message::HostInfo;
+pub(crate) use message::PeerMessage;
+pub(crate) use message::PeerReply;
+pub(crate) use message::PeerRequest;
+
+/// Time that a link without traffic is kept.
+const IDLE_LINK_MAX: Duration = Duration::from_secs(30);
+
+/// Links to other hosts and the calls that wait for their answers.
+pub(crate) struct Mesh {
+    me: HostInfo,
+    links: RefCell<HashMap<HostId, Link>>,
+    pending: RefCell<HashMap<u64, oneshot::Sender<PeerReply>>>,
+    next_call: Cell<u64>,
+}
+
+impl Mesh {
+    pub(crate) fn new(me: HostInfo) -> Self {
+        Mesh {
+            me,
+            links: RefCell::new(HashMap::new()),
+            pending: RefCell::new(HashMap::new()),
+            next_call: Cell::new(1),
+        }
+    }
+
+    /// Queues a message; it is lost if no connection comes about.
+    pub(crate) fn send(&self, host: &str, message: PeerMessage, now: Duration) {
+        let mut links = self.links.borrow_mut();
+        let link = links
+            .entry(host.to_owned())
+            .or_insert_with(|| Link::open(host, self.me.clone()));
+        if link.is_broken() {
+            *link = Link::open(host, self.me.clone());
+        }
+        link.send(message, now);
+    }
+
+    /// Calls another host and waits for its answer; `None` if there is none in time.
+    pub(crate) async fn call(
+        &self,
+        host: &str,
+        request: PeerRequest,
+        timeout: Duration,
+        now: Duration,
+    ) -> Option<PeerReply> {
+        let call = self.next_call.get();
+        self.next_call.set(call + 1);
+        let (answer, is_answered) = oneshot::channel();
+        self.pending.borrow_mut().insert(call, answer);
+        self.send(host, PeerMessage::Request { call, request }, now);
+        let reply = tokio::time::timeout(timeout, is_answered).await;
+        self.pending.borrow_mut().remove(&call);
+        reply.ok()?.ok()
+    }
+
+    /// Passes an answer on to the call that waits for it.
+    pub(crate) fn answered(&self, call: u64, reply: PeerReply) {
+        if let Some(answer) = self.pending.borrow_mut().remove(&call) {
+            // The caller may have given up meanwhile.
+            let _ = answer.send(reply);
+        }
+    }
+
+    /// Closes links that carry nothing.
+    pub(crate) fn close_idle(&self, now: Duration) {
+        self.links
+            .borrow_mut()
+            .retain(|_, link| now.saturating_sub(link.used_at()) < IDLE_LINK_MAX);
+    }
+}
--- /dev/null
+++ b/bamboo-gateway/src/mesh/accept.rs
@@ -0,0 +1,103 @@
+//! Takes messages of other hosts.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context;
+use bytes::Buf;
+use bytes::Bytes;
+use bytes::BytesMut;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::gateway::Gateway;
+use crate::mesh::HostInfo;
+use crate::mesh::PeerMessage;
+use crate::mesh::link::LENGTH_BYTES;
+use crate::mesh::link::WINDOW_BYTES;
+use crate::net;
+
+/// Largest frame, bytes: a submitted job with its framing.
+const FRAME_MAX_BYTES: usize = 32 << 20;
+/// Pause after a failed accept, for instance for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections of other hosts until the process ends.
+pub(crate) async fn accept_peers(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, address)) => {
+                let gateway = Rc::clone(&gateway);
+                actix_rt::spawn(async move {
+                    if let Err(error) = serve(gateway, stream).await {
+                        log::debug!("connection of host {address} ended: {error:#}");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("cannot accept a connection of another host: {error}");
+                actix_rt::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream) -> anyhow::Result<()> {
+    net::set_options(&stream)?;
+    let mut connection = h2::server::Builder::new()
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .handshake::<_, Bytes>(stream)
+        .await?;
+    while let Some(accepted) = connection.accept().await {
+        let (request, _respond) = accepted?;
+        let gateway = Rc::clone(&gateway);
+        actix_rt::spawn(async move {
+            if let Err(error) = read_messages(gateway, request.into_body()).await {
+                log::debug!("messages of another host ended: {error:#}");
+            }
+            drop(_respond);
+        });
+    }
+    Ok(())
+}
+
+async fn read_messages(gateway: Rc<Gateway>, mut body: h2::RecvStream) -> anyhow::Result<()> {
+    let mut buffer = BytesMut::new();
+    let mut sender: Option<HostInfo> = None;
+    while let Some(piece) = body.data().await {
+        let piece = piece?;
+        body.flow_control().release_capacity(piece.len())?;
+        buffer.extend_from_slice(&piece);
+        while let Some(message) = next_message(&mut buffer)? {
+            match (&sender, message) {
+                (_, PeerMessage::Hello(info)) => {
+                    gateway.host_connected(&info);
+                    sender = Some(info);
+                }
+                (Some(sender), message) => gateway.peer_message(sender, message),
+                (None, _) => anyhow::bail!("the first message names no host"),
+            }
+        }
+    }
+    Ok(())
+}
+
+fn next_message(buffer: &mut BytesMut) -> anyhow::Result<Option<PeerMessage>> {
+    if buffer.len() < LENGTH_BYTES {
+        return Ok(None);
+    }
+    let length = u32::from_be_bytes([buffer[0], buffer[1], buffer[2], buffer[3]]) as usize;
+    anyhow::ensure!(
+        length <= FRAME_MAX_BYTES,
+        "frame of {length} bytes is larger than {FRAME_MAX_BYTES}"
+    );
+    if buffer.len() < LENGTH_BYTES + length {
+        return Ok(None);
+    }
+    buffer.advance(LENGTH_BYTES);
+    let frame = buffer.split_to(length);
+    let (message, _) = bincode::serde::decode_from_slice(&frame, bincode::config::standard())
+        .context("frame does not decode")?;
+    Ok(Some(message))
+}
--- /dev/null
+++ b/bamboo-gateway/src/mesh/link.rs
@@ -0,0 +1,103 @@
+//! The way to one other host.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::Context;
+use bamboo_types::HostId;
+use bytes::Bytes;
+use h2::SendStream;
+use tokio::sync::mpsc;
+
+use crate::mesh::HostInfo;
+use crate::mesh::PeerMessage;
+use crate::net;
+use crate::task::OwnedTask;
+
+/// Messages that wait for a slow host; more are dropped, since all that matters is sent again.
+const QUEUE_MAX: usize = 4096;
+/// Time for connecting.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Flow-control window, bytes.
+pub(super) const WINDOW_BYTES: u32 = 8 << 20;
+/// Bytes of the length before a frame.
+pub(super) const LENGTH_BYTES: usize = 4;
+
+/// A link. It ends with its connection and is opened anew by the next message.
+pub(super) struct Link {
+    queue: mpsc::Sender<PeerMessage>,
+    used_at: Cell<Duration>,
+    task: OwnedTask,
+}
+
+impl Link {
+    pub(super) fn open(host: &str, me: HostInfo) -> Self {
+        let (queue, messages) = mpsc::channel(QUEUE_MAX);
+        let host: HostId = host.to_owned();
+        let task = OwnedTask::spawn(async move {
+            if let Err(error) = run(&host, me, messages).await {
+                log::info!("link to host {host} ended: {error:#}");
+            }
+        });
+        Link {
+            queue,
+            used_at: Cell::new(Duration::ZERO),
+            task,
+        }
+    }
+
+    pub(super) fn send(&self, message: PeerMessage, now: Duration) {
+        self.used_at.set(now);
+        if self.queue.try_send(message).is_err() {
+            log::debug!("a message to a slow or lost host is dropped");
+        }
+    }
+
+    pub(super) fn used_at(&self) -> Duration {
+        self.used_at.get()
+    }
+
+    pub(super) fn is_broken(&self) -> bool {
+        self.task.is_finished()
+    }
+}
+
+async fn run(
+    host: &str,
+    me: HostInfo,
+    mut messages: mpsc::Receiver<PeerMessage>,
+) -> anyhow::Result<()> {
+    let address: SocketAddr = host.parse().context("address of the host")?;
+    let stream = net::connect(address, CONNECT_TIMEOUT).await?;
+    let (mut sender, connection) = h2::client::Builder::new()
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .handshake::<_, Bytes>(stream)
+        .await?;
+    let mut connection = std::pin::pin!(connection);
+    let request = http::Request::post(format!("http://{host}/messages")).body(())?;
+    let (_response, mut body) = sender.send_request(request, false)?;
+    send(&mut body, &PeerMessage::Hello(me))?;
+    loop {
+        tokio::select! {
+            ended = &mut connection => return ended.context("connection"),
+            message = messages.recv() => {
+                let Some(message) = message else { return Ok(()) };
+                send(&mut body, &message)?;
+                while let Ok(message) = messages.try_recv() {
+                    send(&mut body, &message)?;
+                }
+            }
+        }
+    }
+}
+
+fn send(body: &mut SendStream<Bytes>, message: &PeerMessage) -> anyhow::Result<()> {
+    let mut frame = vec![0; LENGTH_BYTES];
+    bincode::serde::encode_into_std_write(message, &mut frame, bincode::config::standard())?;
+    let length = u32::try_from(frame.len() - LENGTH_BYTES)?;
+    frame[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
+    body.send_data(Bytes::from(frame), false)?;
+    Ok(())
+}
--- /dev/null
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -0,0 +1,193 @@
+//! What hosts say to each other.
+
+use std::time::Duration;
+
+use bamboo_slots::AskId;
+use bamboo_slots::RunOutcome;
+use bamboo_types::BackendServerId;
+use bamboo_types::HostId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::dialect::JobCall;
+use crate::store::Partition;
+use crate::store::StoreError;
+use crate::store::StoreReply;
+use crate::store::StoreRequest;
+
+/// A host as others know it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct HostInfo {
+    /// Identifier: the address of its links.
+    pub host: HostId,
+    /// Data centre.
+    pub data_centre: String,
+    /// Size, by which duties are given: thousandths of a core.
+    pub size: u64,
+    /// Number of this run.
+    pub run: u64,
+}
+
+/// A wish for a slot, or a run under way, with times relative to its sending.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct AskNote {
+    /// Number of the ask.
+    pub ask: AskId,
+    /// Service.
+    pub service: String,
+    /// Whether a caller waits; otherwise it is a batch item.
+    pub is_online: bool,
+    /// Online: time left for a start that is on time; batch: time until the result is due. Milliseconds, negative
+    /// once it has passed.
+    pub due_in_ms: i64,
+    /// Online: time left until waiting is of no use; batch: time that the item still runs. Milliseconds.
+    pub left_ms: u64,
+    /// Servers that must not be granted.
+    pub excluded: Vec<BackendServerId>,
+    /// Server where it runs already.
+    pub server: Option<BackendServerId>,
+}
+
+/// Sign of life of a host to its coordinator.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Beat {
+    /// Partitions of jobs that it owns, with their epochs.
+    pub partitions: Vec<(Partition, u64)>,
+    /// Tokens that wait in them, by route, with those that it has reserved.
+    pub waiting_tokens: Vec<(String, u64)>,
+    /// Number of the last reservation that these figures contain.
+    pub reservation: u64,
+    /// Asks that it has, waiting and held.
+    pub asks: Vec<AskId>,
+    /// Digest of the board that it has.
+    pub board: u64,
+    /// Version of the configuration that it has.
+    pub config_version: u64,
+}
+
+/// What the coordinator tells every host.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Board {
+    /// Hosts that it hears from.
+    pub hosts: Vec<HostInfo>,
+    /// Owners of partitions with their epochs.
+    pub owners: Vec<(Partition, HostId, u64)>,
+}
+
+/// A call that wants an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PeerRequest {
+    /// Submit a job to the owner of its partition.
+    Submit {
+        /// Identifier of the job.
+        job: String,
+        /// `Host` header.
+        host: String,
+        /// Path.
+        path: String,
+        /// Body as the caller sent it.
+        body: Vec<u8>,
+    },
+    /// A call about a job, to the owner of its partition.
+    Job(JobCall),
+    /// Reserve room for tokens that will wait.
+    Reserve {
+        /// Route.
+        route: String,
+        /// Tokens.
+        tokens: u64,
+        /// Most tokens that may wait.
+        max_tokens: u64,
+    },
+    /// Make a call of the store for a host that cannot reach it.
+    Store(StoreRequest),
+    /// The configuration as the store holds it.
+    Config,
+}
+
+/// Answer to a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PeerReply {
+    /// Answer to a call about a job, for the caller.
+    Http {
+        /// Status.
+        status: u16,
+        /// Body.
+        body: Vec<u8>,
+    },
+    /// Number of the reservation; `None` if there is no room.
+    Reserved(Option<u64>),
+    /// Room cannot be judged now.
+    NotSure,
+    /// Answer of the store.
+    Store(Result<StoreReply, StoreError>),
+    /// Configuration, as the store holds it.
+    Config(Vec<u8>),
+}
+
+/// A message between hosts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PeerMessage {
+    /// First message of a connection.
+    Hello(HostInfo),
+    /// Sign of life.
+    Beat(Beat),
+    /// Answer to a sign of life; the board if the sender has another.
+    BeatSeen {
+        /// Board.
+        board: Option<Board>,
+        /// Newest version of the configuration that the coordinator knows of.
+        config_version: u64,
+    },
+    /// All asks of a host that has a new coordinator.
+    Sync(Vec<AskNote>),
+    /// Wish for a slot, or a run that began without one.
+    Ask(AskNote),
+    /// An ask has ended.
+    Release {
+        /// Ask.
+        ask: AskId,
+        /// Server where it ran.
+        server: Option<BackendServerId>,
+        /// How it ended there.
+        outcome: RunOutcome,
+    },
+    /// A slot is granted.
+    Grant {
+        /// Ask.
+        ask: AskId,
+        /// Server.
+        server: BackendServerId,
+    },
+    /// The ask waits.
+    Queued {
+        /// Ask.
+        ask: AskId,
+    },
+    /// A batch item must leave its slot.
+    Stop {
+        /// Ask.
+        ask: AskId,
+    },
+    /// The ask cannot be met in time.
+    Refused {
+        /// Ask.
+        ask: AskId,
+        /// When a slot is likely to be free.
+        retry_after: Duration,
+    },
+    /// A call.
+    Request {
+        /// Number of the call.
+        call: u64,
+        /// Call.
+        request: PeerRequest,
+    },
+    /// Answer to a call.
+    Reply {
+        /// Number of the call.
+        call: u64,
+        /// Answer.
+        reply: PeerReply,
+    },
+}
--- /dev/null
+++ b/bamboo-gateway/src/net.rs
@@ -0,0 +1,44 @@
+//! TCP connections that notice silent peers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::Context;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpStream;
+
+/// Time that sent bytes may stay unacknowledged. Cut links show no other sign.
+const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(1500);
+/// Idle time before the first keep-alive probe.
+const PROBE_AFTER: Duration = Duration::from_secs(2);
+/// Time between keep-alive probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Connects within `timeout`.
+///
+/// # Errors
+/// Fails if no connection comes about in time: nothing was sent then.
+pub(crate) async fn connect(address: SocketAddr, timeout: Duration) -> anyhow::Result<TcpStream> {
+    let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
+        .await
+        .context("connect timed out")?
+        .context("connect")?;
+    set_options(&stream).context("socket options")?;
+    Ok(stream)
+}
+
+/// Sets the options of every connection.
+///
+/// # Errors
+/// Fails if the socket refuses an option.
+pub(crate) fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))?;
+    socket.set_tcp_keepalive(
+        &TcpKeepalive::new()
+            .with_time(PROBE_AFTER)
+            .with_interval(PROBE_INTERVAL),
+    )
+}
--- /dev/null
+++ b/bamboo-gateway/src/run.rs
@@ -0,0 +1,104 @@
+//! Starts and stops the gateway.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context;
+use tokio::net::TcpListener;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::dialect::Dialect;
+use crate::gateway::Gateway;
+use crate::gateway::Phase;
+use crate::mesh::accept_peers;
+use crate::settings::Settings;
+use crate::task::OwnedTask;
+use crate::traffic::serve_callers;
+use crate::traffic::serve_metrics;
+use crate::traffic::serve_ready;
+use crate::watch::follow_config;
+use crate::watch::follow_servers;
+
+/// Share of the grace period in which open requests may still finish.
+const FINISH_SHARE: f64 = 0.85;
+/// Share of the grace period in which connections stay open for new requests: the balancer needs two questions, one
+/// a second, to take a host out.
+const OPEN_SHARE: f64 = 0.4;
+/// Interval of looking whether everything is finished.
+const FINISH_CHECK: Duration = Duration::from_millis(50);
+
+/// Runs the gateway until a planned stop is complete.
+///
+/// # Errors
+/// Fails if an address of the settings cannot be used.
+pub async fn run(settings: Settings, dialect: Dialect) -> anyhow::Result<()> {
+    let callers = listen(settings.caller_address, "callers").await?;
+    let ready = listen(settings.ready_address, "readiness").await?;
+    let peers = listen(settings.peer_address(), "hosts").await?;
+    let metrics = listen(
+        SocketAddr::new(settings.ip, settings.metrics_port),
+        "metrics",
+    )
+    .await?;
+    let (gateway, config_asks) = Gateway::new(settings, dialect);
+    log::info!(
+        event = "start", host = gateway.settings.name.as_str(), run = gateway.me.run;
+        "gateway starts"
+    );
+    let tasks = [
+        OwnedTask::spawn(accept_peers(Rc::clone(&gateway), peers)),
+        OwnedTask::spawn(serve_ready(Rc::clone(&gateway), ready)),
+        OwnedTask::spawn(serve_metrics(Rc::clone(&gateway), metrics)),
+        OwnedTask::spawn(follow_config(Rc::clone(&gateway))),
+        OwnedTask::spawn(follow_servers(Rc::clone(&gateway))),
+        OwnedTask::spawn(Rc::clone(&gateway).beat_forever()),
+        OwnedTask::spawn(Rc::clone(&gateway).fetch_configs(config_asks)),
+        OwnedTask::spawn(crate::jobs::keep_shards(Rc::clone(&gateway))),
+        OwnedTask::spawn(crate::jobs::keep_hosts(Rc::clone(&gateway))),
+        OwnedTask::spawn(serve_callers(Rc::clone(&gateway), callers)),
+    ];
+    wait_for_stop(&gateway).await?;
+    drop(tasks);
+    log::info!(event = "stop"; "gateway has stopped");
+    Ok(())
+}
+
+async fn listen(address: SocketAddr, whom: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("cannot listen on {address} for {whom}"))
+}
+
+async fn wait_for_stop(gateway: &Rc<Gateway>) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => {
+                // Addresses and limits of a running process do not change; the store brings all else.
+                log::info!(event = "reload"; "settings changed; they are read at the next start");
+            }
+        }
+    }
+    let started = gateway.clock.now();
+    let grace = gateway.settings.stop_grace();
+    log::info!(event = "stopping", grace_s = grace.as_secs_f64(); "planned stop begins");
+    gateway.phase.send_replace(Phase::Stopping);
+    crate::jobs::leave_shards(gateway).await;
+    loop {
+        let passed = gateway.clock.now().saturating_sub(started);
+        if passed > grace.mul_f64(OPEN_SHARE) {
+            gateway.phase.send_replace(Phase::Closing);
+        }
+        let is_quiet = gateway.open_requests() == 0 && passed > grace.mul_f64(OPEN_SHARE);
+        if is_quiet || passed > grace.mul_f64(FINISH_SHARE) {
+            return Ok(());
+        }
+        actix_rt::time::sleep(FINISH_CHECK).await;
+    }
+}
--- /dev/null
+++ b/bamboo-gateway/src/store.rs
@@ -0,0 +1,291 @@
+//! The platform's store: appends with a fence, reads, newest records by key, and groups.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bamboo_types::Offset;
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::header::HOST;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::dialect::Dialect;
+use crate::net;
+use crate::task::OwnedTask;
+
+/// Time for one call beyond the time that the store is asked to wait. The store answers in 4 ms on a calm day and in
+/// 240 ms when it is slow.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Time for connecting to the store.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Connections kept for further calls.
+const IDLE_CONNECTIONS_MAX: usize = 4;
+
+/// Number of a partition of a topic.
+pub type Partition = u32;
+
+/// Makes an append count once, and only while no later owner has shown a higher epoch.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fence {
+    /// Name shared by all writers that exclude each other.
+    pub producer: String,
+    /// Epoch of this writer.
+    pub epoch: u64,
+    /// Number of the append within the epoch.
+    pub sequence: u64,
+}
+
+/// A call of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreRequest {
+    /// Append records, all or none. Without records only the epoch is set.
+    Append {
+        /// Topic.
+        topic: String,
+        /// Partition.
+        partition: Partition,
+        /// Records.
+        records: Vec<Vec<u8>>,
+        /// Fence of the writer.
+        fence: Option<Fence>,
+    },
+    /// Read records from an offset on.
+    Read {
+        /// Topic.
+        topic: String,
+        /// Partition.
+        partition: Partition,
+        /// First offset.
+        from: Offset,
+        /// How long to wait if there is none.
+        wait: Duration,
+    },
+    /// Read the newest record of each key.
+    Newest {
+        /// Topic.
+        topic: String,
+        /// Key after which to go on.
+        after: Option<String>,
+    },
+    /// Join a group, or stay in it.
+    Join {
+        /// Group.
+        group: String,
+        /// Member.
+        member: String,
+        /// Topic whose partitions are dealt.
+        topic: String,
+        /// Membership without a further call.
+        lifetime: Duration,
+        /// Generation that was received last.
+        generation: u64,
+    },
+    /// Leave a group.
+    Leave {
+        /// Group.
+        group: String,
+        /// Member.
+        member: String,
+        /// Generation that was received last.
+        generation: u64,
+    },
+}
+
+impl StoreRequest {
+    fn wait(&self) -> Duration {
+        match self {
+            StoreRequest::Read { wait, .. } => *wait,
+            _ => Duration::ZERO,
+        }
+    }
+}
+
+/// The newest record of a key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyedRecord {
+    /// Key.
+    pub key: String,
+    /// Value; `None` if the key was dropped.
+    pub value: Option<Vec<u8>>,
+    /// Offset.
+    pub offset: Offset,
+}
+
+/// An answer of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreReply {
+    /// The records are stored, the first at this offset.
+    Appended {
+        /// Offset of the first record.
+        offset: Offset,
+        /// Offset after the last record of the partition.
+        end: Offset,
+    },
+    /// A later writer has shown a higher epoch. Nothing was stored.
+    Fenced,
+    /// The append is not the next of its epoch. Nothing was stored.
+    OutOfSequence,
+    /// Records from the asked offset on.
+    Records {
+        /// Offset after the last record of the partition.
+        end: Offset,
+        /// Records in order.
+        records: Vec<Vec<u8>>,
+    },
+    /// The asked offset is no longer kept.
+    Trimmed {
+        /// First offset that is kept.
+        first: Offset,
+    },
+    /// Newest records of keys.
+    Newest {
+        /// Records.
+        records: Vec<KeyedRecord>,
+        /// Whether more follow after the last key.
+        has_more: bool,
+        /// Offset after the last record of the partition.
+        end: Offset,
+    },
+    /// The member is in the group.
+    Joined {
+        /// Generation of the group.
+        generation: u64,
+        /// Partitions of the member.
+        partitions: Vec<Partition>,
+    },
+    /// The call is carried out.
+    Done,
+}
+
+/// Why a call has no answer.
+#[derive(Debug, Clone, Error, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreError {
+    /// The store did nothing.
+    #[error("store refused: {0}")]
+    Refused(String),
+    /// The call may have taken effect, or may still do so.
+    #[error("store gave no answer: {0}")]
+    Unknown(String),
+}
+
+struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    _task: OwnedTask,
+}
+
+/// Client of the store.
+pub struct StoreClient {
+    address: SocketAddr,
+    dialect: Dialect,
+    idle: RefCell<Vec<Connection>>,
+    calls: Cell<u64>,
+    failures: Cell<u64>,
+}
+
+impl StoreClient {
+    /// Makes a client; it connects with the first call.
+    pub fn new(address: SocketAddr, dialect: Dialect) -> Self {
+        StoreClient {
+            address,
+            dialect,
+            idle: RefCell::new(Vec::new()),
+            calls: Cell::new(0),
+            failures: Cell::new(0),
+        }
+    }
+
+    /// Calls made and calls without an answer.
+    pub fn counts(&self) -> (u64, u64) {
+        (self.calls.get(), self.failures.get())
+    }
+
+    /// Makes one call.
+    ///
+    /// # Errors
+    /// Fails if the store refuses, or gives no answer in time; then the call may still take effect.
+    pub async fn call(&self, request: &StoreRequest) -> Result<StoreReply, StoreError> {
+        self.calls.set(self.calls.get() + 1);
+        let reply = self.send(request).await;
+        if reply.is_err() {
+            self.failures.set(self.failures.get() + 1);
+        }
+        reply
+    }
+
+    async fn send(&self, request: &StoreRequest) -> Result<StoreReply, StoreError> {
+        let unknown = |what: String| StoreError::Unknown(what);
+        let call = (self.dialect.store_call)(request)
+            .map_err(|error| StoreError::Refused(format!("cannot encode the call: {error}")))?;
+        let mut connection = match self.take_idle() {
+            Some(connection) => connection,
+            None => self
+                .connect()
+                .await
+                .map_err(|error| StoreError::Refused(error.to_string()))?,
+        };
+        let mut builder = http::Request::builder()
+            .method(call.method)
+            .uri(call.target)
+            .header(HOST, self.address.to_string());
+        if let Some(content_type) = call.content_type {
+            builder = builder.header(CONTENT_TYPE, content_type);
+        }
+        let http_request = builder
+            .body(Full::new(call.body))
+            .map_err(|error| StoreError::Refused(format!("cannot build the call: {error}")))?;
+        let exchange = async {
+            connection.sender.ready().await?;
+            let response = connection.sender.send_request(http_request).await?;
+            let status = response.status().as_u16();
+            let body = response.into_body().collect().await?.to_bytes();
+            Ok::<_, hyper::Error>((status, body))
+        };
+        let (status, body) =
+            match tokio::time::timeout(request.wait() + CALL_TIMEOUT, exchange).await {
+                Ok(Ok(answer)) => answer,
+                Ok(Err(error)) => return Err(unknown(error.to_string())),
+                Err(_) => return Err(unknown("time is up".to_owned())),
+            };
+        self.keep(connection);
+        (self.dialect.store_reply)(request, status, &body)
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(connection) = idle.pop() {
+            if !connection.sender.is_closed() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < IDLE_CONNECTIONS_MAX {
+            idle.push(connection);
+        }
+    }
+
+    async fn connect(&self) -> anyhow::Result<Connection> {
+        let stream = net::connect(self.address, CONNECT_TIMEOUT).await?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let task = OwnedTask::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection to the store ended: {error}");
+            }
+        });
+        Ok(Connection {
+            sender,
+            _task: task,
+        })
+    }
+}
--- /dev/null
+++ b/bamboo-gateway/src/traffic/accept.rs
@@ -0,0 +1,137 @@
+//! Sockets of callers, of the readiness check and of the metrics.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::body::AnswerBody;
+use crate::gateway::Gateway;
+use crate::gateway::Phase;
+use crate::net;
+use crate::traffic::answer::own_answer;
+use crate::traffic::serve::serve_request;
+
+/// Pause after a failed accept, for instance for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time beyond the configured idle time before an idle connection is closed, so that a request that comes just in
+/// time is not cut.
+const IDLE_SLACK: Duration = Duration::from_secs(5);
+/// Smallest read buffer that the HTTP library accepts, bytes.
+const BUFFER_MIN_BYTES: usize = 8192;
+
+/// Serves callers until the process ends.
+pub(crate) async fn serve_callers(gateway: Rc<Gateway>, listener: TcpListener) {
+    accept_each(listener, |stream| {
+        let gateway = Rc::clone(&gateway);
+        async move { serve_connection(gateway, stream).await }
+    })
+    .await;
+}
+
+/// Answers the readiness check.
+pub(crate) async fn serve_ready(gateway: Rc<Gateway>, listener: TcpListener) {
+    serve_simple(listener, move || match gateway.is_ready() {
+        true => own_answer(StatusCode::OK, "ready\n"),
+        false => own_answer(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+    })
+    .await;
+}
+
+/// Serves the metrics.
+pub(crate) async fn serve_metrics(gateway: Rc<Gateway>, listener: TcpListener) {
+    serve_simple(listener, move || {
+        let (calls, failures) = gateway.store_counts();
+        let metrics = &gateway.metrics;
+        metrics.store_calls.set(calls as i64);
+        metrics.store_failures.set(failures as i64);
+        metrics.partitions.set(gateway.jobs.owned().len() as i64);
+        Response::new(AnswerBody::whole(metrics.to_text()))
+    })
+    .await;
+}
+
+async fn accept_each<F, Fut>(listener: TcpListener, serve: F)
+where
+    F: Fn(TcpStream) -> Fut,
+    Fut: Future<Output = ()> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if let Err(error) = net::set_options(&stream) {
+                    log::debug!("a connection is gone before it is served: {error}");
+                    continue;
+                }
+                actix_rt::spawn(serve(stream));
+            }
+            Err(error) => {
+                log::warn!(event = "accept_failed"; "cannot accept a connection: {error}");
+                actix_rt::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_simple<F>(listener: TcpListener, answer: F)
+where
+    F: Fn() -> Response<AnswerBody> + 'static,
+{
+    let answer = Rc::new(answer);
+    accept_each(listener, |stream| {
+        let answer = Rc::clone(&answer);
+        async move {
+            let service = service_fn(move |_: Request<Incoming>| {
+                let response = answer();
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let served = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                log::debug!("connection of a check ended: {error}");
+            }
+        }
+    })
+    .await;
+}
+
+async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
+    let limits = gateway
+        .config()
+        .map(|config| config.limits.clone())
+        .unwrap_or_default();
+    let mut phase = gateway.phase.subscribe();
+    let service_gateway = Rc::clone(&gateway);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let gateway = Rc::clone(&service_gateway);
+        async move { Ok::<_, Infallible>(serve_request(gateway, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout + IDLE_SLACK)
+        .max_buf_size(limits.header_max_bytes.max(BUFFER_MIN_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = &mut connection => ended,
+        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("connection of a caller ended: {error}");
+    }
+}
--- /dev/null
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -0,0 +1,231 @@
+//! One run of a request at a model engine.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboo_fleet::EventSplitter;
+use bamboo_fleet::Server;
+use bamboo_fleet::StreamEvent;
+use bamboo_slots::RunOutcome;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use http::response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::gateway::Gateway;
+use crate::traffic::pool::Connection;
+
+/// Largest answer of a server that is no stream, bytes.
+const FAILURE_MAX_BYTES: usize = 1 << 20;
+/// A timer that fires later than this shows that the host itself stood still.
+const STALL: Duration = Duration::from_millis(40);
+
+/// A request for an engine.
+#[derive(Debug, Clone)]
+pub(crate) struct EngineRequest {
+    /// Identifier.
+    pub(crate) id: String,
+    /// Method.
+    pub(crate) method: Method,
+    /// Path and query.
+    pub(crate) target: String,
+    /// Headers.
+    pub(crate) headers: HeaderMap,
+    /// Body.
+    pub(crate) body: Bytes,
+}
+
+/// Why there is no stream.
+#[derive(Debug)]
+pub(crate) enum OpenError {
+    /// The server did not run it.
+    NotRun(RunOutcome),
+    /// It may have run.
+    Failed(RunOutcome),
+    /// The server answered with a failure of its own.
+    Answered(Box<response::Parts>, Bytes),
+}
+
+/// What comes next in a stream.
+#[derive(Debug)]
+pub(crate) enum Next {
+    /// A whole event.
+    Event(StreamEvent),
+    /// The answer is complete.
+    End,
+    /// The answer broke off.
+    Broken,
+    /// Nothing came for too long.
+    Silent,
+}
+
+/// A stream of an engine. Dropping it closes the connection, which ends the run.
+pub(crate) struct EngineStream {
+    connection: Connection,
+    /// Status and headers.
+    pub(crate) head: response::Parts,
+    body: Incoming,
+    splitter: EventSplitter,
+    events: VecDeque<StreamEvent>,
+}
+
+/// Sends a request to a server and waits for the head of the answer.
+///
+/// # Errors
+/// Fails if the server does not answer with a stream.
+pub(crate) async fn open_stream(
+    gateway: &Rc<Gateway>,
+    server: &Server,
+    request: &EngineRequest,
+    last_event: Option<u64>,
+    deadline: Option<Duration>,
+    timeout: Duration,
+) -> Result<EngineStream, OpenError> {
+    let names = &gateway.dialect.headers;
+    let started = gateway.clock.now();
+    let mut connection = match gateway.pool.take(&server.id, server.address, started) {
+        Some(connection) => connection,
+        None => gateway
+            .pool
+            .connect(&server.id, server.address)
+            .await
+            .map_err(|error| {
+                log::debug!("no connection to server {}: {error:#}", server.id);
+                OpenError::NotRun(RunOutcome::Unreachable)
+            })?,
+    };
+    let mut headers = request.headers.clone();
+    if let Ok(id) = HeaderValue::from_str(&server.id) {
+        headers.insert(&names.expected_server, id);
+    }
+    if let Some(last_event) = last_event {
+        headers.insert(&names.last_event, HeaderValue::from(last_event));
+    }
+    if let Some(deadline) = deadline {
+        headers.insert(&names.deadline_ms, HeaderValue::from(deadline.as_millis() as u64));
+    }
+    let mut sent = Request::new(Full::new(request.body.clone()));
+    *sent.method_mut() = request.method.clone();
+    *sent.uri_mut() = request
+        .target
+        .parse()
+        .map_err(|_| OpenError::NotRun(RunOutcome::Cancelled))?;
+    *sent.headers_mut() = headers;
+    let exchange = async {
+        connection.sender.ready().await?;
+        connection.sender.send_request(sent).await
+    };
+    let response = match tokio::time::timeout(timeout, exchange).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) => {
+            log::debug!("server {} broke off request {}: {error}", server.id, request.id);
+            return Err(OpenError::Failed(RunOutcome::Broken));
+        }
+        Err(_) => return Err(OpenError::Failed(RunOutcome::Silent)),
+    };
+    let (head, body) = response.into_parts();
+    check_head(gateway, request, &head)?;
+    if head.status.is_success() {
+        return Ok(EngineStream {
+            connection,
+            head,
+            body,
+            splitter: EventSplitter::default(),
+            events: VecDeque::new(),
+        });
+    }
+    let is_not_run =
+        head.headers.contains_key(&names.not_run) || head.status == StatusCode::MISDIRECTED_REQUEST;
+    let collected = http_body_util::Limited::new(body, FAILURE_MAX_BYTES).collect();
+    let bytes = match tokio::time::timeout(timeout, collected).await {
+        Ok(Ok(collected)) => Some(collected.to_bytes()),
+        _ => None,
+    };
+    if bytes.is_some() {
+        let now = gateway.clock.now();
+        gateway.pool.keep(connection, &head.headers, now);
+    }
+    match (is_not_run, bytes) {
+        (true, _) if head.status == StatusCode::MISDIRECTED_REQUEST => {
+            Err(OpenError::NotRun(RunOutcome::Misdirected))
+        }
+        (true, _) => Err(OpenError::NotRun(RunOutcome::Full)),
+        (false, Some(bytes)) => Err(OpenError::Answered(Box::new(head), bytes)),
+        (false, None) => Err(OpenError::Failed(RunOutcome::Broken)),
+    }
+}
+
+/// Refuses answers that are not the server's answer to this request.
+fn check_head(
+    gateway: &Gateway,
+    request: &EngineRequest,
+    head: &response::Parts,
+) -> Result<(), OpenError> {
+    let names = &gateway.dialect.headers;
+    let echoed = head.headers.get(&names.request_id);
+    let is_other = echoed.is_some_and(|echoed| echoed.as_bytes() != request.id.as_bytes());
+    let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
+    let is_unstamped =
+        head.status.is_success() && !head.headers.contains_key(&names.server_stamp);
+    if is_other || is_encoded || is_unstamped {
+        log::info!(
+            event = "foreign_answer", request = request.id.as_str(), status = head.status.as_u16(),
+            is_other, is_encoded, is_unstamped; "an answer is not this request's and is thrown away"
+        );
+        return Err(OpenError::Failed(RunOutcome::Broken));
+    }
+    Ok(())
+}
+
+impl EngineStream {
+    /// The next event; `Silent` after `silence` without one.
+    pub(crate) async fn next(&mut self, gateway: &Gateway, silence: Duration) -> Next {
+        let mut started = gateway.clock.now();
+        loop {
+            if let Some(event) = self.events.pop_front() {
+                return Next::Event(event);
+            }
+            let frame = match tokio::time::timeout(silence, self.body.frame()).await {
+                Ok(frame) => frame,
+                Err(_) => {
+                    let passed = gateway.clock.now().saturating_sub(started);
+                    if passed > silence + STALL {
+                        // What arrived while this host stood still is read first.
+                        started = gateway.clock.now();
+                        continue;
+                    }
+                    return Next::Silent;
+                }
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.events.extend(self.splitter.push(&data));
+                    }
+                }
+                Some(Err(_)) => return Next::Broken,
+                None if self.splitter.has_partial() => return Next::Broken,
+                None => return Next::End,
+            }
+        }
+    }
+
+    /// Puts an event back before those that follow.
+    pub(crate) fn put_back(&mut self, event: StreamEvent) {
+        self.events.push_front(event);
+    }
+
+    /// Gives the connection of a complete answer back.
+    pub(crate) fn finish(self, gateway: &Gateway) {
+        let now = gateway.clock.now();
+        gateway.pool.keep(self.connection, &self.head.headers, now);
+    }
+}
--- /dev/null
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -0,0 +1,252 @@
+//! Requests of plain services, whose answers are passed on when they are whole.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboo_fleet::RouteKind;
+use bamboo_fleet::Server;
+use bamboo_slots::RunOutcome;
+use bamboo_types::BackendServerId;
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http::response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+
+use crate::body::AnswerBody;
+use crate::gateway::Gateway;
+use crate::traffic::answer::not_run;
+use crate::traffic::answer::own_answer;
+use crate::traffic::pool::Connection;
+use crate::traffic::request::CallerRequest;
+use crate::traffic::request::passed_on;
+use crate::traffic::serve::RequestEnd;
+
+/// Largest answer of a plain service, bytes.
+const ANSWER_MAX_BYTES: usize = 16 << 20;
+/// Share of the objective after which a request that may be repeated is tried elsewhere.
+const PATIENCE_SHARE: f64 = 0.6;
+/// Servers that may refuse one request before it is refused to the caller.
+const REFUSALS_MAX: u32 = 6;
+/// When to come back if no server can take the request.
+const BUSY_RETRY: Duration = Duration::from_millis(250);
+/// Bodies above this size may still be on their way when an early answer is there; their connection is not used again.
+const EARLY_ANSWER_BYTES: usize = 16 << 10;
+
+/// How one attempt ended.
+enum Attempt {
+    /// A whole answer of the server.
+    Answered(response::Parts, Bytes),
+    /// The server did not run it.
+    NotRun(RunOutcome),
+    /// It may have run.
+    Failed(RunOutcome),
+}
+
+/// A run that is counted until it ends.
+struct Counted<'a> {
+    gateway: &'a Gateway,
+    server: BackendServerId,
+    outcome: RunOutcome,
+}
+
+impl<'a> Counted<'a> {
+    fn begin(gateway: &'a Gateway, server: &str) -> Self {
+        gateway.picker.borrow_mut().begin(server);
+        Counted {
+            gateway,
+            server: server.to_owned(),
+            outcome: RunOutcome::Cancelled,
+        }
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        let now = self.gateway.clock.now();
+        self.gateway
+            .picker
+            .borrow_mut()
+            .end(&self.server, self.outcome, now);
+    }
+}
+
+/// Serves a request of a plain service.
+pub(crate) async fn serve_plain(
+    gateway: Rc<Gateway>,
+    request: CallerRequest,
+) -> Response<AnswerBody> {
+    let mut end = RequestEnd::begin(&gateway, &request);
+    let is_idempotent = request.route.kind == RouteKind::Idempotent;
+    let mut excluded: Vec<BackendServerId> = Vec::new();
+    let mut refusals = 0;
+    let mut may_have_run = false;
+    loop {
+        let now = gateway.clock.now();
+        let left = request.limit.saturating_sub(now);
+        if left.is_zero() {
+            return match may_have_run {
+                true => end.answer(own_answer(StatusCode::GATEWAY_TIMEOUT, "time is up\n"), "timed_out"),
+                false => end.answer(not_run("time is up\n", BUSY_RETRY), "timed_out"),
+            };
+        }
+        let Some(server) = gateway.pick_server(&request.service, &excluded) else {
+            return match may_have_run {
+                true => end.answer(own_answer(StatusCode::BAD_GATEWAY, "no answer of a server\n"), "unknown"),
+                false => end.answer(not_run("no server can take the request\n", BUSY_RETRY), "refused"),
+            };
+        };
+        end.attempts += 1;
+        end.server = server.id.clone();
+        let may_retry = is_idempotent && end.attempts < request.route.attempts_max;
+        let patience = match may_retry {
+            true => left.min(request.route.target_latency.mul_f64(PATIENCE_SHARE)),
+            false => left,
+        };
+        let mut counted = Counted::begin(&gateway, &server.id);
+        let attempt = send(&gateway, &request, &server, is_idempotent, left, patience).await;
+        excluded.push(server.id.clone());
+        match attempt {
+            Attempt::Answered(head, bytes) => {
+                counted.outcome = RunOutcome::Done;
+                if may_retry && head.status.is_server_error() {
+                    may_have_run = true;
+                    continue;
+                }
+                let mut response = Response::new(AnswerBody::whole(bytes));
+                *response.status_mut() = head.status;
+                *response.headers_mut() = passed_on(&head.headers);
+                let outcome = if head.status.is_success() { "complete" } else { "server_failure" };
+                return end.answer(response, outcome);
+            }
+            Attempt::NotRun(outcome) => {
+                counted.outcome = outcome;
+                end.attempts -= 1;
+                refusals += 1;
+                if refusals >= REFUSALS_MAX && !may_have_run {
+                    return end.answer(not_run("all servers are busy\n", BUSY_RETRY), "refused");
+                }
+            }
+            Attempt::Failed(outcome) => {
+                counted.outcome = outcome;
+                may_have_run = true;
+                log::info!(
+                    event = "run_failed", request = request.id.as_str(), server = server.id.as_str(),
+                    outcome:? = outcome, attempt = end.attempts, may_retry; "no answer of the server"
+                );
+                if may_retry {
+                    continue;
+                }
+                return match gateway.clock.now() >= request.limit {
+                    true => end.answer(own_answer(StatusCode::GATEWAY_TIMEOUT, "time is up\n"), "timed_out"),
+                    false => end.answer(own_answer(StatusCode::BAD_GATEWAY, "no answer of the server\n"), "unknown"),
+                };
+            }
+        }
+    }
+}
+
+async fn send(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    server: &Server,
+    is_idempotent: bool,
+    left: Duration,
+    patience: Duration,
+) -> Attempt {
+    let now = gateway.clock.now();
+    // A request that must not be repeated never meets what an earlier answer left on a connection.
+    let idle = is_idempotent
+        .then(|| gateway.pool.take(&server.id, server.address, now))
+        .flatten();
+    let mut connection = match idle {
+        Some(connection) => connection,
+        None => match gateway.pool.connect(&server.id, server.address).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                log::debug!("no connection to server {}: {error:#}", server.id);
+                return Attempt::NotRun(RunOutcome::Unreachable);
+            }
+        },
+    };
+    let Some(sent) = build(gateway, request, server, left) else {
+        return Attempt::NotRun(RunOutcome::Cancelled);
+    };
+    match tokio::time::timeout(patience, exchange(&mut connection, sent)).await {
+        Ok(Ok((head, bytes))) => judge(gateway, request, connection, head, bytes),
+        Ok(Err(error)) => {
+            log::debug!("server {} broke off request {}: {error}", server.id, request.id);
+            Attempt::Failed(RunOutcome::Broken)
+        }
+        Err(_) => Attempt::Failed(RunOutcome::Silent),
+    }
+}
+
+fn build(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    server: &Server,
+    left: Duration,
+) -> Option<Request<Full<Bytes>>> {
+    let names = &gateway.dialect.headers;
+    let mut sent = Request::new(Full::new(request.body.clone()));
+    *sent.method_mut() = request.method.clone();
+    *sent.uri_mut() = request.target.parse().ok()?;
+    *sent.headers_mut() = request.headers.clone();
+    let headers = sent.headers_mut();
+    headers.insert(&names.expected_server, HeaderValue::from_str(&server.id).ok()?);
+    headers.insert(&names.deadline_ms, HeaderValue::from(left.as_millis() as u64));
+    Some(sent)
+}
+
+async fn exchange(
+    connection: &mut Connection,
+    sent: Request<Full<Bytes>>,
+) -> anyhow::Result<(response::Parts, Bytes)> {
+    connection.sender.ready().await?;
+    let response = connection.sender.send_request(sent).await?;
+    let (head, body) = response.into_parts();
+    let collected = Limited::new(body, ANSWER_MAX_BYTES).collect().await;
+    match collected {
+        Ok(collected) => Ok((head, collected.to_bytes())),
+        Err(error) => anyhow::bail!("answer broke off: {error}"),
+    }
+}
+
+/// Tells the server's answer to this request from all else.
+fn judge(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    connection: Connection,
+    head: response::Parts,
+    bytes: Bytes,
+) -> Attempt {
+    let names = &gateway.dialect.headers;
+    let echoed = head.headers.get(&names.request_id);
+    let is_other = echoed.is_some_and(|echoed| echoed.as_bytes() != request.id.as_bytes());
+    let is_unstamped = head.status.is_success() && !head.headers.contains_key(&names.server_stamp);
+    let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
+    if is_other || is_unstamped || is_encoded {
+        log::info!(
+            event = "foreign_answer", request = request.id.as_str(), status = head.status.as_u16(),
+            is_other, is_encoded, is_unstamped; "an answer is not this request's and is thrown away"
+        );
+        return Attempt::Failed(RunOutcome::Broken);
+    }
+    if request.body.len() <= EARLY_ANSWER_BYTES {
+        let now = gateway.clock.now();
+        gateway.pool.keep(connection, &head.headers, now);
+    }
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        return Attempt::NotRun(RunOutcome::Misdirected);
+    }
+    if head.headers.contains_key(&names.not_run) {
+        return Attempt::NotRun(RunOutcome::Full);
+    }
+    Attempt::Answered(head, bytes)
+}
--- /dev/null
+++ b/bamboo-gateway/src/traffic/pool.rs
@@ -0,0 +1,132 @@
+//! Connections to backend servers.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bamboo_types::BackendServerId;
+use bytes::Bytes;
+use http::HeaderMap;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+
+use crate::net;
+use crate::task::OwnedTask;
+
+/// Time for connecting: some round trips between data centres, with room for a loaded host.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Idle connections kept for one server.
+const IDLE_MAX: usize = 6;
+/// Idle time after which a connection is not used again, where the server names none.
+const IDLE_TIME: Duration = Duration::from_secs(4);
+/// How long before the time that the server names a connection is given up.
+const IDLE_MARGIN: Duration = Duration::from_millis(900);
+
+/// A connection that carries one request at a time.
+pub(crate) struct Connection {
+    pub(crate) sender: http1::SendRequest<Full<Bytes>>,
+    server: BackendServerId,
+    address: SocketAddr,
+    _task: OwnedTask,
+}
+
+struct Idle {
+    connection: Connection,
+    until: Duration,
+}
+
+/// Idle connections by server.
+#[derive(Default)]
+pub(crate) struct ServerPool {
+    idle: RefCell<HashMap<BackendServerId, Vec<Idle>>>,
+}
+
+impl ServerPool {
+    /// A connection that carried requests before and is open still.
+    pub(crate) fn take(&self, server: &str, address: SocketAddr, now: Duration) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(server)?;
+        while let Some(idle) = connections.pop() {
+            let connection = idle.connection;
+            if now < idle.until && connection.address == address && !connection.sender.is_closed() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// A new connection.
+    ///
+    /// # Errors
+    /// Fails if none comes about: nothing was sent then.
+    pub(crate) async fn connect(
+        &self,
+        server: &str,
+        address: SocketAddr,
+    ) -> anyhow::Result<Connection> {
+        let stream = net::connect(address, CONNECT_TIMEOUT).await?;
+        let (sender, connection) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await?;
+        let task = OwnedTask::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection to a server ended: {error}");
+            }
+        });
+        Ok(Connection {
+            sender,
+            server: server.to_owned(),
+            address,
+            _task: task,
+        })
+    }
+
+    /// Keeps a connection whose answer is complete, if the server's headers allow it.
+    pub(crate) fn keep(&self, connection: Connection, headers: &HeaderMap, now: Duration) {
+        let Some(idle_time) = idle_time(headers) else {
+            return;
+        };
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(connection.server.clone()).or_default();
+        if connections.len() < IDLE_MAX {
+            connections.push(Idle {
+                connection,
+                until: now + idle_time,
+            });
+        }
+    }
+
+    /// Closes connections that were idle for too long.
+    pub(crate) fn close_idle(&self, now: Duration) {
+        self.idle.borrow_mut().retain(|_, connections| {
+            connections.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
+            !connections.is_empty()
+        });
+    }
+}
+
+/// How long a connection may be used again after an answer with these headers; `None` if not at all.
+fn idle_time(headers: &HeaderMap) -> Option<Duration> {
+    let text = |name| headers.get(name).and_then(|value: &http::HeaderValue| value.to_str().ok());
+    let closes = text(http::header::CONNECTION)
+        .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
+    if closes {
+        return None;
+    }
+    let named = text(http::HeaderName::from_static("keep-alive"))
+        .and_then(|value| {
+            value
+                .split(',')
+                .find_map(|part| part.trim().strip_prefix("timeout="))
+        })
+        .and_then(|seconds| seconds.trim().parse().ok())
+        .map(Duration::from_secs);
+    match named {
+        Some(named) => named
+            .checked_sub(IDLE_MARGIN)
+            .map(|time| time.min(IDLE_TIME)),
+        None => Some(IDLE_TIME),
+    }
+}
--- /dev/null
+++ b/bamboo-gateway/src/traffic/request.rs
@@ -0,0 +1,79 @@
+//! A caller's request as it goes on to servers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboo_fleet::Route;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::Method;
+use http::header;
+
+use crate::dialect::HeaderNames;
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// A request that was read in full.
+#[derive(Debug)]
+pub(crate) struct CallerRequest {
+    /// Identifier, for logs.
+    pub(crate) id: String,
+    /// Route.
+    pub(crate) route: Rc<Route>,
+    /// Service that was drawn.
+    pub(crate) service: String,
+    /// Method.
+    pub(crate) method: Method,
+    /// Path and query.
+    pub(crate) target: String,
+    /// Headers that go on.
+    pub(crate) headers: HeaderMap,
+    /// Body.
+    pub(crate) body: Bytes,
+    /// When its headers were there.
+    pub(crate) arrived: Duration,
+    /// When the caller, or the operator, no longer wants an answer.
+    pub(crate) limit: Duration,
+}
+
+/// Headers of a message without those that concern one connection.
+pub(crate) fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let mut passed = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let is_hop = CONNECTION_HEADERS.contains(name)
+            || named.contains(name)
+            || name.as_str() == "keep-alive"
+            || name.as_str() == "proxy-connection";
+        if !is_hop {
+            passed.append(name.clone(), value.clone());
+        }
+    }
+    passed
+}
+
+/// Headers of a request without those that the gateway sets itself.
+pub(crate) fn request_headers(headers: &HeaderMap, names: &HeaderNames) -> HeaderMap {
+    let mut passed = passed_on(headers);
+    passed.remove(&names.deadline_ms);
+    passed.remove(&names.expected_server);
+    passed.remove(header::CONTENT_LENGTH);
+    passed.remove(header::EXPECT);
+    passed
+}
--- /dev/null
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -0,0 +1,223 @@
+//! Reads a caller's request, finds its route and hands it on.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboo_fleet::FleetConfig;
+use bamboo_fleet::Route;
+use bamboo_fleet::RouteKind;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use rand::RngExt;
+
+use crate::body::AnswerBody;
+use crate::gateway::Gateway;
+use crate::gateway::OpenRequest;
+use crate::metrics::RequestLabels;
+use crate::traffic::answer::not_run;
+use crate::traffic::answer::own_answer;
+use crate::traffic::plain::serve_plain;
+use crate::traffic::request::CallerRequest;
+use crate::traffic::request::request_headers;
+use crate::traffic::stream::serve_stream;
+
+/// When to come back to a host that knows no configuration yet.
+const NO_CONFIG_RETRY: Duration = Duration::from_millis(300);
+/// Time for a request whose route and headers name none.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for reading a body, from its headers on.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Serves one request of a caller.
+pub(crate) async fn serve_request(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrived = gateway.clock.now();
+    let _open = OpenRequest::begin(&gateway);
+    let Some(config) = gateway.config() else {
+        return not_run("no configuration yet\n", NO_CONFIG_RETRY);
+    };
+    let host = host_of(&request);
+    let path = request.uri().path();
+    let job_call = (gateway.dialect.job_call)(request.method(), request.uri(), request.headers());
+    if let Some(call) = job_call
+        && config.find_route(&host, path).is_none()
+    {
+        return match has_batch_route(&config, &host) {
+            true => gateway.jobs.call(&gateway, call).await,
+            false => own_answer(StatusCode::NOT_FOUND, "no route\n"),
+        };
+    }
+    let Some(route) = config.find_route(&host, path).cloned() else {
+        log::info!(event = "no_route", host = host.as_str(), path, version = config.version; "no route");
+        return own_answer(StatusCode::NOT_FOUND, "no route\n");
+    };
+    let id = text_of(request.headers(), &gateway.dialect.headers.request_id).unwrap_or_default();
+    let (head, body) = request.into_parts();
+    let body = match read_body(body, config.limits.body_max_bytes).await {
+        Ok(body) => body,
+        Err(response) => return response,
+    };
+    if matches!(route.kind, RouteKind::Batch { .. }) {
+        if head.method != Method::POST {
+            return own_answer(StatusCode::METHOD_NOT_ALLOWED, "jobs are submitted by POST\n");
+        }
+        let path = head.uri.path().to_owned();
+        return gateway.jobs.submit(&gateway, &id, &host, &path, body).await;
+    }
+    let wanted = wanted_time(&gateway, &head.headers, &route);
+    let Some(service) = route.pick_service(rand::rng().random()) else {
+        return not_run("the route has no service\n", NO_CONFIG_RETRY);
+    };
+    let request = CallerRequest {
+        id,
+        service: service.clone(),
+        method: head.method,
+        target: head
+            .uri
+            .path_and_query()
+            .map_or_else(|| "/".to_owned(), |target| target.as_str().to_owned()),
+        headers: request_headers(&head.headers, &gateway.dialect.headers),
+        body,
+        arrived,
+        limit: arrived + wanted,
+        route: Rc::clone(&route),
+    };
+    match route.kind {
+        RouteKind::Streaming { .. } => serve_stream(gateway, request).await,
+        _ => serve_plain(gateway, request).await,
+    }
+}
+
+fn host_of(request: &Request<Incoming>) -> String {
+    text_of(request.headers(), &header::HOST)
+        .or_else(|| request.uri().host().map(str::to_owned))
+        .unwrap_or_default()
+}
+
+fn text_of(headers: &HeaderMap, name: &http::HeaderName) -> Option<String> {
+    Some(headers.get(name)?.to_str().ok()?.to_owned())
+}
+
+fn has_batch_route(config: &FleetConfig, host: &str) -> bool {
+    config
+        .routes
+        .iter()
+        .any(|route| route.host == host && matches!(route.kind, RouteKind::Batch { .. }))
+}
+
+/// How long the caller and the operator want the request to take at most.
+fn wanted_time(gateway: &Gateway, headers: &HeaderMap, route: &Route) -> Duration {
+    let deadline = text_of(headers, &gateway.dialect.headers.deadline_ms)
+        .and_then(|text| text.trim().parse().ok())
+        .map(Duration::from_millis);
+    match (deadline, route.timeout) {
+        (Some(deadline), Some(timeout)) => deadline.min(timeout),
+        (Some(time), None) | (None, Some(time)) => time,
+        (None, None) => DEFAULT_TIMEOUT,
+    }
+}
+
+async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Response<AnswerBody>> {
+    let collected = Limited::new(body, max_bytes).collect();
+    match tokio::time::timeout(BODY_TIMEOUT, collected).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => Err(own_answer(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the body is too large\n",
+        )),
+        Ok(Err(_)) => Err(own_answer(StatusCode::BAD_REQUEST, "the body is broken\n")),
+        Err(_) => Err(own_answer(
+            StatusCode::REQUEST_TIMEOUT,
+            "the body did not arrive in time\n",
+        )),
+    }
+}
+
+/// Log line and counters of a request, written at its end.
+pub(crate) struct RequestEnd {
+    gateway: Rc<Gateway>,
+    _open: OpenRequest,
+    id: String,
+    route: String,
+    arrived: Duration,
+    first_byte: Option<Duration>,
+    /// Servers that it was sent to.
+    pub(crate) attempts: u32,
+    /// Server that answered.
+    pub(crate) server: String,
+    is_noted: bool,
+}
+
+impl RequestEnd {
+    pub(crate) fn begin(gateway: &Rc<Gateway>, request: &CallerRequest) -> Self {
+        RequestEnd {
+            gateway: Rc::clone(gateway),
+            _open: OpenRequest::begin(gateway),
+            id: request.id.clone(),
+            route: request.route.name.clone(),
+            arrived: request.arrived,
+            first_byte: None,
+            attempts: 0,
+            server: String::new(),
+            is_noted: false,
+        }
+    }
+
+    /// The first byte of the answer goes out.
+    pub(crate) fn first_byte(&mut self) {
+        let passed = self.gateway.clock.now().saturating_sub(self.arrived);
+        self.first_byte = Some(passed);
+        self.gateway.metrics.first_byte_s.observe(passed.as_secs_f64());
+    }
+
+    /// Writes the line of an answer that goes out whole.
+    pub(crate) fn answer(
+        mut self,
+        response: Response<AnswerBody>,
+        outcome: &'static str,
+    ) -> Response<AnswerBody> {
+        self.first_byte();
+        self.note(response.status(), outcome);
+        response
+    }
+
+    /// Writes the line.
+    pub(crate) fn note(&mut self, status: StatusCode, outcome: &'static str) {
+        self.is_noted = true;
+        let labels = RequestLabels {
+            route: self.route.clone(),
+            status: status.as_u16(),
+        };
+        self.gateway.metrics.requests.get_or_create(&labels).inc();
+        let now = self.gateway.clock.now();
+        let first_byte_ms = self.first_byte.map(|time| time.as_millis() as u64);
+        if !self.gateway.may_log() {
+            return;
+        }
+        log::info!(
+            event = "request", request = self.id.as_str(), route = self.route.as_str(), status = status.as_u16(),
+            outcome, attempts = self.attempts, server = self.server.as_str(), first_byte_ms,
+            total_ms = now.saturating_sub(self.arrived).as_millis() as u64,
+            config_version = self.gateway.config_version(); "request ended"
+        );
+    }
+}
+
+impl Drop for RequestEnd {
+    fn drop(&mut self) {
+        if !self.is_noted {
+            self.note(StatusCode::OK, "caller_left");
+        }
+    }
+}
--- /dev/null
+++ b/bamboo-gateway/src/watch.rs
@@ -0,0 +1,214 @@
+//! Follows the configuration and the servers' entries in the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboo_fleet::DirectoryChange;
+use bamboo_types::Offset;
+
+use crate::gateway::Gateway;
+use crate::store::KeyedRecord;
+use crate::store::StoreError;
+use crate::store::StoreReply;
+use crate::store::StoreRequest;
+
+/// How long the store holds a read of the configuration. Bounds the time in which a silent connection hides a change.
+const CONFIG_WAIT: Duration = Duration::from_millis(1000);
+/// Pause between reads of the servers' entries: a server that leaves is known well within 2 s.
+const SERVERS_INTERVAL: Duration = Duration::from_millis(600);
+/// Pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// A topic that is followed: where the next read starts.
+struct Follower {
+    topic: &'static str,
+    next: Option<Offset>,
+    wait: Duration,
+}
+
+/// What a read brought.
+enum Change {
+    /// The newest record of every key.
+    All(Vec<KeyedRecord>),
+    /// Records after those known.
+    Some(Vec<KeyedRecord>),
+}
+
+impl Follower {
+    async fn read(&mut self, gateway: &Gateway) -> Result<Change, StoreError> {
+        let Some(from) = self.next else {
+            return self.read_all(gateway).await;
+        };
+        let request = StoreRequest::Read {
+            topic: self.topic.to_owned(),
+            partition: 0,
+            from,
+            wait: self.wait,
+        };
+        match gateway.store_call(&request).await? {
+            StoreReply::Records { records, .. } => {
+                let next = from + records.len() as Offset;
+                self.next = Some(next);
+                let keyed = records.iter().zip(from..).filter_map(|(record, offset)| {
+                    let record = split_keyed(record, offset);
+                    if record.is_none() {
+                        log::warn!(
+                            event = "record_unreadable", topic = self.topic, offset;
+                            "a record without a key is passed over"
+                        );
+                    }
+                    record
+                });
+                Ok(Change::Some(keyed.collect()))
+            }
+            // The history is gone: the newest records stand for it.
+            _ => {
+                self.next = None;
+                self.read_all(gateway).await
+            }
+        }
+    }
+
+    async fn read_all(&mut self, gateway: &Gateway) -> Result<Change, StoreError> {
+        let mut records = Vec::new();
+        let mut after = None;
+        let mut first_end = None;
+        loop {
+            let request = StoreRequest::Newest {
+                topic: self.topic.to_owned(),
+                after: after.clone(),
+            };
+            let StoreReply::Newest {
+                records: page,
+                has_more,
+                end,
+            } = gateway.store_call(&request).await?
+            else {
+                return Err(StoreError::Unknown("unexpected answer".to_owned()));
+            };
+            // Pages are no snapshot: what changes between them is read again from the first one's end.
+            let end = *first_end.get_or_insert(end);
+            after = page.last().map(|record| record.key.clone());
+            records.extend(page);
+            if !has_more || after.is_none() {
+                self.next = Some(end);
+                return Ok(Change::All(records));
+            }
+        }
+    }
+}
+
+fn split_keyed(record: &[u8], offset: Offset) -> Option<KeyedRecord> {
+    let (length, rest) = record.split_first()?;
+    let (key, value) = rest.split_at_checked(usize::from(*length))?;
+    Some(KeyedRecord {
+        key: String::from_utf8(key.to_vec()).ok()?,
+        value: (!value.is_empty()).then(|| value.to_vec()),
+        offset,
+    })
+}
+
+/// Follows the configuration until the process ends.
+pub(crate) async fn follow_config(gateway: Rc<Gateway>) {
+    let mut follower = Follower {
+        topic: gateway.dialect.config_topic,
+        next: None,
+        wait: CONFIG_WAIT,
+    };
+    loop {
+        match follower.read(&gateway).await {
+            Ok(Change::All(records) | Change::Some(records)) => {
+                let newest = records
+                    .iter()
+                    .filter(|record| record.key == gateway.dialect.config_key);
+                for record in newest {
+                    if let Some(value) = &record.value {
+                        gateway.take_config(value, "store");
+                    }
+                }
+                if gateway.config().is_none() {
+                    actix_rt::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+            Err(_) => actix_rt::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+/// Follows the servers' entries until the process ends.
+pub(crate) async fn follow_servers(gateway: Rc<Gateway>) {
+    let mut follower = Follower {
+        topic: gateway.dialect.servers_topic,
+        next: None,
+        wait: Duration::ZERO,
+    };
+    loop {
+        match follower.read(&gateway).await {
+            Ok(Change::All(records)) => {
+                let gone: Vec<String> = gateway
+                    .directory
+                    .borrow()
+                    .ids()
+                    .into_iter()
+                    .filter(|id| !records.iter().any(|record| record.key == *id))
+                    .collect();
+                for id in gone {
+                    remove(&gateway, &id, "missing");
+                }
+                records.into_iter().for_each(|record| take(&gateway, record));
+            }
+            Ok(Change::Some(records)) => {
+                records.into_iter().for_each(|record| take(&gateway, record));
+            }
+            Err(_) => {}
+        }
+        actix_rt::time::sleep(SERVERS_INTERVAL).await;
+    }
+}
+
+fn take(gateway: &Gateway, record: KeyedRecord) {
+    let Some(value) = record.value else {
+        remove(gateway, &record.key, "dropped");
+        return;
+    };
+    let server = match (gateway.dialect.server)(&record.key, &value) {
+        Ok(server) => server,
+        Err(error) => {
+            log::warn!(
+                event = "server_unreadable", server = record.key.as_str(), offset = record.offset;
+                "the entry of a server cannot be read and names none: {error:#}"
+            );
+            remove(gateway, &record.key, "unreadable");
+            return;
+        }
+    };
+    let change = gateway.directory.borrow_mut().put(server);
+    match change {
+        DirectoryChange::Updated(server) => {
+            log::info!(
+                event = "server", server = server.id.as_str(), service = server.service.as_str(),
+                state:? = server.state, offset = record.offset; "server updated"
+            );
+            gateway.put_engine(&server, false);
+        }
+        DirectoryChange::Restarted(server) => {
+            log::info!(
+                event = "server_restarted", server = server.id.as_str(), started_at_ms = server.started_at_ms;
+                "server started again"
+            );
+            gateway.picker.borrow_mut().forget(&server.id);
+            gateway.put_engine(&server, true);
+        }
+        DirectoryChange::Removed(_) | DirectoryChange::Nothing => {}
+    }
+}
+
+fn remove(gateway: &Gateway, id: &str, reason: &str) {
+    let now = gateway.clock.now();
+    let change = gateway.directory.borrow_mut().remove(id, now);
+    if let DirectoryChange::Removed(id) = change {
+        log::info!(event = "server_removed", server = id.as_str(), reason; "server removed");
+        gateway.picker.borrow_mut().forget(&id);
+        gateway.remove_engine(&id);
+    }
+}
--- /dev/null
+++ b/bamboo-shards/src/job.rs
@@ -0,0 +1,122 @@
+//! One job and its results.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use bamboo_types::ItemIndex;
+
+use crate::ItemResult;
+use crate::JobRecord;
+
+/// Part of a job's results.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// Items of the job.
+    pub total: usize,
+    /// Results from the asked position on.
+    pub results: Vec<Rc<ItemResult>>,
+    /// Position after the last result.
+    pub next: usize,
+}
+
+/// A job: what was accepted and what became of it.
+#[derive(Debug)]
+pub struct Job {
+    /// As it was accepted.
+    pub record: Rc<JobRecord>,
+    results: Vec<Rc<ItemResult>>,
+    is_listed: Vec<bool>,
+    is_ended: bool,
+    by_id: HashMap<String, ItemIndex>,
+}
+
+impl Job {
+    pub(crate) fn new(record: Rc<JobRecord>) -> Self {
+        let is_listed = vec![false; record.items.len()];
+        let by_id = record
+            .items
+            .iter()
+            .enumerate()
+            .map(|(index, item)| (item.id.clone(), index as ItemIndex))
+            .collect();
+        Job {
+            record,
+            results: Vec::new(),
+            is_listed,
+            is_ended: false,
+            by_id,
+        }
+    }
+
+    /// Lists a result unless the item has one. Returns whether it counted.
+    pub(crate) fn list(&mut self, result: ItemResult) -> bool {
+        match self.is_listed.get_mut(result.item as usize) {
+            Some(is_listed) if !*is_listed => {
+                *is_listed = true;
+                self.results.push(Rc::new(result));
+                true
+            }
+            _ => false,
+        }
+    }
+
+    pub(crate) fn end(&mut self) {
+        self.is_ended = true;
+    }
+
+    /// Whether the caller ended it.
+    pub fn is_ended(&self) -> bool {
+        self.is_ended
+    }
+
+    /// Whether every item is listed.
+    pub fn is_complete(&self) -> bool {
+        self.results.len() == self.record.items.len()
+    }
+
+    /// Whether an item has its final result.
+    pub fn is_listed(&self, item: ItemIndex) -> bool {
+        self.is_listed.get(item as usize).copied().unwrap_or(true)
+    }
+
+    /// Position of an item by its identifier.
+    pub fn find_item(&self, id: &str) -> Option<ItemIndex> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Items without a result.
+    pub fn open_items(&self) -> impl Iterator<Item = ItemIndex> {
+        let listed = self.is_listed.iter().enumerate();
+        listed
+            .filter(|(_, is_listed)| !**is_listed)
+            .map(|(index, _)| index as ItemIndex)
+    }
+
+    /// Tokens of the items that still have to run.
+    pub fn waiting_tokens(&self) -> u64 {
+        if self.is_ended {
+            return 0;
+        }
+        self.open_items()
+            .map(|item| self.record.items[item as usize].tokens)
+            .sum()
+    }
+
+    /// Results from a position on: as many as fit, at least one if there is one.
+    pub fn page(&self, after: usize, max_bytes: usize) -> Page {
+        let mut results = Vec::new();
+        let mut size_bytes = 0;
+        for result in self.results.iter().skip(after) {
+            size_bytes += result.text.len();
+            if size_bytes > max_bytes && !results.is_empty() {
+                break;
+            }
+            results.push(Rc::clone(result));
+        }
+        Page {
+            total: self.record.items.len(),
+            next: after + results.len(),
+            results,
+        }
+    }
+}
--- /dev/null
+++ b/bamboo-shards/src/lib.rs
@@ -0,0 +1,26 @@
+//! Jobs of one shard: a fold of the records that the shard's owner keeps in the store, without I/O.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod fragment;
+mod job;
+mod item_run;
+mod record;
+mod shard;
+
+pub use fragment::FragmentError;
+pub use fragment::Joiner;
+pub use fragment::split;
+pub use item_run::AttemptEnd;
+pub use item_run::ItemNext;
+pub use item_run::ItemRun;
+pub use job::Job;
+pub use job::Page;
+pub use record::ItemRecord;
+pub use record::ItemResult;
+pub use record::JobRecord;
+pub use record::Record;
+pub use record::RecordError;
+pub use record::ResultState;
+pub use shard::Applied;
+pub use shard::Shard;
--- /dev/null
+++ b/bamboo-shards/src/record.rs
@@ -0,0 +1,134 @@
+//! Records of a job shard.
+
+use std::rc::Rc;
+
+use bamboo_types::ItemIndex;
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+/// Layout of encoded records.
+const LAYOUT: u8 = 1;
+
+/// One item of a job: a request that runs later.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemRecord {
+    /// Identifier, unique within the job.
+    pub id: String,
+    /// Path of its request.
+    pub path: String,
+    /// Headers of its request.
+    pub headers: Vec<(String, String)>,
+    /// Body of its request.
+    pub body: Vec<u8>,
+    /// Tokens of the prompt and the longest answer together.
+    pub tokens: u64,
+}
+
+/// A job as it was accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Identifier.
+    pub id: String,
+    /// `Host` header of its requests.
+    pub host: String,
+    /// Route, by which waiting tokens are counted.
+    pub route: String,
+    /// Time of acceptance in milliseconds since 1970.
+    pub submitted_at_ms: u64,
+    /// Time from acceptance until its results are due, milliseconds.
+    pub completion_target_ms: u64,
+    /// Time from acceptance until items may be given up, milliseconds.
+    pub retention_ms: u64,
+    /// Failed attempts after which an item is given up.
+    pub attempts_max: u32,
+    /// Items in order.
+    pub items: Vec<ItemRecord>,
+}
+
+/// State of a listed item.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ResultState {
+    /// Its whole output is there.
+    Done,
+    /// It was given up.
+    DeadLetter,
+}
+
+/// Final result of an item.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemResult {
+    /// Position of the item in its job.
+    pub item: ItemIndex,
+    /// State.
+    pub state: ResultState,
+    /// Data of all events, joined by line feeds.
+    pub text: String,
+}
+
+/// One record of a shard.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// A job was accepted. The first record of an identifier counts.
+    Accepted(Rc<JobRecord>),
+    /// Items of a job are final. The first result of an item counts.
+    Results {
+        /// Job.
+        job: String,
+        /// Results in the order in which they are listed.
+        results: Vec<ItemResult>,
+    },
+    /// A job was ended by its caller.
+    Ended {
+        /// Job.
+        job: String,
+    },
+}
+
+/// Why bytes are no record.
+#[derive(Debug, Error)]
+pub enum RecordError {
+    /// The layout is not known to this version.
+    #[error("record layout {0} is unknown")]
+    Layout(u8),
+    /// There are no bytes.
+    #[error("record is empty")]
+    Empty,
+    /// The bytes do not decode.
+    #[error("record does not decode: {0}")]
+    Decode(#[from] bincode::error::DecodeError),
+    /// The record cannot be encoded.
+    #[error("record does not encode: {0}")]
+    Encode(#[from] bincode::error::EncodeError),
+}
+
+impl Record {
+    /// Encodes the record.
+    ///
+    /// # Errors
+    /// Fails if the encoder does.
+    ///
+    /// ```
+    /// let record = bamboo_shards::Record::Ended { job: "j".into() };
+    /// let bytes = record.to_bytes().unwrap();
+    /// assert_eq!(bamboo_shards::Record::try_from(bytes.as_slice()).unwrap(), record);
+    /// ```
+    pub fn to_bytes(&self) -> Result<Vec<u8>, RecordError> {
+        let mut bytes = vec![LAYOUT];
+        bincode::serde::encode_into_std_write(self, &mut bytes, bincode::config::standard())?;
+        Ok(bytes)
+    }
+}
+
+impl TryFrom<&[u8]> for Record {
+    type Error = RecordError;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, RecordError> {
+        let (layout, rest) = bytes.split_first().ok_or(RecordError::Empty)?;
+        if *layout != LAYOUT {
+            return Err(RecordError::Layout(*layout));
+        }
+        let (record, _) = bincode::serde::decode_from_slice(rest, bincode::config::standard())?;
+        Ok(record)
+    }
+}
--- /dev/null
+++ b/bamboo-slots/src/ask.rs
@@ -0,0 +1,104 @@
+//! What hosts ask of the broker, and what it answers.
+
+use std::time::Duration;
+
+use bamboo_types::BackendServerId;
+use bamboo_types::DataCentreId;
+use bamboo_types::HostId;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Number of an ask, unique within one run of a host.
+pub type AskId = u64;
+
+/// The kind of work that wants a slot. Times are on the clock of the broker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Work {
+    /// A caller waits.
+    Online {
+        /// Latest start for an answer that is on time.
+        start_by: Duration,
+        /// When waiting is of no more use.
+        give_up: Duration,
+    },
+    /// An item of a job.
+    Batch {
+        /// When its result is due.
+        due: Duration,
+        /// Time that it still has to run.
+        left: Duration,
+    },
+}
+
+/// A wish for one slot of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask {
+    /// Host that asks.
+    pub host: HostId,
+    /// Number of the ask.
+    pub ask: AskId,
+    /// Service.
+    pub service: String,
+    /// Data centre of the host.
+    pub data_centre: DataCentreId,
+    /// Kind of work.
+    pub work: Work,
+    /// Servers that must not be granted.
+    pub excluded: Vec<BackendServerId>,
+}
+
+/// What the broker wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// The ask holds a slot of the server from now on.
+    Grant {
+        /// Host.
+        host: HostId,
+        /// Ask.
+        ask: AskId,
+        /// Server.
+        server: BackendServerId,
+    },
+    /// The ask waits at the broker.
+    Queue {
+        /// Host.
+        host: HostId,
+        /// Ask.
+        ask: AskId,
+    },
+    /// The batch item must leave its slot at once.
+    Stop {
+        /// Host.
+        host: HostId,
+        /// Ask.
+        ask: AskId,
+    },
+    /// The ask cannot be met in time.
+    Refuse {
+        /// Host.
+        host: HostId,
+        /// Ask.
+        ask: AskId,
+        /// When a slot is likely to be free.
+        retry_after: Duration,
+    },
+}
+
+/// How a run at a server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RunOutcome {
+    /// The server answered in full, or with a failure of its own.
+    Done,
+    /// The host ended it.
+    Cancelled,
+    /// The server had no room and did not run it.
+    Full,
+    /// No connection came about.
+    Unreachable,
+    /// Nothing arrived for far longer than usual.
+    Silent,
+    /// The connection or the answer broke.
+    Broken,
+    /// Another server has the address.
+    Misdirected,
+}
--- /dev/null
+++ b/bamboo-slots/src/broker.rs
@@ -0,0 +1,517 @@
+//! The broker: who holds which slot, and who waits.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use bamboo_types::BackendServerId;
+use bamboo_types::DataCentreId;
+use bamboo_types::HostId;
+use slotmap::SlotMap;
+
+use crate::Action;
+use crate::Ask;
+use crate::AskId;
+use crate::Health;
+use crate::RunOutcome;
+use crate::Work;
+use crate::batch_rank;
+use crate::online_rank;
+
+/// Time that an online request holds a slot, before any has been seen to end.
+const HOLD_FIRST_GUESS: Duration = Duration::from_millis(700);
+/// Weight of one more hold time in the running mean.
+const HOLD_MEAN_WEIGHT: f64 = 0.05;
+
+slotmap::new_key_type! {
+    /// Key of a lease.
+    struct LeaseKey;
+}
+
+/// A model engine, as the broker needs it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Engine {
+    /// Server.
+    pub server: BackendServerId,
+    /// Service.
+    pub service: String,
+    /// Data centre.
+    pub data_centre: DataCentreId,
+    /// Requests that it runs at once.
+    pub slots: usize,
+    /// Whether it takes new requests.
+    pub is_ready: bool,
+}
+
+/// Counts of a service, for metrics and for refusing early.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct BrokerLoad {
+    /// Slots of ready servers.
+    pub slots: usize,
+    /// Online requests that hold one.
+    pub online_running: usize,
+    /// Batch items that hold one.
+    pub batch_running: usize,
+    /// Online requests that wait.
+    pub online_waiting: usize,
+    /// Batch items that wait.
+    pub batch_waiting: usize,
+}
+
+#[derive(Debug)]
+struct Lease {
+    ask: Ask,
+    since: Duration,
+    held: Option<Held>,
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    server: BackendServerId,
+    since: Duration,
+}
+
+#[derive(Debug)]
+struct EngineState {
+    engine: Engine,
+    online: Vec<LeaseKey>,
+    batch: Vec<LeaseKey>,
+    health: Health,
+}
+
+impl EngineState {
+    fn running_count(&self) -> usize {
+        self.online.len() + self.batch.len()
+    }
+
+    fn may_run(&self, ask: &Ask, now: Duration) -> bool {
+        self.engine.is_ready
+            && self.engine.service == ask.service
+            && !ask.excluded.contains(&self.engine.server)
+            && self.health.is_usable(self.running_count(), now)
+    }
+}
+
+/// Deals slots.
+#[derive(Debug, Default)]
+pub struct Broker {
+    leases: SlotMap<LeaseKey, Lease>,
+    by_ask: HashMap<(HostId, AskId), LeaseKey>,
+    engines: BTreeMap<BackendServerId, EngineState>,
+    waiting_online: Vec<LeaseKey>,
+    waiting_batch: Vec<LeaseKey>,
+    hold_mean: Option<Duration>,
+    actions: Vec<Action>,
+}
+
+impl Broker {
+    /// Takes what is known of an engine; `is_new_run` if it started again and holds nothing of before.
+    pub fn put_engine(&mut self, engine: Engine, is_new_run: bool, now: Duration) {
+        match self.engines.get_mut(&engine.server) {
+            Some(state) => {
+                state.engine = engine;
+                if is_new_run {
+                    state.health = Health::default();
+                }
+            }
+            None => {
+                let state = EngineState {
+                    engine,
+                    online: Vec::new(),
+                    batch: Vec::new(),
+                    health: Health::default(),
+                };
+                self.engines.insert(state.engine.server.clone(), state);
+            }
+        }
+        self.deal(now);
+    }
+
+    /// Forgets an engine. Runs there end by themselves.
+    pub fn remove_engine(&mut self, server: &str) {
+        let Some(state) = self.engines.remove(server) else {
+            return;
+        };
+        for key in state.online.into_iter().chain(state.batch) {
+            if let Some(lease) = self.leases.remove(key) {
+                self.by_ask.remove(&(lease.ask.host, lease.ask.ask));
+            }
+        }
+    }
+
+    /// Takes a wish for a slot. A wish that is known already is not taken twice.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use bamboo_slots::{Action, Ask, Broker, Engine, Work};
+    /// let mut broker = Broker::default();
+    /// let engine = Engine { server: "s".into(), service: "llm".into(), data_centre: "a".into(), slots: 1, is_ready: true };
+    /// broker.put_engine(engine, false, Duration::ZERO);
+    /// let work = Work::Batch { due: Duration::from_secs(9), left: Duration::from_secs(2) };
+    /// let ask = Ask { host: "h".into(), ask: 1, service: "llm".into(), data_centre: "a".into(), work, excluded: vec![] };
+    /// broker.ask(ask, Duration::ZERO);
+    /// assert!(matches!(broker.take_actions()[0], Action::Grant { .. }));
+    /// ```
+    pub fn ask(&mut self, ask: Ask, now: Duration) {
+        let id = (ask.host.clone(), ask.ask);
+        if self.by_ask.contains_key(&id) {
+            return;
+        }
+        let is_online = matches!(ask.work, Work::Online { .. });
+        if let Some(action) = self.refusal(&ask, now) {
+            self.actions.push(action);
+            return;
+        }
+        let key = self.leases.insert(Lease {
+            ask,
+            since: now,
+            held: None,
+        });
+        self.by_ask.insert(id.clone(), key);
+        match is_online {
+            true => self.waiting_online.push(key),
+            false => self.waiting_batch.push(key),
+        }
+        self.deal(now);
+        let is_waiting = self.leases.get(key).is_some_and(|lease| lease.held.is_none());
+        if is_online && is_waiting {
+            self.actions.push(Action::Queue {
+                host: id.0,
+                ask: id.1,
+            });
+        }
+    }
+
+    /// Takes a run that is under way already, as hosts report it to a new broker.
+    pub fn hold(&mut self, ask: Ask, server: &str, now: Duration) {
+        let id = (ask.host.clone(), ask.ask);
+        if let Some(key) = self.by_ask.remove(&id) {
+            self.drop_lease(key, RunOutcome::Cancelled, now);
+        }
+        let Some(state) = self.engines.get_mut(server) else {
+            return;
+        };
+        let is_online = matches!(ask.work, Work::Online { .. });
+        let held = Some(Held {
+            server: server.to_owned(),
+            since: now,
+        });
+        let key = self.leases.insert(Lease {
+            ask,
+            since: now,
+            held,
+        });
+        match is_online {
+            true => state.online.push(key),
+            false => state.batch.push(key),
+        }
+        self.by_ask.insert(id, key);
+        self.stop_excess(server, now);
+    }
+
+    /// Ends an ask, whether it holds a slot or waits. The outcome speaks of the server even if the ask is unknown.
+    pub fn release(
+        &mut self,
+        host: &str,
+        ask: AskId,
+        server: Option<&str>,
+        outcome: RunOutcome,
+        now: Duration,
+    ) {
+        if let Some(state) = server.and_then(|server| self.engines.get_mut(server)) {
+            state.health.record(outcome, now);
+        }
+        if let Some(key) = self.by_ask.remove(&(host.to_owned(), ask)) {
+            self.drop_lease(key, outcome, now);
+        }
+        self.deal(now);
+    }
+
+    /// Drops all asks of a host that is gone, or that reports them anew.
+    pub fn drop_host(&mut self, host: &str, now: Duration) {
+        let keys: Vec<LeaseKey> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.ask.host == host)
+            .map(|(key, _)| key)
+            .collect();
+        for key in keys {
+            if let Some(lease) = self.leases.get(key) {
+                self.by_ask
+                    .remove(&(lease.ask.host.clone(), lease.ask.ask));
+            }
+            self.drop_lease(key, RunOutcome::Cancelled, now);
+        }
+    }
+
+    /// Drops asks that their host does not name any more, if they are older than `age`.
+    pub fn reconcile(
+        &mut self,
+        host: &str,
+        named: &HashSet<AskId>,
+        age: Duration,
+        now: Duration,
+    ) {
+        let forgotten: Vec<AskId> = self
+            .leases
+            .values()
+            .filter(|lease| {
+                lease.ask.host == host
+                    && !named.contains(&lease.ask.ask)
+                    && now.saturating_sub(lease.since) > age
+            })
+            .map(|lease| lease.ask.ask)
+            .collect();
+        for ask in forgotten {
+            self.release(host, ask, None, RunOutcome::Cancelled, now);
+        }
+    }
+
+    /// Refuses what has become hopeless and deals slots of servers that are usable again.
+    pub fn tick(&mut self, now: Duration) {
+        let expired: Vec<LeaseKey> = self
+            .waiting_online
+            .iter()
+            .copied()
+            .filter(|key| match self.leases.get(*key).map(|lease| lease.ask.work) {
+                Some(Work::Online { give_up, .. }) => now >= give_up,
+                _ => true,
+            })
+            .collect();
+        for key in expired {
+            self.waiting_online.retain(|waiting| *waiting != key);
+            if let Some(lease) = self.leases.remove(key) {
+                self.by_ask
+                    .remove(&(lease.ask.host.clone(), lease.ask.ask));
+                self.actions.push(Action::Refuse {
+                    host: lease.ask.host,
+                    ask: lease.ask.ask,
+                    retry_after: self.hold_time(),
+                });
+            }
+        }
+        self.deal(now);
+    }
+
+    /// What is to be done since the last call.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Counts of one service.
+    pub fn load(&self, service: &str) -> BrokerLoad {
+        let mut load = BrokerLoad::default();
+        for state in self.engines.values() {
+            if state.engine.service != service {
+                continue;
+            }
+            load.slots += usize::from(state.engine.is_ready) * state.engine.slots;
+            load.online_running += state.online.len();
+            load.batch_running += state.batch.len();
+        }
+        let waits = |keys: &[LeaseKey]| {
+            keys.iter()
+                .filter(|key| {
+                    self.leases
+                        .get(**key)
+                        .is_some_and(|lease| lease.ask.service == service)
+                })
+                .count()
+        };
+        load.online_waiting = waits(&self.waiting_online);
+        load.batch_waiting = waits(&self.waiting_batch);
+        load
+    }
+
+    fn hold_time(&self) -> Duration {
+        self.hold_mean.unwrap_or(HOLD_FIRST_GUESS)
+    }
+
+    /// Refuses an online request at once if the queue before it is longer than its time.
+    fn refusal(&self, ask: &Ask, now: Duration) -> Option<Action> {
+        let Work::Online { give_up, .. } = ask.work else {
+            return None;
+        };
+        let load = self.load(&ask.service);
+        if load.online_running + load.online_waiting < load.slots || load.slots == 0 {
+            return None;
+        }
+        let rounds = load.online_waiting as f64 / load.slots as f64;
+        let wait = self.hold_time().mul_f64(rounds);
+        (now + wait >= give_up).then(|| Action::Refuse {
+            host: ask.host.clone(),
+            ask: ask.ask,
+            retry_after: wait,
+        })
+    }
+
+    fn drop_lease(&mut self, key: LeaseKey, outcome: RunOutcome, now: Duration) {
+        let Some(lease) = self.leases.remove(key) else {
+            return;
+        };
+        let Some(held) = lease.held else {
+            self.waiting_online.retain(|waiting| *waiting != key);
+            self.waiting_batch.retain(|waiting| *waiting != key);
+            return;
+        };
+        if let Some(state) = self.engines.get_mut(&held.server) {
+            state.online.retain(|held| *held != key);
+            state.batch.retain(|held| *held != key);
+        }
+        if outcome == RunOutcome::Done && matches!(lease.ask.work, Work::Online { .. }) {
+            let time = now.saturating_sub(held.since);
+            let mean = self.hold_time();
+            self.hold_mean = Some(
+                mean.mul_f64(1.0 - HOLD_MEAN_WEIGHT) + time.mul_f64(HOLD_MEAN_WEIGHT),
+            );
+        }
+    }
+
+    fn deal(&mut self, now: Duration) {
+        self.deal_online(now);
+        self.deal_batch(now);
+    }
+
+    fn deal_online(&mut self, now: Duration) {
+        if self.waiting_online.is_empty() {
+            return;
+        }
+        let mut order = std::mem::take(&mut self.waiting_online);
+        let leases = &self.leases;
+        order.sort_by_cached_key(|key| match leases.get(*key).map(|lease| lease.ask.work) {
+            Some(Work::Online { start_by, .. }) => online_rank(start_by, now),
+            _ => (true, Duration::MAX),
+        });
+        let mut left = Vec::new();
+        for key in order {
+            let Some(ask) = self.leases.get(key).map(|lease| lease.ask.clone()) else {
+                continue;
+            };
+            match self.place_online(&ask, now) {
+                Some(server) => self.grant(key, &server, now),
+                None => left.push(key),
+            }
+        }
+        self.waiting_online = left;
+    }
+
+    /// A server for an online request: a free slot nearby, then elsewhere, then one that a batch item leaves.
+    fn place_online(&mut self, ask: &Ask, now: Duration) -> Option<BackendServerId> {
+        let candidates = self.engines.values().filter(|state| state.may_run(ask, now));
+        let best = candidates
+            .filter_map(|state| {
+                let is_far = state.engine.data_centre != ask.data_centre;
+                let is_free = state.running_count() < state.engine.slots;
+                let has_batch = !state.batch.is_empty() && state.online.len() < state.engine.slots;
+                match (is_free, has_batch) {
+                    (true, _) => Some(((0, is_far, state.running_count()), state)),
+                    (false, true) => Some(((1, is_far, state.online.len()), state)),
+                    (false, false) => None,
+                }
+            })
+            .min_by_key(|(rank, _)| *rank);
+        let ((needs_stop, _, _), state) = best?;
+        let server = state.engine.server.clone();
+        if needs_stop == 1 {
+            self.stop_one_batch(&server, now);
+        }
+        Some(server)
+    }
+
+    fn stop_one_batch(&mut self, server: &str, now: Duration) {
+        let Some(state) = self.engines.get_mut(server) else {
+            return;
+        };
+        let leases = &self.leases;
+        let rank = |key: &LeaseKey| match leases.get(*key).map(|lease| lease.ask.work) {
+            Some(Work::Batch { due, left }) => batch_rank(due, left, now),
+            _ => (true, Duration::MAX),
+        };
+        let Some(victim) = state.batch.iter().copied().max_by_key(rank) else {
+            return;
+        };
+        state.batch.retain(|key| *key != victim);
+        if let Some(lease) = self.leases.remove(victim) {
+            self.by_ask
+                .remove(&(lease.ask.host.clone(), lease.ask.ask));
+            self.actions.push(Action::Stop {
+                host: lease.ask.host,
+                ask: lease.ask.ask,
+            });
+        }
+    }
+
+    /// Stops batch items of a server on which more runs than it has slots for.
+    fn stop_excess(&mut self, server: &str, now: Duration) {
+        while self.engines.get(server).is_some_and(|state| {
+            state.running_count() > state.engine.slots && !state.batch.is_empty()
+        }) {
+            self.stop_one_batch(server, now);
+        }
+    }
+
+    fn deal_batch(&mut self, now: Duration) {
+        if self.waiting_batch.is_empty() {
+            return;
+        }
+        let has_free = self.engines.values().any(|state| {
+            state.engine.is_ready
+                && state.running_count() < state.engine.slots
+                && state.health.is_usable(state.running_count(), now)
+        });
+        if !has_free {
+            return;
+        }
+        let mut order = std::mem::take(&mut self.waiting_batch);
+        let leases = &self.leases;
+        order.sort_by_cached_key(|key| match leases.get(*key).map(|lease| lease.ask.work) {
+            Some(Work::Batch { due, left }) => batch_rank(due, left, now),
+            _ => (true, Duration::MAX),
+        });
+        let mut left = Vec::new();
+        for key in order {
+            let Some(ask) = self.leases.get(key).map(|lease| lease.ask.clone()) else {
+                continue;
+            };
+            match self.place_batch(&ask, now) {
+                Some(server) => self.grant(key, &server, now),
+                None => left.push(key),
+            }
+        }
+        self.waiting_batch = left;
+    }
+
+    fn place_batch(&self, ask: &Ask, now: Duration) -> Option<BackendServerId> {
+        self.engines
+            .values()
+            .filter(|state| {
+                state.may_run(ask, now) && state.running_count() < state.engine.slots
+            })
+            .min_by_key(|state| {
+                let is_far = state.engine.data_centre != ask.data_centre;
+                (is_far, state.running_count())
+            })
+            .map(|state| state.engine.server.clone())
+    }
+
+    fn grant(&mut self, key: LeaseKey, server: &str, now: Duration) {
+        let (Some(lease), Some(state)) = (self.leases.get_mut(key), self.engines.get_mut(server))
+        else {
+            return;
+        };
+        lease.held = Some(Held {
+            server: server.to_owned(),
+            since: now,
+        });
+        match lease.ask.work {
+            Work::Online { .. } => state.online.push(key),
+            Work::Batch { .. } => state.batch.push(key),
+        }
+        self.actions.push(Action::Grant {
+            host: lease.ask.host.clone(),
+            ask: lease.ask.ask,
+            server: server.to_owned(),
+        });
+    }
+}
--- /dev/null
+++ b/bamboo-slots/src/lib.rs
@@ -0,0 +1,23 @@
+//! Deals the slots of model engines to online requests and batch items of all hosts of a domain.
+//!
+//! Batch items fill every free slot and are stopped as soon as an online request has none. The broker keeps no
+//! state that lasts: a new one is rebuilt from what the hosts report to it.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod ask;
+mod broker;
+mod health;
+mod order;
+
+pub use ask::Action;
+pub use ask::Ask;
+pub use ask::AskId;
+pub use ask::RunOutcome;
+pub use ask::Work;
+pub use broker::Broker;
+pub use broker::BrokerLoad;
+pub use broker::Engine;
+pub use health::Health;
+pub use order::batch_rank;
+pub use order::online_rank;
