--- a/bamboo-fleet/src/directory.rs
+++ b/bamboo-fleet/src/directory.rs
@@ -123,9 +123,10 @@
         if !ready.is_empty() {
             return ready;
         }
-        let recent = self.lapsed.iter().filter(|(at, server)| {
-            now.saturating_sub(*at) < LAPSED_USE && is_usable(server)
-        });
+        let recent = self
+            .lapsed
+            .iter()
+            .filter(|(at, server)| now.saturating_sub(*at) < LAPSED_USE && is_usable(server));
         recent.map(|(_, server)| Rc::clone(server)).collect()
     }
 
--- a/bamboo-gateway/src/asks.rs
+++ b/bamboo-gateway/src/asks.rs
@@ -91,9 +91,7 @@
 
 fn note_of(ask: AskId, state: &AskState, now: Duration) -> AskNote {
     let (is_online, due, left_ms) = match state.work {
-        Work::Online { start_by, give_up } => {
-            (true, start_by, millis(give_up.saturating_sub(now)))
-        }
+        Work::Online { start_by, give_up } => (true, start_by, millis(give_up.saturating_sub(now))),
         Work::Batch { due, left } => (false, due, millis(left)),
     };
     AskNote {
--- a/bamboo-gateway/src/body.rs
+++ b/bamboo-gateway/src/body.rs
@@ -42,7 +42,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match self.get_mut() {
-            AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            AnswerBody::Whole(bytes) => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            }
             AnswerBody::Pieces(pieces) => pieces
                 .poll_recv(context)
                 .map(|piece| piece.map(|piece| piece.map(Frame::data))),
--- a/bamboo-gateway/src/coordinate.rs
+++ b/bamboo-gateway/src/coordinate.rs
@@ -1,7 +1,8 @@
 //! Which host coordinates slots, and what that host keeps of the others.
 //!
-//! The coordinator is the first host, by size and hash, that answers. Nobody is elected: a host that others take for
-//! the coordinator serves them, and two at once only cost some precision, since servers queue what is too much.
+//! The coordinator is the first host, by size and hash, of those that have shown life lately. Nobody is elected: a host
+//! that others take for the coordinator serves them, and two at once only cost some precision, since servers queue
+//! what is too much.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -23,6 +24,16 @@
 const PASS_OVER_FIRST: Duration = Duration::from_secs(1);
 /// Longest time for which a silent host is passed over.
 const PASS_OVER_MAX: Duration = Duration::from_secs(4);
+/// Time without trouble after which a host's earlier silences are forgotten.
+const PASS_OVER_MEMORY: Duration = Duration::from_secs(20);
+/// Time after a sign of life in which a host can become the coordinator, where the coordinator does not list it.
+const HEARD_LATELY: Duration = Duration::from_secs(2);
+/// First pause between questions to a host that shows no life; doubles up to the longest.
+const PROBE_FIRST: Duration = Duration::from_millis(250);
+/// Longest pause between questions.
+const PROBE_MAX: Duration = Duration::from_secs(2);
+/// Hosts that are asked for a sign of life at once.
+const PROBES_AT_ONCE: usize = 3;
 /// Silence after which the coordinator drops a host: six beats.
 const HOST_LOST_AFTER: Duration = Duration::from_millis(1500);
 /// Missed answers in a row after which a coordinator is passed over.
@@ -36,12 +47,21 @@
     count: u32,
 }
 
+#[derive(Debug, Default)]
+struct Probe {
+    next: Duration,
+    count: u32,
+}
+
 /// The host's view: who coordinates.
 #[derive(Debug)]
 pub(crate) struct Coordination {
     me: HostInfo,
     hosts: BTreeMap<HostId, HostInfo>,
     suspicions: HashMap<HostId, Suspicion>,
+    heard: HashMap<HostId, Duration>,
+    probes: HashMap<HostId, Probe>,
+    leaving: HashMap<HostId, u64>,
     current: HostId,
     heard_at: Duration,
     slow_answers: u32,
@@ -59,6 +79,9 @@
             me,
             hosts,
             suspicions: HashMap::new(),
+            heard: HashMap::new(),
+            probes: HashMap::new(),
+            leaving: HashMap::new(),
             heard_at: Duration::ZERO,
             slow_answers: 0,
             board: Board::default(),
@@ -92,37 +115,56 @@
         self.hosts.entry(host).or_insert(info);
     }
 
-    /// All other hosts that are not passed over.
+    /// All other hosts that have shown life.
     pub(crate) fn others(&self, now: Duration) -> Vec<HostId> {
         self.hosts
-            .keys()
-            .filter(|host| **host != self.me.host && !self.is_suspect(host, now))
-            .cloned()
+            .values()
+            .filter(|info| info.host != self.me.host && self.is_eligible(info, now))
+            .map(|info| info.host.clone())
             .collect()
     }
 
-    /// Hosts that are passed over and should be asked for a sign of life now.
+    /// Hosts before the coordinator in rank that show no life and should be asked now.
     pub(crate) fn probes(&mut self, now: Duration) -> Vec<HostId> {
-        let me = &self.me.host;
-        let hosts = &self.hosts;
-        let ranked_before = |host: &HostId| match (hosts.get(host), hosts.get(me)) {
-            (Some(other), Some(mine)) => rank(other) < rank(mine),
-            _ => false,
-        };
-        let mut probes = Vec::new();
-        for (host, suspicion) in &mut self.suspicions {
-            if now >= suspicion.until && ranked_before(host) {
-                suspicion.count += 1;
-                suspicion.until = now + pass_over_time(suspicion.count);
-                probes.push(host.clone());
+        let current = self.hosts.get(&self.current).map(rank);
+        let mut silent: Vec<&HostInfo> = self
+            .hosts
+            .values()
+            .filter(|info| Some(rank(info)) < current && !self.is_eligible(info, now))
+            .collect();
+        silent.sort_by_key(|info| rank(info));
+        let silent: Vec<HostId> = silent.into_iter().map(|info| info.host.clone()).collect();
+        let mut due = Vec::new();
+        for host in silent {
+            let probe = self.probes.entry(host.clone()).or_default();
+            if now >= probe.next && due.len() < PROBES_AT_ONCE {
+                probe.next = now + doubled(PROBE_FIRST, probe.count, PROBE_MAX);
+                probe.count += 1;
+                due.push(host);
             }
         }
-        probes
+        due
+    }
+
+    /// Takes note that a host is about to stop.
+    pub(crate) fn is_leaving(&mut self, info: &HostInfo) {
+        self.leaving.insert(info.host.clone(), info.run);
+    }
+
+    /// Takes note that the connection to a host broke. Returns whether it was the coordinator's.
+    pub(crate) fn link_broken(&mut self, host: &str, now: Duration) -> bool {
+        self.heard.remove(host);
+        let is_current = host == self.current;
+        if is_current {
+            self.suspect_current(now);
+        }
+        is_current
     }
 
     /// Takes a sign of life of a host.
     pub(crate) fn heard(&mut self, host: &str, now: Duration) {
-        self.suspicions.remove(host);
+        self.heard.insert(host.to_owned(), now);
+        self.probes.remove(host);
         if host == self.current {
             self.heard_at = now;
             self.slow_answers = 0;
@@ -142,12 +184,37 @@
             return;
         }
         let suspicion = self.suspicions.entry(self.current.clone()).or_default();
+        if now > suspicion.until + PASS_OVER_MEMORY {
+            suspicion.count = 0;
+        }
+        suspicion.until = now + doubled(PASS_OVER_FIRST, suspicion.count, PASS_OVER_MAX);
         suspicion.count += 1;
-        suspicion.until = now + pass_over_time(suspicion.count);
+        // What it said before its silence does not count any more.
+        self.heard.remove(&self.current);
+        self.board.hosts.retain(|info| info.host != self.current);
+    }
+
+    fn is_suspect(&self, host: &str, now: Duration) -> bool {
+        self.suspicions
+            .get(host)
+            .is_some_and(|suspicion| now < suspicion.until)
     }
 
-    fn is_suspect(&self, host: &str, _now: Duration) -> bool {
-        self.suspicions.contains_key(host)
+    /// Whether a host can be the coordinator.
+    fn is_eligible(&self, info: &HostInfo, now: Duration) -> bool {
+        if self.leaving.get(&info.host) == Some(&info.run) || self.is_suspect(&info.host, now) {
+            return false;
+        }
+        let is_listed = self
+            .board
+            .hosts
+            .iter()
+            .any(|listed| listed.host == info.host);
+        let is_heard = self
+            .heard
+            .get(&info.host)
+            .is_some_and(|at| now.saturating_sub(*at) < HEARD_LATELY);
+        info.host == self.me.host || is_listed || is_heard
     }
 
     /// Chooses the coordinator anew. Returns whether it is another one.
@@ -158,7 +225,7 @@
         let first = self
             .hosts
             .values()
-            .filter(|info| !self.is_suspect(&info.host, now))
+            .filter(|info| self.is_eligible(info, now))
             .min_by_key(|info| rank(info))
             .map_or_else(|| self.me.host.clone(), |info| info.host.clone());
         if first == self.current {
@@ -191,8 +258,8 @@
     }
 }
 
-fn pass_over_time(count: u32) -> Duration {
-    (PASS_OVER_FIRST * 2u32.saturating_pow(count.saturating_sub(1).min(8))).min(PASS_OVER_MAX)
+fn doubled(first: Duration, count: u32, max: Duration) -> Duration {
+    (first * 2u32.saturating_pow(count.min(8))).min(max)
 }
 
 fn rank(info: &HostInfo) -> (std::cmp::Reverse<u64>, u64, &HostId) {
@@ -295,6 +362,7 @@
             hosts: self
                 .reports
                 .values()
+                .filter(|report| !report.beat.is_leaving)
                 .map(|report| report.info.clone())
                 .collect(),
             owners: owners
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -84,6 +84,14 @@
     }
 }
 
+/// What tasks of the gateway wait for.
+pub(crate) struct Followers {
+    /// Hosts to ask for the configuration.
+    pub(crate) config_asks: mpsc::UnboundedReceiver<HostId>,
+    /// Hosts to which the link broke.
+    pub(crate) broken_links: mpsc::UnboundedReceiver<HostId>,
+}
+
 /// Bounds the lines of one second.
 #[derive(Debug, Default)]
 struct LineBudget {
@@ -120,11 +128,8 @@
 }
 
 impl Gateway {
-    /// State of a process that begins, and the hosts to ask for the configuration.
-    pub(crate) fn new(
-        settings: Settings,
-        dialect: Dialect,
-    ) -> (Rc<Self>, mpsc::UnboundedReceiver<HostId>) {
+    /// State of a process that begins, and what its tasks wait for.
+    pub(crate) fn new(settings: Settings, dialect: Dialect) -> (Rc<Self>, Followers) {
         let me = HostInfo {
             host: settings.peer_address().to_string(),
             data_centre: settings.data_centre.clone(),
@@ -139,9 +144,10 @@
         }
         let (phase, _) = watch::channel(Phase::Serving);
         let (config_asks, asked) = mpsc::unbounded_channel();
+        let (links, broken) = mpsc::unbounded_channel();
         let gateway = Rc::new(Gateway {
             store: StoreClient::new(settings.store.address, dialect.clone()),
-            mesh: Mesh::new(me.clone()),
+            mesh: Mesh::new(me.clone(), links),
             me,
             settings,
             dialect,
@@ -164,7 +170,11 @@
             open_requests: Cell::new(0),
             lines: LineBudget::default(),
         });
-        (gateway, asked)
+        let followers = Followers {
+            config_asks: asked,
+            broken_links: broken,
+        };
+        (gateway, followers)
     }
 
     /// Requests of callers that are being served.
@@ -254,7 +264,11 @@
         let Some(profile) = &service.engine else {
             return;
         };
-        let slots = if server.slots > 0 { server.slots } else { profile.slots };
+        let slots = if server.slots > 0 {
+            server.slots
+        } else {
+            profile.slots
+        };
         let engine = bamboo_slots::Engine {
             server: server.id.clone(),
             service: server.service.clone(),
@@ -290,7 +304,10 @@
     ///
     /// # Errors
     /// Fails if neither way gives an answer.
-    pub(crate) async fn store_call(&self, request: &StoreRequest) -> Result<StoreReply, StoreError> {
+    pub(crate) async fn store_call(
+        &self,
+        request: &StoreRequest,
+    ) -> Result<StoreReply, StoreError> {
         let direct = self.store.call(request).await;
         let error = match direct {
             Ok(reply) => {
@@ -362,8 +379,12 @@
             PeerMessage::BeatSeen {
                 board,
                 config_version,
+                is_leaving,
             } => {
                 let mut coordination = self.coordination.borrow_mut();
+                if is_leaving {
+                    coordination.is_leaving(sender);
+                }
                 if coordination.current() == &sender.host
                     && let Some(board) = board
                 {
@@ -485,6 +506,7 @@
         let seen = PeerMessage::BeatSeen {
             board: (!is_same).then_some(board),
             config_version: self.config_version(),
+            is_leaving: self.is_stopping(),
         };
         self.mesh.send(&sender.host, seen, now);
         self.learn_config(&sender.host, version);
@@ -500,10 +522,7 @@
     }
 
     /// Fetches the configuration from other hosts that have a newer one, until the process ends.
-    pub(crate) async fn fetch_configs(
-        self: Rc<Self>,
-        mut hosts: mpsc::UnboundedReceiver<HostId>,
-    ) {
+    pub(crate) async fn fetch_configs(self: Rc<Self>, mut hosts: mpsc::UnboundedReceiver<HostId>) {
         while let Some(host) = hosts.recv().await {
             let before = self.config_version();
             actix_rt::time::sleep(CONFIG_PATIENCE).await;
@@ -568,6 +587,23 @@
         self.choose_coordinator();
     }
 
+    /// Takes note of broken links to other hosts, until the process ends.
+    pub(crate) async fn follow_links(self: Rc<Self>, mut broken: mpsc::UnboundedReceiver<HostId>) {
+        while let Some(host) = broken.recv().await {
+            let now = self.clock.now();
+            if self.coordination.borrow_mut().link_broken(&host, now) {
+                self.choose_coordinator();
+            }
+        }
+    }
+
+    /// Takes note that this host is about to stop, and lets another coordinate.
+    pub(crate) fn begin_stop(&self) {
+        self.phase.send_replace(Phase::Stopping);
+        self.coordination.borrow_mut().is_leaving(&self.me);
+        self.beat();
+    }
+
     fn choose_coordinator(&self) {
         let now = self.clock.now();
         let mut coordination = self.coordination.borrow_mut();
@@ -603,11 +639,11 @@
             asks: self.asks.ids(),
             board: self.coordination.borrow().board_digest,
             config_version: self.config_version(),
+            is_leaving: self.is_stopping(),
         };
         let probes = self.coordination.borrow_mut().probes(now);
         for host in probes {
-            self.mesh
-                .send(&host, PeerMessage::Beat(beat.clone()), now);
+            self.mesh.send(&host, PeerMessage::Beat(beat.clone()), now);
         }
         self.tell_coordinator(PeerMessage::Beat(beat));
         for lost in self.reports.borrow_mut().drop_lost(now) {
--- a/bamboo-gateway/src/jobs.rs
+++ b/bamboo-gateway/src/jobs.rs
@@ -58,7 +58,10 @@
                 *waiting.entry(route).or_default() += tokens;
             }
         }
-        waiting.into_iter().filter(|(_, tokens)| *tokens > 0).collect()
+        waiting
+            .into_iter()
+            .filter(|(_, tokens)| *tokens > 0)
+            .collect()
     }
 
     /// Number of the last reservation of the current coordinator.
--- a/bamboo-gateway/src/jobs/calls.rs
+++ b/bamboo-gateway/src/jobs/calls.rs
@@ -193,15 +193,13 @@
         record: &JobRecord,
         tokens: u64,
     ) -> Result<(), PeerReply> {
-        let max_tokens = match gateway
-            .config()
-            .and_then(|config| {
-                config
-                    .routes
-                    .iter()
-                    .find(|route| route.name == record.route)
-                    .map(|route| route.kind.clone())
-            }) {
+        let max_tokens = match gateway.config().and_then(|config| {
+            config
+                .routes
+                .iter()
+                .find(|route| route.name == record.route)
+                .map(|route| route.kind.clone())
+        }) {
             Some(RouteKind::Batch {
                 waiting_max_tokens, ..
             }) => waiting_max_tokens,
@@ -314,9 +312,10 @@
             return self.not_found(gateway);
         };
         match found.find_item(item) {
-            Some(index) if !found.is_listed(index) && !found.is_ended() => {
-                http_reply(StatusCode::OK, found.record.items[index as usize].body.clone())
-            }
+            Some(index) if !found.is_listed(index) && !found.is_ended() => http_reply(
+                StatusCode::OK,
+                found.record.items[index as usize].body.clone(),
+            ),
             _ => self.not_found(gateway),
         }
     }
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -29,6 +29,7 @@
 use crate::asks::ask_slot;
 use crate::gateway::Gateway;
 use crate::jobs::part::OwnedPart;
+use crate::jobs::part::SharedRun;
 use crate::task::OwnedTask;
 use crate::traffic::EngineRequest;
 use crate::traffic::Next;
@@ -146,20 +147,23 @@
 
 /// Runs an item until it has a result.
 async fn run_item(gateway: Rc<Gateway>, part: Rc<OwnedPart>, job: Rc<JobRecord>, item: ItemIndex) {
-    let mut run = ItemRun::default();
+    let run = part.shared_run(&job.id, item);
     let mut excluded: Vec<BackendServerId> = Vec::new();
     let request = engine_request(&gateway, &job, item);
     loop {
         let (service, due_in) = match standing(&gateway, &part, &job, item) {
             Standing::Runnable { service, due_in } => (service, due_in),
-            Standing::Closed => return,
-            Standing::Expired => return list(&gateway, &part, &job, item, &run, ResultState::DeadLetter),
+            Standing::Closed => return part.forget_run(&job.id, item),
+            Standing::Expired => {
+                return list(&gateway, &part, &job, item, &run, ResultState::DeadLetter);
+            }
         };
         let work = Work::Batch {
             due: gateway.clock.now() + due_in,
-            left: gateway.jobs.item_times.left(&run),
+            left: gateway.jobs.item_times.left(&run.borrow()),
         };
-        let Ok(slot) = ask_slot(&gateway, &service, work, std::mem::take(&mut excluded)).await else {
+        let Ok(slot) = ask_slot(&gateway, &service, work, std::mem::take(&mut excluded)).await
+        else {
             actix_rt::time::sleep(RETRY_PAUSE).await;
             continue;
         };
@@ -167,7 +171,7 @@
             return;
         }
         let server = slot.server.id.clone();
-        let (end, outcome) = attempt(&gateway, &part, &job, &slot, &request, &mut run).await;
+        let (end, outcome) = attempt(&gateway, &part, &job, &slot, &request, &run).await;
         slot.set_outcome(outcome);
         drop(slot);
         if !matches!(outcome, RunOutcome::Done | RunOutcome::Cancelled) {
@@ -176,18 +180,21 @@
         if end != AttemptEnd::Whole && outcome != RunOutcome::Cancelled {
             log::info!(
                 event = "item_attempt", job = job.id.as_str(), item = request.id.as_str(), server = server.as_str(),
-                end:? = end, outcome:? = outcome, events = run.event_count(); "an attempt at an item ended early"
+                end:? = end, outcome:? = outcome, events = run.borrow().event_count(); "an attempt at an item ended early"
             );
         }
-        match run.after_attempt(end, job.attempts_max) {
+        let next = run.borrow_mut().after_attempt(end, job.attempts_max);
+        match next {
             ItemNext::Finish => {
-                gateway.jobs.item_times.done(&run);
+                gateway.jobs.item_times.done(&run.borrow());
                 return list(&gateway, &part, &job, item, &run, ResultState::Done);
             }
             ItemNext::GiveUp => {
                 return list(&gateway, &part, &job, item, &run, ResultState::DeadLetter);
             }
-            ItemNext::RunAgain if outcome == RunOutcome::Cancelled => gateway.metrics.item("preempted"),
+            ItemNext::RunAgain if outcome == RunOutcome::Cancelled => {
+                gateway.metrics.item("preempted")
+            }
             ItemNext::RunAgain => {
                 gateway.metrics.item("retried");
                 actix_rt::time::sleep(RETRY_PAUSE).await;
@@ -201,7 +208,7 @@
     part: &OwnedPart,
     job: &JobRecord,
     item: ItemIndex,
-    run: &ItemRun,
+    run: &SharedRun,
     state: ResultState,
 ) {
     gateway.metrics.item(match state {
@@ -215,9 +222,10 @@
         );
     }
     let text = match state {
-        ResultState::Done => run.text(),
+        ResultState::Done => run.borrow().text(),
         ResultState::DeadLetter => String::new(),
     };
+    part.forget_run(&job.id, item);
     part.append(Record::Results {
         job: job.id.clone(),
         results: vec![ItemResult { item, state, text }],
@@ -232,7 +240,9 @@
             (Ok(name), Ok(value)) => {
                 headers.append(name, value);
             }
-            _ => log::warn!(event = "item_header", item = item.id.as_str(), name; "a header of an item cannot be sent"),
+            _ => {
+                log::warn!(event = "item_header", item = item.id.as_str(), name; "a header of an item cannot be sent")
+            }
         }
     }
     if let Ok(id) = HeaderValue::from_str(&item.id) {
@@ -257,7 +267,7 @@
     job: &JobRecord,
     slot: &Slot,
     request: &EngineRequest,
-    run: &mut ItemRun,
+    run: &SharedRun,
 ) -> (AttemptEnd, RunOutcome) {
     let is_over = async {
         loop {
@@ -280,13 +290,14 @@
     gateway: &Rc<Gateway>,
     slot: &Slot,
     request: &EngineRequest,
-    run: &mut ItemRun,
+    run: &SharedRun,
 ) -> (AttemptEnd, RunOutcome) {
+    let last_event = run.borrow().last_event();
     let opened = open_stream(
         gateway,
         &slot.server,
         request,
-        run.last_event(),
+        last_event,
         None,
         FIRST_EVENT_MAX,
     )
@@ -310,12 +321,13 @@
         match stream.next(gateway, silence).await {
             Next::Event(event) => {
                 silence = GAP_MAX;
-                if !run.push_event(event.id, event.data()) {
-                    run.restart();
+                let is_next = run.borrow_mut().push_event(event.id, event.data());
+                if !is_next {
+                    run.borrow_mut().restart();
                     return (AttemptEnd::Interrupted, RunOutcome::Broken);
                 }
             }
-            Next::End if run.event_count() > 0 => {
+            Next::End if run.borrow().event_count() > 0 => {
                 stream.finish(gateway);
                 return (AttemptEnd::Whole, RunOutcome::Done);
             }
--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -18,14 +18,16 @@
 const GROUP: &str = "bamboo-shards";
 /// Membership without a further call. Shards of a lost host are dealt anew after it.
 const MEMBERSHIP: Duration = Duration::from_millis(1600);
-/// Interval of calls that keep the membership: three within it.
-const JOIN_INTERVAL: Duration = Duration::from_millis(450);
+/// Interval of calls that keep the membership: some within it, since a new owner learns of its shards by them.
+const JOIN_INTERVAL: Duration = Duration::from_millis(300);
 /// Topic, after the prefix of keyed topics, in which hosts are listed.
 const HOSTS_TOPIC: &str = "bamboo-hosts";
 /// Interval of reading the list of hosts. Hosts learn of each other through their links much sooner.
 const HOSTS_INTERVAL: Duration = Duration::from_secs(10);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Time for appends that wait when a shard is dealt to another host.
+const GIVE_UP_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for appends that wait when the host stops.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Interval of looking whether they are done.
@@ -38,7 +40,9 @@
 /// Owns shards as the store deals them, until the process stops.
 pub(crate) async fn keep_shards(gateway: Rc<Gateway>) {
     let mut generation = 0;
-    let membership = MEMBERSHIP.max(Duration::from_millis(gateway.settings.store.membership_min_ms));
+    let membership = MEMBERSHIP.max(Duration::from_millis(
+        gateway.settings.store.membership_min_ms,
+    ));
     while !gateway.is_stopping() {
         let sent = gateway.clock.now();
         let request = StoreRequest::Join {
@@ -57,24 +61,51 @@
             generation = joined;
             gateway.jobs.has_joined.set(true);
             gateway.jobs.member_until.set(sent + membership);
-            take_partitions(&gateway, generation, partitions.into_iter().collect());
+            let dealt: BTreeSet<Partition> = partitions.into_iter().collect();
+            if give_up_partitions(&gateway, &dealt).await {
+                // The next call tells the store that the shards are free.
+                continue;
+            }
+            take_partitions(&gateway, generation, dealt);
         }
         expire_jobs(&gateway);
         actix_rt::time::sleep(JOIN_INTERVAL).await;
     }
 }
 
+/// Closes shards that are dealt to others, with their progress recorded. Returns whether there were any.
+async fn give_up_partitions(gateway: &Gateway, dealt: &BTreeSet<Partition>) -> bool {
+    let parts = &gateway.jobs.parts;
+    let leaving: Vec<Rc<OwnedPart>> = parts
+        .borrow()
+        .values()
+        .filter(|part| !dealt.contains(&part.partition) || part.is_lost())
+        .cloned()
+        .collect();
+    let is_dealt_away = leaving.iter().any(|part| !part.is_lost());
+    close_parts(gateway, &leaving, GIVE_UP_TIMEOUT).await;
+    parts.borrow_mut().retain(|_, part| !part.is_lost());
+    is_dealt_away
+}
+
+/// Stops items, waits for the appends that are left, and closes shards.
+async fn close_parts(gateway: &Gateway, parts: &[Rc<OwnedPart>], timeout: Duration) {
+    for part in parts {
+        part.stop_items();
+    }
+    let until = gateway.clock.now() + timeout;
+    let is_busy = |part: &Rc<OwnedPart>| !part.is_lost() && !part.is_idle();
+    while parts.iter().any(is_busy) && gateway.clock.now() < until {
+        actix_rt::time::sleep(LEAVE_CHECK).await;
+    }
+    for part in parts {
+        log::info!(event = "shard_closed", partition = part.partition, epoch = part.epoch; "shard closed");
+        part.close();
+    }
+}
+
 fn take_partitions(gateway: &Rc<Gateway>, generation: u64, dealt: BTreeSet<Partition>) {
-    let shards = &gateway.jobs;
-    let mut parts = shards.parts.borrow_mut();
-    parts.retain(|partition, part| {
-        let is_kept = dealt.contains(partition) && !part.is_lost();
-        if !is_kept {
-            log::info!(event = "shard_closed", partition = *partition, epoch = part.epoch; "shard closed");
-            part.close();
-        }
-        is_kept
-    });
+    let mut parts = gateway.jobs.parts.borrow_mut();
     for partition in dealt {
         parts.entry(partition).or_insert_with(|| {
             let part = OwnedPart::new(partition, generation);
@@ -99,16 +130,7 @@
 pub(crate) async fn leave_shards(gateway: &Rc<Gateway>) {
     let shards = &gateway.jobs;
     let parts: Vec<Rc<OwnedPart>> = shards.parts.borrow().values().cloned().collect();
-    for part in &parts {
-        part.stop_items();
-    }
-    let until = gateway.clock.now() + LEAVE_TIMEOUT;
-    while parts.iter().any(|part| !part.is_idle()) && gateway.clock.now() < until {
-        actix_rt::time::sleep(LEAVE_CHECK).await;
-    }
-    for part in &parts {
-        part.close();
-    }
+    close_parts(gateway, &parts, LEAVE_TIMEOUT).await;
     shards.parts.borrow_mut().clear();
     let request = StoreRequest::Leave {
         group: GROUP.to_owned(),
@@ -171,7 +193,9 @@
             gateway.coordination.borrow_mut().learn(&info);
         }
         Ok(_) => {}
-        Err(error) => log::warn!(event = "host_unreadable"; "an entry of a host cannot be read: {error}"),
+        Err(error) => {
+            log::warn!(event = "host_unreadable"; "an entry of a host cannot be read: {error}")
+        }
     }
 }
 
--- a/bamboo-gateway/src/jobs/part.rs
+++ b/bamboo-gateway/src/jobs/part.rs
@@ -2,16 +2,20 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::Context;
 use bamboo_shards::Applied;
+use bamboo_shards::ItemProgress;
+use bamboo_shards::ItemRun;
 use bamboo_shards::Joiner;
 use bamboo_shards::Record;
 use bamboo_shards::Shard;
 use bamboo_shards::split;
+use bamboo_types::ItemIndex;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -28,9 +32,14 @@
 pub(super) const TOPIC: &str = "bamboo-jobs";
 /// Pause after a call that the store refused or did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Interval of recording the progress of items: what a lost host costs at most of each.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(1000);
 /// Bytes that each record costs in an append beside its own.
 const RECORD_OVERHEAD_BYTES: usize = 8;
 
+/// Progress of an item, shared by its run and by those who record it.
+pub(super) type SharedRun = Rc<RefCell<ItemRun>>;
+
 /// How an append ended for the one who waits for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Stored {
@@ -57,11 +66,13 @@
     is_lost: Cell<bool>,
     queue: RefCell<VecDeque<Pending>>,
     next_number: Cell<u64>,
+    is_appending: Cell<bool>,
     wake: Notify,
     failing_since: Cell<Option<Duration>>,
     /// Told when results are listed or a job ends.
     pub(super) listed: Notify,
     tasks: RefCell<Vec<OwnedTask>>,
+    runs: RefCell<BTreeMap<(String, ItemIndex), SharedRun>>,
 }
 
 impl OwnedPart {
@@ -74,10 +85,12 @@
             is_lost: Cell::new(false),
             queue: RefCell::new(VecDeque::new()),
             next_number: Cell::new(0),
+            is_appending: Cell::new(false),
             wake: Notify::new(),
             failing_since: Cell::new(None),
             listed: Notify::new(),
             tasks: RefCell::new(Vec::new()),
+            runs: RefCell::new(BTreeMap::new()),
         })
     }
 
@@ -97,8 +110,9 @@
             .map_or(Duration::ZERO, |since| now.saturating_sub(since))
     }
 
+    /// Whether no append waits or is under way.
     pub(super) fn is_idle(&self) -> bool {
-        self.queue.borrow().is_empty()
+        self.queue.borrow().is_empty() && !self.is_appending.get()
     }
 
     /// Ends everything that runs for the shard.
@@ -110,10 +124,39 @@
         self.wake.notify_waiters();
     }
 
-    /// Stops the runs of items and keeps appending what is there.
+    /// Stops the runs of items and records how far they are; appends go on.
     pub(super) fn stop_items(&self) {
         // The first task is the one that appends.
         self.tasks.borrow_mut().truncate(1);
+        self.record_progress();
+    }
+
+    /// Progress of an item, from what is recorded if it does not run yet.
+    pub(super) fn shared_run(&self, job: &str, item: ItemIndex) -> SharedRun {
+        let recorded = || self.shard.borrow().job(job).map(|found| found.run(item));
+        let mut runs = self.runs.borrow_mut();
+        let run = runs
+            .entry((job.to_owned(), item))
+            .or_insert_with(|| Rc::new(RefCell::new(recorded().unwrap_or_default())));
+        Rc::clone(run)
+    }
+
+    /// Forgets the progress of an item that needs no more runs.
+    pub(super) fn forget_run(&self, job: &str, item: ItemIndex) {
+        self.runs.borrow_mut().remove(&(job.to_owned(), item));
+    }
+
+    /// Queues a record of what running items gained.
+    pub(super) fn record_progress(&self) {
+        let entries: Vec<ItemProgress> = self
+            .runs
+            .borrow()
+            .iter()
+            .filter_map(|((job, item), run)| run.borrow_mut().take_unrecorded(job, *item))
+            .collect();
+        if !entries.is_empty() {
+            self.append(Record::Progress(entries));
+        }
     }
 
     pub(super) fn own_task(&self, task: OwnedTask) {
@@ -162,7 +205,11 @@
     }
 
     /// Records for the next append, encoded.
-    fn next_batch(&self, record_max_bytes: usize, append_max_bytes: usize) -> (Vec<Pending>, Vec<Vec<u8>>) {
+    fn next_batch(
+        &self,
+        record_max_bytes: usize,
+        append_max_bytes: usize,
+    ) -> (Vec<Pending>, Vec<Vec<u8>>) {
         let mut queue = self.queue.borrow_mut();
         let mut batch = Vec::new();
         let mut fragments = Vec::new();
@@ -214,7 +261,18 @@
         took_ms = gateway.clock.now().saturating_sub(started).as_millis() as u64; "shard opened"
     );
     items::start_open_items(&gateway, &part);
-    append_forever(&gateway, &part).await;
+    tokio::join!(append_forever(&gateway, &part), record_forever(&part));
+}
+
+/// Records the progress of running items until the shard is lost.
+async fn record_forever(part: &OwnedPart) {
+    while !part.is_lost() {
+        actix_rt::time::sleep(PROGRESS_INTERVAL).await;
+        // While an append waits for the store, more progress would only grow the queue.
+        if part.is_idle() {
+            part.record_progress();
+        }
+    }
 }
 
 /// Fences earlier owners off and folds the records. Returns whether the shard is still this host's.
@@ -232,7 +290,10 @@
             wait: Duration::ZERO,
         };
         match gateway.store_call(&request).await {
-            Ok(StoreReply::Records { records, end: now_end }) => {
+            Ok(StoreReply::Records {
+                records,
+                end: now_end,
+            }) => {
                 end = end.max(now_end);
                 if records.is_empty() {
                     break;
@@ -308,6 +369,7 @@
             continue;
         }
         sequence += 1;
+        part.is_appending.set(true);
         match append(gateway, part, sequence, fragments).await {
             StoreReply::Appended { .. } => {}
             reply => {
@@ -333,6 +395,7 @@
                 let _ = waiter.send(());
             }
         }
+        part.is_appending.set(false);
         part.listed.notify_waiters();
     }
 }
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bamboo_types::HostId;
+use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 pub(crate) use accept::accept_peers;
@@ -31,15 +32,17 @@
     links: RefCell<HashMap<HostId, Link>>,
     pending: RefCell<HashMap<u64, oneshot::Sender<PeerReply>>>,
     next_call: Cell<u64>,
+    broken: mpsc::UnboundedSender<HostId>,
 }
 
 impl Mesh {
-    pub(crate) fn new(me: HostInfo) -> Self {
+    pub(crate) fn new(me: HostInfo, broken: mpsc::UnboundedSender<HostId>) -> Self {
         Mesh {
             me,
             links: RefCell::new(HashMap::new()),
             pending: RefCell::new(HashMap::new()),
             next_call: Cell::new(1),
+            broken,
         }
     }
 
@@ -48,9 +51,9 @@
         let mut links = self.links.borrow_mut();
         let link = links
             .entry(host.to_owned())
-            .or_insert_with(|| Link::open(host, self.me.clone()));
+            .or_insert_with(|| Link::open(host, self.me.clone(), self.broken.clone()));
         if link.is_broken() {
-            *link = Link::open(host, self.me.clone());
+            *link = Link::open(host, self.me.clone(), self.broken.clone());
         }
         link.send(message, now);
     }
--- a/bamboo-gateway/src/mesh/link.rs
+++ b/bamboo-gateway/src/mesh/link.rs
@@ -32,13 +32,15 @@
 }
 
 impl Link {
-    pub(super) fn open(host: &str, me: HostInfo) -> Self {
+    pub(super) fn open(host: &str, me: HostInfo, broken: mpsc::UnboundedSender<HostId>) -> Self {
         let (queue, messages) = mpsc::channel(QUEUE_MAX);
         let host: HostId = host.to_owned();
         let task = OwnedTask::spawn(async move {
             if let Err(error) = run(&host, me, messages).await {
-                log::info!("link to host {host} ended: {error:#}");
+                log::info!(event = "link_lost", host = host.as_str(); "link to a host ended: {error:#}");
             }
+            // The receiver lives as long as the process.
+            let _ = broken.send(host);
         });
         Link {
             queue,
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -63,6 +63,8 @@
     pub board: u64,
     /// Version of the configuration that it has.
     pub config_version: u64,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
 }
 
 /// What the coordinator tells every host.
@@ -136,8 +138,10 @@
     BeatSeen {
         /// Board.
         board: Option<Board>,
-        /// Newest version of the configuration that the coordinator knows of.
+        /// Version of the configuration that the coordinator has.
         config_version: u64,
+        /// Whether the coordinator is about to stop.
+        is_leaving: bool,
     },
     /// All asks of a host that has a new coordinator.
     Sync(Vec<AskNote>),
--- a/bamboo-gateway/src/metrics.rs
+++ b/bamboo-gateway/src/metrics.rs
@@ -67,7 +67,11 @@
             partitions: Gauge::default(),
         };
         let registry = &mut metrics.registry;
-        registry.register("requests", "Answers by route and status", metrics.requests.clone());
+        registry.register(
+            "requests",
+            "Answers by route and status",
+            metrics.requests.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time to the first byte of an answer",
@@ -80,7 +84,11 @@
         );
         registry.register("runs", "Runs at servers by outcome", metrics.runs.clone());
         registry.register("items", "Items of jobs by event", metrics.items.clone());
-        registry.register("store_calls", "Calls of the store", metrics.store_calls.clone());
+        registry.register(
+            "store_calls",
+            "Calls of the store",
+            metrics.store_calls.clone(),
+        );
         registry.register(
             "store_failures",
             "Calls of the store without an answer",
--- a/bamboo-gateway/src/run.rs
+++ b/bamboo-gateway/src/run.rs
@@ -42,7 +42,7 @@
         "metrics",
     )
     .await?;
-    let (gateway, config_asks) = Gateway::new(settings, dialect);
+    let (gateway, followers) = Gateway::new(settings, dialect);
     log::info!(
         event = "start", host = gateway.settings.name.as_str(), run = gateway.me.run;
         "gateway starts"
@@ -54,7 +54,8 @@
         OwnedTask::spawn(follow_config(Rc::clone(&gateway))),
         OwnedTask::spawn(follow_servers(Rc::clone(&gateway))),
         OwnedTask::spawn(Rc::clone(&gateway).beat_forever()),
-        OwnedTask::spawn(Rc::clone(&gateway).fetch_configs(config_asks)),
+        OwnedTask::spawn(Rc::clone(&gateway).fetch_configs(followers.config_asks)),
+        OwnedTask::spawn(Rc::clone(&gateway).follow_links(followers.broken_links)),
         OwnedTask::spawn(crate::jobs::keep_shards(Rc::clone(&gateway))),
         OwnedTask::spawn(crate::jobs::keep_hosts(Rc::clone(&gateway))),
         OwnedTask::spawn(serve_callers(Rc::clone(&gateway), callers)),
@@ -88,7 +89,7 @@
     let started = gateway.clock.now();
     let grace = gateway.settings.stop_grace();
     log::info!(event = "stopping", grace_s = grace.as_secs_f64(); "planned stop begins");
-    gateway.phase.send_replace(Phase::Stopping);
+    gateway.begin_stop();
     crate::jobs::leave_shards(gateway).await;
     loop {
         let passed = gateway.clock.now().saturating_sub(started);
--- a/bamboo-gateway/src/settings.rs
+++ b/bamboo-gateway/src/settings.rs
@@ -91,14 +91,26 @@
             (self.data_centre.is_empty(), "data_centre is empty"),
             (self.cpu_share <= 0.0, "cpu_share must be above 0"),
             (self.memory_mb == 0, "memory_mb must be above 0"),
-            (self.store.shard_count == 0, "store.shard_count must be above 0"),
-            (self.store.record_max_bytes < 1024, "store.record_max_bytes must be at least 1024"),
+            (
+                self.store.shard_count == 0,
+                "store.shard_count must be above 0",
+            ),
+            (
+                self.store.record_max_bytes < 1024,
+                "store.record_max_bytes must be at least 1024",
+            ),
             (
                 self.store.append_max_bytes < self.store.record_max_bytes,
                 "store.append_max_bytes must not be below store.record_max_bytes",
             ),
-            (self.promises.stop_grace_s <= 0.0, "promises.stop_grace_s must be above 0"),
-            (self.promises.results_kept_s <= 0.0, "promises.results_kept_s must be above 0"),
+            (
+                self.promises.stop_grace_s <= 0.0,
+                "promises.stop_grace_s must be above 0",
+            ),
+            (
+                self.promises.results_kept_s <= 0.0,
+                "promises.results_kept_s must be above 0",
+            ),
         ];
         match faults.into_iter().find(|(is_fault, _)| *is_fault) {
             Some((_, text)) => Err(SettingsError::Field(text.to_owned())),
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -110,7 +110,10 @@
         headers.insert(&names.last_event, HeaderValue::from(last_event));
     }
     if let Some(deadline) = deadline {
-        headers.insert(&names.deadline_ms, HeaderValue::from(deadline.as_millis() as u64));
+        headers.insert(
+            &names.deadline_ms,
+            HeaderValue::from(deadline.as_millis() as u64),
+        );
     }
     let mut sent = Request::new(Full::new(request.body.clone()));
     *sent.method_mut() = request.method.clone();
@@ -126,7 +129,11 @@
     let response = match tokio::time::timeout(timeout, exchange).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
-            log::debug!("server {} broke off request {}: {error}", server.id, request.id);
+            log::debug!(
+                "server {} broke off request {}: {error}",
+                server.id,
+                request.id
+            );
             return Err(OpenError::Failed(RunOutcome::Broken));
         }
         Err(_) => return Err(OpenError::Failed(RunOutcome::Silent)),
@@ -173,8 +180,7 @@
     let echoed = head.headers.get(&names.request_id);
     let is_other = echoed.is_some_and(|echoed| echoed.as_bytes() != request.id.as_bytes());
     let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
-    let is_unstamped =
-        head.status.is_success() && !head.headers.contains_key(&names.server_stamp);
+    let is_unstamped = head.status.is_success() && !head.headers.contains_key(&names.server_stamp);
     if is_other || is_encoded || is_unstamped {
         log::info!(
             event = "foreign_answer", request = request.id.as_str(), status = head.status.as_u16(),
--- a/bamboo-gateway/src/traffic/picker.rs
+++ b/bamboo-gateway/src/traffic/picker.rs
@@ -37,8 +37,7 @@
         let load = |server: &Rc<Server>| {
             let seen = self.seen.get(&server.id);
             let running = seen.map_or(0, |seen| seen.running_count);
-            let is_usable =
-                seen.is_none_or(|seen| seen.health.is_usable(running as usize, now));
+            let is_usable = seen.is_none_or(|seen| seen.health.is_usable(running as usize, now));
             let far = u32::from(server.data_centre != data_centre) * FAR_PENALTY;
             (!is_usable, running + far, rand::rng().random::<u32>())
         };
@@ -51,7 +50,10 @@
 
     /// A run begins.
     pub(crate) fn begin(&mut self, server: &str) {
-        self.seen.entry(server.to_owned()).or_default().running_count += 1;
+        self.seen
+            .entry(server.to_owned())
+            .or_default()
+            .running_count += 1;
     }
 
     /// A run ends.
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -91,14 +91,23 @@
         let left = request.limit.saturating_sub(now);
         if left.is_zero() {
             return match may_have_run {
-                true => end.answer(own_answer(StatusCode::GATEWAY_TIMEOUT, "time is up\n"), "timed_out"),
+                true => end.answer(
+                    own_answer(StatusCode::GATEWAY_TIMEOUT, "time is up\n"),
+                    "timed_out",
+                ),
                 false => end.answer(not_run("time is up\n", BUSY_RETRY), "timed_out"),
             };
         }
         let Some(server) = gateway.pick_server(&request.service, &excluded) else {
             return match may_have_run {
-                true => end.answer(own_answer(StatusCode::BAD_GATEWAY, "no answer of a server\n"), "unknown"),
-                false => end.answer(not_run("no server can take the request\n", BUSY_RETRY), "refused"),
+                true => end.answer(
+                    own_answer(StatusCode::BAD_GATEWAY, "no answer of a server\n"),
+                    "unknown",
+                ),
+                false => end.answer(
+                    not_run("no server can take the request\n", BUSY_RETRY),
+                    "refused",
+                ),
             };
         };
         end.attempts += 1;
@@ -121,7 +130,11 @@
                 let mut response = Response::new(AnswerBody::whole(bytes));
                 *response.status_mut() = head.status;
                 *response.headers_mut() = passed_on(&head.headers);
-                let outcome = if head.status.is_success() { "complete" } else { "server_failure" };
+                let outcome = if head.status.is_success() {
+                    "complete"
+                } else {
+                    "server_failure"
+                };
                 return end.answer(response, outcome);
             }
             Attempt::NotRun(outcome) => {
@@ -143,8 +156,14 @@
                     continue;
                 }
                 return match gateway.clock.now() >= request.limit {
-                    true => end.answer(own_answer(StatusCode::GATEWAY_TIMEOUT, "time is up\n"), "timed_out"),
-                    false => end.answer(own_answer(StatusCode::BAD_GATEWAY, "no answer of the server\n"), "unknown"),
+                    true => end.answer(
+                        own_answer(StatusCode::GATEWAY_TIMEOUT, "time is up\n"),
+                        "timed_out",
+                    ),
+                    false => end.answer(
+                        own_answer(StatusCode::BAD_GATEWAY, "no answer of the server\n"),
+                        "unknown",
+                    ),
                 };
             }
         }
@@ -180,7 +199,11 @@
     match tokio::time::timeout(patience, exchange(&mut connection, sent)).await {
         Ok(Ok((head, bytes))) => judge(gateway, request, connection, head, bytes),
         Ok(Err(error)) => {
-            log::debug!("server {} broke off request {}: {error}", server.id, request.id);
+            log::debug!(
+                "server {} broke off request {}: {error}",
+                server.id,
+                request.id
+            );
             Attempt::Failed(RunOutcome::Broken)
         }
         Err(_) => Attempt::Failed(RunOutcome::Silent),
@@ -199,8 +222,14 @@
     *sent.uri_mut() = request.target.parse().ok()?;
     *sent.headers_mut() = request.headers.clone();
     let headers = sent.headers_mut();
-    headers.insert(&names.expected_server, HeaderValue::from_str(&server.id).ok()?);
-    headers.insert(&names.deadline_ms, HeaderValue::from(left.as_millis() as u64));
+    headers.insert(
+        &names.expected_server,
+        HeaderValue::from_str(&server.id).ok()?,
+    );
+    headers.insert(
+        &names.deadline_ms,
+        HeaderValue::from(left.as_millis() as u64),
+    );
     Some(sent)
 }
 
--- a/bamboo-gateway/src/traffic/pool.rs
+++ b/bamboo-gateway/src/traffic/pool.rs
@@ -45,7 +45,12 @@
 
 impl ServerPool {
     /// A connection that carried requests before and is open still.
-    pub(crate) fn take(&self, server: &str, address: SocketAddr, now: Duration) -> Option<Connection> {
+    pub(crate) fn take(
+        &self,
+        server: &str,
+        address: SocketAddr,
+        now: Duration,
+    ) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(server)?;
         while let Some(idle) = connections.pop() {
@@ -109,7 +114,11 @@
 
 /// How long a connection may be used again after an answer with these headers; `None` if not at all.
 fn idle_time(headers: &HeaderMap) -> Option<Duration> {
-    let text = |name| headers.get(name).and_then(|value: &http::HeaderValue| value.to_str().ok());
+    let text = |name| {
+        headers
+            .get(name)
+            .and_then(|value: &http::HeaderValue| value.to_str().ok())
+    };
     let closes = text(http::header::CONNECTION)
         .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
     if closes {
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -70,7 +70,10 @@
     };
     if matches!(route.kind, RouteKind::Batch { .. }) {
         if head.method != Method::POST {
-            return own_answer(StatusCode::METHOD_NOT_ALLOWED, "jobs are submitted by POST\n");
+            return own_answer(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "jobs are submitted by POST\n",
+            );
         }
         let path = head.uri.path().to_owned();
         return gateway.jobs.submit(&gateway, &id, &host, &path, body).await;
@@ -178,7 +181,10 @@
     pub(crate) fn first_byte(&mut self) {
         let passed = self.gateway.clock.now().saturating_sub(self.arrived);
         self.first_byte = Some(passed);
-        self.gateway.metrics.first_byte_s.observe(passed.as_secs_f64());
+        self.gateway
+            .metrics
+            .first_byte_s
+            .observe(passed.as_secs_f64());
     }
 
     /// Writes the line of an answer that goes out whole.
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -91,7 +91,15 @@
         body: request.body.clone(),
     };
     let mut end = RequestEnd::begin(&gateway, &request);
-    let found = find_run(&gateway, &request, &engine_request, &mut attempts, start_by, last_event).await;
+    let found = find_run(
+        &gateway,
+        &request,
+        &engine_request,
+        &mut attempts,
+        start_by,
+        last_event,
+    )
+    .await;
     end.attempts = attempts.count;
     let run = match found {
         Ok(run) => run,
@@ -103,10 +111,16 @@
             return end.answer(not_run("no slot in time\n", NO_SERVER_RETRY), "timed_out");
         }
         Err(NoRun::TimedOut) => {
-            return end.answer(own_answer(StatusCode::GATEWAY_TIMEOUT, "time is up\n"), "timed_out");
+            return end.answer(
+                own_answer(StatusCode::GATEWAY_TIMEOUT, "time is up\n"),
+                "timed_out",
+            );
         }
         Err(NoRun::Unknown) => {
-            return end.answer(own_answer(StatusCode::BAD_GATEWAY, "no answer of the server\n"), "unknown");
+            return end.answer(
+                own_answer(StatusCode::BAD_GATEWAY, "no answer of the server\n"),
+                "unknown",
+            );
         }
     };
     end.server = run.slot.server.id.clone();
@@ -116,7 +130,16 @@
     let (pieces, body) = mpsc::channel(STREAM_QUEUE);
     end.first_byte();
     actix_rt::spawn(async move {
-        let outcome = pump(&gateway, &request, &engine_request, &mut attempts, run, &pieces, last_event).await;
+        let outcome = pump(
+            &gateway,
+            &request,
+            &engine_request,
+            &mut attempts,
+            run,
+            &pieces,
+            last_event,
+        )
+        .await;
         end.attempts = attempts.count;
         match outcome {
             PumpEnd::Complete(run) => {
@@ -145,7 +168,13 @@
     start_by: Duration,
     last_event: Option<u64>,
 ) -> Result<Run, NoRun> {
-    let is_resumable = matches!(request.route.kind, RouteKind::Streaming { is_resumable: true, .. });
+    let is_resumable = matches!(
+        request.route.kind,
+        RouteKind::Streaming {
+            is_resumable: true,
+            ..
+        }
+    );
     loop {
         let now = gateway.clock.now();
         if now >= request.limit {
@@ -170,9 +199,20 @@
         attempts.count += 1;
         let left = request.limit.saturating_sub(sent_at);
         let may_retry = is_resumable && attempts.count < request.route.attempts_max;
-        let patience = if may_retry { left.min(FIRST_EVENT_MAX) } else { left };
-        let opened =
-            open_stream(gateway, &slot.server, engine_request, last_event, Some(left), patience).await;
+        let patience = if may_retry {
+            left.min(FIRST_EVENT_MAX)
+        } else {
+            left
+        };
+        let opened = open_stream(
+            gateway,
+            &slot.server,
+            engine_request,
+            last_event,
+            Some(left),
+            patience,
+        )
+        .await;
         let failure = match opened {
             Ok(mut stream) => match first_event(gateway, &mut stream, patience).await {
                 Ok(()) => return Ok(Run { slot, stream }),
@@ -201,7 +241,11 @@
                 attempts.may_have_run = true;
                 if !may_retry {
                     let is_over = gateway.clock.now() >= request.limit;
-                    return Err(if is_over { NoRun::TimedOut } else { NoRun::Unknown });
+                    return Err(if is_over {
+                        NoRun::TimedOut
+                    } else {
+                        NoRun::Unknown
+                    });
                 }
             }
             OpenError::Answered(head, bytes) => {
@@ -254,7 +298,11 @@
     pieces: &mpsc::Sender<io::Result<Bytes>>,
     first_id: Option<u64>,
 ) -> PumpEnd {
-    let RouteKind::Streaming { is_resumable, gap_target } = request.route.kind else {
+    let RouteKind::Streaming {
+        is_resumable,
+        gap_target,
+    } = request.route.kind
+    else {
         return PumpEnd::Broken("not_streaming");
     };
     let mut last_id = first_id;
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -155,10 +155,14 @@
                 for id in gone {
                     remove(&gateway, &id, "missing");
                 }
-                records.into_iter().for_each(|record| take(&gateway, record));
+                records
+                    .into_iter()
+                    .for_each(|record| take(&gateway, record));
             }
             Ok(Change::Some(records)) => {
-                records.into_iter().for_each(|record| take(&gateway, record));
+                records
+                    .into_iter()
+                    .for_each(|record| take(&gateway, record));
             }
             Err(_) => {}
         }
--- a/bamboo-shards/src/item_run.rs
+++ b/bamboo-shards/src/item_run.rs
@@ -1,5 +1,9 @@
 //! The run of an item that its owner has not listed yet: progress and failed attempts.
 
+use bamboo_types::ItemIndex;
+
+use crate::ItemProgress;
+
 /// How one attempt at an item ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -31,6 +35,8 @@
     last_event: Option<u64>,
     event_count: u32,
     failed_attempts: u32,
+    recorded_bytes: usize,
+    is_changed: bool,
 }
 
 impl ItemRun {
@@ -49,6 +55,7 @@
         {
             return false;
         }
+        self.is_changed = true;
         self.last_event = id.or(self.last_event);
         if let Some(data) = data {
             if self.event_count > 0 {
@@ -75,8 +82,54 @@
         String::from_utf8_lossy(&self.text).into_owned()
     }
 
+    /// What is to be recorded since the last call; `None` if nothing changed.
+    ///
+    /// ```
+    /// let mut run = bamboo_shards::ItemRun::default();
+    /// run.push_event(Some(1), Some(b"a".to_vec()));
+    /// let progress = run.take_unrecorded("job", 0).unwrap();
+    /// assert!(run.take_unrecorded("job", 0).is_none());
+    /// let mut copy = bamboo_shards::ItemRun::default();
+    /// copy.take_recorded(progress);
+    /// assert_eq!(copy.last_event(), Some(1));
+    /// ```
+    pub fn take_unrecorded(&mut self, job: &str, item: ItemIndex) -> Option<ItemProgress> {
+        if !self.is_changed {
+            return None;
+        }
+        self.is_changed = false;
+        let text_start = self.recorded_bytes;
+        self.recorded_bytes = self.text.len();
+        Some(ItemProgress {
+            job: job.to_owned(),
+            item,
+            text_start: text_start as u64,
+            text: self.text[text_start..].to_vec(),
+            last_event: self.last_event,
+            event_count: self.event_count,
+            failed_attempts: self.failed_attempts,
+        })
+    }
+
+    /// Takes progress that was recorded. Progress that does not join what is known is passed over.
+    pub fn take_recorded(&mut self, progress: ItemProgress) {
+        let start = progress.text_start as usize;
+        if start > self.text.len() {
+            return;
+        }
+        self.text.truncate(start);
+        self.text.extend_from_slice(&progress.text);
+        self.last_event = progress.last_event;
+        self.event_count = progress.event_count;
+        self.failed_attempts = progress.failed_attempts;
+        self.recorded_bytes = self.text.len();
+        self.is_changed = false;
+    }
+
     /// Forgets the answer, to start from its beginning.
     pub fn restart(&mut self) {
+        self.is_changed = true;
+        self.recorded_bytes = 0;
         self.text.clear();
         self.last_event = None;
         self.event_count = 0;
@@ -96,6 +149,7 @@
             AttemptEnd::Unprocessable => ItemNext::GiveUp,
             AttemptEnd::Failed => {
                 self.failed_attempts += 1;
+                self.is_changed = true;
                 match self.failed_attempts >= attempts_max {
                     true => ItemNext::GiveUp,
                     false => ItemNext::RunAgain,
--- a/bamboo-shards/src/job.rs
+++ b/bamboo-shards/src/job.rs
@@ -5,7 +5,9 @@
 
 use bamboo_types::ItemIndex;
 
+use crate::ItemProgress;
 use crate::ItemResult;
+use crate::ItemRun;
 use crate::JobRecord;
 
 /// Part of a job's results.
@@ -28,6 +30,7 @@
     is_listed: Vec<bool>,
     is_ended: bool,
     by_id: HashMap<String, ItemIndex>,
+    runs: HashMap<ItemIndex, ItemRun>,
 }
 
 impl Job {
@@ -45,6 +48,7 @@
             is_listed,
             is_ended: false,
             by_id,
+            runs: HashMap::new(),
         }
     }
 
@@ -53,6 +57,7 @@
         match self.is_listed.get_mut(result.item as usize) {
             Some(is_listed) if !*is_listed => {
                 *is_listed = true;
+                self.runs.remove(&result.item);
                 self.results.push(Rc::new(result));
                 true
             }
@@ -62,6 +67,20 @@
 
     pub(crate) fn end(&mut self) {
         self.is_ended = true;
+        self.runs.clear();
+    }
+
+    /// Takes the recorded progress of an item that is not listed.
+    pub(crate) fn advance(&mut self, progress: ItemProgress) {
+        if !self.is_ended && !self.is_listed(progress.item) {
+            let run = self.runs.entry(progress.item).or_default();
+            run.take_recorded(progress);
+        }
+    }
+
+    /// Recorded progress of an item.
+    pub fn run(&self, item: ItemIndex) -> ItemRun {
+        self.runs.get(&item).cloned().unwrap_or_default()
     }
 
     /// Whether the caller ended it.
--- a/bamboo-shards/src/lib.rs
+++ b/bamboo-shards/src/lib.rs
@@ -3,8 +3,8 @@
 #![forbid(unsafe_code)]
 
 mod fragment;
-mod job;
 mod item_run;
+mod job;
 mod record;
 mod shard;
 
@@ -16,6 +16,7 @@
 pub use item_run::ItemRun;
 pub use job::Job;
 pub use job::Page;
+pub use record::ItemProgress;
 pub use record::ItemRecord;
 pub use record::ItemResult;
 pub use record::JobRecord;
--- a/bamboo-shards/src/record.rs
+++ b/bamboo-shards/src/record.rs
@@ -55,6 +55,25 @@
     DeadLetter,
 }
 
+/// What an item gained since its progress was recorded last.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemProgress {
+    /// Job.
+    pub job: String,
+    /// Position of the item in its job.
+    pub item: ItemIndex,
+    /// Bytes of the text before `text`; what stood after them is replaced.
+    pub text_start: u64,
+    /// Text that was added.
+    pub text: Vec<u8>,
+    /// Identifier of the last event.
+    pub last_event: Option<u64>,
+    /// Events so far.
+    pub event_count: u32,
+    /// Attempts on which servers failed.
+    pub failed_attempts: u32,
+}
+
 /// Final result of an item.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemResult {
@@ -83,6 +102,8 @@
         /// Job.
         job: String,
     },
+    /// How far items are that still run, so that another owner goes on from there.
+    Progress(Vec<ItemProgress>),
 }
 
 /// Why bytes are no record.
--- a/bamboo-shards/src/shard.rs
+++ b/bamboo-shards/src/shard.rs
@@ -68,6 +68,14 @@
                 }
                 _ => Applied::Nothing,
             },
+            Record::Progress(entries) => {
+                for progress in entries {
+                    if let Some(job) = self.jobs.get_mut(&progress.job) {
+                        job.advance(progress);
+                    }
+                }
+                Applied::Nothing
+            }
         }
     }
 
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -174,7 +174,10 @@
             false => self.waiting_batch.push(key),
         }
         self.deal(now);
-        let is_waiting = self.leases.get(key).is_some_and(|lease| lease.held.is_none());
+        let is_waiting = self
+            .leases
+            .get(key)
+            .is_some_and(|lease| lease.held.is_none());
         if is_online && is_waiting {
             self.actions.push(Action::Queue {
                 host: id.0,
@@ -238,21 +241,14 @@
             .collect();
         for key in keys {
             if let Some(lease) = self.leases.get(key) {
-                self.by_ask
-                    .remove(&(lease.ask.host.clone(), lease.ask.ask));
+                self.by_ask.remove(&(lease.ask.host.clone(), lease.ask.ask));
             }
             self.drop_lease(key, RunOutcome::Cancelled, now);
         }
     }
 
     /// Drops asks that their host does not name any more, if they are older than `age`.
-    pub fn reconcile(
-        &mut self,
-        host: &str,
-        named: &HashSet<AskId>,
-        age: Duration,
-        now: Duration,
-    ) {
+    pub fn reconcile(&mut self, host: &str, named: &HashSet<AskId>, age: Duration, now: Duration) {
         let forgotten: Vec<AskId> = self
             .leases
             .values()
@@ -274,16 +270,17 @@
             .waiting_online
             .iter()
             .copied()
-            .filter(|key| match self.leases.get(*key).map(|lease| lease.ask.work) {
-                Some(Work::Online { give_up, .. }) => now >= give_up,
-                _ => true,
-            })
+            .filter(
+                |key| match self.leases.get(*key).map(|lease| lease.ask.work) {
+                    Some(Work::Online { give_up, .. }) => now >= give_up,
+                    _ => true,
+                },
+            )
             .collect();
         for key in expired {
             self.waiting_online.retain(|waiting| *waiting != key);
             if let Some(lease) = self.leases.remove(key) {
-                self.by_ask
-                    .remove(&(lease.ask.host.clone(), lease.ask.ask));
+                self.by_ask.remove(&(lease.ask.host.clone(), lease.ask.ask));
                 self.actions.push(Action::Refuse {
                     host: lease.ask.host,
                     ask: lease.ask.ask,
@@ -362,9 +359,8 @@
         if outcome == RunOutcome::Done && matches!(lease.ask.work, Work::Online { .. }) {
             let time = now.saturating_sub(held.since);
             let mean = self.hold_time();
-            self.hold_mean = Some(
-                mean.mul_f64(1.0 - HOLD_MEAN_WEIGHT) + time.mul_f64(HOLD_MEAN_WEIGHT),
-            );
+            self.hold_mean =
+                Some(mean.mul_f64(1.0 - HOLD_MEAN_WEIGHT) + time.mul_f64(HOLD_MEAN_WEIGHT));
         }
     }
 
@@ -398,7 +394,10 @@
 
     /// A server for an online request: a free slot nearby, then elsewhere, then one that a batch item leaves.
     fn place_online(&mut self, ask: &Ask, now: Duration) -> Option<BackendServerId> {
-        let candidates = self.engines.values().filter(|state| state.may_run(ask, now));
+        let candidates = self
+            .engines
+            .values()
+            .filter(|state| state.may_run(ask, now));
         let best = candidates
             .filter_map(|state| {
                 let is_far = state.engine.data_centre != ask.data_centre;
@@ -433,8 +432,7 @@
         };
         state.batch.retain(|key| *key != victim);
         if let Some(lease) = self.leases.remove(victim) {
-            self.by_ask
-                .remove(&(lease.ask.host.clone(), lease.ask.ask));
+            self.by_ask.remove(&(lease.ask.host.clone(), lease.ask.ask));
             self.actions.push(Action::Stop {
                 host: lease.ask.host,
                 ask: lease.ask.ask,
@@ -485,9 +483,7 @@
     fn place_batch(&self, ask: &Ask, now: Duration) -> Option<BackendServerId> {
         self.engines
             .values()
-            .filter(|state| {
-                state.may_run(ask, now) && state.running_count() < state.engine.slots
-            })
+            .filter(|state| state.may_run(ask, now) && state.running_count() < state.engine.slots)
             .min_by_key(|state| {
                 let is_far = state.engine.data_centre != ask.data_centre;
                 (is_far, state.running_count())
