fix: asks that a coordinator lost are sent again

A coordinator knew from the signs of life which asks it held too many, not which it lacked. Ruled out: a lost owner (the shard was owned throughout), servers without room. Change: an ask that is unknown at two signs of life in a row makes the coordinator ask for all asks of that host. The coordination rules are a pure crate of their own, with tests for silence, stops, restarts and reservations.

--- a/bamboo-gateway/src/coordinate.rs
+++ b/bamboo-coordination/src/coordination.rs
@@ -10,14 +10,12 @@
 
 use bamboo_types::HostId;
 use bamboo_types::weight;
-use xxhash_rust::xxh3::xxh3_64;
 
-use crate::mesh::Beat;
-use crate::mesh::Board;
-use crate::mesh::HostInfo;
+use crate::Board;
+use crate::HostInfo;
 
 /// Interval of signs of life.
-pub(crate) const BEAT_INTERVAL: Duration = Duration::from_millis(250);
+pub const BEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// Silence after which a coordinator is passed over: two beats and a loaded host.
 const SILENCE_MAX: Duration = Duration::from_millis(700);
 /// First time for which a silent host is passed over; doubles up to the longest.
@@ -34,12 +32,8 @@
 const PROBE_MAX: Duration = Duration::from_secs(2);
 /// Hosts that are asked for a sign of life at once.
 const PROBES_AT_ONCE: usize = 3;
-/// Silence after which the coordinator drops a host: six beats.
-const HOST_LOST_AFTER: Duration = Duration::from_millis(1500);
 /// Missed answers in a row after which a coordinator is passed over.
 const SLOW_ANSWERS_MAX: u32 = 2;
-/// Share of the waiting tokens that may be given out while some partitions have no known owner.
-const UNSURE_SHARE: f64 = 0.5;
 
 #[derive(Debug, Default)]
 struct Suspicion {
@@ -55,7 +49,7 @@
 
 /// The host's view: who coordinates.
 #[derive(Debug)]
-pub(crate) struct Coordination {
+pub struct Coordination {
     me: HostInfo,
     hosts: BTreeMap<HostId, HostInfo>,
     suspicions: HashMap<HostId, Suspicion>,
@@ -65,14 +59,19 @@
     current: HostId,
     heard_at: Duration,
     slow_answers: u32,
-    /// Board of the coordinator.
-    pub(crate) board: Board,
-    /// Digest of the board.
-    pub(crate) board_digest: u64,
+    board: Board,
+    board_digest: u64,
 }
 
 impl Coordination {
-    pub(crate) fn new(me: HostInfo) -> Self {
+    /// A host that knows no other yet and takes itself for the coordinator.
+    ///
+    /// ```
+    /// use bamboo_coordination::{Coordination, HostInfo};
+    /// let me = HostInfo { host: "h1".into(), data_centre: "a".into(), size: 500, run: 1 };
+    /// assert!(Coordination::new(me).is_me());
+    /// ```
+    pub fn new(me: HostInfo) -> Self {
         let hosts = BTreeMap::from([(me.host.clone(), me.clone())]);
         Coordination {
             current: me.host.clone(),
@@ -90,22 +89,22 @@
     }
 
     /// The coordinator.
-    pub(crate) fn current(&self) -> &HostId {
+    pub fn current(&self) -> &HostId {
         &self.current
     }
 
     /// Whether this host coordinates.
-    pub(crate) fn is_me(&self) -> bool {
+    pub fn is_me(&self) -> bool {
         self.current == self.me.host
     }
 
     /// Takes note of a host.
-    pub(crate) fn learn(&mut self, info: &HostInfo) {
+    pub fn learn(&mut self, info: &HostInfo) {
         self.hosts.insert(info.host.clone(), info.clone());
     }
 
     /// Takes note of a host of which only the address is known.
-    pub(crate) fn learn_address(&mut self, host: HostId) {
+    pub fn learn_address(&mut self, host: HostId) {
         let info = HostInfo {
             host: host.clone(),
             data_centre: String::new(),
@@ -116,7 +115,7 @@
     }
 
     /// All other hosts that have shown life.
-    pub(crate) fn others(&self, now: Duration) -> Vec<HostId> {
+    pub fn others(&self, now: Duration) -> Vec<HostId> {
         self.hosts
             .values()
             .filter(|info| info.host != self.me.host && self.is_eligible(info, now))
@@ -125,7 +124,7 @@
     }
 
     /// Hosts before the coordinator in rank that show no life and should be asked now.
-    pub(crate) fn probes(&mut self, now: Duration) -> Vec<HostId> {
+    pub fn probes(&mut self, now: Duration) -> Vec<HostId> {
         let current = self.hosts.get(&self.current).map(rank);
         let mut silent: Vec<&HostInfo> = self
             .hosts
@@ -147,12 +146,12 @@
     }
 
     /// Takes note that a host is about to stop.
-    pub(crate) fn is_leaving(&mut self, info: &HostInfo) {
+    pub fn is_leaving(&mut self, info: &HostInfo) {
         self.leaving.insert(info.host.clone(), info.run);
     }
 
     /// Takes note that the connection to a host broke. Returns whether it was the coordinator's.
-    pub(crate) fn link_broken(&mut self, host: &str, now: Duration) -> bool {
+    pub fn link_broken(&mut self, host: &str, now: Duration) -> bool {
         self.heard.remove(host);
         let is_current = host == self.current;
         if is_current {
@@ -162,7 +161,7 @@
     }
 
     /// Takes a sign of life of a host.
-    pub(crate) fn heard(&mut self, host: &str, now: Duration) {
+    pub fn heard(&mut self, host: &str, now: Duration) {
         self.heard.insert(host.to_owned(), now);
         self.probes.remove(host);
         if host == self.current {
@@ -172,7 +171,7 @@
     }
 
     /// Takes note that the coordinator missed an answer.
-    pub(crate) fn missed_answer(&mut self, now: Duration) {
+    pub fn missed_answer(&mut self, now: Duration) {
         self.slow_answers += 1;
         if self.slow_answers >= SLOW_ANSWERS_MAX {
             self.suspect_current(now);
@@ -218,7 +217,7 @@
     }
 
     /// Chooses the coordinator anew. Returns whether it is another one.
-    pub(crate) fn choose(&mut self, now: Duration) -> bool {
+    pub fn choose(&mut self, now: Duration) -> bool {
         if !self.is_me() && now.saturating_sub(self.heard_at) > SILENCE_MAX {
             self.suspect_current(now);
         }
@@ -238,18 +237,23 @@
     }
 
     /// Takes the coordinator's board.
-    pub(crate) fn take_board(&mut self, board: Board) {
+    pub fn take_board(&mut self, board: Board) {
         for info in &board.hosts {
             if info.host != self.me.host {
                 self.learn(info);
             }
         }
-        self.board_digest = digest(&board);
+        self.board_digest = board.digest();
         self.board = board;
     }
 
+    /// Digest of the board that this host has.
+    pub fn board_digest(&self) -> u64 {
+        self.board_digest
+    }
+
     /// Owner of a partition of jobs.
-    pub(crate) fn owner_of(&self, partition: u32) -> Option<HostId> {
+    pub fn owner_of(&self, partition: u32) -> Option<HostId> {
         let owners = self.board.owners.iter();
         owners
             .filter(|(owned, _, _)| *owned == partition)
@@ -269,162 +273,3 @@
         &info.host,
     )
 }
-
-fn digest(board: &Board) -> u64 {
-    match bincode::serde::encode_to_vec(board, bincode::config::standard()) {
-        Ok(bytes) => xxh3_64(&bytes),
-        Err(error) => {
-            log::error!("the board cannot be encoded: {error}");
-            0
-        }
-    }
-}
-
-#[derive(Debug)]
-struct Report {
-    info: HostInfo,
-    beat: Beat,
-    at: Duration,
-}
-
-#[derive(Debug)]
-struct Reservation {
-    host: HostId,
-    number: u64,
-    route: String,
-    tokens: u64,
-}
-
-/// Whether tokens may wait on a route.
-#[derive(Debug, PartialEq, Eq)]
-pub(crate) enum Room {
-    /// Yes, under this number.
-    Reserved(u64),
-    /// No.
-    Full,
-    /// Too little is known.
-    NotSure,
-}
-
-/// The coordinator's view: what the hosts report.
-#[derive(Debug, Default)]
-pub(crate) struct Reports {
-    reports: BTreeMap<HostId, Report>,
-    reservations: Vec<Reservation>,
-    next_reservation: u64,
-}
-
-impl Reports {
-    /// Takes a sign of life. Returns whether the host is new, or runs anew.
-    pub(crate) fn take(&mut self, info: &HostInfo, beat: Beat, now: Duration) -> bool {
-        let is_new = self
-            .reports
-            .get(&info.host)
-            .is_none_or(|report| report.info.run != info.run);
-        self.reservations.retain(|reservation| {
-            reservation.host != info.host || reservation.number > beat.reservation
-        });
-        let report = Report {
-            info: info.clone(),
-            beat,
-            at: now,
-        };
-        self.reports.insert(info.host.clone(), report);
-        is_new
-    }
-
-    /// Drops hosts that have fallen silent and returns them.
-    pub(crate) fn drop_lost(&mut self, now: Duration) -> Vec<HostId> {
-        let lost: Vec<HostId> = self
-            .reports
-            .iter()
-            .filter(|(_, report)| now.saturating_sub(report.at) > HOST_LOST_AFTER)
-            .map(|(host, _)| host.clone())
-            .collect();
-        for host in &lost {
-            self.reports.remove(host);
-        }
-        lost
-    }
-
-    /// Hosts and owners as they are now.
-    pub(crate) fn board(&self) -> Board {
-        let mut owners: BTreeMap<u32, (HostId, u64)> = BTreeMap::new();
-        for (host, report) in &self.reports {
-            for (partition, epoch) in &report.beat.partitions {
-                let owner = owners.entry(*partition).or_insert((host.clone(), *epoch));
-                if *epoch > owner.1 {
-                    *owner = (host.clone(), *epoch);
-                }
-            }
-        }
-        Board {
-            hosts: self
-                .reports
-                .values()
-                .filter(|report| !report.beat.is_leaving)
-                .map(|report| report.info.clone())
-                .collect(),
-            owners: owners
-                .into_iter()
-                .map(|(partition, (host, epoch))| (partition, host, epoch))
-                .collect(),
-        }
-    }
-
-    /// The digest of a board, as hosts compute it.
-    pub(crate) fn digest_of(board: &Board) -> u64 {
-        digest(board)
-    }
-
-    /// Reserves room for tokens that will wait on a route.
-    pub(crate) fn reserve(
-        &mut self,
-        host: &str,
-        route: &str,
-        tokens: u64,
-        max_tokens: u64,
-        partition_count: u32,
-    ) -> Room {
-        let known = self.board().owners.len() as u32;
-        let reported: u64 = self
-            .reports
-            .values()
-            .flat_map(|report| &report.beat.waiting_tokens)
-            .filter(|(name, _)| name == route)
-            .map(|(_, tokens)| tokens)
-            .sum();
-        let reserved: u64 = self
-            .reservations
-            .iter()
-            .filter(|reservation| reservation.route == route)
-            .map(|reservation| reservation.tokens)
-            .sum();
-        let waiting = reported + reserved + tokens;
-        if known < partition_count {
-            let scale = f64::from(partition_count) / f64::from(known.max(1));
-            if waiting as f64 * scale > max_tokens as f64 * UNSURE_SHARE {
-                return Room::NotSure;
-            }
-        }
-        if waiting > max_tokens {
-            return Room::Full;
-        }
-        self.next_reservation += 1;
-        self.reservations.push(Reservation {
-            host: host.to_owned(),
-            number: self.next_reservation,
-            route: route.to_owned(),
-            tokens,
-        });
-        Room::Reserved(self.next_reservation)
-    }
-
-    /// Hosts with the configuration versions that they have.
-    pub(crate) fn newest_config(&self) -> Option<(HostId, u64)> {
-        self.reports
-            .iter()
-            .map(|(host, report)| (host.clone(), report.beat.config_version))
-            .max_by_key(|(_, version)| *version)
-    }
-}
--- /dev/null
+++ b/bamboo-coordination/src/lib.rs
@@ -0,0 +1,16 @@
+//! Which host deals slots, and what it knows of the others, without I/O.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod coordination;
+mod message;
+mod reports;
+
+pub use coordination::BEAT_INTERVAL;
+pub use coordination::Coordination;
+pub use message::Beat;
+pub use message::Board;
+pub use message::HostInfo;
+pub use message::Partition;
+pub use reports::Reports;
+pub use reports::Room;
--- /dev/null
+++ b/bamboo-coordination/tests/coordination.rs
@@ -0,0 +1,173 @@
+//! Which host coordinates, under silence, stops, restarts and broken links.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bamboo_coordination::Beat;
+use bamboo_coordination::Board;
+use bamboo_coordination::Coordination;
+use bamboo_coordination::HostInfo;
+use bamboo_coordination::Reports;
+use bamboo_coordination::Room;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn host(name: &str, size: u64) -> HostInfo {
+    HostInfo {
+        host: name.to_owned(),
+        data_centre: "a".to_owned(),
+        size,
+        run: 1,
+    }
+}
+
+/// A small host that has heard a large and a middle one.
+fn small() -> Coordination {
+    let mut coordination = Coordination::new(host("small", 100));
+    for (name, size) in [("large", 500), ("middle", 300)] {
+        coordination.learn(&host(name, size));
+        coordination.heard(name, at(0));
+    }
+    coordination.choose(at(0));
+    coordination
+}
+
+#[test]
+fn the_largest_host_that_was_heard_coordinates() {
+    assert_eq!(small().current(), "large");
+}
+
+#[test]
+fn a_host_that_was_never_heard_is_asked_and_not_taken() {
+    let mut coordination = Coordination::new(host("small", 100));
+    coordination.learn(&host("large", 500));
+    assert!(!coordination.choose(at(0)));
+    assert!(coordination.is_me());
+    assert_eq!(coordination.probes(at(0)), ["large"]);
+    assert!(coordination.probes(at(100)).is_empty());
+    coordination.heard("large", at(120));
+    assert!(coordination.choose(at(250)));
+    assert_eq!(coordination.current(), "large");
+}
+
+#[test]
+fn silence_passes_a_coordinator_over_and_life_brings_it_back() {
+    let mut coordination = small();
+    coordination.heard("middle", at(600));
+    assert!(coordination.choose(at(800)));
+    assert_eq!(coordination.current(), "middle");
+    coordination.heard("large", at(1_000));
+    assert!(!coordination.choose(at(1_000)));
+    coordination.heard("middle", at(1_900));
+    coordination.heard("large", at(1_900));
+    assert!(coordination.choose(at(1_950)));
+    assert_eq!(coordination.current(), "large");
+}
+
+#[test]
+fn two_missed_answers_are_enough() {
+    let mut coordination = small();
+    coordination.missed_answer(at(10));
+    assert!(!coordination.choose(at(10)));
+    coordination.missed_answer(at(20));
+    assert!(coordination.choose(at(20)));
+    assert_eq!(coordination.current(), "middle");
+}
+
+#[test]
+fn a_broken_link_passes_its_host_over_at_once() {
+    let mut coordination = small();
+    assert!(!coordination.link_broken("middle", at(10)));
+    assert!(coordination.link_broken("large", at(10)));
+    coordination.choose(at(10));
+    assert!(coordination.is_me());
+}
+
+#[test]
+fn a_stopping_host_is_left_until_it_runs_anew() {
+    let mut coordination = small();
+    coordination.is_leaving(&host("large", 500));
+    assert!(coordination.choose(at(10)));
+    assert_eq!(coordination.current(), "middle");
+    coordination.heard("large", at(20));
+    assert!(!coordination.choose(at(20)));
+    let restarted = HostInfo {
+        run: 2,
+        ..host("large", 500)
+    };
+    coordination.learn(&restarted);
+    coordination.heard("large", at(30));
+    assert!(coordination.choose(at(30)));
+    assert_eq!(coordination.current(), "large");
+}
+
+#[test]
+fn hosts_on_the_board_can_coordinate_without_having_been_heard() {
+    let mut coordination = Coordination::new(host("small", 100));
+    coordination.learn(&host("large", 500));
+    coordination.heard("large", at(0));
+    coordination.choose(at(0));
+    coordination.take_board(Board {
+        hosts: vec![host("large", 500), host("middle", 300), host("small", 100)],
+        owners: vec![(3, "middle".to_owned(), 7), (3, "large".to_owned(), 9)],
+    });
+    assert_eq!(coordination.owner_of(3).as_deref(), Some("large"));
+    assert_eq!(coordination.owner_of(4), None);
+    coordination.link_broken("large", at(10));
+    coordination.choose(at(10));
+    assert_eq!(coordination.current(), "middle");
+}
+
+fn beat(partitions: &[(u32, u64)], waiting: u64, reservation: u64) -> Beat {
+    Beat {
+        partitions: partitions.to_vec(),
+        waiting_tokens: vec![("r".to_owned(), waiting)],
+        reservation,
+        ..Beat::default()
+    }
+}
+
+#[test]
+fn waiting_tokens_are_bounded_over_all_hosts() {
+    let mut reports = Reports::default();
+    reports.take(&host("a", 1), beat(&[(0, 1)], 600, 0), at(0));
+    reports.take(&host("b", 1), beat(&[(1, 1)], 300, 0), at(0));
+    assert_eq!(reports.reserve("a", "r", 100, 1_000, 2), Room::Reserved(1));
+    assert_eq!(reports.reserve("b", "r", 100, 1_000, 2), Room::Full);
+    // The report of the host contains its reservation from now on.
+    reports.take(&host("a", 1), beat(&[(0, 1)], 700, 1), at(250));
+    assert_eq!(reports.reserve("b", "r", 1, 1_000, 2), Room::Full);
+    reports.take(&host("a", 1), beat(&[(0, 1)], 500, 1), at(500));
+    assert_eq!(reports.reserve("b", "r", 100, 1_000, 2), Room::Reserved(2));
+}
+
+#[test]
+fn room_is_not_judged_while_owners_are_unknown() {
+    let mut reports = Reports::default();
+    reports.take(&host("a", 1), beat(&[(0, 1)], 100, 0), at(0));
+    assert_eq!(reports.reserve("a", "r", 100, 1_000, 4), Room::NotSure);
+    assert_eq!(reports.reserve("a", "r", 100, 10_000, 4), Room::Reserved(1));
+}
+
+#[test]
+fn silent_and_leaving_hosts_are_not_on_the_board() {
+    let mut reports = Reports::default();
+    assert!(reports.take(&host("a", 1), beat(&[(0, 1)], 0, 0), at(0)));
+    assert!(!reports.take(&host("a", 1), beat(&[(0, 1)], 0, 0), at(250)));
+    let leaving = Beat {
+        is_leaving: true,
+        ..beat(&[(0, 2)], 0, 0)
+    };
+    reports.take(&host("b", 1), leaving, at(1_000));
+    let names: BTreeSet<String> = reports
+        .board()
+        .hosts
+        .iter()
+        .map(|info| info.host.clone())
+        .collect();
+    assert_eq!(names, BTreeSet::from(["a".to_owned()]));
+    assert_eq!(reports.board().owners, [(0, "b".to_owned(), 2)]);
+    assert_eq!(reports.drop_lost(at(2_000)), ["a"]);
+}
--- /dev/null
+++ b/bamboo-fleet/tests/fleet.rs
@@ -0,0 +1,115 @@
+//! Routes, the directory of servers and event streams.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboo_fleet::Directory;
+use bamboo_fleet::DirectoryChange;
+use bamboo_fleet::EventSplitter;
+use bamboo_fleet::FleetConfig;
+use bamboo_fleet::Route;
+use bamboo_fleet::RouteKind;
+use bamboo_fleet::Server;
+use bamboo_fleet::ServerState;
+use test_case::test_case;
+
+fn route(name: &str, prefix: &str) -> Rc<Route> {
+    Rc::new(Route {
+        name: name.to_owned(),
+        host: "h.example".to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout: None,
+        target_latency: Duration::from_millis(300),
+        priority: 0,
+        targets: Vec::new(),
+        attempts_max: 2,
+    })
+}
+
+fn server(id: &str, state: ServerState, started_at_ms: u64) -> Server {
+    Server {
+        id: id.to_owned(),
+        service: "llm".to_owned(),
+        address: "127.0.0.1:80".parse().unwrap(),
+        data_centre: "a".to_owned(),
+        slots: 8,
+        state,
+        started_at_ms,
+    }
+}
+
+#[test_case("h.example", "/a/b/c", Some("long"))]
+#[test_case("h.example", "/a/c", Some("short"))]
+#[test_case("h.example", "/b", None)]
+#[test_case("other.example", "/a/b/c", None)]
+fn the_longest_prefix_of_the_host_wins(host: &str, path: &str, expected: Option<&str>) {
+    let config = FleetConfig {
+        version: 1,
+        routes: vec![route("short", "/a/"), route("long", "/a/b/")],
+        ..FleetConfig::default()
+    };
+    let found = config
+        .find_route(host, path)
+        .map(|route| route.name.as_str());
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn a_draining_server_is_not_ready_and_a_repeat_changes_nothing() {
+    let mut directory = Directory::default();
+    directory.put(server("s", ServerState::Ready, 1));
+    assert_eq!(
+        directory.put(server("s", ServerState::Ready, 1)),
+        DirectoryChange::Nothing
+    );
+    assert_eq!(directory.ready("llm", Duration::ZERO).len(), 1);
+    directory.put(server("s", ServerState::Draining, 1));
+    assert!(directory.ready("llm", Duration::ZERO).is_empty());
+}
+
+#[test]
+fn another_start_under_the_same_identifier_is_told() {
+    let mut directory = Directory::default();
+    directory.put(server("s", ServerState::Ready, 1));
+    let change = directory.put(server("s", ServerState::Ready, 2));
+    assert!(matches!(change, DirectoryChange::Restarted(_)));
+}
+
+#[test]
+fn lapsed_servers_are_a_last_resort_for_a_moment() {
+    let mut directory = Directory::default();
+    directory.put(server("s1", ServerState::Ready, 1));
+    directory.put(server("s2", ServerState::Ready, 1));
+    directory.remove("s1", Duration::from_secs(10));
+    let ids = |directory: &Directory, ms: u64| -> Vec<String> {
+        let ready = directory.ready("llm", Duration::from_millis(ms));
+        ready.iter().map(|server| server.id.clone()).collect()
+    };
+    assert_eq!(ids(&directory, 10_100), ["s2"]);
+    directory.remove("s2", Duration::from_secs(11));
+    assert_eq!(ids(&directory, 11_100), ["s1", "s2"]);
+    // A server that left must get nothing 2 s later.
+    assert!(ids(&directory, 13_000).is_empty());
+}
+
+#[test]
+fn events_come_out_whole_however_the_bytes_are_cut() {
+    let bytes = b"id: 1\ndata: a\n\nid: 2\nx-versions: 3\ndata: b\ndata: c\n\nid: 3\nda";
+    for cut in 0..bytes.len() {
+        let mut splitter = EventSplitter::default();
+        let mut events = splitter.push(&bytes[..cut]);
+        events.extend(splitter.push(&bytes[cut..]));
+        let ids: Vec<_> = events.iter().map(|event| event.id).collect();
+        assert_eq!(ids, [Some(1), Some(2)]);
+        assert_eq!(events[1].data().unwrap(), b"b\nc");
+        assert!(splitter.has_partial());
+    }
+}
+
+#[test]
+fn carriage_returns_end_lines_too() {
+    let events = EventSplitter::default().push(b"id: 4\r\ndata: a\r\n\r\n");
+    assert_eq!(events[0].id, Some(4));
+    assert_eq!(events[0].data().unwrap(), b"a");
+}
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -6,6 +6,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bamboo_coordination::BEAT_INTERVAL;
+use bamboo_coordination::Beat;
+use bamboo_coordination::Coordination;
+use bamboo_coordination::HostInfo;
+use bamboo_coordination::Reports;
+use bamboo_coordination::Room;
 use bamboo_fleet::Directory;
 use bamboo_fleet::FleetConfig;
 use bamboo_fleet::Server;
@@ -23,15 +29,9 @@
 use crate::asks::AskAnswer;
 use crate::asks::AskBook;
 use crate::clock::Clock;
-use crate::coordinate::BEAT_INTERVAL;
-use crate::coordinate::Coordination;
-use crate::coordinate::Reports;
-use crate::coordinate::Room;
 use crate::dialect::Dialect;
 use crate::jobs::JobShards;
 use crate::mesh::AskNote;
-use crate::mesh::Beat;
-use crate::mesh::HostInfo;
 use crate::mesh::Mesh;
 use crate::mesh::PeerMessage;
 use crate::mesh::PeerReply;
@@ -380,7 +380,12 @@
                 board,
                 config_version,
                 is_leaving,
+                wants_sync,
             } => {
+                if wants_sync {
+                    let notes = self.asks.notes(self.clock.now());
+                    self.tell(&sender.host, PeerMessage::Sync(notes));
+                }
                 let mut coordination = self.coordination.borrow_mut();
                 if is_leaving {
                     coordination.is_leaving(sender);
@@ -487,8 +492,10 @@
     fn take_beat(&self, sender: &HostInfo, beat: Beat, now: Duration) {
         let asks: HashSet<AskId> = beat.asks.iter().copied().collect();
         let (known_board, version) = (beat.board, beat.config_version);
+        let unknown = self.broker.borrow().unknown_asks(&sender.host, &asks);
         let mut reports = self.reports.borrow_mut();
         let is_new = reports.take(sender, beat, now);
+        let wants_sync = reports.lacks_asks(&sender.host, unknown);
         let board = reports.board();
         drop(reports);
         if is_new {
@@ -502,11 +509,12 @@
             self.coordination.borrow_mut().take_board(board);
             return;
         }
-        let is_same = Reports::digest_of(&board) == known_board;
+        let is_same = board.digest() == known_board;
         let seen = PeerMessage::BeatSeen {
             board: (!is_same).then_some(board),
             config_version: self.config_version(),
             is_leaving: self.is_stopping(),
+            wants_sync,
         };
         self.mesh.send(&sender.host, seen, now);
         self.learn_config(&sender.host, version);
@@ -637,7 +645,7 @@
             waiting_tokens: self.jobs.waiting_tokens(),
             reservation: self.jobs.reservation(),
             asks: self.asks.ids(),
-            board: self.coordination.borrow().board_digest,
+            board: self.coordination.borrow().board_digest(),
             config_version: self.config_version(),
             is_leaving: self.is_stopping(),
         };
--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -4,11 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bamboo_coordination::HostInfo;
+
 use crate::gateway::Gateway;
 use crate::jobs::part::OwnedPart;
 use crate::jobs::part::TOPIC;
 use crate::jobs::part::serve_part;
-use crate::mesh::HostInfo;
 use crate::store::Partition;
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
--- a/bamboo-gateway/src/lib.rs
+++ b/bamboo-gateway/src/lib.rs
@@ -7,7 +7,6 @@
 mod asks;
 mod body;
 mod clock;
-mod coordinate;
 mod dialect;
 mod gateway;
 mod jobs;
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use bamboo_coordination::HostInfo;
 use bamboo_types::HostId;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -16,9 +17,6 @@
 pub(crate) use accept::accept_peers;
 use link::Link;
 pub(crate) use message::AskNote;
-pub(crate) use message::Beat;
-pub(crate) use message::Board;
-pub(crate) use message::HostInfo;
 pub(crate) use message::PeerMessage;
 pub(crate) use message::PeerReply;
 pub(crate) use message::PeerRequest;
--- a/bamboo-gateway/src/mesh/accept.rs
+++ b/bamboo-gateway/src/mesh/accept.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use bamboo_coordination::HostInfo;
 use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -11,7 +12,6 @@
 use tokio::net::TcpStream;
 
 use crate::gateway::Gateway;
-use crate::mesh::HostInfo;
 use crate::mesh::PeerMessage;
 use crate::mesh::link::LENGTH_BYTES;
 use crate::mesh::link::WINDOW_BYTES;
--- a/bamboo-gateway/src/mesh/link.rs
+++ b/bamboo-gateway/src/mesh/link.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use bamboo_coordination::HostInfo;
 use bamboo_types::HostId;
 use bytes::Bytes;
 use h2::SendStream;
 use tokio::sync::mpsc;
 
-use crate::mesh::HostInfo;
 use crate::mesh::PeerMessage;
 use crate::net;
 use crate::task::OwnedTask;
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -2,32 +2,20 @@
 
 use std::time::Duration;
 
+use bamboo_coordination::Beat;
+use bamboo_coordination::Board;
+use bamboo_coordination::HostInfo;
 use bamboo_slots::AskId;
 use bamboo_slots::RunOutcome;
 use bamboo_types::BackendServerId;
-use bamboo_types::HostId;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::dialect::JobCall;
-use crate::store::Partition;
 use crate::store::StoreError;
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
 
-/// A host as others know it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct HostInfo {
-    /// Identifier: the address of its links.
-    pub host: HostId,
-    /// Data centre.
-    pub data_centre: String,
-    /// Size, by which duties are given: thousandths of a core.
-    pub size: u64,
-    /// Number of this run.
-    pub run: u64,
-}
-
 /// A wish for a slot, or a run under way, with times relative to its sending.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct AskNote {
@@ -48,34 +36,6 @@
     pub server: Option<BackendServerId>,
 }
 
-/// Sign of life of a host to its coordinator.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Beat {
-    /// Partitions of jobs that it owns, with their epochs.
-    pub partitions: Vec<(Partition, u64)>,
-    /// Tokens that wait in them, by route, with those that it has reserved.
-    pub waiting_tokens: Vec<(String, u64)>,
-    /// Number of the last reservation that these figures contain.
-    pub reservation: u64,
-    /// Asks that it has, waiting and held.
-    pub asks: Vec<AskId>,
-    /// Digest of the board that it has.
-    pub board: u64,
-    /// Version of the configuration that it has.
-    pub config_version: u64,
-    /// Whether it is about to stop.
-    pub is_leaving: bool,
-}
-
-/// What the coordinator tells every host.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Board {
-    /// Hosts that it hears from.
-    pub hosts: Vec<HostInfo>,
-    /// Owners of partitions with their epochs.
-    pub owners: Vec<(Partition, HostId, u64)>,
-}
-
 /// A call that wants an answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum PeerRequest {
@@ -142,6 +102,8 @@
         config_version: u64,
         /// Whether the coordinator is about to stop.
         is_leaving: bool,
+        /// Whether the coordinator lacks asks that the host named.
+        wants_sync: bool,
     },
     /// All asks of a host that has a new coordinator.
     Sync(Vec<AskNote>),
--- /dev/null
+++ b/bamboo-shards/tests/fold.rs
@@ -0,0 +1,193 @@
+//! The fold of a shard: what repeats, races and takeovers leave of its records.
+
+use std::rc::Rc;
+
+use bamboo_shards::Applied;
+use bamboo_shards::ItemProgress;
+use bamboo_shards::ItemRecord;
+use bamboo_shards::ItemResult;
+use bamboo_shards::ItemRun;
+use bamboo_shards::JobRecord;
+use bamboo_shards::Joiner;
+use bamboo_shards::Record;
+use bamboo_shards::ResultState;
+use bamboo_shards::Shard;
+use bamboo_shards::split;
+use test_case::test_case;
+
+fn job(id: &str, items: usize) -> Record {
+    let items = (0..items).map(|index| ItemRecord {
+        id: format!("i{index}"),
+        path: "/p/".to_owned(),
+        headers: vec![("x-model".to_owned(), "m".to_owned())],
+        body: vec![1, 2, 3],
+        tokens: 100,
+    });
+    Record::Accepted(Rc::new(JobRecord {
+        id: id.to_owned(),
+        host: "h.example".to_owned(),
+        route: "r".to_owned(),
+        submitted_at_ms: 1_000,
+        completion_target_ms: 18_000,
+        retention_ms: 60_000,
+        attempts_max: 3,
+        items: items.collect(),
+    }))
+}
+
+fn result(job: &str, item: u32, text: &str) -> Record {
+    Record::Results {
+        job: job.to_owned(),
+        results: vec![ItemResult {
+            item,
+            state: ResultState::Done,
+            text: text.to_owned(),
+        }],
+    }
+}
+
+fn texts(shard: &Shard, job: &str) -> Vec<String> {
+    let page = shard.job(job).unwrap().page(0, usize::MAX);
+    page.results
+        .iter()
+        .map(|result| result.text.clone())
+        .collect()
+}
+
+#[test]
+fn a_job_is_accepted_once_and_an_item_listed_once() {
+    let mut shard = Shard::default();
+    assert_eq!(shard.apply(job("j", 2)), Applied::Accepted("j".to_owned()));
+    assert_eq!(shard.apply(job("j", 2)), Applied::Nothing);
+    shard.apply(result("j", 1, "first"));
+    assert_eq!(shard.apply(result("j", 1, "second")), Applied::Nothing);
+    shard.apply(result("j", 0, "other"));
+    assert_eq!(texts(&shard, "j"), ["first", "other"]);
+    assert!(shard.job("j").unwrap().is_complete());
+}
+
+#[test]
+fn results_of_an_unknown_job_or_item_count_for_nothing() {
+    let mut shard = Shard::default();
+    assert_eq!(shard.apply(result("j", 0, "a")), Applied::Nothing);
+    shard.apply(job("j", 1));
+    assert_eq!(shard.apply(result("j", 9, "a")), Applied::Nothing);
+}
+
+#[test]
+fn an_ended_job_keeps_its_list_and_waits_for_nothing() {
+    let mut shard = Shard::default();
+    shard.apply(job("j", 2));
+    shard.apply(result("j", 0, "a"));
+    assert_eq!(shard.waiting_tokens().get("r"), Some(&100));
+    let ended = Record::Ended {
+        job: "j".to_owned(),
+    };
+    assert_eq!(shard.apply(ended.clone()), Applied::Ended("j".to_owned()));
+    assert_eq!(shard.apply(ended), Applied::Nothing);
+    assert!(shard.waiting_tokens().is_empty());
+    assert_eq!(texts(&shard, "j"), ["a"]);
+}
+
+#[test]
+fn a_page_holds_at_least_one_result_and_no_more_than_fits() {
+    let mut shard = Shard::default();
+    shard.apply(job("j", 3));
+    (0..3).for_each(|item| drop(shard.apply(result("j", item, "0123456789"))));
+    let found = shard.job("j").unwrap();
+    assert_eq!(found.page(0, 1).next, 1);
+    assert_eq!(found.page(0, 20).next, 2);
+    assert_eq!(found.page(3, 20).results.len(), 0);
+    assert_eq!(found.page(1, 100).next, 3);
+    assert_eq!(found.page(0, 1).total, 3);
+}
+
+#[test]
+fn old_jobs_go_when_nothing_of_them_is_open() {
+    let mut shard = Shard::default();
+    shard.apply(job("open", 1));
+    shard.apply(job("done", 1));
+    shard.apply(result("done", 0, "a"));
+    shard.expire(1_000 + 120_000, 120_000);
+    assert!(shard.job("done").is_some());
+    shard.expire(1_000 + 120_001, 120_000);
+    assert!(shard.job("done").is_none());
+    assert!(shard.job("open").is_some());
+}
+
+#[test]
+fn a_new_owner_goes_on_from_recorded_progress() {
+    let mut run = ItemRun::default();
+    run.push_event(Some(1), Some(b"a".to_vec()));
+    run.push_event(Some(2), Some(b"b".to_vec()));
+    let first = run.take_unrecorded("j", 0).unwrap();
+    run.push_event(Some(3), Some(b"c".to_vec()));
+    let second = run.take_unrecorded("j", 0).unwrap();
+    assert_eq!(second.text, b"\nc");
+
+    let mut shard = Shard::default();
+    shard.apply(job("j", 1));
+    shard.apply(Record::Progress(vec![first]));
+    shard.apply(Record::Progress(vec![second]));
+    let mut taken_over = shard.job("j").unwrap().run(0);
+    assert_eq!(taken_over.last_event(), Some(3));
+    assert_eq!(taken_over.text(), "a\nb\nc");
+    assert!(taken_over.take_unrecorded("j", 0).is_none());
+    assert!(!taken_over.push_event(Some(3), Some(b"c".to_vec())));
+}
+
+#[test]
+fn progress_with_a_gap_or_after_the_result_is_passed_over() {
+    let progress = |text_start: u64, text: &str| ItemProgress {
+        job: "j".to_owned(),
+        item: 0,
+        text_start,
+        text: text.as_bytes().to_vec(),
+        last_event: Some(9),
+        event_count: 9,
+        failed_attempts: 0,
+    };
+    let mut shard = Shard::default();
+    shard.apply(job("j", 1));
+    shard.apply(Record::Progress(vec![progress(5, "late")]));
+    assert_eq!(shard.job("j").unwrap().run(0).last_event(), None);
+    shard.apply(result("j", 0, "all"));
+    shard.apply(Record::Progress(vec![progress(0, "more")]));
+    assert_eq!(shard.job("j").unwrap().run(0).last_event(), None);
+    assert_eq!(texts(&shard, "j"), ["all"]);
+}
+
+#[test]
+fn a_restarted_answer_replaces_what_was_recorded() {
+    let mut run = ItemRun::default();
+    run.push_event(Some(1), Some(b"wrong".to_vec()));
+    let mut copy = ItemRun::default();
+    copy.take_recorded(run.take_unrecorded("j", 0).unwrap());
+    run.restart();
+    run.push_event(Some(1), Some(b"right".to_vec()));
+    copy.take_recorded(run.take_unrecorded("j", 0).unwrap());
+    assert_eq!(copy.text(), "right");
+}
+
+#[test_case(1; "one byte")]
+#[test_case(100; "less than a fragment")]
+#[test_case(1_000; "some fragments")]
+fn records_survive_their_fragments(text_bytes: usize) {
+    let record = result("j", 0, &"x".repeat(text_bytes));
+    let mut joiner = Joiner::default();
+    let mut joined = None;
+    for fragment in split(&record.to_bytes().unwrap(), 128) {
+        assert!(fragment.len() <= 128);
+        assert!(joined.is_none());
+        joined = joiner.push(&fragment).unwrap();
+    }
+    let bytes = joined.unwrap();
+    assert_eq!(Record::try_from(bytes.as_slice()).unwrap(), record);
+}
+
+#[test]
+fn bytes_of_another_layout_are_no_record() {
+    assert!(Record::try_from(&[][..]).is_err());
+    assert!(Record::try_from(&[9, 0][..]).is_err());
+    assert!(Joiner::default().push(&[7, 1]).is_err());
+}
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -247,6 +247,17 @@
         }
     }
 
+    /// Those of the named asks that the broker does not know.
+    pub fn unknown_asks(&self, host: &str, named: &HashSet<AskId>) -> HashSet<AskId> {
+        let known: HashSet<AskId> = self
+            .leases
+            .values()
+            .filter(|lease| lease.ask.host == host)
+            .map(|lease| lease.ask.ask)
+            .collect();
+        named.difference(&known).copied().collect()
+    }
+
     /// Drops asks that their host does not name any more, if they are older than `age`.
     pub fn reconcile(&mut self, host: &str, named: &HashSet<AskId>, age: Duration, now: Duration) {
         let forgotten: Vec<AskId> = self
--- /dev/null
+++ b/bamboo-slots/tests/broker.rs
@@ -0,0 +1,222 @@
+//! What the broker does with single asks, runs and failures.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use bamboo_slots::Action;
+use bamboo_slots::Ask;
+use bamboo_slots::AskId;
+use bamboo_slots::Broker;
+use bamboo_slots::Engine;
+use bamboo_slots::RunOutcome;
+use bamboo_slots::Work;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn engine(server: &str, data_centre: &str, slots: usize) -> Engine {
+    Engine {
+        server: server.to_owned(),
+        service: "llm".to_owned(),
+        data_centre: data_centre.to_owned(),
+        slots,
+        is_ready: true,
+    }
+}
+
+fn ask(number: AskId, work: Work) -> Ask {
+    Ask {
+        host: "h1".to_owned(),
+        ask: number,
+        service: "llm".to_owned(),
+        data_centre: "a".to_owned(),
+        work,
+        excluded: Vec::new(),
+    }
+}
+
+fn online(start_by_ms: u64) -> Work {
+    Work::Online {
+        start_by: at(start_by_ms),
+        give_up: at(start_by_ms + 4700),
+    }
+}
+
+fn batch(due_ms: u64, left_ms: u64) -> Work {
+    Work::Batch {
+        due: at(due_ms),
+        left: at(left_ms),
+    }
+}
+
+fn granted(actions: &[Action], number: AskId) -> Option<String> {
+    actions.iter().find_map(|action| match action {
+        Action::Grant { ask, server, .. } if *ask == number => Some(server.clone()),
+        _ => None,
+    })
+}
+
+fn stopped(actions: &[Action]) -> Vec<AskId> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Stop { ask, .. } => Some(*ask),
+            _ => None,
+        })
+        .collect()
+}
+
+fn broker(engines: &[Engine]) -> Broker {
+    let mut broker = Broker::default();
+    for engine in engines {
+        broker.put_engine(engine.clone(), false, at(0));
+    }
+    broker
+}
+
+#[test]
+fn online_takes_the_slot_of_the_item_with_the_most_slack() {
+    let mut broker = broker(&[engine("s1", "a", 2)]);
+    broker.ask(ask(1, batch(9_000, 4_000)), at(0));
+    broker.ask(ask(2, batch(18_000, 4_000)), at(0));
+    broker.take_actions();
+    broker.ask(ask(3, online(300)), at(0));
+    let actions = broker.take_actions();
+    assert_eq!(stopped(&actions), [2]);
+    assert_eq!(granted(&actions, 3).as_deref(), Some("s1"));
+}
+
+#[test]
+fn a_free_slot_elsewhere_goes_before_a_stop() {
+    let mut broker = broker(&[engine("s1", "a", 1), engine("s2", "b", 1)]);
+    broker.ask(ask(1, batch(9_000, 4_000)), at(0));
+    broker.take_actions();
+    broker.ask(ask(2, online(300)), at(0));
+    let actions = broker.take_actions();
+    assert!(stopped(&actions).is_empty());
+    assert_eq!(granted(&actions, 2).as_deref(), Some("s2"));
+}
+
+#[test]
+fn online_that_can_still_be_on_time_goes_before_what_is_late() {
+    let mut broker = broker(&[engine("s1", "a", 1)]);
+    broker.ask(ask(1, online(300)), at(0));
+    broker.ask(ask(2, online(400)), at(100));
+    broker.ask(ask(3, online(1_300)), at(1_000));
+    broker.take_actions();
+    broker.release("h1", 1, Some("s1"), RunOutcome::Done, at(1_010));
+    let actions = broker.take_actions();
+    assert_eq!(granted(&actions, 3).as_deref(), Some("s1"));
+    assert_eq!(granted(&actions, 2), None);
+}
+
+#[test]
+fn a_request_behind_a_queue_longer_than_its_time_is_refused_at_once() {
+    let mut broker = broker(&[engine("s1", "a", 1)]);
+    for number in 0..20 {
+        broker.ask(ask(number, online(300)), at(0));
+    }
+    let actions = broker.take_actions();
+    assert!(actions.iter().any(|action| matches!(
+        action,
+        Action::Refuse { retry_after, .. } if *retry_after > Duration::ZERO
+    )));
+}
+
+#[test]
+fn a_waiting_request_is_refused_when_its_time_is_up() {
+    let mut broker = broker(&[engine("s1", "a", 1)]);
+    broker.ask(ask(1, online(300)), at(0));
+    broker.ask(ask(2, online(300)), at(0));
+    broker.take_actions();
+    broker.tick(at(6_000));
+    let actions = broker.take_actions();
+    assert!(matches!(actions[..], [Action::Refuse { ask: 2, .. }]));
+}
+
+#[test]
+fn a_server_without_connection_is_left_out_and_tried_again_by_one_run() {
+    let mut broker = broker(&[engine("s1", "a", 4)]);
+    broker.ask(ask(1, online(300)), at(0));
+    broker.take_actions();
+    broker.release("h1", 1, Some("s1"), RunOutcome::Unreachable, at(10));
+    broker.ask(ask(2, online(310)), at(10));
+    broker.ask(ask(3, online(310)), at(10));
+    assert_eq!(granted(&broker.take_actions(), 2), None);
+    broker.tick(at(600));
+    let actions = broker.take_actions();
+    let grants = [2, 3].map(|number| granted(&actions, number).is_some());
+    assert_eq!(grants.iter().filter(|grant| **grant).count(), 1);
+}
+
+#[test]
+fn one_lost_answer_does_not_eject_a_server() {
+    let mut broker = broker(&[engine("s1", "a", 4)]);
+    broker.ask(ask(1, online(300)), at(0));
+    broker.release("h1", 1, Some("s1"), RunOutcome::Silent, at(140));
+    broker.take_actions();
+    broker.ask(ask(2, online(500)), at(150));
+    assert!(granted(&broker.take_actions(), 2).is_some());
+}
+
+#[test]
+fn a_draining_server_gets_nothing_new() {
+    let mut broker = broker(&[engine("s1", "a", 4)]);
+    let draining = Engine {
+        is_ready: false,
+        ..engine("s1", "a", 4)
+    };
+    broker.put_engine(draining, false, at(5));
+    broker.ask(ask(1, online(300)), at(10));
+    assert_eq!(granted(&broker.take_actions(), 1), None);
+}
+
+#[test]
+fn runs_reported_to_a_new_broker_hold_their_slots_and_batch_yields() {
+    let mut broker = broker(&[engine("s1", "a", 1)]);
+    broker.hold(ask(1, batch(9_000, 4_000)), "s1", at(0));
+    broker.hold(ask(2, online(300)), "s1", at(0));
+    assert_eq!(stopped(&broker.take_actions()), [1]);
+    broker.ask(ask(3, batch(9_000, 4_000)), at(10));
+    assert_eq!(granted(&broker.take_actions(), 3), None);
+}
+
+#[test]
+fn asks_of_a_lost_host_free_their_slots() {
+    let mut broker = broker(&[engine("s1", "a", 1)]);
+    broker.ask(ask(1, online(300)), at(0));
+    let other = Ask {
+        host: "h2".to_owned(),
+        ..ask(1, online(400))
+    };
+    broker.ask(other, at(10));
+    broker.take_actions();
+    broker.drop_host("h1", at(20));
+    broker.tick(at(20));
+    assert_eq!(granted(&broker.take_actions(), 1).as_deref(), Some("s1"));
+}
+
+#[test]
+fn asks_that_one_side_lost_are_found() {
+    let mut broker = broker(&[engine("s1", "a", 1)]);
+    broker.ask(ask(1, online(300)), at(0));
+    broker.take_actions();
+    let named = HashSet::from([7]);
+    assert_eq!(broker.unknown_asks("h1", &named), HashSet::from([7]));
+    broker.reconcile("h1", &named, at(1_000), at(500));
+    assert_eq!(broker.load("llm").online_running, 1);
+    broker.reconcile("h1", &named, at(1_000), at(1_500));
+    assert_eq!(broker.load("llm").online_running, 0);
+}
+
+#[test]
+fn an_excluded_server_is_not_granted() {
+    let mut broker = broker(&[engine("s1", "a", 1)]);
+    let excluding = Ask {
+        excluded: vec!["s1".to_owned()],
+        ..ask(1, online(300))
+    };
+    broker.ask(excluding, at(0));
+    assert_eq!(granted(&broker.take_actions(), 1), None);
+}
