fix: a process no longer hangs at the end of a planned stop

Cause: a connection that was told to close kept the read lock of the phase while its last answers went out; the next write of the phase waited for it on the only thread. 12 of 13 processes hung until they were killed, and callers' connections to them were never read. Ruled out: the listen queue (the process wrote nothing after entering the closing phase), the leave of the group.

--- a/bamboo-gateway/src/traffic/accept.rs
+++ b/bamboo-gateway/src/traffic/accept.rs
@@ -124,9 +124,16 @@
         .max_buf_size(limits.header_max_bytes.max(BUFFER_MIN_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    // The value that `wait_for` returns locks the phase: it must not live on while the connection is served.
+    let closing = async {
+        phase
+            .wait_for(|phase| *phase == Phase::Closing)
+            .await
+            .is_ok()
+    };
     let ended = tokio::select! {
         ended = &mut connection => ended,
-        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
+        _ = closing => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
