--- a/bamboo-gateway/src/store.rs
+++ b/bamboo-gateway/src/store.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use bamboo_types::Offset;
 use bytes::Bytes;
@@ -21,9 +22,14 @@
 use crate::net;
 use crate::task::OwnedTask;
 
-/// Time for one call beyond the time that the store is asked to wait. The store answers in 4 ms on a calm day and in
-/// 240 ms when it is slow.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Time for one call with its repeats, beyond the time that the store is asked to wait.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Shortest time for one attempt. The store answers in 4 ms on a calm day.
+const ATTEMPT_MIN: Duration = Duration::from_millis(120);
+/// Time for one attempt, as a multiple of the time that calls have taken lately.
+const ATTEMPT_FACTOR: u32 = 4;
+/// What a shorter call leaves of the time that calls have taken lately.
+const LATELY_DECAY: f64 = 0.9;
 /// Time for connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Connections kept for further calls.
@@ -100,6 +106,17 @@
 }
 
 impl StoreRequest {
+    /// Whether the store takes a repeat for the same call, or nothing is changed by it.
+    fn is_repeatable(&self) -> bool {
+        match self {
+            StoreRequest::Append { fence, .. } => fence.is_some(),
+            StoreRequest::Read { .. }
+            | StoreRequest::Newest { .. }
+            | StoreRequest::Join { .. }
+            | StoreRequest::Leave { .. } => true,
+        }
+    }
+
     fn wait(&self) -> Duration {
         match self {
             StoreRequest::Read { wait, .. } => *wait,
@@ -188,6 +205,7 @@
     idle: RefCell<Vec<Connection>>,
     calls: Cell<u64>,
     failures: Cell<u64>,
+    lately: Cell<Duration>,
 }
 
 impl StoreClient {
@@ -199,6 +217,7 @@
             idle: RefCell::new(Vec::new()),
             calls: Cell::new(0),
             failures: Cell::new(0),
+            lately: Cell::new(Duration::ZERO),
         }
     }
 
@@ -207,20 +226,58 @@
         (self.calls.get(), self.failures.get())
     }
 
-    /// Makes one call.
+    /// How long calls have taken lately, their waits left out.
+    pub fn lately(&self) -> Duration {
+        self.lately.get()
+    }
+
+    /// Makes one call. An attempt whose answer is late is given up and repeated with twice the time, if the store
+    /// takes repeats for one call.
     ///
     /// # Errors
     /// Fails if the store refuses, or gives no answer in time; then the call may still take effect.
     pub async fn call(&self, request: &StoreRequest) -> Result<StoreReply, StoreError> {
-        self.calls.set(self.calls.get() + 1);
-        let reply = self.send(request).await;
-        if reply.is_err() {
-            self.failures.set(self.failures.get() + 1);
+        let mut left = CALL_TIMEOUT;
+        let mut attempt = (self.lately.get() * ATTEMPT_FACTOR).clamp(ATTEMPT_MIN, CALL_TIMEOUT);
+        loop {
+            let timeout = if request.is_repeatable() {
+                attempt.min(left)
+            } else {
+                left
+            };
+            self.calls.set(self.calls.get() + 1);
+            let started = Instant::now();
+            let reply = self.send(request, timeout).await;
+            let took = started.elapsed();
+            left = left.saturating_sub(took.saturating_sub(request.wait()));
+            match reply {
+                // A broken connection is not repeated here: those who call pause first.
+                Err(StoreError::Unknown(_))
+                    if request.is_repeatable() && took >= timeout && !left.is_zero() =>
+                {
+                    self.failures.set(self.failures.get() + 1);
+                    attempt *= 2;
+                }
+                Err(error) => {
+                    self.failures.set(self.failures.get() + 1);
+                    return Err(error);
+                }
+                Ok(reply) => {
+                    if request.wait().is_zero() {
+                        self.lately
+                            .set(took.max(self.lately.get().mul_f64(LATELY_DECAY)));
+                    }
+                    return Ok(reply);
+                }
+            }
         }
-        reply
     }
 
-    async fn send(&self, request: &StoreRequest) -> Result<StoreReply, StoreError> {
+    async fn send(
+        &self,
+        request: &StoreRequest,
+        timeout: Duration,
+    ) -> Result<StoreReply, StoreError> {
         let unknown = |what: String| StoreError::Unknown(what);
         let call = (self.dialect.store_call)(request)
             .map_err(|error| StoreError::Refused(format!("cannot encode the call: {error}")))?;
@@ -248,12 +305,11 @@
             let body = response.into_body().collect().await?.to_bytes();
             Ok::<_, hyper::Error>((status, body))
         };
-        let (status, body) =
-            match tokio::time::timeout(request.wait() + CALL_TIMEOUT, exchange).await {
-                Ok(Ok(answer)) => answer,
-                Ok(Err(error)) => return Err(unknown(error.to_string())),
-                Err(_) => return Err(unknown("time is up".to_owned())),
-            };
+        let (status, body) = match tokio::time::timeout(request.wait() + timeout, exchange).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => return Err(unknown(error.to_string())),
+            Err(_) => return Err(unknown("time is up".to_owned())),
+        };
         self.keep(connection);
         (self.dialect.store_reply)(request, status, &body)
     }
