--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -340,6 +340,11 @@
         self.store.counts()
     }
 
+    /// How long calls of the store have taken lately.
+    pub(crate) fn store_lately(&self) -> Duration {
+        self.store.lately()
+    }
+
     /// Sends a message to the coordinator, which may be this host.
     pub(crate) fn tell_coordinator(&self, message: PeerMessage) {
         let current = self.coordination.borrow().current().clone();
--- a/bamboo-gateway/src/jobs/part.rs
+++ b/bamboo-gateway/src/jobs/part.rs
@@ -34,6 +34,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Interval of recording the progress of items: what a lost host costs at most of each.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(1000);
+/// Shortest pause between records of progress, as a multiple of the time that the store takes: submissions wait for
+/// the append that is under way.
+const PROGRESS_PACE: u32 = 20;
 /// Bytes that each record costs in an append beside its own.
 const RECORD_OVERHEAD_BYTES: usize = 8;
 
@@ -261,13 +264,17 @@
         took_ms = gateway.clock.now().saturating_sub(started).as_millis() as u64; "shard opened"
     );
     items::start_open_items(&gateway, &part);
-    tokio::join!(append_forever(&gateway, &part), record_forever(&part));
+    tokio::join!(
+        append_forever(&gateway, &part),
+        record_forever(&gateway, &part)
+    );
 }
 
 /// Records the progress of running items until the shard is lost.
-async fn record_forever(part: &OwnedPart) {
+async fn record_forever(gateway: &Gateway, part: &OwnedPart) {
     while !part.is_lost() {
-        actix_rt::time::sleep(PROGRESS_INTERVAL).await;
+        let pause = PROGRESS_INTERVAL.max(gateway.store_lately() * PROGRESS_PACE);
+        actix_rt::time::sleep(pause).await;
         // While an append waits for the store, more progress would only grow the queue.
         if part.is_idle() {
             part.record_progress();
