perf: submissions do not wait for appends that are under way

Cause: with a slow store a submission waited for the one append that its partition had under way. Change: up to four appends of a partition under way, in the order of their sequence numbers; more than one only when somebody waits. Ruled out: what is late now waits for the store itself (300 ms at 60 times, 900 ms at 150 times its usual answer).

--- a/bamboo-gateway/src/jobs/part.rs
+++ b/bamboo-gateway/src/jobs/part.rs
@@ -16,6 +16,8 @@
 use bamboo_shards::Shard;
 use bamboo_shards::split;
 use bamboo_types::ItemIndex;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesOrdered;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -37,6 +39,12 @@
 /// Shortest pause between records of progress, as a multiple of the time that the store takes: submissions wait for
 /// the append that is under way.
 const PROGRESS_PACE: u32 = 20;
+/// Appends under way at once. The store knows the last five of a writer again.
+const APPENDS_MAX: usize = 4;
+/// Pause before an append that came to the store before its predecessor is repeated.
+const ORDER_PAUSE: Duration = Duration::from_millis(10);
+/// Repeats after which an append that is out of sequence will never be in it.
+const ORDER_REPEATS_MAX: u32 = 500;
 /// Bytes that each record costs in an append beside its own.
 const RECORD_OVERHEAD_BYTES: usize = 8;
 
@@ -207,6 +215,17 @@
         queue.len() < before
     }
 
+    /// Whether another append may start beside those under way: one at a time, but that nobody who waits is held up.
+    fn wants_append(&self, under_way: usize) -> bool {
+        let has_waiter = || {
+            self.queue
+                .borrow()
+                .iter()
+                .any(|pending| pending.waiter.is_some())
+        };
+        under_way == 0 || (under_way < APPENDS_MAX && has_waiter())
+    }
+
     /// Records for the next append, encoded.
     fn next_batch(
         &self,
@@ -350,8 +369,13 @@
             sequence,
         }),
     };
+    let mut order_repeats = 0;
     loop {
         match gateway.store_call(&request).await {
+            Ok(StoreReply::OutOfSequence) if order_repeats < ORDER_REPEATS_MAX => {
+                order_repeats += 1;
+                actix_rt::time::sleep(ORDER_PAUSE).await;
+            }
             Ok(reply) => {
                 part.failing_since.set(None);
                 return reply;
@@ -369,40 +393,54 @@
 async fn append_forever(gateway: &Rc<Gateway>, part: &Rc<OwnedPart>) {
     let store = &gateway.settings.store;
     let mut sequence = 0;
+    let mut under_way = FuturesOrdered::new();
     while !part.is_lost() {
-        let (batch, fragments) = part.next_batch(store.record_max_bytes, store.append_max_bytes);
-        if batch.is_empty() {
-            part.wake.notified().await;
-            continue;
-        }
-        sequence += 1;
-        part.is_appending.set(true);
-        match append(gateway, part, sequence, fragments).await {
-            StoreReply::Appended { .. } => {}
-            reply => {
-                log::warn!(
-                    event = "shard_lost", partition = part.partition, epoch = part.epoch, reply:? = reply;
-                    "another host owns the shard"
-                );
-                part.is_lost.set(true);
-                return;
+        while part.wants_append(under_way.len()) {
+            let (batch, fragments) =
+                part.next_batch(store.record_max_bytes, store.append_max_bytes);
+            if batch.is_empty() {
+                break;
             }
+            sequence += 1;
+            let number = sequence;
+            under_way.push_back(async move {
+                let reply = append(gateway, part, number, fragments).await;
+                (reply, batch)
+            });
         }
-        for pending in batch {
-            let applied = part.shard.borrow_mut().apply(pending.record);
-            match &applied {
-                Applied::Accepted(job) => items::start_job(gateway, part, job),
-                Applied::Listed(_, items) => {
-                    items.iter().for_each(|_| gateway.metrics.item("listed"));
+        part.is_appending.set(!under_way.is_empty());
+        tokio::select! {
+            Some((reply, batch)) = under_way.next(), if !under_way.is_empty() => match reply {
+                StoreReply::Appended { .. } => apply_batch(gateway, part, batch),
+                reply => {
+                    log::warn!(
+                        event = "shard_lost", partition = part.partition, epoch = part.epoch, reply:? = reply;
+                        "another host owns the shard"
+                    );
+                    part.is_lost.set(true);
+                    return;
                 }
-                Applied::Ended(_) | Applied::Nothing => {}
-            }
-            if let Some(waiter) = pending.waiter {
-                // The one who waits may have given up.
-                let _ = waiter.send(());
+            },
+            () = part.wake.notified() => {}
+        }
+    }
+}
+
+/// Folds records that the store holds, and tells those who wait for them.
+fn apply_batch(gateway: &Rc<Gateway>, part: &Rc<OwnedPart>, batch: Vec<Pending>) {
+    for pending in batch {
+        let applied = part.shard.borrow_mut().apply(pending.record);
+        match &applied {
+            Applied::Accepted(job) => items::start_job(gateway, part, job),
+            Applied::Listed(_, items) => {
+                items.iter().for_each(|_| gateway.metrics.item("listed"));
             }
+            Applied::Ended(_) | Applied::Nothing => {}
+        }
+        if let Some(waiter) = pending.waiter {
+            // The one who waits may have given up.
+            let _ = waiter.send(());
         }
-        part.is_appending.set(false);
-        part.listed.notify_waiters();
     }
+    part.listed.notify_waiters();
 }
