perf: items are ordered by due time and nearness to their end, and the overload is set aside

Cause: least slack first prefers fresh items to begun ones of the same job, so that after a burst of jobs all ran in turn and all were late; and the time that an item still runs was learned too slowly. Change: due time first, of those due together the one nearest to its end; Moore and Hodgson's rule sets as few items aside as the slots that batch had lately cannot do.

--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -43,11 +43,11 @@
 /// Pause after a failed attempt.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Events of an item before any has been seen.
-const EVENTS_FIRST_GUESS: f64 = 60.0;
+const EVENTS_FIRST_GUESS: f64 = 200.0;
 /// Time between events before any has been seen.
-const EVENT_TIME_FIRST_GUESS: Duration = Duration::from_millis(22);
-/// Weight of one more item in the running means.
-const MEAN_WEIGHT: f64 = 0.1;
+const EVENT_TIME_FIRST_GUESS: Duration = Duration::from_millis(25);
+/// Least weight of one more item in the running means; the first items weigh more.
+const MEAN_WEIGHT_MIN: f64 = 0.05;
 /// Shortest time that an item is taken to run.
 const LEFT_MIN: Duration = Duration::from_millis(100);
 
@@ -56,6 +56,7 @@
 pub(super) struct ItemTimes {
     events: Cell<f64>,
     event_time: Cell<Duration>,
+    item_count: Cell<u32>,
 }
 
 impl Default for ItemTimes {
@@ -63,6 +64,7 @@
         ItemTimes {
             events: Cell::new(EVENTS_FIRST_GUESS),
             event_time: Cell::new(EVENT_TIME_FIRST_GUESS),
+            item_count: Cell::new(0),
         }
     }
 }
@@ -73,10 +75,19 @@
         self.event_time.get().mul_f64(events.max(0.0)).max(LEFT_MIN)
     }
 
-    fn done(&self, run: &ItemRun) {
+    /// Takes a whole answer, whose last run brought `run_events` events in `took`.
+    fn done(&self, run: &ItemRun, run_events: u32, took: Duration) {
+        let count = self.item_count.get() + 1;
+        self.item_count.set(count);
+        let weight = (1.0 / f64::from(count)).max(MEAN_WEIGHT_MIN);
         let events = f64::from(run.event_count());
         self.events
-            .set(self.events.get() * (1.0 - MEAN_WEIGHT) + events * MEAN_WEIGHT);
+            .set(self.events.get() * (1.0 - weight) + events * weight);
+        if run_events > 0 {
+            let event_time = took / run_events;
+            self.event_time
+                .set(self.event_time.get().mul_f64(1.0 - weight) + event_time.mul_f64(weight));
+        }
     }
 }
 
@@ -171,6 +182,7 @@
             return;
         }
         let server = slot.server.id.clone();
+        let (started, events_before) = (gateway.clock.now(), run.borrow().event_count());
         let (end, outcome) = attempt(&gateway, &part, &job, &slot, &request, &run).await;
         slot.set_outcome(outcome);
         drop(slot);
@@ -186,7 +198,12 @@
         let next = run.borrow_mut().after_attempt(end, job.attempts_max);
         match next {
             ItemNext::Finish => {
-                gateway.jobs.item_times.done(&run.borrow());
+                let took = gateway.clock.now().saturating_sub(started);
+                let run_events = run.borrow().event_count().saturating_sub(events_before);
+                gateway
+                    .jobs
+                    .item_times
+                    .done(&run.borrow(), run_events, took);
                 return list(&gateway, &part, &job, item, &run, ResultState::Done);
             }
             ItemNext::GiveUp => {
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -14,15 +14,20 @@
 use crate::Ask;
 use crate::AskId;
 use crate::Health;
+use crate::Planned;
 use crate::RunOutcome;
 use crate::Work;
 use crate::batch_rank;
 use crate::online_rank;
+use crate::set_aside;
 
 /// Time that an online request holds a slot, before any has been seen to end.
 const HOLD_FIRST_GUESS: Duration = Duration::from_millis(700);
 /// Weight of one more hold time in the running mean.
 const HOLD_MEAN_WEIGHT: f64 = 0.05;
+/// Weight of one more sample, four a second, in the mean number of slots that batch items have: the mean spans some
+/// waves of online requests.
+const BATCH_SLOTS_WEIGHT: f64 = 0.03;
 
 slotmap::new_key_type! {
     /// Key of a lease.
@@ -64,6 +69,27 @@
     ask: Ask,
     since: Duration,
     held: Option<Held>,
+    is_set_aside: bool,
+}
+
+impl Lease {
+    /// Time that a batch item still runs.
+    fn batch_left(&self, left: Duration, now: Duration) -> Duration {
+        let run = self
+            .held
+            .as_ref()
+            .map_or(Duration::ZERO, |held| now.saturating_sub(held.since));
+        left.saturating_sub(run)
+    }
+
+    fn batch_rank(&self, now: Duration) -> (bool, Duration, Duration) {
+        match self.ask.work {
+            Work::Batch { due, left } => {
+                batch_rank(due, self.batch_left(left, now), self.is_set_aside)
+            }
+            Work::Online { .. } => (true, Duration::MAX, Duration::MAX),
+        }
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -102,6 +128,7 @@
     waiting_online: Vec<LeaseKey>,
     waiting_batch: Vec<LeaseKey>,
     hold_mean: Option<Duration>,
+    batch_slots_mean: Option<f64>,
     actions: Vec<Action>,
 }
 
@@ -167,6 +194,7 @@
             ask,
             since: now,
             held: None,
+            is_set_aside: false,
         });
         self.by_ask.insert(id.clone(), key);
         match is_online {
@@ -204,6 +232,7 @@
             ask,
             since: now,
             held,
+            is_set_aside: false,
         });
         match is_online {
             true => state.online.push(key),
@@ -299,9 +328,41 @@
                 });
             }
         }
+        self.plan_batch(now);
         self.deal(now);
     }
 
+    /// Sets batch items aside that cannot be done in time beside the others.
+    fn plan_batch(&mut self, now: Duration) {
+        let running: usize = self.engines.values().map(|state| state.batch.len()).sum();
+        let has_waiting = !self.waiting_batch.is_empty();
+        if has_waiting {
+            let mean = self.batch_slots_mean.unwrap_or(running as f64);
+            let mean = mean + (running as f64 - mean) * BATCH_SLOTS_WEIGHT;
+            self.batch_slots_mean = Some(mean);
+        }
+        let planned: Vec<Planned<LeaseKey>> = self
+            .leases
+            .iter()
+            .filter_map(|(key, lease)| match lease.ask.work {
+                Work::Batch { due, left } => Some(Planned {
+                    key,
+                    due,
+                    left: lease.batch_left(left, now),
+                }),
+                Work::Online { .. } => None,
+            })
+            .collect();
+        let slots = self.batch_slots_mean.unwrap_or(1.0).max(1.0);
+        let aside: HashSet<LeaseKey> = match has_waiting {
+            true => set_aside(planned, slots, now).into_iter().collect(),
+            false => HashSet::new(),
+        };
+        for (key, lease) in &mut self.leases {
+            lease.is_set_aside = aside.contains(&key);
+        }
+    }
+
     /// What is to be done since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
@@ -434,11 +495,12 @@
             return;
         };
         let leases = &self.leases;
-        let rank = |key: &LeaseKey| match leases.get(*key).map(|lease| lease.ask.work) {
-            Some(Work::Batch { due, left }) => batch_rank(due, left, now),
-            _ => (true, Duration::MAX),
-        };
-        let Some(victim) = state.batch.iter().copied().max_by_key(rank) else {
+        let Some(victim) = state
+            .batch
+            .iter()
+            .copied()
+            .max_by_key(|key| leases.get(*key).map(|lease| lease.batch_rank(now)))
+        else {
             return;
         };
         state.batch.retain(|key| *key != victim);
@@ -474,10 +536,7 @@
         }
         let mut order = std::mem::take(&mut self.waiting_batch);
         let leases = &self.leases;
-        order.sort_by_cached_key(|key| match leases.get(*key).map(|lease| lease.ask.work) {
-            Some(Work::Batch { due, left }) => batch_rank(due, left, now),
-            _ => (true, Duration::MAX),
-        });
+        order.sort_by_cached_key(|key| leases.get(*key).map(|lease| lease.batch_rank(now)));
         let mut left = Vec::new();
         for key in order {
             let Some(ask) = self.leases.get(key).map(|lease| lease.ask.clone()) else {
--- a/bamboo-slots/src/lib.rs
+++ b/bamboo-slots/src/lib.rs
@@ -19,5 +19,7 @@
 pub use broker::BrokerLoad;
 pub use broker::Engine;
 pub use health::Health;
+pub use order::Planned;
 pub use order::batch_rank;
 pub use order::online_rank;
+pub use order::set_aside;
--- a/bamboo-slots/src/order.rs
+++ b/bamboo-slots/src/order.rs
@@ -1,5 +1,6 @@
 //! The order in which waiting work gets slots. Lower ranks go first.
 
+use std::collections::BinaryHeap;
 use std::time::Duration;
 
 /// Time from a slot to the first event of an answer, at a full engine.
@@ -23,20 +24,68 @@
     }
 }
 
-/// Rank of a batch item: those that still fit before they are due, least slack first, then those that do not, least
-/// late first.
+/// Rank of a batch item: by the time at which it is due, and of those due together the one nearest to its end, so that
+/// what was begun is finished first. Items that are set aside follow, again those nearest to their end first.
 ///
 /// ```
 /// use std::time::Duration;
 /// let second = Duration::from_secs;
-/// let fits = bamboo_slots::batch_rank(second(20), second(4), second(10));
-/// let lost = bamboo_slots::batch_rank(second(12), second(4), second(10));
-/// assert!(fits < lost);
+/// let begun = bamboo_slots::batch_rank(second(20), second(1), false);
+/// assert!(begun < bamboo_slots::batch_rank(second(20), second(4), false));
+/// assert!(begun < bamboo_slots::batch_rank(second(12), second(1), true));
 /// ```
-pub fn batch_rank(due: Duration, left: Duration, now: Duration) -> (bool, Duration) {
-    let end = now + left;
-    match due.checked_sub(end) {
-        Some(slack) => (false, slack),
-        None => (true, end - due),
+pub fn batch_rank(due: Duration, left: Duration, is_set_aside: bool) -> (bool, Duration, Duration) {
+    match is_set_aside {
+        true => (true, left, due),
+        false => (false, due, left),
     }
 }
+
+/// A batch item for [`set_aside`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Planned<K> {
+    /// Key of the item.
+    pub key: K,
+    /// When it is due.
+    pub due: Duration,
+    /// Time that it still runs.
+    pub left: Duration,
+}
+
+/// The items that cannot all be done in time with `slots` slots: as few as possible, the longest ones before others
+/// that are due no later (Moore and Hodgson's rule on the slots taken together).
+///
+/// ```
+/// use std::time::Duration;
+/// use bamboo_slots::Planned;
+/// let second = Duration::from_secs;
+/// let items = [(1, 4), (2, 4), (3, 2)].map(|(key, left)| Planned { key, due: second(6), left: second(left) });
+/// assert_eq!(bamboo_slots::set_aside(items.to_vec(), 1.0, Duration::ZERO).len(), 1);
+/// assert!(bamboo_slots::set_aside(items.to_vec(), 2.0, Duration::ZERO).is_empty());
+/// ```
+pub fn set_aside<K>(mut items: Vec<Planned<K>>, slots: f64, now: Duration) -> Vec<K>
+where
+    K: Copy + Ord,
+{
+    items.sort_by_key(|item| (item.due, item.left, item.key));
+    let mut aside = Vec::new();
+    let mut taken: BinaryHeap<(Duration, K)> = BinaryHeap::new();
+    let mut load = Duration::ZERO;
+    for item in items {
+        let time = item.due.saturating_sub(now);
+        if item.left > time {
+            aside.push(item.key);
+            continue;
+        }
+        taken.push((item.left, item.key));
+        load += item.left;
+        while load > time.mul_f64(slots) {
+            let Some((left, key)) = taken.pop() else {
+                break;
+            };
+            load -= left;
+            aside.push(key);
+        }
+    }
+    aside
+}
