--- a/bamboo-coordination/src/reports.rs
+++ b/bamboo-coordination/src/reports.rs
@@ -75,6 +75,11 @@
         is_new
     }
 
+    /// Hosts that report.
+    pub fn host_count(&self) -> usize {
+        self.reports.len()
+    }
+
     /// Takes the asks of a host that the broker does not know. Returns whether one of them was unknown at the sign of
     /// life before, too: then it is not on its way, but lost.
     ///
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -125,6 +125,7 @@
     config_asks: mpsc::UnboundedSender<HostId>,
     open_requests: Cell<usize>,
     lines: LineBudget,
+    load_logged_s: Cell<u64>,
 }
 
 impl Gateway {
@@ -169,6 +170,7 @@
             config_asks,
             open_requests: Cell::new(0),
             lines: LineBudget::default(),
+            load_logged_s: Cell::new(0),
         });
         let followers = Followers {
             config_asks: asked,
@@ -665,6 +667,7 @@
         }
         self.broker.borrow_mut().tick(now);
         self.carry_out();
+        self.log_load(now);
         self.directory.borrow_mut().expire(now);
         self.pool.close_idle(now);
         self.mesh.close_idle(now);
@@ -673,6 +676,27 @@
         }
     }
 
+    /// Writes the load of the model services once a second, where this host coordinates others.
+    fn log_load(&self, now: Duration) {
+        let second = now.as_secs();
+        if self.reports.borrow().host_count() < 2 || self.load_logged_s.replace(second) == second {
+            return;
+        }
+        let Some(config) = self.config() else { return };
+        for service in config
+            .services
+            .values()
+            .filter(|service| service.engine.is_some())
+        {
+            let load = self.broker.borrow().load(&service.name);
+            log::info!(
+                event = "load", service = service.name.as_str(), slots = load.slots,
+                online_running = load.online_running, online_waiting = load.online_waiting,
+                batch_running = load.batch_running, batch_waiting = load.batch_waiting; "slots of a model service"
+            );
+        }
+    }
+
     /// Tells hosts what the broker decided.
     fn carry_out(&self) {
         let actions = self.broker.borrow_mut().take_actions();
