--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use bamboo_slots::Ask;
 use bamboo_slots::AskId;
 use bamboo_slots::Broker;
+use bamboo_slots::SETTLE;
 use bamboo_slots::Work;
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
@@ -644,6 +645,16 @@
         }
     }
 
+    /// Deals settled slots between signs of life, until the process ends.
+    pub(crate) async fn settle_forever(self: Rc<Self>) {
+        loop {
+            let has_waiting = self.broker.borrow_mut().settle(self.clock.now());
+            self.carry_out();
+            let pause = if has_waiting { SETTLE } else { BEAT_INTERVAL };
+            actix_rt::time::sleep(pause).await;
+        }
+    }
+
     fn beat(&self) {
         let now = self.clock.now();
         self.choose_coordinator();
--- a/bamboo-gateway/src/run.rs
+++ b/bamboo-gateway/src/run.rs
@@ -54,6 +54,7 @@
         OwnedTask::spawn(follow_config(Rc::clone(&gateway))),
         OwnedTask::spawn(follow_servers(Rc::clone(&gateway))),
         OwnedTask::spawn(Rc::clone(&gateway).beat_forever()),
+        OwnedTask::spawn(Rc::clone(&gateway).settle_forever()),
         OwnedTask::spawn(Rc::clone(&gateway).fetch_configs(followers.config_asks)),
         OwnedTask::spawn(Rc::clone(&gateway).follow_links(followers.broken_links)),
         OwnedTask::spawn(crate::jobs::keep_shards(Rc::clone(&gateway))),
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -23,6 +23,9 @@
 
 /// Time that an online request holds a slot, before any has been seen to end.
 const HOLD_FIRST_GUESS: Duration = Duration::from_millis(700);
+/// Time that a slot is free before a batch item gets it. Within it the next online request of a wave takes the slot,
+/// which spares an item's start and stop.
+pub const SETTLE: Duration = Duration::from_millis(40);
 /// Weight of one more hold time in the running mean.
 const HOLD_MEAN_WEIGHT: f64 = 0.05;
 /// Weight of one more sample, four a second, in the mean number of slots that batch items have: the mean spans some
@@ -103,10 +106,28 @@
     engine: Engine,
     online: Vec<LeaseKey>,
     batch: Vec<LeaseKey>,
+    freed_at: Vec<Duration>,
     health: Health,
 }
 
 impl EngineState {
+    /// Free slots that have been free for a moment: online requests take the others at once in a wave.
+    fn settled_count(&self, now: Duration) -> usize {
+        let fresh = self
+            .freed_at
+            .iter()
+            .filter(|at| now.saturating_sub(**at) < SETTLE)
+            .count();
+        self.engine
+            .slots
+            .saturating_sub(self.running_count() + fresh)
+    }
+
+    fn slot_freed(&mut self, now: Duration) {
+        self.freed_at.retain(|at| now.saturating_sub(*at) < SETTLE);
+        self.freed_at.push(now);
+    }
+
     fn running_count(&self) -> usize {
         self.online.len() + self.batch.len()
     }
@@ -147,6 +168,7 @@
                     engine,
                     online: Vec::new(),
                     batch: Vec::new(),
+                    freed_at: Vec::new(),
                     health: Health::default(),
                 };
                 self.engines.insert(state.engine.server.clone(), state);
@@ -332,6 +354,12 @@
         self.deal(now);
     }
 
+    /// Deals slots to batch items that have been free for a moment. Returns whether items wait.
+    pub fn settle(&mut self, now: Duration) -> bool {
+        self.deal_batch(now);
+        !self.waiting_batch.is_empty()
+    }
+
     /// Sets batch items aside that cannot be done in time beside the others.
     fn plan_batch(&mut self, now: Duration) {
         let running: usize = self.engines.values().map(|state| state.batch.len()).sum();
@@ -427,6 +455,7 @@
         if let Some(state) = self.engines.get_mut(&held.server) {
             state.online.retain(|held| *held != key);
             state.batch.retain(|held| *held != key);
+            state.slot_freed(now);
         }
         if outcome == RunOutcome::Done && matches!(lease.ask.work, Work::Online { .. }) {
             let time = now.saturating_sub(held.since);
@@ -528,7 +557,7 @@
         }
         let has_free = self.engines.values().any(|state| {
             state.engine.is_ready
-                && state.running_count() < state.engine.slots
+                && state.settled_count(now) > 0
                 && state.health.is_usable(state.running_count(), now)
         });
         if !has_free {
@@ -553,7 +582,7 @@
     fn place_batch(&self, ask: &Ask, now: Duration) -> Option<BackendServerId> {
         self.engines
             .values()
-            .filter(|state| state.may_run(ask, now) && state.running_count() < state.engine.slots)
+            .filter(|state| state.may_run(ask, now) && state.settled_count(now) > 0)
             .min_by_key(|state| {
                 let is_far = state.engine.data_centre != ask.data_centre;
                 (is_far, state.running_count())
@@ -571,7 +600,10 @@
             since: now,
         });
         match lease.ask.work {
-            Work::Online { .. } => state.online.push(key),
+            Work::Online { .. } => {
+                state.freed_at.pop();
+                state.online.push(key);
+            }
             Work::Batch { .. } => state.batch.push(key),
         }
         self.actions.push(Action::Grant {
--- a/bamboo-slots/src/lib.rs
+++ b/bamboo-slots/src/lib.rs
@@ -18,6 +18,7 @@
 pub use broker::Broker;
 pub use broker::BrokerLoad;
 pub use broker::Engine;
+pub use broker::SETTLE;
 pub use health::Health;
 pub use order::Planned;
 pub use order::batch_rank;
