feat: a host that cannot reach a shard's owner leaves the job in the store

Change: the host appends the job to a topic of its own, which every owner reads before it opens the shard, follows, and reads once more before it says 404. Calls to a host whose link broke fail at once.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -348,6 +348,11 @@
         self.store.lately()
     }
 
+    /// How long results stay readable after submission, milliseconds.
+    pub(crate) fn results_kept_ms(&self) -> u64 {
+        (self.settings.promises.results_kept_s * 1000.0) as u64
+    }
+
     /// Sends a message to the coordinator, which may be this host.
     pub(crate) fn tell_coordinator(&self, message: PeerMessage) {
         let current = self.coordination.borrow().current().clone();
@@ -607,6 +612,7 @@
     pub(crate) async fn follow_links(self: Rc<Self>, mut broken: mpsc::UnboundedReceiver<HostId>) {
         while let Some(host) = broken.recv().await {
             let now = self.clock.now();
+            self.mesh.fail_calls(&host);
             if self.coordination.borrow_mut().link_broken(&host, now) {
                 self.choose_coordinator();
             }
--- a/bamboo-gateway/src/jobs/calls.rs
+++ b/bamboo-gateway/src/jobs/calls.rs
@@ -6,6 +6,7 @@
 use bamboo_fleet::RouteKind;
 use bamboo_shards::JobRecord;
 use bamboo_shards::Record;
+use bamboo_shards::split;
 use bytes::Bytes;
 use http::HeaderValue;
 use http::Response;
@@ -18,17 +19,23 @@
 use crate::gateway::Gateway;
 use crate::jobs::JobShards;
 use crate::jobs::part::OwnedPart;
+use crate::jobs::part::Reading;
+use crate::jobs::part::SUBMITTED_TOPIC;
 use crate::jobs::part::Stored;
+use crate::jobs::part::read_submitted;
 use crate::mesh::PeerReply;
 use crate::mesh::PeerRequest;
 use crate::store::Partition;
+use crate::store::StoreError;
+use crate::store::StoreReply;
+use crate::store::StoreRequest;
 
 /// Time for an answer of a shard's owner, beyond the time that it may wait.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Time for an answer of a shard's owner to a submission: below the 4 s that callers wait.
-const SUBMIT_TIMEOUT: Duration = Duration::from_millis(3600);
+/// Time for an answer of a shard's owner to a submission: leaves the store time within the 4 s that callers wait.
+const SUBMIT_TIMEOUT: Duration = Duration::from_millis(2400);
 /// Time for the store to take a record that a caller waits for.
-const STORE_PATIENCE: Duration = Duration::from_millis(3000);
+const STORE_PATIENCE: Duration = Duration::from_millis(2200);
 /// Failure of appends after which submissions are refused before they are tried.
 const STORE_FAILING: Duration = Duration::from_millis(400);
 /// Time for the coordinator to reserve room.
@@ -47,6 +54,20 @@
     }
 }
 
+/// The call may have taken effect.
+fn unknown() -> PeerReply {
+    http_reply(StatusCode::GATEWAY_TIMEOUT, Vec::new())
+}
+
+/// Whether the answer says that the call took no effect and may come again.
+fn is_refusal(reply: &PeerReply) -> bool {
+    let refusals = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    matches!(reply, PeerReply::Http { status, .. } if refusals.iter().any(|code| code.as_u16() == *status))
+}
+
 fn not_sure() -> PeerReply {
     http_reply(StatusCode::SERVICE_UNAVAILABLE, Vec::new())
 }
@@ -90,37 +111,107 @@
     ) -> Response<AnswerBody> {
         let partition = self.partition_of(gateway, job);
         let started = gateway.clock.now();
-        let reply = if self.is_here(partition) {
-            Some(self.submit_here(gateway, job, host, path, &body).await)
-        } else {
-            let owner = gateway.coordination.borrow().owner_of(partition);
-            match owner {
-                Some(owner) if owner != gateway.me.host => {
-                    let request = PeerRequest::Submit {
-                        job: job.to_owned(),
-                        host: host.to_owned(),
-                        path: path.to_owned(),
-                        body: body.to_vec(),
-                    };
-                    let reply = gateway
-                        .mesh
-                        .call(&owner, request, SUBMIT_TIMEOUT, started)
-                        .await;
-                    // Without an answer the job may be accepted: that is no promise that it is not.
-                    reply.or_else(|| Some(http_reply(StatusCode::GATEWAY_TIMEOUT, Vec::new())))
-                }
-                _ => Some(not_sure()),
-            }
-        };
-        let response = to_response(reply);
+        let (reply, way) = self
+            .submit_somewhere(gateway, partition, job, host, path, &body)
+            .await;
+        let response = to_response(Some(reply));
         let took_ms = gateway.clock.now().saturating_sub(started).as_millis() as u64;
         log::info!(
-            event = "job_submitted", job, partition, status = response.status().as_u16(), took_ms;
+            event = "job_submitted", job, partition, status = response.status().as_u16(), way, took_ms;
             "job submitted"
         );
         response
     }
 
+    /// Submits a job to the owner of its shard or, where that cannot be reached, to the store.
+    async fn submit_somewhere(
+        &self,
+        gateway: &Rc<Gateway>,
+        partition: Partition,
+        job: &str,
+        host: &str,
+        path: &str,
+        body: &[u8],
+    ) -> (PeerReply, &'static str) {
+        if self.is_here(partition) {
+            let reply = self.submit_here(gateway, job, host, path, body).await;
+            return (reply, "here");
+        }
+        let owner = gateway.coordination.borrow().owner_of(partition);
+        let owner = owner.filter(|owner| *owner != gateway.me.host);
+        let mut may_be_accepted = false;
+        if let Some(owner) = owner {
+            let request = PeerRequest::Submit {
+                job: job.to_owned(),
+                host: host.to_owned(),
+                path: path.to_owned(),
+                body: body.to_vec(),
+            };
+            let now = gateway.clock.now();
+            match gateway
+                .mesh
+                .call(&owner, request, SUBMIT_TIMEOUT, now)
+                .await
+            {
+                Some(PeerReply::Http { status, body })
+                    if status != StatusCode::SERVICE_UNAVAILABLE.as_u16() =>
+                {
+                    return (PeerReply::Http { status, body }, "owner");
+                }
+                Some(_) => {}
+                None => may_be_accepted = true,
+            }
+        }
+        let reply = self
+            .submit_to_store(gateway, partition, job, host, path, body)
+            .await;
+        match may_be_accepted && is_refusal(&reply) {
+            // The owner may have accepted it: that is no promise that it does not run.
+            true => (unknown(), "store"),
+            false => (reply, "store"),
+        }
+    }
+
+    /// Leaves a job in the store for the next owner of its shard.
+    async fn submit_to_store(
+        &self,
+        gateway: &Rc<Gateway>,
+        partition: Partition,
+        job: &str,
+        host: &str,
+        path: &str,
+        body: &[u8],
+    ) -> PeerReply {
+        let record = match job_record(gateway, job, host, path, body) {
+            Ok(record) => Rc::new(record),
+            Err(reply) => return reply,
+        };
+        let records = match Record::Accepted(Rc::clone(&record)).to_bytes() {
+            Ok(bytes) => split(&bytes, gateway.settings.store.record_max_bytes),
+            Err(error) => {
+                log::error!(event = "job_malformed", job; "a job cannot be encoded: {error}");
+                return not_sure();
+            }
+        };
+        let tokens = record.items.iter().map(|item| item.tokens).sum();
+        if let Err(reply) = self.reserve(gateway, &record, tokens).await {
+            return reply;
+        }
+        let request = StoreRequest::Append {
+            topic: SUBMITTED_TOPIC.to_owned(),
+            partition,
+            records,
+            fence: None,
+        };
+        let stored = gateway.store_call(&request).await;
+        self.remove_reserved(&record.route, tokens);
+        match stored {
+            Ok(StoreReply::Appended { .. }) => http_reply(StatusCode::ACCEPTED, Vec::new()),
+            Err(StoreError::Refused(_)) => not_sure(),
+            Ok(_) | Err(StoreError::Unknown(_)) => unknown(),
+        }
+    }
+
     /// Answers a call about a job for a caller.
     pub(crate) async fn call(&self, gateway: &Rc<Gateway>, call: JobCall) -> Response<AnswerBody> {
         let partition = self.partition_of(gateway, call.job());
@@ -182,7 +273,7 @@
         match stored {
             Stored::Yes => http_reply(StatusCode::ACCEPTED, Vec::new()),
             Stored::No => not_sure(),
-            Stored::Unknown => http_reply(StatusCode::GATEWAY_TIMEOUT, Vec::new()),
+            Stored::Unknown => unknown(),
         }
     }
 
@@ -243,6 +334,11 @@
         let Some(part) = self.part(partition).filter(|part| part.is_open()) else {
             return not_sure();
         };
+        let is_known = part.shard.borrow().job(call.job()).is_some();
+        if !is_known && read_submitted(gateway, &part, Duration::ZERO).await != Reading::AtEnd {
+            // Another host may have accepted it.
+            return not_sure();
+        }
         match call {
             JobCall::Read { job, after, wait } => {
                 self.read(gateway, &part, &job, after, wait).await
--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -118,7 +118,7 @@
 }
 
 fn expire_jobs(gateway: &Gateway) {
-    let keep_ms = (gateway.settings.promises.results_kept_s * 1000.0) as u64;
+    let keep_ms = gateway.results_kept_ms();
     let now_ms = gateway.clock.unix_ms();
     for part in gateway.jobs.parts.borrow().values() {
         if part.is_open() {
--- a/bamboo-gateway/src/jobs/part.rs
+++ b/bamboo-gateway/src/jobs/part.rs
@@ -16,6 +16,7 @@
 use bamboo_shards::Shard;
 use bamboo_shards::split;
 use bamboo_types::ItemIndex;
+use bamboo_types::Offset;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesOrdered;
 use tokio::sync::Notify;
@@ -32,6 +33,10 @@
 
 /// Topic of the job shards.
 pub(super) const TOPIC: &str = "bamboo-jobs";
+/// Topic of jobs that other hosts accepted while they could not reach the owner of the shard.
+pub(super) const SUBMITTED_TOPIC: &str = "bamboo-submitted";
+/// How long the store holds a read of such jobs.
+const SUBMITTED_WAIT: Duration = Duration::from_millis(2000);
 /// Pause after a call that the store refused or did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Interval of recording the progress of items: what a lost host costs at most of each.
@@ -84,6 +89,7 @@
     pub(super) listed: Notify,
     tasks: RefCell<Vec<OwnedTask>>,
     runs: RefCell<BTreeMap<(String, ItemIndex), SharedRun>>,
+    submitted: Submitted,
 }
 
 impl OwnedPart {
@@ -102,6 +108,7 @@
             listed: Notify::new(),
             tasks: RefCell::new(Vec::new()),
             runs: RefCell::new(BTreeMap::new()),
+            submitted: Submitted::default(),
         })
     }
 
@@ -285,10 +292,102 @@
     items::start_open_items(&gateway, &part);
     tokio::join!(
         append_forever(&gateway, &part),
-        record_forever(&gateway, &part)
+        record_forever(&gateway, &part),
+        follow_submitted(&gateway, &part),
     );
 }
 
+/// Place in the topic of jobs that other hosts accepted for the shard.
+#[derive(Default)]
+struct Submitted {
+    next: Cell<Offset>,
+    joiner: RefCell<Joiner>,
+}
+
+/// Follows jobs that other hosts accept until the shard is lost.
+async fn follow_submitted(gateway: &Rc<Gateway>, part: &Rc<OwnedPart>) {
+    while !part.is_lost() {
+        if read_submitted(gateway, part, SUBMITTED_WAIT).await == Reading::Failed {
+            actix_rt::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+/// How far a read came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Reading {
+    /// Everything is known.
+    AtEnd,
+    /// There is more.
+    HasMore,
+    /// The store gave no answer.
+    Failed,
+}
+
+/// Takes jobs that other hosts accepted. The store keeps them as long as results are kept, so they need no record in
+/// the shard itself.
+pub(super) async fn read_submitted(
+    gateway: &Rc<Gateway>,
+    part: &Rc<OwnedPart>,
+    wait: Duration,
+) -> Reading {
+    let from = part.submitted.next.get();
+    let request = StoreRequest::Read {
+        topic: SUBMITTED_TOPIC.to_owned(),
+        partition: part.partition,
+        from,
+        wait,
+    };
+    match gateway.store_call(&request).await {
+        Ok(StoreReply::Records { records, end }) => {
+            // Another read may have come further meanwhile.
+            let known = part.submitted.next.get().saturating_sub(from) as usize;
+            for fragment in records.into_iter().skip(known) {
+                part.submitted.next.set(part.submitted.next.get() + 1);
+                take_submitted(gateway, part, &fragment);
+            }
+            match part.submitted.next.get() >= end {
+                true => Reading::AtEnd,
+                false => Reading::HasMore,
+            }
+        }
+        Ok(StoreReply::Trimmed { first }) => {
+            part.submitted.next.set(first);
+            part.submitted.joiner.replace(Joiner::default());
+            Reading::HasMore
+        }
+        Ok(_) | Err(_) => Reading::Failed,
+    }
+}
+
+fn take_submitted(gateway: &Rc<Gateway>, part: &Rc<OwnedPart>, fragment: &[u8]) {
+    let joined = part.submitted.joiner.borrow_mut().push(fragment);
+    let record = match joined {
+        Ok(None) => return,
+        Ok(Some(bytes)) => Record::try_from(bytes.as_slice()).map_err(|error| error.to_string()),
+        Err(error) => Err(error.to_string()),
+    };
+    match record {
+        Ok(Record::Accepted(job)) => {
+            let age_ms = gateway.clock.unix_ms().saturating_sub(job.submitted_at_ms);
+            if age_ms > gateway.results_kept_ms() {
+                return;
+            }
+            let applied = part.shard.borrow_mut().apply(Record::Accepted(job));
+            if let Applied::Accepted(job) = applied
+                && part.is_open()
+            {
+                items::start_job(gateway, part, &job);
+            }
+        }
+        Ok(_) => {}
+        Err(error) => log::error!(
+            event = "record_unreadable", partition = part.partition;
+            "a submitted job is passed over: {error}"
+        ),
+    }
+}
+
 /// Records the progress of running items until the shard is lost.
 async fn record_forever(gateway: &Gateway, part: &OwnedPart) {
     while !part.is_lost() {
@@ -302,10 +401,18 @@
 }
 
 /// Fences earlier owners off and folds the records. Returns whether the shard is still this host's.
-async fn open_part(gateway: &Gateway, part: &OwnedPart) -> anyhow::Result<bool> {
+async fn open_part(gateway: &Rc<Gateway>, part: &Rc<OwnedPart>) -> anyhow::Result<bool> {
     let StoreReply::Appended { mut end, .. } = append(gateway, part, 0, Vec::new()).await else {
         return Ok(false);
     };
+    // Jobs of other hosts come first: the shard's own records hold their results.
+    loop {
+        match read_submitted(gateway, part, Duration::ZERO).await {
+            Reading::AtEnd => break,
+            Reading::HasMore => {}
+            Reading::Failed => actix_rt::time::sleep(RETRY_PAUSE).await,
+        }
+    }
     let mut from = 0;
     let mut joiner = Joiner::default();
     while from < end {
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -24,11 +24,17 @@
 /// Time that a link without traffic is kept.
 const IDLE_LINK_MAX: Duration = Duration::from_secs(30);
 
+/// A call that waits for its answer.
+struct PendingCall {
+    host: HostId,
+    answer: oneshot::Sender<PeerReply>,
+}
+
 /// Links to other hosts and the calls that wait for their answers.
 pub(crate) struct Mesh {
     me: HostInfo,
     links: RefCell<HashMap<HostId, Link>>,
-    pending: RefCell<HashMap<u64, oneshot::Sender<PeerReply>>>,
+    pending: RefCell<HashMap<u64, PendingCall>>,
     next_call: Cell<u64>,
     broken: mpsc::UnboundedSender<HostId>,
 }
@@ -67,7 +73,11 @@
         let call = self.next_call.get();
         self.next_call.set(call + 1);
         let (answer, is_answered) = oneshot::channel();
-        self.pending.borrow_mut().insert(call, answer);
+        let pending = PendingCall {
+            host: host.to_owned(),
+            answer,
+        };
+        self.pending.borrow_mut().insert(call, pending);
         self.send(host, PeerMessage::Request { call, request }, now);
         let reply = tokio::time::timeout(timeout, is_answered).await;
         self.pending.borrow_mut().remove(&call);
@@ -76,12 +86,19 @@
 
     /// Passes an answer on to the call that waits for it.
     pub(crate) fn answered(&self, call: u64, reply: PeerReply) {
-        if let Some(answer) = self.pending.borrow_mut().remove(&call) {
+        if let Some(pending) = self.pending.borrow_mut().remove(&call) {
             // The caller may have given up meanwhile.
-            let _ = answer.send(reply);
+            let _ = pending.answer.send(reply);
         }
     }
 
+    /// Ends calls to a host whose link broke: their answers will not come.
+    pub(crate) fn fail_calls(&self, host: &str) {
+        self.pending
+            .borrow_mut()
+            .retain(|_, pending| pending.host != host);
+    }
+
     /// Closes links that carry nothing.
     pub(crate) fn close_idle(&self, now: Duration) {
         self.links
