--- a/bamboo-gateway/src/jobs/part.rs
+++ b/bamboo-gateway/src/jobs/part.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +25,7 @@
 
 use crate::gateway::Gateway;
 use crate::jobs::items;
+use crate::settings::StoreSettings;
 use crate::store::Fence;
 use crate::store::Partition;
 use crate::store::StoreError;
@@ -50,6 +52,8 @@
 const ORDER_PAUSE: Duration = Duration::from_millis(10);
 /// Repeats after which an append that is out of sequence will never be in it.
 const ORDER_REPEATS_MAX: u32 = 500;
+/// Time for learning whether a record that is taken back is stored: one call of the store.
+const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Bytes that each record costs in an append beside its own.
 const RECORD_OVERHEAD_BYTES: usize = 8;
 
@@ -70,7 +74,7 @@
 struct Pending {
     number: u64,
     record: Record,
-    waiter: Option<oneshot::Sender<()>>,
+    waiter: Option<oneshot::Sender<Stored>>,
 }
 
 /// A shard of this host.
@@ -90,6 +94,7 @@
     tasks: RefCell<Vec<OwnedTask>>,
     runs: RefCell<BTreeMap<(String, ItemIndex), SharedRun>>,
     submitted: Submitted,
+    withdrawn: RefCell<BTreeSet<u64>>,
 }
 
 impl OwnedPart {
@@ -109,6 +114,7 @@
             tasks: RefCell::new(Vec::new()),
             runs: RefCell::new(BTreeMap::new()),
             submitted: Submitted::default(),
+            withdrawn: RefCell::default(),
         })
     }
 
@@ -188,21 +194,26 @@
         self.push(record, None);
     }
 
-    /// Queues a record and waits until it is stored, at most for `patience`.
+    /// Queues a record and waits until it is stored. After `patience` it is taken back, if it surely is not stored.
     pub(super) async fn append_and_wait(&self, record: Record, patience: Duration) -> Stored {
-        let (waiter, stored) = oneshot::channel();
+        let (waiter, mut stored) = oneshot::channel();
         let number = self.push(record, Some(waiter));
-        match tokio::time::timeout(patience, stored).await {
-            Ok(Ok(())) => Stored::Yes,
-            Ok(Err(_)) => Stored::Unknown,
-            Err(_) => match self.withdraw(number) {
-                true => Stored::No,
-                false => Stored::Unknown,
-            },
+        if let Ok(stored) = tokio::time::timeout(patience, &mut stored).await {
+            return stored.unwrap_or(Stored::Unknown);
+        }
+        if self.withdraw(number) {
+            return Stored::No;
+        }
+        self.withdrawn.borrow_mut().insert(number);
+        let stored = tokio::time::timeout(WITHDRAW_TIMEOUT, stored).await;
+        self.withdrawn.borrow_mut().remove(&number);
+        match stored {
+            Ok(stored) => stored.unwrap_or(Stored::Unknown),
+            Err(_) => Stored::Unknown,
         }
     }
 
-    fn push(&self, record: Record, waiter: Option<oneshot::Sender<()>>) -> u64 {
+    fn push(&self, record: Record, waiter: Option<oneshot::Sender<Stored>>) -> u64 {
         let number = self.next_number.get() + 1;
         self.next_number.set(number);
         self.queue.borrow_mut().push_back(Pending {
@@ -233,38 +244,58 @@
         under_way == 0 || (under_way < APPENDS_MAX && has_waiter())
     }
 
-    /// Records for the next append, encoded.
-    fn next_batch(
-        &self,
-        record_max_bytes: usize,
-        append_max_bytes: usize,
-    ) -> (Vec<Pending>, Vec<Vec<u8>>) {
+    /// Records for the next append.
+    fn next_batch(&self, store: &StoreSettings) -> Vec<Pending> {
         let mut queue = self.queue.borrow_mut();
         let mut batch = Vec::new();
-        let mut fragments = Vec::new();
         let mut size_bytes = 0;
         while let Some(pending) = queue.front() {
-            let bytes = match pending.record.to_bytes() {
-                Ok(bytes) => bytes,
-                Err(error) => {
-                    log::error!(event = "record_lost", partition = self.partition; "a record cannot be encoded: {error}");
-                    queue.pop_front();
-                    continue;
-                }
-            };
-            let pieces = split(&bytes, record_max_bytes);
-            let needed_bytes: usize = pieces
+            let needed_bytes: usize = self
+                .fragments(pending, store)
                 .iter()
                 .map(|piece| piece.len() + RECORD_OVERHEAD_BYTES)
                 .sum();
-            if !batch.is_empty() && size_bytes + needed_bytes > append_max_bytes {
+            if !batch.is_empty() && size_bytes + needed_bytes > store.append_max_bytes {
                 break;
             }
             size_bytes += needed_bytes;
-            fragments.extend(pieces);
             batch.extend(queue.pop_front());
         }
-        (batch, fragments)
+        batch
+    }
+
+    /// A record that changes nothing.
+    fn filler(&self, store: &StoreSettings) -> Vec<Vec<u8>> {
+        self.encoded(&Record::Progress(Vec::new()), store)
+    }
+
+    fn fragments(&self, pending: &Pending, store: &StoreSettings) -> Vec<Vec<u8>> {
+        self.encoded(&pending.record, store)
+    }
+
+    /// A record as the store keeps it; nothing if it cannot be encoded.
+    fn encoded(&self, record: &Record, store: &StoreSettings) -> Vec<Vec<u8>> {
+        match record.to_bytes() {
+            Ok(bytes) => split(&bytes, store.record_max_bytes),
+            Err(error) => {
+                log::error!(event = "record_lost", partition = self.partition; "a record cannot be encoded: {error}");
+                Vec::new()
+            }
+        }
+    }
+
+    /// Takes records out of a batch that surely is not stored, if those who wait for them have given up.
+    fn drop_withdrawn(&self, batch: &mut Vec<Pending>) {
+        let withdrawn = self.withdrawn.borrow();
+        let (dropped, kept) = std::mem::take(batch)
+            .into_iter()
+            .partition(|pending| withdrawn.contains(&pending.number));
+        *batch = kept;
+        let dropped: Vec<Pending> = dropped;
+        for waiter in dropped.into_iter().filter_map(|pending| pending.waiter) {
+            // The one who waits may be gone.
+            let _ = waiter.send(Stored::No);
+        }
     }
 }
 
@@ -402,7 +433,8 @@
 
 /// Fences earlier owners off and folds the records. Returns whether the shard is still this host's.
 async fn open_part(gateway: &Rc<Gateway>, part: &Rc<OwnedPart>) -> anyhow::Result<bool> {
-    let StoreReply::Appended { mut end, .. } = append(gateway, part, 0, Vec::new()).await else {
+    let StoreReply::Appended { mut end, .. } = append(gateway, part, 0, &mut Vec::new()).await
+    else {
         return Ok(false);
     };
     // Jobs of other hosts come first: the shard's own records hold their results.
@@ -459,25 +491,36 @@
     Ok(true)
 }
 
-/// Appends under the shard's fence until there is an answer.
+/// Appends a batch under the shard's fence until there is an answer.
 async fn append(
     gateway: &Gateway,
     part: &OwnedPart,
     sequence: u64,
-    records: Vec<Vec<u8>>,
+    batch: &mut Vec<Pending>,
 ) -> StoreReply {
-    let request = StoreRequest::Append {
-        topic: TOPIC.to_owned(),
-        partition: part.partition,
-        records,
-        fence: Some(Fence {
-            producer: format!("shard-{}", part.partition),
-            epoch: part.epoch,
-            sequence,
-        }),
+    let store = &gateway.settings.store;
+    let fence = Fence {
+        producer: format!("shard-{}", part.partition),
+        epoch: part.epoch,
+        sequence,
     };
     let mut order_repeats = 0;
+    let mut may_be_stored = false;
     loop {
+        let mut records: Vec<Vec<u8>> = batch
+            .iter()
+            .flat_map(|pending| part.fragments(pending, store))
+            .collect();
+        if records.is_empty() && sequence > 0 {
+            // Only an append with a record surely takes its place in the sequence.
+            records = part.filler(store);
+        }
+        let request = StoreRequest::Append {
+            topic: TOPIC.to_owned(),
+            partition: part.partition,
+            records,
+            fence: Some(fence.clone()),
+        };
         match gateway.store_call(&request).await {
             Ok(StoreReply::OutOfSequence) if order_repeats < ORDER_REPEATS_MAX => {
                 order_repeats += 1;
@@ -487,10 +530,14 @@
                 part.failing_since.set(None);
                 return reply;
             }
-            Err(StoreError::Refused(_) | StoreError::Unknown(_)) => {
+            Err(error) => {
+                may_be_stored |= matches!(error, StoreError::Unknown(_));
                 let since = part.failing_since.get();
                 part.failing_since
                     .set(Some(since.unwrap_or_else(|| gateway.clock.now())));
+                if !may_be_stored {
+                    part.drop_withdrawn(batch);
+                }
                 actix_rt::time::sleep(RETRY_PAUSE).await;
             }
         }
@@ -503,15 +550,14 @@
     let mut under_way = FuturesOrdered::new();
     while !part.is_lost() {
         while part.wants_append(under_way.len()) {
-            let (batch, fragments) =
-                part.next_batch(store.record_max_bytes, store.append_max_bytes);
+            let mut batch = part.next_batch(store);
             if batch.is_empty() {
                 break;
             }
             sequence += 1;
             let number = sequence;
             under_way.push_back(async move {
-                let reply = append(gateway, part, number, fragments).await;
+                let reply = append(gateway, part, number, &mut batch).await;
                 (reply, batch)
             });
         }
@@ -546,7 +592,7 @@
         }
         if let Some(waiter) = pending.waiter {
             // The one who waits may have given up.
-            let _ = waiter.send(());
+            let _ = waiter.send(Stored::Yes);
         }
     }
     part.listed.notify_waiters();
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cargo build --quiet --workspace
-exec target/debug/bamboo-load quickstart "$@"
+exec "${CARGO_TARGET_DIR:-target}/debug/bamboo-load" quickstart "$@"
