fix: two hosts no longer deal the same slots for seconds after a planned stop

Ruled out: too few slots (142 of 144 in use by both books together, 250 in their sum). Change: a coordinator that follows another names it to its hosts; a question for a sign of life is no report; only the current coordinator's grants and stops count.

--- a/bamboo-coordination/src/coordination.rs
+++ b/bamboo-coordination/src/coordination.rs
@@ -160,6 +160,23 @@
         is_current
     }
 
+    /// Takes note that a host that was the coordinator follows another one, which is alive then. Without it two hosts
+    /// would deal the same slots until both were asked.
+    pub fn named_by_other(&mut self, info: &HostInfo, now: Duration) {
+        if info.host != self.me.host && !self.is_suspect(&info.host, now) {
+            self.learn(info);
+            self.heard.insert(info.host.clone(), now);
+        }
+    }
+
+    /// The coordinator as others are to know it.
+    pub fn current_info(&self) -> HostInfo {
+        self.hosts
+            .get(&self.current)
+            .cloned()
+            .unwrap_or_else(|| self.me.clone())
+    }
+
     /// Takes a sign of life of a host.
     pub fn heard(&mut self, host: &str, now: Duration) {
         self.heard.insert(host.to_owned(), now);
--- a/bamboo-coordination/src/message.rs
+++ b/bamboo-coordination/src/message.rs
@@ -39,6 +39,8 @@
     pub config_version: u64,
     /// Whether it is about to stop.
     pub is_leaving: bool,
+    /// Whether it only asks for a sign of life, and reports to another host.
+    pub is_probe: bool,
 }
 
 /// What the coordinator tells every host.
--- a/bamboo-coordination/tests/coordination.rs
+++ b/bamboo-coordination/tests/coordination.rs
@@ -171,3 +171,20 @@
     assert_eq!(reports.board().owners, [(0, "b".to_owned(), 2)]);
     assert_eq!(reports.drop_lost(at(2_000)), ["a"]);
 }
+
+#[test]
+fn a_coordinator_that_follows_another_takes_its_hosts_along() {
+    let mut coordination = Coordination::new(host("small", 100));
+    coordination.learn(&host("middle", 300));
+    coordination.heard("middle", at(0));
+    coordination.choose(at(0));
+    assert_eq!(coordination.current(), "middle");
+    let restarted = HostInfo {
+        run: 2,
+        ..host("large", 500)
+    };
+    coordination.named_by_other(&restarted, at(250));
+    assert!(coordination.choose(at(260)));
+    assert_eq!(coordination.current(), "large");
+    assert_eq!(coordination.current_info(), restarted);
+}
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 
 use bamboo_coordination::BEAT_INTERVAL;
 use bamboo_coordination::Beat;
+use bamboo_coordination::Board;
 use bamboo_coordination::Coordination;
 use bamboo_coordination::HostInfo;
 use bamboo_coordination::Reports;
@@ -394,15 +395,20 @@
                 config_version,
                 is_leaving,
                 wants_sync,
+                coordinator,
             } => {
                 if wants_sync {
                     let notes = self.asks.notes(self.clock.now());
                     self.tell(&sender.host, PeerMessage::Sync(notes));
                 }
+                let now = self.clock.now();
                 let mut coordination = self.coordination.borrow_mut();
                 if is_leaving {
                     coordination.is_leaving(sender);
                 }
+                if coordinator.host != sender.host {
+                    coordination.named_by_other(&coordinator, now);
+                }
                 if coordination.current() == &sender.host
                     && let Some(board) = board
                 {
@@ -446,13 +452,16 @@
                 self.carry_out();
             }
             PeerMessage::Grant { ask, server } => self.take_grant(&sender.host, ask, server),
-            PeerMessage::Queued { ask } => {
+            PeerMessage::Queued { ask } if self.is_coordinator(&sender.host) => {
                 self.asks.answer(ask, AskAnswer::Queued);
             }
-            PeerMessage::Stop { ask } => self.asks.stop(ask),
-            PeerMessage::Refused { ask, retry_after } => {
+            PeerMessage::Stop { ask } if self.is_coordinator(&sender.host) => self.asks.stop(ask),
+            PeerMessage::Refused { ask, retry_after } if self.is_coordinator(&sender.host) => {
                 self.asks.answer(ask, AskAnswer::Refused(retry_after));
             }
+            // What a host says that is no longer the coordinator comes too late.
+            PeerMessage::Queued { .. } | PeerMessage::Stop { .. } | PeerMessage::Refused { .. } => {
+            }
             PeerMessage::Hello(_)
             | PeerMessage::BeatSeen { .. }
             | PeerMessage::Request { .. }
@@ -460,12 +469,16 @@
         }
     }
 
+    fn is_coordinator(&self, host: &str) -> bool {
+        self.coordination.borrow().current() == host
+    }
+
     fn take_grant(&self, coordinator: &str, ask: AskId, server: BackendServerId) {
         let granted = AskAnswer::Granted(server.clone());
-        if self.asks.answer(ask, granted) {
+        if self.is_coordinator(coordinator) && self.asks.answer(ask, granted) {
             return;
         }
-        // The ask was withdrawn while the grant was on its way.
+        // The ask was withdrawn, or went to another coordinator, while the grant was on its way.
         let release = PeerMessage::Release {
             ask,
             server: Some(server),
@@ -503,6 +516,10 @@
     }
 
     fn take_beat(&self, sender: &HostInfo, beat: Beat, now: Duration) {
+        if beat.is_probe {
+            self.answer_beat(sender, None, false, now);
+            return;
+        }
         let asks: HashSet<AskId> = beat.asks.iter().copied().collect();
         let (known_board, version) = (beat.board, beat.config_version);
         let unknown = self.broker.borrow().unknown_asks(&sender.host, &asks);
@@ -523,14 +540,25 @@
             return;
         }
         let is_same = board.digest() == known_board;
+        self.answer_beat(sender, (!is_same).then_some(board), wants_sync, now);
+        self.learn_config(&sender.host, version);
+    }
+
+    fn answer_beat(
+        &self,
+        sender: &HostInfo,
+        board: Option<Board>,
+        wants_sync: bool,
+        now: Duration,
+    ) {
         let seen = PeerMessage::BeatSeen {
-            board: (!is_same).then_some(board),
+            board,
             config_version: self.config_version(),
             is_leaving: self.is_stopping(),
             wants_sync,
+            coordinator: self.coordination.borrow().current_info(),
         };
         self.mesh.send(&sender.host, seen, now);
-        self.learn_config(&sender.host, version);
     }
 
     /// Fetches a newer configuration from another host unless this host's own watch brings it soon.
@@ -672,10 +700,15 @@
             board: self.coordination.borrow().board_digest(),
             config_version: self.config_version(),
             is_leaving: self.is_stopping(),
+            is_probe: false,
         };
         let probes = self.coordination.borrow_mut().probes(now);
         for host in probes {
-            self.mesh.send(&host, PeerMessage::Beat(beat.clone()), now);
+            let probe = Beat {
+                is_probe: true,
+                ..Beat::default()
+            };
+            self.mesh.send(&host, PeerMessage::Beat(probe), now);
         }
         self.tell_coordinator(PeerMessage::Beat(beat));
         for lost in self.reports.borrow_mut().drop_lost(now) {
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -104,6 +104,8 @@
         is_leaving: bool,
         /// Whether the coordinator lacks asks that the host named.
         wants_sync: bool,
+        /// Host that the sender itself takes for the coordinator.
+        coordinator: HostInfo,
     },
     /// All asks of a host that has a new coordinator.
     Sync(Vec<AskNote>),
