--- a/bamboo-fleet/src/lib.rs
+++ b/bamboo-fleet/src/lib.rs
@@ -5,6 +5,7 @@
 mod config;
 mod directory;
 mod events;
+mod lapsed;
 
 pub use config::EngineProfile;
 pub use config::FleetConfig;
@@ -20,3 +21,4 @@
 pub use directory::ServerState;
 pub use events::EventSplitter;
 pub use events::StreamEvent;
+pub use lapsed::Lapsed;
--- a/bamboo-fleet/tests/fleet.rs
+++ b/bamboo-fleet/tests/fleet.rs
@@ -7,6 +7,7 @@
 use bamboo_fleet::DirectoryChange;
 use bamboo_fleet::EventSplitter;
 use bamboo_fleet::FleetConfig;
+use bamboo_fleet::Lapsed;
 use bamboo_fleet::Route;
 use bamboo_fleet::RouteKind;
 use bamboo_fleet::Server;
@@ -113,3 +114,25 @@
     assert_eq!(events[0].id, Some(4));
     assert_eq!(events[0].data().unwrap(), b"a");
 }
+
+#[test]
+fn servers_that_lapsed_with_the_store_away_have_time_to_come_back() {
+    let at = Duration::from_millis;
+    let mut lapsed = Lapsed::default();
+    lapsed.store_answered(true, at(0));
+    assert!(!lapsed.keeps("s0", at(100)));
+    lapsed.store_answered(false, at(1_000));
+    lapsed.store_answered(true, at(5_000));
+    assert!(lapsed.keeps("s1", at(5_000)));
+    assert!(lapsed.keeps("s2", at(6_000)));
+    lapsed.returned("s1");
+    assert!(lapsed.take_expired(at(7_000)).is_empty());
+    assert_eq!(
+        lapsed
+            .take_expired(at(7_200))
+            .into_iter()
+            .collect::<Vec<_>>(),
+        ["s2"]
+    );
+    assert!(!lapsed.keeps("s3", at(7_300)));
+}
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use bamboo_fleet::DirectoryChange;
+use bamboo_fleet::Lapsed;
+use bamboo_types::BackendServerId;
 use bamboo_types::Offset;
 
 use crate::gateway::Gateway;
@@ -142,10 +144,13 @@
         next: None,
         wait: Duration::ZERO,
     };
+    let mut lapsed = Lapsed::default();
     loop {
-        match follower.read(&gateway).await {
+        let change = follower.read(&gateway).await;
+        lapsed.store_answered(change.is_ok(), gateway.clock.now());
+        match change {
             Ok(Change::All(records)) => {
-                let gone: Vec<String> = gateway
+                let gone: Vec<BackendServerId> = gateway
                     .directory
                     .borrow()
                     .ids()
@@ -153,26 +158,39 @@
                     .filter(|id| !records.iter().any(|record| record.key == *id))
                     .collect();
                 for id in gone {
-                    remove(&gateway, &id, "missing");
+                    lapse(&gateway, &mut lapsed, &id, "missing");
                 }
-                records
-                    .into_iter()
-                    .for_each(|record| take(&gateway, record));
-            }
-            Ok(Change::Some(records)) => {
-                records
-                    .into_iter()
-                    .for_each(|record| take(&gateway, record));
+                take_all(&gateway, &mut lapsed, records);
             }
+            Ok(Change::Some(records)) => take_all(&gateway, &mut lapsed, records),
             Err(_) => {}
         }
+        for id in lapsed.take_expired(gateway.clock.now()) {
+            remove(&gateway, &id, "lapsed");
+        }
         actix_rt::time::sleep(SERVERS_INTERVAL).await;
     }
 }
 
+fn take_all(gateway: &Gateway, lapsed: &mut Lapsed, records: Vec<KeyedRecord>) {
+    for record in records {
+        if record.value.is_none() {
+            lapse(gateway, lapsed, &record.key, "dropped");
+            continue;
+        }
+        lapsed.returned(&record.key);
+        take(gateway, record);
+    }
+}
+
+fn lapse(gateway: &Gateway, lapsed: &mut Lapsed, id: &str, reason: &str) {
+    if !lapsed.keeps(id, gateway.clock.now()) {
+        remove(gateway, id, reason);
+    }
+}
+
 fn take(gateway: &Gateway, record: KeyedRecord) {
     let Some(value) = record.value else {
-        remove(gateway, &record.key, "dropped");
         return;
     };
     let server = match (gateway.dialect.server)(&record.key, &value) {
