fix: a shard's first append goes alone, and every opening has an epoch of its own

Cause: the store takes any number for the first append of an epoch. Two appends under way at that moment could arrive in the other order; the first then was out of sequence for good, and the shard, opened anew in the same generation with the same epoch, stayed so: finished items were thrown away (store-partitions at Quito: 80 of 145 items done, shards lost again every 12 s). Ruled out: another owner (no 'fenced'), the group (same generation throughout). Change: only one append until the first is acknowledged; the epoch is the generation with the number of the opening. Test: jobs_whose_shards_first_append_is_refused_are_all_done, seen to fail without both.

--- a/bamboo-gateway/src/jobs.rs
+++ b/bamboo-gateway/src/jobs.rs
@@ -22,6 +22,9 @@
 pub(crate) use ownership::leave_shards;
 use part::OwnedPart;
 
+/// Openings of shards by one host that have epochs of their own within one generation.
+const OPENINGS_MAX: u64 = 1 << 20;
+
 /// Shards of this host and what it has reserved for them.
 #[derive(Default)]
 pub(crate) struct JobShards {
@@ -31,6 +34,7 @@
     reservation: Cell<u64>,
     reserved_tokens: RefCell<HashMap<String, u64>>,
     item_times: ItemTimes,
+    last_epoch: Cell<u64>,
     config_changes: Notify,
 }
 
@@ -79,6 +83,13 @@
         self.config_changes.notify_waiters();
     }
 
+    /// Epoch for a shard that is opened now: above that of every earlier generation and every earlier opening here.
+    fn next_epoch(&self, generation: u64) -> u64 {
+        let epoch = (generation * OPENINGS_MAX).max(self.last_epoch.get() + 1);
+        self.last_epoch.set(epoch);
+        epoch
+    }
+
     fn part(&self, partition: Partition) -> Option<Rc<OwnedPart>> {
         self.parts.borrow().get(&partition).cloned()
     }
--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -109,7 +109,7 @@
     let mut parts = gateway.jobs.parts.borrow_mut();
     for partition in dealt {
         parts.entry(partition).or_insert_with(|| {
-            let part = OwnedPart::new(partition, generation);
+            let part = OwnedPart::new(partition, gateway.jobs.next_epoch(generation));
             let task = OwnedTask::spawn(serve_part(Rc::clone(gateway), Rc::clone(&part)));
             part.own_task(task);
             part
--- a/bamboo-gateway/src/jobs/part.rs
+++ b/bamboo-gateway/src/jobs/part.rs
@@ -50,8 +50,8 @@
 const APPENDS_MAX: usize = 4;
 /// Pause before an append that came to the store before its predecessor is repeated.
 const ORDER_PAUSE: Duration = Duration::from_millis(10);
-/// Repeats after which an append that is out of sequence will never be in it.
-const ORDER_REPEATS_MAX: u32 = 500;
+/// Repeats after which an append that is out of sequence will never be in it, and the shard is opened anew.
+const ORDER_REPEATS_MAX: u32 = 150;
 /// Time for learning whether a record that is taken back is stored: one call of the store.
 const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Bytes that each record costs in an append beside its own.
@@ -87,6 +87,7 @@
     queue: RefCell<VecDeque<Pending>>,
     next_number: Cell<u64>,
     is_appending: Cell<bool>,
+    has_begun: Cell<bool>,
     wake: Notify,
     failing_since: Cell<Option<Duration>>,
     /// Told when results are listed or a job ends.
@@ -108,6 +109,7 @@
             queue: RefCell::new(VecDeque::new()),
             next_number: Cell::new(0),
             is_appending: Cell::new(false),
+            has_begun: Cell::new(false),
             wake: Notify::new(),
             failing_since: Cell::new(None),
             listed: Notify::new(),
@@ -241,7 +243,8 @@
                 .iter()
                 .any(|pending| pending.waiter.is_some())
         };
-        under_way == 0 || (under_way < APPENDS_MAX && has_waiter())
+        // The store takes any number for the first append of an epoch, so that one goes alone.
+        under_way == 0 || (self.has_begun.get() && under_way < APPENDS_MAX && has_waiter())
     }
 
     /// Records for the next append.
@@ -522,7 +525,13 @@
             fence: Some(fence.clone()),
         };
         match gateway.store_call(&request).await {
-            Ok(StoreReply::OutOfSequence) if order_repeats < ORDER_REPEATS_MAX => {
+            Ok(StoreReply::OutOfSequence { expected }) if order_repeats < ORDER_REPEATS_MAX => {
+                if order_repeats == 0 {
+                    log::info!(
+                        event = "append_early", partition = part.partition, sequence, expected;
+                        "an append is not the next of its epoch yet"
+                    );
+                }
                 order_repeats += 1;
                 actix_rt::time::sleep(ORDER_PAUSE).await;
             }
@@ -564,11 +573,14 @@
         part.is_appending.set(!under_way.is_empty());
         tokio::select! {
             Some((reply, batch)) = under_way.next(), if !under_way.is_empty() => match reply {
-                StoreReply::Appended { .. } => apply_batch(gateway, part, batch),
+                StoreReply::Appended { .. } => {
+                    part.has_begun.set(true);
+                    apply_batch(gateway, part, batch);
+                }
                 reply => {
                     log::warn!(
                         event = "shard_lost", partition = part.partition, epoch = part.epoch, reply:? = reply;
-                        "another host owns the shard"
+                        "the store takes no more appends of this owner"
                     );
                     part.is_lost.set(true);
                     return;
--- a/bamboo-gateway/src/store.rs
+++ b/bamboo-gateway/src/store.rs
@@ -149,7 +149,10 @@
     /// A later writer has shown a higher epoch. Nothing was stored.
     Fenced,
     /// The append is not the next of its epoch. Nothing was stored.
-    OutOfSequence,
+    OutOfSequence {
+        /// Number that the store expects, if it says so.
+        expected: Option<u64>,
+    },
     /// Records from the asked offset on.
     Records {
         /// Offset after the last record of the partition.
