refactor: the gateway's state, its messages and its signs of life are modules of their own

Moves only; jobs of other hosts have a module of their own, too. bamboo-gateway builds by itself again (a log field needed a feature that only the adapter switched on).

--- /dev/null
+++ b/bamboo-gateway/src/gateway/beats.rs
@@ -0,0 +1,139 @@
+//! Signs of life, the choice of the coordinator, and the work that it does between messages.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboo_coordination::BEAT_INTERVAL;
+use bamboo_coordination::Beat;
+use bamboo_slots::AskId;
+use bamboo_slots::SETTLE;
+use bamboo_types::HostId;
+use tokio::sync::mpsc;
+
+use crate::gateway::Gateway;
+use crate::gateway::Phase;
+use crate::mesh::PeerMessage;
+
+impl Gateway {
+    /// Takes note that the coordinator missed an answer. `waited` shows whether this host itself was held up.
+    pub(crate) fn coordinator_is_slow(&self, ask: AskId, waited: Duration) {
+        let now = self.clock.now();
+        log::info!(
+            event = "coordinator_slow", ask, waited_ms = waited.as_millis() as u64;
+            "the coordinator did not answer an ask in time"
+        );
+        self.coordination.borrow_mut().missed_answer(now);
+        self.choose_coordinator();
+    }
+
+    /// Takes note of broken links to other hosts, until the process ends.
+    pub(crate) async fn follow_links(self: Rc<Self>, mut broken: mpsc::UnboundedReceiver<HostId>) {
+        while let Some(host) = broken.recv().await {
+            let now = self.clock.now();
+            self.mesh.fail_calls(&host);
+            if self.coordination.borrow_mut().link_broken(&host, now) {
+                self.choose_coordinator();
+            }
+        }
+    }
+
+    /// Takes note that this host is about to stop, and lets another coordinate.
+    pub(crate) fn begin_stop(&self) {
+        self.phase.send_replace(Phase::Stopping);
+        self.coordination.borrow_mut().is_leaving(&self.me);
+        self.beat();
+    }
+
+    pub(super) fn choose_coordinator(&self) {
+        let now = self.clock.now();
+        let mut coordination = self.coordination.borrow_mut();
+        let before = coordination.current().clone();
+        if !coordination.choose(now) {
+            return;
+        }
+        let current = coordination.current().clone();
+        drop(coordination);
+        log::info!(
+            event = "coordinator", host = current.as_str(), before = before.as_str();
+            "another host coordinates slots"
+        );
+        self.jobs.forget_reservation();
+        self.tell(&current, PeerMessage::Sync(self.asks.notes(now)));
+    }
+
+    /// Signs of life, coordinator and broker, until the process ends.
+    pub(crate) async fn beat_forever(self: Rc<Self>) {
+        loop {
+            self.beat();
+            actix_rt::time::sleep(BEAT_INTERVAL).await;
+        }
+    }
+
+    /// Deals settled slots between signs of life, until the process ends.
+    pub(crate) async fn settle_forever(self: Rc<Self>) {
+        loop {
+            let has_waiting = self.broker.borrow_mut().settle(self.clock.now());
+            self.carry_out();
+            let pause = if has_waiting { SETTLE } else { BEAT_INTERVAL };
+            actix_rt::time::sleep(pause).await;
+        }
+    }
+
+    pub(super) fn beat(&self) {
+        let now = self.clock.now();
+        self.choose_coordinator();
+        let beat = Beat {
+            partitions: self.jobs.owned(),
+            waiting_tokens: self.jobs.waiting_tokens(),
+            reservation: self.jobs.reservation(),
+            asks: self.asks.ids(),
+            board: self.coordination.borrow().board_digest(),
+            config_version: self.config_version(),
+            is_leaving: self.is_stopping(),
+            is_probe: false,
+        };
+        let probes = self.coordination.borrow_mut().probes(now);
+        for host in probes {
+            let probe = Beat {
+                is_probe: true,
+                ..Beat::default()
+            };
+            self.mesh.send(&host, PeerMessage::Beat(probe), now);
+        }
+        self.tell_coordinator(PeerMessage::Beat(beat));
+        for lost in self.reports.borrow_mut().drop_lost(now) {
+            log::warn!(event = "host_lost", host = lost.as_str(); "a host has fallen silent");
+            self.broker.borrow_mut().drop_host(&lost, now);
+        }
+        self.broker.borrow_mut().tick(now);
+        self.carry_out();
+        self.log_load(now);
+        self.directory.borrow_mut().expire(now);
+        self.pool.close_idle(now);
+        self.mesh.close_idle(now);
+        if let Some((host, version)) = self.reports.borrow().newest_config() {
+            self.learn_config(&host, version);
+        }
+    }
+
+    /// Writes the load of the model services once a second, where this host coordinates others.
+    pub(super) fn log_load(&self, now: Duration) {
+        let second = now.as_secs();
+        if self.reports.borrow().host_count() < 2 || self.load_logged_s.replace(second) == second {
+            return;
+        }
+        let Some(config) = self.config() else { return };
+        for service in config
+            .services
+            .values()
+            .filter(|service| service.engine.is_some())
+        {
+            let load = self.broker.borrow().load(&service.name);
+            log::info!(
+                event = "load", service = service.name.as_str(), slots = load.slots,
+                online_running = load.online_running, online_waiting = load.online_waiting,
+                batch_running = load.batch_running, batch_waiting = load.batch_waiting; "slots of a model service"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -0,0 +1,326 @@
+//! Messages of other hosts, and what this host answers.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboo_coordination::Beat;
+use bamboo_coordination::Board;
+use bamboo_coordination::HostInfo;
+use bamboo_coordination::Room;
+use bamboo_slots::Action;
+use bamboo_slots::Ask;
+use bamboo_slots::AskId;
+use bamboo_slots::Work;
+use bamboo_types::BackendServerId;
+use bamboo_types::HostId;
+use tokio::sync::mpsc;
+
+use crate::asks::AskAnswer;
+use crate::gateway::Gateway;
+use crate::mesh::AskNote;
+use crate::mesh::PeerMessage;
+use crate::mesh::PeerReply;
+use crate::mesh::PeerRequest;
+
+/// Time that this host's own watch has to learn of a configuration before it asks another host.
+const CONFIG_PATIENCE: Duration = Duration::from_millis(300);
+/// Time for asking another host for the configuration.
+const CONFIG_TIMEOUT: Duration = Duration::from_millis(800);
+/// Age from which an ask that its host does not name any more is dropped: four beats.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(1);
+
+impl Gateway {
+    /// Sends a message to the coordinator, which may be this host.
+    pub(crate) fn tell_coordinator(&self, message: PeerMessage) {
+        let current = self.coordination.borrow().current().clone();
+        self.tell(&current, message);
+    }
+
+    pub(super) fn tell(&self, host: &str, message: PeerMessage) {
+        match host == self.me.host {
+            true => self.handle(&self.me, message),
+            false => self.mesh.send(host, message, self.clock.now()),
+        }
+    }
+
+    /// Takes note of a host that connected.
+    pub(crate) fn host_connected(&self, info: &HostInfo) {
+        self.coordination.borrow_mut().learn(info);
+    }
+
+    /// Takes a message of another host.
+    pub(crate) fn peer_message(self: &Rc<Self>, sender: &HostInfo, message: PeerMessage) {
+        self.coordination
+            .borrow_mut()
+            .heard(&sender.host, self.clock.now());
+        match message {
+            PeerMessage::Request { call, request } => {
+                let gateway = Rc::clone(self);
+                let sender = sender.host.clone();
+                actix_rt::spawn(async move {
+                    let reply = gateway.answer_request(&sender, request).await;
+                    let now = gateway.clock.now();
+                    gateway
+                        .mesh
+                        .send(&sender, PeerMessage::Reply { call, reply }, now);
+                });
+            }
+            PeerMessage::Reply { call, reply } => self.mesh.answered(call, reply),
+            PeerMessage::BeatSeen {
+                board,
+                config_version,
+                is_leaving,
+                wants_sync,
+                coordinator,
+            } => {
+                if wants_sync {
+                    let notes = self.asks.notes(self.clock.now());
+                    self.tell(&sender.host, PeerMessage::Sync(notes));
+                }
+                let now = self.clock.now();
+                let mut coordination = self.coordination.borrow_mut();
+                if is_leaving {
+                    coordination.is_leaving(sender);
+                }
+                if coordinator.host != sender.host {
+                    coordination.named_by_other(&coordinator, now);
+                }
+                if coordination.current() == &sender.host
+                    && let Some(board) = board
+                {
+                    coordination.take_board(board);
+                }
+                drop(coordination);
+                self.learn_config(&sender.host, config_version);
+            }
+            message => self.handle(sender, message),
+        }
+    }
+
+    /// Messages that a host may also send to itself.
+    pub(super) fn handle(&self, sender: &HostInfo, message: PeerMessage) {
+        let now = self.clock.now();
+        match message {
+            PeerMessage::Beat(beat) => self.take_beat(sender, beat, now),
+            PeerMessage::Sync(notes) => {
+                self.broker.borrow_mut().drop_host(&sender.host, now);
+                for note in notes {
+                    self.take_ask(sender, note, now);
+                }
+                self.carry_out();
+            }
+            PeerMessage::Ask(note) => {
+                self.take_ask(sender, note, now);
+                self.carry_out();
+            }
+            PeerMessage::Release {
+                ask,
+                server,
+                outcome,
+            } => {
+                self.broker.borrow_mut().release(
+                    &sender.host,
+                    ask,
+                    server.as_deref(),
+                    outcome,
+                    now,
+                );
+                self.carry_out();
+            }
+            PeerMessage::Grant { ask, server } => self.take_grant(&sender.host, ask, server),
+            PeerMessage::Queued { ask } if self.is_coordinator(&sender.host) => {
+                self.asks.answer(ask, AskAnswer::Queued);
+            }
+            PeerMessage::Stop { ask } if self.is_coordinator(&sender.host) => self.asks.stop(ask),
+            PeerMessage::Refused { ask, retry_after } if self.is_coordinator(&sender.host) => {
+                self.asks.answer(ask, AskAnswer::Refused(retry_after));
+            }
+            // What a host says that is no longer the coordinator comes too late.
+            PeerMessage::Queued { .. } | PeerMessage::Stop { .. } | PeerMessage::Refused { .. } => {
+            }
+            PeerMessage::Hello(_)
+            | PeerMessage::BeatSeen { .. }
+            | PeerMessage::Request { .. }
+            | PeerMessage::Reply { .. } => {}
+        }
+    }
+
+    pub(super) fn is_coordinator(&self, host: &str) -> bool {
+        self.coordination.borrow().current() == host
+    }
+
+    pub(super) fn take_grant(&self, coordinator: &str, ask: AskId, server: BackendServerId) {
+        let granted = AskAnswer::Granted(server.clone());
+        if self.is_coordinator(coordinator) && self.asks.answer(ask, granted) {
+            return;
+        }
+        // The ask was withdrawn, or went to another coordinator, while the grant was on its way.
+        let release = PeerMessage::Release {
+            ask,
+            server: Some(server),
+            outcome: bamboo_slots::RunOutcome::Cancelled,
+        };
+        self.tell(coordinator, release);
+    }
+
+    pub(super) fn take_ask(&self, sender: &HostInfo, note: AskNote, now: Duration) {
+        let due = match note.due_in_ms {
+            late if late < 0 => now.saturating_sub(Duration::from_millis(late.unsigned_abs())),
+            left => now + Duration::from_millis(left.unsigned_abs()),
+        };
+        let left = Duration::from_millis(note.left_ms);
+        let work = match note.is_online {
+            true => Work::Online {
+                start_by: due,
+                give_up: now + left,
+            },
+            false => Work::Batch { due, left },
+        };
+        let ask = Ask {
+            host: sender.host.clone(),
+            ask: note.ask,
+            service: note.service,
+            data_centre: sender.data_centre.clone(),
+            work,
+            excluded: note.excluded,
+        };
+        let mut broker = self.broker.borrow_mut();
+        match note.server {
+            Some(server) => broker.hold(ask, &server, now),
+            None => broker.ask(ask, now),
+        }
+    }
+
+    pub(super) fn take_beat(&self, sender: &HostInfo, beat: Beat, now: Duration) {
+        if beat.is_probe {
+            self.answer_beat(sender, None, false, now);
+            return;
+        }
+        let asks: HashSet<AskId> = beat.asks.iter().copied().collect();
+        let (known_board, version) = (beat.board, beat.config_version);
+        let unknown = self.broker.borrow().unknown_asks(&sender.host, &asks);
+        let mut reports = self.reports.borrow_mut();
+        let is_new = reports.take(sender, beat, now);
+        let wants_sync = reports.lacks_asks(&sender.host, unknown);
+        let board = reports.board();
+        drop(reports);
+        if is_new {
+            log::info!(event = "host_joined", host = sender.host.as_str(); "a host reports to this coordinator");
+        }
+        self.broker
+            .borrow_mut()
+            .reconcile(&sender.host, &asks, FORGOTTEN_AFTER, now);
+        self.carry_out();
+        if sender.host == self.me.host {
+            self.coordination.borrow_mut().take_board(board);
+            return;
+        }
+        let is_same = board.digest() == known_board;
+        self.answer_beat(sender, (!is_same).then_some(board), wants_sync, now);
+        self.learn_config(&sender.host, version);
+    }
+
+    pub(super) fn answer_beat(
+        &self,
+        sender: &HostInfo,
+        board: Option<Board>,
+        wants_sync: bool,
+        now: Duration,
+    ) {
+        let seen = PeerMessage::BeatSeen {
+            board,
+            config_version: self.config_version(),
+            is_leaving: self.is_stopping(),
+            wants_sync,
+            coordinator: self.coordination.borrow().current_info(),
+        };
+        self.mesh.send(&sender.host, seen, now);
+    }
+
+    /// Fetches a newer configuration from another host unless this host's own watch brings it soon.
+    pub(super) fn learn_config(&self, host: &str, version: u64) {
+        if version <= self.config_version() || self.is_config_asked.replace(true) {
+            return;
+        }
+        // The receiver lives as long as the process.
+        let _ = self.config_asks.send(host.to_owned());
+    }
+
+    /// Fetches the configuration from other hosts that have a newer one, until the process ends.
+    pub(crate) async fn fetch_configs(self: Rc<Self>, mut hosts: mpsc::UnboundedReceiver<HostId>) {
+        while let Some(host) = hosts.recv().await {
+            let before = self.config_version();
+            actix_rt::time::sleep(CONFIG_PATIENCE).await;
+            if self.config_version() == before {
+                let now = self.clock.now();
+                let reply = self
+                    .mesh
+                    .call(&host, PeerRequest::Config, CONFIG_TIMEOUT, now)
+                    .await;
+                if let Some(PeerReply::Config(bytes)) = reply {
+                    self.take_config(&bytes, "host");
+                }
+            }
+            self.is_config_asked.set(false);
+        }
+    }
+
+    pub(super) async fn answer_request(
+        self: &Rc<Self>,
+        sender: &str,
+        request: PeerRequest,
+    ) -> PeerReply {
+        match request {
+            PeerRequest::Submit {
+                job,
+                host,
+                path,
+                body,
+            } => self.jobs.submit_here(self, &job, &host, &path, &body).await,
+            PeerRequest::Job(call) => self.jobs.call_here(self, call).await,
+            PeerRequest::Reserve {
+                route,
+                tokens,
+                max_tokens,
+            } => self.reserve(sender, &route, tokens, max_tokens),
+            PeerRequest::Store(request) => PeerReply::Store(self.store.call(&request).await),
+            PeerRequest::Config => PeerReply::Config(self.config_bytes.borrow().clone()),
+        }
+    }
+
+    /// Reserves room for waiting tokens as the coordinator.
+    pub(crate) fn reserve(
+        &self,
+        host: &str,
+        route: &str,
+        tokens: u64,
+        max_tokens: u64,
+    ) -> PeerReply {
+        let partitions = self.settings.store.shard_count;
+        let mut reports = self.reports.borrow_mut();
+        match reports.reserve(host, route, tokens, max_tokens, partitions) {
+            Room::Reserved(number) => PeerReply::Reserved(Some(number)),
+            Room::Full => PeerReply::Reserved(None),
+            Room::NotSure => PeerReply::NotSure,
+        }
+    }
+
+    /// Tells hosts what the broker decided.
+    pub(super) fn carry_out(&self) {
+        let actions = self.broker.borrow_mut().take_actions();
+        for action in actions {
+            let (host, message) = match action {
+                Action::Grant { host, ask, server } => (host, PeerMessage::Grant { ask, server }),
+                Action::Queue { host, ask } => (host, PeerMessage::Queued { ask }),
+                Action::Stop { host, ask } => (host, PeerMessage::Stop { ask }),
+                Action::Refuse {
+                    host,
+                    ask,
+                    retry_after,
+                } => (host, PeerMessage::Refused { ask, retry_after }),
+            };
+            self.tell(&host, message);
+        }
+    }
+}
--- a/bamboo-gateway/src/jobs.rs
+++ b/bamboo-gateway/src/jobs.rs
@@ -4,6 +4,7 @@
 mod items;
 mod ownership;
 mod part;
+mod submitted;
 
 use std::cell::Cell;
 use std::cell::RefCell;
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -258,7 +258,7 @@
                 headers.append(name, value);
             }
             _ => {
-                log::warn!(event = "item_header", item = item.id.as_str(), name; "a header of an item cannot be sent")
+                log::warn!(event = "item_header", item = item.id.as_str(), name = name.as_str(); "a header of an item cannot be sent")
             }
         }
     }
--- a/bamboo-gateway/src/jobs/part.rs
+++ b/bamboo-gateway/src/jobs/part.rs
@@ -17,7 +17,6 @@
 use bamboo_shards::Shard;
 use bamboo_shards::split;
 use bamboo_types::ItemIndex;
-use bamboo_types::Offset;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesOrdered;
 use tokio::sync::Notify;
@@ -25,6 +24,10 @@
 
 use crate::gateway::Gateway;
 use crate::jobs::items;
+use crate::jobs::submitted::Reading;
+use crate::jobs::submitted::Submitted;
+use crate::jobs::submitted::follow_submitted;
+use crate::jobs::submitted::read_submitted;
 use crate::settings::StoreSettings;
 use crate::store::Fence;
 use crate::store::Partition;
@@ -35,12 +38,8 @@
 
 /// Topic of the job shards.
 pub(super) const TOPIC: &str = "bamboo-jobs";
-/// Topic of jobs that other hosts accepted while they could not reach the owner of the shard.
-pub(super) const SUBMITTED_TOPIC: &str = "bamboo-submitted";
-/// How long the store holds a read of such jobs.
-const SUBMITTED_WAIT: Duration = Duration::from_millis(2000);
 /// Pause after a call that the store refused or did not answer.
-const RETRY_PAUSE: Duration = Duration::from_millis(60);
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Interval of recording the progress of items: what a lost host costs at most of each.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(1000);
 /// Shortest pause between records of progress, as a multiple of the time that the store takes: submissions wait for
@@ -94,7 +93,7 @@
     pub(super) listed: Notify,
     tasks: RefCell<Vec<OwnedTask>>,
     runs: RefCell<BTreeMap<(String, ItemIndex), SharedRun>>,
-    submitted: Submitted,
+    pub(super) submitted: Submitted,
     withdrawn: RefCell<BTreeSet<u64>>,
 }
 
@@ -331,97 +330,6 @@
     );
 }
 
-/// Place in the topic of jobs that other hosts accepted for the shard.
-#[derive(Default)]
-struct Submitted {
-    next: Cell<Offset>,
-    joiner: RefCell<Joiner>,
-}
-
-/// Follows jobs that other hosts accept until the shard is lost.
-async fn follow_submitted(gateway: &Rc<Gateway>, part: &Rc<OwnedPart>) {
-    while !part.is_lost() {
-        if read_submitted(gateway, part, SUBMITTED_WAIT).await == Reading::Failed {
-            actix_rt::time::sleep(RETRY_PAUSE).await;
-        }
-    }
-}
-
-/// How far a read came.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Reading {
-    /// Everything is known.
-    AtEnd,
-    /// There is more.
-    HasMore,
-    /// The store gave no answer.
-    Failed,
-}
-
-/// Takes jobs that other hosts accepted. The store keeps them as long as results are kept, so they need no record in
-/// the shard itself.
-pub(super) async fn read_submitted(
-    gateway: &Rc<Gateway>,
-    part: &Rc<OwnedPart>,
-    wait: Duration,
-) -> Reading {
-    let from = part.submitted.next.get();
-    let request = StoreRequest::Read {
-        topic: SUBMITTED_TOPIC.to_owned(),
-        partition: part.partition,
-        from,
-        wait,
-    };
-    match gateway.store_call(&request).await {
-        Ok(StoreReply::Records { records, end }) => {
-            // Another read may have come further meanwhile.
-            let known = part.submitted.next.get().saturating_sub(from) as usize;
-            for fragment in records.into_iter().skip(known) {
-                part.submitted.next.set(part.submitted.next.get() + 1);
-                take_submitted(gateway, part, &fragment);
-            }
-            match part.submitted.next.get() >= end {
-                true => Reading::AtEnd,
-                false => Reading::HasMore,
-            }
-        }
-        Ok(StoreReply::Trimmed { first }) => {
-            part.submitted.next.set(first);
-            part.submitted.joiner.replace(Joiner::default());
-            Reading::HasMore
-        }
-        Ok(_) | Err(_) => Reading::Failed,
-    }
-}
-
-fn take_submitted(gateway: &Rc<Gateway>, part: &Rc<OwnedPart>, fragment: &[u8]) {
-    let joined = part.submitted.joiner.borrow_mut().push(fragment);
-    let record = match joined {
-        Ok(None) => return,
-        Ok(Some(bytes)) => Record::try_from(bytes.as_slice()).map_err(|error| error.to_string()),
-        Err(error) => Err(error.to_string()),
-    };
-    match record {
-        Ok(Record::Accepted(job)) => {
-            let age_ms = gateway.clock.unix_ms().saturating_sub(job.submitted_at_ms);
-            if age_ms > gateway.results_kept_ms() {
-                return;
-            }
-            let applied = part.shard.borrow_mut().apply(Record::Accepted(job));
-            if let Applied::Accepted(job) = applied
-                && part.is_open()
-            {
-                items::start_job(gateway, part, &job);
-            }
-        }
-        Ok(_) => {}
-        Err(error) => log::error!(
-            event = "record_unreadable", partition = part.partition;
-            "a submitted job is passed over: {error}"
-        ),
-    }
-}
-
 /// Records the progress of running items until the shard is lost.
 async fn record_forever(gateway: &Gateway, part: &OwnedPart) {
     while !part.is_lost() {
--- /dev/null
+++ b/bamboo-gateway/src/jobs/submitted.rs
@@ -0,0 +1,114 @@
+//! Jobs that other hosts accepted while they could not reach the owner of the shard.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboo_shards::Applied;
+use bamboo_shards::Joiner;
+use bamboo_shards::Record;
+use bamboo_types::Offset;
+
+use crate::gateway::Gateway;
+use crate::jobs::items;
+use crate::jobs::part::OwnedPart;
+use crate::jobs::part::RETRY_PAUSE;
+use crate::store::StoreReply;
+use crate::store::StoreRequest;
+
+/// Topic of jobs that other hosts accepted while they could not reach the owner of the shard.
+pub(super) const SUBMITTED_TOPIC: &str = "bamboo-submitted";
+/// How long the store holds a read of such jobs.
+const SUBMITTED_WAIT: Duration = Duration::from_millis(2000);
+
+/// Place in the topic of jobs that other hosts accepted for the shard.
+#[derive(Default)]
+pub(super) struct Submitted {
+    next: Cell<Offset>,
+    joiner: RefCell<Joiner>,
+}
+
+/// Follows jobs that other hosts accept until the shard is lost.
+pub(super) async fn follow_submitted(gateway: &Rc<Gateway>, part: &Rc<OwnedPart>) {
+    while !part.is_lost() {
+        if read_submitted(gateway, part, SUBMITTED_WAIT).await == Reading::Failed {
+            actix_rt::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+/// How far a read came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Reading {
+    /// Everything is known.
+    AtEnd,
+    /// There is more.
+    HasMore,
+    /// The store gave no answer.
+    Failed,
+}
+
+/// Takes jobs that other hosts accepted. The store keeps them as long as results are kept, so they need no record in
+/// the shard itself.
+pub(super) async fn read_submitted(
+    gateway: &Rc<Gateway>,
+    part: &Rc<OwnedPart>,
+    wait: Duration,
+) -> Reading {
+    let from = part.submitted.next.get();
+    let request = StoreRequest::Read {
+        topic: SUBMITTED_TOPIC.to_owned(),
+        partition: part.partition,
+        from,
+        wait,
+    };
+    match gateway.store_call(&request).await {
+        Ok(StoreReply::Records { records, end }) => {
+            // Another read may have come further meanwhile.
+            let known = part.submitted.next.get().saturating_sub(from) as usize;
+            for fragment in records.into_iter().skip(known) {
+                part.submitted.next.set(part.submitted.next.get() + 1);
+                take_submitted(gateway, part, &fragment);
+            }
+            match part.submitted.next.get() >= end {
+                true => Reading::AtEnd,
+                false => Reading::HasMore,
+            }
+        }
+        Ok(StoreReply::Trimmed { first }) => {
+            part.submitted.next.set(first);
+            part.submitted.joiner.replace(Joiner::default());
+            Reading::HasMore
+        }
+        Ok(_) | Err(_) => Reading::Failed,
+    }
+}
+
+fn take_submitted(gateway: &Rc<Gateway>, part: &Rc<OwnedPart>, fragment: &[u8]) {
+    let joined = part.submitted.joiner.borrow_mut().push(fragment);
+    let record = match joined {
+        Ok(None) => return,
+        Ok(Some(bytes)) => Record::try_from(bytes.as_slice()).map_err(|error| error.to_string()),
+        Err(error) => Err(error.to_string()),
+    };
+    match record {
+        Ok(Record::Accepted(job)) => {
+            let age_ms = gateway.clock.unix_ms().saturating_sub(job.submitted_at_ms);
+            if age_ms > gateway.results_kept_ms() {
+                return;
+            }
+            let applied = part.shard.borrow_mut().apply(Record::Accepted(job));
+            if let Applied::Accepted(job) = applied
+                && part.is_open()
+            {
+                items::start_job(gateway, part, &job);
+            }
+        }
+        Ok(_) => {}
+        Err(error) => log::error!(
+            event = "record_unreadable", partition = part.partition;
+            "a submitted job is passed over: {error}"
+        ),
+    }
+}
