fix: streams that cannot be resumed go over connections of their own

Cause: only plain requests that may not be repeated had fresh connections; a stream that cannot be resumed could meet a stale one, or an earlier server's answer too many, and was lost then.

--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -274,6 +274,7 @@
         target: item.path.clone(),
         headers,
         body: Bytes::from(item.body.clone()),
+        is_repeatable: true,
     }
 }
 
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -41,6 +41,8 @@
     pub(crate) headers: HeaderMap,
     /// Body.
     pub(crate) body: Bytes,
+    /// Whether it may run again. One that may not never meets what an earlier answer left on a connection.
+    pub(crate) is_repeatable: bool,
 }
 
 /// Why there is no stream.
@@ -91,7 +93,11 @@
 ) -> Result<EngineStream, OpenError> {
     let names = &gateway.dialect.headers;
     let started = gateway.clock.now();
-    let mut connection = match gateway.pool.take(&server.id, server.address, started) {
+    let idle = request
+        .is_repeatable
+        .then(|| gateway.pool.take(&server.id, server.address, started))
+        .flatten();
+    let mut connection = match idle {
         Some(connection) => connection,
         None => gateway
             .pool
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -89,6 +89,7 @@
         target: request.target.clone(),
         headers: request.headers.clone(),
         body: request.body.clone(),
+        is_repeatable: is_resumable(&request),
     };
     let mut end = RequestEnd::begin(&gateway, &request);
     let found = find_run(
@@ -159,6 +160,17 @@
     response
 }
 
+/// Whether another server can go on with the answer.
+fn is_resumable(request: &CallerRequest) -> bool {
+    matches!(
+        request.route.kind,
+        RouteKind::Streaming {
+            is_resumable: true,
+            ..
+        }
+    )
+}
+
 /// Finds a server that delivers a first event.
 async fn find_run(
     gateway: &Rc<Gateway>,
@@ -168,13 +180,7 @@
     start_by: Duration,
     last_event: Option<u64>,
 ) -> Result<Run, NoRun> {
-    let is_resumable = matches!(
-        request.route.kind,
-        RouteKind::Streaming {
-            is_resumable: true,
-            ..
-        }
-    );
+    let is_resumable = is_resumable(request);
     loop {
         let now = gateway.clock.now();
         if now >= request.limit {
