--- a/bamboo-gateway/src/run.rs
+++ b/bamboo-gateway/src/run.rs
@@ -36,7 +36,7 @@
 pub async fn run(settings: Settings, dialect: Dialect) -> anyhow::Result<()> {
     let callers = listen(settings.caller_address, "callers").await?;
     let ready = listen(settings.ready_address, "readiness").await?;
-    let peers = listen(settings.peer_address(), "hosts").await?;
+    let peers = listen(settings.peer_listen(), "hosts").await?;
     let metrics = listen(
         SocketAddr::new(settings.ip, settings.metrics_port),
         "metrics",
--- a/bamboo-gateway/src/settings.rs
+++ b/bamboo-gateway/src/settings.rs
@@ -54,6 +54,8 @@
     pub ready_address: SocketAddr,
     /// First port for messages between hosts.
     pub peer_port: u16,
+    /// Where other hosts are accepted, if not at `ip` and `peer_port`: behind address translation.
+    pub peer_listen: Option<SocketAddr>,
     /// Port of the metrics.
     pub metrics_port: u16,
     /// Addresses of other hosts; only their IP numbers are used.
@@ -118,6 +120,11 @@
         }
     }
 
+    /// Where other hosts are accepted.
+    pub fn peer_listen(&self) -> SocketAddr {
+        self.peer_listen.unwrap_or(self.peer_address())
+    }
+
     /// Where other hosts reach this one.
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.peer_port)
