fix(gateway): an accepted job is never said to be unknown while shards are dealt anew

Ruled out: a lost record (the job was finished later), a stale board (both hosts answered for themselves).

An owner that does not know a job now reads the shard's end from the store, too: if there is a record that it does not know, another owner has been there, and the answer is 503.

--- a/bamboo-gateway/src/jobs/calls.rs
+++ b/bamboo-gateway/src/jobs/calls.rs
@@ -20,6 +20,7 @@
 use crate::jobs::JobShards;
 use crate::jobs::part::OwnedPart;
 use crate::jobs::part::Stored;
+use crate::jobs::part::is_newest_known;
 use crate::jobs::submitted::Reading;
 use crate::jobs::submitted::SUBMITTED_TOPIC;
 use crate::jobs::submitted::read_submitted;
@@ -72,6 +73,10 @@
     http_reply(StatusCode::SERVICE_UNAVAILABLE, Vec::new())
 }
 
+fn not_found() -> PeerReply {
+    http_reply(StatusCode::NOT_FOUND, Vec::new())
+}
+
 fn to_response(reply: Option<PeerReply>) -> Response<AnswerBody> {
     let (status, body) = match reply {
         Some(PeerReply::Http { status, body }) => (status, body),
@@ -334,17 +339,15 @@
         let Some(part) = self.part(partition).filter(|part| part.is_open()) else {
             return not_sure();
         };
-        let is_known = part.shard.borrow().job(call.job()).is_some();
-        if !is_known && read_submitted(gateway, &part, Duration::ZERO).await != Reading::AtEnd {
-            // Another host may have accepted it.
+        if !self.is_known_or_absent(gateway, &part, call.job()).await {
             return not_sure();
         }
         match call {
             JobCall::Read { job, after, wait } => {
                 self.read(gateway, &part, &job, after, wait).await
             }
-            JobCall::ItemBody { job, item } => self.item_body(gateway, &part, &job, &item),
-            JobCall::End { job } => self.end(gateway, &part, &job).await,
+            JobCall::ItemBody { job, item } => self.item_body(&part, &job, &item),
+            JobCall::End { job } => self.end(&part, &job).await,
         }
     }
 
@@ -353,11 +356,18 @@
         gateway.clock.now() < self.member_until.get()
     }
 
-    fn not_found(&self, gateway: &Gateway) -> PeerReply {
-        match self.is_member(gateway) {
-            true => http_reply(StatusCode::NOT_FOUND, Vec::new()),
-            false => not_sure(),
-        }
+    /// Whether a job is in the shard, or surely was accepted nowhere: neither by another host for this shard, nor by a
+    /// later owner.
+    async fn is_known_or_absent(
+        &self,
+        gateway: &Rc<Gateway>,
+        part: &Rc<OwnedPart>,
+        job: &str,
+    ) -> bool {
+        let is_known = || part.shard.borrow().job(job).is_some();
+        is_known()
+            || (read_submitted(gateway, part, Duration::ZERO).await == Reading::AtEnd
+                && (is_known() || is_newest_known(gateway, part).await))
     }
 
     async fn read(
@@ -374,7 +384,7 @@
             let answer = {
                 let shard = part.shard.borrow();
                 let Some(found) = shard.job(job) else {
-                    return self.not_found(gateway);
+                    return not_found();
                 };
                 let page = found.page(after, PAGE_MAX_BYTES);
                 let is_final = !page.results.is_empty()
@@ -402,24 +412,24 @@
         }
     }
 
-    fn item_body(&self, gateway: &Gateway, part: &OwnedPart, job: &str, item: &str) -> PeerReply {
+    fn item_body(&self, part: &OwnedPart, job: &str, item: &str) -> PeerReply {
         let shard = part.shard.borrow();
         let Some(found) = shard.job(job) else {
-            return self.not_found(gateway);
+            return not_found();
         };
         match found.find_item(item) {
             Some(index) if !found.is_listed(index) && !found.is_ended() => http_reply(
                 StatusCode::OK,
                 found.record.items[index as usize].body.clone(),
             ),
-            _ => self.not_found(gateway),
+            _ => not_found(),
         }
     }
 
-    async fn end(&self, gateway: &Rc<Gateway>, part: &OwnedPart, job: &str) -> PeerReply {
+    async fn end(&self, part: &OwnedPart, job: &str) -> PeerReply {
         let is_ended = match part.shard.borrow().job(job) {
             Some(found) => found.is_ended(),
-            None => return self.not_found(gateway),
+            None => return not_found(),
         };
         if is_ended {
             return http_reply(StatusCode::OK, Vec::new());
--- a/bamboo-gateway/src/jobs/part.rs
+++ b/bamboo-gateway/src/jobs/part.rs
@@ -17,6 +17,7 @@
 use bamboo_shards::Shard;
 use bamboo_shards::split;
 use bamboo_types::ItemIndex;
+use bamboo_types::Offset;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesOrdered;
 use tokio::sync::Notify;
@@ -85,6 +86,8 @@
     is_lost: Cell<bool>,
     queue: RefCell<VecDeque<Pending>>,
     next_number: Cell<u64>,
+    /// Offset after the last record that this owner has folded or stored.
+    end: Cell<Offset>,
     is_appending: Cell<bool>,
     has_begun: Cell<bool>,
     wake: Notify,
@@ -107,6 +110,7 @@
             is_lost: Cell::new(false),
             queue: RefCell::new(VecDeque::new()),
             next_number: Cell::new(0),
+            end: Cell::new(0),
             is_appending: Cell::new(false),
             has_begun: Cell::new(false),
             wake: Notify::new(),
@@ -399,9 +403,26 @@
             Err(_) => actix_rt::time::sleep(RETRY_PAUSE).await,
         }
     }
+    part.end.set(end);
     Ok(true)
 }
 
+/// Whether the store holds no record of the shard that this owner does not know: another owner may have been dealt the
+/// shard without a word, and have accepted jobs since.
+pub(super) async fn is_newest_known(gateway: &Gateway, part: &OwnedPart) -> bool {
+    let request = StoreRequest::Read {
+        topic: TOPIC.to_owned(),
+        partition: part.partition,
+        from: part.end.get(),
+        wait: Duration::ZERO,
+    };
+    match gateway.store_call(&request).await {
+        // Own appends may have been answered meanwhile.
+        Ok(StoreReply::Records { end, .. }) => end <= part.end.get(),
+        Ok(_) | Err(_) => false,
+    }
+}
+
 /// Appends a batch under the shard's fence until there is an answer.
 async fn append(
     gateway: &Gateway,
@@ -481,8 +502,9 @@
         part.is_appending.set(!under_way.is_empty());
         tokio::select! {
             Some((reply, batch)) = under_way.next(), if !under_way.is_empty() => match reply {
-                StoreReply::Appended { .. } => {
+                StoreReply::Appended { end, .. } => {
                     part.has_begun.set(true);
+                    part.end.set(part.end.get().max(end));
                     apply_batch(gateway, part, batch);
                 }
                 reply => {
