fix(coordination): one stall of the coordinator counts as one missed answer

Two misses in a row were enough for each host, so that 25 of 61 hosts took another coordinator for a second, and two hosts dealt the same 623 slots. Ruled out: lost links (none broke at that moment), silence (the coordinator's beats came).

A missed answer now counts only if its ask was sent after the miss before was noticed.

--- a/bamboo-coordination/src/coordination.rs
+++ b/bamboo-coordination/src/coordination.rs
@@ -32,7 +32,7 @@
 const PROBE_MAX: Duration = Duration::from_secs(2);
 /// Hosts that are asked for a sign of life at once.
 const PROBES_AT_ONCE: usize = 3;
-/// Missed answers in a row after which a coordinator is passed over.
+/// Missed answers in a row after which a coordinator is passed over, each to an ask that was sent after the miss before.
 const SLOW_ANSWERS_MAX: u32 = 2;
 
 #[derive(Debug, Default)]
@@ -59,6 +59,7 @@
     current: HostId,
     heard_at: Duration,
     slow_answers: u32,
+    missed_at: Duration,
     board: Board,
     board_digest: u64,
 }
@@ -83,6 +84,7 @@
             leaving: HashMap::new(),
             heard_at: Duration::ZERO,
             slow_answers: 0,
+            missed_at: Duration::ZERO,
             board: Board::default(),
             board_digest: 0,
         }
@@ -187,8 +189,13 @@
         }
     }
 
-    /// Takes note that the coordinator missed an answer.
-    pub fn missed_answer(&mut self, now: Duration) {
+    /// Takes note that the coordinator missed the answer to an ask of `asked_at`. Asks that were under way when a miss
+    /// was noticed show nothing new: one short stall of a loaded coordinator holds up all of them.
+    pub fn missed_answer(&mut self, asked_at: Duration, now: Duration) {
+        if self.slow_answers > 0 && asked_at < self.missed_at {
+            return;
+        }
+        self.missed_at = now;
         self.slow_answers += 1;
         if self.slow_answers >= SLOW_ANSWERS_MAX {
             self.suspect_current(now);
--- a/bamboo-coordination/tests/coordination.rs
+++ b/bamboo-coordination/tests/coordination.rs
@@ -69,13 +69,25 @@
 #[test]
 fn two_missed_answers_are_enough() {
     let mut coordination = small();
-    coordination.missed_answer(at(10));
+    coordination.missed_answer(at(0), at(10));
     assert!(!coordination.choose(at(10)));
-    coordination.missed_answer(at(20));
+    coordination.missed_answer(at(10), at(20));
     assert!(coordination.choose(at(20)));
     assert_eq!(coordination.current(), "middle");
 }
 
+/// Pattern: all hosts start at once, and their asks hold the coordinator up for a moment.
+#[test]
+fn one_stall_is_one_missed_answer() {
+    let mut coordination = small();
+    coordination.missed_answer(at(0), at(60));
+    for ask in 1..40 {
+        coordination.missed_answer(at(ask), at(60 + ask));
+    }
+    assert!(!coordination.choose(at(100)));
+    assert_eq!(coordination.current(), "large");
+}
+
 #[test]
 fn a_broken_link_passes_its_host_over_at_once() {
     let mut coordination = small();
--- a/bamboo-gateway/src/asks.rs
+++ b/bamboo-gateway/src/asks.rs
@@ -240,7 +240,7 @@
                 Ok(answer) => answer,
                 Err(_) if is_queued => return Err(NoSlot::Refused(ANSWER_TIMEOUT)),
                 Err(_) => {
-                    gateway.coordinator_is_slow(open.ask, gateway.clock.now().saturating_sub(now));
+                    gateway.coordinator_is_slow(open.ask, now);
                     return Ok(None);
                 }
             },
--- a/bamboo-gateway/src/gateway/beats.rs
+++ b/bamboo-gateway/src/gateway/beats.rs
@@ -15,14 +15,16 @@
 use crate::mesh::PeerMessage;
 
 impl Gateway {
-    /// Takes note that the coordinator missed an answer. `waited` shows whether this host itself was held up.
-    pub(crate) fn coordinator_is_slow(&self, ask: AskId, waited: Duration) {
+    /// Takes note that the coordinator missed the answer to an ask. The logged wait shows whether this host itself was
+    /// held up.
+    pub(crate) fn coordinator_is_slow(&self, ask: AskId, asked_at: Duration) {
         let now = self.clock.now();
+        let waited = now.saturating_sub(asked_at);
         log::info!(
             event = "coordinator_slow", ask, waited_ms = waited.as_millis() as u64;
             "the coordinator did not answer an ask in time"
         );
-        self.coordination.borrow_mut().missed_answer(now);
+        self.coordination.borrow_mut().missed_answer(asked_at, now);
         self.choose_coordinator();
     }
 
