--- a/bamboo-gateway/src/run.rs
+++ b/bamboo-gateway/src/run.rs
@@ -6,6 +6,7 @@
 
 use anyhow::Context;
 use tokio::net::TcpListener;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -34,6 +35,8 @@
 /// # Errors
 /// Fails if an address of the settings cannot be used.
 pub async fn run(settings: Settings, dialect: Dialect) -> anyhow::Result<()> {
+    // Before anything else: until then a signal ends the process without a planned stop.
+    let signals = Signals::install()?;
     let callers = listen(settings.caller_address, "callers").await?;
     let ready = listen(settings.ready_address, "readiness").await?;
     let peers = listen(settings.peer_listen(), "hosts").await?;
@@ -61,7 +64,7 @@
         OwnedTask::spawn(crate::jobs::keep_hosts(Rc::clone(&gateway))),
         OwnedTask::spawn(serve_callers(Rc::clone(&gateway), callers)),
     ];
-    wait_for_stop(&gateway).await?;
+    wait_for_stop(&gateway, signals).await;
     drop(tasks);
     log::info!(event = "stop"; "gateway has stopped");
     Ok(())
@@ -73,15 +76,28 @@
         .with_context(|| format!("cannot listen on {address} for {whom}"))
 }
 
-async fn wait_for_stop(gateway: &Rc<Gateway>) -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+impl Signals {
+    fn install() -> std::io::Result<Self> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            reload: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
+async fn wait_for_stop(gateway: &Rc<Gateway>, mut signals: Signals) {
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = reload.recv() => {
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.reload.recv() => {
                 // Addresses and limits of a running process do not change; the store brings all else.
                 log::info!(event = "reload"; "settings changed; they are read at the next start");
             }
@@ -99,7 +115,7 @@
         }
         let is_quiet = gateway.open_requests() == 0 && passed > grace.mul_f64(OPEN_SHARE);
         if is_quiet || passed > grace.mul_f64(FINISH_SHARE) {
-            return Ok(());
+            return;
         }
         actix_rt::time::sleep(FINISH_CHECK).await;
     }
