feat(gateway): header limits answer 408 and 431; refusals log their reason; one check for foreign answers

408: a first request whose headers do not arrive within the configured time was cut off without a word. It is answered 408 now. Later heads on a connection stay bounded by the idle time: a 408 there could meet a caller that waits for nothing. 431: limits below what the HTTP library reads at once (8 KiB) did not hold; they do now. A stream that had been sent once without an answer, and was then turned away by six servers, was refused as not run; it is answered 502 now. Only streams that may be resumed could meet it.

--- a/bamboo-gateway/src/asks.rs
+++ b/bamboo-gateway/src/asks.rs
@@ -112,8 +112,10 @@
 /// Why there is no slot.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum NoSlot {
-    /// None in time; try again later.
+    /// The coordinator sees none in time; try again later.
     Refused(Duration),
+    /// The coordinator dealt none in time.
+    TimeUp,
     /// No server of the service is known.
     NoServer,
 }
@@ -238,7 +240,7 @@
             Duration::MAX => answers.recv().await,
             wait => match tokio::time::timeout(wait, answers.recv()).await {
                 Ok(answer) => answer,
-                Err(_) if is_queued => return Err(NoSlot::Refused(ANSWER_TIMEOUT)),
+                Err(_) if is_queued => return Err(NoSlot::TimeUp),
                 Err(_) => {
                     gateway.coordinator_is_slow(open.ask, now);
                     return Ok(None);
--- a/bamboo-gateway/src/traffic/accept.rs
+++ b/bamboo-gateway/src/traffic/accept.rs
@@ -1,5 +1,6 @@
 //! Sockets of callers, of the readiness check and of the metrics.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
@@ -13,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
@@ -112,18 +114,28 @@
         .config()
         .map(|config| config.limits.clone())
         .unwrap_or_default();
+    let idle_max = limits.idle_timeout + IDLE_SLACK;
+    if !matches!(
+        tokio::time::timeout(idle_max, stream.readable()).await,
+        Ok(Ok(()))
+    ) {
+        log::debug!("a connection of a caller ended before its first request");
+        return;
+    }
     let mut phase = gateway.phase.subscribe();
     let service_gateway = Rc::clone(&gateway);
+    let has_head = Rc::new(Cell::new(false));
+    let service_has_head = Rc::clone(&has_head);
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Rc::clone(&service_gateway);
+        service_has_head.set(true);
         async move { Ok::<_, Infallible>(serve_request(gateway, request).await) }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout + IDLE_SLACK)
+        .header_read_timeout(idle_max)
         .max_buf_size(limits.header_max_bytes.max(BUFFER_MIN_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
     // The value that `wait_for` returns locks the phase: it must not live on while the connection is served.
     let closing = async {
         phase
@@ -131,10 +143,21 @@
             .await
             .is_ok()
     };
+    // Later heads on the connection are bounded by the idle time.
+    let first_head_is_late = async {
+        tokio::time::sleep(limits.header_timeout).await;
+        if has_head.get() {
+            std::future::pending::<()>().await;
+        }
+    };
     let ended = tokio::select! {
         ended = &mut connection => ended,
+        () = first_head_is_late => {
+            refuse_late_head(connection.into_parts().io.into_inner()).await;
+            return;
+        }
         _ = closing => {
-            connection.as_mut().graceful_shutdown();
+            Pin::new(&mut connection).graceful_shutdown();
             connection.await
         }
     };
@@ -142,3 +165,17 @@
         log::debug!("connection of a caller ended: {error}");
     }
 }
+
+/// Answers a request whose headers did not arrive in time, and closes the connection.
+async fn refuse_late_head(mut stream: TcpStream) {
+    const LATE_HEAD: &[u8] =
+        b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    log::info!(event = "head_late"; "headers of a request did not arrive in time");
+    let sent = match stream.write_all(LATE_HEAD).await {
+        Ok(()) => stream.shutdown().await,
+        Err(error) => Err(error),
+    };
+    if let Err(error) = sent {
+        log::debug!("a caller left before its late request was refused: {error}");
+    }
+}
--- a/bamboo-gateway/src/traffic/answer.rs
+++ b/bamboo-gateway/src/traffic/answer.rs
@@ -6,8 +6,10 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
+use http::response;
 
 use crate::body::AnswerBody;
+use crate::gateway::Gateway;
 
 /// An answer without a server's part.
 pub(crate) fn own_answer(status: StatusCode, text: &'static str) -> Response<AnswerBody> {
@@ -38,3 +40,21 @@
     }
     response
 }
+
+/// Whether an answer is the server's own answer to this request: it names no other request, is not encoded, and bears
+/// the server's stamp if it is a success.
+pub(crate) fn is_own_answer(gateway: &Gateway, id: &str, head: &response::Parts) -> bool {
+    let names = &gateway.dialect.headers;
+    let echoed = head.headers.get(&names.request_id);
+    let is_other = echoed.is_some_and(|echoed| echoed.as_bytes() != id.as_bytes());
+    let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
+    let is_unstamped = head.status.is_success() && !head.headers.contains_key(&names.server_stamp);
+    let is_foreign = is_other || is_encoded || is_unstamped;
+    if is_foreign {
+        log::info!(
+            event = "foreign_answer", request = id, status = head.status.as_u16(), is_other, is_encoded, is_unstamped;
+            "an answer is not this request's and is thrown away"
+        );
+    }
+    !is_foreign
+}
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -14,13 +14,13 @@
 use http::Method;
 use http::Request;
 use http::StatusCode;
-use http::header;
 use http::response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::gateway::Gateway;
+use crate::traffic::answer::is_own_answer;
 use crate::traffic::pool::Connection;
 
 /// Largest answer of a server that is no stream, bytes.
@@ -145,7 +145,9 @@
         Err(_) => return Err(OpenError::Failed(RunOutcome::Silent)),
     };
     let (head, body) = response.into_parts();
-    check_head(gateway, request, &head)?;
+    if !is_own_answer(gateway, &request.id, &head) {
+        return Err(OpenError::Failed(RunOutcome::Broken));
+    }
     if head.status.is_success() {
         return Ok(EngineStream {
             connection,
@@ -176,27 +178,6 @@
     }
 }
 
-/// Refuses answers that are not the server's answer to this request.
-fn check_head(
-    gateway: &Gateway,
-    request: &EngineRequest,
-    head: &response::Parts,
-) -> Result<(), OpenError> {
-    let names = &gateway.dialect.headers;
-    let echoed = head.headers.get(&names.request_id);
-    let is_other = echoed.is_some_and(|echoed| echoed.as_bytes() != request.id.as_bytes());
-    let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
-    let is_unstamped = head.status.is_success() && !head.headers.contains_key(&names.server_stamp);
-    if is_other || is_encoded || is_unstamped {
-        log::info!(
-            event = "foreign_answer", request = request.id.as_str(), status = head.status.as_u16(),
-            is_other, is_encoded, is_unstamped; "an answer is not this request's and is thrown away"
-        );
-        return Err(OpenError::Failed(RunOutcome::Broken));
-    }
-    Ok(())
-}
-
 impl EngineStream {
     /// The next event; `Silent` after `silence` without one.
     pub(crate) async fn next(&mut self, gateway: &Gateway, silence: Duration) -> Next {
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -12,7 +12,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http::header;
 use http::response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -20,6 +19,7 @@
 
 use crate::body::AnswerBody;
 use crate::gateway::Gateway;
+use crate::traffic::answer::is_own_answer;
 use crate::traffic::answer::not_run;
 use crate::traffic::answer::own_answer;
 use crate::traffic::pool::Connection;
@@ -256,15 +256,7 @@
     bytes: Bytes,
 ) -> Attempt {
     let names = &gateway.dialect.headers;
-    let echoed = head.headers.get(&names.request_id);
-    let is_other = echoed.is_some_and(|echoed| echoed.as_bytes() != request.id.as_bytes());
-    let is_unstamped = head.status.is_success() && !head.headers.contains_key(&names.server_stamp);
-    let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
-    if is_other || is_unstamped || is_encoded {
-        log::info!(
-            event = "foreign_answer", request = request.id.as_str(), status = head.status.as_u16(),
-            is_other, is_encoded, is_unstamped; "an answer is not this request's and is thrown away"
-        );
+    if !is_own_answer(gateway, &request.id, &head) {
         return Attempt::Failed(RunOutcome::Broken);
     }
     if request.body.len() <= EARLY_ANSWER_BYTES {
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -47,6 +47,12 @@
     let Some(config) = gateway.config() else {
         return not_run("no configuration yet\n", NO_CONFIG_RETRY);
     };
+    if head_bytes(&request) > config.limits.header_max_bytes {
+        return own_answer(
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "the headers are too large\n",
+        );
+    }
     let host = host_of(&request);
     let path = request.uri().path();
     let job_call = (gateway.dialect.job_call)(request.method(), request.uri(), request.headers());
@@ -102,6 +108,20 @@
     }
 }
 
+/// Bytes of the request line's target and of the headers, with their separators.
+fn head_bytes(request: &Request<Incoming>) -> usize {
+    const SEPARATOR_BYTES: usize = 4;
+    let target = request
+        .uri()
+        .path_and_query()
+        .map_or(0, |target| target.as_str().len());
+    let headers = request.headers().iter();
+    let headers: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len() + SEPARATOR_BYTES)
+        .sum();
+    target + headers
+}
+
 fn host_of(request: &Request<Incoming>) -> String {
     text_of(request.headers(), &header::HOST)
         .or_else(|| request.uri().host().map(str::to_owned))
@@ -159,6 +179,8 @@
     pub(crate) attempts: u32,
     /// Server that answered.
     pub(crate) server: String,
+    /// Why it was refused, if it was.
+    pub(crate) reason: &'static str,
     is_noted: bool,
 }
 
@@ -173,6 +195,7 @@
             first_byte: None,
             attempts: 0,
             server: String::new(),
+            reason: "",
             is_noted: false,
         }
     }
@@ -213,7 +236,7 @@
         }
         log::info!(
             event = "request", request = self.id.as_str(), route = self.route.as_str(), status = status.as_u16(),
-            outcome, attempts = self.attempts, server = self.server.as_str(), first_byte_ms,
+            outcome, reason = self.reason, attempts = self.attempts, server = self.server.as_str(), first_byte_ms,
             total_ms = now.saturating_sub(self.arrived).as_millis() as u64,
             config_version = self.gateway.config_version(); "request ended"
         );
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -38,6 +38,8 @@
 const GAP_MAX: Duration = Duration::from_millis(130);
 /// Servers that may refuse one request before it is refused to the caller.
 const REFUSALS_MAX: u32 = 6;
+/// When to come back if the coordinator dealt no slot in time: its answer is due within this time.
+const TIME_UP_RETRY: Duration = Duration::from_millis(60);
 /// When to come back if no server of the service is known.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(500);
 
@@ -59,8 +61,8 @@
 enum NoRun {
     /// The server's own failure.
     Answered(Response<AnswerBody>),
-    /// Nothing ran; come back later.
-    Refused(Duration),
+    /// Nothing ran; come back later. With the reason, for the log.
+    Refused(Duration, &'static str),
     /// Something may have run.
     Unknown,
     /// Time is up.
@@ -105,7 +107,8 @@
     let run = match found {
         Ok(run) => run,
         Err(NoRun::Answered(response)) => return end.answer(response, "server_failure"),
-        Err(NoRun::Refused(retry_after)) => {
+        Err(NoRun::Refused(retry_after, reason)) => {
+            end.reason = reason;
             return end.answer(not_run("no slot in time\n", retry_after), "refused");
         }
         Err(NoRun::TimedOut) if !attempts.may_have_run => {
@@ -194,8 +197,13 @@
         let slot = match asked {
             Ok(slot) => slot,
             Err(_) if attempts.may_have_run => return Err(NoRun::Unknown),
-            Err(NoSlot::Refused(retry_after)) => return Err(NoRun::Refused(retry_after)),
-            Err(NoSlot::NoServer) => return Err(NoRun::Refused(NO_SERVER_RETRY)),
+            Err(NoSlot::Refused(retry_after)) => {
+                return Err(NoRun::Refused(retry_after, "coordinator_full"));
+            }
+            Err(NoSlot::TimeUp) => {
+                return Err(NoRun::Refused(TIME_UP_RETRY, "not_dealt_in_time"));
+            }
+            Err(NoSlot::NoServer) => return Err(NoRun::Refused(NO_SERVER_RETRY, "no_server")),
         };
         let sent_at = gateway.clock.now();
         gateway
@@ -234,7 +242,10 @@
                 attempts.count -= 1;
                 attempts.refusals += 1;
                 if attempts.refusals >= REFUSALS_MAX {
-                    return Err(NoRun::Refused(NO_SERVER_RETRY));
+                    return Err(match attempts.may_have_run {
+                        true => NoRun::Unknown,
+                        false => NoRun::Refused(NO_SERVER_RETRY, "servers_refuse"),
+                    });
                 }
             }
             OpenError::Failed(outcome) => {
