--- a/bamboo-coordination/src/coordination.rs
+++ b/bamboo-coordination/src/coordination.rs
@@ -116,11 +116,6 @@
         self.hosts.entry(host).or_insert(info);
     }
 
-    /// All other hosts that are known, whether they live or not.
-    pub fn known_others(&self) -> impl Iterator<Item = &HostId> {
-        self.hosts.keys().filter(|host| **host != self.me.host)
-    }
-
     /// All other hosts that have shown life.
     pub fn others(&self, now: Duration) -> Vec<HostId> {
         self.hosts
--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -150,40 +150,24 @@
         Some(value) => value,
         None => return,
     };
-    // What others listed before is wanted first: it tells how large the fleet is.
-    let mut is_read = read_hosts(&gateway).await;
     while !list_host(&gateway, Some(&value)).await {
         actix_rt::time::sleep(RETRY_PAUSE).await;
     }
-    loop {
-        let pause = if is_read { HOSTS_INTERVAL } else { RETRY_PAUSE };
-        actix_rt::time::sleep(pause).await;
-        is_read = read_hosts(&gateway).await;
-    }
-}
-
-/// Learns of the hosts that are listed. Returns whether the store told them.
-async fn read_hosts(gateway: &Gateway) -> bool {
-    let mut after = None;
     loop {
         let request = StoreRequest::Newest {
-            topic: hosts_topic(gateway),
-            after,
+            topic: hosts_topic(&gateway),
+            after: None,
         };
-        let Ok(StoreReply::Newest {
-            records, has_more, ..
-        }) = gateway.store_call(&request).await
-        else {
-            return false;
+        let pause = match gateway.store_call(&request).await {
+            Ok(StoreReply::Newest { records, .. }) => {
+                for record in records {
+                    learn_host(&gateway, record.value);
+                }
+                HOSTS_INTERVAL
+            }
+            _ => RETRY_PAUSE,
         };
-        after = records.last().map(|record| record.key.clone());
-        for record in records {
-            learn_host(gateway, record.value);
-        }
-        if !has_more || after.is_none() {
-            gateway.has_host_list.send_replace(true);
-            return true;
-        }
+        actix_rt::time::sleep(pause).await;
     }
 }
 
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -5,15 +5,10 @@
 
 use bamboo_fleet::DirectoryChange;
 use bamboo_fleet::Lapsed;
-use bamboo_fleet::Server;
 use bamboo_types::BackendServerId;
 use bamboo_types::Offset;
-use rand::RngExt;
 
 use crate::gateway::Gateway;
-use crate::mesh::PeerReply;
-use crate::mesh::PeerRequest;
-use crate::mesh::ServerList;
 use crate::store::KeyedRecord;
 use crate::store::StoreError;
 use crate::store::StoreReply;
@@ -26,20 +21,6 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Hosts above which a host that starts asks others for the servers: all of them together would read the store for
-/// several seconds after a loss of all hosts (4 s at 100 hosts and 1,000 servers, measured).
-const LARGE_FLEET: usize = 100;
-/// Hosts of a large fleet that read the servers from the store when all start at once.
-const STORE_READERS: f64 = 6.0;
-/// Time for the list of hosts, which tells whether the fleet is large.
-const HOST_LIST_PATIENCE: Duration = Duration::from_millis(400);
-/// Time for asking other hosts before the store is read after all.
-const HOSTS_PATIENCE: Duration = Duration::from_secs(4);
-/// Time for one host's answer: 670 kB of 6,700 servers over the slowest link, 30 Mbit/s, and its connection.
-const HOST_TIMEOUT: Duration = Duration::from_millis(900);
-/// Pause before another host is asked.
-const HOST_PAUSE: Duration = Duration::from_millis(150);
-
 /// A topic that is followed: where the next read starts.
 struct Follower {
     topic: &'static str,
@@ -164,13 +145,6 @@
         wait: Duration::ZERO,
     };
     let mut lapsed = Lapsed::default();
-    if let Some(list) = servers_of_others(&gateway).await {
-        follower.next = Some(list.next);
-        gateway.servers_next.set(follower.next);
-        for server in list.servers {
-            put_server(&gateway, server, list.next);
-        }
-    }
     loop {
         let change = follower.read(&gateway).await;
         lapsed.store_answered(change.is_ok(), gateway.clock.now());
@@ -191,9 +165,6 @@
             Ok(Change::Some(records)) => take_all(&gateway, &mut lapsed, records),
             Err(_) => {}
         }
-        if follower.next.is_some() {
-            gateway.servers_next.set(follower.next);
-        }
         for id in lapsed.take_expired(gateway.clock.now()) {
             remove(&gateway, &id, "lapsed");
         }
@@ -201,47 +172,6 @@
     }
 }
 
-/// The servers as another host knows them, in a large fleet; `None` if the store is to be read.
-async fn servers_of_others(gateway: &Gateway) -> Option<ServerList> {
-    let mut has_host_list = gateway.has_host_list.subscribe();
-    let listed = has_host_list.wait_for(|is_read| *is_read);
-    if tokio::time::timeout(HOST_LIST_PATIENCE, listed)
-        .await
-        .is_err()
-    {
-        return None;
-    }
-    let count = gateway.coordination.borrow().known_others().count();
-    let is_reader = rand::rng().random_bool((STORE_READERS / count.max(1) as f64).min(1.0));
-    if count < LARGE_FLEET || is_reader {
-        return None;
-    }
-    let until = gateway.clock.now() + HOSTS_PATIENCE;
-    while gateway.clock.now() < until {
-        let host = gateway
-            .coordination
-            .borrow()
-            .known_others()
-            .nth(rand::rng().random_range(0..count))
-            .cloned()?;
-        let now = gateway.clock.now();
-        let reply = gateway
-            .mesh
-            .call(&host, PeerRequest::Servers, HOST_TIMEOUT, now)
-            .await;
-        if let Some(PeerReply::Servers(Some(list))) = reply {
-            log::info!(
-                event = "servers_of_host", host = host.as_str(), servers = list.servers.len(), next = list.next;
-                "another host told the servers"
-            );
-            return Some(list);
-        }
-        actix_rt::time::sleep(HOST_PAUSE).await;
-    }
-    log::info!(event = "servers_of_store"; "no other host told the servers in time");
-    None
-}
-
 fn take_all(gateway: &Gateway, lapsed: &mut Lapsed, records: Vec<KeyedRecord>) {
     for record in records {
         if record.value.is_none() {
@@ -274,17 +204,12 @@
             return;
         }
     };
-    put_server(gateway, server, record.offset);
-}
-
-/// Takes what is known of a server from an offset of the store.
-fn put_server(gateway: &Gateway, server: Server, offset: Offset) {
     let change = gateway.directory.borrow_mut().put(server);
     match change {
         DirectoryChange::Updated(server) => {
             log::info!(
                 event = "server", server = server.id.as_str(), service = server.service.as_str(),
-                state:? = server.state, offset; "server updated"
+                state:? = server.state, offset = record.offset; "server updated"
             );
             gateway.put_engine(&server, false);
         }
