perf(coordination): the board is bounded and made only when it changes

Cause as assumed: the coordinator is the busiest host of a large fleet; for each of 1,200 beats a second at 300 hosts it made and encoded a board of all hosts, and each change sent 15 kB to each host. Change: the board is kept until something on it changes, and lists 96 hosts at most: 48 that would coordinate next, and 48 of the rest by hash.

Kept for the bound: what a host is sent no longer grows with the fleet, shown by the_board_of_a_large_fleet_is_bounded_and_changes_little.

--- a/bamboo-coordination/src/coordination.rs
+++ b/bamboo-coordination/src/coordination.rs
@@ -290,7 +290,8 @@
     (first * 2u32.saturating_pow(count.min(8))).min(max)
 }
 
-fn rank(info: &HostInfo) -> (std::cmp::Reverse<u64>, u64, &HostId) {
+/// Order in which hosts coordinate: the first that lives does.
+pub(crate) fn rank(info: &HostInfo) -> (std::cmp::Reverse<u64>, u64, &HostId) {
     (
         std::cmp::Reverse(info.size),
         weight(&info.host, "coordinator"),
--- a/bamboo-coordination/src/reports.rs
+++ b/bamboo-coordination/src/reports.rs
@@ -6,16 +6,24 @@
 
 use bamboo_slots::AskId;
 use bamboo_types::HostId;
+use bamboo_types::weight;
 
 use crate::Beat;
 use crate::Board;
 use crate::HostInfo;
+use crate::coordination::rank;
+use crate::message::Partition;
 
 /// Silence after which the coordinator drops a host: six beats.
 const HOST_LOST_AFTER: Duration = Duration::from_millis(1500);
 /// Share of the waiting tokens that may be given out while some partitions have no known owner.
 const UNSURE_SHARE: f64 = 0.5;
 
+/// Hosts on the board that would coordinate next.
+const LISTED_NEXT: usize = 48;
+/// Further hosts on the board. Both together are more hosts than the users' sites of today and a 4 kB board.
+const LISTED_OTHERS: usize = 48;
+
 #[derive(Debug)]
 struct Report {
     info: HostInfo,
@@ -47,6 +55,8 @@
 #[derive(Debug, Default)]
 pub struct Reports {
     reports: BTreeMap<HostId, Report>,
+    /// The board with its digest, until something on it changes.
+    board: Option<(Board, u64)>,
     reservations: Vec<Reservation>,
     next_reservation: u64,
 }
@@ -54,10 +64,16 @@
 impl Reports {
     /// Takes a sign of life. Returns whether the host is new, or runs anew.
     pub fn take(&mut self, info: &HostInfo, beat: Beat, now: Duration) -> bool {
-        let is_new = self
-            .reports
-            .get(&info.host)
-            .is_none_or(|report| report.info.run != info.run);
+        let before = self.reports.get(&info.host);
+        let is_new = before.is_none_or(|report| report.info.run != info.run);
+        let is_on_board_as_before = before.is_some_and(|report| {
+            report.info == *info
+                && report.beat.partitions == beat.partitions
+                && report.beat.is_leaving == beat.is_leaving
+        });
+        if !is_on_board_as_before {
+            self.board = None;
+        }
         self.reservations.retain(|reservation| {
             reservation.host != info.host || reservation.number > beat.reservation
         });
@@ -113,33 +129,22 @@
             .collect();
         for host in &lost {
             self.reports.remove(host);
+            self.board = None;
         }
         lost
     }
 
-    /// Hosts and owners as they are now.
-    pub fn board(&self) -> Board {
-        let mut owners: BTreeMap<u32, (HostId, u64)> = BTreeMap::new();
-        for (host, report) in &self.reports {
-            for (partition, epoch) in &report.beat.partitions {
-                let owner = owners.entry(*partition).or_insert((host.clone(), *epoch));
-                if *epoch > owner.1 {
-                    *owner = (host.clone(), *epoch);
-                }
-            }
-        }
-        Board {
-            hosts: self
-                .reports
-                .values()
-                .filter(|report| !report.beat.is_leaving)
-                .map(|report| report.info.clone())
-                .collect(),
-            owners: owners
-                .into_iter()
-                .map(|(partition, (host, epoch))| (partition, host, epoch))
-                .collect(),
-        }
+    /// Hosts and owners as they are now, with the digest.
+    pub fn board(&mut self) -> &(Board, u64) {
+        let reports = &self.reports;
+        self.board.get_or_insert_with(|| {
+            let board = Board {
+                hosts: listed_hosts(reports),
+                owners: owners(reports),
+            };
+            let digest = board.digest();
+            (board, digest)
+        })
     }
 
     /// Reserves room for tokens that will wait on a route.
@@ -151,7 +156,7 @@
         max_tokens: u64,
         partition_count: u32,
     ) -> Room {
-        let known = self.board().owners.len() as u32;
+        let known = self.board().0.owners.len() as u32;
         let reported: u64 = self
             .reports
             .values()
@@ -193,3 +198,38 @@
             .max_by_key(|(_, version)| *version)
     }
 }
+
+/// Owners of partitions, each by its newest epoch.
+fn owners(reports: &BTreeMap<HostId, Report>) -> Vec<(Partition, HostId, u64)> {
+    let mut owners: BTreeMap<Partition, (&HostId, u64)> = BTreeMap::new();
+    for (host, report) in reports {
+        for (partition, epoch) in &report.beat.partitions {
+            let owner = owners.entry(*partition).or_insert((host, *epoch));
+            if *epoch > owner.1 {
+                *owner = (host, *epoch);
+            }
+        }
+    }
+    owners
+        .into_iter()
+        .map(|(partition, (host, epoch))| (partition, host.clone(), epoch))
+        .collect()
+}
+
+/// The hosts on the board: all of a small fleet; of a larger one those that would coordinate next, and some of the rest
+/// in case that all of these are lost together. What a host is sent does not grow with the fleet then.
+fn listed_hosts(reports: &BTreeMap<HostId, Report>) -> Vec<HostInfo> {
+    let mut hosts: Vec<&HostInfo> = reports
+        .values()
+        .filter(|report| !report.beat.is_leaving)
+        .map(|report| &report.info)
+        .collect();
+    if hosts.len() > LISTED_NEXT + LISTED_OTHERS {
+        hosts.sort_by_key(|info| rank(info));
+        // By hash, so that a host that comes or goes changes little.
+        hosts[LISTED_NEXT..].sort_by_key(|info| weight(&info.host, "listed"));
+        hosts.truncate(LISTED_NEXT + LISTED_OTHERS);
+        hosts.sort_by_key(|info| &info.host);
+    }
+    hosts.into_iter().cloned().collect()
+}
--- a/bamboo-coordination/tests/coordination.rs
+++ b/bamboo-coordination/tests/coordination.rs
@@ -175,12 +175,13 @@
     reports.take(&host("b", 1), leaving, at(1_000));
     let names: BTreeSet<String> = reports
         .board()
+        .0
         .hosts
         .iter()
         .map(|info| info.host.clone())
         .collect();
     assert_eq!(names, BTreeSet::from(["a".to_owned()]));
-    assert_eq!(reports.board().owners, [(0, "b".to_owned(), 2)]);
+    assert_eq!(reports.board().0.owners, [(0, "b".to_owned(), 2)]);
     assert_eq!(reports.drop_lost(at(2_000)), ["a"]);
 }
 
@@ -200,3 +201,26 @@
     assert_eq!(coordination.current(), "large");
     assert_eq!(coordination.current_info(), restarted);
 }
+
+/// Pattern: a fleet of the size that the users build towards.
+#[test]
+fn the_board_of_a_large_fleet_is_bounded_and_changes_little() {
+    let mut reports = Reports::default();
+    for number in 0..810 {
+        let info = host(&format!("h{number}"), 100 + number % 3);
+        reports.take(&info, beat(&[], 0, 0), at(0));
+    }
+    let (before, digest) = reports.board().clone();
+    assert_eq!(before.hosts.len(), 96);
+    // The host that coordinates next is listed: it is among the largest.
+    assert!(before.hosts.iter().filter(|info| info.size == 102).count() >= 48);
+    reports.take(&host("h0", 100), beat(&[], 7, 1), at(250));
+    assert_eq!(reports.board().1, digest);
+    reports.take(&host("new", 100), beat(&[], 0, 0), at(250));
+    let after = reports.board().0.clone();
+    let kept = after
+        .hosts
+        .iter()
+        .filter(|info| before.hosts.contains(info));
+    assert!(kept.count() >= 95);
+}
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -203,7 +203,8 @@
         let mut reports = self.reports.borrow_mut();
         let is_new = reports.take(sender, beat, now);
         let wants_sync = reports.lacks_asks(&sender.host, unknown);
-        let board = reports.board();
+        let (board, digest) = reports.board();
+        let news = (*digest != known_board).then(|| board.clone());
         drop(reports);
         if is_new {
             log::info!(event = "host_joined", host = sender.host.as_str(); "a host reports to this coordinator");
@@ -213,11 +214,12 @@
             .reconcile(&sender.host, &asks, FORGOTTEN_AFTER, now);
         self.carry_out();
         if sender.host == self.me.host {
-            self.coordination.borrow_mut().take_board(board);
+            if let Some(board) = news {
+                self.coordination.borrow_mut().take_board(board);
+            }
             return;
         }
-        let is_same = board.digest() == known_board;
-        self.answer_beat(sender, (!is_same).then_some(board), wants_sync, now);
+        self.answer_beat(sender, news, wants_sync, now);
         self.learn_config(&sender.host, version);
     }
 
