--- a/bamboo-coordination/src/coordination.rs
+++ b/bamboo-coordination/src/coordination.rs
@@ -125,27 +125,6 @@
             .collect()
     }
 
-    /// The other hosts of this data centre that have shown life, and whether this host ranks before them all: then it
-    /// fetches what they share.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use bamboo_coordination::{Coordination, HostInfo};
-    /// let me = HostInfo { host: "h1".into(), data_centre: "a".into(), size: 500, run: 1 };
-    /// assert_eq!(Coordination::new(me).neighbours(Duration::ZERO), (vec![], true));
-    /// ```
-    pub fn neighbours(&self, now: Duration) -> (Vec<HostId>, bool) {
-        let neighbours: Vec<&HostInfo> = self
-            .hosts
-            .values()
-            .filter(|info| info.host != self.me.host && info.data_centre == self.me.data_centre)
-            .filter(|info| self.is_eligible(info, now))
-            .collect();
-        let is_first = neighbours.iter().all(|info| rank(&self.me) < rank(info));
-        let hosts = neighbours.into_iter().map(|info| info.host.clone());
-        (hosts.collect(), is_first)
-    }
-
     /// Hosts before the coordinator in rank that show no life and should be asked now.
     pub fn probes(&mut self, now: Duration) -> Vec<HostId> {
         let current = self.hosts.get(&self.current).map(rank);
--- a/bamboo-fleet/src/directory.rs
+++ b/bamboo-fleet/src/directory.rs
@@ -7,8 +7,6 @@
 
 use bamboo_types::BackendServerId;
 use bamboo_types::DataCentreId;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::ServiceId;
 
@@ -17,7 +15,7 @@
 const LAPSED_USE: Duration = Duration::from_millis(1200);
 
 /// What a server says of itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerState {
     /// Takes requests.
     Ready,
@@ -26,7 +24,7 @@
 }
 
 /// One backend server.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Server {
     /// Identifier of the server.
     pub id: BackendServerId,
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -17,7 +17,6 @@
 use bamboo_slots::Broker;
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
-use bamboo_types::Offset;
 use rand::RngExt;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -108,8 +107,6 @@
     pub(crate) jobs: JobShards,
     pub(crate) metrics: Metrics,
     pub(crate) phase: watch::Sender<Phase>,
-    /// Offset up to which the servers' entries are known; `None` until they were read.
-    pub(crate) servers_next: Cell<Option<Offset>>,
     is_config_asked: Cell<bool>,
     config_asks: mpsc::UnboundedSender<HostId>,
     open_requests: Cell<usize>,
@@ -155,7 +152,6 @@
             jobs: JobShards::default(),
             metrics: Metrics::default(),
             phase,
-            servers_next: Cell::new(None),
             is_config_asked: Cell::new(false),
             config_asks,
             open_requests: Cell::new(0),
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -8,7 +8,6 @@
 use bamboo_coordination::Board;
 use bamboo_coordination::HostInfo;
 use bamboo_coordination::Room;
-use bamboo_fleet::Server;
 use bamboo_slots::Action;
 use bamboo_slots::Ask;
 use bamboo_slots::AskId;
@@ -23,7 +22,6 @@
 use crate::mesh::PeerMessage;
 use crate::mesh::PeerReply;
 use crate::mesh::PeerRequest;
-use crate::mesh::ServerList;
 
 /// Time that this host's own watch has to learn of a configuration before it asks another host.
 const CONFIG_PATIENCE: Duration = Duration::from_millis(300);
@@ -290,20 +288,9 @@
             } => self.reserve(sender, &route, tokens, max_tokens),
             PeerRequest::Store(request) => PeerReply::Store(self.store.call(&request).await),
             PeerRequest::Config => PeerReply::Config(self.config_bytes.borrow().clone()),
-            PeerRequest::Servers => PeerReply::Servers(self.server_list()),
         }
     }
 
-    fn server_list(&self) -> Option<ServerList> {
-        let next = self.servers_next.get()?;
-        let directory = self.directory.borrow();
-        let servers = directory.iter().map(|server| Server::clone(server));
-        Some(ServerList {
-            next,
-            servers: servers.collect(),
-        })
-    }
-
     /// Reserves room for waiting tokens as the coordinator.
     pub(crate) fn reserve(
         &self,
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -20,7 +20,6 @@
 pub(crate) use message::PeerMessage;
 pub(crate) use message::PeerReply;
 pub(crate) use message::PeerRequest;
-pub(crate) use message::ServerList;
 
 /// Time that a link without traffic is kept.
 const IDLE_LINK_MAX: Duration = Duration::from_secs(30);
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -5,11 +5,9 @@
 use bamboo_coordination::Beat;
 use bamboo_coordination::Board;
 use bamboo_coordination::HostInfo;
-use bamboo_fleet::Server;
 use bamboo_slots::AskId;
 use bamboo_slots::RunOutcome;
 use bamboo_types::BackendServerId;
-use bamboo_types::Offset;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -67,17 +65,6 @@
     Store(StoreRequest),
     /// The configuration as the store holds it.
     Config,
-    /// All servers that the host knows.
-    Servers,
-}
-
-/// Servers as one host knows them.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ServerList {
-    /// Offset in the store from which on entries may be newer.
-    pub next: Offset,
-    /// Servers.
-    pub servers: Vec<Server>,
 }
 
 /// Answer to a call.
@@ -98,8 +85,6 @@
     Store(Result<StoreReply, StoreError>),
     /// Configuration, as the store holds it.
     Config(Vec<u8>),
-    /// Servers; `None` if the host has not read them yet.
-    Servers(Option<ServerList>),
 }
 
 /// A message between hosts.
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -5,15 +5,10 @@
 
 use bamboo_fleet::DirectoryChange;
 use bamboo_fleet::Lapsed;
-use bamboo_fleet::Server;
 use bamboo_types::BackendServerId;
 use bamboo_types::Offset;
-use rand::seq::IndexedRandom;
 
 use crate::gateway::Gateway;
-use crate::mesh::PeerReply;
-use crate::mesh::PeerRequest;
-use crate::mesh::ServerList;
 use crate::store::KeyedRecord;
 use crate::store::StoreError;
 use crate::store::StoreReply;
@@ -26,16 +21,6 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Time in which a host that starts learns of the others before it takes itself for the first of its data centre: some
-/// signs of life.
-const NEIGHBOURS_SETTLE: Duration = Duration::from_secs(1);
-/// Time for asking other hosts before the store is read after all.
-const NEIGHBOURS_PATIENCE: Duration = Duration::from_secs(4);
-/// Time for one host's answer: 670 kB of 6,700 servers over the slowest link, 30 Mbit/s, and its connection.
-const NEIGHBOUR_TIMEOUT: Duration = Duration::from_millis(900);
-/// Pause before another host is asked.
-const NEIGHBOUR_PAUSE: Duration = Duration::from_millis(150);
-
 /// A topic that is followed: where the next read starts.
 struct Follower {
     topic: &'static str,
@@ -91,47 +76,28 @@
         let mut after = None;
         let mut first_end = None;
         loop {
-            let page = self.read_page(gateway, after).await?;
+            let request = StoreRequest::Newest {
+                topic: self.topic.to_owned(),
+                after: after.clone(),
+            };
+            let StoreReply::Newest {
+                records: page,
+                has_more,
+                end,
+            } = gateway.store_call(&request).await?
+            else {
+                return Err(StoreError::Unknown("unexpected answer".to_owned()));
+            };
             // Pages are no snapshot: what changes between them is read again from the first one's end.
-            let end = *first_end.get_or_insert(page.end);
-            after = page.records.last().map(|record| record.key.clone());
-            records.extend(page.records);
-            if !page.has_more || after.is_none() {
+            let end = *first_end.get_or_insert(end);
+            after = page.last().map(|record| record.key.clone());
+            records.extend(page);
+            if !has_more || after.is_none() {
                 self.next = Some(end);
                 return Ok(Change::All(records));
             }
         }
     }
-
-    async fn read_page(
-        &self,
-        gateway: &Gateway,
-        after: Option<String>,
-    ) -> Result<KeyedPage, StoreError> {
-        let request = StoreRequest::Newest {
-            topic: self.topic.to_owned(),
-            after,
-        };
-        match gateway.store_call(&request).await? {
-            StoreReply::Newest {
-                records,
-                has_more,
-                end,
-            } => Ok(KeyedPage {
-                records,
-                has_more,
-                end,
-            }),
-            _ => Err(StoreError::Unknown("unexpected answer".to_owned())),
-        }
-    }
-}
-
-/// One page of the newest records of a topic.
-struct KeyedPage {
-    records: Vec<KeyedRecord>,
-    has_more: bool,
-    end: Offset,
 }
 
 fn split_keyed(record: &[u8], offset: Offset) -> Option<KeyedRecord> {
@@ -179,7 +145,6 @@
         wait: Duration::ZERO,
     };
     let mut lapsed = Lapsed::default();
-    start_servers(&gateway, &mut follower, &mut lapsed).await;
     loop {
         let change = follower.read(&gateway).await;
         lapsed.store_answered(change.is_ok(), gateway.clock.now());
@@ -200,9 +165,6 @@
             Ok(Change::Some(records)) => take_all(&gateway, &mut lapsed, records),
             Err(_) => {}
         }
-        if follower.next.is_some() {
-            gateway.servers_next.set(follower.next);
-        }
         for id in lapsed.take_expired(gateway.clock.now()) {
             remove(&gateway, &id, "lapsed");
         }
@@ -210,60 +172,6 @@
     }
 }
 
-/// Learns of the servers at the start. If there are more than one page of them, the first host of each data centre reads
-/// them all, and the others take them from their neighbours: what all hosts read together would grow with the square of
-/// the fleet.
-async fn start_servers(gateway: &Gateway, follower: &mut Follower, lapsed: &mut Lapsed) {
-    let page = match follower.read_page(gateway, None).await {
-        Ok(page) => page,
-        // The loop that follows reads again.
-        Err(_) => return,
-    };
-    take_all(gateway, lapsed, page.records);
-    if !page.has_more {
-        follower.next = Some(page.end);
-        gateway.servers_next.set(follower.next);
-        return;
-    }
-    let Some(list) = servers_of_neighbours(gateway).await else {
-        return;
-    };
-    follower.next = Some(list.next);
-    gateway.servers_next.set(follower.next);
-    for server in list.servers {
-        put_server(gateway, server, list.next);
-    }
-}
-
-/// The servers as a neighbour knows them; `None` if this host is to read the store.
-async fn servers_of_neighbours(gateway: &Gateway) -> Option<ServerList> {
-    let started = gateway.clock.now();
-    loop {
-        actix_rt::time::sleep(NEIGHBOUR_PAUSE).await;
-        let now = gateway.clock.now();
-        let passed = now.saturating_sub(started);
-        let (neighbours, is_first) = gateway.coordination.borrow().neighbours(now);
-        if (is_first && passed > NEIGHBOURS_SETTLE) || passed > NEIGHBOURS_PATIENCE {
-            log::info!(event = "servers_of_store", is_first; "this host reads all servers from the store");
-            return None;
-        }
-        let Some(host) = neighbours.choose(&mut rand::rng()) else {
-            continue;
-        };
-        let reply = gateway
-            .mesh
-            .call(host, PeerRequest::Servers, NEIGHBOUR_TIMEOUT, now)
-            .await;
-        if let Some(PeerReply::Servers(Some(list))) = reply {
-            log::info!(
-                event = "servers_of_host", host = host.as_str(), servers = list.servers.len(), next = list.next;
-                "a neighbour told the servers"
-            );
-            return Some(list);
-        }
-    }
-}
-
 fn take_all(gateway: &Gateway, lapsed: &mut Lapsed, records: Vec<KeyedRecord>) {
     for record in records {
         if record.value.is_none() {
@@ -296,17 +204,12 @@
             return;
         }
     };
-    put_server(gateway, server, record.offset);
-}
-
-/// Takes what is known of a server from an offset of the store.
-fn put_server(gateway: &Gateway, server: Server, offset: Offset) {
     let change = gateway.directory.borrow_mut().put(server);
     match change {
         DirectoryChange::Updated(server) => {
             log::info!(
                 event = "server", server = server.id.as_str(), service = server.service.as_str(),
-                state:? = server.state, offset; "server updated"
+                state:? = server.state, offset = record.offset; "server updated"
             );
             gateway.put_engine(&server, false);
         }
