refactor: the broker's dealing and a shard's appends are modules of their own

broker.rs (650 lines) becomes broker, deal, engine and lease; part.rs (540) becomes part and append. The loops over waiting online requests and batch items are one. No change of behaviour: tests of bamboo-slots and the process tests pass unchanged.

--- a/bamboo-gateway/src/jobs.rs
+++ b/bamboo-gateway/src/jobs.rs
@@ -1,5 +1,6 @@
 //! Jobs: shards of this host, calls about jobs, and the runs of their items.
 
+mod append;
 mod calls;
 mod items;
 mod ownership;
--- a/bamboo-gateway/src/jobs/part.rs
+++ b/bamboo-gateway/src/jobs/part.rs
@@ -9,30 +9,25 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use bamboo_shards::Applied;
 use bamboo_shards::ItemProgress;
 use bamboo_shards::ItemRun;
 use bamboo_shards::Joiner;
 use bamboo_shards::Record;
 use bamboo_shards::Shard;
-use bamboo_shards::split;
 use bamboo_types::ItemIndex;
 use bamboo_types::Offset;
-use futures_util::StreamExt;
-use futures_util::stream::FuturesOrdered;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use crate::gateway::Gateway;
+use crate::jobs::append::append;
+use crate::jobs::append::append_forever;
 use crate::jobs::items;
 use crate::jobs::submitted::Reading;
 use crate::jobs::submitted::Submitted;
 use crate::jobs::submitted::follow_submitted;
 use crate::jobs::submitted::read_submitted;
-use crate::settings::StoreSettings;
-use crate::store::Fence;
 use crate::store::Partition;
-use crate::store::StoreError;
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
 use crate::task::OwnedTask;
@@ -46,16 +41,8 @@
 /// Shortest pause between records of progress, as a multiple of the time that the store takes: submissions wait for
 /// the append that is under way.
 const PROGRESS_PACE: u32 = 20;
-/// Appends under way at once. The store knows the last five of a writer again.
-const APPENDS_MAX: usize = 4;
-/// Pause before an append that came to the store before its predecessor is repeated.
-const ORDER_PAUSE: Duration = Duration::from_millis(10);
-/// Repeats after which an append that is out of sequence will never be in it, and the shard is opened anew.
-const ORDER_REPEATS_MAX: u32 = 150;
 /// Time for learning whether a record that is taken back is stored: one call of the store.
 const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(1200);
-/// Bytes that each record costs in an append beside its own.
-const RECORD_OVERHEAD_BYTES: usize = 8;
 
 /// Progress of an item, shared by its run and by those who record it.
 pub(super) type SharedRun = Rc<RefCell<ItemRun>>;
@@ -71,10 +58,11 @@
     Unknown,
 }
 
-struct Pending {
-    number: u64,
-    record: Record,
-    waiter: Option<oneshot::Sender<Stored>>,
+/// A record that waits for its append.
+pub(super) struct Pending {
+    pub(super) number: u64,
+    pub(super) record: Record,
+    pub(super) waiter: Option<oneshot::Sender<Stored>>,
 }
 
 /// A shard of this host.
@@ -83,21 +71,21 @@
     pub(super) epoch: u64,
     pub(super) shard: RefCell<Shard>,
     is_open: Cell<bool>,
-    is_lost: Cell<bool>,
-    queue: RefCell<VecDeque<Pending>>,
+    pub(super) is_lost: Cell<bool>,
+    pub(super) queue: RefCell<VecDeque<Pending>>,
     next_number: Cell<u64>,
     /// Offset after the last record that this owner has folded or stored.
-    end: Cell<Offset>,
-    is_appending: Cell<bool>,
-    has_begun: Cell<bool>,
-    wake: Notify,
-    failing_since: Cell<Option<Duration>>,
+    pub(super) end: Cell<Offset>,
+    pub(super) is_appending: Cell<bool>,
+    pub(super) has_begun: Cell<bool>,
+    pub(super) wake: Notify,
+    pub(super) failing_since: Cell<Option<Duration>>,
     /// Told when results are listed or a job ends.
     pub(super) listed: Notify,
     tasks: RefCell<Vec<OwnedTask>>,
     runs: RefCell<BTreeMap<(String, ItemIndex), SharedRun>>,
     pub(super) submitted: Submitted,
-    withdrawn: RefCell<BTreeSet<u64>>,
+    pub(super) withdrawn: RefCell<BTreeSet<u64>>,
 }
 
 impl OwnedPart {
@@ -237,72 +225,6 @@
         queue.retain(|pending| pending.number != number);
         queue.len() < before
     }
-
-    /// Whether another append may start beside those under way: one at a time, but that nobody who waits is held up.
-    fn wants_append(&self, under_way: usize) -> bool {
-        let has_waiter = || {
-            self.queue
-                .borrow()
-                .iter()
-                .any(|pending| pending.waiter.is_some())
-        };
-        // The store takes any number for the first append of an epoch, so that one goes alone.
-        under_way == 0 || (self.has_begun.get() && under_way < APPENDS_MAX && has_waiter())
-    }
-
-    /// Records for the next append.
-    fn next_batch(&self, store: &StoreSettings) -> Vec<Pending> {
-        let mut queue = self.queue.borrow_mut();
-        let mut batch = Vec::new();
-        let mut size_bytes = 0;
-        while let Some(pending) = queue.front() {
-            let needed_bytes: usize = self
-                .fragments(pending, store)
-                .iter()
-                .map(|piece| piece.len() + RECORD_OVERHEAD_BYTES)
-                .sum();
-            if !batch.is_empty() && size_bytes + needed_bytes > store.append_max_bytes {
-                break;
-            }
-            size_bytes += needed_bytes;
-            batch.extend(queue.pop_front());
-        }
-        batch
-    }
-
-    /// A record that changes nothing.
-    fn filler(&self, store: &StoreSettings) -> Vec<Vec<u8>> {
-        self.encoded(&Record::Progress(Vec::new()), store)
-    }
-
-    fn fragments(&self, pending: &Pending, store: &StoreSettings) -> Vec<Vec<u8>> {
-        self.encoded(&pending.record, store)
-    }
-
-    /// A record as the store keeps it; nothing if it cannot be encoded.
-    fn encoded(&self, record: &Record, store: &StoreSettings) -> Vec<Vec<u8>> {
-        match record.to_bytes() {
-            Ok(bytes) => split(&bytes, store.record_max_bytes),
-            Err(error) => {
-                log::error!(event = "record_lost", partition = self.partition; "a record cannot be encoded: {error}");
-                Vec::new()
-            }
-        }
-    }
-
-    /// Takes records out of a batch that surely is not stored, if those who wait for them have given up.
-    fn drop_withdrawn(&self, batch: &mut Vec<Pending>) {
-        let withdrawn = self.withdrawn.borrow();
-        let (dropped, kept) = std::mem::take(batch)
-            .into_iter()
-            .partition(|pending| withdrawn.contains(&pending.number));
-        *batch = kept;
-        let dropped: Vec<Pending> = dropped;
-        for waiter in dropped.into_iter().filter_map(|pending| pending.waiter) {
-            // The one who waits may be gone.
-            let _ = waiter.send(Stored::No);
-        }
-    }
 }
 
 /// Takes a shard over and serves its appends until it is lost.
@@ -422,120 +344,3 @@
         Ok(_) | Err(_) => false,
     }
 }
-
-/// Appends a batch under the shard's fence until there is an answer.
-async fn append(
-    gateway: &Gateway,
-    part: &OwnedPart,
-    sequence: u64,
-    batch: &mut Vec<Pending>,
-) -> StoreReply {
-    let store = &gateway.settings.store;
-    let fence = Fence {
-        producer: format!("shard-{}", part.partition),
-        epoch: part.epoch,
-        sequence,
-    };
-    let mut order_repeats = 0;
-    let mut may_be_stored = false;
-    loop {
-        let mut records: Vec<Vec<u8>> = batch
-            .iter()
-            .flat_map(|pending| part.fragments(pending, store))
-            .collect();
-        if records.is_empty() && sequence > 0 {
-            // Only an append with a record surely takes its place in the sequence.
-            records = part.filler(store);
-        }
-        let request = StoreRequest::Append {
-            topic: TOPIC.to_owned(),
-            partition: part.partition,
-            records,
-            fence: Some(fence.clone()),
-        };
-        match gateway.store_call(&request).await {
-            Ok(StoreReply::OutOfSequence { expected }) if order_repeats < ORDER_REPEATS_MAX => {
-                if order_repeats == 0 {
-                    log::info!(
-                        event = "append_early", partition = part.partition, sequence, expected;
-                        "an append is not the next of its epoch yet"
-                    );
-                }
-                order_repeats += 1;
-                actix_rt::time::sleep(ORDER_PAUSE).await;
-            }
-            Ok(reply) => {
-                part.failing_since.set(None);
-                return reply;
-            }
-            Err(error) => {
-                may_be_stored |= matches!(error, StoreError::Unknown(_));
-                let since = part.failing_since.get();
-                part.failing_since
-                    .set(Some(since.unwrap_or_else(|| gateway.clock.now())));
-                if !may_be_stored {
-                    part.drop_withdrawn(batch);
-                }
-                actix_rt::time::sleep(RETRY_PAUSE).await;
-            }
-        }
-    }
-}
-
-async fn append_forever(gateway: &Rc<Gateway>, part: &Rc<OwnedPart>) {
-    let store = &gateway.settings.store;
-    let mut sequence = 0;
-    let mut under_way = FuturesOrdered::new();
-    while !part.is_lost() {
-        while part.wants_append(under_way.len()) {
-            let mut batch = part.next_batch(store);
-            if batch.is_empty() {
-                break;
-            }
-            sequence += 1;
-            let number = sequence;
-            under_way.push_back(async move {
-                let reply = append(gateway, part, number, &mut batch).await;
-                (reply, batch)
-            });
-        }
-        part.is_appending.set(!under_way.is_empty());
-        tokio::select! {
-            Some((reply, batch)) = under_way.next(), if !under_way.is_empty() => match reply {
-                StoreReply::Appended { end, .. } => {
-                    part.has_begun.set(true);
-                    part.end.set(part.end.get().max(end));
-                    apply_batch(gateway, part, batch);
-                }
-                reply => {
-                    log::warn!(
-                        event = "shard_lost", partition = part.partition, epoch = part.epoch, reply:? = reply;
-                        "the store takes no more appends of this owner"
-                    );
-                    part.is_lost.set(true);
-                    return;
-                }
-            },
-            () = part.wake.notified() => {}
-        }
-    }
-}
-
-/// Folds records that the store holds, and tells those who wait for them.
-fn apply_batch(gateway: &Rc<Gateway>, part: &Rc<OwnedPart>, batch: Vec<Pending>) {
-    for pending in batch {
-        let applied = part.shard.borrow_mut().apply(pending.record);
-        match &applied {
-            Applied::Accepted(job) => items::start_job(gateway, part, job),
-            Applied::Listed(_, items) => {
-                items.iter().for_each(|_| gateway.metrics.item("listed"));
-            }
-            Applied::Ended(_) | Applied::Nothing => {}
-        }
-        if let Some(waiter) = pending.waiter {
-            // The one who waits may have given up.
-            let _ = waiter.send(Stored::Yes);
-        }
-    }
-    part.listed.notify_waiters();
-}
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -5,52 +5,31 @@
 use std::time::Duration;
 
 use bamboo_types::BackendServerId;
-use bamboo_types::DataCentreId;
 use bamboo_types::HostId;
 use slotmap::SlotMap;
 
 use crate::Action;
 use crate::Ask;
 use crate::AskId;
+use crate::Engine;
 use crate::Health;
 use crate::Planned;
 use crate::RunOutcome;
 use crate::Work;
-use crate::batch_rank;
-use crate::online_rank;
+use crate::engine::EngineState;
+use crate::lease::Held;
+use crate::lease::Lease;
+use crate::lease::LeaseKey;
 use crate::set_aside;
 
 /// Time that an online request holds a slot, before any has been seen to end.
 const HOLD_FIRST_GUESS: Duration = Duration::from_millis(700);
-/// Time that a slot is free before a batch item gets it. Within it the next online request of a wave takes the slot,
-/// which spares an item's start and stop.
-pub const SETTLE: Duration = Duration::from_millis(40);
 /// Weight of one more hold time in the running mean.
 const HOLD_MEAN_WEIGHT: f64 = 0.05;
 /// Weight of one more sample, four a second, in the mean number of slots that batch items have: the mean spans some
 /// waves of online requests.
 const BATCH_SLOTS_WEIGHT: f64 = 0.03;
 
-slotmap::new_key_type! {
-    /// Key of a lease.
-    struct LeaseKey;
-}
-
-/// A model engine, as the broker needs it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Engine {
-    /// Server.
-    pub server: BackendServerId,
-    /// Service.
-    pub service: String,
-    /// Data centre.
-    pub data_centre: DataCentreId,
-    /// Requests that it runs at once.
-    pub slots: usize,
-    /// Whether it takes new requests.
-    pub is_ready: bool,
-}
-
 /// Counts of a service, for metrics and for refusing early.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct BrokerLoad {
@@ -66,91 +45,18 @@
     pub batch_waiting: usize,
 }
 
-#[derive(Debug)]
-struct Lease {
-    ask: Ask,
-    since: Duration,
-    held: Option<Held>,
-    is_set_aside: bool,
-}
-
-impl Lease {
-    /// Time that a batch item still runs.
-    fn batch_left(&self, left: Duration, now: Duration) -> Duration {
-        let run = self
-            .held
-            .as_ref()
-            .map_or(Duration::ZERO, |held| now.saturating_sub(held.since));
-        left.saturating_sub(run)
-    }
-
-    fn batch_rank(&self, now: Duration) -> (bool, Duration, Duration) {
-        match self.ask.work {
-            Work::Batch { due, left } => {
-                batch_rank(due, self.batch_left(left, now), self.is_set_aside)
-            }
-            Work::Online { .. } => (true, Duration::MAX, Duration::MAX),
-        }
-    }
-}
-
-#[derive(Debug, Clone)]
-struct Held {
-    server: BackendServerId,
-    since: Duration,
-}
-
-#[derive(Debug)]
-struct EngineState {
-    engine: Engine,
-    online: Vec<LeaseKey>,
-    batch: Vec<LeaseKey>,
-    freed_at: Vec<Duration>,
-    health: Health,
-}
-
-impl EngineState {
-    /// Free slots that have been free for a moment: online requests take the others at once in a wave.
-    fn settled_count(&self, now: Duration) -> usize {
-        let fresh = self
-            .freed_at
-            .iter()
-            .filter(|at| now.saturating_sub(**at) < SETTLE)
-            .count();
-        self.engine
-            .slots
-            .saturating_sub(self.running_count() + fresh)
-    }
-
-    fn slot_freed(&mut self, now: Duration) {
-        self.freed_at.retain(|at| now.saturating_sub(*at) < SETTLE);
-        self.freed_at.push(now);
-    }
-
-    fn running_count(&self) -> usize {
-        self.online.len() + self.batch.len()
-    }
-
-    fn may_run(&self, ask: &Ask, now: Duration) -> bool {
-        self.engine.is_ready
-            && self.engine.service == ask.service
-            && !ask.excluded.contains(&self.engine.server)
-            && self.health.is_usable(self.running_count(), now)
-    }
-}
-
 /// Deals slots.
 #[derive(Debug, Default)]
 pub struct Broker {
-    leases: SlotMap<LeaseKey, Lease>,
+    pub(crate) leases: SlotMap<LeaseKey, Lease>,
     /// In order of hosts, so that the asks of one host are found without a look at those of others.
-    by_ask: BTreeMap<(HostId, AskId), LeaseKey>,
-    engines: BTreeMap<BackendServerId, EngineState>,
-    waiting_online: Vec<LeaseKey>,
-    waiting_batch: Vec<LeaseKey>,
+    pub(crate) by_ask: BTreeMap<(HostId, AskId), LeaseKey>,
+    pub(crate) engines: BTreeMap<BackendServerId, EngineState>,
+    pub(crate) waiting_online: Vec<LeaseKey>,
+    pub(crate) waiting_batch: Vec<LeaseKey>,
     hold_mean: Option<Duration>,
     batch_slots_mean: Option<f64>,
-    actions: Vec<Action>,
+    pub(crate) actions: Vec<Action>,
 }
 
 impl Broker {
@@ -475,184 +381,4 @@
                 Some(mean.mul_f64(1.0 - HOLD_MEAN_WEIGHT) + time.mul_f64(HOLD_MEAN_WEIGHT));
         }
     }
-
-    fn deal(&mut self, now: Duration) {
-        self.deal_online(now);
-        self.deal_batch(now);
-    }
-
-    /// Whether an engine that takes work has room of some kind.
-    fn has_engine<F>(&self, now: Duration, has_room: F) -> bool
-    where
-        F: Fn(&EngineState) -> bool,
-    {
-        self.engines.values().any(|state| {
-            state.engine.is_ready
-                && has_room(state)
-                && state.health.is_usable(state.running_count(), now)
-        })
-    }
-
-    fn deal_online(&mut self, now: Duration) {
-        let has_room = |state: &EngineState| state.online.len() < state.engine.slots;
-        if self.waiting_online.is_empty() || !self.has_engine(now, has_room) {
-            return;
-        }
-        let mut order = std::mem::take(&mut self.waiting_online);
-        let leases = &self.leases;
-        order.sort_by_cached_key(|key| match leases.get(*key).map(|lease| lease.ask.work) {
-            Some(Work::Online { start_by, .. }) => online_rank(start_by, now),
-            _ => (true, Duration::MAX),
-        });
-        let mut left = Vec::new();
-        let mut full = HashSet::new();
-        for key in order {
-            let Some(ask) = self.leases.get(key).map(|lease| &lease.ask) else {
-                continue;
-            };
-            if full.contains(&ask.service) {
-                left.push(key);
-                continue;
-            }
-            let ask = ask.clone();
-            match self.place_online(&ask, now) {
-                Some(server) => self.grant(key, &server, now),
-                None => {
-                    left.push(key);
-                    note_full(&mut full, ask);
-                }
-            }
-        }
-        self.waiting_online = left;
-    }
-
-    /// A server for an online request: a free slot nearby, then elsewhere, then one that a batch item leaves.
-    fn place_online(&mut self, ask: &Ask, now: Duration) -> Option<BackendServerId> {
-        let candidates = self
-            .engines
-            .values()
-            .filter(|state| state.may_run(ask, now));
-        let best = candidates
-            .filter_map(|state| {
-                let is_far = state.engine.data_centre != ask.data_centre;
-                let is_free = state.running_count() < state.engine.slots;
-                let has_batch = !state.batch.is_empty() && state.online.len() < state.engine.slots;
-                match (is_free, has_batch) {
-                    (true, _) => Some(((0, is_far, state.running_count()), state)),
-                    (false, true) => Some(((1, is_far, state.online.len()), state)),
-                    (false, false) => None,
-                }
-            })
-            .min_by_key(|(rank, _)| *rank);
-        let ((needs_stop, _, _), state) = best?;
-        let server = state.engine.server.clone();
-        if needs_stop == 1 {
-            self.stop_one_batch(&server, now);
-        }
-        Some(server)
-    }
-
-    fn stop_one_batch(&mut self, server: &str, now: Duration) {
-        let Some(state) = self.engines.get_mut(server) else {
-            return;
-        };
-        let leases = &self.leases;
-        let Some(victim) = state
-            .batch
-            .iter()
-            .copied()
-            .max_by_key(|key| leases.get(*key).map(|lease| lease.batch_rank(now)))
-        else {
-            return;
-        };
-        state.batch.retain(|key| *key != victim);
-        if let Some(lease) = self.leases.remove(victim) {
-            self.by_ask.remove(&(lease.ask.host.clone(), lease.ask.ask));
-            self.actions.push(Action::Stop {
-                host: lease.ask.host,
-                ask: lease.ask.ask,
-            });
-        }
-    }
-
-    /// Stops batch items of a server on which more runs than it has slots for.
-    fn stop_excess(&mut self, server: &str, now: Duration) {
-        while self.engines.get(server).is_some_and(|state| {
-            state.running_count() > state.engine.slots && !state.batch.is_empty()
-        }) {
-            self.stop_one_batch(server, now);
-        }
-    }
-
-    fn deal_batch(&mut self, now: Duration) {
-        let has_room = |state: &EngineState| state.settled_count(now) > 0;
-        if self.waiting_batch.is_empty() || !self.has_engine(now, has_room) {
-            return;
-        }
-        let mut order = std::mem::take(&mut self.waiting_batch);
-        let leases = &self.leases;
-        order.sort_by_cached_key(|key| leases.get(*key).map(|lease| lease.batch_rank(now)));
-        let mut left = Vec::new();
-        let mut full = HashSet::new();
-        for key in order {
-            let Some(ask) = self.leases.get(key).map(|lease| &lease.ask) else {
-                continue;
-            };
-            if full.contains(&ask.service) {
-                left.push(key);
-                continue;
-            }
-            let ask = ask.clone();
-            match self.place_batch(&ask, now) {
-                Some(server) => self.grant(key, &server, now),
-                None => {
-                    left.push(key);
-                    note_full(&mut full, ask);
-                }
-            }
-        }
-        self.waiting_batch = left;
-    }
-
-    fn place_batch(&self, ask: &Ask, now: Duration) -> Option<BackendServerId> {
-        self.engines
-            .values()
-            .filter(|state| state.may_run(ask, now) && state.settled_count(now) > 0)
-            .min_by_key(|state| {
-                let is_far = state.engine.data_centre != ask.data_centre;
-                (is_far, state.running_count())
-            })
-            .map(|state| state.engine.server.clone())
-    }
-
-    fn grant(&mut self, key: LeaseKey, server: &str, now: Duration) {
-        let (Some(lease), Some(state)) = (self.leases.get_mut(key), self.engines.get_mut(server))
-        else {
-            return;
-        };
-        lease.held = Some(Held {
-            server: server.to_owned(),
-            since: now,
-        });
-        match lease.ask.work {
-            Work::Online { .. } => {
-                state.freed_at.pop();
-                state.online.push(key);
-            }
-            Work::Batch { .. } => state.batch.push(key),
-        }
-        self.actions.push(Action::Grant {
-            host: lease.ask.host.clone(),
-            ask: lease.ask.ask,
-            server: server.to_owned(),
-        });
-    }
-}
-
-/// Notes that a service has no room, if the ask that found none may run on all of its servers: those behind it find
-/// none either, and a long queue costs no more than its first ask.
-fn note_full(full: &mut HashSet<String>, ask: Ask) {
-    if ask.excluded.is_empty() {
-        full.insert(ask.service);
-    }
 }
--- /dev/null
+++ b/bamboo-slots/src/deal.rs
@@ -0,0 +1,181 @@
+//! Deals free slots, and those that batch items must leave.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use bamboo_types::BackendServerId;
+
+use crate::Action;
+use crate::Ask;
+use crate::Broker;
+use crate::Work;
+use crate::engine::EngineState;
+use crate::lease::Held;
+use crate::lease::LeaseKey;
+use crate::online_rank;
+
+impl Broker {
+    pub(crate) fn deal(&mut self, now: Duration) {
+        self.deal_online(now);
+        self.deal_batch(now);
+    }
+
+    /// Whether an engine that takes work has room of some kind.
+    fn has_engine<F>(&self, now: Duration, has_room: F) -> bool
+    where
+        F: Fn(&EngineState) -> bool,
+    {
+        self.engines.values().any(|state| {
+            state.engine.is_ready
+                && has_room(state)
+                && state.health.is_usable(state.running_count(), now)
+        })
+    }
+
+    /// Grants what finds room, in order, and returns what is left. An ask that finds none and may run on every server of
+    /// its service shows that those behind it find none either: a long queue costs no more than its first ask.
+    fn deal_in_order<P>(&mut self, order: Vec<LeaseKey>, now: Duration, place: P) -> Vec<LeaseKey>
+    where
+        P: Fn(&mut Broker, &Ask, Duration) -> Option<BackendServerId>,
+    {
+        let mut left = Vec::new();
+        let mut full = HashSet::new();
+        for key in order {
+            let Some(ask) = self.leases.get(key).map(|lease| &lease.ask) else {
+                continue;
+            };
+            if full.contains(&ask.service) {
+                left.push(key);
+                continue;
+            }
+            let ask = ask.clone();
+            match place(self, &ask, now) {
+                Some(server) => self.grant(key, &server, now),
+                None => {
+                    left.push(key);
+                    if ask.excluded.is_empty() {
+                        full.insert(ask.service);
+                    }
+                }
+            }
+        }
+        left
+    }
+
+    fn deal_online(&mut self, now: Duration) {
+        let has_room = |state: &EngineState| state.online.len() < state.engine.slots;
+        if self.waiting_online.is_empty() || !self.has_engine(now, has_room) {
+            return;
+        }
+        let mut order = std::mem::take(&mut self.waiting_online);
+        let leases = &self.leases;
+        order.sort_by_cached_key(|key| match leases.get(*key).map(|lease| lease.ask.work) {
+            Some(Work::Online { start_by, .. }) => online_rank(start_by, now),
+            _ => (true, Duration::MAX),
+        });
+        self.waiting_online = self.deal_in_order(order, now, Broker::place_online);
+    }
+
+    /// A server for an online request: a free slot nearby, then elsewhere, then one that a batch item leaves.
+    fn place_online(&mut self, ask: &Ask, now: Duration) -> Option<BackendServerId> {
+        let candidates = self
+            .engines
+            .values()
+            .filter(|state| state.may_run(ask, now));
+        let best = candidates
+            .filter_map(|state| {
+                let is_far = state.engine.data_centre != ask.data_centre;
+                let is_free = state.running_count() < state.engine.slots;
+                let has_batch = !state.batch.is_empty() && state.online.len() < state.engine.slots;
+                match (is_free, has_batch) {
+                    (true, _) => Some(((0, is_far, state.running_count()), state)),
+                    (false, true) => Some(((1, is_far, state.online.len()), state)),
+                    (false, false) => None,
+                }
+            })
+            .min_by_key(|(rank, _)| *rank);
+        let ((needs_stop, _, _), state) = best?;
+        let server = state.engine.server.clone();
+        if needs_stop == 1 {
+            self.stop_one_batch(&server, now);
+        }
+        Some(server)
+    }
+
+    pub(crate) fn stop_one_batch(&mut self, server: &str, now: Duration) {
+        let Some(state) = self.engines.get_mut(server) else {
+            return;
+        };
+        let leases = &self.leases;
+        let Some(victim) = state
+            .batch
+            .iter()
+            .copied()
+            .max_by_key(|key| leases.get(*key).map(|lease| lease.batch_rank(now)))
+        else {
+            return;
+        };
+        state.batch.retain(|key| *key != victim);
+        if let Some(lease) = self.leases.remove(victim) {
+            self.by_ask.remove(&(lease.ask.host.clone(), lease.ask.ask));
+            self.actions.push(Action::Stop {
+                host: lease.ask.host,
+                ask: lease.ask.ask,
+            });
+        }
+    }
+
+    /// Stops batch items of a server on which more runs than it has slots for.
+    pub(crate) fn stop_excess(&mut self, server: &str, now: Duration) {
+        while self.engines.get(server).is_some_and(|state| {
+            state.running_count() > state.engine.slots && !state.batch.is_empty()
+        }) {
+            self.stop_one_batch(server, now);
+        }
+    }
+
+    pub(crate) fn deal_batch(&mut self, now: Duration) {
+        let has_room = |state: &EngineState| state.settled_count(now) > 0;
+        if self.waiting_batch.is_empty() || !self.has_engine(now, has_room) {
+            return;
+        }
+        let mut order = std::mem::take(&mut self.waiting_batch);
+        let leases = &self.leases;
+        order.sort_by_cached_key(|key| leases.get(*key).map(|lease| lease.batch_rank(now)));
+        self.waiting_batch = self.deal_in_order(order, now, Broker::place_batch);
+    }
+
+    fn place_batch(&mut self, ask: &Ask, now: Duration) -> Option<BackendServerId> {
+        self.engines
+            .values()
+            .filter(|state| state.may_run(ask, now) && state.settled_count(now) > 0)
+            .min_by_key(|state| {
+                let is_far = state.engine.data_centre != ask.data_centre;
+                (is_far, state.running_count())
+            })
+            .map(|state| state.engine.server.clone())
+    }
+
+    fn grant(&mut self, key: LeaseKey, server: &str, now: Duration) {
+        let (Some(lease), Some(state)) = (self.leases.get_mut(key), self.engines.get_mut(server))
+        else {
+            return;
+        };
+        lease.held = Some(Held {
+            server: server.to_owned(),
+            since: now,
+        });
+        match lease.ask.work {
+            Work::Online { .. } => {
+                state.freed_at.pop();
+                state.online.push(key);
+            }
+            Work::Batch { .. } => state.batch.push(key),
+        }
+        self.actions.push(Action::Grant {
+            host: lease.ask.host.clone(),
+            ask: lease.ask.ask,
+            server: server.to_owned(),
+        });
+    }
+}
--- /dev/null
+++ b/bamboo-slots/src/lease.rs
@@ -0,0 +1,50 @@
+//! Asks that the broker knows, waiting or with a slot.
+
+use std::time::Duration;
+
+use bamboo_types::BackendServerId;
+
+use crate::Ask;
+use crate::Work;
+use crate::batch_rank;
+
+slotmap::new_key_type! {
+    /// Key of a lease.
+    pub(crate) struct LeaseKey;
+}
+
+/// An ask that waits or holds a slot.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    pub(crate) ask: Ask,
+    pub(crate) since: Duration,
+    pub(crate) held: Option<Held>,
+    pub(crate) is_set_aside: bool,
+}
+
+impl Lease {
+    /// Time that a batch item still runs.
+    pub(crate) fn batch_left(&self, left: Duration, now: Duration) -> Duration {
+        let run = self
+            .held
+            .as_ref()
+            .map_or(Duration::ZERO, |held| now.saturating_sub(held.since));
+        left.saturating_sub(run)
+    }
+
+    pub(crate) fn batch_rank(&self, now: Duration) -> (bool, Duration, Duration) {
+        match self.ask.work {
+            Work::Batch { due, left } => {
+                batch_rank(due, self.batch_left(left, now), self.is_set_aside)
+            }
+            Work::Online { .. } => (true, Duration::MAX, Duration::MAX),
+        }
+    }
+}
+
+/// A slot that an ask holds.
+#[derive(Debug, Clone)]
+pub(crate) struct Held {
+    pub(crate) server: BackendServerId,
+    pub(crate) since: Duration,
+}
--- a/bamboo-slots/src/lib.rs
+++ b/bamboo-slots/src/lib.rs
@@ -7,7 +7,10 @@
 
 mod ask;
 mod broker;
+mod deal;
+mod engine;
 mod health;
+mod lease;
 mod order;
 
 pub use ask::Action;
@@ -17,8 +20,8 @@
 pub use ask::Work;
 pub use broker::Broker;
 pub use broker::BrokerLoad;
-pub use broker::Engine;
-pub use broker::SETTLE;
+pub use engine::Engine;
+pub use engine::SETTLE;
 pub use health::Health;
 pub use order::Planned;
 pub use order::batch_rank;
