--- a/justfile
+++ b/justfile
@@ -22,6 +22,11 @@
     cargo build --workspace
     target/debug/bamboo-load faults --seed {{seed}} --seconds 40
 
+# The fault soak of the gateway, from a first seed on.
+soak first="1" count="10":
+    cargo build --release -p bamboo-platform -p bamboo-soak
+    target/release/bamboo-soak --first {{first}} --count {{count}} --callers 40 --logs target/soak
+
 # Writes the fault matrix anew.
 fault-matrix:
     UPDATE_FAULT_MATRIX=1 cargo test -p bamboo-host --test fault_matrix
--- a/scripts/check-checkers.sh
+++ b/scripts/check-checkers.sh
@@ -12,4 +12,13 @@
         echo "$mutation: the histories fail, as they must"
     fi
 done
+# The soak of the gateway, with a store that takes appends of any epoch.
+target=${CARGO_TARGET_DIR:-target}
+cargo build --quiet --release -p bamboo-platform -p bamboo-soak
+if "$target/release/bamboo-soak" --first 101 --count 8 --callers 40 --without-fences >/dev/null 2>&1; then
+    echo "store without fences: the soak passes"
+    failed=1
+else
+    echo "store without fences: the soak fails, as it must"
+fi
 exit $failed
