fix(gateway): an owner without configuration gives no item up

No configuration was taken for a route that is gone, and all items of two jobs were listed as given up 6 s after they were accepted. Ruled out: failed attempts (none of these items had one), retention (22 s and more were left).

Without a configuration an item waits. Without a route it waits 5 s, since the owner's configuration may be older than the one under which the job was accepted, which would have ended the same way. Before: an_owner_without_configuration_gives_no_item_up fails (three items given up); after: it passes.

--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -42,6 +42,9 @@
 const GAP_MAX: Duration = Duration::from_millis(500);
 /// Pause after a failed attempt.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Time without a route after which an item's route is gone: the configuration may be older than the one under which the
+/// job was accepted, for 2 s on a calm day.
+const ROUTE_GONE_AFTER: Duration = Duration::from_secs(5);
 /// Events of an item before any has been seen.
 const EVENTS_FIRST_GUESS: f64 = 200.0;
 /// Time between events before any has been seen.
@@ -123,9 +126,16 @@
 
 /// What an item waits for, or that it needs no more runs.
 enum Standing {
-    Runnable { service: String, due_in: Duration },
+    Runnable {
+        service: String,
+        due_in: Duration,
+    },
     Closed,
     Expired,
+    /// The configuration that this host has names no service for it.
+    NoRoute,
+    /// This host knows no configuration yet, which says nothing of the item.
+    NoConfig,
 }
 
 fn standing(gateway: &Gateway, part: &OwnedPart, job: &JobRecord, item: ItemIndex) -> Standing {
@@ -137,15 +147,18 @@
         return Standing::Closed;
     }
     let age_ms = gateway.clock.unix_ms().saturating_sub(job.submitted_at_ms);
-    let service = gateway
-        .config()
-        .and_then(|config| service_of(&config, job, item));
-    match service {
-        Some(service) if age_ms < job.retention_ms => Standing::Runnable {
+    if age_ms >= job.retention_ms {
+        return Standing::Expired;
+    }
+    let Some(config) = gateway.config() else {
+        return Standing::NoConfig;
+    };
+    match service_of(&config, job, item) {
+        Some(service) => Standing::Runnable {
             service,
             due_in: Duration::from_millis(job.completion_target_ms.saturating_sub(age_ms)),
         },
-        _ => Standing::Expired,
+        None => Standing::NoRoute,
     }
 }
 
@@ -161,13 +174,29 @@
     let run = part.shared_run(&job.id, item);
     let mut excluded: Vec<BackendServerId> = Vec::new();
     let request = engine_request(&gateway, &job, item);
+    let mut no_route_since = None;
     loop {
-        let (service, due_in) = match standing(&gateway, &part, &job, item) {
+        let standing_now = standing(&gateway, &part, &job, item);
+        let now = gateway.clock.now();
+        no_route_since = match standing_now {
+            Standing::NoRoute => no_route_since.or(Some(now)),
+            _ => None,
+        };
+        let is_route_gone =
+            no_route_since.is_some_and(|since| now.saturating_sub(since) >= ROUTE_GONE_AFTER);
+        let (service, due_in) = match standing_now {
             Standing::Runnable { service, due_in } => (service, due_in),
             Standing::Closed => return part.forget_run(&job.id, item),
+            Standing::NoRoute if is_route_gone => {
+                return list(&gateway, &part, &job, item, &run, ResultState::DeadLetter);
+            }
             Standing::Expired => {
                 return list(&gateway, &part, &job, item, &run, ResultState::DeadLetter);
             }
+            Standing::NoRoute | Standing::NoConfig => {
+                actix_rt::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
         };
         let work = Work::Batch {
             due: gateway.clock.now() + due_in,
