fix(gateway): numbers of calls between hosts differ from run to run

A host that is killed and starts again at once gets answers to the calls of the run before, since answers go to the host's address; one with the number of a call that waits was taken for its answer, and a caller got the results of another job. Found by reading, after ruling out the fold (total is the length of the accepted record), the soak's identifiers (unique) and its proxy (one connection each). The log holds no line for reads, so the crossing itself is not in the trace; no test of its own yet: it takes a paused owner, a host that starts again, and a third that coordinates. The soak's check stays.

Numbers begin at the random number of the run.

--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -42,10 +42,11 @@
 impl Mesh {
     pub(crate) fn new(me: HostInfo, broken: mpsc::UnboundedSender<HostId>) -> Self {
         Mesh {
-            me,
             links: RefCell::new(HashMap::new()),
             pending: RefCell::new(HashMap::new()),
-            next_call: Cell::new(1),
+            // Numbers of another run's calls must not be met again: answers to them may still arrive.
+            next_call: Cell::new(me.run),
+            me,
             broken,
         }
     }
@@ -71,7 +72,7 @@
         now: Duration,
     ) -> Option<PeerReply> {
         let call = self.next_call.get();
-        self.next_call.set(call + 1);
+        self.next_call.set(call.wrapping_add(1));
         let (answer, is_answered) = oneshot::channel();
         let pending = PendingCall {
             host: host.to_owned(),
