fix(slots): runs from before an ejection neither end nor extend it

Each completed old run closed the circuit breaker, so that eight to ten requests were granted as soon as the first ejection had ended: 17 to 29 broken runs a server, 151 requests in all, most of which may run only once.

Change: an outcome counts only if its run was granted after the last ejection; a half-open server is probed by one run that began since, batch items first (they resume elsewhere) and online requests only if no other server has a slot. A rejection for lack of capacity is kept apart from ejections.

Ruled out: a higher penalty for broken runs (the first four broke before any policy can know).

--- a/bamboo-gateway/src/traffic/load_balancer.rs
+++ b/bamboo-gateway/src/traffic/load_balancer.rs
@@ -57,11 +57,17 @@
             .running_count += 1;
     }
 
-    /// Records the end of a run and its outcome.
-    pub(crate) fn run_ended(&mut self, server: &str, outcome: RunOutcome, now: Duration) {
+    /// Records the outcome of a run that began at `started_at`.
+    pub(crate) fn run_ended(
+        &mut self,
+        server: &str,
+        outcome: RunOutcome,
+        started_at: Duration,
+        now: Duration,
+    ) {
         if let Some(stats) = self.stats.get_mut(server) {
             stats.running_count = stats.running_count.saturating_sub(1);
-            stats.health.record(outcome, now);
+            stats.health.record(outcome, started_at, now);
         }
     }
 
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -53,6 +53,7 @@
 struct RunGuard<'a> {
     gateway: &'a Gateway,
     server: BackendServerId,
+    started_at: Duration,
     outcome: RunOutcome,
 }
 
@@ -62,6 +63,7 @@
         RunGuard {
             gateway,
             server: server.to_owned(),
+            started_at: gateway.clock.now(),
             outcome: RunOutcome::Cancelled,
         }
     }
@@ -70,10 +72,12 @@
 impl Drop for RunGuard<'_> {
     fn drop(&mut self) {
         let now = self.gateway.clock.now();
-        self.gateway
-            .load_balancer
-            .borrow_mut()
-            .run_ended(&self.server, self.outcome, now);
+        self.gateway.load_balancer.borrow_mut().run_ended(
+            &self.server,
+            self.outcome,
+            self.started_at,
+            now,
+        );
     }
 }
 
--- a/bamboo-slots/src/allocate.rs
+++ b/bamboo-slots/src/allocate.rs
@@ -26,9 +26,7 @@
         F: Fn(&EngineState) -> bool,
     {
         self.engines.values().any(|state| {
-            state.engine.is_ready
-                && has_room(state)
-                && state.health.is_usable(state.running_count(), now)
+            state.engine.is_ready && has_room(state) && state.is_usable(&self.requests, now)
         })
     }
 
@@ -85,28 +83,31 @@
     }
 
     /// Chooses a server for an online request: a free slot in the same data centre, then a free slot elsewhere, then
-    /// the slot of a batch item, which is preempted.
+    /// the slot of a batch item, which is preempted. A half-open server comes last, because a failed probe may cost the
+    /// request.
     fn place_online(&mut self, request: &SlotRequest, now: Duration) -> Option<BackendServerId> {
         let candidates = self
             .engines
             .values()
-            .filter(|state| state.may_run(request, now));
+            .filter(|state| state.may_run(request, &self.requests, now));
         let best = candidates
             .filter_map(|state| {
                 let is_remote = state.engine.data_centre != request.data_centre;
+                let is_probe = state.health.is_half_open();
                 let is_free = state.running_count() < state.engine.slots;
                 let can_preempt =
                     !state.batch.is_empty() && state.online.len() < state.engine.slots;
-                match (is_free, can_preempt) {
-                    (true, _) => Some(((0, is_remote, state.running_count()), state)),
-                    (false, true) => Some(((1, is_remote, state.online.len()), state)),
-                    (false, false) => None,
-                }
+                let load = match (is_free, can_preempt) {
+                    (true, _) => state.running_count(),
+                    (false, true) => state.online.len(),
+                    (false, false) => return None,
+                };
+                Some(((is_probe, !is_free, is_remote, load), state))
             })
             .min_by_key(|(rank, _)| *rank);
-        let ((needs_preemption, _, _), state) = best?;
+        let ((_, needs_preemption, _, _), state) = best?;
         let server = state.engine.server.clone();
-        if needs_preemption == 1 {
+        if needs_preemption {
             self.preempt_batch_item(&server, now);
         }
         Some(server)
@@ -157,13 +158,17 @@
         self.waiting_batch = self.allocate_in_order(order, now, Broker::place_batch);
     }
 
+    /// Chooses a server for a batch item. Half-open servers come first: an item resumes elsewhere if the probe fails.
     fn place_batch(&mut self, request: &SlotRequest, now: Duration) -> Option<BackendServerId> {
         self.engines
             .values()
-            .filter(|state| state.may_run(request, now) && state.batch_slots(now) > 0)
+            .filter(|state| {
+                state.may_run(request, &self.requests, now) && state.batch_slots(now) > 0
+            })
             .min_by_key(|state| {
                 let is_remote = state.engine.data_centre != request.data_centre;
-                (is_remote, state.running_count())
+                let is_probe = state.health.is_half_open();
+                (!is_probe, is_remote, state.running_count())
             })
             .map(|state| state.engine.server.clone())
     }
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -6,7 +6,6 @@
 
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
-use slotmap::SlotMap;
 
 use crate::Action;
 use crate::BatchItem;
@@ -21,6 +20,7 @@
 use crate::request_state::GrantedSlot;
 use crate::request_state::RequestKey;
 use crate::request_state::RequestState;
+use crate::request_state::RequestTable;
 
 /// Assumed time that an online request occupies a slot, until the first one has completed.
 const SLOT_TIME_INITIAL: Duration = Duration::from_millis(700);
@@ -48,7 +48,7 @@
 /// Allocates the slots of model engines to online requests and batch items.
 #[derive(Debug, Default)]
 pub struct Broker {
-    pub(crate) requests: SlotMap<RequestKey, RequestState>,
+    pub(crate) requests: RequestTable,
     /// Ordered by host, so that the requests of one host are a contiguous range.
     pub(crate) by_id: BTreeMap<(HostId, SlotRequestId), RequestKey>,
     pub(crate) engines: BTreeMap<BackendServerId, EngineState>,
@@ -193,10 +193,14 @@
         outcome: RunOutcome,
         now: Duration,
     ) {
+        let key = self.by_id.remove(&(host.to_owned(), request));
+        let granted_at = key
+            .and_then(|key| self.requests.get(key)?.granted.as_ref())
+            .map(|granted| granted.granted_at);
         if let Some(state) = server.and_then(|server| self.engines.get_mut(server)) {
-            state.health.record(outcome, now);
+            state.health.record(outcome, granted_at.unwrap_or(now), now);
         }
-        if let Some(key) = self.by_id.remove(&(host.to_owned(), request)) {
+        if let Some(key) = key {
             self.remove_request(key, outcome, now);
         }
         self.allocate(now);
--- a/bamboo-slots/src/engine.rs
+++ b/bamboo-slots/src/engine.rs
@@ -8,6 +8,7 @@
 use crate::Health;
 use crate::SlotRequest;
 use crate::request_state::RequestKey;
+use crate::request_state::RequestTable;
 
 /// Time that a slot has to be free before a batch item gets it. During a burst the next online request takes the slot
 /// within this delay, which avoids starting an item only to preempt it.
@@ -63,10 +64,33 @@
         self.online.len() + self.batch.len()
     }
 
-    pub(crate) fn may_run(&self, request: &SlotRequest, now: Duration) -> bool {
+    /// Whether the health of the server permits another run.
+    pub(crate) fn is_usable(&self, requests: &RequestTable, now: Duration) -> bool {
+        let is_probe = |key: &&RequestKey| {
+            let granted = requests.get(**key).and_then(|state| state.granted.as_ref());
+            granted.is_some_and(|granted| self.health.is_since_ejection(granted.granted_at))
+        };
+        let probe_count = match self.health.is_half_open() {
+            true => self
+                .online
+                .iter()
+                .chain(&self.batch)
+                .filter(is_probe)
+                .count(),
+            false => 0,
+        };
+        self.health.is_usable(probe_count, now)
+    }
+
+    pub(crate) fn may_run(
+        &self,
+        request: &SlotRequest,
+        requests: &RequestTable,
+        now: Duration,
+    ) -> bool {
         self.engine.is_ready
             && self.engine.service == request.service
             && !request.excluded.contains(&self.engine.server)
-            && self.health.is_usable(self.running_count(), now)
+            && self.is_usable(requests, now)
     }
 }
--- a/bamboo-slots/src/health.rs
+++ b/bamboo-slots/src/health.rs
@@ -30,27 +30,34 @@
     ejections: u32,
     ejected_until: Duration,
     is_half_open: bool,
+    full_until: Duration,
 }
 
 impl Health {
-    /// Records the outcome of a run.
+    /// Records the outcome of a run that began at `started_at`. Runs that began before the end of the last ejection say
+    /// nothing about the server since, so that their outcomes neither end the ejection nor extend it.
     ///
     /// ```
     /// use std::time::Duration;
     /// let mut health = bamboo_slots::Health::default();
-    /// health.record(bamboo_slots::RunOutcome::Unreachable, Duration::ZERO);
+    /// health.record(bamboo_slots::RunOutcome::Unreachable, Duration::ZERO, Duration::ZERO);
     /// assert!(!health.is_usable(0, Duration::ZERO));
     /// assert!(health.is_usable(0, Duration::from_secs(1)));
     /// ```
-    pub fn record(&mut self, outcome: RunOutcome, now: Duration) {
+    pub fn record(&mut self, outcome: RunOutcome, started_at: Duration, now: Duration) {
+        if outcome == RunOutcome::Full {
+            self.full_until = self.full_until.max(now + FULL_BACKOFF);
+        }
+        if !self.is_since_ejection(started_at) {
+            return;
+        }
         match outcome {
             RunOutcome::Done => {
                 self.penalty *= PENALTY_DECAY;
                 self.ejections = 0;
                 self.is_half_open = false;
             }
-            RunOutcome::Cancelled => {}
-            RunOutcome::Full => self.ejected_until = self.ejected_until.max(now + FULL_BACKOFF),
+            RunOutcome::Cancelled | RunOutcome::Full => {}
             RunOutcome::Unreachable | RunOutcome::Misdirected => {
                 self.add_penalty(UNREACHABLE_PENALTY, now)
             }
@@ -60,9 +67,6 @@
     }
 
     fn add_penalty(&mut self, penalty: f64, now: Duration) {
-        if now < self.ejected_until {
-            return;
-        }
         self.penalty += penalty;
         if self.penalty < EJECTION_THRESHOLD && !self.is_half_open {
             return;
@@ -74,14 +78,21 @@
         self.is_half_open = true;
     }
 
-    /// Whether the server may get another run in addition to `running_count` current ones. A half-open server gets one
-    /// run at a time until one succeeds.
-    pub fn is_usable(&self, running_count: usize, now: Duration) -> bool {
-        now >= self.ejected_until && (!self.is_half_open || running_count == 0)
+    /// Whether a run that began at `started_at` began after the last ejection had ended.
+    pub fn is_since_ejection(&self, started_at: Duration) -> bool {
+        started_at >= self.ejected_until
+    }
+
+    /// Whether the next run is a probe, which decides whether the server is ejected again.
+    pub fn is_half_open(&self) -> bool {
+        self.is_half_open
     }
 
-    /// Whether the server is ejected or half-open.
-    pub fn is_suspect(&self, now: Duration) -> bool {
-        self.is_half_open || now < self.ejected_until
+    /// Whether the server may get another run. A half-open server gets one run at a time until one succeeds;
+    /// `probe_count` is the number of its current runs that began after the ejection.
+    pub fn is_usable(&self, probe_count: usize, now: Duration) -> bool {
+        now >= self.ejected_until
+            && now >= self.full_until
+            && (!self.is_half_open || probe_count == 0)
     }
 }
--- a/bamboo-slots/src/request_state.rs
+++ b/bamboo-slots/src/request_state.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bamboo_types::BackendServerId;
+use slotmap::SlotMap;
 
 use crate::SlotRequest;
 use crate::Work;
@@ -13,6 +14,9 @@
     pub(crate) struct RequestKey;
 }
 
+/// All requests of a broker.
+pub(crate) type RequestTable = SlotMap<RequestKey, RequestState>;
+
 /// A request that is queued or holds a slot.
 #[derive(Debug)]
 pub(crate) struct RequestState {
