feat(coordination): a starting host joins at once, and only a host that knows the servers coordinates

(2) A host that starts while the store is down ranked first without knowing any server.

Change: messages from a host that ranks before the coordinator lead to a new choice at once; starting hosts probe at short intervals until they know one that knows the servers; a coordinator that loses its role tells the hosts that report to it, and hosts tell the former one. Hosts that know the servers rank before others, and a starting host fetches the directory and the configuration from others while the store is silent.

--- a/bamboo-coordination/src/coordinator.rs
+++ b/bamboo-coordination/src/coordinator.rs
@@ -1,8 +1,9 @@
 //! Choice of the host that coordinates slots.
 //!
-//! Each host considers the live host that ranks first by size and hash the coordinator. There is no election and no
-//! quorum: a host serves every host that considers it the coordinator. Two coordinators at once only make the
-//! allocation less precise, since servers queue the excess requests.
+//! Each host considers the live host that ranks first the coordinator: hosts that know the backend servers come first,
+//! in the order of their size and hash. There is no election and no quorum: a host serves every host that considers it
+//! the coordinator. Two coordinators at once only make the allocation less precise, since servers queue the excess
+//! requests.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -13,6 +14,7 @@
 
 use crate::ClusterMap;
 use crate::HostInfo;
+use crate::Probe;
 
 /// Interval between heartbeats.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -33,6 +35,10 @@
 const PROBE_INTERVAL_MAX: Duration = Duration::from_secs(2);
 /// Maximum number of hosts that are probed at once.
 const CONCURRENT_PROBES_MAX: usize = 3;
+/// Interval between probes of a host while no live host that knows the backend servers has been found.
+const JOIN_PROBE_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of probes of a host at that interval. Its further probes follow the usual backoff.
+const JOIN_PROBES_MAX: u32 = 40;
 /// Consecutive timeouts after which the coordinator is suspected. Only requests sent after the previous timeout count.
 const COORDINATOR_TIMEOUTS_MAX: u32 = 2;
 
@@ -43,11 +49,37 @@
 }
 
 #[derive(Debug, Default)]
-struct Probe {
+struct ProbeSchedule {
     next_at: Duration,
+    /// Probes sent while joining. They do not count towards the backoff.
+    join_count: u32,
     count: u32,
 }
 
+impl ProbeSchedule {
+    /// Counts a probe and returns the interval until the next one.
+    fn next_interval(&mut self, is_joining: bool) -> Duration {
+        if is_joining && self.join_count < JOIN_PROBES_MAX {
+            self.join_count += 1;
+            return JOIN_PROBE_INTERVAL;
+        }
+        let interval = backoff(PROBE_INTERVAL_INITIAL, self.count, PROBE_INTERVAL_MAX);
+        self.count += 1;
+        interval
+    }
+}
+
+/// What to do about a host that another host considers the coordinator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HintAction {
+    /// Nothing.
+    None,
+    /// Choose the coordinator again.
+    ChooseCoordinator,
+    /// Send that host a message: it does not know of this host, which ranks before it.
+    Announce,
+}
+
 /// A host's view of which host coordinates.
 #[derive(Debug)]
 pub struct CoordinatorTracker {
@@ -55,7 +87,7 @@
     hosts: BTreeMap<HostId, HostInfo>,
     suspicions: HashMap<HostId, Suspicion>,
     last_contact: HashMap<HostId, Duration>,
-    probes: HashMap<HostId, Probe>,
+    probes: HashMap<HostId, ProbeSchedule>,
     leaving: HashMap<HostId, u64>,
     coordinator: HostId,
     coordinator_contact_at: Duration,
@@ -70,7 +102,13 @@
     ///
     /// ```
     /// use bamboo_coordination::{CoordinatorTracker, HostInfo};
-    /// let local = HostInfo { host: "h1".into(), data_centre: "a".into(), size: 500, incarnation: 1 };
+    /// let local = HostInfo {
+    ///     host: "h1".into(),
+    ///     data_centre: "a".into(),
+    ///     size: 500,
+    ///     incarnation: 1,
+    ///     knows_servers: false,
+    /// };
     /// assert!(CoordinatorTracker::new(local).is_local());
     /// ```
     pub fn new(local: HostInfo) -> Self {
@@ -103,7 +141,13 @@
 
     /// Adds or updates a host.
     pub fn add_host(&mut self, info: &HostInfo) {
-        self.hosts.insert(info.host.clone(), info.clone());
+        let mut info = info.clone();
+        // The information may be older than that already known.
+        info.knows_servers |= self
+            .hosts
+            .get(&info.host)
+            .is_some_and(|known| known.incarnation == info.incarnation && known.knows_servers);
+        self.hosts.insert(info.host.clone(), info);
     }
 
     /// Adds a host of which only the address is known. A host that is already known is left unchanged.
@@ -113,10 +157,41 @@
             data_centre: String::new(),
             size: self.local.size,
             incarnation: 0,
+            knows_servers: false,
         };
         self.hosts.entry(host).or_insert(info);
     }
 
+    /// Records that this host knows the backend servers, so that it can coordinate.
+    pub fn set_knows_servers(&mut self) {
+        self.local.knows_servers = true;
+        self.hosts
+            .insert(self.local.host.clone(), self.local.clone());
+    }
+
+    /// Whether this host knows the backend servers.
+    pub fn knows_servers(&self) -> bool {
+        self.local.knows_servers
+    }
+
+    /// Records that this incarnation of a host knows the backend servers.
+    pub fn record_knows_servers(&mut self, info: &HostInfo) {
+        if let Some(known) = self.hosts.get_mut(&info.host)
+            && known.incarnation == info.incarnation
+        {
+            known.knows_servers = true;
+        }
+    }
+
+    /// Whether this host has yet to find a live host that knows the backend servers.
+    pub fn is_joining(&self, now: Duration) -> bool {
+        let is_known_peer = |info: &HostInfo| info.knows_servers && info.host != self.local.host;
+        !self
+            .hosts
+            .values()
+            .any(|info| is_known_peer(info) && self.is_eligible(info, now))
+    }
+
     /// All other hosts that are considered live.
     pub fn live_peers(&self, now: Duration) -> Vec<HostId> {
         self.hosts
@@ -126,15 +201,24 @@
             .collect()
     }
 
-    /// Hosts that rank before the coordinator, are not considered live, and are due for a probe.
+    /// Whether another host is considered live.
+    pub fn is_live(&self, host: &str, now: Duration) -> bool {
+        let known = self.hosts.get(host);
+        known.is_some_and(|info| info.host != self.local.host && self.is_eligible(info, now))
+    }
+
+    /// Hosts that are not considered live and are due for a probe: all as long as this host is joining, later those that
+    /// would rank before the coordinator if they knew the backend servers.
     pub fn due_probes(&mut self, now: Duration) -> Vec<HostId> {
-        let coordinator = self.hosts.get(&self.coordinator).map(rank);
+        let is_joining = self.is_joining(now);
+        let coordinator = self.hosts.get(&self.coordinator).map(duty_rank);
         let mut unreachable: Vec<&HostInfo> = self
             .hosts
             .values()
-            .filter(|info| Some(rank(info)) < coordinator && !self.is_eligible(info, now))
+            .filter(|info| is_joining || Some(duty_rank(info)) < coordinator)
+            .filter(|info| !self.is_eligible(info, now))
             .collect();
-        unreachable.sort_by_key(|info| rank(info));
+        unreachable.sort_by_key(|info| duty_rank(info));
         let unreachable: Vec<HostId> = unreachable
             .into_iter()
             .map(|info| info.host.clone())
@@ -143,9 +227,7 @@
         for host in unreachable {
             let probe = self.probes.entry(host.clone()).or_default();
             if now >= probe.next_at && due.len() < CONCURRENT_PROBES_MAX {
-                probe.next_at =
-                    now + backoff(PROBE_INTERVAL_INITIAL, probe.count, PROBE_INTERVAL_MAX);
-                probe.count += 1;
+                probe.next_at = now + probe.next_interval(is_joining);
                 due.push(host);
             }
         }
@@ -167,12 +249,30 @@
         is_coordinator
     }
 
-    /// Records that a former coordinator now considers another host the coordinator, which is therefore live. Without
-    /// this hint two hosts would allocate the same slots until both had been probed.
-    pub fn record_coordinator_hint(&mut self, info: &HostInfo, now: Duration) {
-        if info.host != self.local.host && !self.is_suspect(&info.host, now) {
-            self.add_host(info);
-            self.last_contact.insert(info.host.clone(), now);
+    /// Records that another host considers this one the coordinator, which is therefore live. Without this hint two
+    /// hosts would allocate the same slots until both had been probed.
+    pub fn record_coordinator_hint(&mut self, info: &HostInfo, now: Duration) -> HintAction {
+        if info.host == self.local.host || self.is_suspect(&info.host, now) {
+            return HintAction::None;
+        }
+        self.add_host(info);
+        let is_new = self.last_contact.insert(info.host.clone(), now).is_none();
+        let is_ahead = self
+            .hosts
+            .get(&info.host)
+            .is_some_and(|info| rank(info) < rank(&self.local));
+        match (self.precedes_coordinator(&info.host, now), is_ahead) {
+            (true, _) => HintAction::ChooseCoordinator,
+            (false, false) if is_new && self.is_local() => HintAction::Announce,
+            (false, _) => HintAction::None,
+        }
+    }
+
+    /// The probe that this host sends to others.
+    pub fn probe(&self) -> Probe {
+        Probe {
+            knows_servers: self.local.knows_servers,
+            coordinator: self.coordinator_info(),
         }
     }
 
@@ -184,14 +284,25 @@
             .unwrap_or_else(|| self.local.clone())
     }
 
-    /// Records that a message arrived from a host.
-    pub fn record_contact(&mut self, host: &str, now: Duration) {
+    /// Records that a message arrived from a host. Returns whether the coordinator has to be chosen again, because the
+    /// host ranks before it.
+    pub fn record_contact(&mut self, host: &str, now: Duration) -> bool {
         self.last_contact.insert(host.to_owned(), now);
         self.probes.remove(host);
         if host == self.coordinator {
             self.coordinator_contact_at = now;
             self.timeouts = 0;
         }
+        self.precedes_coordinator(host, now)
+    }
+
+    fn precedes_coordinator(&self, host: &str, now: Duration) -> bool {
+        match (self.hosts.get(host), self.hosts.get(&self.coordinator)) {
+            (Some(info), Some(coordinator)) => {
+                rank(info) < rank(coordinator) && self.is_eligible(info, now)
+            }
+            _ => false,
+        }
     }
 
     /// Records that the coordinator did not answer a request sent at `requested_at` in time. Requests that were already
@@ -302,7 +413,14 @@
 }
 
 /// Sort key of hosts: the live host with the lowest key coordinates.
-pub(crate) fn rank(info: &HostInfo) -> (std::cmp::Reverse<u64>, u64, &HostId) {
+pub(crate) fn rank(info: &HostInfo) -> (bool, DutyRank<'_>) {
+    (!info.knows_servers, duty_rank(info))
+}
+
+type DutyRank<'a> = (std::cmp::Reverse<u64>, u64, &'a HostId);
+
+/// Sort key of hosts by how suitable they are for duties, apart from what they currently know.
+fn duty_rank(info: &HostInfo) -> DutyRank<'_> {
     (
         std::cmp::Reverse(info.size),
         rendezvous_weight(&info.host, "coordinator"),
--- a/bamboo-coordination/src/lib.rs
+++ b/bamboo-coordination/src/lib.rs
@@ -8,9 +8,11 @@
 
 pub use coordinator::CoordinatorTracker;
 pub use coordinator::HEARTBEAT_INTERVAL;
+pub use coordinator::HintAction;
 pub use message::ClusterMap;
 pub use message::Heartbeat;
 pub use message::HostInfo;
 pub use message::Partition;
+pub use message::Probe;
 pub use reports::Reports;
 pub use reports::ReservationOutcome;
--- a/bamboo-coordination/src/message.rs
+++ b/bamboo-coordination/src/message.rs
@@ -20,6 +20,9 @@
     pub size: u64,
     /// Number of this incarnation, which tells a restarted host from its previous process.
     pub incarnation: u64,
+    /// Whether the host knows the backend servers, without which it cannot allocate their slots. Stays true for the
+    /// rest of the incarnation.
+    pub knows_servers: bool,
 }
 
 /// Periodic report of a host to its coordinator.
@@ -39,8 +42,17 @@
     pub config_version: u64,
     /// Whether the host is about to stop.
     pub is_leaving: bool,
-    /// Whether this is only a liveness probe; the sender reports to another coordinator.
-    pub is_probe: bool,
+    /// Whether the host knows the backend servers.
+    pub knows_servers: bool,
+}
+
+/// Liveness probe of a host that reports to another coordinator.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Probe {
+    /// Whether the sender knows the backend servers.
+    pub knows_servers: bool,
+    /// Host that the sender considers the coordinator.
+    pub coordinator: HostInfo,
 }
 
 /// The live hosts and the partition owners, as the coordinator publishes them to every host.
--- a/bamboo-coordination/src/reports.rs
+++ b/bamboo-coordination/src/reports.rs
@@ -70,6 +70,10 @@
         heartbeat: Heartbeat,
         now: Duration,
     ) -> bool {
+        let info = &HostInfo {
+            knows_servers: heartbeat.knows_servers,
+            ..info.clone()
+        };
         let before = self.reports.get(&info.host);
         let is_new = before.is_none_or(|report| report.info.incarnation != info.incarnation);
         let is_map_unchanged = before.is_some_and(|report| {
@@ -97,6 +101,11 @@
         is_new
     }
 
+    /// Hosts that report.
+    pub fn hosts(&self) -> impl Iterator<Item = &HostInfo> {
+        self.reports.values().map(|report| &report.info)
+    }
+
     /// Number of hosts that report.
     pub fn host_count(&self) -> usize {
         self.reports.len()
@@ -110,7 +119,13 @@
     /// use std::time::Duration;
     /// use bamboo_coordination::{Heartbeat, HostInfo, Reports};
     /// let mut reports = Reports::default();
-    /// let info = HostInfo { host: "h".into(), data_centre: "a".into(), size: 1, incarnation: 1 };
+    /// let info = HostInfo {
+    ///     host: "h".into(),
+    ///     data_centre: "a".into(),
+    ///     size: 1,
+    ///     incarnation: 1,
+    ///     knows_servers: true,
+    /// };
     /// reports.record_heartbeat(&info, Heartbeat::default(), Duration::ZERO);
     /// assert!(!reports.record_unknown_requests("h", HashSet::from([7])));
     /// reports.record_heartbeat(&info, Heartbeat::default(), Duration::ZERO);
--- a/bamboo-fleet/src/directory.rs
+++ b/bamboo-fleet/src/directory.rs
@@ -7,6 +7,8 @@
 
 use bamboo_types::BackendServerId;
 use bamboo_types::DataCentreId;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::ServiceId;
 
@@ -15,7 +17,7 @@
 const REMOVED_FALLBACK_WINDOW: Duration = Duration::from_millis(1200);
 
 /// State that a server reports in its entry.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerState {
     /// Accepts requests.
     Ready,
@@ -24,7 +26,7 @@
 }
 
 /// One backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Server {
     /// Identifier of the server.
     pub id: BackendServerId,
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -18,6 +18,8 @@
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
 use rand::RngExt;
+use rand::seq::IndexedRandom;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
@@ -39,6 +41,8 @@
 
 /// Timeout for a store request that is relayed through another host.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Timeout for fetching the directory of backend servers from another host.
+const SERVERS_FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Phase of the process, from start to shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -104,6 +108,8 @@
     reports: RefCell<Reports>,
     store: StoreClient,
     is_store_reachable: Cell<bool>,
+    has_read_servers: Cell<bool>,
+    servers_known: Notify,
     pub(crate) jobs: JobShards,
     pub(crate) metrics: Metrics,
     pub(crate) phase: watch::Sender<Phase>,
@@ -122,6 +128,7 @@
             data_centre: settings.data_centre.clone(),
             size: (settings.cpu_share * 1000.0) as u64,
             incarnation: rand::rng().random(),
+            knows_servers: false,
         };
         let mut coordination = CoordinatorTracker::new(local.clone());
         for seed in &settings.seeds {
@@ -149,6 +156,8 @@
             broker: RefCell::new(Broker::default()),
             reports: RefCell::new(Reports::default()),
             is_store_reachable: Cell::new(true),
+            has_read_servers: Cell::new(false),
+            servers_known: Notify::new(),
             jobs: JobShards::default(),
             metrics: Metrics::default(),
             phase,
@@ -226,6 +235,58 @@
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.refresh_engines();
         self.jobs.config_changed();
+        self.update_knows_servers();
+    }
+
+    /// Records that the directory of backend servers has been read.
+    pub(crate) fn servers_read(&self) {
+        self.has_read_servers.set(true);
+        self.update_knows_servers();
+    }
+
+    /// Whether the directory of backend servers has been read, from the store or from another host.
+    pub(crate) fn has_read_servers(&self) -> bool {
+        self.has_read_servers.get()
+    }
+
+    /// Lets this host coordinate once it has read both the configuration and the directory.
+    fn update_knows_servers(&self) {
+        let is_complete = self.has_read_servers.get() && self.config.borrow().is_some();
+        if !is_complete || self.coordination.borrow().knows_servers() {
+            return;
+        }
+        self.coordination.borrow_mut().set_knows_servers();
+        self.servers_known.notify_waiters();
+        self.choose_coordinator();
+    }
+
+    /// All backend servers; `None` if this host does not know them.
+    pub(crate) fn known_servers(&self) -> Option<Vec<Server>> {
+        if !self.coordination.borrow().knows_servers() {
+            return None;
+        }
+        let directory = self.directory.borrow();
+        Some(
+            directory
+                .iter()
+                .map(|server| Server::clone(server))
+                .collect(),
+        )
+    }
+
+    /// Fetches the directory of backend servers from a random live host. Returns `None` if there is no such host, or it
+    /// does not know them.
+    pub(crate) async fn fetch_servers(&self) -> Option<Vec<Server>> {
+        let now = self.clock.now();
+        let peers = self.coordination.borrow().live_peers(now);
+        let peer = peers.choose(&mut rand::rng())?;
+        let reply = self
+            .mesh
+            .call(peer, PeerRequest::Servers, SERVERS_FETCH_TIMEOUT, now);
+        match reply.await {
+            Some(PeerReply::Servers(servers)) => servers,
+            _ => None,
+        }
     }
 
     /// Version of the current configuration, 0 if there is none.
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -5,6 +5,7 @@
 
 use bamboo_coordination::HEARTBEAT_INTERVAL;
 use bamboo_coordination::Heartbeat;
+use bamboo_coordination::HostInfo;
 use bamboo_slots::BATCH_GRANT_DELAY;
 use bamboo_slots::SlotRequestId;
 use bamboo_types::HostId;
@@ -14,6 +15,13 @@
 use crate::gateway::Phase;
 use crate::mesh::PeerMessage;
 
+/// Time for the first read of the servers before a starting host contacts others.
+const SERVERS_GRACE: Duration = Duration::from_millis(80);
+/// Interval at which a starting host looks for hosts to probe.
+const JOIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Time after which a starting host that found no other one leaves further probes to the heartbeats.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(3);
+
 impl Gateway {
     /// Records that the coordinator did not reply to a slot request in time. A logged wait far above the timeout shows
     /// that this host itself was stalled.
@@ -65,11 +73,54 @@
             "the coordinator changed"
         );
         self.jobs.reset_reservation();
+        self.announce_successor(&before, now);
         self.send_to(&current, PeerMessage::Sync(self.slot_requests.infos(now)));
     }
 
+    /// Tells the former coordinator and its reporters of the new one, as far as this host knows them.
+    fn announce_successor(&self, before: &str, now: Duration) {
+        if before != self.local.host {
+            let coordination = self.coordination.borrow();
+            if coordination.is_live(before, now) {
+                self.mesh
+                    .send(before, PeerMessage::Probe(coordination.probe()), now);
+            }
+            return;
+        }
+        let reporters: Vec<HostInfo> = self.reports.borrow().hosts().cloned().collect();
+        for reporter in reporters.iter().filter(|info| info.host != self.local.host) {
+            self.acknowledge_heartbeat(reporter, None, false, now);
+        }
+    }
+
+    /// Probes other hosts at short intervals until one that knows the backend servers is found, or for
+    /// [`JOIN_TIMEOUT`] at most.
+    pub(crate) async fn join_hosts(self: Rc<Self>) {
+        self.wait_for_servers().await;
+        let deadline = self.clock.now() + JOIN_TIMEOUT;
+        loop {
+            let now = self.clock.now();
+            if now >= deadline || !self.coordination.borrow().is_joining(now) {
+                return;
+            }
+            self.send_probes();
+            actix_rt::time::sleep(JOIN_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Waits until this host knows the backend servers, or for [`SERVERS_GRACE`] at most. A host that joins others
+    /// before it knows them would change the coordinator twice.
+    async fn wait_for_servers(&self) {
+        if self.coordination.borrow().knows_servers() {
+            return;
+        }
+        // After a timeout the host joins without knowing the servers.
+        let _ = tokio::time::timeout(SERVERS_GRACE, self.servers_known.notified()).await;
+    }
+
     /// Runs [`tick`](Self::tick) at the heartbeat interval until the process ends.
     pub(crate) async fn tick_forever(self: Rc<Self>) {
+        self.wait_for_servers().await;
         loop {
             self.tick();
             actix_rt::time::sleep(HEARTBEAT_INTERVAL).await;
@@ -102,16 +153,9 @@
             cluster_map_digest: self.coordination.borrow().cluster_map_digest(),
             config_version: self.config_version(),
             is_leaving: self.is_stopping(),
-            is_probe: false,
+            knows_servers: self.coordination.borrow().knows_servers(),
         };
-        let probes = self.coordination.borrow_mut().due_probes(now);
-        for host in probes {
-            let probe = Heartbeat {
-                is_probe: true,
-                ..Heartbeat::default()
-            };
-            self.mesh.send(&host, PeerMessage::Heartbeat(probe), now);
-        }
+        self.send_probes();
         self.send_to_coordinator(PeerMessage::Heartbeat(heartbeat));
         for lost in self.reports.borrow_mut().remove_silent(now) {
             log::warn!(event = "host_lost", host = lost.as_str(); "no heartbeats from a host");
@@ -128,6 +172,19 @@
         }
     }
 
+    /// Probes the hosts that are due.
+    pub(crate) fn send_probes(&self) {
+        let now = self.clock.now();
+        let mut coordination = self.coordination.borrow_mut();
+        let due = coordination.due_probes(now);
+        let probe = coordination.probe();
+        drop(coordination);
+        for host in due {
+            self.mesh
+                .send(&host, PeerMessage::Probe(probe.clone()), now);
+        }
+    }
+
     /// Logs the load of the model services once a second while this host coordinates others.
     pub(super) fn log_load(&self, now: Duration) {
         let second = now.as_secs();
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -6,6 +6,7 @@
 
 use bamboo_coordination::ClusterMap;
 use bamboo_coordination::Heartbeat;
+use bamboo_coordination::HintAction;
 use bamboo_coordination::HostInfo;
 use bamboo_coordination::ReservationOutcome;
 use bamboo_slots::Action;
@@ -51,9 +52,13 @@
 
     /// Handles a message from another host.
     pub(crate) fn handle_peer_message(self: &Rc<Self>, sender: &HostInfo, message: PeerMessage) {
-        self.coordination
-            .borrow_mut()
-            .record_contact(&sender.host, self.clock.now());
+        let knows_servers = match &message {
+            PeerMessage::Heartbeat(heartbeat) => heartbeat.knows_servers,
+            PeerMessage::Probe(probe) => probe.knows_servers,
+            PeerMessage::HeartbeatAck { knows_servers, .. } => *knows_servers,
+            _ => false,
+        };
+        self.record_contact(sender, knows_servers);
         match message {
             PeerMessage::Request { call, request } => {
                 let gateway = Rc::clone(self);
@@ -72,20 +77,18 @@
                 config_version,
                 is_leaving,
                 wants_sync,
+                knows_servers: _,
                 coordinator,
             } => {
                 if wants_sync {
                     let infos = self.slot_requests.infos(self.clock.now());
                     self.send_to(&sender.host, PeerMessage::Sync(infos));
                 }
-                let now = self.clock.now();
-                let mut coordination = self.coordination.borrow_mut();
                 if is_leaving {
-                    coordination.mark_leaving(sender);
-                }
-                if coordinator.host != sender.host {
-                    coordination.record_coordinator_hint(&coordinator, now);
+                    self.coordination.borrow_mut().mark_leaving(sender);
                 }
+                self.follow_coordinator_hint(sender, &coordinator);
+                let mut coordination = self.coordination.borrow_mut();
                 if coordination.coordinator() == &sender.host
                     && let Some(cluster_map) = cluster_map
                 {
@@ -94,16 +97,57 @@
                 drop(coordination);
                 self.request_config_fetch(&sender.host, config_version);
             }
+            PeerMessage::Probe(probe) => {
+                self.follow_coordinator_hint(sender, &probe.coordinator);
+                self.acknowledge_heartbeat(sender, None, false, self.clock.now());
+            }
             message => self.handle_message(sender, message),
         }
     }
 
+    /// Records that a message arrived from a host, and chooses the coordinator again if the host ranks before it.
+    fn record_contact(&self, sender: &HostInfo, knows_servers: bool) {
+        let mut coordination = self.coordination.borrow_mut();
+        if knows_servers {
+            coordination.record_knows_servers(sender);
+        }
+        let is_outranked = coordination.record_contact(&sender.host, self.clock.now());
+        drop(coordination);
+        if is_outranked {
+            self.choose_coordinator();
+        }
+    }
+
+    /// Considers the coordinator of another host, unless that host names itself.
+    fn follow_coordinator_hint(&self, sender: &HostInfo, coordinator: &HostInfo) {
+        if coordinator.host == sender.host {
+            return;
+        }
+        let now = self.clock.now();
+        let mut coordination = self.coordination.borrow_mut();
+        let action = coordination.record_coordinator_hint(coordinator, now);
+        let probe = coordination.probe();
+        drop(coordination);
+        match action {
+            HintAction::None => {}
+            HintAction::ChooseCoordinator => self.choose_coordinator(),
+            HintAction::Announce => {
+                self.mesh
+                    .send(&coordinator.host, PeerMessage::Probe(probe), now);
+            }
+        }
+    }
+
     /// Handles a message that this host may also have sent to itself.
     pub(super) fn handle_message(&self, sender: &HostInfo, message: PeerMessage) {
         let now = self.clock.now();
         match message {
             PeerMessage::Heartbeat(heartbeat) => self.handle_heartbeat(sender, heartbeat, now),
             PeerMessage::Sync(infos) => {
+                if !self.is_coordinator(&self.local.host) {
+                    // The sender follows an outdated hint.
+                    self.acknowledge_heartbeat(sender, None, false, now);
+                }
                 self.broker.borrow_mut().drop_host(&sender.host, now);
                 for info in infos {
                     self.handle_slot_request(sender, info, now);
@@ -149,6 +193,7 @@
             | PeerMessage::Preempt { .. }
             | PeerMessage::Refused { .. } => {}
             PeerMessage::Hello(_)
+            | PeerMessage::Probe(_)
             | PeerMessage::HeartbeatAck { .. }
             | PeerMessage::Request { .. }
             | PeerMessage::Reply { .. } => {}
@@ -214,10 +259,6 @@
     }
 
     pub(super) fn handle_heartbeat(&self, sender: &HostInfo, heartbeat: Heartbeat, now: Duration) {
-        if heartbeat.is_probe {
-            self.acknowledge_heartbeat(sender, None, false, now);
-            return;
-        }
         let reported: HashSet<SlotRequestId> = heartbeat.requests.iter().copied().collect();
         let (known_digest, version) = (heartbeat.cluster_map_digest, heartbeat.config_version);
         let unknown = self
@@ -259,6 +300,7 @@
             config_version: self.config_version(),
             is_leaving: self.is_stopping(),
             wants_sync,
+            knows_servers: self.coordination.borrow().knows_servers(),
             coordinator: self.coordination.borrow().coordinator_info(),
         };
         self.mesh.send(&sender.host, ack, now);
@@ -278,7 +320,9 @@
     pub(crate) async fn fetch_configs(self: Rc<Self>, mut hosts: mpsc::UnboundedReceiver<HostId>) {
         while let Some(host) = hosts.recv().await {
             let before = self.config_version();
-            actix_rt::time::sleep(CONFIG_FETCH_DELAY).await;
+            if self.config().is_some() {
+                actix_rt::time::sleep(CONFIG_FETCH_DELAY).await;
+            }
             if self.config_version() == before {
                 let now = self.clock.now();
                 let reply = self
@@ -317,6 +361,7 @@
             } => self.reserve(sender, &route, tokens, max_tokens),
             PeerRequest::Store(request) => PeerReply::Store(self.store.call(&request).await),
             PeerRequest::Config => PeerReply::Config(self.config_bytes.borrow().clone()),
+            PeerRequest::Servers => PeerReply::Servers(self.known_servers()),
         }
     }
 
--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -166,6 +166,7 @@
                 for record in records {
                     add_listed_host(&gateway, record.value);
                 }
+                gateway.send_probes();
                 HOST_LIST_READ_INTERVAL
             }
             _ => RETRY_PAUSE,
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -5,6 +5,8 @@
 use bamboo_coordination::ClusterMap;
 use bamboo_coordination::Heartbeat;
 use bamboo_coordination::HostInfo;
+use bamboo_coordination::Probe;
+use bamboo_fleet::Server;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequestId;
 use bamboo_types::BackendServerId;
@@ -65,6 +67,8 @@
     Store(StoreRequest),
     /// Fetches the current configuration.
     Config,
+    /// Fetches the directory of backend servers.
+    Servers,
 }
 
 /// Reply to a request.
@@ -85,6 +89,8 @@
     Store(Result<StoreReply, StoreError>),
     /// Configuration in the encoding of the store; empty if the host has none.
     Config(Vec<u8>),
+    /// Directory of backend servers; `None` if the host does not know them.
+    Servers(Option<Vec<Server>>),
 }
 
 /// A message between hosts.
@@ -92,8 +98,10 @@
 pub(crate) enum PeerMessage {
     /// First message of a connection.
     Hello(HostInfo),
-    /// Heartbeat to the coordinator, or a liveness probe.
+    /// Heartbeat to the coordinator.
     Heartbeat(Heartbeat),
+    /// Liveness probe of a host that reports to another coordinator.
+    Probe(Probe),
     /// Acknowledgement of a heartbeat or probe.
     HeartbeatAck {
         /// Cluster map of the coordinator; `None` if the host already has it.
@@ -104,6 +112,8 @@
         is_leaving: bool,
         /// Whether the coordinator lacks slot requests that the heartbeat listed.
         wants_sync: bool,
+        /// Whether the sender knows the backend servers.
+        knows_servers: bool,
         /// Host that the sender considers the coordinator.
         coordinator: HostInfo,
     },
--- a/bamboo-gateway/src/run.rs
+++ b/bamboo-gateway/src/run.rs
@@ -19,6 +19,7 @@
 use crate::traffic::serve_callers;
 use crate::traffic::serve_metrics;
 use crate::traffic::serve_readiness;
+use crate::watch::fetch_servers_from_hosts;
 use crate::watch::watch_config;
 use crate::watch::watch_servers;
 
@@ -56,6 +57,8 @@
         OwnedTask::spawn(serve_metrics(Rc::clone(&gateway), metrics)),
         OwnedTask::spawn(watch_config(Rc::clone(&gateway))),
         OwnedTask::spawn(watch_servers(Rc::clone(&gateway))),
+        OwnedTask::spawn(fetch_servers_from_hosts(Rc::clone(&gateway))),
+        OwnedTask::spawn(Rc::clone(&gateway).join_hosts()),
         OwnedTask::spawn(Rc::clone(&gateway).tick_forever()),
         OwnedTask::spawn(Rc::clone(&gateway).run_batch_grants()),
         OwnedTask::spawn(Rc::clone(&gateway).fetch_configs(inputs.config_fetches)),
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -5,6 +5,7 @@
 
 use bamboo_fleet::DirectoryChange;
 use bamboo_fleet::OutageGracePeriod;
+use bamboo_fleet::Server;
 use bamboo_types::BackendServerId;
 use bamboo_types::Offset;
 
@@ -18,6 +19,8 @@
 const CONFIG_LONG_POLL: Duration = Duration::from_millis(1000);
 /// Interval between reads of the server entries, so that the departure of a server is noticed well within 2 s.
 const SERVERS_POLL_INTERVAL: Duration = Duration::from_millis(600);
+/// Pause before the directory of servers is fetched from another host.
+const SERVERS_FETCH_PAUSE: Duration = Duration::from_millis(120);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -148,7 +151,8 @@
     let mut grace_period = OutageGracePeriod::default();
     loop {
         let update = reader.read(&gateway).await;
-        grace_period.record_store_read(update.is_ok(), gateway.clock.now());
+        let is_ok = update.is_ok();
+        grace_period.record_store_read(is_ok, gateway.clock.now());
         match update {
             Ok(TopicUpdate::Newest(records)) => {
                 let missing: Vec<BackendServerId> = gateway
@@ -168,6 +172,9 @@
             }
             Err(_) => {}
         }
+        if is_ok {
+            gateway.servers_read();
+        }
         for id in grace_period.take_expired(gateway.clock.now()) {
             remove_server(&gateway, &id, "lapsed");
         }
@@ -175,6 +182,25 @@
     }
 }
 
+/// Fetches the directory from other hosts until it is known, for a host that starts while the store does not respond.
+pub(crate) async fn fetch_servers_from_hosts(gateway: Rc<Gateway>) {
+    loop {
+        actix_rt::time::sleep(SERVERS_FETCH_PAUSE).await;
+        if gateway.has_read_servers() {
+            return;
+        }
+        if let Some(servers) = gateway.fetch_servers().await
+            && !gateway.has_read_servers()
+        {
+            log::info!(event = "servers_fetched", servers = servers.len(); "fetched the servers from another host");
+            for server in servers {
+                put_server(&gateway, server, "host");
+            }
+            gateway.servers_read();
+        }
+    }
+}
+
 fn apply_records(
     gateway: &Gateway,
     grace_period: &mut OutageGracePeriod,
@@ -216,12 +242,17 @@
             return;
         }
     };
+    put_server(gateway, server, "store");
+}
+
+/// Adds a server to the directory, and to the broker if it is a model engine.
+fn put_server(gateway: &Gateway, server: Server, source: &str) {
     let change = gateway.directory.borrow_mut().put(server);
     match change {
         DirectoryChange::Updated(server) => {
             log::info!(
                 event = "server", server = server.id.as_str(), service = server.service.as_str(),
-                state:? = server.state, offset = record.offset; "server updated"
+                state:? = server.state, source; "server updated"
             );
             gateway.put_engine(&server, false);
         }
