feat(relay): calls of a host behind a cut go through the relay that worked last

Memberships of 1.6 s lapsed in turn, shards moved for 12 s, jobs were accepted after 0.52 s instead of 0.4 s, and items accepted in the first four seconds were late. Beside it: a connection attempt to a host that starts meanwhile hung for 400 ms and then counted as the loss of a live coordinator.

Change: crate bamboo-relay decides the steps of a call without I/O: direct with a short timeout while the direct way works, else the relay that worked last, else others; a relay without a way of its own refuses at once; the direct way is probed beside the calls. Links try to connect three times within 400 ms and again at once when the host makes contact; a link that was never established does not count as lost if the host has been seen since.

Ruled out: leaving the group behind a cut (with a working relay a cut host serves its shards as well as others).

--- a/bamboo-coordination/src/coordinator.rs
+++ b/bamboo-coordination/src/coordinator.rs
@@ -249,6 +249,13 @@
         is_coordinator
     }
 
+    /// Records that no connection to a host could be established, tried `since` a time. If a message has arrived from the
+    /// host meanwhile, it is up and only its start was missed. Returns whether that host is the coordinator and lost.
+    pub fn connect_failed(&mut self, host: &str, since: Duration, now: Duration) -> bool {
+        let has_been_seen = self.last_contact.get(host).is_some_and(|at| *at >= since);
+        !has_been_seen && self.connection_lost(host, now)
+    }
+
     /// Records that another host considers this one the coordinator, which is therefore live. Without this hint two
     /// hosts would allocate the same slots until both had been probed.
     pub fn record_coordinator_hint(&mut self, info: &HostInfo, now: Duration) -> HintAction {
--- a/bamboo-coordination/tests/all_hosts_start_at_once.rs
+++ b/bamboo-coordination/tests/all_hosts_start_at_once.rs
@@ -205,6 +205,20 @@
     }
 }
 
+/// The connection was begun while the other host had no power, and times out after that host has made contact.
+#[test]
+fn a_connection_begun_before_the_start_of_a_host_does_not_count_as_lost() {
+    let mut tracker = Fleet::new(2, 1).hosts.remove(0).tracker;
+    tracker.record_contact("h1", Duration::from_millis(50));
+    tracker.update_coordinator(Duration::from_millis(50));
+    assert_eq!(tracker.coordinator(), "h1");
+    let (began, timed_out) = (Duration::from_millis(10), Duration::from_millis(400));
+    assert!(!tracker.connect_failed("h1", began, timed_out));
+    assert!(!tracker.update_coordinator(timed_out));
+    let (began, timed_out) = (Duration::from_millis(410), Duration::from_millis(800));
+    assert!(tracker.connect_failed("h1", began, timed_out));
+}
+
 #[test_case(11, 1)]
 #[test_case(11, 2)]
 #[test_case(58, 3)]
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -14,11 +14,17 @@
 use bamboo_fleet::Directory;
 use bamboo_fleet::FleetConfig;
 use bamboo_fleet::Server;
+use bamboo_relay::AttemptOutcome;
+use bamboo_relay::DirectTimeout;
+use bamboo_relay::NextStep;
+use bamboo_relay::StoreCall;
+use bamboo_relay::StorePath;
 use bamboo_slots::Broker;
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
 use rand::RngExt;
 use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -26,6 +32,7 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::jobs::JobShards;
+use crate::mesh::LinkFailure;
 use crate::mesh::Mesh;
 use crate::mesh::PeerReply;
 use crate::mesh::PeerRequest;
@@ -41,6 +48,8 @@
 
 /// Timeout for a store request that is relayed through another host.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Interval at which it is checked whether the store is due for a probe.
+const STORE_PROBE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout for fetching the directory of backend servers from another host.
 const SERVERS_FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -79,7 +88,7 @@
     /// Hosts to fetch a newer configuration from.
     pub(crate) config_fetches: mpsc::UnboundedReceiver<HostId>,
     /// Hosts whose link failed.
-    pub(crate) link_failure_queue: mpsc::UnboundedReceiver<HostId>,
+    pub(crate) link_failure_queue: mpsc::UnboundedReceiver<LinkFailure>,
 }
 
 /// Limits the number of log lines per second.
@@ -107,7 +116,7 @@
     broker: RefCell<Broker>,
     reports: RefCell<Reports>,
     store: StoreClient,
-    is_store_reachable: Cell<bool>,
+    store_path: RefCell<StorePath>,
     has_read_servers: Cell<bool>,
     servers_known: Notify,
     pub(crate) jobs: JobShards,
@@ -155,7 +164,7 @@
             coordination: RefCell::new(coordination),
             broker: RefCell::new(Broker::default()),
             reports: RefCell::new(Reports::default()),
-            is_store_reachable: Cell::new(true),
+            store_path: RefCell::default(),
             has_read_servers: Cell::new(false),
             servers_known: Notify::new(),
             jobs: JobShards::default(),
@@ -352,38 +361,110 @@
             .pick(&servers, excluded, &self.settings.data_centre, now)
     }
 
-    /// Sends a request to the store, through a random live host if the store does not respond to this one.
+    /// Sends a request to the store, through other hosts while the store does not respond to this one.
     ///
     /// # Errors
-    /// Fails if neither way yields a response.
+    /// Fails if no way yields a response. Unless the error is [`StoreError::Unknown`], the request was not executed.
     pub(crate) async fn store_call(
         &self,
         request: &StoreRequest,
     ) -> Result<StoreReply, StoreError> {
-        let result = self.store.call(request).await;
-        let error = match result {
-            Ok(reply) => {
-                if !self.is_store_reachable.replace(true) {
-                    log::info!(event = "store_regained"; "the store responds again");
+        let started = self.clock.now();
+        let mut peers = self.coordination.borrow().live_peers(started);
+        peers.shuffle(&mut rand::rng());
+        let mut call = StoreCall::begin(&self.store_path.borrow(), peers);
+        let mut last_error = None;
+        loop {
+            let result = match call.step() {
+                NextStep::Direct(timeout) => self.call_store_directly(request, *timeout).await,
+                NextStep::Relay(host) => self.call_store_through(host, request).await,
+                NextStep::GiveUp => {
+                    return Err(last_error
+                        .unwrap_or_else(|| StoreError::Unreachable("no attempt".to_owned())));
                 }
-                return Ok(reply);
+            };
+            let error = match result {
+                Ok(reply) => return Ok(reply),
+                Err(error) => error,
+            };
+            let outcome = match &error {
+                StoreError::Refused(_) => AttemptOutcome::Refused,
+                StoreError::Unknown(_) => AttemptOutcome::TimedOut,
+                StoreError::Unreachable(_) => AttemptOutcome::NoPath,
+            };
+            if !matches!(last_error, Some(StoreError::Unknown(_))) {
+                last_error = Some(error);
             }
-            Err(error) => error,
-        };
-        if self.is_store_reachable.replace(false) {
-            log::warn!(event = "store_lost"; "no response from the store; relaying through other hosts: {error}");
+            call.advance(outcome, self.clock.now().saturating_sub(started));
         }
-        let peers = self.coordination.borrow().live_peers(self.clock.now());
-        if peers.is_empty() {
-            return Err(error);
+    }
+
+    async fn call_store_directly(
+        &self,
+        request: &StoreRequest,
+        timeout: DirectTimeout,
+    ) -> Result<StoreReply, StoreError> {
+        let result = self.store.call(request, timeout).await;
+        let now = self.clock.now();
+        let has_changed = self
+            .store_path
+            .borrow_mut()
+            .record_direct(result.is_ok(), now);
+        match &result {
+            Ok(_) if has_changed => {
+                log::info!(event = "store_regained"; "the store responds again")
+            }
+            Err(error) if has_changed => {
+                log::warn!(event = "store_lost"; "no response from the store; relaying through other hosts: {error}")
+            }
+            Ok(_) | Err(_) => {}
         }
-        let peer = &peers[rand::rng().random_range(0..peers.len())];
+        result
+    }
+
+    async fn call_store_through(
+        &self,
+        host: &HostId,
+        request: &StoreRequest,
+    ) -> Result<StoreReply, StoreError> {
         let relayed = PeerRequest::Store(request.clone());
         let now = self.clock.now();
-        match self.mesh.call(peer, relayed, RELAY_TIMEOUT, now).await {
-            Some(PeerReply::Store(Ok(reply))) => Ok(reply),
-            Some(PeerReply::Store(Err(StoreError::Refused(_)))) => Err(error),
-            _ => Err(StoreError::Unknown(error.to_string())),
+        let reply = self.mesh.call(host, relayed, RELAY_TIMEOUT, now).await;
+        let is_ok = matches!(reply, Some(PeerReply::Store(Ok(_))));
+        self.store_path.borrow_mut().record_relay(host, is_ok);
+        match reply {
+            Some(PeerReply::Store(result)) => result,
+            _ => Err(StoreError::Unknown("no response from the relay".to_owned())),
+        }
+    }
+
+    /// Executes a store request for another host, at once or not at all.
+    pub(crate) async fn relay_store_call(
+        &self,
+        request: &StoreRequest,
+    ) -> Result<StoreReply, StoreError> {
+        if !self.store_path.borrow().is_direct_up() {
+            return Err(StoreError::Unreachable(
+                "the store does not respond to the relay either".to_owned(),
+            ));
+        }
+        self.call_store_directly(request, DirectTimeout::Full).await
+    }
+
+    /// Probes the store until it responds to this host again, whenever calls are relayed. Runs until the process ends.
+    pub(crate) async fn probe_store(self: Rc<Self>) {
+        // The page after all names is empty.
+        let probe = StoreRequest::Newest {
+            topic: self.dialect.config_topic.to_owned(),
+            after: Some("~".to_owned()),
+        };
+        loop {
+            actix_rt::time::sleep(STORE_PROBE_POLL_INTERVAL).await;
+            let is_due = self.store_path.borrow().is_probe_due(self.clock.now());
+            if is_due {
+                // The outcome is recorded by the call.
+                let _ = self.call_store_directly(&probe, DirectTimeout::Full).await;
+            }
         }
     }
 
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -8,11 +8,11 @@
 use bamboo_coordination::HostInfo;
 use bamboo_slots::BATCH_GRANT_DELAY;
 use bamboo_slots::SlotRequestId;
-use bamboo_types::HostId;
 use tokio::sync::mpsc;
 
 use crate::gateway::Gateway;
 use crate::gateway::Phase;
+use crate::mesh::LinkFailure;
 use crate::mesh::PeerMessage;
 
 /// Time for the first read of the servers before a starting host contacts others.
@@ -41,12 +41,18 @@
     /// Handles failed links to other hosts until the process ends.
     pub(crate) async fn handle_link_failures(
         self: Rc<Self>,
-        mut link_failures: mpsc::UnboundedReceiver<HostId>,
+        mut link_failures: mpsc::UnboundedReceiver<LinkFailure>,
     ) {
-        while let Some(host) = link_failures.recv().await {
+        while let Some(failure) = link_failures.recv().await {
             let now = self.clock.now();
-            self.mesh.fail_calls(&host);
-            if self.coordination.borrow_mut().connection_lost(&host, now) {
+            self.mesh.fail_calls(&failure.host);
+            let mut coordination = self.coordination.borrow_mut();
+            let is_coordinator = match failure.unconnected_since {
+                Some(since) => coordination.connect_failed(&failure.host, since, now),
+                None => coordination.connection_lost(&failure.host, now),
+            };
+            drop(coordination);
+            if is_coordinator {
                 self.choose_coordinator();
             }
         }
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -107,6 +107,7 @@
 
     /// Records that a message arrived from a host, and chooses the coordinator again if the host ranks before it.
     fn record_contact(&self, sender: &HostInfo, knows_servers: bool) {
+        self.mesh.host_is_up(&sender.host);
         let mut coordination = self.coordination.borrow_mut();
         if knows_servers {
             coordination.record_knows_servers(sender);
@@ -359,7 +360,7 @@
                 tokens,
                 max_tokens,
             } => self.reserve(sender, &route, tokens, max_tokens),
-            PeerRequest::Store(request) => PeerReply::Store(self.store.call(&request).await),
+            PeerRequest::Store(request) => PeerReply::Store(self.relay_store_call(&request).await),
             PeerRequest::Config => PeerReply::Config(self.config_bytes.borrow().clone()),
             PeerRequest::Servers => PeerReply::Servers(self.known_servers()),
         }
--- a/bamboo-gateway/src/jobs/calls.rs
+++ b/bamboo-gateway/src/jobs/calls.rs
@@ -215,7 +215,7 @@
         self.remove_reserved(&record.route, tokens);
         match stored {
             Ok(StoreReply::Appended { .. }) => http_reply(StatusCode::ACCEPTED, Vec::new()),
-            Err(StoreError::Refused(_)) => unavailable(),
+            Err(StoreError::Refused(_) | StoreError::Unreachable(_)) => unavailable(),
             Ok(_) | Err(StoreError::Unknown(_)) => outcome_unknown(),
         }
     }
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -16,6 +16,7 @@
 
 pub(crate) use accept::accept_peers;
 use link::Link;
+pub(crate) use link::LinkFailure;
 pub(crate) use message::PeerMessage;
 pub(crate) use message::PeerReply;
 pub(crate) use message::PeerRequest;
@@ -36,11 +37,11 @@
     links: RefCell<HashMap<HostId, Link>>,
     pending: RefCell<HashMap<u64, PendingCall>>,
     next_call: Cell<u64>,
-    link_failures: mpsc::UnboundedSender<HostId>,
+    link_failures: mpsc::UnboundedSender<LinkFailure>,
 }
 
 impl Mesh {
-    pub(crate) fn new(local: HostInfo, link_failures: mpsc::UnboundedSender<HostId>) -> Self {
+    pub(crate) fn new(local: HostInfo, link_failures: mpsc::UnboundedSender<LinkFailure>) -> Self {
         Mesh {
             links: RefCell::new(HashMap::new()),
             pending: RefCell::new(HashMap::new()),
@@ -56,13 +57,24 @@
         let mut links = self.links.borrow_mut();
         let link = links
             .entry(host.to_owned())
-            .or_insert_with(|| Link::open(host, self.local.clone(), self.link_failures.clone()));
+            .or_insert_with(|| self.open_link(host, now));
         if link.is_broken() {
-            *link = Link::open(host, self.local.clone(), self.link_failures.clone());
+            *link = self.open_link(host, now);
         }
         link.send(message, now);
     }
 
+    fn open_link(&self, host: &str, now: Duration) -> Link {
+        Link::open(host, self.local.clone(), self.link_failures.clone(), now)
+    }
+
+    /// Records that a message arrived from a host, which is therefore up.
+    pub(crate) fn host_is_up(&self, host: &str) {
+        if let Some(link) = self.links.borrow().get(host) {
+            link.host_is_up();
+        }
+    }
+
     /// Sends a request to another host and waits for the reply; `None` if none arrives in time.
     pub(crate) async fn call(
         &self,
--- a/bamboo-gateway/src/mesh/link.rs
+++ b/bamboo-gateway/src/mesh/link.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::Context;
@@ -9,6 +10,8 @@
 use bamboo_types::HostId;
 use bytes::Bytes;
 use h2::SendStream;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
 use crate::mesh::PeerMessage;
@@ -17,17 +20,39 @@
 
 /// Capacity of the send queue. Messages beyond it are dropped; everything that matters is sent again.
 const SEND_QUEUE_LEN: usize = 4096;
-/// Timeout for establishing the connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeouts of the attempts to establish the connection. Packets to a host without power are lost, so that a connection
+/// attempt begun before its start would hang until the kernel retransmits.
+const CONNECT_TIMEOUTS: [Duration; 3] = [
+    Duration::from_millis(60),
+    Duration::from_millis(120),
+    Duration::from_millis(220),
+];
 /// HTTP/2 flow-control window in bytes.
 pub(super) const FLOW_WINDOW_BYTES: u32 = 8 << 20;
 /// Size of the length prefix of a frame in bytes.
 pub(super) const LENGTH_PREFIX_BYTES: usize = 4;
 
+/// The end of a link.
+#[derive(Debug)]
+pub(crate) struct LinkFailure {
+    /// Host at the other end.
+    pub(crate) host: HostId,
+    /// When the link was opened, if its connection was never established.
+    pub(crate) unconnected_since: Option<Duration>,
+}
+
+/// State that a link shares with its task.
+#[derive(Default)]
+struct Shared {
+    is_established: Cell<bool>,
+    is_host_up: Notify,
+}
+
 /// A link to another host. It ends with its connection; the next message opens a new link.
 pub(super) struct Link {
     queue: mpsc::Sender<PeerMessage>,
     last_used_at: Cell<Duration>,
+    shared: Rc<Shared>,
     task: OwnedTask,
 }
 
@@ -35,24 +60,39 @@
     pub(super) fn open(
         host: &str,
         local: HostInfo,
-        link_failures: mpsc::UnboundedSender<HostId>,
+        link_failures: mpsc::UnboundedSender<LinkFailure>,
+        now: Duration,
     ) -> Self {
         let (queue, messages) = mpsc::channel(SEND_QUEUE_LEN);
         let host: HostId = host.to_owned();
+        let shared = Rc::new(Shared::default());
+        let task_shared = Rc::clone(&shared);
         let task = OwnedTask::spawn(async move {
-            if let Err(error) = run(&host, local, messages).await {
+            if let Err(error) = run(&host, local, messages, &task_shared).await {
                 log::info!(event = "link_lost", host = host.as_str(); "link to a host failed: {error:#}");
             }
+            let unconnected_since = (!task_shared.is_established.get()).then_some(now);
             // The receiver lives as long as the process.
-            let _ = link_failures.send(host);
+            let _ = link_failures.send(LinkFailure {
+                host,
+                unconnected_since,
+            });
         });
         Link {
             queue,
-            last_used_at: Cell::new(Duration::ZERO),
+            last_used_at: Cell::new(now),
+            shared,
             task,
         }
     }
 
+    /// Tells the link that a message arrived from the host. A connection attempt from before its start is repeated.
+    pub(super) fn host_is_up(&self) {
+        if !self.shared.is_established.get() {
+            self.shared.is_host_up.notify_one();
+        }
+    }
+
     pub(super) fn send(&self, message: PeerMessage, now: Duration) {
         self.last_used_at.set(now);
         if self.queue.try_send(message).is_err() {
@@ -73,9 +113,11 @@
     host: &str,
     local: HostInfo,
     mut messages: mpsc::Receiver<PeerMessage>,
+    shared: &Shared,
 ) -> anyhow::Result<()> {
     let address: SocketAddr = host.parse().context("invalid address of a host")?;
-    let stream = net::connect(address, CONNECT_TIMEOUT).await?;
+    let stream = connect(address, shared).await?;
+    shared.is_established.set(true);
     let (mut sender, connection) = h2::client::Builder::new()
         .initial_window_size(FLOW_WINDOW_BYTES)
         .initial_connection_window_size(FLOW_WINDOW_BYTES)
@@ -99,6 +141,23 @@
     }
 }
 
+/// Connects to a host. An attempt that times out is repeated, and one during which the host turns out to be up at once.
+async fn connect(address: SocketAddr, shared: &Shared) -> anyhow::Result<TcpStream> {
+    let mut last_error = None;
+    for timeout in CONNECT_TIMEOUTS {
+        tokio::select! {
+            connected = net::connect(address, timeout) => match connected {
+                Ok(stream) => return Ok(stream),
+                Err(error) if error.is::<tokio::time::error::Elapsed>() => last_error = Some(error),
+                Err(error) => return Err(error),
+            },
+            () = shared.is_host_up.notified() => {}
+        }
+    }
+    Err(last_error
+        .unwrap_or_else(|| anyhow::anyhow!("the host is up but does not accept connections")))
+}
+
 fn send(body: &mut SendStream<Bytes>, message: &PeerMessage) -> anyhow::Result<()> {
     let mut frame = vec![0; LENGTH_PREFIX_BYTES];
     bincode::serde::encode_into_std_write(message, &mut frame, bincode::config::standard())?;
--- a/bamboo-gateway/src/run.rs
+++ b/bamboo-gateway/src/run.rs
@@ -59,6 +59,7 @@
         OwnedTask::spawn(watch_servers(Rc::clone(&gateway))),
         OwnedTask::spawn(fetch_servers_from_hosts(Rc::clone(&gateway))),
         OwnedTask::spawn(Rc::clone(&gateway).join_hosts()),
+        OwnedTask::spawn(Rc::clone(&gateway).probe_store()),
         OwnedTask::spawn(Rc::clone(&gateway).tick_forever()),
         OwnedTask::spawn(Rc::clone(&gateway).run_batch_grants()),
         OwnedTask::spawn(Rc::clone(&gateway).fetch_configs(inputs.config_fetches)),
--- a/bamboo-gateway/src/store.rs
+++ b/bamboo-gateway/src/store.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bamboo_relay::DirectTimeout;
 use bamboo_types::Offset;
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
@@ -31,7 +32,7 @@
 /// Factor by which a faster call decays the recent latency.
 const RECENT_LATENCY_DECAY: f64 = 0.9;
 /// Timeout for connecting to the store.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of idle connections kept for reuse.
 const IDLE_CONNECTIONS_MAX: usize = 4;
 
@@ -191,6 +192,9 @@
     /// The store did not execute the request.
     #[error("store refused: {0}")]
     Refused(String),
+    /// The request was not sent, because there is no connection to the store.
+    #[error("store unreachable: {0}")]
+    Unreachable(String),
     /// The request may have been executed, or may still be.
     #[error("store gave no answer: {0}")]
     Unknown(String),
@@ -234,15 +238,23 @@
         self.recent_latency.get()
     }
 
-    /// Sends a request. If it is idempotent, an attempt that times out is retried with twice the timeout.
+    /// Sends a request. With the full timeout, an idempotent request is retried with twice the timeout of the attempt
+    /// before; with the short one there is a single attempt.
     ///
     /// # Errors
     /// Fails if the store does not execute the request, or does not respond in time; in the latter case the request may
     /// still take effect.
-    pub async fn call(&self, request: &StoreRequest) -> Result<StoreReply, StoreError> {
-        let mut remaining = CALL_TIMEOUT;
+    pub async fn call(
+        &self,
+        request: &StoreRequest,
+        timeout: DirectTimeout,
+    ) -> Result<StoreReply, StoreError> {
         let mut attempt_timeout = (self.recent_latency.get() * ATTEMPT_TIMEOUT_FACTOR)
             .clamp(ATTEMPT_TIMEOUT_MIN, CALL_TIMEOUT);
+        let mut remaining = match timeout {
+            DirectTimeout::Short => attempt_timeout,
+            DirectTimeout::Full => CALL_TIMEOUT,
+        };
         loop {
             let timeout = if request.is_idempotent() {
                 attempt_timeout.min(remaining)
@@ -291,7 +303,7 @@
             None => self
                 .connect()
                 .await
-                .map_err(|error| StoreError::Refused(error.to_string()))?,
+                .map_err(|error| StoreError::Unreachable(error.to_string()))?,
         };
         let mut builder = http::Request::builder()
             .method(call.method)
@@ -313,7 +325,11 @@
         let (status, body) = match tokio::time::timeout(request.wait() + timeout, exchange).await {
             Ok(Ok(response)) => response,
             Ok(Err(error)) => return Err(unknown(error.to_string())),
-            Err(_) => return Err(unknown("time is up".to_owned())),
+            Err(_) => {
+                // The other idle connections are likely to be dead, too.
+                self.idle.borrow_mut().clear();
+                return Err(unknown("time is up".to_owned()));
+            }
         };
         self.put_idle(connection);
         (self.dialect.decode_store_reply)(request, status, &body)
--- /dev/null
+++ b/bamboo-relay/src/path.rs
@@ -0,0 +1,71 @@
+//! What a host knows of its ways to the store.
+
+use std::time::Duration;
+
+use bamboo_types::HostId;
+
+/// Interval between probes of the direct way while calls are relayed.
+const PROBE_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Whether the store responds to this host, and which other host relayed a call last.
+#[derive(Debug)]
+pub struct StorePath {
+    is_direct_up: bool,
+    next_probe_at: Duration,
+    relay: Option<HostId>,
+}
+
+impl Default for StorePath {
+    /// The path of a host that has not called the store yet.
+    fn default() -> Self {
+        StorePath {
+            is_direct_up: true,
+            next_probe_at: Duration::ZERO,
+            relay: None,
+        }
+    }
+}
+
+impl StorePath {
+    /// Whether the last direct call got a response.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut path = bamboo_relay::StorePath::default();
+    /// path.record_direct(false, Duration::ZERO);
+    /// assert!(!path.is_direct_up());
+    /// ```
+    pub fn is_direct_up(&self) -> bool {
+        self.is_direct_up
+    }
+
+    /// Records whether a direct call got a response. Returns whether that changed.
+    pub fn record_direct(&mut self, is_ok: bool, now: Duration) -> bool {
+        if !is_ok {
+            self.next_probe_at = now + PROBE_INTERVAL;
+        }
+        let has_changed = self.is_direct_up != is_ok;
+        self.is_direct_up = is_ok;
+        has_changed
+    }
+
+    /// Records whether a host relayed a call.
+    pub fn record_relay(&mut self, host: &HostId, is_ok: bool) {
+        match is_ok {
+            true => self.relay = Some(host.clone()),
+            false => {
+                self.relay.take_if(|relay| relay == host);
+            }
+        }
+    }
+
+    /// Whether the direct way is due for a probe. Calls that are relayed do not show that the store responds again.
+    pub fn is_probe_due(&self, now: Duration) -> bool {
+        !self.is_direct_up && now >= self.next_probe_at
+    }
+
+    /// The host that relayed a call last, unless a later call through it failed.
+    pub(crate) fn relay(&self) -> Option<&HostId> {
+        self.relay.as_ref()
+    }
+}
