fix(gateway): a host that cannot release its shards still exits in time

Cause: the shutdown first waited for the release of the shards (pending appends 1.2 s, leaving the group and the list of hosts up to 3 s each while the store does not respond) and only then looked at its own deadline, 6.8 s of the 8 s of grace. A stop that met an outage of the store could be killed.

--- a/bamboo-coordination/src/lib.rs
+++ b/bamboo-coordination/src/lib.rs
@@ -5,6 +5,7 @@
 mod coordinator;
 mod message;
 mod reports;
+mod shutdown;
 
 pub use coordinator::CoordinatorTracker;
 pub use coordinator::HEARTBEAT_INTERVAL;
@@ -16,3 +17,6 @@
 pub use message::Probe;
 pub use reports::Reports;
 pub use reports::ReservationOutcome;
+pub use shutdown::ShutdownState;
+pub use shutdown::ShutdownStep;
+pub use shutdown::next_shutdown_step;
--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -131,20 +131,20 @@
 }
 
 /// Releases all shards at shutdown: waits for pending appends, leaves the group and removes this host from the list.
-pub(crate) async fn release_shards(gateway: &Rc<Gateway>) {
+pub(crate) async fn release_shards(gateway: Rc<Gateway>) {
     let jobs = &gateway.jobs;
     let shards: Vec<Rc<OwnedShard>> = jobs.shards.borrow().values().cloned().collect();
-    close_shards(gateway, &shards, SHUTDOWN_TIMEOUT).await;
+    close_shards(&gateway, &shards, SHUTDOWN_TIMEOUT).await;
     jobs.shards.borrow_mut().clear();
     let request = StoreRequest::Leave {
         group: SHARD_OWNERS_GROUP.to_owned(),
-        member: member_id(gateway),
+        member: member_id(&gateway),
         generation: 0,
     };
     if let Err(error) = gateway.store_call(&request).await {
         log::warn!(event = "leave_failed"; "cannot leave the group of shard owners: {error}");
     }
-    publish_host(gateway, None).await;
+    publish_host(&gateway, None).await;
 }
 
 /// Adds this host to the list of hosts, then reads the list periodically until the process stops.
--- a/bamboo-gateway/src/run.rs
+++ b/bamboo-gateway/src/run.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use bamboo_coordination::ShutdownState;
+use bamboo_coordination::ShutdownStep;
+use bamboo_coordination::next_shutdown_step;
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
@@ -23,12 +26,7 @@
 use crate::watch::watch_config;
 use crate::watch::watch_servers;
 
-/// Share of the grace period after which the process exits even if requests are still open.
-const DRAIN_SHARE: f64 = 0.85;
-/// Share of the grace period during which new connections and requests are still accepted. The external load balancer
-/// takes a host out of rotation after two failed readiness checks, one a second.
-const KEEP_OPEN_SHARE: f64 = 0.4;
-/// Interval between checks whether all requests have ended.
+/// Interval between checks whether the shutdown is complete.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Runs the gateway until a graceful shutdown is complete.
@@ -111,15 +109,28 @@
     let grace = gateway.settings.stop_grace();
     log::info!(event = "stopping", grace_s = grace.as_secs_f64(); "graceful shutdown begins");
     gateway.begin_stop();
-    crate::jobs::release_shards(gateway).await;
+    let release = OwnedTask::spawn(crate::jobs::release_shards(Rc::clone(gateway)));
     loop {
-        let elapsed = gateway.clock.now().saturating_sub(started);
-        if elapsed > grace.mul_f64(KEEP_OPEN_SHARE) {
-            gateway.phase.send_replace(Phase::Closing);
-        }
-        let is_drained = gateway.open_requests() == 0 && elapsed > grace.mul_f64(KEEP_OPEN_SHARE);
-        if is_drained || elapsed > grace.mul_f64(DRAIN_SHARE) {
-            return;
+        let state = ShutdownState {
+            elapsed: gateway.clock.now().saturating_sub(started),
+            grace,
+            open_requests: gateway.open_requests(),
+            is_released: release.is_finished(),
+        };
+        match next_shutdown_step(&state) {
+            ShutdownStep::KeepOpen => {}
+            ShutdownStep::Close => {
+                gateway.phase.send_replace(Phase::Closing);
+            }
+            ShutdownStep::Exit => {
+                if !state.is_released {
+                    log::warn!(
+                        event = "release_abandoned", elapsed_ms = state.elapsed.as_millis() as u64;
+                        "the store did not record that this host leaves; its membership lapses"
+                    );
+                }
+                return;
+            }
         }
         actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
