feat(slots): retried requests rank by the first attempt of their caller

Change: soon after the start of a host, a request whose deadline is shorter than the longest one that recurs counts as a retry that has waited for the difference.

Tried first and dropped: every deadline that recurs counts as one that callers begin with.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -5,6 +5,8 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,6 +22,7 @@
 use bamboo_relay::StoreCall;
 use bamboo_relay::StorePath;
 use bamboo_slots::Broker;
+use bamboo_slots::DeadlineHistory;
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
 use rand::RngExt;
@@ -126,6 +129,7 @@
     config_fetches: mpsc::UnboundedSender<HostId>,
     open_requests: Cell<usize>,
     request_log: LogRateLimiter,
+    deadline_histories: RefCell<HashMap<String, DeadlineHistory>>,
     load_logged_at_s: Cell<u64>,
 }
 
@@ -174,6 +178,7 @@
             config_fetches,
             open_requests: Cell::new(0),
             request_log: LogRateLimiter::default(),
+            deadline_histories: RefCell::default(),
             load_logged_at_s: Cell::new(0),
         });
         let inputs = TaskInputs {
@@ -208,6 +213,20 @@
         true
     }
 
+    /// Records the deadline that a caller sent for a request of a route. Returns an estimate of how long the caller has
+    /// been waiting.
+    pub(crate) fn record_deadline(&self, route: &str, deadline: Duration) -> Duration {
+        let age = self.clock.now();
+        let mut histories = self.deadline_histories.borrow_mut();
+        match histories.get_mut(route) {
+            Some(history) => history.record(deadline, age),
+            None => {
+                let history = histories.entry(route.to_owned()).or_default();
+                history.record(deadline, age)
+            }
+        }
+    }
+
     /// Whether the process is shutting down.
     pub(crate) fn is_stopping(&self) -> bool {
         *self.phase.borrow() != Phase::Serving
@@ -240,6 +259,14 @@
             event = "config", version = config.version, before = version, source, routes = config.routes.len();
             "applied a new configuration"
         );
+        let routes: HashSet<&str> = config
+            .routes
+            .iter()
+            .map(|route| route.name.as_str())
+            .collect();
+        self.deadline_histories
+            .borrow_mut()
+            .retain(|route, _| routes.contains(route.as_str()));
         *self.config_bytes.borrow_mut() = bytes.to_vec();
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.refresh_engines();
--- a/bamboo-gateway/src/traffic/request.rs
+++ b/bamboo-gateway/src/traffic/request.rs
@@ -42,6 +42,8 @@
     pub(crate) body: Bytes,
     /// When its headers had been received.
     pub(crate) arrived_at: Duration,
+    /// Estimate of how long the caller had been waiting before, if it is a retry.
+    pub(crate) waited: Duration,
     /// When the response is due, by the caller's deadline and the route's timeout.
     pub(crate) deadline: Duration,
 }
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -86,7 +86,11 @@
         let path = head.uri.path().to_owned();
         return gateway.jobs.submit(&gateway, &id, &host, &path, body).await;
     }
-    let timeout = request_timeout(&gateway, &head.headers, &route);
+    let deadline = deadline_header(&gateway, &head.headers);
+    let timeout = request_timeout(deadline, &route);
+    let waited = deadline.map_or(Duration::ZERO, |deadline| {
+        gateway.record_deadline(&route.name, deadline)
+    });
     let Some(service) = route.pick_service(rand::rng().random()) else {
         return not_run("the route has no service\n", NO_CONFIG_RETRY_AFTER);
     };
@@ -101,6 +105,7 @@
         headers: forwarded_headers(&head.headers, &gateway.dialect.headers),
         body,
         arrived_at,
+        waited,
         deadline: arrived_at + timeout,
         route: Rc::clone(&route),
     };
@@ -141,11 +146,15 @@
         .any(|route| route.host == host && matches!(route.kind, RouteKind::Batch { .. }))
 }
 
-/// Timeout of the request: the smaller of the caller's deadline and the route's timeout.
-fn request_timeout(gateway: &Gateway, headers: &HeaderMap, route: &Route) -> Duration {
-    let deadline = header_text(headers, &gateway.dialect.headers.deadline_ms)
+/// Time for which the caller will wait.
+fn deadline_header(gateway: &Gateway, headers: &HeaderMap) -> Option<Duration> {
+    header_text(headers, &gateway.dialect.headers.deadline_ms)
         .and_then(|text| text.trim().parse().ok())
-        .map(Duration::from_millis);
+        .map(Duration::from_millis)
+}
+
+/// Timeout of the request: the smaller of the caller's deadline and the route's timeout.
+fn request_timeout(deadline: Option<Duration>, route: &Route) -> Duration {
     match (deadline, route.timeout) {
         (Some(deadline), Some(timeout)) => deadline.min(timeout),
         (Some(time), None) | (None, Some(time)) => time,
@@ -179,6 +188,7 @@
     id: String,
     route: String,
     arrived_at: Duration,
+    waited: Duration,
     first_byte: Option<Duration>,
     /// Number of attempts that may have run.
     pub(crate) attempts: u32,
@@ -197,6 +207,7 @@
             id: request.id.clone(),
             route: request.route.name.clone(),
             arrived_at: request.arrived_at,
+            waited: request.waited,
             first_byte: None,
             attempts: 0,
             server: String::new(),
@@ -241,7 +252,8 @@
         }
         log::info!(
             event = "request", request = self.id.as_str(), route = self.route.as_str(), status = status.as_u16(),
-            outcome, reason = self.reason, attempts = self.attempts, server = self.server.as_str(), first_byte_ms,
+            outcome, reason = self.reason, attempts = self.attempts, server = self.server.as_str(),
+            waited_ms = self.waited.as_millis() as u64, first_byte_ms,
             total_ms = now.saturating_sub(self.arrived_at).as_millis() as u64,
             config_version = self.gateway.config_version(); "request ended"
         );
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -80,7 +80,8 @@
         excluded: Vec::new(),
         may_have_run: false,
     };
-    let start_by = request.arrived_at + request.route.target_latency;
+    let start_by =
+        (request.arrived_at + request.route.target_latency).saturating_sub(request.waited);
     let last_event = request
         .headers
         .get(&gateway.dialect.headers.last_event_id)
--- a/bamboo-slots/src/lib.rs
+++ b/bamboo-slots/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod allocate;
 mod broker;
+mod deadline_history;
 mod engine;
 mod health;
 mod order;
@@ -15,6 +16,7 @@
 
 pub use broker::Broker;
 pub use broker::BrokerLoad;
+pub use deadline_history::DeadlineHistory;
 pub use engine::BATCH_GRANT_DELAY;
 pub use engine::Engine;
 pub use health::Health;
