feat(slots): a server's own errors count against its health

Change: an error response of the server (5xx other than 504) is an outcome of its own with the penalty of a broken run; it counts only while most servers of the service are usable, as otherwise the requests are the likelier cause. A request whose exclusions leave no ready server gets them cleared: an item that failed at the only server would wait for ever.

--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -35,6 +35,7 @@
 use crate::traffic::OpenError;
 use crate::traffic::StreamRead;
 use crate::traffic::open_stream;
+use crate::traffic::run_outcome;
 
 /// Timeout from sending an item to its first event, after which it is retried on another server.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -388,7 +389,7 @@
                 StatusCode::INTERNAL_SERVER_ERROR => AttemptEnd::Failed,
                 _ => AttemptEnd::Interrupted,
             };
-            return (end, RunOutcome::Done);
+            return (end, run_outcome(head.status));
         }
     };
     let mut timeout = FIRST_EVENT_TIMEOUT;
--- a/bamboo-gateway/src/traffic.rs
+++ b/bamboo-gateway/src/traffic.rs
@@ -19,3 +19,4 @@
 pub(crate) use engine_run::open_stream;
 pub(crate) use load_balancer::LoadBalancer;
 pub(crate) use pool::ServerPool;
+pub(crate) use response::run_outcome;
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -24,6 +24,7 @@
 use crate::traffic::request::end_to_end_headers;
 use crate::traffic::response::belongs_to_request;
 use crate::traffic::response::not_run;
+use crate::traffic::response::run_outcome;
 use crate::traffic::response::text_response;
 use crate::traffic::serve::RequestRecorder;
 
@@ -135,7 +136,7 @@
         excluded.push(server.id.clone());
         match attempt {
             Attempt::Answered(head, bytes) => {
-                run.outcome = RunOutcome::Done;
+                run.outcome = run_outcome(head.status);
                 if may_retry && head.status.is_server_error() {
                     may_have_run = true;
                     continue;
--- a/bamboo-gateway/src/traffic/response.rs
+++ b/bamboo-gateway/src/traffic/response.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bamboo_slots::RunOutcome;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -41,6 +42,15 @@
     response
 }
 
+/// Outcome of a run that ended with a complete response. Status 504 shows that the deadline has passed, which need not be
+/// the server's fault.
+pub(crate) fn run_outcome(status: StatusCode) -> RunOutcome {
+    match status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT {
+        true => RunOutcome::Failed,
+        false => RunOutcome::Done,
+    }
+}
+
 /// Whether a response is the server's own response to this request: it does not echo the identifier of another request,
 /// has no content encoding, and carries the server's stamp if its status is a success.
 pub(crate) fn belongs_to_request(gateway: &Gateway, id: &str, head: &response::Parts) -> bool {
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -27,6 +27,7 @@
 use crate::traffic::request::CallerRequest;
 use crate::traffic::request::end_to_end_headers;
 use crate::traffic::response::not_run;
+use crate::traffic::response::run_outcome;
 use crate::traffic::response::text_response;
 use crate::traffic::serve::RequestRecorder;
 
@@ -277,7 +278,7 @@
             }
             OpenError::Answered(head, bytes) => {
                 gateway.metrics.count_run("answered");
-                slot.set_outcome(RunOutcome::Done);
+                slot.set_outcome(run_outcome(head.status));
                 if may_retry && head.status.is_server_error() {
                     attempts.may_have_run = true;
                     continue;
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -197,7 +197,11 @@
         let granted_at = key
             .and_then(|key| self.requests.get(key)?.granted.as_ref())
             .map(|granted| granted.granted_at);
-        if let Some(state) = server.and_then(|server| self.engines.get_mut(server)) {
+        let counts = outcome != RunOutcome::Failed
+            || server.is_some_and(|server| self.may_eject_for_errors(server, now));
+        if let Some(state) = server.and_then(|server| self.engines.get_mut(server))
+            && counts
+        {
             state.health.record(outcome, granted_at.unwrap_or(now), now);
         }
         if let Some(key) = key {
@@ -206,6 +210,20 @@
         self.allocate(now);
     }
 
+    /// Whether most servers of the service are usable. Otherwise the requests are more likely to be the cause of the errors
+    /// than the servers.
+    fn may_eject_for_errors(&self, server: &str, now: Duration) -> bool {
+        let Some(service) = self.engines.get(server).map(|state| &state.engine.service) else {
+            return false;
+        };
+        let (mut usable, mut total) = (0, 0);
+        for state in self.engines_of(service) {
+            total += 1;
+            usable += usize::from(!state.health.is_suspect(now));
+        }
+        usable * 2 > total
+    }
+
     /// Removes all requests of a host that is lost, or that is about to report all its requests again.
     pub fn drop_host(&mut self, host: &str, now: Duration) {
         let requests: Vec<SlotRequestId> =
@@ -284,10 +302,35 @@
                 });
             }
         }
+        self.clear_void_exclusions();
         self.defer_infeasible(now);
         self.allocate(now);
     }
 
+    /// Clears the excluded servers of queued requests for which no ready server is left. Otherwise a batch item whose
+    /// last attempt failed at the only server would wait for ever.
+    fn clear_void_exclusions(&mut self) {
+        let ready: Vec<(&String, &BackendServerId)> = self
+            .engines
+            .values()
+            .filter(|state| state.engine.is_ready)
+            .map(|state| (&state.engine.service, &state.engine.server))
+            .collect();
+        for key in self.waiting_online.iter().chain(&self.waiting_batch) {
+            let Some(state) = self.requests.get_mut(*key) else {
+                continue;
+            };
+            let request = &mut state.request;
+            let is_void = !request.excluded.is_empty()
+                && ready.iter().all(|(service, server)| {
+                    **service != request.service || request.excluded.contains(server)
+                });
+            if is_void {
+                request.excluded.clear();
+            }
+        }
+    }
+
     /// Grants batch items the slots that have been free for [`BATCH_GRANT_DELAY`](crate::BATCH_GRANT_DELAY). Returns
     /// whether batch items are still queued.
     pub fn grant_batch(&mut self, now: Duration) -> bool {
--- a/bamboo-slots/src/health.rs
+++ b/bamboo-slots/src/health.rs
@@ -14,6 +14,8 @@
 /// Penalty of a broken run. It is low, because a server may truncate single responses for a while and still be
 /// usable.
 const BROKEN_PENALTY: f64 = 0.25;
+/// Penalty of an error response. It is low, because the request itself may be the cause.
+const FAILED_PENALTY: f64 = 0.25;
 /// Factor by which a completed run reduces the penalty.
 const PENALTY_DECAY: f64 = 0.4;
 /// Duration of the first ejection. It doubles with each further ejection until a run completes.
@@ -63,6 +65,7 @@
             }
             RunOutcome::Silent => self.add_penalty(SILENT_PENALTY, now),
             RunOutcome::Broken => self.add_penalty(BROKEN_PENALTY, now),
+            RunOutcome::Failed => self.add_penalty(FAILED_PENALTY, now),
         }
     }
 
@@ -88,6 +91,11 @@
         self.is_half_open
     }
 
+    /// Whether the server is ejected or half-open.
+    pub fn is_suspect(&self, now: Duration) -> bool {
+        self.is_half_open || now < self.ejected_until
+    }
+
     /// Whether the server may get another run. A half-open server gets one run at a time until one succeeds;
     /// `probe_count` is the number of its current runs that began after the ejection.
     pub fn is_usable(&self, probe_count: usize, now: Duration) -> bool {
--- a/bamboo-slots/src/request.rs
+++ b/bamboo-slots/src/request.rs
@@ -87,8 +87,10 @@
 /// How a run on a server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunOutcome {
-    /// The server sent a complete response, including an error response of its own.
+    /// The server sent a complete response.
     Done,
+    /// The server responded with an error of its own.
+    Failed,
     /// The host cancelled the run.
     Cancelled,
     /// The server rejected the request for lack of capacity without running it.
