fix(shards): a fragment with an unknown flag does not spoil the next record

The assembler kept the bytes of the broken record and put them before the next one. It now discards them; the record after the unknown fragment is read whole. Test: a_fragment_with_an_unknown_flag_does_not_spoil_the_next_record, failed before.

--- a/bamboo-shards/src/fragment.rs
+++ b/bamboo-shards/src/fragment.rs
@@ -58,13 +58,17 @@
     /// Adds the next fragment. Returns the encoded record once its last fragment has been added.
     ///
     /// # Errors
-    /// Fails if the flag byte is missing or unknown.
+    /// Fails if the flag byte is missing or unknown. The fragments of that record so far are discarded.
     pub fn push(&mut self, fragment: &[u8]) -> Result<Option<Vec<u8>>, FragmentError> {
+        let mut record = std::mem::take(&mut self.buffer);
         let (flag, chunk) = fragment.split_first().ok_or(FragmentError::Empty)?;
-        self.buffer.extend_from_slice(chunk);
+        record.extend_from_slice(chunk);
         match *flag {
-            MORE_FRAGMENTS => Ok(None),
-            LAST_FRAGMENT => Ok(Some(std::mem::take(&mut self.buffer))),
+            MORE_FRAGMENTS => {
+                self.buffer = record;
+                Ok(None)
+            }
+            LAST_FRAGMENT => Ok(Some(record)),
             other => Err(FragmentError::UnknownFlag(other)),
         }
     }
--- a/bamboo-shards/tests/fold.rs
+++ b/bamboo-shards/tests/fold.rs
@@ -194,6 +194,16 @@
     assert_eq!(Record::try_from(bytes.as_slice()).unwrap(), record);
 }
 
+#[test]
+fn a_fragment_with_an_unknown_flag_does_not_spoil_the_next_record() {
+    let fragments = split_record(&[7; 100], 64);
+    let mut assembler = FragmentAssembler::default();
+    assert_eq!(assembler.push(&fragments[0]), Ok(None));
+    assert!(assembler.push(&[9, 1, 2, 3]).is_err());
+    let next = split_record(b"next", 64);
+    assert_eq!(assembler.push(&next[0]).unwrap().unwrap(), b"next");
+}
+
 #[test]
 fn records_and_fragments_of_an_unknown_format_are_rejected() {
     assert!(Record::try_from(&[][..]).is_err());
