fix(coordination): reservations of a lost host are released

A reservation was only dropped by a later heartbeat of its host, so that a lost host kept room in the queue until the next change of the coordinator. Test: reservations_of_a_lost_host_are_released, failed before.

--- a/bamboo-coordination/src/reports.rs
+++ b/bamboo-coordination/src/reports.rs
@@ -154,6 +154,8 @@
             self.reports.remove(host);
             self.cluster_map = None;
         }
+        self.reservations
+            .retain(|reservation| !lost.contains(&reservation.host));
         lost
     }
 
--- a/bamboo-coordination/tests/coordination.rs
+++ b/bamboo-coordination/tests/coordination.rs
@@ -243,3 +243,16 @@
         .filter(|info| before.hosts.contains(info));
     assert!(kept.count() >= 95);
 }
+
+#[test]
+fn reservations_of_a_lost_host_are_released() {
+    let mut reports = Reports::default();
+    reports.record_heartbeat(&host("a", 1), heartbeat(&[(0, 1)], 0, 0), at(0));
+    reports.record_heartbeat(&host("b", 1), heartbeat(&[(1, 1)], 0, 0), at(0));
+    let reserved = reports.reserve("b", "r", 900, 1_000, 2);
+    assert_eq!(reserved, ReservationOutcome::Reserved(1));
+    reports.record_heartbeat(&host("a", 1), heartbeat(&[(0, 1), (1, 2)], 0, 0), at(2_000));
+    assert_eq!(reports.remove_silent(at(2_000)), ["b"]);
+    let reserved = reports.reserve("a", "r", 900, 1_000, 2);
+    assert!(matches!(reserved, ReservationOutcome::Reserved(_)));
+}
