fix(config): a key hash in upper case matches its key

Validation accepts either case, but the text was kept as written and never matched. It is now kept in lower case. Test: a_hash_in_upper_case_matches_its_key, failed before.

--- a/bamboo-config/src/key.rs
+++ b/bamboo-config/src/key.rs
@@ -6,11 +6,24 @@
 use sha2::Sha256;
 use subtle::ConstantTimeEq;
 
-/// SHA-256 of a bearer key, written as 64 hexadecimal digits.
+/// SHA-256 of a bearer key, written as 64 hexadecimal digits in lower case.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
+#[serde(from = "String", into = "String")]
 pub struct KeyHash(String);
 
+impl From<String> for KeyHash {
+    /// Accepts digits in either case. Whether the text is a digest is checked by validation, which names the field.
+    fn from(text: String) -> Self {
+        KeyHash(text.to_ascii_lowercase())
+    }
+}
+
+impl From<KeyHash> for String {
+    fn from(hash: KeyHash) -> Self {
+        hash.0
+    }
+}
+
 impl KeyHash {
     /// Hashes a bearer key.
     ///
