fix(slots): a run on a server that is not known yet keeps its slot

A new coordinator dropped runs that hosts reported before it had read the entry of their server, and granted their slots again. They are now kept and counted once the server is known. Test: a_run_on_a_server_that_is_not_known_yet_keeps_its_slot, failed before.

--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -70,19 +70,34 @@
                 }
             }
             None => {
+                let (online, batch) = self.runs_on(&engine.server);
+                let server = engine.server.clone();
                 let state = EngineState {
                     engine,
-                    online: Vec::new(),
-                    batch: Vec::new(),
+                    online,
+                    batch,
                     freed_at: Vec::new(),
                     health: Health::default(),
                 };
-                self.engines.insert(state.engine.server.clone(), state);
+                self.engines.insert(server.clone(), state);
+                self.preempt_excess(&server, now);
             }
         }
         self.allocate(now);
     }
 
+    /// Online requests and batch items that run on a server, as their hosts reported.
+    fn runs_on(&self, server: &str) -> (Vec<RequestKey>, Vec<RequestKey>) {
+        let runs = self.requests.iter().filter(|(_, state)| {
+            let granted = state.granted.as_ref();
+            granted.is_some_and(|granted| granted.server == server)
+        });
+        let (online, batch): (Vec<_>, Vec<_>) =
+            runs.partition(|(_, state)| matches!(state.request.work, Work::Online { .. }));
+        let keys = |runs: Vec<(RequestKey, &RequestState)>| runs.into_iter().map(|(key, _)| key).collect();
+        (keys(online), keys(batch))
+    }
+
     /// Removes an engine and the requests that hold its slots. The runs are not preempted; they end on their own.
     pub fn remove_engine(&mut self, server: &str) {
         let Some(state) = self.engines.remove(server) else {
@@ -161,9 +176,6 @@
         if let Some(key) = self.by_id.remove(&id) {
             self.remove_request(key, RunOutcome::Cancelled, now);
         }
-        let Some(state) = self.engines.get_mut(server) else {
-            return;
-        };
         let is_online = matches!(request.work, Work::Online { .. });
         let granted = Some(GrantedSlot {
             server: server.to_owned(),
@@ -175,9 +187,12 @@
             granted,
             is_deferred: false,
         });
-        match is_online {
-            true => state.online.push(key),
-            false => state.batch.push(key),
+        // A new coordinator may learn of a run before it has read the entry of its server.
+        if let Some(state) = self.engines.get_mut(server) {
+            match is_online {
+                true => state.online.push(key),
+                false => state.batch.push(key),
+            }
         }
         self.by_id.insert(id, key);
         self.preempt_excess(server, now);
--- a/bamboo-slots/tests/broker.rs
+++ b/bamboo-slots/tests/broker.rs
@@ -185,6 +185,19 @@
     assert_eq!(granted(&broker.take_actions(), 3), None);
 }
 
+#[test]
+fn a_run_on_a_server_that_is_not_known_yet_keeps_its_slot() {
+    let mut broker = Broker::default();
+    broker.restore_run(request(1, online(300)), "s1", at(0));
+    let reported = HashSet::from([1]);
+    assert!(broker.unknown_requests("h1", &reported).is_empty());
+    broker.put_engine(engine("s1", "a", 1), false, at(50));
+    broker.request_slot(request(2, online(300)), at(60));
+    assert_eq!(granted(&broker.take_actions(), 2), None);
+    broker.release("h1", 1, Some("s1"), RunOutcome::Done, at(100));
+    assert_eq!(granted(&broker.take_actions(), 2).as_deref(), Some("s1"));
+}
+
 #[test]
 fn requests_of_a_lost_host_free_their_slots() {
     let mut broker = broker(&[engine("s1", "a", 1)]);
