fix(node): the last item of an upload is not lost

If the last line had no newline and its item did not fit into the chunk of the items before, only that chunk was appended and the job waited for ever for its last item. Test: the_last_item_of_an_upload_is_not_lost (1,001 items), failed before.

--- a/bamboo-node/src/callers/jobs.rs
+++ b/bamboo-node/src/callers/jobs.rs
@@ -390,7 +390,7 @@
                 self.append_chunk(chunk).await?;
             }
         }
-        if let Some(chunk) = lines.finish()? {
+        for chunk in lines.finish()? {
             self.append_chunk(chunk).await?;
         }
         Ok(())
--- a/bamboo-node/src/callers/lines.rs
+++ b/bamboo-node/src/callers/lines.rs
@@ -78,19 +78,21 @@
         Ok(full)
     }
 
-    /// Parses the last line, which may lack a newline, and returns the last chunk, if any.
+    /// Parses the last line, which may lack a newline, and returns the remaining chunks: two if the item of that line did
+    /// not fit into the chunk of the items before.
     ///
     /// # Errors
     /// Fails on an invalid line or a job without items.
-    pub(crate) fn finish(&mut self) -> Result<Option<Vec<ItemBody>>, ApiError> {
+    pub(crate) fn finish(&mut self) -> Result<Vec<Vec<ItemBody>>, ApiError> {
         let rest = self.buffer.split();
-        if let Some(chunk) = self.push_line(&rest)? {
-            return Ok(Some(chunk));
-        }
+        let mut chunks: Vec<Vec<ItemBody>> = self.push_line(&rest)?.into_iter().collect();
         if self.item_count == 0 {
             return Err(ApiError::new(Code::BadItem, "the job has no items"));
         }
-        Ok((!self.chunk.is_empty()).then(|| self.take_chunk()))
+        if !self.chunk.is_empty() {
+            chunks.push(self.take_chunk());
+        }
+        Ok(chunks)
     }
 
     /// Number of items parsed so far.
--- a/bamboo-node/tests/host.rs
+++ b/bamboo-node/tests/host.rs
@@ -158,6 +158,31 @@
     });
 }
 
+/// The last line of the upload has no newline, and its item does not fit into the chunk of the 1,000 items before.
+#[test]
+fn the_last_item_of_an_upload_is_not_lost() {
+    run(async {
+        let host = TestHost::start().await;
+        let job = submit(&host, &lines(1_001), "season", "completion_window=1h")
+            .await
+            .expect("accepted");
+        let path = format!("/v1/batches/{}", job["id"].as_str().expect("id"));
+        wait_until(|| async {
+            host.caller()
+                .get(&path)
+                .await
+                .is_ok_and(|job| job["status"] == "completed")
+        })
+        .await;
+        let results = host
+            .caller()
+            .get_text(&format!("{path}/results"))
+            .await
+            .expect("results");
+        assert!(results.contains("\"i1000\""), "the last item has a result");
+    });
+}
+
 #[test]
 fn invalid_jobs_are_rejected_as_a_whole_and_the_error_names_the_line() {
     run(async {
