--- a/bamboo-coordination/src/coordinator.rs
+++ b/bamboo-coordination/src/coordinator.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use bamboo_types::HostId;
@@ -194,9 +195,19 @@
 
     /// All other hosts that are considered live.
     pub fn live_peers(&self, now: Duration) -> Vec<HostId> {
+        let listed: HashSet<&HostId> = self
+            .cluster_map
+            .hosts
+            .iter()
+            .map(|info| &info.host)
+            .collect();
+        let is_live = |info: &HostInfo| {
+            let is_listed = || listed.contains(&info.host);
+            self.is_eligible_if(info, is_listed, now)
+        };
         self.hosts
             .values()
-            .filter(|info| info.host != self.local.host && self.is_eligible(info, now))
+            .filter(|info| info.host != self.local.host && is_live(info))
             .map(|info| info.host.clone())
             .collect()
     }
@@ -351,21 +362,28 @@
 
     /// Whether a host can be the coordinator.
     fn is_eligible(&self, info: &HostInfo, now: Duration) -> bool {
+        let is_listed = || {
+            let mut listed = self.cluster_map.hosts.iter();
+            listed.any(|listed| listed.host == info.host)
+        };
+        self.is_eligible_if(info, is_listed, now)
+    }
+
+    /// Whether a host can be the coordinator, given whether the cluster map lists it.
+    fn is_eligible_if<F>(&self, info: &HostInfo, is_listed: F, now: Duration) -> bool
+    where
+        F: Fn() -> bool,
+    {
         if self.leaving.get(&info.host) == Some(&info.incarnation)
             || self.is_suspect(&info.host, now)
         {
             return false;
         }
-        let is_listed = self
-            .cluster_map
-            .hosts
-            .iter()
-            .any(|listed| listed.host == info.host);
         let is_recently_seen = self
             .last_contact
             .get(&info.host)
             .is_some_and(|at| now.saturating_sub(*at) < CONTACT_TIMEOUT);
-        info.host == self.local.host || is_listed || is_recently_seen
+        info.host == self.local.host || is_recently_seen || is_listed()
     }
 
     /// Chooses the coordinator again. Returns whether it changed.
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -92,10 +92,11 @@
             let granted = state.granted.as_ref();
             granted.is_some_and(|granted| granted.server == server)
         });
-        let (online, batch): (Vec<_>, Vec<_>) =
-            runs.partition(|(_, state)| matches!(state.request.work, Work::Online { .. }));
-        let keys = |runs: Vec<(RequestKey, &RequestState)>| runs.into_iter().map(|(key, _)| key).collect();
-        (keys(online), keys(batch))
+        let keys: Vec<RequestKey> = runs.map(|(key, _)| key).collect();
+        keys.into_iter().partition(|key| {
+            let work = self.requests.get(*key).map(|state| state.request.work);
+            matches!(work, Some(Work::Online { .. }))
+        })
     }
 
     /// Removes an engine and the requests that hold its slots. The runs are not preempted; they end on their own.
