--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -2,6 +2,8 @@
 
 mod heartbeat;
 mod peers;
+mod servers;
+mod store_calls;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -16,18 +18,12 @@
 use bamboo_fleet::Directory;
 use bamboo_fleet::FleetConfig;
 use bamboo_fleet::Server;
-use bamboo_relay::AttemptOutcome;
-use bamboo_relay::DirectTimeout;
-use bamboo_relay::NextStep;
-use bamboo_relay::StoreCall;
 use bamboo_relay::StorePath;
 use bamboo_slots::Broker;
 use bamboo_slots::DeadlineHistory;
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
 use rand::RngExt;
-use rand::seq::IndexedRandom;
-use rand::seq::SliceRandom;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -37,25 +33,13 @@
 use crate::jobs::JobShards;
 use crate::mesh::LinkFailure;
 use crate::mesh::Mesh;
-use crate::mesh::PeerReply;
-use crate::mesh::PeerRequest;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::slot_requests::SlotRequestTable;
 use crate::store::StoreClient;
-use crate::store::StoreError;
-use crate::store::StoreReply;
-use crate::store::StoreRequest;
 use crate::traffic::LoadBalancer;
 use crate::traffic::ServerPool;
 
-/// Timeout for a store request that is relayed through another host.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Interval at which it is checked whether the store is due for a probe.
-const STORE_PROBE_POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Timeout for fetching the directory of backend servers from another host.
-const SERVERS_FETCH_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Phase of the process, from start to shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -274,57 +258,6 @@
         self.update_knows_servers();
     }
 
-    /// Records that the directory of backend servers has been read.
-    pub(crate) fn servers_read(&self) {
-        self.has_read_servers.set(true);
-        self.update_knows_servers();
-    }
-
-    /// Whether the directory of backend servers has been read, from the store or from another host.
-    pub(crate) fn has_read_servers(&self) -> bool {
-        self.has_read_servers.get()
-    }
-
-    /// Lets this host coordinate once it has read both the configuration and the directory.
-    fn update_knows_servers(&self) {
-        let is_complete = self.has_read_servers.get() && self.config.borrow().is_some();
-        if !is_complete || self.coordination.borrow().knows_servers() {
-            return;
-        }
-        self.coordination.borrow_mut().set_knows_servers();
-        self.servers_known.notify_waiters();
-        self.choose_coordinator();
-    }
-
-    /// All backend servers; `None` if this host does not know them.
-    pub(crate) fn known_servers(&self) -> Option<Vec<Server>> {
-        if !self.coordination.borrow().knows_servers() {
-            return None;
-        }
-        let directory = self.directory.borrow();
-        Some(
-            directory
-                .iter()
-                .map(|server| Server::clone(server))
-                .collect(),
-        )
-    }
-
-    /// Fetches the directory of backend servers from a random live host. Returns `None` if there is no such host, or it
-    /// does not know them.
-    pub(crate) async fn fetch_servers(&self) -> Option<Vec<Server>> {
-        let now = self.clock.now();
-        let peers = self.coordination.borrow().live_peers(now);
-        let peer = peers.choose(&mut rand::rng())?;
-        let reply = self
-            .mesh
-            .call(peer, PeerRequest::Servers, SERVERS_FETCH_TIMEOUT, now);
-        match reply.await {
-            Some(PeerReply::Servers(servers)) => servers,
-            _ => None,
-        }
-    }
-
     /// Version of the current configuration, 0 if there is none.
     pub(crate) fn config_version(&self) -> u64 {
         self.config
@@ -388,123 +321,6 @@
             .pick(&servers, excluded, &self.settings.data_centre, now)
     }
 
-    /// Sends a request to the store, through other hosts while the store does not respond to this one.
-    ///
-    /// # Errors
-    /// Fails if no way yields a response. Unless the error is [`StoreError::Unknown`], the request was not executed.
-    pub(crate) async fn store_call(
-        &self,
-        request: &StoreRequest,
-    ) -> Result<StoreReply, StoreError> {
-        let started = self.clock.now();
-        let mut peers = self.coordination.borrow().live_peers(started);
-        peers.shuffle(&mut rand::rng());
-        let mut call = StoreCall::begin(&self.store_path.borrow(), peers);
-        let mut last_error = None;
-        loop {
-            let result = match call.step() {
-                NextStep::Direct(timeout) => self.call_store_directly(request, *timeout).await,
-                NextStep::Relay(host) => self.call_store_through(host, request).await,
-                NextStep::GiveUp => {
-                    return Err(last_error
-                        .unwrap_or_else(|| StoreError::Unreachable("no attempt".to_owned())));
-                }
-            };
-            let error = match result {
-                Ok(reply) => return Ok(reply),
-                Err(error) => error,
-            };
-            let outcome = match &error {
-                StoreError::Refused(_) => AttemptOutcome::Refused,
-                StoreError::Unknown(_) => AttemptOutcome::TimedOut,
-                StoreError::Unreachable(_) => AttemptOutcome::NoPath,
-            };
-            if !matches!(last_error, Some(StoreError::Unknown(_))) {
-                last_error = Some(error);
-            }
-            call.advance(outcome, self.clock.now().saturating_sub(started));
-        }
-    }
-
-    async fn call_store_directly(
-        &self,
-        request: &StoreRequest,
-        timeout: DirectTimeout,
-    ) -> Result<StoreReply, StoreError> {
-        let result = self.store.call(request, timeout).await;
-        let now = self.clock.now();
-        let has_changed = self
-            .store_path
-            .borrow_mut()
-            .record_direct(result.is_ok(), now);
-        match &result {
-            Ok(_) if has_changed => {
-                log::info!(event = "store_regained"; "the store responds again")
-            }
-            Err(error) if has_changed => {
-                log::warn!(event = "store_lost"; "no response from the store; relaying through other hosts: {error}")
-            }
-            Ok(_) | Err(_) => {}
-        }
-        result
-    }
-
-    async fn call_store_through(
-        &self,
-        host: &HostId,
-        request: &StoreRequest,
-    ) -> Result<StoreReply, StoreError> {
-        let relayed = PeerRequest::Store(request.clone());
-        let now = self.clock.now();
-        let reply = self.mesh.call(host, relayed, RELAY_TIMEOUT, now).await;
-        let is_ok = matches!(reply, Some(PeerReply::Store(Ok(_))));
-        self.store_path.borrow_mut().record_relay(host, is_ok);
-        match reply {
-            Some(PeerReply::Store(result)) => result,
-            _ => Err(StoreError::Unknown("no response from the relay".to_owned())),
-        }
-    }
-
-    /// Executes a store request for another host, at once or not at all.
-    pub(crate) async fn relay_store_call(
-        &self,
-        request: &StoreRequest,
-    ) -> Result<StoreReply, StoreError> {
-        if !self.store_path.borrow().is_direct_up() {
-            return Err(StoreError::Unreachable(
-                "the store does not respond to the relay either".to_owned(),
-            ));
-        }
-        self.call_store_directly(request, DirectTimeout::Full).await
-    }
-
-    /// Probes the store until it responds to this host again, whenever calls are relayed. Runs until the process ends.
-    pub(crate) async fn probe_store(self: Rc<Self>) {
-        // The page after all names is empty.
-        let probe = StoreRequest::Newest {
-            topic: self.dialect.config_topic.to_owned(),
-            after: Some("~".to_owned()),
-        };
-        loop {
-            actix_rt::time::sleep(STORE_PROBE_POLL_INTERVAL).await;
-            let is_due = self.store_path.borrow().is_probe_due(self.clock.now());
-            if is_due {
-                // The outcome is recorded by the call.
-                let _ = self.call_store_directly(&probe, DirectTimeout::Full).await;
-            }
-        }
-    }
-
-    /// Number of requests sent to the store, and of those that failed.
-    pub(crate) fn store_counts(&self) -> (u64, u64) {
-        self.store.counts()
-    }
-
-    /// Recent latency of the store.
-    pub(crate) fn recent_store_latency(&self) -> Duration {
-        self.store.recent_latency()
-    }
-
     /// How long results stay readable after submission of the job, in milliseconds.
     pub(crate) fn results_kept_ms(&self) -> u64 {
         (self.settings.promises.results_kept_s * 1000.0) as u64
--- /dev/null
+++ b/bamboo-gateway/src/gateway/servers.rs
@@ -0,0 +1,66 @@
+//! What this host knows of the backend servers, and how it learns of them from other hosts.
+
+use std::time::Duration;
+
+use bamboo_fleet::Server;
+use rand::seq::IndexedRandom;
+
+use crate::gateway::Gateway;
+use crate::mesh::PeerReply;
+use crate::mesh::PeerRequest;
+
+/// Timeout for fetching the directory of backend servers from another host.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
+
+impl Gateway {
+    /// Records that the directory of backend servers has been read.
+    pub(crate) fn servers_read(&self) {
+        self.has_read_servers.set(true);
+        self.update_knows_servers();
+    }
+
+    /// Whether the directory of backend servers has been read, from the store or from another host.
+    pub(crate) fn has_read_servers(&self) -> bool {
+        self.has_read_servers.get()
+    }
+
+    /// Lets this host coordinate once it has read both the configuration and the directory.
+    pub(super) fn update_knows_servers(&self) {
+        let is_complete = self.has_read_servers.get() && self.config.borrow().is_some();
+        if !is_complete || self.coordination.borrow().knows_servers() {
+            return;
+        }
+        self.coordination.borrow_mut().set_knows_servers();
+        self.servers_known.notify_waiters();
+        self.choose_coordinator();
+    }
+
+    /// All backend servers; `None` if this host does not know them.
+    pub(crate) fn known_servers(&self) -> Option<Vec<Server>> {
+        if !self.coordination.borrow().knows_servers() {
+            return None;
+        }
+        let directory = self.directory.borrow();
+        Some(
+            directory
+                .iter()
+                .map(|server| Server::clone(server))
+                .collect(),
+        )
+    }
+
+    /// Fetches the directory of backend servers from a random live host. Returns `None` if there is no such host, or it
+    /// does not know them.
+    pub(crate) async fn fetch_servers(&self) -> Option<Vec<Server>> {
+        let now = self.clock.now();
+        let peers = self.coordination.borrow().live_peers(now);
+        let peer = peers.choose(&mut rand::rng())?;
+        let reply = self
+            .mesh
+            .call(peer, PeerRequest::Servers, FETCH_TIMEOUT, now);
+        match reply.await {
+            Some(PeerReply::Servers(servers)) => servers,
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/bamboo-gateway/src/gateway/store_calls.rs
@@ -0,0 +1,142 @@
+//! Calls to the store, directly or through other hosts.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboo_relay::AttemptOutcome;
+use bamboo_relay::DirectTimeout;
+use bamboo_relay::NextStep;
+use bamboo_relay::StoreCall;
+use bamboo_types::HostId;
+use rand::seq::SliceRandom;
+
+use crate::gateway::Gateway;
+use crate::mesh::PeerReply;
+use crate::mesh::PeerRequest;
+use crate::store::StoreError;
+use crate::store::StoreReply;
+use crate::store::StoreRequest;
+
+/// Timeout for a request that is relayed through another host.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Interval at which it is checked whether the store is due for a probe.
+const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+impl Gateway {
+    /// Sends a request to the store, through other hosts while the store does not respond to this one.
+    ///
+    /// # Errors
+    /// Fails if no way yields a response. Unless the error is [`StoreError::Unknown`], the request was not executed.
+    pub(crate) async fn store_call(
+        &self,
+        request: &StoreRequest,
+    ) -> Result<StoreReply, StoreError> {
+        let started = self.clock.now();
+        let mut peers = self.coordination.borrow().live_peers(started);
+        peers.shuffle(&mut rand::rng());
+        let mut call = StoreCall::begin(&self.store_path.borrow(), peers);
+        let mut last_error = None;
+        loop {
+            let result = match call.step() {
+                NextStep::Direct(timeout) => self.call_store_directly(request, *timeout).await,
+                NextStep::Relay(host) => self.call_store_through(host, request).await,
+                NextStep::GiveUp => {
+                    return Err(last_error
+                        .unwrap_or_else(|| StoreError::Unreachable("no attempt".to_owned())));
+                }
+            };
+            let error = match result {
+                Ok(reply) => return Ok(reply),
+                Err(error) => error,
+            };
+            let outcome = match &error {
+                StoreError::Refused(_) => AttemptOutcome::Refused,
+                StoreError::Unknown(_) => AttemptOutcome::TimedOut,
+                StoreError::Unreachable(_) => AttemptOutcome::NoPath,
+            };
+            if !matches!(last_error, Some(StoreError::Unknown(_))) {
+                last_error = Some(error);
+            }
+            call.advance(outcome, self.clock.now().saturating_sub(started));
+        }
+    }
+
+    async fn call_store_directly(
+        &self,
+        request: &StoreRequest,
+        timeout: DirectTimeout,
+    ) -> Result<StoreReply, StoreError> {
+        let result = self.store.call(request, timeout).await;
+        let now = self.clock.now();
+        let has_changed = self
+            .store_path
+            .borrow_mut()
+            .record_direct(result.is_ok(), now);
+        match &result {
+            Ok(_) if has_changed => {
+                log::info!(event = "store_regained"; "the store responds again")
+            }
+            Err(error) if has_changed => {
+                log::warn!(event = "store_lost"; "no response from the store; relaying through other hosts: {error}")
+            }
+            Ok(_) | Err(_) => {}
+        }
+        result
+    }
+
+    async fn call_store_through(
+        &self,
+        host: &HostId,
+        request: &StoreRequest,
+    ) -> Result<StoreReply, StoreError> {
+        let relayed = PeerRequest::Store(request.clone());
+        let now = self.clock.now();
+        let reply = self.mesh.call(host, relayed, RELAY_TIMEOUT, now).await;
+        let is_ok = matches!(reply, Some(PeerReply::Store(Ok(_))));
+        self.store_path.borrow_mut().record_relay(host, is_ok);
+        match reply {
+            Some(PeerReply::Store(result)) => result,
+            _ => Err(StoreError::Unknown("no response from the relay".to_owned())),
+        }
+    }
+
+    /// Executes a store request for another host, at once or not at all.
+    pub(crate) async fn relay_store_call(
+        &self,
+        request: &StoreRequest,
+    ) -> Result<StoreReply, StoreError> {
+        if !self.store_path.borrow().is_direct_up() {
+            return Err(StoreError::Unreachable(
+                "the store does not respond to the relay either".to_owned(),
+            ));
+        }
+        self.call_store_directly(request, DirectTimeout::Full).await
+    }
+
+    /// Probes the store until it responds to this host again, whenever calls are relayed. Runs until the process ends.
+    pub(crate) async fn probe_store(self: Rc<Self>) {
+        // The page after all names is empty.
+        let probe = StoreRequest::Newest {
+            topic: self.dialect.config_topic.to_owned(),
+            after: Some("~".to_owned()),
+        };
+        loop {
+            actix_rt::time::sleep(PROBE_POLL_INTERVAL).await;
+            let is_due = self.store_path.borrow().is_probe_due(self.clock.now());
+            if is_due {
+                // The outcome is recorded by the call.
+                let _ = self.call_store_directly(&probe, DirectTimeout::Full).await;
+            }
+        }
+    }
+
+    /// Number of requests sent to the store, and of those that failed.
+    pub(crate) fn store_counts(&self) -> (u64, u64) {
+        self.store.counts()
+    }
+
+    /// Recent latency of the store.
+    pub(crate) fn recent_store_latency(&self) -> Duration {
+        self.store.recent_latency()
+    }
+}
