fix(gateway): messages of a host do not use up the attempts to connect to it

Found by reading: each message that arrived while the link was not established began the connection attempt anew, and the third one ended the link. Now only the first one does, and it does not count as an attempt.

--- a/bamboo-gateway/src/mesh/link.rs
+++ b/bamboo-gateway/src/mesh/link.rs
@@ -141,21 +141,26 @@
     }
 }
 
-/// Connects to a host. An attempt that times out is repeated, and one during which the host turns out to be up at once.
+/// Connects to a host. An attempt that times out is repeated; one during which the host turns out to be up is begun again
+/// at once, but only the first time, because each message from the host shows that.
 async fn connect(address: SocketAddr, shared: &Shared) -> anyhow::Result<TcpStream> {
-    let mut last_error = None;
+    let mut has_restarted = false;
+    let mut last_error = anyhow::anyhow!("no attempt to connect");
     for timeout in CONNECT_TIMEOUTS {
-        tokio::select! {
-            connected = net::connect(address, timeout) => match connected {
-                Ok(stream) => return Ok(stream),
-                Err(error) if error.is::<tokio::time::error::Elapsed>() => last_error = Some(error),
-                Err(error) => return Err(error),
-            },
-            () = shared.is_host_up.notified() => {}
+        let connected = tokio::select! {
+            connected = net::connect(address, timeout) => connected,
+            () = shared.is_host_up.notified(), if !has_restarted => {
+                has_restarted = true;
+                net::connect(address, timeout).await
+            }
+        };
+        match connected {
+            Ok(stream) => return Ok(stream),
+            Err(error) if error.is::<tokio::time::error::Elapsed>() => last_error = error,
+            Err(error) => return Err(error),
         }
     }
-    Err(last_error
-        .unwrap_or_else(|| anyhow::anyhow!("the host is up but does not accept connections")))
+    Err(last_error)
 }
 
 fn send(body: &mut SendStream<Bytes>, message: &PeerMessage) -> anyhow::Result<()> {
