fix(coordination): slot requests of a host that is lost before its first heartbeat are dropped

Cause: since hosts follow a new coordinator at once, their requests reach it up to 250 ms before their first heartbeat. A host that was killed in between was in no report, so that its slots and queued items stayed with the coordinator for ever.

Change: the first slot request starts the time-out of a host, too.

--- a/bamboo-coordination/src/reports.rs
+++ b/bamboo-coordination/src/reports.rs
@@ -60,9 +60,18 @@
     cluster_map: Option<(ClusterMap, u64)>,
     reservations: Vec<Reservation>,
     next_reservation: u64,
+    /// Hosts that sent slot requests but no heartbeat yet, with the time of the first request.
+    unreported: BTreeMap<HostId, Duration>,
 }
 
 impl Reports {
+    /// Records that a host sent slot requests. A host that is lost before its first heartbeat is thereby noticed, too.
+    pub fn record_requests(&mut self, host: &str, now: Duration) {
+        if !self.reports.contains_key(host) {
+            self.unreported.entry(host.to_owned()).or_insert(now);
+        }
+    }
+
     /// Records a heartbeat. Returns whether the host is new or has restarted.
     pub fn record_heartbeat(
         &mut self,
@@ -98,6 +107,7 @@
                 .unwrap_or_default(),
         };
         self.reports.insert(info.host.clone(), report);
+        self.unreported.remove(&info.host);
         is_new
     }
 
@@ -144,15 +154,22 @@
 
     /// Removes hosts whose heartbeats have stopped and returns them.
     pub fn remove_silent(&mut self, now: Duration) -> Vec<HostId> {
-        let lost: Vec<HostId> = self
+        let is_silent = |since: Duration| now.saturating_sub(since) > HOST_TIMEOUT;
+        let reported = self
             .reports
             .iter()
-            .filter(|(_, report)| now.saturating_sub(report.received_at) > HOST_TIMEOUT)
+            .map(|(host, report)| (host, report.received_at));
+        let unreported = self.unreported.iter().map(|(host, since)| (host, *since));
+        let lost: Vec<HostId> = reported
+            .chain(unreported)
+            .filter(|(_, since)| is_silent(*since))
             .map(|(host, _)| host.clone())
             .collect();
         for host in &lost {
-            self.reports.remove(host);
-            self.cluster_map = None;
+            self.unreported.remove(host);
+            if self.reports.remove(host).is_some() {
+                self.cluster_map = None;
+            }
         }
         self.reservations
             .retain(|reservation| !lost.contains(&reservation.host));
--- a/bamboo-coordination/tests/coordination.rs
+++ b/bamboo-coordination/tests/coordination.rs
@@ -256,3 +256,15 @@
     let reserved = reports.reserve("a", "r", 900, 1_000, 2);
     assert!(matches!(reserved, ReservationOutcome::Reserved(_)));
 }
+
+/// Hosts send their requests to a new coordinator at once, and their heartbeat up to 250 ms later.
+#[test]
+fn a_host_that_is_lost_before_its_first_heartbeat_is_noticed() {
+    let mut reports = Reports::default();
+    reports.record_requests("a", at(0));
+    reports.record_requests("b", at(0));
+    reports.record_heartbeat(&host("b", 1), heartbeat(&[], 0, 0), at(200));
+    assert!(reports.remove_silent(at(1_400)).is_empty());
+    assert_eq!(reports.remove_silent(at(1_600)), ["a"]);
+    assert!(reports.remove_silent(at(1_600)).is_empty());
+}
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -145,6 +145,7 @@
         match message {
             PeerMessage::Heartbeat(heartbeat) => self.handle_heartbeat(sender, heartbeat, now),
             PeerMessage::Sync(infos) => {
+                self.record_requests(sender, now);
                 if !self.is_coordinator(&self.local.host) {
                     // The sender follows an outdated hint.
                     self.acknowledge_heartbeat(sender, None, false, now);
@@ -156,6 +157,7 @@
                 self.send_broker_actions();
             }
             PeerMessage::RequestSlot(info) => {
+                self.record_requests(sender, now);
                 self.handle_slot_request(sender, info, now);
                 self.send_broker_actions();
             }
@@ -201,6 +203,10 @@
         }
     }
 
+    fn record_requests(&self, sender: &HostInfo, now: Duration) {
+        self.reports.borrow_mut().record_requests(&sender.host, now);
+    }
+
     pub(super) fn is_coordinator(&self, host: &str) -> bool {
         self.coordination.borrow().coordinator() == host
     }
