--- a/bamboo-node/tests/host.rs
+++ b/bamboo-node/tests/host.rs
@@ -39,6 +39,21 @@
     host.caller().submit(submission).await
 }
 
+/// Waits until a job is completed, and returns its results.
+async fn completed_results(host: &TestHost, path: &str) -> String {
+    wait_until(|| async {
+        host.caller()
+            .get(path)
+            .await
+            .is_ok_and(|job| job["status"] == "completed")
+    })
+    .await;
+    host.caller()
+        .get_text(&format!("{path}/results"))
+        .await
+        .expect("results")
+}
+
 #[test]
 fn online_responses_are_complete_and_models_are_listed_per_caller() {
     run(async {
@@ -118,18 +133,7 @@
             .await
             .expect("accepted");
         let path = format!("/v1/batches/{}", job["id"].as_str().expect("id"));
-        wait_until(|| async {
-            host.caller()
-                .get(&path)
-                .await
-                .is_ok_and(|job| job["status"] == "completed")
-        })
-        .await;
-        let results = host
-            .caller()
-            .get_text(&format!("{path}/results"))
-            .await
-            .expect("results");
+        let results = completed_results(&host, &path).await;
         let mut ids: Vec<String> = results
             .lines()
             .map(|line| {
@@ -167,18 +171,7 @@
             .await
             .expect("accepted");
         let path = format!("/v1/batches/{}", job["id"].as_str().expect("id"));
-        wait_until(|| async {
-            host.caller()
-                .get(&path)
-                .await
-                .is_ok_and(|job| job["status"] == "completed")
-        })
-        .await;
-        let results = host
-            .caller()
-            .get_text(&format!("{path}/results"))
-            .await
-            .expect("results");
+        let results = completed_results(&host, &path).await;
         assert!(results.contains("\"i1000\""), "the last item has a result");
     });
 }
