feat(gateway): calls to the store are counted by kind, topic and outcome, and discarded answers are logged

New: `gateway_store_requests{call,topic,outcome}`, `gateway_store_received_bytes{call,topic,is_whole}`, the log lines `store_answer_discarded` (call, topic, bytes, timeout) and `replay_waits` (partition, offset, end, reason). No logic changes.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -136,8 +136,10 @@
         let (phase, _) = watch::channel(Phase::Serving);
         let (config_fetches, config_fetch_queue) = mpsc::unbounded_channel();
         let (link_failures, link_failure_queue) = mpsc::unbounded_channel();
+        let metrics = Metrics::default();
+        let store_metrics = metrics.store.clone();
         let gateway = Rc::new(Gateway {
-            store: StoreClient::new(settings.store.address, dialect.clone()),
+            store: StoreClient::new(settings.store.address, dialect.clone(), store_metrics),
             mesh: Mesh::new(local.clone(), link_failures),
             local,
             settings,
@@ -156,7 +158,7 @@
             has_read_servers: Cell::new(false),
             servers_known: Notify::new(),
             jobs: JobShards::default(),
-            metrics: Metrics::default(),
+            metrics,
             phase,
             is_config_fetch_pending: Cell::new(false),
             config_fetches,
--- a/bamboo-gateway/src/jobs/shard.rs
+++ b/bamboo-gateway/src/jobs/shard.rs
@@ -288,6 +288,7 @@
         }
     }
     let mut from = 0;
+    let mut is_waiting = false;
     let mut assembler = FragmentAssembler::default();
     while from < end {
         let request = StoreRequest::Read {
@@ -302,6 +303,7 @@
                 end: current_end,
             }) => {
                 end = end.max(current_end);
+                is_waiting = false;
                 if records.is_empty() {
                     break;
                 }
@@ -330,7 +332,16 @@
                 assembler = FragmentAssembler::default();
             }
             Ok(other) => anyhow::bail!("unexpected reply from the store: {other:?}"),
-            Err(_) => actix_rt::time::sleep(RETRY_PAUSE).await,
+            Err(error) => {
+                if !is_waiting {
+                    log::info!(
+                        event = "replay_waits", partition = shard.partition, epoch = shard.epoch, from, end;
+                        "cannot read the records of a shard yet: {error}"
+                    );
+                }
+                is_waiting = true;
+                actix_rt::time::sleep(RETRY_PAUSE).await;
+            }
         }
     }
     shard.end_offset.set(end);
--- a/bamboo-gateway/src/metrics.rs
+++ b/bamboo-gateway/src/metrics.rs
@@ -31,6 +31,65 @@
     pub kind: &'static str,
 }
 
+/// Labels of the counter of calls to the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StoreCallLabels {
+    /// Kind of the call.
+    call: &'static str,
+    /// Topic; empty for a call that concerns a group.
+    topic: String,
+    /// How the call ended.
+    outcome: &'static str,
+}
+
+/// Labels of the counter of bytes that the store sent.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StoreBytesLabels {
+    /// Kind of the call.
+    call: &'static str,
+    /// Topic; empty for a call that concerns a group.
+    topic: String,
+    /// Whether the response was whole; otherwise its bytes were discarded.
+    is_whole: String,
+}
+
+/// Counters of the calls to the store.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct StoreMetrics {
+    calls: Family<StoreCallLabels, Counter>,
+    received_bytes: Family<StoreBytesLabels, Counter>,
+}
+
+impl StoreMetrics {
+    /// Counts a call.
+    pub(crate) fn count_call(&self, call: &'static str, topic: &str, outcome: &'static str) {
+        let labels = StoreCallLabels {
+            call,
+            topic: topic.to_owned(),
+            outcome,
+        };
+        self.calls.get_or_create(&labels).inc();
+    }
+
+    /// Counts the bytes of a response body.
+    pub(crate) fn count_received(
+        &self,
+        call: &'static str,
+        topic: &str,
+        is_whole: bool,
+        bytes: usize,
+    ) {
+        let labels = StoreBytesLabels {
+            call,
+            topic: topic.to_owned(),
+            is_whole: is_whole.to_string(),
+        };
+        self.received_bytes
+            .get_or_create(&labels)
+            .inc_by(bytes as u64);
+    }
+}
+
 /// All metrics of the process.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -44,6 +103,8 @@
     pub runs: Family<KindLabel, Counter>,
     /// Events of batch items by kind.
     pub items: Family<KindLabel, Counter>,
+    /// Calls to the store by kind, topic and outcome, and the bytes received.
+    pub store: StoreMetrics,
     /// Requests sent to the store.
     pub store_calls: Gauge,
     /// Requests to the store that failed.
@@ -62,6 +123,7 @@
             slot_wait_s: latency(),
             runs: Family::default(),
             items: Family::default(),
+            store: StoreMetrics::default(),
             store_calls: Gauge::default(),
             store_failures: Gauge::default(),
             partitions: Gauge::default(),
@@ -84,6 +146,16 @@
         );
         registry.register("runs", "Runs at servers by outcome", metrics.runs.clone());
         registry.register("items", "Items of jobs by event", metrics.items.clone());
+        registry.register(
+            "store_requests",
+            "Calls of the store by kind, topic and outcome",
+            metrics.store.calls.clone(),
+        );
+        registry.register(
+            "store_received_bytes",
+            "Bytes of the store's answers, whole or discarded",
+            metrics.store.received_bytes.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls of the store",
--- a/bamboo-gateway/src/store.rs
+++ b/bamboo-gateway/src/store.rs
@@ -9,6 +9,7 @@
 use bamboo_relay::DirectTimeout;
 use bamboo_types::Offset;
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::header::CONTENT_TYPE;
 use http::header::HOST;
 use http_body_util::BodyExt;
@@ -20,6 +21,7 @@
 use thiserror::Error;
 
 use crate::dialect::Dialect;
+use crate::metrics::StoreMetrics;
 use crate::net;
 use crate::task::OwnedTask;
 
@@ -124,6 +126,27 @@
             _ => Duration::ZERO,
         }
     }
+
+    /// Name of the kind of call, for metrics.
+    fn kind(&self) -> &'static str {
+        match self {
+            StoreRequest::Append { .. } => "append",
+            StoreRequest::Read { .. } => "read",
+            StoreRequest::Newest { .. } => "newest",
+            StoreRequest::Join { .. } => "join",
+            StoreRequest::Leave { .. } => "leave",
+        }
+    }
+
+    /// Topic that the call concerns; empty for a call that concerns a group.
+    fn topic(&self) -> &str {
+        match self {
+            StoreRequest::Append { topic, .. }
+            | StoreRequest::Read { topic, .. }
+            | StoreRequest::Newest { topic, .. } => topic,
+            StoreRequest::Join { .. } | StoreRequest::Leave { .. } => "",
+        }
+    }
 }
 
 /// The newest record of a key.
@@ -213,11 +236,12 @@
     calls: Cell<u64>,
     failures: Cell<u64>,
     recent_latency: Cell<Duration>,
+    metrics: StoreMetrics,
 }
 
 impl StoreClient {
-    /// Creates a client. It connects at the first call.
-    pub fn new(address: SocketAddr, dialect: Dialect) -> Self {
+    /// Creates a client, which counts its calls in `metrics`. It connects at the first call.
+    pub(crate) fn new(address: SocketAddr, dialect: Dialect, metrics: StoreMetrics) -> Self {
         StoreClient {
             address,
             dialect,
@@ -225,6 +249,7 @@
             calls: Cell::new(0),
             failures: Cell::new(0),
             recent_latency: Cell::new(Duration::ZERO),
+            metrics,
         }
     }
 
@@ -265,6 +290,7 @@
             let started = Instant::now();
             let reply = self.send(request, timeout).await;
             let elapsed = started.elapsed();
+            self.count(request, &reply);
             remaining = remaining.saturating_sub(elapsed.saturating_sub(request.wait()));
             match reply {
                 // Only timeouts are retried here. After a broken connection, callers pause before they retry.
@@ -290,6 +316,17 @@
         }
     }
 
+    fn count(&self, request: &StoreRequest, reply: &Result<StoreReply, StoreError>) {
+        let outcome = match reply {
+            Ok(_) => "ok",
+            Err(StoreError::Refused(_)) => "refused",
+            Err(StoreError::Unreachable(_)) => "unreachable",
+            Err(StoreError::Unknown(_)) => "unknown",
+        };
+        let (call, topic) = (request.kind(), request.topic());
+        self.metrics.count_call(call, topic, outcome);
+    }
+
     async fn send(
         &self,
         request: &StoreRequest,
@@ -315,17 +352,40 @@
         let http_request = builder
             .body(Full::new(call.body))
             .map_err(|error| StoreError::Refused(format!("cannot build the call: {error}")))?;
+        let received_bytes = Cell::new(0);
         let exchange = async {
             connection.sender.ready().await?;
             let response = connection.sender.send_request(http_request).await?;
             let status = response.status().as_u16();
-            let body = response.into_body().collect().await?.to_bytes();
-            Ok::<_, hyper::Error>((status, body))
+            let mut frames = response.into_body();
+            let mut body = BytesMut::new();
+            while let Some(frame) = frames.frame().await {
+                if let Ok(data) = frame?.into_data() {
+                    received_bytes.set(received_bytes.get() + data.len());
+                    body.extend_from_slice(&data);
+                }
+            }
+            Ok::<_, hyper::Error>((status, body.freeze()))
         };
-        let (status, body) = match tokio::time::timeout(request.wait() + timeout, exchange).await {
+        let outcome = tokio::time::timeout(request.wait() + timeout, exchange).await;
+        let is_whole = matches!(outcome, Ok(Ok(_)));
+        self.metrics.count_received(
+            request.kind(),
+            request.topic(),
+            is_whole,
+            received_bytes.get(),
+        );
+        let (status, body) = match outcome {
             Ok(Ok(response)) => response,
             Ok(Err(error)) => return Err(unknown(error.to_string())),
             Err(_) => {
+                if received_bytes.get() > 0 {
+                    log::info!(
+                        event = "store_answer_discarded", call = request.kind(), topic = request.topic(),
+                        received_bytes = received_bytes.get(), timeout_ms = timeout.as_millis() as u64;
+                        "a response of the store did not arrive in time"
+                    );
+                }
                 // The other idle connections are likely to be dead, too.
                 self.idle.borrow_mut().clear();
                 return Err(unknown("time is up".to_owned()));
