--- a/bamboo-gateway/src/store.rs
+++ b/bamboo-gateway/src/store.rs
@@ -379,13 +379,11 @@
             Ok(Ok(response)) => response,
             Ok(Err(error)) => return Err(unknown(error.to_string())),
             Err(_) => {
-                if received_bytes.get() > 0 {
-                    log::info!(
-                        event = "store_answer_discarded", call = request.kind(), topic = request.topic(),
-                        received_bytes = received_bytes.get(), timeout_ms = timeout.as_millis() as u64;
-                        "a response of the store did not arrive in time"
-                    );
-                }
+                log::info!(
+                    event = "store_timed_out", call = request.kind(), topic = request.topic(),
+                    received_bytes = received_bytes.get(), timeout_ms = timeout.as_millis() as u64;
+                    "a response of the store did not arrive in time"
+                );
                 // The other idle connections are likely to be dead, too.
                 self.idle.borrow_mut().clear();
                 return Err(unknown("time is up".to_owned()));
