fix(gateway): a bulk read of the store is waited for instead of being given up and sent again

Cause: the timeout of an attempt follows the latency of small calls (120 ms at first, 1.5 s in all). The store queues reads for up to 2 s, so the response to a large one begins later than that; it was given up, still took its share of the store's read rate, and was sent again. With 61 hosts and a configuration of 1.5 MB the store stayed saturated by responses that nobody read, a metastable overload, and no shard got past its first read.

Reads that may be large (the newest records of a topic, the replay of a shard) now have one attempt, 3 s until the response begins, and then as long as parts of it arrive. They use a connection of their own, so that a dead idle connection is not noticed later than before. The probe of the store becomes a call of its own, which returns no records.

Ruled out: lapsed memberships (no shard is closed after the power loss), unreadable records (no such line).

--- a/bamboo-gateway/src/gateway/store_calls.rs
+++ b/bamboo-gateway/src/gateway/store_calls.rs
@@ -19,6 +19,8 @@
 
 /// Timeout for a request that is relayed through another host.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Timeout for a bulk read that is relayed through another host.
+const BULK_RELAY_TIMEOUT: Duration = Duration::from_secs(4);
 /// Interval at which it is checked whether the store is due for a probe.
 const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -90,8 +92,12 @@
         request: &StoreRequest,
     ) -> Result<StoreReply, StoreError> {
         let relayed = PeerRequest::Store(request.clone());
+        let timeout = match request.is_bulk() {
+            true => BULK_RELAY_TIMEOUT,
+            false => RELAY_TIMEOUT,
+        };
         let now = self.clock.now();
-        let reply = self.mesh.call(host, relayed, RELAY_TIMEOUT, now).await;
+        let reply = self.mesh.call(host, relayed, timeout, now).await;
         let is_ok = matches!(reply, Some(PeerReply::Store(Ok(_))));
         self.store_path.borrow_mut().record_relay(host, is_ok);
         match reply {
@@ -115,10 +121,8 @@
 
     /// Probes the store until it responds to this host again, whenever calls are relayed. Runs until the process ends.
     pub(crate) async fn probe_store(self: Rc<Self>) {
-        // The page after all names is empty.
-        let probe = StoreRequest::Newest {
+        let probe = StoreRequest::End {
             topic: self.dialect.config_topic.to_owned(),
-            after: Some("~".to_owned()),
         };
         loop {
             actix_rt::time::sleep(PROBE_POLL_INTERVAL).await;
--- a/bamboo-gateway/src/jobs/calls.rs
+++ b/bamboo-gateway/src/jobs/calls.rs
@@ -27,6 +27,7 @@
 use crate::mesh::PeerRequest;
 use crate::response_body::ResponseBody;
 use crate::store::Partition;
+use crate::store::ReadExtent;
 use crate::store::StoreError;
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
@@ -374,7 +375,8 @@
     ) -> bool {
         let is_known = || shard.state.borrow().job(job).is_some();
         is_known()
-            || (read_submitted(gateway, shard, Duration::ZERO).await == ReadOutcome::AtEnd
+            || (read_submitted(gateway, shard, Duration::ZERO, ReadExtent::Tail).await
+                == ReadOutcome::AtEnd
                 && (is_known() || has_latest_records(gateway, shard).await))
     }
 
--- a/bamboo-gateway/src/jobs/shard.rs
+++ b/bamboo-gateway/src/jobs/shard.rs
@@ -28,6 +28,7 @@
 use crate::jobs::submitted::follow_submitted;
 use crate::jobs::submitted::read_submitted;
 use crate::store::Partition;
+use crate::store::ReadExtent;
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
 use crate::task::OwnedTask;
@@ -281,7 +282,7 @@
     };
     // Jobs that other hosts accepted are read first, because the shard's own records may contain their results.
     loop {
-        match read_submitted(gateway, shard, Duration::ZERO).await {
+        match read_submitted(gateway, shard, Duration::ZERO, ReadExtent::Backlog).await {
             ReadOutcome::AtEnd => break,
             ReadOutcome::HasMore => {}
             ReadOutcome::Failed => actix_rt::time::sleep(RETRY_PAUSE).await,
@@ -296,6 +297,7 @@
             partition: shard.partition,
             from,
             wait: Duration::ZERO,
+            extent: ReadExtent::Backlog,
         };
         match gateway.store_call(&request).await {
             Ok(StoreReply::Records {
@@ -356,6 +358,7 @@
         partition: shard.partition,
         from: shard.end_offset.get(),
         wait: Duration::ZERO,
+        extent: ReadExtent::Tail,
     };
     match gateway.store_call(&request).await {
         // Appends of this owner that completed during the call have advanced `end_offset`.
--- a/bamboo-gateway/src/jobs/submitted.rs
+++ b/bamboo-gateway/src/jobs/submitted.rs
@@ -14,6 +14,7 @@
 use crate::jobs::items;
 use crate::jobs::shard::OwnedShard;
 use crate::jobs::shard::RETRY_PAUSE;
+use crate::store::ReadExtent;
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
 
@@ -32,7 +33,9 @@
 /// Reads jobs that other hosts accept, until the shard is lost.
 pub(super) async fn follow_submitted(gateway: &Rc<Gateway>, shard: &Rc<OwnedShard>) {
     while !shard.is_lost() {
-        if read_submitted(gateway, shard, SUBMITTED_WAIT).await == ReadOutcome::Failed {
+        if read_submitted(gateway, shard, SUBMITTED_WAIT, ReadExtent::Tail).await
+            == ReadOutcome::Failed
+        {
             actix_rt::time::sleep(RETRY_PAUSE).await;
         }
     }
@@ -55,6 +58,7 @@
     gateway: &Rc<Gateway>,
     shard: &Rc<OwnedShard>,
     wait: Duration,
+    extent: ReadExtent,
 ) -> ReadOutcome {
     let from = shard.submitted.next_offset.get();
     let request = StoreRequest::Read {
@@ -62,6 +66,7 @@
         partition: shard.partition,
         from,
         wait,
+        extent,
     };
     match gateway.store_call(&request).await {
         Ok(StoreReply::Records { records, end }) => {
--- a/bamboo-gateway/src/lib.rs
+++ b/bamboo-gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub use store::Fence;
 pub use store::KeyedRecord;
 pub use store::Partition;
+pub use store::ReadExtent;
 pub use store::StoreClient;
 pub use store::StoreError;
 pub use store::StoreReply;
--- a/bamboo-gateway/src/store.rs
+++ b/bamboo-gateway/src/store.rs
@@ -14,6 +14,7 @@
 use http::header::HOST;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
@@ -29,6 +30,10 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Lower bound for the timeout of one attempt. The store responds in 4 ms at low load.
 const ATTEMPT_TIMEOUT_MIN: Duration = Duration::from_millis(120);
+/// Timeout until the response to a bulk read begins. The store queues reads for up to 2 s.
+const BULK_TIMEOUT: Duration = Duration::from_secs(3);
+/// Timeout for the next part of a response that has begun to arrive.
+const RESPONSE_GAP_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Timeout of one attempt, as a multiple of the recent latency.
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 4;
 /// Factor by which a faster call decays the recent latency.
@@ -52,6 +57,15 @@
     pub sequence: u64,
 }
 
+/// How much a read is expected to return.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReadExtent {
+    /// Records that were appended since the previous read, if any.
+    Tail,
+    /// All retained records from an offset on, in several reads.
+    Backlog,
+}
+
 /// A request to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreRequest {
@@ -76,6 +90,13 @@
         from: Offset,
         /// Maximum time to wait for a record if there is none (long polling).
         wait: Duration,
+        /// How much the read is expected to return.
+        extent: ReadExtent,
+    },
+    /// Reads the end of a compacted topic without its records.
+    End {
+        /// Topic.
+        topic: String,
     },
     /// Reads the newest record of each key, in pages.
     Newest {
@@ -114,6 +135,7 @@
         match self {
             StoreRequest::Append { fence, .. } => fence.is_some(),
             StoreRequest::Read { .. }
+            | StoreRequest::End { .. }
             | StoreRequest::Newest { .. }
             | StoreRequest::Join { .. }
             | StoreRequest::Leave { .. } => true,
@@ -127,11 +149,25 @@
         }
     }
 
+    /// Whether the response may be large. The store queues large reads, whose responses therefore begin late, and a
+    /// retry queues another one behind them.
+    pub(crate) fn is_bulk(&self) -> bool {
+        match self {
+            StoreRequest::Newest { .. } => true,
+            StoreRequest::Read { extent, .. } => *extent == ReadExtent::Backlog,
+            StoreRequest::Append { .. }
+            | StoreRequest::End { .. }
+            | StoreRequest::Join { .. }
+            | StoreRequest::Leave { .. } => false,
+        }
+    }
+
     /// Name of the kind of call, for metrics.
     fn kind(&self) -> &'static str {
         match self {
             StoreRequest::Append { .. } => "append",
             StoreRequest::Read { .. } => "read",
+            StoreRequest::End { .. } => "end",
             StoreRequest::Newest { .. } => "newest",
             StoreRequest::Join { .. } => "join",
             StoreRequest::Leave { .. } => "leave",
@@ -143,6 +179,7 @@
         match self {
             StoreRequest::Append { topic, .. }
             | StoreRequest::Read { topic, .. }
+            | StoreRequest::End { topic }
             | StoreRequest::Newest { topic, .. } => topic,
             StoreRequest::Join { .. } | StoreRequest::Leave { .. } => "",
         }
@@ -223,6 +260,32 @@
     Unknown(String),
 }
 
+/// Why a response did not arrive.
+enum ResponseError {
+    Failed(hyper::Error),
+    TimedOut,
+}
+
+/// Reads the body of a response for as long as parts of it arrive.
+async fn collect_body(
+    mut body: Incoming,
+    received_bytes: &Cell<usize>,
+) -> Result<Bytes, ResponseError> {
+    let mut collected = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(RESPONSE_GAP_TIMEOUT, body.frame())
+            .await
+            .map_err(|_| ResponseError::TimedOut)?;
+        let Some(frame) = frame else {
+            return Ok(collected.freeze());
+        };
+        if let Ok(data) = frame.map_err(ResponseError::Failed)?.into_data() {
+            received_bytes.set(received_bytes.get() + data.len());
+            collected.extend_from_slice(&data);
+        }
+    }
+}
+
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     _task: OwnedTask,
@@ -258,13 +321,14 @@
         (self.calls.get(), self.failures.get())
     }
 
-    /// Recent latency of requests, long polls excluded: a decaying maximum.
+    /// Recent latency of requests, long polls and bulk reads excluded: a decaying maximum.
     pub fn recent_latency(&self) -> Duration {
         self.recent_latency.get()
     }
 
     /// Sends a request. With the full timeout, an idempotent request is retried with twice the timeout of the attempt
-    /// before; with the short one there is a single attempt.
+    /// before; with the short one there is a single attempt. A bulk read always has a single attempt with a timeout of
+    /// its own.
     ///
     /// # Errors
     /// Fails if the store does not execute the request, or does not respond in time; in the latter case the request may
@@ -274,11 +338,15 @@
         request: &StoreRequest,
         timeout: DirectTimeout,
     ) -> Result<StoreReply, StoreError> {
-        let mut attempt_timeout = (self.recent_latency.get() * ATTEMPT_TIMEOUT_FACTOR)
-            .clamp(ATTEMPT_TIMEOUT_MIN, CALL_TIMEOUT);
+        let is_bulk = request.is_bulk();
+        let mut attempt_timeout = match is_bulk {
+            true => BULK_TIMEOUT,
+            false => (self.recent_latency.get() * ATTEMPT_TIMEOUT_FACTOR)
+                .clamp(ATTEMPT_TIMEOUT_MIN, CALL_TIMEOUT),
+        };
         let mut remaining = match timeout {
-            DirectTimeout::Short => attempt_timeout,
-            DirectTimeout::Full => CALL_TIMEOUT,
+            DirectTimeout::Full if !is_bulk => CALL_TIMEOUT,
+            DirectTimeout::Short | DirectTimeout::Full => attempt_timeout,
         };
         loop {
             let timeout = if request.is_idempotent() {
@@ -305,7 +373,7 @@
                     return Err(error);
                 }
                 Ok(reply) => {
-                    if request.wait().is_zero() {
+                    if request.wait().is_zero() && !is_bulk {
                         self.recent_latency.set(
                             elapsed.max(self.recent_latency.get().mul_f64(RECENT_LATENCY_DECAY)),
                         );
@@ -335,7 +403,12 @@
         let unknown = |error: String| StoreError::Unknown(error);
         let call = (self.dialect.encode_store_call)(request)
             .map_err(|error| StoreError::Refused(format!("cannot encode the call: {error}")))?;
-        let mut connection = match self.take_idle() {
+        // A bulk read gets a connection of its own: its long timeout would hide that an idle one is dead.
+        let idle = match request.is_bulk() {
+            true => None,
+            false => self.take_idle(),
+        };
+        let mut connection = match idle {
             Some(connection) => connection,
             None => self
                 .connect()
@@ -355,30 +428,27 @@
         let received_bytes = Cell::new(0);
         let exchange = async {
             connection.sender.ready().await?;
-            let response = connection.sender.send_request(http_request).await?;
-            let status = response.status().as_u16();
-            let mut frames = response.into_body();
-            let mut body = BytesMut::new();
-            while let Some(frame) = frames.frame().await {
-                if let Ok(data) = frame?.into_data() {
-                    received_bytes.set(received_bytes.get() + data.len());
-                    body.extend_from_slice(&data);
-                }
+            connection.sender.send_request(http_request).await
+        };
+        let outcome = match tokio::time::timeout(request.wait() + timeout, exchange).await {
+            Ok(Ok(response)) => {
+                let status = response.status().as_u16();
+                let body = collect_body(response.into_body(), &received_bytes).await;
+                body.map(|body| (status, body))
             }
-            Ok::<_, hyper::Error>((status, body.freeze()))
+            Ok(Err(error)) => Err(ResponseError::Failed(error)),
+            Err(_) => Err(ResponseError::TimedOut),
         };
-        let outcome = tokio::time::timeout(request.wait() + timeout, exchange).await;
-        let is_whole = matches!(outcome, Ok(Ok(_)));
         self.metrics.count_received(
             request.kind(),
             request.topic(),
-            is_whole,
+            outcome.is_ok(),
             received_bytes.get(),
         );
         let (status, body) = match outcome {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) => return Err(unknown(error.to_string())),
-            Err(_) => {
+            Ok(response) => response,
+            Err(ResponseError::Failed(error)) => return Err(unknown(error.to_string())),
+            Err(ResponseError::TimedOut) => {
                 log::info!(
                     event = "store_timed_out", call = request.kind(), topic = request.topic(),
                     received_bytes = received_bytes.get(), timeout_ms = timeout.as_millis() as u64;
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -11,6 +11,7 @@
 
 use crate::gateway::Gateway;
 use crate::store::KeyedRecord;
+use crate::store::ReadExtent;
 use crate::store::StoreError;
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
@@ -49,6 +50,7 @@
             partition: 0,
             from,
             wait: self.wait,
+            extent: ReadExtent::Tail,
         };
         match gateway.store_call(&request).await? {
             StoreReply::Records { records, .. } => {
