fix(relay): a refused read does not make the host take the store for unreachable

Cause: any call without a response marked the direct way as down, although all hosts share the store's capacity for reads and other calls were served throughout.

Weighed: a probe after each refused read, which would add calls in an overload.

--- a/bamboo-gateway/src/gateway/store_calls.rs
+++ b/bamboo-gateway/src/gateway/store_calls.rs
@@ -6,6 +6,7 @@
 use bamboo_relay::AttemptOutcome;
 use bamboo_relay::DirectTimeout;
 use bamboo_relay::NextStep;
+use bamboo_relay::ReadSize;
 use bamboo_relay::StoreCall;
 use bamboo_types::HostId;
 use rand::seq::SliceRandom;
@@ -24,6 +25,28 @@
 /// Interval at which it is checked whether the store is due for a probe.
 const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+fn attempt_outcome(error: &StoreError) -> AttemptOutcome {
+    match error {
+        StoreError::Refused(_) => AttemptOutcome::Refused,
+        StoreError::Unknown(_) => AttemptOutcome::TimedOut,
+        StoreError::Unreachable(_) => AttemptOutcome::NoPath,
+    }
+}
+
+/// How much a request may read; `None` if it reads no records.
+fn read_size(request: &StoreRequest) -> Option<ReadSize> {
+    match request {
+        StoreRequest::Read { .. } | StoreRequest::Newest { .. } => Some(match request.is_bulk() {
+            true => ReadSize::Large,
+            false => ReadSize::Small,
+        }),
+        StoreRequest::Append { .. }
+        | StoreRequest::End { .. }
+        | StoreRequest::Join { .. }
+        | StoreRequest::Leave { .. } => None,
+    }
+}
+
 impl Gateway {
     /// Sends a request to the store, through other hosts while the store does not respond to this one.
     ///
@@ -51,11 +74,7 @@
                 Ok(reply) => return Ok(reply),
                 Err(error) => error,
             };
-            let outcome = match &error {
-                StoreError::Refused(_) => AttemptOutcome::Refused,
-                StoreError::Unknown(_) => AttemptOutcome::TimedOut,
-                StoreError::Unreachable(_) => AttemptOutcome::NoPath,
-            };
+            let outcome = attempt_outcome(&error);
             if !matches!(last_error, Some(StoreError::Unknown(_))) {
                 last_error = Some(error);
             }
@@ -70,10 +89,14 @@
     ) -> Result<StoreReply, StoreError> {
         let result = self.store.call(request, timeout).await;
         let now = self.clock.now();
-        let has_changed = self
-            .store_path
-            .borrow_mut()
-            .record_direct(result.is_ok(), now);
+        let mut path = self.store_path.borrow_mut();
+        let has_changed = match read_size(request) {
+            Some(size) => {
+                path.record_direct_read(result.as_ref().err().map(attempt_outcome), size, now)
+            }
+            None => path.record_direct(result.is_ok(), now),
+        };
+        drop(path);
         match &result {
             Ok(_) if has_changed => {
                 log::info!(event = "store_regained"; "the store responds again")
--- a/bamboo-relay/src/path.rs
+++ b/bamboo-relay/src/path.rs
@@ -4,9 +4,20 @@
 
 use bamboo_types::HostId;
 
+use crate::AttemptOutcome;
+
 /// Interval between probes of the direct way while calls are relayed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 
+/// How much a read of the store may return.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadSize {
+    /// A few records.
+    Small,
+    /// Many records, for which the store may take seconds.
+    Large,
+}
+
 /// Whether the store responds to this host, and which other host relayed a call last.
 #[derive(Debug)]
 pub struct StorePath {
@@ -49,6 +60,38 @@
         has_changed
     }
 
+    /// Records how a direct read ended without a response, or with one if `failure` is `None`. Returns whether the
+    /// direct way changed. All hosts share the store's capacity for reads, so that a read which it refuses, or a large
+    /// one that it is slow to answer, says nothing about the way.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use bamboo_relay::{AttemptOutcome, ReadSize, StorePath};
+    /// let mut path = StorePath::default();
+    /// path.record_direct_read(Some(AttemptOutcome::Refused), ReadSize::Small, Duration::ZERO);
+    /// assert!(path.is_direct_up());
+    /// ```
+    pub fn record_direct_read(
+        &mut self,
+        failure: Option<AttemptOutcome>,
+        size: ReadSize,
+        now: Duration,
+    ) -> bool {
+        match (failure, size) {
+            (None, _) => self.record_direct(true, now),
+            (Some(AttemptOutcome::Refused), _)
+            | (Some(AttemptOutcome::TimedOut), ReadSize::Large) => {
+                if !self.is_direct_up {
+                    self.next_probe_at = now + PROBE_INTERVAL;
+                }
+                false
+            }
+            (Some(AttemptOutcome::TimedOut | AttemptOutcome::NoPath), _) => {
+                self.record_direct(false, now)
+            }
+        }
+    }
+
     /// Records whether a host relayed a call.
     pub fn record_relay(&mut self, host: &HostId, is_ok: bool) {
         match is_ok {
