fix(gateway): a configuration that another host has sent is not read again from the store

Cause: what a host gets from another one did not say where in the topic it stands.

Hosts now send the offset with the configuration, and the watch goes on after it. A record that is not newer is no longer decoded. Weighed: only some hosts watch the topic; that would save the bytes of each change too, and needs a second way for the others to notice a lost message.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -23,7 +23,10 @@
 use bamboo_slots::DeadlineHistory;
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
+use bamboo_types::Offset;
 use rand::RngExt;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -78,6 +81,15 @@
     pub(crate) link_failure_queue: mpsc::UnboundedReceiver<LinkFailure>,
 }
 
+/// A configuration as the store holds it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ConfigRecord {
+    /// Offset in the topic of the configuration. The next version has a higher one.
+    pub offset: Offset,
+    /// Configuration in the encoding of the store.
+    pub value: Vec<u8>,
+}
+
 /// Limits the number of log lines per second.
 #[derive(Debug, Default)]
 struct LogRateLimiter {
@@ -93,7 +105,7 @@
     pub(crate) clock: Clock,
     pub(crate) local: HostInfo,
     pub(crate) config: RefCell<Option<Rc<FleetConfig>>>,
-    config_bytes: RefCell<Vec<u8>>,
+    config_record: RefCell<Option<Rc<ConfigRecord>>>,
     pub(crate) directory: RefCell<Directory>,
     pub(crate) load_balancer: RefCell<LoadBalancer>,
     pub(crate) pool: ServerPool,
@@ -146,7 +158,7 @@
             dialect,
             clock: Clock::start(),
             config: RefCell::new(None),
-            config_bytes: RefCell::new(Vec::new()),
+            config_record: RefCell::new(None),
             directory: RefCell::new(Directory::default()),
             load_balancer: RefCell::new(LoadBalancer::default()),
             pool: ServerPool::default(),
@@ -228,9 +240,18 @@
         self.config.borrow().clone()
     }
 
+    /// The record of the current configuration.
+    pub(crate) fn config_record(&self) -> Option<Rc<ConfigRecord>> {
+        self.config_record.borrow().clone()
+    }
+
     /// Applies a configuration unless the current one is at least as new.
-    pub(crate) fn apply_config(&self, bytes: &[u8], source: &str) {
-        let config = match (self.dialect.decode_config)(bytes) {
+    pub(crate) fn apply_config(&self, record: ConfigRecord, source: &str) {
+        let is_known = |known: &Rc<ConfigRecord>| known.offset >= record.offset;
+        if self.config_record.borrow().as_ref().is_some_and(is_known) {
+            return;
+        }
+        let config = match (self.dialect.decode_config)(&record.value) {
             Ok(config) => config,
             Err(error) => {
                 log::error!(event = "config_unreadable", source; "cannot parse the configuration: {error:#}");
@@ -253,7 +274,7 @@
         self.deadline_histories
             .borrow_mut()
             .retain(|route, _| routes.contains(route.as_str()));
-        *self.config_bytes.borrow_mut() = bytes.to_vec();
+        *self.config_record.borrow_mut() = Some(Rc::new(record));
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.refresh_engines();
         self.jobs.config_changed();
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -17,6 +17,7 @@
 use bamboo_types::HostId;
 use tokio::sync::mpsc;
 
+use crate::gateway::ConfigRecord;
 use crate::gateway::Gateway;
 use crate::mesh::PeerMessage;
 use crate::mesh::PeerReply;
@@ -336,8 +337,8 @@
                     .mesh
                     .call(&host, PeerRequest::Config, CONFIG_FETCH_TIMEOUT, now)
                     .await;
-                if let Some(PeerReply::Config(bytes)) = reply {
-                    self.apply_config(&bytes, "host");
+                if let Some(PeerReply::Config(Some(record))) = reply {
+                    self.apply_config(record, "host");
                 }
             }
             self.is_config_fetch_pending.set(false);
@@ -367,7 +368,10 @@
                 max_tokens,
             } => self.reserve(sender, &route, tokens, max_tokens),
             PeerRequest::Store(request) => PeerReply::Store(self.relay_store_call(&request).await),
-            PeerRequest::Config => PeerReply::Config(self.config_bytes.borrow().clone()),
+            PeerRequest::Config => PeerReply::Config(
+                self.config_record()
+                    .map(|record| ConfigRecord::clone(&record)),
+            ),
             PeerRequest::Servers => PeerReply::Servers(self.known_servers()),
         }
     }
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -14,6 +14,7 @@
 use serde::Serialize;
 
 use crate::dialect::JobCall;
+use crate::gateway::ConfigRecord;
 use crate::store::StoreError;
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
@@ -87,8 +88,8 @@
     Undecided,
     /// Response of the store.
     Store(Result<StoreReply, StoreError>),
-    /// Configuration in the encoding of the store; empty if the host has none.
-    Config(Vec<u8>),
+    /// Current configuration; `None` if the host has none.
+    Config(Option<ConfigRecord>),
     /// Directory of backend servers; `None` if the host does not know them.
     Servers(Option<Vec<Server>>),
 }
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -9,6 +9,7 @@
 use bamboo_types::BackendServerId;
 use bamboo_types::Offset;
 
+use crate::gateway::ConfigRecord;
 use crate::gateway::Gateway;
 use crate::store::KeyedRecord;
 use crate::store::ReadExtent;
@@ -41,6 +42,13 @@
 }
 
 impl TopicReader {
+    /// Goes on after a record that this host has learned of in another way. All records before it are outdated.
+    fn skip_past(&mut self, offset: Offset) {
+        if self.next.is_none_or(|next| next <= offset) {
+            self.next = Some(offset + 1);
+        }
+    }
+
     async fn read(&mut self, gateway: &Gateway) -> Result<TopicUpdate, StoreError> {
         let Some(from) = self.next else {
             return self.read_all(gateway).await;
@@ -124,14 +132,17 @@
         wait: CONFIG_LONG_POLL,
     };
     loop {
+        if let Some(record) = gateway.config_record() {
+            reader.skip_past(record.offset);
+        }
         match reader.read(&gateway).await {
             Ok(TopicUpdate::Newest(records) | TopicUpdate::Records(records)) => {
-                let newest = records
-                    .iter()
-                    .filter(|record| record.key == gateway.dialect.config_key);
-                for record in newest {
-                    if let Some(value) = &record.value {
-                        gateway.apply_config(value, "store");
+                for record in records {
+                    if record.key == gateway.dialect.config_key
+                        && let Some(value) = record.value
+                    {
+                        let offset = record.offset;
+                        gateway.apply_config(ConfigRecord { offset, value }, "store");
                     }
                 }
                 if gateway.config().is_none() {
