--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -27,8 +27,8 @@
 
 /// Time for this host's own watch to read a new configuration from the store before it is fetched from another host.
 const CONFIG_FETCH_DELAY: Duration = Duration::from_millis(300);
-/// Timeout for fetching the configuration from another host.
-const CONFIG_FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Timeout for fetching a configuration, which may be large and the link slow. A link that fails ends the fetch sooner.
+const CONFIG_FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 /// Age above which a slot request is dropped if the host's heartbeat does not list it: four heartbeat intervals.
 const DROP_UNREPORTED_AFTER: Duration = Duration::from_secs(1);
 
