fix(relay): a late read does not make the host take the store for unreachable

Now no read that reaches the store counts, refused or late; a read that cannot be sent does, and so does every other call.

--- a/bamboo-gateway/src/gateway/store_calls.rs
+++ b/bamboo-gateway/src/gateway/store_calls.rs
@@ -6,7 +6,6 @@
 use bamboo_relay::AttemptOutcome;
 use bamboo_relay::DirectTimeout;
 use bamboo_relay::NextStep;
-use bamboo_relay::ReadSize;
 use bamboo_relay::StoreCall;
 use bamboo_types::HostId;
 use rand::seq::SliceRandom;
@@ -33,20 +32,6 @@
     }
 }
 
-/// How much a request may read; `None` if it reads no records.
-fn read_size(request: &StoreRequest) -> Option<ReadSize> {
-    match request {
-        StoreRequest::Read { .. } | StoreRequest::Newest { .. } => Some(match request.is_bulk() {
-            true => ReadSize::Large,
-            false => ReadSize::Small,
-        }),
-        StoreRequest::Append { .. }
-        | StoreRequest::End { .. }
-        | StoreRequest::Join { .. }
-        | StoreRequest::Leave { .. } => None,
-    }
-}
-
 impl Gateway {
     /// Sends a request to the store, through other hosts while the store does not respond to this one.
     ///
@@ -90,11 +75,9 @@
         let result = self.store.call(request, timeout).await;
         let now = self.clock.now();
         let mut path = self.store_path.borrow_mut();
-        let has_changed = match read_size(request) {
-            Some(size) => {
-                path.record_direct_read(result.as_ref().err().map(attempt_outcome), size, now)
-            }
-            None => path.record_direct(result.is_ok(), now),
+        let has_changed = match request.is_read() {
+            true => path.record_direct_read(result.as_ref().err().map(attempt_outcome), now),
+            false => path.record_direct(result.is_ok(), now),
         };
         drop(path);
         match &result {
--- a/bamboo-gateway/src/store.rs
+++ b/bamboo-gateway/src/store.rs
@@ -149,6 +149,14 @@
         }
     }
 
+    /// Whether the request reads records.
+    pub(crate) fn is_read(&self) -> bool {
+        matches!(
+            self,
+            StoreRequest::Read { .. } | StoreRequest::Newest { .. }
+        )
+    }
+
     /// Whether the response may be large. The store queues large reads, whose responses therefore begin late, and a
     /// retry queues another one behind them.
     pub(crate) fn is_bulk(&self) -> bool {
--- a/bamboo-relay/src/lib.rs
+++ b/bamboo-relay/src/lib.rs
@@ -9,5 +9,4 @@
 pub use call::DirectTimeout;
 pub use call::NextStep;
 pub use call::StoreCall;
-pub use path::ReadSize;
 pub use path::StorePath;
--- a/bamboo-relay/src/path.rs
+++ b/bamboo-relay/src/path.rs
@@ -9,15 +9,6 @@
 /// Interval between probes of the direct way while calls are relayed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 
-/// How much a read of the store may return.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ReadSize {
-    /// A few records.
-    Small,
-    /// Many records, for which the store may take seconds.
-    Large,
-}
-
 /// Whether the store responds to this host, and which other host relayed a call last.
 #[derive(Debug)]
 pub struct StorePath {
@@ -60,35 +51,26 @@
         has_changed
     }
 
-    /// Records how a direct read ended without a response, or with one if `failure` is `None`. Returns whether the
-    /// direct way changed. All hosts share the store's capacity for reads, so that a read which it refuses, or a large
-    /// one that it is slow to answer, says nothing about the way.
+    /// Records how a direct read ended: with a failure, or with a response. Returns whether the direct way changed. All
+    /// hosts share the store's capacity for reads, so that a read which is refused or late says nothing about the way.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use bamboo_relay::{AttemptOutcome, ReadSize, StorePath};
+    /// use bamboo_relay::{AttemptOutcome, StorePath};
     /// let mut path = StorePath::default();
-    /// path.record_direct_read(Some(AttemptOutcome::Refused), ReadSize::Small, Duration::ZERO);
+    /// path.record_direct_read(Some(AttemptOutcome::Refused), Duration::ZERO);
     /// assert!(path.is_direct_up());
     /// ```
-    pub fn record_direct_read(
-        &mut self,
-        failure: Option<AttemptOutcome>,
-        size: ReadSize,
-        now: Duration,
-    ) -> bool {
-        match (failure, size) {
-            (None, _) => self.record_direct(true, now),
-            (Some(AttemptOutcome::Refused), _)
-            | (Some(AttemptOutcome::TimedOut), ReadSize::Large) => {
+    pub fn record_direct_read(&mut self, failure: Option<AttemptOutcome>, now: Duration) -> bool {
+        match failure {
+            None => self.record_direct(true, now),
+            Some(AttemptOutcome::NoPath) => self.record_direct(false, now),
+            Some(AttemptOutcome::Refused | AttemptOutcome::TimedOut) => {
                 if !self.is_direct_up {
                     self.next_probe_at = now + PROBE_INTERVAL;
                 }
                 false
             }
-            (Some(AttemptOutcome::TimedOut | AttemptOutcome::NoPath), _) => {
-                self.record_direct(false, now)
-            }
         }
     }
 
