fix(shards): a job stays readable for the full time after its last result

expire() counted the promised time from the submission, by the wall clock. A job that was completed or cancelled later than that was dropped at once, before callers could read its last results; a stepped clock dropped others early.

The owner now counts the promised time by its monotonic clock from when it first sees the job closed. That is never before the submission, so the promise from the submission holds, too. Records hold no times of completion: a new owner counts from when it opened the shard. A closed job stays in memory for the promised time after its end or after the last replay of its records, which the retention of the store bounds.

Seen to fail before: a_job_that_completes_late_stays_readable_for_the_full_time (with a job completed 130 s after its submission the lookup gave None). The older test of expiry asserted an age since the submission; it is replaced by one with the same exact bound after the end of the job, complete or cancelled.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -344,8 +344,8 @@
             .pick(&servers, excluded, &self.settings.data_centre, now)
     }
 
-    /// How long results stay readable after submission of the job, in milliseconds.
-    pub(crate) fn results_kept_ms(&self) -> u64 {
-        (self.settings.promises.results_kept_s * 1000.0) as u64
+    /// How long results stay readable after their job is complete or cancelled.
+    pub(crate) fn results_kept(&self) -> Duration {
+        Duration::from_millis((self.settings.promises.results_kept_s * 1000.0) as u64)
     }
 }
--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -121,11 +121,10 @@
 }
 
 fn expire_jobs(gateway: &Gateway) {
-    let retention_ms = gateway.results_kept_ms();
-    let now_ms = gateway.clock.unix_ms();
+    let (now, kept) = (gateway.clock.now(), gateway.results_kept());
     for shard in gateway.jobs.shards.borrow().values() {
         if shard.is_open() {
-            shard.state.borrow_mut().expire(now_ms, retention_ms);
+            shard.state.borrow_mut().expire(now, kept);
         }
     }
 }
--- a/bamboo-gateway/src/settings.rs
+++ b/bamboo-gateway/src/settings.rs
@@ -35,7 +35,7 @@
 pub struct PromiseSettings {
     /// Time between the termination signal and the kill, in seconds.
     pub stop_grace_s: f64,
-    /// How long results stay readable after submission of the job, in seconds.
+    /// How long results stay readable after the job is complete or cancelled, in seconds.
     pub results_kept_s: f64,
 }
 
--- a/bamboo-shards/src/job.rs
+++ b/bamboo-shards/src/job.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bamboo_types::ItemIndex;
 
@@ -29,6 +30,7 @@
     results: Vec<Rc<ItemResult>>,
     has_result: Vec<bool>,
     is_cancelled: bool,
+    closed_since: Option<Duration>,
     item_index_by_id: HashMap<String, ItemIndex>,
     runs: HashMap<ItemIndex, ItemRun>,
 }
@@ -47,6 +49,7 @@
             results: Vec::new(),
             has_result,
             is_cancelled: false,
+            closed_since: None,
             item_index_by_id,
             runs: HashMap::new(),
         }
@@ -93,6 +96,15 @@
         self.results.len() == self.record.items.len()
     }
 
+    /// How long the job has been complete or cancelled, counted from the first call that finds it so; zero while it is
+    /// open.
+    pub(crate) fn closed_for(&mut self, now: Duration) -> Duration {
+        if !self.is_cancelled() && !self.is_complete() {
+            return Duration::ZERO;
+        }
+        now.saturating_sub(*self.closed_since.get_or_insert(now))
+    }
+
     /// Whether an item has its final result. True for an unknown item.
     pub fn has_result(&self, item: ItemIndex) -> bool {
         self.has_result.get(item as usize).copied().unwrap_or(true)
--- a/bamboo-shards/src/shard.rs
+++ b/bamboo-shards/src/shard.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bamboo_types::ItemIndex;
 
@@ -103,12 +104,16 @@
         waiting
     }
 
-    /// Drops jobs that are complete or cancelled and were submitted more than `retention_ms` ago.
-    pub fn expire(&mut self, now_ms: u64, retention_ms: u64) {
-        self.jobs.retain(|_, job| {
-            let age_ms = now_ms.saturating_sub(job.record.submitted_at_ms);
-            let is_open = !job.is_cancelled() && !job.is_complete();
-            is_open || age_ms <= retention_ms
-        });
+    /// Drops jobs that have been complete or cancelled for more than `kept`. `now` is monotonic time of the shard's owner.
+    /// A job counts as closed from the first call that finds it closed, so the records need no times, and a new owner
+    /// counts from its first call.
+    ///
+    /// ```
+    /// let mut shard = bamboo_shards::Shard::default();
+    /// shard.expire(std::time::Duration::from_secs(1), std::time::Duration::from_secs(120));
+    /// assert_eq!(shard.jobs().count(), 0);
+    /// ```
+    pub fn expire(&mut self, now: Duration, kept: Duration) {
+        self.jobs.retain(|_, job| job.closed_for(now) <= kept);
     }
 }
--- a/bamboo-shards/tests/fold.rs
+++ b/bamboo-shards/tests/fold.rs
@@ -1,6 +1,7 @@
 //! Replay of a shard's records: repeated records, concurrent results, and a change of the owner.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bamboo_shards::FragmentAssembler;
 use bamboo_shards::ItemProgress;
@@ -111,19 +112,52 @@
     assert_eq!(found.page(0, 1).item_count, 3);
 }
 
-#[test]
-fn expired_jobs_are_dropped_unless_items_are_open() {
+/// How long a closed job stays readable in these tests.
+const KEPT: Duration = Duration::from_secs(120);
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+/// Guards against dropping open jobs, and against keeping closed ones for longer than promised.
+#[test_case(result("closed", 0, "a"); "complete")]
+#[test_case(Record::Cancelled { job: "closed".to_owned() }; "cancelled")]
+fn expired_jobs_are_dropped_unless_items_are_open(closing: Record) {
     let mut shard = Shard::default();
     shard.apply(job("open", 1));
-    shard.apply(job("done", 1));
-    shard.apply(result("done", 0, "a"));
-    shard.expire(1_000 + 120_000, 120_000);
-    assert!(shard.job("done").is_some());
-    shard.expire(1_000 + 120_001, 120_000);
-    assert!(shard.job("done").is_none());
+    shard.apply(job("closed", 1));
+    shard.apply(closing);
+    let closed_at = Duration::from_secs(5);
+    shard.expire(closed_at, KEPT);
+    shard.expire(closed_at + KEPT, KEPT);
+    assert!(shard.job("closed").is_some());
+    shard.expire(closed_at + KEPT + MILLISECOND, KEPT);
+    assert!(shard.job("closed").is_none());
     assert!(shard.job("open").is_some());
 }
 
+/// Guards against forgetting a job before callers could read its last result.
+#[test]
+fn a_job_that_completes_late_stays_readable_for_the_full_time() {
+    let mut shard = Shard::default();
+    shard.apply(job("late", 1));
+    let completed_at = Duration::from_secs(130);
+    shard.expire(completed_at, KEPT);
+    shard.apply(result("late", 0, "a"));
+    shard.expire(completed_at + MILLISECOND, KEPT);
+    shard.expire(completed_at + KEPT, KEPT);
+    assert_eq!(texts(&shard, "late"), ["a"]);
+}
+
+/// Guards against forgetting a replayed job early: its records do not say when it was completed.
+#[test]
+fn a_replayed_job_stays_readable_for_the_full_time_after_its_replay() {
+    let mut shard = Shard::default();
+    shard.apply(job("j", 1));
+    shard.apply(result("j", 0, "a"));
+    let opened_at = Duration::from_secs(900);
+    shard.expire(opened_at, KEPT);
+    shard.expire(opened_at + KEPT, KEPT);
+    assert_eq!(texts(&shard, "j"), ["a"]);
+}
+
 #[test]
 fn a_new_owner_resumes_from_recorded_progress() {
     let mut run = ItemRun::default();
