fix(gateway): an open job is never dropped by its age when its shard is replayed

apply_submitted() dropped a job that another host had accepted once its age by the wall clocks of two hosts passed the promised time, also while its items were open. Its results in the shard's own records were then ignored, and all hosts answered 404. The job is now always applied; expire() drops it once it has been closed for the promised time.

Seen to fail before: the new test timed out waiting for the results of a job that was accepted 130 s earlier and is open.

--- a/bamboo-gateway/src/jobs/submitted.rs
+++ b/bamboo-gateway/src/jobs/submitted.rs
@@ -105,10 +105,6 @@
     };
     match record {
         Ok(Record::Accepted(job)) => {
-            let age_ms = gateway.clock.unix_ms().saturating_sub(job.submitted_at_ms);
-            if Duration::from_millis(age_ms) > gateway.results_kept() {
-                return;
-            }
             let applied = shard.state.borrow_mut().apply(Record::Accepted(job));
             if let ShardChange::JobAccepted(job) = applied
                 && shard.is_open()
