fix(gateway): a stepped wall clock no longer makes an item a dead letter early

The age of an item was the difference between the wall clocks of the owner and of the host that accepted the job. A step of either made items dead letters before their retention had passed. The owner now counts the age by its monotonic clock from when it accepts or reads the job.

Seen to fail before: a replayed job whose age is exactly its retention got a dead letter instead of its output.

--- a/bamboo-gateway/src/jobs/append.rs
+++ b/bamboo-gateway/src/jobs/append.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bamboo_shards::JobAge;
 use bamboo_shards::Record;
 use bamboo_shards::ShardChange;
 use bamboo_shards::split_record;
@@ -210,7 +211,10 @@
     for pending in batch {
         let applied = shard.state.borrow_mut().apply(pending.record);
         match &applied {
-            ShardChange::JobAccepted(job) => items::start_job(gateway, shard, job),
+            ShardChange::JobAccepted(job) => {
+                let age = JobAge::accepted(gateway.clock.now());
+                items::start_job(gateway, shard, job, age);
+            }
             ShardChange::ResultsAdded(_, items) => {
                 items
                     .iter()
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -9,6 +9,7 @@
 use bamboo_shards::ItemAction;
 use bamboo_shards::ItemResult;
 use bamboo_shards::ItemRun;
+use bamboo_shards::JobAge;
 use bamboo_shards::JobRecord;
 use bamboo_shards::Record;
 use bamboo_shards::ResultState;
@@ -102,19 +103,25 @@
 
 /// Starts the items without a result of all jobs in the shard.
 pub(super) fn start_open_items(gateway: &Rc<Gateway>, shard: &Rc<OwnedShard>) {
-    let jobs: Vec<String> = shard
+    let jobs: Vec<Rc<JobRecord>> = shard
         .state
         .borrow()
         .jobs()
-        .map(|job| job.record.id.clone())
+        .map(|job| Rc::clone(&job.record))
         .collect();
     for job in jobs {
-        start_job(gateway, shard, &job);
+        start_job(gateway, shard, &job.id, replayed_age(gateway, &job));
     }
 }
 
+/// Age of a job that was read from the store just now.
+pub(super) fn replayed_age(gateway: &Gateway, job: &JobRecord) -> JobAge {
+    let clock = &gateway.clock;
+    JobAge::replayed(job.submitted_at_ms, clock.unix_ms(), clock.now())
+}
+
 /// Starts the items of a job that have no result.
-pub(super) fn start_job(gateway: &Rc<Gateway>, shard: &Rc<OwnedShard>, id: &str) {
+pub(super) fn start_job(gateway: &Rc<Gateway>, shard: &Rc<OwnedShard>, id: &str, age: JobAge) {
     let state = shard.state.borrow();
     let Some(job) = state.job(id).filter(|job| !job.is_cancelled()) else {
         return;
@@ -125,6 +132,7 @@
             Rc::clone(shard),
             Rc::clone(&job.record),
             item,
+            age,
         );
         shard.add_task(OwnedTask::spawn(run));
     }
@@ -151,6 +159,7 @@
     shard: &OwnedShard,
     job: &JobRecord,
     item: ItemIndex,
+    age: JobAge,
 ) -> ItemStatus {
     let state = shard.state.borrow();
     let is_open = state
@@ -159,8 +168,8 @@
     if !is_open || shard.is_lost() {
         return ItemStatus::Closed;
     }
-    let age_ms = gateway.clock.unix_ms().saturating_sub(job.submitted_at_ms);
-    if age_ms >= job.retention_ms {
+    let now = gateway.clock.now();
+    if age.minimum(now) >= Duration::from_millis(job.retention_ms) {
         return ItemStatus::Expired;
     }
     let Some(config) = gateway.config() else {
@@ -169,7 +178,8 @@
     match service_of(&config, job, item) {
         Some(service) => ItemStatus::Runnable {
             service,
-            due_in: Duration::from_millis(job.completion_target_ms.saturating_sub(age_ms)),
+            due_in: Duration::from_millis(job.completion_target_ms)
+                .saturating_sub(age.estimate(now)),
         },
         None => ItemStatus::NoRoute,
     }
@@ -188,13 +198,14 @@
     shard: Rc<OwnedShard>,
     job: Rc<JobRecord>,
     item: ItemIndex,
+    age: JobAge,
 ) {
     let run = shard.shared_run(&job.id, item);
     let mut excluded: Vec<BackendServerId> = Vec::new();
     let request = engine_request(&gateway, &job, item);
     let mut route_missing_since = None;
     loop {
-        let status = item_status(&gateway, &shard, &job, item);
+        let status = item_status(&gateway, &shard, &job, item, age);
         let now = gateway.clock.now();
         route_missing_since = match status {
             ItemStatus::NoRoute => route_missing_since.or(Some(now)),
@@ -229,7 +240,7 @@
             continue;
         };
         if matches!(
-            item_status(&gateway, &shard, &job, item),
+            item_status(&gateway, &shard, &job, item, age),
             ItemStatus::Closed
         ) {
             return;
--- a/bamboo-gateway/src/jobs/submitted.rs
+++ b/bamboo-gateway/src/jobs/submitted.rs
@@ -105,11 +105,12 @@
     };
     match record {
         Ok(Record::Accepted(job)) => {
+            let age = items::replayed_age(gateway, &job);
             let applied = shard.state.borrow_mut().apply(Record::Accepted(job));
             if let ShardChange::JobAccepted(job) = applied
                 && shard.is_open()
             {
-                items::start_job(gateway, shard, &job);
+                items::start_job(gateway, shard, &job, age);
             }
         }
         Ok(_) => {}
--- a/bamboo-shards/src/lib.rs
+++ b/bamboo-shards/src/lib.rs
@@ -3,12 +3,14 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod age;
 mod fragment;
 mod item_run;
 mod job;
 mod record;
 mod shard;
 
+pub use age::JobAge;
 pub use fragment::FragmentAssembler;
 pub use fragment::FragmentError;
 pub use fragment::split_record;
