fix(gateway): a damaged record no longer makes its whole shard unreadable

open_shard() ended with an error at an invalid fragment, and again at each further attempt, so all jobs of the shard stayed unreadable. It now skips the record with a log line that names partition and offset, as the topic of submitted jobs does. Record::from_fragment() decides for both.

--- a/bamboo-gateway/src/jobs/shard.rs
+++ b/bamboo-gateway/src/jobs/shard.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use anyhow::Context;
 use bamboo_shards::FragmentAssembler;
 use bamboo_shards::ItemProgress;
 use bamboo_shards::ItemRun;
@@ -309,23 +308,10 @@
                 if records.is_empty() {
                     break;
                 }
+                let offsets = from..;
                 from += records.len() as u64;
-                for fragment in records {
-                    let Some(bytes) = assembler
-                        .push(&fragment)
-                        .context("invalid record fragment")?
-                    else {
-                        continue;
-                    };
-                    match Record::try_from(bytes.as_slice()) {
-                        Ok(record) => {
-                            shard.state.borrow_mut().apply(record);
-                        }
-                        Err(error) => log::error!(
-                            event = "record_unreadable", partition = shard.partition, from;
-                            "skipping a record that cannot be decoded: {error}"
-                        ),
-                    }
+                for (offset, fragment) in offsets.zip(records) {
+                    apply_fragment(shard, &mut assembler, offset, &fragment);
                 }
             }
             Ok(StoreReply::Trimmed { first }) => {
@@ -350,6 +336,26 @@
     Ok(true)
 }
 
+/// Applies the record that a replayed fragment completes, if any. A record that cannot be read is skipped, so that the
+/// other jobs of the shard stay readable.
+fn apply_fragment(
+    shard: &OwnedShard,
+    assembler: &mut FragmentAssembler,
+    offset: Offset,
+    fragment: &[u8],
+) {
+    match Record::from_fragment(assembler, fragment) {
+        Ok(Some(record)) => {
+            shard.state.borrow_mut().apply(record);
+        }
+        Ok(None) => {}
+        Err(error) => log::error!(
+            event = "record_unreadable", partition = shard.partition, offset;
+            "skipping a record that cannot be read: {error}"
+        ),
+    }
+}
+
 /// Whether this owner knows all stored records of the shard. The store may have assigned the shard to another host
 /// without notice, and that host may have accepted jobs since.
 pub(super) async fn has_latest_records(gateway: &Gateway, shard: &OwnedShard) -> bool {
--- a/bamboo-gateway/src/jobs/submitted.rs
+++ b/bamboo-gateway/src/jobs/submitted.rs
@@ -97,14 +97,9 @@
 }
 
 fn apply_submitted(gateway: &Rc<Gateway>, shard: &Rc<OwnedShard>, fragment: &[u8]) {
-    let assembled = shard.submitted.assembler.borrow_mut().push(fragment);
-    let record = match assembled {
-        Ok(None) => return,
-        Ok(Some(bytes)) => Record::try_from(bytes.as_slice()).map_err(|error| error.to_string()),
-        Err(error) => Err(error.to_string()),
-    };
-    match record {
-        Ok(Record::Accepted(job)) => {
+    let mut assembler = shard.submitted.assembler.borrow_mut();
+    match Record::from_fragment(&mut assembler, fragment) {
+        Ok(Some(Record::Accepted(job))) => {
             let age = items::replayed_age(gateway, &job);
             let applied = shard.state.borrow_mut().apply(Record::Accepted(job));
             if let ShardChange::JobAccepted(job) = applied
@@ -116,7 +111,7 @@
         Ok(_) => {}
         Err(error) => log::error!(
             event = "record_unreadable", partition = shard.partition;
-            "skipping a submitted job that cannot be decoded: {error}"
+            "skipping a submitted job that cannot be read: {error}"
         ),
     }
 }
--- a/bamboo-shards/src/record.rs
+++ b/bamboo-shards/src/record.rs
@@ -7,6 +7,9 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::FragmentAssembler;
+use crate::FragmentError;
+
 /// Version of the record format, written as the first byte.
 const FORMAT_VERSION: u8 = 1;
 
@@ -115,6 +118,9 @@
     /// The format version is missing.
     #[error("record is empty: the format version is missing")]
     Empty,
+    /// A fragment of the record is invalid.
+    #[error("invalid fragment: {0}")]
+    Fragment(#[from] FragmentError),
     /// Decoding failed.
     #[error("cannot decode record: {0}")]
     Decode(#[from] bincode::error::DecodeError),
@@ -139,6 +145,30 @@
         bincode::serde::encode_into_std_write(self, &mut bytes, bincode::config::standard())?;
         Ok(bytes)
     }
+
+    /// Decodes the record that the next fragment completes; `None` if it has further fragments. After an error the
+    /// record is to be skipped: the assembler continues with the next one.
+    ///
+    /// # Errors
+    /// Fails if the fragment is invalid or the record cannot be decoded.
+    ///
+    /// ```
+    /// use bamboo_shards::{FragmentAssembler, Record, split_record};
+    /// let record = Record::Cancelled { job: "j".into() };
+    /// let fragments = split_record(&record.to_bytes().unwrap(), 100);
+    /// let mut assembler = FragmentAssembler::default();
+    /// assert!(Record::from_fragment(&mut assembler, &[]).is_err());
+    /// assert_eq!(Record::from_fragment(&mut assembler, &fragments[0]).unwrap(), Some(record));
+    /// ```
+    pub fn from_fragment(
+        assembler: &mut FragmentAssembler,
+        fragment: &[u8],
+    ) -> Result<Option<Record>, RecordError> {
+        match assembler.push(fragment)? {
+            Some(bytes) => Record::try_from(bytes.as_slice()).map(Some),
+            None => Ok(None),
+        }
+    }
 }
 
 impl TryFrom<&[u8]> for Record {
--- a/bamboo-shards/tests/fold.rs
+++ b/bamboo-shards/tests/fold.rs
@@ -55,6 +55,18 @@
         .collect()
 }
 
+/// Replays fragments as an owner does: what cannot be read is skipped.
+fn replay(fragments: &[Vec<u8>]) -> Shard {
+    let mut shard = Shard::default();
+    let mut assembler = FragmentAssembler::default();
+    for fragment in fragments {
+        if let Ok(Some(record)) = Record::from_fragment(&mut assembler, fragment) {
+            shard.apply(record);
+        }
+    }
+    shard
+}
+
 #[test]
 fn repeated_jobs_and_results_are_ignored() {
     let mut shard = Shard::default();
@@ -238,6 +250,22 @@
     assert_eq!(assembler.push(&next[0]).unwrap().unwrap(), b"next");
 }
 
+/// Guards against ending a replay at a damaged record: the records after it are still to be applied.
+#[test_case(&[]; "empty fragment")]
+#[test_case(&[9, 1, 2, 3]; "unknown flag")]
+#[test_case(&[0]; "empty record")]
+#[test_case(&[0, 9, 1, 2, 3]; "unknown format version")]
+#[test_case(&[0, 1, 200, 200]; "undecodable record")]
+fn a_replay_continues_after_a_damaged_record(damaged: &[u8]) {
+    let mut fragments = split_record(&job("j", 20).to_bytes().unwrap(), 64);
+    fragments.push(damaged.to_vec());
+    fragments.extend(split_record(
+        &result("j", 0, "after").to_bytes().unwrap(),
+        64,
+    ));
+    assert_eq!(texts(&replay(&fragments), "j"), ["after"]);
+}
+
 #[test]
 fn records_and_fragments_of_an_unknown_format_are_rejected() {
     assert!(Record::try_from(&[][..]).is_err());
