test(shards): replay of a shard whose first records the store deleted

A first retained record may be the rest of a fragmented one, and results may belong to a job that was deleted.

--- a/bamboo-shards/tests/fold.rs
+++ b/bamboo-shards/tests/fold.rs
@@ -266,6 +266,26 @@
     assert_eq!(texts(&replay(&fragments), "j"), ["after"]);
 }
 
+/// Guards against a replay that fails, or loses later jobs, if the first retained record is the rest of a trimmed one.
+#[test]
+fn a_replay_may_begin_in_the_middle_of_a_record() {
+    let of = |record: &Record| split_record(&record.to_bytes().unwrap(), 64);
+    let trimmed_job = of(&job("trimmed", 20));
+    let fragments: Vec<Vec<u8>> = [
+        trimmed_job.clone(),
+        of(&result("trimmed", 0, "unknown")),
+        of(&job("j", 20)),
+        of(&result("j", 3, "known")),
+    ]
+    .concat();
+    for first in 1..=trimmed_job.len() {
+        let shard = replay(&fragments[first..]);
+        assert!(shard.job("trimmed").is_none());
+        assert_eq!(texts(&shard, "j"), ["known"], "from fragment {first}");
+        assert_eq!(shard.jobs().count(), 1);
+    }
+}
+
 #[test]
 fn records_and_fragments_of_an_unknown_format_are_rejected() {
     assert!(Record::try_from(&[][..]).is_err());
