fix(shards): a damaged length in a record no longer aborts the process

The decoder allocated the length that a record states before it compared it with the record. A damaged record, or the rest of one whose first fragments the store deleted, could so abort the owner of the shard, and each next owner. The decoded size of a record is now limited.

Seen to fail before: two of the new cases ended the test process with 'memory allocation of bytes failed' and SIGABRT.

--- a/bamboo-shards/src/record.rs
+++ b/bamboo-shards/src/record.rs
@@ -12,6 +12,8 @@
 
 /// Version of the record format, written as the first byte.
 const FORMAT_VERSION: u8 = 1;
+/// Limit of the decoded size of a record. Without it, a damaged length would be allocated before it is checked.
+const DECODED_MAX_BYTES: usize = 32 << 20;
 
 /// One item of a job: a request that is sent later.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -179,7 +181,8 @@
         if *version != FORMAT_VERSION {
             return Err(RecordError::UnsupportedVersion(*version));
         }
-        let (record, _) = bincode::serde::decode_from_slice(rest, bincode::config::standard())?;
+        let config = bincode::config::standard().with_limit::<DECODED_MAX_BYTES>();
+        let (record, _) = bincode::serde::decode_from_slice(rest, config)?;
         Ok(record)
     }
 }
--- a/bamboo-shards/tests/fold.rs
+++ b/bamboo-shards/tests/fold.rs
@@ -256,6 +256,9 @@
 #[test_case(&[0]; "empty record")]
 #[test_case(&[0, 9, 1, 2, 3]; "unknown format version")]
 #[test_case(&[0, 1, 200, 200]; "undecodable record")]
+#[test_case(&[0, 1, 2, 253, 255, 255, 255, 255, 255, 255, 255, 127]; "too long")]
+#[test_case(&[0, 1, 2, 253, 0, 0, 0, 0, 0, 1, 0, 0]; "too long for the memory")]
+#[test_case(&[0, 1, 3, 253, 255, 255, 255, 255, 255, 255, 255, 127]; "too many entries")]
 fn a_replay_continues_after_a_damaged_record(damaged: &[u8]) {
     let mut fragments = split_record(&job("j", 20).to_bytes().unwrap(), 64);
     fragments.push(damaged.to_vec());
@@ -286,6 +289,25 @@
     }
 }
 
+/// Guards against a limit of the decoder that rejects a valid record.
+#[test]
+fn a_record_as_large_as_several_calls_of_the_store_is_decoded() {
+    let bytes = 8 << 20;
+    let large_result = result("j", 0, &"x".repeat(bytes));
+    let Record::Accepted(small_job) = job("j", 200) else {
+        unreachable!()
+    };
+    let mut large_job = (*small_job).clone();
+    large_job
+        .items
+        .iter_mut()
+        .for_each(|item| item.body = vec![7; bytes / 200]);
+    for record in [large_result, Record::Accepted(Rc::new(large_job))] {
+        let encoded = record.to_bytes().unwrap();
+        assert_eq!(Record::try_from(encoded.as_slice()).unwrap(), record);
+    }
+}
+
 #[test]
 fn records_and_fragments_of_an_unknown_format_are_rejected() {
     assert!(Record::try_from(&[][..]).is_err());
