fix(gateway): an append refused after a silent attempt has an unknown outcome

The store's client repeats an append that got no response. If the store refused the repeat, the client reported a refusal although the first attempt may still take effect. The owner then removed withdrawn jobs from the batch and answered 503, which states that the job never runs.

Seen to fail before: the new test got Refused("status 503: ").

--- a/bamboo-gateway/src/store.rs
+++ b/bamboo-gateway/src/store.rs
@@ -356,6 +356,7 @@
             DirectTimeout::Full if !is_bulk => CALL_TIMEOUT,
             DirectTimeout::Short | DirectTimeout::Full => attempt_timeout,
         };
+        let mut may_be_stored = false;
         loop {
             let timeout = if request.is_idempotent() {
                 attempt_timeout.min(remaining)
@@ -375,10 +376,14 @@
                 {
                     self.failures.set(self.failures.get() + 1);
                     attempt_timeout *= 2;
+                    may_be_stored = matches!(request, StoreRequest::Append { .. });
                 }
                 Err(error) => {
                     self.failures.set(self.failures.get() + 1);
-                    return Err(error);
+                    return Err(match may_be_stored {
+                        true => StoreError::Unknown(error.to_string()),
+                        false => error,
+                    });
                 }
                 Ok(reply) => {
                     if request.wait().is_zero() && !is_bulk {
