--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -151,7 +151,8 @@
         let metrics = Metrics::default();
         let store_metrics = metrics.store.clone();
         let gateway = Rc::new(Gateway {
-            store: StoreClient::new(settings.store.address, dialect.clone(), store_metrics),
+            store: StoreClient::new(settings.store.address, dialect.clone())
+                .with_metrics(store_metrics),
             mesh: Mesh::new(local.clone(), link_failures),
             local,
             settings,
--- a/bamboo-gateway/src/store.rs
+++ b/bamboo-gateway/src/store.rs
@@ -311,8 +311,8 @@
 }
 
 impl StoreClient {
-    /// Creates a client, which counts its calls in `metrics`. It connects at the first call.
-    pub(crate) fn new(address: SocketAddr, dialect: Dialect, metrics: StoreMetrics) -> Self {
+    /// Creates a client. It connects at the first call.
+    pub fn new(address: SocketAddr, dialect: Dialect) -> Self {
         StoreClient {
             address,
             dialect,
@@ -320,10 +320,15 @@
             calls: Cell::new(0),
             failures: Cell::new(0),
             recent_latency: Cell::new(Duration::ZERO),
-            metrics,
+            metrics: StoreMetrics::default(),
         }
     }
 
+    /// Counts the calls in the metrics of the process.
+    pub(crate) fn with_metrics(self, metrics: StoreMetrics) -> Self {
+        StoreClient { metrics, ..self }
+    }
+
     /// Number of requests sent, retries included, and of those that failed.
     pub fn counts(&self) -> (u64, u64) {
         (self.calls.get(), self.failures.get())
