--- a/bamboo-shards/src/shard.rs
+++ b/bamboo-shards/src/shard.rs
@@ -104,7 +104,7 @@
         waiting
     }
 
-    /// Drops jobs that have been complete or cancelled for more than `kept`. `now` is monotonic time of the shard's owner.
+    /// Drops jobs that have been complete or cancelled for more than `kept`. `now` is the monotonic time of the owner.
     /// A job counts as closed from the first call that finds it closed, so the records need no times, and a new owner
     /// counts from its first call.
     ///
