fix(gateway): resume a stream only at the software version that began it

The directory did not keep `version`, the coordinator granted any server of the service, and forward_events resumed there.

The directory keeps the version, and remembers for 10 s those of servers that left. A slot request may require one; the coordinator grants only a server of it, preempts only there, and answers NoServer if none is ready. Queued requests of a full version do not hold up others, and the estimate by which online requests are refused counts only the queue they compete with. Once the first event has been passed on, forward_events asks for the version of the server that began.

--- a/bamboo-fleet/src/directory.rs
+++ b/bamboo-fleet/src/directory.rs
@@ -1,5 +1,6 @@
 //! Directory of backend servers, built from the entries that the servers renew in the store.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -7,6 +8,7 @@
 
 use bamboo_types::BackendServerId;
 use bamboo_types::DataCentreId;
+use bamboo_types::SoftwareVersion;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -15,6 +17,9 @@
 /// How long a removed server may still be used while its service has no ready server. Shorter than the 2 s after which
 /// a server that has left must not receive any more requests.
 const REMOVED_FALLBACK_WINDOW: Duration = Duration::from_millis(1200);
+/// How long the version of a server that has left is remembered. A caller returns to a stream of that server within
+/// this time.
+const VERSION_MEMORY: Duration = Duration::from_secs(10);
 
 /// State that a server reports in its entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,6 +48,8 @@
     /// Start time of the process in milliseconds since the Unix epoch. A different value means a restart, in which
     /// the server has lost its earlier requests.
     pub started_at_ms: u64,
+    /// Version of the server's software. A stream may be resumed only at a server of the version that began it.
+    pub version: SoftwareVersion,
 }
 
 /// Change of the directory, for the components that hold state per server.
@@ -63,6 +70,8 @@
 pub struct Directory {
     servers: HashMap<BackendServerId, Rc<Server>>,
     recently_removed: Vec<(Duration, Rc<Server>)>,
+    /// Services and versions of servers that were removed or came back with another version, with the time of that.
+    former_versions: Vec<(Duration, ServiceId, SoftwareVersion)>,
 }
 
 impl Directory {
@@ -72,13 +81,19 @@
     /// let mut directory = bamboo_fleet::Directory::default();
     /// assert_eq!(directory.remove("s1", std::time::Duration::ZERO), bamboo_fleet::DirectoryChange::Unchanged);
     /// ```
-    pub fn put(&mut self, server: Server) -> DirectoryChange {
+    pub fn put(&mut self, server: Server, now: Duration) -> DirectoryChange {
         self.recently_removed
             .retain(|(_, removed)| removed.id != server.id);
         let previous = self.servers.get(&server.id);
         if previous.is_some_and(|previous| **previous == server) {
             return DirectoryChange::Unchanged;
         }
+        if let Some(previous) = previous
+            && (previous.version != server.version || previous.service != server.service)
+        {
+            self.former_versions
+                .push((now, previous.service.clone(), previous.version.clone()));
+        }
         let is_restart =
             previous.is_some_and(|previous| previous.started_at_ms != server.started_at_ms);
         let server = Rc::new(server);
@@ -93,6 +108,8 @@
     pub fn remove(&mut self, id: &str, now: Duration) -> DirectoryChange {
         match self.servers.remove(id) {
             Some(server) => {
+                self.former_versions
+                    .push((now, server.service.clone(), server.version.clone()));
                 self.recently_removed.push((now, server));
                 DirectoryChange::Removed(id.to_owned())
             }
@@ -134,9 +151,31 @@
         fallback.map(|(_, server)| Rc::clone(server)).collect()
     }
 
-    /// Drops removed servers that are too old to fall back to.
+    /// The versions of a service's servers, ready or not, and of those that have left recently.
+    ///
+    /// ```
+    /// let directory = bamboo_fleet::Directory::default();
+    /// assert!(directory.versions("llm", std::time::Duration::ZERO).is_empty());
+    /// ```
+    pub fn versions(&self, service: &str, now: Duration) -> BTreeSet<SoftwareVersion> {
+        let present = self.servers.values();
+        let present = present
+            .filter(|server| server.service == service)
+            .map(|server| &server.version);
+        let former = self.former_versions.iter();
+        let former = former
+            .filter(|(left_at, of, _)| {
+                of == service && now.saturating_sub(*left_at) < VERSION_MEMORY
+            })
+            .map(|(_, _, version)| version);
+        present.chain(former).cloned().collect()
+    }
+
+    /// Drops removed servers that are too old to fall back to, and versions of servers that left too long ago.
     pub fn expire(&mut self, now: Duration) {
         self.recently_removed
             .retain(|(removed_at, _)| now.saturating_sub(*removed_at) < REMOVED_FALLBACK_WINDOW);
+        self.former_versions
+            .retain(|(left_at, _, _)| now.saturating_sub(*left_at) < VERSION_MEMORY);
     }
 }
--- a/bamboo-fleet/src/lib.rs
+++ b/bamboo-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod grace_period;
 mod sse;
 
+pub use bamboo_types::SoftwareVersion;
 pub use config::EngineProfile;
 pub use config::FleetConfig;
 pub use config::Limits;
--- a/bamboo-fleet/tests/fleet.rs
+++ b/bamboo-fleet/tests/fleet.rs
@@ -37,6 +37,7 @@
         slots: 8,
         state,
         started_at_ms,
+        version: "v1".to_owned(),
     }
 }
 
@@ -59,29 +60,29 @@
 #[test]
 fn a_draining_server_is_not_ready_and_a_repeated_entry_changes_nothing() {
     let mut directory = Directory::default();
-    directory.put(server("s", ServerState::Ready, 1));
+    directory.put(server("s", ServerState::Ready, 1), Duration::ZERO);
     assert_eq!(
-        directory.put(server("s", ServerState::Ready, 1)),
+        directory.put(server("s", ServerState::Ready, 1), Duration::ZERO),
         DirectoryChange::Unchanged
     );
     assert_eq!(directory.ready("llm", Duration::ZERO).len(), 1);
-    directory.put(server("s", ServerState::Draining, 1));
+    directory.put(server("s", ServerState::Draining, 1), Duration::ZERO);
     assert!(directory.ready("llm", Duration::ZERO).is_empty());
 }
 
 #[test]
 fn another_start_under_the_same_identifier_is_reported_as_a_restart() {
     let mut directory = Directory::default();
-    directory.put(server("s", ServerState::Ready, 1));
-    let change = directory.put(server("s", ServerState::Ready, 2));
+    directory.put(server("s", ServerState::Ready, 1), Duration::ZERO);
+    let change = directory.put(server("s", ServerState::Ready, 2), Duration::ZERO);
     assert!(matches!(change, DirectoryChange::Restarted(_)));
 }
 
 #[test]
 fn recently_removed_servers_are_a_fallback_for_a_limited_time() {
     let mut directory = Directory::default();
-    directory.put(server("s1", ServerState::Ready, 1));
-    directory.put(server("s2", ServerState::Ready, 1));
+    directory.put(server("s1", ServerState::Ready, 1), Duration::ZERO);
+    directory.put(server("s2", ServerState::Ready, 1), Duration::ZERO);
     directory.remove("s1", Duration::from_secs(10));
     let ids = |directory: &Directory, ms: u64| -> Vec<String> {
         let ready = directory.ready("llm", Duration::from_millis(ms));
@@ -94,6 +95,32 @@
     assert!(ids(&directory, 13_000).is_empty());
 }
 
+/// Guards against a version that is forgotten while callers still return to its streams, or never.
+#[test]
+fn versions_of_removed_servers_are_remembered_for_a_limited_time() {
+    let at = Duration::from_millis;
+    let of = |id: &str, version: &str| Server {
+        version: version.to_owned(),
+        ..server(id, ServerState::Draining, 1)
+    };
+    let versions = |directory: &Directory, ms: u64| -> Vec<String> {
+        directory.versions("llm", at(ms)).into_iter().collect()
+    };
+    let mut directory = Directory::default();
+    directory.put(of("s1", "v1"), at(0));
+    directory.put(of("s2", "v2"), at(0));
+    assert!(directory.versions("other", at(0)).is_empty());
+    directory.remove("s1", at(1_000));
+    directory.expire(at(5_000));
+    assert_eq!(versions(&directory, 5_000), ["v1", "v2"]);
+    // Another version under the same identifier.
+    directory.put(of("s2", "v3"), at(6_000));
+    assert_eq!(versions(&directory, 6_000), ["v1", "v2", "v3"]);
+    assert_eq!(versions(&directory, 11_500), ["v2", "v3"]);
+    directory.expire(at(16_500));
+    assert_eq!(versions(&directory, 16_500), ["v3"]);
+}
+
 #[test]
 fn events_are_decoded_however_the_bytes_are_split() {
     let bytes = b"id: 1\ndata: a\n\nid: 2\nx-versions: 3\ndata: b\ndata: c\n\nid: 3\nda";
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
 use bamboo_types::Offset;
+use bamboo_types::SoftwareVersion;
 use rand::RngExt;
 use serde::Deserialize;
 use serde::Serialize;
@@ -318,6 +319,7 @@
             data_centre: server.data_centre.clone(),
             slots: slots as usize,
             is_ready: server.state == bamboo_fleet::ServerState::Ready,
+            version: server.version.clone(),
         };
         let now = self.clock.now();
         self.broker
@@ -332,14 +334,17 @@
         self.send_broker_actions();
     }
 
-    /// Picks a server by this host's own view of load and health, without the coordinator.
+    /// Picks a server by this host's own view of load and health, without the coordinator. If a version is required,
+    /// only a server of that version.
     pub(crate) fn pick_server(
         &self,
         service: &str,
         excluded: &[BackendServerId],
+        version: Option<&SoftwareVersion>,
     ) -> Option<Rc<Server>> {
         let now = self.clock.now();
-        let servers = self.directory.borrow().ready(service, now);
+        let mut servers = self.directory.borrow().ready(service, now);
+        servers.retain(|server| version.is_none_or(|version| *version == server.version));
         self.load_balancer
             .borrow()
             .pick(&servers, excluded, &self.settings.data_centre, now)
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -192,9 +192,13 @@
                 self.slot_requests
                     .deliver(request, SlotDecision::Refused(retry_after));
             }
+            PeerMessage::NoServer { request } if self.is_coordinator(&sender.host) => {
+                self.slot_requests.deliver(request, SlotDecision::NoServer);
+            }
             // Decisions of a former coordinator are ignored.
             PeerMessage::Queued { .. }
             | PeerMessage::Preempt { .. }
+            | PeerMessage::NoServer { .. }
             | PeerMessage::Refused { .. } => {}
             PeerMessage::Hello(_)
             | PeerMessage::Probe(_)
@@ -258,6 +262,7 @@
             data_centre: sender.data_centre.clone(),
             work,
             excluded: info.excluded,
+            version: info.version,
         };
         let mut broker = self.broker.borrow_mut();
         match info.server {
@@ -405,6 +410,7 @@
                 } => (host, PeerMessage::Grant { request, server }),
                 Action::Queue { host, request } => (host, PeerMessage::Queued { request }),
                 Action::Preempt { host, request } => (host, PeerMessage::Preempt { request }),
+                Action::NoServer { host, request } => (host, PeerMessage::NoServer { request }),
                 Action::Refuse {
                     host,
                     request,
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -234,7 +234,14 @@
                 .run_time_estimator
                 .remaining_time(&run.borrow()),
         };
-        let Ok(slot) = acquire_slot(&gateway, &service, work, std::mem::take(&mut excluded)).await
+        let Ok(slot) = acquire_slot(
+            &gateway,
+            &service,
+            work,
+            std::mem::take(&mut excluded),
+            None,
+        )
+        .await
         else {
             actix_rt::time::sleep(RETRY_PAUSE).await;
             continue;
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -10,6 +10,7 @@
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequestId;
 use bamboo_types::BackendServerId;
+use bamboo_types::SoftwareVersion;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -37,6 +38,8 @@
     pub excluded: Vec<BackendServerId>,
     /// Server that runs it already, if any.
     pub server: Option<BackendServerId>,
+    /// Version of the software that the server must have, if any.
+    pub version: Option<SoftwareVersion>,
 }
 
 /// A request that expects a reply.
@@ -155,6 +158,11 @@
         /// Estimated time until a slot is free.
         retry_after: Duration,
     },
+    /// No ready server has the version that the slot request requires.
+    NoServer {
+        /// Slot request.
+        request: SlotRequestId,
+    },
     /// A request to the host, which expects a reply.
     Request {
         /// Number of the call.
--- a/bamboo-gateway/src/slot_requests.rs
+++ b/bamboo-gateway/src/slot_requests.rs
@@ -12,6 +12,7 @@
 use bamboo_slots::SlotRequestId;
 use bamboo_slots::Work;
 use bamboo_types::BackendServerId;
+use bamboo_types::SoftwareVersion;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
@@ -34,12 +35,15 @@
     Queued,
     /// No slot will be free in time; retry after this time.
     Refused(Duration),
+    /// No ready server has the required version.
+    NoServer,
 }
 
 struct SlotRequestState {
     service: String,
     work: Work,
     excluded: Vec<BackendServerId>,
+    version: Option<SoftwareVersion>,
     server: Option<BackendServerId>,
     decisions: mpsc::Sender<SlotDecision>,
     preempted: Rc<Notify>,
@@ -107,6 +111,7 @@
         remaining_ms,
         excluded: state.excluded.clone(),
         server: state.server.clone(),
+        version: state.version.clone(),
     }
 }
 
@@ -121,7 +126,7 @@
     Refused(Duration),
     /// The request was queued, and no slot was granted before it expired.
     TimedOut,
-    /// No server of the service is available.
+    /// No server of the service, or of the required version, is available.
     NoServer,
 }
 
@@ -167,7 +172,8 @@
 }
 
 /// Requests a slot from the coordinator and waits until it is granted or refused. Falls back to a server of this host's
-/// own choice if the coordinator does not reply to an online request in time.
+/// own choice if the coordinator does not reply to an online request in time. If a version is required, only a slot of a
+/// server of that version is acquired.
 ///
 /// # Errors
 /// Fails if no slot is granted in time or no server is available.
@@ -176,26 +182,31 @@
     service: &str,
     work: Work,
     mut excluded: Vec<BackendServerId>,
+    version: Option<&SoftwareVersion>,
 ) -> Result<Slot, SlotError> {
     loop {
-        let (request, preempted, mut decisions) = send_request(gateway, service, work, &excluded);
+        let (request, preempted, mut decisions) =
+            send_request(gateway, service, work, &excluded, version);
         let granted = match wait_for_grant(gateway, &request, work, &mut decisions).await? {
             Some(server) => server,
-            None => match place_locally(gateway, &request, service, &excluded) {
+            None => match place_locally(gateway, &request, service, &excluded, version) {
                 Some(server) => server,
                 None => return Err(SlotError::NoServer),
             },
         };
         let server = gateway.directory.borrow().get(&granted).cloned();
         match server {
-            Some(server) if server.state == ServerState::Ready => {
+            Some(server)
+                if server.state == ServerState::Ready
+                    && version.is_none_or(|version| *version == server.version) =>
+            {
                 return Ok(Slot {
                     request,
                     server,
                     preempted,
                 });
             }
-            // The coordinator has not yet seen that this server is draining or gone.
+            // The coordinator has not yet seen that this server is draining, gone or of another version.
             _ => excluded.push(granted),
         }
     }
@@ -206,6 +217,7 @@
     service: &str,
     work: Work,
     excluded: &[BackendServerId],
+    version: Option<&SoftwareVersion>,
 ) -> (SlotRequestGuard, Rc<Notify>, mpsc::Receiver<SlotDecision>) {
     let table = &gateway.slot_requests;
     let id = table.next_id.get() + 1;
@@ -216,6 +228,7 @@
         service: service.to_owned(),
         work,
         excluded: excluded.to_vec(),
+        version: version.cloned(),
         server: None,
         decisions,
         preempted: Rc::clone(&preempted),
@@ -264,6 +277,7 @@
             Some(SlotDecision::Refused(retry_after)) if is_online => {
                 return Err(SlotError::Refused(retry_after));
             }
+            Some(SlotDecision::NoServer) => return Err(SlotError::NoServer),
             Some(SlotDecision::Queued) => is_queued = true,
             Some(SlotDecision::Refused(_)) => {}
             None => return Ok(None),
@@ -277,8 +291,9 @@
     request: &SlotRequestGuard,
     service: &str,
     excluded: &[BackendServerId],
+    version: Option<&SoftwareVersion>,
 ) -> Option<BackendServerId> {
-    let server = gateway.pick_server(service, excluded)?;
+    let server = gateway.pick_server(service, excluded, version)?;
     let mut requests = gateway.slot_requests.requests.borrow_mut();
     let state = requests.get_mut(&request.id)?;
     state.server = Some(server.id.clone());
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -104,7 +104,7 @@
                 false => recorder.finish(not_run("time is up\n", BUSY_RETRY_AFTER), "timed_out"),
             };
         }
-        let Some(server) = gateway.pick_server(&request.service, &excluded) else {
+        let Some(server) = gateway.pick_server(&request.service, &excluded, None) else {
             return match may_have_run {
                 true => recorder.finish(
                     text_response(StatusCode::BAD_GATEWAY, "no answer of a server\n"),
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -8,6 +8,7 @@
 use bamboo_slots::RunOutcome;
 use bamboo_slots::Work;
 use bamboo_types::BackendServerId;
+use bamboo_types::SoftwareVersion;
 use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
@@ -103,6 +104,7 @@
         &mut attempts,
         start_by,
         last_event,
+        None,
     )
     .await;
     recorder.attempts = attempts.count;
@@ -179,7 +181,8 @@
     )
 }
 
-/// Acquires slots and sends the request until a server delivers the first event.
+/// Acquires slots and sends the request until a server delivers the first event. A stream that has begun goes on only at
+/// servers of `version`.
 async fn start_run(
     gateway: &Rc<Gateway>,
     request: &CallerRequest,
@@ -187,6 +190,7 @@
     attempts: &mut Attempts,
     start_by: Duration,
     last_event: Option<u64>,
+    version: Option<&SoftwareVersion>,
 ) -> Result<Run, RunError> {
     let is_resumable = is_resumable(request);
     loop {
@@ -198,8 +202,8 @@
             start_by,
             expires_at: request.deadline,
         };
-        let acquired =
-            acquire_slot(gateway, &request.service, work, attempts.excluded.clone()).await;
+        let excluded = attempts.excluded.clone();
+        let acquired = acquire_slot(gateway, &request.service, work, excluded, version).await;
         let slot = match acquired {
             Ok(slot) => slot,
             Err(_) if attempts.may_have_run => return Err(RunError::Unknown),
@@ -335,6 +339,7 @@
     };
     let mut last_id = first_id;
     let mut has_sent = false;
+    let mut begun_at: Option<SoftwareVersion> = None;
     loop {
         let now = gateway.clock.now();
         let remaining = request.deadline.saturating_sub(now);
@@ -357,6 +362,7 @@
                 }
                 last_id = event.id.or(last_id);
                 has_sent = true;
+                begun_at.get_or_insert_with(|| run.slot.server.version.clone());
                 if chunks.send(Ok(Bytes::from(event.raw))).await.is_err() {
                     return ForwardEnd::CallerDisconnected;
                 }
@@ -369,7 +375,8 @@
         run.slot.set_outcome(outcome);
         log::info!(
             event = "stream_failed", request = request.id.as_str(), server = run.slot.server.id.as_str(),
-            outcome:? = outcome, last_event = last_id, may_resume; "the stream failed"
+            version = run.slot.server.version.as_str(), outcome:? = outcome, last_event = last_id, may_resume;
+            "the stream failed"
         );
         if gateway.clock.now() >= request.deadline {
             return ForwardEnd::Broken("timed_out");
@@ -382,11 +389,19 @@
         drop(run);
         let start_by = gateway.clock.now() + gap_target.saturating_sub(EVENT_GAP_TIMEOUT);
         let next_run = tokio::select! {
-            started = start_run(gateway, request, engine_request, attempts, start_by, last_id) => started,
+            started = start_run(
+                gateway, request, engine_request, attempts, start_by, last_id, begun_at.as_ref(),
+            ) => started,
             () = chunks.closed() => return ForwardEnd::CallerDisconnected,
         };
         match next_run {
-            Ok(started) => run = started,
+            Ok(started) => {
+                log::info!(
+                    event = "stream_resumed", request = request.id.as_str(), server = started.slot.server.id.as_str(),
+                    version = started.slot.server.version.as_str(), last_event = last_id; "another server goes on"
+                );
+                run = started;
+            }
             Err(_) => return ForwardEnd::Broken("not_resumed"),
         }
     }
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -260,7 +260,8 @@
 
 /// Adds a server to the directory, and to the broker if it is a model engine.
 fn put_server(gateway: &Gateway, server: Server, source: &str) {
-    let change = gateway.directory.borrow_mut().put(server);
+    let now = gateway.clock.now();
+    let change = gateway.directory.borrow_mut().put(server, now);
     match change {
         DirectoryChange::Updated(server) => {
             log::info!(
--- a/bamboo-slots/examples/broker_cost.rs
+++ b/bamboo-slots/examples/broker_cost.rs
@@ -31,6 +31,7 @@
         data_centre: "a".to_owned(),
         work,
         excluded: Vec::new(),
+        version: None,
     }
 }
 
@@ -44,6 +45,7 @@
                 data_centre: ["a", "b", "c", "d"][index % 4].to_owned(),
                 slots: SLOTS,
                 is_ready: true,
+                version: "v1".to_owned(),
             };
             broker.put_engine(engine, false, Duration::ZERO);
         }
--- a/bamboo-slots/src/allocate.rs
+++ b/bamboo-slots/src/allocate.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bamboo_types::BackendServerId;
+use bamboo_types::SoftwareVersion;
 
 use crate::Action;
 use crate::Broker;
@@ -31,8 +32,8 @@
     }
 
     /// Grants slots to requests in the given order and returns those that remain queued. Once a request without
-    /// excluded servers finds no slot, the later requests of its service cannot find one either and are skipped, which
-    /// bounds the cost of a long queue.
+    /// excluded servers finds no slot, the later requests of its service, or of the version that it requires, cannot
+    /// find one either and are skipped, which bounds the cost of a long queue.
     fn allocate_in_order<P>(
         &mut self,
         order: Vec<RequestKey>,
@@ -43,7 +44,8 @@
         P: Fn(&mut Broker, &SlotRequest, Duration) -> Option<BackendServerId>,
     {
         let mut unplaced = Vec::new();
-        let mut full_services = HashSet::new();
+        let mut full_services: HashSet<String> = HashSet::new();
+        let mut full_versions: HashSet<(String, SoftwareVersion)> = HashSet::new();
         for key in order {
             let Some(request) = self.requests.get(key).map(|state| &state.request) else {
                 continue;
@@ -53,12 +55,26 @@
                 continue;
             }
             let request = request.clone();
+            let service_version = request
+                .version
+                .clone()
+                .map(|version| (request.service.clone(), version));
+            if service_version
+                .as_ref()
+                .is_some_and(|service_version| full_versions.contains(service_version))
+            {
+                unplaced.push(key);
+                continue;
+            }
             match place(self, &request, now) {
                 Some(server) => self.grant(key, &server, now),
                 None => {
                     unplaced.push(key);
                     if request.excluded.is_empty() {
-                        full_services.insert(request.service);
+                        match service_version {
+                            Some(service_version) => full_versions.insert(service_version),
+                            None => full_services.insert(request.service),
+                        };
                     }
                 }
             }
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -6,6 +6,7 @@
 
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
+use bamboo_types::SoftwareVersion;
 
 use crate::Action;
 use crate::BatchItem;
@@ -123,6 +124,7 @@
     ///     data_centre: "a".into(),
     ///     slots: 1,
     ///     is_ready: true,
+    ///     version: "v1".into(),
     /// };
     /// broker.put_engine(engine, false, Duration::ZERO);
     /// let work = Work::Batch { due: Duration::from_secs(9), remaining: Duration::from_secs(2) };
@@ -133,6 +135,7 @@
     ///     data_centre: "a".into(),
     ///     work,
     ///     excluded: vec![],
+    ///     version: None,
     /// };
     /// broker.request_slot(request, Duration::ZERO);
     /// assert!(matches!(broker.take_actions()[0], Action::Grant { .. }));
@@ -143,6 +146,13 @@
             return;
         }
         let is_online = matches!(request.work, Work::Online { .. });
+        if self.lacks_version(&request) {
+            self.actions.push(Action::NoServer {
+                host: request.host,
+                request: request.id,
+            });
+            return;
+        }
         if let Some(action) = self.refusal(&request, now) {
             self.actions.push(action);
             return;
@@ -318,19 +328,67 @@
                 });
             }
         }
+        self.reject_missing_versions();
         self.clear_void_exclusions();
         self.defer_infeasible(now);
         self.allocate(now);
     }
 
+    /// Whether no ready server has the version that a request requires, so that waiting is in vain. A request to a
+    /// service without any server waits nevertheless, because a new coordinator may not know the servers yet. So does a
+    /// batch item while no server is ready: to start anew would not help it either.
+    fn lacks_version(&self, request: &SlotRequest) -> bool {
+        if request.version.is_none() {
+            return false;
+        }
+        let is_online = matches!(request.work, Work::Online { .. });
+        let (mut is_known, mut has_ready) = (false, false);
+        for state in self.engines_of(&request.service) {
+            is_known = true;
+            has_ready |= state.engine.is_ready;
+            if state.engine.is_ready && state.engine.is_of_version(request.version.as_ref()) {
+                return false;
+            }
+        }
+        match is_online {
+            true => is_known,
+            false => has_ready,
+        }
+    }
+
+    /// Rejects queued requests whose version has no ready server any more.
+    fn reject_missing_versions(&mut self) {
+        let queued = self.waiting_online.iter().chain(&self.waiting_batch);
+        let lacking: HashSet<RequestKey> = queued
+            .copied()
+            .filter(|key| {
+                let state = self.requests.get(*key);
+                state.is_some_and(|state| self.lacks_version(&state.request))
+            })
+            .collect();
+        if lacking.is_empty() {
+            return;
+        }
+        self.waiting_online.retain(|key| !lacking.contains(key));
+        self.waiting_batch.retain(|key| !lacking.contains(key));
+        for key in lacking {
+            let Some(state) = self.requests.remove(key) else {
+                continue;
+            };
+            let (host, request) = (state.request.host, state.request.id);
+            self.by_id.remove(&(host.clone(), request));
+            self.actions.push(Action::NoServer { host, request });
+        }
+    }
+
     /// Clears the excluded servers of queued requests for which no ready server is left. Otherwise a batch item whose
     /// last attempt failed at the only server would wait for ever.
     fn clear_void_exclusions(&mut self) {
-        let ready: Vec<(&String, &BackendServerId)> = self
+        let ready: Vec<&Engine> = self
             .engines
             .values()
-            .filter(|state| state.engine.is_ready)
-            .map(|state| (&state.engine.service, &state.engine.server))
+            .map(|state| &state.engine)
+            .filter(|engine| engine.is_ready)
             .collect();
         for key in self.waiting_online.iter().chain(&self.waiting_batch) {
             let Some(state) = self.requests.get_mut(*key) else {
@@ -338,8 +396,10 @@
             };
             let request = &mut state.request;
             let is_void = !request.excluded.is_empty()
-                && ready.iter().all(|(service, server)| {
-                    **service != request.service || request.excluded.contains(server)
+                && ready.iter().all(|engine| {
+                    engine.service != request.service
+                        || !engine.is_of_version(request.version.as_ref())
+                        || request.excluded.contains(&engine.server)
                 });
             if is_void {
                 request.excluded.clear();
@@ -436,17 +496,80 @@
         self.slot_time_mean.unwrap_or(SLOT_TIME_INITIAL)
     }
 
+    /// Slots, runs and queue of online requests by version of the servers. The queue counts the requests that require
+    /// the version.
+    fn online_loads_by_version(&self, service: &str) -> BTreeMap<&SoftwareVersion, BrokerLoad> {
+        let mut loads: BTreeMap<&SoftwareVersion, BrokerLoad> = BTreeMap::new();
+        for state in self.engines_of(service) {
+            let load = loads.entry(&state.engine.version).or_default();
+            load.slots += usize::from(state.engine.is_ready) * state.engine.slots;
+            load.online_running += state.online.len();
+        }
+        for key in &self.waiting_online {
+            let request = self.requests.get(*key).map(|state| &state.request);
+            if let Some(request) = request
+                && request.service == service
+                && let Some(load) = request
+                    .version
+                    .as_ref()
+                    .and_then(|version| loads.get_mut(version))
+            {
+                load.online_waiting += 1;
+            }
+        }
+        loads
+    }
+
+    /// The load that an online request competes with. Requests that may run at any version avoid the versions whose own
+    /// queue is the longest, and fill up the others evenly.
+    fn competing_load(&self, request: &SlotRequest) -> BrokerLoad {
+        let total = self.online_load(&request.service);
+        let loads = self.online_loads_by_version(&request.service);
+        let required: usize = loads.values().map(|load| load.online_waiting).sum();
+        let mut by_rounds: Vec<&BrokerLoad> =
+            loads.values().filter(|load| load.slots > 0).collect();
+        by_rounds.sort_by(|one, other| rounds(one).total_cmp(&rounds(other)));
+        let mut open = BrokerLoad {
+            online_waiting: total.online_waiting.saturating_sub(required),
+            ..BrokerLoad::default()
+        };
+        for load in by_rounds {
+            if open.slots > 0 && rounds(load) > rounds(&open) {
+                break;
+            }
+            open.slots += load.slots;
+            open.online_running += load.online_running;
+            open.online_waiting += load.online_waiting;
+        }
+        let Some(load) = request
+            .version
+            .as_ref()
+            .and_then(|version| loads.get(version))
+        else {
+            return open;
+        };
+        let shared = (rounds(&open) * load.slots as f64).floor() as usize;
+        BrokerLoad {
+            online_waiting: load.online_waiting.max(shared),
+            ..*load
+        }
+    }
+
     /// Returns the refusal of an online request whose estimated wait in the queue exceeds the time until it expires.
     fn refusal(&self, request: &SlotRequest, now: Duration) -> Option<Action> {
         let Work::Online { expires_at, .. } = request.work else {
             return None;
         };
-        let load = self.online_load(&request.service);
-        if load.online_running + load.online_waiting < load.slots || load.slots == 0 {
+        let has_free_slot =
+            |load: &BrokerLoad| load.online_running + load.online_waiting < load.slots;
+        if request.version.is_none() && has_free_slot(&self.online_load(&request.service)) {
+            return None;
+        }
+        let load = self.competing_load(request);
+        if has_free_slot(&load) || load.slots == 0 {
             return None;
         }
-        let rounds = load.online_waiting as f64 / load.slots as f64;
-        let wait = self.expected_slot_time().mul_f64(rounds);
+        let wait = self.expected_slot_time().mul_f64(rounds(&load));
         (now + wait >= expires_at).then(|| Action::Refuse {
             host: request.host.clone(),
             request: request.id,
@@ -476,3 +599,8 @@
         }
     }
 }
+
+/// How often the slots have to be freed until the queue is empty.
+fn rounds(load: &BrokerLoad) -> f64 {
+    load.online_waiting as f64 / load.slots.max(1) as f64
+}
--- a/bamboo-slots/src/engine.rs
+++ b/bamboo-slots/src/engine.rs
@@ -4,6 +4,7 @@
 
 use bamboo_types::BackendServerId;
 use bamboo_types::DataCentreId;
+use bamboo_types::SoftwareVersion;
 
 use crate::Health;
 use crate::SlotRequest;
@@ -27,6 +28,15 @@
     pub slots: usize,
     /// Whether the engine accepts new requests.
     pub is_ready: bool,
+    /// Version of the server's software.
+    pub version: SoftwareVersion,
+}
+
+impl Engine {
+    /// Whether the engine is of the version that a request requires, if any.
+    pub(crate) fn is_of_version(&self, version: Option<&SoftwareVersion>) -> bool {
+        version.is_none_or(|version| *version == self.version)
+    }
 }
 
 /// A model engine with the requests that hold its slots.
@@ -90,6 +100,7 @@
     ) -> bool {
         self.engine.is_ready
             && self.engine.service == request.service
+            && self.engine.is_of_version(request.version.as_ref())
             && !request.excluded.contains(&self.engine.server)
             && self.is_usable(requests, now)
     }
--- a/bamboo-slots/src/request.rs
+++ b/bamboo-slots/src/request.rs
@@ -5,6 +5,7 @@
 use bamboo_types::BackendServerId;
 use bamboo_types::DataCentreId;
 use bamboo_types::HostId;
+use bamboo_types::SoftwareVersion;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -45,6 +46,8 @@
     pub work: Work,
     /// Servers whose slots must not be granted to this request.
     pub excluded: Vec<BackendServerId>,
+    /// Version of the software that the server must have, for work that goes on from earlier output.
+    pub version: Option<SoftwareVersion>,
 }
 
 /// A decision of the broker that has to be sent to a host.
@@ -82,6 +85,13 @@
         /// Estimated time until a slot is free.
         retry_after: Duration,
     },
+    /// No ready server has the version that the request requires. The request is no longer queued.
+    NoServer {
+        /// Host that sent the request.
+        host: HostId,
+        /// Slot request.
+        request: SlotRequestId,
+    },
 }
 
 /// How a run on a server ended.
--- a/bamboo-slots/tests/broker.rs
+++ b/bamboo-slots/tests/broker.rs
@@ -23,6 +23,7 @@
         data_centre: data_centre.to_owned(),
         slots,
         is_ready: true,
+        version: "v1".to_owned(),
     }
 }
 
@@ -34,6 +35,7 @@
         data_centre: "a".to_owned(),
         work,
         excluded: Vec::new(),
+        version: None,
     }
 }
 
--- a/bamboo-slots/tests/failing_servers.rs
+++ b/bamboo-slots/tests/failing_servers.rs
@@ -32,6 +32,7 @@
             data_centre: "a".to_owned(),
             slots: SLOTS,
             is_ready: true,
+            version: "v1".to_owned(),
         };
         broker.put_engine(engine, false, Duration::ZERO);
     }
@@ -57,6 +58,7 @@
                     expires_at: now + Duration::from_millis(5_000),
                 },
                 excluded: Vec::new(),
+                version: None,
             };
             broker.request_slot(request, now);
         }
@@ -102,6 +104,7 @@
         data_centre: "a".to_owned(),
         slots: SLOTS,
         is_ready: true,
+        version: "v1".to_owned(),
     };
     broker.put_engine(engine, false, Duration::ZERO);
     let request = SlotRequest {
@@ -114,6 +117,7 @@
             remaining: Duration::from_secs(3),
         },
         excluded: vec!["s0".to_owned()],
+        version: None,
     };
     broker.request_slot(request, Duration::ZERO);
     assert!(broker.take_actions().is_empty());
--- a/bamboo-slots/tests/loads.rs
+++ b/bamboo-slots/tests/loads.rs
@@ -81,6 +81,7 @@
             data_centre: format!("d{}", index % 4),
             slots: SLOTS,
             is_ready,
+            version: "v1".to_owned(),
         };
         broker.put_engine(engine, false, now);
     };
@@ -200,6 +201,7 @@
                         tasks.remove(&request);
                     }
                     Action::Queue { .. } => {}
+                    Action::NoServer { .. } => panic!("no request requires a version"),
                 }
             }
         }
@@ -230,6 +232,7 @@
         data_centre: "d0".to_owned(),
         work,
         excluded: Vec::new(),
+        version: None,
     };
     broker.request_slot(request, now);
 }
--- a/bamboo-slots/tests/resetting_servers.rs
+++ b/bamboo-slots/tests/resetting_servers.rs
@@ -29,6 +29,7 @@
             data_centre: "a".to_owned(),
             slots,
             is_ready: true,
+            version: "v1".to_owned(),
         };
         broker.put_engine(engine, false, at(0));
     }
@@ -43,6 +44,7 @@
         data_centre: "a".to_owned(),
         work,
         excluded: Vec::new(),
+        version: None,
     };
     broker.request_slot(request, at(now_ms));
 }
--- a/bamboo-slots/tests/retries_after_an_outage.rs
+++ b/bamboo-slots/tests/retries_after_an_outage.rs
@@ -49,6 +49,7 @@
             data_centre: "a".to_owned(),
             slots: SLOTS,
             is_ready: true,
+            version: "v1".to_owned(),
         };
         broker.put_engine(engine, false, Duration::ZERO);
     }
@@ -94,6 +95,7 @@
                     expires_at: now + remaining,
                 },
                 excluded: Vec::new(),
+                version: None,
             };
             broker.request_slot(request, now);
         }
--- a/bamboo-types/src/ids.rs
+++ b/bamboo-types/src/ids.rs
@@ -9,6 +9,8 @@
 pub type BackendServerId = String;
 /// Name of a data centre.
 pub type DataCentreId = String;
+/// Version of the software of a backend server, not of its weights. Opaque; empty if the server names none.
+pub type SoftwareVersion = String;
 /// Name of a model.
 pub type ModelId = String;
 /// Name of a caller, as declared in configuration.
--- a/bamboo-types/src/lib.rs
+++ b/bamboo-types/src/lib.rs
@@ -17,6 +17,7 @@
 pub use ids::Offset;
 pub use ids::RequestId;
 pub use ids::ShardId;
+pub use ids::SoftwareVersion;
 pub use ids::WorkspaceId;
 pub use ids::format_job_id;
 pub use ids::job_id;
