fix(gateway): callers take up a stream at the version that began it

`Resumes` was not read, and only the host that served the stream knew its version.

The host that serves a stream sends its origin, service and version under a hash of the request id, to the two live hosts that rank first for that id, before the first event goes out. A host to which a caller returns looks in its own table, then asks the four that rank first, 60 ms at most, and asks the coordinator for a server of that version only. An unknown origin goes on only if the servers of the route's services have, and had within the last 10 s, one version; the hosts that are asked add the versions they remember, since a host that has just started remembers none. Otherwise the caller gets 503 at once (origin_unknown, version_gone).

A call to another host whose caller stops waiting is now forgotten; before, only a reply or a lost link removed it.

Of the new tests, a_stream_goes_on_although_the_host_that_began_it_is_lost fails without the message to other hosts, and a_version_that_has_just_left_still_counts_also_at_a_new_host without the memory of versions and without the other hosts' part of it.

--- a/bamboo-coordination/src/lib.rs
+++ b/bamboo-coordination/src/lib.rs
@@ -1,4 +1,4 @@
-//! Choice of the host that coordinates slots, and its view of the other hosts. Performs no I/O.
+//! Choice of the host that coordinates slots, and its view of the other hosts, and where streams began. Performs no I/O.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
@@ -6,6 +6,7 @@
 mod message;
 mod reports;
 mod shutdown;
+mod stream_origins;
 
 pub use coordinator::CoordinatorTracker;
 pub use coordinator::HEARTBEAT_INTERVAL;
@@ -20,3 +21,9 @@
 pub use shutdown::ShutdownState;
 pub use shutdown::ShutdownStep;
 pub use shutdown::next_shutdown_step;
+pub use stream_origins::ORIGIN_HOLDERS;
+pub use stream_origins::ORIGIN_HOSTS_ASKED;
+pub use stream_origins::StreamKey;
+pub use stream_origins::StreamOrigins;
+pub use stream_origins::origin_hosts;
+pub use stream_origins::stream_key;
--- a/bamboo-gateway/src/dialect.rs
+++ b/bamboo-gateway/src/dialect.rs
@@ -34,6 +34,8 @@
     pub not_run: HeaderName,
     /// Identifier of the last event that the sender received, from which a stream is resumed.
     pub last_event_id: HeaderName,
+    /// Set by a caller that takes a stream up again: the request that brought its first event.
+    pub resumes: HeaderName,
 }
 
 /// A call concerning a job that has been submitted.
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 mod peers;
 mod servers;
 mod store_calls;
+mod streams;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -15,6 +16,7 @@
 use bamboo_coordination::CoordinatorTracker;
 use bamboo_coordination::HostInfo;
 use bamboo_coordination::Reports;
+use bamboo_coordination::StreamOrigins;
 use bamboo_fleet::Directory;
 use bamboo_fleet::FleetConfig;
 use bamboo_fleet::Server;
@@ -44,6 +46,8 @@
 use crate::traffic::LoadBalancer;
 use crate::traffic::ServerPool;
 
+pub(crate) use streams::OriginAnswer;
+
 /// Phase of the process, from start to shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -113,6 +117,7 @@
     pub(crate) mesh: Mesh,
     pub(crate) slot_requests: SlotRequestTable,
     pub(crate) coordination: RefCell<CoordinatorTracker>,
+    stream_origins: RefCell<StreamOrigins>,
     broker: RefCell<Broker>,
     reports: RefCell<Reports>,
     store: StoreClient,
@@ -166,6 +171,7 @@
             pool: ServerPool::default(),
             slot_requests: SlotRequestTable::default(),
             coordination: RefCell::new(coordination),
+            stream_origins: RefCell::default(),
             broker: RefCell::new(Broker::default()),
             reports: RefCell::new(Reports::default()),
             store_path: RefCell::default(),
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -171,6 +171,7 @@
         self.send_broker_actions();
         self.log_load(now);
         self.directory.borrow_mut().expire(now);
+        self.stream_origins.borrow_mut().expire(now);
         self.pool.close_idle(now);
         self.mesh.close_idle(now);
         if let Some((host, version)) = self.reports.borrow().newest_config() {
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -195,6 +195,9 @@
             PeerMessage::NoServer { request } if self.is_coordinator(&sender.host) => {
                 self.slot_requests.deliver(request, SlotDecision::NoServer);
             }
+            PeerMessage::StreamBegan { stream, origin } => {
+                self.stream_origins.borrow_mut().record(stream, origin, now);
+            }
             // Decisions of a former coordinator are ignored.
             PeerMessage::Queued { .. }
             | PeerMessage::Preempt { .. }
@@ -378,6 +381,9 @@
                     .map(|record| ConfigRecord::clone(&record)),
             ),
             PeerRequest::Servers => PeerReply::Servers(self.known_servers()),
+            PeerRequest::StreamOrigin { stream, services } => {
+                self.answer_stream_origin(stream, &services)
+            }
         }
     }
 
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -31,6 +31,18 @@
     reply: oneshot::Sender<PeerReply>,
 }
 
+/// Forgets a call when its caller no longer waits for the reply.
+struct CallGuard<'a> {
+    mesh: &'a Mesh,
+    call: u64,
+}
+
+impl Drop for CallGuard<'_> {
+    fn drop(&mut self) {
+        self.mesh.pending.borrow_mut().remove(&self.call);
+    }
+}
+
 /// Links to other hosts, and the calls that wait for replies.
 pub(crate) struct Mesh {
     local: HostInfo,
@@ -91,9 +103,9 @@
             reply: reply_sender,
         };
         self.pending.borrow_mut().insert(call, pending);
+        let _guard = CallGuard { mesh: self, call };
         self.send(host, PeerMessage::Request { call, request }, now);
         let reply = tokio::time::timeout(timeout, reply_receiver).await;
-        self.pending.borrow_mut().remove(&call);
         reply.ok()?.ok()
     }
 
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -1,16 +1,19 @@
 //! Messages between hosts.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bamboo_coordination::ClusterMap;
 use bamboo_coordination::Heartbeat;
 use bamboo_coordination::HostInfo;
 use bamboo_coordination::Probe;
+use bamboo_coordination::StreamKey;
 use bamboo_fleet::Server;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequestId;
 use bamboo_types::BackendServerId;
 use bamboo_types::SoftwareVersion;
+use bamboo_types::StreamOrigin;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -73,6 +76,13 @@
     Config,
     /// Fetches the directory of backend servers.
     Servers,
+    /// Asks where a stream began.
+    StreamOrigin {
+        /// The stream.
+        stream: StreamKey,
+        /// Services at which it may have begun.
+        services: Vec<String>,
+    },
 }
 
 /// Reply to a request.
@@ -95,6 +105,13 @@
     Config(Option<ConfigRecord>),
     /// Directory of backend servers; `None` if the host does not know them.
     Servers(Option<Vec<Server>>),
+    /// What the host knows of a stream.
+    StreamOrigin {
+        /// Where it began.
+        origin: Option<StreamOrigin>,
+        /// Versions that the servers of the services in question have, or recently had.
+        versions: BTreeSet<SoftwareVersion>,
+    },
 }
 
 /// A message between hosts.
@@ -163,6 +180,13 @@
         /// Slot request.
         request: SlotRequestId,
     },
+    /// A stream of the sender began, or goes on.
+    StreamBegan {
+        /// The stream.
+        stream: StreamKey,
+        /// Where it began.
+        origin: StreamOrigin,
+    },
     /// A request to the host, which expects a reply.
     Request {
         /// Number of the call.
--- a/bamboo-gateway/src/metrics.rs
+++ b/bamboo-gateway/src/metrics.rs
@@ -101,6 +101,8 @@
     pub slot_wait_s: Histogram,
     /// Runs at model engines that delivered no events, by outcome.
     pub runs: Family<KindLabel, Counter>,
+    /// Streams that callers took up again, by outcome.
+    pub take_ups: Family<KindLabel, Counter>,
     /// Events of batch items by kind.
     pub items: Family<KindLabel, Counter>,
     /// Calls to the store by kind, topic and outcome, and the bytes received.
@@ -122,6 +124,7 @@
             first_byte_s: latency(),
             slot_wait_s: latency(),
             runs: Family::default(),
+            take_ups: Family::default(),
             items: Family::default(),
             store: StoreMetrics::default(),
             store_calls: Gauge::default(),
@@ -145,6 +148,11 @@
             metrics.slot_wait_s.clone(),
         );
         registry.register("runs", "Runs at servers by outcome", metrics.runs.clone());
+        registry.register(
+            "take_ups",
+            "Streams that callers took up again, by outcome",
+            metrics.take_ups.clone(),
+        );
         registry.register("items", "Items of jobs by event", metrics.items.clone());
         registry.register(
             "store_requests",
@@ -181,6 +189,11 @@
         self.runs.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a stream that a caller took up again.
+    pub(crate) fn count_take_up(&self, kind: &'static str) {
+        self.take_ups.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts an event of a batch item.
     pub(crate) fn count_item(&self, kind: &'static str) {
         self.items.get_or_create(&KindLabel { kind }).inc();
--- a/bamboo-gateway/src/traffic.rs
+++ b/bamboo-gateway/src/traffic.rs
@@ -9,6 +9,7 @@
 mod response;
 mod serve;
 mod stream;
+mod take_up;
 
 pub(crate) use accept::serve_callers;
 pub(crate) use accept::serve_metrics;
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -9,6 +9,7 @@
 use bamboo_slots::Work;
 use bamboo_types::BackendServerId;
 use bamboo_types::SoftwareVersion;
+use bamboo_types::StreamOrigin;
 use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
@@ -31,6 +32,8 @@
 use crate::traffic::response::run_outcome;
 use crate::traffic::response::text_response;
 use crate::traffic::serve::RequestRecorder;
+use crate::traffic::take_up::TakeUp;
+use crate::traffic::take_up::find_take_up;
 
 /// Time without a first event after which a resumable request is retried at another server. The first event takes 35 ms
 /// on a free slot, and the target is 300 ms.
@@ -51,12 +54,21 @@
     stream: EngineStream,
 }
 
+/// Reason in the log of a request that is rejected because no server of its version is left.
+const VERSION_GONE: &str = "version_gone";
+/// Reason in the log of a request that is rejected because it is not known where its stream began.
+const ORIGIN_UNKNOWN: &str = "origin_unknown";
+
 /// Attempts of a request so far.
 struct Attempts {
     count: u32,
     refusals: u32,
     excluded: Vec<BackendServerId>,
     may_have_run: bool,
+    /// Identifier of the request that began the stream.
+    stream: String,
+    /// Version that began the stream, at which alone it goes on; `None` before its first event.
+    version: Option<SoftwareVersion>,
 }
 
 /// Why no run delivers events.
@@ -74,14 +86,36 @@
 /// Serves a streaming request.
 pub(crate) async fn serve_stream(
     gateway: Rc<Gateway>,
-    request: CallerRequest,
+    mut request: CallerRequest,
 ) -> Response<ResponseBody> {
     let mut attempts = Attempts {
         count: 0,
         refusals: 0,
         excluded: Vec::new(),
         may_have_run: false,
+        stream: request.id.clone(),
+        version: None,
+    };
+    let mut recorder = RequestRecorder::begin(&gateway, &request);
+    let take_up = match is_resumable(&request) {
+        true => find_take_up(&gateway, &request).await,
+        false => TakeUp::NewStream,
     };
+    let is_take_up = !matches!(take_up, TakeUp::NewStream);
+    match take_up {
+        TakeUp::NewStream => {}
+        TakeUp::GoesOn { stream, origin } => {
+            attempts.stream = stream;
+            attempts.version = Some(origin.version);
+            request.service = origin.service;
+        }
+        TakeUp::OriginUnknown => {
+            gateway.metrics.count_take_up(ORIGIN_UNKNOWN);
+            recorder.reason = ORIGIN_UNKNOWN;
+            let response = not_run("the stream is not known\n", NO_SERVER_RETRY_AFTER);
+            return recorder.finish(response, "refused");
+        }
+    }
     let start_by =
         (request.arrived_at + request.route.target_latency).saturating_sub(request.waited);
     let last_event = request
@@ -96,7 +130,6 @@
         body: request.body.clone(),
         is_retryable: is_resumable(&request),
     };
-    let mut recorder = RequestRecorder::begin(&gateway, &request);
     let started = start_run(
         &gateway,
         &request,
@@ -104,7 +137,6 @@
         &mut attempts,
         start_by,
         last_event,
-        None,
     )
     .await;
     recorder.attempts = attempts.count;
@@ -112,6 +144,9 @@
         Ok(run) => run,
         Err(RunError::Answered(response)) => return recorder.finish(response, "server_failure"),
         Err(RunError::Refused(retry_after, reason)) => {
+            if reason == VERSION_GONE {
+                gateway.metrics.count_take_up(VERSION_GONE);
+            }
             recorder.reason = reason;
             return recorder.finish(not_run("no slot in time\n", retry_after), "refused");
         }
@@ -135,6 +170,10 @@
         }
     };
     recorder.server = run.slot.server.id.clone();
+    if is_take_up {
+        gateway.metrics.count_take_up("resumed");
+        log_resumption(&request, &run, last_event);
+    }
     let mut response = Response::new(ResponseBody::Full(None));
     *response.status_mut() = run.stream.head.status;
     *response.headers_mut() = end_to_end_headers(&run.stream.head.headers);
@@ -182,7 +221,7 @@
 }
 
 /// Acquires slots and sends the request until a server delivers the first event. A stream that has begun goes on only at
-/// servers of `version`.
+/// servers of its version.
 async fn start_run(
     gateway: &Rc<Gateway>,
     request: &CallerRequest,
@@ -190,7 +229,6 @@
     attempts: &mut Attempts,
     start_by: Duration,
     last_event: Option<u64>,
-    version: Option<&SoftwareVersion>,
 ) -> Result<Run, RunError> {
     let is_resumable = is_resumable(request);
     loop {
@@ -202,7 +240,7 @@
             start_by,
             expires_at: request.deadline,
         };
-        let excluded = attempts.excluded.clone();
+        let (excluded, version) = (attempts.excluded.clone(), attempts.version.as_ref());
         let acquired = acquire_slot(gateway, &request.service, work, excluded, version).await;
         let slot = match acquired {
             Ok(slot) => slot,
@@ -217,7 +255,11 @@
                 ));
             }
             Err(SlotError::NoServer) => {
-                return Err(RunError::Refused(NO_SERVER_RETRY_AFTER, "no_server"));
+                let reason = match attempts.version {
+                    Some(_) => VERSION_GONE,
+                    None => "no_server",
+                };
+                return Err(RunError::Refused(NO_SERVER_RETRY_AFTER, reason));
             }
         };
         let sent_at = gateway.clock.now();
@@ -313,6 +355,13 @@
     }
 }
 
+fn log_resumption(request: &CallerRequest, run: &Run, last_event: Option<u64>) {
+    log::info!(
+        event = "stream_resumed", request = request.id.as_str(), server = run.slot.server.id.as_str(),
+        version = run.slot.server.version.as_str(), last_event; "a server goes on with a stream"
+    );
+}
+
 /// How forwarding a stream ended.
 enum ForwardEnd {
     Complete(Box<Run>),
@@ -339,7 +388,6 @@
     };
     let mut last_id = first_id;
     let mut has_sent = false;
-    let mut begun_at: Option<SoftwareVersion> = None;
     loop {
         let now = gateway.clock.now();
         let remaining = request.deadline.saturating_sub(now);
@@ -361,8 +409,14 @@
                     continue;
                 }
                 last_id = event.id.or(last_id);
+                if is_resumable && !has_sent {
+                    // Before the event goes out, so that the caller can go on wherever it returns.
+                    let version = run.slot.server.version.clone();
+                    let service = request.service.clone();
+                    attempts.version = Some(version.clone());
+                    gateway.record_stream(&attempts.stream, &StreamOrigin { service, version });
+                }
                 has_sent = true;
-                begun_at.get_or_insert_with(|| run.slot.server.version.clone());
                 if chunks.send(Ok(Bytes::from(event.raw))).await.is_err() {
                     return ForwardEnd::CallerDisconnected;
                 }
@@ -389,17 +443,12 @@
         drop(run);
         let start_by = gateway.clock.now() + gap_target.saturating_sub(EVENT_GAP_TIMEOUT);
         let next_run = tokio::select! {
-            started = start_run(
-                gateway, request, engine_request, attempts, start_by, last_id, begun_at.as_ref(),
-            ) => started,
+            started = start_run(gateway, request, engine_request, attempts, start_by, last_id) => started,
             () = chunks.closed() => return ForwardEnd::CallerDisconnected,
         };
         match next_run {
             Ok(started) => {
-                log::info!(
-                    event = "stream_resumed", request = request.id.as_str(), server = started.slot.server.id.as_str(),
-                    version = started.slot.server.version.as_str(), last_event = last_id; "another server goes on"
-                );
+                log_resumption(request, &started, last_id);
                 run = started;
             }
             Err(_) => return ForwardEnd::Broken("not_resumed"),
--- a/bamboo-types/src/lib.rs
+++ b/bamboo-types/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod ids;
+mod stream_origin;
 mod time;
 mod token_bucket;
 
@@ -25,6 +26,7 @@
 pub use ids::rendezvous_weight;
 pub use ids::shard_of_job;
 pub use ids::shard_of_key;
+pub use stream_origin::StreamOrigin;
 pub use time::Timestamp;
 pub use time::from_millis;
 pub use time::millis;
