fix(jobs): an item goes on at the version that began it, or starts anew

An item's run keeps the service and version that sent its output. The next attempt asks for a slot of that version; if the coordinator says that no ready server has it, the output is discarded and the item begins anew at any version. The progress records carry the origin (format 2). Records of format 1 are still read, but the output in their progress is dropped, since the servers that could go on with it are not known; failed attempts count on. Progress that would continue text of another origin is ignored.

A response that starts anew now also replaces output without event ids; before, it was appended to it.

--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -17,6 +17,7 @@
 use bamboo_slots::Work;
 use bamboo_types::BackendServerId;
 use bamboo_types::ItemIndex;
+use bamboo_types::StreamOrigin;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
@@ -30,6 +31,7 @@
 use crate::jobs::shard::OwnedShard;
 use crate::jobs::shard::SharedRun;
 use crate::slot_requests::Slot;
+use crate::slot_requests::SlotError;
 use crate::slot_requests::acquire_slot;
 use crate::task::OwnedTask;
 use crate::traffic::EngineRequest;
@@ -160,6 +162,7 @@
     job: &JobRecord,
     item: ItemIndex,
     age: JobAge,
+    origin: Option<&StreamOrigin>,
 ) -> ItemStatus {
     let state = shard.state.borrow();
     let is_open = state
@@ -175,7 +178,7 @@
     let Some(config) = gateway.config() else {
         return ItemStatus::NoConfig;
     };
-    match service_of(&config, job, item) {
+    match service_of(&config, job, item, origin) {
         Some(service) => ItemStatus::Runnable {
             service,
             due_in: Duration::from_millis(job.completion_target_ms)
@@ -185,11 +188,23 @@
     }
 }
 
-/// Picks a service for an item by the current configuration; `None` if its route is missing.
-fn service_of(config: &FleetConfig, job: &JobRecord, item: ItemIndex) -> Option<String> {
+/// Picks a service for an item by the current configuration: the one that began it, if its route still leads there.
+/// `None` if its route is missing.
+fn service_of(
+    config: &FleetConfig,
+    job: &JobRecord,
+    item: ItemIndex,
+    origin: Option<&StreamOrigin>,
+) -> Option<String> {
     let path = &job.items[item as usize].path;
     let route = config.find_route(&job.host, path)?;
-    route.pick_service(rand::rng().random()).cloned()
+    let began = origin.and_then(|origin| {
+        let mut services = route.targets.iter().map(|target| &target.service);
+        services.find(|service| **service == origin.service)
+    });
+    began
+        .or_else(|| route.pick_service(rand::rng().random()))
+        .cloned()
 }
 
 /// Runs an item until it has a result.
@@ -205,7 +220,8 @@
     let request = engine_request(&gateway, &job, item);
     let mut route_missing_since = None;
     loop {
-        let status = item_status(&gateway, &shard, &job, item, age);
+        let origin = run.borrow().origin().cloned();
+        let status = item_status(&gateway, &shard, &job, item, age, origin.as_ref());
         let now = gateway.clock.now();
         route_missing_since = match status {
             ItemStatus::NoRoute => route_missing_since.or(Some(now)),
@@ -234,20 +250,27 @@
                 .run_time_estimator
                 .remaining_time(&run.borrow()),
         };
-        let Ok(slot) = acquire_slot(
-            &gateway,
-            &service,
-            work,
-            std::mem::take(&mut excluded),
-            None,
-        )
-        .await
-        else {
-            actix_rt::time::sleep(RETRY_PAUSE).await;
-            continue;
+        let version = origin.as_ref().map(|origin| &origin.version);
+        let excluded_now = std::mem::take(&mut excluded);
+        let acquired = acquire_slot(&gateway, &service, work, excluded_now, version).await;
+        let slot = match acquired {
+            Ok(slot) => slot,
+            Err(SlotError::NoServer) if version.is_some() => {
+                log::info!(
+                    event = "item_restarted", job = job.id.as_str(), item = request.id.as_str(), version,
+                    events = run.borrow().event_count(); "no server of the version that began the item is left"
+                );
+                gateway.metrics.count_item("restarted");
+                run.borrow_mut().restart();
+                continue;
+            }
+            Err(_) => {
+                actix_rt::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
         };
         if matches!(
-            item_status(&gateway, &shard, &job, item, age),
+            item_status(&gateway, &shard, &job, item, age, origin.as_ref()),
             ItemStatus::Closed
         ) {
             return;
@@ -410,6 +433,10 @@
             return (end, run_outcome(head.status));
         }
     };
+    run.borrow_mut().begin_response(StreamOrigin {
+        service: slot.server.service.clone(),
+        version: slot.server.version.clone(),
+    });
     let mut timeout = FIRST_EVENT_TIMEOUT;
     loop {
         match stream.next(gateway, timeout).await {
--- a/bamboo-shards/src/item_run.rs
+++ b/bamboo-shards/src/item_run.rs
@@ -1,6 +1,7 @@
 //! Execution state of an item that has no result yet: its partial output and its failed attempts.
 
 use bamboo_types::ItemIndex;
+use bamboo_types::StreamOrigin;
 
 use crate::ItemProgress;
 
@@ -36,6 +37,7 @@
     last_event_id: Option<u64>,
     event_count: u32,
     failed_attempts: u32,
+    origin: Option<StreamOrigin>,
     recorded_bytes: usize,
     is_dirty: bool,
 }
@@ -69,6 +71,35 @@
         true
     }
 
+    /// Begins to read a response. If the server was not asked to resume after an event, the response starts anew and
+    /// the run begins at that server.
+    ///
+    /// ```
+    /// use bamboo_types::StreamOrigin;
+    /// let origin = |version: &str| StreamOrigin { service: "llm".into(), version: version.into() };
+    /// let mut run = bamboo_shards::ItemRun::default();
+    /// run.begin_response(origin("v1"));
+    /// assert_eq!(run.origin(), None);
+    /// run.push_event(Some(1), Some(b"a".to_vec()));
+    /// run.begin_response(origin("v1"));
+    /// assert_eq!(run.origin(), Some(&origin("v1")));
+    /// ```
+    pub fn begin_response(&mut self, origin: StreamOrigin) {
+        if self.last_event_id.is_some() {
+            return;
+        }
+        if self.event_count > 0 {
+            self.restart();
+        }
+        self.origin = Some(origin);
+    }
+
+    /// Service and software version at which alone the partial output can be continued; `None` if there is none.
+    pub fn origin(&self) -> Option<&StreamOrigin> {
+        let has_output = self.event_count > 0 || self.last_event_id.is_some();
+        self.origin.as_ref().filter(|_| has_output)
+    }
+
     /// Identifier of the last event that had one.
     pub fn last_event_id(&self) -> Option<u64> {
         self.last_event_id
@@ -110,13 +141,16 @@
             last_event_id: self.last_event_id,
             event_count: self.event_count,
             failed_attempts: self.failed_attempts,
+            origin: self.origin().cloned(),
         })
     }
 
-    /// Applies recorded progress. Progress that would leave a gap after the text known so far is ignored.
+    /// Applies recorded progress. Progress that would leave a gap after the text known so far, or continue the text of
+    /// another origin, is ignored.
     pub fn apply_progress(&mut self, progress: ItemProgress) {
         let start = progress.text_offset as usize;
-        if start > self.text.len() {
+        let is_other_origin = start > 0 && progress.origin.as_ref() != self.origin();
+        if start > self.text.len() || is_other_origin {
             return;
         }
         self.text.truncate(start);
@@ -124,6 +158,7 @@
         self.last_event_id = progress.last_event_id;
         self.event_count = progress.event_count;
         self.failed_attempts = progress.failed_attempts;
+        self.origin = progress.origin;
         self.recorded_bytes = self.text.len();
         self.is_dirty = false;
     }
@@ -135,6 +170,7 @@
         self.text.clear();
         self.last_event_id = None;
         self.event_count = 0;
+        self.origin = None;
     }
 
     /// Counts the attempt if it failed, and decides what to do next. After `attempts_max` failed attempts the item
--- a/bamboo-shards/src/record.rs
+++ b/bamboo-shards/src/record.rs
@@ -1,8 +1,12 @@
 //! Records of a job shard and their encoding: a byte for the format version, then bincode.
+//!
+//! Format 1 had no origin in the progress of items. Such progress is read without its output, so that the item starts
+//! anew: which servers can go on with it is not known.
 
 use std::rc::Rc;
 
 use bamboo_types::ItemIndex;
+use bamboo_types::StreamOrigin;
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
@@ -11,7 +15,9 @@
 use crate::FragmentError;
 
 /// Version of the record format, written as the first byte.
-const FORMAT_VERSION: u8 = 1;
+const FORMAT_VERSION: u8 = 2;
+/// Oldest format version that can be read.
+const FORMAT_VERSION_1: u8 = 1;
 /// Limit of the decoded size of a record. Without it, a damaged length would be allocated before it is checked.
 const DECODED_MAX_BYTES: usize = 32 << 20;
 
@@ -77,6 +83,8 @@
     pub event_count: u32,
     /// Number of attempts that failed at a server.
     pub failed_attempts: u32,
+    /// Service and software version of the servers that sent the output; `None` without output.
+    pub origin: Option<StreamOrigin>,
 }
 
 /// Final result of an item.
@@ -178,11 +186,68 @@
 
     fn try_from(bytes: &[u8]) -> Result<Self, RecordError> {
         let (version, rest) = bytes.split_first().ok_or(RecordError::Empty)?;
-        if *version != FORMAT_VERSION {
-            return Err(RecordError::UnsupportedVersion(*version));
-        }
         let config = bincode::config::standard().with_limit::<DECODED_MAX_BYTES>();
-        let (record, _) = bincode::serde::decode_from_slice(rest, config)?;
-        Ok(record)
+        match *version {
+            FORMAT_VERSION => Ok(bincode::serde::decode_from_slice(rest, config)?.0),
+            FORMAT_VERSION_1 => {
+                let (record, _): (RecordV1, _) = bincode::serde::decode_from_slice(rest, config)?;
+                Ok(Record::from(record))
+            }
+            other => Err(RecordError::UnsupportedVersion(other)),
+        }
+    }
+}
+
+/// A record in format 1.
+#[derive(Deserialize)]
+enum RecordV1 {
+    Accepted(Rc<JobRecord>),
+    Results {
+        job: String,
+        results: Vec<ItemResult>,
+    },
+    Cancelled {
+        job: String,
+    },
+    Progress(Vec<ItemProgressV1>),
+}
+
+/// Progress of an item in format 1.
+#[derive(Deserialize)]
+struct ItemProgressV1 {
+    job: String,
+    item: ItemIndex,
+    _text_offset: u64,
+    _text: Vec<u8>,
+    _last_event_id: Option<u64>,
+    _event_count: u32,
+    failed_attempts: u32,
+}
+
+impl From<RecordV1> for Record {
+    fn from(record: RecordV1) -> Self {
+        match record {
+            RecordV1::Accepted(job) => Record::Accepted(job),
+            RecordV1::Results { job, results } => Record::Results { job, results },
+            RecordV1::Cancelled { job } => Record::Cancelled { job },
+            RecordV1::Progress(entries) => {
+                Record::Progress(entries.into_iter().map(ItemProgress::from).collect())
+            }
+        }
+    }
+}
+
+impl From<ItemProgressV1> for ItemProgress {
+    fn from(progress: ItemProgressV1) -> Self {
+        ItemProgress {
+            job: progress.job,
+            item: progress.item,
+            text_offset: 0,
+            text: Vec::new(),
+            last_event_id: None,
+            event_count: 0,
+            failed_attempts: progress.failed_attempts,
+            origin: None,
+        }
     }
 }
--- a/bamboo-shards/tests/fold.rs
+++ b/bamboo-shards/tests/fold.rs
@@ -3,17 +3,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bamboo_shards::AttemptEnd;
 use bamboo_shards::FragmentAssembler;
+use bamboo_shards::ItemAction;
 use bamboo_shards::ItemProgress;
 use bamboo_shards::ItemRecord;
 use bamboo_shards::ItemResult;
 use bamboo_shards::ItemRun;
 use bamboo_shards::JobRecord;
 use bamboo_shards::Record;
+use bamboo_shards::RecordError;
 use bamboo_shards::ResultState;
 use bamboo_shards::Shard;
 use bamboo_shards::ShardChange;
 use bamboo_shards::split_record;
+use bamboo_types::StreamOrigin;
 use test_case::test_case;
 
 fn job(id: &str, items: usize) -> Record {
@@ -201,6 +205,7 @@
         last_event_id: Some(9),
         event_count: 9,
         failed_attempts: 0,
+        origin: None,
     };
     let mut shard = Shard::default();
     shard.apply(job("j", 1));
@@ -224,6 +229,114 @@
     assert_eq!(copy.text(), "right");
 }
 
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin {
+        service: "llm".to_owned(),
+        version: version.to_owned(),
+    }
+}
+
+/// Guards against a new owner of the shard that resumes an item at another version than the one that began it.
+#[test]
+fn progress_keeps_the_origin_of_the_output() {
+    let mut run = ItemRun::default();
+    run.begin_response(origin("v1"));
+    run.push_event(Some(1), Some(b"a".to_vec()));
+    let mut shard = Shard::default();
+    shard.apply(job("j", 1));
+    for event in 2..4 {
+        let record = Record::Progress(vec![run.take_progress("j", 0).unwrap()]);
+        let bytes = record.to_bytes().unwrap();
+        shard.apply(Record::try_from(bytes.as_slice()).unwrap());
+        assert_eq!(shard.job("j").unwrap().run(0).origin(), Some(&origin("v1")));
+        run.begin_response(origin("v1"));
+        run.push_event(Some(event), Some(b"b".to_vec()));
+    }
+    assert_eq!(shard.job("j").unwrap().run(0).text(), "a\nb");
+}
+
+/// Guards against an item that is bound to a version although it has no output, or after its output was discarded.
+#[test]
+fn a_run_without_output_has_no_origin() {
+    let mut run = ItemRun::default();
+    run.begin_response(origin("v1"));
+    assert_eq!(run.origin(), None);
+    run.begin_response(origin("v2"));
+    run.push_event(Some(1), Some(b"a".to_vec()));
+    assert_eq!(run.origin(), Some(&origin("v2")));
+    run.restart();
+    assert_eq!(run.origin(), None);
+    assert_eq!(run.take_progress("j", 0).unwrap().origin, None);
+    run.begin_response(origin("v3"));
+    run.push_event(Some(1), Some(b"c".to_vec()));
+    assert_eq!(
+        (run.origin(), run.text()),
+        (Some(&origin("v3")), "c".to_owned())
+    );
+}
+
+/// Guards against a response from the first event on that is appended to the output of an earlier one.
+#[test]
+fn a_response_that_starts_anew_replaces_output_without_event_ids() {
+    let mut run = ItemRun::default();
+    run.begin_response(origin("v1"));
+    run.push_event(None, Some(b"a".to_vec()));
+    run.begin_response(origin("v2"));
+    run.push_event(None, Some(b"b".to_vec()));
+    assert_eq!(
+        (run.origin(), run.text()),
+        (Some(&origin("v2")), "b".to_owned())
+    );
+}
+
+/// Guards against text of two versions when a record between two others is missing.
+#[test]
+fn progress_of_another_origin_does_not_continue_the_text() {
+    let mut run = ItemRun::default();
+    run.begin_response(origin("v1"));
+    run.push_event(Some(1), Some(b"a long text".to_vec()));
+    let mut copy = ItemRun::default();
+    copy.apply_progress(run.take_progress("j", 0).unwrap());
+    run.restart();
+    run.begin_response(origin("v2"));
+    run.push_event(Some(1), Some(b"b".to_vec()));
+    drop(run.take_progress("j", 0));
+    run.push_event(Some(2), Some(b"c".to_vec()));
+    copy.apply_progress(run.take_progress("j", 0).unwrap());
+    assert_eq!(
+        (copy.origin(), copy.text()),
+        (Some(&origin("v1")), "a long text".to_owned())
+    );
+}
+
+/// Guards against records of the previous release that cannot be read, and against their output without a version.
+#[test]
+fn records_of_format_1_are_read_and_their_items_start_anew() {
+    // Job "j", item 0, offset 0, text "ab", last event 2, 2 events, 1 failed attempt.
+    let progress = [1, 3, 1, 1, b'j', 0, 0, 2, b'a', b'b', 1, 2, 2, 1];
+    let mut shard = Shard::default();
+    let mut accepted = job("j", 1).to_bytes().unwrap();
+    accepted[0] = 1;
+    shard.apply(Record::try_from(accepted.as_slice()).unwrap());
+    shard.apply(Record::try_from(progress.as_slice()).unwrap());
+    let mut run = shard.job("j").unwrap().run(0);
+    assert_eq!((run.last_event_id(), run.text()), (None, String::new()));
+    assert_eq!(run.event_count(), 0);
+    // The failed attempt counts.
+    assert_eq!(
+        run.finish_attempt(AttemptEnd::Failed, 2),
+        ItemAction::DeadLetter
+    );
+    let mut results = result("j", 0, "ab").to_bytes().unwrap();
+    results[0] = 1;
+    shard.apply(Record::try_from(results.as_slice()).unwrap());
+    assert_eq!(texts(&shard, "j"), ["ab"]);
+    assert!(matches!(
+        Record::try_from([3, 2, 1, b'j'].as_slice()),
+        Err(RecordError::UnsupportedVersion(3))
+    ));
+}
+
 #[test_case(1; "one byte")]
 #[test_case(100; "less than a fragment")]
 #[test_case(1_000; "some fragments")]
