--- a/bamboo-gateway/src/gateway/streams.rs
+++ b/bamboo-gateway/src/gateway/streams.rs
@@ -33,6 +33,7 @@
     /// Records where a stream began, here and at other hosts, which are told without waiting for them.
     pub(crate) fn record_stream(&self, request: &str, origin: &StreamOrigin) {
         if request.is_empty() {
+            // Requests without an identifier cannot be told apart.
             return;
         }
         let now = self.clock.now();
@@ -55,7 +56,7 @@
         let mut versions = self.service_versions(&services);
         let stream = stream_key(request);
         let known = self.stream_origins.borrow().find(stream, now).cloned();
-        if let Some(origin) = known.filter(|_| !request.is_empty()) {
+        if let Some(origin) = known {
             return OriginAnswer::Known(origin);
         }
         let peers = self.coordination.borrow().live_peers(now);
@@ -72,7 +73,7 @@
                 Some(PeerReply::StreamOrigin {
                     origin: Some(origin),
                     ..
-                }) if !request.is_empty() => return OriginAnswer::Known(origin),
+                }) => return OriginAnswer::Known(origin),
                 Some(PeerReply::StreamOrigin {
                     versions: known, ..
                 }) => versions.extend(known),
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -266,7 +266,7 @@
         DirectoryChange::Updated(server) => {
             log::info!(
                 event = "server", server = server.id.as_str(), service = server.service.as_str(),
-                state:? = server.state, source; "server updated"
+                state:? = server.state, version = server.version.as_str(), source; "server updated"
             );
             gateway.put_engine(&server, false);
         }
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -1,6 +1,7 @@
 //! The broker: tracks which requests hold a slot and which are queued.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -359,7 +360,7 @@
     /// Rejects queued requests whose version has no ready server any more.
     fn reject_missing_versions(&mut self) {
         let queued = self.waiting_online.iter().chain(&self.waiting_batch);
-        let lacking: HashSet<RequestKey> = queued
+        let lacking: BTreeSet<RequestKey> = queued
             .copied()
             .filter(|key| {
                 let state = self.requests.get(*key);
