--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -521,10 +521,17 @@
         loads
     }
 
+    /// Whether a queued online request of a service requires a version.
+    fn is_version_awaited(&self, service: &str) -> bool {
+        self.waiting_online.iter().any(|key| {
+            let request = self.requests.get(*key).map(|state| &state.request);
+            request.is_some_and(|request| request.version.is_some() && request.service == service)
+        })
+    }
+
     /// The load that an online request competes with. Requests that may run at any version avoid the versions whose own
     /// queue is the longest, and fill up the others evenly.
-    fn competing_load(&self, request: &SlotRequest) -> BrokerLoad {
-        let total = self.online_load(&request.service);
+    fn competing_load(&self, request: &SlotRequest, total: BrokerLoad) -> BrokerLoad {
         let loads = self.online_loads_by_version(&request.service);
         let required: usize = loads.values().map(|load| load.online_waiting).sum();
         let mut by_rounds: Vec<&BrokerLoad> =
@@ -563,10 +570,14 @@
         };
         let has_free_slot =
             |load: &BrokerLoad| load.online_running + load.online_waiting < load.slots;
-        if request.version.is_none() && has_free_slot(&self.online_load(&request.service)) {
+        let total = self.online_load(&request.service);
+        if request.version.is_none() && has_free_slot(&total) {
             return None;
         }
-        let load = self.competing_load(request);
+        let load = match request.version.is_some() || self.is_version_awaited(&request.service) {
+            true => self.competing_load(request, total),
+            false => total,
+        };
         if has_free_slot(&load) || load.slots == 0 {
             return None;
         }
