fix(jobs): an item leaves a version whose servers bring no event

An item that had begun was bound to its version as long as a server of it was ready in the store, even if that server answered nothing: it was tried for ever while servers of other versions were free.

After three failed attempts in a row without an event, the item begins anew if a server of another version is ready. Preemptions and servers that are full do not count: they say nothing about the version.

--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -46,6 +46,9 @@
 const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after a failed attempt.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Failed attempts in a row that brought no event, after which an item begins anew if servers of another version are
+/// ready.
+const FRUITLESS_ATTEMPTS_MAX: u32 = 3;
 /// How long the route of an item may be missing before the item becomes a dead letter. The configuration of this host
 /// may be older than the one under which the job was accepted, by 2 s under normal conditions.
 const ROUTE_MISSING_TIMEOUT: Duration = Duration::from_secs(5);
@@ -219,6 +222,7 @@
     let mut excluded: Vec<BackendServerId> = Vec::new();
     let request = engine_request(&gateway, &job, item);
     let mut route_missing_since = None;
+    let mut fruitless_attempts = 0;
     loop {
         let origin = run.borrow().origin().cloned();
         let status = item_status(&gateway, &shard, &job, item, age, origin.as_ref());
@@ -256,12 +260,7 @@
         let slot = match acquired {
             Ok(slot) => slot,
             Err(SlotError::NoServer) if version.is_some() => {
-                log::info!(
-                    event = "item_restarted", job = job.id.as_str(), item = request.id.as_str(), version,
-                    events = run.borrow().event_count(); "no server of the version that began the item is left"
-                );
-                gateway.metrics.count_item("restarted");
-                run.borrow_mut().restart();
+                restart_item(&gateway, &job, &request, &run, "no_server");
                 continue;
             }
             Err(_) => {
@@ -290,6 +289,19 @@
                 "attempt at an item ended before its response was complete"
             );
         }
+        let is_fruitless = run.borrow().event_count() == events_before;
+        fruitless_attempts = match outcome {
+            RunOutcome::Done => 0,
+            RunOutcome::Cancelled | RunOutcome::Full => fruitless_attempts,
+            _ if is_fruitless => fruitless_attempts + 1,
+            _ => 0,
+        };
+        if fruitless_attempts >= FRUITLESS_ATTEMPTS_MAX
+            && origin.is_some_and(|origin| has_other_version(&gateway, &service, &origin))
+        {
+            fruitless_attempts = 0;
+            restart_item(&gateway, &job, &request, &run, "no_event");
+        }
         let next = run.borrow_mut().finish_attempt(end, job.attempts_max);
         match next {
             ItemAction::Complete => {
@@ -316,6 +328,33 @@
     }
 }
 
+/// Whether the service has a ready server of another version than the one that began an item.
+fn has_other_version(gateway: &Gateway, service: &str, origin: &StreamOrigin) -> bool {
+    let ready = gateway
+        .directory
+        .borrow()
+        .ready(service, gateway.clock.now());
+    ready.iter().any(|server| server.version != origin.version)
+}
+
+/// Discards the output of an item, so that it begins anew at any version.
+fn restart_item(
+    gateway: &Gateway,
+    job: &JobRecord,
+    request: &EngineRequest,
+    run: &SharedRun,
+    reason: &'static str,
+) {
+    let mut run = run.borrow_mut();
+    log::info!(
+        event = "item_restarted", job = job.id.as_str(), item = request.id.as_str(), reason,
+        version = run.origin().map(|origin| origin.version.as_str()), events = run.event_count();
+        "item begins anew at any version"
+    );
+    gateway.metrics.count_item("restarted");
+    run.restart();
+}
+
 fn record_result(
     gateway: &Gateway,
     shard: &OwnedShard,
