perf(coordination): origins of streams are kept by at most 64 hosts, so that links stay bounded in a large fleet

The two hosts that keep the origin of a stream were chosen among all, which opens a link from each host to every other: 809 at the largest size. They are now chosen among the 64 that rank first for a fixed key; up to 64 hosts nothing changes. At 24,000 streams a second a holder gets 750 messages a second (reckoned, not measured at that size). The new test fails with the choice before.

--- a/bamboo-coordination/src/stream_origins.rs
+++ b/bamboo-coordination/src/stream_origins.rs
@@ -21,6 +21,8 @@
 /// Number of hosts that are asked for the origin of a stream. More than [`ORIGIN_HOLDERS`], since hosts may have failed
 /// or joined since the stream began.
 pub const ORIGIN_HOSTS_ASKED: usize = 4;
+/// Number of hosts among which those that keep an origin are chosen, which bounds the links that a host has open for it.
+const HOLDER_CANDIDATES_MAX: usize = 64;
 /// Time for which an origin is kept. A caller that returns later has given up its stream.
 const ORIGIN_AGE_MAX: Duration = Duration::from_secs(30);
 /// Maximum number of origins. The oldest are dropped first.
@@ -35,18 +37,27 @@
     xxh3_64(request.as_bytes())
 }
 
-/// The hosts that rank first for a stream, at most `count`. A host that joins or fails changes the rank of no other.
+/// The hosts that rank first for a stream, at most `count`. A host that joins or fails does not change the order of the
+/// others. Large fleets choose among a limited number of hosts, the same for all streams.
 ///
 /// ```
 /// let hosts = vec!["h1".to_owned(), "h2".to_owned(), "h3".to_owned()];
 /// assert_eq!(bamboo_coordination::origin_hosts(hosts, "request", 2).len(), 2);
 /// ```
 pub fn origin_hosts(mut hosts: Vec<HostId>, request: &str, count: usize) -> Vec<HostId> {
-    hosts.sort_by_cached_key(|host| std::cmp::Reverse(rendezvous_weight(host, request)));
-    hosts.truncate(count);
+    if hosts.len() > HOLDER_CANDIDATES_MAX {
+        keep_first(&mut hosts, "", HOLDER_CANDIDATES_MAX);
+    }
+    keep_first(&mut hosts, request, count);
     hosts
 }
 
+/// Keeps the hosts that rank first for a key, in their order.
+fn keep_first(hosts: &mut Vec<HostId>, key: &str, count: usize) {
+    hosts.sort_by_cached_key(|host| std::cmp::Reverse(rendezvous_weight(host, key)));
+    hosts.truncate(count);
+}
+
 /// Origins of streams, limited in number and age.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
--- a/bamboo-coordination/tests/stream_origins.rs
+++ b/bamboo-coordination/tests/stream_origins.rs
@@ -1,5 +1,6 @@
 //! Origins of streams: their limits, and the hosts that keep them.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bamboo_coordination::ORIGIN_HOLDERS;
@@ -75,6 +76,26 @@
     }
 }
 
+/// Guards against links from each host to all others of a large fleet, and against holders that change with one host.
+#[test]
+fn the_hosts_that_keep_origins_are_few_in_a_large_fleet() {
+    let hosts: Vec<String> = (0..810).map(|index| format!("h{index}")).collect();
+    let mut holders = BTreeSet::new();
+    for number in 0..2_000 {
+        let request = format!("r{number}");
+        let told = origin_hosts(hosts.clone(), &request, ORIGIN_HOLDERS);
+        let without_first: Vec<String> = hosts
+            .iter()
+            .filter(|host| **host != told[0])
+            .cloned()
+            .collect();
+        let asked = origin_hosts(without_first, &request, ORIGIN_HOSTS_ASKED);
+        assert!(asked.contains(&told[1]), "{request}");
+        holders.extend(told);
+    }
+    assert!(holders.len() <= 64, "{}", holders.len());
+}
+
 /// Guards against streams that share a key, and against keys that differ between hosts.
 #[test]
 fn keys_depend_on_the_identifier_alone() {
