fix(gateway): a new configuration is waited for instead of being given up and read again

The watch of the configuration read each change as a small one: the response had to begin after 120 ms (1.5 s at most) and the rest of the long poll. A configuration is one record of up to megabytes, and the store queues reads for up to 2 s, so the read was given up, still took its share of the read rate, and was sent again and through other hosts.

The long poll of the configuration is now a bulk read: one attempt, 3 s besides the wait until the response begins.

Weighed: a bulk read only after a late one; the retries of the late one alone fill the queue of the store.

--- a/bamboo-gateway/src/store.rs
+++ b/bamboo-gateway/src/store.rs
@@ -60,9 +60,9 @@
 /// How much a read is expected to return.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ReadExtent {
-    /// Records that were appended since the previous read, if any.
+    /// Small records that were appended since the previous read, if any.
     Tail,
-    /// All retained records from an offset on, in several reads.
+    /// All retained records from an offset on, in several reads, or records that are large by themselves.
     Backlog,
 }
 
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -31,6 +31,7 @@
     topic: &'static str,
     next: Option<Offset>,
     wait: Duration,
+    extent: ReadExtent,
 }
 
 /// Result of a read.
@@ -58,7 +59,7 @@
             partition: 0,
             from,
             wait: self.wait,
-            extent: ReadExtent::Tail,
+            extent: self.extent,
         };
         match gateway.store_call(&request).await? {
             StoreReply::Records { records, .. } => {
@@ -130,6 +131,8 @@
         topic: gateway.dialect.config_topic,
         next: None,
         wait: CONFIG_LONG_POLL,
+        // One record holds the whole configuration.
+        extent: ReadExtent::Backlog,
     };
     loop {
         if let Some(record) = gateway.config_record() {
@@ -160,6 +163,7 @@
         topic: gateway.dialect.servers_topic,
         next: None,
         wait: Duration::ZERO,
+        extent: ReadExtent::Tail,
     };
     let mut grace_period = OutageGracePeriod::default();
     loop {
