fix(gateway): a long poll through another host is waited for

A relayed call had 1.5 s in all, the long poll of the submitted jobs lasts 2 s. A host whose way to the store is down therefore gave up each such poll without records, took the relay to have failed, and spent the other half of the time on its own way, which is down: jobs that others accept for its shards were seen up to 2 s late.

The time for which the store is asked to wait is now added to the timeout of a relayed call, as it is for a direct one.

--- a/bamboo-gateway/src/gateway/store_calls.rs
+++ b/bamboo-gateway/src/gateway/store_calls.rs
@@ -17,9 +17,9 @@
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
 
-/// Timeout for a request that is relayed through another host.
+/// Timeout for a request that is relayed through another host, not counting the time for which the store is asked to wait.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Timeout for a bulk read that is relayed through another host.
+/// Timeout for a bulk read that is relayed through another host, not counting that time either.
 const BULK_RELAY_TIMEOUT: Duration = Duration::from_secs(4);
 /// Interval at which it is checked whether the store is due for a probe.
 const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -101,7 +101,7 @@
         let timeout = match request.is_bulk() {
             true => BULK_RELAY_TIMEOUT,
             false => RELAY_TIMEOUT,
-        };
+        } + request.wait();
         let now = self.clock.now();
         let reply = self.mesh.call(host, relayed, timeout, now).await;
         let is_ok = matches!(reply, Some(PeerReply::Store(Ok(_))));
--- a/bamboo-gateway/src/store.rs
+++ b/bamboo-gateway/src/store.rs
@@ -142,7 +142,8 @@
         }
     }
 
-    fn wait(&self) -> Duration {
+    /// How long the store may hold the request open.
+    pub(crate) fn wait(&self) -> Duration {
         match self {
             StoreRequest::Read { wait, .. } => *wait,
             _ => Duration::ZERO,
