fix(gateway): a configuration from another host is applied although its fetch has timed out

The fetch of a configuration waits for 5 s in all. Over a slow link a large one takes longer; it was dropped when it arrived, and fetched anew behind the parts of the one before, without end. A late reply that holds a configuration is now applied: only a newer one has an effect, as with any other.

Seen to fail before: the new case (1 MB, over 6 s on the link, store unreadable) timed out after 30 s; the older case is unchanged. After: in force after 7.1 s. Not mended: heartbeats wait behind the configuration on the same stream, so that the host takes its coordinator for lost meanwhile.

--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -72,7 +72,13 @@
                         .send(&sender, PeerMessage::Reply { call, reply }, now);
                 });
             }
-            PeerMessage::Reply { call, reply } => self.mesh.complete_call(call, reply),
+            PeerMessage::Reply { call, reply } => {
+                let late_reply = self.mesh.complete_call(call, reply);
+                // Another fetch would have to wait behind this one on the same slow link.
+                if let Some(PeerReply::Config(Some(record))) = late_reply {
+                    self.apply_config(record, "host");
+                }
+            }
             PeerMessage::HeartbeatAck {
                 cluster_map,
                 config_version,
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -109,11 +109,11 @@
         reply.ok()?.ok()
     }
 
-    /// Passes a reply on to the call that waits for it.
-    pub(crate) fn complete_call(&self, call: u64, reply: PeerReply) {
-        if let Some(pending) = self.pending.borrow_mut().remove(&call) {
-            // The call may have timed out meanwhile.
-            let _ = pending.reply.send(reply);
+    /// Passes a reply on to the call that waits for it. Returns the reply if the call has timed out.
+    pub(crate) fn complete_call(&self, call: u64, reply: PeerReply) -> Option<PeerReply> {
+        match self.pending.borrow_mut().remove(&call) {
+            Some(pending) => pending.reply.send(reply).err(),
+            None => Some(reply),
         }
     }
 
