fix(gateway): a version is assumed only if a host has followed the servers for 10 s

Hosts that have all just started infer the origin of a stream from the servers that they see. A version whose servers left before the start is unknown to them, so that its streams went on at the version that was left.

--- a/bamboo-fleet/src/directory.rs
+++ b/bamboo-fleet/src/directory.rs
@@ -19,7 +19,7 @@
 const REMOVED_FALLBACK_WINDOW: Duration = Duration::from_millis(1200);
 /// How long the version of a server that has left is remembered. A caller returns to a stream of that server within
 /// this time.
-const VERSION_MEMORY: Duration = Duration::from_secs(10);
+pub const VERSION_MEMORY: Duration = Duration::from_secs(10);
 
 /// State that a server reports in its entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/bamboo-fleet/src/lib.rs
+++ b/bamboo-fleet/src/lib.rs
@@ -21,6 +21,7 @@
 pub use directory::DirectoryChange;
 pub use directory::Server;
 pub use directory::ServerState;
+pub use directory::VERSION_MEMORY;
 pub use grace_period::OutageGracePeriod;
 pub use sse::SseDecoder;
 pub use sse::SseEvent;
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -122,7 +122,8 @@
     reports: RefCell<Reports>,
     store: StoreClient,
     store_path: RefCell<StorePath>,
-    has_read_servers: Cell<bool>,
+    /// When the directory of backend servers was first read, from the store or from another host.
+    servers_read_at: Cell<Option<Duration>>,
     servers_known: Notify,
     pub(crate) jobs: JobShards,
     pub(crate) metrics: Metrics,
@@ -175,7 +176,7 @@
             broker: RefCell::new(Broker::default()),
             reports: RefCell::new(Reports::default()),
             store_path: RefCell::default(),
-            has_read_servers: Cell::new(false),
+            servers_read_at: Cell::new(None),
             servers_known: Notify::new(),
             jobs: JobShards::default(),
             metrics,
--- a/bamboo-gateway/src/gateway/servers.rs
+++ b/bamboo-gateway/src/gateway/servers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bamboo_fleet::Server;
+use bamboo_fleet::VERSION_MEMORY;
 use rand::seq::IndexedRandom;
 
 use crate::gateway::Gateway;
@@ -15,18 +16,27 @@
 impl Gateway {
     /// Records that the directory of backend servers has been read.
     pub(crate) fn servers_read(&self) {
-        self.has_read_servers.set(true);
+        if !self.has_read_servers() {
+            self.servers_read_at.set(Some(self.clock.now()));
+        }
         self.update_knows_servers();
     }
 
     /// Whether the directory of backend servers has been read, from the store or from another host.
     pub(crate) fn has_read_servers(&self) -> bool {
-        self.has_read_servers.get()
+        self.servers_read_at.get().is_some()
+    }
+
+    /// Whether this host has followed the directory for long enough to know every version that a caller may return to.
+    pub(super) fn remembers_versions(&self) -> bool {
+        let now = self.clock.now();
+        let read_at = self.servers_read_at.get();
+        read_at.is_some_and(|read_at| now.saturating_sub(read_at) >= VERSION_MEMORY)
     }
 
     /// Lets this host coordinate once it has read both the configuration and the directory.
     pub(super) fn update_knows_servers(&self) {
-        let is_complete = self.has_read_servers.get() && self.config.borrow().is_some();
+        let is_complete = self.has_read_servers() && self.config.borrow().is_some();
         if !is_complete || self.coordination.borrow().knows_servers() {
             return;
         }
--- a/bamboo-gateway/src/gateway/streams.rs
+++ b/bamboo-gateway/src/gateway/streams.rs
@@ -25,8 +25,8 @@
 pub(crate) enum OriginAnswer {
     /// Where it began.
     Known(StreamOrigin),
-    /// Nothing. The servers of its services have, or recently had, these versions.
-    Unknown(BTreeSet<SoftwareVersion>),
+    /// Nothing. If the servers of its services have, and recently had, one version, it is this one.
+    Unknown(Option<SoftwareVersion>),
 }
 
 impl Gateway {
@@ -54,6 +54,7 @@
     pub(crate) async fn find_stream(&self, request: &str, services: Vec<String>) -> OriginAnswer {
         let now = self.clock.now();
         let mut versions = self.service_versions(&services);
+        let mut is_remembered = self.remembers_versions();
         let stream = stream_key(request);
         let known = self.stream_origins.borrow().find(stream, now).cloned();
         if let Some(origin) = known {
@@ -75,12 +76,19 @@
                     ..
                 }) => return OriginAnswer::Known(origin),
                 Some(PeerReply::StreamOrigin {
-                    versions: known, ..
-                }) => versions.extend(known),
+                    versions: known,
+                    remembers_versions,
+                    ..
+                }) => {
+                    versions.extend(known);
+                    is_remembered |= remembers_versions;
+                }
                 _ => {}
             }
         }
-        OriginAnswer::Unknown(versions)
+        // Hosts that have all just started may not know of a version that left before.
+        let is_certain = is_remembered && versions.len() == 1;
+        OriginAnswer::Unknown(versions.pop_first().filter(|_| is_certain))
     }
 
     /// Answers another host what this one knows of a stream.
@@ -89,6 +97,7 @@
         PeerReply::StreamOrigin {
             origin: self.stream_origins.borrow().find(stream, now).cloned(),
             versions: self.service_versions(services),
+            remembers_versions: self.remembers_versions(),
         }
     }
 
--- a/bamboo-gateway/src/traffic/take_up.rs
+++ b/bamboo-gateway/src/traffic/take_up.rs
@@ -38,11 +38,11 @@
             version: origin.version,
         },
         // Whichever server began the stream, it was of the only version there is.
-        OriginAnswer::Unknown(mut versions) if versions.len() == 1 => StreamOrigin {
+        OriginAnswer::Unknown(Some(version)) => StreamOrigin {
             service: request.service.clone(),
-            version: versions.pop_first().unwrap_or_default(),
+            version,
         },
-        OriginAnswer::Unknown(_) => return TakeUp::OriginUnknown,
+        OriginAnswer::Unknown(None) => return TakeUp::OriginUnknown,
     };
     TakeUp::GoesOn { stream, origin }
 }
