fix(slots): an item leaves a version whose servers are all ejected

A server on trial gets one run at a time. Items that are bound to the version of a server that answers nothing therefore waited one by one for its probes, three each, while servers of other versions were free.

The new test failed before the change: after 5 s none of the queued items was rejected (left: [], right: [2, 3]).

--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -31,6 +31,9 @@
 /// Weight of a new sample in the exponential moving average of the slots that batch items occupy. At four samples a
 /// second the average spans several bursts of online requests.
 const BATCH_SLOTS_WEIGHT: f64 = 0.03;
+/// Time for which a batch item waits for its version while all servers of it are ejected. Longer than the longest
+/// ejection.
+const EJECTED_VERSION_WAIT: Duration = Duration::from_secs(5);
 
 /// Slot and queue counts of a service, for metrics and admission control.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -329,7 +332,7 @@
                 });
             }
         }
-        self.reject_missing_versions();
+        self.reject_missing_versions(now);
         self.clear_void_exclusions();
         self.defer_infeasible(now);
         self.allocate(now);
@@ -357,14 +360,38 @@
         }
     }
 
-    /// Rejects queued requests whose version has no ready server any more.
-    fn reject_missing_versions(&mut self) {
+    /// Whether a queued batch item has waited long for servers that are all ejected, while a server of another version
+    /// could start it anew. A server on trial gets one run at a time, so that many items would wait for minutes.
+    fn waits_for_ejected(&self, state: &RequestState, now: Duration) -> bool {
+        let request = &state.request;
+        let is_batch = matches!(request.work, Work::Batch { .. });
+        let waited = now.saturating_sub(state.created_at);
+        if request.version.is_none() || !is_batch || waited < EJECTED_VERSION_WAIT {
+            return false;
+        }
+        let mut has_other = false;
+        for state in self.engines_of(&request.service) {
+            if !state.engine.is_ready || state.health.is_suspect(now) {
+                continue;
+            }
+            if state.engine.is_of_version(request.version.as_ref()) {
+                return false;
+            }
+            has_other = true;
+        }
+        has_other
+    }
+
+    /// Rejects queued requests whose version has no ready server any more, or for too long none that answers.
+    fn reject_missing_versions(&mut self, now: Duration) {
         let queued = self.waiting_online.iter().chain(&self.waiting_batch);
         let lacking: BTreeSet<RequestKey> = queued
             .copied()
             .filter(|key| {
                 let state = self.requests.get(*key);
-                state.is_some_and(|state| self.lacks_version(&state.request))
+                state.is_some_and(|state| {
+                    self.lacks_version(&state.request) || self.waits_for_ejected(state, now)
+                })
             })
             .collect();
         if lacking.is_empty() {
--- a/bamboo-slots/tests/versions.rs
+++ b/bamboo-slots/tests/versions.rs
@@ -239,3 +239,28 @@
     broker.tick(at(100));
     assert_eq!(granted(&broker.take_actions(), 1), Some("s2"));
 }
+
+/// Guards against items that wait one by one for probes of a server that answers nothing, while other servers are free.
+#[test_case(true, true => vec![2, 3]; "ejected")]
+#[test_case(true, false => Vec::<SlotRequestId>::new(); "no other server is healthy")]
+#[test_case(false, true => Vec::<SlotRequestId>::new(); "full")]
+fn items_do_not_wait_for_ejected_servers_for_ever(
+    is_ejected: bool,
+    is_other_healthy: bool,
+) -> Vec<SlotRequestId> {
+    let mut broker = broker(&[engine("s1", "v1", 1), engine("s2", "v2", 1)]);
+    broker.request_slot(request(1, work(false), Some("v1")), at(0));
+    broker.request_slot(request(2, work(false), Some("v1")), at(0));
+    broker.request_slot(request(3, work(false), Some("v1")), at(0));
+    if !is_other_healthy {
+        broker.release("h2", 9, Some("s2"), RunOutcome::Unreachable, at(0));
+    }
+    if is_ejected {
+        broker.release("h1", 1, Some("s1"), RunOutcome::Unreachable, at(100));
+        broker.request_slot(request(4, work(true), Some("v1")), at(700));
+    }
+    broker.tick(at(4_000));
+    assert_eq!(without_server(&broker.take_actions()), []);
+    broker.tick(at(5_000));
+    without_server(&broker.take_actions())
+}
