fix(gateway): a host that cannot read the servers assumes no version

A host behind a cut can ask neither the hosts that know where a stream began nor the store whether another version has come. It took the version that it had last seen for the only one.

Streams whose origin is known go on as before.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -46,6 +46,7 @@
 use crate::traffic::LoadBalancer;
 use crate::traffic::ServerPool;
 
+use servers::ServersRead;
 pub(crate) use streams::OriginAnswer;
 
 /// Phase of the process, from start to shutdown.
@@ -122,8 +123,7 @@
     reports: RefCell<Reports>,
     store: StoreClient,
     store_path: RefCell<StorePath>,
-    /// When the directory of backend servers was first read, from the store or from another host.
-    servers_read_at: Cell<Option<Duration>>,
+    servers_read: Cell<Option<ServersRead>>,
     servers_known: Notify,
     pub(crate) jobs: JobShards,
     pub(crate) metrics: Metrics,
@@ -176,7 +176,7 @@
             broker: RefCell::new(Broker::default()),
             reports: RefCell::new(Reports::default()),
             store_path: RefCell::default(),
-            servers_read_at: Cell::new(None),
+            servers_read: Cell::new(None),
             servers_known: Notify::new(),
             jobs: JobShards::default(),
             metrics,
--- a/bamboo-gateway/src/gateway/servers.rs
+++ b/bamboo-gateway/src/gateway/servers.rs
@@ -12,26 +12,38 @@
 
 /// Timeout for fetching the directory of backend servers from another host.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after the last read of the directory from which on servers may have come that a host does not know.
+const SERVERS_FRESH: Duration = Duration::from_secs(3);
+
+/// When the directory of backend servers was read, from the store or from another host.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ServersRead {
+    first: Duration,
+    last: Duration,
+}
 
 impl Gateway {
     /// Records that the directory of backend servers has been read.
     pub(crate) fn servers_read(&self) {
-        if !self.has_read_servers() {
-            self.servers_read_at.set(Some(self.clock.now()));
-        }
+        let last = self.clock.now();
+        let first = self.servers_read.get().map_or(last, |read| read.first);
+        self.servers_read.set(Some(ServersRead { first, last }));
         self.update_knows_servers();
     }
 
     /// Whether the directory of backend servers has been read, from the store or from another host.
     pub(crate) fn has_read_servers(&self) -> bool {
-        self.servers_read_at.get().is_some()
+        self.servers_read.get().is_some()
     }
 
-    /// Whether this host has followed the directory for long enough to know every version that a caller may return to.
+    /// Whether this host has followed the directory for long enough, and up to now, to know every version that a caller
+    /// may return to.
     pub(super) fn remembers_versions(&self) -> bool {
         let now = self.clock.now();
-        let read_at = self.servers_read_at.get();
-        read_at.is_some_and(|read_at| now.saturating_sub(read_at) >= VERSION_MEMORY)
+        self.servers_read.get().is_some_and(|read| {
+            now.saturating_sub(read.first) >= VERSION_MEMORY
+                && now.saturating_sub(read.last) < SERVERS_FRESH
+        })
     }
 
     /// Lets this host coordinate once it has read both the configuration and the directory.
--- a/bamboo-gateway/src/gateway/streams.rs
+++ b/bamboo-gateway/src/gateway/streams.rs
@@ -86,7 +86,8 @@
                 _ => {}
             }
         }
-        // Hosts that have all just started may not know of a version that left before.
+        // Hosts that have all just started may not know of a version that left before, and those that are cut off from
+        // the store of one that has come.
         let is_certain = is_remembered && versions.len() == 1;
         OriginAnswer::Unknown(versions.pop_first().filter(|_| is_certain))
     }
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -111,7 +111,7 @@
         origin: Option<StreamOrigin>,
         /// Versions that the servers of the services in question have, or recently had.
         versions: BTreeSet<SoftwareVersion>,
-        /// Whether the host has known the servers for long enough to name all such versions.
+        /// Whether the host has followed the servers for long enough, and up to now, to name all such versions.
         remembers_versions: bool,
     },
 }
