fix(slots): a stream that has begun gets a slot before new ones

Only the servers of its version can go on with it, and it competed with the new streams, which every server can begin, for each slot that these free.

The new test failed before the change: a slot of the only server of the version went to a new stream (left: None, right: Some("s1")).

--- a/bamboo-slots/src/allocate.rs
+++ b/bamboo-slots/src/allocate.rs
@@ -89,12 +89,15 @@
         }
         let mut order = std::mem::take(&mut self.waiting_online);
         let requests = &self.requests;
-        order.sort_by_cached_key(
-            |key| match requests.get(*key).map(|state| state.request.work) {
-                Some(Work::Online { start_by, .. }) => online_rank(start_by, now),
-                _ => (true, Duration::MAX),
-            },
-        );
+        // A stream that has begun comes before those that have not: fewer servers can go on with it.
+        order.sort_by_cached_key(|key| {
+            let request = requests.get(*key).map(|state| &state.request);
+            let has_begun = request.is_some_and(|request| request.version.is_some());
+            match request.map(|request| request.work) {
+                Some(Work::Online { start_by, .. }) => (!has_begun, online_rank(start_by, now)),
+                _ => (true, (true, Duration::MAX)),
+            }
+        });
         self.waiting_online = self.allocate_in_order(order, now, Broker::place_online);
     }
 
--- a/bamboo-slots/tests/versions.rs
+++ b/bamboo-slots/tests/versions.rs
@@ -264,3 +264,31 @@
     broker.tick(at(5_000));
     without_server(&broker.take_actions())
 }
+
+/// Guards against streams that cannot go on under load, because new ones take each slot that their servers free.
+#[test]
+fn a_stream_that_has_begun_comes_before_new_ones() {
+    let mut broker = broker(&[engine("s1", "v1", 1), engine("s2", "v2", 1)]);
+    for number in 1..=4 {
+        broker.request_slot(request(number, work(true), None), at(0));
+    }
+    let begun = Work::Online {
+        start_by: at(350),
+        expires_at: at(5_000),
+    };
+    broker.request_slot(request(5, begun, Some("v1")), at(50));
+    let actions = broker.take_actions();
+    let first = (1..=2).find(|number| granted(&actions, *number) == Some("s1"));
+    let first = first.unwrap();
+    broker.release("h1", 3 - first, Some("s2"), RunOutcome::Done, at(100));
+    let actions = broker.take_actions();
+    assert!((3..=4).any(|number| granted(&actions, number) == Some("s2")));
+    // Also when it is late, and a new one is not.
+    let new = Work::Online {
+        start_by: at(900),
+        expires_at: at(5_600),
+    };
+    broker.request_slot(request(6, new, None), at(600));
+    broker.release("h1", first, Some("s1"), RunOutcome::Done, at(700));
+    assert_eq!(granted(&broker.take_actions(), 5), Some("s1"));
+}
