fix(jobs): progress of many items is recorded in parts that each fit into an append

One item whose progress or result alone exceeds an append would still block its shard: the platform's limit is 2 MB, the longest text of its sheets 0.15 MB.

--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -95,7 +95,7 @@
 /// Stops the items of shards, waits up to `timeout` for pending appends, and closes the shards.
 async fn close_shards(gateway: &Gateway, shards: &[Rc<OwnedShard>], timeout: Duration) {
     for shard in shards {
-        shard.stop_items();
+        shard.stop_items(&gateway.settings.store);
     }
     let deadline = gateway.clock.now() + timeout;
     let is_busy = |shard: &Rc<OwnedShard>| !shard.is_lost() && !shard.is_idle();
--- a/bamboo-gateway/src/jobs/shard.rs
+++ b/bamboo-gateway/src/jobs/shard.rs
@@ -26,6 +26,7 @@
 use crate::jobs::submitted::SubmittedCursor;
 use crate::jobs::submitted::follow_submitted;
 use crate::jobs::submitted::read_submitted;
+use crate::settings::StoreSettings;
 use crate::store::Partition;
 use crate::store::ReadExtent;
 use crate::store::StoreReply;
@@ -143,10 +144,10 @@
     }
 
     /// Stops the running items and records their progress. Appends continue.
-    pub(super) fn stop_items(&self) {
+    pub(super) fn stop_items(&self, store: &StoreSettings) {
         // The first task runs `serve_shard`, which performs the appends.
         self.tasks.borrow_mut().truncate(1);
-        self.record_progress();
+        self.record_progress(store);
     }
 
     /// Progress of an item, initialized from the recorded progress if the item is not running yet.
@@ -164,16 +165,19 @@
         self.runs.borrow_mut().remove(&(job.to_owned(), item));
     }
 
-    /// Queues a record of the progress that running items have made since the previous one.
-    pub(super) fn record_progress(&self) {
+    /// Queues records of the progress that running items have made since the previous ones, each of which fits into an
+    /// append.
+    pub(super) fn record_progress(&self, store: &StoreSettings) {
         let entries: Vec<ItemProgress> = self
             .runs
             .borrow()
             .iter()
             .filter_map(|((job, item), run)| run.borrow_mut().take_progress(job, *item))
             .collect();
-        if !entries.is_empty() {
-            self.append(Record::Progress(entries));
+        // The flags of the fragments and the lengths of the records need some room.
+        let max_bytes = store.append_max_bytes - store.append_max_bytes / 16;
+        for record in Record::progress(entries, max_bytes) {
+            self.append(record);
         }
     }
 
@@ -268,7 +272,7 @@
         actix_rt::time::sleep(pause).await;
         // While an append is pending, further progress records would only lengthen the queue.
         if shard.is_idle() {
-            shard.record_progress();
+            shard.record_progress(&gateway.settings.store);
         }
     }
 }
--- a/bamboo-shards/src/record.rs
+++ b/bamboo-shards/src/record.rs
@@ -139,7 +139,43 @@
     Encode(#[from] bincode::error::EncodeError),
 }
 
+/// Size of the fields of an entry of progress besides its text, job and origin: an upper bound.
+const PROGRESS_FIELDS_BYTES: usize = 64;
+
+impl ItemProgress {
+    /// Upper bound of the encoded size.
+    fn encoded_max_bytes(&self) -> usize {
+        let origin = self.origin.as_ref();
+        let origin_bytes = origin.map_or(0, |origin| origin.service.len() + origin.version.len());
+        PROGRESS_FIELDS_BYTES + self.job.len() + self.text.len() + origin_bytes
+    }
+}
+
 impl Record {
+    /// Groups the progress of items into records of at most `max_bytes`. An entry that is larger gets a record of its
+    /// own.
+    ///
+    /// ```
+    /// use bamboo_shards::Record;
+    /// assert_eq!(Record::progress(Vec::new(), 1_000), []);
+    /// ```
+    pub fn progress(entries: Vec<ItemProgress>, max_bytes: usize) -> Vec<Record> {
+        let mut groups: Vec<Vec<ItemProgress>> = Vec::new();
+        let mut group_bytes = 0;
+        for entry in entries {
+            let entry_bytes = entry.encoded_max_bytes();
+            match groups.last_mut() {
+                Some(group) if group_bytes + entry_bytes <= max_bytes => group.push(entry),
+                _ => {
+                    groups.push(vec![entry]);
+                    group_bytes = 0;
+                }
+            }
+            group_bytes += entry_bytes;
+        }
+        groups.into_iter().map(Record::Progress).collect()
+    }
+
     /// Encodes the record, with the format version in front.
     ///
     /// # Errors
--- a/bamboo-shards/tests/fold.rs
+++ b/bamboo-shards/tests/fold.rs
@@ -427,3 +427,39 @@
     assert!(Record::try_from(&[9, 0][..]).is_err());
     assert!(FragmentAssembler::default().push(&[7, 1]).is_err());
 }
+
+/// Guards against a record of the progress of many items that does not fit into an append.
+#[test]
+fn progress_is_grouped_into_records_of_a_limited_size() {
+    let entry = |item: u32, bytes: usize| ItemProgress {
+        job: "j".to_owned(),
+        item,
+        text_offset: 0,
+        text: vec![b'x'; bytes],
+        last_event_id: Some(u64::MAX),
+        event_count: u32::MAX,
+        failed_attempts: u32::MAX,
+        origin: Some(StreamOrigin {
+            service: "llm".to_owned(),
+            version: "v1".to_owned(),
+        }),
+    };
+    let sizes = [300, 300, 300, 2_000, 10, 10, 900];
+    let entries: Vec<_> = (0..)
+        .zip(sizes)
+        .map(|(item, bytes)| entry(item, bytes))
+        .collect();
+    let records = Record::progress(entries.clone(), 1_000);
+    for record in &records {
+        let Record::Progress(group) = record else {
+            panic!("{record:?}");
+        };
+        let bytes = record.to_bytes().unwrap().len();
+        assert!(bytes <= 1_000 || group.len() == 1, "{bytes}");
+    }
+    let grouped = records.into_iter().flat_map(|record| match record {
+        Record::Progress(group) => group,
+        _ => Vec::new(),
+    });
+    assert_eq!(grouped.collect::<Vec<_>>(), entries);
+}
