fix(relay): a read that the store refuses is not repeated by another host while the direct way is up

All hosts share the store's capacity for reads, so that the second refusal was certain and doubled the calls in an overload. A store that turns away this host alone shows in the next renewal of the membership, after which reads are relayed as before. The new test fails with the behaviour before (left: Relay("h1"), right: GiveUp).

--- a/bamboo-gateway/src/gateway/store_calls.rs
+++ b/bamboo-gateway/src/gateway/store_calls.rs
@@ -44,7 +44,11 @@
         let started = self.clock.now();
         let mut peers = self.coordination.borrow().live_peers(started);
         peers.shuffle(&mut rand::rng());
-        let mut call = StoreCall::begin(&self.store_path.borrow(), peers);
+        let begin = match request.is_read() {
+            true => StoreCall::begin_read,
+            false => StoreCall::begin,
+        };
+        let mut call = begin(&self.store_path.borrow(), peers);
         let mut last_error = None;
         loop {
             let result = match call.step() {
--- a/bamboo-relay/src/call.rs
+++ b/bamboo-relay/src/call.rs
@@ -47,6 +47,7 @@
 #[derive(Debug)]
 pub struct StoreCall {
     steps: VecDeque<NextStep>,
+    is_refusal_final: bool,
 }
 
 impl StoreCall {
@@ -74,7 +75,27 @@
             // The next call may find a relay before the store responds to this host again.
             false => steps.push_back(NextStep::Direct(DirectTimeout::Short)),
         }
-        StoreCall { steps }
+        StoreCall {
+            steps,
+            is_refusal_final: false,
+        }
+    }
+
+    /// Begins a read. If the direct way is up, a read that the store refuses is not sent through other hosts: all hosts
+    /// share the store's capacity for reads.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use bamboo_relay::{AttemptOutcome, NextStep, StoreCall, StorePath};
+    /// let mut read = StoreCall::begin_read(&StorePath::default(), vec!["h2".into()]);
+    /// read.advance(AttemptOutcome::Refused, Duration::ZERO);
+    /// assert_eq!(read.step(), &NextStep::GiveUp);
+    /// ```
+    pub fn begin_read(path: &StorePath, peers: Vec<HostId>) -> Self {
+        StoreCall {
+            is_refusal_final: path.is_direct_up(),
+            ..StoreCall::begin(path, peers)
+        }
     }
 
     /// The current step.
@@ -88,6 +109,9 @@
         match (step, outcome) {
             // The store refuses the call at two hosts.
             (Some(NextStep::Relay(_)), AttemptOutcome::Refused) => self.steps.clear(),
+            (Some(NextStep::Direct(_)), AttemptOutcome::Refused) if self.is_refusal_final => {
+                self.steps.clear();
+            }
             (Some(NextStep::Direct(_)), AttemptOutcome::Refused) => {
                 self.steps
                     .retain(|step| !matches!(step, NextStep::Direct(_)));
--- a/bamboo-relay/tests/saturated_reads.rs
+++ b/bamboo-relay/tests/saturated_reads.rs
@@ -37,3 +37,21 @@
     assert!(!path.record_direct_read(Some(AttemptOutcome::Refused), NOW));
     assert!(!path.is_direct_up() && !path.is_probe_due(NOW));
 }
+
+// Guards against a refused read that other hosts repeat, which doubles the load of a store at its limit.
+#[test]
+fn a_refused_read_goes_to_other_hosts_only_while_the_way_is_down() {
+    let peers = || vec!["h1".to_owned(), "h2".to_owned()];
+    let mut path = StorePath::default();
+    let mut read = StoreCall::begin_read(&path, peers());
+    read.advance(AttemptOutcome::Refused, Duration::ZERO);
+    assert_eq!(read.step(), &NextStep::GiveUp);
+    let mut late = StoreCall::begin_read(&path, peers());
+    late.advance(AttemptOutcome::TimedOut, Duration::ZERO);
+    assert_eq!(late.step(), &NextStep::Relay("h1".to_owned()));
+    path.record_direct(false, NOW);
+    let mut relayed = StoreCall::begin_read(&path, peers());
+    assert_eq!(relayed.step(), &NextStep::Relay("h1".to_owned()));
+    relayed.advance(AttemptOutcome::NoPath, Duration::ZERO);
+    assert_eq!(relayed.step(), &NextStep::Relay("h2".to_owned()));
+}
