--- a/bamboo-gateway/src/jobs.rs
+++ b/bamboo-gateway/src/jobs.rs
@@ -5,6 +5,7 @@
 mod items;
 mod ownership;
 mod shard;
+mod submit;
 mod submitted;
 
 use std::cell::Cell;
--- a/bamboo-relay/tests/saturated_reads.rs
+++ b/bamboo-relay/tests/saturated_reads.rs
@@ -11,7 +11,7 @@
 
 const NOW: Duration = Duration::from_secs(1);
 
-// Guards against memberships and appends that take detours, or fail, because a read was refused or late.
+/// Guards against memberships and appends that take detours, or fail, because a read was refused or late.
 #[test_case(AttemptOutcome::Refused)]
 #[test_case(AttemptOutcome::TimedOut)]
 fn other_calls_go_directly_while_reads_are_saturated(failure: AttemptOutcome) {
@@ -21,7 +21,7 @@
     assert_eq!(call.step(), &NextStep::Direct(DirectTimeout::Short));
 }
 
-// Guards against a host that keeps calling a store which it cannot reach.
+/// Guards against a host that keeps calling a store which it cannot reach.
 #[test]
 fn a_read_that_cannot_be_sent_shows_that_the_way_is_down() {
     let mut path = StorePath::default();
@@ -29,7 +29,7 @@
     assert!(!path.is_direct_up());
 }
 
-// Guards against a host that believes the way to be up again because a read was refused.
+/// Guards against a host that believes the way to be up again because a read was refused.
 #[test]
 fn a_refused_read_does_not_show_that_the_way_is_up_again() {
     let mut path = StorePath::default();
@@ -38,7 +38,7 @@
     assert!(!path.is_direct_up() && !path.is_probe_due(NOW));
 }
 
-// Guards against a refused read that other hosts repeat, which doubles the load of a store at its limit.
+/// Guards against a refused read that other hosts repeat, which doubles the load of a store at its limit.
 #[test]
 fn a_refused_read_goes_to_other_hosts_only_while_the_way_is_down() {
     let peers = || vec!["h1".to_owned(), "h2".to_owned()];
--- a/bamboo-slots/src/lib.rs
+++ b/bamboo-slots/src/lib.rs
@@ -13,6 +13,7 @@
 mod order;
 mod request;
 mod request_state;
+mod versions;
 
 pub use broker::Broker;
 pub use broker::BrokerLoad;
