--- a/bamboo-fleet/src/directory.rs
+++ b/bamboo-fleet/src/directory.rs
@@ -50,19 +50,6 @@
     pub started_at_ms: u64,
     /// Version of the server's software. A stream may be resumed only at a server of the version that began it.
     pub version: SoftwareVersion,
-    /// Heartbeats of the server until its entry was read.
-    pub heartbeats: u64,
-}
-
-impl Server {
-    /// Whether another entry of the server says the same, but for the count of its heartbeats.
-    fn is_same_entry(&self, other: &Server) -> bool {
-        let other = Server {
-            heartbeats: self.heartbeats,
-            ..other.clone()
-        };
-        *self == other
-    }
 }
 
 /// Change of the directory, for the components that hold state per server.
@@ -98,7 +85,7 @@
         self.recently_removed
             .retain(|(_, removed)| removed.id != server.id);
         let previous = self.servers.get(&server.id);
-        if previous.is_some_and(|previous| previous.is_same_entry(&server)) {
+        if previous.is_some_and(|previous| **previous == server) {
             return DirectoryChange::Unchanged;
         }
         if let Some(previous) = previous
@@ -184,17 +171,6 @@
         present.chain(former).cloned().collect()
     }
 
-    /// Whether all servers of a service had sent this many heartbeats when their entries were read.
-    ///
-    /// ```
-    /// let directory = bamboo_fleet::Directory::default();
-    /// assert!(directory.have_heartbeats("llm", 10));
-    /// ```
-    pub fn have_heartbeats(&self, service: &str, count: u64) -> bool {
-        let mut servers = self.servers.values();
-        servers.all(|server| server.service != service || server.heartbeats >= count)
-    }
-
     /// Drops removed servers that are too old to fall back to, and versions of servers that left too long ago.
     pub fn expire(&mut self, now: Duration) {
         self.recently_removed
--- a/bamboo-fleet/tests/fleet.rs
+++ b/bamboo-fleet/tests/fleet.rs
@@ -37,7 +37,6 @@
         slots: 8,
         state,
         started_at_ms,
-        heartbeats: 0,
         version: "v1".to_owned(),
     }
 }
@@ -164,19 +163,3 @@
     );
     assert!(!grace.defer_removal("s3", at(7_300)));
 }
-
-/// Guards against a directory that changes with each heartbeat, and against one that takes a new server for an old one.
-#[test]
-fn the_heartbeats_of_a_server_count_from_its_entry_as_first_read() {
-    let mut directory = Directory::default();
-    let with_heartbeats = |heartbeats: u64| Server {
-        heartbeats,
-        ..server("s1", ServerState::Ready, 1)
-    };
-    directory.put(with_heartbeats(3), Duration::ZERO);
-    let service = with_heartbeats(3).service;
-    let repeated = directory.put(with_heartbeats(40), Duration::ZERO);
-    assert_eq!(repeated, DirectoryChange::Unchanged);
-    assert!(directory.have_heartbeats(&service, 3));
-    assert!(!directory.have_heartbeats(&service, 4));
-}
--- a/bamboo-gateway/src/gateway/servers.rs
+++ b/bamboo-gateway/src/gateway/servers.rs
@@ -15,9 +15,6 @@
 /// Time after the last read of the directory from which on servers may have come that a host does not know.
 const SERVERS_FRESH: Duration = Duration::from_secs(3);
 
-/// Time for which a server that is replaced still serves after its successor has started.
-const REPLACEMENT_TIME: Duration = Duration::from_secs(5);
-
 /// When the directory of backend servers was read, from the store or from another host.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ServersRead {
@@ -41,30 +38,12 @@
 
     /// Whether this host has followed the directory for long enough, and up to now, to know every version that a caller
     /// may return to.
-    fn remembers_versions(&self) -> bool {
-        let now = self.clock.now();
-        let read = self.servers_read.get();
-        read.is_some_and(|read| now.saturating_sub(read.first) >= VERSION_MEMORY)
-            && self.are_servers_fresh()
-    }
-
-    fn are_servers_fresh(&self) -> bool {
+    pub(super) fn remembers_versions(&self) -> bool {
         let now = self.clock.now();
-        let read = self.servers_read.get();
-        read.is_some_and(|read| now.saturating_sub(read.last) < SERVERS_FRESH)
-    }
-
-    /// Whether this host knows every version of these services that a caller may return to: it has followed the directory,
-    /// or all their servers are so old that none has replaced another for a while.
-    pub(super) fn knows_all_versions(&self, services: &[String]) -> bool {
-        let heartbeat_ms = u128::from(self.settings.server_heartbeat_ms);
-        let settled_ms = (VERSION_MEMORY + REPLACEMENT_TIME).as_millis();
-        let Some(heartbeats) = settled_ms.checked_div(heartbeat_ms) else {
-            return self.remembers_versions();
-        };
-        let directory = self.directory.borrow();
-        let is_settled = |service: &String| directory.have_heartbeats(service, heartbeats as u64);
-        self.remembers_versions() || (self.are_servers_fresh() && services.iter().all(is_settled))
+        self.servers_read.get().is_some_and(|read| {
+            now.saturating_sub(read.first) >= VERSION_MEMORY
+                && now.saturating_sub(read.last) < SERVERS_FRESH
+        })
     }
 
     /// Lets this host coordinate once it has read both the configuration and the directory.
--- a/bamboo-gateway/src/gateway/streams.rs
+++ b/bamboo-gateway/src/gateway/streams.rs
@@ -54,7 +54,7 @@
     pub(crate) async fn find_stream(&self, request: &str, services: Vec<String>) -> OriginAnswer {
         let now = self.clock.now();
         let mut versions = self.service_versions(&services);
-        let mut is_remembered = self.knows_all_versions(&services);
+        let mut is_remembered = self.remembers_versions();
         let stream = stream_key(request);
         let known = self.stream_origins.borrow().find(stream, now).cloned();
         if let Some(origin) = known {
@@ -98,7 +98,7 @@
         PeerReply::StreamOrigin {
             origin: self.stream_origins.borrow().find(stream, now).cloned(),
             versions: self.service_versions(services),
-            remembers_versions: self.knows_all_versions(services),
+            remembers_versions: self.remembers_versions(),
         }
     }
 
--- a/bamboo-gateway/src/settings.rs
+++ b/bamboo-gateway/src/settings.rs
@@ -66,9 +66,6 @@
     pub cpu_share: f64,
     /// Memory limit in MB.
     pub memory_mb: u64,
-    /// Interval at which backend servers renew their entries, in milliseconds; 0 if it is not known.
-    #[serde(default)]
-    pub server_heartbeat_ms: u64,
     /// Settings of the store.
     pub store: StoreSettings,
     /// Times that the deployment guarantees.
