fix(gateway): after a common start, the store's records tell whether a service has had one version

Cause: a host that has just started does not remember which versions have left.

The store's topic of the directory has a record for each change of an entry. If its first record is still there, it names all servers that ever registered; a host reads it once, when a caller returns with an unknown origin and one version is present. Otherwise such streams are refused as before.

--- a/bamboo-fleet/src/directory.rs
+++ b/bamboo-fleet/src/directory.rs
@@ -171,6 +171,28 @@
         present.chain(former).cloned().collect()
     }
 
+    /// Remembers that servers of a service have recently had a version.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// let mut directory = bamboo_fleet::Directory::default();
+    /// directory.remember_version("llm".into(), "v1".into(), Duration::ZERO);
+    /// assert_eq!(directory.versions("llm", Duration::from_secs(1)).len(), 1);
+    /// ```
+    pub fn remember_version(
+        &mut self,
+        service: ServiceId,
+        version: SoftwareVersion,
+        now: Duration,
+    ) {
+        let is_known = |former: &(Duration, ServiceId, SoftwareVersion)| {
+            former.0 == now && former.1 == service && former.2 == version
+        };
+        if !self.former_versions.iter().any(is_known) {
+            self.former_versions.push((now, service, version));
+        }
+    }
+
     /// Drops removed servers that are too old to fall back to, and versions of servers that left too long ago.
     pub fn expire(&mut self, now: Duration) {
         self.recently_removed
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 mod servers;
 mod store_calls;
 mod streams;
+mod version_history;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -124,6 +125,8 @@
     store: StoreClient,
     store_path: RefCell<StorePath>,
     servers_read: Cell<Option<ServersRead>>,
+    /// Whether the store's records named all versions that servers have had; `None` until they have been read.
+    versions_recalled: tokio::sync::Mutex<Option<bool>>,
     servers_known: Notify,
     pub(crate) jobs: JobShards,
     pub(crate) metrics: Metrics,
@@ -177,6 +180,7 @@
             reports: RefCell::new(Reports::default()),
             store_path: RefCell::default(),
             servers_read: Cell::new(None),
+            versions_recalled: tokio::sync::Mutex::new(None),
             servers_known: Notify::new(),
             jobs: JobShards::default(),
             metrics,
--- a/bamboo-gateway/src/gateway/servers.rs
+++ b/bamboo-gateway/src/gateway/servers.rs
@@ -40,10 +40,16 @@
     /// may return to.
     pub(super) fn remembers_versions(&self) -> bool {
         let now = self.clock.now();
-        self.servers_read.get().is_some_and(|read| {
-            now.saturating_sub(read.first) >= VERSION_MEMORY
-                && now.saturating_sub(read.last) < SERVERS_FRESH
-        })
+        let read = self.servers_read.get();
+        read.is_some_and(|read| now.saturating_sub(read.first) >= VERSION_MEMORY)
+            && self.are_servers_fresh()
+    }
+
+    /// Whether the directory has been read so lately that no servers have come unnoticed.
+    pub(super) fn are_servers_fresh(&self) -> bool {
+        let now = self.clock.now();
+        let read = self.servers_read.get();
+        read.is_some_and(|read| now.saturating_sub(read.last) < SERVERS_FRESH)
     }
 
     /// Lets this host coordinate once it has read both the configuration and the directory.
--- a/bamboo-gateway/src/gateway/streams.rs
+++ b/bamboo-gateway/src/gateway/streams.rs
@@ -88,6 +88,10 @@
         }
         // Hosts that have all just started may not know of a version that left before, and those that are cut off from
         // the store of one that has come.
+        if versions.len() == 1 && !is_remembered && self.are_servers_fresh() {
+            is_remembered = self.recall_versions().await;
+            versions.extend(self.service_versions(&services));
+        }
         let is_certain = is_remembered && versions.len() == 1;
         OriginAnswer::Unknown(versions.pop_first().filter(|_| is_certain))
     }
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -115,7 +115,7 @@
     }
 }
 
-fn parse_keyed_record(record: &[u8], offset: Offset) -> Option<KeyedRecord> {
+pub(crate) fn parse_keyed_record(record: &[u8], offset: Offset) -> Option<KeyedRecord> {
     let (length, rest) = record.split_first()?;
     let (key, value) = rest.split_at_checked(usize::from(*length))?;
     Some(KeyedRecord {
