--- a/bamboo-gateway/src/gateway/version_history.rs
+++ b/bamboo-gateway/src/gateway/version_history.rs
@@ -1,6 +1,6 @@
 //! Versions of servers that left before this host started, from the records that the store still has of them.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use bamboo_fleet::Server;
@@ -16,7 +16,7 @@
 
 /// What the records of the directory tell of the versions that servers have had.
 enum VersionHistory {
-    /// All servers that ever registered.
+    /// Entries of all servers that ever registered.
     Complete(Vec<Server>),
     /// Older records are no longer retained, or a server left without a readable entry.
     Partial,
@@ -50,8 +50,8 @@
     }
 
     async fn read_version_history(&self) -> Result<VersionHistory, StoreError> {
-        let mut last_entries: HashMap<BackendServerId, Server> = HashMap::new();
-        let mut all_entries = Vec::new();
+        let mut registered: HashSet<BackendServerId> = HashSet::new();
+        let mut entries = Vec::new();
         let mut from: Offset = 0;
         loop {
             let request = StoreRequest::Read {
@@ -69,7 +69,7 @@
                     return Ok(VersionHistory::Partial);
                 };
                 let Some(value) = record.value else {
-                    if last_entries.remove(&record.key).is_none() {
+                    if !registered.remove(&record.key) {
                         return Ok(VersionHistory::Partial);
                     }
                     continue;
@@ -77,12 +77,12 @@
                 let Ok(server) = (self.dialect.decode_server)(&record.key, &value) else {
                     return Ok(VersionHistory::Partial);
                 };
-                last_entries.insert(record.key, server.clone());
-                all_entries.push(server);
+                registered.insert(record.key);
+                entries.push(server);
             }
             from += records.len() as Offset;
             if records.is_empty() || from >= end {
-                return Ok(VersionHistory::Complete(all_entries));
+                return Ok(VersionHistory::Complete(entries));
             }
         }
     }
