refactor(fleet): one function remembers the versions of servers that left

A change of version and a removal pushed to the list themselves, beside remember_version. The tests of origins share the step that leaves a host out.

--- a/bamboo-coordination/tests/stream_origins.rs
+++ b/bamboo-coordination/tests/stream_origins.rs
@@ -21,6 +21,12 @@
     Duration::from_secs(s)
 }
 
+/// The hosts but for one.
+fn without(hosts: &[String], left_out: &String) -> Vec<String> {
+    let others = hosts.iter().filter(|host| *host != left_out);
+    others.cloned().collect()
+}
+
 /// Guards against memory that grows with the age of the process, and against a stream that is forgotten while it goes on.
 #[test]
 fn an_origin_expires_unless_it_is_recorded_again() {
@@ -62,12 +68,7 @@
     for number in 0..200 {
         let request = format!("r{number}");
         let told = origin_hosts(hosts.clone(), &request, ORIGIN_HOLDERS);
-        let without_first: Vec<String> = hosts
-            .iter()
-            .filter(|host| **host != told[0])
-            .cloned()
-            .collect();
-        let asked = origin_hosts(without_first, &request, ORIGIN_HOSTS_ASKED);
+        let asked = origin_hosts(without(&hosts, &told[0]), &request, ORIGIN_HOSTS_ASKED);
         assert_eq!(asked[0], told[1]);
         let mut with_new = hosts.clone();
         with_new.push("new".to_owned());
@@ -84,12 +85,7 @@
     for number in 0..2_000 {
         let request = format!("r{number}");
         let told = origin_hosts(hosts.clone(), &request, ORIGIN_HOLDERS);
-        let without_first: Vec<String> = hosts
-            .iter()
-            .filter(|host| **host != told[0])
-            .cloned()
-            .collect();
-        let asked = origin_hosts(without_first, &request, ORIGIN_HOSTS_ASKED);
+        let asked = origin_hosts(without(&hosts, &told[0]), &request, ORIGIN_HOSTS_ASKED);
         assert!(asked.contains(&told[1]), "{request}");
         holders.extend(told);
     }
--- a/bamboo-fleet/src/directory.rs
+++ b/bamboo-fleet/src/directory.rs
@@ -88,14 +88,14 @@
         if previous.is_some_and(|previous| **previous == server) {
             return DirectoryChange::Unchanged;
         }
-        if let Some(previous) = previous
-            && (previous.version != server.version || previous.service != server.service)
-        {
-            self.former_versions
-                .push((now, previous.service.clone(), previous.version.clone()));
-        }
         let is_restart =
             previous.is_some_and(|previous| previous.started_at_ms != server.started_at_ms);
+        let former = previous.filter(|previous| {
+            previous.version != server.version || previous.service != server.service
+        });
+        if let Some(former) = former.cloned() {
+            self.remember_version(former.service.clone(), former.version.clone(), now);
+        }
         let server = Rc::new(server);
         self.servers.insert(server.id.clone(), Rc::clone(&server));
         match is_restart {
@@ -108,8 +108,7 @@
     pub fn remove(&mut self, id: &str, now: Duration) -> DirectoryChange {
         match self.servers.remove(id) {
             Some(server) => {
-                self.former_versions
-                    .push((now, server.service.clone(), server.version.clone()));
+                self.remember_version(server.service.clone(), server.version.clone(), now);
                 self.recently_removed.push((now, server));
                 DirectoryChange::Removed(id.to_owned())
             }
