fix: a false length in a message or stored entry no longer ends the process

Cause: bincode allocates the length that a text or list states before it reads it. Only records of shards were bounded.

--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bamboo_coordination::HostInfo;
+use bamboo_types::decode_bincode;
 
 use crate::gateway::Gateway;
 use crate::jobs::shard::JOBS_TOPIC;
@@ -190,10 +191,8 @@
 
 fn add_listed_host(gateway: &Gateway, value: Option<Vec<u8>>) {
     let Some(value) = value else { return };
-    let decoded: Result<(HostInfo, usize), _> =
-        bincode::serde::decode_from_slice(&value, bincode::config::standard());
-    match decoded {
-        Ok((info, _)) if info.host != gateway.local.host => {
+    match decode_bincode::<HostInfo>(&value) {
+        Ok(info) if info.host != gateway.local.host => {
             gateway.coordination.borrow_mut().add_host(&info);
         }
         Ok(_) => {}
--- a/bamboo-gateway/src/mesh/accept.rs
+++ b/bamboo-gateway/src/mesh/accept.rs
@@ -5,6 +5,7 @@
 
 use anyhow::Context;
 use bamboo_coordination::HostInfo;
+use bamboo_types::decode_bincode;
 use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -97,7 +98,6 @@
     }
     buffer.advance(LENGTH_PREFIX_BYTES);
     let frame = buffer.split_to(length);
-    let (message, _) = bincode::serde::decode_from_slice(&frame, bincode::config::standard())
-        .context("cannot decode the frame")?;
+    let message = decode_bincode(&frame).context("cannot decode the frame")?;
     Ok(Some(message))
 }
--- a/bamboo-jobs/src/snapshot.rs
+++ b/bamboo-jobs/src/snapshot.rs
@@ -2,6 +2,7 @@
 
 use bamboo_log::RecordBody;
 use bamboo_log::split_snapshot;
+use bamboo_types::decode_bincode;
 
 use crate::ShardState;
 
@@ -38,6 +39,5 @@
 /// # Errors
 /// Returns an error if the bytes are not an encoded state.
 pub fn read_snapshot(bytes: &[u8]) -> Result<ShardState, SnapshotError> {
-    let (state, _) = bincode::serde::decode_from_slice(bytes, bincode::config::standard())?;
-    Ok(state)
+    Ok(decode_bincode(bytes)?)
 }
--- a/bamboo-log/src/entry.rs
+++ b/bamboo-log/src/entry.rs
@@ -2,6 +2,7 @@
 
 use bamboo_types::HostId;
 use bamboo_types::Incarnation;
+use bamboo_types::decode_bincode;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -68,7 +69,6 @@
         if *version != FORMAT_VERSION {
             return Err(DecodeError::Version { found: *version });
         }
-        let (entry, _) = bincode::serde::decode_from_slice(rest, bincode::config::standard())?;
-        Ok(entry)
+        Ok(decode_bincode(rest)?)
     }
 }
--- a/bamboo-node/src/platform.rs
+++ b/bamboo-node/src/platform.rs
@@ -14,6 +14,7 @@
 use bamboo_member::HostState;
 use bamboo_types::BackendServerId;
 use bamboo_types::Offset;
+use bamboo_types::decode_bincode;
 use serde::Deserialize;
 
 use crate::engine_client::is_connection_never_established;
@@ -167,9 +168,7 @@
             .limit(READ_MAX_BYTES)
             .await
             .context("log read: body")?;
-        let (page, _): (WirePage, usize) =
-            bincode::serde::decode_from_slice(&bytes, bincode::config::standard())
-                .context("log read: page")?;
+        let page: WirePage = decode_bincode(&bytes).context("log read: page")?;
         Ok(page.into_read_answer(from))
     }
 
--- a/bamboo-shards/src/record.rs
+++ b/bamboo-shards/src/record.rs
@@ -7,6 +7,7 @@
 
 use bamboo_types::ItemIndex;
 use bamboo_types::StreamOrigin;
+use bamboo_types::decode_bincode;
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
@@ -18,8 +19,6 @@
 const FORMAT_VERSION: u8 = 2;
 /// Oldest format version that can be read.
 const FORMAT_VERSION_1: u8 = 1;
-/// Limit of the decoded size of a record. Without it, a damaged length would be allocated before it is checked.
-const DECODED_MAX_BYTES: usize = 32 << 20;
 
 /// One item of a job: a request that is sent later.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -222,13 +221,9 @@
 
     fn try_from(bytes: &[u8]) -> Result<Self, RecordError> {
         let (version, rest) = bytes.split_first().ok_or(RecordError::Empty)?;
-        let config = bincode::config::standard().with_limit::<DECODED_MAX_BYTES>();
         match *version {
-            FORMAT_VERSION => Ok(bincode::serde::decode_from_slice(rest, config)?.0),
-            FORMAT_VERSION_1 => {
-                let (record, _): (RecordV1, _) = bincode::serde::decode_from_slice(rest, config)?;
-                Ok(Record::from(record))
-            }
+            FORMAT_VERSION => Ok(decode_bincode(rest)?),
+            FORMAT_VERSION_1 => Ok(Record::from(decode_bincode::<RecordV1>(rest)?)),
             other => Err(RecordError::UnsupportedVersion(other)),
         }
     }
--- a/bamboo-types/src/lib.rs
+++ b/bamboo-types/src/lib.rs
@@ -1,12 +1,15 @@
-//! Identifiers, hashing, time and a token bucket, shared by every crate of bambooroute.
+//! Identifiers, hashing, time, a token bucket and bounded decoding, shared by every crate of bambooroute.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod codec;
 mod ids;
 mod stream_origin;
 mod time;
 mod token_bucket;
 
+pub use codec::DECODED_MAX_BYTES;
+pub use codec::decode_bincode;
 pub use ids::BackendServerId;
 pub use ids::CallerId;
 pub use ids::DataCentreId;
--- a/bamboo-wire/src/frame.rs
+++ b/bamboo-wire/src/frame.rs
@@ -2,6 +2,7 @@
 
 use bamboo_types::HostId;
 use bamboo_types::Incarnation;
+use bamboo_types::decode_bincode;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -58,11 +59,7 @@
 
     fn try_from(bytes: &[u8]) -> Result<Self, FrameError> {
         match bytes.split_first() {
-            Some((&WIRE_VERSION, rest)) => {
-                let (frame, _) =
-                    bincode::serde::decode_from_slice(rest, bincode::config::standard())?;
-                Ok(frame)
-            }
+            Some((&WIRE_VERSION, rest)) => Ok(decode_bincode(rest)?),
             other => Err(FrameError::Version {
                 found: other.map(|(version, _)| *version),
             }),
