fix: the output of an item and the responses of the store are bounded

Cause: an item has no deadline, so that a server which sends events without end filled the memory of the shard's owner; each comment of a server was recorded as progress in the store. Responses of the store were collected whatever their size.

--- a/bamboo-gateway/src/store.rs
+++ b/bamboo-gateway/src/store.rs
@@ -49,9 +49,13 @@
 /// Maximum number of idle connections kept for reuse.
 const IDLE_CONNECTIONS_MAX: usize = 4;
 
+/// Maximum size of a response in bytes. A read returns 1 MiB of records, or one record if it is larger.
+const RESPONSE_MAX_BYTES: usize = 8 << 20;
+
 /// Why a response did not arrive.
 enum ResponseError {
     Failed(hyper::Error),
+    TooLarge,
     TimedOut,
 }
 
@@ -70,6 +74,9 @@
         };
         if let Ok(data) = frame.map_err(ResponseError::Failed)?.into_data() {
             received_bytes.set(received_bytes.get() + data.len());
+            if received_bytes.get() > RESPONSE_MAX_BYTES {
+                return Err(ResponseError::TooLarge);
+            }
             collected.extend_from_slice(&data);
         }
     }
@@ -247,6 +254,13 @@
         let (status, body) = match outcome {
             Ok(response) => response,
             Err(ResponseError::Failed(error)) => return Err(unknown(error.to_string())),
+            Err(ResponseError::TooLarge) => {
+                log::warn!(
+                    event = "store_response_too_large", call = request.kind(), topic = request.topic();
+                    "a response of the store exceeds {RESPONSE_MAX_BYTES} bytes"
+                );
+                return Err(unknown("the response is too large".to_owned()));
+            }
             Err(ResponseError::TimedOut) => {
                 log::info!(
                     event = "store_timed_out", call = request.kind(), topic = request.topic(),
--- a/bamboo-shards/src/item_run.rs
+++ b/bamboo-shards/src/item_run.rs
@@ -5,6 +5,9 @@
 
 use crate::ItemProgress;
 
+/// Maximum size of the output of an item in bytes. A page of results holds as much.
+pub const ITEM_TEXT_MAX_BYTES: usize = 1 << 20;
+
 /// How one attempt at an item ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -44,7 +47,8 @@
 
 impl ItemRun {
     /// Appends an event of the response. Returns `false`, and ignores the event, if its identifier is not higher than
-    /// that of the last event.
+    /// that of the last event, or the output would exceed [`ITEM_TEXT_MAX_BYTES`]. An event with neither identifier nor
+    /// data changes nothing.
     ///
     /// ```
     /// let mut run = bamboo_shards::ItemRun::default();
@@ -59,6 +63,13 @@
         {
             return false;
         }
+        let data_bytes = data.as_ref().map_or(0, |data| data.len() + 1);
+        if self.text.len() + data_bytes > ITEM_TEXT_MAX_BYTES {
+            return false;
+        }
+        if id.is_none() && data.is_none() {
+            return true;
+        }
         self.is_dirty = true;
         self.last_event_id = id.or(self.last_event_id);
         if let Some(data) = data {
--- a/bamboo-shards/src/lib.rs
+++ b/bamboo-shards/src/lib.rs
@@ -15,6 +15,7 @@
 pub use fragment::FragmentError;
 pub use fragment::split_record;
 pub use item_run::AttemptEnd;
+pub use item_run::ITEM_TEXT_MAX_BYTES;
 pub use item_run::ItemAction;
 pub use item_run::ItemRun;
 pub use job::Job;
