fix(gateway): every byte of a server is bounded in time and memory, and a late copy reaches no other caller

Heads are bounded at 64 KiB. Bodies of callers and of servers each share a quarter of the memory, of which the first 64 KiB of a body are free, so that small ones pass; a caller's body without room is refused with 503 before it runs. On a reused connection a response must echo the identifier. Ruled out: heads without end ended before, too (limit of the HTTP library, 400 KiB).

--- /dev/null
+++ b/bamboo-fleet/src/buffer_budget.rs
@@ -0,0 +1,96 @@
+//! Bound for the bytes of all bodies that a process buffers at once.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+/// Bytes of each body that do not count towards the budget, so that small bodies pass while large ones fill it.
+pub const UNCOUNTED_BODY_BYTES: usize = 64 << 10;
+
+/// Budget for buffered bodies, shared by all requests of a process.
+#[derive(Debug)]
+pub struct BufferBudget {
+    used_bytes: AtomicUsize,
+    max_bytes: usize,
+}
+
+impl BufferBudget {
+    /// Creates a budget.
+    ///
+    /// ```
+    /// use bamboo_fleet::{BufferBudget, UNCOUNTED_BODY_BYTES};
+    /// let budget = BufferBudget::new(1_000);
+    /// let mut first = budget.begin_body();
+    /// assert!(first.grow(UNCOUNTED_BODY_BYTES + 1_000));
+    /// let mut second = budget.begin_body();
+    /// assert!(second.grow(UNCOUNTED_BODY_BYTES));
+    /// assert!(!second.grow(1));
+    /// drop(first);
+    /// assert!(second.grow(1));
+    /// ```
+    pub fn new(max_bytes: usize) -> Arc<Self> {
+        Arc::new(BufferBudget {
+            used_bytes: AtomicUsize::new(0),
+            max_bytes,
+        })
+    }
+
+    /// Begins to buffer a body.
+    pub fn begin_body(self: &Arc<Self>) -> BufferReservation {
+        BufferReservation {
+            budget: Arc::clone(self),
+            body_bytes: 0,
+            counted_bytes: 0,
+        }
+    }
+
+    /// Counted bytes of all bodies, at most the budget.
+    pub fn used_bytes(&self) -> usize {
+        self.used_bytes.load(Ordering::Relaxed)
+    }
+
+    fn try_add(&self, bytes: usize) -> bool {
+        let add = |used: usize| {
+            used.checked_add(bytes)
+                .filter(|used| *used <= self.max_bytes)
+        };
+        self.used_bytes
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add)
+            .is_ok()
+    }
+}
+
+/// Share of one body in the budget, returned on drop.
+#[derive(Debug)]
+pub struct BufferReservation {
+    budget: Arc<BufferBudget>,
+    body_bytes: usize,
+    counted_bytes: usize,
+}
+
+impl BufferReservation {
+    /// Reserves room for further bytes of the body. Returns `false`, and reserves nothing, if the budget is exhausted.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let body_bytes = self.body_bytes.saturating_add(bytes);
+        let counted_bytes = body_bytes.saturating_sub(UNCOUNTED_BODY_BYTES);
+        if !self.budget.try_add(counted_bytes - self.counted_bytes) {
+            return false;
+        }
+        self.body_bytes = body_bytes;
+        self.counted_bytes = counted_bytes;
+        true
+    }
+
+    /// Number of bytes of the body.
+    pub fn body_bytes(&self) -> usize {
+        self.body_bytes
+    }
+}
+
+impl Drop for BufferReservation {
+    fn drop(&mut self) {
+        self.budget
+            .used_bytes
+            .fetch_sub(self.counted_bytes, Ordering::Relaxed);
+    }
+}
--- a/bamboo-fleet/src/lib.rs
+++ b/bamboo-fleet/src/lib.rs
@@ -1,14 +1,19 @@
 //! Model of a deployment: the routes and services that operators configure, the backend servers that register
-//! themselves in the store, and the event streams that servers return. The crate performs no I/O.
+//! themselves in the store, and the event streams that servers return, with the bounds for what callers and servers send. The crate performs no I/O.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod buffer_budget;
 mod config;
 mod directory;
 mod grace_period;
+mod silence;
 mod sse;
 
 pub use bamboo_types::SoftwareVersion;
+pub use buffer_budget::BufferBudget;
+pub use buffer_budget::BufferReservation;
+pub use buffer_budget::UNCOUNTED_BODY_BYTES;
 pub use config::EngineProfile;
 pub use config::FleetConfig;
 pub use config::Limits;
@@ -23,5 +28,10 @@
 pub use directory::ServerState;
 pub use directory::VERSION_MEMORY;
 pub use grace_period::OutageGracePeriod;
+pub use silence::STALL_TOLERANCE;
+pub use silence::SilenceCheck;
+pub use silence::SilenceTimer;
+pub use sse::EVENT_MAX_BYTES;
+pub use sse::EventTooLarge;
 pub use sse::SseDecoder;
 pub use sse::SseEvent;
--- a/bamboo-fleet/tests/fleet.rs
+++ b/bamboo-fleet/tests/fleet.rs
@@ -126,8 +126,8 @@
     let bytes = b"id: 1\ndata: a\n\nid: 2\nx-versions: 3\ndata: b\ndata: c\n\nid: 3\nda";
     for split_at in 0..bytes.len() {
         let mut decoder = SseDecoder::default();
-        let mut events = decoder.push(&bytes[..split_at]);
-        events.extend(decoder.push(&bytes[split_at..]));
+        let mut events = decoder.push(&bytes[..split_at]).unwrap();
+        events.extend(decoder.push(&bytes[split_at..]).unwrap());
         let ids: Vec<_> = events.iter().map(|event| event.id).collect();
         assert_eq!(ids, [Some(1), Some(2)]);
         assert_eq!(events[1].data().unwrap(), b"b\nc");
@@ -137,7 +137,9 @@
 
 #[test]
 fn crlf_line_ends_are_accepted() {
-    let events = SseDecoder::default().push(b"id: 4\r\ndata: a\r\n\r\n");
+    let events = SseDecoder::default()
+        .push(b"id: 4\r\ndata: a\r\n\r\n")
+        .unwrap();
     assert_eq!(events[0].id, Some(4));
     assert_eq!(events[0].data().unwrap(), b"a");
 }
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -12,12 +12,14 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bamboo_coordination::CoordinatorTracker;
 use bamboo_coordination::HostInfo;
 use bamboo_coordination::Reports;
 use bamboo_coordination::StreamOrigins;
+use bamboo_fleet::BufferBudget;
 use bamboo_fleet::Directory;
 use bamboo_fleet::FleetConfig;
 use bamboo_fleet::Server;
@@ -61,6 +63,8 @@
     Closing,
 }
 
+/// Part of the memory limit that the bodies of callers' requests may use, and that those of servers' responses may use.
+const BUFFER_BUDGET_PARTS: u64 = 4;
 /// Maximum number of log lines about requests per second.
 const REQUEST_LOG_LINES_PER_S: u32 = 60;
 
@@ -116,6 +120,8 @@
     pub(crate) directory: RefCell<Directory>,
     pub(crate) load_balancer: RefCell<LoadBalancer>,
     pub(crate) pool: ServerPool,
+    pub(crate) caller_buffers: Arc<BufferBudget>,
+    pub(crate) server_buffers: Arc<BufferBudget>,
     pub(crate) mesh: Mesh,
     pub(crate) slot_requests: SlotRequestTable,
     pub(crate) coordination: RefCell<CoordinatorTracker>,
@@ -160,6 +166,8 @@
         let (link_failures, link_failure_queue) = mpsc::unbounded_channel();
         let metrics = Metrics::default();
         let store_metrics = metrics.store.clone();
+        let buffer_bytes = (settings.memory_mb << 20) / BUFFER_BUDGET_PARTS;
+        let buffer_bytes = usize::try_from(buffer_bytes).unwrap_or(usize::MAX);
         let gateway = Rc::new(Gateway {
             store: StoreClient::new(settings.store.address, dialect.clone())
                 .with_metrics(store_metrics),
@@ -173,6 +181,8 @@
             directory: RefCell::new(Directory::default()),
             load_balancer: RefCell::new(LoadBalancer::default()),
             pool: ServerPool::default(),
+            caller_buffers: BufferBudget::new(buffer_bytes),
+            server_buffers: BufferBudget::new(buffer_bytes),
             slot_requests: SlotRequestTable::default(),
             coordination: RefCell::new(coordination),
             stream_origins: RefCell::default(),
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -276,7 +276,11 @@
         }
         let server = slot.server.id.clone();
         let (started_at, events_before) = (gateway.clock.now(), run.borrow().event_count());
-        let (end, outcome) = run_attempt(&gateway, &shard, &job, &slot, &request, &run).await;
+        let retention_left =
+            Duration::from_millis(job.retention_ms).saturating_sub(age.minimum(started_at));
+        let deadline = started_at + retention_left;
+        let (end, outcome) =
+            run_attempt(&gateway, &shard, &job, &slot, &request, &run, deadline).await;
         slot.set_outcome(outcome);
         drop(slot);
         if !matches!(outcome, RunOutcome::Done | RunOutcome::Cancelled) {
@@ -416,7 +420,8 @@
     }
 }
 
-/// Runs one attempt at an item until it completes, fails or is preempted, or its job is cancelled or removed.
+/// Runs one attempt at an item until it completes, fails or is preempted, its job is cancelled or removed, or the deadline
+/// passes.
 async fn run_attempt(
     gateway: &Rc<Gateway>,
     shard: &OwnedShard,
@@ -424,6 +429,7 @@
     slot: &Slot,
     request: &EngineRequest,
     run: &SharedRun,
+    deadline: Duration,
 ) -> (AttemptEnd, RunOutcome) {
     let job_ended = async {
         loop {
@@ -438,7 +444,7 @@
         biased;
         () = slot.preempted.notified() => (AttemptEnd::Interrupted, RunOutcome::Cancelled),
         () = job_ended => (AttemptEnd::Interrupted, RunOutcome::Cancelled),
-        ended = read_events(gateway, slot, request, run) => ended,
+        ended = read_events(gateway, slot, request, run, deadline) => ended,
     }
 }
 
@@ -447,6 +453,7 @@
     slot: &Slot,
     request: &EngineRequest,
     run: &SharedRun,
+    deadline: Duration,
 ) -> (AttemptEnd, RunOutcome) {
     let last_event = run.borrow().last_event_id();
     let opened = open_stream(
@@ -478,9 +485,11 @@
     });
     let mut timeout = FIRST_EVENT_TIMEOUT;
     loop {
-        match stream.next(gateway, timeout).await {
+        match stream.next(gateway, timeout, deadline).await {
             StreamRead::Event(event) => {
-                timeout = EVENT_GAP_TIMEOUT;
+                if event.has_data() {
+                    timeout = EVENT_GAP_TIMEOUT;
+                }
                 let is_next = run.borrow_mut().push_event(event.id, event.data());
                 if !is_next {
                     run.borrow_mut().restart();
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -4,7 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bamboo_fleet::EVENT_MAX_BYTES;
 use bamboo_fleet::Server;
+use bamboo_fleet::SilenceCheck;
+use bamboo_fleet::SilenceTimer;
 use bamboo_fleet::SseDecoder;
 use bamboo_fleet::SseEvent;
 use bamboo_slots::RunOutcome;
@@ -20,13 +23,12 @@
 use hyper::body::Incoming;
 
 use crate::gateway::Gateway;
+use crate::traffic::buffered_body::read_whole_body;
 use crate::traffic::pool::Connection;
 use crate::traffic::response::belongs_to_request;
 
 /// Maximum size in bytes of a response with an error status, which is not streamed.
 const ERROR_BODY_MAX_BYTES: usize = 1 << 20;
-/// A timer that fires later than this shows that the host itself was stalled.
-const STALL_TOLERANCE: Duration = Duration::from_millis(40);
 
 /// A request to an engine.
 #[derive(Debug, Clone)]
@@ -66,7 +68,7 @@
     End,
     /// The response was truncated.
     Broken,
-    /// No event arrived within the idle timeout.
+    /// No event arrived within the idle timeout, or before the deadline.
     Silent,
 }
 
@@ -78,6 +80,8 @@
     body: Incoming,
     decoder: SseDecoder,
     events: VecDeque<SseEvent>,
+    /// Wait for the next event with data, if one is under way.
+    silence: Option<SilenceTimer>,
 }
 
 /// Sends a request to a server and waits for the status and headers of the response.
@@ -133,6 +137,7 @@
         connection.sender.ready().await?;
         connection.sender.send_request(outgoing).await
     };
+    let respond_by = started + timeout;
     let response = match tokio::time::timeout(timeout, exchange).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
@@ -146,7 +151,7 @@
         Err(_) => return Err(OpenError::Failed(RunOutcome::Silent)),
     };
     let (head, body) = response.into_parts();
-    if !belongs_to_request(gateway, &request.id, &head) {
+    if !belongs_to_request(gateway, &request.id, &head, connection.is_reused) {
         return Err(OpenError::Failed(RunOutcome::Broken));
     }
     if head.status.is_success() {
@@ -156,19 +161,23 @@
             body,
             decoder: SseDecoder::default(),
             events: VecDeque::new(),
+            silence: None,
         });
     }
     let is_not_run =
         head.headers.contains_key(&names.not_run) || head.status == StatusCode::MISDIRECTED_REQUEST;
-    let collected = http_body_util::Limited::new(body, ERROR_BODY_MAX_BYTES).collect();
-    let bytes = match tokio::time::timeout(timeout, collected).await {
-        Ok(Ok(collected)) => Some(collected.to_bytes()),
-        _ => None,
+    let collected = read_whole_body(body, ERROR_BODY_MAX_BYTES, &gateway.server_buffers);
+    let remaining = respond_by.saturating_sub(gateway.clock.now());
+    let bytes = match tokio::time::timeout(remaining, collected).await {
+        Ok(Ok(bytes)) => Some(bytes),
+        Ok(Err(error)) => {
+            log::debug!("error response of server {}: {error}", server.id);
+            None
+        }
+        Err(_) => None,
     };
-    if bytes.is_some() {
-        let now = gateway.clock.now();
-        gateway.pool.put_idle(connection, &head.headers, now);
-    }
+    // The connection is not reused: the server may get the same item again, and would then seem to respond with a late copy
+    // of this response.
     match (is_not_run, bytes) {
         (true, _) if head.status == StatusCode::MISDIRECTED_REQUEST => {
             Err(OpenError::NotRun(RunOutcome::Misdirected))
@@ -180,41 +189,86 @@
 }
 
 impl EngineStream {
-    /// Reads the next event. Returns `Silent` after `idle_timeout` without data.
-    pub(crate) async fn next(&mut self, gateway: &Gateway, idle_timeout: Duration) -> StreamRead {
-        let mut started = gateway.clock.now();
+    /// Reads the next event. Returns `Silent` if no event with data arrives for `idle_timeout`, or at the deadline.
+    pub(crate) async fn next(
+        &mut self,
+        gateway: &Gateway,
+        idle_timeout: Duration,
+        deadline: Duration,
+    ) -> StreamRead {
         loop {
             if let Some(event) = self.events.pop_front() {
+                if event.has_data() {
+                    self.silence = None;
+                }
                 return StreamRead::Event(event);
             }
-            let frame = match tokio::time::timeout(idle_timeout, self.body.frame()).await {
-                Ok(frame) => frame,
-                Err(_) => {
-                    let elapsed = gateway.clock.now().saturating_sub(started);
-                    if elapsed > idle_timeout + STALL_TOLERANCE {
-                        // Data may have arrived while this host was stalled; try to read it first.
-                        started = gateway.clock.now();
-                        continue;
-                    }
-                    return StreamRead::Silent;
-                }
-            };
-            match frame {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        self.events.extend(self.decoder.push(&data));
-                    }
-                }
-                Some(Err(_)) => return StreamRead::Broken,
-                None if self.decoder.has_partial() => return StreamRead::Broken,
-                None => return StreamRead::End,
+            if let Some(end) = self.read_part(gateway, idle_timeout, deadline).await {
+                return end;
+            }
+        }
+    }
+
+    /// Waits for the first event with data, which [`next`](Self::next) returns later, or for the end of the response.
+    ///
+    /// # Errors
+    /// Fails with the outcome of the run if the stream breaks or stays silent.
+    pub(crate) async fn wait_for_event(
+        &mut self,
+        gateway: &Gateway,
+        idle_timeout: Duration,
+        deadline: Duration,
+    ) -> Result<(), RunOutcome> {
+        while !self.events.iter().any(SseEvent::has_data) {
+            let queued_bytes: usize = self.events.iter().map(|event| event.raw.len()).sum();
+            if queued_bytes > EVENT_MAX_BYTES {
+                return Err(RunOutcome::Broken);
+            }
+            match self.read_part(gateway, idle_timeout, deadline).await {
+                None => {}
+                Some(StreamRead::End) => return Ok(()),
+                Some(StreamRead::Silent) => return Err(RunOutcome::Silent),
+                Some(StreamRead::Broken | StreamRead::Event(_)) => return Err(RunOutcome::Broken),
             }
         }
+        self.silence = None;
+        Ok(())
     }
 
-    /// Puts an event back so that the next read returns it.
-    pub(crate) fn put_back(&mut self, event: SseEvent) {
-        self.events.push_front(event);
+    /// Reads a part of the response. Returns how the stream ended, or `None` if it may go on.
+    async fn read_part(
+        &mut self,
+        gateway: &Gateway,
+        idle_timeout: Duration,
+        deadline: Duration,
+    ) -> Option<StreamRead> {
+        let now = gateway.clock.now();
+        let silence = self
+            .silence
+            .get_or_insert_with(|| SilenceTimer::start(now, idle_timeout, deadline));
+        let SilenceCheck::Wait(wait) = silence.check(now) else {
+            return Some(StreamRead::Silent);
+        };
+        let frame = match tokio::time::timeout(wait, self.body.frame()).await {
+            Ok(frame) => frame,
+            // The next check decides whether the server is silent.
+            Err(_) => return None,
+        };
+        match frame {
+            Some(Ok(frame)) => match self.decoder.push(frame.data_ref()?) {
+                Ok(events) => {
+                    self.events.extend(events);
+                    None
+                }
+                Err(error) => {
+                    log::info!(event = "event_too_large"; "a server sends an event without end: {error}");
+                    Some(StreamRead::Broken)
+                }
+            },
+            Some(Err(_)) => Some(StreamRead::Broken),
+            None if self.decoder.has_partial() => Some(StreamRead::Broken),
+            None => Some(StreamRead::End),
+        }
     }
 
     /// Returns the connection to the pool after a complete response.
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -1,8 +1,10 @@
 //! Requests to plain services, whose responses are buffered before they are sent to the caller.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use bamboo_fleet::BufferBudget;
 use bamboo_fleet::RouteKind;
 use bamboo_fleet::Server;
 use bamboo_slots::RunOutcome;
@@ -13,12 +15,11 @@
 use http::Response;
 use http::StatusCode;
 use http::response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 
 use crate::gateway::Gateway;
 use crate::response_body::ResponseBody;
+use crate::traffic::buffered_body::read_whole_body;
 use crate::traffic::pool::Connection;
 use crate::traffic::request::CallerRequest;
 use crate::traffic::request::end_to_end_headers;
@@ -214,7 +215,8 @@
     let Some(outgoing) = build_request(gateway, request, server, remaining) else {
         return Attempt::NotRun(RunOutcome::Cancelled);
     };
-    match tokio::time::timeout(attempt_timeout, exchange(&mut connection, outgoing)).await {
+    let exchange = exchange(&mut connection, outgoing, &gateway.server_buffers);
+    match tokio::time::timeout(attempt_timeout, exchange).await {
         Ok(Ok((head, bytes))) => classify_response(gateway, request, connection, head, bytes),
         Ok(Err(error)) => {
             log::debug!(
@@ -254,15 +256,13 @@
 async fn exchange(
     connection: &mut Connection,
     outgoing: Request<Full<Bytes>>,
+    buffers: &Arc<BufferBudget>,
 ) -> anyhow::Result<(response::Parts, Bytes)> {
     connection.sender.ready().await?;
     let response = connection.sender.send_request(outgoing).await?;
     let (head, body) = response.into_parts();
-    let collected = Limited::new(body, RESPONSE_MAX_BYTES).collect().await;
-    match collected {
-        Ok(collected) => Ok((head, collected.to_bytes())),
-        Err(error) => anyhow::bail!("response was truncated: {error}"),
-    }
+    let bytes = read_whole_body(body, RESPONSE_MAX_BYTES, buffers).await?;
+    Ok((head, bytes))
 }
 
 /// Checks a complete response, and classifies the attempt by its status and headers.
@@ -274,7 +274,7 @@
     bytes: Bytes,
 ) -> Attempt {
     let names = &gateway.dialect.headers;
-    if !belongs_to_request(gateway, &request.id, &head) {
+    if !belongs_to_request(gateway, &request.id, &head, connection.is_reused) {
         return Attempt::Failed(RunOutcome::Broken);
     }
     if request.body.len() <= REUSE_BODY_MAX_BYTES {
--- a/bamboo-gateway/src/traffic/pool.rs
+++ b/bamboo-gateway/src/traffic/pool.rs
@@ -24,9 +24,14 @@
 /// Margin subtracted from the keep-alive timeout that the server states.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(900);
 
+/// Maximum size in bytes of the head of a response.
+const HEAD_MAX_BYTES: usize = 64 << 10;
+
 /// A connection that carries one request at a time.
 pub(crate) struct Connection {
     pub(crate) sender: http1::SendRequest<Full<Bytes>>,
+    /// Whether an earlier request used the connection, so that a late copy of its response may still arrive.
+    pub(crate) is_reused: bool,
     server: BackendServerId,
     address: SocketAddr,
     _task: OwnedTask,
@@ -76,6 +81,7 @@
     ) -> anyhow::Result<Connection> {
         let stream = net::connect(address, CONNECT_TIMEOUT).await?;
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(HEAD_MAX_BYTES)
             .handshake(TokioIo::new(stream))
             .await?;
         let task = OwnedTask::spawn(async move {
@@ -85,6 +91,7 @@
         });
         Ok(Connection {
             sender,
+            is_reused: false,
             server: server.to_owned(),
             address,
             _task: task,
@@ -92,10 +99,11 @@
     }
 
     /// Returns a connection to the pool after a complete response, if the response headers allow reuse.
-    pub(crate) fn put_idle(&self, connection: Connection, headers: &HeaderMap, now: Duration) {
+    pub(crate) fn put_idle(&self, mut connection: Connection, headers: &HeaderMap, now: Duration) {
         let Some(idle_timeout) = idle_timeout(headers) else {
             return;
         };
+        connection.is_reused = true;
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(connection.server.clone()).or_default();
         if connections.len() < IDLE_PER_SERVER_MAX {
--- a/bamboo-gateway/src/traffic/response.rs
+++ b/bamboo-gateway/src/traffic/response.rs
@@ -52,17 +52,24 @@
 }
 
 /// Whether a response is the server's own response to this request: it does not echo the identifier of another request,
-/// has no content encoding, and carries the server's stamp if its status is a success.
-pub(crate) fn belongs_to_request(gateway: &Gateway, id: &str, head: &response::Parts) -> bool {
+/// has no content encoding, and carries the server's stamp if its status is a success. On a reused connection it must echo
+/// the identifier, because a late copy of an earlier response may arrive there.
+pub(crate) fn belongs_to_request(
+    gateway: &Gateway,
+    id: &str,
+    head: &response::Parts,
+    is_reused: bool,
+) -> bool {
     let names = &gateway.dialect.headers;
     let echoed = head.headers.get(&names.request_id);
     let is_other = echoed.is_some_and(|echoed| echoed.as_bytes() != id.as_bytes());
     let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
     let is_unstamped = head.status.is_success() && !head.headers.contains_key(&names.server_stamp);
-    let is_foreign = is_other || is_encoded || is_unstamped;
+    let is_anonymous = is_reused && echoed.is_none();
+    let is_foreign = is_other || is_anonymous || is_encoded || is_unstamped;
     if is_foreign {
         log::info!(
-            event = "foreign_answer", request = id, status = head.status.as_u16(), is_other, is_encoded, is_unstamped;
+            event = "foreign_answer", request = id, status = head.status.as_u16(), is_other, is_anonymous, is_encoded, is_unstamped;
             "discarded a response that does not belong to this request"
         );
     }
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -13,9 +13,6 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use rand::RngExt;
 
@@ -23,6 +20,8 @@
 use crate::gateway::OpenRequest;
 use crate::metrics::RequestLabels;
 use crate::response_body::ResponseBody;
+use crate::traffic::buffered_body::BodyError;
+use crate::traffic::buffered_body::read_whole_body;
 use crate::traffic::plain::serve_plain;
 use crate::traffic::request::CallerRequest;
 use crate::traffic::request::forwarded_headers;
@@ -32,6 +31,8 @@
 
 /// `Retry-After` of a response while the host has no configuration, or the route no service.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// `Retry-After` of a response if the bodies of other requests use up their memory.
+const BUFFERS_FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Timeout of a request if neither its route nor its headers set one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Timeout for reading the body, counted from the headers.
@@ -72,7 +73,7 @@
     let id =
         header_text(request.headers(), &gateway.dialect.headers.request_id).unwrap_or_default();
     let (head, body) = request.into_parts();
-    let body = match read_body(body, config.limits.body_max_bytes).await {
+    let body = match read_body(&gateway, body, config.limits.body_max_bytes).await {
         Ok(body) => body,
         Err(response) => return response,
     };
@@ -162,15 +163,26 @@
     }
 }
 
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Response<ResponseBody>> {
-    let collected = Limited::new(body, max_bytes).collect();
+async fn read_body(
+    gateway: &Gateway,
+    body: Incoming,
+    max_bytes: usize,
+) -> Result<Bytes, Response<ResponseBody>> {
+    let collected = read_whole_body(body, max_bytes, &gateway.caller_buffers);
     match tokio::time::timeout(BODY_TIMEOUT, collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => Err(text_response(
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(BodyError::TooLarge(_))) => Err(text_response(
             StatusCode::PAYLOAD_TOO_LARGE,
             "the body is too large\n",
         )),
-        Ok(Err(_)) => Err(text_response(
+        Ok(Err(BodyError::BudgetExhausted)) => {
+            log::warn!(event = "buffers_full"; "rejected a request because callers' bodies use up their memory");
+            Err(not_run(
+                "no memory for the body\n",
+                BUFFERS_FULL_RETRY_AFTER,
+            ))
+        }
+        Ok(Err(BodyError::Truncated(_))) => Err(text_response(
             StatusCode::BAD_REQUEST,
             "the body is broken\n",
         )),
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -285,10 +285,13 @@
         )
         .await;
         let failure = match opened {
-            Ok(mut stream) => match first_event(gateway, &mut stream, event_timeout).await {
-                Ok(()) => return Ok(Run { slot, stream }),
-                Err(outcome) => OpenError::Failed(outcome),
-            },
+            Ok(mut stream) => {
+                let first_event = stream.wait_for_event(gateway, event_timeout, request.deadline);
+                match first_event.await {
+                    Ok(()) => return Ok(Run { slot, stream }),
+                    Err(outcome) => OpenError::Failed(outcome),
+                }
+            }
             Err(failure) => failure,
         };
         attempts.excluded.push(slot.server.id.clone());
@@ -338,23 +341,6 @@
     }
 }
 
-/// Waits for the first event, and leaves it in the stream.
-async fn first_event(
-    gateway: &Gateway,
-    stream: &mut EngineStream,
-    event_timeout: Duration,
-) -> Result<(), RunOutcome> {
-    match stream.next(gateway, event_timeout).await {
-        StreamRead::Event(event) => {
-            stream.put_back(event);
-            Ok(())
-        }
-        StreamRead::End => Ok(()),
-        StreamRead::Broken => Err(RunOutcome::Broken),
-        StreamRead::Silent => Err(RunOutcome::Silent),
-    }
-}
-
 fn log_resumption(request: &CallerRequest, run: &Run, last_event: Option<u64>) {
     log::info!(
         event = "stream_resumed", request = request.id.as_str(), server = run.slot.server.id.as_str(),
@@ -389,18 +375,15 @@
     let mut last_id = first_id;
     let mut has_sent = false;
     loop {
-        let now = gateway.clock.now();
-        let remaining = request.deadline.saturating_sub(now);
         let may_resume = is_resumable
             && attempts.count < request.route.attempts_max
             && (last_id.is_some() || !has_sent);
-        let idle_timeout = if may_resume {
-            remaining.min(EVENT_GAP_TIMEOUT)
-        } else {
-            remaining
+        let idle_timeout = match may_resume {
+            true => EVENT_GAP_TIMEOUT,
+            false => Duration::MAX,
         };
         let next = tokio::select! {
-            next = run.stream.next(gateway, idle_timeout) => next,
+            next = run.stream.next(gateway, idle_timeout, request.deadline) => next,
             () = chunks.closed() => return ForwardEnd::CallerDisconnected,
         };
         let outcome = match next {
