--- a/bamboo-node/src/batch.rs
+++ b/bamboo-node/src/batch.rs
@@ -250,7 +250,7 @@
         deadline,
     };
     let mut response = send(&runner.client, call).await?;
-    check_engine_status(&mut response).await?;
+    check_engine_status(&mut response, deadline).await?;
     let mut events = EventStream::new(response, deadline);
     let mut is_first_token = true;
     loop {
--- a/bamboo-node/src/callers/online.rs
+++ b/bamboo-node/src/callers/online.rs
@@ -191,12 +191,15 @@
             deadline,
         };
         let result = match completion.is_stream {
-            true => call.stream(arrived_at).await.map(EngineResponse::Stream),
+            true => {
+                let started = call.stream(arrived_at).await;
+                started.map(|stream| EngineResponse::Stream(Box::new(stream)))
+            }
             false => call.buffered().await.map(EngineResponse::Buffered),
         };
         answer = match result {
             Ok(EngineResponse::Stream(stream)) => {
-                return respond_stream(&app, request, stream, guard, open_request_guard);
+                return respond_stream(&app, request, *stream, guard, open_request_guard);
             }
             Ok(EngineResponse::Buffered(bytes)) => {
                 guard.end(OnlineEnd::Whole);
@@ -232,7 +235,7 @@
 }
 
 enum EngineResponse {
-    Stream(StartedStream),
+    Stream(Box<StartedStream>),
     Buffered(Bytes),
 }
 
@@ -254,7 +257,7 @@
 impl EngineCall<'_> {
     async fn stream(&self, arrived_at: Instant) -> Result<StartedStream, CallFailure> {
         let mut response = self.send().await?;
-        check_engine_status(&mut response).await?;
+        check_engine_status(&mut response, self.deadline).await?;
         let mut events = EventStream::new(response, self.deadline);
         match events.next().await? {
             StreamEvent::Data(first) => {
@@ -274,7 +277,7 @@
 
     async fn buffered(&self) -> Result<Bytes, CallFailure> {
         let mut response = self.send().await?;
-        check_engine_status(&mut response).await?;
+        check_engine_status(&mut response, self.deadline).await?;
         read_body(&mut response, self.deadline, RESPONSE_MAX_BYTES).await
     }
 
--- a/bamboo-node/src/engine_client.rs
+++ b/bamboo-node/src/engine_client.rs
@@ -1,6 +1,7 @@
 //! HTTP client for engines and plain services. An engine with a different API (headers, statuses, stream format) is
 //! supported by changing this file; the request bodies of items are built in `batch`.
 
+use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::time::Duration;
 use std::time::Instant;
@@ -11,9 +12,10 @@
 use awc::error::SendRequestError;
 use awc::http::Method;
 use awc::http::header::HeaderMap;
+use bamboo_fleet::SseDecoder;
+use bamboo_fleet::SseEvent;
 use bamboo_result::Code;
 use bytes::Bytes;
-use bytes::BytesMut;
 use futures_util::Stream;
 use futures_util::StreamExt;
 
@@ -25,6 +27,8 @@
 const DONE_MARKER: &str = "[DONE]";
 /// Maximum size of one event of a stream, bytes.
 const EVENT_MAX_BYTES: usize = 1 << 20;
+/// Maximum size of the body of a rejection, bytes.
+const ERROR_BODY_MAX_BYTES: usize = 1 << 20;
 
 /// Why a call got no complete response.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -89,7 +93,10 @@
 ///
 /// # Errors
 /// Fails for every status other than 200.
-pub(crate) async fn check_engine_status(response: &mut ClientResponse) -> Result<(), CallFailure> {
+pub(crate) async fn check_engine_status(
+    response: &mut ClientResponse,
+    deadline: Instant,
+) -> Result<(), CallFailure> {
     let status = response.status().as_u16();
     match status {
         200 => Ok(()),
@@ -97,7 +104,13 @@
             reason: format!("server answered {status}"),
         }),
         400..=499 => {
-            let body = response.body().await.unwrap_or_default();
+            let body = match read_body(response, deadline, ERROR_BODY_MAX_BYTES).await {
+                Ok(body) => body,
+                Err(failure) => {
+                    log::debug!("body of an answer with status {status}: {failure:?}");
+                    Bytes::new()
+                }
+            };
             Err(CallFailure::Refused { status, body })
         }
         _ => Err(unknown_outcome(
@@ -145,7 +158,8 @@
 /// Decoder of a streamed response.
 pub(crate) struct EventStream {
     response: ClientResponse,
-    buffer: BytesMut,
+    decoder: SseDecoder,
+    events: VecDeque<SseEvent>,
     deadline: Instant,
 }
 
@@ -153,29 +167,32 @@
     pub(crate) fn new(response: ClientResponse, deadline: Instant) -> Self {
         EventStream {
             response,
-            buffer: BytesMut::new(),
+            decoder: SseDecoder::new(EVENT_MAX_BYTES),
+            events: VecDeque::new(),
             deadline,
         }
     }
 
-    /// Reads the next event.
+    /// Reads the next event with data.
     ///
     /// # Errors
     /// Fails if the stream ends without the `[DONE]` marker or the deadline passes.
     pub(crate) async fn next(&mut self) -> Result<StreamEvent, CallFailure> {
         loop {
-            if let Some(event) = split_event(&mut self.buffer) {
-                return Ok(event);
+            while let Some(event) = self.events.pop_front() {
+                if let Some(data) = event.data() {
+                    return Ok(StreamEvent::from(data));
+                }
             }
-            if self.buffer.len() > EVENT_MAX_BYTES {
-                return Err(unknown_outcome(
+            let bytes = next_bytes(&mut self.response, self.deadline).await?;
+            let events = self.decoder.push(&bytes).map_err(|error| {
+                unknown_outcome(
                     Code::AnswerCut,
-                    "an event of the stream is too large",
+                    &format!("the stream broke off: {error}"),
                     false,
-                ));
-            }
-            let bytes = next_bytes(&mut self.response, self.deadline).await?;
-            self.buffer.extend_from_slice(&bytes);
+                )
+            })?;
+            self.events.extend(events);
         }
     }
 }
@@ -205,21 +222,13 @@
     }
 }
 
-fn split_event(buffer: &mut BytesMut) -> Option<StreamEvent> {
-    let end = buffer.windows(2).position(|pair| pair == b"\n\n")?;
-    let event = buffer.split_to(end + 2);
-    let text = String::from_utf8_lossy(&event);
-    let data: Vec<&str> = text
-        .lines()
-        .filter_map(|line| line.strip_prefix("data:"))
-        .map(str::trim_start)
-        .collect();
-    let data = data.join("\n");
-    Some(if data == DONE_MARKER {
-        StreamEvent::End
-    } else {
-        StreamEvent::Data(data)
-    })
+impl From<Vec<u8>> for StreamEvent {
+    fn from(data: Vec<u8>) -> Self {
+        match data == DONE_MARKER.as_bytes() {
+            true => StreamEvent::End,
+            false => StreamEvent::Data(String::from_utf8_lossy(&data).into_owned()),
+        }
+    }
 }
 
 fn classify_send_error(error: SendRequestError) -> CallFailure {
