fix(slots): hosts that allocate by themselves no longer choose the same engines

Cause: after a common start each of 304 hosts is its own coordinator for up to 0.6 s, and every broker took the first of equally loaded engines by identifier: the same ones for all hosts of a data centre. Change: a broker orders equally suitable engines by rendezvous with its host.

--- a/bamboo-slots/src/allocate.rs
+++ b/bamboo-slots/src/allocate.rs
@@ -121,10 +121,13 @@
                     (false, true) => state.online.len(),
                     (false, false) => return None,
                 };
-                Some(((is_probe, !is_free, is_remote, load), state))
+                Some((
+                    (is_probe, !is_free, is_remote, load, state.tie_break),
+                    state,
+                ))
             })
             .min_by_key(|(rank, _)| *rank);
-        let ((_, needs_preemption, _, _), state) = best?;
+        let ((_, needs_preemption, ..), state) = best?;
         let server = state.engine.server.clone();
         if needs_preemption {
             self.preempt_batch_item(&server, now);
@@ -187,7 +190,7 @@
             .min_by_key(|state| {
                 let is_remote = state.engine.data_centre != request.data_centre;
                 let is_probe = state.health.is_half_open();
-                (!is_probe, is_remote, state.running_count())
+                (!is_probe, is_remote, state.running_count(), state.tie_break)
             })
             .map(|state| state.engine.server.clone())
     }
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -6,6 +6,7 @@
 
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
+use bamboo_types::rendezvous_weight;
 
 use crate::Action;
 use crate::BatchItem;
@@ -58,9 +59,20 @@
     slot_time_mean: Option<Duration>,
     batch_slots_mean: Option<f64>,
     pub(crate) actions: Vec<Action>,
+    /// Host whose order among equally suitable engines applies; without one they are ordered by identifier.
+    host: Option<HostId>,
 }
 
 impl Broker {
+    /// Creates the broker of a host. Each host has an order of its own among equally suitable engines: as long as several
+    /// hosts allocate the same slots, as after a common start, they would otherwise all choose the same engine.
+    pub fn new(host: HostId) -> Self {
+        Broker {
+            host: Some(host),
+            ..Broker::default()
+        }
+    }
+
     /// Adds or updates an engine. If `is_restarted`, the health recorded for its previous process is discarded.
     pub fn put_engine(&mut self, engine: Engine, is_restarted: bool, now: Duration) {
         match self.engines.get_mut(&engine.server) {
@@ -79,6 +91,10 @@
                     batch,
                     freed_at: Vec::new(),
                     health: Health::default(),
+                    tie_break: self
+                        .host
+                        .as_ref()
+                        .map_or(0, |host| rendezvous_weight(&server, host)),
                 };
                 self.engines.insert(server.clone(), state);
                 self.preempt_excess(&server, now);
--- a/bamboo-slots/src/engine.rs
+++ b/bamboo-slots/src/engine.rs
@@ -48,6 +48,8 @@
     /// When slots were freed. Grants to online requests remove the newest entry.
     pub(crate) freed_at: Vec<Duration>,
     pub(crate) health: Health,
+    /// Order among engines that are equally suitable.
+    pub(crate) tie_break: u64,
 }
 
 impl EngineState {
