fix(gateway): a host reads the list of hosts before it enters itself

Cause: after a common start each host appended its entry to the list of hosts and read the list only then. Beside it: only the first page of the list was read (500 hosts), and the whole list every 10 s. Change: a step function (HostListSync) reads, enters, and reads again while no other host is known. The list is read in pages and by its changes, by the reader of the other topics.

--- a/bamboo-coordination/src/lib.rs
+++ b/bamboo-coordination/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod coordinator;
+mod host_list;
 mod message;
 mod reports;
 mod shutdown;
@@ -11,6 +12,8 @@
 pub use coordinator::CoordinatorTracker;
 pub use coordinator::HEARTBEAT_INTERVAL;
 pub use coordinator::HintAction;
+pub use host_list::HostListStep;
+pub use host_list::HostListSync;
 pub use message::ClusterMap;
 pub use message::Heartbeat;
 pub use message::HostInfo;
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -168,6 +168,7 @@
         let store_metrics = metrics.store.clone();
         let buffer_bytes = (settings.memory_mb << 20) / BUFFER_BUDGET_PARTS;
         let buffer_bytes = usize::try_from(buffer_bytes).unwrap_or(usize::MAX);
+        let broker = Broker::new(local.host.clone());
         let gateway = Rc::new(Gateway {
             store: StoreClient::new(settings.store.address, dialect.clone())
                 .with_metrics(store_metrics),
@@ -186,7 +187,7 @@
             slot_requests: SlotRequestTable::default(),
             coordination: RefCell::new(coordination),
             stream_origins: RefCell::default(),
-            broker: RefCell::new(Broker::default()),
+            broker: RefCell::new(broker),
             reports: RefCell::new(Reports::default()),
             store_path: RefCell::default(),
             servers_read: Cell::new(None),
--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use bamboo_coordination::HostInfo;
+use bamboo_coordination::HostListStep;
+use bamboo_coordination::HostListSync;
 use bamboo_types::decode_bincode;
 
 use crate::gateway::Gateway;
@@ -12,9 +14,12 @@
 use crate::jobs::shard::OwnedShard;
 use crate::jobs::shard::serve_shard;
 use crate::store::Partition;
+use crate::store::ReadExtent;
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
 use crate::task::OwnedTask;
+use crate::watch::TopicReader;
+use crate::watch::TopicUpdate;
 
 /// Group whose members the store assigns the shards to.
 const SHARD_OWNERS_GROUP: &str = "bamboo-shards";
@@ -26,10 +31,6 @@
 const MEMBERSHIP_RENEWAL_INTERVAL: Duration = Duration::from_millis(300);
 /// Topic in which hosts are listed, without the prefix of keyed topics.
 const HOSTS_TOPIC: &str = "bamboo-hosts";
-/// Interval of reading the list of hosts. Hosts usually learn of each other much sooner, through their links.
-const HOST_LIST_READ_INTERVAL: Duration = Duration::from_secs(10);
-/// Delay after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Timeout of pending appends when a shard is assigned to another host.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of pending appends when the host shuts down.
@@ -149,29 +150,31 @@
 
 /// Adds this host to the list of hosts, then reads the list periodically until the process stops.
 pub(crate) async fn sync_host_list(gateway: Rc<Gateway>) {
-    let value = match encode_host(&gateway.local) {
-        Some(value) => value,
-        None => return,
+    let Some(value) = encode_host(&gateway.local) else {
+        return;
     };
-    while !publish_host(&gateway, Some(&value)).await {
-        actix_rt::time::sleep(RETRY_PAUSE).await;
-    }
+    let mut sync = HostListSync::default();
+    let mut reader = TopicReader::new(hosts_topic(&gateway), Duration::ZERO, ReadExtent::Tail);
     loop {
-        let request = StoreRequest::Newest {
-            topic: hosts_topic(&gateway),
-            after: None,
-        };
-        let pause = match gateway.store_call(&request).await {
-            Ok(StoreReply::Newest { records, .. }) => {
-                for record in records {
-                    add_listed_host(&gateway, record.value);
+        let now = gateway.clock.now();
+        let is_joining = gateway.coordination.borrow().is_joining(now);
+        match sync.next_step(is_joining, now) {
+            HostListStep::Read => {
+                let update = reader.read(&gateway).await;
+                sync.record_read(update.is_ok(), gateway.clock.now());
+                if let Ok(TopicUpdate::Newest(records) | TopicUpdate::Records(records)) = update {
+                    for record in records {
+                        add_listed_host(&gateway, record.value);
+                    }
+                    gateway.send_probes();
                 }
-                gateway.send_probes();
-                HOST_LIST_READ_INTERVAL
             }
-            _ => RETRY_PAUSE,
-        };
-        actix_rt::time::sleep(pause).await;
+            HostListStep::Publish => {
+                let is_ok = publish_host(&gateway, Some(&value)).await;
+                sync.record_publication(is_ok, gateway.clock.now());
+            }
+            HostListStep::Wait(time) => actix_rt::time::sleep(time).await,
+        }
     }
 }
 
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -27,15 +27,15 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// Incremental reader of a compacted topic.
-struct TopicReader {
-    topic: &'static str,
+pub(crate) struct TopicReader {
+    topic: String,
     next: Option<Offset>,
     wait: Duration,
     extent: ReadExtent,
 }
 
 /// Result of a read.
-enum TopicUpdate {
+pub(crate) enum TopicUpdate {
     /// The newest record of every key.
     Newest(Vec<KeyedRecord>),
     /// Records appended since the previous read.
@@ -43,6 +43,20 @@
 }
 
 impl TopicReader {
+    /// Creates a reader that begins with the newest record of every key. `wait` is the time of a long poll for further
+    /// records.
+    pub(crate) fn new<T>(topic: T, wait: Duration, extent: ReadExtent) -> Self
+    where
+        T: Into<String>,
+    {
+        TopicReader {
+            topic: topic.into(),
+            next: None,
+            wait,
+            extent,
+        }
+    }
+
     /// Goes on after a record that this host has learned of in another way. All records before it are outdated.
     fn skip_past(&mut self, offset: Offset) {
         if self.next.is_none_or(|next| next <= offset) {
@@ -50,12 +64,12 @@
         }
     }
 
-    async fn read(&mut self, gateway: &Gateway) -> Result<TopicUpdate, StoreError> {
+    pub(crate) async fn read(&mut self, gateway: &Gateway) -> Result<TopicUpdate, StoreError> {
         let Some(from) = self.next else {
             return self.read_all(gateway).await;
         };
         let request = StoreRequest::Read {
-            topic: self.topic.to_owned(),
+            topic: self.topic.clone(),
             partition: 0,
             from,
             wait: self.wait,
@@ -69,7 +83,7 @@
                     let record = parse_keyed_record(record, offset);
                     if record.is_none() {
                         log::warn!(
-                            event = "record_unreadable", topic = self.topic, offset;
+                            event = "record_unreadable", topic = self.topic.as_str(), offset;
                             "skipped a record without a valid key"
                         );
                     }
@@ -91,7 +105,7 @@
         let mut first_end = None;
         loop {
             let request = StoreRequest::Newest {
-                topic: self.topic.to_owned(),
+                topic: self.topic.clone(),
                 after: after.clone(),
             };
             let StoreReply::Newest {
@@ -127,13 +141,9 @@
 
 /// Applies new configurations from the store until the process ends.
 pub(crate) async fn watch_config(gateway: Rc<Gateway>) {
-    let mut reader = TopicReader {
-        topic: gateway.dialect.config_topic,
-        next: None,
-        wait: CONFIG_LONG_POLL,
-        // One record holds the whole configuration.
-        extent: ReadExtent::Backlog,
-    };
+    // One record holds the whole configuration.
+    let extent = ReadExtent::Backlog;
+    let mut reader = TopicReader::new(gateway.dialect.config_topic, CONFIG_LONG_POLL, extent);
     loop {
         if let Some(record) = gateway.config_record() {
             reader.skip_past(record.offset);
@@ -159,12 +169,8 @@
 
 /// Applies changes of the server entries in the store until the process ends.
 pub(crate) async fn watch_servers(gateway: Rc<Gateway>) {
-    let mut reader = TopicReader {
-        topic: gateway.dialect.servers_topic,
-        next: None,
-        wait: Duration::ZERO,
-        extent: ReadExtent::Tail,
-    };
+    let (topic, extent) = (gateway.dialect.servers_topic, ReadExtent::Tail);
+    let mut reader = TopicReader::new(topic, Duration::ZERO, extent);
     let mut grace_period = OutageGracePeriod::default();
     loop {
         let update = reader.read(&gateway).await;
