--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -172,7 +172,7 @@
         let gateway = Rc::new(Gateway {
             store: StoreClient::new(settings.store.address, dialect.clone())
                 .with_metrics(store_metrics),
-            mesh: Mesh::new(local.clone(), link_failures),
+            mesh: Mesh::new(local.clone(), link_failures, metrics.peer_bytes.clone()),
             local,
             settings,
             dialect,
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -22,6 +22,8 @@
 pub(crate) use message::PeerRequest;
 pub(crate) use message::SlotRequestInfo;
 
+use crate::metrics::PeerBytes;
+
 /// Time without messages after which a link is closed.
 const LINK_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -50,10 +52,15 @@
     pending: RefCell<HashMap<u64, PendingCall>>,
     next_call: Cell<u64>,
     link_failures: mpsc::UnboundedSender<LinkFailure>,
+    sent_bytes: PeerBytes,
 }
 
 impl Mesh {
-    pub(crate) fn new(local: HostInfo, link_failures: mpsc::UnboundedSender<LinkFailure>) -> Self {
+    pub(crate) fn new(
+        local: HostInfo,
+        link_failures: mpsc::UnboundedSender<LinkFailure>,
+        sent_bytes: PeerBytes,
+    ) -> Self {
         Mesh {
             links: RefCell::new(HashMap::new()),
             pending: RefCell::new(HashMap::new()),
@@ -61,6 +68,7 @@
             next_call: Cell::new(local.incarnation),
             local,
             link_failures,
+            sent_bytes,
         }
     }
 
@@ -77,7 +85,8 @@
     }
 
     fn open_link(&self, host: &str, now: Duration) -> Link {
-        Link::open(host, self.local.clone(), self.link_failures.clone(), now)
+        let (local, link_failures) = (self.local.clone(), self.link_failures.clone());
+        Link::open(host, local, link_failures, self.sent_bytes.clone(), now)
     }
 
     /// Records that a message arrived from a host, which is therefore up.
--- a/bamboo-gateway/src/mesh/link.rs
+++ b/bamboo-gateway/src/mesh/link.rs
@@ -15,6 +15,8 @@
 use tokio::sync::mpsc;
 
 use crate::mesh::PeerMessage;
+use crate::metrics::KindLabel;
+use crate::metrics::PeerBytes;
 use crate::net;
 use crate::task::OwnedTask;
 
@@ -61,6 +63,7 @@
         host: &str,
         local: HostInfo,
         link_failures: mpsc::UnboundedSender<LinkFailure>,
+        sent_bytes: PeerBytes,
         now: Duration,
     ) -> Self {
         let (queue, messages) = mpsc::channel(SEND_QUEUE_LEN);
@@ -68,7 +71,7 @@
         let shared = Rc::new(Shared::default());
         let task_shared = Rc::clone(&shared);
         let task = OwnedTask::spawn(async move {
-            if let Err(error) = run(&host, local, messages, &task_shared).await {
+            if let Err(error) = run(&host, local, messages, &task_shared, &sent_bytes).await {
                 log::info!(event = "link_lost", host = host.as_str(); "link to a host failed: {error:#}");
             }
             let unconnected_since = (!task_shared.is_established.get()).then_some(now);
@@ -114,6 +117,7 @@
     local: HostInfo,
     mut messages: mpsc::Receiver<PeerMessage>,
     shared: &Shared,
+    sent_bytes: &PeerBytes,
 ) -> anyhow::Result<()> {
     let address: SocketAddr = host.parse().context("invalid address of a host")?;
     let stream = connect(address, shared).await?;
@@ -126,15 +130,15 @@
     let mut connection = std::pin::pin!(connection);
     let request = http::Request::post(format!("http://{host}/messages")).body(())?;
     let (_response, mut body) = sender.send_request(request, false)?;
-    send(&mut body, &PeerMessage::Hello(local))?;
+    send(&mut body, &PeerMessage::Hello(local), sent_bytes)?;
     loop {
         tokio::select! {
             ended = &mut connection => return ended.context("connection"),
             message = messages.recv() => {
                 let Some(message) = message else { return Ok(()) };
-                send(&mut body, &message)?;
+                send(&mut body, &message, sent_bytes)?;
                 while let Ok(message) = messages.try_recv() {
-                    send(&mut body, &message)?;
+                    send(&mut body, &message, sent_bytes)?;
                 }
             }
         }
@@ -163,11 +167,18 @@
     Err(last_error)
 }
 
-fn send(body: &mut SendStream<Bytes>, message: &PeerMessage) -> anyhow::Result<()> {
+fn send(
+    body: &mut SendStream<Bytes>,
+    message: &PeerMessage,
+    sent_bytes: &PeerBytes,
+) -> anyhow::Result<()> {
     let mut frame = vec![0; LENGTH_PREFIX_BYTES];
     bincode::serde::encode_into_std_write(message, &mut frame, bincode::config::standard())?;
     let length = u32::try_from(frame.len() - LENGTH_PREFIX_BYTES)?;
     frame[..LENGTH_PREFIX_BYTES].copy_from_slice(&length.to_be_bytes());
+    let kind = message.kind();
+    let counter = sent_bytes.get_or_create(&KindLabel { kind });
+    counter.inc_by(frame.len() as u64);
     body.send_data(Bytes::from(frame), false)?;
     Ok(())
 }
--- a/bamboo-gateway/src/metrics.rs
+++ b/bamboo-gateway/src/metrics.rs
@@ -31,6 +31,9 @@
     pub kind: &'static str,
 }
 
+/// Bytes sent to other hosts by kind of message.
+pub(crate) type PeerBytes = Family<KindLabel, Counter>;
+
 /// Labels of the counter of calls to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StoreCallLabels {
@@ -107,6 +110,10 @@
     pub items: Family<KindLabel, Counter>,
     /// Calls to the store by kind, topic and outcome, and the bytes received.
     pub store: StoreMetrics,
+    /// Bytes sent to other hosts by kind of message.
+    pub peer_bytes: PeerBytes,
+    /// Bytes of servers' response bodies, by whether the server is in another data centre.
+    pub server_bytes: Family<KindLabel, Counter>,
     /// Requests sent to the store.
     pub store_calls: Gauge,
     /// Requests to the store that failed.
@@ -127,6 +134,8 @@
             take_ups: Family::default(),
             items: Family::default(),
             store: StoreMetrics::default(),
+            peer_bytes: Family::default(),
+            server_bytes: Family::default(),
             store_calls: Gauge::default(),
             store_failures: Gauge::default(),
             partitions: Gauge::default(),
@@ -164,6 +173,16 @@
             "Bytes of the store's answers, whole or discarded",
             metrics.store.received_bytes.clone(),
         );
+        registry.register(
+            "peer_sent_bytes",
+            "Bytes sent to other hosts by kind of message",
+            metrics.peer_bytes.clone(),
+        );
+        registry.register(
+            "server_received_bytes",
+            "Bytes of servers' answers, from the same data centre and from others",
+            metrics.server_bytes.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls of the store",
@@ -199,6 +218,16 @@
         self.items.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts bytes of a server's response body.
+    pub(crate) fn count_server_bytes(&self, is_remote: bool, bytes: usize) {
+        let kind = match is_remote {
+            true => "other_data_centre",
+            false => "same_data_centre",
+        };
+        let counter = self.server_bytes.get_or_create(&KindLabel { kind });
+        counter.inc_by(bytes as u64);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode(&self) -> String {
         let mut text = String::new();
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -80,6 +80,8 @@
     body: Incoming,
     decoder: SseDecoder,
     events: VecDeque<SseEvent>,
+    /// Whether the server is in another data centre.
+    is_remote: bool,
     /// Wait for the next event with data, if one is under way.
     silence: Option<SilenceTimer>,
 }
@@ -161,6 +163,7 @@
             body,
             decoder: SseDecoder::default(),
             events: VecDeque::new(),
+            is_remote: server.data_centre != gateway.settings.data_centre,
             silence: None,
         });
     }
@@ -255,16 +258,21 @@
             Err(_) => return None,
         };
         match frame {
-            Some(Ok(frame)) => match self.decoder.push(frame.data_ref()?) {
-                Ok(events) => {
-                    self.events.extend(events);
-                    None
+            Some(Ok(frame)) => {
+                let data = frame.data_ref()?;
+                let metrics = &gateway.metrics;
+                metrics.count_server_bytes(self.is_remote, data.len());
+                match self.decoder.push(data) {
+                    Ok(events) => {
+                        self.events.extend(events);
+                        None
+                    }
+                    Err(error) => {
+                        log::info!(event = "event_too_large"; "a server sends an event without end: {error}");
+                        Some(StreamRead::Broken)
+                    }
                 }
-                Err(error) => {
-                    log::info!(event = "event_too_large"; "a server sends an event without end: {error}");
-                    Some(StreamRead::Broken)
-                }
-            },
+            }
             Some(Err(_)) => Some(StreamRead::Broken),
             None if self.decoder.has_partial() => Some(StreamRead::Broken),
             None => Some(StreamRead::End),
