perf(coordination): hosts are told what changed in the cluster map, not the whole map

Change: the coordinator keeps 24 former maps and sends the difference to a host that has one of them. The change names the digest of the result; a host whose result differs, as after a suspicion, asks for the whole map.

--- a/bamboo-coordination/src/coordinator.rs
+++ b/bamboo-coordination/src/coordinator.rs
@@ -14,6 +14,7 @@
 use bamboo_types::rendezvous_weight;
 
 use crate::ClusterMap;
+use crate::ClusterMapUpdate;
 use crate::HostInfo;
 use crate::Probe;
 
@@ -418,6 +419,23 @@
         self.cluster_map = cluster_map;
     }
 
+    /// Adopts a whole cluster map or a change of the current one. If the result is not the map that the coordinator
+    /// announced, the digest says that this host has none, so that it gets the whole map next.
+    pub fn apply_cluster_map(&mut self, update: ClusterMapUpdate) {
+        match update {
+            ClusterMapUpdate::Whole(cluster_map) => self.set_cluster_map(cluster_map),
+            ClusterMapUpdate::Change(change) => {
+                if change.base_digest != self.cluster_map_digest {
+                    return;
+                }
+                self.set_cluster_map(self.cluster_map.with_change(&change));
+                if self.cluster_map_digest != change.digest {
+                    self.cluster_map_digest = 0;
+                }
+            }
+        }
+    }
+
     /// Digest of the current cluster map.
     pub fn cluster_map_digest(&self) -> u64 {
         self.cluster_map_digest
--- a/bamboo-coordination/src/lib.rs
+++ b/bamboo-coordination/src/lib.rs
@@ -2,6 +2,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod cluster_map;
 mod coordinator;
 mod host_list;
 mod message;
@@ -9,12 +10,14 @@
 mod shutdown;
 mod stream_origins;
 
+pub use cluster_map::ClusterMap;
+pub use cluster_map::ClusterMapChange;
+pub use cluster_map::ClusterMapUpdate;
 pub use coordinator::CoordinatorTracker;
 pub use coordinator::HEARTBEAT_INTERVAL;
 pub use coordinator::HintAction;
 pub use host_list::HostListStep;
 pub use host_list::HostListSync;
-pub use message::ClusterMap;
 pub use message::Heartbeat;
 pub use message::HostInfo;
 pub use message::Partition;
--- a/bamboo-coordination/src/message.rs
+++ b/bamboo-coordination/src/message.rs
@@ -4,7 +4,6 @@
 use bamboo_types::HostId;
 use serde::Deserialize;
 use serde::Serialize;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Number of a partition of jobs.
 pub type Partition = u32;
@@ -54,30 +53,3 @@
     /// Host that the sender considers the coordinator.
     pub coordinator: HostInfo,
 }
-
-/// The live hosts and the partition owners, as the coordinator publishes them to every host.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClusterMap {
-    /// Hosts that report to the coordinator.
-    pub hosts: Vec<HostInfo>,
-    /// Owners of partitions with their epochs.
-    pub owners: Vec<(Partition, HostId, u64)>,
-}
-
-impl ClusterMap {
-    /// Digest of the content, by which a host reports which cluster map it has.
-    ///
-    /// ```
-    /// let map = bamboo_coordination::ClusterMap::default();
-    /// assert_eq!(map.digest(), map.clone().digest());
-    /// ```
-    pub fn digest(&self) -> u64 {
-        match bincode::serde::encode_to_vec(self, bincode::config::standard()) {
-            Ok(bytes) => xxh3_64(&bytes),
-            Err(error) => {
-                log::error!("cannot encode the cluster map: {error}");
-                0
-            }
-        }
-    }
-}
--- a/bamboo-coordination/src/reports.rs
+++ b/bamboo-coordination/src/reports.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use bamboo_slots::SlotRequestId;
@@ -9,6 +10,8 @@
 use bamboo_types::rendezvous_weight;
 
 use crate::ClusterMap;
+use crate::ClusterMapChange;
+use crate::ClusterMapUpdate;
 use crate::Heartbeat;
 use crate::HostInfo;
 use crate::coordinator::rank;
@@ -25,6 +28,10 @@
 /// the users' current sites and makes a cluster map of 4 kB.
 const LISTED_OTHERS: usize = 48;
 
+/// Number of former cluster maps that are kept to tell hosts what changed. During a roll the map changes several times
+/// between two heartbeats of a host.
+const FORMER_MAPS_MAX: usize = 24;
+
 #[derive(Debug)]
 struct Report {
     info: HostInfo,
@@ -58,6 +65,10 @@
     reports: BTreeMap<HostId, Report>,
     /// Cached cluster map with its digest; cleared when its content changes.
     cluster_map: Option<(ClusterMap, u64)>,
+    /// Former cluster maps with their digests, newest last.
+    former_maps: VecDeque<(ClusterMap, u64)>,
+    /// Changes from former maps, by digest, to the cached one.
+    changes: BTreeMap<u64, ClusterMapChange>,
     reservations: Vec<Reservation>,
     next_reservation: u64,
     /// Hosts that sent slot requests but no heartbeat yet, with the time of the first request.
@@ -91,7 +102,7 @@
                 && report.heartbeat.is_leaving == heartbeat.is_leaving
         });
         if !is_map_unchanged {
-            self.cluster_map = None;
+            self.supersede_cluster_map();
         }
         self.reservations.retain(|reservation| {
             reservation.host != info.host || reservation.number > heartbeat.reservation
@@ -168,7 +179,7 @@
         for host in &lost {
             self.unreported.remove(host);
             if self.reports.remove(host).is_some() {
-                self.cluster_map = None;
+                self.supersede_cluster_map();
             }
         }
         self.reservations
@@ -189,6 +200,36 @@
         })
     }
 
+    /// What a host has to learn about the cluster map, given the digest of the one that it has; `None` if it is current.
+    pub fn cluster_map_update(&mut self, known_digest: u64) -> Option<ClusterMapUpdate> {
+        if self.cluster_map().1 == known_digest {
+            return None;
+        }
+        if let Some(change) = self.changes.get(&known_digest) {
+            return Some(ClusterMapUpdate::Change(change.clone()));
+        }
+        let cluster_map = self.cluster_map().0.clone();
+        let mut former_maps = self.former_maps.iter().rev();
+        let Some((base, _)) = former_maps.find(|(_, former)| *former == known_digest) else {
+            return Some(ClusterMapUpdate::Whole(cluster_map));
+        };
+        let change = cluster_map.change_since(base);
+        self.changes.insert(known_digest, change.clone());
+        Some(ClusterMapUpdate::Change(change))
+    }
+
+    /// Keeps the cluster map among the former ones, and has it derived anew.
+    fn supersede_cluster_map(&mut self) {
+        let Some(superseded) = self.cluster_map.take() else {
+            return;
+        };
+        self.changes.clear();
+        self.former_maps.push_back(superseded);
+        if self.former_maps.len() > FORMER_MAPS_MAX {
+            self.former_maps.pop_front();
+        }
+    }
+
     /// Reserves queue capacity on a route for tokens of a host, unless more than `max_tokens` would then wait.
     pub fn reserve(
         &mut self,
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bamboo_coordination::ClusterMap;
+use bamboo_coordination::ClusterMapUpdate;
 use bamboo_coordination::Heartbeat;
 use bamboo_coordination::HintAction;
 use bamboo_coordination::HostInfo;
@@ -99,7 +99,7 @@
                 if coordination.coordinator() == &sender.host
                     && let Some(cluster_map) = cluster_map
                 {
-                    coordination.set_cluster_map(cluster_map);
+                    coordination.apply_cluster_map(cluster_map);
                 }
                 drop(coordination);
                 self.request_config_fetch(&sender.host, config_version);
@@ -290,8 +290,7 @@
         let mut reports = self.reports.borrow_mut();
         let is_new = reports.record_heartbeat(sender, heartbeat, now);
         let wants_sync = reports.record_unknown_requests(&sender.host, unknown);
-        let (cluster_map, digest) = reports.cluster_map();
-        let changed_map = (*digest != known_digest).then(|| cluster_map.clone());
+        let map_update = reports.cluster_map_update(known_digest);
         drop(reports);
         if is_new {
             log::info!(event = "host_joined", host = sender.host.as_str(); "a host reports to this coordinator");
@@ -301,19 +300,19 @@
             .reconcile(&sender.host, &reported, DROP_UNREPORTED_AFTER, now);
         self.send_broker_actions();
         if sender.host == self.local.host {
-            if let Some(cluster_map) = changed_map {
-                self.coordination.borrow_mut().set_cluster_map(cluster_map);
+            if let Some(update) = map_update {
+                self.coordination.borrow_mut().apply_cluster_map(update);
             }
             return;
         }
-        self.acknowledge_heartbeat(sender, changed_map, wants_sync, now);
+        self.acknowledge_heartbeat(sender, map_update, wants_sync, now);
         self.request_config_fetch(&sender.host, version);
     }
 
     pub(super) fn acknowledge_heartbeat(
         &self,
         sender: &HostInfo,
-        cluster_map: Option<ClusterMap>,
+        cluster_map: Option<ClusterMapUpdate>,
         wants_sync: bool,
         now: Duration,
     ) {
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use bamboo_coordination::ClusterMap;
+use bamboo_coordination::ClusterMapUpdate;
 use bamboo_coordination::Heartbeat;
 use bamboo_coordination::HostInfo;
 use bamboo_coordination::Probe;
@@ -162,8 +162,8 @@
     Probe(Probe),
     /// Acknowledgement of a heartbeat or probe.
     HeartbeatAck {
-        /// Cluster map of the coordinator; `None` if the host already has it.
-        cluster_map: Option<ClusterMap>,
+        /// Cluster map of the coordinator, or what changed; `None` if the host already has it.
+        cluster_map: Option<ClusterMapUpdate>,
         /// Version of the sender's configuration.
         config_version: u64,
         /// Whether the sender is about to stop.
