--- a/bamboo-gateway/src/gateway/store_calls.rs
+++ b/bamboo-gateway/src/gateway/store_calls.rs
@@ -67,7 +67,9 @@
             if !matches!(last_error, Some(StoreError::Unknown(_))) {
                 last_error = Some(error);
             }
-            call.advance(outcome, self.clock.now().saturating_sub(started));
+            let elapsed = self.clock.now().saturating_sub(started);
+            // The time that the store was asked to wait does not count.
+            call.advance(outcome, elapsed.saturating_sub(request.wait()));
         }
     }
 
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -17,10 +17,13 @@
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
 
-/// Long-poll time of configuration reads. Bounds how long a dead connection can hide a change.
-const CONFIG_LONG_POLL: Duration = Duration::from_millis(1000);
-/// Interval between reads of the server entries, so that the departure of a server is noticed well within 2 s.
-const SERVERS_POLL_INTERVAL: Duration = Duration::from_millis(600);
+/// Long-poll time of configuration reads. Behind a dead connection, heartbeats tell of a newer version sooner.
+const CONFIG_LONG_POLL: Duration = Duration::from_secs(3);
+/// Long-poll time of reads of the server entries. Bounds how long a dead connection can hide the departure of a server,
+/// and an outage that lets entries expire; an entry expires after 3.6 s without a renewal.
+const SERVERS_LONG_POLL: Duration = Duration::from_millis(1500);
+/// Interval between reads of the server entries while they change, so that one read covers several changes.
+const SERVERS_READ_INTERVAL: Duration = Duration::from_millis(600);
 /// Pause before the directory of servers is fetched from another host.
 const SERVERS_FETCH_PAUSE: Duration = Duration::from_millis(120);
 /// Pause after a failed read.
@@ -170,9 +173,10 @@
 /// Applies changes of the server entries in the store until the process ends.
 pub(crate) async fn watch_servers(gateway: Rc<Gateway>) {
     let (topic, extent) = (gateway.dialect.servers_topic, ReadExtent::Tail);
-    let mut reader = TopicReader::new(topic, Duration::ZERO, extent);
+    let mut reader = TopicReader::new(topic, SERVERS_LONG_POLL, extent);
     let mut grace_period = OutageGracePeriod::default();
     loop {
+        let started = gateway.clock.now();
         let update = reader.read(&gateway).await;
         let is_ok = update.is_ok();
         grace_period.record_store_read(is_ok, gateway.clock.now());
@@ -201,7 +205,8 @@
         for id in grace_period.take_expired(gateway.clock.now()) {
             remove_server(&gateway, &id, "lapsed");
         }
-        actix_rt::time::sleep(SERVERS_POLL_INTERVAL).await;
+        let elapsed = gateway.clock.now().saturating_sub(started);
+        actix_rt::time::sleep(SERVERS_READ_INTERVAL.saturating_sub(elapsed)).await;
     }
 }
 
