fix(gateway): requests wait for the first reads of a host that has just started

Cause: after a common start, callers return in the same milliseconds as the hosts, which refused them with 503 until they had read the configuration: some tens of milliseconds, 0.3 s in a large fleet. Change: a step function lets requests wait for the first reads up to an age of the process of 0.6 s; later they are refused at once as before, since the store or the other hosts are out of reach.

--- a/bamboo-coordination/src/lib.rs
+++ b/bamboo-coordination/src/lib.rs
@@ -8,6 +8,7 @@
 mod message;
 mod reports;
 mod shutdown;
+mod startup;
 mod stream_origins;
 
 pub use cluster_map::ClusterMap;
@@ -27,6 +28,8 @@
 pub use shutdown::ShutdownState;
 pub use shutdown::ShutdownStep;
 pub use shutdown::next_shutdown_step;
+pub use startup::StartupStep;
+pub use startup::next_startup_step;
 pub use stream_origins::ORIGIN_HOLDERS;
 pub use stream_origins::ORIGIN_HOSTS_ASKED;
 pub use stream_origins::StreamKey;
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -6,6 +6,8 @@
 use bamboo_coordination::HEARTBEAT_INTERVAL;
 use bamboo_coordination::Heartbeat;
 use bamboo_coordination::HostInfo;
+use bamboo_coordination::StartupStep;
+use bamboo_coordination::next_startup_step;
 use bamboo_slots::BATCH_GRANT_DELAY;
 use bamboo_slots::SlotRequestId;
 use tokio::sync::mpsc;
@@ -102,7 +104,7 @@
     /// Probes other hosts at short intervals until one that knows the backend servers is found, or for
     /// [`JOIN_TIMEOUT`] at most.
     pub(crate) async fn join_hosts(self: Rc<Self>) {
-        self.wait_for_servers().await;
+        self.wait_for_servers(SERVERS_GRACE).await;
         let deadline = self.clock.now() + JOIN_TIMEOUT;
         loop {
             let now = self.clock.now();
@@ -114,19 +116,28 @@
         }
     }
 
-    /// Waits until this host knows the backend servers, or for [`SERVERS_GRACE`] at most. A host that joins others
-    /// before it knows them would change the coordinator twice.
-    async fn wait_for_servers(&self) {
+    /// Lets a request wait for the first reads of a process that has just started.
+    pub(crate) async fn wait_for_first_reads(&self) {
+        let knows_servers = self.coordination.borrow().knows_servers();
+        match next_startup_step(knows_servers, self.clock.now()) {
+            StartupStep::Proceed => {}
+            StartupStep::Wait(timeout) => self.wait_for_servers(timeout).await,
+        }
+    }
+
+    /// Waits until this host knows the configuration and the backend servers. A host that joins others before would
+    /// change the coordinator twice.
+    async fn wait_for_servers(&self, timeout: Duration) {
         if self.coordination.borrow().knows_servers() {
             return;
         }
-        // After a timeout the host joins without knowing the servers.
-        let _ = tokio::time::timeout(SERVERS_GRACE, self.servers_known.notified()).await;
+        // After a timeout the host goes on without knowing the servers.
+        let _ = tokio::time::timeout(timeout, self.servers_known.notified()).await;
     }
 
     /// Runs [`tick`](Self::tick) at the heartbeat interval until the process ends.
     pub(crate) async fn tick_forever(self: Rc<Self>) {
-        self.wait_for_servers().await;
+        self.wait_for_servers(SERVERS_GRACE).await;
         loop {
             self.tick();
             actix_rt::time::sleep(HEARTBEAT_INTERVAL).await;
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -45,6 +45,7 @@
 ) -> Response<ResponseBody> {
     let arrived_at = gateway.clock.now();
     let _open = OpenRequest::begin(&gateway);
+    gateway.wait_for_first_reads().await;
     let Some(config) = gateway.config() else {
         return not_run("no configuration yet\n", NO_CONFIG_RETRY_AFTER);
     };
