fix(gateway): the end of a background task stops the process instead of leaving it half alive

Cause: a panic ends only its task. A process without its heartbeats, its watches or its acceptor of hosts went on and looked ready to callers, with nothing but a line on standard error. Tasks of single shards, requests and links are not covered: a panic there costs that shard's owner, request or link.

--- a/bamboo-gateway/src/lib.rs
+++ b/bamboo-gateway/src/lib.rs
@@ -40,3 +40,5 @@
 pub use store::StoreError;
 pub use store::StoreReply;
 pub use store::StoreRequest;
+pub use task::Supervisor;
+pub use task::TaskName;
--- a/bamboo-gateway/src/run.rs
+++ b/bamboo-gateway/src/run.rs
@@ -12,6 +12,7 @@
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::mpsc;
 
 use crate::dialect::Dialect;
 use crate::gateway::Gateway;
@@ -19,6 +20,8 @@
 use crate::mesh::accept_peers;
 use crate::settings::Settings;
 use crate::task::OwnedTask;
+use crate::task::Supervisor;
+use crate::task::TaskName;
 use crate::traffic::serve_callers;
 use crate::traffic::serve_metrics;
 use crate::traffic::serve_readiness;
@@ -50,26 +53,44 @@
         "gateway started"
     );
     let tasks = [
-        OwnedTask::spawn(accept_peers(Rc::clone(&gateway), peers)),
-        OwnedTask::spawn(serve_readiness(Rc::clone(&gateway), readiness)),
-        OwnedTask::spawn(serve_metrics(Rc::clone(&gateway), metrics)),
-        OwnedTask::spawn(watch_config(Rc::clone(&gateway))),
-        OwnedTask::spawn(watch_servers(Rc::clone(&gateway))),
         OwnedTask::spawn(fetch_servers_from_hosts(Rc::clone(&gateway))),
         OwnedTask::spawn(Rc::clone(&gateway).join_hosts()),
-        OwnedTask::spawn(Rc::clone(&gateway).probe_store()),
-        OwnedTask::spawn(Rc::clone(&gateway).tick_forever()),
-        OwnedTask::spawn(Rc::clone(&gateway).run_batch_grants()),
-        OwnedTask::spawn(Rc::clone(&gateway).fetch_configs(inputs.config_fetches)),
-        OwnedTask::spawn(Rc::clone(&gateway).handle_link_failures(inputs.link_failure_queue)),
         OwnedTask::spawn(crate::jobs::run_group_membership(Rc::clone(&gateway))),
-        OwnedTask::spawn(crate::jobs::sync_host_list(Rc::clone(&gateway))),
         OwnedTask::spawn(serve_callers(Rc::clone(&gateway), callers)),
     ];
-    shut_down_on_signal(&gateway, signals).await;
+    let (mut supervisor, ended) = Supervisor::new();
+    supervisor.spawn("accept_peers", accept_peers(Rc::clone(&gateway), peers));
+    supervisor.spawn(
+        "serve_readiness",
+        serve_readiness(Rc::clone(&gateway), readiness),
+    );
+    supervisor.spawn("serve_metrics", serve_metrics(Rc::clone(&gateway), metrics));
+    supervisor.spawn("watch_config", watch_config(Rc::clone(&gateway)));
+    supervisor.spawn("watch_servers", watch_servers(Rc::clone(&gateway)));
+    supervisor.spawn("probe_store", Rc::clone(&gateway).probe_store());
+    supervisor.spawn("heartbeats", Rc::clone(&gateway).tick_forever());
+    supervisor.spawn("batch_grants", Rc::clone(&gateway).run_batch_grants());
+    supervisor.spawn(
+        "fetch_configs",
+        Rc::clone(&gateway).fetch_configs(inputs.config_fetches),
+    );
+    supervisor.spawn(
+        "link_failures",
+        Rc::clone(&gateway).handle_link_failures(inputs.link_failure_queue),
+    );
+    supervisor.spawn(
+        "host_list",
+        crate::jobs::sync_host_list(Rc::clone(&gateway)),
+    );
+    let stop = wait_for_stop(signals, ended).await;
+    shut_down(&gateway).await;
+    drop(supervisor);
     drop(tasks);
     log::info!(event = "stop"; "gateway stopped");
-    Ok(())
+    match stop {
+        StopCause::Signal => Ok(()),
+        StopCause::TaskEnded(name) => anyhow::bail!("background task {name} ended"),
+    }
 }
 
 async fn listen(address: SocketAddr, purpose: &str) -> anyhow::Result<TcpListener> {
@@ -94,17 +115,32 @@
     }
 }
 
-async fn shut_down_on_signal(gateway: &Rc<Gateway>, mut signals: Signals) {
+/// Why the process stops.
+enum StopCause {
+    /// A termination signal.
+    Signal,
+    /// A background task ended that the process needs. Once started anew, it derives its state from the store.
+    TaskEnded(TaskName),
+}
+
+async fn wait_for_stop(
+    mut signals: Signals,
+    mut ended: mpsc::UnboundedReceiver<TaskName>,
+) -> StopCause {
     loop {
         tokio::select! {
-            _ = signals.terminate.recv() => break,
-            _ = signals.interrupt.recv() => break,
+            _ = signals.terminate.recv() => return StopCause::Signal,
+            _ = signals.interrupt.recv() => return StopCause::Signal,
+            Some(name) = ended.recv() => return StopCause::TaskEnded(name),
             _ = signals.reload.recv() => {
                 // A running process never changes its addresses and limits; everything else comes from the store.
                 log::info!(event = "reload"; "settings are not reloaded; changes take effect at the next start");
             }
         }
     }
+}
+
+async fn shut_down(gateway: &Rc<Gateway>) {
     let started = gateway.clock.now();
     let grace = gateway.settings.stop_grace();
     log::info!(event = "stopping", grace_s = grace.as_secs_f64(); "graceful shutdown begins");
