perf(relay): in an outage of the store, records are not sent to relays that cannot reach it either

Cause: a call whose direct way fails tries six relays. Test: with six relays for each append the records are sent 240 times for 40 appends; 0 now. Behind a cut of 35% and of 65% of the hosts all appends still succeed.

--- a/bamboo-gateway/src/gateway/store_calls.rs
+++ b/bamboo-gateway/src/gateway/store_calls.rs
@@ -44,11 +44,7 @@
         let started = self.clock.now();
         let mut peers = self.coordination.borrow().live_peers(started);
         peers.shuffle(&mut rand::rng());
-        let begin = match request.is_read() {
-            true => StoreCall::begin_read,
-            false => StoreCall::begin,
-        };
-        let mut call = begin(&self.store_path.borrow(), peers);
+        let mut call = self.begin_store_call(request, peers, started);
         let mut last_error = None;
         loop {
             let result = match call.step() {
@@ -73,6 +69,20 @@
         }
     }
 
+    fn begin_store_call(
+        &self,
+        request: &StoreRequest,
+        peers: Vec<HostId>,
+        now: Duration,
+    ) -> StoreCall {
+        let path = self.store_path.borrow();
+        match request {
+            StoreRequest::Append { .. } => StoreCall::begin_append(&path, peers, now),
+            _ if request.is_read() => StoreCall::begin_read(&path, peers),
+            _ => StoreCall::begin(&path, peers),
+        }
+    }
+
     async fn call_store_directly(
         &self,
         request: &StoreRequest,
@@ -111,7 +121,16 @@
         let now = self.clock.now();
         let reply = self.mesh.call(host, relayed, timeout, now).await;
         let is_ok = matches!(reply, Some(PeerReply::Store(Ok(_))));
-        self.store_path.borrow_mut().record_relay(host, is_ok);
+        let has_no_path = matches!(
+            reply,
+            Some(PeerReply::Store(Err(StoreError::Unreachable(_))))
+        );
+        let mut path = self.store_path.borrow_mut();
+        path.record_relay(host, is_ok);
+        if has_no_path {
+            path.record_relay_without_path(self.clock.now());
+        }
+        drop(path);
         match reply {
             Some(PeerReply::Store(result)) => result,
             _ => Err(StoreError::Unknown("no response from the relay".to_owned())),
--- a/bamboo-relay/src/call.rs
+++ b/bamboo-relay/src/call.rs
@@ -10,7 +10,7 @@
 /// Time after which no further attempt of a call begins.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1600);
 /// Maximum number of hosts that are asked to relay one call.
-const RELAYS_MAX: usize = 6;
+pub(crate) const RELAYS_MAX: usize = 6;
 
 /// How long a direct attempt may take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,7 +62,7 @@
         if let Some(index) = peers.iter().position(|host| Some(host) == path.relay()) {
             peers.swap(0, index);
         }
-        peers.truncate(RELAYS_MAX);
+        peers.truncate(path.relays_max());
         let has_relays = !peers.is_empty();
         let mut steps: VecDeque<NextStep> = peers.into_iter().map(NextStep::Relay).collect();
         match path.is_direct_up() || !has_relays {
@@ -81,6 +81,27 @@
         }
     }
 
+    /// Begins an append, whose records may be many. In an outage of the store they are not sent to other hosts: the smaller
+    /// calls of this host show when one of them can relay again.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use bamboo_relay::{DirectTimeout, NextStep, StoreCall, StorePath};
+    /// let mut path = StorePath::default();
+    /// path.record_direct(false, Duration::ZERO);
+    /// (0..6).for_each(|_| path.record_relay_without_path(Duration::ZERO));
+    /// let call = StoreCall::begin_append(&path, vec!["h2".into()], Duration::ZERO);
+    /// assert_eq!(call.step(), &NextStep::Direct(DirectTimeout::Short));
+    /// ```
+    pub fn begin_append(path: &StorePath, peers: Vec<HostId>, now: Duration) -> Self {
+        let mut call = StoreCall::begin(path, peers);
+        if path.is_outage(now) {
+            call.steps
+                .retain(|step| !matches!(step, NextStep::Relay(_)));
+        }
+        call
+    }
+
     /// Begins a read. If the direct way is up, a read that the store refuses is not sent through other hosts: all hosts
     /// share the store's capacity for reads.
     ///
--- a/bamboo-relay/src/path.rs
+++ b/bamboo-relay/src/path.rs
@@ -5,16 +5,27 @@
 use bamboo_types::HostId;
 
 use crate::AttemptOutcome;
+use crate::call::RELAYS_MAX;
 
 /// Interval between probes of the direct way while calls are relayed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Consecutive relays without a path to the store after which an outage of the store is assumed, rather than a cut of some
+/// hosts: as many as one call tries.
+const OUTAGE_REFUSALS: u32 = RELAYS_MAX as u32;
+/// Time for which an outage is assumed after the last relay without a path. Memberships are renewed, and thus the relays
+/// asked, more often.
+const OUTAGE_MEMORY: Duration = Duration::from_millis(700);
+
 /// Whether the store responds to this host, and which other host relayed a call last.
 #[derive(Debug)]
 pub struct StorePath {
     is_direct_up: bool,
     next_probe_at: Duration,
     relay: Option<HostId>,
+    /// Consecutive relays that could not reach the store either, and when the last one said so.
+    refusals: u32,
+    refused_at: Duration,
 }
 
 impl Default for StorePath {
@@ -24,6 +35,8 @@
             is_direct_up: true,
             next_probe_at: Duration::ZERO,
             relay: None,
+            refusals: 0,
+            refused_at: Duration::ZERO,
         }
     }
 }
@@ -77,13 +90,35 @@
     /// Records whether a host relayed a call.
     pub fn record_relay(&mut self, host: &HostId, is_ok: bool) {
         match is_ok {
-            true => self.relay = Some(host.clone()),
+            true => {
+                self.relay = Some(host.clone());
+                self.refusals = 0;
+            }
             false => {
                 self.relay.take_if(|relay| relay == host);
             }
         }
     }
 
+    /// Records that a relay cannot reach the store either.
+    pub fn record_relay_without_path(&mut self, now: Duration) {
+        self.refusals = self.refusals.saturating_add(1);
+        self.refused_at = now;
+    }
+
+    /// Number of relays that a call may try. In an outage of the store one relay shows whether it is over.
+    pub(crate) fn relays_max(&self) -> usize {
+        match self.refusals < OUTAGE_REFUSALS {
+            true => RELAYS_MAX,
+            false => 1,
+        }
+    }
+
+    /// Whether the relays are known to be without a path to the store, too.
+    pub(crate) fn is_outage(&self, now: Duration) -> bool {
+        self.refusals >= OUTAGE_REFUSALS && now.saturating_sub(self.refused_at) < OUTAGE_MEMORY
+    }
+
     /// Whether the direct way is due for a probe. Calls that are relayed do not show that the store responds again.
     pub fn is_probe_due(&self, now: Duration) -> bool {
         !self.is_direct_up && now >= self.next_probe_at
