feat(gateway): hosts name the version of their messages, and get none that they cannot decode

Changes of the cluster map would be misread by hosts of the former build beside a new coordinator in a rolling update. A host names its version in the path of its message stream; a coordinator sends changes to hosts of version 2 and whole maps, in the form of before, to others. A stream of an unknown path is closed, and unreadable messages are logged.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -42,6 +42,7 @@
 use crate::jobs::JobShards;
 use crate::mesh::LinkFailure;
 use crate::mesh::Mesh;
+use crate::mesh::ProtocolVersion;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::slot_requests::SlotRequestTable;
@@ -128,6 +129,8 @@
     stream_origins: RefCell<StreamOrigins>,
     broker: RefCell<Broker>,
     reports: RefCell<Reports>,
+    /// Versions of the messages that other hosts decode.
+    protocol_versions: RefCell<HashMap<HostId, ProtocolVersion>>,
     store: StoreClient,
     store_path: RefCell<StorePath>,
     servers_read: Cell<Option<ServersRead>>,
@@ -189,6 +192,7 @@
             stream_origins: RefCell::default(),
             broker: RefCell::new(broker),
             reports: RefCell::new(Reports::default()),
+            protocol_versions: RefCell::default(),
             store_path: RefCell::default(),
             servers_read: Cell::new(None),
             versions_recalled: tokio::sync::Mutex::new(None),
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -176,6 +176,7 @@
         self.send_to_coordinator(PeerMessage::Heartbeat(heartbeat));
         for lost in self.reports.borrow_mut().remove_silent(now) {
             log::warn!(event = "host_lost", host = lost.as_str(); "no heartbeats from a host");
+            self.protocol_versions.borrow_mut().remove(&lost);
             self.broker.borrow_mut().drop_host(&lost, now);
         }
         self.broker.borrow_mut().tick(now);
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bamboo_coordination::ClusterMap;
 use bamboo_coordination::ClusterMapUpdate;
 use bamboo_coordination::Heartbeat;
 use bamboo_coordination::HintAction;
@@ -19,9 +20,11 @@
 
 use crate::gateway::ConfigRecord;
 use crate::gateway::Gateway;
+use crate::mesh::CLUSTER_MAP_CHANGES_SINCE;
 use crate::mesh::PeerMessage;
 use crate::mesh::PeerReply;
 use crate::mesh::PeerRequest;
+use crate::mesh::ProtocolVersion;
 use crate::mesh::SlotRequestInfo;
 use crate::slot_requests::SlotDecision;
 
@@ -46,8 +49,11 @@
         }
     }
 
-    /// Records a host that opened a connection.
-    pub(crate) fn host_connected(&self, info: &HostInfo) {
+    /// Records a host that opened a connection, and the version of the messages that it decodes.
+    pub(crate) fn host_connected(&self, info: &HostInfo, version: ProtocolVersion) {
+        self.protocol_versions
+            .borrow_mut()
+            .insert(info.host.clone(), version);
         self.coordination.borrow_mut().add_host(info);
     }
 
@@ -99,11 +105,17 @@
                 if coordination.coordinator() == &sender.host
                     && let Some(cluster_map) = cluster_map
                 {
-                    coordination.apply_cluster_map(cluster_map);
+                    coordination.set_cluster_map(cluster_map);
                 }
                 drop(coordination);
                 self.request_config_fetch(&sender.host, config_version);
             }
+            PeerMessage::ClusterMapChange(change) => {
+                let mut coordination = self.coordination.borrow_mut();
+                if coordination.coordinator() == &sender.host {
+                    coordination.apply_cluster_map(ClusterMapUpdate::Change(change));
+                }
+            }
             PeerMessage::Probe(probe) => {
                 self.follow_coordinator_hint(sender, &probe.coordinator);
                 self.acknowledge_heartbeat(sender, None, false, self.clock.now());
@@ -212,6 +224,7 @@
             PeerMessage::Hello(_)
             | PeerMessage::Probe(_)
             | PeerMessage::HeartbeatAck { .. }
+            | PeerMessage::ClusterMapChange(_)
             | PeerMessage::Request { .. }
             | PeerMessage::Reply { .. } => {}
         }
@@ -290,7 +303,12 @@
         let mut reports = self.reports.borrow_mut();
         let is_new = reports.record_heartbeat(sender, heartbeat, now);
         let wants_sync = reports.record_unknown_requests(&sender.host, unknown);
-        let map_update = reports.cluster_map_update(known_digest);
+        let map_update = match reports.cluster_map_update(known_digest) {
+            Some(ClusterMapUpdate::Change(_)) if !self.decodes_map_changes(&sender.host) => {
+                Some(ClusterMapUpdate::Whole(reports.cluster_map().0.clone()))
+            }
+            update => update,
+        };
         drop(reports);
         if is_new {
             log::info!(event = "host_joined", host = sender.host.as_str(); "a host reports to this coordinator");
@@ -305,14 +323,32 @@
             }
             return;
         }
-        self.acknowledge_heartbeat(sender, map_update, wants_sync, now);
+        let cluster_map = match map_update {
+            Some(ClusterMapUpdate::Whole(cluster_map)) => Some(cluster_map),
+            Some(ClusterMapUpdate::Change(change)) => {
+                let message = PeerMessage::ClusterMapChange(change);
+                self.mesh.send(&sender.host, message, now);
+                None
+            }
+            None => None,
+        };
+        self.acknowledge_heartbeat(sender, cluster_map, wants_sync, now);
         self.request_config_fetch(&sender.host, version);
     }
 
+    /// Whether a host decodes changes of the cluster map.
+    fn decodes_map_changes(&self, host: &str) -> bool {
+        let versions = self.protocol_versions.borrow();
+        host == self.local.host
+            || versions
+                .get(host)
+                .is_some_and(|version| *version >= CLUSTER_MAP_CHANGES_SINCE)
+    }
+
     pub(super) fn acknowledge_heartbeat(
         &self,
         sender: &HostInfo,
-        cluster_map: Option<ClusterMapUpdate>,
+        cluster_map: Option<ClusterMap>,
         wants_sync: bool,
         now: Duration,
     ) {
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -24,6 +24,29 @@
 
 use crate::metrics::PeerBytes;
 
+/// Version of the messages between hosts. A host names it when it opens a link, and gets no message that it cannot decode.
+pub(crate) type ProtocolVersion = u32;
+
+/// First version whose hosts decode changes of the cluster map.
+pub(crate) const CLUSTER_MAP_CHANGES_SINCE: ProtocolVersion = 2;
+/// Version of this build.
+const PROTOCOL_VERSION: ProtocolVersion = 2;
+/// Path of a stream of messages, followed by the version. Version 1 had none.
+const MESSAGES_PATH: &str = "/messages";
+
+/// Path of a stream of messages of this build.
+fn messages_path() -> String {
+    format!("{MESSAGES_PATH}/{PROTOCOL_VERSION}")
+}
+
+/// Version of the sender of a stream of messages; `None` if the path is not that of such a stream.
+fn protocol_version(path: &str) -> Option<ProtocolVersion> {
+    match path.strip_prefix(MESSAGES_PATH)? {
+        "" => Some(1),
+        version => version.strip_prefix('/')?.parse().ok(),
+    }
+}
+
 /// Time without messages after which a link is closed.
 const LINK_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
--- a/bamboo-gateway/src/mesh/accept.rs
+++ b/bamboo-gateway/src/mesh/accept.rs
@@ -14,8 +14,10 @@
 
 use crate::gateway::Gateway;
 use crate::mesh::PeerMessage;
+use crate::mesh::ProtocolVersion;
 use crate::mesh::link::FLOW_WINDOW_BYTES;
 use crate::mesh::link::LENGTH_PREFIX_BYTES;
+use crate::mesh::protocol_version;
 use crate::net;
 
 /// Maximum size of a frame in bytes. The largest message is a job submission.
@@ -52,10 +54,12 @@
         .await?;
     while let Some(accepted) = connection.accept().await {
         let (request, _respond) = accepted?;
+        let path = request.uri().path();
+        let version = protocol_version(path).with_context(|| format!("unknown path {path}"))?;
         let gateway = Rc::clone(&gateway);
         actix_rt::spawn(async move {
-            if let Err(error) = read_messages(gateway, request.into_body()).await {
-                log::debug!("message stream from another host failed: {error:#}");
+            if let Err(error) = read_messages(gateway, request.into_body(), version).await {
+                log::info!(event = "messages_unreadable", version; "message stream from another host failed: {error:#}");
             }
             drop(_respond);
         });
@@ -63,17 +67,22 @@
     Ok(())
 }
 
-async fn read_messages(gateway: Rc<Gateway>, mut body: h2::RecvStream) -> anyhow::Result<()> {
+async fn read_messages(
+    gateway: Rc<Gateway>,
+    mut body: h2::RecvStream,
+    version: ProtocolVersion,
+) -> anyhow::Result<()> {
     let mut buffer = BytesMut::new();
     let mut sender: Option<HostInfo> = None;
     while let Some(chunk) = body.data().await {
-        let chunk = chunk?;
+        // A connection that ends is no fault of the messages.
+        let Ok(chunk) = chunk else { return Ok(()) };
         body.flow_control().release_capacity(chunk.len())?;
         buffer.extend_from_slice(&chunk);
         while let Some(message) = next_message(&mut buffer)? {
             match (&sender, message) {
                 (_, PeerMessage::Hello(info)) => {
-                    gateway.host_connected(&info);
+                    gateway.host_connected(&info, version);
                     sender = Some(info);
                 }
                 (Some(sender), message) => gateway.handle_peer_message(sender, message),
--- a/bamboo-gateway/src/mesh/link.rs
+++ b/bamboo-gateway/src/mesh/link.rs
@@ -15,6 +15,7 @@
 use tokio::sync::mpsc;
 
 use crate::mesh::PeerMessage;
+use crate::mesh::messages_path;
 use crate::metrics::KindLabel;
 use crate::metrics::PeerBytes;
 use crate::net;
@@ -128,7 +129,8 @@
         .handshake::<_, Bytes>(stream)
         .await?;
     let mut connection = std::pin::pin!(connection);
-    let request = http::Request::post(format!("http://{host}/messages")).body(())?;
+    let path = messages_path();
+    let request = http::Request::post(format!("http://{host}{path}")).body(())?;
     let (_response, mut body) = sender.send_request(request, false)?;
     send(&mut body, &PeerMessage::Hello(local), sent_bytes)?;
     loop {
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use bamboo_coordination::ClusterMapUpdate;
+use bamboo_coordination::ClusterMap;
+use bamboo_coordination::ClusterMapChange;
 use bamboo_coordination::Heartbeat;
 use bamboo_coordination::HostInfo;
 use bamboo_coordination::Probe;
@@ -123,10 +124,12 @@
             PeerMessage::Hello(_) => "hello",
             PeerMessage::Heartbeat(_) => "heartbeat",
             PeerMessage::Probe(_) => "probe",
-            PeerMessage::HeartbeatAck { cluster_map, .. } => match cluster_map {
-                Some(_) => "cluster_map",
-                None => "heartbeat_ack",
-            },
+            PeerMessage::HeartbeatAck {
+                cluster_map: Some(_),
+                ..
+            } => "cluster_map",
+            PeerMessage::HeartbeatAck { .. } => "heartbeat_ack",
+            PeerMessage::ClusterMapChange(_) => "cluster_map_change",
             PeerMessage::Sync(_) => "sync",
             PeerMessage::RequestSlot(_) => "request_slot",
             PeerMessage::Release { .. } => "release",
@@ -162,8 +165,8 @@
     Probe(Probe),
     /// Acknowledgement of a heartbeat or probe.
     HeartbeatAck {
-        /// Cluster map of the coordinator, or what changed; `None` if the host already has it.
-        cluster_map: Option<ClusterMapUpdate>,
+        /// Cluster map of the coordinator; `None` if the host already has it or gets the changes.
+        cluster_map: Option<ClusterMap>,
         /// Version of the sender's configuration.
         config_version: u64,
         /// Whether the sender is about to stop.
@@ -238,4 +241,6 @@
         /// The reply.
         reply: PeerReply,
     },
+    /// What changed in the coordinator's cluster map. For hosts of protocol version 2 or later.
+    ClusterMapChange(ClusterMapChange),
 }
