--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -117,43 +117,6 @@
     },
 }
 
-impl PeerMessage {
-    /// Kind of the message, for metrics.
-    pub(super) fn kind(&self) -> &'static str {
-        match self {
-            PeerMessage::Hello(_) => "hello",
-            PeerMessage::Heartbeat(_) => "heartbeat",
-            PeerMessage::Probe(_) => "probe",
-            PeerMessage::HeartbeatAck {
-                cluster_map: Some(_),
-                ..
-            } => "cluster_map",
-            PeerMessage::HeartbeatAck { .. } => "heartbeat_ack",
-            PeerMessage::ClusterMapChange(_) => "cluster_map_change",
-            PeerMessage::Sync(_) => "sync",
-            PeerMessage::RequestSlot(_) => "request_slot",
-            PeerMessage::Release { .. } => "release",
-            PeerMessage::Grant { .. } => "grant",
-            PeerMessage::Queued { .. }
-            | PeerMessage::Preempt { .. }
-            | PeerMessage::Refused { .. }
-            | PeerMessage::NoServer { .. } => "other_decision",
-            PeerMessage::StreamBegan { .. } => "stream_began",
-            PeerMessage::Request { request, .. } => match request {
-                PeerRequest::Store(_) => "store_request",
-                PeerRequest::Submit { .. } | PeerRequest::Job(_) => "job_request",
-                _ => "other_request",
-            },
-            PeerMessage::Reply { reply, .. } => match reply {
-                PeerReply::Store(_) => "store_reply",
-                PeerReply::Http { .. } => "job_reply",
-                PeerReply::Servers(_) | PeerReply::Config(_) => "directory_reply",
-                _ => "other_reply",
-            },
-        }
-    }
-}
-
 /// A message between hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
@@ -244,3 +207,40 @@
     /// What changed in the coordinator's cluster map. For hosts of protocol version 2 or later.
     ClusterMapChange(ClusterMapChange),
 }
+
+impl PeerMessage {
+    /// Kind of the message, for metrics.
+    pub(super) fn kind(&self) -> &'static str {
+        match self {
+            PeerMessage::Hello(_) => "hello",
+            PeerMessage::Heartbeat(_) => "heartbeat",
+            PeerMessage::Probe(_) => "probe",
+            PeerMessage::HeartbeatAck {
+                cluster_map: Some(_),
+                ..
+            } => "cluster_map",
+            PeerMessage::HeartbeatAck { .. } => "heartbeat_ack",
+            PeerMessage::ClusterMapChange(_) => "cluster_map_change",
+            PeerMessage::Sync(_) => "sync",
+            PeerMessage::RequestSlot(_) => "request_slot",
+            PeerMessage::Release { .. } => "release",
+            PeerMessage::Grant { .. } => "grant",
+            PeerMessage::Queued { .. }
+            | PeerMessage::Preempt { .. }
+            | PeerMessage::Refused { .. }
+            | PeerMessage::NoServer { .. } => "other_decision",
+            PeerMessage::StreamBegan { .. } => "stream_began",
+            PeerMessage::Request { request, .. } => match request {
+                PeerRequest::Store(_) => "store_request",
+                PeerRequest::Submit { .. } | PeerRequest::Job(_) => "job_request",
+                _ => "other_request",
+            },
+            PeerMessage::Reply { reply, .. } => match reply {
+                PeerReply::Store(_) => "store_reply",
+                PeerReply::Http { .. } => "job_reply",
+                PeerReply::Servers(_) | PeerReply::Config(_) => "directory_reply",
+                _ => "other_reply",
+            },
+        }
+    }
+}
