fix(gateway): how fresh the directory is counts from the begin of a read

Cause: since reads of the servers wait for a change, the response of a read that began before an outage of the store may arrive during it, and made the directory look fresh for 1.5 s longer: a stream of unknown origin was assumed to have the only known version 3.5 s into an outage, where it has to be refused after 3 s. Change: freshness counts from the begin of the read, and a read waits 1 s instead of 1.5 s, so that a directory that is followed stays fresh.

--- a/bamboo-gateway/src/gateway/servers.rs
+++ b/bamboo-gateway/src/gateway/servers.rs
@@ -23,10 +23,11 @@
 }
 
 impl Gateway {
-    /// Records that the directory of backend servers has been read.
-    pub(crate) fn servers_read(&self) {
-        let last = self.clock.now();
-        let first = self.servers_read.get().map_or(last, |read| read.first);
+    /// Records that the directory of backend servers has been read. `last` is the time from which on servers may have come
+    /// unnoticed: the begin of a read of the store, whose response may be late.
+    pub(crate) fn servers_read(&self, last: Duration) {
+        let now = self.clock.now();
+        let first = self.servers_read.get().map_or(now, |read| read.first);
         self.servers_read.set(Some(ServersRead { first, last }));
         self.update_knows_servers();
     }
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -19,9 +19,9 @@
 
 /// Long-poll time of configuration reads. Behind a dead connection, heartbeats tell of a newer version sooner.
 const CONFIG_LONG_POLL: Duration = Duration::from_secs(3);
-/// Long-poll time of reads of the server entries. Bounds how long a dead connection can hide the departure of a server,
-/// and an outage that lets entries expire; an entry expires after 3.6 s without a renewal.
-const SERVERS_LONG_POLL: Duration = Duration::from_millis(1500);
+/// Long-poll time of reads of the server entries. Bounds how long a dead connection can hide the departure of a server, and
+/// keeps the directory fresh, which counts from the begin of the last read.
+const SERVERS_LONG_POLL: Duration = Duration::from_millis(1000);
 /// Interval between reads of the server entries while they change, so that one read covers several changes.
 const SERVERS_READ_INTERVAL: Duration = Duration::from_millis(600);
 /// Pause before the directory of servers is fetched from another host.
@@ -200,7 +200,7 @@
             Err(_) => {}
         }
         if is_ok {
-            gateway.servers_read();
+            gateway.servers_read(started);
         }
         for id in grace_period.take_expired(gateway.clock.now()) {
             remove_server(&gateway, &id, "lapsed");
@@ -224,7 +224,7 @@
             for server in servers {
                 put_server(&gateway, server, "host");
             }
-            gateway.servers_read();
+            gateway.servers_read(gateway.clock.now());
         }
     }
 }
