fix(coordination): hosts that start before the first configuration do not connect to each other all

Cause: while no host knows the backend servers, every host looks for one that does. Change: a joining host in contact with 8 live others probes no further ones, apart from those that rank before its coordinator.

--- a/bamboo-coordination/src/coordinator.rs
+++ b/bamboo-coordination/src/coordinator.rs
@@ -39,6 +39,9 @@
 const CONCURRENT_PROBES_MAX: usize = 3;
 /// Interval between probes of a host while no live host that knows the backend servers has been found.
 const JOIN_PROBE_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of live hosts from which on a joining host probes no others. While no host knows the backend servers, as before the
+/// first configuration, all hosts of a large fleet would otherwise connect to each other.
+const JOIN_CONTACTS_MAX: usize = 8;
 /// Number of probes of a host at that interval. Its further probes follow the usual backoff.
 const JOIN_PROBES_MAX: u32 = 40;
 /// Consecutive timeouts after which the coordinator is suspected. Only requests sent after the previous timeout count.
@@ -219,15 +222,16 @@
         known.is_some_and(|info| info.host != self.local.host && self.is_eligible(info, now))
     }
 
-    /// Hosts that are not considered live and are due for a probe: all as long as this host is joining, later those that
-    /// would rank before the coordinator if they knew the backend servers.
+    /// Hosts that are not considered live and are due for a probe: all as long as this host is joining and in contact with
+    /// few others, later those that would rank before the coordinator if they knew the backend servers.
     pub fn due_probes(&mut self, now: Duration) -> Vec<HostId> {
         let is_joining = self.is_joining(now);
+        let probes_all = is_joining && self.live_peers(now).len() < JOIN_CONTACTS_MAX;
         let coordinator = self.hosts.get(&self.coordinator).map(duty_rank);
         let mut unreachable: Vec<&HostInfo> = self
             .hosts
             .values()
-            .filter(|info| is_joining || Some(duty_rank(info)) < coordinator)
+            .filter(|info| probes_all || Some(duty_rank(info)) < coordinator)
             .filter(|info| !self.is_eligible(info, now))
             .collect();
         unreachable.sort_by_key(|info| duty_rank(info));
