refactor(gateway): events are examined once, and an item's event is parsed once

Found on reading the change again: the wait for the first event scanned all queued events, and summed their sizes, after each part of the response, so that many comments before it cost quadratic time; an item's event was parsed once for its timeout and once for its data. Behaviour stays as it is; all bounds and tests are unchanged.

--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -487,10 +487,11 @@
     loop {
         match stream.next(gateway, timeout, deadline).await {
             StreamRead::Event(event) => {
-                if event.has_data() {
+                let data = event.data();
+                if data.is_some() {
                     timeout = EVENT_GAP_TIMEOUT;
                 }
-                let is_next = run.borrow_mut().push_event(event.id, event.data());
+                let is_next = run.borrow_mut().push_event(event.id, data);
                 if !is_next {
                     run.borrow_mut().restart();
                     return (AttemptEnd::Interrupted, RunOutcome::Broken);
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -222,8 +222,16 @@
         idle_timeout: Duration,
         deadline: Duration,
     ) -> Result<(), RunOutcome> {
-        while !self.events.iter().any(SseEvent::has_data) {
-            let queued_bytes: usize = self.events.iter().map(|event| event.raw.len()).sum();
+        let (mut examined, mut queued_bytes) = (0, 0);
+        loop {
+            for event in self.events.range(examined..) {
+                if event.has_data() {
+                    self.silence = None;
+                    return Ok(());
+                }
+                queued_bytes += event.raw.len();
+            }
+            examined = self.events.len();
             if queued_bytes > EVENT_MAX_BYTES {
                 return Err(RunOutcome::Broken);
             }
@@ -234,8 +242,6 @@
                 Some(StreamRead::Broken | StreamRead::Event(_)) => return Err(RunOutcome::Broken),
             }
         }
-        self.silence = None;
-        Ok(())
     }
 
     /// Reads a part of the response. Returns how the stream ended, or `None` if it may go on.
