feat(gateway): a run that breaks early is logged with its prompt parts, and whether its server is down

A run that breaks before its fourth event is logged as run_broke_early once a connection to its server has been tried, and counted as crashed_server or broke_early. No decision depends on it yet.

--- a/bamboo-gateway/src/dialect.rs
+++ b/bamboo-gateway/src/dialect.rs
@@ -7,6 +7,7 @@
 use bamboo_shards::ItemRecord;
 use bamboo_shards::JobRecord;
 use bamboo_shards::ResultPage;
+use bamboo_types::PromptPartId;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
@@ -95,6 +96,8 @@
     pub headers: HeaderNames,
     /// Parses a call concerning a job; `None` for any other request.
     pub parse_job_call: fn(&Method, &Uri, &HeaderMap) -> Option<JobCall>,
+    /// Decodes which parts of its prompt a request shares with others, from its headers.
+    pub decode_shared_parts: fn(&HeaderMap) -> Vec<PromptPartId>,
     /// Decodes the items in the body of a job submission.
     pub decode_job_items: fn(&[u8]) -> anyhow::Result<Vec<ItemRecord>>,
     /// Encodes a page of results.
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -410,6 +410,7 @@
     if let Ok(host) = HeaderValue::from_str(&job.host) {
         headers.insert(header::HOST, host);
     }
+    let shared_parts = (gateway.dialect.decode_shared_parts)(&headers).into();
     EngineRequest {
         id: item.id.clone(),
         method: Method::POST,
@@ -417,6 +418,7 @@
         headers,
         body: Bytes::from(item.body.clone()),
         is_retryable: true,
+        shared_parts,
     }
 }
 
--- a/bamboo-gateway/src/traffic.rs
+++ b/bamboo-gateway/src/traffic.rs
@@ -8,6 +8,7 @@
 mod pool;
 mod request;
 mod response;
+mod run_trial;
 mod serve;
 mod stream;
 mod take_up;
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -11,6 +11,7 @@
 use bamboo_fleet::SseDecoder;
 use bamboo_fleet::SseEvent;
 use bamboo_slots::RunOutcome;
+use bamboo_types::PromptPartId;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -26,6 +27,7 @@
 use crate::traffic::buffered_body::read_whole_body;
 use crate::traffic::pool::Connection;
 use crate::traffic::response::belongs_to_request;
+use crate::traffic::run_trial::RunTrial;
 
 /// Maximum size in bytes of a response with an error status, which is not streamed.
 const ERROR_BODY_MAX_BYTES: usize = 1 << 20;
@@ -46,6 +48,8 @@
     /// Whether the request may run more than once. One that may not always gets a new connection, so that bytes left
     /// over from an earlier response cannot affect it.
     pub(crate) is_retryable: bool,
+    /// Parts of the prompt that other requests share.
+    pub(crate) shared_parts: Rc<[PromptPartId]>,
 }
 
 /// Why no stream was opened.
@@ -84,6 +88,7 @@
     is_remote: bool,
     /// Wait for the next event with data, if one is under way.
     silence: Option<SilenceTimer>,
+    trial: RunTrial,
 }
 
 /// Sends a request to a server and waits for the status and headers of the response.
@@ -140,6 +145,7 @@
         connection.sender.send_request(outgoing).await
     };
     let respond_by = started + timeout;
+    let mut trial = RunTrial::begin(gateway, server, request);
     let response = match tokio::time::timeout(timeout, exchange).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
@@ -148,6 +154,7 @@
                 server.id,
                 request.id
             );
+            trial.run_broke();
             return Err(OpenError::Failed(RunOutcome::Broken));
         }
         Err(_) => return Err(OpenError::Failed(RunOutcome::Silent)),
@@ -165,6 +172,7 @@
             events: VecDeque::new(),
             is_remote: server.data_centre != gateway.settings.data_centre,
             silence: None,
+            trial,
         });
     }
     let is_not_run =
@@ -270,6 +278,7 @@
                 metrics.count_server_bytes(self.is_remote, data.len());
                 match self.decoder.push(data) {
                     Ok(events) => {
+                        self.trial.events_received(&events);
                         self.events.extend(events);
                         None
                     }
@@ -279,8 +288,14 @@
                     }
                 }
             }
-            Some(Err(_)) => Some(StreamRead::Broken),
-            None if self.decoder.has_partial() => Some(StreamRead::Broken),
+            Some(Err(_)) => {
+                self.trial.run_broke();
+                Some(StreamRead::Broken)
+            }
+            None if self.decoder.has_partial() => {
+                self.trial.run_broke();
+                Some(StreamRead::Broken)
+            }
             None => Some(StreamRead::End),
         }
     }
--- /dev/null
+++ b/bamboo-gateway/src/traffic/run_trial.rs
@@ -0,0 +1,110 @@
+//! Observes the begin of a run, during which a prompt may crash its server.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboo_fleet::Server;
+use bamboo_fleet::SseEvent;
+use bamboo_types::BackendServerId;
+use bamboo_types::PromptPartId;
+
+use crate::gateway::Gateway;
+use crate::net;
+use crate::traffic::engine_run::EngineRequest;
+
+/// Number of events with data after which a run has begun, so that its prompt is not the cause if its server crashes later.
+const EVENTS_TO_BEGIN: usize = 4;
+/// Timeout for connecting to a server whose run broke. A server that still runs accepts connections.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// A run that broke before it had begun.
+#[derive(Debug, Clone)]
+pub(crate) struct BrokenRun {
+    /// Identifier of the request.
+    pub(crate) request: String,
+    /// Server that ran it.
+    pub(crate) server: BackendServerId,
+    /// Address of the server.
+    pub(crate) address: SocketAddr,
+    /// Parts of the prompt that other requests share.
+    pub(crate) shared_parts: Rc<[PromptPartId]>,
+    /// Events with data that the run delivered.
+    pub(crate) events: usize,
+    /// When the request was sent.
+    pub(crate) sent_at: Duration,
+    /// When the run broke.
+    pub(crate) broke_at: Duration,
+}
+
+/// A run until it has begun.
+pub(crate) struct RunTrial {
+    gateway: Rc<Gateway>,
+    request: String,
+    server: BackendServerId,
+    address: SocketAddr,
+    shared_parts: Rc<[PromptPartId]>,
+    events: usize,
+    sent_at: Duration,
+}
+
+impl RunTrial {
+    /// Begins to observe a run whose request is about to be sent.
+    pub(crate) fn begin(gateway: &Rc<Gateway>, server: &Server, request: &EngineRequest) -> Self {
+        RunTrial {
+            gateway: Rc::clone(gateway),
+            request: request.id.clone(),
+            server: server.id.clone(),
+            address: server.address,
+            shared_parts: Rc::clone(&request.shared_parts),
+            events: 0,
+            sent_at: gateway.clock.now(),
+        }
+    }
+
+    /// Counts events of the run.
+    pub(crate) fn events_received(&mut self, events: &[SseEvent]) {
+        if self.events < EVENTS_TO_BEGIN {
+            self.events += events.iter().filter(|event| event.has_data()).count();
+        }
+    }
+
+    /// Examines whether the server has crashed, if the run broke before it had begun.
+    pub(crate) fn run_broke(&mut self) {
+        if self.events >= EVENTS_TO_BEGIN || self.shared_parts.is_empty() {
+            return;
+        }
+        let run = BrokenRun {
+            request: self.request.clone(),
+            server: self.server.clone(),
+            address: self.address,
+            shared_parts: Rc::clone(&self.shared_parts),
+            events: self.events,
+            sent_at: self.sent_at,
+            broke_at: self.gateway.clock.now(),
+        };
+        let gateway = Rc::clone(&self.gateway);
+        actix_rt::spawn(async move { examine_broken_run(&gateway, run).await });
+    }
+}
+
+/// Finds out whether a server crashed during a run, or only the response broke off.
+async fn examine_broken_run(gateway: &Gateway, run: BrokenRun) {
+    let is_server_down = net::connect(run.address, CHECK_TIMEOUT).await.is_err();
+    gateway.metrics.count_run(match is_server_down {
+        true => "crashed_server",
+        false => "broke_early",
+    });
+    log::info!(
+        event = "run_broke_early", request = run.request.as_str(), server = run.server.as_str(), is_server_down,
+        parts = format_parts(&run.shared_parts), events = run.events,
+        ran_ms = run.broke_at.saturating_sub(run.sent_at).as_millis() as u64;
+        "a run broke before it had begun"
+    );
+}
+
+/// Parts of a prompt for the log, as hexadecimal numbers.
+fn format_parts(parts: &[PromptPartId]) -> String {
+    let parts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+    parts.join(",")
+}
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -129,6 +129,7 @@
         headers: request.headers.clone(),
         body: request.body.clone(),
         is_retryable: is_resumable(&request),
+        shared_parts: (gateway.dialect.decode_shared_parts)(&request.headers).into(),
     };
     let started = start_run(
         &gateway,
--- a/bamboo-types/src/ids.rs
+++ b/bamboo-types/src/ids.rs
@@ -11,6 +11,8 @@
 pub type DataCentreId = String;
 /// Version of the software of a backend server, not of its weights. Opaque; empty if the server names none.
 pub type SoftwareVersion = String;
+/// Identifier of a part of prompts, for example a system prompt, that many requests share.
+pub type PromptPartId = u64;
 /// Name of a model.
 pub type ModelId = String;
 /// Name of a caller, as declared in configuration.
--- a/bamboo-types/src/lib.rs
+++ b/bamboo-types/src/lib.rs
@@ -19,6 +19,7 @@
 pub use ids::JobId;
 pub use ids::ModelId;
 pub use ids::Offset;
+pub use ids::PromptPartId;
 pub use ids::RequestId;
 pub use ids::ShardId;
 pub use ids::SoftwareVersion;
