fix(gateway): a prompt part under which servers crash is kept away from all servers

Cause: a run that broke was charged to its server alone and sent to another one, and nothing recorded what the broken runs had in common, neither over requests nor over hosts. Class: input that ends every process which works on it, retried as if its failure were the process's.

Change: the new crate bamboo-quarantine decides, without I/O. Each host remembers with which shared parts of prompts its runs have begun. A run that breaks before its fourth event, and whose server then takes no connections, is reported to the coordinator with its parts. A part is found to be the cause after three requests, or two that were sent twice, at distinct moments, if no run with it began meanwhile; before that the coordinator asks all hosts for their history of it. The finding goes to all hosts (again with each heartbeat until acknowledged) and into the store, so that it outlives the coordinator and a common restart. Requests with such a part are answered 503 at once, with the time until the end of the quarantine (an hour, four times as long after each relapse) as Retry-After; items with it are held until the retention of their job passes. Hosts of version 2 of the messages get none of them.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 mod heartbeat;
 mod peers;
+mod prompts;
 mod servers;
 mod store_calls;
 mod streams;
@@ -50,6 +51,7 @@
 use crate::traffic::LoadBalancer;
 use crate::traffic::ServerPool;
 
+use prompts::Prompts;
 use servers::ServersRead;
 pub(crate) use streams::OriginAnswer;
 
@@ -127,6 +129,7 @@
     pub(crate) slot_requests: SlotRequestTable,
     pub(crate) coordination: RefCell<CoordinatorTracker>,
     stream_origins: RefCell<StreamOrigins>,
+    prompts: Prompts,
     broker: RefCell<Broker>,
     reports: RefCell<Reports>,
     /// Versions of the messages that other hosts decode.
@@ -190,6 +193,7 @@
             slot_requests: SlotRequestTable::default(),
             coordination: RefCell::new(coordination),
             stream_origins: RefCell::default(),
+            prompts: Prompts::default(),
             broker: RefCell::new(broker),
             reports: RefCell::new(Reports::default()),
             protocol_versions: RefCell::default(),
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -108,6 +108,7 @@
                     coordination.set_cluster_map(cluster_map);
                 }
                 drop(coordination);
+                self.brief_coordinator(sender);
                 self.request_config_fetch(&sender.host, config_version);
             }
             PeerMessage::ClusterMapChange(change) => {
@@ -216,6 +217,11 @@
             PeerMessage::StreamBegan { stream, origin } => {
                 self.stream_origins.borrow_mut().record(stream, origin, now);
             }
+            PeerMessage::CrashReport(report) => self.handle_crash_report(&report, now),
+            PeerMessage::Quarantine(entries) => self.handle_quarantine(sender, &entries, now),
+            PeerMessage::QuarantineAck(digest) => {
+                self.prompts.record_ack(&sender.host, digest);
+            }
             // Decisions of a former coordinator are ignored.
             PeerMessage::Queued { .. }
             | PeerMessage::Preempt { .. }
@@ -304,13 +310,16 @@
         let is_new = reports.record_heartbeat(sender, heartbeat, now);
         let wants_sync = reports.record_unknown_requests(&sender.host, unknown);
         let map_update = match reports.cluster_map_update(known_digest) {
-            Some(ClusterMapUpdate::Change(_)) if !self.decodes_map_changes(&sender.host) => {
+            Some(ClusterMapUpdate::Change(_))
+                if !self.decodes_since(&sender.host, CLUSTER_MAP_CHANGES_SINCE) =>
+            {
                 Some(ClusterMapUpdate::Whole(reports.cluster_map().0.clone()))
             }
             update => update,
         };
         drop(reports);
         if is_new {
+            self.prompts.forget_host(&sender.host);
             log::info!(event = "host_joined", host = sender.host.as_str(); "a host reports to this coordinator");
         }
         self.broker
@@ -333,16 +342,14 @@
             None => None,
         };
         self.acknowledge_heartbeat(sender, cluster_map, wants_sync, now);
+        self.send_quarantine_unless_known(&sender.host);
         self.request_config_fetch(&sender.host, version);
     }
 
-    /// Whether a host decodes changes of the cluster map.
-    fn decodes_map_changes(&self, host: &str) -> bool {
+    /// Whether a host decodes messages that exist since a version.
+    pub(super) fn decodes_since(&self, host: &str, since: ProtocolVersion) -> bool {
         let versions = self.protocol_versions.borrow();
-        host == self.local.host
-            || versions
-                .get(host)
-                .is_some_and(|version| *version >= CLUSTER_MAP_CHANGES_SINCE)
+        host == self.local.host || versions.get(host).is_some_and(|version| *version >= since)
     }
 
     pub(super) fn acknowledge_heartbeat(
@@ -425,6 +432,9 @@
             PeerRequest::StreamOrigin { stream, services } => {
                 self.answer_stream_origin(stream, &services)
             }
+            PeerRequest::PromptHistories(parts) => {
+                PeerReply::PromptHistories(self.prompt_histories(&parts))
+            }
         }
     }
 
--- /dev/null
+++ b/bamboo-gateway/src/gateway/prompts.rs
@@ -0,0 +1,437 @@
+//! Parts of prompts that crash servers: what this host observes, and what it learns from other hosts and the store.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboo_coordination::HostInfo;
+use bamboo_quarantine::CrashEvidence;
+use bamboo_quarantine::CrashInquiry;
+use bamboo_quarantine::CrashReport;
+use bamboo_quarantine::Finding;
+use bamboo_quarantine::PartEvidence;
+use bamboo_quarantine::PartHistory;
+use bamboo_quarantine::PartReport;
+use bamboo_quarantine::PromptHistory;
+use bamboo_quarantine::Quarantine;
+use bamboo_quarantine::QuarantinedPart;
+use bamboo_quarantine::digest;
+use bamboo_quarantine::request_key;
+use bamboo_types::HostId;
+use bamboo_types::Incarnation;
+use bamboo_types::PromptPartId;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::Notify;
+
+use crate::gateway::Gateway;
+use crate::mesh::PeerMessage;
+use crate::mesh::PeerReply;
+use crate::mesh::PeerRequest;
+use crate::mesh::QUARANTINE_SINCE;
+use crate::store::ReadExtent;
+use crate::store::StoreReply;
+use crate::store::StoreRequest;
+use crate::traffic::BrokenRun;
+use crate::traffic::format_parts;
+use crate::watch::TopicReader;
+use crate::watch::TopicUpdate;
+use crate::watch::encode_keyed_record;
+
+/// Topic that holds the quarantined parts, without the prefix of keyed topics.
+const QUARANTINE_TOPIC: &str = "bamboo-quarantine";
+/// Pause after a failed call to the store.
+const STORE_RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Timeout for asking other hosts for their history of suspects. They reply within a few milliseconds; a host that is
+/// suspended must not delay the quarantine.
+const HISTORY_TIMEOUT: Duration = Duration::from_millis(100);
+/// Number of crashes that a host keeps to report them to the next coordinator.
+const CRASHES_KEPT: usize = 32;
+/// Time for which a host keeps a crash.
+const CRASH_KEPT_FOR: Duration = Duration::from_secs(120);
+
+/// A quarantined part as the store holds it, under the part as its key.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredPart {
+    /// End of the quarantine in milliseconds since the Unix epoch.
+    until_unix_ms: u64,
+    /// How often the part was found to crash servers.
+    findings: u32,
+}
+
+/// What this host knows of parts that crash servers.
+#[derive(Default)]
+pub(super) struct Prompts {
+    history: RefCell<PromptHistory>,
+    inquiry: RefCell<CrashInquiry>,
+    quarantine: RefCell<Quarantine>,
+    has_suspects: Notify,
+    /// Crashes under runs of this host, newest last.
+    crashes: RefCell<VecDeque<CrashEvidence>>,
+    /// Coordinator that has been told of the crashes and the quarantine.
+    briefed: RefCell<Option<(HostId, Incarnation)>>,
+    /// Digests of the quarantines of other hosts, as they acknowledged them.
+    acks: RefCell<HashMap<HostId, u64>>,
+    /// Parts that this host has put into quarantine and not yet written to the store.
+    unstored: RefCell<Vec<QuarantinedPart>>,
+    has_unstored: Notify,
+}
+
+impl Prompts {
+    /// Records which quarantine a host has.
+    pub(super) fn record_ack(&self, host: &str, digest: u64) {
+        self.acks.borrow_mut().insert(host.to_owned(), digest);
+    }
+
+    /// Forgets a host that is lost, or has restarted.
+    pub(super) fn forget_host(&self, host: &str) {
+        self.acks.borrow_mut().remove(host);
+    }
+
+    /// Drops what no longer counts.
+    pub(super) fn expire(&self, now: Duration) {
+        self.quarantine.borrow_mut().expire(now);
+        self.crashes
+            .borrow_mut()
+            .retain(|crash| now.saturating_sub(crash.broke_at) < CRASH_KEPT_FOR);
+    }
+}
+
+impl Gateway {
+    /// Records that a run has begun, so that its prompt does not crash servers.
+    pub(crate) fn run_began(&self, shared_parts: &[PromptPartId]) {
+        let now = self.clock.now();
+        self.prompts
+            .history
+            .borrow_mut()
+            .record_begun(shared_parts, now);
+    }
+
+    /// Time until requests with these parts in their prompts may be sent to servers; `None` if they may be sent now.
+    pub(crate) fn quarantine_remaining(&self, shared_parts: &[PromptPartId]) -> Option<Duration> {
+        let now = self.clock.now();
+        self.prompts
+            .quarantine
+            .borrow()
+            .remaining(shared_parts, now)
+    }
+
+    /// Reports a crash under a run of this host to the coordinator.
+    pub(crate) fn server_crashed(&self, run: &BrokenRun) {
+        let now = self.clock.now();
+        let evidence = CrashEvidence {
+            server: run.server.clone(),
+            request: request_key(&run.request),
+            sent_at: run.sent_at,
+            broke_at: run.broke_at,
+            parts: self.part_evidence(&run.shared_parts),
+        };
+        let coordinator = self.coordination.borrow().coordinator().clone();
+        if coordinator != self.local.host && self.decodes_since(&coordinator, QUARANTINE_SINCE) {
+            let report = CrashReport::from((&evidence, now));
+            self.send_to(&coordinator, PeerMessage::CrashReport(report));
+        } else {
+            self.examine_crash(&evidence, now);
+        }
+        let mut crashes = self.prompts.crashes.borrow_mut();
+        if crashes.len() >= CRASHES_KEPT {
+            crashes.pop_front();
+        }
+        crashes.push_back(evidence);
+    }
+
+    fn part_evidence(&self, parts: &[PromptPartId]) -> Vec<PartEvidence> {
+        let history = self.prompts.history.borrow();
+        let parts = parts.iter().map(|part| PartEvidence {
+            part: *part,
+            history: history.find(*part),
+        });
+        parts.collect()
+    }
+
+    /// Answers another host which recent runs with these parts have begun here.
+    pub(super) fn prompt_histories(&self, parts: &[PromptPartId]) -> Vec<PartReport> {
+        let now = self.clock.now();
+        let evidence = self.part_evidence(parts).into_iter();
+        evidence.map(|part| (part, now).into()).collect()
+    }
+
+    /// Weighs a crash that another host reports.
+    pub(super) fn handle_crash_report(&self, report: &CrashReport, now: Duration) {
+        self.examine_crash(&CrashEvidence::from((report, now)), now);
+    }
+
+    fn examine_crash(&self, evidence: &CrashEvidence, now: Duration) {
+        let parts: Vec<PromptPartId> = evidence.parts.iter().map(|part| part.part).collect();
+        if self.quarantine_remaining(&parts).is_some() {
+            // The crash is explained.
+            return;
+        }
+        let quarantine = self.prompts.quarantine.borrow();
+        let is_on_probation = |part| quarantine.is_on_probation(part, now);
+        let mut inquiry = self.prompts.inquiry.borrow_mut();
+        inquiry.record_crash(evidence, is_on_probation, now);
+        if !inquiry.suspects().is_empty() {
+            self.prompts.has_suspects.notify_one();
+        }
+    }
+
+    /// Asks all hosts about parts that seem to crash servers, and puts those that no host clears into quarantine, until
+    /// the process ends.
+    pub(crate) async fn examine_suspects(self: Rc<Self>) {
+        loop {
+            self.prompts.has_suspects.notified().await;
+            let suspects = self.prompts.inquiry.borrow().suspects();
+            let histories = self.collect_histories(&suspects).await;
+            let mut inquiry = self.prompts.inquiry.borrow_mut();
+            for (part, history) in histories {
+                inquiry.record_history(part, history);
+            }
+            let findings: Vec<Finding> = std::iter::from_fn(|| inquiry.conclude()).collect();
+            drop(inquiry);
+            let now = self.clock.now();
+            for finding in &findings {
+                self.quarantine_part(finding, now);
+            }
+        }
+    }
+
+    /// Recent runs with these parts that have begun, over all hosts that report to this one.
+    async fn collect_histories(
+        &self,
+        parts: &[PromptPartId],
+    ) -> BTreeMap<PromptPartId, PartHistory> {
+        let now = self.clock.now();
+        let hosts: Vec<HostId> = self.reporting_hosts();
+        let hosts = hosts
+            .iter()
+            .filter(|host| self.decodes_since(host, QUARANTINE_SINCE));
+        let mut replies: FuturesUnordered<_> = hosts
+            .map(|host| {
+                let request = PeerRequest::PromptHistories(parts.to_vec());
+                self.mesh.call(host, request, HISTORY_TIMEOUT, now)
+            })
+            .collect();
+        let mut evidence = self.part_evidence(parts);
+        while let Some(reply) = replies.next().await {
+            if let Some(PeerReply::PromptHistories(reports)) = reply {
+                let now = self.clock.now();
+                evidence.extend(
+                    reports
+                        .into_iter()
+                        .map(|part| PartEvidence::from((part, now))),
+                );
+            }
+        }
+        let mut histories: BTreeMap<PromptPartId, PartHistory> = BTreeMap::new();
+        for part in evidence {
+            let history = histories.entry(part.part).or_default();
+            *history = history.and(part.history);
+        }
+        histories
+    }
+
+    /// Other hosts that report to this one.
+    fn reporting_hosts(&self) -> Vec<HostId> {
+        let reports = self.reports.borrow();
+        let hosts = reports.hosts().map(|info| info.host.clone());
+        hosts.filter(|host| *host != self.local.host).collect()
+    }
+
+    /// Puts a part into quarantine, and tells the other hosts and the store.
+    fn quarantine_part(&self, finding: &Finding, now: Duration) {
+        let part = format_parts(&[finding.part]);
+        let entry = self.prompts.quarantine.borrow_mut().add(finding.part, now);
+        let Some(entry) = entry else {
+            log::error!(
+                event = "quarantine_full", part;
+                "a part of prompts seems to crash servers, as do so many others that the prompts may not be the cause"
+            );
+            return;
+        };
+        log::warn!(
+            event = "prompt_quarantined", part, servers = finding.servers.join(","), findings = entry.findings,
+            remaining_ms = entry.remaining_ms;
+            "a part of prompts crashes servers; requests with it are rejected"
+        );
+        self.prompts.unstored.borrow_mut().push(entry);
+        self.prompts.has_unstored.notify_one();
+        self.quarantine_changed(&self.local.host, now);
+    }
+
+    /// Sends the quarantine to the hosts that this one coordinates, or to the coordinator, but not to the host that it
+    /// is from.
+    fn quarantine_changed(&self, source: &str, now: Duration) {
+        let quarantine = self.prompts.quarantine.borrow();
+        self.metrics
+            .quarantined_parts
+            .set(i64::try_from(quarantine.len()).unwrap_or(i64::MAX));
+        let entries = quarantine.entries(now);
+        drop(quarantine);
+        let coordinator = self.coordination.borrow().coordinator().clone();
+        let hosts: Vec<HostId> = match coordinator == self.local.host {
+            true => self.reporting_hosts(),
+            false => vec![coordinator],
+        };
+        for host in hosts.iter().filter(|host| *host != source) {
+            self.send_quarantine(host, &entries);
+        }
+    }
+
+    fn send_quarantine(&self, host: &str, entries: &[QuarantinedPart]) {
+        if self.decodes_since(host, QUARANTINE_SINCE) {
+            self.send_to(host, PeerMessage::Quarantine(entries.to_vec()));
+        }
+    }
+
+    /// Sends the quarantine to a host that has reported and not acknowledged it.
+    pub(super) fn send_quarantine_unless_known(&self, host: &str) {
+        let quarantine = self.prompts.quarantine.borrow();
+        if quarantine.is_empty() {
+            return;
+        }
+        let entries = quarantine.entries(self.clock.now());
+        drop(quarantine);
+        if self.prompts.acks.borrow().get(host) != Some(&digest(&entries)) {
+            self.send_quarantine(host, &entries);
+        }
+    }
+
+    /// Merges the quarantine of another host into that of this one.
+    pub(super) fn handle_quarantine(
+        &self,
+        sender: &HostInfo,
+        received: &[QuarantinedPart],
+        now: Duration,
+    ) {
+        let has_changed = self.prompts.quarantine.borrow_mut().merge(received, now);
+        let entries = self.prompts.quarantine.borrow().entries(now);
+        let received_digest = digest(received);
+        self.prompts.record_ack(&sender.host, received_digest);
+        if digest(&entries) == received_digest {
+            let ack = PeerMessage::QuarantineAck(received_digest);
+            self.send_to(&sender.host, ack);
+        } else {
+            self.send_quarantine(&sender.host, &entries);
+        }
+        if has_changed {
+            log::info!(
+                event = "quarantine", source = sender.host.as_str(), parts = entries.len();
+                "learned of parts of prompts that crash servers"
+            );
+            self.quarantine_changed(&sender.host, now);
+        }
+    }
+
+    /// Tells a coordinator that is new to this host of the quarantine, and of the crashes that this host observed.
+    pub(super) fn brief_coordinator(&self, coordinator: &HostInfo) {
+        let current = (coordinator.host.clone(), coordinator.incarnation);
+        let is_briefed = self.prompts.briefed.borrow().as_ref() == Some(&current);
+        if is_briefed
+            || !self.is_coordinator(&coordinator.host)
+            || !self.decodes_since(&coordinator.host, QUARANTINE_SINCE)
+        {
+            return;
+        }
+        *self.prompts.briefed.borrow_mut() = Some(current);
+        let now = self.clock.now();
+        let entries = self.prompts.quarantine.borrow().entries(now);
+        if !entries.is_empty() {
+            self.send_quarantine(&coordinator.host, &entries);
+        }
+        for crash in self.prompts.crashes.borrow().iter() {
+            let report = CrashReport::from((crash, now));
+            self.send_to(&coordinator.host, PeerMessage::CrashReport(report));
+        }
+    }
+
+    /// Reads the quarantine from the store once, and writes the parts that this host adds, until the process ends.
+    pub(crate) async fn sync_stored_quarantine(self: Rc<Self>) {
+        let topic = format!("{}{QUARANTINE_TOPIC}", self.dialect.keyed_prefix);
+        let mut is_read = false;
+        loop {
+            if !is_read {
+                is_read = self.read_stored_quarantine(&topic).await;
+            }
+            let is_written = self.store_quarantined_parts(&topic).await;
+            match is_read && is_written {
+                true => self.prompts.has_unstored.notified().await,
+                false => actix_rt::time::sleep(STORE_RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    /// Merges the quarantine in the store into that of this host. Returns whether the store responded.
+    async fn read_stored_quarantine(&self, topic: &str) -> bool {
+        let mut reader = TopicReader::new(topic, Duration::ZERO, ReadExtent::Tail);
+        let records = match reader.read(self).await {
+            Ok(TopicUpdate::Newest(records) | TopicUpdate::Records(records)) => records,
+            Err(_) => return false,
+        };
+        let now_unix_ms = self.clock.unix_ms();
+        let mut entries = Vec::new();
+        for record in records {
+            let Some(value) = record.value else { continue };
+            let part = PromptPartId::from_str_radix(&record.key, 16);
+            match (part, serde_json::from_slice::<StoredPart>(&value)) {
+                (Ok(part), Ok(stored)) => entries.push(QuarantinedPart {
+                    part,
+                    remaining_ms: stored.until_unix_ms.saturating_sub(now_unix_ms),
+                    findings: stored.findings,
+                }),
+                _ => {
+                    log::warn!(
+                        event = "quarantine_unreadable", key = record.key.as_str();
+                        "cannot decode a quarantined part in the store"
+                    );
+                }
+            }
+        }
+        let now = self.clock.now();
+        let has_changed = self.prompts.quarantine.borrow_mut().merge(&entries, now);
+        if has_changed {
+            log::info!(event = "quarantine", source = "store", parts = entries.len(); "learned of parts of prompts that crash servers");
+            self.quarantine_changed(&self.local.host, now);
+        }
+        true
+    }
+
+    /// Writes the parts that the store does not have yet. Returns whether it has all of them.
+    async fn store_quarantined_parts(&self, topic: &str) -> bool {
+        let unstored = self.prompts.unstored.borrow().clone();
+        if unstored.is_empty() {
+            return true;
+        }
+        let now_unix_ms = self.clock.unix_ms();
+        let records = unstored.iter().filter_map(|entry| {
+            let stored = StoredPart {
+                until_unix_ms: now_unix_ms.saturating_add(entry.remaining_ms),
+                findings: entry.findings,
+            };
+            let value = serde_json::to_vec(&stored).ok()?;
+            Some(encode_keyed_record(&format!("{:x}", entry.part), &value))
+        });
+        let request = StoreRequest::Append {
+            topic: topic.to_owned(),
+            partition: 0,
+            records: records.collect(),
+            fence: None,
+        };
+        let is_stored = matches!(
+            self.store_call(&request).await,
+            Ok(StoreReply::Appended { .. })
+        );
+        if is_stored {
+            self.prompts
+                .unstored
+                .borrow_mut()
+                .retain(|entry| !unstored.contains(entry));
+        }
+        is_stored && self.prompts.unstored.borrow().is_empty()
+    }
+}
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -37,6 +37,7 @@
 use crate::traffic::EngineRequest;
 use crate::traffic::OpenError;
 use crate::traffic::StreamRead;
+use crate::traffic::format_parts;
 use crate::traffic::open_stream;
 use crate::traffic::run_outcome;
 
@@ -46,6 +47,8 @@
 const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after a failed attempt.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Interval at which an item with a part in quarantine is checked again.
+const QUARANTINE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Failed attempts in a row that brought no event, after which an item begins anew if servers of another version are
 /// ready.
 const FRUITLESS_ATTEMPTS_MAX: u32 = 3;
@@ -223,6 +226,7 @@
     let request = engine_request(&gateway, &job, item);
     let mut route_missing_since = None;
     let mut fruitless_attempts = 0;
+    let mut is_held = false;
     loop {
         let origin = run.borrow().origin().cloned();
         let status = item_status(&gateway, &shard, &job, item, age, origin.as_ref());
@@ -247,6 +251,13 @@
                 continue;
             }
         };
+        if gateway
+            .quarantine_remaining(&request.shared_parts)
+            .is_some()
+        {
+            is_held = hold_item(&gateway, &job, &request, is_held).await;
+            continue;
+        }
         let work = Work::Batch {
             due: gateway.clock.now() + due_in,
             remaining: gateway
@@ -274,6 +285,12 @@
         ) {
             return;
         }
+        if gateway
+            .quarantine_remaining(&request.shared_parts)
+            .is_some()
+        {
+            continue;
+        }
         let server = slot.server.id.clone();
         let (started_at, events_before) = (gateway.clock.now(), run.borrow().event_count());
         let retention_left =
@@ -332,6 +349,26 @@
     }
 }
 
+/// Waits before it is checked again whether a part of an item's prompt still is in quarantine. The item keeps its place
+/// until the retention of its job passes: it has neither failed nor been found impossible by a server.
+async fn hold_item(
+    gateway: &Gateway,
+    job: &JobRecord,
+    request: &EngineRequest,
+    is_held: bool,
+) -> bool {
+    if !is_held {
+        gateway.metrics.count_item("prompt_quarantined");
+        log::info!(
+            event = "item_held", job = job.id.as_str(), item = request.id.as_str(),
+            parts = format_parts(&request.shared_parts);
+            "an item is not sent: a part of its prompt crashes servers"
+        );
+    }
+    actix_rt::time::sleep(QUARANTINE_CHECK_INTERVAL).await;
+    true
+}
+
 /// Whether the service has a ready server of another version than the one that began an item.
 fn has_other_version(gateway: &Gateway, service: &str, origin: &StreamOrigin) -> bool {
     let ready = gateway
--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -20,6 +20,7 @@
 use crate::task::OwnedTask;
 use crate::watch::TopicReader;
 use crate::watch::TopicUpdate;
+use crate::watch::encode_keyed_record;
 
 /// Group whose members the store assigns the shards to.
 const SHARD_OWNERS_GROUP: &str = "bamboo-shards";
@@ -208,10 +209,7 @@
 /// Writes the entry of this host to the list of hosts, or removes it if there is no value. Returns whether the store
 /// accepted the change.
 async fn publish_host(gateway: &Gateway, value: Option<&[u8]>) -> bool {
-    let key = gateway.local.host.as_bytes();
-    let mut record = vec![key.len() as u8];
-    record.extend_from_slice(key);
-    record.extend_from_slice(value.unwrap_or_default());
+    let record = encode_keyed_record(&gateway.local.host, value.unwrap_or_default());
     let request = StoreRequest::Append {
         topic: hosts_topic(gateway),
         partition: 0,
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -29,8 +29,10 @@
 
 /// First version whose hosts decode changes of the cluster map.
 pub(crate) const CLUSTER_MAP_CHANGES_SINCE: ProtocolVersion = 2;
+/// First version whose hosts exchange which parts of prompts crash servers.
+pub(crate) const QUARANTINE_SINCE: ProtocolVersion = 3;
 /// Version of this build.
-const PROTOCOL_VERSION: ProtocolVersion = 2;
+const PROTOCOL_VERSION: ProtocolVersion = 3;
 /// Path of a stream of messages, followed by the version. Version 1 had none.
 const MESSAGES_PATH: &str = "/messages";
 
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -10,9 +10,13 @@
 use bamboo_coordination::Probe;
 use bamboo_coordination::StreamKey;
 use bamboo_fleet::Server;
+use bamboo_quarantine::CrashReport;
+use bamboo_quarantine::PartReport;
+use bamboo_quarantine::QuarantinedPart;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequestId;
 use bamboo_types::BackendServerId;
+use bamboo_types::PromptPartId;
 use bamboo_types::SoftwareVersion;
 use bamboo_types::StreamOrigin;
 use serde::Deserialize;
@@ -84,6 +88,8 @@
         /// Services at which it may have begun.
         services: Vec<String>,
     },
+    /// Asks for the recent runs with these parts in their prompts. For hosts of protocol version 3 or later.
+    PromptHistories(Vec<PromptPartId>),
 }
 
 /// Reply to a request.
@@ -115,6 +121,8 @@
         /// Whether the host has followed the servers for long enough, and up to now, to name all such versions.
         remembers_versions: bool,
     },
+    /// Recent runs with the parts in question.
+    PromptHistories(Vec<PartReport>),
 }
 
 /// A message between hosts.
@@ -206,6 +214,12 @@
     },
     /// What changed in the coordinator's cluster map. For hosts of protocol version 2 or later.
     ClusterMapChange(ClusterMapChange),
+    /// A server crashed under a run of the sender. For hosts of protocol version 3 or later, like the two after it.
+    CrashReport(CrashReport),
+    /// The parts of prompts that the sender knows to crash servers.
+    Quarantine(Vec<QuarantinedPart>),
+    /// Digest of the quarantine of the sender, which has all entries of the receiver.
+    QuarantineAck(u64),
 }
 
 impl PeerMessage {
@@ -230,6 +244,9 @@
             | PeerMessage::Refused { .. }
             | PeerMessage::NoServer { .. } => "other_decision",
             PeerMessage::StreamBegan { .. } => "stream_began",
+            PeerMessage::CrashReport(_)
+            | PeerMessage::Quarantine(_)
+            | PeerMessage::QuarantineAck(_) => "quarantine",
             PeerMessage::Request { request, .. } => match request {
                 PeerRequest::Store(_) => "store_request",
                 PeerRequest::Submit { .. } | PeerRequest::Job(_) => "job_request",
--- a/bamboo-gateway/src/metrics.rs
+++ b/bamboo-gateway/src/metrics.rs
@@ -120,6 +120,8 @@
     pub store_failures: Gauge,
     /// Job partitions that this host owns.
     pub partitions: Gauge,
+    /// Parts of prompts in quarantine or on probation.
+    pub quarantined_parts: Gauge,
 }
 
 impl Default for Metrics {
@@ -139,6 +141,7 @@
             store_calls: Gauge::default(),
             store_failures: Gauge::default(),
             partitions: Gauge::default(),
+            quarantined_parts: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register(
@@ -198,6 +201,11 @@
             "Partitions of jobs that this host owns",
             metrics.partitions.clone(),
         );
+        registry.register(
+            "quarantined_parts",
+            "Parts of prompts that crash servers",
+            metrics.quarantined_parts.clone(),
+        );
         metrics
     }
 }
--- a/bamboo-gateway/src/run.rs
+++ b/bamboo-gateway/src/run.rs
@@ -70,6 +70,11 @@
     supervisor.spawn("probe_store", Rc::clone(&gateway).probe_store());
     supervisor.spawn("heartbeats", Rc::clone(&gateway).tick_forever());
     supervisor.spawn("batch_grants", Rc::clone(&gateway).run_batch_grants());
+    supervisor.spawn("crash_inquiry", Rc::clone(&gateway).examine_suspects());
+    supervisor.spawn(
+        "stored_quarantine",
+        Rc::clone(&gateway).sync_stored_quarantine(),
+    );
     supervisor.spawn(
         "fetch_configs",
         Rc::clone(&gateway).fetch_configs(inputs.config_fetches),
--- a/bamboo-gateway/src/traffic.rs
+++ b/bamboo-gateway/src/traffic.rs
@@ -23,3 +23,5 @@
 pub(crate) use load_balancer::LoadBalancer;
 pub(crate) use pool::ServerPool;
 pub(crate) use response::run_outcome;
+pub(crate) use run_trial::BrokenRun;
+pub(crate) use run_trial::format_parts;
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -296,7 +296,10 @@
                 self.trial.run_broke();
                 Some(StreamRead::Broken)
             }
-            None => Some(StreamRead::End),
+            None => {
+                self.trial.run_completed();
+                Some(StreamRead::End)
+            }
         }
     }
 
--- a/bamboo-gateway/src/traffic/run_trial.rs
+++ b/bamboo-gateway/src/traffic/run_trial.rs
@@ -64,8 +64,19 @@
 
     /// Counts events of the run.
     pub(crate) fn events_received(&mut self, events: &[SseEvent]) {
-        if self.events < EVENTS_TO_BEGIN {
-            self.events += events.iter().filter(|event| event.has_data()).count();
+        if self.events >= EVENTS_TO_BEGIN {
+            return;
+        }
+        self.events += events.iter().filter(|event| event.has_data()).count();
+        if self.events >= EVENTS_TO_BEGIN {
+            self.gateway.run_began(&self.shared_parts);
+        }
+    }
+
+    /// Records that the response is complete.
+    pub(crate) fn run_completed(&mut self) {
+        if (1..EVENTS_TO_BEGIN).contains(&self.events) {
+            self.gateway.run_began(&self.shared_parts);
         }
     }
 
@@ -101,10 +112,13 @@
         ran_ms = run.broke_at.saturating_sub(run.sent_at).as_millis() as u64;
         "a run broke before it had begun"
     );
+    if is_server_down {
+        gateway.server_crashed(&run);
+    }
 }
 
 /// Parts of a prompt for the log, as hexadecimal numbers.
-fn format_parts(parts: &[PromptPartId]) -> String {
+pub(crate) fn format_parts(parts: &[PromptPartId]) -> String {
     let parts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
     parts.join(",")
 }
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -8,6 +8,7 @@
 use bamboo_slots::RunOutcome;
 use bamboo_slots::Work;
 use bamboo_types::BackendServerId;
+use bamboo_types::PromptPartId;
 use bamboo_types::SoftwareVersion;
 use bamboo_types::StreamOrigin;
 use bytes::Bytes;
@@ -59,6 +60,9 @@
 /// Reason in the log of a request that is rejected because it is not known where its stream began.
 const ORIGIN_UNKNOWN: &str = "origin_unknown";
 
+/// Reason in the log of a request that is rejected because its prompt has a part that crashes servers.
+const PROMPT_QUARANTINED: &str = "prompt_quarantined";
+
 /// Attempts of a request so far.
 struct Attempts {
     count: u32,
@@ -145,8 +149,10 @@
         Ok(run) => run,
         Err(RunError::Answered(response)) => return recorder.finish(response, "server_failure"),
         Err(RunError::Refused(retry_after, reason)) => {
-            if reason == VERSION_GONE {
-                gateway.metrics.count_take_up(VERSION_GONE);
+            match reason {
+                VERSION_GONE => gateway.metrics.count_take_up(VERSION_GONE),
+                PROMPT_QUARANTINED => gateway.metrics.count_run(PROMPT_QUARANTINED),
+                _ => {}
             }
             recorder.reason = reason;
             return recorder.finish(not_run("no slot in time\n", retry_after), "refused");
@@ -232,7 +238,11 @@
     last_event: Option<u64>,
 ) -> Result<Run, RunError> {
     let is_resumable = is_resumable(request);
+    let shared_parts = &engine_request.shared_parts;
     loop {
+        if let Some(error) = quarantine_error(gateway, shared_parts, attempts) {
+            return Err(error);
+        }
         let now = gateway.clock.now();
         if now >= request.deadline {
             return Err(RunError::TimedOut);
@@ -263,6 +273,9 @@
                 return Err(RunError::Refused(NO_SERVER_RETRY_AFTER, reason));
             }
         };
+        if let Some(error) = quarantine_error(gateway, shared_parts, attempts) {
+            return Err(error);
+        }
         let sent_at = gateway.clock.now();
         gateway
             .metrics
@@ -342,6 +355,20 @@
     }
 }
 
+/// Why a request must not be sent, if its prompt has a part that crashes servers. It is to be retried after the quarantine
+/// of the part, unless it may have run.
+fn quarantine_error(
+    gateway: &Gateway,
+    shared_parts: &[PromptPartId],
+    attempts: &Attempts,
+) -> Option<RunError> {
+    let remaining = gateway.quarantine_remaining(shared_parts)?;
+    Some(match attempts.may_have_run {
+        true => RunError::Unknown,
+        false => RunError::Refused(remaining, PROMPT_QUARANTINED),
+    })
+}
+
 fn log_resumption(request: &CallerRequest, run: &Run, last_event: Option<u64>) {
     log::info!(
         event = "stream_resumed", request = request.id.as_str(), server = run.slot.server.id.as_str(),
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -132,6 +132,14 @@
     }
 }
 
+/// Encodes a record of a compacted topic; without a value it deletes the key. The inverse of [`parse_keyed_record`].
+pub(crate) fn encode_keyed_record(key: &str, value: &[u8]) -> Vec<u8> {
+    let mut record = vec![key.len() as u8];
+    record.extend_from_slice(key.as_bytes());
+    record.extend_from_slice(value);
+    record
+}
+
 pub(crate) fn parse_keyed_record(record: &[u8], offset: Offset) -> Option<KeyedRecord> {
     let (length, rest) = record.split_first()?;
     let (key, value) = rest.split_at_checked(usize::from(*length))?;
--- /dev/null
+++ b/bamboo-quarantine/src/evidence.rs
@@ -0,0 +1,130 @@
+//! A crash of a server under a run, as a host observed it, and as it reports it to others.
+
+use std::time::Duration;
+
+use bamboo_types::BackendServerId;
+use bamboo_types::PromptPartId;
+use bamboo_types::millis;
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::PartHistory;
+
+/// Hash of the identifier of a request.
+pub type RequestKey = u64;
+
+/// Derives the key of a request from its identifier.
+///
+/// ```
+/// assert_ne!(bamboo_quarantine::request_key("a"), bamboo_quarantine::request_key("b"));
+/// ```
+pub fn request_key(id: &str) -> RequestKey {
+    xxh3_64(id.as_bytes())
+}
+
+/// What is known of one part of the prompt of a run whose server crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartEvidence {
+    /// The part.
+    pub part: PromptPartId,
+    /// Runs with the part that have begun at the host that observed the crash.
+    pub history: PartHistory,
+}
+
+/// A run whose server crashed before the run had begun. All instants are on the clock of this host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashEvidence {
+    /// Server that crashed.
+    pub server: BackendServerId,
+    /// Request that ran there.
+    pub request: RequestKey,
+    /// When the request was sent to the server.
+    pub sent_at: Duration,
+    /// When the run broke.
+    pub broke_at: Duration,
+    /// Parts of the prompt that other requests share, in their order.
+    pub parts: Vec<PartEvidence>,
+}
+
+/// One part in a [`CrashReport`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartReport {
+    /// The part.
+    pub part: PromptPartId,
+    /// Number of recent runs with the part that have begun at the host.
+    pub begun_count: u32,
+    /// Time since the last of them began, in milliseconds.
+    pub begun_ago_ms: Option<u64>,
+}
+
+/// A [`CrashEvidence`] as it is sent to another host. All times are relative to the sending of the message.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// Server that crashed.
+    pub server: BackendServerId,
+    /// Request that ran there.
+    pub request: RequestKey,
+    /// Time since the request was sent to the server, in milliseconds.
+    pub sent_ago_ms: u64,
+    /// Time since the run broke, in milliseconds.
+    pub broke_ago_ms: u64,
+    /// Parts of the prompt that other requests share, in their order.
+    pub parts: Vec<PartReport>,
+}
+
+impl From<(PartEvidence, Duration)> for PartReport {
+    /// Converts the evidence for sending it now, at the given time.
+    fn from((evidence, now): (PartEvidence, Duration)) -> Self {
+        let ago_ms = |at: Duration| millis(now.saturating_sub(at));
+        PartReport {
+            part: evidence.part,
+            begun_count: evidence.history.begun_count,
+            begun_ago_ms: evidence.history.last_begun_at.map(ago_ms),
+        }
+    }
+}
+
+impl From<(PartReport, Duration)> for PartEvidence {
+    /// Converts a report that was received now, at the given time.
+    fn from((report, now): (PartReport, Duration)) -> Self {
+        let ago = |ms: u64| now.saturating_sub(Duration::from_millis(ms));
+        PartEvidence {
+            part: report.part,
+            history: PartHistory {
+                begun_count: report.begun_count,
+                last_begun_at: report.begun_ago_ms.map(ago),
+            },
+        }
+    }
+}
+
+impl From<(&CrashEvidence, Duration)> for CrashReport {
+    /// Converts the evidence for sending it now, at the given time.
+    fn from((evidence, now): (&CrashEvidence, Duration)) -> Self {
+        let ago_ms = |at: Duration| millis(now.saturating_sub(at));
+        let parts = evidence.parts.iter();
+        CrashReport {
+            server: evidence.server.clone(),
+            request: evidence.request,
+            sent_ago_ms: ago_ms(evidence.sent_at),
+            broke_ago_ms: ago_ms(evidence.broke_at),
+            parts: parts.map(|part| (*part, now).into()).collect(),
+        }
+    }
+}
+
+impl From<(&CrashReport, Duration)> for CrashEvidence {
+    /// Converts a report that was received now, at the given time.
+    fn from((report, now): (&CrashReport, Duration)) -> Self {
+        let ago = |ms: u64| now.saturating_sub(Duration::from_millis(ms));
+        let parts = report.parts.iter();
+        CrashEvidence {
+            server: report.server.clone(),
+            request: report.request,
+            sent_at: ago(report.sent_ago_ms),
+            broke_at: ago(report.broke_ago_ms),
+            parts: parts.map(|part| (*part, now).into()).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/bamboo-quarantine/src/quarantine.rs
@@ -0,0 +1,155 @@
+//! The parts that crash servers, as all hosts share them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bamboo_types::PromptPartId;
+use bamboo_types::millis;
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Duration of the first quarantine of a part. It grows with each further one.
+const QUARANTINE_INITIAL: Duration = Duration::from_secs(3600);
+/// Factor by which a quarantine is longer than the one before.
+const QUARANTINE_GROWTH: u32 = 4;
+/// Upper bound for the exponent of the growth: 4^9 hours are 30 years.
+const GROWTH_EXPONENT_MAX: u32 = 9;
+/// Maximum number of parts in quarantine. If that many seem to crash servers, the prompts are not the cause.
+const PARTS_MAX: usize = 64;
+
+/// A part in quarantine or on probation as it is sent to another host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantinedPart {
+    /// The part.
+    pub part: PromptPartId,
+    /// Time until the end of the quarantine in milliseconds; 0 on probation.
+    pub remaining_ms: u64,
+    /// How often it was found to crash servers.
+    pub findings: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    until: Duration,
+    findings: u32,
+}
+
+impl Entry {
+    /// How long the part is on probation after its quarantine: as long as that was.
+    fn probation_until(&self) -> Duration {
+        self.until + quarantine_time(self.findings)
+    }
+}
+
+/// Duration of the quarantine after a number of findings.
+fn quarantine_time(findings: u32) -> Duration {
+    let exponent = findings.saturating_sub(1).min(GROWTH_EXPONENT_MAX);
+    QUARANTINE_INITIAL * QUARANTINE_GROWTH.pow(exponent)
+}
+
+/// The parts that crash servers. Requests with such a part are not sent to servers. Two quarantines are merged into one
+/// that has the entries of both.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    parts: BTreeMap<PromptPartId, Entry>,
+}
+
+impl Quarantine {
+    /// Adds a part that was found to crash servers. Returns its entry, or `None` if the quarantine is full.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut quarantine = bamboo_quarantine::Quarantine::default();
+    /// quarantine.add(7, Duration::ZERO).unwrap();
+    /// assert!(quarantine.remaining(&[1, 7], Duration::from_secs(60)).is_some());
+    /// assert!(quarantine.remaining(&[1], Duration::from_secs(60)).is_none());
+    /// assert!(quarantine.remaining(&[7], Duration::from_secs(3601)).is_none());
+    /// assert!(quarantine.is_on_probation(7, Duration::from_secs(3601)));
+    /// ```
+    pub fn add(&mut self, part: PromptPartId, now: Duration) -> Option<QuarantinedPart> {
+        let before = self.parts.get(&part).map(|entry| entry.findings);
+        if before.is_none() && self.parts.len() >= PARTS_MAX {
+            return None;
+        }
+        let findings = before.unwrap_or(0).saturating_add(1);
+        let until = now + quarantine_time(findings);
+        self.parts.insert(part, Entry { until, findings });
+        Some(QuarantinedPart {
+            part,
+            remaining_ms: millis(until - now),
+            findings,
+        })
+    }
+
+    /// Takes over the entries of another host that are newer or unknown. Returns whether there were any.
+    pub fn merge(&mut self, entries: &[QuarantinedPart], now: Duration) -> bool {
+        let mut has_changed = false;
+        for entry in entries {
+            let until = now + Duration::from_millis(entry.remaining_ms);
+            let findings = entry.findings;
+            let known = self.parts.get(&entry.part);
+            let is_newer = known.is_none_or(|known| known.findings < findings);
+            if is_newer && (known.is_some() || self.parts.len() < PARTS_MAX) {
+                self.parts.insert(entry.part, Entry { until, findings });
+                has_changed = true;
+            }
+        }
+        has_changed
+    }
+
+    /// Time until none of the parts is in quarantine; `None` if none is.
+    pub fn remaining(&self, parts: &[PromptPartId], now: Duration) -> Option<Duration> {
+        let entries = parts.iter().filter_map(|part| self.parts.get(part));
+        let remaining = entries.filter_map(|entry| entry.until.checked_sub(now));
+        remaining.filter(|time| !time.is_zero()).max()
+    }
+
+    /// Whether the quarantine of a part has ended, and a single crash puts it back.
+    pub fn is_on_probation(&self, part: PromptPartId, now: Duration) -> bool {
+        let entry = self.parts.get(&part);
+        entry.is_some_and(|entry| entry.until <= now && now < entry.probation_until())
+    }
+
+    /// All entries, for other hosts and for the store.
+    pub fn entries(&self, now: Duration) -> Vec<QuarantinedPart> {
+        let entries = self.parts.iter().map(|(part, entry)| QuarantinedPart {
+            part: *part,
+            remaining_ms: millis(entry.until.saturating_sub(now)),
+            findings: entry.findings,
+        });
+        entries.collect()
+    }
+
+    /// Number of entries.
+    pub fn len(&self) -> usize {
+        self.parts.len()
+    }
+
+    /// Whether there is no entry.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
+    /// Drops the entries whose probation has ended.
+    pub fn expire(&mut self, now: Duration) {
+        self.parts.retain(|_, entry| now < entry.probation_until());
+    }
+}
+
+/// Digest of entries, by which two hosts compare theirs. It does not depend on the time.
+///
+/// ```
+/// use bamboo_quarantine::{QuarantinedPart, digest};
+/// let entry = QuarantinedPart { part: 7, remaining_ms: 9, findings: 1 };
+/// assert_eq!(digest(&[entry]), digest(&[QuarantinedPart { remaining_ms: 5, ..entry }]));
+/// assert_ne!(digest(&[entry]), digest(&[]));
+/// ```
+pub fn digest(entries: &[QuarantinedPart]) -> u64 {
+    let bytes: Vec<u8> = entries
+        .iter()
+        .flat_map(|entry| [entry.part, u64::from(entry.findings)])
+        .flat_map(u64::to_le_bytes)
+        .collect();
+    xxh3_64(&bytes)
+}
