--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -18,6 +18,7 @@
 use http::Method;
 use http::Request;
 use http::StatusCode;
+use http::header;
 use http::response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -292,7 +293,7 @@
                 self.trial.run_broke();
                 Some(StreamRead::Broken)
             }
-            None if self.decoder.has_partial() => {
+            None if self.decoder.has_partial() || self.is_cut_before_events() => {
                 self.trial.run_broke();
                 Some(StreamRead::Broken)
             }
@@ -303,6 +304,15 @@
         }
     }
 
+    /// Whether a response without a length or chunks ended with its connection before any event. A server that crashes
+    /// ends its connections, too.
+    fn is_cut_before_events(&self) -> bool {
+        let headers = &self.head.headers;
+        let is_framed = headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
+        !is_framed && !self.trial.has_event()
+    }
+
     /// Returns the connection to the pool after a complete response.
     pub(crate) fn finish(self, gateway: &Gateway) {
         let now = gateway.clock.now();
--- a/bamboo-gateway/src/traffic/run_trial.rs
+++ b/bamboo-gateway/src/traffic/run_trial.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Whether an event with data has been received.
+    pub(crate) fn has_event(&self) -> bool {
+        self.events > 0
+    }
+
     /// Records that the response is complete.
     pub(crate) fn run_completed(&mut self) {
         if (1..EVENTS_TO_BEGIN).contains(&self.events) {
