feat(gateway): what servers say of their limit is parsed and logged

The newest statement of a server counts; the response to a request that was sent before it does not end a limit. Token buckets can be created empty, change their rate, and owe tokens. No decision depends on limits yet.

--- a/bamboo-gateway/src/dialect.rs
+++ b/bamboo-gateway/src/dialect.rs
@@ -33,6 +33,8 @@
     pub server_stamp: HeaderName,
     /// Set by a server that rejected the request without running it.
     pub not_run: HeaderName,
+    /// Set by a server that takes a limited rate of requests from all hosts together, in requests per second.
+    pub request_limit: HeaderName,
     /// Identifier of the last event that the sender received, from which a stream is resumed.
     pub last_event_id: HeaderName,
     /// Set by a caller that takes a stream up again: the request that brought its first event.
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! State of the process, and its messages to and from other hosts.
 
 mod heartbeat;
+mod limits;
 mod peers;
 mod prompts;
 mod servers;
@@ -27,6 +28,7 @@
 use bamboo_relay::StorePath;
 use bamboo_slots::Broker;
 use bamboo_slots::DeadlineHistory;
+use bamboo_slots::RequestLimits;
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
 use bamboo_types::Offset;
@@ -130,6 +132,7 @@
     pub(crate) coordination: RefCell<CoordinatorTracker>,
     stream_origins: RefCell<StreamOrigins>,
     prompts: Prompts,
+    limits: RefCell<RequestLimits>,
     broker: RefCell<Broker>,
     reports: RefCell<Reports>,
     /// Versions of the messages that other hosts decode.
@@ -194,6 +197,7 @@
             coordination: RefCell::new(coordination),
             stream_origins: RefCell::default(),
             prompts: Prompts::default(),
+            limits: RefCell::default(),
             broker: RefCell::new(broker),
             reports: RefCell::new(Reports::default()),
             protocol_versions: RefCell::default(),
@@ -360,6 +364,7 @@
 
     /// Removes a server from the broker.
     pub(crate) fn remove_engine(&self, server: &str) {
+        self.limits.borrow_mut().remove(server);
         self.broker.borrow_mut().remove_engine(server);
         self.send_broker_actions();
     }
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -186,6 +186,7 @@
         self.directory.borrow_mut().expire(now);
         self.stream_origins.borrow_mut().expire(now);
         self.prompts.expire(now);
+        self.limits.borrow_mut().expire(now);
         self.pool.close_idle(now);
         self.mesh.close_idle(now);
         if let Some((host, version)) = self.reports.borrow().newest_config() {
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -164,6 +164,7 @@
     if !belongs_to_request(gateway, &request.id, &head, connection.is_reused) {
         return Err(OpenError::Failed(RunOutcome::Broken));
     }
+    gateway.observe_limit(&server.id, &head.headers, started);
     if head.status.is_success() {
         return Ok(EngineStream {
             connection,
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -217,7 +217,9 @@
     };
     let exchange = exchange(&mut connection, outgoing, &gateway.server_buffers);
     match tokio::time::timeout(attempt_timeout, exchange).await {
-        Ok(Ok((head, bytes))) => classify_response(gateway, request, connection, head, bytes),
+        Ok(Ok((head, bytes))) => {
+            classify_response(gateway, request, server, now, connection, head, bytes)
+        }
         Ok(Err(error)) => {
             log::debug!(
                 "connection to server {} failed during request {}: {error}",
@@ -269,6 +271,8 @@
 fn classify_response(
     gateway: &Gateway,
     request: &CallerRequest,
+    server: &Server,
+    sent_at: Duration,
     connection: Connection,
     head: response::Parts,
     bytes: Bytes,
@@ -277,6 +281,7 @@
     if !belongs_to_request(gateway, &request.id, &head, connection.is_reused) {
         return Attempt::Failed(RunOutcome::Broken);
     }
+    gateway.observe_limit(&server.id, &head.headers, sent_at);
     if request.body.len() <= REUSE_BODY_MAX_BYTES {
         let now = gateway.clock.now();
         gateway.pool.put_idle(connection, &head.headers, now);
--- a/bamboo-types/src/token_bucket.rs
+++ b/bamboo-types/src/token_bucket.rs
@@ -30,6 +30,22 @@
         }
     }
 
+    /// Creates a bucket that is empty now.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut bucket = bamboo_types::TokenBucket::new_empty(Duration::ZERO, 10.0, 1.0);
+    /// assert!(!bucket.try_take(Duration::ZERO, 1.0));
+    /// assert!(bucket.try_take(Duration::from_millis(100), 1.0));
+    /// ```
+    pub fn new_empty(now: Timestamp, rate_per_s: f64, burst: f64) -> Self {
+        TokenBucket {
+            tokens: 0.0,
+            updated_at: Some(now),
+            ..TokenBucket::new(rate_per_s, burst)
+        }
+    }
+
     /// Takes `amount` tokens and returns `true` if the bucket holds as many.
     pub fn try_take(&mut self, now: Timestamp, amount: f64) -> bool {
         self.refill(now);
@@ -41,6 +57,57 @@
         true
     }
 
+    /// Changes the rate and the burst. The tokens in the bucket remain, up to the new burst.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut bucket = bamboo_types::TokenBucket::new(1.0, 4.0);
+    /// bucket.set_rate(Duration::ZERO, 10.0, 2.0);
+    /// assert!(bucket.try_take(Duration::ZERO, 2.0) && !bucket.try_take(Duration::ZERO, 1.0));
+    /// ```
+    pub fn set_rate(&mut self, now: Timestamp, rate_per_s: f64, burst: f64) {
+        self.refill(now);
+        self.rate_per_s = rate_per_s;
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
+    /// Tokens that the bucket holds.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let bucket = bamboo_types::TokenBucket::new_empty(Duration::ZERO, 10.0, 1.0);
+    /// assert_eq!(bucket.available(Duration::from_millis(50)), 0.5);
+    /// ```
+    pub fn available(&self, now: Timestamp) -> f64 {
+        (self.tokens + self.refilled_since_update(now)).min(self.burst)
+    }
+
+    /// Takes `amount` tokens that will be available within `max_wait`, and returns the time until then. The bucket may owe
+    /// tokens afterwards.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut bucket = bamboo_types::TokenBucket::new(10.0, 1.0);
+    /// let mut reserve = || bucket.reserve(Duration::ZERO, 1.0, Duration::from_millis(150));
+    /// assert_eq!(reserve(), Some(Duration::ZERO));
+    /// assert_eq!(reserve(), Some(Duration::from_millis(100)));
+    /// assert_eq!(reserve(), None);
+    /// ```
+    pub fn reserve(
+        &mut self,
+        now: Timestamp,
+        amount: f64,
+        max_wait: std::time::Duration,
+    ) -> Option<std::time::Duration> {
+        let wait = self.time_until_available(now, amount);
+        if wait > max_wait {
+            return None;
+        }
+        self.tokens -= amount;
+        Some(wait)
+    }
+
     /// Returns unused tokens to the bucket, up to the burst.
     pub fn refund(&mut self, amount: f64) {
         self.tokens = (self.tokens + amount).min(self.burst);
@@ -64,10 +131,12 @@
     }
 
     fn refill(&mut self, now: Timestamp) {
-        let elapsed = self
-            .updated_at
-            .map_or(std::time::Duration::ZERO, |at| now.saturating_sub(at));
-        self.tokens = (self.tokens + elapsed.as_secs_f64() * self.rate_per_s).min(self.burst);
+        self.tokens = self.available(now);
         self.updated_at = Some(now);
     }
+
+    fn refilled_since_update(&self, now: Timestamp) -> f64 {
+        let elapsed = self.updated_at.map(|at| now.saturating_sub(at));
+        elapsed.unwrap_or_default().as_secs_f64() * self.rate_per_s
+    }
 }
