fix(gateway): a server gets no more requests from all hosts together than the limit that it names

Cause: the broker allocates the slots of engines and knows no rate, and plain services are chosen by each host alone. Class: a shared bound that each sender heeds, if at all, by itself.

Change: the coordinator counts all requests to a server that names a limit, in a token bucket of 1.5 s. It grants slots of engines only within it; for plain services hosts ask it for a permit, which may name a wait, and servers without a limit come first. What a server said goes from each host to the coordinator and from there to all, the newest statement counts, and a new coordinator learns it from every host. A host that allocates by itself leaves such servers out. Admission counts the runs that a limit allows instead of slots, so that what cannot be served is refused at once. Items yield to queued online requests, and otherwise go to servers with limits first, since an item is a single request for a long run.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -28,7 +28,6 @@
 use bamboo_relay::StorePath;
 use bamboo_slots::Broker;
 use bamboo_slots::DeadlineHistory;
-use bamboo_slots::RequestLimits;
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
 use bamboo_types::Offset;
@@ -132,7 +131,6 @@
     pub(crate) coordination: RefCell<CoordinatorTracker>,
     stream_origins: RefCell<StreamOrigins>,
     prompts: Prompts,
-    limits: RefCell<RequestLimits>,
     broker: RefCell<Broker>,
     reports: RefCell<Reports>,
     /// Versions of the messages that other hosts decode.
@@ -197,7 +195,6 @@
             coordination: RefCell::new(coordination),
             stream_origins: RefCell::default(),
             prompts: Prompts::default(),
-            limits: RefCell::default(),
             broker: RefCell::new(broker),
             reports: RefCell::new(Reports::default()),
             protocol_versions: RefCell::default(),
@@ -364,13 +361,13 @@
 
     /// Removes a server from the broker.
     pub(crate) fn remove_engine(&self, server: &str) {
-        self.limits.borrow_mut().remove(server);
+        self.forget_limit(server);
         self.broker.borrow_mut().remove_engine(server);
         self.send_broker_actions();
     }
 
-    /// Picks a server by this host's own view of load and health, without the coordinator. If a version is required,
-    /// only a server of that version.
+    /// Picks a server by this host's own view of load and health, without the coordinator, among those that name no limit
+    /// for their requests. If a version is required, only a server of that version.
     pub(crate) fn pick_server(
         &self,
         service: &str,
@@ -380,6 +377,7 @@
         let now = self.clock.now();
         let mut servers = self.directory.borrow().ready(service, now);
         servers.retain(|server| version.is_none_or(|version| *version == server.version));
+        servers.retain(|server| !self.broker.borrow().limits().is_limited(&server.id));
         self.load_balancer
             .borrow()
             .pick(&servers, excluded, &self.settings.data_centre, now)
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -144,12 +144,12 @@
         }
     }
 
-    /// Grants slots to batch items between heartbeats until the process ends.
-    pub(crate) async fn run_batch_grants(self: Rc<Self>) {
+    /// Grants slots that become available between heartbeats until the process ends.
+    pub(crate) async fn run_due_grants(self: Rc<Self>) {
         loop {
-            let has_waiting = self.broker.borrow_mut().grant_batch(self.clock.now());
+            let is_more_due = self.broker.borrow_mut().grant_due(self.clock.now());
             self.send_broker_actions();
-            let pause = if has_waiting {
+            let pause = if is_more_due {
                 BATCH_GRANT_DELAY
             } else {
                 HEARTBEAT_INTERVAL
@@ -186,7 +186,7 @@
         self.directory.borrow_mut().expire(now);
         self.stream_origins.borrow_mut().expire(now);
         self.prompts.expire(now);
-        self.limits.borrow_mut().expire(now);
+        self.broker.borrow_mut().limits_mut().expire(now);
         self.pool.close_idle(now);
         self.mesh.close_idle(now);
         if let Some((host, version)) = self.reports.borrow().newest_config() {
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -222,6 +222,7 @@
             PeerMessage::QuarantineAck(digest) => {
                 self.prompts.record_ack(&sender.host, digest);
             }
+            PeerMessage::Limits(reports) => self.handle_limits(sender, &reports, now),
             // Decisions of a former coordinator are ignored.
             PeerMessage::Queued { .. }
             | PeerMessage::Preempt { .. }
@@ -320,6 +321,7 @@
         drop(reports);
         if is_new {
             self.prompts.forget_host(&sender.host);
+            self.send_limits(&sender.host, now);
             log::info!(event = "host_joined", host = sender.host.as_str(); "a host reports to this coordinator");
         }
         self.broker
@@ -435,6 +437,9 @@
             PeerRequest::PromptHistories(parts) => {
                 PeerReply::PromptHistories(self.prompt_histories(&parts))
             }
+            PeerRequest::Permit { servers, max_wait } => {
+                PeerReply::Permit(self.permit(&servers, max_wait))
+            }
         }
     }
 
--- a/bamboo-gateway/src/gateway/prompts.rs
+++ b/bamboo-gateway/src/gateway/prompts.rs
@@ -237,7 +237,7 @@
     }
 
     /// Other hosts that report to this one.
-    fn reporting_hosts(&self) -> Vec<HostId> {
+    pub(super) fn reporting_hosts(&self) -> Vec<HostId> {
         let reports = self.reports.borrow();
         let hosts = reports.hosts().map(|info| info.host.clone());
         hosts.filter(|host| *host != self.local.host).collect()
@@ -328,7 +328,8 @@
         }
     }
 
-    /// Tells a coordinator that is new to this host of the quarantine, and of the crashes that this host observed.
+    /// Tells a coordinator that is new to this host of the quarantine, of the crashes that this host observed, and of
+    /// servers' limits.
     pub(super) fn brief_coordinator(&self, coordinator: &HostInfo) {
         let current = (coordinator.host.clone(), coordinator.incarnation);
         let is_briefed = self.prompts.briefed.borrow().as_ref() == Some(&current);
@@ -340,6 +341,7 @@
         }
         *self.prompts.briefed.borrow_mut() = Some(current);
         let now = self.clock.now();
+        self.send_limits(&coordinator.host, now);
         let entries = self.prompts.quarantine.borrow().entries(now);
         if !entries.is_empty() {
             self.send_quarantine(&coordinator.host, &entries);
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -13,6 +13,8 @@
 use bamboo_quarantine::CrashReport;
 use bamboo_quarantine::PartReport;
 use bamboo_quarantine::QuarantinedPart;
+use bamboo_slots::LimitReport;
+use bamboo_slots::Permit;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequestId;
 use bamboo_types::BackendServerId;
@@ -90,6 +92,14 @@
     },
     /// Asks for the recent runs with these parts in their prompts. For hosts of protocol version 3 or later.
     PromptHistories(Vec<PromptPartId>),
+    /// Asks the coordinator for a server that takes a request in time, of some that name limits. For hosts of protocol
+    /// version 3 or later.
+    Permit {
+        /// The servers.
+        servers: Vec<BackendServerId>,
+        /// Time for which the request can wait.
+        max_wait: Duration,
+    },
 }
 
 /// Reply to a request.
@@ -123,6 +133,8 @@
     },
     /// Recent runs with the parts in question.
     PromptHistories(Vec<PartReport>),
+    /// Whether the request may be sent, and to which server.
+    Permit(Permit),
 }
 
 /// A message between hosts.
@@ -220,6 +232,8 @@
     Quarantine(Vec<QuarantinedPart>),
     /// Digest of the quarantine of the sender, which has all entries of the receiver.
     QuarantineAck(u64),
+    /// What servers said of the limits for their requests. For hosts of protocol version 3 or later.
+    Limits(Vec<LimitReport>),
 }
 
 impl PeerMessage {
@@ -244,6 +258,7 @@
             | PeerMessage::Refused { .. }
             | PeerMessage::NoServer { .. } => "other_decision",
             PeerMessage::StreamBegan { .. } => "stream_began",
+            PeerMessage::Limits(_) => "limits",
             PeerMessage::CrashReport(_)
             | PeerMessage::Quarantine(_)
             | PeerMessage::QuarantineAck(_) => "quarantine",
--- a/bamboo-gateway/src/traffic/load_balancer.rs
+++ b/bamboo-gateway/src/traffic/load_balancer.rs
@@ -38,7 +38,7 @@
         let load = |server: &Rc<Server>| {
             let stats = self.stats.get(&server.id);
             let running = stats.map_or(0, |stats| stats.running_count);
-            let is_usable = stats.is_none_or(|stats| stats.health.is_usable(running as usize, now));
+            let is_usable = self.is_usable(&server.id, now);
             let penalty = u32::from(server.data_centre != data_centre) * REMOTE_PENALTY;
             (!is_usable, running + penalty, rand::rng().random::<u32>())
         };
@@ -49,6 +49,12 @@
             .cloned()
     }
 
+    /// Whether the health of a server permits another run.
+    pub(crate) fn is_usable(&self, server: &str, now: Duration) -> bool {
+        let stats = self.stats.get(server);
+        stats.is_none_or(|stats| stats.health.is_usable(stats.running_count as usize, now))
+    }
+
     /// Records the start of a run.
     pub(crate) fn run_started(&mut self, server: &str) {
         self.stats
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -7,6 +7,7 @@
 use bamboo_fleet::BufferBudget;
 use bamboo_fleet::RouteKind;
 use bamboo_fleet::Server;
+use bamboo_slots::Permit;
 use bamboo_slots::RunOutcome;
 use bamboo_types::BackendServerId;
 use bytes::Bytes;
@@ -105,18 +106,23 @@
                 false => recorder.finish(not_run("time is up\n", BUSY_RETRY_AFTER), "timed_out"),
             };
         }
-        let Some(server) = gateway.pick_server(&request.service, &excluded, None) else {
-            return match may_have_run {
-                true => recorder.finish(
+        let server = match choose_server(&gateway, &request, &excluded).await {
+            Choice::Send(server) => server,
+            Choice::Refuse(_) if may_have_run => {
+                return recorder.finish(
                     text_response(StatusCode::BAD_GATEWAY, "no answer of a server\n"),
                     "unknown",
-                ),
-                false => recorder.finish(
-                    not_run("no server can take the request\n", BUSY_RETRY_AFTER),
+                );
+            }
+            Choice::Refuse(retry_after) => {
+                return recorder.finish(
+                    not_run("no server can take the request\n", retry_after),
                     "refused",
-                ),
-            };
+                );
+            }
         };
+        // The choice may have waited for the limit of a server.
+        let remaining = request.deadline.saturating_sub(gateway.clock.now());
         recorder.attempts += 1;
         recorder.server = server.id.clone();
         let may_retry = is_idempotent && recorder.attempts < request.route.attempts_max;
@@ -188,6 +194,50 @@
     }
 }
 
+/// Server for the next attempt.
+enum Choice {
+    /// Send the request to this server now.
+    Send(Rc<Server>),
+    /// No server can take the request in time; retry after this time.
+    Refuse(Duration),
+}
+
+/// Chooses a server: one without a limit, if one is usable, then one whose limit allows the request soon enough for a
+/// response that is on time.
+async fn choose_server(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    excluded: &[BackendServerId],
+) -> Choice {
+    let unlimited = gateway.pick_server(&request.service, excluded, None);
+    let is_usable = |server: &Rc<Server>| {
+        let now = gateway.clock.now();
+        gateway.load_balancer.borrow().is_usable(&server.id, now)
+    };
+    if let Some(server) = unlimited.as_ref().filter(|server| is_usable(server)) {
+        return Choice::Send(Rc::clone(server));
+    }
+    let on_time_for = request
+        .route
+        .target_latency
+        .mul_f64(1.0 - ATTEMPT_TIMEOUT_SHARE);
+    let send_by = (request.arrived_at + on_time_for).saturating_sub(request.waited);
+    let max_wait = send_by.saturating_sub(gateway.clock.now());
+    let permit = gateway.request_permit(&request.service, excluded, max_wait);
+    match (permit.await, unlimited) {
+        (Some(Permit::Granted { server, wait }), _) => {
+            actix_rt::time::sleep(wait).await;
+            match gateway.directory.borrow().get(&server) {
+                Some(server) => Choice::Send(Rc::clone(server)),
+                None => Choice::Refuse(BUSY_RETRY_AFTER),
+            }
+        }
+        (_, Some(unlimited)) => Choice::Send(unlimited),
+        (Some(Permit::Denied { retry_after }), None) => Choice::Refuse(retry_after),
+        (None, None) => Choice::Refuse(BUSY_RETRY_AFTER),
+    }
+}
+
 async fn send(
     gateway: &Gateway,
     request: &CallerRequest,
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -299,6 +299,7 @@
                 "server restarted"
             );
             gateway.load_balancer.borrow_mut().remove(&server.id);
+            gateway.forget_limit(&server.id);
             gateway.put_engine(&server, true);
         }
         DirectoryChange::Removed(_) | DirectoryChange::Unchanged => {}
--- a/bamboo-slots/src/allocate.rs
+++ b/bamboo-slots/src/allocate.rs
@@ -27,7 +27,10 @@
         F: Fn(&EngineState) -> bool,
     {
         self.engines.values().any(|state| {
-            state.engine.is_ready && has_room(state) && state.is_usable(&self.requests, now)
+            state.engine.is_ready
+                && has_room(state)
+                && state.is_usable(&self.requests, now)
+                && self.limits().allows(&state.engine.server, now)
         })
     }
 
@@ -102,17 +105,19 @@
     }
 
     /// Chooses a server for an online request: a free slot in the same data centre, then a free slot elsewhere, then
-    /// the slot of a batch item, which is preempted. A half-open server comes last, because a failed probe may cost the
-    /// request.
+    /// the slot of a batch item, which is preempted. Servers without a limit come first, so that the limits of the others
+    /// allow more during a burst. A half-open server comes last, because a failed probe may cost the request.
     fn place_online(&mut self, request: &SlotRequest, now: Duration) -> Option<BackendServerId> {
         let candidates = self
             .engines
             .values()
-            .filter(|state| state.may_run(request, &self.requests, now));
+            .filter(|state| state.may_run(request, &self.requests, now))
+            .filter(|state| self.limits().allows(&state.engine.server, now));
         let best = candidates
             .filter_map(|state| {
                 let is_remote = state.engine.data_centre != request.data_centre;
                 let is_probe = state.health.is_half_open();
+                let is_limited = self.limits().is_limited(&state.engine.server);
                 let is_free = state.running_count() < state.engine.slots;
                 let can_preempt =
                     !state.batch.is_empty() && state.online.len() < state.engine.slots;
@@ -122,7 +127,14 @@
                     (false, false) => return None,
                 };
                 Some((
-                    (is_probe, !is_free, is_remote, load, state.tie_break),
+                    (
+                        is_probe,
+                        !is_free,
+                        is_limited,
+                        is_remote,
+                        load,
+                        state.tie_break,
+                    ),
                     state,
                 ))
             })
@@ -180,17 +192,32 @@
         self.waiting_batch = self.allocate_in_order(order, now, Broker::place_batch);
     }
 
-    /// Chooses a server for a batch item. Half-open servers come first: an item resumes elsewhere if the probe fails.
+    /// Chooses a server for a batch item. Half-open servers come first: an item resumes elsewhere if the probe fails. Then
+    /// come servers with a limit, if it would go unused and no online request is queued: an item is a single request
+    /// for a long run, and leaves the slots of the other servers to online requests.
     fn place_batch(&mut self, request: &SlotRequest, now: Duration) -> Option<BackendServerId> {
         self.engines
             .values()
             .filter(|state| {
                 state.may_run(request, &self.requests, now) && state.batch_slots(now) > 0
             })
+            .filter(|state| {
+                let server = &state.engine.server;
+                let is_limited = self.limits().is_limited(server);
+                !is_limited
+                    || (self.limits().is_idle(server, now) && self.waiting_online.is_empty())
+            })
             .min_by_key(|state| {
                 let is_remote = state.engine.data_centre != request.data_centre;
                 let is_probe = state.health.is_half_open();
-                (!is_probe, is_remote, state.running_count(), state.tie_break)
+                let is_limited = self.limits().is_limited(&state.engine.server);
+                (
+                    !is_probe,
+                    !is_limited,
+                    is_remote,
+                    state.running_count(),
+                    state.tie_break,
+                )
             })
             .map(|state| state.engine.server.clone())
     }
@@ -205,6 +232,7 @@
             server: server.to_owned(),
             granted_at: now,
         });
+        self.limits.take(server, now);
         match state.request.work {
             Work::Online { .. } => {
                 engine.freed_at.pop();
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -12,6 +12,7 @@
 use crate::BatchItem;
 use crate::Engine;
 use crate::Health;
+use crate::RequestLimits;
 use crate::RunOutcome;
 use crate::SlotRequest;
 use crate::SlotRequestId;
@@ -59,6 +60,7 @@
     slot_time_mean: Option<Duration>,
     batch_slots_mean: Option<f64>,
     pub(crate) actions: Vec<Action>,
+    pub(crate) limits: RequestLimits,
     /// Host whose order among equally suitable engines applies; without one they are ordered by identifier.
     host: Option<HostId>,
 }
@@ -73,6 +75,16 @@
         }
     }
 
+    /// Limits that servers name for their requests.
+    pub fn limits(&self) -> &RequestLimits {
+        &self.limits
+    }
+
+    /// Limits that servers name for their requests, to record what they say.
+    pub fn limits_mut(&mut self) -> &mut RequestLimits {
+        &mut self.limits
+    }
+
     /// Adds or updates an engine. If `is_restarted`, the health recorded for its previous process is discarded.
     pub fn put_engine(&mut self, engine: Engine, is_restarted: bool, now: Duration) {
         match self.engines.get_mut(&engine.server) {
@@ -376,11 +388,16 @@
         }
     }
 
-    /// Grants batch items the slots that have been free for [`BATCH_GRANT_DELAY`](crate::BATCH_GRANT_DELAY). Returns
-    /// whether batch items are still queued.
-    pub fn grant_batch(&mut self, now: Duration) -> bool {
-        self.allocate_batch(now);
-        !self.waiting_batch.is_empty()
+    /// Grants what only time makes possible: slots that have been free for [`BATCH_GRANT_DELAY`](crate::BATCH_GRANT_DELAY)
+    /// to batch items, and slots of servers whose limits allow another request. Returns whether more may become possible
+    /// within that time.
+    pub fn grant_due(&mut self, now: Duration) -> bool {
+        let has_limits = self.limits.has_limited();
+        match has_limits {
+            true => self.allocate(now),
+            false => self.allocate_batch(now),
+        }
+        has_limits || !self.waiting_batch.is_empty()
     }
 
     /// Defers batch items that cannot complete by their due time along with the others. Nothing is deferred while no
@@ -440,12 +457,28 @@
             ..BrokerLoad::default()
         };
         for state in self.engines_of(service) {
-            load.slots += usize::from(state.engine.is_ready) * state.engine.slots;
+            load.slots += self.usable_slots(state);
             load.online_running += state.online.len();
         }
         load
     }
 
+    /// Slots of an engine that online requests can use: as many as run at a time at the rate that its limit allows, if it
+    /// names one.
+    pub(crate) fn usable_slots(&self, state: &EngineState) -> usize {
+        if !state.engine.is_ready {
+            return 0;
+        }
+        let slots = state.engine.slots;
+        match self.limits.rate_per_s(&state.engine.server) {
+            Some(per_s) => {
+                let running = per_s * self.expected_slot_time().as_secs_f64();
+                slots.min(running.ceil() as usize)
+            }
+            None => slots,
+        }
+    }
+
     pub(crate) fn engines_of(&self, service: &str) -> impl Iterator<Item = &EngineState> {
         self.engines
             .values()
--- a/bamboo-slots/src/limits.rs
+++ b/bamboo-slots/src/limits.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 
 /// Requests that a server with a limit may get at once, as the time over which its limit allows them.
-const BURST_TIME: Duration = Duration::from_millis(500);
+const BURST_TIME: Duration = Duration::from_millis(1500);
 /// Requests per 1,000 s that a server gets at least. A server that gets none could not say that its limit has ended.
 const RATE_MIN_PER_1000_S: u64 = 250;
 /// Time after which a statement is renewed, so that a response which is older than it does not end the limit.
@@ -208,12 +208,13 @@
         limited.is_none_or(|known| known.bucket.available(now) > 1.0 - 1e-6)
     }
 
-    /// Whether the limit of a server, if any, would go unused without a request now.
+    /// Whether the limit of a server, if any, would soon go unused without a request.
     pub fn is_idle(&self, server: &str, now: Duration) -> bool {
         let limited = self.limited(server);
         limited.is_none_or(|known| {
             let (_, burst) = rate_and_burst(known.limit);
-            known.bucket.available(now) > burst - 1e-6
+            let available = known.bucket.available(now);
+            available > 1.0 - 1e-6 && available > burst - 1.0
         })
     }
 
@@ -267,6 +268,11 @@
         }
     }
 
+    /// Whether any limit is in force.
+    pub fn has_limited(&self) -> bool {
+        self.servers.values().any(|known| known.limit.is_some())
+    }
+
     /// Whether a limit is in force for a server.
     pub fn is_limited(&self, server: &str) -> bool {
         let known = self.servers.get(server);
--- a/bamboo-slots/src/versions.rs
+++ b/bamboo-slots/src/versions.rs
@@ -96,7 +96,7 @@
         let mut loads: BTreeMap<&SoftwareVersion, BrokerLoad> = BTreeMap::new();
         for state in self.engines_of(service) {
             let load = loads.entry(&state.engine.version).or_default();
-            load.slots += usize::from(state.engine.is_ready) * state.engine.slots;
+            load.slots += self.usable_slots(state);
             load.online_running += state.online.len();
         }
         for key in &self.waiting_online {
--- a/bamboo-slots/tests/broker.rs
+++ b/bamboo-slots/tests/broker.rs
@@ -262,7 +262,7 @@
         _ => 2,
     };
     broker.release("h1", on_s1, Some("s1"), RunOutcome::Done, at(20));
-    broker.grant_batch(at(100));
+    broker.grant_due(at(100));
     let actions = broker.take_actions();
     assert_eq!(granted(&actions, 4).as_deref(), Some("s1"));
     assert_eq!(granted(&actions, 3), None);
--- a/bamboo-slots/tests/resetting_servers.rs
+++ b/bamboo-slots/tests/resetting_servers.rs
@@ -136,6 +136,6 @@
     request(&mut broker, 10, online(after), after);
     assert_eq!(grants(&mut broker), [(10, "s2".to_owned())]);
     request(&mut broker, 11, batch(after), after);
-    broker.grant_batch(at(after + 100));
+    broker.grant_due(at(after + 100));
     assert_eq!(grants(&mut broker), [(11, "s1".to_owned())]);
 }
--- a/bamboo-slots/tests/versions.rs
+++ b/bamboo-slots/tests/versions.rs
@@ -89,7 +89,7 @@
     assert_eq!(granted(&actions, 1), Some("s2"));
     assert_eq!(granted(&actions, 2), None);
     broker.release("h1", 1, Some("s2"), RunOutcome::Done, at(100));
-    broker.grant_batch(at(200));
+    broker.grant_due(at(200));
     assert_eq!(granted(&broker.take_actions(), 2), Some("s2"));
 }
 
@@ -131,7 +131,7 @@
     broker.tick(at(10));
     assert_eq!(without_server(&broker.take_actions()), []);
     broker.put_engine(engine("s1", "v1", 1), false, at(20));
-    broker.grant_batch(at(100));
+    broker.grant_due(at(100));
     assert_eq!(granted(&broker.take_actions(), 1), Some("s1"));
 }
 
@@ -160,7 +160,7 @@
     broker.request_slot(request(5, work(is_online), None), at(0));
     broker.take_actions();
     broker.release("h1", 2, Some("s2"), RunOutcome::Done, at(100));
-    broker.grant_batch(at(200));
+    broker.grant_due(at(200));
     let actions = broker.take_actions();
     assert_eq!(granted(&actions, 5), Some("s2"));
     assert_eq!(granted(&actions, 3), None);
@@ -177,7 +177,7 @@
     broker.request_slot(request(4, work(is_online), Some("v2")), at(0));
     broker.take_actions();
     broker.release("h1", 2, Some("s2"), RunOutcome::Done, at(100));
-    broker.grant_batch(at(200));
+    broker.grant_due(at(200));
     assert_eq!(granted(&broker.take_actions(), 4), Some("s2"));
 }
 
