fix(slots): a queued request that has become hopeless is refused before its deadline

Cause: a request is admitted by the wait that the queue promises when it comes, and then overtaken by all later ones that can still be on time; and the slots that a limit allows were rounded up for each server, twice as many in sum. Every heartbeat the broker now refuses those that would not complete in time behind the ones in front of them; slots are rounded once; a request has to complete before its deadline, not only to start.

The test failed before, with a limit and without: refused after 5,200 ms of 5,000.

--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -19,6 +19,7 @@
 use crate::Work;
 use crate::engine::EngineState;
 use crate::infeasible_items;
+use crate::online_rank;
 use crate::request_state::GrantedSlot;
 use crate::request_state::RequestKey;
 use crate::request_state::RequestState;
@@ -345,17 +346,9 @@
             )
             .collect();
         for key in expired {
-            self.waiting_online.retain(|waiting| *waiting != key);
-            if let Some(state) = self.requests.remove(key) {
-                self.by_id
-                    .remove(&(state.request.host.clone(), state.request.id));
-                self.actions.push(Action::Refuse {
-                    host: state.request.host,
-                    request: state.request.id,
-                    retry_after: self.expected_slot_time(),
-                });
-            }
+            self.refuse_queued(key, self.expected_slot_time());
         }
+        self.refuse_hopeless(now);
         self.reject_missing_versions(now);
         self.clear_void_exclusions();
         self.defer_infeasible(now);
@@ -456,25 +449,24 @@
             online_waiting: self.waiting_count(&self.waiting_online, service),
             ..BrokerLoad::default()
         };
+        let mut slots = 0.0;
         for state in self.engines_of(service) {
-            load.slots += self.usable_slots(state);
+            slots += self.usable_slots(state);
             load.online_running += state.online.len();
         }
+        load.slots = whole_slots(slots);
         load
     }
 
-    /// Slots of an engine that online requests can use: as many as run at a time at the rate that its limit allows, if it
-    /// names one.
-    pub(crate) fn usable_slots(&self, state: &EngineState) -> usize {
+    /// Slots of an engine that online requests can use: as many as run at a time, on average, at the rate that its limit
+    /// allows, if it names one.
+    pub(crate) fn usable_slots(&self, state: &EngineState) -> f64 {
         if !state.engine.is_ready {
-            return 0;
+            return 0.0;
         }
-        let slots = state.engine.slots;
+        let slots = state.engine.slots as f64;
         match self.limits.rate_per_s(&state.engine.server) {
-            Some(per_s) => {
-                let running = per_s * self.expected_slot_time().as_secs_f64();
-                slots.min(running.ceil() as usize)
-            }
+            Some(per_s) => slots.min(per_s * self.expected_slot_time().as_secs_f64()),
             None => slots,
         }
     }
@@ -517,11 +509,70 @@
             return None;
         }
         let wait = self.expected_slot_time().mul_f64(rounds(&load));
-        (now + wait >= expires_at).then(|| Action::Refuse {
-            host: request.host.clone(),
-            request: request.id,
-            retry_after: wait,
-        })
+        self.is_hopeless(wait, expires_at, now)
+            .then(|| Action::Refuse {
+                host: request.host.clone(),
+                request: request.id,
+                retry_after: wait,
+            })
+    }
+
+    /// Whether a request that waits for so long would not complete before it expires.
+    fn is_hopeless(&self, wait: Duration, expires_at: Duration, now: Duration) -> bool {
+        now + wait + self.expected_slot_time() > expires_at
+    }
+
+    /// Refuses queued online requests that would not complete in time behind those in front of them. Requests that have
+    /// come later and can still be on time are in front, so that others may become hopeless while they wait.
+    fn refuse_hopeless(&mut self, now: Duration) {
+        let mut queues: BTreeMap<String, Vec<(RequestKey, Duration, Duration)>> = BTreeMap::new();
+        for key in &self.waiting_online {
+            let Some(request) = self.requests.get(*key).map(|state| &state.request) else {
+                continue;
+            };
+            if let (
+                Work::Online {
+                    start_by,
+                    expires_at,
+                },
+                None,
+            ) = (request.work, &request.version)
+            {
+                let queue = queues.entry(request.service.clone()).or_default();
+                queue.push((*key, start_by, expires_at));
+            }
+        }
+        for (service, mut queue) in queues {
+            let slots = self.online_load(&service).slots;
+            if slots == 0 {
+                continue;
+            }
+            queue.sort_by_key(|(_, start_by, _)| online_rank(*start_by, now));
+            let mut ahead: usize = 0;
+            for (key, _, expires_at) in queue {
+                let wait = self
+                    .expected_slot_time()
+                    .mul_f64(ahead as f64 / slots as f64);
+                match self.is_hopeless(wait, expires_at, now) {
+                    true => self.refuse_queued(key, wait),
+                    false => ahead += 1,
+                }
+            }
+        }
+    }
+
+    /// Refuses a queued online request.
+    fn refuse_queued(&mut self, key: RequestKey, retry_after: Duration) {
+        self.waiting_online.retain(|waiting| *waiting != key);
+        if let Some(state) = self.requests.remove(key) {
+            self.by_id
+                .remove(&(state.request.host.clone(), state.request.id));
+            self.actions.push(Action::Refuse {
+                host: state.request.host,
+                request: state.request.id,
+                retry_after,
+            });
+        }
     }
 
     fn remove_request(&mut self, key: RequestKey, outcome: RunOutcome, now: Duration) {
@@ -546,3 +597,12 @@
         }
     }
 }
+
+/// Slots in whole numbers; at least one if there is a part of one.
+pub(crate) fn whole_slots(slots: f64) -> usize {
+    if slots > 0.0 {
+        (slots as usize).max(1)
+    } else {
+        0
+    }
+}
--- a/bamboo-slots/src/versions.rs
+++ b/bamboo-slots/src/versions.rs
@@ -11,6 +11,7 @@
 use crate::BrokerLoad;
 use crate::SlotRequest;
 use crate::Work;
+use crate::broker::whole_slots;
 use crate::request_state::RequestKey;
 use crate::request_state::RequestState;
 
@@ -94,11 +95,15 @@
     /// the version.
     fn online_loads_by_version(&self, service: &str) -> BTreeMap<&SoftwareVersion, BrokerLoad> {
         let mut loads: BTreeMap<&SoftwareVersion, BrokerLoad> = BTreeMap::new();
+        let mut slots: BTreeMap<&SoftwareVersion, f64> = BTreeMap::new();
         for state in self.engines_of(service) {
+            *slots.entry(&state.engine.version).or_default() += self.usable_slots(state);
             let load = loads.entry(&state.engine.version).or_default();
-            load.slots += self.usable_slots(state);
             load.online_running += state.online.len();
         }
+        for (version, slots) in slots {
+            loads.entry(version).or_default().slots = whole_slots(slots);
+        }
         for key in &self.waiting_online {
             let request = self.requests.get(*key).map(|state| &state.request);
             if let Some(request) = request
--- a/bamboo-slots/tests/limits.rs
+++ b/bamboo-slots/tests/limits.rs
@@ -295,3 +295,56 @@
     // In 5 s the limit allows 5 of them.
     assert!(refused >= 30, "{refused} refused at once");
 }
+
+/// Guards against queued requests that wait until their deadlines although newer ones, which can still be on time, leave
+/// nothing for them.
+#[test_case(None; "more than the slots")]
+#[test_case(Some(4_000); "more than the limit")]
+fn a_queued_request_that_becomes_hopeless_is_refused_before_its_deadline(
+    limit: Option<RatePer1000S>,
+) {
+    const DEADLINE_MS: u64 = 5_000;
+    let mut load = Load::new(&["server"]);
+    let limits = load.broker.limits_mut();
+    limits.observe("server", limit, Duration::ZERO, Duration::ZERO);
+    let mut refused_after_ms = Vec::new();
+    for now_ms in 1..30_000 {
+        if now_ms % 50 == 0 {
+            // The identifier tells when the request came.
+            load.broker
+                .request_slot(slot_request(now_ms, online(now_ms)), at(now_ms));
+        }
+        let ended: Vec<_> = load
+            .runs
+            .extract_if(.., |(end_ms, ..)| *end_ms <= now_ms)
+            .collect();
+        for (_, id, server) in ended {
+            load.broker
+                .release("h", id, Some(&server), RunOutcome::Done, at(now_ms));
+        }
+        if now_ms % GRANT_INTERVAL_MS == 0 {
+            load.broker.grant_due(at(now_ms));
+        }
+        if now_ms % 250 == 0 {
+            load.broker.tick(at(now_ms));
+        }
+        for action in load.broker.take_actions() {
+            match action {
+                Action::Grant {
+                    request, server, ..
+                } => {
+                    load.runs.push((now_ms + RUN_MS, request, server));
+                }
+                Action::Refuse { request, .. } => refused_after_ms.push(now_ms - request),
+                _ => {}
+            }
+        }
+    }
+    assert!(
+        refused_after_ms.len() > 50,
+        "{} refused",
+        refused_after_ms.len()
+    );
+    let latest = refused_after_ms.into_iter().max().unwrap();
+    assert!(latest <= DEADLINE_MS - RUN_MS, "refused after {latest} ms");
+}
