fix(gateway): a server that says that it leaves gets no more requests, from any host

The host that reads it counts the server as draining from then on, whatever its entry says, and tells the coordinator, which passes it on; a new coordinator and a host that starts are told, too. A 421 is another server's response and says nothing of the expected one.

--- a/bamboo-fleet/src/directory.rs
+++ b/bamboo-fleet/src/directory.rs
@@ -21,6 +21,9 @@
 /// this time.
 pub const VERSION_MEMORY: Duration = Duration::from_secs(10);
 
+/// How long it is remembered that a server without an entry said that it leaves. Its entry may return meanwhile.
+const LEAVING_MEMORY: Duration = Duration::from_secs(600);
+
 /// State that a server reports in its entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerState {
@@ -72,6 +75,8 @@
     recently_removed: Vec<(Duration, Rc<Server>)>,
     /// Services and versions of servers that were removed or came back with another version, with the time of that.
     former_versions: Vec<(Duration, ServiceId, SoftwareVersion)>,
+    /// Servers that said that they leave, with the time of that and their start times.
+    leaving: HashMap<BackendServerId, (Duration, u64)>,
 }
 
 impl Directory {
@@ -81,7 +86,10 @@
     /// let mut directory = bamboo_fleet::Directory::default();
     /// assert_eq!(directory.remove("s1", std::time::Duration::ZERO), bamboo_fleet::DirectoryChange::Unchanged);
     /// ```
-    pub fn put(&mut self, server: Server, now: Duration) -> DirectoryChange {
+    pub fn put(&mut self, mut server: Server, now: Duration) -> DirectoryChange {
+        if self.is_leaving(&server) {
+            server.state = ServerState::Draining;
+        }
         self.recently_removed
             .retain(|(_, removed)| removed.id != server.id);
         let previous = self.servers.get(&server.id);
@@ -104,6 +112,47 @@
         }
     }
 
+    /// Records that a server said that it leaves. It counts as draining from then on, whatever its entry says.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// let mut directory = bamboo_fleet::Directory::default();
+    /// assert_eq!(directory.mark_leaving("s1", Duration::ZERO), bamboo_fleet::DirectoryChange::Unchanged);
+    /// ```
+    pub fn mark_leaving(&mut self, id: &str, now: Duration) -> DirectoryChange {
+        let Some(server) = self.servers.get_mut(id) else {
+            let removed = self.recently_removed.iter();
+            if let Some((_, removed)) = removed.rev().find(|(_, removed)| removed.id == id) {
+                self.leaving
+                    .insert(id.to_owned(), (now, removed.started_at_ms));
+                self.recently_removed
+                    .retain(|(_, removed)| removed.id != id);
+            }
+            return DirectoryChange::Unchanged;
+        };
+        let said = (now, server.started_at_ms);
+        if self.leaving.insert(id.to_owned(), said).is_some() {
+            return DirectoryChange::Unchanged;
+        }
+        let leaving = Rc::new(Server {
+            state: ServerState::Draining,
+            ..Server::clone(server)
+        });
+        *server = Rc::clone(&leaving);
+        DirectoryChange::Updated(leaving)
+    }
+
+    /// Servers that said that they leave.
+    pub fn leaving(&self) -> Vec<BackendServerId> {
+        self.leaving.keys().cloned().collect()
+    }
+
+    /// Whether this process of a server said that it leaves.
+    fn is_leaving(&self, server: &Server) -> bool {
+        let said = self.leaving.get(&server.id);
+        said.is_some_and(|(_, started_at_ms)| *started_at_ms == server.started_at_ms)
+    }
+
     /// Removes a server whose entry is missing, deleted or unreadable.
     pub fn remove(&mut self, id: &str, now: Duration) -> DirectoryChange {
         match self.servers.remove(id) {
@@ -198,5 +247,9 @@
             .retain(|(removed_at, _)| now.saturating_sub(*removed_at) < REMOVED_FALLBACK_WINDOW);
         self.former_versions
             .retain(|(left_at, _, _)| now.saturating_sub(*left_at) < VERSION_MEMORY);
+        let servers = &self.servers;
+        self.leaving.retain(|id, (said_at, _)| {
+            servers.contains_key(id) || now.saturating_sub(*said_at) < LEAVING_MEMORY
+        });
     }
 }
--- a/bamboo-fleet/tests/fleet.rs
+++ b/bamboo-fleet/tests/fleet.rs
@@ -165,3 +165,40 @@
     );
     assert!(!grace.defer_removal("s3", at(7_300)));
 }
+
+/// Guards against a server that said that it leaves and gets requests again when its entry is renewed, or lapses and returns.
+#[test]
+fn a_server_that_said_that_it_leaves_stays_out_whatever_its_entry_says() {
+    let at = Duration::from_secs;
+    let mut directory = Directory::default();
+    let ready = |directory: &Directory, now| directory.ready("llm", now).len();
+    directory.put(server("a", ServerState::Ready, 1), at(0));
+    directory.mark_leaving("a", at(1));
+    assert_eq!(ready(&directory, at(1)), 0);
+    directory.put(server("a", ServerState::Ready, 1), at(2));
+    assert_eq!(ready(&directory, at(2)), 0);
+    directory.remove("a", at(3));
+    assert_eq!(
+        ready(&directory, at(3)),
+        0,
+        "no fallback to a server that leaves"
+    );
+    directory.put(server("a", ServerState::Ready, 1), at(60));
+    directory.expire(at(4_000));
+    assert_eq!(ready(&directory, at(4_000)), 0);
+    // Another process under the same identifier has said nothing.
+    directory.put(server("a", ServerState::Ready, 2), at(4_001));
+    assert_eq!(ready(&directory, at(4_001)), 1);
+}
+
+/// Guards against a server that is used for want of others just after its entry has gone, although it says that it leaves.
+#[test]
+fn a_server_without_an_entry_that_says_that_it_leaves_is_no_fallback() {
+    let at = Duration::from_millis;
+    let mut directory = Directory::default();
+    directory.put(server("a", ServerState::Ready, 1), at(0));
+    directory.remove("a", at(10));
+    assert_eq!(directory.ready("llm", at(20)).len(), 1);
+    directory.mark_leaving("a", at(30));
+    assert_eq!(directory.ready("llm", at(40)).len(), 0);
+}
--- a/bamboo-gateway/src/dialect.rs
+++ b/bamboo-gateway/src/dialect.rs
@@ -33,6 +33,8 @@
     pub server_stamp: HeaderName,
     /// Set by a server that rejected the request without running it.
     pub not_run: HeaderName,
+    /// Set to 1 by a server that is about to leave.
+    pub leaving: HeaderName,
     /// Set by a server that takes a limited rate of requests from all hosts together, in requests per second.
     pub request_limit: HeaderName,
     /// Identifier of the last event that the sender received, from which a stream is resumed.
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! State of the process, and its messages to and from other hosts.
 
 mod heartbeat;
+mod leaving;
 mod limits;
 mod peers;
 mod prompts;
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -222,6 +222,7 @@
             PeerMessage::QuarantineAck(digest) => {
                 self.prompts.record_ack(&sender.host, digest);
             }
+            PeerMessage::Leaving(servers) => self.handle_leaving(sender, servers),
             PeerMessage::Limits(reports) => self.handle_limits(sender, &reports, now),
             // Decisions of a former coordinator are ignored.
             PeerMessage::Queued { .. }
@@ -322,6 +323,7 @@
         if is_new {
             self.prompts.forget_host(&sender.host);
             self.send_limits(&sender.host, now);
+            self.send_leaving(&sender.host);
             log::info!(event = "host_joined", host = sender.host.as_str(); "a host reports to this coordinator");
         }
         self.broker
--- a/bamboo-gateway/src/gateway/prompts.rs
+++ b/bamboo-gateway/src/gateway/prompts.rs
@@ -329,7 +329,7 @@
     }
 
     /// Tells a coordinator that is new to this host of the quarantine, of the crashes that this host observed, and of
-    /// servers' limits.
+    /// what servers said of their limits and of leaving.
     pub(super) fn brief_coordinator(&self, coordinator: &HostInfo) {
         let current = (coordinator.host.clone(), coordinator.incarnation);
         let is_briefed = self.prompts.briefed.borrow().as_ref() == Some(&current);
@@ -342,6 +342,7 @@
         *self.prompts.briefed.borrow_mut() = Some(current);
         let now = self.clock.now();
         self.send_limits(&coordinator.host, now);
+        self.send_leaving(&coordinator.host);
         let entries = self.prompts.quarantine.borrow().entries(now);
         if !entries.is_empty() {
             self.send_quarantine(&coordinator.host, &entries);
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -29,6 +29,8 @@
 
 /// First version whose hosts decode changes of the cluster map.
 pub(crate) const CLUSTER_MAP_CHANGES_SINCE: ProtocolVersion = 2;
+/// First version whose hosts tell each other of servers that leave.
+pub(crate) const LEAVING_SINCE: ProtocolVersion = 3;
 /// First version whose hosts tell each other of servers' limits.
 pub(crate) const LIMITS_SINCE: ProtocolVersion = 3;
 /// First version whose hosts exchange which parts of prompts crash servers.
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -234,6 +234,8 @@
     QuarantineAck(u64),
     /// What servers said of the limits for their requests. For hosts of protocol version 3 or later.
     Limits(Vec<LimitReport>),
+    /// Servers that said that they leave. For hosts of protocol version 3 or later.
+    Leaving(Vec<BackendServerId>),
 }
 
 impl PeerMessage {
@@ -259,6 +261,7 @@
             | PeerMessage::NoServer { .. } => "other_decision",
             PeerMessage::StreamBegan { .. } => "stream_began",
             PeerMessage::Limits(_) => "limits",
+            PeerMessage::Leaving(_) => "leaving",
             PeerMessage::CrashReport(_)
             | PeerMessage::Quarantine(_)
             | PeerMessage::QuarantineAck(_) => "quarantine",
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -28,6 +28,7 @@
 use crate::traffic::buffered_body::read_whole_body;
 use crate::traffic::pool::Connection;
 use crate::traffic::response::belongs_to_request;
+use crate::traffic::response::observe_statements;
 use crate::traffic::run_trial::RunTrial;
 
 /// Maximum size in bytes of a response with an error status, which is not streamed.
@@ -164,7 +165,7 @@
     if !belongs_to_request(gateway, &request.id, &head, connection.is_reused) {
         return Err(OpenError::Failed(RunOutcome::Broken));
     }
-    gateway.observe_limit(&server.id, &head.headers, started);
+    observe_statements(gateway, server, &head, started);
     if head.status.is_success() {
         return Ok(EngineStream {
             connection,
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -7,6 +7,7 @@
 use bamboo_fleet::BufferBudget;
 use bamboo_fleet::RouteKind;
 use bamboo_fleet::Server;
+use bamboo_fleet::ServerState;
 use bamboo_slots::Permit;
 use bamboo_slots::RunOutcome;
 use bamboo_types::BackendServerId;
@@ -26,6 +27,7 @@
 use crate::traffic::request::end_to_end_headers;
 use crate::traffic::response::belongs_to_request;
 use crate::traffic::response::not_run;
+use crate::traffic::response::observe_statements;
 use crate::traffic::response::run_outcome;
 use crate::traffic::response::text_response;
 use crate::traffic::serve::RequestRecorder;
@@ -228,8 +230,10 @@
         (Some(Permit::Granted { server, wait }), _) => {
             actix_rt::time::sleep(wait).await;
             match gateway.directory.borrow().get(&server) {
-                Some(server) => Choice::Send(Rc::clone(server)),
-                None => Choice::Refuse(BUSY_RETRY_AFTER),
+                Some(server) if server.state == ServerState::Ready => {
+                    Choice::Send(Rc::clone(server))
+                }
+                _ => Choice::Refuse(BUSY_RETRY_AFTER),
             }
         }
         (_, Some(unlimited)) => Choice::Send(unlimited),
@@ -331,7 +335,7 @@
     if !belongs_to_request(gateway, &request.id, &head, connection.is_reused) {
         return Attempt::Failed(RunOutcome::Broken);
     }
-    gateway.observe_limit(&server.id, &head.headers, sent_at);
+    observe_statements(gateway, server, &head, sent_at);
     if request.body.len() <= REUSE_BODY_MAX_BYTES {
         let now = gateway.clock.now();
         gateway.pool.put_idle(connection, &head.headers, now);
--- a/bamboo-gateway/src/traffic/response.rs
+++ b/bamboo-gateway/src/traffic/response.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bamboo_fleet::Server;
 use bamboo_slots::RunOutcome;
 use http::HeaderValue;
 use http::Response;
@@ -75,3 +76,17 @@
     }
     !is_foreign
 }
+
+/// Records what a server says of itself in the head of a response to a request that was sent at `sent_at`: its limit, and
+/// whether it leaves. Another server at its address, which misdirected requests reach, says nothing of it.
+pub(crate) fn observe_statements(
+    gateway: &Gateway,
+    server: &Server,
+    head: &response::Parts,
+    sent_at: Duration,
+) {
+    if head.status != StatusCode::MISDIRECTED_REQUEST {
+        gateway.observe_limit(&server.id, &head.headers, sent_at);
+        gateway.observe_leaving(&server.id, &head.headers);
+    }
+}
