feat(gateway): operators lift or set the quarantine of a part by its record in the store

While parts are in quarantine the coordinator follows their topic; a deleted record lifts the quarantine, which counts as a newer entry, so that it replaces that of all hosts, and puts the part on probation. Reads and writes are separate tasks.

--- a/bamboo-gateway/src/gateway/prompts.rs
+++ b/bamboo-gateway/src/gateway/prompts.rs
@@ -34,6 +34,7 @@
 use crate::mesh::PeerReply;
 use crate::mesh::PeerRequest;
 use crate::mesh::QUARANTINE_SINCE;
+use crate::store::KeyedRecord;
 use crate::store::ReadExtent;
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
@@ -45,6 +46,10 @@
 
 /// Topic that holds the quarantined parts, without the prefix of keyed topics.
 const QUARANTINE_TOPIC: &str = "bamboo-quarantine";
+/// Long-poll time of reads of the quarantine.
+const STORE_LONG_POLL: Duration = Duration::from_secs(3);
+/// Interval at which a host checks whether it has to follow the quarantine in the store.
+const FOLLOW_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause after a failed call to the store.
 const STORE_RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Timeout for asking other hosts for their history of suspects. They reply within a few milliseconds; a host that is
@@ -353,55 +358,85 @@
         }
     }
 
-    /// Reads the quarantine from the store once, and writes the parts that this host adds, until the process ends.
-    pub(crate) async fn sync_stored_quarantine(self: Rc<Self>) {
-        let topic = format!("{}{QUARANTINE_TOPIC}", self.dialect.keyed_prefix);
-        let mut is_read = false;
+    /// Writes the parts that this host adds to the store until the process ends.
+    pub(crate) async fn store_quarantine(self: Rc<Self>) {
+        let topic = self.quarantine_topic();
         loop {
-            if !is_read {
-                is_read = self.read_stored_quarantine(&topic).await;
-            }
-            let is_written = self.store_quarantined_parts(&topic).await;
-            match is_read && is_written {
+            match self.store_quarantined_parts(&topic).await {
                 true => self.prompts.has_unstored.notified().await,
                 false => actix_rt::time::sleep(STORE_RETRY_PAUSE).await,
             }
         }
     }
 
-    /// Merges the quarantine in the store into that of this host. Returns whether the store responded.
-    async fn read_stored_quarantine(&self, topic: &str) -> bool {
-        let mut reader = TopicReader::new(topic, Duration::ZERO, ReadExtent::Tail);
-        let records = match reader.read(self).await {
-            Ok(TopicUpdate::Newest(records) | TopicUpdate::Records(records)) => records,
-            Err(_) => return false,
-        };
-        let now_unix_ms = self.clock.unix_ms();
-        let mut entries = Vec::new();
+    /// Reads the quarantine from the store once, and follows it while this host coordinates the others and parts are in
+    /// quarantine, until the process ends. Operators lift a quarantine by deleting its record.
+    pub(crate) async fn follow_quarantine(self: Rc<Self>) {
+        let (topic, extent) = (self.quarantine_topic(), ReadExtent::Tail);
+        let mut reader = TopicReader::new(topic, STORE_LONG_POLL, extent);
+        let mut has_read = false;
+        loop {
+            let is_quarantined = !self.prompts.quarantine.borrow().is_empty();
+            if has_read && !(is_quarantined && self.is_coordinator(&self.local.host)) {
+                actix_rt::time::sleep(FOLLOW_CHECK_INTERVAL).await;
+                continue;
+            }
+            match reader.read(&self).await {
+                Ok(TopicUpdate::Newest(records) | TopicUpdate::Records(records)) => {
+                    has_read = true;
+                    self.apply_stored_quarantine(&records);
+                }
+                Err(_) => actix_rt::time::sleep(STORE_RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    fn quarantine_topic(&self) -> String {
+        format!("{}{QUARANTINE_TOPIC}", self.dialect.keyed_prefix)
+    }
+
+    /// Merges records of the store into the quarantine of this host.
+    fn apply_stored_quarantine(&self, records: &[KeyedRecord]) {
+        let (now, now_unix_ms) = (self.clock.now(), self.clock.unix_ms());
+        let mut has_changed = false;
         for record in records {
-            let Some(value) = record.value else { continue };
-            let part = PromptPartId::from_str_radix(&record.key, 16);
-            match (part, serde_json::from_slice::<StoredPart>(&value)) {
-                (Ok(part), Ok(stored)) => entries.push(QuarantinedPart {
-                    part,
-                    remaining_ms: stored.until_unix_ms.saturating_sub(now_unix_ms),
-                    findings: stored.findings,
-                }),
-                _ => {
+            let Ok(part) = PromptPartId::from_str_radix(&record.key, 16) else {
+                log::warn!(
+                    event = "quarantine_unreadable", key = record.key.as_str();
+                    "a quarantined part in the store has no valid key"
+                );
+                continue;
+            };
+            let stored = record.value.as_deref().map(serde_json::from_slice);
+            let mut quarantine = self.prompts.quarantine.borrow_mut();
+            has_changed |= match stored {
+                None => quarantine.lift(part, now).is_some(),
+                Some(Ok(StoredPart {
+                    until_unix_ms,
+                    findings,
+                })) => {
+                    let remaining_ms = until_unix_ms.saturating_sub(now_unix_ms);
+                    let entry = QuarantinedPart {
+                        part,
+                        remaining_ms,
+                        findings,
+                    };
+                    quarantine.merge(&[entry], now)
+                }
+                Some(Err(error)) => {
                     log::warn!(
                         event = "quarantine_unreadable", key = record.key.as_str();
-                        "cannot decode a quarantined part in the store"
+                        "cannot decode a quarantined part in the store: {error}"
                     );
+                    false
                 }
-            }
+            };
         }
-        let now = self.clock.now();
-        let has_changed = self.prompts.quarantine.borrow_mut().merge(&entries, now);
         if has_changed {
-            log::info!(event = "quarantine", source = "store", parts = entries.len(); "learned of parts of prompts that crash servers");
+            let parts = self.prompts.quarantine.borrow().len();
+            log::info!(event = "quarantine", source = "store", parts; "the quarantine changed in the store");
             self.quarantine_changed(&self.local.host, now);
         }
-        true
     }
 
     /// Writes the parts that the store does not have yet. Returns whether it has all of them.
--- a/bamboo-gateway/src/run.rs
+++ b/bamboo-gateway/src/run.rs
@@ -71,10 +71,8 @@
     supervisor.spawn("heartbeats", Rc::clone(&gateway).tick_forever());
     supervisor.spawn("due_grants", Rc::clone(&gateway).run_due_grants());
     supervisor.spawn("crash_inquiry", Rc::clone(&gateway).examine_suspects());
-    supervisor.spawn(
-        "stored_quarantine",
-        Rc::clone(&gateway).sync_stored_quarantine(),
-    );
+    supervisor.spawn("store_quarantine", Rc::clone(&gateway).store_quarantine());
+    supervisor.spawn("follow_quarantine", Rc::clone(&gateway).follow_quarantine());
     supervisor.spawn(
         "fetch_configs",
         Rc::clone(&gateway).fetch_configs(inputs.config_fetches),
--- a/bamboo-quarantine/src/quarantine.rs
+++ b/bamboo-quarantine/src/quarantine.rs
@@ -25,7 +25,7 @@
     pub part: PromptPartId,
     /// Time until the end of the quarantine in milliseconds; 0 on probation.
     pub remaining_ms: u64,
-    /// How often it was found to crash servers.
+    /// How often it was found to crash servers, or its quarantine was lifted.
     pub findings: u32,
 }
 
@@ -82,6 +82,32 @@
         })
     }
 
+    /// Ends the quarantine of a part, which is on probation from then on. Returns its entry, or `None` if it is not in
+    /// quarantine.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut quarantine = bamboo_quarantine::Quarantine::default();
+    /// quarantine.add(7, Duration::ZERO);
+    /// quarantine.lift(7, Duration::from_secs(1)).unwrap();
+    /// assert!(quarantine.remaining(&[7], Duration::from_secs(2)).is_none());
+    /// assert!(quarantine.is_on_probation(7, Duration::from_secs(2)));
+    /// ```
+    pub fn lift(&mut self, part: PromptPartId, now: Duration) -> Option<QuarantinedPart> {
+        let entry = self.parts.get_mut(&part)?;
+        if entry.until <= now {
+            return None;
+        }
+        // Counts as a finding, so that the entry replaces that of the other hosts.
+        entry.findings = entry.findings.saturating_add(1);
+        entry.until = now;
+        Some(QuarantinedPart {
+            part,
+            remaining_ms: 0,
+            findings: entry.findings,
+        })
+    }
+
     /// Takes over the entries of another host that are newer or unknown. Returns whether there were any.
     pub fn merge(&mut self, entries: &[QuarantinedPart], now: Duration) -> bool {
         let mut has_changed = false;
