refactor(gateway): what hosts tell a new coordinator stands with the messages, and queued requests are refused together

Found on reading the change: brief_coordinator stood with the prompts and spoke of limits and leaving, too; three constants named one version; each refused request was searched for in the whole queue. A limit that is no number is logged once a server. Behaviour stays as it is otherwise.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use bamboo_slots::DeadlineHistory;
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
+use bamboo_types::Incarnation;
 use bamboo_types::Offset;
 use bamboo_types::SoftwareVersion;
 use rand::RngExt;
@@ -132,6 +133,10 @@
     pub(crate) coordination: RefCell<CoordinatorTracker>,
     stream_origins: RefCell<StreamOrigins>,
     prompts: Prompts,
+    /// Coordinator that this host has told what it knows of servers.
+    briefed_coordinator: RefCell<Option<(HostId, Incarnation)>>,
+    /// Servers that named a limit which is no number.
+    unreadable_limits: RefCell<HashSet<BackendServerId>>,
     broker: RefCell<Broker>,
     reports: RefCell<Reports>,
     /// Versions of the messages that other hosts decode.
@@ -196,6 +201,8 @@
             coordination: RefCell::new(coordination),
             stream_origins: RefCell::default(),
             prompts: Prompts::default(),
+            briefed_coordinator: RefCell::default(),
+            unreadable_limits: RefCell::default(),
             broker: RefCell::new(broker),
             reports: RefCell::new(Reports::default()),
             protocol_versions: RefCell::default(),
--- a/bamboo-gateway/src/gateway/leaving.rs
+++ b/bamboo-gateway/src/gateway/leaving.rs
@@ -6,8 +6,8 @@
 use http::HeaderMap;
 
 use crate::gateway::Gateway;
-use crate::mesh::LEAVING_SINCE;
 use crate::mesh::PeerMessage;
+use crate::mesh::SERVER_REPORTS_SINCE;
 
 impl Gateway {
     /// Records whether the head of a server's response says that it leaves, and tells the coordinator.
@@ -59,7 +59,7 @@
 
     fn tell_of_leaving(&self, host: &str, servers: Vec<BackendServerId>) {
         let is_other = host != self.local.host;
-        if is_other && !servers.is_empty() && self.decodes_since(host, LEAVING_SINCE) {
+        if is_other && !servers.is_empty() && self.decodes_since(host, SERVER_REPORTS_SINCE) {
             self.send_to(host, PeerMessage::Leaving(servers));
         }
     }
--- a/bamboo-gateway/src/gateway/limits.rs
+++ b/bamboo-gateway/src/gateway/limits.rs
@@ -13,10 +13,10 @@
 use http::HeaderMap;
 
 use crate::gateway::Gateway;
-use crate::mesh::LIMITS_SINCE;
 use crate::mesh::PeerMessage;
 use crate::mesh::PeerReply;
 use crate::mesh::PeerRequest;
+use crate::mesh::SERVER_REPORTS_SINCE;
 
 /// Timeout for asking the coordinator for a permit, as for its reply to a slot request.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(60);
@@ -29,7 +29,13 @@
         // Of several values the lowest one counts; values that are no number say nothing.
         let limit = texts.filter_map(parse_limit).min();
         if limit.is_none() && headers.contains_key(&self.dialect.headers.request_limit) {
-            log::warn!(event = "limit_unreadable", server; "a server names a limit that is no number");
+            if self
+                .unreadable_limits
+                .borrow_mut()
+                .insert(server.to_owned())
+            {
+                log::warn!(event = "limit_unreadable", server; "a server names a limit that is no number");
+            }
             return;
         }
         let now = self.clock.now();
@@ -75,13 +81,14 @@
 
     fn send_limit_reports(&self, host: &str, reports: Vec<LimitReport>) {
         let is_other = host != self.local.host;
-        if is_other && !reports.is_empty() && self.decodes_since(host, LIMITS_SINCE) {
+        if is_other && !reports.is_empty() && self.decodes_since(host, SERVER_REPORTS_SINCE) {
             self.send_to(host, PeerMessage::Limits(reports));
         }
     }
 
     /// Forgets the limit of a server that has left or started anew.
     pub(crate) fn forget_limit(&self, server: &str) {
+        self.unreadable_limits.borrow_mut().remove(server);
         self.broker.borrow_mut().limits_mut().remove(server);
     }
 
@@ -110,7 +117,8 @@
             return None;
         }
         let coordinator = self.coordination.borrow().coordinator().clone();
-        if coordinator == self.local.host || !self.decodes_since(&coordinator, LIMITS_SINCE) {
+        if coordinator == self.local.host || !self.decodes_since(&coordinator, SERVER_REPORTS_SINCE)
+        {
             return Some(self.permit(&servers, max_wait));
         }
         let request = PeerRequest::Permit { servers, max_wait };
--- a/bamboo-gateway/src/gateway/prompts.rs
+++ b/bamboo-gateway/src/gateway/prompts.rs
@@ -21,7 +21,6 @@
 use bamboo_quarantine::digest;
 use bamboo_quarantine::request_key;
 use bamboo_types::HostId;
-use bamboo_types::Incarnation;
 use bamboo_types::PromptPartId;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -33,7 +32,7 @@
 use crate::mesh::PeerMessage;
 use crate::mesh::PeerReply;
 use crate::mesh::PeerRequest;
-use crate::mesh::QUARANTINE_SINCE;
+use crate::mesh::SERVER_REPORTS_SINCE;
 use crate::store::KeyedRecord;
 use crate::store::ReadExtent;
 use crate::store::StoreReply;
@@ -78,8 +77,6 @@
     has_suspects: Notify,
     /// Crashes under runs of this host, newest last.
     crashes: RefCell<VecDeque<CrashEvidence>>,
-    /// Coordinator that has been told of the crashes and the quarantine.
-    briefed: RefCell<Option<(HostId, Incarnation)>>,
     /// Digests of the quarantines of other hosts, as they acknowledged them.
     acks: RefCell<HashMap<HostId, u64>>,
     /// Parts that this host has put into quarantine and not yet written to the store.
@@ -137,7 +134,8 @@
             parts: self.part_evidence(&run.shared_parts),
         };
         let coordinator = self.coordination.borrow().coordinator().clone();
-        if coordinator != self.local.host && self.decodes_since(&coordinator, QUARANTINE_SINCE) {
+        if coordinator != self.local.host && self.decodes_since(&coordinator, SERVER_REPORTS_SINCE)
+        {
             let report = CrashReport::from((&evidence, now));
             self.send_to(&coordinator, PeerMessage::CrashReport(report));
         } else {
@@ -215,7 +213,7 @@
         let hosts: Vec<HostId> = self.reporting_hosts();
         let hosts = hosts
             .iter()
-            .filter(|host| self.decodes_since(host, QUARANTINE_SINCE));
+            .filter(|host| self.decodes_since(host, SERVER_REPORTS_SINCE));
         let mut replies: FuturesUnordered<_> = hosts
             .map(|host| {
                 let request = PeerRequest::PromptHistories(parts.to_vec());
@@ -241,13 +239,6 @@
         histories
     }
 
-    /// Other hosts that report to this one.
-    pub(super) fn reporting_hosts(&self) -> Vec<HostId> {
-        let reports = self.reports.borrow();
-        let hosts = reports.hosts().map(|info| info.host.clone());
-        hosts.filter(|host| *host != self.local.host).collect()
-    }
-
     /// Puts a part into quarantine, and tells the other hosts and the store.
     fn quarantine_part(&self, finding: &Finding, now: Duration) {
         let part = format_parts(&[finding.part]);
@@ -289,7 +280,7 @@
     }
 
     fn send_quarantine(&self, host: &str, entries: &[QuarantinedPart]) {
-        if self.decodes_since(host, QUARANTINE_SINCE) {
+        if self.decodes_since(host, SERVER_REPORTS_SINCE) {
             self.send_to(host, PeerMessage::Quarantine(entries.to_vec()));
         }
     }
@@ -333,28 +324,15 @@
         }
     }
 
-    /// Tells a coordinator that is new to this host of the quarantine, of the crashes that this host observed, and of
-    /// what servers said of their limits and of leaving.
-    pub(super) fn brief_coordinator(&self, coordinator: &HostInfo) {
-        let current = (coordinator.host.clone(), coordinator.incarnation);
-        let is_briefed = self.prompts.briefed.borrow().as_ref() == Some(&current);
-        if is_briefed
-            || !self.is_coordinator(&coordinator.host)
-            || !self.decodes_since(&coordinator.host, QUARANTINE_SINCE)
-        {
-            return;
-        }
-        *self.prompts.briefed.borrow_mut() = Some(current);
-        let now = self.clock.now();
-        self.send_limits(&coordinator.host, now);
-        self.send_leaving(&coordinator.host);
+    /// Sends the quarantine and the crashes that this host observed to another one.
+    pub(super) fn send_prompt_reports(&self, host: &str, now: Duration) {
         let entries = self.prompts.quarantine.borrow().entries(now);
         if !entries.is_empty() {
-            self.send_quarantine(&coordinator.host, &entries);
+            self.send_quarantine(host, &entries);
         }
         for crash in self.prompts.crashes.borrow().iter() {
             let report = CrashReport::from((crash, now));
-            self.send_to(&coordinator.host, PeerMessage::CrashReport(report));
+            self.send_to(host, PeerMessage::CrashReport(report));
         }
     }
 
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -29,12 +29,8 @@
 
 /// First version whose hosts decode changes of the cluster map.
 pub(crate) const CLUSTER_MAP_CHANGES_SINCE: ProtocolVersion = 2;
-/// First version whose hosts tell each other of servers that leave.
-pub(crate) const LEAVING_SINCE: ProtocolVersion = 3;
-/// First version whose hosts tell each other of servers' limits.
-pub(crate) const LIMITS_SINCE: ProtocolVersion = 3;
-/// First version whose hosts exchange which parts of prompts crash servers.
-pub(crate) const QUARANTINE_SINCE: ProtocolVersion = 3;
+/// First version whose hosts tell each other of crashes under prompts, of servers' limits and of servers that leave.
+pub(crate) const SERVER_REPORTS_SINCE: ProtocolVersion = 3;
 /// Version of this build.
 const PROTOCOL_VERSION: ProtocolVersion = 3;
 /// Path of a stream of messages, followed by the version. Version 1 had none.
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -334,20 +334,17 @@
     /// Refuses expired online requests, defers batch items that would miss their due time, and allocates the slots of
     /// servers that are usable again.
     pub fn tick(&mut self, now: Duration) {
-        let expired: Vec<RequestKey> = self
-            .waiting_online
-            .iter()
-            .copied()
-            .filter(
-                |key| match self.requests.get(*key).map(|state| state.request.work) {
-                    Some(Work::Online { expires_at, .. }) => now >= expires_at,
-                    _ => true,
-                },
-            )
-            .collect();
-        for key in expired {
-            self.refuse_queued(key, self.expected_slot_time());
-        }
+        let has_expired = |key: &RequestKey| {
+            let work = self.requests.get(*key).map(|state| state.request.work);
+            match work {
+                Some(Work::Online { expires_at, .. }) => now >= expires_at,
+                _ => true,
+            }
+        };
+        let expired = self.waiting_online.iter().copied().filter(has_expired);
+        let retry_after = self.expected_slot_time();
+        let expired = expired.map(|key| (key, retry_after)).collect();
+        self.refuse_queued(expired);
         self.refuse_hopeless(now);
         self.reject_missing_versions(now);
         self.clear_void_exclusions();
@@ -542,6 +539,8 @@
                 queue.push((*key, start_by, expires_at));
             }
         }
+        let slot_time = self.expected_slot_time();
+        let mut hopeless = Vec::new();
         for (service, mut queue) in queues {
             let slots = self.online_load(&service).slots;
             if slots == 0 {
@@ -550,26 +549,30 @@
             queue.sort_by_key(|(_, start_by, _)| online_rank(*start_by, now));
             let mut ahead: usize = 0;
             for (key, _, expires_at) in queue {
-                let wait = self
-                    .expected_slot_time()
-                    .mul_f64(ahead as f64 / slots as f64);
+                let wait = slot_time.mul_f64(ahead as f64 / slots as f64);
                 match self.is_hopeless(wait, expires_at, now) {
-                    true => self.refuse_queued(key, wait),
+                    true => hopeless.push((key, wait)),
                     false => ahead += 1,
                 }
             }
         }
+        self.refuse_queued(hopeless);
     }
 
-    /// Refuses a queued online request.
-    fn refuse_queued(&mut self, key: RequestKey, retry_after: Duration) {
-        self.waiting_online.retain(|waiting| *waiting != key);
-        if let Some(state) = self.requests.remove(key) {
-            self.by_id
-                .remove(&(state.request.host.clone(), state.request.id));
+    /// Refuses queued online requests, each with the time after which to retry.
+    fn refuse_queued(&mut self, refused: Vec<(RequestKey, Duration)>) {
+        let keys: HashSet<RequestKey> = refused.iter().map(|(key, _)| *key).collect();
+        self.waiting_online
+            .retain(|waiting| !keys.contains(waiting));
+        for (key, retry_after) in refused {
+            let Some(state) = self.requests.remove(key) else {
+                continue;
+            };
+            let (host, request) = (state.request.host, state.request.id);
+            self.by_id.remove(&(host.clone(), request));
             self.actions.push(Action::Refuse {
-                host: state.request.host,
-                request: state.request.id,
+                host,
+                request,
                 retry_after,
             });
         }
