fix(gateway): hosts with full quarantines do not send them to each other without end

Found on reading: a host answered entries that differed from its own with all of its own, at once. Two hosts whose quarantines are full (64 parts) with different parts would each answer the other for ever. The reply is now a decision of the crate: entries only if the other lacks some, and of more entries than a quarantine holds all hosts keep the same ones.

--- a/bamboo-gateway/src/gateway/prompts.rs
+++ b/bamboo-gateway/src/gateway/prompts.rs
@@ -17,6 +17,7 @@
 use bamboo_quarantine::PartReport;
 use bamboo_quarantine::PromptHistory;
 use bamboo_quarantine::Quarantine;
+use bamboo_quarantine::QuarantineReply;
 use bamboo_quarantine::QuarantinedPart;
 use bamboo_quarantine::digest;
 use bamboo_quarantine::request_key;
@@ -306,18 +307,17 @@
         now: Duration,
     ) {
         let has_changed = self.prompts.quarantine.borrow_mut().merge(received, now);
-        let entries = self.prompts.quarantine.borrow().entries(now);
-        let received_digest = digest(received);
-        self.prompts.record_ack(&sender.host, received_digest);
-        if digest(&entries) == received_digest {
-            let ack = PeerMessage::QuarantineAck(received_digest);
-            self.send_to(&sender.host, ack);
-        } else {
-            self.send_quarantine(&sender.host, &entries);
+        self.prompts.record_ack(&sender.host, digest(received));
+        let reply = self.prompts.quarantine.borrow().reply(received, now);
+        match reply {
+            QuarantineReply::Newer(entries) => self.send_quarantine(&sender.host, &entries),
+            QuarantineReply::Ack(digest) => {
+                self.send_to(&sender.host, PeerMessage::QuarantineAck(digest));
+            }
         }
         if has_changed {
             log::info!(
-                event = "quarantine", source = sender.host.as_str(), parts = entries.len();
+                event = "quarantine", source = sender.host.as_str(), parts = received.len();
                 "learned of parts of prompts that crash servers"
             );
             self.quarantine_changed(&sender.host, now);
--- a/bamboo-quarantine/src/lib.rs
+++ b/bamboo-quarantine/src/lib.rs
@@ -23,5 +23,6 @@
 pub use inquiry::CrashInquiry;
 pub use inquiry::Finding;
 pub use quarantine::Quarantine;
+pub use quarantine::QuarantineReply;
 pub use quarantine::QuarantinedPart;
 pub use quarantine::digest;
--- a/bamboo-quarantine/src/quarantine.rs
+++ b/bamboo-quarantine/src/quarantine.rs
@@ -1,5 +1,6 @@
 //! The parts that crash servers, as all hosts share them.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -29,6 +30,15 @@
     pub findings: u32,
 }
 
+/// What a host replies to the entries of another one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum QuarantineReply {
+    /// All its entries, since the other host lacks some of them.
+    Newer(Vec<QuarantinedPart>),
+    /// The digest of its entries: the other host has all of them.
+    Ack(u64),
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Entry {
     until: Duration,
@@ -108,20 +118,54 @@
         })
     }
 
-    /// Takes over the entries of another host that are newer or unknown. Returns whether there were any.
+    /// Takes over the entries of another host that are newer or unknown. Returns whether there were any. Of more than the
+    /// quarantine holds, all hosts keep the same ones.
     pub fn merge(&mut self, entries: &[QuarantinedPart], now: Duration) -> bool {
-        let mut has_changed = false;
+        let digest_before = digest(&self.entries(now));
         for entry in entries {
             let until = now + Duration::from_millis(entry.remaining_ms);
             let findings = entry.findings;
             let known = self.parts.get(&entry.part);
-            let is_newer = known.is_none_or(|known| known.findings < findings);
-            if is_newer && (known.is_some() || self.parts.len() < PARTS_MAX) {
+            if known.is_none_or(|known| known.findings < findings) {
                 self.parts.insert(entry.part, Entry { until, findings });
-                has_changed = true;
             }
         }
-        has_changed
+        self.drop_excess();
+        digest(&self.entries(now)) != digest_before
+    }
+
+    /// Drops the entries with the fewest findings, and of these the ones with the highest identifiers.
+    fn drop_excess(&mut self) {
+        while self.parts.len() > PARTS_MAX {
+            let parts = self.parts.iter();
+            let last = parts.max_by_key(|(part, entry)| (Reverse(entry.findings), **part));
+            let Some(part) = last.map(|(part, _)| *part) else {
+                return;
+            };
+            self.parts.remove(&part);
+        }
+    }
+
+    /// The reply to a host whose entries have been merged.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use bamboo_quarantine::{Quarantine, QuarantineReply};
+    /// let mut quarantine = Quarantine::default();
+    /// let entry = quarantine.add(7, Duration::ZERO).unwrap();
+    /// assert_eq!(quarantine.reply(&[], Duration::ZERO), QuarantineReply::Newer(vec![entry]));
+    /// assert!(matches!(quarantine.reply(&[entry], Duration::ZERO), QuarantineReply::Ack(_)));
+    /// ```
+    pub fn reply(&self, received: &[QuarantinedPart], now: Duration) -> QuarantineReply {
+        let entries = self.entries(now);
+        let is_newer = |entry: &QuarantinedPart| {
+            let other = received.iter().find(|other| other.part == entry.part);
+            other.is_none_or(|other| other.findings < entry.findings)
+        };
+        match entries.iter().any(is_newer) {
+            true => QuarantineReply::Newer(entries),
+            false => QuarantineReply::Ack(digest(&entries)),
+        }
     }
 
     /// Time until none of the parts is in quarantine; `None` if none is.
