refactor(gateway): the text of a refusal names its cause, and a bucket's time never goes back

Found on reading the change. A bucket that is told of an earlier moment, as by the report of another host, would have refilled the time between twice: milliseconds.

--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -251,10 +251,12 @@
                 continue;
             }
         };
-        if gateway
-            .quarantine_remaining(&request.shared_parts)
-            .is_some()
-        {
+        let is_quarantined = || {
+            gateway
+                .quarantine_remaining(&request.shared_parts)
+                .is_some()
+        };
+        if is_quarantined() {
             is_held = hold_item(&gateway, &job, &request, is_held).await;
             continue;
         }
@@ -285,10 +287,7 @@
         ) {
             return;
         }
-        if gateway
-            .quarantine_remaining(&request.shared_parts)
-            .is_some()
-        {
+        if is_quarantined() {
             continue;
         }
         let server = slot.server.id.clone();
@@ -349,8 +348,9 @@
     }
 }
 
-/// Waits before it is checked again whether a part of an item's prompt still is in quarantine. The item keeps its place
-/// until the retention of its job passes: it has neither failed nor been found impossible by a server.
+/// Waits until it is to be checked again whether a part of an item's prompt is in quarantine, and logs that if the item is
+/// not held yet. The item stays open until the retention of its job passes, since no server has found it impossible.
+/// Returns that it is held.
 async fn hold_item(
     gateway: &Gateway,
     job: &JobRecord,
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -59,7 +59,6 @@
 const VERSION_GONE: &str = "version_gone";
 /// Reason in the log of a request that is rejected because it is not known where its stream began.
 const ORIGIN_UNKNOWN: &str = "origin_unknown";
-
 /// Reason in the log of a request that is rejected because its prompt has a part that crashes servers.
 const PROMPT_QUARANTINED: &str = "prompt_quarantined";
 
@@ -149,13 +148,19 @@
         Ok(run) => run,
         Err(RunError::Answered(response)) => return recorder.finish(response, "server_failure"),
         Err(RunError::Refused(retry_after, reason)) => {
-            match reason {
-                VERSION_GONE => gateway.metrics.count_take_up(VERSION_GONE),
-                PROMPT_QUARANTINED => gateway.metrics.count_run(PROMPT_QUARANTINED),
-                _ => {}
-            }
+            let text = match reason {
+                VERSION_GONE => {
+                    gateway.metrics.count_take_up(VERSION_GONE);
+                    "no server of the stream's version\n"
+                }
+                PROMPT_QUARANTINED => {
+                    gateway.metrics.count_run(PROMPT_QUARANTINED);
+                    "a part of the prompt crashes servers\n"
+                }
+                _ => "no slot in time\n",
+            };
             recorder.reason = reason;
-            return recorder.finish(not_run("no slot in time\n", retry_after), "refused");
+            return recorder.finish(not_run(text, retry_after), "refused");
         }
         Err(RunError::TimedOut) if !attempts.may_have_run => {
             return recorder.finish(
--- a/bamboo-types/src/token_bucket.rs
+++ b/bamboo-types/src/token_bucket.rs
@@ -132,7 +132,7 @@
 
     fn refill(&mut self, now: Timestamp) {
         self.tokens = self.available(now);
-        self.updated_at = Some(now);
+        self.updated_at = self.updated_at.max(Some(now));
     }
 
     fn refilled_since_update(&self, now: Timestamp) -> f64 {
