fix(gateway): the coordinator passes on a limit that it reads itself

Found on reading: a limit that another host reported was passed on to all, one that the coordinator read from a response itself was not, so that the other hosts sent plain requests to the server without a permit until one of their own responses named it (41 at once where 17 are allowed, in the new test, whenever the reader was the coordinator). Engines were not affected: the coordinator grants their slots.

--- a/bamboo-gateway/src/gateway/limits.rs
+++ b/bamboo-gateway/src/gateway/limits.rs
@@ -48,23 +48,31 @@
                 "a server names a limit for its requests, or names none any more"
             );
         }
-        if change != LimitChange::None {
-            let coordinator = self.coordination.borrow().coordinator().clone();
-            let reports = self.limit_reports(now);
-            let said = reports.into_iter().filter(|report| report.server == server);
-            self.send_limit_reports(&coordinator, said.collect());
+        match (change, self.is_coordinator(&self.local.host)) {
+            (LimitChange::Changed, true) => self.pass_on_limits(&self.local.host, now),
+            (LimitChange::None, _) | (LimitChange::Renewed, true) => {}
+            (LimitChange::Changed | LimitChange::Renewed, false) => {
+                let coordinator = self.coordination.borrow().coordinator().clone();
+                let reports = self.limit_reports(now);
+                let said = reports.into_iter().filter(|report| report.server == server);
+                self.send_limit_reports(&coordinator, said.collect());
+            }
         }
     }
 
     /// Takes over what another host knows of limits. The coordinator passes on what has changed.
     pub(super) fn handle_limits(&self, sender: &HostInfo, reports: &[LimitReport], now: Duration) {
         let has_changed = self.broker.borrow_mut().limits_mut().merge(reports, now);
-        if !has_changed || !self.is_coordinator(&self.local.host) {
-            return;
+        if has_changed && self.is_coordinator(&self.local.host) {
+            self.pass_on_limits(&sender.host, now);
         }
+    }
+
+    /// Tells the hosts that this one coordinates of all limits, but not the host that a change is from.
+    fn pass_on_limits(&self, source: &str, now: Duration) {
         let reports = self.limit_reports(now);
         let hosts = self.reporting_hosts();
-        for host in hosts.iter().filter(|host| **host != sender.host) {
+        for host in hosts.iter().filter(|host| *host != source) {
             self.send_limit_reports(host, reports.clone());
         }
     }
