--- a/bamboo-slots/tests/limits.rs
+++ b/bamboo-slots/tests/limits.rs
@@ -1,5 +1,6 @@
 //! Servers that name a limit for the requests that they get from all hosts together.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bamboo_slots::Action;
@@ -76,6 +77,8 @@
     runs: Vec<(u64, u64, String)>,
     /// Times of grants, with the request and the server.
     granted: Vec<(u64, u64, String)>,
+    /// Times of refusals, with the request.
+    refused: Vec<(u64, u64)>,
 }
 
 impl Load {
@@ -89,14 +92,17 @@
             next_id: 0,
             runs: Vec::new(),
             granted: Vec::new(),
+            refused: Vec::new(),
         }
     }
 
-    fn send(&mut self, work: Work, now_ms: u64) {
+    /// Sends a request and returns its identifier.
+    fn send(&mut self, work: Work, now_ms: u64) -> u64 {
         self.next_id += 1;
         self.broker
             .request_slot(slot_request(self.next_id, work), at(now_ms));
-        self.take_grants(now_ms);
+        self.take_actions(now_ms);
+        self.next_id
     }
 
     fn step(&mut self, now_ms: u64) {
@@ -114,17 +120,20 @@
         if now_ms.is_multiple_of(250) {
             self.broker.tick(at(now_ms));
         }
-        self.take_grants(now_ms);
+        self.take_actions(now_ms);
     }
 
-    fn take_grants(&mut self, now_ms: u64) {
+    fn take_actions(&mut self, now_ms: u64) {
         for action in self.broker.take_actions() {
-            if let Action::Grant {
-                request, server, ..
-            } = action
-            {
-                self.runs.push((now_ms + RUN_MS, request, server.clone()));
-                self.granted.push((now_ms, request, server));
+            match action {
+                Action::Grant {
+                    request, server, ..
+                } => {
+                    self.runs.push((now_ms + RUN_MS, request, server.clone()));
+                    self.granted.push((now_ms, request, server));
+                }
+                Action::Refuse { request, .. } => self.refused.push((now_ms, request)),
+                _ => {}
             }
         }
     }
@@ -281,18 +290,11 @@
     let mut load = Load::new(&["limited"]);
     let limits = load.broker.limits_mut();
     limits.observe("limited", Some(1_000), Duration::ZERO, Duration::ZERO);
-    let mut refused = 0;
-    for index in 0..40 {
-        let id = 1_000 + index;
-        let request = slot_request(id, online(10));
-        load.broker.request_slot(request, at(10));
-        let actions = load.broker.take_actions();
-        refused += actions
-            .iter()
-            .filter(|action| matches!(action, Action::Refuse { .. }))
-            .count();
+    for _ in 0..40 {
+        load.send(online(10), 10);
     }
     // In 5 s the limit allows 5 of them.
+    let refused = load.refused.len();
     assert!(refused >= 30, "{refused} refused at once");
 }
 
@@ -307,39 +309,16 @@
     let mut load = Load::new(&["server"]);
     let limits = load.broker.limits_mut();
     limits.observe("server", limit, Duration::ZERO, Duration::ZERO);
-    let mut refused_after_ms = Vec::new();
+    let mut sent_ms = BTreeMap::new();
     for now_ms in 1..30_000 {
         if now_ms % 50 == 0 {
-            // The identifier tells when the request came.
-            load.broker
-                .request_slot(slot_request(now_ms, online(now_ms)), at(now_ms));
-        }
-        let ended: Vec<_> = load
-            .runs
-            .extract_if(.., |(end_ms, ..)| *end_ms <= now_ms)
-            .collect();
-        for (_, id, server) in ended {
-            load.broker
-                .release("h", id, Some(&server), RunOutcome::Done, at(now_ms));
-        }
-        if now_ms % GRANT_INTERVAL_MS == 0 {
-            load.broker.grant_due(at(now_ms));
-        }
-        if now_ms % 250 == 0 {
-            load.broker.tick(at(now_ms));
-        }
-        for action in load.broker.take_actions() {
-            match action {
-                Action::Grant {
-                    request, server, ..
-                } => {
-                    load.runs.push((now_ms + RUN_MS, request, server));
-                }
-                Action::Refuse { request, .. } => refused_after_ms.push(now_ms - request),
-                _ => {}
-            }
+            let id = load.send(online(now_ms), now_ms);
+            sent_ms.insert(id, now_ms);
         }
+        load.step(now_ms);
     }
+    let refused = load.refused.iter();
+    let refused_after_ms: Vec<u64> = refused.map(|(at_ms, id)| at_ms - sent_ms[id]).collect();
     assert!(
         refused_after_ms.len() > 50,
         "{} refused",
