--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -19,12 +19,10 @@
 use crate::Work;
 use crate::engine::EngineState;
 use crate::infeasible_items;
-use crate::online_rank;
 use crate::request_state::GrantedSlot;
 use crate::request_state::RequestKey;
 use crate::request_state::RequestState;
 use crate::request_state::RequestTable;
-use crate::versions::rounds;
 
 /// Assumed time that an online request occupies a slot, until the first one has completed.
 const SLOT_TIME_INITIAL: Duration = Duration::from_millis(700);
@@ -334,17 +332,7 @@
     /// Refuses expired online requests, defers batch items that would miss their due time, and allocates the slots of
     /// servers that are usable again.
     pub fn tick(&mut self, now: Duration) {
-        let has_expired = |key: &RequestKey| {
-            let work = self.requests.get(*key).map(|state| state.request.work);
-            match work {
-                Some(Work::Online { expires_at, .. }) => now >= expires_at,
-                _ => true,
-            }
-        };
-        let expired = self.waiting_online.iter().copied().filter(has_expired);
-        let retry_after = self.expected_slot_time();
-        let expired = expired.map(|key| (key, retry_after)).collect();
-        self.refuse_queued(expired);
+        self.refuse_expired(now);
         self.refuse_hopeless(now);
         self.reject_missing_versions(now);
         self.clear_void_exclusions();
@@ -441,7 +429,7 @@
 
     /// Counts of one service without batch items. The batch queue is left out because it may be far
     /// longer.
-    fn online_load(&self, service: &str) -> BrokerLoad {
+    pub(crate) fn online_load(&self, service: &str) -> BrokerLoad {
         let mut load = BrokerLoad {
             online_waiting: self.waiting_count(&self.waiting_online, service),
             ..BrokerLoad::default()
@@ -483,101 +471,10 @@
         keys.iter().filter(is_of_service).count()
     }
 
-    fn expected_slot_time(&self) -> Duration {
+    pub(crate) fn expected_slot_time(&self) -> Duration {
         self.slot_time_mean.unwrap_or(SLOT_TIME_INITIAL)
     }
 
-    /// Returns the refusal of an online request whose estimated wait in the queue exceeds the time until it expires.
-    fn refusal(&self, request: &SlotRequest, now: Duration) -> Option<Action> {
-        let Work::Online { expires_at, .. } = request.work else {
-            return None;
-        };
-        let has_free_slot =
-            |load: &BrokerLoad| load.online_running + load.online_waiting < load.slots;
-        let total = self.online_load(&request.service);
-        if request.version.is_none() && has_free_slot(&total) {
-            return None;
-        }
-        let load = match request.version.is_some() || self.is_version_awaited(&request.service) {
-            true => self.competing_load(request, total),
-            false => total,
-        };
-        if has_free_slot(&load) || load.slots == 0 {
-            return None;
-        }
-        let wait = self.expected_slot_time().mul_f64(rounds(&load));
-        self.is_hopeless(wait, expires_at, now)
-            .then(|| Action::Refuse {
-                host: request.host.clone(),
-                request: request.id,
-                retry_after: wait,
-            })
-    }
-
-    /// Whether a request that waits for so long would not complete before it expires.
-    fn is_hopeless(&self, wait: Duration, expires_at: Duration, now: Duration) -> bool {
-        now + wait + self.expected_slot_time() > expires_at
-    }
-
-    /// Refuses queued online requests that would not complete in time behind those in front of them. Requests that have
-    /// come later and can still be on time are in front, so that others may become hopeless while they wait.
-    fn refuse_hopeless(&mut self, now: Duration) {
-        let mut queues: BTreeMap<String, Vec<(RequestKey, Duration, Duration)>> = BTreeMap::new();
-        for key in &self.waiting_online {
-            let Some(request) = self.requests.get(*key).map(|state| &state.request) else {
-                continue;
-            };
-            if let (
-                Work::Online {
-                    start_by,
-                    expires_at,
-                },
-                None,
-            ) = (request.work, &request.version)
-            {
-                let queue = queues.entry(request.service.clone()).or_default();
-                queue.push((*key, start_by, expires_at));
-            }
-        }
-        let slot_time = self.expected_slot_time();
-        let mut hopeless = Vec::new();
-        for (service, mut queue) in queues {
-            let slots = self.online_load(&service).slots;
-            if slots == 0 {
-                continue;
-            }
-            queue.sort_by_key(|(_, start_by, _)| online_rank(*start_by, now));
-            let mut ahead: usize = 0;
-            for (key, _, expires_at) in queue {
-                let wait = slot_time.mul_f64(ahead as f64 / slots as f64);
-                match self.is_hopeless(wait, expires_at, now) {
-                    true => hopeless.push((key, wait)),
-                    false => ahead += 1,
-                }
-            }
-        }
-        self.refuse_queued(hopeless);
-    }
-
-    /// Refuses queued online requests, each with the time after which to retry.
-    fn refuse_queued(&mut self, refused: Vec<(RequestKey, Duration)>) {
-        let keys: HashSet<RequestKey> = refused.iter().map(|(key, _)| *key).collect();
-        self.waiting_online
-            .retain(|waiting| !keys.contains(waiting));
-        for (key, retry_after) in refused {
-            let Some(state) = self.requests.remove(key) else {
-                continue;
-            };
-            let (host, request) = (state.request.host, state.request.id);
-            self.by_id.remove(&(host.clone(), request));
-            self.actions.push(Action::Refuse {
-                host,
-                request,
-                retry_after,
-            });
-        }
-    }
-
     fn remove_request(&mut self, key: RequestKey, outcome: RunOutcome, now: Duration) {
         let Some(state) = self.requests.remove(key) else {
             return;
--- a/bamboo-slots/src/lib.rs
+++ b/bamboo-slots/src/lib.rs
@@ -12,6 +12,7 @@
 mod health;
 mod limits;
 mod order;
+mod refusal;
 mod request;
 mod request_state;
 mod versions;
