--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 mod limits;
 mod peers;
 mod prompts;
+mod server_reports;
 mod servers;
 mod store_calls;
 mod streams;
