fix(fleet): a server that starts anew under its identifier may leave, too

Found on reading: the second process of a server that said that it leaves was not counted as draining, since the first one had said so before. The added lines of a_server_that_said_that_it_leaves_stays_out_whatever_its_entry_says failed before.

--- a/bamboo-fleet/src/directory.rs
+++ b/bamboo-fleet/src/directory.rs
@@ -130,8 +130,9 @@
             }
             return DirectoryChange::Unchanged;
         };
-        let said = (now, server.started_at_ms);
-        if self.leaving.insert(id.to_owned(), said).is_some() {
+        let started_at_ms = server.started_at_ms;
+        let before = self.leaving.insert(id.to_owned(), (now, started_at_ms));
+        if before.is_some_and(|(_, before_ms)| before_ms == started_at_ms) {
             return DirectoryChange::Unchanged;
         }
         let leaving = Rc::new(Server {
--- a/bamboo-fleet/tests/fleet.rs
+++ b/bamboo-fleet/tests/fleet.rs
@@ -189,6 +189,8 @@
     // Another process under the same identifier has said nothing.
     directory.put(server("a", ServerState::Ready, 2), at(4_001));
     assert_eq!(ready(&directory, at(4_001)), 1);
+    directory.mark_leaving("a", at(4_002));
+    assert_eq!(ready(&directory, at(4_002)), 0);
 }
 
 /// Guards against a server that is used for want of others just after its entry has gone, although it says that it leaves.
