--- a/bamboo-quarantine/src/inquiry.rs
+++ b/bamboo-quarantine/src/inquiry.rs
@@ -1,7 +1,7 @@
 //! Weighs crashes of servers against the prompts that ran there.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -47,11 +47,10 @@
 }
 
 impl Crash {
-    /// Whether it occurred after an earlier crash, not at the same moment, and under a run that the earlier crash does not
-    /// concern. Runs that are sent again while a group of servers crashes break at the same moment, too.
+    /// Whether it occurred after an earlier crash, not at the same moment.
     fn is_later_than(&self, broke_at: Duration) -> bool {
         let is_short = self.broke_at.saturating_sub(self.sent_at) <= OVERLAPPING_RUN_MAX;
-        self.broke_at >= broke_at + SIMULTANEOUS && (self.sent_at >= broke_at || is_short)
+        self.sent_at >= broke_at || (is_short && self.broke_at >= broke_at + SIMULTANEOUS)
     }
 }
 
@@ -154,7 +153,7 @@
 /// hosts are asked for their history of a suspect before it is found to be the cause.
 #[derive(Debug, Default)]
 pub struct CrashInquiry {
-    suspicions: BTreeMap<PromptPartId, Suspicion>,
+    suspicions: HashMap<PromptPartId, Suspicion>,
 }
 
 impl CrashInquiry {
