fix(quarantine): suspects are weighed in the same order every time

Of suspects that rank the same, the order of a hash map decided which was found, so that a play of drawn_loads.rs could have another verdict. An ordered map holds them now.

--- a/bamboo-quarantine/src/inquiry.rs
+++ b/bamboo-quarantine/src/inquiry.rs
@@ -1,7 +1,7 @@
 //! Weighs crashes of servers against the prompts that ran there.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -153,7 +153,7 @@
 /// hosts are asked for their history of a suspect before it is found to be the cause.
 #[derive(Debug, Default)]
 pub struct CrashInquiry {
-    suspicions: HashMap<PromptPartId, Suspicion>,
+    suspicions: BTreeMap<PromptPartId, Suspicion>,
 }
 
 impl CrashInquiry {
