feat(gateway): the age of a lost read and the version in force can be observed

store_timed_out told how far beyond its long poll a read was given up, not how long it had waited in all; hosts at different versions could only be told apart by their last config line. No change of behaviour.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -316,6 +316,9 @@
         self.deadline_histories
             .borrow_mut()
             .retain(|route, _| routes.contains(route.as_str()));
+        self.metrics
+            .config_version
+            .set(i64::try_from(config.version).unwrap_or(i64::MAX));
         *self.config_record.borrow_mut() = Some(Rc::new(record));
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.refresh_engines();
--- a/bamboo-gateway/src/metrics.rs
+++ b/bamboo-gateway/src/metrics.rs
@@ -122,6 +122,8 @@
     pub partitions: Gauge,
     /// Parts of prompts in quarantine or on probation.
     pub quarantined_parts: Gauge,
+    /// Version of the configuration in force.
+    pub config_version: Gauge,
 }
 
 impl Default for Metrics {
@@ -142,6 +144,7 @@
             store_failures: Gauge::default(),
             partitions: Gauge::default(),
             quarantined_parts: Gauge::default(),
+            config_version: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register(
@@ -206,6 +209,11 @@
             "Parts of prompts that crash servers",
             metrics.quarantined_parts.clone(),
         );
+        registry.register(
+            "config_version",
+            "Version of the configuration in force",
+            metrics.config_version.clone(),
+        );
         metrics
     }
 }
--- a/bamboo-gateway/src/store.rs
+++ b/bamboo-gateway/src/store.rs
@@ -232,6 +232,7 @@
             .body(Full::new(call.body))
             .map_err(|error| StoreError::Refused(format!("cannot build the call: {error}")))?;
         let received_bytes = Cell::new(0);
+        let sent_at = Instant::now();
         let exchange = async {
             connection.sender.ready().await?;
             connection.sender.send_request(http_request).await
@@ -264,7 +265,8 @@
             Err(ResponseError::TimedOut) => {
                 log::info!(
                     event = "store_timed_out", call = request.kind(), topic = request.topic(),
-                    received_bytes = received_bytes.get(), timeout_ms = timeout.as_millis() as u64;
+                    received_bytes = received_bytes.get(), timeout_ms = timeout.as_millis() as u64,
+                    waited_ms = sent_at.elapsed().as_millis() as u64;
                     "a response of the store did not arrive in time"
                 );
                 // The other idle connections are likely to be dead, too.
