fix(gateway): a read whose response was lost no longer hides newer configurations

What callers saw: after an outage in which the store accepted connections and did not respond, all hosts served by an old configuration for up to 5 s after the store was back, and refused requests on routes that had been added (CONFIG, DENIED).

Cause: each host had one read of the configuration in progress. As a bulk read it had 3 s for the long poll and 3 s more until the response began, and one that was sent into the silence was lost, too. Each change ends the polls of all hosts, so that they run in step and are lost together: the rule that heartbeats tell of a newer version sooner needs one host that knows it. Class: one wait for a response that can no longer come, longer than its news may be late, with a fallback that fails by the same cause.

Change: PollWatch (bamboo-relay, no I/O) has a read sent again beside the first one, and the first response counts: when the store responds again, when a call other than a read times out (at most every 2 s), and when a long poll is overdue by 250 ms. The first read is kept, so that a large configuration which a busy store sends late is not given up. All readers of keyed topics do so: configuration, servers, list of hosts, quarantine. Long polls of the configuration and the quarantine last 2 s, not 3 s: a lost one is noticed before a host counts as stable.

Timeouts of reads are no sign, since reads are late at a busy store.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -143,6 +143,7 @@
     /// Versions of the messages that other hosts decode.
     protocol_versions: RefCell<HashMap<HostId, ProtocolVersion>>,
     store: StoreClient,
+    store_returns: watch::Sender<()>,
     store_path: RefCell<StorePath>,
     servers_read: Cell<Option<ServersRead>>,
     /// Whether the store's records named all versions that servers have had; `None` until they have been read.
@@ -186,6 +187,7 @@
         let gateway = Rc::new(Gateway {
             store: StoreClient::new(settings.store.address, dialect.clone())
                 .with_metrics(store_metrics),
+            store_returns: watch::Sender::new(()),
             mesh: Mesh::new(local.clone(), link_failures, metrics.peer_bytes.clone()),
             local,
             settings,
--- a/bamboo-gateway/src/gateway/prompts.rs
+++ b/bamboo-gateway/src/gateway/prompts.rs
@@ -21,6 +21,7 @@
 use bamboo_quarantine::QuarantinedPart;
 use bamboo_quarantine::digest;
 use bamboo_quarantine::request_key;
+use bamboo_relay::LONG_POLL_MAX;
 use bamboo_types::HostId;
 use bamboo_types::PromptPartId;
 use futures_util::StreamExt;
@@ -46,8 +47,6 @@
 
 /// Topic that holds the quarantined parts, without the prefix of keyed topics.
 const QUARANTINE_TOPIC: &str = "bamboo-quarantine";
-/// Long-poll time of reads of the quarantine.
-const STORE_LONG_POLL: Duration = Duration::from_secs(3);
 /// Interval at which a host checks whether it has to follow the quarantine in the store.
 const FOLLOW_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause after a failed call to the store.
@@ -351,7 +350,7 @@
     /// quarantine, until the process ends. Operators lift a quarantine by deleting its record.
     pub(crate) async fn follow_quarantine(self: Rc<Self>) {
         let (topic, extent) = (self.quarantine_topic(), ReadExtent::Tail);
-        let mut reader = TopicReader::new(topic, STORE_LONG_POLL, extent);
+        let mut reader = TopicReader::new(topic, LONG_POLL_MAX, extent);
         let mut has_read = false;
         loop {
             let is_quarantined = !self.prompts.quarantine.borrow().is_empty();
--- a/bamboo-gateway/src/gateway/store_calls.rs
+++ b/bamboo-gateway/src/gateway/store_calls.rs
@@ -6,8 +6,12 @@
 use bamboo_relay::AttemptOutcome;
 use bamboo_relay::DirectTimeout;
 use bamboo_relay::NextStep;
+use bamboo_relay::PollStep;
+use bamboo_relay::PollWatch;
 use bamboo_relay::StoreCall;
 use bamboo_types::HostId;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use rand::seq::SliceRandom;
 
 use crate::gateway::Gateway;
@@ -24,6 +28,9 @@
 /// Interval at which it is checked whether the store is due for a probe.
 const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Maximum number of copies of a read that wait for a response.
+const READ_COPIES_MAX: usize = 2;
+
 fn attempt_outcome(error: &StoreError) -> AttemptOutcome {
     match error {
         StoreError::Refused(_) => AttemptOutcome::Refused,
@@ -69,6 +76,50 @@
         }
     }
 
+    /// Sends a read to the store, and again while its response may have been lost. Returns the first response.
+    ///
+    /// # Errors
+    /// Fails if all reads in progress have failed.
+    pub(crate) async fn watched_read(
+        &self,
+        request: &StoreRequest,
+        poll_watch: &mut PollWatch,
+    ) -> Result<StoreReply, StoreError> {
+        let mut returns = self.store_returns.subscribe();
+        let mut timeouts = self.store.timeouts();
+        let mut reads = FuturesUnordered::new();
+        loop {
+            let now = self.clock.now();
+            let until = match poll_watch.step(now) {
+                PollStep::Wait(until) if !reads.is_empty() => until,
+                PollStep::Wait(_) | PollStep::SendAgain => {
+                    if reads.len() >= READ_COPIES_MAX {
+                        reads.clear();
+                    }
+                    reads.push(self.store_call(request));
+                    poll_watch.record_sent(request.wait(), now);
+                    continue;
+                }
+            };
+            tokio::select! {
+                result = reads.select_next_some() => match result {
+                    Err(_) if !reads.is_empty() => {}
+                    result => return result,
+                },
+                () = self.sleep_until(until) => {}
+                Ok(()) = returns.changed() => poll_watch.record_return(self.clock.now()),
+                Ok(()) = timeouts.changed() => poll_watch.record_timeout(self.clock.now()),
+            }
+        }
+    }
+
+    async fn sleep_until(&self, until: Option<Duration>) {
+        match until {
+            Some(at) => tokio::time::sleep_until(self.clock.instant(at)).await,
+            None => std::future::pending().await,
+        }
+    }
+
     fn begin_store_call(
         &self,
         request: &StoreRequest,
@@ -98,7 +149,8 @@
         drop(path);
         match &result {
             Ok(_) if has_changed => {
-                log::info!(event = "store_regained"; "the store responds again")
+                log::info!(event = "store_regained"; "the store responds again");
+                self.store_returns.send_replace(());
             }
             Err(error) if has_changed => {
                 log::warn!(event = "store_lost"; "no response from the store; relaying through other hosts: {error}")
--- a/bamboo-gateway/src/store.rs
+++ b/bamboo-gateway/src/store.rs
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use tokio::sync::watch;
 
 use crate::dialect::Dialect;
 use crate::metrics::StoreMetrics;
@@ -95,6 +96,7 @@
     calls: Cell<u64>,
     failures: Cell<u64>,
     recent_latency: Cell<Duration>,
+    timeouts: watch::Sender<()>,
     metrics: StoreMetrics,
 }
 
@@ -108,6 +110,7 @@
             calls: Cell::new(0),
             failures: Cell::new(0),
             recent_latency: Cell::new(Duration::ZERO),
+            timeouts: watch::Sender::new(()),
             metrics: StoreMetrics::default(),
         }
     }
@@ -122,6 +125,12 @@
         (self.calls.get(), self.failures.get())
     }
 
+    /// Notifies of each request other than a read that has no response in time. Reads may be late because the store queues
+    /// them.
+    pub(crate) fn timeouts(&self) -> watch::Receiver<()> {
+        self.timeouts.subscribe()
+    }
+
     /// Recent latency of requests, long polls and bulk reads excluded: a decaying maximum.
     pub fn recent_latency(&self) -> Duration {
         self.recent_latency.get()
@@ -271,6 +280,9 @@
                 );
                 // The other idle connections are likely to be dead, too.
                 self.idle.borrow_mut().clear();
+                if !request.is_read() {
+                    self.timeouts.send_replace(());
+                }
                 return Err(unknown("time is up".to_owned()));
             }
         };
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -6,6 +6,8 @@
 use bamboo_fleet::DirectoryChange;
 use bamboo_fleet::OutageGracePeriod;
 use bamboo_fleet::Server;
+use bamboo_relay::LONG_POLL_MAX;
+use bamboo_relay::PollWatch;
 use bamboo_types::BackendServerId;
 use bamboo_types::Offset;
 
@@ -17,8 +19,6 @@
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
 
-/// Long-poll time of configuration reads. Behind a dead connection, heartbeats tell of a newer version sooner.
-const CONFIG_LONG_POLL: Duration = Duration::from_secs(3);
 /// Long-poll time of reads of the server entries. Bounds how long a dead connection can hide the departure of a server, and
 /// keeps the directory fresh, which counts from the begin of the last read.
 const SERVERS_LONG_POLL: Duration = Duration::from_millis(1000);
@@ -35,6 +35,7 @@
     next: Option<Offset>,
     wait: Duration,
     extent: ReadExtent,
+    poll_watch: PollWatch,
 }
 
 /// Result of a read.
@@ -57,6 +58,7 @@
             next: None,
             wait,
             extent,
+            poll_watch: PollWatch::default(),
         }
     }
 
@@ -78,7 +80,7 @@
             wait: self.wait,
             extent: self.extent,
         };
-        match gateway.store_call(&request).await? {
+        match gateway.watched_read(&request, &mut self.poll_watch).await? {
             StoreReply::Records { records, .. } => {
                 let next = from + records.len() as Offset;
                 self.next = Some(next);
@@ -115,7 +117,7 @@
                 records: page,
                 has_more,
                 end,
-            } = gateway.store_call(&request).await?
+            } = gateway.watched_read(&request, &mut self.poll_watch).await?
             else {
                 return Err(StoreError::Unknown("unexpected answer".to_owned()));
             };
@@ -154,7 +156,7 @@
 pub(crate) async fn watch_config(gateway: Rc<Gateway>) {
     // One record holds the whole configuration.
     let extent = ReadExtent::Backlog;
-    let mut reader = TopicReader::new(gateway.dialect.config_topic, CONFIG_LONG_POLL, extent);
+    let mut reader = TopicReader::new(gateway.dialect.config_topic, LONG_POLL_MAX, extent);
     loop {
         if let Some(record) = gateway.config_record() {
             reader.skip_past(record.offset);
--- a/bamboo-relay/src/lib.rs
+++ b/bamboo-relay/src/lib.rs
@@ -1,12 +1,17 @@
-//! Decides whether a call to the store goes directly or is relayed by another host. Performs no I/O.
+//! Decides whether a call to the store goes directly or is relayed by another host, and when a read is sent again whose
+//! response may have been lost. Performs no I/O.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
 mod call;
 mod path;
+mod poll_watch;
 
 pub use call::AttemptOutcome;
 pub use call::DirectTimeout;
 pub use call::NextStep;
 pub use call::StoreCall;
 pub use path::StorePath;
+pub use poll_watch::LONG_POLL_MAX;
+pub use poll_watch::PollStep;
+pub use poll_watch::PollWatch;
