--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -1,10 +1,10 @@
 //! State of the process, and its messages to and from other hosts.
 
+mod crashes;
 mod heartbeat;
 mod leaving;
 mod limits;
 mod peers;
-mod prompts;
 mod server_reports;
 mod servers;
 mod store_calls;
@@ -55,7 +55,7 @@
 use crate::traffic::LoadBalancer;
 use crate::traffic::ServerPool;
 
-use prompts::Prompts;
+use crashes::CrashState;
 use servers::ServersRead;
 pub(crate) use streams::OriginAnswer;
 
@@ -133,7 +133,7 @@
     pub(crate) slot_requests: SlotRequestTable,
     pub(crate) coordination: RefCell<CoordinatorTracker>,
     stream_origins: RefCell<StreamOrigins>,
-    prompts: Prompts,
+    crashes: CrashState,
     /// Coordinator that this host has told what it knows of servers.
     briefed_coordinator: RefCell<Option<(HostId, Incarnation)>>,
     /// Servers that named a limit which is no number.
@@ -203,7 +203,7 @@
             slot_requests: SlotRequestTable::default(),
             coordination: RefCell::new(coordination),
             stream_origins: RefCell::default(),
-            prompts: Prompts::default(),
+            crashes: CrashState::default(),
             briefed_coordinator: RefCell::default(),
             unreadable_limits: RefCell::default(),
             broker: RefCell::new(broker),
--- a/bamboo-gateway/src/gateway/prompts.rs
+++ b/bamboo-gateway/src/gateway/crashes.rs
@@ -12,18 +12,18 @@
 use bamboo_quarantine::CrashInquiry;
 use bamboo_quarantine::CrashReport;
 use bamboo_quarantine::Finding;
-use bamboo_quarantine::PartEvidence;
-use bamboo_quarantine::PartHistory;
-use bamboo_quarantine::PartReport;
-use bamboo_quarantine::PromptHistory;
 use bamboo_quarantine::Quarantine;
 use bamboo_quarantine::QuarantineReply;
-use bamboo_quarantine::QuarantinedPart;
+use bamboo_quarantine::QuarantinedSuspect;
+use bamboo_quarantine::RunHistory;
+use bamboo_quarantine::SuspectEvidence;
+use bamboo_quarantine::SuspectHistory;
+use bamboo_quarantine::SuspectId;
+use bamboo_quarantine::SuspectReport;
 use bamboo_quarantine::digest;
 use bamboo_quarantine::request_key;
 use bamboo_relay::LONG_POLL_MAX;
 use bamboo_types::HostId;
-use bamboo_types::PromptPartId;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use serde::Deserialize;
@@ -61,7 +61,7 @@
 
 /// A quarantined part as the store holds it, under the part as its key.
 #[derive(Debug, Serialize, Deserialize)]
-struct StoredPart {
+struct StoredSuspect {
     /// End of the quarantine in milliseconds since the Unix epoch.
     until_unix_ms: u64,
     /// How often the part was found to crash servers.
@@ -70,21 +70,21 @@
 
 /// What this host knows of parts that crash servers.
 #[derive(Default)]
-pub(super) struct Prompts {
-    history: RefCell<PromptHistory>,
+pub(super) struct CrashState {
+    history: RefCell<RunHistory>,
     inquiry: RefCell<CrashInquiry>,
     quarantine: RefCell<Quarantine>,
     has_suspects: Notify,
     /// Crashes under runs of this host, newest last.
-    crashes: RefCell<VecDeque<CrashEvidence>>,
+    recent: RefCell<VecDeque<CrashEvidence>>,
     /// Digests of the quarantines of other hosts, as they acknowledged them.
     acks: RefCell<HashMap<HostId, u64>>,
     /// Parts that this host has put into quarantine and not yet written to the store.
-    unstored: RefCell<Vec<QuarantinedPart>>,
+    unstored: RefCell<Vec<QuarantinedSuspect>>,
     has_unstored: Notify,
 }
 
-impl Prompts {
+impl CrashState {
     /// Records which quarantine a host has.
     pub(super) fn record_ack(&self, host: &str, digest: u64) {
         self.acks.borrow_mut().insert(host.to_owned(), digest);
@@ -98,7 +98,7 @@
     /// Drops what no longer counts.
     pub(super) fn expire(&self, now: Duration) {
         self.quarantine.borrow_mut().expire(now);
-        self.crashes
+        self.recent
             .borrow_mut()
             .retain(|crash| now.saturating_sub(crash.broke_at) < CRASH_KEPT_FOR);
     }
@@ -106,18 +106,18 @@
 
 impl Gateway {
     /// Records that a run has begun, so that its prompt does not crash servers.
-    pub(crate) fn run_began(&self, shared_parts: &[PromptPartId]) {
+    pub(crate) fn run_began(&self, shared_parts: &[SuspectId]) {
         let now = self.clock.now();
-        self.prompts
+        self.crashes
             .history
             .borrow_mut()
             .record_begun(shared_parts, now);
     }
 
     /// Time until requests with these parts in their prompts may be sent to servers; `None` if they may be sent now.
-    pub(crate) fn quarantine_remaining(&self, shared_parts: &[PromptPartId]) -> Option<Duration> {
+    pub(crate) fn quarantine_remaining(&self, shared_parts: &[SuspectId]) -> Option<Duration> {
         let now = self.clock.now();
-        self.prompts
+        self.crashes
             .quarantine
             .borrow()
             .remaining(shared_parts, now)
@@ -131,7 +131,7 @@
             request: request_key(&run.request),
             sent_at: run.sent_at,
             broke_at: run.broke_at,
-            parts: self.part_evidence(&run.shared_parts),
+            suspects: self.suspect_evidence(&run.shared_parts),
         };
         let coordinator = self.coordination.borrow().coordinator().clone();
         if coordinator != self.local.host && self.decodes_since(&coordinator, SERVER_REPORTS_SINCE)
@@ -141,26 +141,26 @@
         } else {
             self.examine_crash(&evidence, now);
         }
-        let mut crashes = self.prompts.crashes.borrow_mut();
+        let mut crashes = self.crashes.recent.borrow_mut();
         if crashes.len() >= CRASHES_KEPT {
             crashes.pop_front();
         }
         crashes.push_back(evidence);
     }
 
-    fn part_evidence(&self, parts: &[PromptPartId]) -> Vec<PartEvidence> {
-        let history = self.prompts.history.borrow();
-        let parts = parts.iter().map(|part| PartEvidence {
-            part: *part,
+    fn suspect_evidence(&self, parts: &[SuspectId]) -> Vec<SuspectEvidence> {
+        let history = self.crashes.history.borrow();
+        let parts = parts.iter().map(|part| SuspectEvidence {
+            suspect: *part,
             history: history.find(*part),
         });
         parts.collect()
     }
 
     /// Answers another host which recent runs with these parts have begun here.
-    pub(super) fn prompt_histories(&self, parts: &[PromptPartId]) -> Vec<PartReport> {
+    pub(super) fn run_histories(&self, parts: &[SuspectId]) -> Vec<SuspectReport> {
         let now = self.clock.now();
-        let evidence = self.part_evidence(parts).into_iter();
+        let evidence = self.suspect_evidence(parts).into_iter();
         evidence.map(|part| (part, now).into()).collect()
     }
 
@@ -170,17 +170,21 @@
     }
 
     fn examine_crash(&self, evidence: &CrashEvidence, now: Duration) {
-        let parts: Vec<PromptPartId> = evidence.parts.iter().map(|part| part.part).collect();
+        let parts: Vec<SuspectId> = evidence
+            .suspects
+            .iter()
+            .map(|found| found.suspect)
+            .collect();
         if self.quarantine_remaining(&parts).is_some() {
             // The crash is explained.
             return;
         }
-        let quarantine = self.prompts.quarantine.borrow();
+        let quarantine = self.crashes.quarantine.borrow();
         let is_on_probation = |part| quarantine.is_on_probation(part, now);
-        let mut inquiry = self.prompts.inquiry.borrow_mut();
+        let mut inquiry = self.crashes.inquiry.borrow_mut();
         inquiry.record_crash(evidence, is_on_probation, now);
         if !inquiry.suspects().is_empty() {
-            self.prompts.has_suspects.notify_one();
+            self.crashes.has_suspects.notify_one();
         }
     }
 
@@ -188,10 +192,10 @@
     /// the process ends.
     pub(crate) async fn examine_suspects(self: Rc<Self>) {
         loop {
-            self.prompts.has_suspects.notified().await;
-            let suspects = self.prompts.inquiry.borrow().suspects();
+            self.crashes.has_suspects.notified().await;
+            let suspects = self.crashes.inquiry.borrow().suspects();
             let histories = self.collect_histories(&suspects).await;
-            let mut inquiry = self.prompts.inquiry.borrow_mut();
+            let mut inquiry = self.crashes.inquiry.borrow_mut();
             for (part, history) in histories {
                 inquiry.record_history(part, history);
             }
@@ -199,16 +203,13 @@
             drop(inquiry);
             let now = self.clock.now();
             for finding in &findings {
-                self.quarantine_part(finding, now);
+                self.quarantine_suspect(finding, now);
             }
         }
     }
 
     /// Recent runs with these parts that have begun, over all hosts that report to this one.
-    async fn collect_histories(
-        &self,
-        parts: &[PromptPartId],
-    ) -> BTreeMap<PromptPartId, PartHistory> {
+    async fn collect_histories(&self, parts: &[SuspectId]) -> BTreeMap<SuspectId, SuspectHistory> {
         let now = self.clock.now();
         let hosts: Vec<HostId> = self.reporting_hosts();
         let hosts = hosts
@@ -216,33 +217,37 @@
             .filter(|host| self.decodes_since(host, SERVER_REPORTS_SINCE));
         let mut replies: FuturesUnordered<_> = hosts
             .map(|host| {
-                let request = PeerRequest::PromptHistories(parts.to_vec());
+                let request = PeerRequest::RunHistories(parts.to_vec());
                 self.mesh.call(host, request, HISTORY_TIMEOUT, now)
             })
             .collect();
-        let mut evidence = self.part_evidence(parts);
+        let mut evidence = self.suspect_evidence(parts);
         while let Some(reply) = replies.next().await {
-            if let Some(PeerReply::PromptHistories(reports)) = reply {
+            if let Some(PeerReply::RunHistories(reports)) = reply {
                 let now = self.clock.now();
                 evidence.extend(
                     reports
                         .into_iter()
-                        .map(|part| PartEvidence::from((part, now))),
+                        .map(|part| SuspectEvidence::from((part, now))),
                 );
             }
         }
-        let mut histories: BTreeMap<PromptPartId, PartHistory> = BTreeMap::new();
+        let mut histories: BTreeMap<SuspectId, SuspectHistory> = BTreeMap::new();
         for part in evidence {
-            let history = histories.entry(part.part).or_default();
+            let history = histories.entry(part.suspect).or_default();
             *history = history.and(part.history);
         }
         histories
     }
 
     /// Puts a part into quarantine, and tells the other hosts and the store.
-    fn quarantine_part(&self, finding: &Finding, now: Duration) {
-        let part = format_parts(&[finding.part]);
-        let entry = self.prompts.quarantine.borrow_mut().add(finding.part, now);
+    fn quarantine_suspect(&self, finding: &Finding, now: Duration) {
+        let part = format_parts(&[finding.suspect]);
+        let entry = self
+            .crashes
+            .quarantine
+            .borrow_mut()
+            .add(finding.suspect, now);
         let Some(entry) = entry else {
             log::error!(
                 event = "quarantine_full", part;
@@ -255,15 +260,15 @@
             remaining_ms = entry.remaining_ms;
             "a part of prompts crashes servers; requests with it are rejected"
         );
-        self.prompts.unstored.borrow_mut().push(entry);
-        self.prompts.has_unstored.notify_one();
+        self.crashes.unstored.borrow_mut().push(entry);
+        self.crashes.has_unstored.notify_one();
         self.quarantine_changed(&self.local.host, now);
     }
 
     /// Sends the quarantine to the hosts that this one coordinates, or to the coordinator, but not to the host that it
     /// is from.
     fn quarantine_changed(&self, source: &str, now: Duration) {
-        let quarantine = self.prompts.quarantine.borrow();
+        let quarantine = self.crashes.quarantine.borrow();
         self.metrics
             .quarantined_parts
             .set(i64::try_from(quarantine.len()).unwrap_or(i64::MAX));
@@ -279,7 +284,7 @@
         }
     }
 
-    fn send_quarantine(&self, host: &str, entries: &[QuarantinedPart]) {
+    fn send_quarantine(&self, host: &str, entries: &[QuarantinedSuspect]) {
         if self.decodes_since(host, SERVER_REPORTS_SINCE) {
             self.send_to(host, PeerMessage::Quarantine(entries.to_vec()));
         }
@@ -287,13 +292,13 @@
 
     /// Sends the quarantine to a host that has reported and not acknowledged it.
     pub(super) fn send_quarantine_unless_known(&self, host: &str) {
-        let quarantine = self.prompts.quarantine.borrow();
+        let quarantine = self.crashes.quarantine.borrow();
         if quarantine.is_empty() {
             return;
         }
         let entries = quarantine.entries(self.clock.now());
         drop(quarantine);
-        if self.prompts.acks.borrow().get(host) != Some(&digest(&entries)) {
+        if self.crashes.acks.borrow().get(host) != Some(&digest(&entries)) {
             self.send_quarantine(host, &entries);
         }
     }
@@ -302,12 +307,12 @@
     pub(super) fn handle_quarantine(
         &self,
         sender: &HostInfo,
-        received: &[QuarantinedPart],
+        received: &[QuarantinedSuspect],
         now: Duration,
     ) {
-        let has_changed = self.prompts.quarantine.borrow_mut().merge(received, now);
-        self.prompts.record_ack(&sender.host, digest(received));
-        let reply = self.prompts.quarantine.borrow().reply(received, now);
+        let has_changed = self.crashes.quarantine.borrow_mut().merge(received, now);
+        self.crashes.record_ack(&sender.host, digest(received));
+        let reply = self.crashes.quarantine.borrow().reply(received, now);
         match reply {
             QuarantineReply::Newer(entries) => self.send_quarantine(&sender.host, &entries),
             QuarantineReply::Ack(digest) => {
@@ -325,11 +330,11 @@
 
     /// Sends the quarantine and the crashes that this host observed to another one.
     pub(super) fn send_prompt_reports(&self, host: &str, now: Duration) {
-        let entries = self.prompts.quarantine.borrow().entries(now);
+        let entries = self.crashes.quarantine.borrow().entries(now);
         if !entries.is_empty() {
             self.send_quarantine(host, &entries);
         }
-        for crash in self.prompts.crashes.borrow().iter() {
+        for crash in self.crashes.recent.borrow().iter() {
             let report = CrashReport::from((crash, now));
             self.send_to(host, PeerMessage::CrashReport(report));
         }
@@ -339,8 +344,8 @@
     pub(crate) async fn store_quarantine(self: Rc<Self>) {
         let topic = self.quarantine_topic();
         loop {
-            match self.store_quarantined_parts(&topic).await {
-                true => self.prompts.has_unstored.notified().await,
+            match self.store_quarantined_suspects(&topic).await {
+                true => self.crashes.has_unstored.notified().await,
                 false => actix_rt::time::sleep(STORE_RETRY_PAUSE).await,
             }
         }
@@ -353,7 +358,7 @@
         let mut reader = TopicReader::new(topic, LONG_POLL_MAX, extent);
         let mut has_read = false;
         loop {
-            let is_quarantined = !self.prompts.quarantine.borrow().is_empty();
+            let is_quarantined = !self.crashes.quarantine.borrow().is_empty();
             if has_read && !(is_quarantined && self.is_coordinator(&self.local.host)) {
                 actix_rt::time::sleep(FOLLOW_CHECK_INTERVAL).await;
                 continue;
@@ -377,7 +382,7 @@
         let (now, now_unix_ms) = (self.clock.now(), self.clock.unix_ms());
         let mut has_changed = false;
         for record in records {
-            let Ok(part) = PromptPartId::from_str_radix(&record.key, 16) else {
+            let Ok(part) = SuspectId::from_str_radix(&record.key, 16) else {
                 log::warn!(
                     event = "quarantine_unreadable", key = record.key.as_str();
                     "a quarantined part in the store has no valid key"
@@ -385,16 +390,16 @@
                 continue;
             };
             let stored = record.value.as_deref().map(serde_json::from_slice);
-            let mut quarantine = self.prompts.quarantine.borrow_mut();
+            let mut quarantine = self.crashes.quarantine.borrow_mut();
             has_changed |= match stored {
                 None => quarantine.lift(part, now).is_some(),
-                Some(Ok(StoredPart {
+                Some(Ok(StoredSuspect {
                     until_unix_ms,
                     findings,
                 })) => {
                     let remaining_ms = until_unix_ms.saturating_sub(now_unix_ms);
-                    let entry = QuarantinedPart {
-                        part,
+                    let entry = QuarantinedSuspect {
+                        suspect: part,
                         remaining_ms,
                         findings,
                     };
@@ -410,26 +415,26 @@
             };
         }
         if has_changed {
-            let parts = self.prompts.quarantine.borrow().len();
+            let parts = self.crashes.quarantine.borrow().len();
             log::info!(event = "quarantine", source = "store", parts; "the quarantine changed in the store");
             self.quarantine_changed(&self.local.host, now);
         }
     }
 
     /// Writes the parts that the store does not have yet. Returns whether it has all of them.
-    async fn store_quarantined_parts(&self, topic: &str) -> bool {
-        let unstored = self.prompts.unstored.borrow().clone();
+    async fn store_quarantined_suspects(&self, topic: &str) -> bool {
+        let unstored = self.crashes.unstored.borrow().clone();
         if unstored.is_empty() {
             return true;
         }
         let now_unix_ms = self.clock.unix_ms();
         let records = unstored.iter().filter_map(|entry| {
-            let stored = StoredPart {
+            let stored = StoredSuspect {
                 until_unix_ms: now_unix_ms.saturating_add(entry.remaining_ms),
                 findings: entry.findings,
             };
             let value = serde_json::to_vec(&stored).ok()?;
-            Some(encode_keyed_record(&format!("{:x}", entry.part), &value))
+            Some(encode_keyed_record(&format!("{:x}", entry.suspect), &value))
         });
         let request = StoreRequest::Append {
             topic: topic.to_owned(),
@@ -442,11 +447,11 @@
             Ok(StoreReply::Appended { .. })
         );
         if is_stored {
-            self.prompts
+            self.crashes
                 .unstored
                 .borrow_mut()
                 .retain(|entry| !unstored.contains(entry));
         }
-        is_stored && self.prompts.unstored.borrow().is_empty()
+        is_stored && self.crashes.unstored.borrow().is_empty()
     }
 }
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -177,7 +177,7 @@
         for lost in self.reports.borrow_mut().remove_silent(now) {
             log::warn!(event = "host_lost", host = lost.as_str(); "no heartbeats from a host");
             self.protocol_versions.borrow_mut().remove(&lost);
-            self.prompts.forget_host(&lost);
+            self.crashes.forget_host(&lost);
             self.broker.borrow_mut().drop_host(&lost, now);
         }
         self.broker.borrow_mut().tick(now);
@@ -185,7 +185,7 @@
         self.log_load(now);
         self.directory.borrow_mut().expire(now);
         self.stream_origins.borrow_mut().expire(now);
-        self.prompts.expire(now);
+        self.crashes.expire(now);
         self.broker.borrow_mut().limits_mut().expire(now);
         self.pool.close_idle(now);
         self.mesh.close_idle(now);
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -220,7 +220,7 @@
             PeerMessage::CrashReport(report) => self.handle_crash_report(&report, now),
             PeerMessage::Quarantine(entries) => self.handle_quarantine(sender, &entries, now),
             PeerMessage::QuarantineAck(digest) => {
-                self.prompts.record_ack(&sender.host, digest);
+                self.crashes.record_ack(&sender.host, digest);
             }
             PeerMessage::Leaving(servers) => self.handle_leaving(sender, servers),
             PeerMessage::Limits(reports) => self.handle_limits(sender, &reports, now),
@@ -321,7 +321,7 @@
         };
         drop(reports);
         if is_new {
-            self.prompts.forget_host(&sender.host);
+            self.crashes.forget_host(&sender.host);
             self.send_limits(&sender.host, now);
             self.send_leaving(&sender.host);
             log::info!(event = "host_joined", host = sender.host.as_str(); "a host reports to this coordinator");
@@ -436,9 +436,7 @@
             PeerRequest::StreamOrigin { stream, services } => {
                 self.answer_stream_origin(stream, &services)
             }
-            PeerRequest::PromptHistories(parts) => {
-                PeerReply::PromptHistories(self.prompt_histories(&parts))
-            }
+            PeerRequest::RunHistories(parts) => PeerReply::RunHistories(self.run_histories(&parts)),
             PeerRequest::Permit { servers, max_wait } => {
                 PeerReply::Permit(self.permit(&servers, max_wait))
             }
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -11,14 +11,14 @@
 use bamboo_coordination::StreamKey;
 use bamboo_fleet::Server;
 use bamboo_quarantine::CrashReport;
-use bamboo_quarantine::PartReport;
-use bamboo_quarantine::QuarantinedPart;
+use bamboo_quarantine::QuarantinedSuspect;
+use bamboo_quarantine::SuspectId;
+use bamboo_quarantine::SuspectReport;
 use bamboo_slots::LimitReport;
 use bamboo_slots::Permit;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequestId;
 use bamboo_types::BackendServerId;
-use bamboo_types::PromptPartId;
 use bamboo_types::SoftwareVersion;
 use bamboo_types::StreamOrigin;
 use serde::Deserialize;
@@ -91,7 +91,7 @@
         services: Vec<String>,
     },
     /// Asks for the recent runs with these parts in their prompts. For hosts of protocol version 3 or later.
-    PromptHistories(Vec<PromptPartId>),
+    RunHistories(Vec<SuspectId>),
     /// Asks the coordinator for a server that takes a request in time, of some that name limits. For hosts of protocol
     /// version 3 or later.
     Permit {
@@ -132,7 +132,7 @@
         remembers_versions: bool,
     },
     /// Recent runs with the parts in question.
-    PromptHistories(Vec<PartReport>),
+    RunHistories(Vec<SuspectReport>),
     /// Whether the request may be sent, and to which server.
     Permit(Permit),
 }
@@ -229,7 +229,7 @@
     /// A server crashed under a run of the sender. For hosts of protocol version 3 or later, like the two after it.
     CrashReport(CrashReport),
     /// The parts of prompts that the sender knows to crash servers.
-    Quarantine(Vec<QuarantinedPart>),
+    Quarantine(Vec<QuarantinedSuspect>),
     /// Digest of the quarantine of the sender, which has all entries of the receiver.
     QuarantineAck(u64),
     /// What servers said of the limits for their requests. For hosts of protocol version 3 or later.
--- a/bamboo-quarantine/src/evidence.rs
+++ b/bamboo-quarantine/src/evidence.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use bamboo_types::BackendServerId;
-use bamboo_types::PromptPartId;
 use bamboo_types::millis;
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::PartHistory;
+use crate::SuspectHistory;
+use crate::SuspectId;
 
 /// Hash of the identifier of a request.
 pub type RequestKey = u64;
@@ -23,13 +23,13 @@
     xxh3_64(id.as_bytes())
 }
 
-/// What is known of one part of the prompt of a run whose server crashed.
+/// What is known of one suspect of a run whose server crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PartEvidence {
-    /// The part.
-    pub part: PromptPartId,
-    /// Runs with the part that have begun at the host that observed the crash.
-    pub history: PartHistory,
+pub struct SuspectEvidence {
+    /// The suspect.
+    pub suspect: SuspectId,
+    /// Runs with the suspect that have begun at the host that observed the crash.
+    pub history: SuspectHistory,
 }
 
 /// A run whose server crashed before the run had begun. All instants are on the clock of this host.
@@ -43,16 +43,16 @@
     pub sent_at: Duration,
     /// When the run broke.
     pub broke_at: Duration,
-    /// Parts of the prompt that other requests share, in their order.
-    pub parts: Vec<PartEvidence>,
+    /// What other runs may have in common with it, the widest first.
+    pub suspects: Vec<SuspectEvidence>,
 }
 
-/// One part in a [`CrashReport`].
+/// One suspect in a [`CrashReport`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartReport {
-    /// The part.
-    pub part: PromptPartId,
-    /// Number of recent runs with the part that have begun at the host.
+pub struct SuspectReport {
+    /// The suspect.
+    pub suspect: SuspectId,
+    /// Number of recent runs with the suspect that have begun at the host.
     pub begun_count: u32,
     /// Time since the last of them began, in milliseconds.
     pub begun_ago_ms: Option<u64>,
@@ -69,29 +69,29 @@
     pub sent_ago_ms: u64,
     /// Time since the run broke, in milliseconds.
     pub broke_ago_ms: u64,
-    /// Parts of the prompt that other requests share, in their order.
-    pub parts: Vec<PartReport>,
+    /// What other runs may have in common with it, the widest first.
+    pub suspects: Vec<SuspectReport>,
 }
 
-impl From<(PartEvidence, Duration)> for PartReport {
+impl From<(SuspectEvidence, Duration)> for SuspectReport {
     /// Converts the evidence for sending it now, at the given time.
-    fn from((evidence, now): (PartEvidence, Duration)) -> Self {
+    fn from((evidence, now): (SuspectEvidence, Duration)) -> Self {
         let ago_ms = |at: Duration| millis(now.saturating_sub(at));
-        PartReport {
-            part: evidence.part,
+        SuspectReport {
+            suspect: evidence.suspect,
             begun_count: evidence.history.begun_count,
             begun_ago_ms: evidence.history.last_begun_at.map(ago_ms),
         }
     }
 }
 
-impl From<(PartReport, Duration)> for PartEvidence {
+impl From<(SuspectReport, Duration)> for SuspectEvidence {
     /// Converts a report that was received now, at the given time.
-    fn from((report, now): (PartReport, Duration)) -> Self {
+    fn from((report, now): (SuspectReport, Duration)) -> Self {
         let ago = |ms: u64| now.saturating_sub(Duration::from_millis(ms));
-        PartEvidence {
-            part: report.part,
-            history: PartHistory {
+        SuspectEvidence {
+            suspect: report.suspect,
+            history: SuspectHistory {
                 begun_count: report.begun_count,
                 last_begun_at: report.begun_ago_ms.map(ago),
             },
@@ -103,13 +103,13 @@
     /// Converts the evidence for sending it now, at the given time.
     fn from((evidence, now): (&CrashEvidence, Duration)) -> Self {
         let ago_ms = |at: Duration| millis(now.saturating_sub(at));
-        let parts = evidence.parts.iter();
+        let suspects = evidence.suspects.iter();
         CrashReport {
             server: evidence.server.clone(),
             request: evidence.request,
             sent_ago_ms: ago_ms(evidence.sent_at),
             broke_ago_ms: ago_ms(evidence.broke_at),
-            parts: parts.map(|part| (*part, now).into()).collect(),
+            suspects: suspects.map(|suspect| (*suspect, now).into()).collect(),
         }
     }
 }
@@ -118,13 +118,13 @@
     /// Converts a report that was received now, at the given time.
     fn from((report, now): (&CrashReport, Duration)) -> Self {
         let ago = |ms: u64| now.saturating_sub(Duration::from_millis(ms));
-        let parts = report.parts.iter();
+        let suspects = report.suspects.iter();
         CrashEvidence {
             server: report.server.clone(),
             request: report.request,
             sent_at: ago(report.sent_ago_ms),
             broke_at: ago(report.broke_ago_ms),
-            parts: parts.map(|part| (*part, now).into()).collect(),
+            suspects: suspects.map(|suspect| (*suspect, now).into()).collect(),
         }
     }
 }
--- a/bamboo-quarantine/src/inquiry.rs
+++ b/bamboo-quarantine/src/inquiry.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use bamboo_types::BackendServerId;
-use bamboo_types::PromptPartId;
 
 use crate::CrashEvidence;
-use crate::PartHistory;
 use crate::RequestKey;
+use crate::SuspectHistory;
+use crate::SuspectId;
 
 /// Weight of a crash under the first run of a request.
 const FIRST_RUN_WEIGHT: usize = 2;
@@ -22,22 +22,22 @@
 /// Longest run that may have been in progress when the server before crashed. A host that was suspended meanwhile
 /// notices late that its runs broke.
 const OVERLAPPING_RUN_MAX: Duration = Duration::from_millis(500);
-/// Weight that shows that a part crashes servers: three requests, or two that were sent twice.
+/// Weight that shows that a suspect crashes servers: three requests, or two that were sent twice.
 const WEIGHT_NEEDED: usize = 3 * FIRST_RUN_WEIGHT;
-/// Weight needed for a part while another part of the same prompt is the first suspect, with as few runs begun.
+/// Weight needed for a suspect while another suspect of the same run is the first suspect, with as few runs begun.
 const WEIGHT_NEEDED_OF_AMBIGUOUS: usize = 5 * FIRST_RUN_WEIGHT;
-/// Weight needed for a part while more runs with it have begun than with another part of the same prompt.
+/// Weight needed for a suspect while more runs with it have begun than with another suspect of the same run.
 const WEIGHT_NEEDED_OF_PROVEN: usize = 8 * FIRST_RUN_WEIGHT;
-/// Weight that suffices for a part on probation.
+/// Weight that suffices for a suspect on probation.
 const WEIGHT_NEEDED_ON_PROBATION: usize = FIRST_RUN_WEIGHT;
 /// Time for which a crash counts.
 const CRASH_AGE_MAX: Duration = Duration::from_secs(600);
-/// Maximum number of crashes that are kept of a part.
+/// Maximum number of crashes that are kept of a suspect.
 const CRASHES_KEPT: usize = 16;
-/// Maximum number of parts under suspicion. The one with the oldest crash is dropped first.
+/// Maximum number of suspects under suspicion. The one with the oldest crash is dropped first.
 const SUSPECTS_MAX: usize = 4096;
 
-/// A crash that may be due to a part.
+/// A crash that may be due to a suspect.
 #[derive(Debug)]
 struct Crash {
     server: BackendServerId,
@@ -54,21 +54,21 @@
     }
 }
 
-/// What speaks against a part.
+/// What speaks against a suspect.
 #[derive(Debug, Default)]
 struct Suspicion {
     /// In the order in which the runs broke.
     crashes: Vec<Crash>,
-    /// Recent runs with the part that have begun, as far as known. Crashes before the last of them do not count.
-    history: PartHistory,
-    /// Weight of the crashes that shows that the part is the cause.
+    /// Recent runs with the suspect that have begun, as far as known. Crashes before the last of them do not count.
+    history: SuspectHistory,
+    /// Weight of the crashes that shows that the suspect is the cause.
     weight_needed: usize,
-    /// Number of parts in front of it in the last prompt.
+    /// Number of suspects in front of it in the last run.
     position: usize,
 }
 
 impl Suspicion {
-    fn record_history(&mut self, history: PartHistory) {
+    fn record_history(&mut self, history: SuspectHistory) {
         self.history.begun_count = self.history.begun_count.max(history.begun_count);
         self.history.last_begun_at = self.history.last_begun_at.max(history.last_begun_at);
         if let Some(begun_at) = self.history.last_begun_at {
@@ -120,7 +120,7 @@
         !self.crashes.is_empty() && self.weight() >= self.weight_needed
     }
 
-    /// Order among suspects: the fewest runs begun, then the greatest weight, then the last in the prompt, which the fewest
+    /// Order among suspects: the fewest runs begun, then the greatest weight, then the last of the run, which the fewest
     /// prompts share.
     fn rank(&self) -> (u32, Reverse<usize>, Reverse<usize>) {
         (
@@ -136,32 +136,32 @@
     }
 }
 
-/// A part that crashes servers, and the evidence.
+/// A suspect that crashes servers, and the evidence.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Finding {
-    /// The part.
-    pub part: PromptPartId,
+    /// The suspect.
+    pub suspect: SuspectId,
     /// Servers that crashed.
     pub servers: Vec<BackendServerId>,
 }
 
 /// Weighs crashes of servers against the prompts that ran there.
 ///
-/// A part is found to crash servers if several crashed in series under it, and no run with it began meanwhile. The crash of
+/// A suspect is found to crash servers if several crashed in series under it, and no run with it began meanwhile. The crash of
 /// a server also breaks the runs beside the one that caused it, and the prompts of a route have their first part in
-/// common; both are told from the cause because other runs with their parts begin. Since these may begin at any host, all
+/// common; both are told from the cause because other runs with them begin. Since these may begin at any host, all
 /// hosts are asked for their history of a suspect before it is found to be the cause.
 #[derive(Debug, Default)]
 pub struct CrashInquiry {
-    suspicions: BTreeMap<PromptPartId, Suspicion>,
+    suspicions: BTreeMap<SuspectId, Suspicion>,
 }
 
 impl CrashInquiry {
-    /// Records a crash. `is_on_probation` tells whether a part has crashed servers before, so that a single crash suffices.
+    /// Records a crash. `is_on_probation` tells whether a suspect has crashed servers before, so that a single crash suffices.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use bamboo_quarantine::{CrashEvidence, CrashInquiry, PartEvidence, PartHistory};
+    /// use bamboo_quarantine::{CrashEvidence, CrashInquiry, SuspectEvidence, SuspectHistory};
     /// let mut inquiry = CrashInquiry::default();
     /// for second in 1..=3 {
     ///     assert!(inquiry.suspects().is_empty());
@@ -170,7 +170,7 @@
     ///         request: second,
     ///         sent_at: Duration::from_secs(second),
     ///         broke_at: Duration::from_secs(second),
-    ///         parts: vec![PartEvidence { part: 7, history: PartHistory::default() }],
+    ///         suspects: vec![SuspectEvidence { suspect: 7, history: SuspectHistory::default() }],
     ///     };
     ///     inquiry.record_crash(&evidence, |_| false, Duration::from_secs(second));
     /// }
@@ -179,29 +179,33 @@
     /// ```
     pub fn record_crash<P>(&mut self, evidence: &CrashEvidence, is_on_probation: P, now: Duration)
     where
-        P: Fn(PromptPartId) -> bool,
+        P: Fn(SuspectId) -> bool,
     {
         self.expire(now);
-        for (position, part) in evidence.parts.iter().enumerate() {
-            let suspicion = self.suspicions.entry(part.part).or_default();
+        for (position, suspect) in evidence.suspects.iter().enumerate() {
+            let suspicion = self.suspicions.entry(suspect.suspect).or_default();
             suspicion.position = position;
-            suspicion.record_history(part.history);
+            suspicion.record_history(suspect.history);
             suspicion.record_crash(evidence);
         }
-        let mut parts: Vec<PromptPartId> = evidence.parts.iter().map(|part| part.part).collect();
-        parts.sort_by_key(|part| self.suspicions.get(part).map(Suspicion::rank));
-        let begun_count = |part| {
+        let mut suspects: Vec<SuspectId> = evidence
+            .suspects
+            .iter()
+            .map(|suspect| suspect.suspect)
+            .collect();
+        suspects.sort_by_key(|suspect| self.suspicions.get(suspect).map(Suspicion::rank));
+        let begun_count = |suspect| {
             self.suspicions
-                .get(part)
+                .get(suspect)
                 .map(|found| found.history.begun_count)
         };
-        let fewest_begun = parts.first().and_then(begun_count);
-        for (index, part) in parts.iter().enumerate() {
-            let Some(suspicion) = self.suspicions.get_mut(part) else {
+        let fewest_begun = suspects.first().and_then(begun_count);
+        for (index, suspect) in suspects.iter().enumerate() {
+            let Some(suspicion) = self.suspicions.get_mut(suspect) else {
                 continue;
             };
             suspicion.weight_needed = match index {
-                _ if is_on_probation(*part) => WEIGHT_NEEDED_ON_PROBATION,
+                _ if is_on_probation(*suspect) => WEIGHT_NEEDED_ON_PROBATION,
                 0 => WEIGHT_NEEDED,
                 _ if Some(suspicion.history.begun_count) == fewest_begun => {
                     WEIGHT_NEEDED_OF_AMBIGUOUS
@@ -212,30 +216,30 @@
         self.drop_excess();
     }
 
-    /// Parts that seem to crash servers. All hosts are to be asked for their history of these parts before
+    /// Suspects that seem to crash servers. All hosts are to be asked for their history of these suspects before
     /// [`conclude`](Self::conclude).
-    pub fn suspects(&self) -> Vec<PromptPartId> {
+    pub fn suspects(&self) -> Vec<SuspectId> {
         let suspicions = self.suspicions.iter();
         let sufficient = suspicions.filter(|(_, suspicion)| suspicion.is_sufficient());
-        sufficient.map(|(part, _)| *part).collect()
+        sufficient.map(|(suspect, _)| *suspect).collect()
     }
 
-    /// Records the recent runs with a part that have begun at all hosts together.
-    pub fn record_history(&mut self, part: PromptPartId, history: PartHistory) {
-        if let Some(suspicion) = self.suspicions.get_mut(&part) {
+    /// Records the recent runs with a suspect that have begun at all hosts together.
+    pub fn record_history(&mut self, suspect: SuspectId, history: SuspectHistory) {
+        if let Some(suspicion) = self.suspicions.get_mut(&suspect) {
             suspicion.record_history(history);
         }
     }
 
-    /// Returns a part that crashes servers, if any is left. The crashes under it are explained, and no longer speak against
-    /// other parts.
+    /// Returns a suspect that crashes servers, if any is left. The crashes under it are explained, and no longer speak against
+    /// other suspects.
     pub fn conclude(&mut self) -> Option<Finding> {
         let suspicions = self.suspicions.iter();
-        let part = suspicions
+        let suspect = suspicions
             .filter(|(_, suspicion)| suspicion.is_sufficient())
             .min_by_key(|(_, suspicion)| suspicion.rank())
-            .map(|(part, _)| *part)?;
-        let suspicion = self.suspicions.remove(&part)?;
+            .map(|(suspect, _)| *suspect)?;
+        let suspicion = self.suspicions.remove(&suspect)?;
         let crashes = suspicion.crashes.into_iter();
         let servers: Vec<BackendServerId> = crashes.map(|crash| crash.server).collect();
         for other in self.suspicions.values_mut() {
@@ -243,7 +247,7 @@
                 .crashes
                 .retain(|crash| !servers.contains(&crash.server));
         }
-        Some(Finding { part, servers })
+        Some(Finding { suspect, servers })
     }
 
     fn expire(&mut self, now: Duration) {
@@ -261,9 +265,9 @@
                 .suspicions
                 .iter()
                 .min_by_key(|(_, suspicion)| suspicion.last_crash_at())
-                .map(|(part, _)| *part);
-            if let Some(part) = oldest {
-                self.suspicions.remove(&part);
+                .map(|(suspect, _)| *suspect);
+            if let Some(suspect) = oldest {
+                self.suspicions.remove(&suspect);
             }
         }
     }
--- a/bamboo-quarantine/src/quarantine.rs
+++ b/bamboo-quarantine/src/quarantine.rs
@@ -1,29 +1,30 @@
-//! The parts that crash servers, as all hosts share them.
+//! The suspects that crash servers, as all hosts share them.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use bamboo_types::PromptPartId;
 use bamboo_types::millis;
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Duration of the first quarantine of a part. It grows with each further one.
+use crate::SuspectId;
+
+/// Duration of the first quarantine of a suspect. It grows with each further one.
 const QUARANTINE_INITIAL: Duration = Duration::from_secs(3600);
 /// Factor by which a quarantine is longer than the one before.
 const QUARANTINE_GROWTH: u32 = 4;
 /// Upper bound for the exponent of the growth: 4^9 hours are 30 years.
 const GROWTH_EXPONENT_MAX: u32 = 9;
-/// Maximum number of parts in quarantine. If that many seem to crash servers, the prompts are not the cause.
-const PARTS_MAX: usize = 64;
+/// Maximum number of suspects in quarantine. If that many seem to crash servers, the prompts are not the cause.
+const SUSPECTS_MAX: usize = 64;
 
-/// A part in quarantine or on probation as it is sent to another host.
+/// A suspect in quarantine or on probation as it is sent to another host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuarantinedPart {
-    /// The part.
-    pub part: PromptPartId,
+pub struct QuarantinedSuspect {
+    /// The suspect.
+    pub suspect: SuspectId,
     /// Time until the end of the quarantine in milliseconds; 0 on probation.
     pub remaining_ms: u64,
     /// How often it was found to crash servers, or its quarantine was lifted.
@@ -34,7 +35,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum QuarantineReply {
     /// All its entries, since the other host lacks some of them.
-    Newer(Vec<QuarantinedPart>),
+    Newer(Vec<QuarantinedSuspect>),
     /// The digest of its entries: the other host has all of them.
     Ack(u64),
 }
@@ -46,7 +47,7 @@
 }
 
 impl Entry {
-    /// How long the part is on probation after its quarantine: as long as that was.
+    /// How long the suspect is on probation after its quarantine: as long as that was.
     fn probation_until(&self) -> Duration {
         self.until + quarantine_time(self.findings)
     }
@@ -58,15 +59,15 @@
     QUARANTINE_INITIAL * QUARANTINE_GROWTH.pow(exponent)
 }
 
-/// The parts that crash servers. Requests with such a part are not sent to servers. Two quarantines are merged into one
+/// The suspects that crash servers. Requests with such a suspect are not sent to servers. Two quarantines are merged into one
 /// that has the entries of both.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    parts: BTreeMap<PromptPartId, Entry>,
+    suspects: BTreeMap<SuspectId, Entry>,
 }
 
 impl Quarantine {
-    /// Adds a part that was found to crash servers. Returns its entry, or `None` if the quarantine is full.
+    /// Adds a suspect that was found to crash servers. Returns its entry, or `None` if the quarantine is full.
     ///
     /// ```
     /// use std::time::Duration;
@@ -77,22 +78,22 @@
     /// assert!(quarantine.remaining(&[7], Duration::from_secs(3601)).is_none());
     /// assert!(quarantine.is_on_probation(7, Duration::from_secs(3601)));
     /// ```
-    pub fn add(&mut self, part: PromptPartId, now: Duration) -> Option<QuarantinedPart> {
-        let before = self.parts.get(&part).map(|entry| entry.findings);
-        if before.is_none() && self.parts.len() >= PARTS_MAX {
+    pub fn add(&mut self, suspect: SuspectId, now: Duration) -> Option<QuarantinedSuspect> {
+        let before = self.suspects.get(&suspect).map(|entry| entry.findings);
+        if before.is_none() && self.suspects.len() >= SUSPECTS_MAX {
             return None;
         }
         let findings = before.unwrap_or(0).saturating_add(1);
         let until = now + quarantine_time(findings);
-        self.parts.insert(part, Entry { until, findings });
-        Some(QuarantinedPart {
-            part,
+        self.suspects.insert(suspect, Entry { until, findings });
+        Some(QuarantinedSuspect {
+            suspect,
             remaining_ms: millis(until - now),
             findings,
         })
     }
 
-    /// Ends the quarantine of a part, which is on probation from then on. Returns its entry, or `None` if it is not in
+    /// Ends the quarantine of a suspect, which is on probation from then on. Returns its entry, or `None` if it is not in
     /// quarantine.
     ///
     /// ```
@@ -103,16 +104,16 @@
     /// assert!(quarantine.remaining(&[7], Duration::from_secs(2)).is_none());
     /// assert!(quarantine.is_on_probation(7, Duration::from_secs(2)));
     /// ```
-    pub fn lift(&mut self, part: PromptPartId, now: Duration) -> Option<QuarantinedPart> {
-        let entry = self.parts.get_mut(&part)?;
+    pub fn lift(&mut self, suspect: SuspectId, now: Duration) -> Option<QuarantinedSuspect> {
+        let entry = self.suspects.get_mut(&suspect)?;
         if entry.until <= now {
             return None;
         }
         // Counts as a finding, so that the entry replaces that of the other hosts.
         entry.findings = entry.findings.saturating_add(1);
         entry.until = now;
-        Some(QuarantinedPart {
-            part,
+        Some(QuarantinedSuspect {
+            suspect,
             remaining_ms: 0,
             findings: entry.findings,
         })
@@ -120,14 +121,15 @@
 
     /// Takes over the entries of another host that are newer or unknown. Returns whether there were any. Of more than the
     /// quarantine holds, all hosts keep the same ones.
-    pub fn merge(&mut self, entries: &[QuarantinedPart], now: Duration) -> bool {
+    pub fn merge(&mut self, entries: &[QuarantinedSuspect], now: Duration) -> bool {
         let digest_before = digest(&self.entries(now));
         for entry in entries {
             let until = now + Duration::from_millis(entry.remaining_ms);
             let findings = entry.findings;
-            let known = self.parts.get(&entry.part);
+            let known = self.suspects.get(&entry.suspect);
             if known.is_none_or(|known| known.findings < findings) {
-                self.parts.insert(entry.part, Entry { until, findings });
+                self.suspects
+                    .insert(entry.suspect, Entry { until, findings });
             }
         }
         self.drop_excess();
@@ -136,13 +138,13 @@
 
     /// Drops the entries with the fewest findings, and of these the ones with the highest identifiers.
     fn drop_excess(&mut self) {
-        while self.parts.len() > PARTS_MAX {
-            let parts = self.parts.iter();
-            let last = parts.max_by_key(|(part, entry)| (Reverse(entry.findings), **part));
-            let Some(part) = last.map(|(part, _)| *part) else {
+        while self.suspects.len() > SUSPECTS_MAX {
+            let suspects = self.suspects.iter();
+            let last = suspects.max_by_key(|(suspect, entry)| (Reverse(entry.findings), **suspect));
+            let Some(suspect) = last.map(|(suspect, _)| *suspect) else {
                 return;
             };
-            self.parts.remove(&part);
+            self.suspects.remove(&suspect);
         }
     }
 
@@ -156,10 +158,10 @@
     /// assert_eq!(quarantine.reply(&[], Duration::ZERO), QuarantineReply::Newer(vec![entry]));
     /// assert!(matches!(quarantine.reply(&[entry], Duration::ZERO), QuarantineReply::Ack(_)));
     /// ```
-    pub fn reply(&self, received: &[QuarantinedPart], now: Duration) -> QuarantineReply {
+    pub fn reply(&self, received: &[QuarantinedSuspect], now: Duration) -> QuarantineReply {
         let entries = self.entries(now);
-        let is_newer = |entry: &QuarantinedPart| {
-            let other = received.iter().find(|other| other.part == entry.part);
+        let is_newer = |entry: &QuarantinedSuspect| {
+            let other = received.iter().find(|other| other.suspect == entry.suspect);
             other.is_none_or(|other| other.findings < entry.findings)
         };
         match entries.iter().any(is_newer) {
@@ -168,57 +170,63 @@
         }
     }
 
-    /// Time until none of the parts is in quarantine; `None` if none is.
-    pub fn remaining(&self, parts: &[PromptPartId], now: Duration) -> Option<Duration> {
-        let entries = parts.iter().filter_map(|part| self.parts.get(part));
+    /// Time until none of the suspects is in quarantine; `None` if none is.
+    pub fn remaining(&self, suspects: &[SuspectId], now: Duration) -> Option<Duration> {
+        let entries = suspects
+            .iter()
+            .filter_map(|suspect| self.suspects.get(suspect));
         let remaining = entries.filter_map(|entry| entry.until.checked_sub(now));
         remaining.filter(|time| !time.is_zero()).max()
     }
 
-    /// Whether the quarantine of a part has ended, and a single crash puts it back.
-    pub fn is_on_probation(&self, part: PromptPartId, now: Duration) -> bool {
-        let entry = self.parts.get(&part);
+    /// Whether the quarantine of a suspect has ended, and a single crash puts it back.
+    pub fn is_on_probation(&self, suspect: SuspectId, now: Duration) -> bool {
+        let entry = self.suspects.get(&suspect);
         entry.is_some_and(|entry| entry.until <= now && now < entry.probation_until())
     }
 
     /// All entries, for other hosts and for the store.
-    pub fn entries(&self, now: Duration) -> Vec<QuarantinedPart> {
-        let entries = self.parts.iter().map(|(part, entry)| QuarantinedPart {
-            part: *part,
-            remaining_ms: millis(entry.until.saturating_sub(now)),
-            findings: entry.findings,
-        });
+    pub fn entries(&self, now: Duration) -> Vec<QuarantinedSuspect> {
+        let entries = self
+            .suspects
+            .iter()
+            .map(|(suspect, entry)| QuarantinedSuspect {
+                suspect: *suspect,
+                remaining_ms: millis(entry.until.saturating_sub(now)),
+                findings: entry.findings,
+            });
         entries.collect()
     }
 
     /// Number of entries.
     pub fn len(&self) -> usize {
-        self.parts.len()
+        self.suspects.len()
     }
 
     /// Whether there is no entry.
     pub fn is_empty(&self) -> bool {
-        self.parts.is_empty()
+        self.suspects.is_empty()
     }
 
     /// Drops the entries whose probation has ended.
     pub fn expire(&mut self, now: Duration) {
-        self.parts.retain(|_, entry| now < entry.probation_until());
+        self.suspects
+            .retain(|_, entry| now < entry.probation_until());
     }
 }
 
 /// Digest of entries, by which two hosts compare theirs. It does not depend on the time.
 ///
 /// ```
-/// use bamboo_quarantine::{QuarantinedPart, digest};
-/// let entry = QuarantinedPart { part: 7, remaining_ms: 9, findings: 1 };
-/// assert_eq!(digest(&[entry]), digest(&[QuarantinedPart { remaining_ms: 5, ..entry }]));
+/// use bamboo_quarantine::{QuarantinedSuspect, digest};
+/// let entry = QuarantinedSuspect { suspect: 7, remaining_ms: 9, findings: 1 };
+/// assert_eq!(digest(&[entry]), digest(&[QuarantinedSuspect { remaining_ms: 5, ..entry }]));
 /// assert_ne!(digest(&[entry]), digest(&[]));
 /// ```
-pub fn digest(entries: &[QuarantinedPart]) -> u64 {
+pub fn digest(entries: &[QuarantinedSuspect]) -> u64 {
     let bytes: Vec<u8> = entries
         .iter()
-        .flat_map(|entry| [entry.part, u64::from(entry.findings)])
+        .flat_map(|entry| [entry.suspect, u64::from(entry.findings)])
         .flat_map(u64::to_le_bytes)
         .collect();
     xxh3_64(&bytes)
--- a/bamboo-quarantine/tests/drawn_loads.rs
+++ b/bamboo-quarantine/tests/drawn_loads.rs
@@ -7,11 +7,11 @@
 
 use bamboo_quarantine::CrashEvidence;
 use bamboo_quarantine::CrashInquiry;
-use bamboo_quarantine::PartEvidence;
-use bamboo_quarantine::PartHistory;
-use bamboo_quarantine::PromptHistory;
 use bamboo_quarantine::Quarantine;
-use bamboo_types::PromptPartId;
+use bamboo_quarantine::RunHistory;
+use bamboo_quarantine::SuspectEvidence;
+use bamboo_quarantine::SuspectHistory;
+use bamboo_quarantine::SuspectId;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -85,7 +85,7 @@
 struct Run {
     request: u64,
     host: usize,
-    parts: Vec<PromptPartId>,
+    parts: Vec<SuspectId>,
     attempt: u32,
     sent_ms: u64,
 }
@@ -100,16 +100,16 @@
 /// What happened to the crashing parts.
 #[derive(Debug, Default)]
 struct Outcome {
-    quarantined: BTreeSet<PromptPartId>,
-    late_runs: BTreeMap<PromptPartId, usize>,
-    crashes: BTreeMap<PromptPartId, Vec<u64>>,
+    quarantined: BTreeSet<SuspectId>,
+    late_runs: BTreeMap<SuspectId, usize>,
+    crashes: BTreeMap<SuspectId, Vec<u64>>,
 }
 
 struct Fleet {
     load: Load,
     rng: ChaCha8Rng,
     servers: Vec<Server>,
-    histories: Vec<PromptHistory>,
+    histories: Vec<RunHistory>,
     inquiry: CrashInquiry,
     quarantine: Quarantine,
     reports: Vec<(u64, CrashEvidence)>,
@@ -121,7 +121,7 @@
     Duration::from_millis(ms)
 }
 
-fn is_crashing(part: &PromptPartId) -> bool {
+fn is_crashing(part: &SuspectId) -> bool {
     *part >= CRASHING_BASE && *part < 2 * CRASHING_BASE
 }
 
@@ -131,7 +131,7 @@
             load,
             rng: ChaCha8Rng::seed_from_u64(load.seed),
             servers: (0..load.servers).map(|_| Server::default()).collect(),
-            histories: (0..load.hosts).map(|_| PromptHistory::default()).collect(),
+            histories: (0..load.hosts).map(|_| RunHistory::default()).collect(),
             inquiry: CrashInquiry::default(),
             quarantine: Quarantine::default(),
             reports: Vec::new(),
@@ -140,7 +140,7 @@
         }
     }
 
-    fn draw_parts(&mut self, now_ms: u64) -> Vec<PromptPartId> {
+    fn draw_parts(&mut self, now_ms: u64) -> Vec<SuspectId> {
         let first = self.rng.random_range(0..FIRST_PARTS);
         let second = SECOND_BASE + self.rng.random_range(0..SECOND_PARTS);
         let has_started = now_ms > 5_000;
@@ -194,8 +194,8 @@
         server.down_until_ms = now_ms + RESTART_MS;
         for run in std::mem::take(&mut server.runs) {
             if now_ms < run.sent_ms + BEGIN_MS {
-                let parts = run.parts.iter().map(|part| PartEvidence {
-                    part: *part,
+                let parts = run.parts.iter().map(|part| SuspectEvidence {
+                    suspect: *part,
                     history: self.histories[run.host].find(*part),
                 });
                 let evidence = CrashEvidence {
@@ -203,7 +203,7 @@
                     request: run.request,
                     sent_at: at(run.sent_ms),
                     broke_at: at(now_ms),
-                    parts: parts.collect(),
+                    suspects: parts.collect(),
                 };
                 self.reports.push((now_ms + REPORT_MS, evidence));
             }
@@ -218,12 +218,12 @@
     fn examine_suspects(&mut self, now_ms: u64) {
         for part in self.inquiry.suspects() {
             let histories = self.histories.iter().map(|history| history.find(part));
-            let total = histories.fold(PartHistory::default(), PartHistory::and);
+            let total = histories.fold(SuspectHistory::default(), SuspectHistory::and);
             self.inquiry.record_history(part, total);
         }
         while let Some(finding) = self.inquiry.conclude() {
-            self.outcome.quarantined.insert(finding.part);
-            self.quarantine.add(finding.part, at(now_ms));
+            self.outcome.quarantined.insert(finding.suspect);
+            self.quarantine.add(finding.suspect, at(now_ms));
         }
     }
 
@@ -247,7 +247,11 @@
         let due = |(report_ms, _): &(u64, CrashEvidence)| *report_ms <= now_ms;
         let reports: Vec<_> = self.reports.extract_if(.., |report| due(report)).collect();
         for (_, evidence) in reports {
-            let parts: Vec<_> = evidence.parts.iter().map(|part| part.part).collect();
+            let parts: Vec<_> = evidence
+                .suspects
+                .iter()
+                .map(|found| found.suspect)
+                .collect();
             if self.quarantine.remaining(&parts, at(now_ms)).is_some() {
                 continue;
             }
