feat(gateway): a broken run names its content, and whether its server is down, at plain services too

Callers are told apart by their credentials or, without any, by their address. What is weighed does not change: contents are left out of the evidence.

--- a/bamboo-gateway/src/dialect.rs
+++ b/bamboo-gateway/src/dialect.rs
@@ -100,8 +100,8 @@
     pub headers: HeaderNames,
     /// Parses a call concerning a job; `None` for any other request.
     pub parse_job_call: fn(&Method, &Uri, &HeaderMap) -> Option<JobCall>,
-    /// Decodes which parts of its prompt a request shares with others, from its headers.
-    pub decode_shared_parts: fn(&HeaderMap) -> Vec<PromptPartId>,
+    /// Decodes the parts of a request's prompt from its headers. All but the last one may be shared with other requests.
+    pub decode_prompt_parts: fn(&HeaderMap) -> Vec<PromptPartId>,
     /// Decodes the items in the body of a job submission.
     pub decode_job_items: fn(&[u8]) -> anyhow::Result<Vec<ItemRecord>>,
     /// Encodes a page of results.
--- a/bamboo-gateway/src/gateway/crashes.rs
+++ b/bamboo-gateway/src/gateway/crashes.rs
@@ -21,6 +21,7 @@
 use bamboo_quarantine::SuspectId;
 use bamboo_quarantine::SuspectReport;
 use bamboo_quarantine::digest;
+use bamboo_quarantine::is_content;
 use bamboo_quarantine::request_key;
 use bamboo_relay::LONG_POLL_MAX;
 use bamboo_types::HostId;
@@ -40,7 +41,7 @@
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
 use crate::traffic::BrokenRun;
-use crate::traffic::format_parts;
+use crate::traffic::format_suspects;
 use crate::watch::TopicReader;
 use crate::watch::TopicUpdate;
 use crate::watch::encode_keyed_record;
@@ -106,32 +107,38 @@
 
 impl Gateway {
     /// Records that a run has begun, so that its prompt does not crash servers.
-    pub(crate) fn run_began(&self, shared_parts: &[SuspectId]) {
+    pub(crate) fn run_began(&self, suspects: &[SuspectId]) {
         let now = self.clock.now();
         self.crashes
             .history
             .borrow_mut()
-            .record_begun(shared_parts, now);
+            .record_begun(suspects, now);
     }
 
     /// Time until requests with these parts in their prompts may be sent to servers; `None` if they may be sent now.
-    pub(crate) fn quarantine_remaining(&self, shared_parts: &[SuspectId]) -> Option<Duration> {
+    pub(crate) fn quarantine_remaining(&self, suspects: &[SuspectId]) -> Option<Duration> {
         let now = self.clock.now();
-        self.crashes
-            .quarantine
-            .borrow()
-            .remaining(shared_parts, now)
+        self.crashes.quarantine.borrow().remaining(suspects, now)
     }
 
     /// Reports a crash under a run of this host to the coordinator.
     pub(crate) fn server_crashed(&self, run: &BrokenRun) {
         let now = self.clock.now();
+        let parts: Vec<SuspectId> = run
+            .suspects
+            .iter()
+            .copied()
+            .filter(|suspect| !is_content(*suspect))
+            .collect();
+        if parts.is_empty() {
+            return;
+        }
         let evidence = CrashEvidence {
             server: run.server.clone(),
             request: request_key(&run.request),
             sent_at: run.sent_at,
             broke_at: run.broke_at,
-            suspects: self.suspect_evidence(&run.shared_parts),
+            suspects: self.suspect_evidence(&parts),
         };
         let coordinator = self.coordination.borrow().coordinator().clone();
         if coordinator != self.local.host && self.decodes_since(&coordinator, SERVER_REPORTS_SINCE)
@@ -242,7 +249,7 @@
 
     /// Puts a part into quarantine, and tells the other hosts and the store.
     fn quarantine_suspect(&self, finding: &Finding, now: Duration) {
-        let part = format_parts(&[finding.suspect]);
+        let part = format_suspects(&[finding.suspect]);
         let entry = self
             .crashes
             .quarantine
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bamboo_fleet::FleetConfig;
+use bamboo_quarantine::request_key;
 use bamboo_shards::AttemptEnd;
 use bamboo_shards::ItemAction;
 use bamboo_shards::ItemResult;
@@ -37,9 +38,10 @@
 use crate::traffic::EngineRequest;
 use crate::traffic::OpenError;
 use crate::traffic::StreamRead;
-use crate::traffic::format_parts;
+use crate::traffic::format_suspects;
 use crate::traffic::open_stream;
 use crate::traffic::run_outcome;
+use crate::traffic::shared_part_suspects;
 
 /// Timeout from sending an item to its first event, after which it is retried on another server.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -251,11 +253,7 @@
                 continue;
             }
         };
-        let is_quarantined = || {
-            gateway
-                .quarantine_remaining(&request.shared_parts)
-                .is_some()
-        };
+        let is_quarantined = || gateway.quarantine_remaining(&request.suspects).is_some();
         if is_quarantined() {
             is_held = hold_item(&gateway, &job, &request, is_held).await;
             continue;
@@ -361,7 +359,7 @@
         gateway.metrics.count_item("prompt_quarantined");
         log::info!(
             event = "item_held", job = job.id.as_str(), item = request.id.as_str(),
-            parts = format_parts(&request.shared_parts);
+            parts = format_suspects(&request.suspects);
             "an item is not sent: a part of its prompt crashes servers"
         );
     }
@@ -447,7 +445,7 @@
     if let Ok(host) = HeaderValue::from_str(&job.host) {
         headers.insert(header::HOST, host);
     }
-    let shared_parts = (gateway.dialect.decode_shared_parts)(&headers).into();
+    let parts = (gateway.dialect.decode_prompt_parts)(&headers);
     EngineRequest {
         id: item.id.clone(),
         method: Method::POST,
@@ -455,7 +453,8 @@
         headers,
         body: Bytes::from(item.body.clone()),
         is_retryable: true,
-        shared_parts,
+        suspects: shared_part_suspects(&parts).collect(),
+        content: request_key(&item.id),
     }
 }
 
--- a/bamboo-gateway/src/traffic.rs
+++ b/bamboo-gateway/src/traffic.rs
@@ -22,6 +22,7 @@
 pub(crate) use engine_run::open_stream;
 pub(crate) use load_balancer::LoadBalancer;
 pub(crate) use pool::ServerPool;
+pub(crate) use request::shared_part_suspects;
 pub(crate) use response::run_outcome;
 pub(crate) use run_trial::BrokenRun;
-pub(crate) use run_trial::format_parts;
+pub(crate) use run_trial::format_suspects;
--- a/bamboo-gateway/src/traffic/accept.rs
+++ b/bamboo-gateway/src/traffic/accept.rs
@@ -121,6 +121,13 @@
 }
 
 async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
+    let caller_address = match stream.peer_addr() {
+        Ok(address) => address.ip(),
+        Err(error) => {
+            log::debug!("connection of a caller closed before it was served: {error}");
+            return;
+        }
+    };
     let limits = gateway
         .config()
         .map(|config| config.limits.clone())
@@ -141,7 +148,7 @@
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Rc::clone(&service_gateway);
         service_has_headers.set(true);
-        async move { Ok::<_, Infallible>(serve_request(gateway, request).await) }
+        async move { Ok::<_, Infallible>(serve_request(gateway, caller_address, request).await) }
     });
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -10,8 +10,8 @@
 use bamboo_fleet::SilenceTimer;
 use bamboo_fleet::SseDecoder;
 use bamboo_fleet::SseEvent;
+use bamboo_quarantine::SuspectId;
 use bamboo_slots::RunOutcome;
-use bamboo_types::PromptPartId;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -30,6 +30,7 @@
 use crate::traffic::response::belongs_to_request;
 use crate::traffic::response::observe_statements;
 use crate::traffic::run_trial::RunTrial;
+use crate::traffic::run_trial::TrialRequest;
 
 /// Maximum size in bytes of a response with an error status, which is not streamed.
 const ERROR_BODY_MAX_BYTES: usize = 1 << 20;
@@ -50,8 +51,10 @@
     /// Whether the request may run more than once. One that may not always gets a new connection, so that bytes left
     /// over from an earlier response cannot affect it.
     pub(crate) is_retryable: bool,
-    /// Parts of the prompt that other requests share.
-    pub(crate) shared_parts: Rc<[PromptPartId]>,
+    /// What the request has in common with others and may crash servers, the widest first.
+    pub(crate) suspects: Rc<[SuspectId]>,
+    /// What identifies the request if it comes again under another identifier.
+    pub(crate) content: SuspectId,
 }
 
 /// Why no stream was opened.
@@ -147,7 +150,12 @@
         connection.sender.send_request(outgoing).await
     };
     let respond_by = started + timeout;
-    let mut trial = RunTrial::begin(gateway, server, request);
+    let trial_request = TrialRequest {
+        id: &request.id,
+        suspects: &request.suspects,
+        content: request.content,
+    };
+    let mut trial = RunTrial::begin(gateway, server, trial_request);
     let response = match tokio::time::timeout(timeout, exchange).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -30,6 +30,8 @@
 use crate::traffic::response::observe_statements;
 use crate::traffic::response::run_outcome;
 use crate::traffic::response::text_response;
+use crate::traffic::run_trial::RunTrial;
+use crate::traffic::run_trial::TrialRequest;
 use crate::traffic::serve::RequestRecorder;
 
 /// Maximum size of a response of a plain service in bytes.
@@ -243,7 +245,7 @@
 }
 
 async fn send(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     request: &CallerRequest,
     server: &Server,
     is_idempotent: bool,
@@ -269,10 +271,20 @@
     let Some(outgoing) = build_request(gateway, request, server, remaining) else {
         return Attempt::NotRun(RunOutcome::Cancelled);
     };
+    let trial_request = TrialRequest {
+        id: &request.id,
+        suspects: &request.suspects,
+        content: request.content(),
+    };
+    let mut trial = RunTrial::begin(gateway, server, trial_request);
     let exchange = exchange(&mut connection, outgoing, &gateway.server_buffers);
     match tokio::time::timeout(attempt_timeout, exchange).await {
         Ok(Ok((head, bytes))) => {
-            classify_response(gateway, request, server, now, connection, head, bytes)
+            let attempt = classify_response(gateway, request, server, now, connection, head, bytes);
+            if matches!(attempt, Attempt::Answered(..)) {
+                trial.answered();
+            }
+            attempt
         }
         Ok(Err(error)) => {
             log::debug!(
@@ -280,6 +292,7 @@
                 server.id,
                 request.id
             );
+            trial.run_broke();
             Attempt::Failed(RunOutcome::Broken)
         }
         Err(_) => Attempt::Failed(RunOutcome::Silent),
--- a/bamboo-gateway/src/traffic/request.rs
+++ b/bamboo-gateway/src/traffic/request.rs
@@ -1,9 +1,14 @@
 //! A caller's request as it is forwarded to servers.
 
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bamboo_fleet::Route;
+use bamboo_quarantine::RequestContent;
+use bamboo_quarantine::SuspectId;
+use bamboo_quarantine::part_suspect;
+use bamboo_types::PromptPartId;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
@@ -40,6 +45,9 @@
     pub(crate) headers: HeaderMap,
     /// Body.
     pub(crate) body: Bytes,
+    /// What it has in common with other requests and may crash servers, the widest first. The last one is its whole
+    /// content.
+    pub(crate) suspects: Rc<[SuspectId]>,
     /// When its headers had been received.
     pub(crate) arrived_at: Duration,
     /// Estimate of how long the caller had been waiting before, if it is a retry.
@@ -48,6 +56,36 @@
     pub(crate) deadline: Duration,
 }
 
+impl CallerRequest {
+    /// The whole content of the request.
+    pub(crate) fn content(&self) -> SuspectId {
+        self.suspects.last().copied().unwrap_or_default()
+    }
+}
+
+/// The parts of a prompt that other requests may have, too, as suspects. The last part is the request's own.
+pub(crate) fn shared_part_suspects(
+    parts: &[PromptPartId],
+) -> impl Iterator<Item = SuspectId> + use<'_> {
+    let shared = parts.split_last().map_or(&[][..], |(_own, shared)| shared);
+    shared.iter().map(|part| part_suspect(*part))
+}
+
+/// What a caller's request has in common with others, the widest first.
+pub(crate) fn request_suspects(content: &RequestContent<'_>) -> Rc<[SuspectId]> {
+    shared_part_suspects(content.prompt)
+        .chain(content.suspects())
+        .collect()
+}
+
+/// Who sent a request: its credentials, or its address if it has none.
+pub(crate) fn caller_key(headers: &HeaderMap, address: IpAddr) -> String {
+    match headers.get(header::AUTHORIZATION) {
+        Some(credentials) => String::from_utf8_lossy(credentials.as_bytes()).into_owned(),
+        None => address.to_string(),
+    }
+}
+
 /// Returns the headers without the hop-by-hop ones, including those that the `Connection` header lists.
 pub(crate) fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
     let listed: Vec<HeaderName> = headers
--- a/bamboo-gateway/src/traffic/run_trial.rs
+++ b/bamboo-gateway/src/traffic/run_trial.rs
@@ -1,4 +1,4 @@
-//! Observes the begin of a run, during which a prompt may crash its server.
+//! Observes the begin of a run, during which the request may crash its server.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -6,14 +6,13 @@
 
 use bamboo_fleet::Server;
 use bamboo_fleet::SseEvent;
+use bamboo_quarantine::SuspectId;
 use bamboo_types::BackendServerId;
-use bamboo_types::PromptPartId;
 
 use crate::gateway::Gateway;
 use crate::net;
-use crate::traffic::engine_run::EngineRequest;
 
-/// Number of events with data after which a run has begun, so that its prompt is not the cause if its server crashes later.
+/// Number of events with data after which a run has begun, so that its request is not the cause if its server crashes later.
 const EVENTS_TO_BEGIN: usize = 4;
 /// Timeout for connecting to a server whose run broke. A server that still runs accepts connections.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
@@ -27,8 +26,10 @@
     pub(crate) server: BackendServerId,
     /// Address of the server.
     pub(crate) address: SocketAddr,
-    /// Parts of the prompt that other requests share.
-    pub(crate) shared_parts: Rc<[PromptPartId]>,
+    /// What the request has in common with others, the widest first.
+    pub(crate) suspects: Rc<[SuspectId]>,
+    /// What identifies the request if it comes again.
+    pub(crate) content: SuspectId,
     /// Events with data that the run delivered.
     pub(crate) events: usize,
     /// When the request was sent.
@@ -37,26 +38,38 @@
     pub(crate) broke_at: Duration,
 }
 
+/// A request whose run is observed.
+pub(crate) struct TrialRequest<'a> {
+    /// Identifier of the request.
+    pub(crate) id: &'a str,
+    /// What it has in common with others, the widest first.
+    pub(crate) suspects: &'a Rc<[SuspectId]>,
+    /// What identifies it if it comes again.
+    pub(crate) content: SuspectId,
+}
+
 /// A run until it has begun.
 pub(crate) struct RunTrial {
     gateway: Rc<Gateway>,
     request: String,
     server: BackendServerId,
     address: SocketAddr,
-    shared_parts: Rc<[PromptPartId]>,
+    suspects: Rc<[SuspectId]>,
+    content: SuspectId,
     events: usize,
     sent_at: Duration,
 }
 
 impl RunTrial {
     /// Begins to observe a run whose request is about to be sent.
-    pub(crate) fn begin(gateway: &Rc<Gateway>, server: &Server, request: &EngineRequest) -> Self {
+    pub(crate) fn begin(gateway: &Rc<Gateway>, server: &Server, request: TrialRequest<'_>) -> Self {
         RunTrial {
             gateway: Rc::clone(gateway),
-            request: request.id.clone(),
+            request: request.id.to_owned(),
             server: server.id.clone(),
             address: server.address,
-            shared_parts: Rc::clone(&request.shared_parts),
+            suspects: Rc::clone(request.suspects),
+            content: request.content,
             events: 0,
             sent_at: gateway.clock.now(),
         }
@@ -69,7 +82,7 @@
         }
         self.events += events.iter().filter(|event| event.has_data()).count();
         if self.events >= EVENTS_TO_BEGIN {
-            self.gateway.run_began(&self.shared_parts);
+            self.gateway.run_began(&self.suspects);
         }
     }
 
@@ -78,23 +91,29 @@
         self.events > 0
     }
 
-    /// Records that the response is complete.
+    /// Records that the server has sent a whole response that is not a stream.
+    pub(crate) fn answered(&self) {
+        self.gateway.run_began(&self.suspects);
+    }
+
+    /// Records that the stream is complete.
     pub(crate) fn run_completed(&mut self) {
         if (1..EVENTS_TO_BEGIN).contains(&self.events) {
-            self.gateway.run_began(&self.shared_parts);
+            self.gateway.run_began(&self.suspects);
         }
     }
 
     /// Examines whether the server has crashed, if the run broke before it had begun.
     pub(crate) fn run_broke(&mut self) {
-        if self.events >= EVENTS_TO_BEGIN || self.shared_parts.is_empty() {
+        if self.events >= EVENTS_TO_BEGIN || self.suspects.is_empty() {
             return;
         }
         let run = BrokenRun {
             request: self.request.clone(),
             server: self.server.clone(),
             address: self.address,
-            shared_parts: Rc::clone(&self.shared_parts),
+            suspects: Rc::clone(&self.suspects),
+            content: self.content,
             events: self.events,
             sent_at: self.sent_at,
             broke_at: self.gateway.clock.now(),
@@ -113,7 +132,7 @@
     });
     log::info!(
         event = "run_broke_early", request = run.request.as_str(), server = run.server.as_str(), is_server_down,
-        parts = format_parts(&run.shared_parts), events = run.events,
+        content = format_suspects(&[run.content]), suspects = format_suspects(&run.suspects), events = run.events,
         ran_ms = run.broke_at.saturating_sub(run.sent_at).as_millis() as u64;
         "a run broke before it had begun"
     );
@@ -122,8 +141,8 @@
     }
 }
 
-/// Parts of a prompt for the log, as hexadecimal numbers.
-pub(crate) fn format_parts(parts: &[PromptPartId]) -> String {
-    let parts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
-    parts.join(",")
+/// Suspects for the log, as hexadecimal numbers.
+pub(crate) fn format_suspects(suspects: &[SuspectId]) -> String {
+    let suspects: Vec<String> = suspects.iter().map(|id| format!("{id:x}")).collect();
+    suspects.join(",")
 }
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -1,11 +1,13 @@
 //! Reads a caller's request, matches its route and dispatches it.
 
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bamboo_fleet::FleetConfig;
 use bamboo_fleet::Route;
 use bamboo_fleet::RouteKind;
+use bamboo_quarantine::RequestContent;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
@@ -24,7 +26,9 @@
 use crate::traffic::buffered_body::read_whole_body;
 use crate::traffic::plain::serve_plain;
 use crate::traffic::request::CallerRequest;
+use crate::traffic::request::caller_key;
 use crate::traffic::request::forwarded_headers;
+use crate::traffic::request::request_suspects;
 use crate::traffic::response::not_run;
 use crate::traffic::response::text_response;
 use crate::traffic::stream::serve_stream;
@@ -41,6 +45,7 @@
 /// Serves one request of a caller.
 pub(crate) async fn serve_request(
     gateway: Rc<Gateway>,
+    caller_address: IpAddr,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let arrived_at = gateway.clock.now();
@@ -96,8 +101,18 @@
     let Some(service) = route.pick_service(rand::rng().random()) else {
         return not_run("the route has no service\n", NO_CONFIG_RETRY_AFTER);
     };
+    let suspects = request_suspects(&RequestContent {
+        method: head.method.as_str(),
+        host: &host,
+        path: head.uri.path(),
+        query: head.uri.query().unwrap_or_default(),
+        caller: &caller_key(&head.headers, caller_address),
+        prompt: &(gateway.dialect.decode_prompt_parts)(&head.headers),
+        body: &body,
+    });
     let request = CallerRequest {
         id,
+        suspects,
         service: service.clone(),
         method: head.method,
         target: head
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use bamboo_fleet::RouteKind;
+use bamboo_quarantine::SuspectId;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::Work;
 use bamboo_types::BackendServerId;
-use bamboo_types::PromptPartId;
 use bamboo_types::SoftwareVersion;
 use bamboo_types::StreamOrigin;
 use bytes::Bytes;
@@ -132,7 +132,8 @@
         headers: request.headers.clone(),
         body: request.body.clone(),
         is_retryable: is_resumable(&request),
-        shared_parts: (gateway.dialect.decode_shared_parts)(&request.headers).into(),
+        suspects: Rc::clone(&request.suspects),
+        content: request.content(),
     };
     let started = start_run(
         &gateway,
@@ -243,9 +244,9 @@
     last_event: Option<u64>,
 ) -> Result<Run, RunError> {
     let is_resumable = is_resumable(request);
-    let shared_parts = &engine_request.shared_parts;
+    let suspects = &engine_request.suspects;
     loop {
-        if let Some(error) = quarantine_error(gateway, shared_parts, attempts) {
+        if let Some(error) = quarantine_error(gateway, suspects, attempts) {
             return Err(error);
         }
         let now = gateway.clock.now();
@@ -278,7 +279,7 @@
                 return Err(RunError::Refused(NO_SERVER_RETRY_AFTER, reason));
             }
         };
-        if let Some(error) = quarantine_error(gateway, shared_parts, attempts) {
+        if let Some(error) = quarantine_error(gateway, suspects, attempts) {
             return Err(error);
         }
         let sent_at = gateway.clock.now();
@@ -364,10 +365,10 @@
 /// of the part, unless it may have run.
 fn quarantine_error(
     gateway: &Gateway,
-    shared_parts: &[PromptPartId],
+    suspects: &[SuspectId],
     attempts: &Attempts,
 ) -> Option<RunError> {
-    let remaining = gateway.quarantine_remaining(shared_parts)?;
+    let remaining = gateway.quarantine_remaining(suspects)?;
     Some(match attempts.may_have_run {
         true => RunError::Unknown,
         false => RunError::Refused(remaining, PROMPT_QUARANTINED),
--- a/bamboo-quarantine/src/lib.rs
+++ b/bamboo-quarantine/src/lib.rs
@@ -27,5 +27,8 @@
 pub use quarantine::QuarantineReply;
 pub use quarantine::QuarantinedSuspect;
 pub use quarantine::digest;
+pub use suspect::RequestContent;
 pub use suspect::SuspectId;
+pub use suspect::is_content;
+pub use suspect::is_whole_content;
 pub use suspect::part_suspect;
