fix(gateway): a request that crashes servers is found by its content

Cause: only parts of prompts were weighed, and only streams reported crashes. A request that comes again under a new identifier with the same path, caller and body left no trace; its retry ended the second server, the next one two more. As a stream it was worse: its crashes convicted the part that it shares with others.

Change: a digest of method, host, path, query, caller, prompt and body is a suspect beside the parts, and so is that of method, host, path and body alone. A request that broke waits for the verdict (150 ms at most) before it is sent again: the coordinator replies to the report once it has weighed it (protocol version 4). Crashes under what is in quarantine no longer speak against requests beside it. The end of a quarantine differs between hosts by up to a minute, and a crash after it renews it.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -56,6 +56,7 @@
 use crate::traffic::ServerPool;
 
 use crashes::CrashState;
+pub(crate) use crashes::Rejection;
 use servers::ServersRead;
 pub(crate) use streams::OriginAnswer;
 
--- a/bamboo-gateway/src/gateway/crashes.rs
+++ b/bamboo-gateway/src/gateway/crashes.rs
@@ -1,13 +1,17 @@
-//! Parts of prompts that crash servers: what this host observes, and what it learns from other hosts and the store.
+//! Requests and parts of prompts that crash servers: what this host observes, and what it learns from other hosts and the
+//! store.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bamboo_coordination::HostInfo;
+use bamboo_fleet::Server;
 use bamboo_quarantine::CrashEvidence;
 use bamboo_quarantine::CrashInquiry;
 use bamboo_quarantine::CrashReport;
@@ -19,23 +23,29 @@
 use bamboo_quarantine::SuspectEvidence;
 use bamboo_quarantine::SuspectHistory;
 use bamboo_quarantine::SuspectId;
+use bamboo_quarantine::SuspectKind;
 use bamboo_quarantine::SuspectReport;
 use bamboo_quarantine::digest;
-use bamboo_quarantine::is_content;
-use bamboo_quarantine::request_key;
+use bamboo_quarantine::suspect_kind;
 use bamboo_relay::LONG_POLL_MAX;
+use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use rand::RngExt;
+use rand::seq::SliceRandom;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::gateway::Gateway;
+use crate::mesh::CRASH_VERDICTS_SINCE;
 use crate::mesh::PeerMessage;
 use crate::mesh::PeerReply;
 use crate::mesh::PeerRequest;
 use crate::mesh::SERVER_REPORTS_SINCE;
+use crate::net;
 use crate::store::KeyedRecord;
 use crate::store::ReadExtent;
 use crate::store::StoreReply;
@@ -55,6 +65,15 @@
 /// Timeout for asking other hosts for their history of suspects. They reply within a few milliseconds; a host that is
 /// suspended must not delay the quarantine.
 const HISTORY_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time for which a request that broke waits until its crash has been weighed, before it is sent again.
+const VERDICT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time in which all reports of one crash arrive.
+const REPORTS_TIME: Duration = Duration::from_millis(15);
+/// Timeout for connecting to a server before a verdict, and maximum number of servers that are tried.
+const SERVER_CHECK_TIMEOUT: Duration = Duration::from_millis(60);
+const SERVER_CHECKS_MAX: usize = 32;
+/// Maximum time by which the end of a quarantine differs between hosts, so that one of them tries first.
+const END_SPREAD: Duration = Duration::from_secs(60);
 /// Number of crashes that a host keeps to report them to the next coordinator.
 const CRASHES_KEPT: usize = 32;
 /// Time for which a host keeps a crash.
@@ -69,8 +88,18 @@
     findings: u32,
 }
 
-/// What this host knows of parts that crash servers.
-#[derive(Default)]
+/// Why requests are rejected, for the log and the caller.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Rejection {
+    /// Time after which to retry.
+    pub(crate) retry_after: Duration,
+    /// Reason for the log.
+    pub(crate) reason: &'static str,
+    /// Text for the caller.
+    pub(crate) text: &'static str,
+}
+
+/// What this host knows of requests that crash servers.
 pub(super) struct CrashState {
     history: RefCell<RunHistory>,
     inquiry: RefCell<CrashInquiry>,
@@ -83,6 +112,42 @@
     /// Parts that this host has put into quarantine and not yet written to the store.
     unstored: RefCell<Vec<QuarantinedSuspect>>,
     has_unstored: Notify,
+    /// Crashes of this host's runs that have not been weighed yet.
+    open_checks: Cell<usize>,
+    check_ended: Notify,
+    /// Notifies of each time that suspects were examined.
+    examined: watch::Sender<()>,
+}
+
+impl Default for CrashState {
+    fn default() -> Self {
+        CrashState {
+            history: RefCell::default(),
+            inquiry: RefCell::default(),
+            quarantine: RefCell::new(Quarantine::with_end_delay(
+                END_SPREAD.mul_f64(rand::rng().random()),
+            )),
+            has_suspects: Notify::new(),
+            recent: RefCell::default(),
+            acks: RefCell::default(),
+            unstored: RefCell::default(),
+            has_unstored: Notify::new(),
+            open_checks: Cell::new(0),
+            check_ended: Notify::new(),
+            examined: watch::Sender::new(()),
+        }
+    }
+}
+
+/// A crash that is being weighed, until it is dropped.
+pub(crate) struct OpenCheck(Rc<Gateway>);
+
+impl Drop for OpenCheck {
+    fn drop(&mut self) {
+        let crashes = &self.0.crashes;
+        crashes.open_checks.set(crashes.open_checks.get() - 1);
+        crashes.check_ended.notify_waiters();
+    }
 }
 
 impl CrashState {
@@ -96,6 +161,15 @@
         self.acks.borrow_mut().remove(host);
     }
 
+    /// Keeps a crash for the next coordinator.
+    fn keep(&self, evidence: CrashEvidence) {
+        let mut recent = self.recent.borrow_mut();
+        if recent.len() >= CRASHES_KEPT {
+            recent.pop_front();
+        }
+        recent.push_back(evidence);
+    }
+
     /// Drops what no longer counts.
     pub(super) fn expire(&self, now: Duration) {
         self.quarantine.borrow_mut().expire(now);
@@ -106,7 +180,7 @@
 }
 
 impl Gateway {
-    /// Records that a run has begun, so that its prompt does not crash servers.
+    /// Records that a run has begun, so that its request does not crash servers.
     pub(crate) fn run_began(&self, suspects: &[SuspectId]) {
         let now = self.clock.now();
         self.crashes
@@ -115,44 +189,103 @@
             .record_begun(suspects, now);
     }
 
-    /// Time until requests with these parts in their prompts may be sent to servers; `None` if they may be sent now.
-    pub(crate) fn quarantine_remaining(&self, suspects: &[SuspectId]) -> Option<Duration> {
+    /// Why a request with these suspects must not be sent to servers now, if it must not.
+    pub(crate) fn rejection(&self, suspects: &[SuspectId]) -> Option<Rejection> {
         let now = self.clock.now();
-        self.crashes.quarantine.borrow().remaining(suspects, now)
+        let quarantine = self.crashes.quarantine.borrow();
+        let suspect = quarantine.find(suspects, now)?;
+        let (reason, text) = match suspect_kind(suspect) {
+            SuspectKind::Part => (
+                "prompt_quarantined",
+                "a part of the prompt crashes servers\n",
+            ),
+            SuspectKind::SharedContent | SuspectKind::WholeContent => {
+                ("request_quarantined", "the request crashes servers\n")
+            }
+        };
+        Some(Rejection {
+            retry_after: quarantine.remaining(suspects, now)?,
+            reason,
+            text,
+        })
     }
 
-    /// Reports a crash under a run of this host to the coordinator.
-    pub(crate) fn server_crashed(&self, run: &BrokenRun) {
-        let now = self.clock.now();
-        let parts: Vec<SuspectId> = run
-            .suspects
-            .iter()
-            .copied()
-            .filter(|suspect| !is_content(*suspect))
-            .collect();
-        if parts.is_empty() {
-            return;
+    /// Begins to weigh a crash under a run of this host, for whose end [`wait_for_verdicts`](Self::wait_for_verdicts) waits.
+    pub(crate) fn begin_check(self: &Rc<Self>) -> OpenCheck {
+        let open_checks = &self.crashes.open_checks;
+        open_checks.set(open_checks.get() + 1);
+        OpenCheck(Rc::clone(self))
+    }
+
+    /// Waits until the crashes under runs of this host have been weighed, before a request is sent to another server.
+    pub(crate) async fn wait_for_verdicts(&self) {
+        let weighed = async {
+            loop {
+                let ended = self.crashes.check_ended.notified();
+                if self.crashes.open_checks.get() == 0 {
+                    return;
+                }
+                ended.await;
+            }
+        };
+        if tokio::time::timeout(VERDICT_TIMEOUT, weighed)
+            .await
+            .is_err()
+        {
+            log::debug!("a crash has not been weighed in time");
         }
+    }
+
+    /// Has the coordinator weigh a crash under a run of this host.
+    pub(crate) async fn server_crashed(self: &Rc<Self>, run: &BrokenRun) {
+        let now = self.clock.now();
         let evidence = CrashEvidence {
             server: run.server.clone(),
-            request: request_key(&run.request),
+            content: run.content,
             sent_at: run.sent_at,
             broke_at: run.broke_at,
-            suspects: self.suspect_evidence(&parts),
+            suspects: self.suspect_evidence(&run.suspects),
         };
+        let report = CrashReport::from((&evidence, now));
+        self.crashes.keep(evidence.clone());
         let coordinator = self.coordination.borrow().coordinator().clone();
-        if coordinator != self.local.host && self.decodes_since(&coordinator, SERVER_REPORTS_SINCE)
+        if coordinator == self.local.host || !self.decodes_since(&coordinator, SERVER_REPORTS_SINCE)
         {
-            let report = CrashReport::from((&evidence, now));
-            self.send_to(&coordinator, PeerMessage::CrashReport(report));
+            self.weigh_crash(&evidence).await;
+        } else if self.decodes_since(&coordinator, CRASH_VERDICTS_SINCE) {
+            let request = PeerRequest::WeighCrash(report);
+            // Without a reply in time, the host learns of a verdict by the quarantine.
+            let _ = self
+                .mesh
+                .call(&coordinator, request, VERDICT_TIMEOUT, now)
+                .await;
         } else {
-            self.examine_crash(&evidence, now);
+            self.send_to(&coordinator, PeerMessage::CrashReport(report));
         }
-        let mut crashes = self.crashes.recent.borrow_mut();
-        if crashes.len() >= CRASHES_KEPT {
-            crashes.pop_front();
+    }
+
+    /// Weighs a crash that another host reports, as the coordinator. Returns once the verdict is on its way to all hosts.
+    pub(super) async fn weigh_reported_crash(&self, report: &CrashReport) {
+        let evidence = CrashEvidence::from((report, self.clock.now()));
+        self.weigh_crash(&evidence).await;
+    }
+
+    async fn weigh_crash(&self, evidence: &CrashEvidence) {
+        let mut examined = self.crashes.examined.subscribe();
+        self.examine_crash(evidence, self.clock.now());
+        let verdict = async {
+            while !self.crashes.inquiry.borrow().suspects().is_empty() {
+                if examined.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        if tokio::time::timeout(VERDICT_TIMEOUT, verdict)
+            .await
+            .is_err()
+        {
+            log::debug!("the suspects of a crash have not been examined in time");
         }
-        crashes.push_back(evidence);
     }
 
     fn suspect_evidence(&self, parts: &[SuspectId]) -> Vec<SuspectEvidence> {
@@ -177,34 +310,48 @@
     }
 
     fn examine_crash(&self, evidence: &CrashEvidence, now: Duration) {
-        let parts: Vec<SuspectId> = evidence
-            .suspects
-            .iter()
-            .map(|found| found.suspect)
-            .collect();
-        if self.quarantine_remaining(&parts).is_some() {
-            // The crash is explained.
-            return;
-        }
+        let found = evidence.suspects.iter().map(|found| found.suspect);
+        let suspects: Vec<SuspectId> = found.collect();
         let quarantine = self.crashes.quarantine.borrow();
-        let is_on_probation = |part| quarantine.is_on_probation(part, now);
         let mut inquiry = self.crashes.inquiry.borrow_mut();
+        if let Some(suspect) = quarantine.find(&suspects, now) {
+            inquiry.record_explained(evidence);
+            let has_ended_elsewhere = quarantine.has_ended_elsewhere(suspect, evidence.sent_at);
+            drop((quarantine, inquiry));
+            if has_ended_elsewhere {
+                let finding = Finding {
+                    suspect,
+                    servers: vec![evidence.server.clone()],
+                    is_certain: true,
+                };
+                self.quarantine_suspect(&finding, now);
+            }
+            return;
+        }
+        let is_on_probation = |suspect| quarantine.is_on_probation(suspect, now);
         inquiry.record_crash(evidence, is_on_probation, now);
         if !inquiry.suspects().is_empty() {
             self.crashes.has_suspects.notify_one();
         }
     }
 
-    /// Asks all hosts about parts that seem to crash servers, and puts those that no host clears into quarantine, until
-    /// the process ends.
+    /// Asks all hosts about suspects, and puts those that no host clears into quarantine, until the process ends.
     pub(crate) async fn examine_suspects(self: Rc<Self>) {
         loop {
             self.crashes.has_suspects.notified().await;
+            // Of the runs that broke with one server, another one may explain the crash.
+            actix_rt::time::sleep(REPORTS_TIME).await;
             let suspects = self.crashes.inquiry.borrow().suspects();
-            let histories = self.collect_histories(&suspects).await;
+            let (histories, down) = tokio::join!(
+                self.collect_histories(&suspects),
+                self.find_servers_that_are_down(&suspects),
+            );
             let mut inquiry = self.crashes.inquiry.borrow_mut();
-            for (part, history) in histories {
-                inquiry.record_history(part, history);
+            for (suspect, history) in histories {
+                inquiry.record_history(suspect, history);
+            }
+            for server in &down {
+                inquiry.record_down(server, self.clock.now());
             }
             let findings: Vec<Finding> = std::iter::from_fn(|| inquiry.conclude()).collect();
             drop(inquiry);
@@ -212,10 +359,40 @@
             for finding in &findings {
                 self.quarantine_suspect(finding, now);
             }
+            self.crashes.examined.send_replace(());
         }
     }
 
-    /// Recent runs with these parts that have begun, over all hosts that report to this one.
+    /// Tries some servers of the services at which servers crashed under these suspects. Returns those that take no
+    /// connections.
+    async fn find_servers_that_are_down(&self, suspects: &[SuspectId]) -> Vec<BackendServerId> {
+        let now = self.clock.now();
+        let mut servers: Vec<Rc<Server>> = {
+            let (inquiry, directory) = (self.crashes.inquiry.borrow(), self.directory.borrow());
+            let crashed = suspects
+                .iter()
+                .flat_map(|suspect| inquiry.crashed_servers(*suspect));
+            let services: BTreeSet<String> = crashed
+                .filter_map(|server| Some(directory.get(server)?.service.clone()))
+                .collect();
+            let ready = services
+                .iter()
+                .flat_map(|service| directory.ready(service, now));
+            ready.collect()
+        };
+        servers.shuffle(&mut rand::rng());
+        servers.truncate(SERVER_CHECKS_MAX);
+        let checks: FuturesUnordered<_> = servers
+            .iter()
+            .map(|server| async {
+                let connected = net::connect(server.address, SERVER_CHECK_TIMEOUT).await;
+                connected.is_err().then(|| server.id.clone())
+            })
+            .collect();
+        checks.filter_map(std::future::ready).collect().await
+    }
+
+    /// Recent runs with these suspects that have begun, over all hosts that report to this one.
     async fn collect_histories(&self, parts: &[SuspectId]) -> BTreeMap<SuspectId, SuspectHistory> {
         let now = self.clock.now();
         let hosts: Vec<HostId> = self.reporting_hosts();
@@ -247,25 +424,25 @@
         histories
     }
 
-    /// Puts a part into quarantine, and tells the other hosts and the store.
+    /// Puts a suspect into quarantine, and tells the other hosts and the store.
     fn quarantine_suspect(&self, finding: &Finding, now: Duration) {
-        let part = format_suspects(&[finding.suspect]);
-        let entry = self
-            .crashes
-            .quarantine
-            .borrow_mut()
-            .add(finding.suspect, now);
+        let suspect = format_suspects(&[finding.suspect]);
+        let entry =
+            self.crashes
+                .quarantine
+                .borrow_mut()
+                .add(finding.suspect, finding.is_certain, now);
         let Some(entry) = entry else {
             log::error!(
-                event = "quarantine_full", part;
-                "a part of prompts seems to crash servers, as do so many others that the prompts may not be the cause"
+                event = "quarantine_full", suspect;
+                "something that requests have in common seems to crash servers, as do too many others"
             );
             return;
         };
         log::warn!(
-            event = "prompt_quarantined", part, servers = finding.servers.join(","), findings = entry.findings,
-            remaining_ms = entry.remaining_ms;
-            "a part of prompts crashes servers; requests with it are rejected"
+            event = "quarantined", suspect, kind:? = suspect_kind(finding.suspect), servers = finding.servers.join(","),
+            is_certain = finding.is_certain, findings = entry.findings, remaining_ms = entry.remaining_ms;
+            "something that requests have in common crashes servers; such requests are rejected"
         );
         self.crashes.unstored.borrow_mut().push(entry);
         self.crashes.has_unstored.notify_one();
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -436,7 +436,13 @@
             PeerRequest::StreamOrigin { stream, services } => {
                 self.answer_stream_origin(stream, &services)
             }
-            PeerRequest::RunHistories(parts) => PeerReply::RunHistories(self.run_histories(&parts)),
+            PeerRequest::RunHistories(suspects) => {
+                PeerReply::RunHistories(self.run_histories(&suspects))
+            }
+            PeerRequest::WeighCrash(report) => {
+                self.weigh_reported_crash(&report).await;
+                PeerReply::CrashWeighed
+            }
             PeerRequest::Permit { servers, max_wait } => {
                 PeerReply::Permit(self.permit(&servers, max_wait))
             }
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bamboo_fleet::FleetConfig;
-use bamboo_quarantine::request_key;
 use bamboo_shards::AttemptEnd;
 use bamboo_shards::ItemAction;
 use bamboo_shards::ItemResult;
@@ -27,6 +26,7 @@
 use http::StatusCode;
 use http::header;
 use rand::RngExt;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::Gateway;
 use crate::jobs::shard::OwnedShard;
@@ -253,7 +253,7 @@
                 continue;
             }
         };
-        let is_quarantined = || gateway.quarantine_remaining(&request.suspects).is_some();
+        let is_quarantined = || gateway.rejection(&request.suspects).is_some();
         if is_quarantined() {
             is_held = hold_item(&gateway, &job, &request, is_held).await;
             continue;
@@ -454,7 +454,7 @@
         body: Bytes::from(item.body.clone()),
         is_retryable: true,
         suspects: shared_part_suspects(&parts).collect(),
-        content: request_key(&item.id),
+        content: xxh3_64(item.id.as_bytes()),
     }
 }
 
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -31,8 +31,10 @@
 pub(crate) const CLUSTER_MAP_CHANGES_SINCE: ProtocolVersion = 2;
 /// First version whose hosts tell each other of crashes under prompts, of servers' limits and of servers that leave.
 pub(crate) const SERVER_REPORTS_SINCE: ProtocolVersion = 3;
+/// First version whose hosts reply to the report of a crash once it has been weighed.
+pub(crate) const CRASH_VERDICTS_SINCE: ProtocolVersion = 4;
 /// Version of this build.
-const PROTOCOL_VERSION: ProtocolVersion = 3;
+const PROTOCOL_VERSION: ProtocolVersion = 4;
 /// Path of a stream of messages, followed by the version. Version 1 had none.
 const MESSAGES_PATH: &str = "/messages";
 
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -100,6 +100,8 @@
         /// Time for which the request can wait.
         max_wait: Duration,
     },
+    /// Has the coordinator weigh a crash. For hosts of protocol version 4 or later.
+    WeighCrash(CrashReport),
 }
 
 /// Reply to a request.
@@ -135,6 +137,8 @@
     RunHistories(Vec<SuspectReport>),
     /// Whether the request may be sent, and to which server.
     Permit(Permit),
+    /// The crash has been weighed. A verdict was sent before.
+    CrashWeighed,
 }
 
 /// A message between hosts.
--- a/bamboo-gateway/src/metrics.rs
+++ b/bamboo-gateway/src/metrics.rs
@@ -120,7 +120,7 @@
     pub store_failures: Gauge,
     /// Job partitions that this host owns.
     pub partitions: Gauge,
-    /// Parts of prompts in quarantine or on probation.
+    /// Requests and parts of prompts in quarantine or on probation.
     pub quarantined_parts: Gauge,
     /// Version of the configuration in force.
     pub config_version: Gauge,
@@ -206,7 +206,7 @@
         );
         registry.register(
             "quarantined_parts",
-            "Parts of prompts that crash servers",
+            "Requests and parts of prompts that crash servers",
             metrics.quarantined_parts.clone(),
         );
         registry.register(
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -110,6 +110,16 @@
                 false => recorder.finish(not_run("time is up\n", BUSY_RETRY_AFTER), "timed_out"),
             };
         }
+        if let Some(rejection) = gateway.rejection(&request.suspects) {
+            recorder.reason = rejection.reason;
+            return match may_have_run {
+                true => recorder.finish(
+                    text_response(StatusCode::BAD_GATEWAY, rejection.text),
+                    "unknown",
+                ),
+                false => recorder.finish(not_run(rejection.text, rejection.retry_after), "refused"),
+            };
+        }
         let server = match choose_server(&gateway, &request, &excluded).await {
             Choice::Send(server) => server,
             Choice::Refuse(_) if may_have_run => {
@@ -181,6 +191,7 @@
                     outcome:? = outcome, attempt = recorder.attempts, may_retry; "the server did not respond"
                 );
                 if may_retry {
+                    gateway.wait_for_verdicts().await;
                     continue;
                 }
                 return match gateway.clock.now() >= request.deadline {
--- a/bamboo-gateway/src/traffic/run_trial.rs
+++ b/bamboo-gateway/src/traffic/run_trial.rs
@@ -119,12 +119,16 @@
             broke_at: self.gateway.clock.now(),
         };
         let gateway = Rc::clone(&self.gateway);
-        actix_rt::spawn(async move { examine_broken_run(&gateway, run).await });
+        let check = gateway.begin_check();
+        actix_rt::spawn(async move {
+            examine_broken_run(&gateway, run).await;
+            drop(check);
+        });
     }
 }
 
 /// Finds out whether a server crashed during a run, or only the response broke off.
-async fn examine_broken_run(gateway: &Gateway, run: BrokenRun) {
+async fn examine_broken_run(gateway: &Rc<Gateway>, run: BrokenRun) {
     let is_server_down = net::connect(run.address, CHECK_TIMEOUT).await.is_err();
     gateway.metrics.count_run(match is_server_down {
         true => "crashed_server",
@@ -137,7 +141,7 @@
         "a run broke before it had begun"
     );
     if is_server_down {
-        gateway.server_crashed(&run);
+        gateway.server_crashed(&run).await;
     }
 }
 
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc;
 
 use crate::gateway::Gateway;
+use crate::gateway::Rejection;
 use crate::response_body::ResponseBody;
 use crate::response_body::STREAM_QUEUE_LEN;
 use crate::slot_requests::Slot;
@@ -59,8 +60,6 @@
 const VERSION_GONE: &str = "version_gone";
 /// Reason in the log of a request that is rejected because it is not known where its stream began.
 const ORIGIN_UNKNOWN: &str = "origin_unknown";
-/// Reason in the log of a request that is rejected because its prompt has a part that crashes servers.
-const PROMPT_QUARANTINED: &str = "prompt_quarantined";
 
 /// Attempts of a request so far.
 struct Attempts {
@@ -80,6 +79,8 @@
     Answered(Response<ResponseBody>),
     /// Nothing ran: the time after which to retry, and the reason for the log.
     Refused(Duration, &'static str),
+    /// Nothing ran, since the request crashes servers.
+    Rejected(Rejection),
     /// The request may have run.
     Unknown,
     /// The deadline has passed.
@@ -154,15 +155,16 @@
                     gateway.metrics.count_take_up(VERSION_GONE);
                     "no server of the stream's version\n"
                 }
-                PROMPT_QUARANTINED => {
-                    gateway.metrics.count_run(PROMPT_QUARANTINED);
-                    "a part of the prompt crashes servers\n"
-                }
                 _ => "no slot in time\n",
             };
             recorder.reason = reason;
             return recorder.finish(not_run(text, retry_after), "refused");
         }
+        Err(RunError::Rejected(rejection)) => {
+            gateway.metrics.count_run(rejection.reason);
+            recorder.reason = rejection.reason;
+            return recorder.finish(not_run(rejection.text, rejection.retry_after), "refused");
+        }
         Err(RunError::TimedOut) if !attempts.may_have_run => {
             return recorder.finish(
                 not_run("no slot in time\n", NO_SERVER_RETRY_AFTER),
@@ -335,6 +337,8 @@
                     outcome:? = outcome, attempt = attempts.count, may_retry; "the server delivered no event"
                 );
                 slot.set_outcome(outcome);
+                // Another attempt must not wait with the slot.
+                drop(slot);
                 attempts.may_have_run = true;
                 if !may_retry {
                     let is_past_deadline = gateway.clock.now() >= request.deadline;
@@ -344,6 +348,7 @@
                         RunError::Unknown
                     });
                 }
+                gateway.wait_for_verdicts().await;
             }
             OpenError::Answered(head, bytes) => {
                 gateway.metrics.count_run("answered");
@@ -361,17 +366,16 @@
     }
 }
 
-/// Why a request must not be sent, if its prompt has a part that crashes servers. It is to be retried after the quarantine
-/// of the part, unless it may have run.
+/// Why a request must not be sent, if it crashes servers. It is to be retried after the quarantine, unless it may have run.
 fn quarantine_error(
     gateway: &Gateway,
     suspects: &[SuspectId],
     attempts: &Attempts,
 ) -> Option<RunError> {
-    let remaining = gateway.quarantine_remaining(suspects)?;
+    let rejection = gateway.rejection(suspects)?;
     Some(match attempts.may_have_run {
         true => RunError::Unknown,
-        false => RunError::Refused(remaining, PROMPT_QUARANTINED),
+        false => RunError::Rejected(rejection),
     })
 }
 
@@ -458,6 +462,7 @@
         attempts.excluded.push(run.slot.server.id.clone());
         // The failed run must release its slot before another one starts.
         drop(run);
+        gateway.wait_for_verdicts().await;
         let start_by = gateway.clock.now() + gap_target.saturating_sub(EVENT_GAP_TIMEOUT);
         let next_run = tokio::select! {
             started = start_run(gateway, request, engine_request, attempts, start_by, last_id) => started,
--- a/bamboo-quarantine/src/evidence.rs
+++ b/bamboo-quarantine/src/evidence.rs
@@ -6,23 +6,10 @@
 use bamboo_types::millis;
 use serde::Deserialize;
 use serde::Serialize;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::SuspectHistory;
 use crate::SuspectId;
 
-/// Hash of the identifier of a request.
-pub type RequestKey = u64;
-
-/// Derives the key of a request from its identifier.
-///
-/// ```
-/// assert_ne!(bamboo_quarantine::request_key("a"), bamboo_quarantine::request_key("b"));
-/// ```
-pub fn request_key(id: &str) -> RequestKey {
-    xxh3_64(id.as_bytes())
-}
-
 /// What is known of one suspect of a run whose server crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SuspectEvidence {
@@ -37,8 +24,8 @@
 pub struct CrashEvidence {
     /// Server that crashed.
     pub server: BackendServerId,
-    /// Request that ran there.
-    pub request: RequestKey,
+    /// What identifies the request that ran there if it comes again.
+    pub content: SuspectId,
     /// When the request was sent to the server.
     pub sent_at: Duration,
     /// When the run broke.
@@ -63,8 +50,8 @@
 pub struct CrashReport {
     /// Server that crashed.
     pub server: BackendServerId,
-    /// Request that ran there.
-    pub request: RequestKey,
+    /// What identifies the request that ran there if it comes again.
+    pub content: SuspectId,
     /// Time since the request was sent to the server, in milliseconds.
     pub sent_ago_ms: u64,
     /// Time since the run broke, in milliseconds.
@@ -106,7 +93,7 @@
         let suspects = evidence.suspects.iter();
         CrashReport {
             server: evidence.server.clone(),
-            request: evidence.request,
+            content: evidence.content,
             sent_ago_ms: ago_ms(evidence.sent_at),
             broke_ago_ms: ago_ms(evidence.broke_at),
             suspects: suspects.map(|suspect| (*suspect, now).into()).collect(),
@@ -121,7 +108,7 @@
         let suspects = report.suspects.iter();
         CrashEvidence {
             server: report.server.clone(),
-            request: report.request,
+            content: report.content,
             sent_at: ago(report.sent_ago_ms),
             broke_at: ago(report.broke_ago_ms),
             suspects: suspects.map(|suspect| (*suspect, now).into()).collect(),
--- a/bamboo-quarantine/src/suspect.rs
+++ b/bamboo-quarantine/src/suspect.rs
@@ -20,25 +20,30 @@
     part & !CONTENT_BIT
 }
 
-/// Whether a suspect is the whole content of a request, its caller included.
-///
-/// ```
-/// use bamboo_quarantine::{is_whole_content, part_suspect};
-/// assert!(!is_whole_content(part_suspect(u64::MAX)));
-/// ```
-pub fn is_whole_content(suspect: SuspectId) -> bool {
-    let bits = CONTENT_BIT | WHOLE_BIT;
-    suspect & bits == bits
+/// What a suspect is, from the widest kind to the narrowest.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum SuspectKind {
+    /// A part of prompts.
+    #[default]
+    Part,
+    /// Path and body of a request, which several callers may send.
+    SharedContent,
+    /// The whole content of a request.
+    WholeContent,
 }
 
-/// Whether a suspect is a content, not a part of prompts.
+/// The kind of a suspect.
 ///
 /// ```
-/// use bamboo_quarantine::{is_content, part_suspect};
-/// assert!(!is_content(part_suspect(u64::MAX)));
+/// use bamboo_quarantine::{SuspectKind, part_suspect, suspect_kind};
+/// assert_eq!(suspect_kind(part_suspect(u64::MAX)), SuspectKind::Part);
 /// ```
-pub fn is_content(suspect: SuspectId) -> bool {
-    suspect & CONTENT_BIT != 0
+pub fn suspect_kind(suspect: SuspectId) -> SuspectKind {
+    match (suspect & CONTENT_BIT != 0, suspect & WHOLE_BIT != 0) {
+        (false, _) => SuspectKind::Part,
+        (true, false) => SuspectKind::SharedContent,
+        (true, true) => SuspectKind::WholeContent,
+    }
 }
 
 /// What a request consists of, apart from its identifier. It is the same when the request comes again.
@@ -65,7 +70,7 @@
     /// the whole content.
     ///
     /// ```
-    /// use bamboo_quarantine::{RequestContent, is_whole_content};
+    /// use bamboo_quarantine::{RequestContent, SuspectKind, suspect_kind};
     /// let content = RequestContent {
     ///     method: "GET", host: "h", path: "/a", query: "", caller: "10.0.0.1", prompt: &[], body: b"",
     /// };
@@ -73,7 +78,8 @@
     /// let [other_shared, other_whole] = RequestContent { caller: "10.0.0.2", ..content }.suspects();
     /// assert_eq!(shared, other_shared);
     /// assert_ne!(whole, other_whole);
-    /// assert!(is_whole_content(whole) && !is_whole_content(shared));
+    /// assert_eq!(suspect_kind(shared), SuspectKind::SharedContent);
+    /// assert_eq!(suspect_kind(whole), SuspectKind::WholeContent);
     /// ```
     pub fn suspects(&self) -> [SuspectId; 2] {
         let mut hasher = Xxh3Default::new();
--- a/bamboo-quarantine/tests/drawn_loads.rs
+++ b/bamboo-quarantine/tests/drawn_loads.rs
@@ -200,7 +200,7 @@
                 });
                 let evidence = CrashEvidence {
                     server: id.clone(),
-                    request: run.request,
+                    content: run.request,
                     sent_at: at(run.sent_ms),
                     broke_at: at(now_ms),
                     suspects: parts.collect(),
@@ -223,7 +223,8 @@
         }
         while let Some(finding) = self.inquiry.conclude() {
             self.outcome.quarantined.insert(finding.suspect);
-            self.quarantine.add(finding.suspect, at(now_ms));
+            self.quarantine
+                .add(finding.suspect, finding.is_certain, at(now_ms));
         }
     }
 
--- a/bamboo-quarantine/tests/exchange.rs
+++ b/bamboo-quarantine/tests/exchange.rs
@@ -14,7 +14,7 @@
 fn quarantine(parts: std::ops::Range<u64>) -> Quarantine {
     let mut quarantine = Quarantine::default();
     for part in parts {
-        quarantine.add(part, Duration::ZERO);
+        quarantine.add(part, true, Duration::ZERO);
     }
     quarantine
 }
