fix(quarantine): a content that runs at several servers at once counts at each of them

Crashes within 30 ms counted as one; for a whole content they are separate, as a sound request is sent again only after a crash. What several callers have in common needs four crashes, not five, and its verdict is certain or not as that of a whole content.

--- a/bamboo-quarantine/src/inquiry.rs
+++ b/bamboo-quarantine/src/inquiry.rs
@@ -11,16 +11,19 @@
 use crate::SuspectKind;
 use crate::crash_log::CrashLog;
 use crate::suspect_kind;
+use crate::suspicion::CRASH_WEIGHT;
 use crate::suspicion::Suspicion;
 
-/// Crashes that show that a suspect crashes servers.
-const CRASHES_NEEDED: usize = 3;
-/// Crashes needed for a suspect while another one explains them as well.
-const CRASHES_NEEDED_OF_AMBIGUOUS: usize = 5;
-/// Crashes needed for a part of prompts while more runs with it have begun than with another part of the same prompt.
-const CRASHES_NEEDED_OF_PROVEN: usize = 8;
-/// Crashes that suffice for a suspect on probation.
-const CRASHES_NEEDED_ON_PROBATION: usize = 1;
+/// Weight that shows that a suspect crashes servers.
+const WEIGHT_NEEDED: usize = 3 * CRASH_WEIGHT;
+/// Weight needed for a suspect while another one explains its crashes as well.
+const WEIGHT_NEEDED_OF_AMBIGUOUS: usize = 5 * CRASH_WEIGHT;
+/// Weight needed for what the requests of several callers have in common.
+const WEIGHT_NEEDED_OF_SHARED: usize = 4 * CRASH_WEIGHT;
+/// Weight needed for a part of prompts while more runs with it have begun than with another part of the same prompt.
+const WEIGHT_NEEDED_OF_PROVEN: usize = 8 * CRASH_WEIGHT;
+/// Weight that suffices for a suspect on probation.
+const WEIGHT_NEEDED_ON_PROBATION: usize = CRASH_WEIGHT;
 /// Time for which a crash counts.
 const CRASH_AGE_MAX: Duration = Duration::from_secs(600);
 /// Maximum number of suspects under suspicion. The one with the oldest crash is dropped first.
@@ -87,17 +90,17 @@
                 suspicion.record_crash(evidence);
             }
         }
-        for (suspect, crashes_needed) in self.crashes_needed(evidence, is_on_probation) {
+        for (suspect, weight_needed) in self.weight_needed(evidence, is_on_probation) {
             if let Some(suspicion) = self.suspicions.get_mut(&suspect) {
-                suspicion.crashes_needed = crashes_needed;
+                suspicion.weight_needed = weight_needed;
             }
         }
         self.drop_excess();
     }
 
-    /// Crashes needed for each suspect of a run. Only parts of prompts are compared with each other, of which the one with the
+    /// Weight needed for each suspect of a run. Only parts of prompts are compared with each other, of which the one with the
     /// fewest runs begun is the first suspect.
-    fn crashes_needed<P>(
+    fn weight_needed<P>(
         &self,
         evidence: &CrashEvidence,
         is_on_probation: P,
@@ -116,24 +119,23 @@
         let fewest_begun = parts.first().and_then(begun_count);
         let parts = parts.iter().enumerate().map(|(index, part)| {
             let needed = match index {
-                0 => CRASHES_NEEDED,
-                _ if begun_count(part) == fewest_begun => CRASHES_NEEDED_OF_AMBIGUOUS,
-                _ => CRASHES_NEEDED_OF_PROVEN,
+                0 => WEIGHT_NEEDED,
+                _ if begun_count(part) == fewest_begun => WEIGHT_NEEDED_OF_AMBIGUOUS,
+                _ => WEIGHT_NEEDED_OF_PROVEN,
             };
             (*part, needed)
         });
         let contents = contents.iter().map(|content| {
             let needed = match suspect_kind(*content) {
-                SuspectKind::WholeContent => CRASHES_NEEDED,
-                // Part of it may differ, and explain the crashes as well.
-                SuspectKind::SharedContent | SuspectKind::Part => CRASHES_NEEDED_OF_AMBIGUOUS,
+                SuspectKind::WholeContent => WEIGHT_NEEDED,
+                SuspectKind::SharedContent | SuspectKind::Part => WEIGHT_NEEDED_OF_SHARED,
             };
             (*content, needed)
         });
         let needed = parts.chain(contents);
         needed
             .map(|(suspect, needed)| match is_on_probation(suspect) {
-                true => (suspect, CRASHES_NEEDED_ON_PROBATION),
+                true => (suspect, WEIGHT_NEEDED_ON_PROBATION),
                 false => (suspect, needed),
             })
             .collect()
@@ -156,7 +158,7 @@
             SuspectKind::SharedContent => !is_explained_by(SuspectKind::Part),
             // One of two requests that ran on each of the servers was sent again beside the cause.
             SuspectKind::WholeContent => {
-                suspicion.crash_count() >= CRASHES_NEEDED_OF_AMBIGUOUS
+                suspicion.weight() >= WEIGHT_NEEDED_OF_AMBIGUOUS
                     || !is_explained_by(SuspectKind::WholeContent)
             }
         }
@@ -210,8 +212,7 @@
             .min_by_key(|(_, suspicion)| suspicion.rank())
             .map(|(suspect, _)| *suspect)?;
         let suspicion = self.suspicions.remove(&suspect)?;
-        let is_certain =
-            suspicion.kind != SuspectKind::WholeContent || suspicion.is_certain(&self.log);
+        let is_certain = suspicion.kind == SuspectKind::Part || suspicion.is_certain(&self.log);
         for crash in &suspicion.crashes {
             self.log.record_explained(&crash.server, crash.broke_at);
         }
--- a/bamboo-quarantine/src/suspicion.rs
+++ b/bamboo-quarantine/src/suspicion.rs
@@ -1,7 +1,7 @@
 //! What speaks against one suspect.
 
 use std::cmp::Reverse;
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use bamboo_types::BackendServerId;
@@ -12,6 +12,10 @@
 use crate::SuspectKind;
 use crate::crash_log::CrashLog;
 
+/// Weight of a crash.
+pub(crate) const CRASH_WEIGHT: usize = 2;
+/// Weight of the second crash under one content, for a part. It shows less: the content may be the cause.
+const FURTHER_CRASH_WEIGHT: usize = 1;
 /// Time around a crash in which others are considered.
 const SERIES_TIME: Duration = Duration::from_millis(300);
 /// Time within which servers crash at the same moment.
@@ -47,8 +51,8 @@
     pub(crate) crashes: Vec<Crash>,
     /// Recent runs with the suspect that have begun, as far as known. Crashes before the last of them do not count.
     pub(crate) history: SuspectHistory,
-    /// Number of crashes that shows that the suspect is the cause.
-    pub(crate) crashes_needed: usize,
+    /// Weight of the crashes that shows that the suspect is the cause.
+    pub(crate) weight_needed: usize,
     /// Number of suspects in front of it in the last run.
     pub(crate) position: usize,
     /// What it is.
@@ -89,47 +93,57 @@
         self.crashes.iter().any(|crash| crash.server == *server)
     }
 
-    /// Crashes that count. Servers that crash at nearly the same moment may do so for another reason, and count as one.
-    /// So do those under one content, for a part that the prompts of different ones have in common.
-    fn counted_crashes(&self) -> Vec<&Crash> {
+    /// Crashes that count, with their weights. Servers that crash at nearly the same moment may do so for another reason, and
+    /// count as one for a part.
+    fn weighed_crashes(&self) -> Vec<(&Crash, usize)> {
         let mut counted_at: Option<Duration> = None;
-        let mut contents = HashSet::new();
-        let mut counted = Vec::new();
+        let mut contents: HashMap<SuspectId, usize> = HashMap::new();
+        let mut weighed = Vec::new();
         for crash in &self.crashes {
-            if counted_at.is_some_and(|broke_at| !crash.is_later_than(broke_at)) {
+            let is_simultaneous = counted_at.is_some_and(|broke_at| !crash.is_later_than(broke_at));
+            // A sound request is sent again only after a crash, so that it does not run on two servers at once.
+            if is_simultaneous && self.kind == SuspectKind::Part {
                 continue;
             }
             counted_at = Some(crash.broke_at);
-            let is_new_content = contents.insert(crash.content);
-            if is_new_content || self.kind != SuspectKind::Part {
-                counted.push(crash);
-            }
+            let earlier = contents.entry(crash.content).or_default();
+            let weight = match (self.kind, *earlier) {
+                (SuspectKind::SharedContent | SuspectKind::WholeContent, _) | (_, 0) => {
+                    CRASH_WEIGHT
+                }
+                (SuspectKind::Part, 1) => FURTHER_CRASH_WEIGHT,
+                (SuspectKind::Part, _) => 0,
+            };
+            *earlier += 1;
+            weighed.push((crash, weight));
         }
         match self.kind {
             // One content alone explains the crashes.
             SuspectKind::SharedContent if contents.len() < 2 => Vec::new(),
-            _ => counted,
+            _ => weighed,
         }
     }
 
-    /// Number of crashes that count.
-    pub(crate) fn crash_count(&self) -> usize {
-        self.counted_crashes().len()
+    /// Weight of the crashes.
+    pub(crate) fn weight(&self) -> usize {
+        let weighed = self.weighed_crashes().into_iter();
+        weighed.map(|(_, weight)| weight).sum()
     }
 
     pub(crate) fn is_sufficient(&self) -> bool {
-        !self.crashes.is_empty() && self.crash_count() >= self.crashes_needed
+        !self.crashes.is_empty() && self.weight() >= self.weight_needed
     }
 
     /// Whether enough of the crashes occurred while no other server crashed on which the suspect did not run. A request may be
     /// sent again and again to servers that crash for another reason.
     pub(crate) fn is_certain(&self, log: &CrashLog) -> bool {
-        let is_lone = |crash: &&Crash| {
+        let is_lone = |crash: &Crash| {
             let mut others = log.unexplained_near(crash.broke_at, SERIES_TIME);
             others.all(|server| self.has_crash(server))
         };
-        let counted = self.counted_crashes();
-        counted.into_iter().filter(is_lone).count() >= self.crashes_needed
+        let weighed = self.weighed_crashes().into_iter();
+        let lone = weighed.filter(|(crash, _)| is_lone(crash));
+        lone.map(|(_, weight)| weight).sum::<usize>() >= self.weight_needed
     }
 
     /// Whether each server that crashed under another suspect crashed under this one, too.
@@ -138,12 +152,12 @@
         crashes.all(|crash| self.has_crash(&crash.server))
     }
 
-    /// Order among suspects: the fewest runs begun, then the most crashes, then the last of the run, which the fewest
+    /// Order among suspects: the fewest runs begun, then the greatest weight, then the last of the run, which the fewest
     /// requests share.
     pub(crate) fn rank(&self) -> (u32, Reverse<usize>, Reverse<usize>) {
         (
             self.history.begun_count,
-            Reverse(self.crash_count()),
+            Reverse(self.weight()),
             Reverse(self.position),
         )
     }
