fix(jobs): an item is owed whatever its prompt has in common with requests that crash servers

What callers saw: an accepted item whose prompt has a part in quarantine was not sent until the retention of its job passed, and was then given up; crashes under four items put a part into quarantine, so that online requests with it got 503.

Class: a protection of the servers that breaks an older promise, since it was decided for one kind of work and applied to all.

Change: crashes under items are no evidence. An item with a quarantined part runs; until one has begun at a host, one at a time (ItemTrials). After each run in a row that broke without output the pause before the next grows from 0.1 s to 30 s (retry_pause), which bounds what an item can cost if it crashes servers after all.

an_item_with_a_quarantined_part_is_still_done and crashes_under_items_are_no_evidence_against_online_requests failed before and pass; an_item_whose_prompt_crashes_servers_is_not_sent_again_and_again (at most 8 runs in about 6 s) holds with the pauses alone: 11 runs when a server that refuses connections ended the row, which it no longer does.

--- a/bamboo-gateway/src/jobs.rs
+++ b/bamboo-gateway/src/jobs.rs
@@ -2,6 +2,7 @@
 
 mod append;
 mod calls;
+mod item_trials;
 mod items;
 mod ownership;
 mod shard;
@@ -19,6 +20,7 @@
 
 use crate::store::Partition;
 
+use item_trials::ItemTrials;
 use items::RunTimeEstimator;
 pub(crate) use ownership::release_shards;
 pub(crate) use ownership::run_group_membership;
@@ -38,6 +40,7 @@
     last_reservation: Cell<u64>,
     reserved_tokens: RefCell<HashMap<String, u64>>,
     run_time_estimator: RunTimeEstimator,
+    item_trials: ItemTrials,
     last_epoch: Cell<u64>,
     config_changes: Notify,
 }
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -13,6 +13,7 @@
 use bamboo_shards::JobRecord;
 use bamboo_shards::Record;
 use bamboo_shards::ResultState;
+use bamboo_shards::retry_pause;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::Work;
 use bamboo_types::BackendServerId;
@@ -26,7 +27,6 @@
 use http::StatusCode;
 use http::header;
 use rand::RngExt;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::Gateway;
 use crate::jobs::shard::OwnedShard;
@@ -38,7 +38,6 @@
 use crate::traffic::EngineRequest;
 use crate::traffic::OpenError;
 use crate::traffic::StreamRead;
-use crate::traffic::format_suspects;
 use crate::traffic::open_stream;
 use crate::traffic::run_outcome;
 use crate::traffic::shared_part_suspects;
@@ -47,10 +46,8 @@
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Timeout between two events, after which an item is resumed on another server.
 const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(500);
-/// Delay after a failed attempt.
+/// Delay after an attempt for which no server was found.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Interval at which an item with a part in quarantine is checked again.
-const QUARANTINE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Failed attempts in a row that brought no event, after which an item begins anew if servers of another version are
 /// ready.
 const FRUITLESS_ATTEMPTS_MAX: u32 = 3;
@@ -228,7 +225,7 @@
     let request = engine_request(&gateway, &job, item);
     let mut route_missing_since = None;
     let mut fruitless_attempts = 0;
-    let mut is_held = false;
+    let mut broken_in_a_row = 0;
     loop {
         let origin = run.borrow().origin().cloned();
         let status = item_status(&gateway, &shard, &job, item, age, origin.as_ref());
@@ -253,11 +250,8 @@
                 continue;
             }
         };
-        let is_quarantined = || gateway.rejection(&request.suspects).is_some();
-        if is_quarantined() {
-            is_held = hold_item(&gateway, &job, &request, is_held).await;
-            continue;
-        }
+        let trials = &gateway.jobs.item_trials;
+        let turn = trials.wait_for_turn(&gateway, &request.suspects).await;
         let work = Work::Batch {
             due: gateway.clock.now() + due_in,
             remaining: gateway
@@ -285,9 +279,6 @@
         ) {
             return;
         }
-        if is_quarantined() {
-            continue;
-        }
         let server = slot.server.id.clone();
         let (started_at, events_before) = (gateway.clock.now(), run.borrow().event_count());
         let retention_left =
@@ -308,6 +299,15 @@
             );
         }
         let is_fruitless = run.borrow().event_count() == events_before;
+        if turn.is_some() && !is_fruitless {
+            trials.record_begun(&request.suspects);
+        }
+        drop(turn);
+        broken_in_a_row = match outcome {
+            RunOutcome::Broken if is_fruitless => broken_in_a_row + 1,
+            _ if is_fruitless => broken_in_a_row,
+            _ => 0,
+        };
         fruitless_attempts = match outcome {
             RunOutcome::Done => 0,
             RunOutcome::Cancelled | RunOutcome::Full => fruitless_attempts,
@@ -340,33 +340,12 @@
             }
             ItemAction::Retry => {
                 gateway.metrics.count_item("retried");
-                actix_rt::time::sleep(RETRY_PAUSE).await;
+                actix_rt::time::sleep(retry_pause(broken_in_a_row)).await;
             }
         }
     }
 }
 
-/// Waits until it is to be checked again whether a part of an item's prompt is in quarantine, and logs that if the item is
-/// not held yet. The item stays open until the retention of its job passes, since no server has found it impossible.
-/// Returns that it is held.
-async fn hold_item(
-    gateway: &Gateway,
-    job: &JobRecord,
-    request: &EngineRequest,
-    is_held: bool,
-) -> bool {
-    if !is_held {
-        gateway.metrics.count_item("prompt_quarantined");
-        log::info!(
-            event = "item_held", job = job.id.as_str(), item = request.id.as_str(),
-            parts = format_suspects(&request.suspects);
-            "an item is not sent: a part of its prompt crashes servers"
-        );
-    }
-    actix_rt::time::sleep(QUARANTINE_CHECK_INTERVAL).await;
-    true
-}
-
 /// Whether the service has a ready server of another version than the one that began an item.
 fn has_other_version(gateway: &Gateway, service: &str, origin: &StreamOrigin) -> bool {
     let ready = gateway
@@ -454,7 +433,7 @@
         body: Bytes::from(item.body.clone()),
         is_retryable: true,
         suspects: shared_part_suspects(&parts).collect(),
-        content: xxh3_64(item.id.as_bytes()),
+        content: None,
     }
 }
 
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -53,8 +53,8 @@
     pub(crate) is_retryable: bool,
     /// What the request has in common with others and may crash servers, the widest first.
     pub(crate) suspects: Rc<[SuspectId]>,
-    /// What identifies the request if it comes again under another identifier.
-    pub(crate) content: SuspectId,
+    /// What identifies the request if it comes again under another identifier; `None` for an item, which is no suspect.
+    pub(crate) content: Option<SuspectId>,
 }
 
 /// Why no stream was opened.
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -285,7 +285,7 @@
     let trial_request = TrialRequest {
         id: &request.id,
         suspects: &request.suspects,
-        content: request.content(),
+        content: Some(request.content()),
     };
     let mut trial = RunTrial::begin(gateway, server, trial_request);
     let exchange = exchange(&mut connection, outgoing, &gateway.server_buffers);
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -134,7 +134,7 @@
         body: request.body.clone(),
         is_retryable: is_resumable(&request),
         suspects: Rc::clone(&request.suspects),
-        content: request.content(),
+        content: Some(request.content()),
     };
     let started = start_run(
         &gateway,
--- a/bamboo-shards/src/item_run.rs
+++ b/bamboo-shards/src/item_run.rs
@@ -1,5 +1,7 @@
 //! Execution state of an item that has no result yet: its partial output and its failed attempts.
 
+use std::time::Duration;
+
 use bamboo_types::ItemIndex;
 use bamboo_types::StreamOrigin;
 
@@ -8,6 +10,29 @@
 /// Maximum size of the output of an item in bytes. A page of results holds as much.
 pub const ITEM_TEXT_MAX_BYTES: usize = 1 << 20;
 
+/// Pause after a failed attempt.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Factor by which the pause grows with each attempt in a row that broke without any output.
+const RETRY_GROWTH: u32 = 4;
+/// Longest pause.
+const RETRY_PAUSE_MAX: Duration = Duration::from_secs(30);
+/// Exponent at which the longest pause is reached.
+const RETRY_EXPONENT_MAX: u32 = 5;
+
+/// Pause before the next attempt at an item. It grows while its servers break off without any output, because they may have
+/// crashed and the next ones would, too.
+///
+/// ```
+/// use bamboo_shards::retry_pause;
+/// assert_eq!(retry_pause(0), retry_pause(1));
+/// assert!(retry_pause(3) > retry_pause(2));
+/// assert_eq!(retry_pause(9), std::time::Duration::from_secs(30));
+/// ```
+pub fn retry_pause(broken_in_a_row: u32) -> Duration {
+    let exponent = broken_in_a_row.saturating_sub(1).min(RETRY_EXPONENT_MAX);
+    (RETRY_PAUSE * RETRY_GROWTH.pow(exponent)).min(RETRY_PAUSE_MAX)
+}
+
 /// How one attempt at an item ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptEnd {
--- a/bamboo-shards/src/lib.rs
+++ b/bamboo-shards/src/lib.rs
@@ -18,6 +18,7 @@
 pub use item_run::ITEM_TEXT_MAX_BYTES;
 pub use item_run::ItemAction;
 pub use item_run::ItemRun;
+pub use item_run::retry_pause;
 pub use job::Job;
 pub use job::ResultPage;
 pub use record::ItemProgress;
