--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -46,7 +46,7 @@
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Timeout between two events, after which an item is resumed on another server.
 const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(500);
-/// Delay after an attempt for which no server was found.
+/// Delay after an attempt that ran at no server.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Failed attempts in a row that brought no event, after which an item begins anew if servers of another version are
 /// ready.
@@ -340,7 +340,11 @@
             }
             ItemAction::Retry => {
                 gateway.metrics.count_item("retried");
-                actix_rt::time::sleep(retry_pause(broken_in_a_row)).await;
+                let pause = match outcome {
+                    RunOutcome::Broken => retry_pause(broken_in_a_row),
+                    _ => RETRY_PAUSE,
+                };
+                actix_rt::time::sleep(pause).await;
             }
         }
     }
