fix(gateway): a stopping host rejects a request whose run would begin too late

Cause: a request waited for a slot until its own deadline, whatever the host had left. A run now begins only in the first 0.6 of the grace period (4.8 of 8 s, 2 s before the exit), and the coordinator is told so as the time at which the slot request expires; then the request is rejected as not run, and its caller goes to another host. Plain requests wait for the limit of a server no longer either.

Ruled out: to take no requests after SIGTERM, since the balancer sends some for 3 s.

--- a/bamboo-coordination/src/lib.rs
+++ b/bamboo-coordination/src/lib.rs
@@ -27,6 +27,7 @@
 pub use reports::ReservationOutcome;
 pub use shutdown::ShutdownState;
 pub use shutdown::ShutdownStep;
+pub use shutdown::last_run_start;
 pub use shutdown::next_shutdown_step;
 pub use startup::StartupStep;
 pub use startup::next_startup_step;
--- a/bamboo-coordination/src/shutdown.rs
+++ b/bamboo-coordination/src/shutdown.rs
@@ -8,6 +8,8 @@
 /// Share of the grace period after which the host no longer waits until its shards are released. Their membership
 /// lapses on its own.
 const RELEASE_SHARE: f64 = 0.6;
+/// Share of the grace period after which no run begins, since it might not be complete before the process exits.
+const LAST_START_SHARE: f64 = 0.6;
 /// Share of the grace period after which the process exits even if requests are still open.
 const DRAIN_SHARE: f64 = 0.85;
 
@@ -35,6 +37,18 @@
     Exit,
 }
 
+/// Time since the begin of a shutdown after which no run of a caller's request begins. A request that still waits then is to
+/// be rejected, so that its caller goes to another host.
+///
+/// ```
+/// use std::time::Duration;
+/// let grace = Duration::from_secs(8);
+/// assert!(bamboo_coordination::last_run_start(grace) < Duration::from_secs(5));
+/// ```
+pub fn last_run_start(grace: Duration) -> Duration {
+    grace.mul_f64(LAST_START_SHARE)
+}
+
 /// Chooses the next step of a shutdown.
 ///
 /// ```
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use bamboo_coordination::HostInfo;
 use bamboo_coordination::Reports;
 use bamboo_coordination::StreamOrigins;
+use bamboo_coordination::last_run_start;
 use bamboo_fleet::BufferBudget;
 use bamboo_fleet::Directory;
 use bamboo_fleet::FleetConfig;
@@ -153,6 +154,7 @@
     pub(crate) jobs: JobShards,
     pub(crate) metrics: Metrics,
     pub(crate) phase: watch::Sender<Phase>,
+    stop_began_at: Cell<Option<Duration>>,
     is_config_fetch_pending: Cell<bool>,
     config_fetches: mpsc::UnboundedSender<HostId>,
     open_requests: Cell<usize>,
@@ -217,6 +219,7 @@
             jobs: JobShards::default(),
             metrics,
             phase,
+            stop_began_at: Cell::new(None),
             is_config_fetch_pending: Cell::new(false),
             config_fetches,
             open_requests: Cell::new(0),
@@ -280,6 +283,12 @@
         !self.is_stopping() && self.config.borrow().is_some() && self.jobs.has_joined()
     }
 
+    /// When a run of a caller's request must have begun, if this host stops.
+    pub(crate) fn runs_begin_until(&self) -> Option<Duration> {
+        let began_at = self.stop_began_at.get()?;
+        Some(began_at + last_run_start(self.settings.stop_grace()))
+    }
+
     /// The current configuration.
     pub(crate) fn config(&self) -> Option<Rc<FleetConfig>> {
         self.config.borrow().clone()
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -62,6 +62,7 @@
 
     /// Begins the shutdown of this host, and hands the role of the coordinator over to another host.
     pub(crate) fn begin_stop(&self) {
+        self.stop_began_at.set(Some(self.clock.now()));
         self.phase.send_replace(Phase::Stopping);
         self.coordination.borrow_mut().mark_leaving(&self.local);
         self.tick();
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -237,7 +237,8 @@
         .target_latency
         .mul_f64(1.0 - ATTEMPT_TIMEOUT_SHARE);
     let send_by = (request.arrived_at + on_time_for).saturating_sub(request.waited);
-    let max_wait = send_by.saturating_sub(gateway.clock.now());
+    let until = gateway.runs_begin_until().unwrap_or(Duration::MAX);
+    let max_wait = send_by.min(until).saturating_sub(gateway.clock.now());
     let permit = gateway.request_permit(&request.service, excluded, max_wait);
     match (permit.await, unlimited) {
         (Some(Permit::Granted { server, wait }), _) => {
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -255,9 +255,16 @@
         if now >= request.deadline {
             return Err(RunError::TimedOut);
         }
+        let until = gateway.runs_begin_until().unwrap_or(Duration::MAX);
+        if now >= until {
+            return Err(match attempts.may_have_run {
+                true => RunError::Unknown,
+                false => RunError::Refused(GRANT_TIMEOUT_RETRY_AFTER, "stopping"),
+            });
+        }
         let work = Work::Online {
             start_by,
-            expires_at: request.deadline,
+            expires_at: request.deadline.min(until),
         };
         let (excluded, version) = (attempts.excluded.clone(), attempts.version.as_ref());
         let acquired = acquire_slot(gateway, &request.service, work, excluded, version).await;
