refactor(gateway): the quarantine of a host has a module of its own

crashes.rs observes and weighs crashes; quarantine.rs shares the verdicts with other hosts and keeps them in the store. No change of behaviour.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 mod leaving;
 mod limits;
 mod peers;
+mod quarantine;
 mod server_reports;
 mod servers;
 mod store_calls;
--- a/bamboo-gateway/src/gateway/server_reports.rs
+++ b/bamboo-gateway/src/gateway/server_reports.rs
@@ -28,6 +28,6 @@
         let now = self.clock.now();
         self.send_limits(&coordinator.host, now);
         self.send_leaving(&coordinator.host);
-        self.send_prompt_reports(&coordinator.host, now);
+        self.send_crash_reports(&coordinator.host, now);
     }
 }
