fix(quarantine): one crash puts a request of changing callers back after its quarantine

What callers have in common needs two contents to be convicted, also on probation, so that a second server ended each time. The test failed before ([] instead of the suspect). Plain requests that are rejected count in gateway_runs_total as streams do.

--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -111,6 +111,7 @@
             };
         }
         if let Some(rejection) = gateway.rejection(&request.suspects) {
+            gateway.metrics.count_run(rejection.reason);
             recorder.reason = rejection.reason;
             return match may_have_run {
                 true => recorder.finish(
--- a/bamboo-quarantine/src/suspicion.rs
+++ b/bamboo-quarantine/src/suspicion.rs
@@ -119,11 +119,18 @@
         }
         match self.kind {
             // One content alone explains the crashes.
-            SuspectKind::SharedContent if contents.len() < 2 => Vec::new(),
+            SuspectKind::SharedContent if contents.len() < 2 && !self.is_on_probation() => {
+                Vec::new()
+            }
             _ => weighed,
         }
     }
 
+    /// Whether it has crashed servers before, so that one crash suffices.
+    fn is_on_probation(&self) -> bool {
+        self.weight_needed <= CRASH_WEIGHT
+    }
+
     /// Weight of the crashes.
     pub(crate) fn weight(&self) -> usize {
         let weighed = self.weighed_crashes().into_iter();
--- a/bamboo-quarantine/tests/drawn_requests.rs
+++ b/bamboo-quarantine/tests/drawn_requests.rs
@@ -371,6 +371,26 @@
     }
 }
 
+/// Guards against a request of changing callers that ends several servers again after its quarantine.
+#[test]
+fn one_crash_puts_a_shared_content_on_probation_back() {
+    let [shared, whole] = suspects(7, "caller");
+    let mut inquiry = CrashInquiry::default();
+    let found = |suspect| SuspectEvidence {
+        suspect,
+        history: SuspectHistory::default(),
+    };
+    let evidence = CrashEvidence {
+        server: "s1".to_owned(),
+        content: whole,
+        sent_at: at(0),
+        broke_at: at(50),
+        suspects: vec![found(shared), found(whole)],
+    };
+    inquiry.record_crash(&evidence, |suspect| suspect == shared, at(60));
+    assert_eq!(inquiry.suspects(), [shared]);
+}
+
 /// Guards against a quarantine of sound requests while servers crash without any request being the cause.
 #[test_case(OtherCrashes::Mass(40); "mass crashes")]
 #[test_case(OtherCrashes::Mass(600); "mass crashes in series")]
