fix(gateway): a server that left during an outage is removed when its grace period ends, not with the next read

Cause: servers whose entries are missing after an outage get 2.2 s to renew them, but the end of that time was looked at only when a read of the entries returned, up to a second later: removed at 13.91 to 13.94 s for an outage that ended at 10.92 s. The removal now happens during the read and the pause after it.

a_deferred_removal_is_due_at_the_end_of_the_grace_period did not compile before.

--- a/bamboo-fleet/src/grace_period.rs
+++ b/bamboo-fleet/src/grace_period.rs
@@ -50,6 +50,11 @@
         is_deferred
     }
 
+    /// When servers whose removal is deferred are to be removed; `None` if there are none.
+    pub fn removals_due_at(&self) -> Option<Duration> {
+        (!self.pending_removals.is_empty()).then_some(self.grace_until)
+    }
+
     /// Removes and returns the servers that did not renew their entries within the grace period.
     pub fn take_expired(&mut self, now: Duration) -> HashSet<BackendServerId> {
         match now < self.grace_until {
--- a/bamboo-fleet/tests/fleet.rs
+++ b/bamboo-fleet/tests/fleet.rs
@@ -166,6 +166,23 @@
     assert!(!grace.defer_removal("s3", at(7_300)));
 }
 
+/// Guards against a server that has left during an outage of the store and gets requests until the next read returns, which
+/// may take another second.
+#[test]
+fn a_deferred_removal_is_due_at_the_end_of_the_grace_period() {
+    let at = Duration::from_millis;
+    let mut grace = OutageGracePeriod::default();
+    assert_eq!(grace.removals_due_at(), None);
+    grace.record_store_read(false, at(1_000));
+    grace.record_store_read(true, at(5_000));
+    assert_eq!(grace.removals_due_at(), None, "no removal is deferred");
+    assert!(grace.defer_removal("s1", at(5_000)));
+    let due_at = grace.removals_due_at().unwrap();
+    assert!(grace.take_expired(due_at - at(1)).is_empty());
+    assert_eq!(grace.take_expired(due_at).len(), 1);
+    assert_eq!(grace.removals_due_at(), None);
+}
+
 /// Guards against a server that said that it leaves and gets requests again when its entry is renewed, or lapses and returns.
 #[test]
 fn a_server_that_said_that_it_leaves_stays_out_whatever_its_entry_says() {
--- a/bamboo-gateway/src/gateway/store_calls.rs
+++ b/bamboo-gateway/src/gateway/store_calls.rs
@@ -114,7 +114,8 @@
         }
     }
 
-    async fn sleep_until(&self, until: Option<Duration>) {
+    /// Sleeps until a time, or for ever without one.
+    pub(crate) async fn sleep_until(&self, until: Option<Duration>) {
         match until {
             Some(at) => tokio::time::sleep_until(self.clock.instant(at)).await,
             None => std::future::pending().await,
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -187,7 +187,8 @@
     let mut grace_period = OutageGracePeriod::default();
     loop {
         let started = gateway.clock.now();
-        let update = reader.read(&gateway).await;
+        let update =
+            remove_expired_during(&gateway, &mut grace_period, reader.read(&gateway)).await;
         let is_ok = update.is_ok();
         grace_period.record_store_read(is_ok, gateway.clock.now());
         match update {
@@ -212,11 +213,31 @@
         if is_ok {
             gateway.servers_read(started);
         }
-        for id in grace_period.take_expired(gateway.clock.now()) {
-            remove_server(&gateway, &id, "lapsed");
-        }
         let elapsed = gateway.clock.now().saturating_sub(started);
-        actix_rt::time::sleep(SERVERS_READ_INTERVAL.saturating_sub(elapsed)).await;
+        let pause = actix_rt::time::sleep(SERVERS_READ_INTERVAL.saturating_sub(elapsed));
+        remove_expired_during(&gateway, &mut grace_period, pause).await;
+    }
+}
+
+/// Removes servers that do not renew their entries in time, until a future completes.
+async fn remove_expired_during<F>(
+    gateway: &Gateway,
+    grace_period: &mut OutageGracePeriod,
+    future: F,
+) -> F::Output
+where
+    F: Future,
+{
+    tokio::pin!(future);
+    loop {
+        tokio::select! {
+            output = &mut future => return output,
+            () = gateway.sleep_until(grace_period.removals_due_at()) => {
+                for id in grace_period.take_expired(gateway.clock.now()) {
+                    remove_server(gateway, &id, "lapsed");
+                }
+            }
+        }
     }
 }
 
