--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -221,9 +221,11 @@
             .values()
             .filter(|service| service.engine.is_some())
         {
-            let load = self.broker.borrow().load(&service.name);
+            let broker = self.broker.borrow();
+            let load = broker.load(&service.name);
+            let ejected = broker.ejected_count(&service.name, now);
             log::info!(
-                event = "load", service = service.name.as_str(), slots = load.slots,
+                event = "load", service = service.name.as_str(), slots = load.slots, ejected,
                 online_running = load.online_running, online_waiting = load.online_waiting,
                 batch_running = load.batch_running, batch_waiting = load.batch_waiting; "slot usage of a model service"
             );
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -186,6 +186,12 @@
                 server,
                 outcome,
             } => {
+                if outcome.is_failure() && self.may_log_request() {
+                    log::info!(
+                        event = "server_charged", host = sender.host.as_str(), server = server.as_deref(), outcome:?;
+                        "a host reports that a run failed"
+                    );
+                }
                 self.broker.borrow_mut().release(
                     &sender.host,
                     request,
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -427,6 +427,13 @@
         }
     }
 
+    /// Number of ready servers of a service that are ejected, or half-open after an ejection.
+    pub fn ejected_count(&self, service: &str, now: Duration) -> usize {
+        self.engines_of(service)
+            .filter(|state| state.engine.is_ready && state.health.is_suspect(now))
+            .count()
+    }
+
     /// Counts of one service without batch items. The batch queue is left out because it may be far
     /// longer.
     pub(crate) fn online_load(&self, service: &str) -> BrokerLoad {
--- a/bamboo-slots/src/request.rs
+++ b/bamboo-slots/src/request.rs
@@ -114,3 +114,17 @@
     /// The address now belongs to another server.
     Misdirected,
 }
+
+impl RunOutcome {
+    /// Whether the outcome counts against the health of the server.
+    ///
+    /// ```
+    /// assert!(bamboo_slots::RunOutcome::Silent.is_failure());
+    /// ```
+    pub fn is_failure(self) -> bool {
+        !matches!(
+            self,
+            RunOutcome::Done | RunOutcome::Cancelled | RunOutcome::Full
+        )
+    }
+}
