fix(gateway): a host that is cut off from servers reaches them through other hosts (RECOVER)

Cause: a connection to a server had one way, the direct one. Calls to the store have had others since bamboo-relay.

Change: connections are HTTP/2 CONNECT streams through other hosts where the direct way fails, so that slots, timers, resumption, deadlines and cancellation stay where they are. A tunnel goes directly to the server, so that there are no chains. Open connections are not used for further requests after a silence until any server was heard. That no host reaches a server says it is down only if one of them reaches others. Ruled out: handing whole requests to another host, which then decides on attempts and deadlines a second time.

--- a/bamboo-coordination/src/coordinator.rs
+++ b/bamboo-coordination/src/coordinator.rs
@@ -199,6 +199,12 @@
 
     /// All other hosts that are considered live.
     pub fn live_peers(&self, now: Duration) -> Vec<HostId> {
+        let infos = self.live_peer_infos(now).into_iter();
+        infos.map(|info| info.host.clone()).collect()
+    }
+
+    /// All other hosts that are considered live, with what they said of themselves.
+    pub fn live_peer_infos(&self, now: Duration) -> Vec<&HostInfo> {
         let listed: HashSet<&HostId> = self
             .cluster_map
             .hosts
@@ -212,7 +218,6 @@
         self.hosts
             .values()
             .filter(|info| info.host != self.local.host && is_live(info))
-            .map(|info| info.host.clone())
             .collect()
     }
 
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod peers;
 mod quarantine;
+mod server_connections;
 mod server_reports;
 mod servers;
 mod store_calls;
@@ -29,6 +30,7 @@
 use bamboo_fleet::Directory;
 use bamboo_fleet::FleetConfig;
 use bamboo_fleet::Server;
+use bamboo_relay::ServerPaths;
 use bamboo_relay::StorePath;
 use bamboo_slots::Broker;
 use bamboo_slots::DeadlineHistory;
@@ -50,6 +52,7 @@
 use crate::mesh::LinkFailure;
 use crate::mesh::Mesh;
 use crate::mesh::ProtocolVersion;
+use crate::mesh::Tunnels;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::slot_requests::SlotRequestTable;
@@ -148,6 +151,8 @@
     store: StoreClient,
     store_returns: watch::Sender<()>,
     store_path: RefCell<StorePath>,
+    server_paths: RefCell<ServerPaths>,
+    tunnels: Tunnels,
     servers_read: Cell<Option<ServersRead>>,
     /// Whether the store's records named all versions that servers have had; `None` until they have been read.
     versions_recalled: tokio::sync::Mutex<Option<bool>>,
@@ -214,6 +219,8 @@
             reports: RefCell::new(Reports::default()),
             protocol_versions: RefCell::default(),
             store_path: RefCell::default(),
+            server_paths: RefCell::default(),
+            tunnels: Tunnels::default(),
             servers_read: Cell::new(None),
             versions_recalled: tokio::sync::Mutex::new(None),
             servers_known: Notify::new(),
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -190,6 +190,7 @@
         self.broker.borrow_mut().limits_mut().expire(now);
         self.pool.close_idle(now);
         self.mesh.close_idle(now);
+        self.tunnels.close_idle(now);
         if let Some((host, version)) = self.reports.borrow().newest_config() {
             self.request_config_fetch(&host, version);
         }
--- /dev/null
+++ b/bamboo-gateway/src/gateway/server_connections.rs
@@ -0,0 +1,254 @@
+//! Connections to backend servers, directly or through other hosts, and what their failures say of the servers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bamboo_fleet::Server;
+use bamboo_relay::ConnectFailure;
+use bamboo_relay::ServerPath;
+use bamboo_types::BackendServerId;
+use bamboo_types::HostId;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use rand::RngExt;
+use rand::seq::IteratorRandom;
+use tokio::net::TcpStream;
+use tokio_util::either::Either;
+
+use crate::gateway::Gateway;
+use crate::mesh::TunnelError;
+use crate::mesh::TunnelStream;
+use crate::net;
+use crate::traffic::Connection;
+
+/// Number of other hosts that reach other servers and not this one, after which it is taken to be down without waiting for the
+/// ways that are still tried.
+const DOWN_REPORTS: usize = 2;
+/// Interval at which it is checked whether a direct way is due for a probe.
+const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Timeout of a probe of a direct way.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Timeout for connecting to another server, to tell a server that is down from a cut.
+const OTHER_SERVER_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// A connection to a server, directly or through another host.
+pub(crate) type ServerStream = Either<TcpStream, TunnelStream>;
+
+/// How an attempt to connect ended.
+enum StepEnd {
+    Connected(ServerStream),
+    /// The other host does not reach the server although it reaches others.
+    ServerDown,
+    /// The other host cannot tell.
+    CutOffRelay(HostId),
+    /// This host does not reach the server.
+    NotReached,
+}
+
+impl Gateway {
+    /// Connects to a server. The direct way and ways through other hosts are tried one after another, each beside those that
+    /// have not failed yet.
+    ///
+    /// # Errors
+    /// Fails if no way leads to the server in time. Nothing has been sent to it then, so a retry is safe.
+    pub(crate) async fn connect_server(
+        &self,
+        server: &Server,
+        timeout: Duration,
+    ) -> Result<ServerStream, ConnectFailure> {
+        let started = self.clock.now();
+        let relays = self.relays_for_servers(started);
+        let steps = self.server_paths.borrow().steps(
+            &server.id,
+            relays,
+            rand::rng().random_range(0..usize::MAX),
+            timeout,
+            started,
+        );
+        let (mut has_cut_off_relay, mut down_reports) = (false, 0);
+        let mut steps = steps.into_iter().peekable();
+        let mut attempts = FuturesUnordered::new();
+        let deadline = self.clock.instant(started + timeout);
+        loop {
+            let next_at = match steps.peek() {
+                Some(step) if !attempts.is_empty() => self.clock.instant(started + step.after),
+                Some(_) => self.clock.instant(started),
+                None if attempts.is_empty() => break,
+                None => deadline,
+            };
+            let ended = tokio::select! {
+                biased;
+                Some(ended) = attempts.next() => ended,
+                () = tokio::time::sleep_until(next_at.min(deadline)) => {
+                    match steps.next() {
+                        Some(step) if self.clock.now() < started + timeout => {
+                            attempts.push(self.try_path(server, step.path, timeout));
+                        }
+                        _ => break,
+                    }
+                    continue;
+                }
+            };
+            match ended {
+                StepEnd::Connected(stream) => {
+                    match &stream {
+                        Either::Left(_) => self.record_direct_connection(server),
+                        Either::Right(_) => self.record_relayed_connection(server),
+                    }
+                    return Ok(stream);
+                }
+                StepEnd::ServerDown => {
+                    down_reports += 1;
+                    if down_reports >= DOWN_REPORTS {
+                        return Err(ConnectFailure::ServerDown);
+                    }
+                }
+                StepEnd::CutOffRelay(host) => {
+                    has_cut_off_relay = true;
+                    let now = self.clock.now();
+                    self.server_paths
+                        .borrow_mut()
+                        .record_cut_off_relay(&host, now);
+                }
+                StepEnd::NotReached => {}
+            }
+        }
+        if down_reports > 0 {
+            return Err(ConnectFailure::ServerDown);
+        }
+        let now = self.clock.now();
+        let paths = self.server_paths.borrow();
+        Err(paths.failure(has_cut_off_relay, now))
+    }
+
+    async fn try_path(&self, server: &Server, path: ServerPath, timeout: Duration) -> StepEnd {
+        match path {
+            ServerPath::Direct => match net::connect(server.address, timeout).await {
+                Ok(stream) => StepEnd::Connected(Either::Left(stream)),
+                Err(error) => {
+                    log::debug!("cannot connect to server {}: {error:#}", server.id);
+                    StepEnd::NotReached
+                }
+            },
+            ServerPath::Through(host) => {
+                let (authority, now) = (server.address.to_string(), self.clock.now());
+                let opened = self.tunnels.open(&host, &server.id, &authority, now).await;
+                match opened {
+                    Ok(stream) => StepEnd::Connected(Either::Right(stream)),
+                    Err(TunnelError::ServerDown) => StepEnd::ServerDown,
+                    Err(TunnelError::NoPath) => StepEnd::CutOffRelay(host),
+                }
+            }
+        }
+    }
+
+    /// Live hosts through which servers may be reached: those of the same data centre first, in an order of this host's own,
+    /// so that the hosts that are cut off spread over the others.
+    fn relays_for_servers(&self, now: Duration) -> Vec<HostId> {
+        let coordination = self.coordination.borrow();
+        let mut hosts = coordination.live_peer_infos(now);
+        hosts.sort_by_cached_key(|info| {
+            let is_remote = info.data_centre != self.local.data_centre;
+            let weight = bamboo_types::rendezvous_weight(&info.host, &self.local.host);
+            (is_remote, weight)
+        });
+        hosts.into_iter().map(|info| info.host.clone()).collect()
+    }
+
+    /// Records a direct connection to a server.
+    pub(crate) fn record_direct_connection(&self, server: &Server) {
+        let now = self.clock.now();
+        let is_regained = self
+            .server_paths
+            .borrow_mut()
+            .record_direct(&server.id, now);
+        if is_regained {
+            log::info!(event = "servers_regained", server = server.id.as_str(); "this host reaches servers itself again");
+        }
+    }
+
+    fn record_relayed_connection(&self, server: &Server) {
+        let now = self.clock.now();
+        self.metrics.count_run("relayed");
+        let is_cut_off = self
+            .server_paths
+            .borrow_mut()
+            .record_relayed(&server.id, now);
+        if is_cut_off {
+            log::warn!(event = "servers_lost", server = server.id.as_str(); "only other hosts reach the servers; connecting through them");
+            if !self.server_paths.borrow().trusts_open_connections() {
+                self.pool.clear();
+            }
+        }
+    }
+
+    /// Whether this host reaches other servers than one that it does not reach, so that the server is down rather than this
+    /// host cut off. Without recent traffic, one other server is tried.
+    pub(crate) async fn reaches_other_servers(&self, unreached: &Server) -> bool {
+        if self.server_paths.borrow().can_judge(self.clock.now()) {
+            return true;
+        }
+        let other = {
+            let directory = self.directory.borrow();
+            let others = directory.iter().filter(|server| server.id != unreached.id);
+            others.choose(&mut rand::rng()).cloned()
+        };
+        let Some(other) = other else {
+            return false;
+        };
+        let is_reached = net::connect(other.address, OTHER_SERVER_TIMEOUT)
+            .await
+            .is_ok();
+        if is_reached {
+            self.record_direct_connection(&other);
+        }
+        is_reached
+    }
+
+    /// Takes an idle connection to a server, if there is one and open connections are trusted.
+    pub(crate) fn take_idle_connection(&self, server: &Server) -> Option<Connection> {
+        if !self.server_paths.borrow().trusts_open_connections() {
+            return None;
+        }
+        let now = self.clock.now();
+        self.pool.take_idle(&server.id, server.address, now)
+    }
+
+    /// Records bytes that arrived from a server.
+    pub(crate) fn record_heard(&self, connection: &Connection) {
+        if connection.is_direct {
+            let now = self.clock.now();
+            self.server_paths.borrow_mut().record_heard(now);
+        }
+    }
+
+    /// Records that a server was silent for far longer than usual.
+    pub(crate) fn record_silence(&self, connection: &Connection) {
+        if connection.is_direct {
+            let now = self.clock.now();
+            self.server_paths.borrow_mut().record_silence(now);
+        }
+    }
+
+    /// Probes the direct ways while other hosts are used instead. Runs until the process ends.
+    pub(crate) async fn probe_servers(self: Rc<Self>) {
+        loop {
+            actix_rt::time::sleep(PROBE_POLL_INTERVAL).await;
+            let due: Option<BackendServerId> =
+                self.server_paths.borrow_mut().due_probe(self.clock.now());
+            let Some(server) = due.and_then(|id| self.directory.borrow().get(&id).cloned()) else {
+                continue;
+            };
+            let gateway = Rc::clone(&self);
+            actix_rt::spawn(async move {
+                match net::connect(server.address, PROBE_TIMEOUT).await {
+                    Ok(_) => gateway.record_direct_connection(&server),
+                    Err(error) => {
+                        log::debug!("server {} is not reached directly: {error:#}", server.id)
+                    }
+                }
+            });
+        }
+    }
+}
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod link;
 mod message;
+mod tunnel;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -21,6 +22,9 @@
 pub(crate) use message::PeerReply;
 pub(crate) use message::PeerRequest;
 pub(crate) use message::SlotRequestInfo;
+pub(crate) use tunnel::TunnelError;
+pub(crate) use tunnel::TunnelStream;
+pub(crate) use tunnel::Tunnels;
 
 use crate::metrics::PeerBytes;
 
--- a/bamboo-gateway/src/mesh/accept.rs
+++ b/bamboo-gateway/src/mesh/accept.rs
@@ -18,6 +18,8 @@
 use crate::mesh::link::FLOW_WINDOW_BYTES;
 use crate::mesh::link::LENGTH_PREFIX_BYTES;
 use crate::mesh::protocol_version;
+use crate::mesh::tunnel::is_tunnel;
+use crate::mesh::tunnel::serve_tunnel;
 use crate::net;
 
 /// Maximum size of a frame in bytes. The largest message is a job submission.
@@ -54,6 +56,15 @@
         .await?;
     while let Some(accepted) = connection.accept().await {
         let (request, _respond) = accepted?;
+        if is_tunnel(&request) {
+            let gateway = Rc::clone(&gateway);
+            actix_rt::spawn(async move {
+                if let Err(error) = serve_tunnel(gateway, request, _respond).await {
+                    log::debug!("tunnel for another host failed: {error:#}");
+                }
+            });
+            continue;
+        }
         let path = request.uri().path();
         let version = protocol_version(path).with_context(|| format!("unknown path {path}"))?;
         let gateway = Rc::clone(&gateway);
--- a/bamboo-gateway/src/metrics.rs
+++ b/bamboo-gateway/src/metrics.rs
@@ -114,6 +114,8 @@
     pub peer_bytes: PeerBytes,
     /// Bytes of servers' response bodies, by whether the server is in another data centre.
     pub server_bytes: Family<KindLabel, Counter>,
+    /// Tunnels that led other hosts to servers.
+    pub tunnels: Counter,
     /// Requests sent to the store.
     pub store_calls: Gauge,
     /// Requests to the store that failed.
@@ -140,6 +142,7 @@
             store: StoreMetrics::default(),
             peer_bytes: Family::default(),
             server_bytes: Family::default(),
+            tunnels: Counter::default(),
             store_calls: Gauge::default(),
             store_failures: Gauge::default(),
             partitions: Gauge::default(),
@@ -189,6 +192,11 @@
             "Bytes of servers' answers, from the same data centre and from others",
             metrics.server_bytes.clone(),
         );
+        registry.register(
+            "tunnels",
+            "Tunnels that led other hosts to servers",
+            metrics.tunnels.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls of the store",
--- a/bamboo-gateway/src/run.rs
+++ b/bamboo-gateway/src/run.rs
@@ -68,6 +68,7 @@
     supervisor.spawn("watch_config", watch_config(Rc::clone(&gateway)));
     supervisor.spawn("watch_servers", watch_servers(Rc::clone(&gateway)));
     supervisor.spawn("probe_store", Rc::clone(&gateway).probe_store());
+    supervisor.spawn("probe_servers", Rc::clone(&gateway).probe_servers());
     supervisor.spawn("heartbeats", Rc::clone(&gateway).tick_forever());
     supervisor.spawn("due_grants", Rc::clone(&gateway).run_due_grants());
     supervisor.spawn("crash_inquiry", Rc::clone(&gateway).examine_suspects());
--- a/bamboo-gateway/src/slot_requests.rs
+++ b/bamboo-gateway/src/slot_requests.rs
@@ -165,7 +165,7 @@
         let message = PeerMessage::Release {
             request: self.id,
             server,
-            outcome: self.outcome.get(),
+            outcome: self.outcome.get().told(),
         };
         self.gateway.send_to_coordinator(message);
     }
--- a/bamboo-gateway/src/traffic.rs
+++ b/bamboo-gateway/src/traffic.rs
@@ -21,6 +21,7 @@
 pub(crate) use engine_run::StreamRead;
 pub(crate) use engine_run::open_stream;
 pub(crate) use load_balancer::LoadBalancer;
+pub(crate) use pool::Connection;
 pub(crate) use pool::ServerPool;
 pub(crate) use request::shared_part_suspects;
 pub(crate) use response::run_outcome;
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -27,6 +27,7 @@
 use crate::gateway::Gateway;
 use crate::traffic::buffered_body::read_whole_body;
 use crate::traffic::pool::Connection;
+use crate::traffic::pool::connect_outcome;
 use crate::traffic::response::belongs_to_request;
 use crate::traffic::response::observe_statements;
 use crate::traffic::run_trial::RunTrial;
@@ -112,18 +113,15 @@
     let started = gateway.clock.now();
     let pooled = request
         .is_retryable
-        .then(|| gateway.pool.take_idle(&server.id, server.address, started))
+        .then(|| gateway.take_idle_connection(server))
         .flatten();
     let mut connection = match pooled {
         Some(connection) => connection,
         None => gateway
             .pool
-            .connect(&server.id, server.address)
+            .connect(gateway, server)
             .await
-            .map_err(|error| {
-                log::debug!("cannot connect to server {}: {error:#}", server.id);
-                OpenError::NotRun(RunOutcome::Unreachable)
-            })?,
+            .map_err(|failure| OpenError::NotRun(connect_outcome(failure)))?,
     };
     let mut headers = request.headers.clone();
     if let Ok(id) = HeaderValue::from_str(&server.id) {
@@ -167,8 +165,12 @@
             trial.run_broke();
             return Err(OpenError::Failed(RunOutcome::Broken));
         }
-        Err(_) => return Err(OpenError::Failed(RunOutcome::Silent)),
+        Err(_) => {
+            gateway.record_silence(&connection);
+            return Err(OpenError::Failed(RunOutcome::Silent));
+        }
     };
+    gateway.record_heard(&connection);
     let (head, body) = response.into_parts();
     if !belongs_to_request(gateway, &request.id, &head, connection.is_reused) {
         return Err(OpenError::Failed(RunOutcome::Broken));
@@ -275,6 +277,7 @@
             .silence
             .get_or_insert_with(|| SilenceTimer::start(now, idle_timeout, deadline));
         let SilenceCheck::Wait(wait) = silence.check(now) else {
+            gateway.record_silence(&self.connection);
             return Some(StreamRead::Silent);
         };
         let frame = match tokio::time::timeout(wait, self.body.frame()).await {
@@ -285,6 +288,7 @@
         match frame {
             Some(Ok(frame)) => {
                 let data = frame.data_ref()?;
+                gateway.record_heard(&self.connection);
                 let metrics = &gateway.metrics;
                 metrics.count_server_bytes(self.is_remote, data.len());
                 match self.decoder.push(data) {
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -23,6 +23,7 @@
 use crate::response_body::ResponseBody;
 use crate::traffic::buffered_body::read_whole_body;
 use crate::traffic::pool::Connection;
+use crate::traffic::pool::connect_outcome;
 use crate::traffic::request::CallerRequest;
 use crate::traffic::request::end_to_end_headers;
 use crate::traffic::response::belongs_to_request;
@@ -269,16 +270,13 @@
     // A request that must not be retried gets a new connection, so that bytes left over from an earlier response cannot
     // affect it.
     let pooled = is_idempotent
-        .then(|| gateway.pool.take_idle(&server.id, server.address, now))
+        .then(|| gateway.take_idle_connection(server))
         .flatten();
     let mut connection = match pooled {
         Some(connection) => connection,
-        None => match gateway.pool.connect(&server.id, server.address).await {
+        None => match gateway.pool.connect(gateway, server).await {
             Ok(connection) => connection,
-            Err(error) => {
-                log::debug!("cannot connect to server {}: {error:#}", server.id);
-                return Attempt::NotRun(RunOutcome::Unreachable);
-            }
+            Err(failure) => return Attempt::NotRun(connect_outcome(failure)),
         },
     };
     let Some(outgoing) = build_request(gateway, request, server, remaining) else {
@@ -293,6 +291,7 @@
     let exchange = exchange(&mut connection, outgoing, &gateway.server_buffers);
     match tokio::time::timeout(attempt_timeout, exchange).await {
         Ok(Ok((head, bytes))) => {
+            gateway.record_heard(&connection);
             let attempt = classify_response(gateway, request, server, now, connection, head, bytes);
             if matches!(attempt, Attempt::Answered(..)) {
                 trial.answered();
@@ -308,7 +307,10 @@
             trial.run_broke();
             Attempt::Failed(RunOutcome::Broken)
         }
-        Err(_) => Attempt::Failed(RunOutcome::Silent),
+        Err(_) => {
+            gateway.record_silence(&connection);
+            Attempt::Failed(RunOutcome::Silent)
+        }
     }
 }
 
--- a/bamboo-gateway/src/traffic/pool.rs
+++ b/bamboo-gateway/src/traffic/pool.rs
@@ -5,14 +5,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bamboo_fleet::Server;
+use bamboo_relay::ConnectFailure;
+use bamboo_slots::RunOutcome;
 use bamboo_types::BackendServerId;
 use bytes::Bytes;
 use http::HeaderMap;
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use tokio_util::either::Either;
 
-use crate::net;
+use crate::gateway::Gateway;
 use crate::task::OwnedTask;
 
 /// Timeout for connecting: several round trips between data centres, with a margin for a loaded host.
@@ -32,6 +36,8 @@
     pub(crate) sender: http1::SendRequest<Full<Bytes>>,
     /// Whether an earlier request used the connection, so that a late copy of its response may still arrive.
     pub(crate) is_reused: bool,
+    /// Whether it leads to the server without another host.
+    pub(crate) is_direct: bool,
     server: BackendServerId,
     address: SocketAddr,
     _task: OwnedTask,
@@ -76,14 +82,22 @@
     /// Fails if the connection cannot be established. Nothing has been sent then, so a retry is safe.
     pub(crate) async fn connect(
         &self,
-        server: &str,
-        address: SocketAddr,
-    ) -> anyhow::Result<Connection> {
-        let stream = net::connect(address, CONNECT_TIMEOUT).await?;
+        gateway: &Gateway,
+        server: &Server,
+    ) -> Result<Connection, ConnectFailure> {
+        let stream = gateway.connect_server(server, CONNECT_TIMEOUT).await?;
+        let is_direct = matches!(stream, Either::Left(_));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(HEAD_MAX_BYTES)
             .handshake(TokioIo::new(stream))
-            .await?;
+            .await
+            .map_err(|error| {
+                log::debug!(
+                    "no HTTP over the connection to server {}: {error}",
+                    server.id
+                );
+                ConnectFailure::ServerDown
+            })?;
         let task = OwnedTask::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to a server failed: {error}");
@@ -92,8 +106,9 @@
         Ok(Connection {
             sender,
             is_reused: false,
-            server: server.to_owned(),
-            address,
+            is_direct,
+            server: server.id.clone(),
+            address: server.address,
             _task: task,
         })
     }
@@ -114,6 +129,11 @@
         }
     }
 
+    /// Closes all idle connections.
+    pub(crate) fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes connections whose idle timeout has passed.
     pub(crate) fn close_idle(&self, now: Duration) {
         self.idle.borrow_mut().retain(|_, connections| {
@@ -123,6 +143,14 @@
     }
 }
 
+/// How a run ended that could not begin because its server was not reached.
+pub(crate) fn connect_outcome(failure: ConnectFailure) -> RunOutcome {
+    match failure {
+        ConnectFailure::ServerDown => RunOutcome::Unreachable,
+        ConnectFailure::NoPath => RunOutcome::NoPath,
+    }
+}
+
 /// How long a connection may stay idle before reuse, by the response headers; `None` if it must not be reused.
 fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = |name| {
--- a/bamboo-relay/src/lib.rs
+++ b/bamboo-relay/src/lib.rs
@@ -1,11 +1,12 @@
-//! Decides whether a call to the store goes directly or is relayed by another host, and when a read is sent again whose
-//! response may have been lost. Performs no I/O.
+//! Decides whether a call to the store and a connection to a server go directly or through another host, and when a read is
+//! sent again whose response may have been lost. Performs no I/O.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
 mod call;
 mod path;
 mod poll_watch;
+mod server_paths;
 
 pub use call::AttemptOutcome;
 pub use call::DirectTimeout;
@@ -16,3 +17,7 @@
 pub use poll_watch::LONG_POLL_MAX;
 pub use poll_watch::PollStep;
 pub use poll_watch::PollWatch;
+pub use server_paths::ConnectFailure;
+pub use server_paths::ConnectStep;
+pub use server_paths::ServerPath;
+pub use server_paths::ServerPaths;
--- a/bamboo-slots/src/health.rs
+++ b/bamboo-slots/src/health.rs
@@ -59,7 +59,7 @@
                 self.ejections = 0;
                 self.is_half_open = false;
             }
-            RunOutcome::Cancelled | RunOutcome::Full => {}
+            RunOutcome::Cancelled | RunOutcome::Full | RunOutcome::NoPath => {}
             RunOutcome::Unreachable | RunOutcome::Misdirected => {
                 self.add_penalty(UNREACHABLE_PENALTY, now)
             }
--- a/bamboo-slots/src/request.rs
+++ b/bamboo-slots/src/request.rs
@@ -113,9 +113,24 @@
     Broken,
     /// The address now belongs to another server.
     Misdirected,
+    /// The host reaches no server. Says nothing about this one, and is told to other hosts as [`RunOutcome::Cancelled`].
+    NoPath,
 }
 
 impl RunOutcome {
+    /// The outcome as another host is told of it.
+    ///
+    /// ```
+    /// use bamboo_slots::RunOutcome;
+    /// assert_eq!(RunOutcome::NoPath.told(), RunOutcome::Cancelled);
+    /// ```
+    pub fn told(self) -> RunOutcome {
+        match self {
+            RunOutcome::NoPath => RunOutcome::Cancelled,
+            outcome => outcome,
+        }
+    }
+
     /// Whether the outcome counts against the health of the server.
     ///
     /// ```
@@ -124,7 +139,7 @@
     pub fn is_failure(self) -> bool {
         !matches!(
             self,
-            RunOutcome::Done | RunOutcome::Cancelled | RunOutcome::Full
+            RunOutcome::Done | RunOutcome::Cancelled | RunOutcome::Full | RunOutcome::NoPath
         )
     }
 }
