fix(gateway): a failure of the way to a server is not charged to the server (RECOVER)

Cause: the coordinator rates servers by the outcomes that any host reports. One Unreachable ejects a server for all hosts, two Silent or four Broken do. With seven hosts cut off, 15 to 18 of 18 engines were ejected throughout the cut (log line load), and of 276 charges 275 were of hosts that were cut off (server_charged). A fact about a way was taken for one about a server.

Change: a run that broke, or fell silent while no other server was heard, is charged only after a check: at once if this host connects to the server, as Unreachable if hosts that reach others do not, not at all if only other hosts reach it. Runs that fail together share the check. The slot is released before. Plain services are charged in the same way. Ruled out: slots held by hosts that cannot use them (7 to 37 of 144 ran).

Test: a_cut_is_not_charged_to_the_servers failed before in both cases (Silent, Broken).

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -62,6 +62,7 @@
 
 use crashes::CrashState;
 pub(crate) use crashes::Rejection;
+use server_connections::ServerChecks;
 use servers::ServersRead;
 pub(crate) use streams::OriginAnswer;
 
@@ -152,6 +153,7 @@
     store_returns: watch::Sender<()>,
     store_path: RefCell<StorePath>,
     server_paths: RefCell<ServerPaths>,
+    server_checks: RefCell<ServerChecks>,
     tunnels: Tunnels,
     servers_read: Cell<Option<ServersRead>>,
     /// Whether the store's records named all versions that servers have had; `None` until they have been read.
@@ -220,6 +222,7 @@
             protocol_versions: RefCell::default(),
             store_path: RefCell::default(),
             server_paths: RefCell::default(),
+            server_checks: RefCell::default(),
             tunnels: Tunnels::default(),
             servers_read: Cell::new(None),
             versions_recalled: tokio::sync::Mutex::new(None),
--- a/bamboo-gateway/src/gateway/server_connections.rs
+++ b/bamboo-gateway/src/gateway/server_connections.rs
@@ -1,14 +1,19 @@
 //! Connections to backend servers, directly or through other hosts, and what their failures say of the servers.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bamboo_fleet::Server;
 use bamboo_relay::ConnectFailure;
 use bamboo_relay::ServerPath;
+use bamboo_slots::RunOutcome;
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
+use futures_util::FutureExt;
 use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
+use futures_util::future::Shared;
 use futures_util::stream::FuturesUnordered;
 use rand::RngExt;
 use rand::seq::IteratorRandom;
@@ -26,6 +31,8 @@
 const DOWN_REPORTS: usize = 2;
 /// Interval at which it is checked whether a direct way is due for a probe.
 const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Timeout for connecting to a server at which a run failed.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout of a probe of a direct way.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -35,6 +42,23 @@
 /// A connection to a server, directly or through another host.
 pub(crate) type ServerStream = Either<TcpStream, TunnelStream>;
 
+/// What a check of a server found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ServerCheck {
+    /// This host reaches it.
+    Reached,
+    /// Only other hosts reach it.
+    ReachedByOthers,
+    /// Hosts that reach other servers do not reach it.
+    Down,
+    /// No host is known that could tell.
+    NoPath,
+}
+
+/// Checks in progress, by server. Runs that fail at the same time share one.
+pub(super) type ServerChecks =
+    HashMap<BackendServerId, Shared<LocalBoxFuture<'static, ServerCheck>>>;
+
 /// How an attempt to connect ended.
 enum StepEnd {
     Connected(ServerStream),
@@ -143,6 +167,63 @@
         }
     }
 
+    /// Finds out who reaches a server, after a run at it has failed.
+    pub(crate) async fn check_server(self: &Rc<Self>, server: &Rc<Server>) -> ServerCheck {
+        let running = self.server_checks.borrow().get(&server.id).cloned();
+        let check = running.unwrap_or_else(|| {
+            let (gateway, checked) = (Rc::clone(self), Rc::clone(server));
+            let check = async move {
+                let connected = gateway.connect_server(&checked, CHECK_TIMEOUT).await;
+                gateway.server_checks.borrow_mut().remove(&checked.id);
+                match connected {
+                    Ok(Either::Left(_)) => ServerCheck::Reached,
+                    Ok(Either::Right(_)) => ServerCheck::ReachedByOthers,
+                    Err(ConnectFailure::ServerDown) => ServerCheck::Down,
+                    Err(ConnectFailure::NoPath) => ServerCheck::NoPath,
+                }
+            };
+            let check = check.boxed_local().shared();
+            self.server_checks
+                .borrow_mut()
+                .insert(server.id.clone(), check.clone());
+            check
+        });
+        check.await
+    }
+
+    /// Charges the outcome of a run to its server by `charge`: at once, or once it is known that the failure is the server's own
+    /// rather than one of the way to it.
+    pub(crate) fn charge_run<F>(
+        self: &Rc<Self>,
+        server: &Rc<Server>,
+        outcome: RunOutcome,
+        charge: F,
+    ) where
+        F: FnOnce(&Rc<Self>, RunOutcome) + 'static,
+    {
+        let is_own_failure = match outcome {
+            RunOutcome::Silent => {
+                let now = self.clock.now();
+                self.server_paths.borrow().has_heard_recently(now)
+            }
+            // With a reset, the last bytes of all servers are recent.
+            RunOutcome::Broken => false,
+            _ => true,
+        };
+        if is_own_failure {
+            return charge(self, outcome);
+        }
+        let (gateway, server) = (Rc::clone(self), Rc::clone(server));
+        actix_rt::spawn(async move {
+            let outcome = match gateway.check_server(&server).await {
+                ServerCheck::Reached => outcome,
+                ServerCheck::Down => RunOutcome::Unreachable,
+                ServerCheck::ReachedByOthers | ServerCheck::NoPath => RunOutcome::NoPath,
+            };
+            charge(&gateway, outcome);
+        });
+    }
+
     /// Live hosts through which servers may be reached: those of the same data centre first, in an order of this host's own,
     /// so that the hosts that are cut off spread over the others.
     fn relays_for_servers(&self, now: Duration) -> Vec<HostId> {
--- a/bamboo-gateway/src/slot_requests.rs
+++ b/bamboo-gateway/src/slot_requests.rs
@@ -23,6 +23,8 @@
 /// Timeout for the coordinator's first reply to an online request. A round trip between data centres takes 3 ms; the
 /// rest allows for a loaded host. It is a fifth of the latency target for the first event.
 const DECISION_TIMEOUT: Duration = Duration::from_millis(60);
+/// Identifier that no slot request has.
+const NO_REQUEST: SlotRequestId = 0;
 /// Capacity of the queue of decisions for one request.
 const DECISION_QUEUE_LEN: usize = 4;
 
@@ -140,9 +142,30 @@
 }
 
 impl Slot {
-    /// Sets how the run ended. The coordinator gets the outcome with the release, and rates the server's health by it.
+    /// Sets how the run ended. The coordinator gets the outcome with the release, and rates the server's health by it; that of a
+    /// failure which may be one of the way to the server follows once the server has been checked.
     pub(crate) fn set_outcome(&self, outcome: RunOutcome) {
-        self.request.outcome.set(outcome);
+        match outcome {
+            RunOutcome::Silent | RunOutcome::Broken => {
+                let server = self.server.id.clone();
+                let gateway = &self.request.gateway;
+                gateway.charge_run(&self.server, outcome, move |gateway, outcome| {
+                    charge_server(gateway, server, outcome);
+                });
+            }
+            outcome => self.request.outcome.set(outcome),
+        }
+    }
+}
+
+/// Tells the coordinator of the failure of a run whose slot is released already.
+fn charge_server(gateway: &Gateway, server: BackendServerId, outcome: RunOutcome) {
+    if outcome.is_failure() {
+        gateway.send_to_coordinator(PeerMessage::Release {
+            request: NO_REQUEST,
+            server: Some(server),
+            outcome,
+        });
     }
 }
 
--- a/bamboo-gateway/src/traffic/load_balancer.rs
+++ b/bamboo-gateway/src/traffic/load_balancer.rs
@@ -77,6 +77,13 @@
         }
     }
 
+    /// Records the outcome of a run that has ended before.
+    pub(crate) fn charge(&mut self, server: &str, outcome: RunOutcome, now: Duration) {
+        if let Some(stats) = self.stats.get_mut(server) {
+            stats.health.record(outcome, now, now);
+        }
+    }
+
     /// Removes the load and health of a server.
     pub(crate) fn remove(&mut self, server: &str) {
         self.stats.remove(server);
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -59,14 +59,25 @@
 
 /// Counts a run at the load balancer, and reports its outcome on drop.
 struct RunGuard<'a> {
-    gateway: &'a Gateway,
+    gateway: &'a Rc<Gateway>,
     server: BackendServerId,
     started_at: Duration,
     outcome: RunOutcome,
 }
 
 impl<'a> RunGuard<'a> {
-    fn begin(gateway: &'a Gateway, server: &str) -> Self {
+    /// Charges a failure to the server, unless it is one of the way to it.
+    fn fail(&self, server: &Rc<Server>, outcome: RunOutcome) {
+        let server_id = server.id.clone();
+        self.gateway
+            .charge_run(server, outcome, move |gateway, outcome| {
+                let now = gateway.clock.now();
+                let mut load_balancer = gateway.load_balancer.borrow_mut();
+                load_balancer.charge(&server_id, outcome, now);
+            });
+    }
+
+    fn begin(gateway: &'a Rc<Gateway>, server: &str) -> Self {
         gateway.load_balancer.borrow_mut().run_started(server);
         RunGuard {
             gateway,
@@ -186,7 +197,7 @@
                 }
             }
             Attempt::Failed(outcome) => {
-                run.outcome = outcome;
+                run.fail(&server, outcome);
                 may_have_run = true;
                 log::info!(
                     event = "run_failed", request = request.id.as_str(), server = server.id.as_str(),
