fix(quarantine): a run that breaks with the way to its server is no crash of the server (RECOVER)

A sound request whose runs broke at hosts that were cut off counted as one that crashes servers: the host could not connect to the server and reported a crash; the coordinator tried the servers of the service by its own ways before a verdict. Three such hosts are three crashes under one content.

Both now ask the hosts that reach other servers (check_server).

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -62,6 +62,7 @@
 
 use crashes::CrashState;
 pub(crate) use crashes::Rejection;
+pub(crate) use server_connections::ServerCheck;
 use server_connections::ServerChecks;
 use servers::ServersRead;
 pub(crate) use streams::OriginAnswer;
--- a/bamboo-gateway/src/gateway/crashes.rs
+++ b/bamboo-gateway/src/gateway/crashes.rs
@@ -23,6 +23,7 @@
 use bamboo_quarantine::SuspectKind;
 use bamboo_quarantine::SuspectReport;
 use bamboo_quarantine::suspect_kind;
+use bamboo_relay::ConnectFailure;
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
 use futures_util::StreamExt;
@@ -38,7 +39,6 @@
 use crate::mesh::PeerReply;
 use crate::mesh::PeerRequest;
 use crate::mesh::SERVER_REPORTS_SINCE;
-use crate::net;
 use crate::traffic::BrokenRun;
 
 /// Timeout for asking other hosts for their history of suspects. They reply within a few milliseconds; a host that is
@@ -211,7 +211,7 @@
     pub(crate) async fn server_crashed(self: &Rc<Self>, run: &BrokenRun) {
         let now = self.clock.now();
         let evidence = CrashEvidence {
-            server: run.server.clone(),
+            server: run.server.id.clone(),
             content: run.content,
             sent_at: run.sent_at,
             broke_at: run.broke_at,
@@ -356,8 +356,9 @@
         let checks: FuturesUnordered<_> = servers
             .iter()
             .map(|server| async {
-                let connected = net::connect(server.address, SERVER_CHECK_TIMEOUT).await;
-                connected.is_err().then(|| server.id.clone())
+                let connected = self.connect_server(server, SERVER_CHECK_TIMEOUT).await;
+                let is_down = connected.err() == Some(ConnectFailure::ServerDown);
+                is_down.then(|| server.id.clone())
             })
             .collect();
         checks.filter_map(std::future::ready).collect().await
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -103,7 +103,7 @@
 /// Fails if the server does not respond with a stream.
 pub(crate) async fn open_stream(
     gateway: &Rc<Gateway>,
-    server: &Server,
+    server: &Rc<Server>,
     request: &EngineRequest,
     last_event: Option<u64>,
     deadline: Option<Duration>,
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -272,7 +272,7 @@
 async fn send(
     gateway: &Rc<Gateway>,
     request: &CallerRequest,
-    server: &Server,
+    server: &Rc<Server>,
     is_idempotent: bool,
     remaining: Duration,
     attempt_timeout: Duration,
--- a/bamboo-gateway/src/traffic/run_trial.rs
+++ b/bamboo-gateway/src/traffic/run_trial.rs
@@ -1,21 +1,17 @@
 //! Observes the begin of a run, during which the request may crash its server.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bamboo_fleet::Server;
 use bamboo_fleet::SseEvent;
 use bamboo_quarantine::SuspectId;
-use bamboo_types::BackendServerId;
 
 use crate::gateway::Gateway;
-use crate::net;
+use crate::gateway::ServerCheck;
 
 /// Number of events with data after which a run has begun, so that its request is not the cause if its server crashes later.
 const EVENTS_TO_BEGIN: usize = 4;
-/// Timeout for connecting to a server whose run broke. A server that still runs accepts connections.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// A run that broke before it had begun.
 #[derive(Debug, Clone)]
@@ -23,9 +19,7 @@
     /// Identifier of the request.
     pub(crate) request: String,
     /// Server that ran it.
-    pub(crate) server: BackendServerId,
-    /// Address of the server.
-    pub(crate) address: SocketAddr,
+    pub(crate) server: Rc<Server>,
     /// What the request has in common with others, the widest first.
     pub(crate) suspects: Rc<[SuspectId]>,
     /// What identifies the request if it comes again.
@@ -52,8 +46,7 @@
 pub(crate) struct RunTrial {
     gateway: Rc<Gateway>,
     request: String,
-    server: BackendServerId,
-    address: SocketAddr,
+    server: Rc<Server>,
     suspects: Rc<[SuspectId]>,
     content: Option<SuspectId>,
     events: usize,
@@ -62,12 +55,15 @@
 
 impl RunTrial {
     /// Begins to observe a run whose request is about to be sent.
-    pub(crate) fn begin(gateway: &Rc<Gateway>, server: &Server, request: TrialRequest<'_>) -> Self {
+    pub(crate) fn begin(
+        gateway: &Rc<Gateway>,
+        server: &Rc<Server>,
+        request: TrialRequest<'_>,
+    ) -> Self {
         RunTrial {
             gateway: Rc::clone(gateway),
             request: request.id.to_owned(),
-            server: server.id.clone(),
-            address: server.address,
+            server: Rc::clone(server),
             suspects: Rc::clone(request.suspects),
             content: request.content,
             events: 0,
@@ -113,8 +109,7 @@
         }
         let run = BrokenRun {
             request: self.request.clone(),
-            server: self.server.clone(),
-            address: self.address,
+            server: Rc::clone(&self.server),
             suspects: Rc::clone(&self.suspects),
             content,
             events: self.events,
@@ -132,13 +127,13 @@
 
 /// Finds out whether a server crashed during a run, or only the response broke off.
 async fn examine_broken_run(gateway: &Rc<Gateway>, run: BrokenRun) {
-    let is_server_down = net::connect(run.address, CHECK_TIMEOUT).await.is_err();
+    let is_server_down = gateway.check_server(&run.server).await == ServerCheck::Down;
     gateway.metrics.count_run(match is_server_down {
         true => "crashed_server",
         false => "broke_early",
     });
     log::info!(
-        event = "run_broke_early", request = run.request.as_str(), server = run.server.as_str(), is_server_down,
+        event = "run_broke_early", request = run.request.as_str(), server = run.server.id.as_str(), is_server_down,
         content = format_suspects(&[run.content]), suspects = format_suspects(&run.suspects), events = run.events,
         ran_ms = run.broke_at.saturating_sub(run.sent_at).as_millis() as u64;
         "a run broke before it had begun"
