--- a/bamboo-gateway/src/gateway/server_connections.rs
+++ b/bamboo-gateway/src/gateway/server_connections.rs
@@ -24,6 +24,7 @@
 use crate::mesh::TunnelError;
 use crate::mesh::TunnelStream;
 use crate::net;
+use crate::net::ConnectionUse;
 use crate::traffic::Connection;
 
 /// Number of other hosts that reach other servers and not this one, after which it is taken to be down without waiting for the
@@ -148,13 +149,15 @@
 
     async fn try_path(&self, server: &Server, path: ServerPath, timeout: Duration) -> StepEnd {
         match path {
-            ServerPath::Direct => match net::connect(server.address, timeout).await {
-                Ok(stream) => StepEnd::Connected(Either::Left(stream)),
-                Err(error) => {
-                    log::debug!("cannot connect to server {}: {error:#}", server.id);
-                    StepEnd::NotReached
+            ServerPath::Direct => {
+                match net::connect(server.address, timeout, ConnectionUse::Requests).await {
+                    Ok(stream) => StepEnd::Connected(Either::Left(stream)),
+                    Err(error) => {
+                        log::debug!("cannot connect to server {}: {error:#}", server.id);
+                        StepEnd::NotReached
+                    }
                 }
-            },
+            }
             ServerPath::Through(host) => {
                 let (authority, now) = (server.address.to_string(), self.clock.now());
                 let opened = self.tunnels.open(&host, &server.id, &authority, now).await;
@@ -278,7 +281,7 @@
         let Some(other) = other else {
             return false;
         };
-        let is_reached = net::connect(other.address, OTHER_SERVER_TIMEOUT)
+        let is_reached = net::connect(other.address, OTHER_SERVER_TIMEOUT, ConnectionUse::Requests)
             .await
             .is_ok();
         if is_reached {
@@ -323,7 +326,7 @@
             };
             let gateway = Rc::clone(&self);
             actix_rt::spawn(async move {
-                match net::connect(server.address, PROBE_TIMEOUT).await {
+                match net::connect(server.address, PROBE_TIMEOUT, ConnectionUse::Requests).await {
                     Ok(_) => gateway.record_direct_connection(&server),
                     Err(error) => {
                         log::debug!("server {} is not reached directly: {error:#}", server.id)
--- a/bamboo-gateway/src/mesh/accept.rs
+++ b/bamboo-gateway/src/mesh/accept.rs
@@ -21,6 +21,7 @@
 use crate::mesh::tunnel::is_tunnel;
 use crate::mesh::tunnel::serve_tunnel;
 use crate::net;
+use crate::net::ConnectionUse;
 
 /// Maximum size of a frame in bytes. The largest message is a job submission.
 const FRAME_MAX_BYTES: usize = 32 << 20;
@@ -48,7 +49,7 @@
 }
 
 async fn serve(gateway: Rc<Gateway>, stream: TcpStream) -> anyhow::Result<()> {
-    net::set_options(&stream)?;
+    net::set_options(&stream, ConnectionUse::Messages)?;
     let mut connection = h2::server::Builder::new()
         .initial_window_size(FLOW_WINDOW_BYTES)
         .initial_connection_window_size(FLOW_WINDOW_BYTES)
--- a/bamboo-gateway/src/mesh/link.rs
+++ b/bamboo-gateway/src/mesh/link.rs
@@ -19,6 +19,7 @@
 use crate::metrics::KindLabel;
 use crate::metrics::PeerBytes;
 use crate::net;
+use crate::net::ConnectionUse;
 use crate::task::OwnedTask;
 
 /// Capacity of the send queue. Messages beyond it are dropped; everything that matters is sent again.
@@ -154,10 +155,10 @@
     let mut last_error = anyhow::anyhow!("no attempt to connect");
     for timeout in CONNECT_TIMEOUTS {
         let connected = tokio::select! {
-            connected = net::connect(address, timeout) => connected,
+            connected = net::connect(address, timeout, ConnectionUse::Messages) => connected,
             () = shared.is_host_up.notified(), if !has_restarted => {
                 has_restarted = true;
-                net::connect(address, timeout).await
+                net::connect(address, timeout, ConnectionUse::Messages).await
             }
         };
         match connected {
--- a/bamboo-gateway/src/mesh/tunnel.rs
+++ b/bamboo-gateway/src/mesh/tunnel.rs
@@ -32,6 +32,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::OpenRequest;
 use crate::net;
+use crate::net::ConnectionUse;
 
 /// Header of a CONNECT request that names the backend server.
 const SERVER_HEADER: HeaderName = HeaderName::from_static("backend-server");
@@ -119,7 +120,7 @@
             return Ok(connection.sender.clone());
         }
         let address = host.parse().context("invalid address of a host")?;
-        let stream = net::connect(address, HOST_TIMEOUT).await?;
+        let stream = net::connect(address, HOST_TIMEOUT, ConnectionUse::Requests).await?;
         let (sender, connection) = h2::client::Builder::new()
             .initial_window_size(WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
@@ -176,19 +177,20 @@
     };
     let _open = OpenRequest::begin(&gateway);
     // A tunnel goes directly to the server, so that tunnels do not form a chain.
-    let mut stream = match net::connect(server.address, SERVER_TIMEOUT).await {
-        Ok(stream) => stream,
-        Err(error) => {
-            log::debug!(
-                "no connection for another host to server {}: {error:#}",
-                server.id
-            );
-            return reject(match gateway.reaches_other_servers(&server).await {
-                true => StatusCode::BAD_GATEWAY,
-                false => StatusCode::SERVICE_UNAVAILABLE,
-            });
-        }
-    };
+    let mut stream =
+        match net::connect(server.address, SERVER_TIMEOUT, ConnectionUse::Requests).await {
+            Ok(stream) => stream,
+            Err(error) => {
+                log::debug!(
+                    "no connection for another host to server {}: {error:#}",
+                    server.id
+                );
+                return reject(match gateway.reaches_other_servers(&server).await {
+                    true => StatusCode::BAD_GATEWAY,
+                    false => StatusCode::SERVICE_UNAVAILABLE,
+                });
+            }
+        };
     gateway.record_direct_connection(&server);
     gateway.metrics.tunnels.inc();
     let response = Response::builder().status(StatusCode::OK).body(())?;
--- a/bamboo-gateway/src/store.rs
+++ b/bamboo-gateway/src/store.rs
@@ -23,6 +23,7 @@
 use crate::dialect::Dialect;
 use crate::metrics::StoreMetrics;
 use crate::net;
+use crate::net::ConnectionUse;
 use crate::task::OwnedTask;
 
 pub use request::Fence;
@@ -308,7 +309,7 @@
     }
 
     async fn connect(&self) -> anyhow::Result<Connection> {
-        let stream = net::connect(self.address, CONNECT_TIMEOUT).await?;
+        let stream = net::connect(self.address, CONNECT_TIMEOUT, ConnectionUse::Messages).await?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let task = OwnedTask::spawn(async move {
             if let Err(error) = connection.await {
--- a/bamboo-gateway/src/traffic/accept.rs
+++ b/bamboo-gateway/src/traffic/accept.rs
@@ -21,6 +21,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::Phase;
 use crate::net;
+use crate::net::ConnectionUse;
 use crate::response_body::ResponseBody;
 use crate::traffic::response::text_response;
 use crate::traffic::serve::serve_request;
@@ -83,7 +84,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if let Err(error) = net::set_options(&stream) {
+                if let Err(error) = net::set_options(&stream, ConnectionUse::Requests) {
                     log::debug!("connection closed before it was served: {error}");
                     continue;
                 }
