--- a/bamboo-gateway/src/gateway/server_connections.rs
+++ b/bamboo-gateway/src/gateway/server_connections.rs
@@ -84,6 +84,7 @@
     ) -> Result<ServerStream, ConnectFailure> {
         let started = self.clock.now();
         let relays = self.relays_for_servers(started);
+        let has_relays = !relays.is_empty();
         let steps = self.server_paths.borrow().steps(
             &server.id,
             relays,
@@ -91,7 +92,7 @@
             timeout,
             started,
         );
-        let (mut has_cut_off_relay, mut down_reports) = (false, 0);
+        let mut down_reports = 0;
         let mut steps = steps.into_iter().peekable();
         let mut attempts = FuturesUnordered::new();
         let deadline = self.clock.instant(started + timeout);
@@ -130,7 +131,6 @@
                     }
                 }
                 StepEnd::CutOffRelay(host) => {
-                    has_cut_off_relay = true;
                     let now = self.clock.now();
                     self.server_paths
                         .borrow_mut()
@@ -144,7 +144,7 @@
         }
         let now = self.clock.now();
         let paths = self.server_paths.borrow();
-        Err(paths.failure(has_cut_off_relay, now))
+        Err(paths.failure(has_relays, now))
     }
 
     async fn try_path(&self, server: &Server, path: ServerPath, timeout: Duration) -> StepEnd {
@@ -162,7 +162,13 @@
                 let (authority, now) = (server.address.to_string(), self.clock.now());
                 let opened = self.tunnels.open(&host, &server.id, &authority, now).await;
                 match opened {
-                    Ok(stream) => StepEnd::Connected(Either::Right(stream)),
+                    Ok(stream) => {
+                        let now = self.clock.now();
+                        self.server_paths
+                            .borrow_mut()
+                            .record_working_relay(&host, now);
+                        StepEnd::Connected(Either::Right(stream))
+                    }
                     Err(TunnelError::ServerDown) => StepEnd::ServerDown,
                     Err(TunnelError::NoPath) => StepEnd::CutOffRelay(host),
                 }
@@ -284,12 +290,23 @@
         let is_reached = net::connect(other.address, OTHER_SERVER_TIMEOUT, ConnectionUse::Requests)
             .await
             .is_ok();
-        if is_reached {
-            self.record_direct_connection(&other);
+        match is_reached {
+            true => self.record_direct_connection(&other),
+            false => {
+                let now = self.clock.now();
+                self.server_paths
+                    .borrow_mut()
+                    .record_reached_none(&unreached.id, now);
+            }
         }
         is_reached
     }
 
+    /// Whether this host reaches no server, as far as it knows.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.server_paths.borrow().is_cut_off()
+    }
+
     /// Takes an idle connection to a server, if there is one and open connections are trusted.
     pub(crate) fn take_idle_connection(&self, server: &Server) -> Option<Connection> {
         if !self.server_paths.borrow().trusts_open_connections() {
--- a/bamboo-gateway/src/mesh/tunnel.rs
+++ b/bamboo-gateway/src/mesh/tunnel.rs
@@ -39,7 +39,7 @@
 /// Timeout for connecting to the other host.
 const HOST_TIMEOUT: Duration = Duration::from_millis(100);
 /// Timeout for the other host's connection to the server.
-const SERVER_TIMEOUT: Duration = Duration::from_millis(150);
+const SERVER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Bytes that the other host may send ahead on one tunnel, and on all tunnels through it.
 const WINDOW_BYTES: u32 = 64 << 10;
 const CONNECTION_WINDOW_BYTES: u32 = 1 << 20;
@@ -172,7 +172,7 @@
         .headers()
         .get(SERVER_HEADER)
         .and_then(|id| gateway.directory.borrow().get(id.to_str().ok()?).cloned());
-    let Some(server) = server.filter(|_| !gateway.is_stopping()) else {
+    let Some(server) = server.filter(|_| !gateway.is_stopping() && !gateway.is_cut_off()) else {
         return reject(StatusCode::SERVICE_UNAVAILABLE);
     };
     let _open = OpenRequest::begin(&gateway);
--- a/bamboo-relay/src/server_paths.rs
+++ b/bamboo-relay/src/server_paths.rs
@@ -18,7 +18,7 @@
 /// Time after which a way that is not used is forgotten.
 const MEMORY: Duration = Duration::from_secs(5);
 /// Time for which a host that does not reach the servers either is not asked again.
-const RELAY_BACKOFF: Duration = Duration::from_secs(1);
+const RELAY_BACKOFF: Duration = Duration::from_secs(2);
 /// Time since the last bytes of any server for which the direct ways are taken to work. Events of a stream follow each other
 /// faster, and a run counts as silent only after a longer time.
 const HEARD_RECENTLY: Duration = Duration::from_millis(80);
@@ -73,6 +73,10 @@
     silent_at: Option<Duration>,
     /// Hosts that do not reach the servers either, and until when they are not asked.
     cut_off_relays: HashMap<HostId, Duration>,
+    /// Hosts that have lately led to a server, with the time of that.
+    working_relays: HashMap<HostId, Duration>,
+    /// Whether this host tried several servers for another one and reached none.
+    has_reached_none: bool,
 }
 
 impl ServerPaths {
@@ -100,10 +104,16 @@
                 .get(host)
                 .is_none_or(|until| now >= *until)
         });
+        // Those that work come first.
+        let is_working = |host: &HostId| self.working_relays.contains_key(host);
+        relays.sort_by_key(|host| !is_working(host));
         relays.truncate(RELAYS_MAX);
-        if !relays.is_empty() {
-            let first = spread % relays.len();
-            relays.rotate_left(first);
+        let shared = match relays.partition_point(is_working) {
+            0 => relays.len(),
+            working => working,
+        };
+        if shared > 0 {
+            relays[..shared].rotate_left(spread % shared);
         }
         let mut paths: Vec<ServerPath> = relays.into_iter().map(ServerPath::Through).collect();
         match self.is_direct_up(server) {
@@ -138,7 +148,7 @@
     /// assert!(!paths.is_cut_off());
     /// ```
     pub fn is_cut_off(&self) -> bool {
-        self.relayed_in_a_row.len() >= CUT_OFF_SERVERS
+        self.has_reached_none || self.relayed_in_a_row.len() >= CUT_OFF_SERVERS
     }
 
     /// Records a direct connection to a server. Returns whether this host was cut off before.
@@ -146,6 +156,7 @@
         let was_cut_off = self.is_cut_off();
         self.lost.remove(server);
         self.relayed_in_a_row.clear();
+        self.has_reached_none = false;
         self.heard_at = Some(now);
         if was_cut_off {
             // The other servers are reached again, too, as far as this host knows.
@@ -158,17 +169,42 @@
     /// then.
     pub fn record_relayed(&mut self, server: &str, now: Duration) -> bool {
         let was_cut_off = self.is_cut_off();
+        self.record_lost(server, now);
+        self.relayed_in_a_row.insert(server.to_owned());
+        !was_cut_off && self.is_cut_off()
+    }
+
+    /// Records that this host reached neither a server that another host asked for nor a further one. It is cut off until a
+    /// probe of the server succeeds.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut paths = bamboo_relay::ServerPaths::default();
+    /// paths.record_reached_none("s1", Duration::ZERO);
+    /// assert!(paths.is_cut_off());
+    /// ```
+    pub fn record_reached_none(&mut self, server: &str, now: Duration) {
+        self.record_lost(server, now);
+        self.has_reached_none = true;
+    }
+
+    fn record_lost(&mut self, server: &str, now: Duration) {
         let lost = self.lost.entry(server.to_owned()).or_insert(LostPath {
             next_probe_at: now + PROBE_INTERVAL,
             used_at: now,
         });
         lost.used_at = now;
-        self.relayed_in_a_row.insert(server.to_owned());
-        !was_cut_off && self.is_cut_off()
+    }
+
+    /// Records that a host led to a server.
+    pub fn record_working_relay(&mut self, host: &HostId, now: Duration) {
+        self.cut_off_relays.remove(host);
+        self.working_relays.insert(host.clone(), now);
     }
 
     /// Records that a host does not reach the servers either.
     pub fn record_cut_off_relay(&mut self, host: &HostId, now: Duration) {
+        self.working_relays.remove(host);
         self.cut_off_relays
             .insert(host.clone(), now + RELAY_BACKOFF);
     }
@@ -203,11 +239,10 @@
         self.has_heard_within(HEARD_RECENTLY, now)
     }
 
-    /// What it means that no way led to a server. `has_cut_off_relay` tells whether a host that was asked is cut off itself.
-    pub fn failure(&self, has_cut_off_relay: bool, now: Duration) -> ConnectFailure {
-        let is_cut =
-            (self.is_cut_off() || has_cut_off_relay) && !self.has_heard_within(HEARD_LATELY, now);
-        match is_cut {
+    /// What it means that no way led to a server, and no other host said that it is down. `has_relays` tells whether there are
+    /// other hosts: one that has none takes its own view for the truth.
+    pub fn failure(&self, has_relays: bool, now: Duration) -> ConnectFailure {
+        match has_relays && !self.can_judge(now) {
             true => ConnectFailure::NoPath,
             false => ConnectFailure::ServerDown,
         }
@@ -228,8 +263,11 @@
         self.cut_off_relays.retain(|_, until| now < *until);
         self.lost
             .retain(|_, lost| now.saturating_sub(lost.used_at) < MEMORY);
+        self.working_relays
+            .retain(|_, worked_at| now.saturating_sub(*worked_at) < MEMORY);
         if self.lost.is_empty() {
             self.relayed_in_a_row.clear();
+            self.has_reached_none = false;
         }
         let due = self
             .lost
--- a/bamboo-relay/tests/server_paths.rs
+++ b/bamboo-relay/tests/server_paths.rs
@@ -108,3 +108,18 @@
     assert_eq!(paths.failure(true, ms(150)), ConnectFailure::ServerDown);
     assert_eq!(paths.failure(true, ms(2000)), ConnectFailure::NoPath);
 }
+
+/// Guards against hosts in a large fleet that ask one cut-off host after another with each connection.
+#[test]
+fn hosts_that_lead_to_servers_are_asked_first() {
+    let mut paths = ServerPaths::default();
+    paths.record_working_relay(&"h9".into(), ms(0));
+    let hosts = ["h1", "h2", "h3", "h4", "h9"];
+    for spread in 0..8 {
+        let steps = paths.steps("s", relays(&hosts), spread, TIMEOUT, ms(1));
+        assert_eq!(steps[1].path, ServerPath::Through("h9".into()));
+    }
+    paths.record_cut_off_relay(&"h9".into(), ms(2));
+    let later = paths_to(&paths, "s", &hosts, ms(3));
+    assert!(!later.contains(&ServerPath::Through("h9".into())));
+}
