fix(gateway): open connections that live on are no evidence that other servers are down (RECOVER)

Only a new connection within 250 ms shows that a host reaches servers; without one it tries another server before it answers.

--- a/bamboo-relay/src/server_paths.rs
+++ b/bamboo-relay/src/server_paths.rs
@@ -22,8 +22,9 @@
 /// Time since the last bytes of any server for which the direct ways are taken to work. Events of a stream follow each other
 /// faster, and a run counts as silent only after a longer time.
 const HEARD_RECENTLY: Duration = Duration::from_millis(80);
-/// Time since the last bytes of any server within which this host can tell a server that is down from a cut.
-const HEARD_LATELY: Duration = Duration::from_millis(250);
+/// Time since the last new connection to any server within which this host can tell a server that is down from a cut. That
+/// servers are heard does not: open connections may live on while new ones are refused.
+const CONNECTED_LATELY: Duration = Duration::from_millis(250);
 
 /// A way to a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -67,6 +68,8 @@
     lost: HashMap<BackendServerId, LostPath>,
     /// Servers reached through other hosts since the last direct connection to any.
     relayed_in_a_row: HashSet<BackendServerId>,
+    /// When this host last connected to a server.
+    connected_at: Option<Duration>,
     /// When bytes of a server last arrived over a direct connection.
     heard_at: Option<Duration>,
     /// When a server was last found to be silent on a direct connection.
@@ -158,6 +161,7 @@
         self.relayed_in_a_row.clear();
         self.has_reached_none = false;
         self.heard_at = Some(now);
+        self.connected_at = Some(now);
         if was_cut_off {
             // The other servers are reached again, too, as far as this host knows.
             self.lost.clear();
@@ -236,7 +240,7 @@
 
     /// Whether any server was heard so recently that the direct ways work, so that the silence of one server is its own.
     pub fn has_heard_recently(&self, now: Duration) -> bool {
-        self.has_heard_within(HEARD_RECENTLY, now)
+        is_within(self.heard_at, HEARD_RECENTLY, now)
     }
 
     /// What it means that no way led to a server, and no other host said that it is down. `has_relays` tells whether there are
@@ -250,12 +254,7 @@
 
     /// Whether this host can tell that a server which it does not reach is down.
     pub fn can_judge(&self, now: Duration) -> bool {
-        !self.is_cut_off() && self.has_heard_within(HEARD_LATELY, now)
-    }
-
-    fn has_heard_within(&self, time: Duration, now: Duration) -> bool {
-        self.heard_at
-            .is_some_and(|heard_at| now.saturating_sub(heard_at) <= time)
+        !self.is_cut_off() && is_within(self.connected_at, CONNECTED_LATELY, now)
     }
 
     /// A server whose direct way is due for a probe, if there is one. Ways that are no longer used are forgotten.
@@ -286,3 +285,7 @@
         Some(server)
     }
 }
+
+fn is_within(at: Option<Duration>, time: Duration, now: Duration) -> bool {
+    at.is_some_and(|at| now.saturating_sub(at) <= time)
+}
--- a/bamboo-relay/tests/server_paths.rs
+++ b/bamboo-relay/tests/server_paths.rs
@@ -100,11 +100,14 @@
 
 /// Guards against servers that are charged for the cut of a host, and against dead servers that are not.
 #[test]
-fn a_server_is_down_only_for_a_host_that_hears_others() {
+fn a_server_is_down_only_for_a_host_that_connects_to_others() {
     let mut paths = ServerPaths::default();
     assert_eq!(paths.failure(true, ms(0)), ConnectFailure::NoPath);
     assert_eq!(paths.failure(false, ms(0)), ConnectFailure::ServerDown);
-    paths.record_heard(ms(100));
+    // Open connections live on in some cuts.
+    paths.record_heard(ms(50));
+    assert_eq!(paths.failure(true, ms(51)), ConnectFailure::NoPath);
+    paths.record_direct("other", ms(100));
     assert_eq!(paths.failure(true, ms(150)), ConnectFailure::ServerDown);
     assert_eq!(paths.failure(true, ms(2000)), ConnectFailure::NoPath);
 }
