--- a/bamboo-gateway/src/gateway/servers.rs
+++ b/bamboo-gateway/src/gateway/servers.rs
@@ -32,6 +32,14 @@
         self.update_knows_servers();
     }
 
+    /// Records that the newest entries of all servers have been read, rather than each change. Which versions came and left
+    /// before is not known from these: the memory of versions begins anew, as does what the store's records told.
+    pub(crate) async fn servers_read_anew(&self, last: Duration) {
+        self.servers_read.set(None);
+        *self.versions_recalled.lock().await = None;
+        self.servers_read(last);
+    }
+
     /// Whether the directory of backend servers has been read, from the store or from another host.
     pub(crate) fn has_read_servers(&self) -> bool {
         self.servers_read.get().is_some()
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -189,7 +189,7 @@
         let started = gateway.clock.now();
         let update =
             remove_expired_during(&gateway, &mut grace_period, reader.read(&gateway)).await;
-        let is_ok = update.is_ok();
+        let (is_ok, is_anew) = (update.is_ok(), matches!(update, Ok(TopicUpdate::Newest(_))));
         grace_period.record_store_read(is_ok, gateway.clock.now());
         match update {
             Ok(TopicUpdate::Newest(records)) => {
@@ -210,7 +210,9 @@
             }
             Err(_) => {}
         }
-        if is_ok {
+        if is_anew {
+            gateway.servers_read_anew(started).await;
+        } else if is_ok {
             gateway.servers_read(started);
         }
         let elapsed = gateway.clock.now().saturating_sub(started);
