--- a/bamboo-gateway/src/mesh/accept.rs
+++ b/bamboo-gateway/src/mesh/accept.rs
@@ -56,11 +56,11 @@
         .handshake::<_, Bytes>(stream)
         .await?;
     while let Some(accepted) = connection.accept().await {
-        let (request, _respond) = accepted?;
+        let (request, respond) = accepted?;
         if is_tunnel(&request) {
             let gateway = Rc::clone(&gateway);
             actix_rt::spawn(async move {
-                if let Err(error) = serve_tunnel(gateway, request, _respond).await {
+                if let Err(error) = serve_tunnel(gateway, request, respond).await {
                     log::debug!("tunnel for another host failed: {error:#}");
                 }
             });
@@ -73,7 +73,8 @@
             if let Err(error) = read_messages(gateway, request.into_body(), version).await {
                 log::info!(event = "messages_unreadable", version; "message stream from another host failed: {error:#}");
             }
-            drop(_respond);
+            // Dropped earlier, it would reset the stream of the messages.
+            drop(respond);
         });
     }
     Ok(())
