perf(gateway): the hosts through which servers are reached are listed twice a second, not with each connection

Each new connection to a server ranked all live hosts and copied their names, also while the direct way worked: work that grows with the hosts, on every host. Found when reading the change; the cost before was not measured.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -155,6 +155,8 @@
     store_path: RefCell<StorePath>,
     server_paths: RefCell<ServerPaths>,
     server_checks: RefCell<ServerChecks>,
+    /// Hosts through which servers may be reached, and when they were listed.
+    server_relays: RefCell<Option<(Duration, Rc<[HostId]>)>>,
     tunnels: Tunnels,
     servers_read: Cell<Option<ServersRead>>,
     /// Whether the store's records named all versions that servers have had; `None` until they have been read.
@@ -224,6 +226,7 @@
             store_path: RefCell::default(),
             server_paths: RefCell::default(),
             server_checks: RefCell::default(),
+            server_relays: RefCell::default(),
             tunnels: Tunnels::default(),
             servers_read: Cell::new(None),
             versions_recalled: tokio::sync::Mutex::new(None),
--- a/bamboo-gateway/src/gateway/server_connections.rs
+++ b/bamboo-gateway/src/gateway/server_connections.rs
@@ -32,6 +32,8 @@
 const DOWN_REPORTS: usize = 2;
 /// Interval at which it is checked whether a direct way is due for a probe.
 const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for which the live hosts are listed, since the list is needed for each new connection.
+const RELAYS_LISTED_FOR: Duration = Duration::from_millis(500);
 /// Timeout for connecting to a server at which a run failed.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout of a probe of a direct way.
@@ -87,7 +89,7 @@
         let has_relays = !relays.is_empty();
         let steps = self.server_paths.borrow().steps(
             &server.id,
-            relays,
+            &relays,
             rand::rng().random_range(0..usize::MAX),
             timeout,
             started,
@@ -235,7 +237,12 @@
 
     /// Live hosts through which servers may be reached: those of the same data centre first, in an order of this host's own,
     /// so that the hosts that are cut off spread over the others.
-    fn relays_for_servers(&self, now: Duration) -> Vec<HostId> {
+    fn relays_for_servers(&self, now: Duration) -> Rc<[HostId]> {
+        if let Some((listed_at, relays)) = &*self.server_relays.borrow()
+            && now.saturating_sub(*listed_at) < RELAYS_LISTED_FOR
+        {
+            return Rc::clone(relays);
+        }
         let coordination = self.coordination.borrow();
         let mut hosts = coordination.live_peer_infos(now);
         hosts.sort_by_cached_key(|info| {
@@ -243,7 +250,9 @@
             let weight = bamboo_types::rendezvous_weight(&info.host, &self.local.host);
             (is_remote, weight)
         });
-        hosts.into_iter().map(|info| info.host.clone()).collect()
+        let relays: Rc<[HostId]> = hosts.into_iter().map(|info| info.host.clone()).collect();
+        *self.server_relays.borrow_mut() = Some((now, Rc::clone(&relays)));
+        relays
     }
 
     /// Records a direct connection to a server.
--- a/bamboo-relay/src/server_paths.rs
+++ b/bamboo-relay/src/server_paths.rs
@@ -89,7 +89,7 @@
     /// ```
     /// use std::time::Duration;
     /// use bamboo_relay::{ServerPath, ServerPaths};
-    /// let steps = ServerPaths::default().steps("s1", vec!["h2".into()], 7, Duration::from_millis(250), Duration::ZERO);
+    /// let steps = ServerPaths::default().steps("s1", &["h2".into()], 7, Duration::from_millis(250), Duration::ZERO);
     /// assert_eq!(steps[0].path, ServerPath::Direct);
     /// assert_eq!(steps[1].path, ServerPath::Through("h2".into()));
     /// assert_eq!(steps[1].after, Duration::from_millis(50));
@@ -97,23 +97,27 @@
     pub fn steps(
         &self,
         server: &str,
-        mut relays: Vec<HostId>,
+        relays: &[HostId],
         spread: usize,
         timeout: Duration,
         now: Duration,
     ) -> Vec<ConnectStep> {
-        relays.retain(|host| {
+        let is_asked = |host: &&HostId| {
             self.cut_off_relays
-                .get(host)
+                .get(*host)
                 .is_none_or(|until| now >= *until)
-        });
+        };
+        let is_working = |host: &&HostId| self.working_relays.contains_key(*host);
+        let asked = || relays.iter().filter(is_asked);
         // Those that work come first.
-        let is_working = |host: &HostId| self.working_relays.contains_key(host);
-        relays.sort_by_key(|host| !is_working(host));
-        relays.truncate(RELAYS_MAX);
-        let shared = match relays.partition_point(is_working) {
+        let working: Vec<&HostId> = asked().filter(is_working).take(RELAYS_MAX).collect();
+        let others = asked().filter(|host| !is_working(host));
+        let others = others.take(RELAYS_MAX - working.len());
+        let working_count = working.len();
+        let mut relays: Vec<HostId> = working.into_iter().chain(others).cloned().collect();
+        let shared = match working_count {
             0 => relays.len(),
-            working => working,
+            count => count,
         };
         if shared > 0 {
             relays[..shared].rotate_left(spread % shared);
--- a/bamboo-relay/tests/server_paths.rs
+++ b/bamboo-relay/tests/server_paths.rs
@@ -19,7 +19,7 @@
 
 /// Ways that are tried for a server, in order.
 fn paths_to(paths: &ServerPaths, server: &str, hosts: &[&str], now: Duration) -> Vec<ServerPath> {
-    let steps = paths.steps(server, relays(hosts), 0, TIMEOUT, now);
+    let steps = paths.steps(server, &relays(hosts), 0, TIMEOUT, now);
     steps.into_iter().map(|step| step.path).collect()
 }
 
@@ -89,7 +89,7 @@
     let hosts = ["h1", "h2", "h3", "h4", "h5", "h6"];
     let mut first: Vec<ServerPath> = (0..8)
         .map(|spread| {
-            let steps = paths.steps("s", relays(&hosts), spread, TIMEOUT, ms(0));
+            let steps = paths.steps("s", &relays(&hosts), spread, TIMEOUT, ms(0));
             steps[1].path.clone()
         })
         .collect();
@@ -119,7 +119,7 @@
     paths.record_working_relay(&"h9".into(), ms(0));
     let hosts = ["h1", "h2", "h3", "h4", "h9"];
     for spread in 0..8 {
-        let steps = paths.steps("s", relays(&hosts), spread, TIMEOUT, ms(1));
+        let steps = paths.steps("s", &relays(&hosts), spread, TIMEOUT, ms(1));
         assert_eq!(steps[1].path, ServerPath::Through("h9".into()));
     }
     paths.record_cut_off_relay(&"h9".into(), ms(2));
