fix(gateway): tunnels whose callers do not read leave room for others

All tunnels through one host shared a window of 1 MiB, and each may hold 64 KiB: sixteen callers that do not read would have held up all others through it.

--- a/bamboo-gateway/src/mesh/tunnel.rs
+++ b/bamboo-gateway/src/mesh/tunnel.rs
@@ -40,9 +40,10 @@
 const HOST_TIMEOUT: Duration = Duration::from_millis(100);
 /// Timeout for the other host's connection to the server.
 const SERVER_TIMEOUT: Duration = Duration::from_millis(100);
-/// Bytes that the other host may send ahead on one tunnel, and on all tunnels through it.
-const WINDOW_BYTES: u32 = 64 << 10;
-const CONNECTION_WINDOW_BYTES: u32 = 1 << 20;
+/// Bytes that the other host may send ahead on one tunnel.
+const WINDOW_BYTES: u32 = 32 << 10;
+/// Bytes that it may send ahead on all tunnels, enough for 256 whose callers do not read, so that these do not hold up others.
+const CONNECTION_WINDOW_BYTES: u32 = 256 * WINDOW_BYTES;
 /// Buffer for one direction of a tunnel.
 const COPY_BUFFER_BYTES: usize = 8 << 10;
 /// Time without new tunnels after which a host lets go of its connection to another one.
