fix(gateway): a failure that is the server's own is charged with its run again

Found when reading the change: since a run that fell silent while other servers were heard was released as cancelled and charged by a second message, without the start of the run, and plain services without it in all cases. Health ignores runs that began before an ejection had ended, so that such a run could eject its server once more. It is now charged with its release, as before, and plain services keep the start also after a check. A check at the coordinator's engines still loses it: the release has gone by then.

--- a/bamboo-gateway/src/gateway/server_connections.rs
+++ b/bamboo-gateway/src/gateway/server_connections.rs
@@ -202,9 +202,21 @@
         check.await
     }
 
-    /// Charges the outcome of a run to its server by `charge`: at once, or once it is known that the failure is the server's own
-    /// rather than one of the way to it.
-    pub(crate) fn charge_run<F>(
+    /// Whether a failure may be one of the way to the server rather than the server's own.
+    pub(crate) fn may_be_lost_path(&self, outcome: RunOutcome) -> bool {
+        match outcome {
+            RunOutcome::Silent => {
+                let now = self.clock.now();
+                !self.server_paths.borrow().has_heard_recently(now)
+            }
+            // With a reset, the last bytes of all servers are recent.
+            RunOutcome::Broken => true,
+            _ => false,
+        }
+    }
+
+    /// Charges a failure that may be one of the way by `charge`, once it is known who reaches the server.
+    pub(crate) fn charge_after_check<F>(
         self: &Rc<Self>,
         server: &Rc<Server>,
         outcome: RunOutcome,
@@ -212,18 +224,6 @@
     ) where
         F: FnOnce(&Rc<Self>, RunOutcome) + 'static,
     {
-        let is_own_failure = match outcome {
-            RunOutcome::Silent => {
-                let now = self.clock.now();
-                self.server_paths.borrow().has_heard_recently(now)
-            }
-            // With a reset, the last bytes of all servers are recent.
-            RunOutcome::Broken => false,
-            _ => true,
-        };
-        if is_own_failure {
-            return charge(self, outcome);
-        }
         let (gateway, server) = (Rc::clone(self), Rc::clone(server));
         actix_rt::spawn(async move {
             let outcome = match gateway.check_server(&server).await {
--- a/bamboo-gateway/src/slot_requests.rs
+++ b/bamboo-gateway/src/slot_requests.rs
@@ -145,16 +145,15 @@
     /// Sets how the run ended. The coordinator gets the outcome with the release, and rates the server's health by it; that of a
     /// failure which may be one of the way to the server follows once the server has been checked.
     pub(crate) fn set_outcome(&self, outcome: RunOutcome) {
-        match outcome {
-            RunOutcome::Silent | RunOutcome::Broken => {
-                let server = self.server.id.clone();
-                let gateway = &self.request.gateway;
-                gateway.charge_run(&self.server, outcome, move |gateway, outcome| {
-                    charge_server(gateway, server, outcome);
-                });
-            }
-            outcome => self.request.outcome.set(outcome),
+        let gateway = &self.request.gateway;
+        if !gateway.may_be_lost_path(outcome) {
+            self.request.outcome.set(outcome);
+            return;
         }
+        let server = self.server.id.clone();
+        gateway.charge_after_check(&self.server, outcome, move |gateway, outcome| {
+            charge_server(gateway, server, outcome);
+        });
     }
 }
 
--- a/bamboo-gateway/src/traffic/load_balancer.rs
+++ b/bamboo-gateway/src/traffic/load_balancer.rs
@@ -77,10 +77,16 @@
         }
     }
 
-    /// Records the outcome of a run that has ended before.
-    pub(crate) fn charge(&mut self, server: &str, outcome: RunOutcome, now: Duration) {
+    /// Records the outcome of a run that began at `started_at` and has ended before.
+    pub(crate) fn charge(
+        &mut self,
+        server: &str,
+        outcome: RunOutcome,
+        started_at: Duration,
+        now: Duration,
+    ) {
         if let Some(stats) = self.stats.get_mut(server) {
-            stats.health.record(outcome, now, now);
+            stats.health.record(outcome, started_at, now);
         }
     }
 
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -67,13 +67,17 @@
 
 impl<'a> RunGuard<'a> {
     /// Charges a failure to the server, unless it is one of the way to it.
-    fn fail(&self, server: &Rc<Server>, outcome: RunOutcome) {
-        let server_id = server.id.clone();
+    fn fail(&mut self, server: &Rc<Server>, outcome: RunOutcome) {
+        if !self.gateway.may_be_lost_path(outcome) {
+            self.outcome = outcome;
+            return;
+        }
+        let (server_id, started_at) = (server.id.clone(), self.started_at);
         self.gateway
-            .charge_run(server, outcome, move |gateway, outcome| {
+            .charge_after_check(server, outcome, move |gateway, outcome| {
                 let now = gateway.clock.now();
                 let mut load_balancer = gateway.load_balancer.borrow_mut();
-                load_balancer.charge(&server_id, outcome, now);
+                load_balancer.charge(&server_id, outcome, started_at, now);
             });
     }
 
