--- a/bamboo-gateway/src/gateway/server_connections.rs
+++ b/bamboo-gateway/src/gateway/server_connections.rs
@@ -21,7 +21,6 @@
 use tokio_util::either::Either;
 
 use crate::gateway::Gateway;
-use crate::mesh::TunnelError;
 use crate::mesh::TunnelStream;
 use crate::net;
 use crate::net::ConnectionUse;
@@ -171,8 +170,8 @@
                             .record_working_relay(&host, now);
                         StepEnd::Connected(Either::Right(stream))
                     }
-                    Err(TunnelError::ServerDown) => StepEnd::ServerDown,
-                    Err(TunnelError::NoPath) => StepEnd::CutOffRelay(host),
+                    Err(ConnectFailure::ServerDown) => StepEnd::ServerDown,
+                    Err(ConnectFailure::NoPath) => StepEnd::CutOffRelay(host),
                 }
             }
         }
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -22,7 +22,6 @@
 pub(crate) use message::PeerReply;
 pub(crate) use message::PeerRequest;
 pub(crate) use message::SlotRequestInfo;
-pub(crate) use tunnel::TunnelError;
 pub(crate) use tunnel::TunnelStream;
 pub(crate) use tunnel::Tunnels;
 
--- a/bamboo-gateway/src/mesh/tunnel.rs
+++ b/bamboo-gateway/src/mesh/tunnel.rs
@@ -13,6 +13,7 @@
 
 use anyhow::Context as _;
 use bamboo_fleet::Server;
+use bamboo_relay::ConnectFailure;
 use bamboo_types::HostId;
 use bytes::Buf;
 use bytes::Bytes;
@@ -49,15 +50,6 @@
 /// Time without new tunnels after which a host lets go of its connection to another one.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Why no tunnel was opened.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum TunnelError {
-    /// The other host reaches other servers and does not reach this one.
-    ServerDown,
-    /// The other host cannot tell, since it is cut off from the servers itself, stops or does not respond.
-    NoPath,
-}
-
 struct HostConnection {
     sender: SendRequest<Bytes>,
     used_at: Duration,
@@ -73,20 +65,21 @@
     /// Opens a tunnel through a host to a server.
     ///
     /// # Errors
-    /// Fails if the host does not respond in time, or does not reach the server.
+    /// Fails with `ServerDown` if the host reaches other servers and not this one, and with `NoPath` if it cannot tell: it is cut
+    /// off itself, stops, or does not respond in time.
     pub(crate) async fn open(
         &self,
         host: &str,
         server: &str,
         authority: &str,
         now: Duration,
-    ) -> Result<TunnelStream, TunnelError> {
+    ) -> Result<TunnelStream, ConnectFailure> {
         match self.try_open(host, server, authority, now).await {
             Ok(opened) => opened,
             Err(error) => {
                 log::debug!("no tunnel through host {host} to server {server}: {error:#}");
                 self.connections.borrow_mut().remove(host);
-                Err(TunnelError::NoPath)
+                Err(ConnectFailure::NoPath)
             }
         }
     }
@@ -97,7 +90,7 @@
         server: &str,
         authority: &str,
         now: Duration,
-    ) -> anyhow::Result<Result<TunnelStream, TunnelError>> {
+    ) -> anyhow::Result<Result<TunnelStream, ConnectFailure>> {
         let sender = self.sender(host, now).await?;
         let mut sender = sender.ready().await?;
         let request = Request::builder()
@@ -109,8 +102,8 @@
         let response = tokio::time::timeout(SERVER_TIMEOUT + HOST_TIMEOUT, response).await??;
         Ok(match response.status() {
             StatusCode::OK => Ok(TunnelStream::new(send, response.into_body())),
-            StatusCode::BAD_GATEWAY => Err(TunnelError::ServerDown),
-            _ => Err(TunnelError::NoPath),
+            StatusCode::BAD_GATEWAY => Err(ConnectFailure::ServerDown),
+            _ => Err(ConnectFailure::NoPath),
         })
     }
 
