--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -308,7 +308,7 @@
                 self.trial.run_broke();
                 Some(StreamRead::Broken)
             }
-            None if self.decoder.has_partial() || self.is_cut_before_events() => {
+            None if self.decoder.has_partial() || self.is_cut_by_crash().await => {
                 self.trial.run_broke();
                 Some(StreamRead::Broken)
             }
@@ -319,13 +319,13 @@
         }
     }
 
-    /// Whether a response without a length or chunks ended with its connection before any event. A server that crashes
-    /// ends its connections, too.
-    fn is_cut_before_events(&self) -> bool {
+    /// Whether a response without a length or chunks ended because its server crashed, which ends its connections, too. One
+    /// without events is never whole.
+    async fn is_cut_by_crash(&self) -> bool {
         let headers = &self.head.headers;
         let is_framed = headers.contains_key(header::CONTENT_LENGTH)
             || headers.contains_key(header::TRANSFER_ENCODING);
-        !is_framed && !self.trial.has_event()
+        !is_framed && (!self.trial.has_event() || self.trial.is_server_down().await)
     }
 
     /// Returns the connection to the pool after a complete response.
--- a/bamboo-gateway/src/traffic/run_trial.rs
+++ b/bamboo-gateway/src/traffic/run_trial.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Whether the server takes no connections now.
+    pub(crate) async fn is_server_down(&self) -> bool {
+        self.gateway.check_server(&self.server).await == ServerCheck::Down
+    }
+
     /// Examines whether the server has crashed, after the run broke.
     pub(crate) fn run_broke(&self) {
         let Some(content) = self.content else {
