--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -155,6 +155,8 @@
     store_path: RefCell<StorePath>,
     server_paths: RefCell<ServerPaths>,
     server_checks: RefCell<ServerChecks>,
+    /// When each server was last heard.
+    servers_heard: RefCell<HashMap<BackendServerId, Duration>>,
     /// Hosts through which servers may be reached, and when they were listed.
     server_relays: RefCell<Option<(Duration, Rc<[HostId]>)>>,
     tunnels: Tunnels,
@@ -226,6 +228,7 @@
             store_path: RefCell::default(),
             server_paths: RefCell::default(),
             server_checks: RefCell::default(),
+            servers_heard: RefCell::default(),
             server_relays: RefCell::default(),
             tunnels: Tunnels::default(),
             servers_read: Cell::new(None),
--- a/bamboo-gateway/src/gateway/server_connections.rs
+++ b/bamboo-gateway/src/gateway/server_connections.rs
@@ -35,6 +35,8 @@
 const RELAYS_LISTED_FOR: Duration = Duration::from_millis(500);
 /// Timeout for connecting to a server at which a run failed.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for which a server that has sent bytes is not taken for silent.
+const HEARD_LATELY: Duration = Duration::from_millis(100);
 /// Timeout of a probe of a direct way.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -326,10 +328,25 @@
 
     /// Records bytes that arrived from a server.
     pub(crate) fn record_heard(&self, connection: &Connection) {
+        let now = self.clock.now();
         if connection.is_direct {
-            let now = self.clock.now();
             self.server_paths.borrow_mut().record_heard(now);
         }
+        let mut heard = self.servers_heard.borrow_mut();
+        match heard.get_mut(&connection.server) {
+            Some(heard_at) => *heard_at = now,
+            None => {
+                heard.retain(|_, heard_at| now.saturating_sub(*heard_at) <= HEARD_LATELY);
+                heard.insert(connection.server.clone(), now);
+            }
+        }
+    }
+
+    /// Whether a server has sent bytes lately, on any connection of this host.
+    pub(crate) fn has_heard_lately(&self, server: &str, now: Duration) -> bool {
+        let heard = self.servers_heard.borrow();
+        let heard_at = heard.get(server);
+        heard_at.is_some_and(|heard_at| now.saturating_sub(*heard_at) <= HEARD_LATELY)
     }
 
     /// Records that a server was silent for far longer than usual.
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -154,8 +154,8 @@
         content: request.content,
         is_from_start: last_event.is_none(),
     };
-    let trial = RunTrial::begin(gateway, server, trial_request);
-    let response = match tokio::time::timeout(timeout, exchange).await {
+    let mut trial = RunTrial::begin(gateway, server, trial_request);
+    let response = match trial.watch(timeout, exchange).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
             log::debug!(
@@ -172,6 +172,7 @@
         }
     };
     gateway.record_heard(&connection);
+    trial.heard();
     let (head, body) = response.into_parts();
     if !belongs_to_request(gateway, &request.id, &head, connection.is_reused) {
         return Err(OpenError::Failed(RunOutcome::Broken));
@@ -279,17 +280,25 @@
             .get_or_insert_with(|| SilenceTimer::start(now, idle_timeout, deadline));
         let SilenceCheck::Wait(wait) = silence.check(now) else {
             gateway.record_silence(&self.connection);
+            self.trial.server_silent();
             return Some(StreamRead::Silent);
         };
-        let frame = match tokio::time::timeout(wait, self.body.frame()).await {
+        let to_check = self.trial.time_to_silence_check();
+        let frame = match tokio::time::timeout(wait.min(to_check), self.body.frame()).await {
             Ok(frame) => frame,
-            // The next check decides whether the server is silent.
-            Err(_) => return None,
+            Err(_) => {
+                if to_check < wait {
+                    self.trial.server_silent();
+                }
+                // The next check decides whether to wait longer.
+                return None;
+            }
         };
         match frame {
             Some(Ok(frame)) => {
                 let data = frame.data_ref()?;
                 gateway.record_heard(&self.connection);
+                self.trial.heard();
                 let metrics = &gateway.metrics;
                 metrics.count_server_bytes(self.is_remote, data.len());
                 match self.decoder.push(data) {
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -303,9 +303,9 @@
         content: Some(request.content()),
         is_from_start: true,
     };
-    let trial = RunTrial::begin(gateway, server, trial_request);
+    let mut trial = RunTrial::begin(gateway, server, trial_request);
     let exchange = exchange(&mut connection, outgoing, &gateway.server_buffers);
-    match tokio::time::timeout(attempt_timeout, exchange).await {
+    match trial.watch(attempt_timeout, exchange).await {
         Ok(Ok((head, bytes))) => {
             gateway.record_heard(&connection);
             let attempt = classify_response(gateway, request, server, now, connection, head, bytes);
--- a/bamboo-gateway/src/traffic/pool.rs
+++ b/bamboo-gateway/src/traffic/pool.rs
@@ -38,7 +38,7 @@
     pub(crate) is_reused: bool,
     /// Whether it leads to the server without another host.
     pub(crate) is_direct: bool,
-    server: BackendServerId,
+    pub(crate) server: BackendServerId,
     address: SocketAddr,
     _task: OwnedTask,
 }
--- a/bamboo-gateway/src/traffic/run_trial.rs
+++ b/bamboo-gateway/src/traffic/run_trial.rs
@@ -1,5 +1,7 @@
 //! Observes a run, during which the request may crash its server.
 
+use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,11 +9,26 @@
 use bamboo_fleet::SseEvent;
 use bamboo_quarantine::RunLength;
 use bamboo_quarantine::SuspectId;
+use tokio::time::error::Elapsed;
 
 use crate::gateway::Gateway;
 use crate::gateway::ServerCheck;
 
-/// A run that broke.
+/// Time without a byte from a server after which it is checked.
+const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(400);
+/// Time between two checks of a silent server. A sound one may stand still for about a second.
+const SILENCE_CONFIRMED_AFTER: Duration = Duration::from_millis(1500);
+
+/// How a run ended without a complete response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RunEnd {
+    /// Its connection ended.
+    Broken,
+    /// Its server sends nothing; the run may still be in progress.
+    Silent,
+}
+
+/// A run that broke, or whose server fell silent.
 #[derive(Debug, Clone)]
 pub(crate) struct BrokenRun {
     /// Identifier of the request.
@@ -26,7 +43,7 @@
     pub(crate) events: u32,
     /// When the request was sent.
     pub(crate) sent_at: Duration,
-    /// When the run broke.
+    /// When the run broke, or the server was last heard.
     pub(crate) broke_at: Duration,
 }
 
@@ -52,6 +69,8 @@
     is_from_start: bool,
     events: u32,
     sent_at: Duration,
+    heard_at: Duration,
+    is_silence_checked: bool,
 }
 
 impl RunTrial {
@@ -71,9 +90,17 @@
             is_from_start: request.is_from_start,
             events: 0,
             sent_at: now,
+            heard_at: now,
+            is_silence_checked: false,
         }
     }
 
+    /// Records that the server has sent bytes.
+    pub(crate) fn heard(&mut self) {
+        self.heard_at = self.gateway.clock.now();
+        self.is_silence_checked = false;
+    }
+
     /// Counts events of the run.
     pub(crate) fn events_received(&mut self, events: &[SseEvent]) {
         let had_begun = self.events >= RunLength::EVENTS_TO_BEGIN;
@@ -110,6 +137,29 @@
         }
     }
 
+    /// Waits for the response, and has the server checked if it takes long.
+    ///
+    /// # Errors
+    /// Fails if there is no response within the timeout.
+    pub(crate) async fn watch<F>(
+        &mut self,
+        timeout: Duration,
+        response: F,
+    ) -> Result<F::Output, Elapsed>
+    where
+        F: Future,
+    {
+        let started = self.gateway.clock.now();
+        let mut response = pin!(response);
+        let first_wait = timeout.min(self.time_to_silence_check());
+        if let Ok(response) = tokio::time::timeout(first_wait, &mut response).await {
+            return Ok(response);
+        }
+        self.server_silent();
+        let waited = self.gateway.clock.now().saturating_sub(started);
+        tokio::time::timeout(timeout.saturating_sub(waited), response).await
+    }
+
     /// Whether the server takes no connections now.
     pub(crate) async fn is_server_down(&self) -> bool {
         self.gateway.check_server(&self.server).await == ServerCheck::Down
@@ -117,6 +167,31 @@
 
     /// Examines whether the server has crashed, after the run broke.
     pub(crate) fn run_broke(&self) {
+        self.examine(RunEnd::Broken, self.gateway.clock.now());
+    }
+
+    /// Time until the server is to be checked, if it sends nothing.
+    pub(crate) fn time_to_silence_check(&self) -> Duration {
+        let silent = self.gateway.clock.now().saturating_sub(self.heard_at);
+        match self.is_silence_checked || self.content.is_none() {
+            true => Duration::MAX,
+            false => SILENCE_BEFORE_CHECK.saturating_sub(silent),
+        }
+    }
+
+    /// Examines whether the server has crashed, once for each silence. The run may go on.
+    pub(crate) fn server_silent(&mut self) {
+        if self.is_silence_checked {
+            return;
+        }
+        self.is_silence_checked = true;
+        let now = self.gateway.clock.now();
+        if !self.gateway.has_heard_lately(&self.server.id, now) {
+            self.examine(RunEnd::Silent, self.heard_at);
+        }
+    }
+
+    fn examine(&self, end: RunEnd, broke_at: Duration) {
         let Some(content) = self.content else {
             return;
         };
@@ -127,32 +202,37 @@
             content,
             events: self.events,
             sent_at: self.sent_at,
-            broke_at: self.gateway.clock.now(),
+            broke_at,
         };
-        let gateway = Rc::clone(&self.gateway);
-        let check = gateway.begin_check();
-        actix_rt::spawn(async move {
-            examine_broken_run(&gateway, run).await;
-            drop(check);
-        });
+        actix_rt::spawn(examine_run(Rc::clone(&self.gateway), run, end));
     }
 }
 
 /// Finds out whether a server crashed during a run, or only the response broke off.
-async fn examine_broken_run(gateway: &Rc<Gateway>, run: BrokenRun) {
-    let is_server_down = gateway.check_server(&run.server).await == ServerCheck::Down;
-    gateway.metrics.count_run(match is_server_down {
-        true => "crashed_server",
-        false => "broke",
+async fn examine_run(gateway: Rc<Gateway>, run: BrokenRun, end: RunEnd) {
+    let open_check = gateway.begin_check();
+    let check = gateway.check_server(&run.server).await;
+    gateway.metrics.count_run(match check {
+        ServerCheck::Down => "crashed_server",
+        _ => "broke",
     });
     log::info!(
-        event = "run_broke", request = run.request.as_str(), server = run.server.id.as_str(), is_server_down,
+        event = "run_broke", request = run.request.as_str(), server = run.server.id.as_str(), end:? = end,
+        is_server_down = check == ServerCheck::Down,
         content = format_suspects(&[run.content]), suspects = format_suspects(&run.suspects), events = run.events,
         ran_ms = run.broke_at.saturating_sub(run.sent_at).as_millis() as u64;
-        "a run broke"
+        "a run broke, or its server fell silent"
     );
-    if is_server_down {
-        gateway.server_crashed(&run).await;
+    match (end, check) {
+        (RunEnd::Broken, ServerCheck::Down) => gateway.server_crashed(&run).await,
+        (RunEnd::Silent, ServerCheck::Down) => {
+            drop(open_check);
+            actix_rt::time::sleep(SILENCE_CONFIRMED_AFTER).await;
+            if gateway.check_server(&run.server).await == ServerCheck::Down {
+                gateway.server_crashed(&run).await;
+            }
+        }
+        _ => {}
     }
 }
 
