--- a/bamboo-fleet/src/directory.rs
+++ b/bamboo-fleet/src/directory.rs
@@ -112,6 +112,31 @@
         }
     }
 
+    /// Whether a server has started anew since, under its identifier or under another one at its address.
+    ///
+    /// ```
+    /// # use bamboo_fleet::*;
+    /// # use std::time::Duration;
+    /// let server = Server {
+    ///     id: "s1".to_owned(), service: "llm".to_owned(), address: "10.0.0.9:80".parse().unwrap(),
+    ///     data_centre: "a".to_owned(), slots: 8, state: ServerState::Ready, started_at_ms: 1, version: String::new(),
+    /// };
+    /// let mut directory = Directory::default();
+    /// directory.put(server.clone(), Duration::ZERO);
+    /// assert!(!directory.has_restarted(&server));
+    /// directory.put(Server { started_at_ms: 2, ..server.clone() }, Duration::ZERO);
+    /// assert!(directory.has_restarted(&server));
+    /// ```
+    pub fn has_restarted(&self, server: &Server) -> bool {
+        match self.servers.get(&server.id) {
+            Some(known) => known.started_at_ms != server.started_at_ms,
+            None => self
+                .servers
+                .values()
+                .any(|other| other.address == server.address && other.service == server.service),
+        }
+    }
+
     /// Records that a server said that it leaves. It counts as draining from then on, whatever its entry says.
     ///
     /// ```
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -198,6 +198,7 @@
         Ok(Ok(bytes)) => Some(bytes),
         Ok(Err(error)) => {
             log::debug!("error response of server {}: {error}", server.id);
+            trial.run_broke();
             None
         }
         Err(_) => None,
--- a/bamboo-gateway/src/traffic/run_trial.rs
+++ b/bamboo-gateway/src/traffic/run_trial.rs
@@ -18,6 +18,9 @@
 const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(400);
 /// Time between two checks of a silent server. A sound one may stand still for about a second.
 const SILENCE_CONFIRMED_AFTER: Duration = Duration::from_millis(1500);
+/// Time in which the directory shows that a server has started anew, and the interval between two looks at it.
+const RESTART_SEEN_WITHIN: Duration = Duration::from_secs(3);
+const RESTART_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
 /// How a run ended without a complete response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -232,10 +235,28 @@
                 gateway.server_crashed(&run).await;
             }
         }
+        (RunEnd::Broken, ServerCheck::Reached | ServerCheck::ReachedByOthers) => {
+            drop(open_check);
+            if has_restarted(&gateway, &run.server).await {
+                gateway.server_crashed(&run).await;
+            }
+        }
         _ => {}
     }
 }
 
+/// Whether the directory shows within a while that a server has started anew.
+async fn has_restarted(gateway: &Gateway, server: &Server) -> bool {
+    let until = gateway.clock.now() + RESTART_SEEN_WITHIN;
+    while gateway.clock.now() < until {
+        if gateway.directory.borrow().has_restarted(server) {
+            return true;
+        }
+        actix_rt::time::sleep(RESTART_POLL_INTERVAL).await;
+    }
+    false
+}
+
 /// Suspects for the log, as hexadecimal numbers.
 pub(crate) fn format_suspects(suspects: &[SuspectId]) -> String {
     let suspects: Vec<String> = suspects.iter().map(|id| format!("{id:x}")).collect();
