--- a/bamboo-quarantine/src/crash_log.rs
+++ b/bamboo-quarantine/src/crash_log.rs
@@ -8,7 +8,13 @@
 
 /// Maximum number of crashes that are kept.
 const CRASHES_KEPT: usize = 512;
-/// Number of a crash.
+/// Time around a crash in which a run that breaks, or is sent, at the server belongs to it. A server takes longer to start
+/// anew; hosts that were suspended, or sent a request to a silent server, notice late that their runs broke.
+const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
+/// Time for which a server that takes no connections is down because of a crash that is known.
+const STAYS_DOWN_FOR: Duration = Duration::from_secs(10);
+
+/// Number of a crash. A server that is back under its identifier may crash again.
 pub(crate) type CrashNumber = u64;
 
 #[derive(Debug)]
@@ -21,6 +27,13 @@
     is_explained: bool,
 }
 
+impl LoggedCrash {
+    /// Whether a run that was sent and broke at these instants broke with this crash.
+    fn broke_run(&self, sent_at: Duration, broke_at: Duration) -> bool {
+        sent_at <= self.broke_at + SAME_CRASH_TIME && broke_at + SAME_CRASH_TIME >= self.broke_at
+    }
+}
+
 /// Recent crashes, the newest last.
 #[derive(Debug, Default)]
 pub(crate) struct CrashLog {
@@ -30,9 +43,16 @@
 
 impl CrashLog {
     /// Records that a run broke when its server crashed. Returns the number of the crash.
-    pub(crate) fn record(&mut self, server: &BackendServerId, broke_at: Duration) -> CrashNumber {
+    pub(crate) fn record(
+        &mut self,
+        server: &BackendServerId,
+        sent_at: Duration,
+        broke_at: Duration,
+    ) -> CrashNumber {
         let mut crashes = self.crashes.iter_mut();
-        if let Some(known) = crashes.find(|crash| crash.server == *server) {
+        let known =
+            crashes.find(|crash| crash.server == *server && crash.broke_run(sent_at, broke_at));
+        if let Some(known) = known {
             known.broke_at = known.broke_at.min(broke_at);
             return known.number;
         }
@@ -51,7 +71,11 @@
 
     /// Records that a server takes no connections, though no run is known to have broken there.
     pub(crate) fn record_down(&mut self, server: &BackendServerId, now: Duration) {
-        self.record(server, now);
+        let is_cause =
+            |crash: &LoggedCrash| crash.server == *server && crash.broke_at + STAYS_DOWN_FOR >= now;
+        if !self.crashes.iter().any(is_cause) {
+            self.record(server, now, now);
+        }
     }
 
     /// Records that the cause of a crash is known.
--- a/bamboo-quarantine/src/inquiry.rs
+++ b/bamboo-quarantine/src/inquiry.rs
@@ -254,7 +254,8 @@
     }
 
     fn log_crash(&mut self, evidence: &CrashEvidence) -> CrashNumber {
-        self.log.record(&evidence.server, evidence.broke_at)
+        let (sent_at, broke_at) = (evidence.sent_at, evidence.broke_at);
+        self.log.record(&evidence.server, sent_at, broke_at)
     }
 
     /// Returns a suspect that crashes servers, if any is left. The crashes under it are explained, and no longer speak against
