--- a/bamboo-fleet/src/lib.rs
+++ b/bamboo-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 mod buffer_budget;
 mod config;
 mod directory;
+mod event_order;
 mod grace_period;
 mod silence;
 mod sse;
@@ -27,6 +28,8 @@
 pub use directory::Server;
 pub use directory::ServerState;
 pub use directory::VERSION_MEMORY;
+pub use event_order::EventCheck;
+pub use event_order::EventOrder;
 pub use grace_period::OutageGracePeriod;
 pub use silence::STALL_TOLERANCE;
 pub use silence::SilenceCheck;
--- a/bamboo-fleet/src/sse.rs
+++ b/bamboo-fleet/src/sse.rs
@@ -30,6 +30,17 @@
         lines(&self.raw).any(|line| field_value(line, b"data").is_some())
     }
 
+    /// Whether the event consists of comments only.
+    ///
+    /// ```
+    /// let mut decoder = bamboo_fleet::SseDecoder::default();
+    /// let events = decoder.push(b": ping\n\nerror\n\n").unwrap();
+    /// assert_eq!((events[0].is_comment(), events[1].is_comment()), (true, false));
+    /// ```
+    pub fn is_comment(&self) -> bool {
+        lines(&self.raw).all(|line| line.is_empty() || line.starts_with(b":"))
+    }
+
     /// The `data` fields of the event, joined by line feeds; `None` if it has none.
     ///
     /// ```
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bamboo_fleet::EventCheck;
+use bamboo_fleet::EventOrder;
 use bamboo_fleet::FleetConfig;
 use bamboo_shards::AttemptEnd;
 use bamboo_shards::ItemAction;
@@ -504,6 +506,9 @@
         service: slot.server.service.clone(),
         version: slot.server.version.clone(),
     });
+    let events_before = run.borrow().event_count();
+    let mut order = EventOrder::new(last_event);
+    order.resume();
     let mut timeout = FIRST_EVENT_TIMEOUT;
     loop {
         match stream.next(gateway, timeout, deadline).await {
@@ -512,19 +517,23 @@
                 if data.is_some() {
                     timeout = EVENT_GAP_TIMEOUT;
                 }
-                let is_next = run.borrow_mut().push_event(event.id, data);
+                let is_next = order.check(&event) == EventCheck::Forward
+                    && run.borrow_mut().push_event(event.id, data);
                 if !is_next {
                     run.borrow_mut().restart();
                     return (AttemptEnd::Interrupted, RunOutcome::Broken);
                 }
             }
-            StreamRead::End if run.borrow().event_count() > 0 => {
+            StreamRead::End if run.borrow().event_count() > events_before => {
                 stream.finish(gateway);
                 return (AttemptEnd::Whole, RunOutcome::Done);
             }
-            StreamRead::End | StreamRead::Broken => {
+            StreamRead::End => {
+                // The server may have had nothing to add, or nothing of this item, so that the next attempt begins anew.
+                run.borrow_mut().restart();
                 return (AttemptEnd::Interrupted, RunOutcome::Broken);
             }
+            StreamRead::Broken => return (AttemptEnd::Interrupted, RunOutcome::Broken),
             StreamRead::Silent => return (AttemptEnd::Interrupted, RunOutcome::Silent),
         }
     }
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bamboo_fleet::EventCheck;
+use bamboo_fleet::EventOrder;
 use bamboo_fleet::RouteKind;
 use bamboo_quarantine::SuspectId;
 use bamboo_slots::RunOutcome;
@@ -417,12 +419,11 @@
     else {
         return ForwardEnd::Broken("not_streaming");
     };
-    let mut last_id = first_id;
-    let mut has_sent = false;
+    let mut order = EventOrder::new(first_id);
+    let status = run.stream.head.status;
     loop {
-        let may_resume = is_resumable
-            && attempts.count < request.route.attempts_max
-            && (last_id.is_some() || !has_sent);
+        let may_resume =
+            is_resumable && attempts.count < request.route.attempts_max && order.can_resume();
         let idle_timeout = match may_resume {
             true => EVENT_GAP_TIMEOUT,
             false => Duration::MAX,
@@ -433,23 +434,34 @@
         };
         let outcome = match next {
             StreamRead::Event(event) => {
-                if event.id.is_some() && event.id <= last_id {
-                    continue;
+                let is_first = !order.has_sent();
+                match order.check(&event) {
+                    EventCheck::Forward => {}
+                    EventCheck::Repeated => continue,
+                    EventCheck::Foreign => {
+                        log::info!(
+                            event = "foreign_event", request = request.id.as_str(), server = run.slot.server.id.as_str(),
+                            last_event = order.last_id(), id = event.id;
+                            "a server does not go on where the stream broke off"
+                        );
+                        run.slot.set_outcome(RunOutcome::Failed);
+                        return ForwardEnd::Broken("foreign_event");
+                    }
                 }
-                last_id = event.id.or(last_id);
-                if is_resumable && !has_sent {
+                if is_resumable && is_first {
                     // Before the event goes out, so that the caller can go on wherever it returns.
                     let version = run.slot.server.version.clone();
                     let service = request.service.clone();
                     attempts.version = Some(version.clone());
                     gateway.record_stream(&attempts.stream, &StreamOrigin { service, version });
                 }
-                has_sent = true;
                 if chunks.send(Ok(Bytes::from(event.raw))).await.is_err() {
                     return ForwardEnd::CallerDisconnected;
                 }
                 continue;
             }
+            // The server may have had nothing to add, or nothing of this stream.
+            StreamRead::End if order.is_resuming() => return ForwardEnd::Broken("nothing_resumed"),
             StreamRead::End => return ForwardEnd::Complete(Box::new(run)),
             StreamRead::Broken => RunOutcome::Broken,
             StreamRead::Silent => RunOutcome::Silent,
@@ -457,7 +469,7 @@
         run.slot.set_outcome(outcome);
         log::info!(
             event = "stream_failed", request = request.id.as_str(), server = run.slot.server.id.as_str(),
-            version = run.slot.server.version.as_str(), outcome:? = outcome, last_event = last_id, may_resume;
+            version = run.slot.server.version.as_str(), outcome:? = outcome, last_event = order.last_id(), may_resume;
             "the stream failed"
         );
         if gateway.clock.now() >= request.deadline {
@@ -472,14 +484,16 @@
         gateway.wait_for_verdicts().await;
         let start_by = gateway.clock.now() + gap_target.saturating_sub(EVENT_GAP_TIMEOUT);
         let next_run = tokio::select! {
-            started = start_run(gateway, request, engine_request, attempts, start_by, last_id) => started,
+            started = start_run(gateway, request, engine_request, attempts, start_by, order.last_id()) => started,
             () = chunks.closed() => return ForwardEnd::CallerDisconnected,
         };
         match next_run {
-            Ok(started) => {
-                log_resumption(request, &started, last_id);
+            Ok(started) if started.stream.head.status == status => {
+                log_resumption(request, &started, order.last_id());
+                order.resume();
                 run = started;
             }
+            Ok(_) => return ForwardEnd::Broken("not_resumed"),
             Err(_) => return ForwardEnd::Broken("not_resumed"),
         }
     }
