--- a/bamboo-quarantine/src/inquiry.rs
+++ b/bamboo-quarantine/src/inquiry.rs
@@ -29,8 +29,6 @@
 const WEIGHT_NEEDED_ON_PROBATION: usize = CRASH_WEIGHT;
 /// Whole runs, over all hosts, without which it says little that none of a suspect's is among them.
 const WHOLE_RUNS_TO_COMPARE: u32 = 100;
-/// Share of the crashes under a part, as a fraction, that a narrower one must have to explain them.
-const COVERED_SHARE: (usize, usize) = (2, 3);
 /// Time for which a crash counts.
 const CRASH_AGE_MAX: Duration = Duration::from_secs(600);
 /// Maximum number of suspects under suspicion. The one with the oldest crash is dropped first.
@@ -186,12 +184,13 @@
         }
     }
 
-    /// Whether most crashes under a part are also under one with which fewer runs ended whole, so that it is the cause if any.
+    /// Whether two thirds of the crashes under a part are also under one with which fewer runs ended whole. That one is the
+    /// cause then, if one of them is.
     fn is_covered_by_narrower(&self, part: &Suspicion) -> bool {
         let covers = |other: &Suspicion| {
             let is_shared = |crash: &&Crash| other.has_crash(crash.number);
             let shared = part.crashes.iter().filter(is_shared).count();
-            COVERED_SHARE.1 * shared >= COVERED_SHARE.0 * part.crashes.len()
+            3 * shared >= 2 * part.crashes.len()
         };
         self.suspicions.values().any(|other| {
             other.kind == SuspectKind::Part
@@ -200,7 +199,7 @@
         })
     }
 
-    /// Whether most servers that crashed lately, without a known cause, crashed under this suspect.
+    /// Whether three quarters of the servers that crashed lately, without a known cause, crashed under this suspect.
     fn is_under_most_crashes(&self, suspicion: &Suspicion) -> bool {
         let Some(time) = suspicion.compared_time() else {
             return false;
--- a/bamboo-quarantine/src/suspicion.rs
+++ b/bamboo-quarantine/src/suspicion.rs
@@ -24,6 +24,9 @@
 pub(crate) const PROVEN_PART_WEIGHT: usize = 8 * CRASH_WEIGHT;
 /// Weight of the second crash under one content, for a part. It shows less: the content may be the cause.
 const FURTHER_CRASH_WEIGHT: usize = 1;
+/// Weight needed beyond that of early crashes for contents. A stream may break late at several servers that crash for another
+/// reason, and goes on each time.
+const LATE_CONTENT_WEIGHT: usize = 2 * CRASH_WEIGHT;
 /// Time around a crash in which others are considered.
 const SERIES_TIME: Duration = Duration::from_millis(300);
 /// Time within which servers crash at the same moment.
@@ -46,7 +49,7 @@
     pub(crate) server: BackendServerId,
     /// Content of the request that ran there.
     pub(crate) content: SuspectId,
-    /// How far a whole run must have come to show that the suspect is not the cause.
+    /// How far the run came. Sound runs that came as far show that the suspect is not the cause.
     length: RunLength,
     sent_at: Duration,
     pub(crate) broke_at: Duration,
@@ -77,6 +80,7 @@
 }
 
 impl Suspicion {
+    /// Adds what is known of sound runs, and drops the crashes that they clear.
     pub(crate) fn record_history(&mut self, history: &SuspectHistory) {
         self.history.or(history);
         let history = &self.history;
@@ -84,6 +88,7 @@
             .retain(|crash| !history.clears(crash.length, crash.broke_at));
     }
 
+    /// Adds a crash, unless a later run has cleared the suspect of it.
     pub(crate) fn record_crash(&mut self, number: CrashNumber, evidence: &CrashEvidence) {
         let length = RunLength::of_events(evidence.events);
         let is_cleared = self.history.clears(length, evidence.broke_at);
@@ -177,9 +182,13 @@
         if CRASH_WEIGHT * self.crashes.len() < self.early_weight_needed.min(self.weight_needed) {
             return false;
         }
-        if self.kind != SuspectKind::Part || self.is_on_probation() {
+        if self.is_on_probation() {
             return self.weight() >= self.weight_needed;
         }
+        if self.kind != SuspectKind::Part {
+            return self.early_weight() >= self.weight_needed
+                || self.weight() >= self.weight_needed + LATE_CONTENT_WEIGHT;
+        }
         self.early_weight() >= self.early_weight_needed
             || self.is_sufficient_among_others()
             || (self.weight() >= self.weight_needed + CRASH_WEIGHT && is_lone())
--- a/bamboo-quarantine/tests/drawn_requests.rs
+++ b/bamboo-quarantine/tests/drawn_requests.rs
@@ -395,6 +395,30 @@
     assert_eq!(inquiry.suspects(), [shared]);
 }
 
+/// Guards against a stream that is refused since the servers that it went on at crashed for another reason.
+#[test_case(0, 3; "before the first event")]
+#[test_case(12, 5; "after 12 events")]
+fn a_content_is_found_after_more_crashes_if_its_runs_had_begun(events: u32, crashes_needed: u64) {
+    let [_, whole] = suspects(7, "caller");
+    let mut inquiry = CrashInquiry::default();
+    for crash in 1..=crashes_needed {
+        assert_eq!(inquiry.suspects(), [], "after {} crashes", crash - 1);
+        let evidence = CrashEvidence {
+            server: format!("s{crash}"),
+            content: whole,
+            events,
+            sent_at: at(1_000 * crash),
+            broke_at: at(1_000 * crash + 500),
+            suspects: vec![SuspectEvidence {
+                suspect: whole,
+                history: SuspectHistory::default(),
+            }],
+        };
+        inquiry.record_crash(&evidence, |_| false, evidence.broke_at);
+    }
+    assert_eq!(inquiry.suspects(), [whole]);
+}
+
 /// Guards against a quarantine of sound requests while servers crash without any request being the cause.
 #[test_case(OtherCrashes::Mass(40); "mass crashes")]
 #[test_case(OtherCrashes::Mass(600); "mass crashes in series")]
