--- a/bamboo-quarantine/src/inquiry.rs
+++ b/bamboo-quarantine/src/inquiry.rs
@@ -15,12 +15,11 @@
 use crate::suspect_kind;
 use crate::suspicion::CRASH_WEIGHT;
 use crate::suspicion::Crash;
-use crate::suspicion::FIRST_SUSPECT_WEIGHT;
 use crate::suspicion::PROVEN_PART_WEIGHT;
 use crate::suspicion::Suspicion;
 
 /// Weight that shows that a suspect crashes servers.
-const WEIGHT_NEEDED: usize = FIRST_SUSPECT_WEIGHT;
+const WEIGHT_NEEDED: usize = 3 * CRASH_WEIGHT;
 /// Weight needed for a suspect while another one explains its crashes as well.
 const WEIGHT_NEEDED_OF_AMBIGUOUS: usize = 5 * CRASH_WEIGHT;
 /// Weight needed for what the requests of several callers have in common.
--- a/bamboo-quarantine/src/suspicion.rs
+++ b/bamboo-quarantine/src/suspicion.rs
@@ -18,8 +18,6 @@
 
 /// Weight of a crash.
 pub(crate) const CRASH_WEIGHT: usize = 2;
-/// Weight needed for the first suspect of a prompt.
-pub(crate) const FIRST_SUSPECT_WEIGHT: usize = 3 * CRASH_WEIGHT;
 /// Weight needed for a part of prompts while more sound runs have it than another part of the same prompt.
 pub(crate) const PROVEN_PART_WEIGHT: usize = 8 * CRASH_WEIGHT;
 /// Weight of the second crash under one content, for a part. It shows less: the content may be the cause.
