--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -61,6 +61,7 @@
 use crate::traffic::ServerPool;
 
 use crashes::CrashState;
+pub(crate) use crashes::OpenCheck;
 pub(crate) use crashes::Rejection;
 pub(crate) use server_connections::ServerCheck;
 use server_connections::ServerChecks;
--- a/bamboo-gateway/src/traffic/run_trial.rs
+++ b/bamboo-gateway/src/traffic/run_trial.rs
@@ -12,6 +12,7 @@
 use tokio::time::error::Elapsed;
 
 use crate::gateway::Gateway;
+use crate::gateway::OpenCheck;
 use crate::gateway::ServerCheck;
 
 /// Time without a byte from a server after which it is checked.
@@ -207,14 +208,20 @@
             sent_at: self.sent_at,
             broke_at,
         };
-        actix_rt::spawn(examine_run(Rc::clone(&self.gateway), run, end));
+        // A request whose server is silent is sent again at once; the check takes longer than its response may be late.
+        let open_check = (end == RunEnd::Broken).then(|| self.gateway.begin_check());
+        let gateway = Rc::clone(&self.gateway);
+        actix_rt::spawn(examine_run(gateway, run, end, open_check));
     }
 }
 
-/// Finds out whether a server crashed during a run, or only the response broke off.
-async fn examine_run(gateway: Rc<Gateway>, run: BrokenRun, end: RunEnd) {
-    // A request whose server is silent is sent again at once; the check takes longer than its response may be late.
-    let open_check = (end == RunEnd::Broken).then(|| gateway.begin_check());
+/// Finds out whether a server crashed during a run, or only the response broke off. Other attempts wait for `open_check`.
+async fn examine_run(
+    gateway: Rc<Gateway>,
+    run: BrokenRun,
+    end: RunEnd,
+    open_check: Option<OpenCheck>,
+) {
     let check = gateway.check_server(&run.server).await;
     gateway.metrics.count_run(match check {
         ServerCheck::Down => "crashed_server",
