--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -1,6 +1,7 @@
 //! Runs the items of jobs on model engines.
 
 use std::cell::Cell;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -62,6 +63,8 @@
 const EVENT_INTERVAL_INITIAL: Duration = Duration::from_millis(25);
 /// Minimum weight of a new item in the moving averages. The first items have more weight.
 const MEAN_WEIGHT_MIN: f64 = 0.05;
+/// Interval at which the log names an item that waits.
+const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(5);
 /// Lower bound of the estimated remaining run time of an item.
 const REMAINING_TIME_MIN: Duration = Duration::from_millis(100);
 
@@ -253,7 +256,8 @@
             }
         };
         let trials = &gateway.jobs.item_trials;
-        let turn = trials.wait_for_turn(&gateway, &request.suspects).await;
+        let turn = trials.wait_for_turn(&gateway, &request.suspects);
+        let turn = log_long_wait(&gateway, &job, &request, "turn", turn).await;
         let work = Work::Batch {
             due: gateway.clock.now() + due_in,
             remaining: gateway
@@ -263,7 +267,8 @@
         };
         let version = origin.as_ref().map(|origin| &origin.version);
         let excluded_now = std::mem::take(&mut excluded);
-        let acquired = acquire_slot(&gateway, &service, work, excluded_now, version).await;
+        let acquired = acquire_slot(&gateway, &service, work, excluded_now, version);
+        let acquired = log_long_wait(&gateway, &job, &request, &service, acquired).await;
         let slot = match acquired {
             Ok(slot) => slot,
             Err(SlotError::NoServer) if version.is_some() => {
@@ -352,6 +357,36 @@
     }
 }
 
+/// Logs at intervals that an item waits: for its turn, or for a slot of a service. The coordinator's line `load` tells whether
+/// it counts the item as queued or as running.
+async fn log_long_wait<F>(
+    gateway: &Gateway,
+    job: &JobRecord,
+    request: &EngineRequest,
+    waits_for: &str,
+    future: F,
+) -> F::Output
+where
+    F: Future,
+{
+    let started_at = gateway.clock.now();
+    let mut future = std::pin::pin!(future);
+    loop {
+        let waited = match tokio::time::timeout(WAIT_LOG_INTERVAL, &mut future).await {
+            Ok(output) => return output,
+            Err(_) => gateway.clock.now().saturating_sub(started_at),
+        };
+        if gateway.may_log_request() {
+            log::info!(
+                event = "item_waits", job = job.id.as_str(), item = request.id.as_str(), waits_for,
+                coordinator = gateway.coordination.borrow().coordinator().as_str(),
+                waited_ms = waited.as_millis() as u64;
+                "an item has been waiting for long"
+            );
+        }
+    }
+}
+
 /// Whether the service has a ready server of another version than the one that began an item.
 fn has_other_version(gateway: &Gateway, service: &str, origin: &StreamOrigin) -> bool {
     let ready = gateway
