--- a/bamboo-coordination/src/reports.rs
+++ b/bamboo-coordination/src/reports.rs
@@ -5,6 +5,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use bamboo_slots::Broker;
+use bamboo_slots::RunReport;
+use bamboo_slots::ServerTag;
 use bamboo_slots::SlotRequestId;
 use bamboo_types::HostId;
 use bamboo_types::rendezvous_weight;
@@ -37,7 +40,7 @@
     info: HostInfo,
     heartbeat: Heartbeat,
     received_at: Duration,
-    unknown_requests: HashSet<SlotRequestId>,
+    differing_requests: HashSet<SlotRequestId>,
 }
 
 #[derive(Debug)]
@@ -73,6 +76,8 @@
     next_reservation: u64,
     /// Hosts that sent slot requests but no heartbeat yet, with the time of the first request.
     unreported: BTreeMap<HostId, Duration>,
+    /// What each host said that it runs, until its next heartbeat.
+    runs: BTreeMap<HostId, BTreeMap<SlotRequestId, ServerTag>>,
 }
 
 impl Reports {
@@ -83,6 +88,24 @@
         }
     }
 
+    /// Records what a host runs. It counts with the next heartbeat of that host.
+    pub fn record_runs(&mut self, host: &str, runs: RunReport) {
+        self.runs
+            .insert(host.to_owned(), runs.into_iter().collect());
+    }
+
+    /// Compares the requests of a host, of which a heartbeat has been recorded, with those of the broker. Returns whether the
+    /// host has to report them all anew: they have differed at two heartbeats in a row, which no message under way explains.
+    pub fn reconcile_requests(&mut self, broker: &mut Broker, host: &str, now: Duration) -> bool {
+        let runs = self.runs.remove(host);
+        let Some(report) = self.reports.get(host) else {
+            return false;
+        };
+        let reported: HashSet<SlotRequestId> = report.heartbeat.requests.iter().copied().collect();
+        let differing = broker.reconcile(host, &reported, runs.as_ref(), now);
+        self.record_differing_requests(host, differing)
+    }
+
     /// Records a heartbeat. Returns whether the host is new or has restarted.
     pub fn record_heartbeat(
         &mut self,
@@ -111,10 +134,10 @@
             info: info.clone(),
             heartbeat,
             received_at: now,
-            unknown_requests: self
+            differing_requests: self
                 .reports
                 .remove(&info.host)
-                .map(|report| report.unknown_requests)
+                .map(|report| report.differing_requests)
                 .unwrap_or_default(),
         };
         self.reports.insert(info.host.clone(), report);
@@ -132,35 +155,17 @@
         self.reports.len()
     }
 
-    /// Records the slot requests of a host that the broker does not know. Returns whether one of them was already
-    /// unknown at the previous heartbeat: it is then lost, not in flight.
-    ///
-    /// ```
-    /// use std::collections::HashSet;
-    /// use std::time::Duration;
-    /// use bamboo_coordination::{Heartbeat, HostInfo, Reports};
-    /// let mut reports = Reports::default();
-    /// let info = HostInfo {
-    ///     host: "h".into(),
-    ///     data_centre: "a".into(),
-    ///     size: 1,
-    ///     incarnation: 1,
-    ///     knows_servers: true,
-    /// };
-    /// reports.record_heartbeat(&info, Heartbeat::default(), Duration::ZERO);
-    /// assert!(!reports.record_unknown_requests("h", HashSet::from([7])));
-    /// reports.record_heartbeat(&info, Heartbeat::default(), Duration::ZERO);
-    /// assert!(reports.record_unknown_requests("h", HashSet::from([7])));
-    /// ```
-    pub fn record_unknown_requests(&mut self, host: &str, unknown: HashSet<SlotRequestId>) -> bool {
+    /// Records the requests on which a host and the broker differ. Returns whether they did about one of them at the previous
+    /// heartbeat already.
+    fn record_differing_requests(&mut self, host: &str, differing: HashSet<SlotRequestId>) -> bool {
         let Some(report) = self.reports.get_mut(host) else {
             return false;
         };
-        let is_lost = unknown
+        let is_lasting = differing
             .iter()
-            .any(|request| report.unknown_requests.contains(request));
-        report.unknown_requests = unknown;
-        is_lost
+            .any(|request| report.differing_requests.contains(request));
+        report.differing_requests = differing;
+        is_lasting
     }
 
     /// Removes hosts whose heartbeats have stopped and returns them.
@@ -178,6 +183,7 @@
             .collect();
         for host in &lost {
             self.unreported.remove(host);
+            self.runs.remove(host);
             if self.reports.remove(host).is_some() {
                 self.supersede_cluster_map();
             }
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -16,6 +16,7 @@
 use crate::gateway::Phase;
 use crate::mesh::LinkFailure;
 use crate::mesh::PeerMessage;
+use crate::mesh::RUN_REPORTS_SINCE;
 
 /// Time for the first read of the servers before a starting host contacts others.
 const SERVERS_GRACE: Duration = Duration::from_millis(80);
@@ -174,7 +175,11 @@
             knows_servers: self.coordination.borrow().knows_servers(),
         };
         self.send_probes();
-        self.send_to_coordinator(PeerMessage::Heartbeat(heartbeat));
+        let coordinator = self.coordination.borrow().coordinator().clone();
+        if self.decodes_since(&coordinator, RUN_REPORTS_SINCE) {
+            self.send_to(&coordinator, PeerMessage::Runs(self.slot_requests.runs()));
+        }
+        self.send_to(&coordinator, PeerMessage::Heartbeat(heartbeat));
         for lost in self.reports.borrow_mut().remove_silent(now) {
             log::warn!(event = "host_lost", host = lost.as_str(); "no heartbeats from a host");
             self.protocol_versions.borrow_mut().remove(&lost);
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -1,6 +1,5 @@
 //! Handling of messages from other hosts.
 
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +10,7 @@
 use bamboo_coordination::HostInfo;
 use bamboo_coordination::ReservationOutcome;
 use bamboo_slots::Action;
+use bamboo_slots::GrantStep;
 use bamboo_slots::SlotRequest;
 use bamboo_slots::SlotRequestId;
 use bamboo_slots::Work;
@@ -32,8 +32,6 @@
 const CONFIG_FETCH_DELAY: Duration = Duration::from_millis(300);
 /// Timeout for fetching a configuration, which may be large and the link slow. A link that fails ends the fetch sooner.
 const CONFIG_FETCH_TIMEOUT: Duration = Duration::from_secs(5);
-/// Age above which a slot request is dropped if the host's heartbeat does not list it: four heartbeat intervals.
-const DROP_UNREPORTED_AFTER: Duration = Duration::from_secs(1);
 
 impl Gateway {
     /// Sends a message to the coordinator, which may be this host.
@@ -164,6 +162,7 @@
         let now = self.clock.now();
         match message {
             PeerMessage::Heartbeat(heartbeat) => self.handle_heartbeat(sender, heartbeat, now),
+            PeerMessage::Runs(runs) => self.reports.borrow_mut().record_runs(&sender.host, runs),
             PeerMessage::Sync(infos) => {
                 self.record_requests(sender, now);
                 if !self.is_coordinator(&self.local.host) {
@@ -259,11 +258,21 @@
         request: SlotRequestId,
         server: BackendServerId,
     ) {
-        let granted = SlotDecision::Granted(server.clone());
-        if self.is_coordinator(coordinator) && self.slot_requests.deliver(request, granted) {
-            return;
+        let step = match self.is_coordinator(coordinator) {
+            true => self.slot_requests.grant(request, &server),
+            // The request was moved to another coordinator while the grant was in flight.
+            false => GrantStep::Release,
+        };
+        match step {
+            GrantStep::Run | GrantStep::Ignore => return,
+            GrantStep::ReportRun => {
+                if let Some(info) = self.slot_requests.info(request, self.clock.now()) {
+                    self.send_to(coordinator, PeerMessage::RequestSlot(info));
+                }
+                return;
+            }
+            GrantStep::Release => {}
         }
-        // The request was cancelled, or moved to another coordinator, while the grant was in flight.
         let release = PeerMessage::Release {
             request,
             server: Some(server),
@@ -309,15 +318,12 @@
     }
 
     pub(super) fn handle_heartbeat(&self, sender: &HostInfo, heartbeat: Heartbeat, now: Duration) {
-        let reported: HashSet<SlotRequestId> = heartbeat.requests.iter().copied().collect();
         let (known_digest, version) = (heartbeat.cluster_map_digest, heartbeat.config_version);
-        let unknown = self
-            .broker
-            .borrow()
-            .unknown_requests(&sender.host, &reported);
         let mut reports = self.reports.borrow_mut();
         let is_new = reports.record_heartbeat(sender, heartbeat, now);
-        let wants_sync = reports.record_unknown_requests(&sender.host, unknown);
+        let mut broker = self.broker.borrow_mut();
+        let wants_sync = reports.reconcile_requests(&mut broker, &sender.host, now);
+        drop(broker);
         let map_update = match reports.cluster_map_update(known_digest) {
             Some(ClusterMapUpdate::Change(_))
                 if !self.decodes_since(&sender.host, CLUSTER_MAP_CHANGES_SINCE) =>
@@ -333,9 +339,6 @@
             self.send_leaving(&sender.host);
             log::info!(event = "host_joined", host = sender.host.as_str(); "a host reports to this coordinator");
         }
-        self.broker
-            .borrow_mut()
-            .reconcile(&sender.host, &reported, DROP_UNREPORTED_AFTER, now);
         self.send_broker_actions();
         if sender.host == self.local.host {
             if let Some(update) = map_update {
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -19,6 +19,7 @@
 use bamboo_slots::LimitReport;
 use bamboo_slots::Permit;
 use bamboo_slots::RunOutcome;
+use bamboo_slots::RunReport;
 use bamboo_slots::SlotRequestId;
 use bamboo_types::BackendServerId;
 use bamboo_types::SoftwareVersion;
@@ -251,6 +252,9 @@
     Leaving(Vec<BackendServerId>),
     /// A server crashed under a run of the sender. For hosts of protocol version 5 or later.
     CrashReport(CrashReport),
+    /// The slot requests of the sender that run, and where; counts with its next heartbeat. For hosts of protocol version 6 or
+    /// later.
+    Runs(RunReport),
 }
 
 impl PeerMessage {
@@ -267,6 +271,7 @@
             PeerMessage::HeartbeatAck { .. } => "heartbeat_ack",
             PeerMessage::ClusterMapChange(_) => "cluster_map_change",
             PeerMessage::Sync(_) => "sync",
+            PeerMessage::Runs(_) => "runs",
             PeerMessage::RequestSlot(_) => "request_slot",
             PeerMessage::Release { .. } => "release",
             PeerMessage::Grant { .. } => "grant",
--- a/bamboo-gateway/src/slot_requests.rs
+++ b/bamboo-gateway/src/slot_requests.rs
@@ -2,13 +2,17 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bamboo_fleet::Server;
 use bamboo_fleet::ServerState;
+use bamboo_slots::GrantStep;
+use bamboo_slots::HostRequests;
+use bamboo_slots::OpenRequest;
 use bamboo_slots::RunOutcome;
+use bamboo_slots::RunReport;
 use bamboo_slots::SlotRequestId;
 use bamboo_slots::Work;
 use bamboo_types::BackendServerId;
@@ -25,8 +29,6 @@
 const DECISION_TIMEOUT: Duration = Duration::from_millis(60);
 /// Identifier that no slot request has.
 const NO_REQUEST: SlotRequestId = 0;
-/// Capacity of the queue of decisions for one request.
-const DECISION_QUEUE_LEN: usize = 4;
 
 /// A decision of the coordinator on a slot request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -41,27 +43,28 @@
     NoServer,
 }
 
-struct SlotRequestState {
-    service: String,
-    work: Work,
-    excluded: Vec<BackendServerId>,
-    version: Option<SoftwareVersion>,
-    server: Option<BackendServerId>,
-    decisions: mpsc::Sender<SlotDecision>,
+/// The task that waits for a slot, or holds it.
+struct Waiter {
+    decisions: mpsc::UnboundedSender<SlotDecision>,
     preempted: Rc<Notify>,
 }
 
-/// Slot requests of this host that have not been released.
+/// Slot requests of this host that have not been released, with the tasks that made them.
 #[derive(Default)]
 pub(crate) struct SlotRequestTable {
-    requests: RefCell<BTreeMap<SlotRequestId, SlotRequestState>>,
-    next_id: Cell<SlotRequestId>,
+    requests: RefCell<HostRequests>,
+    waiters: RefCell<HashMap<SlotRequestId, Waiter>>,
 }
 
 impl SlotRequestTable {
     /// Identifiers of all requests, queued and granted.
     pub(crate) fn ids(&self) -> Vec<SlotRequestId> {
-        self.requests.borrow().keys().copied().collect()
+        self.requests.borrow().iter().map(|(id, _)| id).collect()
+    }
+
+    /// The requests that run.
+    pub(crate) fn runs(&self) -> RunReport {
+        self.requests.borrow().runs()
     }
 
     /// All requests as they are sent to the coordinator, with times relative to `now`.
@@ -69,35 +72,42 @@
         let requests = self.requests.borrow();
         requests
             .iter()
-            .map(|(id, state)| request_info(*id, state, now))
+            .map(|(id, request)| request_info(id, request, now))
             .collect()
     }
 
-    /// Passes a decision on to the task that waits for it. Returns whether the request still exists and the decision
-    /// was delivered.
-    pub(crate) fn deliver(&self, id: SlotRequestId, decision: SlotDecision) -> bool {
-        let mut requests = self.requests.borrow_mut();
-        let Some(state) = requests.get_mut(&id) else {
-            return false;
-        };
-        if let SlotDecision::Granted(server) = &decision {
-            if state.server.is_some() {
-                return true;
-            }
-            state.server = Some(server.clone());
+    /// A request as it is sent to the coordinator.
+    pub(crate) fn info(&self, id: SlotRequestId, now: Duration) -> Option<SlotRequestInfo> {
+        let requests = self.requests.borrow();
+        Some(request_info(id, requests.get(id)?, now))
+    }
+
+    /// Takes a granted slot, and passes it on to the task that waits for it.
+    pub(crate) fn grant(&self, id: SlotRequestId, server: &BackendServerId) -> GrantStep {
+        let step = self.requests.borrow_mut().grant(id, server);
+        if step == GrantStep::Run {
+            self.deliver(id, SlotDecision::Granted(server.clone()));
+        }
+        step
+    }
+
+    /// Passes a decision on to the task that waits for it.
+    pub(crate) fn deliver(&self, id: SlotRequestId, decision: SlotDecision) {
+        if let Some(waiter) = self.waiters.borrow().get(&id) {
+            // A task that no longer waits drops the request.
+            let _ = waiter.decisions.send(decision);
         }
-        state.decisions.try_send(decision).is_ok()
     }
 
     /// Notifies the task of a batch item that it must release its slot.
     pub(crate) fn preempt(&self, id: SlotRequestId) {
-        if let Some(state) = self.requests.borrow().get(&id) {
-            state.preempted.notify_one();
+        if let Some(waiter) = self.waiters.borrow().get(&id) {
+            waiter.preempted.notify_one();
         }
     }
 }
 
-fn request_info(id: SlotRequestId, state: &SlotRequestState, now: Duration) -> SlotRequestInfo {
+fn request_info(id: SlotRequestId, state: &OpenRequest, now: Duration) -> SlotRequestInfo {
     let (is_online, due, remaining_ms) = match state.work {
         Work::Online {
             start_by,
@@ -177,13 +187,10 @@
 
 impl Drop for SlotRequestGuard {
     fn drop(&mut self) {
-        let state = self
-            .gateway
-            .slot_requests
-            .requests
-            .borrow_mut()
-            .remove(&self.id);
-        let server = state.and_then(|state| state.server);
+        let table = &self.gateway.slot_requests;
+        table.waiters.borrow_mut().remove(&self.id);
+        let request = table.requests.borrow_mut().close(self.id);
+        let server = request.and_then(|request| request.server);
         let message = PeerMessage::Release {
             request: self.id,
             server,
@@ -220,6 +227,7 @@
         match server {
             Some(server)
                 if server.state == ServerState::Ready
+                    && server.service == service
                     && version.is_none_or(|version| *version == server.version) =>
             {
                 return Ok(Slot {
@@ -228,7 +236,7 @@
                     preempted,
                 });
             }
-            // The coordinator has not yet seen that this server is draining, gone or of another version.
+            // The coordinator has not yet seen that this server is draining, gone, or of another service or version.
             _ => excluded.push(granted),
         }
     }
@@ -240,29 +248,35 @@
     work: Work,
     excluded: &[BackendServerId],
     version: Option<&SoftwareVersion>,
-) -> (SlotRequestGuard, Rc<Notify>, mpsc::Receiver<SlotDecision>) {
+) -> (
+    SlotRequestGuard,
+    Rc<Notify>,
+    mpsc::UnboundedReceiver<SlotDecision>,
+) {
     let table = &gateway.slot_requests;
-    let id = table.next_id.get() + 1;
-    table.next_id.set(id);
-    let (decisions, receiver) = mpsc::channel(DECISION_QUEUE_LEN);
+    let (decisions, receiver) = mpsc::unbounded_channel();
     let preempted = Rc::new(Notify::new());
-    let state = SlotRequestState {
+    let open_request = OpenRequest {
         service: service.to_owned(),
         work,
         excluded: excluded.to_vec(),
         version: version.cloned(),
         server: None,
+    };
+    let id = table.requests.borrow_mut().open(open_request);
+    let waiter = Waiter {
         decisions,
         preempted: Rc::clone(&preempted),
     };
-    let info = request_info(id, &state, gateway.clock.now());
-    table.requests.borrow_mut().insert(id, state);
+    table.waiters.borrow_mut().insert(id, waiter);
     let request = SlotRequestGuard {
         gateway: Rc::clone(gateway),
         id,
         outcome: Cell::new(RunOutcome::Cancelled),
     };
-    gateway.send_to_coordinator(PeerMessage::RequestSlot(info));
+    if let Some(info) = table.info(id, gateway.clock.now()) {
+        gateway.send_to_coordinator(PeerMessage::RequestSlot(info));
+    }
     (request, preempted, receiver)
 }
 
@@ -272,7 +286,7 @@
     gateway: &Rc<Gateway>,
     request: &SlotRequestGuard,
     work: Work,
-    decisions: &mut mpsc::Receiver<SlotDecision>,
+    decisions: &mut mpsc::UnboundedReceiver<SlotDecision>,
 ) -> Result<Option<BackendServerId>, SlotError> {
     let is_online = matches!(work, Work::Online { .. });
     let mut is_queued = false;
@@ -316,11 +330,9 @@
     version: Option<&SoftwareVersion>,
 ) -> Option<BackendServerId> {
     let server = gateway.pick_server(service, excluded, version)?;
-    let mut requests = gateway.slot_requests.requests.borrow_mut();
-    let state = requests.get_mut(&request.id)?;
-    state.server = Some(server.id.clone());
-    let info = request_info(request.id, state, gateway.clock.now());
-    drop(requests);
+    let table = &gateway.slot_requests;
+    table.requests.borrow_mut().place(request.id, &server.id);
+    let info = table.info(request.id, gateway.clock.now())?;
     gateway.send_to_coordinator(PeerMessage::RequestSlot(info));
     Some(server.id.clone())
 }
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -289,46 +289,15 @@
     }
 
     /// Requests of a host with their keys.
-    fn requests_of(&self, host: &str) -> impl Iterator<Item = (SlotRequestId, RequestKey)> {
+    pub(crate) fn requests_of(
+        &self,
+        host: &str,
+    ) -> impl Iterator<Item = (SlotRequestId, RequestKey)> {
         self.by_id
             .range((host.to_owned(), SlotRequestId::MIN)..=(host.to_owned(), SlotRequestId::MAX))
             .map(|((_, request), key)| (*request, *key))
     }
 
-    /// Returns the reported requests of a host that the broker does not know.
-    pub fn unknown_requests(
-        &self,
-        host: &str,
-        reported: &HashSet<SlotRequestId>,
-    ) -> HashSet<SlotRequestId> {
-        let known: HashSet<SlotRequestId> =
-            self.requests_of(host).map(|(request, _)| request).collect();
-        reported.difference(&known).copied().collect()
-    }
-
-    /// Removes requests that their host no longer reports, if they are older than `age`.
-    pub fn reconcile(
-        &mut self,
-        host: &str,
-        reported: &HashSet<SlotRequestId>,
-        age: Duration,
-        now: Duration,
-    ) {
-        let is_older = |key: RequestKey| {
-            self.requests
-                .get(key)
-                .is_some_and(|state| now.saturating_sub(state.created_at) > age)
-        };
-        let stale: Vec<SlotRequestId> = self
-            .requests_of(host)
-            .filter(|(request, key)| !reported.contains(request) && is_older(*key))
-            .map(|(request, _)| request)
-            .collect();
-        for request in stale {
-            self.release(host, request, None, RunOutcome::Cancelled, now);
-        }
-    }
-
     /// Refuses expired online requests, defers batch items that would miss their due time, and allocates the slots of
     /// servers that are usable again.
     pub fn tick(&mut self, now: Duration) {
--- /dev/null
+++ b/bamboo-slots/src/host_requests.rs
@@ -0,0 +1,142 @@
+//! The slot requests of one host, as that host sees them.
+
+use std::collections::BTreeMap;
+
+use bamboo_types::BackendServerId;
+use bamboo_types::SoftwareVersion;
+use bamboo_types::rendezvous_weight;
+
+use crate::SlotRequestId;
+use crate::Work;
+
+/// Digest of a server's identifier, by which a host and its coordinator compare where a request runs.
+pub type ServerTag = u16;
+
+/// Requests of a host that run, each with the server that runs it.
+pub type RunReport = Vec<(SlotRequestId, ServerTag)>;
+
+/// Digest of a server's identifier.
+///
+/// ```
+/// assert_eq!(bamboo_slots::server_tag("s1"), bamboo_slots::server_tag("s1"));
+/// ```
+pub fn server_tag(server: &str) -> ServerTag {
+    rendezvous_weight(server, "run") as ServerTag
+}
+
+/// A slot request that has not been released.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OpenRequest {
+    /// Service whose engines can run the work.
+    pub service: String,
+    /// Work to run. All instants are on the host's clock.
+    pub work: Work,
+    /// Servers whose slots must not be granted.
+    pub excluded: Vec<BackendServerId>,
+    /// Version of the software that the server must have, if any.
+    pub version: Option<SoftwareVersion>,
+    /// Server that runs it; `None` while the request waits.
+    pub server: Option<BackendServerId>,
+}
+
+/// What to do with a slot that was granted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GrantStep {
+    /// The request has waited for it, and runs from now on.
+    Run,
+    /// The request holds the slot already.
+    Ignore,
+    /// The request runs at another server, of which the coordinator is to be told.
+    ReportRun,
+    /// The request has ended; the slot is to be released.
+    Release,
+}
+
+/// Slot requests of a host that have not been released.
+#[derive(Debug, Default)]
+pub struct HostRequests {
+    requests: BTreeMap<SlotRequestId, OpenRequest>,
+    last_id: SlotRequestId,
+}
+
+impl HostRequests {
+    /// Creates the table of a process. The numbers of its requests follow `last_id`, which differs from process to process, so
+    /// that a decision for a former process of the host is not taken for one of this process.
+    pub fn new(last_id: SlotRequestId) -> Self {
+        HostRequests {
+            requests: BTreeMap::new(),
+            last_id,
+        }
+    }
+
+    /// Adds a request and returns its identifier.
+    pub fn open(&mut self, request: OpenRequest) -> SlotRequestId {
+        self.last_id += 1;
+        self.requests.insert(self.last_id, request);
+        self.last_id
+    }
+
+    /// Removes a request and returns it.
+    pub fn close(&mut self, id: SlotRequestId) -> Option<OpenRequest> {
+        self.requests.remove(&id)
+    }
+
+    /// A request.
+    pub fn get(&self, id: SlotRequestId) -> Option<&OpenRequest> {
+        self.requests.get(&id)
+    }
+
+    /// All requests with their identifiers.
+    pub fn iter(&self) -> impl Iterator<Item = (SlotRequestId, &OpenRequest)> {
+        self.requests.iter().map(|(id, request)| (*id, request))
+    }
+
+    /// Takes a slot that the coordinator granted. A grant may come more than once, and late.
+    ///
+    /// ```
+    /// use bamboo_slots::{GrantStep, HostRequests, OpenRequest, Work};
+    /// use std::time::Duration;
+    /// let mut requests = HostRequests::new(100);
+    /// let work = Work::Batch { due: Duration::from_secs(9), remaining: Duration::from_secs(2) };
+    /// let id = requests.open(OpenRequest {
+    ///     service: "llm".into(),
+    ///     work,
+    ///     excluded: vec![],
+    ///     version: None,
+    ///     server: None,
+    /// });
+    /// assert_eq!(requests.grant(id, "s1"), GrantStep::Run);
+    /// assert_eq!(requests.grant(id, "s1"), GrantStep::Ignore);
+    /// assert_eq!(requests.grant(id, "s2"), GrantStep::ReportRun);
+    /// requests.close(id);
+    /// assert_eq!(requests.grant(id, "s1"), GrantStep::Release);
+    /// ```
+    pub fn grant(&mut self, id: SlotRequestId, server: &str) -> GrantStep {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return GrantStep::Release;
+        };
+        match &request.server {
+            None => {
+                request.server = Some(server.to_owned());
+                GrantStep::Run
+            }
+            Some(current) if current == server => GrantStep::Ignore,
+            Some(_) => GrantStep::ReportRun,
+        }
+    }
+
+    /// Records that a request runs at a server that this host chose itself.
+    pub fn place(&mut self, id: SlotRequestId, server: &str) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.server = Some(server.to_owned());
+        }
+    }
+
+    /// The requests that run.
+    pub fn runs(&self) -> RunReport {
+        let running = self.requests.iter();
+        running
+            .filter_map(|(id, request)| Some((*id, server_tag(request.server.as_ref()?))))
+            .collect()
+    }
+}
--- a/bamboo-slots/tests/broker.rs
+++ b/bamboo-slots/tests/broker.rs
@@ -222,9 +222,9 @@
     broker.take_actions();
     let reported = HashSet::from([7]);
     assert_eq!(broker.unknown_requests("h1", &reported), HashSet::from([7]));
-    broker.reconcile("h1", &reported, at(1_000), at(500));
+    broker.reconcile("h1", &reported, None, at(500));
     assert_eq!(broker.load("llm").online_running, 1);
-    broker.reconcile("h1", &reported, at(1_000), at(1_500));
+    broker.reconcile("h1", &reported, None, at(1_500));
     assert_eq!(broker.load("llm").online_running, 0);
 }
 
