fix(slots): a slot request of a restarted host is not taken for one of its former process (LOST)

Requests were numbered from 1 in each process, and the coordinator knew them by host and number. A host that is back before it is taken for lost (1.5 s) asked under numbers of its former process: they were ignored as repeated, and the old ones were granted, for the service and version of back then. Two kills in a row make numbers low both times. Class: an identifier that is unique in one process is used beyond it.

The coordinator drops the requests of a former process with the first request or heartbeat of a new one, and the numbers of a process begin at a random one, so that a decision which is still under way to the former process meets no request of the new one (5 bytes instead of 3 in a heartbeat).

a_request_of_a_new_process_is_not_taken_for_one_of_the_former failed before: no grant for a request whose number a request for a service without servers, or for another version, had.

Ruled out: the incarnation in each identifier (9 bytes in each heartbeat).

--- a/bamboo-coordination/src/reports.rs
+++ b/bamboo-coordination/src/reports.rs
@@ -10,6 +10,7 @@
 use bamboo_slots::ServerTag;
 use bamboo_slots::SlotRequestId;
 use bamboo_types::HostId;
+use bamboo_types::Incarnation;
 use bamboo_types::rendezvous_weight;
 
 use crate::ClusterMap;
@@ -78,13 +79,30 @@
     unreported: BTreeMap<HostId, Duration>,
     /// What each host said that it runs, until its next heartbeat.
     runs: BTreeMap<HostId, BTreeMap<SlotRequestId, ServerTag>>,
+    /// Process of each host whose slot requests the broker has.
+    processes: BTreeMap<HostId, Incarnation>,
 }
 
 impl Reports {
-    /// Records that a host sent slot requests. A host that is lost before its first heartbeat is thereby noticed, too.
-    pub fn record_requests(&mut self, host: &str, now: Duration) {
-        if !self.reports.contains_key(host) {
-            self.unreported.entry(host.to_owned()).or_insert(now);
+    /// Records that a process of a host sends slot requests, before they are given to the broker. A host that is lost before its
+    /// first heartbeat is thereby noticed, too. The requests of a former process of the host have ended with it, and none of this
+    /// process may be taken for one of them.
+    pub fn record_requests(&mut self, info: &HostInfo, broker: &mut Broker, now: Duration) {
+        if !self.reports.contains_key(&info.host) {
+            self.unreported.entry(info.host.clone()).or_insert(now);
+        }
+        self.drop_former_process(info, broker, now);
+    }
+
+    fn drop_former_process(&mut self, info: &HostInfo, broker: &mut Broker, now: Duration) {
+        let former = self.processes.insert(info.host.clone(), info.incarnation);
+        if former.is_some_and(|former| former != info.incarnation) {
+            log::info!(
+                event = "host_restarted", host = info.host.as_str();
+                "a host has restarted; the slot requests of its former process are dropped"
+            );
+            self.runs.remove(&info.host);
+            broker.drop_host(&info.host, now);
         }
     }
 
@@ -97,6 +115,10 @@
     /// Compares the requests of a host, of which a heartbeat has been recorded, with those of the broker. Returns whether the
     /// host has to report them all anew: they have differed at two heartbeats in a row, which no message under way explains.
     pub fn reconcile_requests(&mut self, broker: &mut Broker, host: &str, now: Duration) -> bool {
+        let Some(info) = self.reports.get(host).map(|report| report.info.clone()) else {
+            return false;
+        };
+        self.drop_former_process(&info, broker, now);
         let runs = self.runs.remove(host);
         let Some(report) = self.reports.get(host) else {
             return false;
@@ -184,6 +206,7 @@
         for host in &lost {
             self.unreported.remove(host);
             self.runs.remove(host);
+            self.processes.remove(host);
             if self.reports.remove(host).is_some() {
                 self.supersede_cluster_map();
             }
--- a/bamboo-coordination/tests/coordination.rs
+++ b/bamboo-coordination/tests/coordination.rs
@@ -9,6 +9,7 @@
 use bamboo_coordination::HostInfo;
 use bamboo_coordination::Reports;
 use bamboo_coordination::ReservationOutcome;
+use bamboo_slots::Broker;
 
 fn at(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -261,8 +262,8 @@
 #[test]
 fn a_host_that_is_lost_before_its_first_heartbeat_is_noticed() {
     let mut reports = Reports::default();
-    reports.record_requests("a", at(0));
-    reports.record_requests("b", at(0));
+    reports.record_requests(&host("a", 100), &mut Broker::default(), at(0));
+    reports.record_requests(&host("b", 100), &mut Broker::default(), at(0));
     reports.record_heartbeat(&host("b", 1), heartbeat(&[], 0, 0), at(200));
     assert!(reports.remove_silent(at(1_400)).is_empty());
     assert_eq!(reports.remove_silent(at(1_600)), ["a"]);
--- a/bamboo-coordination/tests/slot_messages.rs
+++ b/bamboo-coordination/tests/slot_messages.rs
@@ -226,6 +226,17 @@
     }
 }
 
+fn engine(index: usize, version: &str, slots: usize) -> Engine {
+    Engine {
+        server: format!("s{index}"),
+        service: "llm".to_owned(),
+        data_centre: "a".to_owned(),
+        slots,
+        is_ready: true,
+        version: version.to_owned(),
+    }
+}
+
 impl History {
     fn new(seed: u64, faults: Faults) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -391,7 +402,7 @@
         let mut wants_sync = false;
         match message {
             Message::Request(id, request) => {
-                reports.record_requests(&sender.host, now);
+                reports.record_requests(sender, broker, now);
                 put_request(broker, sender, id, request, now);
             }
             Message::Release(id, server) => {
@@ -408,7 +419,7 @@
                 wants_sync = reports.reconcile_requests(broker, &sender.host, now);
             }
             Message::Sync(requests) => {
-                reports.record_requests(&sender.host, now);
+                reports.record_requests(sender, broker, now);
                 broker.drop_host(&sender.host, now);
                 for (id, request) in requests {
                     put_request(broker, sender, id, request, now);
@@ -749,3 +760,52 @@
     assert!(!heard("another", reports, broker), "it may be under way");
     assert!(heard("another", reports, broker));
 }
+
+/// Guards against a request of a new process that is taken for the one which a former process of the host made under the same
+/// number, and waits for ever where that one would wait.
+#[test_case("gone", None; "for another service")]
+#[test_case("llm", Some("v0"); "for another version")]
+fn a_request_of_a_new_process_is_not_taken_for_one_of_the_former(
+    former_service: &str,
+    former_version: Option<&str>,
+) {
+    let mut history = History::new(0, Faults::default());
+    let Coordinator { broker, reports } = &mut history.coordinators[0];
+    let mut request = OpenRequest {
+        service: former_service.to_owned(),
+        work: Work::Batch {
+            due: Duration::from_secs(9),
+            remaining: Duration::from_secs(1),
+        },
+        excluded: Vec::new(),
+        version: None,
+        server: None,
+    };
+    let former = host_info(0);
+    if let Some(version) = former_version {
+        // The engines are of this version when the former process asks.
+        for index in 0..ENGINES {
+            broker.put_engine(engine(index, version, 0), false, Duration::ZERO);
+        }
+        request.version = Some(version.to_owned());
+    }
+    reports.record_requests(&former, broker, Duration::ZERO);
+    put_request(broker, &former, 1, request.clone(), Duration::ZERO);
+    for index in 0..ENGINES {
+        broker.put_engine(engine(index, "v1", SLOTS), false, Duration::ZERO);
+    }
+    broker.take_actions();
+    let restarted = HostInfo {
+        incarnation: 1,
+        ..host_info(0)
+    };
+    request.service = "llm".to_owned();
+    request.version = None;
+    reports.record_requests(&restarted, broker, HEARTBEAT_INTERVAL);
+    put_request(broker, &restarted, 1, request, HEARTBEAT_INTERVAL);
+    let actions = broker.take_actions();
+    assert!(
+        matches!(actions[..], [Action::Grant { request: 1, .. }]),
+        "{actions:?}"
+    );
+}
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -217,7 +217,7 @@
             pool: ServerPool::default(),
             caller_buffers: BufferBudget::new(buffer_bytes),
             server_buffers: BufferBudget::new(buffer_bytes),
-            slot_requests: SlotRequestTable::default(),
+            slot_requests: SlotRequestTable::new(),
             coordination: RefCell::new(coordination),
             stream_origins: RefCell::default(),
             crashes: CrashState::default(),
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -245,7 +245,10 @@
     }
 
     fn record_requests(&self, sender: &HostInfo, now: Duration) {
-        self.reports.borrow_mut().record_requests(&sender.host, now);
+        let mut broker = self.broker.borrow_mut();
+        self.reports
+            .borrow_mut()
+            .record_requests(sender, &mut broker, now);
     }
 
     pub(super) fn is_coordinator(&self, host: &str) -> bool {
--- a/bamboo-gateway/src/slot_requests.rs
+++ b/bamboo-gateway/src/slot_requests.rs
@@ -17,6 +17,7 @@
 use bamboo_slots::Work;
 use bamboo_types::BackendServerId;
 use bamboo_types::SoftwareVersion;
+use rand::RngExt;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
@@ -50,13 +51,21 @@
 }
 
 /// Slot requests of this host that have not been released, with the tasks that made them.
-#[derive(Default)]
 pub(crate) struct SlotRequestTable {
     requests: RefCell<HostRequests>,
     waiters: RefCell<HashMap<SlotRequestId, Waiter>>,
 }
 
 impl SlotRequestTable {
+    /// Creates the table of a process, whose requests are numbered from a random number on.
+    pub(crate) fn new() -> Self {
+        let last_id = SlotRequestId::from(rand::rng().random::<u32>());
+        SlotRequestTable {
+            requests: RefCell::new(HostRequests::new(last_id)),
+            waiters: RefCell::default(),
+        }
+    }
+
     /// Identifiers of all requests, queued and granted.
     pub(crate) fn ids(&self) -> Vec<SlotRequestId> {
         self.requests.borrow().iter().map(|(id, _)| id).collect()
--- a/bamboo-types/src/ids.rs
+++ b/bamboo-types/src/ids.rs
@@ -19,7 +19,7 @@
 pub type CallerId = String;
 /// Name of a workspace. Jobs and idempotency keys are scoped to one.
 pub type WorkspaceId = String;
-/// Incarnation number of a daemon: it is higher after every restart on the same host.
+/// Number of a process of a host. That of a daemon is higher after every restart; that of a gateway is random.
 pub type Incarnation = u64;
 /// Offset of an entry in a log stream.
 pub type Offset = u64;
