fix(jobs): an item that waits for a slot follows its route, and ends when it may be given up (LOST)

An item waits for a slot without a time limit, and looked at its route, its job and its age before the wait only. When its route led to another service it went on waiting at the former one, for ever if that had no server left; a granted slot of the former service was used even long after the change (CONFIG); and an item whose retention passed was not listed. Class: a wait that no change of what it waits for ends.

Every two seconds a waiting item checks whether it still needs that slot, and again when it gets one; if not, it lets the slot go and decides anew. A target of weight 0 is none to which requests may go (Route::leads_to).

--- a/bamboo-fleet/src/config.rs
+++ b/bamboo-fleet/src/config.rs
@@ -93,6 +93,25 @@
         }
         self.targets.first().map(|target| &target.service)
     }
+
+    /// Whether requests may go to a service.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use bamboo_fleet::{Route, RouteKind, Target};
+    /// let route = Route {
+    ///     name: "r".into(), host: "h".into(), path_prefix: "/".into(), kind: RouteKind::Idempotent,
+    ///     timeout: None, target_latency: Duration::ZERO, priority: 0, attempts_max: 1,
+    ///     targets: vec![Target { service: "a".into(), weight: 9 }, Target { service: "b".into(), weight: 0 }],
+    /// };
+    /// assert!(route.leads_to("a"));
+    /// assert!(!route.leads_to("b"));
+    /// ```
+    pub fn leads_to(&self, service: &str) -> bool {
+        let has_weights = self.targets.iter().any(|target| target.weight > 0);
+        let mut targets = self.targets.iter();
+        targets.any(|target| target.service == service && (target.weight > 0 || !has_weights))
+    }
 }
 
 /// Properties of the engines of a service.
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -63,6 +63,8 @@
 const EVENT_INTERVAL_INITIAL: Duration = Duration::from_millis(25);
 /// Minimum weight of a new item in the moving averages. The first items have more weight.
 const MEAN_WEIGHT_MIN: f64 = 0.05;
+/// Interval at which an item that waits for a slot checks whether it still needs that slot.
+const WAIT_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval at which the log names an item that waits.
 const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(5);
 /// Lower bound of the estimated remaining run time of an item.
@@ -166,6 +168,20 @@
     NoConfig,
 }
 
+/// Whether an item still needs a result of this owner.
+fn is_open(shard: &OwnedShard, job: &JobRecord, item: ItemIndex) -> bool {
+    let state = shard.state.borrow();
+    let is_owed = state
+        .job(&job.id)
+        .is_some_and(|found| !found.is_cancelled() && !found.has_result(item));
+    is_owed && !shard.is_lost()
+}
+
+/// Whether an item may be given up because of its age.
+fn is_expired(job: &JobRecord, age: JobAge, now: Duration) -> bool {
+    age.minimum(now) >= Duration::from_millis(job.retention_ms)
+}
+
 fn item_status(
     gateway: &Gateway,
     shard: &OwnedShard,
@@ -174,15 +190,11 @@
     age: JobAge,
     origin: Option<&StreamOrigin>,
 ) -> ItemStatus {
-    let state = shard.state.borrow();
-    let is_open = state
-        .job(&job.id)
-        .is_some_and(|found| !found.is_cancelled() && !found.has_result(item));
-    if !is_open || shard.is_lost() {
+    let now = gateway.clock.now();
+    if !is_open(shard, job, item) {
         return ItemStatus::Closed;
     }
-    let now = gateway.clock.now();
-    if age.minimum(now) >= Duration::from_millis(job.retention_ms) {
+    if is_expired(job, age, now) {
         return ItemStatus::Expired;
     }
     let Some(config) = gateway.config() else {
@@ -208,11 +220,9 @@
 ) -> Option<String> {
     let path = &job.items[item as usize].path;
     let route = config.find_route(&job.host, path)?;
-    let began = origin.and_then(|origin| {
-        let mut services = route.targets.iter().map(|target| &target.service);
-        services.find(|service| **service == origin.service)
-    });
+    let began = origin.map(|origin| &origin.service);
     began
+        .filter(|service| route.leads_to(service))
         .or_else(|| route.pick_service(rand::rng().random()))
         .cloned()
 }
@@ -268,7 +278,12 @@
         let version = origin.as_ref().map(|origin| &origin.version);
         let excluded_now = std::mem::take(&mut excluded);
         let acquired = acquire_slot(&gateway, &service, work, excluded_now, version);
-        let acquired = log_long_wait(&gateway, &job, &request, &service, acquired).await;
+        let acquired = log_long_wait(&gateway, &job, &request, &service, acquired);
+        let may_run = || may_run_at(&gateway, &shard, &job, item, age, &service);
+        let acquired = tokio::select! {
+            acquired = acquired => acquired,
+            () = wait_until_obsolete(&may_run) => continue,
+        };
         let slot = match acquired {
             Ok(slot) => slot,
             Err(SlotError::NoServer) if version.is_some() => {
@@ -280,11 +295,9 @@
                 continue;
             }
         };
-        if matches!(
-            item_status(&gateway, &shard, &job, item, age, origin.as_ref()),
-            ItemStatus::Closed
-        ) {
-            return;
+        // The wait may have been long. Without the slot, the loop decides anew.
+        if !may_run() {
+            continue;
         }
         let server = slot.server.id.clone();
         let (started_at, events_before) = (gateway.clock.now(), run.borrow().event_count());
@@ -357,6 +370,39 @@
     }
 }
 
+/// Whether an item may run at a service: it has no result, may not be given up, and its route leads there.
+fn may_run_at(
+    gateway: &Gateway,
+    shard: &OwnedShard,
+    job: &JobRecord,
+    item: ItemIndex,
+    age: JobAge,
+    service: &str,
+) -> bool {
+    if !is_open(shard, job, item) || is_expired(job, age, gateway.clock.now()) {
+        return false;
+    }
+    let config = gateway.config();
+    let path = &job.items[item as usize].path;
+    let route = config
+        .as_ref()
+        .and_then(|config| config.find_route(&job.host, path));
+    route.is_some_and(|route| route.leads_to(service))
+}
+
+/// Returns once what an item waits for is of no use to it any more.
+async fn wait_until_obsolete<F>(may_run: F)
+where
+    F: Fn() -> bool,
+{
+    loop {
+        actix_rt::time::sleep(WAIT_CHECK_INTERVAL).await;
+        if !may_run() {
+            return;
+        }
+    }
+}
+
 /// Logs at intervals that an item waits: for its turn, or for a slot of a service. The coordinator's line `load` tells whether
 /// it counts the item as queued or as running.
 async fn log_long_wait<F>(
