--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -65,6 +65,8 @@
 const MEAN_WEIGHT_MIN: f64 = 0.05;
 /// Interval at which an item that waits for a slot checks whether it still needs that slot.
 const WAIT_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Time for which an item keeps its turn while it waits for a slot.
+const TURN_WAIT_MAX: Duration = Duration::from_secs(1);
 /// Interval at which the log names an item that waits.
 const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(5);
 /// Lower bound of the estimated remaining run time of an item.
@@ -283,6 +285,8 @@
         let acquired = tokio::select! {
             acquired = acquired => acquired,
             () = wait_until_obsolete(&may_run) => continue,
+            // Others with a part in quarantine may need a slot of another service.
+            () = actix_rt::time::sleep(TURN_WAIT_MAX), if turn.is_some() => continue,
         };
         let slot = match acquired {
             Ok(slot) => slot,
