fix(jobs): a shard is opened only with all its records (LOST)

A read that returns no records before the end of the shard ended the replay, and the shard was opened without the rest: callers got 404 for accepted jobs, whose items never ran. Reads of the topic of submitted jobs were repeated without a pause in the same case. Found by reading; no such response is known of the users' store. Class: an incomplete answer is taken for a whole one.

The replay waits and reads again.

a_shard_is_opened_with_all_its_records got 404 before.

--- a/bamboo-gateway/src/jobs/shard.rs
+++ b/bamboo-gateway/src/jobs/shard.rs
@@ -308,10 +308,13 @@
                 end: current_end,
             }) => {
                 end = end.max(current_end);
-                is_waiting = false;
                 if records.is_empty() {
-                    break;
+                    // The shard must not be opened without the rest: its jobs would be unknown.
+                    log_replay_wait(shard, &mut is_waiting, from, end, "the read returned none");
+                    actix_rt::time::sleep(RETRY_PAUSE).await;
+                    continue;
                 }
+                is_waiting = false;
                 let offsets = from..;
                 from += records.len() as u64;
                 for (offset, fragment) in offsets.zip(records) {
@@ -325,13 +328,7 @@
             }
             Ok(other) => anyhow::bail!("unexpected reply from the store: {other:?}"),
             Err(error) => {
-                if !is_waiting {
-                    log::info!(
-                        event = "replay_waits", partition = shard.partition, epoch = shard.epoch, from, end;
-                        "cannot read the records of a shard yet: {error}"
-                    );
-                }
-                is_waiting = true;
+                log_replay_wait(shard, &mut is_waiting, from, end, &error.to_string());
                 actix_rt::time::sleep(RETRY_PAUSE).await;
             }
         }
@@ -340,6 +337,22 @@
     Ok(true)
 }
 
+/// Logs that the records of a shard cannot be read yet, once until the next ones arrive.
+fn log_replay_wait(
+    shard: &OwnedShard,
+    is_waiting: &mut bool,
+    from: Offset,
+    end: Offset,
+    reason: &str,
+) {
+    if !std::mem::replace(is_waiting, true) {
+        log::info!(
+            event = "replay_waits", partition = shard.partition, epoch = shard.epoch, from, end;
+            "cannot read the records of a shard yet: {reason}"
+        );
+    }
+}
+
 /// Applies the record that a replayed fragment completes, if any. A record that cannot be read is skipped, so that the
 /// other jobs of the shard stay readable.
 fn apply_fragment(
--- a/bamboo-gateway/src/jobs/submitted.rs
+++ b/bamboo-gateway/src/jobs/submitted.rs
@@ -48,7 +48,7 @@
     AtEnd,
     /// There may be further records.
     HasMore,
-    /// The store refused the call or did not answer.
+    /// The store refused the call, did not answer, or returned none of the records.
     Failed,
 }
 
@@ -79,9 +79,10 @@
                     .set(shard.submitted.next_offset.get() + 1);
                 apply_submitted(gateway, shard, &fragment);
             }
-            match shard.submitted.next_offset.get() >= end {
-                true => ReadOutcome::AtEnd,
-                false => ReadOutcome::HasMore,
+            match shard.submitted.next_offset.get() {
+                next if next >= end => ReadOutcome::AtEnd,
+                next if next > from => ReadOutcome::HasMore,
+                _ => ReadOutcome::Failed,
             }
         }
         Ok(StoreReply::Trimmed { first }) => {
