fix(jobs): an item or a shard whose task panicked is begun anew (LOST)

A panic ended one task: that of an item left the item without a result until its shard moved, that of a shard left it open and its results unstored. Class: work whose end nobody notices.

--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -38,6 +38,7 @@
 use crate::slot_requests::SlotError;
 use crate::slot_requests::acquire_slot;
 use crate::task::OwnedTask;
+use crate::task::run_despite_panics;
 use crate::traffic::EngineRequest;
 use crate::traffic::OpenError;
 use crate::traffic::StreamRead;
@@ -67,6 +68,8 @@
 const WAIT_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Time for which an item keeps its turn while it waits for a slot.
 const TURN_WAIT_MAX: Duration = Duration::from_secs(1);
+/// Pause before an item whose task panicked is begun anew.
+const PANIC_PAUSE: Duration = Duration::from_secs(1);
 /// Interval at which the log names an item that waits.
 const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(5);
 /// Lower bound of the estimated remaining run time of an item.
@@ -143,14 +146,11 @@
         return;
     };
     for item in job.open_items() {
-        let run = run_item(
-            Rc::clone(gateway),
-            Rc::clone(shard),
-            Rc::clone(&job.record),
-            item,
-            age,
-        );
-        shard.add_task(OwnedTask::spawn(run));
+        let (gateway, owned, job) = (Rc::clone(gateway), Rc::clone(shard), Rc::clone(&job.record));
+        shard.add_task(OwnedTask::spawn(async move {
+            let run = || run_item(&gateway, &owned, &job, item, age);
+            run_despite_panics("item", PANIC_PAUSE, run).await;
+        }));
     }
 }
 
@@ -231,21 +231,21 @@
 
 /// Runs an item until it has a result.
 async fn run_item(
-    gateway: Rc<Gateway>,
-    shard: Rc<OwnedShard>,
-    job: Rc<JobRecord>,
+    gateway: &Rc<Gateway>,
+    shard: &Rc<OwnedShard>,
+    job: &Rc<JobRecord>,
     item: ItemIndex,
     age: JobAge,
 ) {
     let run = shard.shared_run(&job.id, item);
     let mut excluded: Vec<BackendServerId> = Vec::new();
-    let request = engine_request(&gateway, &job, item);
+    let request = engine_request(gateway, job, item);
     let mut route_missing_since = None;
     let mut fruitless_attempts = 0;
     let mut broken_in_a_row = 0;
     loop {
         let origin = run.borrow().origin().cloned();
-        let status = item_status(&gateway, &shard, &job, item, age, origin.as_ref());
+        let status = item_status(gateway, shard, job, item, age, origin.as_ref());
         let now = gateway.clock.now();
         route_missing_since = match status {
             ItemStatus::NoRoute => route_missing_since.or(Some(now)),
@@ -257,10 +257,10 @@
             ItemStatus::Runnable { service, due_in } => (service, due_in),
             ItemStatus::Closed => return shard.remove_run(&job.id, item),
             ItemStatus::NoRoute if is_route_missing => {
-                return record_result(&gateway, &shard, &job, item, &run, ResultState::DeadLetter);
+                return record_result(gateway, shard, job, item, &run, ResultState::DeadLetter);
             }
             ItemStatus::Expired => {
-                return record_result(&gateway, &shard, &job, item, &run, ResultState::DeadLetter);
+                return record_result(gateway, shard, job, item, &run, ResultState::DeadLetter);
             }
             ItemStatus::NoRoute | ItemStatus::NoConfig => {
                 actix_rt::time::sleep(RETRY_PAUSE).await;
@@ -268,8 +268,8 @@
             }
         };
         let trials = &gateway.jobs.item_trials;
-        let turn = trials.wait_for_turn(&gateway, &request.suspects);
-        let turn = log_long_wait(&gateway, &job, &request, "turn", turn).await;
+        let turn = trials.wait_for_turn(gateway, &request.suspects);
+        let turn = log_long_wait(gateway, job, &request, "turn", turn).await;
         let work = Work::Batch {
             due: gateway.clock.now() + due_in,
             remaining: gateway
@@ -279,9 +279,9 @@
         };
         let version = origin.as_ref().map(|origin| &origin.version);
         let excluded_now = std::mem::take(&mut excluded);
-        let acquired = acquire_slot(&gateway, &service, work, excluded_now, version);
-        let acquired = log_long_wait(&gateway, &job, &request, &service, acquired);
-        let may_run = || may_run_at(&gateway, &shard, &job, item, age, &service);
+        let acquired = acquire_slot(gateway, &service, work, excluded_now, version);
+        let acquired = log_long_wait(gateway, job, &request, &service, acquired);
+        let may_run = || may_run_at(gateway, shard, job, item, age, &service);
         let acquired = tokio::select! {
             acquired = acquired => acquired,
             () = wait_until_obsolete(&may_run) => continue,
@@ -291,7 +291,7 @@
         let slot = match acquired {
             Ok(slot) => slot,
             Err(SlotError::NoServer) if version.is_some() => {
-                restart_item(&gateway, &job, &request, &run, "no_server");
+                restart_item(gateway, job, &request, &run, "no_server");
                 continue;
             }
             Err(_) => {
@@ -309,7 +309,7 @@
             Duration::from_millis(job.retention_ms).saturating_sub(age.minimum(started_at));
         let deadline = started_at + retention_left;
         let (end, outcome) =
-            run_attempt(&gateway, &shard, &job, &slot, &request, &run, deadline).await;
+            run_attempt(gateway, shard, job, &slot, &request, &run, deadline).await;
         slot.set_outcome(outcome);
         drop(slot);
         if !matches!(outcome, RunOutcome::Done | RunOutcome::Cancelled) {
@@ -339,10 +339,10 @@
             _ => 0,
         };
         if fruitless_attempts >= FRUITLESS_ATTEMPTS_MAX
-            && origin.is_some_and(|origin| has_other_version(&gateway, &service, &origin))
+            && origin.is_some_and(|origin| has_other_version(gateway, &service, &origin))
         {
             fruitless_attempts = 0;
-            restart_item(&gateway, &job, &request, &run, "no_event");
+            restart_item(gateway, job, &request, &run, "no_event");
         }
         let next = run.borrow_mut().finish_attempt(end, job.attempts_max);
         match next {
@@ -354,10 +354,10 @@
                     run_events,
                     elapsed,
                 );
-                return record_result(&gateway, &shard, &job, item, &run, ResultState::Done);
+                return record_result(gateway, shard, job, item, &run, ResultState::Done);
             }
             ItemAction::DeadLetter => {
-                return record_result(&gateway, &shard, &job, item, &run, ResultState::DeadLetter);
+                return record_result(gateway, shard, job, item, &run, ResultState::DeadLetter);
             }
             ItemAction::Retry if outcome == RunOutcome::Cancelled => {
                 gateway.metrics.count_item("preempted")
--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -18,6 +18,7 @@
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
 use crate::task::OwnedTask;
+use crate::task::ends_without_panic;
 use crate::watch::TopicReader;
 use crate::watch::TopicUpdate;
 use crate::watch::encode_keyed_record;
@@ -116,8 +117,14 @@
     for partition in assigned {
         shards.entry(partition).or_insert_with(|| {
             let shard = OwnedShard::new(partition, gateway.jobs.next_epoch(generation));
-            let task = OwnedTask::spawn(serve_shard(Rc::clone(gateway), Rc::clone(&shard)));
-            shard.add_task(task);
+            let (gateway, served) = (Rc::clone(gateway), Rc::clone(&shard));
+            shard.add_task(OwnedTask::spawn(async move {
+                let served_shard = serve_shard(gateway, Rc::clone(&served));
+                if !ends_without_panic("shard", served_shard).await {
+                    // The next renewal of the membership opens it anew.
+                    served.is_lost.set(true);
+                }
+            }));
             shard
         });
     }
--- a/bamboo-gateway/src/lib.rs
+++ b/bamboo-gateway/src/lib.rs
@@ -42,3 +42,4 @@
 pub use store::StoreRequest;
 pub use task::Supervisor;
 pub use task::TaskName;
+pub use task::run_despite_panics;
--- a/bamboo-gateway/src/task.rs
+++ b/bamboo-gateway/src/task.rs
@@ -1,7 +1,10 @@
 //! Tasks that are aborted with their owner, and background tasks whose end is noticed.
 
 use std::future::Future;
+use std::panic::AssertUnwindSafe;
+use std::time::Duration;
 
+use futures_util::FutureExt;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
@@ -28,6 +31,45 @@
     }
 }
 
+/// Runs a task to its end. A task that panics is logged and begun anew after a pause: the work of a task of its own would
+/// otherwise stop with it, unnoticed.
+///
+/// ```
+/// use std::cell::Cell;
+/// use std::time::Duration;
+/// actix_rt::System::new().block_on(async {
+///     let runs = Cell::new(0);
+///     bamboo_gateway::run_despite_panics("item", Duration::ZERO, || async {
+///         runs.set(runs.get() + 1);
+///         assert!(runs.get() > 2, "fails twice");
+///     })
+///     .await;
+///     assert_eq!(runs.get(), 3);
+/// });
+/// ```
+pub async fn run_despite_panics<F, Fut>(task: TaskName, pause: Duration, begin: F)
+where
+    F: Fn() -> Fut,
+    Fut: Future<Output = ()>,
+{
+    while !ends_without_panic(task, begin()).await {
+        actix_rt::time::sleep(pause).await;
+    }
+}
+
+/// Runs a task, and logs a panic. Returns whether it ended by itself.
+pub(crate) async fn ends_without_panic<F>(task: TaskName, future: F) -> bool
+where
+    F: Future<Output = ()>,
+{
+    // Cells that a panic leaves half changed are those of the task itself, which begins anew.
+    let ended = AssertUnwindSafe(future).catch_unwind().await.is_ok();
+    if !ended {
+        log::error!(event = "task_failed", task; "a task panicked");
+    }
+    ended
+}
+
 /// Name of a background task.
 pub type TaskName = &'static str;
 
