fix(jobs): an item whose route leads to another service begins anew there (ORDER)

An item that had begun at one service and whose route was moved went on at a server of the other one after its last event, if that had the same software version or none: its text then held events of two services. The requirement was made from the version of its origin alone.

an_item_that_began_at_another_service_begins_anew failed before: three requests at the new service asked to go on after an event of the former one.

--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -267,6 +267,13 @@
                 continue;
             }
         };
+        if origin
+            .as_ref()
+            .is_some_and(|origin| origin.service != service)
+        {
+            restart_item(gateway, job, &request, &run, "other_service");
+            continue;
+        }
         let trials = &gateway.jobs.item_trials;
         let turn = trials.wait_for_turn(gateway, &request.suspects);
         let turn = log_long_wait(gateway, job, &request, "turn", turn).await;
