perf(slots): a heartbeat holds what a host believes of its requests, as differences of identifiers

The list of runs of came beside the list of all identifiers, as a message of its own before the heartbeat: at 66 runs and a deep queue more than the 4 kB a second that a host may send for control, and a heartbeat without its list would have been compared with an older one. Both are one message now, a byte for each waiting request and two for a run as a rule (the server's digest has 8 bits: one wrong server in 256 is missed until the run ends).

a_report_of_all_requests_of_a_host_is_small: 66 runs and 400 waiting items stay within 1,000 bytes, a quarter of the bound a second. a_host_that_only_lists_its_requests_gets_recent_grants_again holds the way for hosts of a former build.

--- a/bamboo-coordination/src/message.rs
+++ b/bamboo-coordination/src/message.rs
@@ -33,7 +33,7 @@
     pub waiting_tokens: Vec<(String, u64)>,
     /// Number of the last reservation that `waiting_tokens` includes.
     pub reservation: u64,
-    /// Slot requests of the host, both queued and granted.
+    /// Slot requests of the host, both queued and granted. Empty if a report of them comes with the heartbeat.
     pub requests: Vec<SlotRequestId>,
     /// Digest of the cluster map that the host has.
     pub cluster_map_digest: u64,
--- a/bamboo-coordination/src/reports.rs
+++ b/bamboo-coordination/src/reports.rs
@@ -6,8 +6,7 @@
 use std::time::Duration;
 
 use bamboo_slots::Broker;
-use bamboo_slots::RunReport;
-use bamboo_slots::ServerTag;
+use bamboo_slots::RequestReport;
 use bamboo_slots::SlotRequestId;
 use bamboo_types::HostId;
 use bamboo_types::Incarnation;
@@ -77,8 +76,6 @@
     next_reservation: u64,
     /// Hosts that sent slot requests but no heartbeat yet, with the time of the first request.
     unreported: BTreeMap<HostId, Duration>,
-    /// What each host said that it runs, until its next heartbeat.
-    runs: BTreeMap<HostId, BTreeMap<SlotRequestId, ServerTag>>,
     /// Process of each host whose slot requests the broker has.
     processes: BTreeMap<HostId, Incarnation>,
 }
@@ -101,30 +98,36 @@
                 event = "host_restarted", host = info.host.as_str();
                 "a host has restarted; the slot requests of its former process are dropped"
             );
-            self.runs.remove(&info.host);
             broker.drop_host(&info.host, now);
         }
     }
 
-    /// Records what a host runs. It counts with the next heartbeat of that host.
-    pub fn record_runs(&mut self, host: &str, runs: RunReport) {
-        self.runs
-            .insert(host.to_owned(), runs.into_iter().collect());
-    }
-
-    /// Compares the requests of a host, of which a heartbeat has been recorded, with those of the broker. Returns whether the
-    /// host has to report them all anew: they have differed at two heartbeats in a row, which no message under way explains.
-    pub fn reconcile_requests(&mut self, broker: &mut Broker, host: &str, now: Duration) -> bool {
+    /// Compares the requests of a host, of which a heartbeat has been recorded, with those of the broker. `report` is what the host
+    /// believes of them; one of a former build only lists them, in its heartbeat. Returns whether the host has to report them
+    /// all anew: they have differed at two heartbeats in a row, which no message under way explains.
+    pub fn reconcile_requests(
+        &mut self,
+        broker: &mut Broker,
+        host: &str,
+        report: Option<RequestReport>,
+        now: Duration,
+    ) -> bool {
         let Some(info) = self.reports.get(host).map(|report| report.info.clone()) else {
             return false;
         };
         self.drop_former_process(&info, broker, now);
-        let runs = self.runs.remove(host);
-        let Some(report) = self.reports.get(host) else {
-            return false;
+        let differing = match report {
+            Some(report) => {
+                let reported = report.ids().collect();
+                let runs = report.running.into_iter().collect();
+                broker.reconcile(host, &reported, Some(&runs), now)
+            }
+            None => {
+                let listed = self.reports.get(host).into_iter();
+                let listed = listed.flat_map(|report| &report.heartbeat.requests);
+                broker.reconcile(host, &listed.copied().collect(), None, now)
+            }
         };
-        let reported: HashSet<SlotRequestId> = report.heartbeat.requests.iter().copied().collect();
-        let differing = broker.reconcile(host, &reported, runs.as_ref(), now);
         self.record_differing_requests(host, differing)
     }
 
@@ -205,7 +208,6 @@
             .collect();
         for host in &lost {
             self.unreported.remove(host);
-            self.runs.remove(host);
             self.processes.remove(host);
             if self.reports.remove(host).is_some() {
                 self.supersede_cluster_map();
--- a/bamboo-coordination/tests/slot_messages.rs
+++ b/bamboo-coordination/tests/slot_messages.rs
@@ -16,11 +16,13 @@
 use bamboo_slots::GrantStep;
 use bamboo_slots::HostRequests;
 use bamboo_slots::OpenRequest;
+use bamboo_slots::PackedReport;
+use bamboo_slots::RequestReport;
 use bamboo_slots::RunOutcome;
-use bamboo_slots::RunReport;
 use bamboo_slots::SlotRequest;
 use bamboo_slots::SlotRequestId;
 use bamboo_slots::Work;
+use bamboo_slots::server_tag;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -54,7 +56,6 @@
 enum Kind {
     Request,
     Release,
-    Runs,
     Heartbeat,
     WantsSync,
     Sync,
@@ -62,10 +63,9 @@
     OtherDecision,
 }
 
-const KINDS: [Kind; 8] = [
+const KINDS: [Kind; 7] = [
     Kind::Request,
     Kind::Release,
-    Kind::Runs,
     Kind::Heartbeat,
     Kind::WantsSync,
     Kind::Sync,
@@ -77,8 +77,7 @@
 enum Message {
     Request(SlotRequestId, OpenRequest),
     Release(SlotRequestId, Option<String>),
-    Runs(RunReport),
-    Heartbeat(Vec<SlotRequestId>),
+    Heartbeat(PackedReport),
     Sync(Vec<(SlotRequestId, OpenRequest)>),
     WantsSync,
     Decision(Action),
@@ -89,7 +88,6 @@
         match self {
             Message::Request(..) => Kind::Request,
             Message::Release(..) => Kind::Release,
-            Message::Runs(_) => Kind::Runs,
             Message::Heartbeat(_) => Kind::Heartbeat,
             Message::Sync(_) => Kind::Sync,
             Message::WantsSync => Kind::WantsSync,
@@ -409,14 +407,10 @@
                 let outcome = RunOutcome::Done;
                 broker.release(&sender.host, id, server.as_deref(), outcome, now);
             }
-            Message::Runs(runs) => reports.record_runs(&sender.host, runs),
-            Message::Heartbeat(requests) => {
-                let heartbeat = Heartbeat {
-                    requests,
-                    ..Heartbeat::default()
-                };
-                reports.record_heartbeat(sender, heartbeat, now);
-                wants_sync = reports.reconcile_requests(broker, &sender.host, now);
+            Message::Heartbeat(packed) => {
+                reports.record_heartbeat(sender, Heartbeat::default(), now);
+                let report = RequestReport::try_from(packed).unwrap();
+                wants_sync = reports.reconcile_requests(broker, &sender.host, Some(report), now);
             }
             Message::Sync(requests) => {
                 reports.record_requests(sender, broker, now);
@@ -508,10 +502,8 @@
 
     fn heartbeats(&mut self) {
         for host in 0..HOSTS {
-            let requests = &self.hosts[host].requests;
-            let (runs, ids) = (requests.runs(), requests.iter().map(|(id, _)| id).collect());
-            self.tell_coordinator(host, Message::Runs(runs));
-            self.tell_coordinator(host, Message::Heartbeat(ids));
+            let report = PackedReport::from(&self.hosts[host].requests.report());
+            self.tell_coordinator(host, Message::Heartbeat(report));
         }
         for index in 0..COORDINATORS {
             let Coordinator { broker, reports } = &mut self.coordinators[index];
@@ -590,8 +582,9 @@
     fn disagreements(&mut self) -> Vec<(usize, SlotRequestId)> {
         let mut found = Vec::new();
         for (index, host) in self.hosts.iter().enumerate() {
-            let reported: HashSet<SlotRequestId> = host.requests.iter().map(|(id, _)| id).collect();
-            let runs = host.requests.runs().into_iter().collect();
+            let report = host.requests.report();
+            let reported: HashSet<SlotRequestId> = report.ids().collect();
+            let runs = report.running.into_iter().collect();
             let coordinator = &mut self.coordinators[0];
             let broker = &mut coordinator.broker;
             let differing = broker.reconcile(&host.info.host, &reported, Some(&runs), self.now);
@@ -747,13 +740,12 @@
         panic!("a free slot is not granted");
     };
     let heard = |server: &str, reports: &mut Reports, broker: &mut Broker| {
-        let heartbeat = Heartbeat {
-            requests: vec![7],
-            ..Heartbeat::default()
+        reports.record_heartbeat(&sender, Heartbeat::default(), HEARTBEAT_INTERVAL);
+        let report = RequestReport {
+            waiting: Vec::new(),
+            running: vec![(7, server_tag(server))],
         };
-        reports.record_runs(&sender.host, vec![(7, bamboo_slots::server_tag(server))]);
-        reports.record_heartbeat(&sender, heartbeat, HEARTBEAT_INTERVAL);
-        reports.reconcile_requests(broker, &sender.host, HEARTBEAT_INTERVAL)
+        reports.reconcile_requests(broker, &sender.host, Some(report), HEARTBEAT_INTERVAL)
     };
     assert!(!heard(&server, reports, broker));
     assert!(!heard(&server, reports, broker));
@@ -809,3 +801,52 @@
         "{actions:?}"
     );
 }
+
+/// Guards against a lost grant to a host of a former build, which lists its requests and does not say which run.
+#[test]
+fn a_host_that_only_lists_its_requests_gets_recent_grants_again() {
+    let mut history = History::new(0, Faults::default());
+    let Coordinator { broker, reports } = &mut history.coordinators[0];
+    let request = OpenRequest {
+        service: "llm".to_owned(),
+        work: Work::Batch {
+            due: Duration::from_secs(9),
+            remaining: Duration::from_secs(1),
+        },
+        excluded: Vec::new(),
+        version: None,
+        server: None,
+    };
+    let sender = host_info(0);
+    put_request(broker, &sender, 7, request, Duration::ZERO);
+    assert_eq!(broker.take_actions().len(), 1, "a free slot is granted");
+    let heartbeat = Heartbeat {
+        requests: vec![7],
+        ..Heartbeat::default()
+    };
+    reports.record_heartbeat(&sender, heartbeat, HEARTBEAT_INTERVAL);
+    assert!(!reports.reconcile_requests(broker, &sender.host, None, HEARTBEAT_INTERVAL));
+    let actions = broker.take_actions();
+    assert!(
+        matches!(actions[..], [Action::Grant { request: 7, .. }]),
+        "{actions:?}"
+    );
+}
+
+/// Guards against heartbeats that exceed what a host may send for control: 4 kB a second, at four heartbeats a second, with the
+/// runs and waiting items of a host at the size of docs/CAPACITY.md.
+#[test]
+fn a_report_of_all_requests_of_a_host_is_small() {
+    const RUNNING: u64 = 66;
+    const WAITING: u64 = 400;
+    let first = u64::from(u32::MAX);
+    let report = RequestReport {
+        waiting: (0..WAITING).map(|index| first + 3 * index).collect(),
+        running: (0..RUNNING)
+            .map(|index| (first + 7 * index, server_tag(&format!("s{index}"))))
+            .collect(),
+    };
+    let packed = PackedReport::from(&report);
+    let bytes = bincode::serde::encode_to_vec(&packed, bincode::config::standard()).unwrap();
+    assert!(bytes.len() <= 1_000, "{} bytes", bytes.len());
+}
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -16,7 +16,7 @@
 use crate::gateway::Phase;
 use crate::mesh::LinkFailure;
 use crate::mesh::PeerMessage;
-use crate::mesh::RUN_REPORTS_SINCE;
+use crate::mesh::REQUEST_REPORTS_SINCE;
 
 /// Time for the first read of the servers before a starting host contacts others.
 const SERVERS_GRACE: Duration = Duration::from_millis(80);
@@ -164,22 +164,29 @@
     pub(super) fn tick(&self) {
         let now = self.clock.now();
         self.choose_coordinator();
+        let coordinator = self.coordination.borrow().coordinator().clone();
+        let report = self
+            .decodes_since(&coordinator, REQUEST_REPORTS_SINCE)
+            .then(|| self.slot_requests.report());
         let heartbeat = Heartbeat {
             partitions: self.jobs.owned_partitions(),
             waiting_tokens: self.jobs.waiting_tokens(),
             reservation: self.jobs.last_reservation(),
-            requests: self.slot_requests.ids(),
+            requests: match &report {
+                Some(_) => Vec::new(),
+                None => self.slot_requests.ids(),
+            },
             cluster_map_digest: self.coordination.borrow().cluster_map_digest(),
             config_version: self.config_version(),
             is_leaving: self.is_stopping(),
             knows_servers: self.coordination.borrow().knows_servers(),
         };
         self.send_probes();
-        let coordinator = self.coordination.borrow().coordinator().clone();
-        if self.decodes_since(&coordinator, RUN_REPORTS_SINCE) {
-            self.send_to(&coordinator, PeerMessage::Runs(self.slot_requests.runs()));
-        }
-        self.send_to(&coordinator, PeerMessage::Heartbeat(heartbeat));
+        let message = match report {
+            Some(report) => PeerMessage::HeartbeatWithRequests(heartbeat, (&report).into()),
+            None => PeerMessage::Heartbeat(heartbeat),
+        };
+        self.send_to(&coordinator, message);
         for lost in self.reports.borrow_mut().remove_silent(now) {
             log::warn!(event = "host_lost", host = lost.as_str(); "no heartbeats from a host");
             self.protocol_versions.borrow_mut().remove(&lost);
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -11,6 +11,7 @@
 use bamboo_coordination::ReservationOutcome;
 use bamboo_slots::Action;
 use bamboo_slots::GrantStep;
+use bamboo_slots::RequestReport;
 use bamboo_slots::SlotRequest;
 use bamboo_slots::SlotRequestId;
 use bamboo_slots::Work;
@@ -58,7 +59,8 @@
     /// Handles a message from another host.
     pub(crate) fn handle_peer_message(self: &Rc<Self>, sender: &HostInfo, message: PeerMessage) {
         let knows_servers = match &message {
-            PeerMessage::Heartbeat(heartbeat) => heartbeat.knows_servers,
+            PeerMessage::Heartbeat(heartbeat)
+            | PeerMessage::HeartbeatWithRequests(heartbeat, _) => heartbeat.knows_servers,
             PeerMessage::Probe(probe) => probe.knows_servers,
             PeerMessage::HeartbeatAck { knows_servers, .. } => *knows_servers,
             _ => false,
@@ -161,8 +163,18 @@
     pub(super) fn handle_message(&self, sender: &HostInfo, message: PeerMessage) {
         let now = self.clock.now();
         match message {
-            PeerMessage::Heartbeat(heartbeat) => self.handle_heartbeat(sender, heartbeat, now),
-            PeerMessage::Runs(runs) => self.reports.borrow_mut().record_runs(&sender.host, runs),
+            PeerMessage::Heartbeat(heartbeat) => {
+                self.handle_heartbeat(sender, heartbeat, None, now);
+            }
+            PeerMessage::HeartbeatWithRequests(heartbeat, report) => {
+                match RequestReport::try_from(report) {
+                    Ok(report) => self.handle_heartbeat(sender, heartbeat, Some(report), now),
+                    Err(error) => log::warn!(
+                        event = "heartbeat_unreadable", host = sender.host.as_str();
+                        "cannot read a heartbeat: {error}"
+                    ),
+                }
+            }
             PeerMessage::Sync(infos) => {
                 self.record_requests(sender, now);
                 if !self.is_coordinator(&self.local.host) {
@@ -320,12 +332,18 @@
         }
     }
 
-    pub(super) fn handle_heartbeat(&self, sender: &HostInfo, heartbeat: Heartbeat, now: Duration) {
+    pub(super) fn handle_heartbeat(
+        &self,
+        sender: &HostInfo,
+        heartbeat: Heartbeat,
+        report: Option<RequestReport>,
+        now: Duration,
+    ) {
         let (known_digest, version) = (heartbeat.cluster_map_digest, heartbeat.config_version);
         let mut reports = self.reports.borrow_mut();
         let is_new = reports.record_heartbeat(sender, heartbeat, now);
         let mut broker = self.broker.borrow_mut();
-        let wants_sync = reports.reconcile_requests(&mut broker, &sender.host, now);
+        let wants_sync = reports.reconcile_requests(&mut broker, &sender.host, report, now);
         drop(broker);
         let map_update = match reports.cluster_map_update(known_digest) {
             Some(ClusterMapUpdate::Change(_))
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -38,8 +38,8 @@
 pub(crate) const CRASH_VERDICTS_SINCE: ProtocolVersion = 4;
 /// First version whose hosts report crashes under runs that have begun.
 pub(crate) const LATE_CRASHES_SINCE: ProtocolVersion = 5;
-/// First version whose hosts say which of their slot requests run.
-pub(crate) const RUN_REPORTS_SINCE: ProtocolVersion = 6;
+/// First version whose hosts say what they believe of their slot requests.
+pub(crate) const REQUEST_REPORTS_SINCE: ProtocolVersion = 6;
 /// Version of this build.
 const PROTOCOL_VERSION: ProtocolVersion = 6;
 /// Path of a stream of messages, followed by the version. Version 1 had none.
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -17,9 +17,9 @@
 use bamboo_quarantine::SuspectId;
 use bamboo_quarantine::SuspectReport;
 use bamboo_slots::LimitReport;
+use bamboo_slots::PackedReport;
 use bamboo_slots::Permit;
 use bamboo_slots::RunOutcome;
-use bamboo_slots::RunReport;
 use bamboo_slots::SlotRequestId;
 use bamboo_types::BackendServerId;
 use bamboo_types::SoftwareVersion;
@@ -252,9 +252,8 @@
     Leaving(Vec<BackendServerId>),
     /// A server crashed under a run of the sender. For hosts of protocol version 5 or later.
     CrashReport(CrashReport),
-    /// The slot requests of the sender that run, and where; counts with its next heartbeat. For hosts of protocol version 6 or
-    /// later.
-    Runs(RunReport),
+    /// Heartbeat to the coordinator, with what the sender believes of its slot requests. For hosts of protocol version 6 or later.
+    HeartbeatWithRequests(Heartbeat, PackedReport),
 }
 
 impl PeerMessage {
@@ -262,7 +261,7 @@
     pub(super) fn kind(&self) -> &'static str {
         match self {
             PeerMessage::Hello(_) => "hello",
-            PeerMessage::Heartbeat(_) => "heartbeat",
+            PeerMessage::Heartbeat(_) | PeerMessage::HeartbeatWithRequests(..) => "heartbeat",
             PeerMessage::Probe(_) => "probe",
             PeerMessage::HeartbeatAck {
                 cluster_map: Some(_),
@@ -271,7 +270,6 @@
             PeerMessage::HeartbeatAck { .. } => "heartbeat_ack",
             PeerMessage::ClusterMapChange(_) => "cluster_map_change",
             PeerMessage::Sync(_) => "sync",
-            PeerMessage::Runs(_) => "runs",
             PeerMessage::RequestSlot(_) => "request_slot",
             PeerMessage::Release { .. } => "release",
             PeerMessage::Grant { .. } => "grant",
--- a/bamboo-gateway/src/slot_requests.rs
+++ b/bamboo-gateway/src/slot_requests.rs
@@ -11,8 +11,8 @@
 use bamboo_slots::GrantStep;
 use bamboo_slots::HostRequests;
 use bamboo_slots::OpenRequest;
+use bamboo_slots::RequestReport;
 use bamboo_slots::RunOutcome;
-use bamboo_slots::RunReport;
 use bamboo_slots::SlotRequestId;
 use bamboo_slots::Work;
 use bamboo_types::BackendServerId;
@@ -71,9 +71,9 @@
         self.requests.borrow().iter().map(|(id, _)| id).collect()
     }
 
-    /// The requests that run.
-    pub(crate) fn runs(&self) -> RunReport {
-        self.requests.borrow().runs()
+    /// What this host believes of its requests.
+    pub(crate) fn report(&self) -> RequestReport {
+        self.requests.borrow().report()
     }
 
     /// All requests as they are sent to the coordinator, with times relative to `now`.
--- a/bamboo-slots/src/host_requests.rs
+++ b/bamboo-slots/src/host_requests.rs
@@ -5,15 +5,14 @@
 use bamboo_types::BackendServerId;
 use bamboo_types::SoftwareVersion;
 use bamboo_types::rendezvous_weight;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::SlotRequestId;
 use crate::Work;
 
 /// Digest of a server's identifier, by which a host and its coordinator compare where a request runs.
-pub type ServerTag = u16;
-
-/// Requests of a host that run, each with the server that runs it.
-pub type RunReport = Vec<(SlotRequestId, ServerTag)>;
+pub type ServerTag = u8;
 
 /// Digest of a server's identifier.
 ///
@@ -24,6 +23,98 @@
     rendezvous_weight(server, "run") as ServerTag
 }
 
+/// What a host believes of its slot requests.
+///
+/// ```
+/// use bamboo_slots::{PackedReport, RequestReport};
+/// let report = RequestReport {
+///     waiting: vec![1_000, 1_002],
+///     running: vec![(1_001, 7), (1_005, 9)],
+/// };
+/// let packed = PackedReport::from(&report);
+/// assert_eq!(RequestReport::try_from(packed), Ok(report));
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RequestReport {
+    /// Requests that wait for a slot, in ascending order.
+    pub waiting: Vec<SlotRequestId>,
+    /// Requests that run, in ascending order, each with the server that runs it.
+    pub running: Vec<(SlotRequestId, ServerTag)>,
+}
+
+impl RequestReport {
+    /// Identifiers of all requests.
+    pub fn ids(&self) -> impl Iterator<Item = SlotRequestId> {
+        let running = self.running.iter().map(|(id, _)| *id);
+        self.waiting.iter().copied().chain(running)
+    }
+}
+
+/// A [`RequestReport`] as it is sent: identifiers as the difference to the previous one, which take a byte each as a rule.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PackedReport {
+    waiting: Vec<SlotRequestId>,
+    running: Vec<(SlotRequestId, ServerTag)>,
+}
+
+/// Differences between identifiers and their predecessors.
+fn differences<I>(ids: I) -> impl Iterator<Item = SlotRequestId>
+where
+    I: Iterator<Item = SlotRequestId>,
+{
+    let mut last = 0;
+    ids.map(move |id| id.wrapping_sub(std::mem::replace(&mut last, id)))
+}
+
+/// Identifiers with these differences.
+fn sums<I>(differences: I) -> Result<Vec<SlotRequestId>, ReportOutOfOrder>
+where
+    I: Iterator<Item = SlotRequestId>,
+{
+    let mut last: SlotRequestId = 0;
+    let ids = differences.map(|difference| {
+        last = last.checked_add(difference).ok_or(ReportOutOfOrder)?;
+        Ok(last)
+    });
+    ids.collect()
+}
+
+impl From<&RequestReport> for PackedReport {
+    fn from(report: &RequestReport) -> Self {
+        let (ids, tags): (Vec<_>, Vec<_>) = report.running.iter().copied().unzip();
+        PackedReport {
+            waiting: differences(report.waiting.iter().copied()).collect(),
+            running: differences(ids.into_iter()).zip(tags).collect(),
+        }
+    }
+}
+
+/// A report whose identifiers are not in ascending order, or too large.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportOutOfOrder;
+
+impl std::fmt::Display for ReportOutOfOrder {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("identifiers of slot requests are not in ascending order")
+    }
+}
+
+impl std::error::Error for ReportOutOfOrder {}
+
+impl TryFrom<PackedReport> for RequestReport {
+    type Error = ReportOutOfOrder;
+
+    fn try_from(packed: PackedReport) -> Result<Self, ReportOutOfOrder> {
+        let waiting = sums(packed.waiting.into_iter())?;
+        let (differences, tags): (Vec<_>, Vec<_>) = packed.running.into_iter().unzip();
+        let running = sums(differences.into_iter())?
+            .into_iter()
+            .zip(tags)
+            .collect();
+        Ok(RequestReport { waiting, running })
+    }
+}
+
 /// A slot request that has not been released.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OpenRequest {
@@ -132,11 +223,15 @@
         }
     }
 
-    /// The requests that run.
-    pub fn runs(&self) -> RunReport {
-        let running = self.requests.iter();
-        running
-            .filter_map(|(id, request)| Some((*id, server_tag(request.server.as_ref()?))))
-            .collect()
+    /// What this host believes of its requests.
+    pub fn report(&self) -> RequestReport {
+        let mut report = RequestReport::default();
+        for (id, request) in &self.requests {
+            match &request.server {
+                Some(server) => report.running.push((*id, server_tag(server))),
+                None => report.waiting.push(*id),
+            }
+        }
+        report
     }
 }
