--- a/bamboo-coordination/tests/slot_messages.rs
+++ b/bamboo-coordination/tests/slot_messages.rs
@@ -1,4 +1,4 @@
-//! Histories of slot requests in virtual time. Messages between hosts and coordinators are lost, doubled or late, hosts are
+//! Histories of slot requests in virtual time. Messages between hosts and coordinators are lost, doubled or late, both are
 //! killed and back at once, and the coordinator changes. Once that has ended, every item ends, and both sides agree.
 
 use std::collections::BTreeMap;
@@ -206,6 +206,18 @@
     reports: Reports,
 }
 
+impl Coordinator {
+    /// The coordinator's part of a process that has just started and knows the engines.
+    fn start() -> Self {
+        let mut coordinator = Coordinator::default();
+        for index in 0..ENGINES {
+            let engine = engine(index, "v1", SLOTS);
+            coordinator.broker.put_engine(engine, false, Duration::ZERO);
+        }
+        coordinator
+    }
+}
+
 struct History {
     now: Duration,
     network: Network,
@@ -252,21 +264,7 @@
             host
         });
         let hosts = hosts.collect();
-        let coordinators = (0..COORDINATORS).map(|_| {
-            let mut coordinator = Coordinator::default();
-            for index in 0..ENGINES {
-                let engine = Engine {
-                    server: format!("s{index}"),
-                    service: "llm".to_owned(),
-                    data_centre: "a".to_owned(),
-                    slots: SLOTS,
-                    is_ready: true,
-                    version: "v1".to_owned(),
-                };
-                coordinator.broker.put_engine(engine, false, Duration::ZERO);
-            }
-            coordinator
-        });
+        let coordinators = (0..COORDINATORS).map(|_| Coordinator::start());
         let network = Network {
             faults,
             rng: ChaCha8Rng::seed_from_u64(seed + 1),
@@ -515,9 +513,14 @@
         }
     }
 
-    /// Kills hosts, which are back at once, and lets hosts follow another coordinator.
+    /// Kills hosts and coordinators, which are back at once, and lets hosts follow another coordinator.
     fn inject(&mut self) {
         let faults = self.network.faults;
+        for index in 0..COORDINATORS {
+            if self.rng.random_range(0..100) < faults.kill_percent {
+                self.coordinators[index] = Coordinator::start();
+            }
+        }
         for host in 0..HOSTS {
             if self.rng.random_range(0..100) < faults.kill_percent {
                 self.hosts[host].start(&mut self.rng);
