--- a/bamboo-fleet/src/lib.rs
+++ b/bamboo-fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod grace_period;
 mod silence;
 mod sse;
+mod version_knowledge;
 
 pub use bamboo_types::SoftwareVersion;
 pub use buffer_budget::BufferBudget;
@@ -38,3 +39,7 @@
 pub use sse::EventTooLarge;
 pub use sse::SseDecoder;
 pub use sse::SseEvent;
+pub use version_knowledge::DirectoryReads;
+pub use version_knowledge::SoleVersion;
+pub use version_knowledge::VersionMemory;
+pub use version_knowledge::sole_version;
--- a/bamboo-gateway/src/clock.rs
+++ b/bamboo-gateway/src/clock.rs
@@ -5,6 +5,9 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
 /// Monotonic time since the start of the process, and wall-clock time.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
@@ -29,6 +32,22 @@
         self.start.elapsed()
     }
 
+    /// Time since the start of the machine, including the time for which it was suspended. Knowledge ages by this clock: the
+    /// monotonic one stands still while the machine is suspended.
+    ///
+    /// ```
+    /// let clock = bamboo_gateway::Clock::start();
+    /// assert!(clock.boot_time() >= clock.now());
+    /// ```
+    pub fn boot_time(&self) -> Duration {
+        // Neither part of this clock is negative.
+        let time = clock_gettime(ClockId::Boottime);
+        Duration::new(
+            time.tv_sec.unsigned_abs(),
+            time.tv_nsec.unsigned_abs() as u32,
+        )
+    }
+
     /// Converts a time of this clock to an instant of the runtime.
     pub fn instant(&self, at: Duration) -> tokio::time::Instant {
         tokio::time::Instant::from_std(self.start + at)
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use bamboo_coordination::last_run_start;
 use bamboo_fleet::BufferBudget;
 use bamboo_fleet::Directory;
+use bamboo_fleet::DirectoryReads;
 use bamboo_fleet::FleetConfig;
 use bamboo_fleet::Server;
 use bamboo_relay::ServerPaths;
@@ -65,7 +66,7 @@
 pub(crate) use crashes::Rejection;
 pub(crate) use server_connections::ServerCheck;
 use server_connections::ServerChecks;
-use servers::ServersRead;
+use servers::EntriesEnd;
 pub(crate) use streams::OriginAnswer;
 
 /// Phase of the process, from start to shutdown.
@@ -161,7 +162,12 @@
     /// Hosts through which servers may be reached, and when they were listed.
     server_relays: RefCell<Option<(Duration, Rc<[HostId]>)>>,
     tunnels: Tunnels,
-    servers_read: Cell<Option<ServersRead>>,
+    /// How far this host has followed the servers' entries.
+    servers_read: watch::Sender<Option<DirectoryReads>>,
+    /// Wakes the reader of the servers' entries.
+    pub(crate) servers_behind: Notify,
+    /// End of the servers' entries in the store, as last asked for.
+    servers_end: tokio::sync::Mutex<Option<EntriesEnd>>,
     /// Whether the store's records named all versions that servers have had; `None` until they have been read.
     versions_recalled: tokio::sync::Mutex<Option<bool>>,
     servers_known: Notify,
@@ -232,7 +238,9 @@
             servers_heard: RefCell::default(),
             server_relays: RefCell::default(),
             tunnels: Tunnels::default(),
-            servers_read: Cell::new(None),
+            servers_read: watch::Sender::new(None),
+            servers_behind: Notify::new(),
+            servers_end: tokio::sync::Mutex::new(None),
             versions_recalled: tokio::sync::Mutex::new(None),
             servers_known: Notify::new(),
             jobs: JobShards::default(),
--- a/bamboo-gateway/src/gateway/servers.rs
+++ b/bamboo-gateway/src/gateway/servers.rs
@@ -2,63 +2,123 @@
 
 use std::time::Duration;
 
+use bamboo_fleet::DirectoryReads;
 use bamboo_fleet::Server;
-use bamboo_fleet::VERSION_MEMORY;
+use bamboo_types::Offset;
 use rand::seq::IndexedRandom;
 
 use crate::gateway::Gateway;
 use crate::mesh::PeerReply;
 use crate::mesh::PeerRequest;
+use crate::store::StoreReply;
+use crate::store::StoreRequest;
 
 /// Timeout for fetching the directory of backend servers from another host.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time after the last read of the directory from which on servers may have come that a host does not know.
-const SERVERS_FRESH: Duration = Duration::from_secs(3);
+/// Time in which this host learns of all entries that the store has. A caller waits for it, who may return after as long.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// When the directory of backend servers was read, from the store or from another host.
+/// End of the entries of the servers, as the store named it.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct ServersRead {
-    first: Duration,
-    last: Duration,
+pub(super) struct EntriesEnd {
+    /// When the store was asked.
+    asked_at: Duration,
+    end: Offset,
 }
 
 impl Gateway {
-    /// Records that the directory of backend servers has been read. `last` is the time from which on servers may have come
-    /// unnoticed: the begin of a read of the store, whose response may be late.
-    pub(crate) fn servers_read(&self, last: Duration) {
-        let now = self.clock.now();
-        let first = self.servers_read.get().map_or(now, |read| read.first);
-        self.servers_read.set(Some(ServersRead { first, last }));
+    /// Records that all changes of the directory since the previous read have been read. `began_at` is the begin of the read,
+    /// whose response may be late, by the clock that counts suspensions.
+    pub(crate) fn server_changes_read(&self, began_at: Duration, end: Offset) {
+        self.servers_read.send_modify(|reads| match reads {
+            Some(reads) => reads.changes_read(began_at, end),
+            None => {
+                *reads = Some(DirectoryReads::newest(
+                    began_at,
+                    end,
+                    self.clock.boot_time(),
+                ))
+            }
+        });
         self.update_knows_servers();
     }
 
     /// Records that the newest entries of all servers have been read, rather than each change. Which versions came and left
     /// before is not known from these: the memory of versions begins anew, as does what the store's records told.
-    pub(crate) async fn servers_read_anew(&self, last: Duration) {
-        self.servers_read.set(None);
+    pub(crate) async fn newest_servers_read(&self, began_at: Duration, end: Offset) {
         *self.versions_recalled.lock().await = None;
-        self.servers_read(last);
+        let reads = DirectoryReads::newest(began_at, end, self.clock.boot_time());
+        self.servers_read.send_replace(Some(reads));
+        self.update_knows_servers();
+    }
+
+    /// Records that the directory was fetched from another host, which was asked at a time.
+    pub(crate) fn servers_fetched(&self, asked_at: Duration) {
+        let reads = DirectoryReads::of_another_host(asked_at);
+        self.servers_read.send_replace(Some(reads));
+        self.update_knows_servers();
     }
 
     /// Whether the directory of backend servers has been read, from the store or from another host.
     pub(crate) fn has_read_servers(&self) -> bool {
-        self.servers_read.get().is_some()
+        self.servers_read.borrow().is_some()
     }
 
     /// Whether this host has followed the directory for long enough, and up to now, to know every version that a caller
     /// may return to.
     pub(super) fn remembers_versions(&self) -> bool {
-        let now = self.clock.now();
-        let read = self.servers_read.get();
-        read.is_some_and(|read| now.saturating_sub(read.first) >= VERSION_MEMORY)
-            && self.are_servers_fresh()
+        let now = self.clock.boot_time();
+        let reads = self.servers_read.borrow();
+        reads.is_some_and(|reads| reads.remembers_versions(now))
     }
 
-    /// Whether the directory has been read so lately that no servers have come unnoticed.
-    pub(super) fn are_servers_fresh(&self) -> bool {
-        let now = self.clock.now();
-        let read = self.servers_read.get();
-        read.is_some_and(|read| now.saturating_sub(read.last) < SERVERS_FRESH)
+    /// Waits until this host knows all entries that the store had after a question was asked. Returns the end of these entries;
+    /// `None` if that takes too long.
+    pub(super) async fn catch_up_with_servers(&self, asked_at: Duration) -> Option<Offset> {
+        let caught_up = async {
+            let end = self.servers_end(asked_at).await?;
+            let mut reads = self.servers_read.subscribe();
+            let reaches_end =
+                |reads: &Option<DirectoryReads>| reads.is_some_and(|reads| reads.reaches(end));
+            if !reaches_end(&reads.borrow()) {
+                self.servers_behind.notify_one();
+            }
+            // The sender lives as long as this host.
+            reads.wait_for(reaches_end).await.ok()?;
+            Some(end)
+        };
+        let caught_up = tokio::time::timeout(CATCH_UP_TIMEOUT, caught_up).await;
+        let end = caught_up.ok().flatten();
+        if end.is_none() && self.may_log_request() {
+            log::info!(
+                event = "servers_unconfirmed";
+                "cannot tell whether all servers are known: the store does not respond in time, or its entries arrive late"
+            );
+        }
+        end
+    }
+
+    /// The end of the servers' entries in the store, as named after a question was asked. One call answers all questions that
+    /// were asked before it.
+    async fn servers_end(&self, asked_at: Duration) -> Option<Offset> {
+        let mut known = self.servers_end.lock().await;
+        if let Some(known) = known.filter(|known| known.asked_at >= asked_at) {
+            return Some(known.end);
+        }
+        let asked_at = self.clock.now();
+        let request = StoreRequest::End {
+            topic: self.dialect.servers_topic.to_owned(),
+        };
+        let end = match self.store_call(&request).await {
+            Ok(StoreReply::Newest { end, .. }) => end,
+            Ok(_) => return None,
+            Err(error) => {
+                log::debug!("cannot read the end of the servers' entries: {error}");
+                return None;
+            }
+        };
+        *known = Some(EntriesEnd { asked_at, end });
+        Some(end)
     }
 
     /// Lets this host coordinate once it has read both the configuration and the directory.
--- a/bamboo-gateway/src/gateway/streams.rs
+++ b/bamboo-gateway/src/gateway/streams.rs
@@ -5,8 +5,13 @@
 
 use bamboo_coordination::ORIGIN_HOLDERS;
 use bamboo_coordination::ORIGIN_HOSTS_ASKED;
+use bamboo_coordination::StreamKey;
 use bamboo_coordination::origin_hosts;
 use bamboo_coordination::stream_key;
+use bamboo_fleet::SoleVersion;
+use bamboo_fleet::VersionMemory;
+use bamboo_fleet::sole_version;
+use bamboo_types::Offset;
 use bamboo_types::SoftwareVersion;
 use bamboo_types::StreamOrigin;
 use futures_util::StreamExt;
@@ -52,23 +57,26 @@
     /// Finds where the stream that a request began is from, at this host or others. Returns the first answer that names
     /// the origin.
     pub(crate) async fn find_stream(&self, request: &str, services: Vec<String>) -> OriginAnswer {
-        let now = self.clock.now();
-        let mut versions = self.service_versions(&services);
-        let mut is_remembered = self.remembers_versions();
+        let asked_at = self.clock.now();
         let stream = stream_key(request);
-        let known = self.stream_origins.borrow().find(stream, now).cloned();
-        if let Some(origin) = known {
+        if let Some(origin) = self.known_origin(stream) {
             return OriginAnswer::Known(origin);
         }
-        let peers = self.coordination.borrow().live_peers(now);
+        let peers = self.coordination.borrow().live_peers(asked_at);
         let mut replies: FuturesUnordered<_> = origin_hosts(peers, request, ORIGIN_HOSTS_ASKED)
             .into_iter()
             .map(|host| {
                 let services = services.clone();
                 let request = PeerRequest::StreamOrigin { stream, services };
-                async move { self.mesh.call(&host, request, ORIGIN_TIMEOUT, now).await }
+                async move {
+                    self.mesh
+                        .call(&host, request, ORIGIN_TIMEOUT, asked_at)
+                        .await
+                }
             })
             .collect();
+        let mut versions = BTreeSet::new();
+        let mut memory = VersionMemory::None;
         while let Some(reply) = replies.next().await {
             match reply {
                 Some(PeerReply::StreamOrigin {
@@ -81,26 +89,74 @@
                     ..
                 }) => {
                     versions.extend(known);
-                    is_remembered |= remembers_versions;
+                    if remembers_versions {
+                        memory = VersionMemory::AnotherHost;
+                    }
                 }
                 _ => {}
             }
         }
-        // Hosts that have all just started may not know of a version that left before, and those that are cut off from
-        // the store of one that has come.
-        if versions.len() == 1 && !is_remembered && self.are_servers_fresh() {
-            is_remembered = self.recall_versions().await;
-            versions.extend(self.service_versions(&services));
+        let sole = self
+            .find_sole_version(&services, versions, memory, asked_at)
+            .await;
+        // Another host may have said meanwhile where the stream began.
+        match self.known_origin(stream) {
+            Some(origin) => OriginAnswer::Known(origin),
+            None => OriginAnswer::Unknown(sole),
+        }
+    }
+
+    /// The only version that servers of services have or recently had, if this host knows after the question that there has
+    /// been no other. `versions` are those that other hosts know.
+    async fn find_sole_version(
+        &self,
+        services: &[String],
+        mut versions: BTreeSet<SoftwareVersion>,
+        memory: VersionMemory,
+        asked_at: Duration,
+    ) -> Option<SoftwareVersion> {
+        versions.extend(self.service_versions(services));
+        if versions.len() != 1 {
+            return None;
+        }
+        let end = self.catch_up_with_servers(asked_at).await?;
+        match self.sole_version(services, &mut versions, end, memory) {
+            SoleVersion::Certain(version) => Some(version),
+            SoleVersion::NeedsRecords(_) if self.recall_versions().await => {
+                let memory = VersionMemory::Records;
+                match self.sole_version(services, &mut versions, end, memory) {
+                    SoleVersion::Certain(version) => Some(version),
+                    SoleVersion::NeedsRecords(_) | SoleVersion::Unknown => None,
+                }
+            }
+            SoleVersion::NeedsRecords(_) | SoleVersion::Unknown => None,
+        }
+    }
+
+    /// Adds the versions that this host knows to those of others, and decides whether there is just one.
+    fn sole_version(
+        &self,
+        services: &[String],
+        versions: &mut BTreeSet<SoftwareVersion>,
+        end: Offset,
+        memory: VersionMemory,
+    ) -> SoleVersion {
+        versions.extend(self.service_versions(services));
+        match self.servers_read.borrow().as_ref() {
+            Some(reads) => sole_version(versions, reads, end, memory, self.clock.boot_time()),
+            None => SoleVersion::Unknown,
         }
-        let is_certain = is_remembered && versions.len() == 1;
-        OriginAnswer::Unknown(versions.pop_first().filter(|_| is_certain))
+    }
+
+    fn known_origin(&self, stream: StreamKey) -> Option<StreamOrigin> {
+        let now = self.clock.now();
+        self.stream_origins.borrow().find(stream, now).cloned()
     }
 
     /// Answers another host what this one knows of a stream.
     pub(super) fn answer_stream_origin(&self, stream: u64, services: &[String]) -> PeerReply {
-        let now = self.clock.now();
         PeerReply::StreamOrigin {
-            origin: self.stream_origins.borrow().find(stream, now).cloned(),
+            origin: self.known_origin(stream),
             versions: self.service_versions(services),
             remembers_versions: self.remembers_versions(),
         }
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -186,7 +186,7 @@
     let mut reader = TopicReader::new(topic, SERVERS_LONG_POLL, extent);
     let mut grace_period = OutageGracePeriod::default();
     loop {
-        let started = gateway.clock.now();
+        let (started, began_at) = (gateway.clock.now(), gateway.clock.boot_time());
         let update =
             remove_expired_during(&gateway, &mut grace_period, reader.read(&gateway)).await;
         let (is_ok, is_anew) = (update.is_ok(), matches!(update, Ok(TopicUpdate::Newest(_))));
@@ -210,17 +210,25 @@
             }
             Err(_) => {}
         }
-        if is_anew {
-            gateway.servers_read_anew(started).await;
-        } else if is_ok {
-            gateway.servers_read(started);
+        match reader.next {
+            Some(end) if is_anew => gateway.newest_servers_read(began_at, end).await,
+            Some(end) if is_ok => gateway.server_changes_read(began_at, end),
+            _ => {}
         }
         let elapsed = gateway.clock.now().saturating_sub(started);
-        let pause = actix_rt::time::sleep(SERVERS_READ_INTERVAL.saturating_sub(elapsed));
+        let pause = pause_reads(&gateway, SERVERS_READ_INTERVAL.saturating_sub(elapsed));
         remove_expired_during(&gateway, &mut grace_period, pause).await;
     }
 }
 
+/// Waits for a time, or until someone waits for the entries that the store has.
+async fn pause_reads(gateway: &Gateway, time: Duration) {
+    tokio::select! {
+        () = actix_rt::time::sleep(time) => {}
+        () = gateway.servers_behind.notified() => {}
+    }
+}
+
 /// Removes servers that do not renew their entries in time, until a future completes.
 async fn remove_expired_during<F>(
     gateway: &Gateway,
@@ -250,6 +258,7 @@
         if gateway.has_read_servers() {
             return;
         }
+        let asked_at = gateway.clock.boot_time();
         if let Some(servers) = gateway.fetch_servers().await
             && !gateway.has_read_servers()
         {
@@ -257,7 +266,7 @@
             for server in servers {
                 put_server(&gateway, server, "host");
             }
-            gateway.servers_read(gateway.clock.now());
+            gateway.servers_fetched(asked_at);
         }
     }
 }
