fix(gateway): the membership of a suspended machine lapses with the time it stood still

A host answers that a job has no further results only while its membership in the group of shard owners lasts. That was compared by the steady clock, which stands still while the machine is suspended, so that a former owner could take it for valid afterwards, when the shard had an owner who has listed more. It is compared by CLOCK_BOOTTIME now, as is the age of what a host knows of the servers; for a process that was stopped the two clocks agree.

--- a/bamboo-gateway/src/jobs.rs
+++ b/bamboo-gateway/src/jobs.rs
@@ -36,6 +36,7 @@
 pub(crate) struct JobShards {
     shards: RefCell<BTreeMap<Partition, Rc<OwnedShard>>>,
     has_joined: Cell<bool>,
+    /// By the clock that also counts the time for which the machine is suspended.
     membership_expires_at: Cell<Duration>,
     last_reservation: Cell<u64>,
     reserved_tokens: RefCell<HashMap<String, u64>>,
--- a/bamboo-gateway/src/jobs/calls.rs
+++ b/bamboo-gateway/src/jobs/calls.rs
@@ -127,9 +127,10 @@
         }
     }
 
-    /// Whether the group membership has not expired, so that the shards are certainly still owned by this host.
+    /// Whether the group membership has not expired, so that the shards are certainly still owned by this host. It also lapses
+    /// while the machine is suspended.
     fn is_membership_valid(&self, gateway: &Gateway) -> bool {
-        gateway.clock.now() < self.membership_expires_at.get()
+        gateway.clock.boot_time() < self.membership_expires_at.get()
     }
 
     /// Whether a lookup of a job can be answered: the job is in the shard, or it certainly was not accepted by another
--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -51,7 +51,7 @@
         gateway.settings.store.membership_min_ms,
     ));
     while !gateway.is_stopping() {
-        let sent_at = gateway.clock.now();
+        let sent_at = gateway.clock.boot_time();
         let request = StoreRequest::Join {
             group: SHARD_OWNERS_GROUP.to_owned(),
             member: member_id(&gateway),
