--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -21,11 +21,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bamboo_coordination::Admission;
+use bamboo_coordination::ArrivingRequest;
 use bamboo_coordination::CoordinatorTracker;
 use bamboo_coordination::HostInfo;
 use bamboo_coordination::Reports;
+use bamboo_coordination::RunTimes;
 use bamboo_coordination::StreamOrigins;
+use bamboo_coordination::admit_request;
 use bamboo_coordination::last_run_start;
+use bamboo_coordination::requests_end_at;
 use bamboo_fleet::BufferBudget;
 use bamboo_fleet::Directory;
 use bamboo_fleet::DirectoryReads;
@@ -70,14 +75,16 @@
 pub(crate) use streams::OriginAnswer;
 
 /// Phase of the process, from start to shutdown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
     /// Serves requests.
     Serving,
-    /// Drains: finishes open requests, and still accepts new ones.
+    /// Drains: finishes open requests, and still accepts new ones that can end in time.
     Stopping,
     /// Accepts no more connections, and closes open ones once their responses are sent.
     Closing,
+    /// Ends the open requests, and sends their callers what it knows of them.
+    Ending,
 }
 
 /// Part of the memory limit that the bodies of callers' requests may use, and that those of servers' responses may use.
@@ -180,6 +187,8 @@
     open_requests: Cell<usize>,
     request_log: LogRateLimiter,
     deadline_histories: RefCell<HashMap<String, DeadlineHistory>>,
+    /// How long requests took lately, by route.
+    run_times: RefCell<HashMap<String, RunTimes>>,
     load_logged_at_s: Cell<u64>,
 }
 
@@ -252,6 +261,7 @@
             open_requests: Cell::new(0),
             request_log: LogRateLimiter::default(),
             deadline_histories: RefCell::default(),
+            run_times: RefCell::default(),
             load_logged_at_s: Cell::new(0),
         });
         let inputs = TaskInputs {
@@ -310,10 +320,59 @@
         !self.is_stopping() && self.config.borrow().is_some() && self.jobs.has_joined()
     }
 
-    /// When a run of a caller's request must have begun, if this host stops.
-    pub(crate) fn runs_begin_until(&self) -> Option<Duration> {
+    /// When a run of a caller's request must have begun, if this host stops and the request is not certain to end before.
+    pub(crate) fn run_begins_until(&self, route: &str, deadline: Duration) -> Option<Duration> {
         let began_at = self.stop_began_at.get()?;
-        Some(began_at + last_run_start(self.settings.stop_grace()))
+        let grace = self.settings.stop_grace();
+        if deadline <= began_at + requests_end_at(grace) {
+            return None;
+        }
+        Some(began_at + last_run_start(grace, self.longest_run_time(route)))
+    }
+
+    /// Whether to take a request of a route whose response is due at `deadline`.
+    pub(crate) fn admits(&self, route: &str, deadline: Duration) -> bool {
+        let Some(began_at) = self.stop_began_at.get() else {
+            return true;
+        };
+        let now = self.clock.now();
+        let request = ArrivingRequest {
+            elapsed: now.saturating_sub(began_at),
+            grace: self.settings.stop_grace(),
+            time_limit: deadline.saturating_sub(now),
+            run_time: self.longest_run_time(route),
+        };
+        admit_request(&request) == Admission::Serve
+    }
+
+    /// Records how long a request of a route took from its first run to the end of its response.
+    pub(crate) fn record_run_time(&self, route: &str, run_time: Duration) {
+        let mut run_times = self.run_times.borrow_mut();
+        match run_times.get_mut(route) {
+            Some(run_times) => run_times.record(run_time),
+            None => {
+                run_times
+                    .entry(route.to_owned())
+                    .or_default()
+                    .record(run_time);
+            }
+        }
+    }
+
+    fn longest_run_time(&self, route: &str) -> Option<Duration> {
+        self.run_times.borrow().get(route)?.longest()
+    }
+
+    /// Waits until a shutdown has reached a phase.
+    pub(crate) async fn wait_for_phase(&self, awaited: Phase) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the process.
+        let _ = phase.wait_for(|phase| *phase >= awaited).await;
+    }
+
+    /// Whether the open requests are being ended.
+    pub(crate) fn is_ending(&self) -> bool {
+        *self.phase.borrow() == Phase::Ending
     }
 
     /// The current configuration.
@@ -355,6 +414,9 @@
         self.deadline_histories
             .borrow_mut()
             .retain(|route, _| routes.contains(route.as_str()));
+        self.run_times
+            .borrow_mut()
+            .retain(|route, _| routes.contains(route.as_str()));
         self.metrics
             .config_version
             .set(i64::try_from(config.version).unwrap_or(i64::MAX));
--- a/bamboo-gateway/src/run.rs
+++ b/bamboo-gateway/src/run.rs
@@ -31,6 +31,8 @@
 
 /// Interval between checks whether the shutdown is complete.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for the messages to other hosts that the end of the last requests caused, such as the release of their slots.
+const LAST_MESSAGES_PAUSE: Duration = Duration::from_millis(50);
 
 /// Runs the gateway until a graceful shutdown is complete.
 ///
@@ -162,6 +164,7 @@
             ShutdownStep::Close => {
                 gateway.phase.send_replace(Phase::Closing);
             }
+            ShutdownStep::EndRequests => end_requests(gateway),
             ShutdownStep::Exit => {
                 if !state.is_released {
                     log::warn!(
@@ -169,9 +172,20 @@
                         "the store did not record that this host leaves; its membership lapses"
                     );
                 }
+                actix_rt::time::sleep(LAST_MESSAGES_PAUSE).await;
                 return;
             }
         }
         actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
 }
+
+fn end_requests(gateway: &Gateway) {
+    if !gateway.is_ending() {
+        log::warn!(
+            event = "requests_ended", open = gateway.open_requests();
+            "requests are still open near the end of the grace period; they are answered and broken off"
+        );
+        gateway.phase.send_replace(Phase::Ending);
+    }
+}
--- a/bamboo-gateway/src/traffic/accept.rs
+++ b/bamboo-gateway/src/traffic/accept.rs
@@ -41,17 +41,10 @@
     });
     tokio::select! {
         () = accepting => {}
-        () = wait_for_closing(&gateway) => {}
+        () = gateway.wait_for_phase(Phase::Closing) => {}
     }
 }
 
-/// Waits for the closing phase of a shutdown.
-async fn wait_for_closing(gateway: &Gateway) {
-    let mut phase = gateway.phase.subscribe();
-    // The sender lives as long as the process.
-    let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
-}
-
 /// Serves readiness checks.
 pub(crate) async fn serve_readiness(gateway: Rc<Gateway>, listener: TcpListener) {
     serve_endpoint(listener, move || match gateway.is_ready() {
@@ -136,7 +129,7 @@
     let idle_max = limits.idle_timeout + IDLE_TIMEOUT_MARGIN;
     let is_readable = tokio::select! {
         biased;
-        () = wait_for_closing(&gateway) => false,
+        () = gateway.wait_for_phase(Phase::Closing) => false,
         readable = tokio::time::timeout(idle_max, stream.readable()) => matches!(readable, Ok(Ok(()))),
     };
     if !is_readable {
@@ -169,7 +162,7 @@
             reject_late_headers(connection.into_parts().io.into_inner()).await;
             return;
         }
-        () = wait_for_closing(&gateway) => {
+        () = gateway.wait_for_phase(Phase::Closing) => {
             Pin::new(&mut connection).graceful_shutdown();
             connection.await
         }
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -27,13 +27,16 @@
 use crate::traffic::request::CallerRequest;
 use crate::traffic::request::end_to_end_headers;
 use crate::traffic::response::belongs_to_request;
+use crate::traffic::response::ended_by_stop;
 use crate::traffic::response::not_run;
 use crate::traffic::response::observe_statements;
 use crate::traffic::response::run_outcome;
 use crate::traffic::response::text_response;
 use crate::traffic::run_trial::RunTrial;
 use crate::traffic::run_trial::TrialRequest;
+use crate::traffic::serve::COMPLETE;
 use crate::traffic::serve::RequestRecorder;
+use crate::traffic::serve::STOPPING;
 
 /// Maximum size of a response of a plain service in bytes.
 const RESPONSE_MAX_BYTES: usize = 16 << 20;
@@ -137,6 +140,17 @@
                 false => recorder.finish(not_run(rejection.text, rejection.retry_after), "refused"),
             };
         }
+        let until = gateway.run_begins_until(&request.route.name, request.deadline);
+        if until.is_some_and(|until| now > until) {
+            recorder.reason = STOPPING;
+            return match may_have_run {
+                true => recorder.finish(
+                    text_response(StatusCode::BAD_GATEWAY, "no answer of the server\n"),
+                    "unknown",
+                ),
+                false => recorder.finish(ended_by_stop(false), "refused"),
+            };
+        }
         let server = match choose_server(&gateway, &request, &excluded).await {
             Choice::Send(server) => server,
             Choice::Refuse(_) if may_have_run => {
@@ -161,7 +175,9 @@
             true => remaining.min(request.route.target_latency.mul_f64(ATTEMPT_TIMEOUT_SHARE)),
             false => remaining,
         };
+        recorder.run_began_at.get_or_insert(gateway.clock.now());
         let mut run = RunGuard::begin(&gateway, &server.id);
+        let attempted = request.progress.begin_attempt();
         let attempt = send(
             &gateway,
             &request,
@@ -183,7 +199,7 @@
                 *response.status_mut() = head.status;
                 *response.headers_mut() = end_to_end_headers(&head.headers);
                 let outcome = if head.status.is_success() {
-                    "complete"
+                    COMPLETE
                 } else {
                     "server_failure"
                 };
@@ -191,6 +207,7 @@
             }
             Attempt::NotRun(outcome) => {
                 run.outcome = outcome;
+                request.progress.attempt_did_not_run(&attempted);
                 recorder.attempts -= 1;
                 refusals += 1;
                 if refusals >= REFUSALS_MAX && !may_have_run {
@@ -254,7 +271,9 @@
         .target_latency
         .mul_f64(1.0 - ATTEMPT_TIMEOUT_SHARE);
     let send_by = (request.arrived_at + on_time_for).saturating_sub(request.waited);
-    let until = gateway.runs_begin_until().unwrap_or(Duration::MAX);
+    let until = gateway
+        .run_begins_until(&request.route.name, request.deadline)
+        .unwrap_or(Duration::MAX);
     let max_wait = send_by.min(until).saturating_sub(gateway.clock.now());
     let permit = gateway.request_permit(&request.service, excluded, max_wait);
     match (permit.await, unlimited) {
--- a/bamboo-gateway/src/traffic/request.rs
+++ b/bamboo-gateway/src/traffic/request.rs
@@ -1,5 +1,6 @@
 //! A caller's request as it is forwarded to servers.
 
+use std::cell::Cell;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -54,6 +55,39 @@
     pub(crate) waited: Duration,
     /// When the response is due, by the caller's deadline and the route's timeout.
     pub(crate) deadline: Duration,
+    /// Whether it may have run.
+    pub(crate) progress: Rc<RequestProgress>,
+}
+
+/// How far a request has come, for the answer to its caller if it is ended from outside.
+#[derive(Debug, Default)]
+pub(crate) struct RequestProgress {
+    may_have_run: Cell<bool>,
+}
+
+impl RequestProgress {
+    /// Records that the request is about to be sent.
+    pub(crate) fn begin_attempt(&self) -> Attempted {
+        Attempted {
+            may_have_run_before: self.may_have_run.replace(true),
+        }
+    }
+
+    /// Records that an attempt did not run the request.
+    pub(crate) fn attempt_did_not_run(&self, attempted: &Attempted) {
+        self.may_have_run.set(attempted.may_have_run_before);
+    }
+
+    /// Whether the request may have run.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.may_have_run.get()
+    }
+}
+
+/// An attempt to send a request.
+#[derive(Debug)]
+pub(crate) struct Attempted {
+    may_have_run_before: bool,
 }
 
 impl CallerRequest {
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -10,6 +10,7 @@
 use bamboo_quarantine::RequestContent;
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -20,15 +21,18 @@
 
 use crate::gateway::Gateway;
 use crate::gateway::OpenRequest;
+use crate::gateway::Phase;
 use crate::metrics::RequestLabels;
 use crate::response_body::ResponseBody;
 use crate::traffic::buffered_body::BodyError;
 use crate::traffic::buffered_body::read_whole_body;
 use crate::traffic::plain::serve_plain;
 use crate::traffic::request::CallerRequest;
+use crate::traffic::request::RequestProgress;
 use crate::traffic::request::caller_key;
 use crate::traffic::request::forwarded_headers;
 use crate::traffic::request::request_suspects;
+use crate::traffic::response::ended_by_stop;
 use crate::traffic::response::not_run;
 use crate::traffic::response::text_response;
 use crate::traffic::stream::serve_stream;
@@ -42,14 +46,43 @@
 /// Timeout for reading the body, counted from the headers.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Serves one request of a caller.
+/// Reason in the log of a request that is rejected because this host stops.
+pub(crate) const STOPPING: &str = "stopping";
+/// Outcome in the log of a request that is ended because this host exits.
+pub(crate) const STOPPED: &str = "stopped";
+/// Outcome in the log of a request whose response is complete.
+pub(crate) const COMPLETE: &str = "complete";
+
+/// Serves one request of a caller. A host that stops ends the connection with the response, so that its caller goes to
+/// another host.
 pub(crate) async fn serve_request(
     gateway: Rc<Gateway>,
     caller_address: IpAddr,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let arrived_at = gateway.clock.now();
     let _open = OpenRequest::begin(&gateway);
+    let progress = Rc::new(RequestProgress::default());
+    let dispatched = dispatch_request(&gateway, caller_address, request, &progress);
+    let mut response = tokio::select! {
+        biased;
+        response = dispatched => response,
+        () = gateway.wait_for_phase(Phase::Ending) => ended_by_stop(progress.may_have_run()),
+    };
+    if gateway.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// Matches the route of a request, and serves it by the kind of the route.
+async fn dispatch_request(
+    gateway: &Rc<Gateway>,
+    caller_address: IpAddr,
+    request: Request<Incoming>,
+    progress: &Rc<RequestProgress>,
+) -> Response<ResponseBody> {
+    let arrived_at = gateway.clock.now();
     gateway.wait_for_first_reads().await;
     let Some(config) = gateway.config() else {
         return not_run("no configuration yet\n", NO_CONFIG_RETRY_AFTER);
@@ -67,8 +100,11 @@
     if let Some(call) = job_call
         && config.find_route(&host, path).is_none()
     {
+        if request.method() != Method::GET {
+            progress.begin_attempt();
+        }
         return match has_batch_route(&config, &host) {
-            true => gateway.jobs.call(&gateway, call).await,
+            true => gateway.jobs.call(gateway, call).await,
             false => text_response(StatusCode::NOT_FOUND, "no route\n"),
         };
     }
@@ -79,7 +115,7 @@
     let id =
         header_text(request.headers(), &gateway.dialect.headers.request_id).unwrap_or_default();
     let (head, body) = request.into_parts();
-    let body = match read_body(&gateway, body, config.limits.body_max_bytes).await {
+    let body = match read_body(gateway, body, config.limits.body_max_bytes).await {
         Ok(body) => body,
         Err(response) => return response,
     };
@@ -91,9 +127,10 @@
             );
         }
         let path = head.uri.path().to_owned();
-        return gateway.jobs.submit(&gateway, &id, &host, &path, body).await;
+        progress.begin_attempt();
+        return gateway.jobs.submit(gateway, &id, &host, &path, body).await;
     }
-    let deadline = deadline_header(&gateway, &head.headers);
+    let deadline = deadline_header(gateway, &head.headers);
     let timeout = request_timeout(deadline, &route);
     let waited = deadline.map_or(Duration::ZERO, |deadline| {
         gateway.record_deadline(&route.name, deadline)
@@ -125,10 +162,16 @@
         waited,
         deadline: arrived_at + timeout,
         route: Rc::clone(&route),
+        progress: Rc::clone(progress),
     };
+    if !gateway.admits(&route.name, request.deadline) {
+        let mut recorder = RequestRecorder::begin(gateway, &request);
+        recorder.reason = STOPPING;
+        return recorder.finish(ended_by_stop(false), "refused");
+    }
     match route.kind {
-        RouteKind::Streaming { .. } => serve_stream(gateway, request).await,
-        _ => serve_plain(gateway, request).await,
+        RouteKind::Streaming { .. } => serve_stream(Rc::clone(gateway), request).await,
+        _ => serve_plain(Rc::clone(gateway), request).await,
     }
 }
 
@@ -209,7 +252,8 @@
     }
 }
 
-/// Records the metrics of a request and logs it when it ends. If dropped unrecorded, the caller has disconnected.
+/// Records the metrics of a request and logs it when it ends. If dropped unrecorded, the caller has disconnected, or this host
+/// has ended the request because it exits.
 pub(crate) struct RequestRecorder {
     gateway: Rc<Gateway>,
     _open: OpenRequest,
@@ -218,6 +262,8 @@
     arrived_at: Duration,
     waited: Duration,
     first_byte: Option<Duration>,
+    /// When its first run began.
+    pub(crate) run_began_at: Option<Duration>,
     /// Number of attempts that may have run.
     pub(crate) attempts: u32,
     /// Server that responded.
@@ -237,6 +283,7 @@
             arrived_at: request.arrived_at,
             waited: request.waited,
             first_byte: None,
+            run_began_at: None,
             attempts: 0,
             server: String::new(),
             reason: "",
@@ -274,6 +321,10 @@
         };
         self.gateway.metrics.requests.get_or_create(&labels).inc();
         let now = self.gateway.clock.now();
+        if let Some(began_at) = self.run_began_at.filter(|_| outcome == COMPLETE) {
+            let run_time = now.saturating_sub(began_at);
+            self.gateway.record_run_time(&self.route, run_time);
+        }
         let first_byte_ms = self.first_byte.map(|time| time.as_millis() as u64);
         if !self.gateway.may_log_request() {
             return;
@@ -290,8 +341,12 @@
 
 impl Drop for RequestRecorder {
     fn drop(&mut self) {
-        if !self.is_recorded {
-            self.record(StatusCode::OK, "caller_left");
+        if self.is_recorded {
+            return;
+        }
+        match self.gateway.is_ending() {
+            true => self.record(StatusCode::GATEWAY_TIMEOUT, STOPPED),
+            false => self.record(StatusCode::OK, "caller_left"),
         }
     }
 }
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -19,6 +19,7 @@
 use tokio::sync::mpsc;
 
 use crate::gateway::Gateway;
+use crate::gateway::Phase;
 use crate::gateway::Rejection;
 use crate::response_body::ResponseBody;
 use crate::response_body::STREAM_QUEUE_LEN;
@@ -32,10 +33,14 @@
 use crate::traffic::engine_run::open_stream;
 use crate::traffic::request::CallerRequest;
 use crate::traffic::request::end_to_end_headers;
+use crate::traffic::response::STOPPING_RETRY_AFTER;
 use crate::traffic::response::not_run;
 use crate::traffic::response::run_outcome;
 use crate::traffic::response::text_response;
+use crate::traffic::serve::COMPLETE;
 use crate::traffic::serve::RequestRecorder;
+use crate::traffic::serve::STOPPED;
+use crate::traffic::serve::STOPPING;
 use crate::traffic::take_up::TakeUp;
 use crate::traffic::take_up::find_take_up;
 
@@ -73,6 +78,8 @@
     stream: String,
     /// Version that began the stream, at which alone it goes on; `None` before its first event.
     version: Option<SoftwareVersion>,
+    /// When the first one began.
+    began_at: Option<Duration>,
 }
 
 /// Why no run delivers events.
@@ -101,6 +108,7 @@
         may_have_run: false,
         stream: request.id.clone(),
         version: None,
+        began_at: None,
     };
     let mut recorder = RequestRecorder::begin(&gateway, &request);
     let take_up = match is_resumable(&request) {
@@ -148,6 +156,7 @@
     )
     .await;
     recorder.attempts = attempts.count;
+    recorder.run_began_at = attempts.began_at;
     let run = match started {
         Ok(run) => run,
         Err(RunError::Answered(response)) => return recorder.finish(response, "server_failure"),
@@ -212,7 +221,7 @@
             ForwardEnd::Complete(run) => {
                 run.slot.set_outcome(RunOutcome::Done);
                 run.stream.finish(&gateway);
-                recorder.record(StatusCode::OK, "complete");
+                recorder.record(StatusCode::OK, COMPLETE);
             }
             ForwardEnd::CallerDisconnected => recorder.record(StatusCode::OK, "caller_left"),
             ForwardEnd::Broken(reason) => {
@@ -257,11 +266,13 @@
         if now >= request.deadline {
             return Err(RunError::TimedOut);
         }
-        let until = gateway.runs_begin_until().unwrap_or(Duration::MAX);
+        let until = gateway
+            .run_begins_until(&request.route.name, request.deadline)
+            .unwrap_or(Duration::MAX);
         if now >= until {
             return Err(match attempts.may_have_run {
                 true => RunError::Unknown,
-                false => RunError::Refused(GRANT_TIMEOUT_RETRY_AFTER, "stopping"),
+                false => RunError::Refused(STOPPING_RETRY_AFTER, STOPPING),
             });
         }
         let work = Work::Online {
@@ -299,6 +310,7 @@
             .slot_wait_s
             .observe(sent_at.saturating_sub(now).as_secs_f64());
         attempts.count += 1;
+        attempts.began_at.get_or_insert(sent_at);
         let remaining = request.deadline.saturating_sub(sent_at);
         let may_retry = is_resumable && attempts.count < request.route.attempts_max;
         let event_timeout = if may_retry {
@@ -306,6 +318,7 @@
         } else {
             remaining
         };
+        let attempted = request.progress.begin_attempt();
         let opened = open_stream(
             gateway,
             &slot.server,
@@ -329,6 +342,7 @@
         match failure {
             OpenError::NotRun(outcome) => {
                 gateway.metrics.count_run("not_run");
+                request.progress.attempt_did_not_run(&attempted);
                 slot.set_outcome(outcome);
                 attempts.count -= 1;
                 attempts.refusals += 1;
@@ -421,6 +435,7 @@
     };
     let mut order = EventOrder::new(first_id);
     let status = run.stream.head.status;
+    let mut ending = std::pin::pin!(gateway.wait_for_phase(Phase::Ending));
     loop {
         let may_resume =
             is_resumable && attempts.count < request.route.attempts_max && order.can_resume();
@@ -431,6 +446,7 @@
         let next = tokio::select! {
             next = run.stream.next(gateway, idle_timeout, request.deadline) => next,
             () = chunks.closed() => return ForwardEnd::CallerDisconnected,
+            () = &mut ending => return ForwardEnd::Broken(STOPPED),
         };
         let outcome = match next {
             StreamRead::Event(event) => {
@@ -486,6 +502,7 @@
         let next_run = tokio::select! {
             started = start_run(gateway, request, engine_request, attempts, start_by, order.last_id()) => started,
             () = chunks.closed() => return ForwardEnd::CallerDisconnected,
+            () = &mut ending => return ForwardEnd::Broken(STOPPED),
         };
         match next_run {
             Ok(started) if started.stream.head.status == status => {
