fix(gateway): a stopping host waits until callers have received their responses

Callers saw: a slow caller's response cut off near its end when its host stopped, though it had begun before the stop.

Cause: a request counted as open until its response was made, not until it was sent; up to 32 chunks and the buffers of the HTTP library were lost when the process exited. Class: counting work by the maker's side.

The fix: a connection counts as open from its first request until it ends. In the closing phase it ends once its response has been sent, and idle ones end at once.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -92,7 +92,7 @@
 /// Maximum number of log lines about requests per second.
 const REQUEST_LOG_LINES_PER_S: u32 = 60;
 
-/// Counts a request as open until dropped.
+/// Counts a request as open until dropped, which must not be before its response has been sent.
 pub(crate) struct OpenRequest(Rc<Gateway>);
 
 impl OpenRequest {
--- a/bamboo-gateway/src/traffic/accept.rs
+++ b/bamboo-gateway/src/traffic/accept.rs
@@ -1,6 +1,6 @@
 //! HTTP listeners for callers, readiness checks and metrics.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 
 use crate::gateway::Gateway;
+use crate::gateway::OpenRequest;
 use crate::gateway::Phase;
 use crate::net;
 use crate::net::ConnectionUse;
@@ -137,11 +138,14 @@
         return;
     }
     let service_gateway = Rc::clone(&gateway);
-    let has_headers = Rc::new(Cell::new(false));
-    let service_has_headers = Rc::clone(&has_headers);
+    // Counts from the first request on. In the closing phase, the connection ends once its response has been sent.
+    let open = Rc::new(RefCell::new(None));
+    let service_open = Rc::clone(&open);
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Rc::clone(&service_gateway);
-        service_has_headers.set(true);
+        service_open
+            .borrow_mut()
+            .get_or_insert_with(|| OpenRequest::begin(&gateway));
         async move { Ok::<_, Infallible>(serve_request(gateway, caller_address, request).await) }
     });
     let mut connection = http1::Builder::new()
@@ -152,7 +156,7 @@
     // Headers of later requests on the connection are bounded by the idle timeout.
     let first_headers_late = async {
         tokio::time::sleep(limits.header_timeout).await;
-        if has_headers.get() {
+        if open.borrow().is_some() {
             std::future::pending::<()>().await;
         }
     };
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -20,7 +20,6 @@
 use rand::RngExt;
 
 use crate::gateway::Gateway;
-use crate::gateway::OpenRequest;
 use crate::gateway::Phase;
 use crate::metrics::RequestLabels;
 use crate::response_body::ResponseBody;
@@ -60,7 +59,6 @@
     caller_address: IpAddr,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let _open = OpenRequest::begin(&gateway);
     let progress = Rc::new(RequestProgress::default());
     let dispatched = dispatch_request(&gateway, caller_address, request, &progress);
     let mut response = tokio::select! {
@@ -256,7 +254,6 @@
 /// has ended the request because it exits.
 pub(crate) struct RequestRecorder {
     gateway: Rc<Gateway>,
-    _open: OpenRequest,
     id: String,
     route: String,
     arrived_at: Duration,
@@ -277,7 +274,6 @@
     pub(crate) fn begin(gateway: &Rc<Gateway>, request: &CallerRequest) -> Self {
         RequestRecorder {
             gateway: Rc::clone(gateway),
-            _open: OpenRequest::begin(gateway),
             id: request.id.clone(),
             route: request.route.name.clone(),
             arrived_at: request.arrived_at,
