fix(host): a change of the configuration is published before it is answered

Operators got the answer to a change and did not find the change right after, in the changes that are watched or among the resources. A step of the core put the answer out before the configuration in which the change is; the control thread passes outputs on in their order, and other threads serve operators, so that a request that was sent after the answer could be served from the configuration before. Class: an acknowledgement that overtakes the state it speaks of. Looked for elsewhere: the configuration is the only state of the core that other threads read by themselves; all other answers come from the core.

The check is also part of the invariants of all histories.

Ruled out: a watch that begins after the change, or a buffer (the watch reads the whole history of the published configuration).

--- a/bamboo-host/src/config_role.rs
+++ b/bamboo-host/src/config_role.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bamboo_config::ChangeOutcome;
 use bamboo_config::ConfigState;
 use bamboo_events::EventKind;
 use bamboo_log::CatchUpBuffer;
@@ -47,6 +48,8 @@
     /// When the log or a peer last confirmed that the configuration is up to date.
     confirmed_at: Timestamp,
     snapshot_requested_at: Option<Timestamp>,
+    /// Outcomes of this host's own changes, which are answered once they are published.
+    unanswered: Vec<(RequestId, ChangeOutcome)>,
 }
 
 impl Default for ConfigRole {
@@ -61,6 +64,7 @@
             has_peer_snapshot: false,
             confirmed_at: Duration::ZERO,
             snapshot_requested_at: None,
+            unanswered: Vec::new(),
         }
     }
 }
@@ -268,15 +272,20 @@
                 sequence,
             };
             if is_own_entry && let Some(waiter) = self.waiters.remove(handle) {
-                self.answer(waiter.request, Answer::Config(outcome));
+                self.config.unanswered.push((waiter.request, outcome));
             }
         }
         has_changed
     }
 
+    /// Publishes the configuration, and then answers the changes in it: operators are served by other threads, and must find
+    /// there what they have been told.
     fn publish_config(&mut self, now: Timestamp) {
         let state = Arc::clone(&self.config.state);
         self.output(Output::PublishConfig(state));
+        for (request, outcome) in std::mem::take(&mut self.config.unanswered) {
+            self.answer(request, Answer::Config(outcome));
+        }
         self.refresh_servers(now);
     }
 }
--- a/bamboo-host/tests/core.rs
+++ b/bamboo-host/tests/core.rs
@@ -110,6 +110,22 @@
     );
 }
 
+/// Guards against an operator whose change is answered, and who does not find it among the changes or resources right after,
+/// since the answer goes out before the configuration is published to the threads that serve operators.
+#[test]
+fn a_change_is_published_before_it_is_answered() {
+    let mut sim = Simulation::new(7, 3, 2);
+    sim.run(STARTUP_TIME);
+    let requests = [
+        sim.propose("h0", "model-a", 0, 1),
+        sim.propose("h1", "model-a", 0, 2),
+    ];
+    sim.run(Duration::from_secs(2));
+    let is_answered = |request: &&u128| matches!(sim.answers.get(request), Some(Answer::Config(_)));
+    assert_eq!(requests.iter().filter(is_answered).count(), 2);
+    assert_eq!(sim.unpublished_answers, Vec::<u128>::new());
+}
+
 #[test]
 fn a_call_is_answered_when_the_earlier_claim_of_its_key_is_released() {
     for delay_ms in 0..60 {
--- a/bamboo-host/tests/support/check.rs
+++ b/bamboo-host/tests/support/check.rs
@@ -89,6 +89,12 @@
             sim.late_start_count
         ));
     }
+    if !sim.unpublished_answers.is_empty() {
+        found.push(format!(
+            "{} changes of the configuration were answered before they were published",
+            sim.unpublished_answers.len()
+        ));
+    }
     found
 }
 
--- a/bamboo-host/tests/support/world.rs
+++ b/bamboo-host/tests/support/world.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
+use bamboo_config::ConfigState;
 use bamboo_host::Answer;
 use bamboo_host::HostCore;
 use bamboo_host::HostOptions;
@@ -126,6 +128,10 @@
     pub accepted: BTreeMap<JobId, u32>,
     pub cancelled: BTreeSet<JobId>,
     pub applied_changes: Vec<(String, u64)>,
+    /// Configuration that each incarnation of a host has published.
+    published: BTreeMap<(String, u64), Arc<ConfigState>>,
+    /// Changes of the configuration that were answered before they were published at that host.
+    pub unpublished_answers: Vec<RequestId>,
     pub append_fault: AppendFault,
     pub append_fault_until: Timestamp,
     pub read_delay: Duration,
@@ -172,6 +178,8 @@
             item_run_counts: BTreeMap::new(),
             failing_items: BTreeSet::new(),
             cancel_answered_at: BTreeMap::new(),
+            published: BTreeMap::new(),
+            unpublished_answers: Vec::new(),
             late_start_count: 0,
             steps: 0,
             call_run_counts: BTreeMap::new(),
@@ -687,7 +695,10 @@
                 Input::OrphanedRunsCancelled { server },
             ),
             Output::Drained => self.drained.push(host.to_owned()),
-            Output::PublishConfig(_) | Output::Ready(_) | Output::Event { .. } => {}
+            Output::PublishConfig(state) => {
+                self.published.insert((host.to_owned(), incarnation), state);
+            }
+            Output::Ready(_) | Output::Event { .. } => {}
         }
     }
 
@@ -698,6 +709,14 @@
                 Event::CallExecuted(host.to_owned(), incarnation, request),
             );
         }
+        if let Answer::Config(outcome) = &answer {
+            let published = self.published.get(&(host.to_owned(), incarnation));
+            let changes = published.map(|state| state.history_from(0));
+            let mut changes = changes.into_iter().flatten();
+            if !changes.any(|change| change.outcome == *outcome) {
+                self.unpublished_answers.push(request);
+            }
+        }
         if self.kill_after_answer.as_deref() == Some(host) {
             self.kill_after_answer = None;
             self.kill_for(host, Duration::from_secs(8));
