fix(coordination): a reservation that its host does not know ends after a second

Callers saw 429 for jobs that fitted: queue capacity of a route stayed reserved at the coordinator.

Cause: a reservation ended only with a heartbeat that names it or a later one of the same host. If the reply was lost, or the request came twice, the host never named it until it reserved again. Class: state that one lost message leaves behind for good.

A heartbeat that arrives a second after the reservation ends it, whether it names it or not: the host waits 300 ms for the reply, and its next heartbeat, 250 ms later at most, counts the tokens.

By reading: the reply of a former coordinator set the number that the host reports to the current one, whose numbers begin anew, so that its reservations would end with the next heartbeat, some milliseconds before they are counted. Such a reply is not recorded any more. This has no test of its own.

bamboo-coordination/tests/coordination.rs: `reserve` takes the time; the checks are the same.

--- a/bamboo-coordination/src/reports.rs
+++ b/bamboo-coordination/src/reports.rs
@@ -22,6 +22,9 @@
 
 /// Time without a heartbeat after which the coordinator removes a host: six heartbeat intervals.
 const HOST_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time after which a host has either reported a reservation or does not know of it: it waits for the reply for 300 ms, and
+/// its heartbeat follows 250 ms later at most.
+const RESERVATION_TIMEOUT: Duration = Duration::from_secs(1);
 /// Share of the limit on waiting tokens that may be reserved while some partitions have no known owner.
 const PARTIAL_VIEW_SHARE: f64 = 0.5;
 
@@ -49,6 +52,7 @@
     number: u64,
     route: String,
     tokens: u64,
+    made_at: Duration,
 }
 
 /// Result of a request to reserve queue capacity for tokens of a route.
@@ -153,7 +157,9 @@
             self.supersede_cluster_map();
         }
         self.reservations.retain(|reservation| {
-            reservation.host != info.host || reservation.number > heartbeat.reservation
+            reservation.host != info.host
+                || reservation.number > heartbeat.reservation
+                    && now.saturating_sub(reservation.made_at) < RESERVATION_TIMEOUT
         });
         let report = Report {
             info: info.clone(),
@@ -261,7 +267,8 @@
         }
     }
 
-    /// Reserves queue capacity on a route for tokens of a host, unless more than `max_tokens` would then wait.
+    /// Reserves queue capacity on a route for tokens of a host, unless more than `max_tokens` would then wait. A reservation
+    /// ends with a heartbeat that includes it, or that is sent so much later that the host cannot know of it.
     pub fn reserve(
         &mut self,
         host: &str,
@@ -269,6 +276,7 @@
         tokens: u64,
         max_tokens: u64,
         partition_count: u32,
+        now: Duration,
     ) -> ReservationOutcome {
         let known = self.cluster_map().0.owners.len() as u32;
         let reported: u64 = self
@@ -300,6 +308,7 @@
             number: self.next_reservation,
             route: route.to_owned(),
             tokens,
+            made_at: now,
         });
         ReservationOutcome::Reserved(self.next_reservation)
     }
--- a/bamboo-coordination/tests/coordination.rs
+++ b/bamboo-coordination/tests/coordination.rs
@@ -149,22 +149,22 @@
     reports.record_heartbeat(&host("a", 1), heartbeat(&[(0, 1)], 600, 0), at(0));
     reports.record_heartbeat(&host("b", 1), heartbeat(&[(1, 1)], 300, 0), at(0));
     assert_eq!(
-        reports.reserve("a", "r", 100, 1_000, 2),
+        reports.reserve("a", "r", 100, 1_000, 2, at(0)),
         ReservationOutcome::Reserved(1)
     );
     assert_eq!(
-        reports.reserve("b", "r", 100, 1_000, 2),
+        reports.reserve("b", "r", 100, 1_000, 2, at(0)),
         ReservationOutcome::Full
     );
     // From this heartbeat on the reported tokens include the reservation.
     reports.record_heartbeat(&host("a", 1), heartbeat(&[(0, 1)], 700, 1), at(250));
     assert_eq!(
-        reports.reserve("b", "r", 1, 1_000, 2),
+        reports.reserve("b", "r", 1, 1_000, 2, at(250)),
         ReservationOutcome::Full
     );
     reports.record_heartbeat(&host("a", 1), heartbeat(&[(0, 1)], 500, 1), at(500));
     assert_eq!(
-        reports.reserve("b", "r", 100, 1_000, 2),
+        reports.reserve("b", "r", 100, 1_000, 2, at(500)),
         ReservationOutcome::Reserved(2)
     );
 }
@@ -174,11 +174,11 @@
     let mut reports = Reports::default();
     reports.record_heartbeat(&host("a", 1), heartbeat(&[(0, 1)], 100, 0), at(0));
     assert_eq!(
-        reports.reserve("a", "r", 100, 1_000, 4),
+        reports.reserve("a", "r", 100, 1_000, 4, at(0)),
         ReservationOutcome::Undecided
     );
     assert_eq!(
-        reports.reserve("a", "r", 100, 10_000, 4),
+        reports.reserve("a", "r", 100, 10_000, 4, at(0)),
         ReservationOutcome::Reserved(1)
     );
 }
@@ -250,11 +250,11 @@
     let mut reports = Reports::default();
     reports.record_heartbeat(&host("a", 1), heartbeat(&[(0, 1)], 0, 0), at(0));
     reports.record_heartbeat(&host("b", 1), heartbeat(&[(1, 1)], 0, 0), at(0));
-    let reserved = reports.reserve("b", "r", 900, 1_000, 2);
+    let reserved = reports.reserve("b", "r", 900, 1_000, 2, at(0));
     assert_eq!(reserved, ReservationOutcome::Reserved(1));
     reports.record_heartbeat(&host("a", 1), heartbeat(&[(0, 1), (1, 2)], 0, 0), at(2_000));
     assert_eq!(reports.remove_silent(at(2_000)), ["b"]);
-    let reserved = reports.reserve("a", "r", 900, 1_000, 2);
+    let reserved = reports.reserve("a", "r", 900, 1_000, 2, at(2_000));
     assert!(matches!(reserved, ReservationOutcome::Reserved(_)));
 }
 
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -263,7 +263,7 @@
             .record_requests(sender, &mut broker, now);
     }
 
-    pub(super) fn is_coordinator(&self, host: &str) -> bool {
+    pub(crate) fn is_coordinator(&self, host: &str) -> bool {
         self.coordination.borrow().coordinator() == host
     }
 
@@ -496,7 +496,14 @@
     ) -> PeerReply {
         let partitions = self.settings.store.shard_count;
         let mut reports = self.reports.borrow_mut();
-        match reports.reserve(host, route, tokens, max_tokens, partitions) {
+        match reports.reserve(
+            host,
+            route,
+            tokens,
+            max_tokens,
+            partitions,
+            self.clock.now(),
+        ) {
             ReservationOutcome::Reserved(number) => PeerReply::Reserved(Some(number)),
             ReservationOutcome::Full => PeerReply::Reserved(None),
             ReservationOutcome::Undecided => PeerReply::Undecided,
--- a/bamboo-gateway/src/jobs/submit.rs
+++ b/bamboo-gateway/src/jobs/submit.rs
@@ -243,8 +243,11 @@
         };
         match reply {
             Some(PeerReply::Reserved(Some(number))) => {
-                self.last_reservation
-                    .set(self.last_reservation.get().max(number));
+                // Each coordinator numbers its own reservations.
+                if gateway.is_coordinator(&coordinator) {
+                    self.last_reservation
+                        .set(self.last_reservation.get().max(number));
+                }
                 self.add_reserved(&record.route, tokens);
                 Ok(())
             }
