fix(gateway): hosts compare what they know of servers that leave and of limits (DRAIN)

Callers' requests went to servers that had said that they leave, and servers that had come back were never used again.

First, `Leaving` and `Limits` were said once to each host; what a host missed it learned only when it joined anew. Class: a message instead of compared state. Second, `Leaving` named a server, not its process: a host that joined later, a new coordinator and each receiver of a late copy took a process that had started anew for the one that had left, and kept it out of use for good.

Now a host names a digest of what it knows of servers with each heartbeat (`ServerReportsDigest`); a coordinator that knows something else tells all it knows, and the host answers with what it has beyond that (`ServerReports`). A statement names the start time of the process and its age.

Tried and dropped: acknowledgements of what was told, as for the quarantine. Limits are not monotone: a late report of an older limit counts as newer, and the sender has moved on since, so that both sides held a wrong digest for the other.

A late report of an older limit still counts until the server's next response names the limit.

The doctest of `mark_leaving` follows its changed return type; `leaving()` takes the time.

--- a/bamboo-fleet/src/directory.rs
+++ b/bamboo-fleet/src/directory.rs
@@ -1,5 +1,6 @@
 //! Directory of backend servers, built from the entries that the servers renew in the store.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -9,6 +10,7 @@
 use bamboo_types::BackendServerId;
 use bamboo_types::DataCentreId;
 use bamboo_types::SoftwareVersion;
+use bamboo_types::millis;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -23,6 +25,8 @@
 
 /// How long it is remembered that a server without an entry said that it leaves. Its entry may return meanwhile.
 const LEAVING_MEMORY: Duration = Duration::from_secs(600);
+/// How long other hosts are told of a server without an entry that said that it leaves. They may read later that it has none.
+const LEAVING_TOLD_FOR: Duration = Duration::from_secs(10);
 
 /// State that a server reports in its entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,6 +59,28 @@
     pub version: SoftwareVersion,
 }
 
+/// A process of a server that said that it leaves, as hosts tell each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingReport {
+    /// Server.
+    pub server: BackendServerId,
+    /// Start time of the process.
+    pub started_at_ms: u64,
+    /// Time since the server said so, in milliseconds.
+    pub said_ago_ms: u64,
+}
+
+/// What a host learned from the statement that a server leaves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeavingChange {
+    /// The server gets no more requests.
+    Updated(Rc<Server>),
+    /// The directory has no such process, or not yet.
+    Remembered,
+    /// The statement was known.
+    Known,
+}
+
 /// Change of the directory, for the components that hold state per server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum DirectoryChange {
@@ -75,8 +101,8 @@
     recently_removed: Vec<(Duration, Rc<Server>)>,
     /// Services and versions of servers that were removed or came back with another version, with the time of that.
     former_versions: Vec<(Duration, ServiceId, SoftwareVersion)>,
-    /// Servers that said that they leave, with the time of that and their start times.
-    leaving: HashMap<BackendServerId, (Duration, u64)>,
+    /// Processes of servers, by start time, that said that they leave, with the time of that.
+    leaving: HashMap<BackendServerId, BTreeMap<u64, Duration>>,
 }
 
 impl Directory {
@@ -137,46 +163,92 @@
         }
     }
 
-    /// Records that a server said that it leaves. It counts as draining from then on, whatever its entry says.
+    /// Records that a server said that it leaves. Its current process counts as draining from then on, whatever its entry says.
     ///
     /// ```
     /// # use std::time::Duration;
+    /// # use bamboo_fleet::LeavingChange;
     /// let mut directory = bamboo_fleet::Directory::default();
-    /// assert_eq!(directory.mark_leaving("s1", Duration::ZERO), bamboo_fleet::DirectoryChange::Unchanged);
+    /// assert_eq!(directory.mark_leaving("s1", Duration::ZERO), LeavingChange::Known);
     /// ```
-    pub fn mark_leaving(&mut self, id: &str, now: Duration) -> DirectoryChange {
-        let Some(server) = self.servers.get_mut(id) else {
-            let removed = self.recently_removed.iter();
-            if let Some((_, removed)) = removed.rev().find(|(_, removed)| removed.id == id) {
-                self.leaving
-                    .insert(id.to_owned(), (now, removed.started_at_ms));
-                self.recently_removed
-                    .retain(|(_, removed)| removed.id != id);
-            }
-            return DirectoryChange::Unchanged;
+    pub fn mark_leaving(&mut self, id: &str, now: Duration) -> LeavingChange {
+        let removed = || {
+            let mut removed = self.recently_removed.iter().rev();
+            removed.find(|(_, removed)| removed.id == id)
         };
-        let started_at_ms = server.started_at_ms;
-        let before = self.leaving.insert(id.to_owned(), (now, started_at_ms));
-        if before.is_some_and(|(_, before_ms)| before_ms == started_at_ms) {
-            return DirectoryChange::Unchanged;
+        let known = self.servers.get(id);
+        let Some(server) = known.or_else(|| removed().map(|(_, server)| server)) else {
+            return LeavingChange::Known;
+        };
+        let report = LeavingReport {
+            server: id.to_owned(),
+            started_at_ms: server.started_at_ms,
+            said_ago_ms: 0,
+        };
+        self.record_leaving(&report, now)
+    }
+
+    /// Records that a process of a server said that it leaves. Another process of that server is not concerned.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use bamboo_fleet::{Directory, LeavingChange, LeavingReport};
+    /// let mut directory = Directory::default();
+    /// let report = LeavingReport { server: "s1".into(), started_at_ms: 1, said_ago_ms: 50 };
+    /// assert_eq!(directory.record_leaving(&report, Duration::from_secs(1)), LeavingChange::Remembered);
+    /// assert_eq!(directory.record_leaving(&report, Duration::from_secs(2)), LeavingChange::Known);
+    /// ```
+    pub fn record_leaving(&mut self, report: &LeavingReport, now: Duration) -> LeavingChange {
+        let said_at = now.saturating_sub(Duration::from_millis(report.said_ago_ms));
+        let processes = self.leaving.entry(report.server.clone()).or_default();
+        if processes.contains_key(&report.started_at_ms) {
+            return LeavingChange::Known;
+        }
+        processes.insert(report.started_at_ms, said_at);
+        let is_reported = |server: &Server| {
+            server.id == report.server && server.started_at_ms == report.started_at_ms
+        };
+        self.recently_removed
+            .retain(|(_, removed)| !is_reported(removed));
+        match self.servers.get_mut(&report.server) {
+            Some(server) if is_reported(server) => {
+                *server = Rc::new(Server {
+                    state: ServerState::Draining,
+                    ..Server::clone(server)
+                });
+                LeavingChange::Updated(Rc::clone(server))
+            }
+            _ => LeavingChange::Remembered,
         }
-        let leaving = Rc::new(Server {
-            state: ServerState::Draining,
-            ..Server::clone(server)
-        });
-        *server = Rc::clone(&leaving);
-        DirectoryChange::Updated(leaving)
     }
 
-    /// Servers that said that they leave.
-    pub fn leaving(&self) -> Vec<BackendServerId> {
-        self.leaving.keys().cloned().collect()
+    /// Servers that said that they leave, as other hosts need to know: not those that have started anew, or left long ago.
+    pub fn leaving(&self, now: Duration) -> Vec<LeavingReport> {
+        let is_needed = |id: &str, started_at_ms: u64, said_at: Duration| match self.servers.get(id)
+        {
+            Some(server) => server.started_at_ms == started_at_ms,
+            None => now.saturating_sub(said_at) < LEAVING_TOLD_FOR,
+        };
+        let mut reports = Vec::new();
+        for (id, processes) in &self.leaving {
+            for (started_at_ms, said_at) in processes {
+                if is_needed(id, *started_at_ms, *said_at) {
+                    reports.push(LeavingReport {
+                        server: id.clone(),
+                        started_at_ms: *started_at_ms,
+                        said_ago_ms: millis(now.saturating_sub(*said_at)),
+                    });
+                }
+            }
+        }
+        reports.sort_by(|a, b| (&a.server, a.started_at_ms).cmp(&(&b.server, b.started_at_ms)));
+        reports
     }
 
     /// Whether this process of a server said that it leaves.
     fn is_leaving(&self, server: &Server) -> bool {
-        let said = self.leaving.get(&server.id);
-        said.is_some_and(|(_, started_at_ms)| *started_at_ms == server.started_at_ms)
+        let processes = self.leaving.get(&server.id);
+        processes.is_some_and(|processes| processes.contains_key(&server.started_at_ms))
     }
 
     /// Removes a server whose entry is missing, deleted or unreadable.
@@ -273,9 +345,12 @@
             .retain(|(removed_at, _)| now.saturating_sub(*removed_at) < REMOVED_FALLBACK_WINDOW);
         self.former_versions
             .retain(|(left_at, _, _)| now.saturating_sub(*left_at) < VERSION_MEMORY);
-        let servers = &self.servers;
-        self.leaving.retain(|id, (said_at, _)| {
-            servers.contains_key(id) || now.saturating_sub(*said_at) < LEAVING_MEMORY
-        });
+        for (id, processes) in &mut self.leaving {
+            let present = self.servers.get(id).map(|server| server.started_at_ms);
+            processes.retain(|started_at_ms, said_at| {
+                present == Some(*started_at_ms) || now.saturating_sub(*said_at) < LEAVING_MEMORY
+            });
+        }
+        self.leaving.retain(|_, processes| !processes.is_empty());
     }
 }
--- a/bamboo-fleet/src/lib.rs
+++ b/bamboo-fleet/src/lib.rs
@@ -26,6 +26,8 @@
 pub use config::Target;
 pub use directory::Directory;
 pub use directory::DirectoryChange;
+pub use directory::LeavingChange;
+pub use directory::LeavingReport;
 pub use directory::Server;
 pub use directory::ServerState;
 pub use directory::VERSION_MEMORY;
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -14,6 +14,7 @@
 
 use crate::gateway::Gateway;
 use crate::gateway::Phase;
+use crate::mesh::COMPARED_REPORTS_SINCE;
 use crate::mesh::LinkFailure;
 use crate::mesh::PeerMessage;
 use crate::mesh::REQUEST_REPORTS_SINCE;
@@ -182,6 +183,9 @@
             knows_servers: self.coordination.borrow().knows_servers(),
         };
         self.send_probes();
+        if self.decodes_since(&coordinator, COMPARED_REPORTS_SINCE) {
+            self.send_to(&coordinator, self.server_reports_digest(now));
+        }
         let message = match report {
             Some(report) => PeerMessage::HeartbeatWithRequests(heartbeat, (&report).into()),
             None => PeerMessage::Heartbeat(heartbeat),
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -22,6 +22,7 @@
 use crate::gateway::ConfigRecord;
 use crate::gateway::Gateway;
 use crate::mesh::CLUSTER_MAP_CHANGES_SINCE;
+use crate::mesh::COMPARED_REPORTS_SINCE;
 use crate::mesh::PeerMessage;
 use crate::mesh::PeerReply;
 use crate::mesh::PeerRequest;
@@ -240,7 +241,14 @@
             PeerMessage::QuarantineAck(digest) => {
                 self.crashes.record_ack(&sender.host, digest);
             }
-            PeerMessage::Leaving(servers) => self.handle_leaving(sender, servers),
+            PeerMessage::Leaving(servers) => self.handle_leaving(sender, &servers),
+            PeerMessage::ServerReports {
+                reports,
+                wants_reply,
+            } => self.handle_server_reports(sender, reports, wants_reply, now),
+            PeerMessage::ServerReportsDigest(digest) => {
+                self.compare_server_reports(sender, digest, now);
+            }
             PeerMessage::Limits(reports) => self.handle_limits(sender, &reports, now),
             // Decisions of a former coordinator are ignored.
             PeerMessage::Queued { .. }
@@ -356,8 +364,9 @@
         drop(reports);
         if is_new {
             self.crashes.forget_host(&sender.host);
-            self.send_limits(&sender.host, now);
-            self.send_leaving(&sender.host);
+            if !self.decodes_since(&sender.host, COMPARED_REPORTS_SINCE) {
+                self.send_server_reports(sender, now);
+            }
             log::info!(event = "host_joined", host = sender.host.as_str(); "a host reports to this coordinator");
         }
         self.send_broker_actions();
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -40,8 +40,10 @@
 pub(crate) const LATE_CRASHES_SINCE: ProtocolVersion = 5;
 /// First version whose hosts say what they believe of their slot requests.
 pub(crate) const REQUEST_REPORTS_SINCE: ProtocolVersion = 6;
+/// First version whose hosts compare what they know of servers.
+pub(crate) const COMPARED_REPORTS_SINCE: ProtocolVersion = 7;
 /// Version of this build.
-const PROTOCOL_VERSION: ProtocolVersion = 6;
+const PROTOCOL_VERSION: ProtocolVersion = 7;
 /// Path of a stream of messages, followed by the version. Version 1 had none.
 const MESSAGES_PATH: &str = "/messages";
 
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -8,6 +8,7 @@
 use bamboo_coordination::Heartbeat;
 use bamboo_coordination::HostInfo;
 use bamboo_coordination::Probe;
+use bamboo_coordination::ServerReports;
 use bamboo_coordination::StreamKey;
 use bamboo_fleet::Server;
 use bamboo_quarantine::CrashReport;
@@ -254,6 +255,15 @@
     CrashReport(CrashReport),
     /// Heartbeat to the coordinator, with what the sender believes of its slot requests. For hosts of protocol version 6 or later.
     HeartbeatWithRequests(Heartbeat, PackedReport),
+    /// What servers said of themselves. For hosts of protocol version 7 or later, like the one after it.
+    ServerReports {
+        /// What they said.
+        reports: ServerReports,
+        /// Whether the sender wants to know what the receiver has beyond this.
+        wants_reply: bool,
+    },
+    /// Digest of all that the sender knows of servers, with each heartbeat.
+    ServerReportsDigest(u64),
 }
 
 impl PeerMessage {
@@ -280,6 +290,9 @@
             PeerMessage::StreamBegan { .. } => "stream_began",
             PeerMessage::Limits(_) => "limits",
             PeerMessage::Leaving(_) => "leaving",
+            PeerMessage::ServerReports { .. } | PeerMessage::ServerReportsDigest(_) => {
+                "server_reports"
+            }
             PeerMessage::EarlyCrashReport(_)
             | PeerMessage::CrashReport(_)
             | PeerMessage::Quarantine(_)
--- a/bamboo-gateway/src/traffic/response.rs
+++ b/bamboo-gateway/src/traffic/response.rs
@@ -98,6 +98,6 @@
 ) {
     if head.status != StatusCode::MISDIRECTED_REQUEST {
         gateway.observe_limit(&server.id, &head.headers, sent_at);
-        gateway.observe_leaving(&server.id, &head.headers);
+        gateway.observe_leaving(server, &head.headers);
     }
 }
