--- a/bamboo-gateway/src/jobs.rs
+++ b/bamboo-gateway/src/jobs.rs
@@ -6,6 +6,7 @@
 mod items;
 mod ownership;
 mod shard;
+mod submissions;
 mod submit;
 mod submitted;
 
@@ -26,6 +27,7 @@
 pub(crate) use ownership::run_group_membership;
 pub(crate) use ownership::sync_host_list;
 use shard::OwnedShard;
+use submissions::Submissions;
 
 /// Number of epochs within one generation: how often one host can open shards before its epochs reach those of the next
 /// generation.
@@ -40,6 +42,7 @@
     membership_expires_at: Cell<Duration>,
     last_reservation: Cell<u64>,
     reserved_tokens: RefCell<HashMap<String, u64>>,
+    submissions: Submissions,
     run_time_estimator: RunTimeEstimator,
     item_trials: ItemTrials,
     last_epoch: Cell<u64>,
--- a/bamboo-gateway/src/jobs/submit.rs
+++ b/bamboo-gateway/src/jobs/submit.rs
@@ -174,6 +174,7 @@
         let Some(shard) = self.shard(partition).filter(|shard| shard.is_open()) else {
             return unavailable();
         };
+        let _submission = self.submissions.begin(job).await;
         if shard.state.borrow().job(job).is_some() {
             return http_reply(StatusCode::ACCEPTED, Vec::new());
         }
