--- a/bamboo-fleet/tests/version_knowledge.rs
+++ b/bamboo-fleet/tests/version_knowledge.rs
@@ -268,7 +268,7 @@
     }
     let host = &mut hosts[index];
     host.apply_read(log, now_ms);
-    let is_due = host.read.is_none() && now_ms % READ_INTERVAL_MS == 0;
+    let is_due = host.read.is_none() && now_ms.is_multiple_of(READ_INTERVAL_MS);
     if is_due && host.fault == Fault::None {
         let arrives_at_ms = now_ms + rng.random_range(10..1_200);
         let end = log.len();
