fix(gateway): a link that drops messages says so, and calls that it drops fail at once

Messages beyond the queue of a link (4,096) were dropped with a debug line, and a call among them waited for its timeout. Now a warning (`messages_dropped`) names the host and the kind of the first one, once for each time that the queue is full, and the call fails.

--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -110,6 +110,12 @@
 
     /// Queues a message, opening a link if necessary. The message is lost if the connection fails.
     pub(crate) fn send(&self, host: &str, message: PeerMessage, now: Duration) {
+        // A message that cannot be queued has been logged.
+        let _ = self.try_send(host, message, now);
+    }
+
+    /// Queues a message like [`send`](Self::send). Returns whether it is queued.
+    fn try_send(&self, host: &str, message: PeerMessage, now: Duration) -> bool {
         let mut links = self.links.borrow_mut();
         let link = links
             .entry(host.to_owned())
@@ -117,7 +123,7 @@
         if link.is_broken() {
             *link = self.open_link(host, now);
         }
-        link.send(message, now);
+        link.send(message, now)
     }
 
     fn open_link(&self, host: &str, now: Duration) -> Link {
@@ -149,7 +155,9 @@
         };
         self.pending.borrow_mut().insert(call, pending);
         let _guard = CallGuard { mesh: self, call };
-        self.send(host, PeerMessage::Request { call, request }, now);
+        if !self.try_send(host, PeerMessage::Request { call, request }, now) {
+            return None;
+        }
         let reply = tokio::time::timeout(timeout, reply_receiver).await;
         reply.ok()?.ok()
     }
--- a/bamboo-gateway/src/mesh/link.rs
+++ b/bamboo-gateway/src/mesh/link.rs
@@ -22,7 +22,7 @@
 use crate::net::ConnectionUse;
 use crate::task::OwnedTask;
 
-/// Capacity of the send queue. Messages beyond it are dropped; everything that matters is sent again.
+/// Capacity of the send queue. Messages beyond it are dropped; what is said regularly makes up for them.
 const SEND_QUEUE_LEN: usize = 4096;
 /// Timeouts of the attempts to establish the connection. Packets to a host without power are lost, so that a connection
 /// attempt begun before its start would hang until the kernel retransmits.
@@ -54,7 +54,9 @@
 
 /// A link to another host. It ends with its connection; the next message opens a new link.
 pub(super) struct Link {
+    host: HostId,
     queue: mpsc::Sender<PeerMessage>,
+    is_congested: Cell<bool>,
     last_used_at: Cell<Duration>,
     shared: Rc<Shared>,
     task: OwnedTask,
@@ -70,21 +72,24 @@
     ) -> Self {
         let (queue, messages) = mpsc::channel(SEND_QUEUE_LEN);
         let host: HostId = host.to_owned();
+        let task_host = host.clone();
         let shared = Rc::new(Shared::default());
         let task_shared = Rc::clone(&shared);
         let task = OwnedTask::spawn(async move {
-            if let Err(error) = run(&host, local, messages, &task_shared, &sent_bytes).await {
-                log::info!(event = "link_lost", host = host.as_str(); "link to a host failed: {error:#}");
+            if let Err(error) = run(&task_host, local, messages, &task_shared, &sent_bytes).await {
+                log::info!(event = "link_lost", host = task_host.as_str(); "link to a host failed: {error:#}");
             }
             let unconnected_since = (!task_shared.is_established.get()).then_some(now);
             // The receiver lives as long as the process.
             let _ = link_failures.send(LinkFailure {
-                host,
+                host: task_host,
                 unconnected_since,
             });
         });
         Link {
+            host,
             queue,
+            is_congested: Cell::new(false),
             last_used_at: Cell::new(now),
             shared,
             task,
@@ -98,11 +103,17 @@
         }
     }
 
-    pub(super) fn send(&self, message: PeerMessage, now: Duration) {
+    /// Queues a message. Returns whether it is queued; otherwise it is lost.
+    pub(super) fn send(&self, message: PeerMessage, now: Duration) -> bool {
         self.last_used_at.set(now);
-        if self.queue.try_send(message).is_err() {
-            log::debug!("dropped a message because the link is congested or closed");
+        let kind = message.kind();
+        let is_queued = self.queue.try_send(message).is_ok();
+        if !is_queued && !self.is_congested.get() {
+            let host = self.host.as_str();
+            log::warn!(event = "messages_dropped", host, kind; "messages are dropped because the link is congested or closed");
         }
+        self.is_congested.set(!is_queued);
+        is_queued
     }
 
     pub(super) fn last_used_at(&self) -> Duration {
