--- a/bamboo-gateway/src/gateway/crashes.rs
+++ b/bamboo-gateway/src/gateway/crashes.rs
@@ -49,6 +49,10 @@
 const HISTORY_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for which a request that broke waits until its crash has been weighed, before it is sent again.
 const VERDICT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Timeout for the reply to the report of a crash, well above the time for which the coordinator weighs it.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause before the report of a crash is repeated.
+const REPORT_PAUSE: Duration = Duration::from_millis(250);
 /// Time in which all reports of one crash arrive.
 const REPORTS_TIME: Duration = Duration::from_millis(15);
 /// Timeout for connecting to a server before a verdict.
@@ -62,6 +66,15 @@
 /// Time for which a host keeps a crash.
 const CRASH_KEPT_FOR: Duration = Duration::from_secs(120);
 
+/// What to do after a crash has been reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReportStep {
+    /// Nothing.
+    Done,
+    /// Report it again.
+    Repeat,
+}
+
 /// Why requests are rejected, for the log and the caller.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Rejection {
@@ -219,9 +232,8 @@
         }
     }
 
-    /// Has the coordinator weigh a crash under a run of this host.
+    /// Has the coordinator weigh a crash under a run of this host. Returns once there is a verdict, or none in time.
     pub(crate) async fn server_crashed(self: &Rc<Self>, run: &BrokenRun) {
-        let now = self.clock.now();
         let evidence = CrashEvidence {
             server: run.server.id.clone(),
             content: run.content,
@@ -230,26 +242,50 @@
             broke_at: run.broke_at,
             suspects: self.suspect_evidence(&run.suspects),
         };
-        let report = CrashReport::from((&evidence, now));
         self.crashes.keep(evidence.clone());
+        let gateway = Rc::clone(self);
+        let report = actix_rt::spawn(async move { gateway.report_until_weighed(&evidence).await });
+        // Without a verdict in time, the host learns of it by the quarantine. The report goes on.
+        let _ = tokio::time::timeout(VERDICT_TIMEOUT, report).await;
+    }
+
+    /// Reports a crash to the coordinator, which may change, until it replies.
+    async fn report_until_weighed(&self, evidence: &CrashEvidence) {
+        while self.report_crash(evidence).await == ReportStep::Repeat {
+            let age = self.clock.now().saturating_sub(evidence.broke_at);
+            if age >= CRASH_KEPT_FOR {
+                log::warn!(event = "crash_unreported", server = evidence.server.as_str(); "no coordinator weighed a crash");
+                return;
+            }
+            actix_rt::time::sleep(REPORT_PAUSE).await;
+        }
+    }
+
+    async fn report_crash(&self, evidence: &CrashEvidence) -> ReportStep {
+        let now = self.clock.now();
+        let report = CrashReport::from((evidence, now));
         let coordinator = self.coordination.borrow().coordinator().clone();
         if coordinator == self.local.host || !self.decodes_since(&coordinator, SERVER_REPORTS_SINCE)
         {
-            self.weigh_crash(&evidence).await;
-            return;
+            self.weigh_crash(evidence).await;
+            return ReportStep::Done;
         }
         let request = if self.decodes_since(&coordinator, LATE_CRASHES_SINCE) {
             PeerRequest::WeighCrash(report)
         } else if self.decodes_since(&coordinator, CRASH_VERDICTS_SINCE) {
             PeerRequest::WeighEarlyCrash(report.into())
         } else {
-            return self.send_to(&coordinator, PeerMessage::EarlyCrashReport(report.into()));
+            self.send_to(&coordinator, PeerMessage::EarlyCrashReport(report.into()));
+            return ReportStep::Done;
         };
-        // Without a reply in time, the host learns of a verdict by the quarantine.
-        let _ = self
+        match self
             .mesh
-            .call(&coordinator, request, VERDICT_TIMEOUT, now)
-            .await;
+            .call(&coordinator, request, REPORT_TIMEOUT, now)
+            .await
+        {
+            Some(_) => ReportStep::Done,
+            None => ReportStep::Repeat,
+        }
     }
 
     /// Weighs a crash that another host reports, as the coordinator. Returns once the verdict is on its way to all hosts.
