fix(gateway): the silence of a run is charged to its server only after a check

A host that had lost its way to the servers had Silent charged to them, which ejects servers for all hosts. A silent run was charged at once if this host had heard any server within the last 80 ms. A run is silent 130 ms after its last event, and events come every 60 to 100 ms: in a cut, the streams whose next event was due soon fall silent while the last bytes of others are younger than 80 ms. Class: a fact of before taken for one of now. What was heard before shows nothing of a cut that began since; Broken was never charged without a check.

Ruled out: another threshold (none separates a cut from a silence: the last bytes of one stream are always later than those of another). Price: one connection for each silent run, shared by the runs at one server.

--- a/bamboo-gateway/src/gateway/server_connections.rs
+++ b/bamboo-gateway/src/gateway/server_connections.rs
@@ -203,17 +203,10 @@
         check.await
     }
 
-    /// Whether a failure may be one of the way to the server rather than the server's own.
+    /// Whether a failure may be one of the way to the server rather than the server's own. What this host heard of other
+    /// servers before tells nothing of a cut that has begun since.
     pub(crate) fn may_be_lost_path(&self, outcome: RunOutcome) -> bool {
-        match outcome {
-            RunOutcome::Silent => {
-                let now = self.clock.now();
-                !self.server_paths.borrow().has_heard_recently(now)
-            }
-            // With a reset, the last bytes of all servers are recent.
-            RunOutcome::Broken => true,
-            _ => false,
-        }
+        matches!(outcome, RunOutcome::Silent | RunOutcome::Broken)
     }
 
     /// Charges a failure that may be one of the way by `charge`, once it is known who reaches the server.
--- a/bamboo-relay/src/server_paths.rs
+++ b/bamboo-relay/src/server_paths.rs
@@ -19,9 +19,6 @@
 const MEMORY: Duration = Duration::from_secs(5);
 /// Time for which a host that does not reach the servers either is not asked again.
 const RELAY_BACKOFF: Duration = Duration::from_secs(2);
-/// Time since the last bytes of any server for which the direct ways are taken to work. Events of a stream follow each other
-/// faster, and a run counts as silent only after a longer time.
-const HEARD_RECENTLY: Duration = Duration::from_millis(80);
 /// Time since the last new connection to any server within which this host can tell a server that is down from a cut. That
 /// servers are heard does not: open connections may live on while new ones are refused.
 const CONNECTED_LATELY: Duration = Duration::from_millis(250);
@@ -242,11 +239,6 @@
         self.silent_at.is_none() || self.heard_at > self.silent_at
     }
 
-    /// Whether any server was heard so recently that the direct ways work, so that the silence of one server is its own.
-    pub fn has_heard_recently(&self, now: Duration) -> bool {
-        is_within(self.heard_at, HEARD_RECENTLY, now)
-    }
-
     /// What it means that no way led to a server, and no other host said that it is down. `has_relays` tells whether there are
     /// other hosts: one that has none takes its own view for the truth.
     pub fn failure(&self, has_relays: bool, now: Duration) -> ConnectFailure {
