fix(gateway): hosts judge a server by connections of the same moment (LOST)

Callers saw an accepted item that was not done for 6 to 30 s and more in a quiet fleet with servers that had crashed and were still listed. A host that does not reach a server takes it for down only if it reaches others, and took a connection of the last 250 ms for that; without one it tried one other server. Both are wrong. In a quiet fleet nothing had been connected, and the one other server was down, too: the outcome was NoPath, which is charged to nobody, so that the item went back and forth between two crashed servers every 100 ms. And right after the begin of a cut hosts, also those through which others reach servers, had connected less than 250 ms ago and had sound servers charged as down.

A host now tries the server and up to four others at the same moment, after the failure; it is down if another one is reached and it is not.

Changed test: a_server_is_down_only_for_a_host_that_connects_to_others asserted the 250 ms, which are the fault. Its successors assert for cuts at any time that no sound server is taken for down and that down ones are found, and that a host that is alone or cut off judges as before.

Ruled out: a shorter time than 250 ms (no time is short enough); one other server after the other (not of the same moment). Price: up to five connections for each server that a host does not reach.

--- a/bamboo-gateway/src/gateway/server_connections.rs
+++ b/bamboo-gateway/src/gateway/server_connections.rs
@@ -6,6 +6,7 @@
 
 use bamboo_fleet::Server;
 use bamboo_relay::ConnectFailure;
+use bamboo_relay::ReachedServers;
 use bamboo_relay::ServerPath;
 use bamboo_slots::RunOutcome;
 use bamboo_types::BackendServerId;
@@ -40,8 +41,10 @@
 /// Timeout of a probe of a direct way.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Timeout for connecting to another server, to tell a server that is down from a cut.
+/// Timeout for connecting to servers to tell one that is down from a cut.
 const OTHER_SERVER_TIMEOUT: Duration = Duration::from_millis(60);
+/// Number of other servers that are tried then. Some may be down, too.
+const OTHER_SERVERS_MAX: usize = 4;
 
 /// A connection to a server, directly or through another host.
 pub(crate) type ServerStream = Either<TcpStream, TunnelStream>;
@@ -145,9 +148,11 @@
         if down_reports > 0 {
             return Err(ConnectFailure::ServerDown);
         }
-        let now = self.clock.now();
-        let paths = self.server_paths.borrow();
-        Err(paths.failure(has_relays, now))
+        let reached = match has_relays {
+            true => self.compare_servers(server).await,
+            false => ReachedServers::None,
+        };
+        Err(self.server_paths.borrow().failure(has_relays, reached))
     }
 
     async fn try_path(&self, server: &Server, path: ServerPath, timeout: Duration) -> StepEnd {
@@ -276,33 +281,53 @@
         }
     }
 
-    /// Whether this host reaches other servers than one that it does not reach, so that the server is down rather than this
-    /// host cut off. Without recent traffic, one other server is tried.
-    pub(crate) async fn reaches_other_servers(&self, unreached: &Server) -> bool {
-        if self.server_paths.borrow().can_judge(self.clock.now()) {
-            return true;
-        }
-        let other = {
+    /// Whether a server that this host did not reach is down rather than the host cut off.
+    pub(crate) async fn reaches_only_others(&self, unreached: &Server) -> bool {
+        self.compare_servers(unreached).await == ReachedServers::Others
+    }
+
+    /// Tries a server that was not reached and others at the same moment.
+    async fn compare_servers(&self, unreached: &Server) -> ReachedServers {
+        let others: Vec<Rc<Server>> = {
             let directory = self.directory.borrow();
             let others = directory.iter().filter(|server| server.id != unreached.id);
-            others.choose(&mut rand::rng()).cloned()
-        };
-        let Some(other) = other else {
-            return false;
+            others.cloned().sample(&mut rand::rng(), OTHER_SERVERS_MAX)
         };
-        let is_reached = net::connect(other.address, OTHER_SERVER_TIMEOUT, ConnectionUse::Requests)
-            .await
-            .is_ok();
-        match is_reached {
-            true => self.record_direct_connection(&other),
-            false => {
-                let now = self.clock.now();
-                self.server_paths
-                    .borrow_mut()
-                    .record_reached_none(&unreached.id, now);
+        let (is_reached, is_other_reached) =
+            tokio::join!(self.is_reached(unreached), self.is_any_reached(&others));
+        let reached = ReachedServers::of(is_reached, is_other_reached);
+        if reached == ReachedServers::None && !others.is_empty() {
+            let now = self.clock.now();
+            let mut paths = self.server_paths.borrow_mut();
+            paths.record_reached_none(&unreached.id, now);
+        }
+        reached
+    }
+
+    async fn is_any_reached(&self, servers: &[Rc<Server>]) -> bool {
+        let attempts: FuturesUnordered<_> = servers
+            .iter()
+            .map(|server| self.is_reached(server))
+            .collect();
+        let mut reached = attempts.filter(|is_reached| std::future::ready(*is_reached));
+        reached.next().await.is_some()
+    }
+
+    /// Whether a direct connection to a server is established soon.
+    async fn is_reached(&self, server: &Server) -> bool {
+        let connected = net::connect(
+            server.address,
+            OTHER_SERVER_TIMEOUT,
+            ConnectionUse::Requests,
+        )
+        .await;
+        match &connected {
+            Ok(_) => self.record_direct_connection(server),
+            Err(error) => {
+                log::debug!("server {} is not reached directly: {error:#}", server.id);
             }
         }
-        is_reached
+        connected.is_ok()
     }
 
     /// Whether this host reaches no server, as far as it knows.
--- a/bamboo-gateway/src/mesh/tunnel.rs
+++ b/bamboo-gateway/src/mesh/tunnel.rs
@@ -179,7 +179,7 @@
                     "no connection for another host to server {}: {error:#}",
                     server.id
                 );
-                return reject(match gateway.reaches_other_servers(&server).await {
+                return reject(match gateway.reaches_only_others(&server).await {
                     true => StatusCode::BAD_GATEWAY,
                     false => StatusCode::SERVICE_UNAVAILABLE,
                 });
--- a/bamboo-relay/src/lib.rs
+++ b/bamboo-relay/src/lib.rs
@@ -19,5 +19,6 @@
 pub use poll_watch::PollWatch;
 pub use server_paths::ConnectFailure;
 pub use server_paths::ConnectStep;
+pub use server_paths::ReachedServers;
 pub use server_paths::ServerPath;
 pub use server_paths::ServerPaths;
--- a/bamboo-relay/src/server_paths.rs
+++ b/bamboo-relay/src/server_paths.rs
@@ -19,9 +19,6 @@
 const MEMORY: Duration = Duration::from_secs(5);
 /// Time for which a host that does not reach the servers either is not asked again.
 const RELAY_BACKOFF: Duration = Duration::from_secs(2);
-/// Time since the last new connection to any server within which this host can tell a server that is down from a cut. That
-/// servers are heard does not: open connections may live on while new ones are refused.
-const CONNECTED_LATELY: Duration = Duration::from_millis(250);
 
 /// A way to a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -50,6 +47,29 @@
     NoPath,
 }
 
+/// Servers to which a host connected directly, of one that it had not reached and of others, all tried at the same moment.
+/// Connections that were made before say nothing of a cut that has begun since.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReachedServers {
+    /// The server itself, perhaps with others.
+    Itself,
+    /// Others and not the server.
+    Others,
+    /// None of them.
+    None,
+}
+
+impl ReachedServers {
+    /// Classifies the connections.
+    pub fn of(is_reached: bool, is_other_reached: bool) -> Self {
+        match (is_reached, is_other_reached) {
+            (true, _) => ReachedServers::Itself,
+            (false, true) => ReachedServers::Others,
+            (false, false) => ReachedServers::None,
+        }
+    }
+}
+
 /// A direct way that did not lead to its server, although another host reached it.
 #[derive(Debug)]
 struct LostPath {
@@ -65,8 +85,6 @@
     lost: HashMap<BackendServerId, LostPath>,
     /// Servers reached through other hosts since the last direct connection to any.
     relayed_in_a_row: HashSet<BackendServerId>,
-    /// When this host last connected to a server.
-    connected_at: Option<Duration>,
     /// When bytes of a server last arrived over a direct connection.
     heard_at: Option<Duration>,
     /// When a server was last found to be silent on a direct connection.
@@ -162,7 +180,6 @@
         self.relayed_in_a_row.clear();
         self.has_reached_none = false;
         self.heard_at = Some(now);
-        self.connected_at = Some(now);
         if was_cut_off {
             // The other servers are reached again, too, as far as this host knows.
             self.lost.clear();
@@ -241,18 +258,21 @@
 
     /// What it means that no way led to a server, and no other host said that it is down. `has_relays` tells whether there are
     /// other hosts: one that has none takes its own view for the truth.
-    pub fn failure(&self, has_relays: bool, now: Duration) -> ConnectFailure {
-        match has_relays && !self.can_judge(now) {
-            true => ConnectFailure::NoPath,
-            false => ConnectFailure::ServerDown,
+    ///
+    /// ```
+    /// use bamboo_relay::{ConnectFailure, ReachedServers, ServerPaths};
+    /// let paths = ServerPaths::default();
+    /// assert_eq!(paths.failure(true, ReachedServers::Others), ConnectFailure::ServerDown);
+    /// assert_eq!(paths.failure(true, ReachedServers::None), ConnectFailure::NoPath);
+    /// ```
+    pub fn failure(&self, has_relays: bool, reached: ReachedServers) -> ConnectFailure {
+        let is_down = !self.is_cut_off() && reached == ReachedServers::Others;
+        match is_down || !has_relays {
+            true => ConnectFailure::ServerDown,
+            false => ConnectFailure::NoPath,
         }
     }
 
-    /// Whether this host can tell that a server which it does not reach is down.
-    pub fn can_judge(&self, now: Duration) -> bool {
-        !self.is_cut_off() && is_within(self.connected_at, CONNECTED_LATELY, now)
-    }
-
     /// A server whose direct way is due for a probe, if there is one. Ways that are no longer used are forgotten.
     pub fn due_probe(&mut self, now: Duration) -> Option<BackendServerId> {
         self.cut_off_relays.retain(|_, until| now < *until);
@@ -281,7 +301,3 @@
         Some(server)
     }
 }
-
-fn is_within(at: Option<Duration>, time: Duration, now: Duration) -> bool {
-    at.is_some_and(|at| now.saturating_sub(at) <= time)
-}
--- a/bamboo-relay/tests/server_paths.rs
+++ b/bamboo-relay/tests/server_paths.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bamboo_relay::ConnectFailure;
+use bamboo_relay::ReachedServers;
 use bamboo_relay::ServerPath;
 use bamboo_relay::ServerPaths;
 use bamboo_types::HostId;
@@ -98,18 +99,86 @@
     assert_eq!(first.len(), 4);
 }
 
-/// Guards against servers that are charged for the cut of a host, and against dead servers that are not.
+/// A host's ways to all servers, lost for a while, and a server that may be down.
+struct Cut {
+    begins_at: u64,
+    ends_at: u64,
+    is_server_down: bool,
+}
+
+impl Cut {
+    /// Whether a connection is established that begins at an instant.
+    fn connects(&self, is_other: bool, at: u64) -> bool {
+        let is_cut = (self.begins_at..self.ends_at).contains(&at);
+        !is_cut && (is_other || !self.is_server_down)
+    }
+
+    /// What a host finds that connects to a server at an instant, and to others beside it for as long as it did before.
+    fn failure(&self, attempt_at: u64, attempt_ms: u64) -> Option<ConnectFailure> {
+        let mut paths = ServerPaths::default();
+        for at in (attempt_at.saturating_sub(400)..=attempt_at).step_by(7) {
+            if self.connects(true, at) {
+                paths.record_direct("other", ms(at));
+                paths.record_heard(ms(at));
+            }
+        }
+        if self.connects(false, attempt_at) {
+            return None;
+        }
+        let compared_at = attempt_at + attempt_ms;
+        let (is_reached, is_other_reached) = (
+            self.connects(false, compared_at),
+            self.connects(true, compared_at),
+        );
+        let reached = ReachedServers::of(is_reached, is_other_reached);
+        Some(paths.failure(true, reached))
+    }
+}
+
+/// Guards against servers that are charged for the cut of a host, whenever it begins and ends, because the host connected to
+/// others shortly before, and against dead servers that are not.
+#[test]
+fn a_server_is_down_only_for_a_host_that_reaches_others_at_that_moment() {
+    for begins_at in (400..1200).step_by(3) {
+        for cut_ms in [0, 1, 20, 100, 300, 2000] {
+            for attempt_ms in [1, 60, 100, 250] {
+                let ends_at = begins_at + cut_ms;
+                let (sound, down) = (false, true);
+                let cut = |is_server_down| Cut {
+                    begins_at,
+                    ends_at,
+                    is_server_down,
+                };
+                let found = cut(sound).failure(800, attempt_ms);
+                assert_ne!(
+                    found,
+                    Some(ConnectFailure::ServerDown),
+                    "cut at {begins_at} for {cut_ms}"
+                );
+                let is_cut = (begins_at..ends_at).contains(&(800 + attempt_ms));
+                let expected = match is_cut {
+                    true => ConnectFailure::NoPath,
+                    false => ConnectFailure::ServerDown,
+                };
+                assert_eq!(cut(down).failure(800, attempt_ms), Some(expected));
+            }
+        }
+    }
+}
+
+/// Guards against a host without others that takes a dead server for a lost way, and against one that is cut off and judges.
 #[test]
-fn a_server_is_down_only_for_a_host_that_connects_to_others() {
+fn a_host_that_is_cut_off_does_not_judge_unless_it_is_alone() {
     let mut paths = ServerPaths::default();
-    assert_eq!(paths.failure(true, ms(0)), ConnectFailure::NoPath);
-    assert_eq!(paths.failure(false, ms(0)), ConnectFailure::ServerDown);
+    let none = paths.failure(false, ReachedServers::None);
+    assert_eq!(none, ConnectFailure::ServerDown);
     // Open connections live on in some cuts.
     paths.record_heard(ms(50));
-    assert_eq!(paths.failure(true, ms(51)), ConnectFailure::NoPath);
-    paths.record_direct("other", ms(100));
-    assert_eq!(paths.failure(true, ms(150)), ConnectFailure::ServerDown);
-    assert_eq!(paths.failure(true, ms(2000)), ConnectFailure::NoPath);
+    let heard = paths.failure(true, ReachedServers::None);
+    assert_eq!(heard, ConnectFailure::NoPath);
+    paths.record_reached_none("s1", ms(60));
+    let cut_off = paths.failure(true, ReachedServers::Others);
+    assert_eq!(cut_off, ConnectFailure::NoPath);
 }
 
 /// Guards against hosts in a large fleet that ask one cut-off host after another with each connection.
