fix(gateway): a request that broke is sent again after the verdict, not after 150 ms (BUDGET)

A request that crashes servers ended four instead of three: it was sent again 150 ms after its third crash, before the coordinator had weighed it. The bounds did not add up: the check of a server takes up to 250 ms, the report 150 ms, an examination up to 115 ms and twice that if one was in progress, all within a wait of 150 ms. The coordinator also replied "weighed" after 150 ms without a verdict. Class: a wait for a time instead of for what it stands for.

A request now waits for the checks that were open when it broke, for half of the time until its response is due (half of the pause allowed, for a stream that goes on). The coordinator replies once an examination that began after the report has ended. A report without a reply is repeated every 0.5 s, to the coordinator of that time, for 2.5 s. If the coordinator is lost, or the report, the request is sent again without a verdict at the end of its wait, and says so in the log.

--- a/bamboo-gateway/src/gateway/crashes.rs
+++ b/bamboo-gateway/src/gateway/crashes.rs
@@ -47,12 +47,15 @@
 /// Timeout for asking other hosts for their history of suspects. They reply within a few milliseconds; a host that is
 /// suspended must not delay the quarantine.
 const HISTORY_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time for which a request that broke waits until its crash has been weighed, before it is sent again.
-const VERDICT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout for the reply to the report of a crash, well above the time for which the coordinator weighs it.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause before the report of a crash is repeated.
 const REPORT_PAUSE: Duration = Duration::from_millis(250);
+/// Maximum time from a crash until it has been weighed, beyond which a request that broke is sent again without a verdict. A
+/// coordinator that is lost has been replaced by then.
+const VERDICT_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Part of the time that a request has left for which it waits for a verdict.
+const VERDICT_WAIT_SHARE: f64 = 0.5;
 /// Time in which all reports of one crash arrive.
 const REPORTS_TIME: Duration = Duration::from_millis(15);
 /// Timeout for connecting to a server before a verdict.
@@ -69,7 +72,7 @@
 /// What to do after a crash has been reported.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ReportStep {
-    /// Nothing.
+    /// Nothing: it has been weighed, or the coordinator never replies to such reports.
     Done,
     /// Report it again.
     Repeat,
@@ -99,11 +102,14 @@
     /// Suspects that this host has put into quarantine and not yet written to the store.
     pub(super) unstored: RefCell<Vec<QuarantinedSuspect>>,
     pub(super) has_unstored: Notify,
-    /// Crashes of this host's runs that have not been weighed yet.
-    open_checks: Cell<usize>,
+    /// Crashes of this host's runs that have not been weighed yet, by number.
+    open_checks: RefCell<BTreeSet<CheckNumber>>,
+    next_check: Cell<CheckNumber>,
     check_ended: Notify,
-    /// Notifies of each time that suspects were examined.
-    examined: watch::Sender<()>,
+    /// Number of examinations that have begun.
+    examinations: Cell<u64>,
+    /// The last examination that has ended.
+    examined: watch::Sender<u64>,
 }
 
 impl Default for CrashState {
@@ -119,20 +125,28 @@
             acks: RefCell::default(),
             unstored: RefCell::default(),
             has_unstored: Notify::new(),
-            open_checks: Cell::new(0),
+            open_checks: RefCell::default(),
+            next_check: Cell::new(0),
             check_ended: Notify::new(),
-            examined: watch::Sender::new(()),
+            examinations: Cell::new(0),
+            examined: watch::Sender::new(0),
         }
     }
 }
 
+/// Number of a crash that is being weighed.
+type CheckNumber = u64;
+
 /// A crash that is being weighed, until it is dropped.
-pub(crate) struct OpenCheck(Rc<Gateway>);
+pub(crate) struct OpenCheck {
+    gateway: Rc<Gateway>,
+    number: CheckNumber,
+}
 
 impl Drop for OpenCheck {
     fn drop(&mut self) {
-        let crashes = &self.0.crashes;
-        crashes.open_checks.set(crashes.open_checks.get() - 1);
+        let crashes = &self.gateway.crashes;
+        crashes.open_checks.borrow_mut().remove(&self.number);
         crashes.check_ended.notify_waiters();
     }
 }
@@ -208,27 +222,34 @@
 
     /// Begins to weigh a crash under a run of this host, for whose end [`wait_for_verdicts`](Self::wait_for_verdicts) waits.
     pub(crate) fn begin_check(self: &Rc<Self>) -> OpenCheck {
-        let open_checks = &self.crashes.open_checks;
-        open_checks.set(open_checks.get() + 1);
-        OpenCheck(Rc::clone(self))
+        let number = self.crashes.next_check.get();
+        self.crashes.next_check.set(number + 1);
+        self.crashes.open_checks.borrow_mut().insert(number);
+        OpenCheck {
+            gateway: Rc::clone(self),
+            number,
+        }
     }
 
-    /// Waits until the crashes under runs of this host have been weighed, before a request is sent to another server.
-    pub(crate) async fn wait_for_verdicts(&self) {
+    /// Waits until the crashes under runs of this host up to now have been weighed, before a request is sent to another server.
+    /// A request waits for part of the time that is left until its response is due.
+    pub(crate) async fn wait_for_verdicts(&self, due_at: Duration) {
+        let left = due_at.saturating_sub(self.clock.now());
+        let wait_max = left.mul_f64(VERDICT_WAIT_SHARE);
+        let next = self.crashes.next_check.get();
         let weighed = async {
             loop {
                 let ended = self.crashes.check_ended.notified();
-                if self.crashes.open_checks.get() == 0 {
+                let first = self.crashes.open_checks.borrow().first().copied();
+                if first.is_none_or(|first| first >= next) {
                     return;
                 }
                 ended.await;
             }
         };
-        if tokio::time::timeout(VERDICT_TIMEOUT, weighed)
-            .await
-            .is_err()
-        {
-            log::debug!("a crash has not been weighed in time");
+        if tokio::time::timeout(wait_max, weighed).await.is_err() {
+            log::info!(event = "verdict_late", waited_ms = wait_max.as_millis() as u64;
+                "a crash has not been weighed in time; the request is sent again");
         }
     }
 
@@ -246,7 +267,9 @@
         let gateway = Rc::clone(self);
         let report = actix_rt::spawn(async move { gateway.report_until_weighed(&evidence).await });
         // Without a verdict in time, the host learns of it by the quarantine. The report goes on.
-        let _ = tokio::time::timeout(VERDICT_TIMEOUT, report).await;
+        if tokio::time::timeout(VERDICT_TIMEOUT, report).await.is_err() {
+            log::info!(event = "crash_not_weighed", server = run.server.id.as_str(); "no coordinator has weighed a crash in time");
+        }
     }
 
     /// Reports a crash to the coordinator, which may change, until it replies.
@@ -297,8 +320,12 @@
     async fn weigh_crash(&self, evidence: &CrashEvidence) {
         let mut examined = self.crashes.examined.subscribe();
         self.examine_crash(evidence, self.clock.now());
+        // One that is in progress may have begun before this crash was known.
+        let needed = self.crashes.examinations.get() + 1;
         let verdict = async {
-            while !self.crashes.inquiry.borrow().suspects().is_empty() {
+            while !self.crashes.inquiry.borrow().suspects().is_empty()
+                && *examined.borrow_and_update() < needed
+            {
                 if examined.changed().await.is_err() {
                     return;
                 }
@@ -308,7 +335,7 @@
             .await
             .is_err()
         {
-            log::debug!("the suspects of a crash have not been examined in time");
+            log::info!(event = "examination_late"; "the suspects of a crash have not been examined in time");
         }
     }
 
@@ -365,6 +392,8 @@
             self.crashes.has_suspects.notified().await;
             // Of the runs that broke with one server, another one may explain the crash.
             actix_rt::time::sleep(REPORTS_TIME).await;
+            let examination = self.crashes.examinations.get() + 1;
+            self.crashes.examinations.set(examination);
             let suspects = self.crashes.inquiry.borrow().suspects();
             let (histories, down) = tokio::join!(
                 self.collect_histories(&suspects),
@@ -383,7 +412,7 @@
             for finding in &findings {
                 self.quarantine_suspect(finding, now);
             }
-            self.crashes.examined.send_replace(());
+            self.crashes.examined.send_replace(examination);
         }
     }
 
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -225,7 +225,7 @@
                     outcome:? = outcome, attempt = recorder.attempts, may_retry; "the server did not respond"
                 );
                 if may_retry {
-                    gateway.wait_for_verdicts().await;
+                    gateway.wait_for_verdicts(request.deadline).await;
                     continue;
                 }
                 return match gateway.clock.now() >= request.deadline {
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -371,7 +371,7 @@
                         RunError::Unknown
                     });
                 }
-                gateway.wait_for_verdicts().await;
+                gateway.wait_for_verdicts(request.deadline).await;
             }
             OpenError::Answered(head, bytes) => {
                 gateway.metrics.count_run("answered");
@@ -497,7 +497,9 @@
         attempts.excluded.push(run.slot.server.id.clone());
         // The failed run must release its slot before another one starts.
         drop(run);
-        gateway.wait_for_verdicts().await;
+        // A pause beyond the target is as bad for the caller as the end of the stream.
+        let due_at = request.deadline.min(gateway.clock.now() + gap_target);
+        gateway.wait_for_verdicts(due_at).await;
         let start_by = gateway.clock.now() + gap_target.saturating_sub(EVENT_GAP_TIMEOUT);
         let next_run = tokio::select! {
             started = start_run(gateway, request, engine_request, attempts, start_by, order.last_id()) => started,
