--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -18,7 +18,6 @@
 use http::Method;
 use http::Request;
 use http::StatusCode;
-use http::header;
 use http::response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -29,6 +28,7 @@
 use crate::traffic::pool::Connection;
 use crate::traffic::pool::connect_outcome;
 use crate::traffic::response::belongs_to_request;
+use crate::traffic::response::is_framed;
 use crate::traffic::response::observe_statements;
 use crate::traffic::run_trial::RunTrial;
 use crate::traffic::run_trial::TrialRequest;
@@ -332,10 +332,8 @@
     /// Whether a response without a length or chunks ended because its server crashed, which ends its connections, too. One
     /// without events is never whole.
     async fn is_cut_by_crash(&self) -> bool {
-        let headers = &self.head.headers;
-        let is_framed = headers.contains_key(header::CONTENT_LENGTH)
-            || headers.contains_key(header::TRANSFER_ENCODING);
-        !is_framed && (!self.trial.has_event() || self.trial.is_server_down().await)
+        !is_framed(&self.head.headers)
+            && (!self.trial.has_event() || self.trial.is_server_down().await)
     }
 
     /// Returns the connection to the pool after a complete response.
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -13,6 +13,7 @@
 use bamboo_types::BackendServerId;
 use bytes::Bytes;
 use http::HeaderValue;
+use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -28,6 +29,7 @@
 use crate::traffic::request::end_to_end_headers;
 use crate::traffic::response::belongs_to_request;
 use crate::traffic::response::ended_by_stop;
+use crate::traffic::response::is_framed;
 use crate::traffic::response::not_run;
 use crate::traffic::response::observe_statements;
 use crate::traffic::response::run_outcome;
@@ -327,6 +329,16 @@
     match trial.watch(attempt_timeout, exchange).await {
         Ok(Ok((head, bytes))) => {
             gateway.record_heard(&connection);
+            if ends_with_connection(&request.method, &head)
+                && (bytes.is_empty() || trial.is_server_down().await)
+            {
+                log::info!(
+                    event = "answer_cut", request = request.id.as_str(), server = server.id.as_str(), bytes = bytes.len();
+                    "an answer without a length or chunks is empty, or its server takes no connections any more"
+                );
+                trial.run_broke();
+                return Attempt::Failed(RunOutcome::Broken);
+            }
             let attempt = classify_response(gateway, request, server, now, connection, head, bytes);
             if matches!(attempt, Attempt::Answered(..)) {
                 trial.answered();
@@ -349,6 +361,12 @@
     }
 }
 
+/// Whether only the end of the connection tells where the body of a success ends. That of a server that crashed looks the same.
+fn ends_with_connection(method: &Method, head: &response::Parts) -> bool {
+    let has_body = *method != Method::HEAD && head.status != StatusCode::NO_CONTENT;
+    head.status.is_success() && has_body && !is_framed(&head.headers)
+}
+
 fn build_request(
     gateway: &Gateway,
     request: &CallerRequest,
--- a/bamboo-gateway/src/traffic/response.rs
+++ b/bamboo-gateway/src/traffic/response.rs
@@ -4,6 +4,7 @@
 
 use bamboo_fleet::Server;
 use bamboo_slots::RunOutcome;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -54,6 +55,11 @@
     response
 }
 
+/// Whether the headers of a response tell where its body ends.
+pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Outcome of a run that ended with a complete response. Status 504 shows that the deadline has passed, which need not be
 /// the server's fault.
 pub(crate) fn run_outcome(status: StatusCode) -> RunOutcome {
