fix(gateway): a host that was silent for a while still gets the messages that it decodes (BUDGET, DRAIN, LOST)

A host says which messages it decodes when it opens its link, once. The coordinator forgot that when no heartbeat came for 1.5 s, also if the host stood still or followed another coordinator while its link lived on. From then on it got no quarantine, no statements of servers that leave, and whole cluster maps; a former coordinator got no reports of slot requests from it. Class: state that depends on a message said once.

What a host said is kept until it says it anew.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -157,7 +157,8 @@
     unreadable_limits: RefCell<HashSet<BackendServerId>>,
     broker: RefCell<Broker>,
     reports: RefCell<Reports>,
-    /// Versions of the messages that other hosts decode.
+    /// Versions of the messages that other hosts decode, as they said when they opened their links. A host that was silent keeps its
+    /// link, and does not say it again.
     protocol_versions: RefCell<HashMap<HostId, ProtocolVersion>>,
     store: StoreClient,
     store_returns: watch::Sender<()>,
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -193,7 +193,6 @@
         self.send_to(&coordinator, message);
         for lost in self.reports.borrow_mut().remove_silent(now) {
             log::warn!(event = "host_lost", host = lost.as_str(); "no heartbeats from a host");
-            self.protocol_versions.borrow_mut().remove(&lost);
             self.crashes.forget_host(&lost);
             self.broker.borrow_mut().drop_host(&lost, now);
         }
