fix(jobs): a caller that leaves during its submission takes no room with it (LOST, QUOTA)

Tokens were reserved, the job was stored, and then the reservation was removed: all in the future of the caller's request, which ends when the caller leaves. The job was stored and ran, but its reservation stayed until the process ended, so that jobs which fitted got 429; a repeated submission that came meanwhile was decided as if the first one did not exist. Class: a state that nothing ends.

A submission runs in a task of its own, as one from another host does already.

a_caller_that_leaves_takes_no_room_for_jobs_with_it failed before: 429.

--- a/bamboo-gateway/src/jobs/submit.rs
+++ b/bamboo-gateway/src/jobs/submit.rs
@@ -62,9 +62,20 @@
     ) -> Response<ResponseBody> {
         let partition = self.partition_of(gateway, job);
         let started = gateway.clock.now();
-        let (reply, via) = self
-            .route_submission(gateway, partition, job, host, path, &body)
-            .await;
+        // A task of its own: a caller that leaves would otherwise end it while the job is being stored.
+        let submission = {
+            let gateway = Rc::clone(gateway);
+            let (job, host, path) = (job.to_owned(), host.to_owned(), path.to_owned());
+            actix_rt::spawn(async move {
+                let jobs = &gateway.jobs;
+                jobs.route_submission(&gateway, partition, &job, &host, &path, &body)
+                    .await
+            })
+        };
+        let (reply, via) = submission.await.unwrap_or_else(|error| {
+            log::error!(event = "task_failed", task = "submission", job; "the task of a submission failed: {error}");
+            (outcome_unknown(), "failed")
+        });
         let response = to_response(Some(reply));
         let took_ms = gateway.clock.now().saturating_sub(started).as_millis() as u64;
         log::info!(
