fix(jobs): items with a part in quarantine wait for their turn at each service apart (LOST)

While it waited for its turn, an item saw no change of its route, its job or its age. Class: a lock that is held across a wait.

Each service has a turn of its own, and the wait for it ends like that for a slot.

an_item_that_waits_for_a_slot_does_not_keep_the_turn_of_others with 60 items instead of 3 failed before: the item of the other service was not done in 30 s.

--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -275,8 +275,13 @@
             continue;
         }
         let trials = &gateway.jobs.item_trials;
-        let turn = trials.wait_for_turn(gateway, &request.suspects);
-        let turn = log_long_wait(gateway, job, &request, "turn", turn).await;
+        let may_run = || may_run_at(gateway, shard, job, item, age, &service);
+        let turn = trials.wait_for_turn(gateway, &service, &request.suspects);
+        let turn = log_long_wait(gateway, job, &request, "turn", turn);
+        let turn = tokio::select! {
+            turn = turn => turn,
+            () = wait_until_obsolete(&may_run) => continue,
+        };
         let work = Work::Batch {
             due: gateway.clock.now() + due_in,
             remaining: gateway
@@ -288,7 +293,6 @@
         let excluded_now = std::mem::take(&mut excluded);
         let acquired = acquire_slot(gateway, &service, work, excluded_now, version);
         let acquired = log_long_wait(gateway, job, &request, &service, acquired);
-        let may_run = || may_run_at(gateway, shard, job, item, age, &service);
         let acquired = tokio::select! {
             acquired = acquired => acquired,
             () = wait_until_obsolete(&may_run) => continue,
