fix(slots): slots of runs that go on are not granted while their host reports them anew

A host that reports all requests anew had them dropped first and then put back in the order of their numbers: a waiting request with a lower number than a run let the coordinator grant the run's slot, to any host's request, so that two ran on one slot. The run also counted as begun just then, and thus as the probe of a server that is tried again after failures.

--- a/bamboo-coordination/tests/slot_messages.rs
+++ b/bamboo-coordination/tests/slot_messages.rs
@@ -412,10 +412,14 @@
             }
             Message::Sync(requests) => {
                 reports.record_requests(sender, broker, now);
-                broker.drop_host(&sender.host, now);
+                let (mut runs, mut waiting) = (Vec::new(), Vec::new());
                 for (id, request) in requests {
-                    put_request(broker, sender, id, request, now);
+                    match slot_request(sender, id, request) {
+                        (request, Some(server)) => runs.push((request, server)),
+                        (request, None) => waiting.push(request),
+                    }
                 }
+                broker.replace_host(&sender.host, runs, waiting, now);
             }
             Message::WantsSync | Message::Decision(_) => {}
         }
@@ -609,13 +613,11 @@
     name[1..].parse().unwrap()
 }
 
-fn put_request(
-    broker: &mut Broker,
+fn slot_request(
     sender: &HostInfo,
     id: SlotRequestId,
     request: OpenRequest,
-    now: Duration,
-) {
+) -> (SlotRequest, Option<String>) {
     let slot_request = SlotRequest {
         host: sender.host.clone(),
         id,
@@ -625,9 +627,19 @@
         excluded: request.excluded,
         version: request.version,
     };
-    match request.server {
-        Some(server) => broker.restore_run(slot_request, &server, now),
-        None => broker.request_slot(slot_request, now),
+    (slot_request, request.server)
+}
+
+fn put_request(
+    broker: &mut Broker,
+    sender: &HostInfo,
+    id: SlotRequestId,
+    request: OpenRequest,
+    now: Duration,
+) {
+    match slot_request(sender, id, request) {
+        (request, Some(server)) => broker.restore_run(request, &server, now),
+        (request, None) => broker.request_slot(request, now),
     }
 }
 
@@ -853,3 +865,38 @@
     let bytes = bincode::serde::encode_to_vec(&packed, bincode::config::standard()).unwrap();
     assert!(bytes.len() <= 1_000, "{} bytes", bytes.len());
 }
+
+/// Guards against a slot that is granted twice, because the run that holds it is reported anew after a request that waits.
+#[test]
+fn a_slot_whose_run_is_reported_anew_is_not_granted_to_another_request() {
+    let online = |id| SlotRequest {
+        host: "h0".to_owned(),
+        id,
+        service: "llm".to_owned(),
+        data_centre: "a".to_owned(),
+        work: Work::Online {
+            start_by: Duration::from_secs(1),
+            expires_at: STREAM_WAIT,
+        },
+        excluded: Vec::new(),
+        version: None,
+    };
+    let mut broker = Broker::default();
+    broker.put_engine(engine(0, "v1", 1), false, Duration::ZERO);
+    broker.request_slot(online(9), Duration::ZERO);
+    broker.request_slot(online(5), Duration::ZERO);
+    let other = SlotRequest {
+        host: "h1".to_owned(),
+        ..online(1)
+    };
+    broker.request_slot(other, Duration::ZERO);
+    broker.take_actions();
+    let runs = vec![(online(9), "s0".to_owned())];
+    broker.replace_host("h0", runs, vec![online(5)], HEARTBEAT_INTERVAL);
+    let granted = broker.take_actions().into_iter();
+    let granted: Vec<Action> = granted
+        .filter(|action| matches!(action, Action::Grant { .. }))
+        .collect();
+    assert_eq!(granted, []);
+    assert_eq!(broker.load("llm").online_running, 1);
+}
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -182,10 +182,16 @@
                     // The sender follows an outdated hint.
                     self.acknowledge_heartbeat(sender, None, false, now);
                 }
-                self.broker.borrow_mut().drop_host(&sender.host, now);
+                let (mut runs, mut waiting) = (Vec::new(), Vec::new());
                 for info in infos {
-                    self.handle_slot_request(sender, info, now);
+                    match slot_request(sender, info, now) {
+                        (request, Some(server)) => runs.push((request, server)),
+                        (request, None) => waiting.push(request),
+                    }
                 }
+                let mut broker = self.broker.borrow_mut();
+                broker.replace_host(&sender.host, runs, waiting, now);
+                drop(broker);
                 self.send_broker_actions();
             }
             PeerMessage::RequestSlot(info) => {
@@ -304,39 +310,11 @@
         self.send_to(coordinator, release);
     }
 
-    pub(super) fn handle_slot_request(
-        &self,
-        sender: &HostInfo,
-        info: SlotRequestInfo,
-        now: Duration,
-    ) {
-        let due = match info.due_in_ms {
-            overdue if overdue < 0 => {
-                now.saturating_sub(Duration::from_millis(overdue.unsigned_abs()))
-            }
-            in_ms => now + Duration::from_millis(in_ms.unsigned_abs()),
-        };
-        let remaining = Duration::from_millis(info.remaining_ms);
-        let work = match info.is_online {
-            true => Work::Online {
-                start_by: due,
-                expires_at: now + remaining,
-            },
-            false => Work::Batch { due, remaining },
-        };
-        let request = SlotRequest {
-            host: sender.host.clone(),
-            id: info.id,
-            service: info.service,
-            data_centre: sender.data_centre.clone(),
-            work,
-            excluded: info.excluded,
-            version: info.version,
-        };
+    fn handle_slot_request(&self, sender: &HostInfo, info: SlotRequestInfo, now: Duration) {
         let mut broker = self.broker.borrow_mut();
-        match info.server {
-            Some(server) => broker.restore_run(request, &server, now),
-            None => broker.request_slot(request, now),
+        match slot_request(sender, info, now) {
+            (request, Some(server)) => broker.restore_run(request, &server, now),
+            (request, None) => broker.request_slot(request, now),
         }
     }
 
@@ -548,3 +526,33 @@
         }
     }
 }
+
+/// A slot request as the broker takes it, and the server at which it runs already, if any.
+fn slot_request(
+    sender: &HostInfo,
+    info: SlotRequestInfo,
+    now: Duration,
+) -> (SlotRequest, Option<BackendServerId>) {
+    let due = match info.due_in_ms {
+        overdue if overdue < 0 => now.saturating_sub(Duration::from_millis(overdue.unsigned_abs())),
+        in_ms => now + Duration::from_millis(in_ms.unsigned_abs()),
+    };
+    let remaining = Duration::from_millis(info.remaining_ms);
+    let work = match info.is_online {
+        true => Work::Online {
+            start_by: due,
+            expires_at: now + remaining,
+        },
+        false => Work::Batch { due, remaining },
+    };
+    let request = SlotRequest {
+        host: sender.host.clone(),
+        id: info.id,
+        service: info.service,
+        data_centre: sender.data_centre.clone(),
+        work,
+        excluded: info.excluded,
+        version: info.version,
+    };
+    (request, info.server)
+}
--- a/bamboo-slots/src/reconcile.rs
+++ b/bamboo-slots/src/reconcile.rs
@@ -5,11 +5,15 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use bamboo_types::BackendServerId;
+
 use crate::Action;
 use crate::Broker;
 use crate::RunOutcome;
 use crate::ServerTag;
+use crate::SlotRequest;
 use crate::SlotRequestId;
+use crate::request_state::GrantedSlot;
 use crate::request_state::RequestKey;
 use crate::server_tag;
 
@@ -40,6 +44,35 @@
         differing
     }
 
+    /// Replaces the requests of a host by those that it reports anew. Runs come first: the slots that they hold must not be granted
+    /// to requests that wait, of this host or another one. A run that was known keeps the time of its grant.
+    pub fn replace_host(
+        &mut self,
+        host: &str,
+        runs: Vec<(SlotRequest, BackendServerId)>,
+        waiting: Vec<SlotRequest>,
+        now: Duration,
+    ) {
+        let known: BTreeMap<SlotRequestId, GrantedSlot> = self
+            .requests_of(host)
+            .filter_map(|(id, key)| Some((id, self.requests.get(key)?.granted.clone()?)))
+            .collect();
+        self.drop_host(host, now);
+        for (request, server) in runs {
+            let id = request.id;
+            self.restore_run(request, &server, now);
+            let granted = known.get(&id).filter(|granted| granted.server == server);
+            let key = self.by_id.get(&(host.to_owned(), id)).copied();
+            let state = key.and_then(|key| self.requests.get_mut(key));
+            if let (Some(granted), Some(state)) = (granted, state) {
+                state.granted = Some(granted.clone());
+            }
+        }
+        for request in waiting {
+            self.request_slot(request, now);
+        }
+    }
+
     /// Returns the reported requests of a host that the broker does not know.
     pub fn unknown_requests(
         &self,
