--- a/bamboo-gateway/src/run.rs
+++ b/bamboo-gateway/src/run.rs
@@ -22,6 +22,7 @@
 use crate::task::OwnedTask;
 use crate::task::Supervisor;
 use crate::task::TaskName;
+use crate::task::run_despite_panics;
 use crate::traffic::serve_callers;
 use crate::traffic::serve_metrics;
 use crate::traffic::serve_readiness;
@@ -31,6 +32,8 @@
 
 /// Interval between checks whether the shutdown is complete.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Pause before the renewal of the membership is begun anew after a panic.
+const PANIC_PAUSE: Duration = Duration::from_millis(300);
 /// Time for the messages to other hosts that the end of the last requests caused, such as the release of their slots.
 const LAST_MESSAGES_PAUSE: Duration = Duration::from_millis(50);
 
@@ -57,7 +60,7 @@
     let tasks = [
         OwnedTask::spawn(fetch_servers_from_hosts(Rc::clone(&gateway))),
         OwnedTask::spawn(Rc::clone(&gateway).join_hosts()),
-        OwnedTask::spawn(crate::jobs::run_group_membership(Rc::clone(&gateway))),
+        OwnedTask::spawn(keep_membership(Rc::clone(&gateway))),
         OwnedTask::spawn(serve_callers(Rc::clone(&gateway), callers)),
     ];
     let (mut supervisor, ended) = Supervisor::new();
@@ -99,6 +102,12 @@
     }
 }
 
+/// Renews the membership of this host among the owners of shards until it stops.
+async fn keep_membership(gateway: Rc<Gateway>) {
+    let renew = || crate::jobs::run_group_membership(Rc::clone(&gateway));
+    run_despite_panics("membership", PANIC_PAUSE, renew).await;
+}
+
 async fn listen(address: SocketAddr, purpose: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
         .await
