--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -304,19 +304,20 @@
         self.refuse_expired(now);
         self.refuse_hopeless(now);
         self.reject_missing_versions(now);
-        self.clear_void_exclusions();
+        self.clear_void_exclusions(now);
         self.defer_infeasible(now);
         self.allocate(now);
     }
 
-    /// Clears the excluded servers of queued requests for which no ready server is left. Otherwise a batch item whose
-    /// last attempt failed at the only server would wait for ever.
-    fn clear_void_exclusions(&mut self) {
+    /// Clears the excluded servers of queued requests for which no ready server is left, or only ejected ones. Otherwise a batch
+    /// item whose last attempt failed at the only server would wait for ever, and one that failed at the only sound server for
+    /// as long as the others are ejected.
+    fn clear_void_exclusions(&mut self, now: Duration) {
         let ready: Vec<&Engine> = self
             .engines
             .values()
+            .filter(|state| state.engine.is_ready && !state.health.is_suspect(now))
             .map(|state| &state.engine)
-            .filter(|engine| engine.is_ready)
             .collect();
         for key in self.waiting_online.iter().chain(&self.waiting_batch) {
             let Some(state) = self.requests.get_mut(*key) else {
--- a/bamboo-slots/tests/failing_servers.rs
+++ b/bamboo-slots/tests/failing_servers.rs
@@ -134,3 +134,40 @@
     let share = error_share(|_, request| request % 2 == 0);
     assert!((0.45..=0.55).contains(&share), "{share}");
 }
+
+/// Guards against free slots beside items that wait: each has failed once at the only server that is not ejected.
+#[test]
+fn an_item_goes_back_to_the_only_server_that_is_not_ejected() {
+    let mut broker = Broker::default();
+    for server in ["s0", "s1"] {
+        let engine = Engine {
+            server: server.to_owned(),
+            service: "llm".to_owned(),
+            data_centre: "a".to_owned(),
+            slots: SLOTS,
+            is_ready: true,
+            version: "v1".to_owned(),
+        };
+        broker.put_engine(engine, false, Duration::ZERO);
+    }
+    let now = Duration::from_secs(1);
+    broker.release("h", 1, Some("s0"), RunOutcome::Unreachable, now);
+    let request = SlotRequest {
+        host: "h".to_owned(),
+        id: 2,
+        service: "llm".to_owned(),
+        data_centre: "a".to_owned(),
+        work: Work::Batch {
+            due: Duration::from_secs(9),
+            remaining: Duration::from_secs(1),
+        },
+        excluded: vec!["s1".to_owned()],
+        version: None,
+    };
+    broker.request_slot(request, now);
+    broker.tick(now + Duration::from_millis(50));
+    let actions = broker.take_actions();
+    let is_granted =
+        |action: &Action| matches!(action, Action::Grant { server, .. } if server == "s1");
+    assert!(actions.iter().any(is_granted), "{actions:?}");
+}
