--- a/bamboo-gateway/src/jobs.rs
+++ b/bamboo-gateway/src/jobs.rs
@@ -3,6 +3,7 @@
 mod append;
 mod calls;
 mod item_trials;
+mod item_waits;
 mod items;
 mod ownership;
 mod shard;
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -1,7 +1,6 @@
 //! Runs the items of jobs on model engines.
 
 use std::cell::Cell;
-use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,6 +31,8 @@
 use rand::RngExt;
 
 use crate::gateway::Gateway;
+use crate::jobs::item_waits::log_long_wait;
+use crate::jobs::item_waits::wait_until_obsolete;
 use crate::jobs::shard::OwnedShard;
 use crate::jobs::shard::SharedRun;
 use crate::slot_requests::Slot;
@@ -64,14 +65,10 @@
 const EVENT_INTERVAL_INITIAL: Duration = Duration::from_millis(25);
 /// Minimum weight of a new item in the moving averages. The first items have more weight.
 const MEAN_WEIGHT_MIN: f64 = 0.05;
-/// Interval at which an item that waits for a slot checks whether it still needs that slot.
-const WAIT_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Time for which an item keeps its turn while it waits for a slot.
 const TURN_WAIT_MAX: Duration = Duration::from_secs(1);
 /// Pause before an item whose task panicked is begun anew.
 const PANIC_PAUSE: Duration = Duration::from_secs(1);
-/// Interval at which the log names an item that waits.
-const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(5);
 /// Lower bound of the estimated remaining run time of an item.
 const REMAINING_TIME_MIN: Duration = Duration::from_millis(100);
 
@@ -405,49 +402,6 @@
     route.is_some_and(|route| route.leads_to(service))
 }
 
-/// Returns once what an item waits for is of no use to it any more.
-async fn wait_until_obsolete<F>(may_run: F)
-where
-    F: Fn() -> bool,
-{
-    loop {
-        actix_rt::time::sleep(WAIT_CHECK_INTERVAL).await;
-        if !may_run() {
-            return;
-        }
-    }
-}
-
-/// Logs at intervals that an item waits: for its turn, or for a slot of a service. The coordinator's line `load` tells whether
-/// it counts the item as queued or as running.
-async fn log_long_wait<F>(
-    gateway: &Gateway,
-    job: &JobRecord,
-    request: &EngineRequest,
-    waits_for: &str,
-    future: F,
-) -> F::Output
-where
-    F: Future,
-{
-    let started_at = gateway.clock.now();
-    let mut future = std::pin::pin!(future);
-    loop {
-        let waited = match tokio::time::timeout(WAIT_LOG_INTERVAL, &mut future).await {
-            Ok(output) => return output,
-            Err(_) => gateway.clock.now().saturating_sub(started_at),
-        };
-        if gateway.may_log_request() {
-            log::info!(
-                event = "item_waits", job = job.id.as_str(), item = request.id.as_str(), waits_for,
-                coordinator = gateway.coordination.borrow().coordinator().as_str(),
-                waited_ms = waited.as_millis() as u64;
-                "an item has been waiting for long"
-            );
-        }
-    }
-}
-
 /// Whether the service has a ready server of another version than the one that began an item.
 fn has_other_version(gateway: &Gateway, service: &str, origin: &StreamOrigin) -> bool {
     let ready = gateway
--- a/bamboo-gateway/src/slot_requests.rs
+++ b/bamboo-gateway/src/slot_requests.rs
@@ -304,6 +304,8 @@
         let wait = match work {
             Work::Online { .. } if !is_queued => DECISION_TIMEOUT,
             Work::Online { expires_at, .. } => expires_at.saturating_sub(now),
+            // An item may wait for minutes in turn. A decision that was lost is sent again (`Broker::reconcile`), and the item
+            // itself gives a wait up that is of no use any more.
             Work::Batch { .. } => Duration::MAX,
         };
         let decision = match wait {
