--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -293,7 +293,7 @@
         let acquired = tokio::select! {
             acquired = acquired => acquired,
             () = wait_until_obsolete(&may_run) => continue,
-            // Others with a part in quarantine may need a slot of another service.
+            // Others that wait for the turn may need a server of another version.
             () = actix_rt::time::sleep(TURN_WAIT_MAX), if turn.is_some() => continue,
         };
         let slot = match acquired {
