test: put the review's cases in the order of their weight

Case 1 is the removed route, which concerns every job at every gateway after one planned change; case 2 is the shard that is kept over a lapse.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review/release/review-standins
 [ -x "$program" ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec "$program" removed-route review/2/record.txt
+exec "$program" kept-shard review/2/record.txt
