test: review case 3, a result too large for the store blocks its shard

A model server answers one item of 90 with 0.9 MB of bytes that are no text; the record of its result exceeds the largest call of the store, and the append is repeated for ever.

The stand-ins lose what no case uses, and gateways end with the test.

--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -6,8 +6,12 @@
 use std::time::Instant;
 
 use crate::gateway::Signal;
+use crate::http::Call;
+use crate::http::Channel;
+use crate::scene::HOST;
 use crate::scene::Plan;
 use crate::scene::Record;
+use crate::scene::STREAM_PREFIX;
 use crate::scene::Scene;
 use crate::scene::manifest;
 use crate::scene::page_results;
@@ -21,6 +25,13 @@
 /// `finish_s` of the sheets (18 s), after the time in which a machine is not in touch (`stable_ms`, 3 s), and some more.
 const FINISH_TIME: Duration = Duration::from_secs(24);
 
+/// Streams that are sent late, each on a channel of its own.
+const LATE_STREAMS: usize = 12;
+/// Events of a stream that lasts 4.6 s, which is within its deadline.
+const LONG_STREAM_EVENTS: u64 = 184;
+/// Time after the signal at which they are sent.
+const LATE_AFTER: Duration = Duration::from_millis(3080);
+
 /// Outcome of a case.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -36,6 +47,8 @@
     let plays: fn(&Record, bool) -> io::Result<Verdict> = match case {
         "removed-route" => removed_route,
         "kept-shard" => kept_shard,
+        "blocked-shard" => blocked_shard,
+        "late-stream" => late_stream,
         _ => return Ok(Verdict::NotPlayed),
     };
     let verdict = plays(&record, has_trouble)?;
@@ -49,6 +62,7 @@
         events: 40,
         event_time: Duration::from_millis(15),
         answer_time: Duration::from_millis(60),
+        garbled_id: String::new(),
     }
 }
 
@@ -204,3 +218,210 @@
 fn sleep_until(at: Instant) {
     std::thread::sleep(at.saturating_duration_since(Instant::now()));
 }
+
+/// A model server hands out wrong bytes as the answer to one item; jobs beside it are not finished.
+fn blocked_shard(record: &Record, has_trouble: bool) -> io::Result<Verdict> {
+    let jobs: Vec<String> = job_ids(90);
+    let garbled_id = match has_trouble {
+        true => item_ids(&jobs[0], 1)[0].clone(),
+        false => String::new(),
+    };
+    let plan = Plan {
+        gateways: 3,
+        model_servers: 3,
+        app_servers: 1,
+        work: Work {
+            garbled_id,
+            ..usual_work()
+        },
+        manifest: manifest(1, &usual_routes()),
+    };
+    let Some(scene) = Scene::start(record.clone(), &plan)? else {
+        return Ok(Verdict::NotPlayed);
+    };
+    let mut accepted = Vec::new();
+    for (number, job) in jobs.iter().enumerate() {
+        let response = scene.submit(number % 3, job, &item_ids(job, 1));
+        if response.is_some_and(|response| response.status == 202) {
+            accepted.push(job.clone());
+        }
+    }
+    record.line(&format!(
+        "{} of {} jobs were accepted",
+        accepted.len(),
+        jobs.len()
+    ));
+    // What becomes of the item whose answer was garbled does not count.
+    let mut open: Vec<String> = accepted
+        .iter()
+        .filter(|job| **job != jobs[0])
+        .cloned()
+        .collect();
+    let finish = Instant::now() + FINISH_TIME;
+    while !open.is_empty() && Instant::now() < finish {
+        open.retain(|job| {
+            let page = scene.read(0, job, 0).filter(|page| page.status == 200);
+            let results = page.as_ref().and_then(page_results);
+            results.is_none_or(|results| results.is_empty())
+        });
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    scene.record_runs();
+    record.line(&format!(
+        "{} accepted jobs have no result: {open:?}",
+        open.len()
+    ));
+    Ok(match (accepted.is_empty(), open.is_empty()) {
+        (true, _) => Verdict::NotPlayed,
+        (false, true) => Verdict::Held,
+        (false, false) => Verdict::Broken,
+    })
+}
+
+/// Identifiers of jobs, the same in each run.
+fn job_ids(count: u32) -> Vec<String> {
+    (0..count)
+        .map(|number| format!("{:08x}{number:08x}", number.wrapping_mul(2_654_435_761)))
+        .collect()
+}
+
+/// A stream by its identifier, with this many tokens at most.
+fn stream_call(id: &str, tokens: u64) -> Call {
+    Call::new("POST", &format!("{STREAM_PREFIX}2f"))
+        .header("Host", HOST)
+        .header("X-Bambooroute-Request-Id", id)
+        .header("X-Bambooroute-Model", "m")
+        .header("X-Bambooroute-Token-Usage", &format!("250,{tokens}"))
+        .header(
+            "X-Bambooroute-Prompt-Prefix",
+            &format!("5c1e07a2:100,{id}:250"),
+        )
+        .header("X-Bambooroute-Deadline-Ms", "5000")
+        .body(id.as_bytes())
+}
+
+/// What became of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StreamEnd {
+    /// The whole answer came.
+    Whole,
+    /// The gateway said that it did not run.
+    Refused,
+    /// The channel ended without a complete answer.
+    Cut,
+}
+
+/// A gateway is stopped as planned, in calm; streams that it takes late are cut.
+fn late_stream(record: &Record, has_trouble: bool) -> io::Result<Verdict> {
+    let plan = Plan {
+        gateways: 2,
+        model_servers: 3,
+        app_servers: 1,
+        work: Work {
+            events: LONG_STREAM_EVENTS,
+            event_time: Duration::from_millis(25),
+            ..usual_work()
+        },
+        manifest: manifest(1, &usual_routes()),
+    };
+    let Some(mut scene) = Scene::start(record.clone(), &plan)? else {
+        return Ok(Verdict::NotPlayed);
+    };
+    let address = scene.gateways[0].front();
+    // Each channel has carried a stream of the usual length before.
+    let opened: Vec<_> = (0..LATE_STREAMS)
+        .map(|number| {
+            std::thread::spawn(move || {
+                let mut channel = Channel::open(address)?;
+                let call = stream_call(&format!("5a0{number:013x}"), 20);
+                let response = channel.send(&call, Duration::from_secs(5))?;
+                Ok::<_, io::Error>((response.status == 200 && response.is_whole).then_some(channel))
+            })
+        })
+        .collect();
+    let mut channels = Vec::new();
+    for channel in opened {
+        match channel.join() {
+            Ok(Ok(Some(channel))) => channels.push(channel),
+            _ => return Ok(Verdict::NotPlayed),
+        }
+    }
+    record.line(&format!(
+        "{} channels have carried a stream of 0.5 s each",
+        channels.len()
+    ));
+    // Calm for `stable_ms`.
+    std::thread::sleep(Duration::from_secs(4));
+    let stopped_at = Instant::now();
+    if has_trouble {
+        record.line("gateway 1 gets SIGTERM");
+        scene.gateways[0].signal(Signal::Terminate);
+    }
+    sleep_until(stopped_at + LATE_AFTER);
+    let sent: Vec<_> = channels
+        .into_iter()
+        .enumerate()
+        .map(|(number, mut channel)| {
+            let record = record.clone();
+            std::thread::spawn(move || {
+                let id = format!("1a7e{number:012x}");
+                let sent_at = Instant::now();
+                let answer = channel.send(
+                    &stream_call(&id, LONG_STREAM_EVENTS),
+                    Duration::from_secs(6),
+                );
+                let end = match &answer {
+                    Ok(response) if response.is_whole && response.status == 200 => StreamEnd::Whole,
+                    Ok(response) if response.is_whole => StreamEnd::Refused,
+                    _ => StreamEnd::Cut,
+                };
+                let said = answer.map(|response| {
+                    let events = response.text().matches("id: ").count();
+                    format!(
+                        "{} with {events} of {LONG_STREAM_EVENTS} events",
+                        response.status
+                    )
+                });
+                record.line_at(
+                    sent_at,
+                    &format!(
+                        "stream {id} sent {} ms after the signal -> {end:?} after {} ms: {said:?}",
+                        sent_at.saturating_duration_since(stopped_at).as_millis(),
+                        sent_at.elapsed().as_millis()
+                    ),
+                );
+                (id, end)
+            })
+        })
+        .collect();
+    let ends: Vec<(String, StreamEnd)> = sent
+        .into_iter()
+        .filter_map(|sent| sent.join().ok())
+        .collect();
+    if has_trouble && !scene.gateways[0].wait_for_end(GRACE.saturating_sub(stopped_at.elapsed())) {
+        record.line("gateway 1 gets SIGKILL");
+        scene.gateways[0].signal(Signal::Kill);
+    }
+    scene.record_runs();
+    let has_run = |id: &str| {
+        let mut servers = scene.models.iter();
+        servers.any(|server| server.runs().iter().any(|run| run.id == id && run.has_run))
+    };
+    let cut = ends
+        .iter()
+        .filter(|(id, end)| *end == StreamEnd::Cut && has_run(id))
+        .count();
+    let whole = ends
+        .iter()
+        .filter(|(_, end)| *end == StreamEnd::Whole)
+        .count();
+    record.line(&format!(
+        "of {} streams {whole} were whole, {cut} were passed on and ended without a complete answer",
+        ends.len()
+    ));
+    Ok(match (cut, has_trouble || whole == ends.len()) {
+        (0, true) => Verdict::Held,
+        (0, false) => Verdict::NotPlayed,
+        _ => Verdict::Broken,
+    })
+}
--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -6,8 +6,8 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
-use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -17,8 +17,12 @@
 use crate::http;
 use crate::http::Call;
 
+/// Option of `prctl` that has the kernel signal a process when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 /// A signal to a process of this test.
@@ -119,10 +123,6 @@
 pub struct Gateway {
     pub machine: Machine,
     child: Child,
-    settings_file: PathBuf,
-    log_file: PathBuf,
-    root: PathBuf,
-    is_stopped: bool,
 }
 
 impl Gateway {
@@ -133,20 +133,7 @@
         std::fs::write(&settings_file, settings(&template, &machine))?;
         let log_file = folder.join(format!("{}.log", machine.name));
         let child = spawn(root, &settings_file, &log_file)?;
-        Ok(Gateway {
-            machine,
-            child,
-            settings_file,
-            log_file,
-            root: root.to_owned(),
-            is_stopped: false,
-        })
-    }
-
-    /// Starts the process again after its end, as the platform does.
-    pub fn start_again(&mut self) -> io::Result<()> {
-        self.child = spawn(&self.root, &self.settings_file, &self.log_file)?;
-        Ok(())
+        Ok(Gateway { machine, child })
     }
 
     pub fn front(&self) -> SocketAddr {
@@ -170,7 +157,6 @@
         }
         // SAFETY: a plain system call; the process is a child that has not been waited for.
         unsafe { kill(self.child.id() as i32, signal as i32) };
-        self.is_stopped = signal == Signal::Stop;
     }
 
     pub fn has_ended(&mut self) -> bool {
@@ -188,11 +174,6 @@
         }
         true
     }
-
-    /// What the process has logged.
-    pub fn log(&self) -> String {
-        std::fs::read_to_string(&self.log_file).unwrap_or_default()
-    }
 }
 
 impl Drop for Gateway {
@@ -205,7 +186,15 @@
 
 fn spawn(root: &Path, settings_file: &Path, log_file: &Path) -> io::Result<Child> {
     let log = File::options().create(true).append(true).open(log_file)?;
-    Command::new(root.join("target/release/bamboo-gatewayd"))
+    let mut command = Command::new(root.join("target/release/bamboo-gatewayd"));
+    // SAFETY: only a system call between fork and exec. No gateway outlives the test, also if that is killed.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, Signal::Kill as usize);
+            Ok(())
+        });
+    }
+    command
         .current_dir(root)
         .env("BAMBOOROUTE_SETTINGS", settings_file)
         .stdin(Stdio::null())
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -10,12 +10,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+/// Headers with their names in lower case.
+pub type Headers = Vec<(String, String)>;
+
 /// A request as a stand-in receives it.
 #[derive(Debug, Clone)]
 pub struct Request {
     pub method: String,
     pub target: String,
-    pub headers: Vec<(String, String)>,
+    pub headers: Headers,
     pub body: Vec<u8>,
 }
 
@@ -25,6 +28,12 @@
         find(&self.headers, name)
     }
 
+    /// The largest number of tokens that the request allows for its output, if it names one.
+    pub fn output_tokens(&self) -> Option<u64> {
+        let (_, most) = self.header("x-bambooroute-token-usage").split_once(',')?;
+        most.trim().parse().ok()
+    }
+
     /// The path without the query.
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or_default()
@@ -49,7 +58,7 @@
 #[derive(Debug, Clone)]
 pub struct Response {
     pub status: u16,
-    pub headers: Vec<(String, String)>,
+    pub headers: Headers,
     pub body: Vec<u8>,
     /// Whether the whole body has arrived.
     pub is_whole: bool,
@@ -65,7 +74,8 @@
     }
 }
 
-fn read_head<R>(reader: &mut R) -> io::Result<Option<(String, Vec<(String, String)>)>>
+/// Reads the first line and the headers of a message; `None` at the end of the channel.
+fn read_head<R>(reader: &mut R) -> io::Result<Option<(String, Headers)>>
 where
     R: BufRead,
 {
@@ -159,7 +169,7 @@
 pub struct Call {
     pub method: String,
     pub target: String,
-    pub headers: Vec<(String, String)>,
+    pub headers: Headers,
     pub body: Vec<u8>,
 }
 
@@ -238,3 +248,25 @@
     stream.write_all(&call.encode(false))?;
     read_response(&mut BufReader::new(stream), &call.method)
 }
+
+/// A channel that a caller keeps for several requests.
+pub struct Channel {
+    stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Channel {
+    pub fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+        stream.set_nodelay(true)?;
+        let reader = BufReader::new(stream.try_clone()?);
+        Ok(Channel { stream, reader })
+    }
+
+    /// Sends a call and reads the response, waiting at most this long for each of its parts.
+    pub fn send(&mut self, call: &Call, timeout: Duration) -> io::Result<Response> {
+        self.stream.set_read_timeout(Some(timeout))?;
+        self.stream.write_all(&call.encode(true))?;
+        read_response(&mut self.reader, &call.method)
+    }
+}
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -10,10 +10,19 @@
 mod store;
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use cases::Verdict;
 
+/// Time after which a case that has not ended counts as one that could not run. The gateways end with this process.
+const TIME_MAX: Duration = Duration::from_secs(112);
+
 fn main() -> ExitCode {
+    std::thread::spawn(|| {
+        std::thread::sleep(TIME_MAX);
+        eprintln!("the case has not ended in time");
+        std::process::exit(2);
+    });
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, record] = arguments.as_slice() else {
         eprintln!("usage: review-standins CASE RECORD");
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -44,8 +44,14 @@
     pub event_time: Duration,
     /// Time that an answer that is no stream takes.
     pub answer_time: Duration,
+    /// Request to which the first answer of each server is wrong bytes; empty if there is none.
+    pub garbled_id: String,
 }
 
+/// Events of a garbled answer, and bytes of each: together less than a mebibyte.
+const GARBLED_EVENTS: u64 = 110;
+const GARBLED_EVENT_BYTES: usize = 8 << 10;
+
 struct Shared {
     work: Mutex<Work>,
     runs: Mutex<Vec<Run>>,
@@ -67,12 +73,6 @@
     format!("{id}-e{event}")
 }
 
-/// The whole text of an item.
-pub fn item_text(id: &str, events: u64) -> String {
-    let events: Vec<String> = (1..=events).map(|event| event_data(id, event)).collect();
-    events.join("\n")
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -118,11 +118,6 @@
         lock(&self.shared.runs).clone()
     }
 
-    /// Requests that it works on.
-    pub fn active(&self) -> usize {
-        *lock(&self.shared.active)
-    }
-
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
@@ -141,7 +136,10 @@
         let expected = request.header("x-bambooroute-expect-instance");
         let is_other = !expected.is_empty() && expected != self.id;
         let last_event = request.header("last-event-id").parse().ok();
-        let work = lock(&self.shared.work).clone();
+        let mut work = lock(&self.shared.work).clone();
+        if let Some(most) = request.output_tokens() {
+            work.events = work.events.min(most);
+        }
         let index = {
             let mut runs = lock(&self.shared.runs);
             runs.push(Run {
@@ -168,7 +166,9 @@
             *active += 1;
         }
         lock(&self.shared.runs)[index].has_run = true;
+        let is_garbled = !id.is_empty() && id == work.garbled_id && last_event.is_none();
         let sent = match self.is_model {
+            true if is_garbled => send_garbled(stream, &id),
             true => send_stream(stream, &id, last_event.unwrap_or(0), &work),
             false => send_answer(stream, &id, &work),
         };
@@ -189,13 +189,30 @@
     http::respond(stream, 200, &headers, format!("answer {id}").as_bytes())
 }
 
-fn send_stream(stream: &mut TcpStream, id: &str, last_event: u64, work: &Work) -> io::Result<()> {
-    let head = format!(
+/// Sends a stream of events, whole and with identifiers, whose data are bytes that are no text.
+fn send_garbled(stream: &mut TcpStream, id: &str) -> io::Result<()> {
+    stream.write_all(stream_head(id).as_bytes())?;
+    for event in 1..=GARBLED_EVENTS {
+        let mut bytes = format!("id: {event}\ndata: ").into_bytes();
+        bytes.resize(bytes.len() + GARBLED_EVENT_BYTES, 0xff);
+        bytes.extend_from_slice(b"\n\n");
+        stream.write_all(format!("{:x}\r\n", bytes.len()).as_bytes())?;
+        stream.write_all(&bytes)?;
+        stream.write_all(b"\r\n")?;
+    }
+    stream.write_all(b"0\r\n\r\n")
+}
+
+fn stream_head(id: &str) -> String {
+    format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Bambooroute-Request-Id: {id}\r\n\
          X-Bambooroute-Server-Stamp: 3e1b.07.5a2\r\nX-Bambooroute-Weight-Versions: 1\r\n\
          Keep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes())?;
+    )
+}
+
+fn send_stream(stream: &mut TcpStream, id: &str, last_event: u64, work: &Work) -> io::Result<()> {
+    stream.write_all(stream_head(id).as_bytes())?;
     for event in last_event + 1..=work.events {
         thread::sleep(work.event_time);
         let text = format!("id: {event}\ndata: {}\n\n", event_data(id, event));
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -26,6 +26,8 @@
 pub const PARTS: u32 = 12;
 /// Time that an answer takes.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// `call_bytes` of the settings, and the lengths of a few records.
+const CALL_MAX_BYTES: usize = 2_097_152 + 4 * 64;
 /// Bytes of records in one answer to a read.
 const READ_MAX_BYTES: usize = 1024 * 1024;
 /// Earlier appends of a producer whose repeats get their first response again.
@@ -141,26 +143,8 @@
     }
 }
 
-/// How the store answers.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum Mode {
-    #[default]
-    Sound,
-    /// Refuses all calls.
-    Busy,
-    /// Ends the channel of each call.
-    Reset,
-    /// Answers nothing.
-    Silent,
-    /// Carries the calls out, and answers none of them.
-    LosesAnswers,
-    /// Takes this many milliseconds for an answer.
-    Slow(u64),
-}
-
 #[derive(Default)]
 struct State {
-    mode: Mode,
     partitions: HashMap<(String, u32), Partition>,
     groups: HashMap<String, Group>,
 }
@@ -205,20 +189,6 @@
         self.shared.1.notify_all();
     }
 
-    /// Sets how the store answers from now on.
-    pub fn set_mode(&self, mode: Mode) {
-        self.lock().mode = mode;
-    }
-
-    /// Lets all memberships lapse.
-    pub fn lapse_all(&self) {
-        for group in self.lock().groups.values_mut() {
-            group.members.clear();
-            group.deal();
-            group.hand_over();
-        }
-    }
-
     /// Members that hold partitions of a group, with the number of them.
     pub fn holders(&self) -> BTreeMap<String, usize> {
         let mut holders = BTreeMap::new();
@@ -232,23 +202,6 @@
         holders
     }
 
-    /// Deals all partitions anew at once, without asking their holders.
-    pub fn rebalance(&self) {
-        for group in self.lock().groups.values_mut() {
-            let members: Vec<String> = group.members.keys().cloned().collect();
-            group.generation += 1;
-            for part in &mut group.parts {
-                let held = members
-                    .iter()
-                    .position(|member| Some(member) == part.target.as_ref());
-                let next = held.map_or(0, |held| (held + 1) % members.len().max(1));
-                part.target = members.get(next).cloned();
-                part.holder = part.target.clone();
-                part.taken_in = group.generation;
-            }
-        }
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else {
@@ -256,28 +209,8 @@
         };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read_request(&mut reader) {
-            let mode = self.lock().mode;
-            match mode {
-                Mode::Sound | Mode::LosesAnswers => thread::sleep(ANSWER_TIME),
-                Mode::Slow(ms) => thread::sleep(Duration::from_millis(ms)),
-                Mode::Busy => {
-                    if http::respond(&mut writer, 503, &[], b"").is_err() {
-                        return;
-                    }
-                    continue;
-                }
-                Mode::Reset => return,
-                Mode::Silent => {
-                    // The channel stays open, and nothing comes on it any more.
-                    while let Ok(Some(_)) = http::read_request(&mut reader) {}
-                    return;
-                }
-            }
+            thread::sleep(ANSWER_TIME);
             let (status, body) = self.answer(&request);
-            if mode == Mode::LosesAnswers && request.method == "POST" {
-                while let Ok(Some(_)) = http::read_request(&mut reader) {}
-                return;
-            }
             if http::respond(&mut writer, status, &[], &body).is_err() {
                 return;
             }
@@ -300,6 +233,9 @@
         if topic == "keyed.op" || topic == "keyed.servers" {
             return (403, Vec::new());
         }
+        if request.body.len() > CALL_MAX_BYTES {
+            return (400, Vec::new());
+        }
         let part = request.query("part").parse().unwrap_or(0);
         let mut state = self.lock();
         let partition = state.partitions.entry((topic, part)).or_default();
