fix(jobs): a host claims the shards anew that it keeps when the assignment changes (LOST)

Cause: a partition that went away and came back between two replies of the group looks like one that stayed. open_assigned kept it, and only an append of its own would have been rejected; an idle shard appends nothing. Besides, the host that gets it back did not fence off the one in between.

Change: with each new generation a kept shard is claimed anew, by an append without records under a new epoch. If another owner has appended, it is lost and opened anew. Lookups that find foreign records have the same effect.

Ruled out: jobs not stored (an owner answers 202 once the record is acknowledged, and the same jobs are read with the fix); a host that does not know its shards (its 503 follows two reads that only an open shard makes).

--- a/bamboo-gateway/src/jobs.rs
+++ b/bamboo-gateway/src/jobs.rs
@@ -62,7 +62,7 @@
         shards
             .values()
             .filter(|shard| shard.is_open())
-            .map(|shard| (shard.partition, shard.epoch))
+            .map(|shard| (shard.partition, shard.epoch.get()))
             .collect()
     }
 
--- a/bamboo-gateway/src/jobs/append.rs
+++ b/bamboo-gateway/src/jobs/append.rs
@@ -118,7 +118,7 @@
     let store = &gateway.settings.store;
     let fence = Fence {
         producer: format!("shard-{}", shard.partition),
-        epoch: shard.epoch,
+        epoch: shard.epoch.get(),
         sequence,
     };
     let mut out_of_sequence_retries = 0;
@@ -176,7 +176,15 @@
     let mut sequence = 0;
     let mut in_flight = FuturesOrdered::new();
     while !shard.is_lost() {
-        while shard.can_start_append(in_flight.len()) {
+        // A claim begins a new sequence of appends, so that it runs alone.
+        if in_flight.is_empty()
+            && let Some(epoch) = shard.take_claim()
+        {
+            claim_shard(gateway, shard, epoch).await;
+            sequence = 0;
+            continue;
+        }
+        while !shard.has_claim() && shard.can_start_append(in_flight.len()) {
             let mut batch = shard.next_batch(store);
             if batch.is_empty() {
                 break;
@@ -197,11 +205,7 @@
                     apply_batch(gateway, shard, batch);
                 }
                 reply => {
-                    log::warn!(
-                        event = "shard_lost", partition = shard.partition, epoch = shard.epoch, reply:? = reply;
-                        "the store rejected an append; closing the shard"
-                    );
-                    shard.is_lost.set(true);
+                    lose_to_rejection(shard, &reply);
                     return;
                 }
             },
@@ -210,6 +214,27 @@
     }
 }
 
+/// Fences off other owners of a shard that this host has kept. The shard is lost if another owner has appended records, or
+/// has a higher epoch.
+async fn claim_shard(gateway: &Gateway, shard: &OwnedShard, epoch: u64) {
+    shard.epoch.set(epoch);
+    shard.has_appended.set(false);
+    match append(gateway, shard, 0, &mut Vec::new()).await {
+        StoreReply::Appended { end, .. } if end == shard.end_offset.get() => {}
+        StoreReply::Appended { end, .. } => shard.lose_to_other_owner(end),
+        reply => lose_to_rejection(shard, &reply),
+    }
+}
+
+/// Marks a shard as lost because the store rejected an append.
+fn lose_to_rejection(shard: &OwnedShard, reply: &StoreReply) {
+    log::warn!(
+        event = "shard_lost", partition = shard.partition, epoch = shard.epoch.get(), reply:? = reply;
+        "the store rejected an append; closing the shard"
+    );
+    shard.is_lost.set(true);
+}
+
 /// Applies stored records to the shard's state and notifies their waiters.
 fn apply_batch(gateway: &Rc<Gateway>, shard: &Rc<OwnedShard>, batch: Vec<PendingRecord>) {
     for pending in batch {
--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -65,10 +65,14 @@
         }) = gateway.store_call(&request).await
             && !gateway.is_stopping()
         {
+            let has_changed = new_generation != generation;
             generation = new_generation;
             gateway.jobs.has_joined.set(true);
             gateway.jobs.membership_expires_at.set(sent_at + lifetime);
             let assigned: BTreeSet<Partition> = partitions.into_iter().collect();
+            if has_changed {
+                claim_kept_again(&gateway, generation, &assigned);
+            }
             if release_unassigned(&gateway, &assigned).await {
                 // The next call tells the store at once that the shards are released.
                 continue;
@@ -80,6 +84,18 @@
     }
 }
 
+/// Claims the shards anew that remain assigned to this host. Since the last reply they may have been assigned to another
+/// host and back, while this one was suspended or between two replies. The other host may have appended records, and does so
+/// until it learns of the change, unless the new epoch fences it off.
+fn claim_kept_again(gateway: &Gateway, generation: u64, assigned: &BTreeSet<Partition>) {
+    let jobs = &gateway.jobs;
+    for shard in jobs.shards.borrow().values() {
+        if assigned.contains(&shard.partition) && !shard.is_lost() {
+            shard.claim_again(jobs.next_epoch(generation));
+        }
+    }
+}
+
 /// Records the progress of shards that are assigned to other hosts and closes them, as well as lost ones. Returns
 /// whether any shard was released that had not been lost.
 async fn release_unassigned(gateway: &Gateway, assigned: &BTreeSet<Partition>) -> bool {
@@ -107,7 +123,7 @@
         actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     for shard in shards {
-        log::info!(event = "shard_closed", partition = shard.partition, epoch = shard.epoch; "shard closed");
+        log::info!(event = "shard_closed", partition = shard.partition, epoch = shard.epoch.get(); "shard closed");
         shard.close();
     }
 }
--- a/bamboo-gateway/src/jobs/shard.rs
+++ b/bamboo-gateway/src/jobs/shard.rs
@@ -69,7 +69,10 @@
 /// A shard that is owned by this host.
 pub(super) struct OwnedShard {
     pub(super) partition: Partition,
-    pub(super) epoch: u64,
+    /// Epoch of the appends. It rises when the host claims a shard anew that it has kept.
+    pub(super) epoch: Cell<u64>,
+    /// Epoch with which to claim the shard anew, because another host may have owned it meanwhile.
+    claim_epoch: Cell<Option<u64>>,
     pub(super) state: RefCell<Shard>,
     is_open: Cell<bool>,
     pub(super) is_lost: Cell<bool>,
@@ -94,7 +97,8 @@
     pub(super) fn new(partition: Partition, epoch: u64) -> Rc<Self> {
         Rc::new(OwnedShard {
             partition,
-            epoch,
+            epoch: Cell::new(epoch),
+            claim_epoch: Cell::new(None),
             state: RefCell::new(Shard::default()),
             is_open: Cell::new(false),
             is_lost: Cell::new(false),
@@ -122,6 +126,33 @@
         self.is_lost.get()
     }
 
+    /// Has the shard claimed anew before its next append. A shard to which another host has appended records meanwhile is
+    /// then lost, and the next renewal of the membership opens it with all of its records.
+    pub(super) fn claim_again(&self, epoch: u64) {
+        self.claim_epoch.set(Some(epoch));
+        self.queue_changed.notify_one();
+    }
+
+    /// Whether the shard is to be claimed anew.
+    pub(super) fn has_claim(&self) -> bool {
+        self.claim_epoch.get().is_some()
+    }
+
+    /// Marks the shard as lost because another owner has appended records to it.
+    pub(super) fn lose_to_other_owner(&self, end: Offset) {
+        log::warn!(
+            event = "shard_stale", partition = self.partition, epoch = self.epoch.get(),
+            known_end = self.end_offset.get(), end;
+            "another host has appended records to a shard that this host kept"
+        );
+        self.is_lost.set(true);
+    }
+
+    /// Takes the epoch with which to claim the shard anew.
+    pub(super) fn take_claim(&self) -> Option<u64> {
+        self.claim_epoch.take()
+    }
+
     /// How long appends have been failing.
     pub(super) fn failing_for(&self, now: Duration) -> Duration {
         self.failing_since
@@ -253,7 +284,7 @@
     }
     shard.is_open.set(true);
     log::info!(
-        event = "shard_opened", partition = shard.partition, epoch = shard.epoch,
+        event = "shard_opened", partition = shard.partition, epoch = shard.epoch.get(),
         jobs = shard.state.borrow().jobs().count(),
         took_ms = gateway.clock.now().saturating_sub(started).as_millis() as u64; "shard opened"
     );
@@ -347,7 +378,7 @@
 ) {
     if !std::mem::replace(is_waiting, true) {
         log::info!(
-            event = "replay_waits", partition = shard.partition, epoch = shard.epoch, from, end;
+            event = "replay_waits", partition = shard.partition, epoch = shard.epoch.get(), from, end;
             "cannot read the records of a shard yet: {reason}"
         );
     }
@@ -374,7 +405,8 @@
 }
 
 /// Whether this owner knows all stored records of the shard. The store may have assigned the shard to another host
-/// without notice, and that host may have accepted jobs since.
+/// without notice, and that host may have accepted jobs since. A shard with records of another owner is lost, and the next
+/// renewal of the membership opens it with all of its records.
 pub(super) async fn has_latest_records(gateway: &Gateway, shard: &OwnedShard) -> bool {
     let request = StoreRequest::Read {
         topic: JOBS_TOPIC.to_owned(),
@@ -385,7 +417,14 @@
     };
     match gateway.store_call(&request).await {
         // Appends of this owner that completed during the call have advanced `end_offset`.
-        Ok(StoreReply::Records { end, .. }) => end <= shard.end_offset.get(),
+        Ok(StoreReply::Records { end, .. }) if end <= shard.end_offset.get() => true,
+        Ok(StoreReply::Records { end, .. }) => {
+            // While an append of this host is under way, the record may be its own.
+            if !shard.is_appending.get() {
+                shard.lose_to_other_owner(end);
+            }
+            false
+        }
         Ok(_) | Err(_) => false,
     }
 }
