--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -95,16 +95,14 @@
     let path = request.uri().path();
     let job_call =
         (gateway.dialect.parse_job_call)(request.method(), request.uri(), request.headers());
+    // Jobs outlive their routes, so that only their shards know which ones there are.
     if let Some(call) = job_call
-        && config.find_route(&host, path).is_none()
+        && leads_to_jobs(&config, &host, path)
     {
         if request.method() != Method::GET {
             progress.begin_attempt();
         }
-        return match has_batch_route(&config, &host) {
-            true => gateway.jobs.call(gateway, call).await,
-            false => text_response(StatusCode::NOT_FOUND, "no route\n"),
-        };
+        return gateway.jobs.call(gateway, call).await;
     }
     let Some(route) = config.find_route(&host, path).cloned() else {
         log::info!(event = "no_route", host = host.as_str(), path, version = config.version; "no route matches");
@@ -197,11 +195,11 @@
     Some(headers.get(name)?.to_str().ok()?.to_owned())
 }
 
-fn has_batch_route(config: &FleetConfig, host: &str) -> bool {
+/// Whether a call about a job is answered by the shards: no route for online requests has its path.
+fn leads_to_jobs(config: &FleetConfig, host: &str, path: &str) -> bool {
     config
-        .routes
-        .iter()
-        .any(|route| route.host == host && matches!(route.kind, RouteKind::Batch { .. }))
+        .find_route(host, path)
+        .is_none_or(|route| matches!(route.kind, RouteKind::Batch { .. }))
 }
 
 /// Time for which the caller will wait.
