fix(gateway): an accepted job may be submitted again after its route is gone (LOST)

Seen by callers: a job that was accepted is submitted again after a configuration removed, renamed or moved its route; the answer is 404, though the job is accepted and runs.

Cause: the submission is matched with the present configuration before anyone looks for the job.

Change: a host remembers the batch routes of replaced configurations for as long as results are kept (FormerBatchRoutes), and asks the owner of the shard for the job of a POST on one of them: 202 if it is known, 404 if not, 503 if that is not sure. Requests on other routes that are gone cost nothing more.

Weighed: asking the owner for every POST without a route; while callers of a removed online route go on, each of them would cost two reads of the store. Open: a host that started after the removal answers 404.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -35,6 +35,7 @@
 use bamboo_fleet::Directory;
 use bamboo_fleet::DirectoryReads;
 use bamboo_fleet::FleetConfig;
+use bamboo_fleet::FormerBatchRoutes;
 use bamboo_fleet::Server;
 use bamboo_relay::ServerPaths;
 use bamboo_relay::StorePath;
@@ -141,6 +142,7 @@
     pub(crate) local: HostInfo,
     pub(crate) config: RefCell<Option<Rc<FleetConfig>>>,
     config_record: RefCell<Option<Rc<ConfigRecord>>>,
+    pub(crate) former_routes: RefCell<FormerBatchRoutes>,
     pub(crate) directory: RefCell<Directory>,
     pub(crate) load_balancer: RefCell<LoadBalancer>,
     pub(crate) pool: ServerPool,
@@ -228,6 +230,7 @@
             clock: Clock::start(),
             config: RefCell::new(None),
             config_record: RefCell::new(None),
+            former_routes: RefCell::default(),
             directory: RefCell::new(Directory::default()),
             load_balancer: RefCell::new(LoadBalancer::default()),
             pool: ServerPool::default(),
@@ -421,6 +424,10 @@
         self.metrics
             .config_version
             .set(i64::try_from(config.version).unwrap_or(i64::MAX));
+        if let Some(replaced) = self.config() {
+            let mut former_routes = self.former_routes.borrow_mut();
+            former_routes.record_replaced(&replaced, self.clock.now(), self.results_kept());
+        }
         *self.config_record.borrow_mut() = Some(Rc::new(record));
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.refresh_engines();
--- a/bamboo-gateway/src/jobs/calls.rs
+++ b/bamboo-gateway/src/jobs/calls.rs
@@ -85,12 +85,36 @@
         gateway: &Rc<Gateway>,
         call: JobCall,
     ) -> Response<ResponseBody> {
+        to_response(self.ask_owner(gateway, call).await)
+    }
+
+    /// Answers a submission whose route the configuration does not have any more: 202 if the job was accepted before, 404
+    /// if not.
+    pub(crate) async fn find_submitted(
+        &self,
+        gateway: &Rc<Gateway>,
+        job: String,
+    ) -> Response<ResponseBody> {
+        let read = JobCall::Read {
+            job,
+            after: usize::MAX,
+            wait: Duration::ZERO,
+        };
+        let mut response = to_response(self.ask_owner(gateway, read).await);
+        if response.status() == StatusCode::OK {
+            response = to_response(Some(http_reply(StatusCode::ACCEPTED, Vec::new())));
+        }
+        response
+    }
+
+    /// Passes a call to the owner of the job's shard. Returns `None` if the owner is unknown or does not reply.
+    async fn ask_owner(&self, gateway: &Rc<Gateway>, call: JobCall) -> Option<PeerReply> {
         let partition = self.partition_of(gateway, call.job());
         if self.is_owned_locally(partition) {
-            return to_response(Some(self.call_as_owner(gateway, call).await));
+            return Some(self.call_as_owner(gateway, call).await);
         }
         let owner = gateway.coordination.borrow().owner_of(partition);
-        let reply = match owner {
+        match owner {
             Some(owner) if owner != gateway.local.host => {
                 let timeout = OWNER_TIMEOUT
                     + match call {
@@ -105,8 +129,7 @@
                     .await
             }
             _ => None,
-        };
-        to_response(reply)
+        }
     }
 
     /// Answers a call as the owner of the job's shard.
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -105,6 +105,9 @@
         return gateway.jobs.call(gateway, call).await;
     }
     let Some(route) = config.find_route(&host, path).cloned() else {
+        if request.method() == Method::POST && gateway.former_routes.borrow().matches(&host, path) {
+            return serve_former_route(gateway, &config, request).await;
+        }
         log::info!(event = "no_route", host = host.as_str(), path, version = config.version; "no route matches");
         return text_response(StatusCode::NOT_FOUND, "no route\n");
     };
@@ -171,6 +174,22 @@
     }
 }
 
+/// Answers a submission on a batch route that the configuration does not have any more. A job that was accepted before is
+/// still accepted.
+async fn serve_former_route(
+    gateway: &Rc<Gateway>,
+    config: &FleetConfig,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let id =
+        header_text(request.headers(), &gateway.dialect.headers.request_id).unwrap_or_default();
+    // The caller sends the whole body before it reads the response.
+    match read_body(gateway, request.into_body(), config.limits.body_max_bytes).await {
+        Ok(_) => gateway.jobs.find_submitted(gateway, id).await,
+        Err(response) => response,
+    }
+}
+
 /// Size in bytes of the request target and the headers, including separators.
 fn header_bytes(request: &Request<Incoming>) -> usize {
     const SEPARATOR_BYTES: usize = 4;
