--- a/bamboo-gateway/src/jobs/append.rs
+++ b/bamboo-gateway/src/jobs/append.rs
@@ -6,6 +6,7 @@
 use bamboo_shards::JobAge;
 use bamboo_shards::Record;
 use bamboo_shards::ShardChange;
+use bamboo_shards::record_max_bytes;
 use bamboo_shards::split_record;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesOrdered;
@@ -41,6 +42,15 @@
         .sum()
 }
 
+/// Size of the largest encoded record that fits into an append.
+pub(super) fn storable_record_max_bytes(store: &StoreSettings) -> usize {
+    record_max_bytes(
+        store.append_max_bytes,
+        store.record_max_bytes,
+        RECORD_OVERHEAD_BYTES,
+    )
+}
+
 impl OwnedShard {
     /// Whether another append may start while `in_flight` appends are running. Appends run one at a time unless a
     /// caller waits for a queued record.
@@ -56,14 +66,27 @@
             || (self.has_appended.get() && in_flight < CONCURRENT_APPENDS_MAX && has_waiter())
     }
 
-    /// Removes the records of the next append from the queue, up to the size limit of an append but at least one.
+    /// Removes the records of the next append from the queue, up to the size limit of an append. A record that exceeds the
+    /// limit alone is dropped, as the store would reject it and all appends behind it for good; the shard is opened anew.
     fn next_batch(&self, store: &StoreSettings) -> Vec<PendingRecord> {
         let mut queue = self.queue.borrow_mut();
         let mut batch = Vec::new();
         let mut size_bytes = 0;
         while let Some(pending) = queue.front() {
             let needed_bytes = append_bytes(&self.fragments(pending, store));
-            if !batch.is_empty() && size_bytes + needed_bytes > store.append_max_bytes {
+            if needed_bytes > store.append_max_bytes {
+                log::error!(
+                    event = "record_too_large", partition = self.partition, bytes = needed_bytes;
+                    "dropped a record that does not fit into an append; opening the shard anew"
+                );
+                self.is_lost.set(true);
+                if let Some(waiter) = queue.pop_front().and_then(|pending| pending.waiter) {
+                    // The receiver may have been dropped.
+                    let _ = waiter.send(AppendOutcome::NotStored);
+                }
+                break;
+            }
+            if size_bytes + needed_bytes > store.append_max_bytes {
                 break;
             }
             size_bytes += needed_bytes;
@@ -158,6 +181,12 @@
             Err(error) => {
                 may_be_stored |= matches!(error, StoreError::Unknown(_));
                 let since = shard.failing_since.get();
+                if since.is_none() {
+                    log::info!(
+                        event = "append_fails", partition = shard.partition, epoch = fence.epoch, sequence;
+                        "an append failed; retrying: {error}"
+                    );
+                }
                 shard
                     .failing_since
                     .set(Some(since.unwrap_or_else(|| gateway.clock.now())));
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -15,6 +15,7 @@
 use bamboo_shards::JobRecord;
 use bamboo_shards::Record;
 use bamboo_shards::ResultState;
+use bamboo_shards::item_text_max_bytes;
 use bamboo_shards::retry_pause;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::Work;
@@ -31,6 +32,7 @@
 use rand::RngExt;
 
 use crate::gateway::Gateway;
+use crate::jobs::append::storable_record_max_bytes;
 use crate::jobs::item_waits::log_long_wait;
 use crate::jobs::item_waits::wait_until_obsolete;
 use crate::jobs::shard::OwnedShard;
@@ -517,12 +519,13 @@
         biased;
         () = slot.preempted.notified() => (AttemptEnd::Interrupted, RunOutcome::Cancelled),
         () = job_ended => (AttemptEnd::Interrupted, RunOutcome::Cancelled),
-        ended = read_events(gateway, slot, request, run, deadline) => ended,
+        ended = read_events(gateway, &job.id, slot, request, run, deadline) => ended,
     }
 }
 
 async fn read_events(
     gateway: &Rc<Gateway>,
+    job: &str,
     slot: &Slot,
     request: &EngineRequest,
     run: &SharedRun,
@@ -552,10 +555,13 @@
             return (end, run_outcome(head.status));
         }
     };
-    run.borrow_mut().begin_response(StreamOrigin {
+    let origin = StreamOrigin {
         service: slot.server.service.clone(),
         version: slot.server.version.clone(),
-    });
+    };
+    let record_max_bytes = storable_record_max_bytes(&gateway.settings.store);
+    let text_max_bytes = item_text_max_bytes(record_max_bytes, job, &origin);
+    run.borrow_mut().begin_response(origin);
     let events_before = run.borrow().event_count();
     let mut order = EventOrder::new(last_event);
     order.resume();
@@ -568,7 +574,8 @@
                     timeout = EVENT_GAP_TIMEOUT;
                 }
                 let is_next = order.check(&event) == EventCheck::Forward
-                    && run.borrow_mut().push_event(event.id, data);
+                    && run.borrow_mut().push_event(event.id, data)
+                    && run.borrow().text_bytes() <= text_max_bytes;
                 if !is_next {
                     run.borrow_mut().restart();
                     return (AttemptEnd::Interrupted, RunOutcome::Broken);
--- a/bamboo-gateway/src/jobs/shard.rs
+++ b/bamboo-gateway/src/jobs/shard.rs
@@ -21,6 +21,7 @@
 use crate::gateway::Gateway;
 use crate::jobs::append::append;
 use crate::jobs::append::run_appends;
+use crate::jobs::append::storable_record_max_bytes;
 use crate::jobs::items;
 use crate::jobs::submitted::ReadOutcome;
 use crate::jobs::submitted::SubmittedCursor;
@@ -205,9 +206,7 @@
             .iter()
             .filter_map(|((job, item), run)| run.borrow_mut().take_progress(job, *item))
             .collect();
-        // The flags of the fragments and the lengths of the records need some room.
-        let max_bytes = store.append_max_bytes - store.append_max_bytes / 16;
-        for record in Record::progress(entries, max_bytes) {
+        for record in Record::progress(entries, storable_record_max_bytes(store)) {
             self.append(record);
         }
     }
--- a/bamboo-shards/src/fragment.rs
+++ b/bamboo-shards/src/fragment.rs
@@ -48,6 +48,27 @@
         .collect()
 }
 
+/// Size of the largest record whose fragments fit into `append_max_bytes`, if each of them has at most
+/// `fragment_max_bytes` and takes `overhead_bytes` besides.
+///
+/// ```
+/// use bamboo_shards::record_max_bytes;
+/// use bamboo_shards::split_record;
+/// let largest = record_max_bytes(100, 40, 8);
+/// let bytes: usize = split_record(&vec![0; largest], 40).iter().map(|fragment| fragment.len() + 8).sum();
+/// assert!(bytes <= 100);
+/// ```
+pub fn record_max_bytes(
+    append_max_bytes: usize,
+    fragment_max_bytes: usize,
+    overhead_bytes: usize,
+) -> usize {
+    let fragment_bytes = fragment_max_bytes.max(2);
+    let needed_bytes = fragment_bytes + overhead_bytes;
+    let rest = append_max_bytes % needed_bytes;
+    append_max_bytes / needed_bytes * (fragment_bytes - 1) + rest.saturating_sub(overhead_bytes + 1)
+}
+
 /// Reassembles records from fragments that are pushed in the order of the store.
 #[derive(Debug, Default)]
 pub struct FragmentAssembler {
--- a/bamboo-shards/src/item_run.rs
+++ b/bamboo-shards/src/item_run.rs
@@ -33,6 +33,11 @@
     (RETRY_PAUSE * RETRY_GROWTH.pow(exponent)).min(RETRY_PAUSE_MAX)
 }
 
+/// Whether bytes are text, whose size does not change in a result.
+fn is_text(bytes: &[u8]) -> bool {
+    std::str::from_utf8(bytes).is_ok()
+}
+
 /// How one attempt at an item ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -72,8 +77,8 @@
 
 impl ItemRun {
     /// Appends an event of the response. Returns `false`, and ignores the event, if its identifier is not higher than
-    /// that of the last event, or the output would exceed [`ITEM_TEXT_MAX_BYTES`]. An event with neither identifier nor
-    /// data changes nothing.
+    /// that of the last event, its data are not UTF-8, or the output would exceed [`ITEM_TEXT_MAX_BYTES`]. An event with
+    /// neither identifier nor data changes nothing.
     ///
     /// ```
     /// let mut run = bamboo_shards::ItemRun::default();
@@ -88,6 +93,9 @@
         {
             return false;
         }
+        if data.as_deref().is_some_and(|data| !is_text(data)) {
+            return false;
+        }
         let data_bytes = data.as_ref().map_or(0, |data| data.len() + 1);
         if self.text.len() + data_bytes > ITEM_TEXT_MAX_BYTES {
             return false;
@@ -146,6 +154,11 @@
         self.event_count
     }
 
+    /// Size of the output in bytes.
+    pub fn text_bytes(&self) -> usize {
+        self.text.len()
+    }
+
     /// Data of all events, joined by line feeds.
     pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.text).into_owned()
@@ -182,7 +195,7 @@
     }
 
     /// Applies recorded progress. Progress that would leave a gap after the text known so far, or continue the text of
-    /// another origin, is ignored.
+    /// another origin, is ignored. Output that is not UTF-8 is discarded.
     pub fn apply_progress(&mut self, progress: ItemProgress) {
         let start = progress.text_offset as usize;
         let is_other_origin = start > 0 && progress.origin.as_ref() != self.origin();
@@ -197,6 +210,9 @@
         self.origin = progress.origin;
         self.recorded_bytes = self.text.len();
         self.is_dirty = false;
+        if !is_text(&self.text) {
+            self.restart();
+        }
     }
 
     /// Discards the partial output, so that the response is received again from its beginning.
--- a/bamboo-shards/src/record.rs
+++ b/bamboo-shards/src/record.rs
@@ -14,6 +14,7 @@
 
 use crate::FragmentAssembler;
 use crate::FragmentError;
+use crate::ITEM_TEXT_MAX_BYTES;
 
 /// Version of the record format, written as the first byte.
 const FORMAT_VERSION: u8 = 2;
@@ -138,15 +139,30 @@
     Encode(#[from] bincode::error::EncodeError),
 }
 
-/// Size of the fields of an entry of progress besides its text, job and origin: an upper bound.
-const PROGRESS_FIELDS_BYTES: usize = 64;
+/// Size of the fields of a result, or of an entry of progress, besides its text, job and origin: an upper bound.
+const ITEM_FIELDS_BYTES: usize = 64;
+
+/// Maximum size of the output of an item, in bytes, so that its result and its progress each fit into a record of
+/// `record_max_bytes`.
+///
+/// ```
+/// use bamboo_shards::ITEM_TEXT_MAX_BYTES;
+/// use bamboo_shards::item_text_max_bytes;
+/// let origin = bamboo_types::StreamOrigin { service: "llm".into(), version: "v1".into() };
+/// assert!(item_text_max_bytes(1_000, "job", &origin) < 1_000);
+/// assert_eq!(item_text_max_bytes(usize::MAX, "job", &origin), ITEM_TEXT_MAX_BYTES);
+/// ```
+pub fn item_text_max_bytes(record_max_bytes: usize, job: &str, origin: &StreamOrigin) -> usize {
+    let fields_bytes = ITEM_FIELDS_BYTES + job.len() + origin.service.len() + origin.version.len();
+    ITEM_TEXT_MAX_BYTES.min(record_max_bytes.saturating_sub(fields_bytes))
+}
 
 impl ItemProgress {
     /// Upper bound of the encoded size.
     fn encoded_max_bytes(&self) -> usize {
         let origin = self.origin.as_ref();
         let origin_bytes = origin.map_or(0, |origin| origin.service.len() + origin.version.len());
-        PROGRESS_FIELDS_BYTES + self.job.len() + self.text.len() + origin_bytes
+        ITEM_FIELDS_BYTES + self.job.len() + self.text.len() + origin_bytes
     }
 }
 
