--- a/bamboo-coordination/src/shutdown.rs
+++ b/bamboo-coordination/src/shutdown.rs
@@ -5,11 +5,9 @@
 /// Share of the grace period during which new connections are still accepted. The external load balancer takes a host out
 /// of rotation after two failed readiness checks, one a second.
 const KEEP_OPEN_SHARE: f64 = 0.4;
-/// Time after which only requests are taken that are certain to end in time, or that have far more time than earlier ones
-/// took. By then, the load balancer sends new connections elsewhere.
+/// Time after which only requests are taken that are certain to end in time. By then, the load balancer sends new
+/// connections elsewhere.
 const LAST_UNCERTAIN: Duration = Duration::from_millis(2500);
-/// Multiple of the run time of earlier requests that must be left for a request after [`LAST_UNCERTAIN`].
-const LATE_RUN_TIMES: u32 = 4;
 /// Share of the grace period after which the host no longer waits until its shards are released. Their membership
 /// lapses on its own.
 const RELEASE_SHARE: f64 = 0.6;
@@ -103,9 +101,9 @@
     run_time.mul_f64(1.0 + RUN_TIME_MARGIN)
 }
 
-/// Chooses whether a host that shuts down takes a request: always if it ends in time whatever its run takes, also if its run
-/// is likely to end in time as long as the load balancer sends new connections, and later if there is far more time left than
-/// runs take.
+/// Chooses whether a host that shuts down takes a request: always if it ends in time whatever its run takes, and if its run is
+/// likely to end in time as long as the load balancer sends new connections. Later, earlier runs are no reason to take it: its
+/// own may be longer than all of them.
 ///
 /// ```
 /// use std::time::Duration;
@@ -123,16 +121,13 @@
 pub fn admit_request(request: &ArrivingRequest) -> Admission {
     let time_left = requests_end_at(request.grace).saturating_sub(request.elapsed);
     let is_certain = request.time_limit <= time_left;
-    let is_short = request
-        .run_time
-        .is_some_and(|run_time| !time_left.is_zero() && run_time * LATE_RUN_TIMES <= time_left);
     let is_likely = match request.run_time {
         Some(run_time) => with_margin(run_time) <= time_left,
         None => request.elapsed <= last_run_start(request.grace, None),
     };
     let last_uncertain = request.grace.mul_f64(KEEP_OPEN_SHARE).min(LAST_UNCERTAIN);
     let is_early = request.elapsed <= last_uncertain;
-    match is_certain || is_short || is_likely && is_early {
+    match is_certain || is_likely && is_early {
         true => Admission::Serve,
         false => Admission::Reject,
     }
--- a/bamboo-coordination/tests/requests_during_a_stop.rs
+++ b/bamboo-coordination/tests/requests_during_a_stop.rs
@@ -100,6 +100,30 @@
     }
 }
 
+/// Guards against a stopping host that takes a request late since earlier ones were short, and cuts it off as it is longer.
+#[test_case(4)]
+#[test_case(8)]
+#[test_case(30)]
+fn only_requests_that_are_certain_to_end_are_taken_late(grace_s: u64) {
+    let grace = Duration::from_secs(grace_s);
+    let late = arrivals(grace).filter(|elapsed| *elapsed >= CUT_IF_SENT_BY);
+    for elapsed in late {
+        for run_time in [millis(1), millis(100), millis(500)] {
+            for time_limit_ms in (100..=10_000).step_by(100) {
+                let time_limit = millis(time_limit_ms);
+                let request = ArrivingRequest {
+                    elapsed,
+                    grace,
+                    time_limit,
+                    run_time: Some(run_time),
+                };
+                let is_certain = elapsed + time_limit <= requests_end_at(grace);
+                assert!(is_certain || !is_served(&request), "{request:?}");
+            }
+        }
+    }
+}
+
 /// Guards against a stopping host that rejects what it could serve while callers still reach it.
 #[test_case(None; "runs of unknown length")]
 #[test_case(Some(300); "runs of 300 ms")]
