--- a/bamboo-fleet/src/former_routes.rs
+++ b/bamboo-fleet/src/former_routes.rs
@@ -38,6 +38,15 @@
             .retain(|route| now.saturating_sub(route.replaced_at) <= kept);
     }
 
+    /// Whether a configuration that was replaced had a batch route for this `Host`.
+    ///
+    /// ```
+    /// assert!(!bamboo_fleet::FormerBatchRoutes::default().has_host("host"));
+    /// ```
+    pub fn has_host(&self, host: &str) -> bool {
+        self.routes.iter().any(|route| route.host == host)
+    }
+
     /// Whether a configuration that was replaced had a batch route for a request.
     ///
     /// ```
--- a/bamboo-fleet/tests/former_routes.rs
+++ b/bamboo-fleet/tests/former_routes.rs
@@ -45,6 +45,8 @@
     assert!(former.matches("h", "/jobs/1"));
     assert!(!former.matches("h", "/other/1"));
     assert!(!former.matches("other", "/jobs/1"));
+    assert!(former.has_host("h"));
+    assert!(!former.has_host("other"));
     let without = FleetConfig::default();
     former.record_replaced(&without, KEPT, KEPT);
     assert!(former.matches("h", "/jobs/1"));
@@ -59,4 +61,5 @@
     let online = config_with(RouteKind::Idempotent, "/online/");
     former.record_replaced(&online, Duration::ZERO, KEPT);
     assert!(!former.matches("h", "/online/1"));
+    assert!(!former.has_host("h"));
 }
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -96,13 +96,16 @@
     let job_call =
         (gateway.dialect.parse_job_call)(request.method(), request.uri(), request.headers());
     // Jobs outlive their routes, so that only their shards know which ones there are.
-    if let Some(call) = job_call
-        && leads_to_jobs(&config, &host, path)
-    {
+    let handler = job_call_handler(gateway, &config, &host, path);
+    if let Some(call) = job_call.filter(|_| handler != JobCallHandler::Route) {
         if request.method() != Method::GET {
             progress.begin_attempt();
         }
-        return gateway.jobs.call(gateway, call).await;
+        let response = gateway.jobs.call(gateway, call).await;
+        let is_unknown = response.status() == StatusCode::NOT_FOUND;
+        if handler == JobCallHandler::Shards || !is_unknown {
+            return response;
+        }
     }
     let Some(route) = config.find_route(&host, path).cloned() else {
         if request.method() == Method::POST && gateway.former_routes.borrow().matches(&host, path) {
@@ -214,11 +217,37 @@
     Some(headers.get(name)?.to_str().ok()?.to_owned())
 }
 
-/// Whether a call about a job is answered by the shards: no route for online requests has its path.
-fn leads_to_jobs(config: &FleetConfig, host: &str, path: &str) -> bool {
-    config
-        .find_route(host, path)
-        .is_none_or(|route| matches!(route.kind, RouteKind::Batch { .. }))
+/// What handles a request whose path is that of a call about a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum JobCallHandler {
+    /// The shard of the job.
+    Shards,
+    /// The shard, and the route of the request if there is no such job.
+    ShardsFirst,
+    /// The route of the request.
+    Route,
+}
+
+/// Chooses what handles a request whose path is that of a call about a job. A route for online requests may have that path,
+/// also one that came after the jobs of its `Host` were accepted.
+fn job_call_handler(
+    gateway: &Gateway,
+    config: &FleetConfig,
+    host: &str,
+    path: &str,
+) -> JobCallHandler {
+    let is_batch = |route: &Route| matches!(route.kind, RouteKind::Batch { .. });
+    let has_jobs = || {
+        let mut routes = config.routes.iter();
+        routes.any(|route| route.host == host && is_batch(route))
+            || gateway.former_routes.borrow().has_host(host)
+    };
+    match config.find_route(host, path) {
+        None => JobCallHandler::Shards,
+        Some(route) if is_batch(route) => JobCallHandler::Shards,
+        Some(_) if has_jobs() => JobCallHandler::ShardsFirst,
+        Some(_) => JobCallHandler::Route,
+    }
 }
 
 /// Time for which the caller will wait.
