--- a/bamboo-fleet/src/sse.rs
+++ b/bamboo-fleet/src/sse.rs
@@ -1,5 +1,7 @@
 //! Decoder of server-sent events (SSE).
 
+use memchr::memchr;
+use memchr::memchr_iter;
 use thiserror::Error;
 
 /// A complete event.
@@ -67,8 +69,16 @@
 }
 
 fn lines(raw: &[u8]) -> impl Iterator<Item = &[u8]> {
-    raw.split(|byte| *byte == b'\n')
-        .map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+    let mut rest = Some(raw);
+    std::iter::from_fn(move || {
+        let current = rest?;
+        let (line, after) = match memchr(b'\n', current) {
+            Some(end) => (&current[..end], Some(&current[end + 1..])),
+            None => (current, None),
+        };
+        rest = after;
+        Some(line.strip_suffix(b"\r").unwrap_or(line))
+    })
 }
 
 fn field_value<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
@@ -169,8 +179,9 @@
 
 /// Position after the blank line that ends the event which begins at `start`. No event ends before `searched_len`.
 fn find_event_end(buffer: &[u8], start: usize, searched_len: usize) -> Option<usize> {
-    (searched_len.max(start)..buffer.len())
-        .map(|index| index + 1)
+    let searched_len = searched_len.max(start);
+    memchr_iter(b'\n', &buffer[searched_len..])
+        .map(|index| searched_len + index + 1)
         .find(|end| is_event_end(&buffer[start..*end]))
 }
 
