--- a/bamboo-gateway/src/traffic.rs
+++ b/bamboo-gateway/src/traffic.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod buffered_body;
 mod engine_run;
+mod head_limit;
 mod load_balancer;
 mod plain;
 mod pool;
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -143,10 +143,7 @@
         .parse()
         .map_err(|_| OpenError::NotRun(RunOutcome::Cancelled))?;
     *outgoing.headers_mut() = headers;
-    let exchange = async {
-        connection.sender.ready().await?;
-        connection.sender.send_request(outgoing).await
-    };
+    let exchange = connection.send(outgoing);
     let respond_by = started + timeout;
     let trial_request = TrialRequest {
         id: &request.id,
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -395,8 +395,7 @@
     outgoing: Request<Full<Bytes>>,
     buffers: &Arc<BufferBudget>,
 ) -> anyhow::Result<(response::Parts, Bytes)> {
-    connection.sender.ready().await?;
-    let response = connection.sender.send_request(outgoing).await?;
+    let response = connection.send(outgoing).await?;
     let (head, body) = response.into_parts();
     let bytes = read_whole_body(body, RESPONSE_MAX_BYTES, buffers).await?;
     Ok((head, bytes))
--- a/bamboo-gateway/src/traffic/pool.rs
+++ b/bamboo-gateway/src/traffic/pool.rs
@@ -11,13 +11,18 @@
 use bamboo_types::BackendServerId;
 use bytes::Bytes;
 use http::HeaderMap;
+use http::Request;
+use http::Response;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio_util::either::Either;
 
 use crate::gateway::Gateway;
 use crate::task::OwnedTask;
+use crate::traffic::head_limit::HeadLimit;
+use crate::traffic::head_limit::HeadLimitedStream;
 
 /// Timeout for connecting: several round trips between data centres, with a margin for a loaded host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -30,19 +35,38 @@
 
 /// Maximum size in bytes of the head of a response.
 const HEAD_MAX_BYTES: usize = 64 << 10;
+/// Maximum number of bytes that are read until the head of a response is complete: interim responses, the head, and what is
+/// read with it of the body.
+const HEADS_MAX_BYTES: usize = 2 * HEAD_MAX_BYTES;
 
 /// A connection that carries one request at a time.
 pub(crate) struct Connection {
-    pub(crate) sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<Full<Bytes>>,
     /// Whether an earlier request used the connection, so that a late copy of its response may still arrive.
     pub(crate) is_reused: bool,
     /// Whether it leads to the server without another host.
     pub(crate) is_direct: bool,
     pub(crate) server: BackendServerId,
     address: SocketAddr,
+    head_limit: HeadLimit,
     _task: OwnedTask,
 }
 
+impl Connection {
+    /// Sends a request, and waits for the head of its response.
+    ///
+    /// # Errors
+    /// Fails if the connection does, also because of what the server sends in place of a head.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> hyper::Result<Response<Incoming>> {
+        self.sender.ready().await?;
+        let _wait = self.head_limit.begin(HEADS_MAX_BYTES);
+        self.sender.send_request(request).await
+    }
+}
+
 struct IdleConnection {
     connection: Connection,
     expires_at: Duration,
@@ -87,6 +111,8 @@
     ) -> Result<Connection, ConnectFailure> {
         let stream = gateway.connect_server(server, CONNECT_TIMEOUT).await?;
         let is_direct = matches!(stream, Either::Left(_));
+        let head_limit = HeadLimit::default();
+        let stream = HeadLimitedStream::new(stream, head_limit.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(HEAD_MAX_BYTES)
             .handshake(TokioIo::new(stream))
@@ -107,6 +133,7 @@
             sender,
             is_reused: false,
             is_direct,
+            head_limit,
             server: server.id.clone(),
             address: server.address,
             _task: task,
