fix(gateway): what waits for a caller is bounded in bytes, not in chunks (memory)

Seen: a server sends events of 200 kB without end to callers that do not read; the host keeps 32 of them for each stream. 100 streams: 695 and 638 MB, on a machine of 290 MB.

Cause: the queue of a stream counted chunks. A chunk is an event, and an event may have 256 KiB, outside every budget.

Change: a stream queues 64 KiB, or one larger chunk; what a chunk has beyond 64 KiB counts towards the budget of servers' responses until it is sent. An item that begins anew returns the memory of its output.

--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -1,6 +1,5 @@
 //! Requests whose responses are event streams.
 
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,16 +12,15 @@
 use bamboo_types::BackendServerId;
 use bamboo_types::SoftwareVersion;
 use bamboo_types::StreamOrigin;
-use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
-use tokio::sync::mpsc;
 
 use crate::gateway::Gateway;
 use crate::gateway::Phase;
 use crate::gateway::Rejection;
+use crate::response_body::ChunkQueue;
+use crate::response_body::QueueError;
 use crate::response_body::ResponseBody;
-use crate::response_body::STREAM_QUEUE_LEN;
 use crate::slot_requests::Slot;
 use crate::slot_requests::SlotError;
 use crate::slot_requests::acquire_slot;
@@ -203,7 +201,7 @@
     let mut response = Response::new(ResponseBody::Full(None));
     *response.status_mut() = run.stream.head.status;
     *response.headers_mut() = end_to_end_headers(&run.stream.head.headers);
-    let (chunks, body) = mpsc::channel(STREAM_QUEUE_LEN);
+    let (chunks, body) = ChunkQueue::new(&gateway.server_buffers);
     recorder.record_first_byte();
     actix_rt::spawn(async move {
         let outcome = forward_events(
@@ -226,12 +224,12 @@
             ForwardEnd::CallerDisconnected => recorder.record(StatusCode::OK, "caller_left"),
             ForwardEnd::Broken(reason) => {
                 // The error aborts the caller's connection: a truncated response must not look complete.
-                let _ = chunks.send(Err(io::Error::other(reason))).await;
+                chunks.abort(reason).await;
                 recorder.record(StatusCode::OK, reason);
             }
         }
     });
-    *response.body_mut() = ResponseBody::Chunks(body);
+    *response.body_mut() = body;
     response
 }
 
@@ -423,7 +421,7 @@
     engine_request: &EngineRequest,
     attempts: &mut Attempts,
     mut run: Run,
-    chunks: &mpsc::Sender<io::Result<Bytes>>,
+    chunks: &ChunkQueue,
     first_id: Option<u64>,
 ) -> ForwardEnd {
     let RouteKind::Streaming {
@@ -471,10 +469,17 @@
                     attempts.version = Some(version.clone());
                     gateway.record_stream(&attempts.stream, &StreamOrigin { service, version });
                 }
-                if chunks.send(Ok(Bytes::from(event.raw))).await.is_err() {
-                    return ForwardEnd::CallerDisconnected;
+                match chunks.push(event.raw).await {
+                    Ok(()) => continue,
+                    Err(QueueError::CallerDisconnected) => return ForwardEnd::CallerDisconnected,
+                    Err(QueueError::BudgetExhausted) => {
+                        log::warn!(
+                            event = "buffers_full", request = request.id.as_str(), server = run.slot.server.id.as_str();
+                            "broke off a stream of large events because servers' responses use up their memory"
+                        );
+                        return ForwardEnd::Broken("buffers_full");
+                    }
                 }
-                continue;
             }
             // The server may have had nothing to add, or nothing of this stream.
             StreamRead::End if order.is_resuming() => return ForwardEnd::Broken("nothing_resumed"),
--- a/bamboo-shards/src/item_run.rs
+++ b/bamboo-shards/src/item_run.rs
@@ -219,7 +219,8 @@
     pub fn restart(&mut self) {
         self.is_dirty = true;
         self.recorded_bytes = 0;
-        self.text.clear();
+        // Its memory is returned, too: the item may wait for long.
+        self.text = Vec::new();
         self.last_event_id = None;
         self.event_count = 0;
         self.origin = None;
