fix(jobs): a page of results is bounded as it is sent

Seen: a page with 900 kB of text is sent as 1.8 MB if the text is quotes; callers take 1 MB.

Change: the page is encoded with half of the text until it fits. A result that is larger than a page alone gets one of its own, as before.

--- a/bamboo-gateway/src/jobs/calls.rs
+++ b/bamboo-gateway/src/jobs/calls.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bamboo_shards::Job;
 use bamboo_shards::Record;
 use http::HeaderValue;
 use http::Response;
@@ -30,8 +31,10 @@
 pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(2200);
 /// Maximum time that a read waits for further results.
 const RESULT_WAIT_MAX: Duration = Duration::from_millis(1000);
-/// Maximum number of bytes of text in one page of results.
-const PAGE_MAX_BYTES: usize = 900_000;
+/// Maximum size of one page of results as it is sent.
+const PAGE_MAX_BYTES: usize = 1_000_000;
+/// Number of bytes of text in one page of results to begin with.
+const PAGE_TEXT_BYTES: usize = 900_000;
 /// Value of `Retry-After`, in seconds, if the owner of the shard does not answer or capacity is exhausted.
 const RETRY_AFTER: &str = "0.3";
 
@@ -51,6 +54,20 @@
     http_reply(StatusCode::NOT_FOUND, Vec::new())
 }
 
+/// Encodes the results from position `after` on, as many as fit into a page. How long their text is in a page depends on its
+/// characters. A result that is larger than a page gets one of its own.
+fn encode_page(gateway: &Gateway, job: &Job, after: usize) -> anyhow::Result<Vec<u8>> {
+    let mut text_max_bytes = PAGE_TEXT_BYTES;
+    loop {
+        let page = job.page(after, text_max_bytes);
+        let body = (gateway.dialect.encode_results_page)(&job.record, &page)?;
+        if body.len() <= PAGE_MAX_BYTES || page.results.len() <= 1 {
+            return Ok(body);
+        }
+        text_max_bytes /= 2;
+    }
+}
+
 pub(super) fn to_response(reply: Option<PeerReply>) -> Response<ResponseBody> {
     let (status, body) = match reply {
         Some(PeerReply::Http { status, body }) => (status, body),
@@ -187,15 +204,15 @@
                 let Some(found) = state.job(job) else {
                     return not_found();
                 };
-                let page = found.page(after, PAGE_MAX_BYTES);
-                let is_ready = !page.results.is_empty()
+                let is_ready = found.has_results_after(after)
                     || found.is_complete()
                     || found.is_cancelled()
                     || gateway.clock.now() >= deadline;
-                if is_ready && page.results.is_empty() && !self.is_membership_valid(gateway) {
+                if is_ready && !found.has_results_after(after) && !self.is_membership_valid(gateway)
+                {
                     return unavailable();
                 }
-                is_ready.then(|| (gateway.dialect.encode_results_page)(&found.record, &page))
+                is_ready.then(|| encode_page(gateway, found, after))
             };
             match encoded_page {
                 Some(Ok(body)) => return http_reply(StatusCode::OK, body),
--- a/bamboo-shards/src/job.rs
+++ b/bamboo-shards/src/job.rs
@@ -133,6 +133,11 @@
             .sum()
     }
 
+    /// Whether there are results from position `after` on.
+    pub fn has_results_after(&self, after: usize) -> bool {
+        after < self.results.len()
+    }
+
     /// A page of results from position `after` on, with at most `max_bytes` of text. A larger result gets a page of its
     /// own, so that readers always advance.
     pub fn page(&self, after: usize, max_bytes: usize) -> ResultPage {
