refactor(gateway): calls about jobs are looked for once, and only in requests that are some

Each online request looked its route up twice, and went through all routes if it had one: what handles a call about a job was chosen before it was known that the request is one. It is chosen after that now (answer_job_call).

No behaviour and no check changes.

--- a/bamboo-fleet/src/config.rs
+++ b/bamboo-fleet/src/config.rs
@@ -112,6 +112,21 @@
         let mut targets = self.targets.iter();
         targets.any(|target| target.service == service && (target.weight > 0 || !has_weights))
     }
+
+    /// Whether jobs are submitted on the route.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use bamboo_fleet::{Route, RouteKind};
+    /// let route = Route {
+    ///     name: "r".into(), host: "h".into(), path_prefix: "/".into(), kind: RouteKind::Idempotent,
+    ///     timeout: None, target_latency: Duration::ZERO, priority: 0, attempts_max: 1, targets: Vec::new(),
+    /// };
+    /// assert!(!route.is_batch());
+    /// ```
+    pub fn is_batch(&self) -> bool {
+        matches!(self.kind, RouteKind::Batch { .. })
+    }
 }
 
 /// Properties of the engines of a service.
--- a/bamboo-fleet/src/former_routes.rs
+++ b/bamboo-fleet/src/former_routes.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use crate::FleetConfig;
-use crate::RouteKind;
 
 /// A batch route that a configuration had.
 #[derive(Debug)]
@@ -23,8 +22,7 @@
     /// Adds the batch routes of a configuration that is being replaced, and forgets those that were replaced more than `kept`
     /// ago. `now` is monotonic time.
     pub fn record_replaced(&mut self, config: &FleetConfig, now: Duration, kept: Duration) {
-        let is_batch = |kind: &RouteKind| matches!(kind, RouteKind::Batch { .. });
-        for route in config.routes.iter().filter(|route| is_batch(&route.kind)) {
+        for route in config.routes.iter().filter(|route| route.is_batch()) {
             self.routes.retain(|known| {
                 (&known.host, &known.path_prefix) != (&route.host, &route.path_prefix)
             });
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -93,19 +93,9 @@
     }
     let host = host_header(&request);
     let path = request.uri().path();
-    let job_call =
-        (gateway.dialect.parse_job_call)(request.method(), request.uri(), request.headers());
     // Jobs outlive their routes, so that only their shards know which ones there are.
-    let handler = job_call_handler(gateway, &config, &host, path);
-    if let Some(call) = job_call.filter(|_| handler != JobCallHandler::Route) {
-        if request.method() != Method::GET {
-            progress.begin_attempt();
-        }
-        let response = gateway.jobs.call(gateway, call).await;
-        let is_unknown = response.status() == StatusCode::NOT_FOUND;
-        if handler == JobCallHandler::Shards || !is_unknown {
-            return response;
-        }
+    if let Some(response) = answer_job_call(gateway, &config, &host, &request, progress).await {
+        return response;
     }
     let Some(route) = config.find_route(&host, path).cloned() else {
         if request.method() == Method::POST && gateway.former_routes.borrow().matches(&host, path) {
@@ -121,7 +111,7 @@
         Ok(body) => body,
         Err(response) => return response,
     };
-    if matches!(route.kind, RouteKind::Batch { .. }) {
+    if route.is_batch() {
         if head.method != Method::POST {
             return text_response(
                 StatusCode::METHOD_NOT_ALLOWED,
@@ -177,6 +167,28 @@
     }
 }
 
+/// Answers a call about a job. Returns `None` if the request is none, or if its route is to serve it.
+async fn answer_job_call(
+    gateway: &Rc<Gateway>,
+    config: &FleetConfig,
+    host: &str,
+    request: &Request<Incoming>,
+    progress: &RequestProgress,
+) -> Option<Response<ResponseBody>> {
+    let (method, target) = (request.method(), request.uri());
+    let call = (gateway.dialect.parse_job_call)(method, target, request.headers())?;
+    let handler = job_call_handler(gateway, config, host, target.path());
+    if handler == JobCallHandler::Route {
+        return None;
+    }
+    if method != Method::GET {
+        progress.begin_attempt();
+    }
+    let response = gateway.jobs.call(gateway, call).await;
+    let is_unknown = response.status() == StatusCode::NOT_FOUND;
+    (handler == JobCallHandler::Shards || !is_unknown).then_some(response)
+}
+
 /// Answers a submission on a batch route that the configuration does not have any more. A job that was accepted before is
 /// still accepted.
 async fn serve_former_route(
@@ -236,15 +248,14 @@
     host: &str,
     path: &str,
 ) -> JobCallHandler {
-    let is_batch = |route: &Route| matches!(route.kind, RouteKind::Batch { .. });
     let has_jobs = || {
         let mut routes = config.routes.iter();
-        routes.any(|route| route.host == host && is_batch(route))
+        routes.any(|route| route.host == host && route.is_batch())
             || gateway.former_routes.borrow().has_host(host)
     };
     match config.find_route(host, path) {
         None => JobCallHandler::Shards,
-        Some(route) if is_batch(route) => JobCallHandler::Shards,
+        Some(route) if route.is_batch() => JobCallHandler::Shards,
         Some(_) if has_jobs() => JobCallHandler::ShardsFirst,
         Some(_) => JobCallHandler::Route,
     }
--- a/bamboo-shards/src/item_run.rs
+++ b/bamboo-shards/src/item_run.rs
@@ -210,7 +210,7 @@
         self.origin = progress.origin;
         self.recorded_bytes = self.text.len();
         self.is_dirty = false;
-        if !is_text(&self.text) {
+        if !is_text(&progress.text) {
             self.restart();
         }
     }
--- a/bamboo-shards/src/record.rs
+++ b/bamboo-shards/src/record.rs
@@ -153,16 +153,19 @@
 /// assert_eq!(item_text_max_bytes(usize::MAX, "job", &origin), ITEM_TEXT_MAX_BYTES);
 /// ```
 pub fn item_text_max_bytes(record_max_bytes: usize, job: &str, origin: &StreamOrigin) -> usize {
-    let fields_bytes = ITEM_FIELDS_BYTES + job.len() + origin.service.len() + origin.version.len();
-    ITEM_TEXT_MAX_BYTES.min(record_max_bytes.saturating_sub(fields_bytes))
+    ITEM_TEXT_MAX_BYTES.min(record_max_bytes.saturating_sub(item_bytes(job, Some(origin))))
+}
+
+/// Upper bound of the encoded size of a result, or of an entry of progress, without its text.
+fn item_bytes(job: &str, origin: Option<&StreamOrigin>) -> usize {
+    let origin_bytes = origin.map_or(0, |origin| origin.service.len() + origin.version.len());
+    ITEM_FIELDS_BYTES + job.len() + origin_bytes
 }
 
 impl ItemProgress {
     /// Upper bound of the encoded size.
     fn encoded_max_bytes(&self) -> usize {
-        let origin = self.origin.as_ref();
-        let origin_bytes = origin.map_or(0, |origin| origin.service.len() + origin.version.len());
-        ITEM_FIELDS_BYTES + self.job.len() + self.text.len() + origin_bytes
+        item_bytes(&self.job, self.origin.as_ref()) + self.text.len()
     }
 }
 
