feat(gateway): a request that does not end whole leaves a line with its cause

The record of the incident has no line of the four requests that were cut. Three ways led to that: one budget of 60 lines a second for successes and failures, the reason for which no other server goes on was dropped, and the end of a caller's connection was logged at debug level, which is not written.

Lines about requests have five classes with a budget each. The line of a stream names the last event passed on and the time since a server was heard; 'not_resumed' names its reason; 'caller_connection_failed' names the cause; gateway_stream_ends_total counts how streams end.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -61,6 +61,8 @@
 use crate::mesh::ProtocolVersion;
 use crate::mesh::Tunnels;
 use crate::metrics::Metrics;
+use crate::request_log::LineClass;
+use crate::request_log::RequestLog;
 use crate::settings::Settings;
 use crate::slot_requests::SlotRequestTable;
 use crate::store::StoreClient;
@@ -90,8 +92,6 @@
 
 /// Part of the memory limit that the bodies of callers' requests may use, and that those of servers' responses may use.
 const BUFFER_BUDGET_PARTS: u64 = 4;
-/// Maximum number of log lines about requests per second.
-const REQUEST_LOG_LINES_PER_S: u32 = 60;
 
 /// Counts a request as open until dropped, which must not be before its response has been sent.
 pub(crate) struct OpenRequest(Rc<Gateway>);
@@ -126,14 +126,6 @@
     pub value: Vec<u8>,
 }
 
-/// Limits the number of log lines per second.
-#[derive(Debug, Default)]
-struct LogRateLimiter {
-    second: Cell<u64>,
-    written: Cell<u32>,
-    dropped: Cell<u32>,
-}
-
 /// State of the process. The process is single-threaded, so the fields are cells rather than locks.
 pub(crate) struct Gateway {
     pub(crate) settings: Settings,
@@ -188,7 +180,7 @@
     is_config_fetch_pending: Cell<bool>,
     config_fetches: mpsc::UnboundedSender<HostId>,
     open_requests: Cell<usize>,
-    request_log: LogRateLimiter,
+    request_log: RequestLog,
     deadline_histories: RefCell<HashMap<String, DeadlineHistory>>,
     /// How long requests took lately, by route.
     run_times: RefCell<HashMap<String, RunTimes>>,
@@ -263,7 +255,7 @@
             is_config_fetch_pending: Cell::new(false),
             config_fetches,
             open_requests: Cell::new(0),
-            request_log: LogRateLimiter::default(),
+            request_log: RequestLog::default(),
             deadline_histories: RefCell::default(),
             run_times: RefCell::default(),
             load_logged_at_s: Cell::new(0),
@@ -280,24 +272,9 @@
         self.open_requests.get()
     }
 
-    /// Whether another line about a request may be logged in this second. Suppressed lines are counted and reported
-    /// later.
-    pub(crate) fn may_log_request(&self) -> bool {
-        let limiter = &self.request_log;
-        let second = self.clock.now().as_secs();
-        if limiter.second.replace(second) != second {
-            let dropped = limiter.dropped.replace(0);
-            if dropped > 0 {
-                log::warn!(event = "lines_dropped", dropped; "the rate limit suppressed log lines about requests");
-            }
-            limiter.written.set(0);
-        }
-        if limiter.written.get() >= REQUEST_LOG_LINES_PER_S {
-            limiter.dropped.set(limiter.dropped.get() + 1);
-            return false;
-        }
-        limiter.written.set(limiter.written.get() + 1);
-        true
+    /// Whether another line of a class may be logged in this second.
+    pub(crate) fn may_log(&self, class: LineClass) -> bool {
+        self.request_log.may_write(class, self.clock.now())
     }
 
     /// Records the deadline that a caller sent for a request of a route. Returns an estimate of how long the caller has
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -28,6 +28,7 @@
 use crate::mesh::PeerRequest;
 use crate::mesh::ProtocolVersion;
 use crate::mesh::SlotRequestInfo;
+use crate::request_log::LineClass;
 use crate::slot_requests::SlotDecision;
 
 /// Time for this host's own watch to read a new configuration from the store before it is fetched from another host.
@@ -204,7 +205,7 @@
                 server,
                 outcome,
             } => {
-                if outcome.is_failure() && self.may_log_request() {
+                if outcome.is_failure() && self.may_log(LineClass::Other) {
                     log::info!(
                         event = "server_charged", host = sender.host.as_str(), server = server.as_deref(), outcome:?;
                         "a host reports that a run failed"
--- a/bamboo-gateway/src/gateway/servers.rs
+++ b/bamboo-gateway/src/gateway/servers.rs
@@ -10,6 +10,7 @@
 use crate::gateway::Gateway;
 use crate::mesh::PeerReply;
 use crate::mesh::PeerRequest;
+use crate::request_log::LineClass;
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
 
@@ -89,7 +90,7 @@
         };
         let caught_up = tokio::time::timeout(CATCH_UP_TIMEOUT, caught_up).await;
         let end = caught_up.ok().flatten();
-        if end.is_none() && self.may_log_request() {
+        if end.is_none() && self.may_log(LineClass::Other) {
             log::info!(
                 event = "servers_unconfirmed";
                 "cannot tell whether all servers are known: the store does not respond in time, or its entries arrive late"
--- a/bamboo-gateway/src/jobs/item_waits.rs
+++ b/bamboo-gateway/src/jobs/item_waits.rs
@@ -6,6 +6,7 @@
 use bamboo_shards::JobRecord;
 
 use crate::gateway::Gateway;
+use crate::request_log::LineClass;
 use crate::traffic::EngineRequest;
 
 /// Interval at which an item that waits checks whether it still needs what it waits for.
@@ -45,7 +46,7 @@
             Ok(output) => return output,
             Err(_) => gateway.clock.now().saturating_sub(started_at),
         };
-        if gateway.may_log_request() {
+        if gateway.may_log(LineClass::Other) {
             log::info!(
                 event = "item_waits", job = job.id.as_str(), item = request.id.as_str(), waits_for,
                 coordinator = gateway.coordination.borrow().coordinator().as_str(),
--- a/bamboo-gateway/src/lib.rs
+++ b/bamboo-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod mesh;
 mod metrics;
 mod net;
+mod request_log;
 mod response_body;
 mod run;
 mod settings;
--- a/bamboo-gateway/src/metrics.rs
+++ b/bamboo-gateway/src/metrics.rs
@@ -104,6 +104,8 @@
     pub slot_wait_s: Histogram,
     /// Runs at model engines that delivered no events, by outcome.
     pub runs: Family<KindLabel, Counter>,
+    /// Streams that began, by how they ended.
+    pub stream_ends: Family<KindLabel, Counter>,
     /// Streams that callers took up again, by outcome.
     pub take_ups: Family<KindLabel, Counter>,
     /// Events of batch items by kind.
@@ -137,6 +139,7 @@
             first_byte_s: latency(),
             slot_wait_s: latency(),
             runs: Family::default(),
+            stream_ends: Family::default(),
             take_ups: Family::default(),
             items: Family::default(),
             store: StoreMetrics::default(),
@@ -166,6 +169,11 @@
             metrics.slot_wait_s.clone(),
         );
         registry.register("runs", "Runs at servers by outcome", metrics.runs.clone());
+        registry.register(
+            "stream_ends",
+            "Streams that began, by how they ended",
+            metrics.stream_ends.clone(),
+        );
         registry.register(
             "take_ups",
             "Streams that callers took up again, by outcome",
@@ -232,6 +240,11 @@
         self.runs.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts the end of a stream that had begun.
+    pub(crate) fn count_stream_end(&self, kind: &'static str) {
+        self.stream_ends.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts a stream that a caller took up again.
     pub(crate) fn count_take_up(&self, kind: &'static str) {
         self.take_ups.get_or_create(&KindLabel { kind }).inc();
--- a/bamboo-gateway/src/traffic/accept.rs
+++ b/bamboo-gateway/src/traffic/accept.rs
@@ -2,10 +2,12 @@
 
 use std::cell::RefCell;
 use std::convert::Infallible;
+use std::error::Error;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -23,6 +25,7 @@
 use crate::gateway::Phase;
 use crate::net;
 use crate::net::ConnectionUse;
+use crate::request_log::LineClass;
 use crate::response_body::ResponseBody;
 use crate::traffic::response::text_response;
 use crate::traffic::serve::serve_request;
@@ -141,11 +144,15 @@
     // Counts from the first request on. In the closing phase, the connection ends once its response has been sent.
     let open = Rc::new(RefCell::new(None));
     let service_open = Rc::clone(&open);
+    let last_request = Rc::new(RefCell::new(None));
+    let service_last_request = Rc::clone(&last_request);
     let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Rc::clone(&service_gateway);
         service_open
             .borrow_mut()
             .get_or_insert_with(|| OpenRequest::begin(&gateway));
+        let id = request.headers().get(&gateway.dialect.headers.request_id);
+        service_last_request.replace(id.cloned());
         async move { Ok::<_, Infallible>(serve_request(gateway, caller_address, request).await) }
     });
     let mut connection = http1::Builder::new()
@@ -172,10 +179,22 @@
         }
     };
     if let Err(error) = ended {
-        log::debug!("connection of a caller failed: {error}");
+        log_failed_connection(&gateway, last_request.borrow().as_ref(), &error);
     }
 }
 
+/// Logs why the connection of a caller failed. Tells a caller that left from a connection that this host gave up.
+fn log_failed_connection(gateway: &Gateway, request: Option<&HeaderValue>, error: &hyper::Error) {
+    if !gateway.may_log(LineClass::CallerLeft) {
+        return;
+    }
+    let cause = error.source().map(ToString::to_string);
+    log::info!(
+        event = "caller_connection_failed", request = request.and_then(|id| id.to_str().ok()), cause = cause.as_deref();
+        "connection of a caller failed: {error}"
+    );
+}
+
 /// Responds with status 408 to a request whose headers did not arrive in time, and closes the connection.
 async fn reject_late_headers(mut stream: TcpStream) {
     const REQUEST_TIMEOUT_RESPONSE: &[u8] =
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -38,6 +38,7 @@
 use crate::traffic::run_trial::TrialRequest;
 use crate::traffic::serve::COMPLETE;
 use crate::traffic::serve::RequestRecorder;
+use crate::traffic::serve::SERVER_FAILURE;
 use crate::traffic::serve::STOPPING;
 
 /// Maximum size of a response of a plain service in bytes.
@@ -203,7 +204,7 @@
                 let outcome = if head.status.is_success() {
                     COMPLETE
                 } else {
-                    "server_failure"
+                    SERVER_FAILURE
                 };
                 return recorder.finish(response, outcome);
             }
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -1,5 +1,6 @@
 //! Reads a caller's request, matches its route and dispatches it.
 
+use std::cell::Cell;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::Phase;
 use crate::metrics::RequestLabels;
+use crate::request_log::LineClass;
 use crate::response_body::ResponseBody;
 use crate::traffic::buffered_body::BodyError;
 use crate::traffic::buffered_body::read_whole_body;
@@ -51,6 +53,10 @@
 pub(crate) const STOPPED: &str = "stopped";
 /// Outcome in the log of a request whose response is complete.
 pub(crate) const COMPLETE: &str = "complete";
+/// Outcome in the log of a request that ends with a server's own status, which is no success.
+pub(crate) const SERVER_FAILURE: &str = "server_failure";
+/// Outcome in the log of a request whose caller has disconnected.
+pub(crate) const CALLER_LEFT: &str = "caller_left";
 
 /// Serves one request of a caller. A host that stops ends the connection with the response, so that its caller goes to
 /// another host.
@@ -307,6 +313,32 @@
     }
 }
 
+/// What the caller of a stream has got so far.
+#[derive(Debug, Default)]
+pub(crate) struct StreamProgress {
+    /// Identifier of the last event that was passed on.
+    pub(crate) last_event: Cell<Option<u64>>,
+    /// When the last event arrived from a server.
+    pub(crate) heard_at: Cell<Option<Duration>>,
+}
+
+impl StreamProgress {
+    /// Whether the caller has got an event.
+    fn has_begun(&self) -> bool {
+        self.heard_at.get().is_some()
+    }
+}
+
+/// Class of the line that a request leaves.
+fn line_class(status: StatusCode, outcome: &str) -> LineClass {
+    match outcome {
+        COMPLETE | SERVER_FAILURE => LineClass::Served,
+        CALLER_LEFT => LineClass::CallerLeft,
+        _ if status == StatusCode::SERVICE_UNAVAILABLE => LineClass::Refused,
+        _ => LineClass::Failed,
+    }
+}
+
 /// Records the metrics of a request and logs it when it ends. If dropped unrecorded, the caller has disconnected, or this host
 /// has ended the request because it exits.
 pub(crate) struct RequestRecorder {
@@ -322,8 +354,10 @@
     pub(crate) attempts: u32,
     /// Server that responded.
     pub(crate) server: String,
-    /// Why the request was rejected; empty if it was not.
+    /// Why the request was rejected, or why its stream does not go on; empty otherwise.
     pub(crate) reason: &'static str,
+    /// What the caller has got of a stream.
+    pub(crate) stream: Rc<StreamProgress>,
     is_recorded: bool,
 }
 
@@ -340,6 +374,7 @@
             attempts: 0,
             server: String::new(),
             reason: "",
+            stream: Rc::default(),
             is_recorded: false,
         }
     }
@@ -379,7 +414,10 @@
             self.gateway.record_run_time(&self.route, run_time);
         }
         let first_byte_ms = self.first_byte.map(|time| time.as_millis() as u64);
-        if !self.gateway.may_log_request() {
+        if first_byte_ms.is_some() && self.stream.has_begun() {
+            self.gateway.metrics.count_stream_end(outcome);
+        }
+        if !self.gateway.may_log(line_class(status, outcome)) {
             return;
         }
         log::info!(
@@ -387,6 +425,8 @@
             outcome, reason = self.reason, attempts = self.attempts, server = self.server.as_str(),
             waited_ms = self.waited.as_millis() as u64, first_byte_ms,
             total_ms = now.saturating_sub(self.arrived_at).as_millis() as u64,
+            last_event = self.stream.last_event.get(),
+            silent_ms = self.stream.heard_at.get().map(|at| now.saturating_sub(at).as_millis() as u64),
             config_version = self.gateway.config_version(); "request ended"
         );
     }
@@ -399,7 +439,7 @@
         }
         match self.gateway.is_ending() {
             true => self.record(StatusCode::GATEWAY_TIMEOUT, STOPPED),
-            false => self.record(StatusCode::OK, "caller_left"),
+            false => self.record(StatusCode::OK, CALLER_LEFT),
         }
     }
 }
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -35,10 +35,13 @@
 use crate::traffic::response::not_run;
 use crate::traffic::response::run_outcome;
 use crate::traffic::response::text_response;
+use crate::traffic::serve::CALLER_LEFT;
 use crate::traffic::serve::COMPLETE;
 use crate::traffic::serve::RequestRecorder;
+use crate::traffic::serve::SERVER_FAILURE;
 use crate::traffic::serve::STOPPED;
 use crate::traffic::serve::STOPPING;
+use crate::traffic::serve::StreamProgress;
 use crate::traffic::take_up::TakeUp;
 use crate::traffic::take_up::find_take_up;
 
@@ -61,8 +64,12 @@
     stream: EngineStream,
 }
 
+/// Reason in the log of a request that too many servers rejected.
+const SERVERS_REFUSE: &str = "servers_refuse";
 /// Reason in the log of a request that is rejected because no server of its version is left.
 const VERSION_GONE: &str = "version_gone";
+/// Outcome in the log of a stream that no other server goes on with.
+const NOT_RESUMED: &str = "not_resumed";
 /// Reason in the log of a request that is rejected because it is not known where its stream began.
 const ORIGIN_UNKNOWN: &str = "origin_unknown";
 
@@ -78,6 +85,8 @@
     version: Option<SoftwareVersion>,
     /// When the first one began.
     began_at: Option<Duration>,
+    /// What the caller has got.
+    progress: Rc<StreamProgress>,
 }
 
 /// Why no run delivers events.
@@ -88,17 +97,30 @@
     Refused(Duration, &'static str),
     /// Nothing ran, since the request crashes servers.
     Rejected(Rejection),
-    /// The request may have run.
-    Unknown,
+    /// The request may have run: why it is not sent again, for the log.
+    Unknown(&'static str),
     /// The deadline has passed.
     TimedOut,
 }
 
+impl RunError {
+    /// The error for the log.
+    fn reason(&self) -> &'static str {
+        match self {
+            RunError::Answered(_) => "server_failure",
+            RunError::Refused(_, reason) | RunError::Unknown(reason) => reason,
+            RunError::Rejected(rejection) => rejection.reason,
+            RunError::TimedOut => "timed_out",
+        }
+    }
+}
+
 /// Serves a streaming request.
 pub(crate) async fn serve_stream(
     gateway: Rc<Gateway>,
     mut request: CallerRequest,
 ) -> Response<ResponseBody> {
+    let mut recorder = RequestRecorder::begin(&gateway, &request);
     let mut attempts = Attempts {
         count: 0,
         refusals: 0,
@@ -107,8 +129,8 @@
         stream: request.id.clone(),
         version: None,
         began_at: None,
+        progress: Rc::clone(&recorder.stream),
     };
-    let mut recorder = RequestRecorder::begin(&gateway, &request);
     let take_up = match is_resumable(&request) {
         true => find_take_up(&gateway, &request).await,
         false => TakeUp::NewStream,
@@ -157,7 +179,7 @@
     recorder.run_began_at = attempts.began_at;
     let run = match started {
         Ok(run) => run,
-        Err(RunError::Answered(response)) => return recorder.finish(response, "server_failure"),
+        Err(RunError::Answered(response)) => return recorder.finish(response, SERVER_FAILURE),
         Err(RunError::Refused(retry_after, reason)) => {
             let text = match reason {
                 VERSION_GONE => {
@@ -186,7 +208,8 @@
                 "timed_out",
             );
         }
-        Err(RunError::Unknown) => {
+        Err(RunError::Unknown(reason)) => {
+            recorder.reason = reason;
             return recorder.finish(
                 text_response(StatusCode::BAD_GATEWAY, "no answer of the server\n"),
                 "unknown",
@@ -221,11 +244,16 @@
                 run.stream.finish(&gateway);
                 recorder.record(StatusCode::OK, COMPLETE);
             }
-            ForwardEnd::CallerDisconnected => recorder.record(StatusCode::OK, "caller_left"),
-            ForwardEnd::Broken(reason) => {
+            ForwardEnd::CallerDisconnected => recorder.record(StatusCode::OK, CALLER_LEFT),
+            ForwardEnd::Broken(outcome) => {
                 // The error aborts the caller's connection: a truncated response must not look complete.
-                chunks.abort(reason).await;
-                recorder.record(StatusCode::OK, reason);
+                chunks.abort(outcome).await;
+                recorder.record(StatusCode::OK, outcome);
+            }
+            ForwardEnd::NotResumed(reason) => {
+                recorder.reason = reason;
+                chunks.abort(NOT_RESUMED).await;
+                recorder.record(StatusCode::OK, NOT_RESUMED);
             }
         }
     });
@@ -269,7 +297,7 @@
             .unwrap_or(Duration::MAX);
         if now >= until {
             return Err(match attempts.may_have_run {
-                true => RunError::Unknown,
+                true => RunError::Unknown(STOPPING),
                 false => RunError::Refused(STOPPING_RETRY_AFTER, STOPPING),
             });
         }
@@ -281,23 +309,7 @@
         let acquired = acquire_slot(gateway, &request.service, work, excluded, version).await;
         let slot = match acquired {
             Ok(slot) => slot,
-            Err(_) if attempts.may_have_run => return Err(RunError::Unknown),
-            Err(SlotError::Refused(retry_after)) => {
-                return Err(RunError::Refused(retry_after, "coordinator_full"));
-            }
-            Err(SlotError::TimedOut) => {
-                return Err(RunError::Refused(
-                    GRANT_TIMEOUT_RETRY_AFTER,
-                    "not_dealt_in_time",
-                ));
-            }
-            Err(SlotError::NoServer) => {
-                let reason = match attempts.version {
-                    Some(_) => VERSION_GONE,
-                    None => "no_server",
-                };
-                return Err(RunError::Refused(NO_SERVER_RETRY_AFTER, reason));
-            }
+            Err(error) => return Err(slot_error(error, attempts)),
         };
         if let Some(error) = quarantine_error(gateway, suspects, attempts) {
             return Err(error);
@@ -346,8 +358,8 @@
                 attempts.refusals += 1;
                 if attempts.refusals >= REFUSALS_MAX {
                     return Err(match attempts.may_have_run {
-                        true => RunError::Unknown,
-                        false => RunError::Refused(NO_SERVER_RETRY_AFTER, "servers_refuse"),
+                        true => RunError::Unknown(SERVERS_REFUSE),
+                        false => RunError::Refused(NO_SERVER_RETRY_AFTER, SERVERS_REFUSE),
                     });
                 }
             }
@@ -366,7 +378,7 @@
                     return Err(if is_past_deadline {
                         RunError::TimedOut
                     } else {
-                        RunError::Unknown
+                        RunError::Unknown("attempts_failed")
                     });
                 }
                 gateway.wait_for_verdicts(request.deadline).await;
@@ -387,6 +399,20 @@
     }
 }
 
+/// Why a request gets no slot.
+fn slot_error(error: SlotError, attempts: &Attempts) -> RunError {
+    let (retry_after, reason) = match error {
+        SlotError::Refused(retry_after) => (retry_after, "coordinator_full"),
+        SlotError::TimedOut => (GRANT_TIMEOUT_RETRY_AFTER, "not_dealt_in_time"),
+        SlotError::NoServer if attempts.version.is_some() => (NO_SERVER_RETRY_AFTER, VERSION_GONE),
+        SlotError::NoServer => (NO_SERVER_RETRY_AFTER, "no_server"),
+    };
+    match attempts.may_have_run {
+        true => RunError::Unknown(reason),
+        false => RunError::Refused(retry_after, reason),
+    }
+}
+
 /// Why a request must not be sent, if it crashes servers. It is to be retried after the quarantine, unless it may have run.
 fn quarantine_error(
     gateway: &Gateway,
@@ -395,7 +421,7 @@
 ) -> Option<RunError> {
     let rejection = gateway.rejection(suspects)?;
     Some(match attempts.may_have_run {
-        true => RunError::Unknown,
+        true => RunError::Unknown(rejection.reason),
         false => RunError::Rejected(rejection),
     })
 }
@@ -412,6 +438,8 @@
     Complete(Box<Run>),
     CallerDisconnected,
     Broken(&'static str),
+    /// No other server goes on with the stream, for this reason.
+    NotResumed(&'static str),
 }
 
 /// Forwards events to the caller, and resumes a resumable stream at another server if its own fails.
@@ -469,8 +497,12 @@
                     attempts.version = Some(version.clone());
                     gateway.record_stream(&attempts.stream, &StreamOrigin { service, version });
                 }
+                attempts.progress.heard_at.set(Some(gateway.clock.now()));
                 match chunks.push(event.raw).await {
-                    Ok(()) => continue,
+                    Ok(()) => {
+                        attempts.progress.last_event.set(order.last_id());
+                        continue;
+                    }
                     Err(QueueError::CallerDisconnected) => return ForwardEnd::CallerDisconnected,
                     Err(QueueError::BudgetExhausted) => {
                         log::warn!(
@@ -517,8 +549,8 @@
                 order.resume();
                 run = started;
             }
-            Ok(_) => return ForwardEnd::Broken("not_resumed"),
-            Err(_) => return ForwardEnd::Broken("not_resumed"),
+            Ok(_) => return ForwardEnd::NotResumed("other_status"),
+            Err(error) => return ForwardEnd::NotResumed(error.reason()),
         }
     }
 }
