fix(gateway): a stream leaves a slow server if another one is there soon

A stream at a server that is slow throughout stayed there until its deadline. Now it waits for the newer run for the time that a first event may take. Idle connections that end by their timeout leave no line.

--- a/bamboo-gateway/src/traffic/accept.rs
+++ b/bamboo-gateway/src/traffic/accept.rs
@@ -185,7 +185,8 @@
 
 /// Logs why the connection of a caller failed. Tells a caller that left from a connection that this host gave up.
 fn log_failed_connection(gateway: &Gateway, request: Option<&HeaderValue>, error: &hyper::Error) {
-    if !gateway.may_log(LineClass::CallerLeft) {
+    // The header timeout ends idle connections.
+    if error.is_timeout() || !gateway.may_log(LineClass::CallerLeft) {
         return;
     }
     let cause = error.source().map(ToString::to_string);
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -222,14 +222,13 @@
         return ForwardEnd::Broken("not_streaming");
     };
     let mut order = EventOrder::new(first_id);
-    let mut gap_timeout = EVENT_GAP_TIMEOUT;
     let status = run.stream.head.status;
     let mut ending = std::pin::pin!(gateway.wait_for_phase(Phase::Ending));
     loop {
         let may_resume =
             is_resumable && attempts.count < request.route.attempts_max && order.can_resume();
         let idle_timeout = match may_resume {
-            true => gap_timeout,
+            true => EVENT_GAP_TIMEOUT,
             false => Duration::MAX,
         };
         let next = tokio::select! {
@@ -310,14 +309,12 @@
             Ok(started) => started,
             Err(error) => return ForwardEnd::NotResumed(error.reason()),
         };
-        if started.is_silent_one {
-            // The server is slow rather than gone.
-            gap_timeout *= 2;
-        } else if started.run.stream.head.status == status {
+        if !started.is_silent_one {
+            if started.run.stream.head.status != status {
+                return ForwardEnd::NotResumed("other_status");
+            }
             log_resumption(request, &started.run, order.last_id());
             order.resume();
-        } else {
-            return ForwardEnd::NotResumed("other_status");
         }
         run = started.run;
     }
--- a/bamboo-gateway/src/traffic/stream_runs.rs
+++ b/bamboo-gateway/src/traffic/stream_runs.rs
@@ -185,6 +185,7 @@
         search: None,
         search_at: None,
         search_pause: EVENT_GAP_TIMEOUT,
+        spoken: None,
         answer: None,
     };
     if let Some(run) = silent {
@@ -225,6 +226,8 @@
     SearchDue,
     /// Two servers have worked on the request for as long as they may.
     OverlapOver,
+    /// The newest run has not delivered an event in time, and the silent one has.
+    SpokenDue,
 }
 
 /// How waiting for the first event of a run ended.
@@ -251,6 +254,8 @@
     search: Option<LocalBoxFuture<'a, Result<Slot, RunError>>>,
     search_at: Option<Duration>,
     search_pause: Duration,
+    /// The silent run once it speaks again, while a newer one may still deliver an event in time.
+    spoken: Option<Box<Run>>,
     /// Error response of a server, for the caller if no run delivers events.
     answer: Option<(Box<response::Parts>, Bytes)>,
 }
@@ -283,8 +288,21 @@
             && attempts.refusals < REFUSALS_MAX
     }
 
+    /// Goes on with the silent run, if it speaks again.
+    fn go_on_with_spoken(&mut self) -> Option<Step> {
+        let run = self.spoken.take()?;
+        let is_silent_one = true;
+        Some(Step::End(Box::new(Ok(Started { run, is_silent_one }))))
+    }
+
     /// Looks for another server, or ends without a run if there is nothing to wait for.
     fn search_or_end(&mut self) -> Step {
+        if self.spoken.is_some() {
+            return match self.open.is_empty() {
+                true => self.go_on_with_spoken().unwrap_or(Step::Wait),
+                false => Step::Wait,
+            };
+        }
         if self.search.is_some() {
             return Step::Wait;
         }
@@ -318,6 +336,7 @@
         let clock = &self.request.gateway.clock;
         let newest = self.open.last().map(|run| Rc::clone(&run.notice));
         let overlap_over_at = self.overlap_over_at();
+        let spoken_due_at = self.spoken_due_at();
         let search_at = self.search_at;
         let (open, search) = (&mut self.open, &mut self.search);
         let at = |time: Duration| tokio::time::sleep_until(clock.instant(time));
@@ -328,6 +347,7 @@
             found = or_pending(search.as_mut()) => RunEvent::Found(found),
             () = or_pending(newest.map(noticed)) => RunEvent::Silent,
             () = or_pending(overlap_over_at.map(at)) => RunEvent::OverlapOver,
+            () = or_pending(spoken_due_at.map(at)) => RunEvent::SpokenDue,
             () = or_pending(search_at.map(at)) => RunEvent::SearchDue,
         }
     }
@@ -338,6 +358,14 @@
         Some(newer.sent_at? + OVERLAP_MAX)
     }
 
+    /// When the silent run that speaks again is preferred to the newest one. That server is slow: another one is better for the
+    /// rest of the stream, if it is there soon.
+    fn spoken_due_at(&self) -> Option<Duration> {
+        self.spoken.as_ref()?;
+        let newest = self.open.last()?;
+        Some(newest.sent_at? + FIRST_EVENT_TIMEOUT)
+    }
+
     fn handle(&mut self, event: RunEvent) -> Step {
         match event {
             RunEvent::Ended(index, end) => self.run_ended(index, end),
@@ -361,6 +389,7 @@
                 self.end_oldest();
                 Step::Wait
             }
+            RunEvent::SpokenDue => self.go_on_with_spoken().unwrap_or(Step::Wait),
         }
     }
 
@@ -428,7 +457,14 @@
             RunEnd::Failed(failure) => return self.run_failed(&ended, failure),
         };
         let is_silent_one = ended.sent_at.is_none();
-        if !is_silent_one && !self.open.is_empty() && !self.goes_on(&run.stream) {
+        if is_silent_one && !self.open.is_empty() {
+            self.search = None;
+            self.search_at = None;
+            self.spoken = Some(run);
+            return Step::Wait;
+        }
+        let has_other = !self.open.is_empty() || self.spoken.is_some();
+        if !is_silent_one && has_other && !self.goes_on(&run.stream) {
             return self.run_failed(&ended, OpenError::Failed(RunOutcome::Broken));
         }
         Step::End(Box::new(Ok(Started { run, is_silent_one })))
@@ -454,7 +490,8 @@
                 run.slot.set_outcome(outcome);
                 self.attempts.count -= 1;
                 self.attempts.refusals += 1;
-                if self.attempts.refusals >= REFUSALS_MAX && self.open.is_empty() {
+                let is_alone = self.open.is_empty() && self.spoken.is_none();
+                if self.attempts.refusals >= REFUSALS_MAX && is_alone {
                     return Step::fail(self.last_error(SERVERS_REFUSE));
                 }
             }
