--- a/bamboo-gateway/src/metrics.rs
+++ b/bamboo-gateway/src/metrics.rs
@@ -128,6 +128,8 @@
     pub quarantined_parts: Gauge,
     /// Version of the configuration in force.
     pub config_version: Gauge,
+    /// Lines of the log that were dropped because its output was not read in time.
+    pub log_lines_dropped: Gauge,
 }
 
 impl Default for Metrics {
@@ -151,6 +153,7 @@
             partitions: Gauge::default(),
             quarantined_parts: Gauge::default(),
             config_version: Gauge::default(),
+            log_lines_dropped: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register(
@@ -230,6 +233,11 @@
             "Version of the configuration in force",
             metrics.config_version.clone(),
         );
+        registry.register(
+            "log_lines_dropped",
+            "Lines of the log that were dropped because its output was not read in time",
+            metrics.log_lines_dropped.clone(),
+        );
         metrics
     }
 }
--- a/bamboo-gateway/src/traffic/accept.rs
+++ b/bamboo-gateway/src/traffic/accept.rs
@@ -65,6 +65,8 @@
         let metrics = &gateway.metrics;
         metrics.store_calls.set(calls as i64);
         metrics.store_failures.set(failures as i64);
+        let dropped = bamboo_diagnostics::dropped_lines();
+        metrics.log_lines_dropped.set(dropped as i64);
         metrics
             .partitions
             .set(gateway.jobs.owned_partitions().len() as i64);
--- a/bambood/src/main.rs
+++ b/bambood/src/main.rs
@@ -2,14 +2,13 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use anyhow::Context;
 use bamboo_config::Settings;
 use bamboo_config::parse_settings;
-use logforth::layout::JsonLayout;
-use logforth::layout::TextLayout;
-use logforth::record::Level;
-use logforth::record::LevelFilter;
+use bamboo_diagnostics::Layout;
+use bamboo_diagnostics::Output;
 use pico_args::Arguments;
 
 const HELP: &str = "\
@@ -24,6 +23,9 @@
 SIGTERM or SIGINT starts a graceful shutdown.
 ";
 
+/// Time for the last lines of the log before the process exits.
+const LAST_LINES_TIMEOUT: Duration = Duration::from_millis(200);
+
 fn main() -> anyhow::Result<ExitCode> {
     let mut arguments = Arguments::from_env();
     if arguments.contains(["-h", "--help"]) {
@@ -49,7 +51,9 @@
         return Ok(ExitCode::from(2));
     };
     start_logging(settings.is_log_json);
-    actix_rt::System::new().block_on(bamboo_node::run(settings))?;
+    let ended = actix_rt::System::new().block_on(bamboo_node::run(settings));
+    bamboo_diagnostics::wait_until_written(LAST_LINES_TIMEOUT);
+    ended?;
     Ok(ExitCode::SUCCESS)
 }
 
@@ -69,9 +73,11 @@
 }
 
 fn start_logging(is_json: bool) {
-    let starter = logforth::starter_log::stderr().filter(LevelFilter::MoreSevereEqual(Level::Info));
-    match is_json {
-        true => starter.layout(JsonLayout::default()).apply(),
-        false => starter.layout(TextLayout::default().no_color()).apply(),
-    }
+    bamboo_diagnostics::start(bamboo_diagnostics::Options {
+        output: Output::Stderr,
+        layout: match is_json {
+            true => Layout::Json,
+            false => Layout::Text,
+        },
+    });
 }
