--- a/bamboo-gateway/src/gateway/server_connections.rs
+++ b/bamboo-gateway/src/gateway/server_connections.rs
@@ -158,7 +158,7 @@
     async fn try_path(&self, server: &Server, path: ServerPath, timeout: Duration) -> StepEnd {
         match path {
             ServerPath::Direct => {
-                match net::connect(server.address, timeout, ConnectionUse::Requests).await {
+                match net::connect(server.address, timeout, ConnectionUse::Servers).await {
                     Ok(stream) => StepEnd::Connected(Either::Left(stream)),
                     Err(error) => {
                         log::debug!("cannot connect to server {}: {error:#}", server.id);
@@ -315,12 +315,8 @@
 
     /// Whether a direct connection to a server is established soon.
     async fn is_reached(&self, server: &Server) -> bool {
-        let connected = net::connect(
-            server.address,
-            OTHER_SERVER_TIMEOUT,
-            ConnectionUse::Requests,
-        )
-        .await;
+        let connected =
+            net::connect(server.address, OTHER_SERVER_TIMEOUT, ConnectionUse::Servers).await;
         match &connected {
             Ok(_) => self.record_direct_connection(server),
             Err(error) => {
@@ -386,7 +382,7 @@
             };
             let gateway = Rc::clone(&self);
             actix_rt::spawn(async move {
-                match net::connect(server.address, PROBE_TIMEOUT, ConnectionUse::Requests).await {
+                match net::connect(server.address, PROBE_TIMEOUT, ConnectionUse::Servers).await {
                     Ok(_) => gateway.record_direct_connection(&server),
                     Err(error) => {
                         log::debug!("server {} is not reached directly: {error:#}", server.id)
--- a/bamboo-gateway/src/mesh/tunnel.rs
+++ b/bamboo-gateway/src/mesh/tunnel.rs
@@ -114,7 +114,7 @@
             return Ok(connection.sender.clone());
         }
         let address = host.parse().context("invalid address of a host")?;
-        let stream = net::connect(address, HOST_TIMEOUT, ConnectionUse::Requests).await?;
+        let stream = net::connect(address, HOST_TIMEOUT, ConnectionUse::Servers).await?;
         let (sender, connection) = h2::client::Builder::new()
             .initial_window_size(WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
@@ -172,7 +172,7 @@
     let _open = OpenRequest::begin(&gateway);
     // A tunnel goes directly to the server, so that tunnels do not form a chain.
     let mut stream =
-        match net::connect(server.address, SERVER_TIMEOUT, ConnectionUse::Requests).await {
+        match net::connect(server.address, SERVER_TIMEOUT, ConnectionUse::Servers).await {
             Ok(stream) => stream,
             Err(error) => {
                 log::debug!(
--- a/bamboo-gateway/src/net.rs
+++ b/bamboo-gateway/src/net.rs
@@ -11,9 +11,12 @@
 /// Time without a sign of a host or the store after which a connection to it is closed. A network partition shows no other
 /// sign, and what was sent is sent again.
 const HOST_SILENCE_MAX: Duration = Duration::from_millis(1500);
-/// The same for servers and callers. A sound one may fall silent for a second or so, and a request that may run once is
-/// lost with its connection; the timers of a request notice a cut sooner.
-const REQUEST_SILENCE_MAX: Duration = Duration::from_secs(5);
+/// The same for servers. A sound one may fall silent for a second or so, and a request that may run once is lost with its
+/// connection; the timers of a request notice a cut sooner.
+const SERVER_SILENCE_MAX: Duration = Duration::from_secs(5);
+/// The same for callers. The kernel also counts the time in which a caller reads nothing, although it answers each probe; a
+/// stream ends by its deadline.
+const CALLER_SILENCE_MAX: Duration = Duration::from_secs(30);
 /// Idle time before the first TCP keepalive probe.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
 /// Interval between TCP keepalive probes.
@@ -24,8 +27,10 @@
 pub(crate) enum ConnectionUse {
     /// Messages between hosts, and calls to the store.
     Messages,
-    /// Requests: from callers, and to servers, also through other hosts.
-    Requests,
+    /// Requests to servers, also through other hosts.
+    Servers,
+    /// Requests of callers.
+    Callers,
 }
 
 /// Connects within `timeout`.
@@ -53,7 +58,8 @@
 pub(crate) fn set_options(stream: &TcpStream, usage: ConnectionUse) -> std::io::Result<()> {
     let silence_max = match usage {
         ConnectionUse::Messages => HOST_SILENCE_MAX,
-        ConnectionUse::Requests => REQUEST_SILENCE_MAX,
+        ConnectionUse::Servers => SERVER_SILENCE_MAX,
+        ConnectionUse::Callers => CALLER_SILENCE_MAX,
     };
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/bamboo-gateway/src/traffic/accept.rs
+++ b/bamboo-gateway/src/traffic/accept.rs
@@ -83,7 +83,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if let Err(error) = net::set_options(&stream, ConnectionUse::Requests) {
+                if let Err(error) = net::set_options(&stream, ConnectionUse::Callers) {
                     log::debug!("connection closed before it was served: {error}");
                     continue;
                 }
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -260,13 +260,18 @@
                     gateway.record_stream(&attempts.stream, &StreamOrigin { service, version });
                 }
                 attempts.progress.heard_at.set(Some(gateway.clock.now()));
-                match chunks.push(event.raw).await {
-                    Ok(()) => {
+                let deadline = gateway.clock.instant(request.deadline);
+                match tokio::time::timeout_at(deadline, chunks.push(event.raw)).await {
+                    Ok(Ok(())) => {
                         attempts.progress.last_event.set(order.last_id());
                         continue;
                     }
-                    Err(QueueError::CallerDisconnected) => return ForwardEnd::CallerDisconnected,
-                    Err(QueueError::BudgetExhausted) => {
+                    // The caller reads nothing.
+                    Err(_) => return ForwardEnd::Broken("timed_out"),
+                    Ok(Err(QueueError::CallerDisconnected)) => {
+                        return ForwardEnd::CallerDisconnected;
+                    }
+                    Ok(Err(QueueError::BudgetExhausted)) => {
                         log::warn!(
                             event = "buffers_full", request = request.id.as_str(), server = run.slot.server.id.as_str();
                             "broke off a stream of large events because servers' responses use up their memory"
