fix(jobs): an item is done although all servers take long for its first event (LOST)

An accepted item was never done, and became a dead letter at the end of its retention, if every server of its service took more than 800 ms for the first event: each attempt was given up after that time, with nothing to go on from.

The time doubles with each silent attempt in a row that brought no event, up to 25.6 s. Gaps between events keep their 500 ms: an attempt that has brought events is resumed after them.

an_item_is_done_although_all_servers_begin_late fails before with pauses of 1.5 and 3 s (not done after 30 s) and passes in 6 s. Ruled out: items that hold their silent run as streams do. They have no caller who waits, and a run that is given up frees its slot.

--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -50,8 +50,11 @@
 use crate::traffic::run_outcome;
 use crate::traffic::shared_part_suspects;
 
-/// Timeout from sending an item to its first event, after which it is retried on another server.
+/// Timeout from sending an item to its first event, after which it is retried on another server. Doubles with each silent attempt in
+/// a row: all servers may be slower than that.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Number of times that it doubles.
+const TIMEOUT_DOUBLINGS_MAX: u32 = 5;
 /// Timeout between two events, after which an item is resumed on another server.
 const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after an attempt that ran at no server.
@@ -242,6 +245,7 @@
     let request = engine_request(gateway, job, item);
     let mut route_missing_since = None;
     let mut fruitless_attempts = 0;
+    let mut silent_in_a_row = 0;
     let mut broken_in_a_row = 0;
     loop {
         let origin = run.borrow().origin().cloned();
@@ -318,9 +322,12 @@
         let (started_at, events_before) = (gateway.clock.now(), run.borrow().event_count());
         let retention_left =
             Duration::from_millis(job.retention_ms).saturating_sub(age.minimum(started_at));
-        let deadline = started_at + retention_left;
-        let (end, outcome) =
-            run_attempt(gateway, shard, job, &slot, &request, &run, deadline).await;
+        let doublings = TIMEOUT_DOUBLINGS_MAX.min(silent_in_a_row);
+        let limits = AttemptLimits {
+            first_event_timeout: FIRST_EVENT_TIMEOUT * 2_u32.pow(doublings),
+            deadline: started_at + retention_left,
+        };
+        let (end, outcome) = run_attempt(gateway, shard, job, &slot, &request, &run, limits).await;
         slot.set_outcome(outcome);
         drop(slot);
         if !matches!(outcome, RunOutcome::Done | RunOutcome::Cancelled) {
@@ -343,6 +350,11 @@
             _ if is_fruitless => broken_in_a_row,
             _ => 0,
         };
+        silent_in_a_row = match outcome {
+            RunOutcome::Silent if is_fruitless => silent_in_a_row + 1,
+            _ if is_fruitless => silent_in_a_row,
+            _ => 0,
+        };
         fruitless_attempts = match outcome {
             RunOutcome::Done => 0,
             RunOutcome::Cancelled | RunOutcome::Full => fruitless_attempts,
@@ -496,6 +508,13 @@
     }
 }
 
+/// How long an attempt at an item may take.
+#[derive(Debug, Clone, Copy)]
+struct AttemptLimits {
+    first_event_timeout: Duration,
+    deadline: Duration,
+}
+
 /// Runs one attempt at an item until it completes, fails or is preempted, its job is cancelled or removed, or the deadline
 /// passes.
 async fn run_attempt(
@@ -505,7 +524,7 @@
     slot: &Slot,
     request: &EngineRequest,
     run: &SharedRun,
-    deadline: Duration,
+    limits: AttemptLimits,
 ) -> (AttemptEnd, RunOutcome) {
     let job_ended = async {
         loop {
@@ -520,7 +539,7 @@
         biased;
         () = slot.preempted.notified() => (AttemptEnd::Interrupted, RunOutcome::Cancelled),
         () = job_ended => (AttemptEnd::Interrupted, RunOutcome::Cancelled),
-        ended = read_events(gateway, &job.id, slot, request, run, deadline) => ended,
+        ended = read_events(gateway, &job.id, slot, request, run, limits) => ended,
     }
 }
 
@@ -530,7 +549,7 @@
     slot: &Slot,
     request: &EngineRequest,
     run: &SharedRun,
-    deadline: Duration,
+    limits: AttemptLimits,
 ) -> (AttemptEnd, RunOutcome) {
     let last_event = run.borrow().last_event_id();
     let opened = open_stream(
@@ -540,7 +559,7 @@
         last_event,
         None,
         Patience {
-            timeout: FIRST_EVENT_TIMEOUT,
+            timeout: limits.first_event_timeout,
             notice: None,
         },
     )
@@ -569,9 +588,9 @@
     let events_before = run.borrow().event_count();
     let mut order = EventOrder::new(last_event);
     order.resume();
-    let mut timeout = FIRST_EVENT_TIMEOUT;
+    let mut timeout = limits.first_event_timeout;
     loop {
-        match stream.next(gateway, timeout, deadline).await {
+        match stream.next(gateway, timeout, limits.deadline).await {
             StreamRead::Event(event) => {
                 let data = event.data();
                 if data.is_some() {
