--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -44,7 +44,7 @@
 use crate::task::run_despite_panics;
 use crate::traffic::EngineRequest;
 use crate::traffic::OpenError;
-use crate::traffic::Patience;
+use crate::traffic::ResponseWait;
 use crate::traffic::StreamRead;
 use crate::traffic::open_stream;
 use crate::traffic::run_outcome;
@@ -558,7 +558,7 @@
         request,
         last_event,
         None,
-        Patience {
+        ResponseWait {
             timeout: limits.first_event_timeout,
             notice: None,
         },
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -108,7 +108,7 @@
 
 /// How long to wait for a response.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Patience<'a> {
+pub(crate) struct ResponseWait<'a> {
     /// Time after which the run is given up.
     pub(crate) timeout: Duration,
     /// Told of a silence before.
@@ -140,7 +140,7 @@
     request: &EngineRequest,
     last_event: Option<u64>,
     deadline: Option<Duration>,
-    patience: Patience<'_>,
+    wait: ResponseWait<'_>,
 ) -> Result<EngineStream, OpenError> {
     let names = &gateway.dialect.headers;
     let started = gateway.clock.now();
@@ -178,7 +178,7 @@
     *outgoing.headers_mut() = headers;
     let is_direct = connection.is_direct;
     let exchange = connection.send(outgoing);
-    let respond_by = started + patience.timeout;
+    let respond_by = started + wait.timeout;
     let trial_request = TrialRequest {
         id: &request.id,
         suspects: &request.suspects,
@@ -186,8 +186,8 @@
         is_from_start: last_event.is_none(),
     };
     let mut trial = RunTrial::begin(gateway, server, trial_request);
-    let watched = trial.watch(patience.timeout, exchange);
-    let response = match tell_of_silence(gateway, patience, is_direct, watched).await {
+    let watched = trial.watch(wait.timeout, exchange);
+    let response = match notify_of_silence(gateway, wait, is_direct, watched).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
             log::debug!(
@@ -231,7 +231,7 @@
         false => respond_by.saturating_sub(gateway.clock.now()),
     };
     let collected = tokio::time::timeout(remaining, collected);
-    let bytes = match tell_of_silence(gateway, patience, is_direct, collected).await {
+    let bytes = match notify_of_silence(gateway, wait, is_direct, collected).await {
         Ok(Ok(bytes)) => Some(bytes),
         Ok(Err(error)) => {
             log::debug!("error response of server {}: {error}", server.id);
@@ -253,16 +253,16 @@
 }
 
 /// Waits for a part of a response, and tells of a silence meanwhile.
-pub(super) async fn tell_of_silence<F>(
+pub(super) async fn notify_of_silence<F>(
     gateway: &Gateway,
-    patience: Patience<'_>,
+    wait: ResponseWait<'_>,
     is_direct: bool,
     response: F,
 ) -> F::Output
 where
     F: Future,
 {
-    let Some(notice) = patience.notice else {
+    let Some(notice) = wait.notice else {
         return response.await;
     };
     let mut response = std::pin::pin!(response);
@@ -342,14 +342,14 @@
             ended => return ended,
         }
         notice.noticed.notify_one();
-        self.outwait_silence(gateway, deadline).await
+        self.wait_past_silence(gateway, deadline).await
     }
 
     /// Goes on waiting for a server that has been silent, until the deadline.
     ///
     /// # Errors
     /// Fails like [`wait_for_first_event`](Self::wait_for_first_event).
-    pub(crate) async fn outwait_silence(
+    pub(crate) async fn wait_past_silence(
         &mut self,
         gateway: &Gateway,
         deadline: Duration,
--- a/bamboo-gateway/src/traffic/plain_send.rs
+++ b/bamboo-gateway/src/traffic/plain_send.rs
@@ -18,9 +18,9 @@
 
 use crate::gateway::Gateway;
 use crate::traffic::buffered_body::read_whole_body;
-use crate::traffic::engine_run::Patience;
+use crate::traffic::engine_run::ResponseWait;
 use crate::traffic::engine_run::SilenceNotice;
-use crate::traffic::engine_run::tell_of_silence;
+use crate::traffic::engine_run::notify_of_silence;
 use crate::traffic::pool::Connection;
 use crate::traffic::pool::connect_outcome;
 use crate::traffic::request::CallerRequest;
@@ -55,7 +55,7 @@
 ) -> Attempt {
     let is_idempotent = request.route.kind == RouteKind::Idempotent;
     let remaining = request.deadline.saturating_sub(gateway.clock.now());
-    let patience = Patience {
+    let wait = ResponseWait {
         timeout: remaining,
         notice: Some(notice),
     };
@@ -85,7 +85,7 @@
     let is_direct = connection.is_direct;
     let exchange = exchange(&mut connection, outgoing, &gateway.server_buffers);
     let watched = trial.watch(remaining, exchange);
-    match tell_of_silence(gateway, patience, is_direct, watched).await {
+    match notify_of_silence(gateway, wait, is_direct, watched).await {
         Ok(Ok((head, bytes))) => {
             gateway.record_heard(&connection);
             if ends_with_connection(&request.method, &head)
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -27,15 +27,15 @@
 use crate::traffic::serve::RequestRecorder;
 use crate::traffic::serve::SERVER_FAILURE;
 use crate::traffic::serve::STOPPED;
+use crate::traffic::slot_search::EVENT_GAP_TIMEOUT;
+use crate::traffic::slot_search::NO_SERVER_RETRY_AFTER;
+use crate::traffic::slot_search::RunError;
+use crate::traffic::slot_search::StartPoint;
+use crate::traffic::slot_search::StreamRequest;
+use crate::traffic::slot_search::VERSION_GONE;
+use crate::traffic::slot_search::is_resumable;
 use crate::traffic::stream_runs::Attempts;
-use crate::traffic::stream_runs::EVENT_GAP_TIMEOUT;
-use crate::traffic::stream_runs::NO_SERVER_RETRY_AFTER;
 use crate::traffic::stream_runs::Run;
-use crate::traffic::stream_runs::RunError;
-use crate::traffic::stream_runs::StartPoint;
-use crate::traffic::stream_runs::StreamRequest;
-use crate::traffic::stream_runs::VERSION_GONE;
-use crate::traffic::stream_runs::is_resumable;
 use crate::traffic::stream_runs::start_run;
 use crate::traffic::take_up::TakeUp;
 use crate::traffic::take_up::find_take_up;
@@ -312,9 +312,10 @@
         };
         let started = match next_run {
             Ok(started) => started,
+            Err(RunError::TimedOut) => return ForwardEnd::Broken("timed_out"),
             Err(error) => return ForwardEnd::NotResumed(error.reason()),
         };
-        if !started.is_silent_one {
+        if !started.is_same_run {
             if started.run.stream.head.status != status {
                 return ForwardEnd::NotResumed("other_status");
             }
--- a/bamboo-gateway/src/traffic/stream_runs.rs
+++ b/bamboo-gateway/src/traffic/stream_runs.rs
@@ -4,10 +4,7 @@
 use std::time::Duration;
 
 use bamboo_fleet::EventCheck;
-use bamboo_fleet::EventOrder;
-use bamboo_fleet::RouteKind;
 use bamboo_slots::RunOutcome;
-use bamboo_slots::Work;
 use bamboo_types::BackendServerId;
 use bamboo_types::SoftwareVersion;
 use bytes::Bytes;
@@ -16,48 +13,36 @@
 use http::Response;
 use http::response;
 
-use crate::gateway::Gateway;
-use crate::gateway::Rejection;
 use crate::response_body::ResponseBody;
 use crate::slot_requests::Slot;
-use crate::slot_requests::SlotError;
-use crate::slot_requests::acquire_slot;
-use crate::traffic::engine_run::EngineRequest;
 use crate::traffic::engine_run::EngineStream;
 use crate::traffic::engine_run::OpenError;
-use crate::traffic::engine_run::Patience;
+use crate::traffic::engine_run::ResponseWait;
 use crate::traffic::engine_run::SilenceNotice;
 use crate::traffic::engine_run::open_stream;
 use crate::traffic::overlap::OPEN_RUNS_MAX;
 use crate::traffic::overlap::first_of;
 use crate::traffic::overlap::or_pending;
-use crate::traffic::request::CallerRequest;
 use crate::traffic::request::end_to_end_headers;
-use crate::traffic::response::STOPPING_RETRY_AFTER;
 use crate::traffic::response::run_outcome;
-use crate::traffic::serve::STOPPING;
 use crate::traffic::serve::StreamProgress;
+use crate::traffic::slot_search::EVENT_GAP_TIMEOUT;
+use crate::traffic::slot_search::NO_SERVER_RETRY_AFTER;
+use crate::traffic::slot_search::RunError;
+use crate::traffic::slot_search::SlotSearch;
+use crate::traffic::slot_search::StartPoint;
+use crate::traffic::slot_search::StreamRequest;
+use crate::traffic::slot_search::find_slot;
 
 /// Time without a first event after which a resumable request is sent to another server, too. The first event takes 35 ms
 /// on a free slot, and the target is 300 ms.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(140);
-/// Gap between events after which a resumable stream is resumed at another server, and pause before the next search for one.
-/// Doubles with each. Events arrive every 20 to 30 ms, and the shortest gap that callers count as late is 250 ms.
-pub(super) const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(130);
 /// Time for which two servers may work on a request. The users' rules allow 400 ms, in which the end of a connection arrives.
 const OVERLAP_MAX: Duration = Duration::from_millis(350);
 /// Number of servers that may reject a request before the caller gets a rejection.
 const REFUSALS_MAX: u32 = 6;
-/// `Retry-After` of a response if no slot was granted in time. The coordinator replies within this time.
-const GRANT_TIMEOUT_RETRY_AFTER: Duration = Duration::from_millis(60);
-/// `Retry-After` of a response if no server of the service is available.
-pub(super) const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Reason in the log of a request that too many servers rejected.
 const SERVERS_REFUSE: &str = "servers_refuse";
-/// Reason in the log of a request that is rejected because no server of its version is left.
-pub(super) const VERSION_GONE: &str = "version_gone";
-
 /// A run that has begun to deliver events, with its slot.
 pub(super) struct Run {
     pub(super) slot: Rc<Slot>,
@@ -80,90 +65,11 @@
     pub(super) progress: Rc<StreamProgress>,
 }
 
-/// Why no run delivers events.
-pub(super) enum RunError {
-    /// The server's own response, usually an error.
-    Answered(Response<ResponseBody>),
-    /// Nothing ran: the time after which to retry, and the reason for the log.
-    Refused(Duration, &'static str),
-    /// Nothing ran, since the request crashes servers.
-    Rejected(Rejection),
-    /// The request may have run: why it is not sent again, for the log.
-    Unknown(&'static str),
-    /// The deadline has passed.
-    TimedOut,
-}
-
-impl RunError {
-    /// The error for the log.
-    pub(super) fn reason(&self) -> &'static str {
-        match self {
-            RunError::Answered(_) => "server_failure",
-            RunError::Refused(_, reason) | RunError::Unknown(reason) => reason,
-            RunError::Rejected(rejection) => rejection.reason,
-            RunError::TimedOut => "timed_out",
-        }
-    }
-}
-
-/// A request whose runs are begun.
-#[derive(Clone, Copy)]
-pub(super) struct StreamRequest<'a> {
-    pub(super) gateway: &'a Rc<Gateway>,
-    pub(super) caller: &'a CallerRequest,
-    pub(super) engine: &'a EngineRequest,
-}
-
-impl StreamRequest<'_> {
-    /// Whether another server can resume the stream.
-    pub(super) fn is_resumable(&self) -> bool {
-        is_resumable(self.caller)
-    }
-}
-
-/// Whether another server can resume the stream of a request.
-pub(super) fn is_resumable(request: &CallerRequest) -> bool {
-    matches!(
-        request.route.kind,
-        RouteKind::Streaming {
-            is_resumable: true,
-            ..
-        }
-    )
-}
-
-/// Where a response goes on.
-#[derive(Clone, Copy)]
-pub(super) enum StartPoint<'a> {
-    /// At its beginning.
-    Begin {
-        /// Event after which the caller wants to go on.
-        last_event: Option<u64>,
-        /// When it must have begun to be on time.
-        start_by: Duration,
-    },
-    /// After what the caller has got of it.
-    Resume {
-        order: &'a EventOrder,
-        /// Longest pause between two events that is on time.
-        gap_target: Duration,
-    },
-}
-
-impl StartPoint<'_> {
-    fn last_event(&self) -> Option<u64> {
-        match self {
-            StartPoint::Begin { last_event, .. } => *last_event,
-            StartPoint::Resume { order, .. } => order.last_id(),
-        }
-    }
-}
-
 /// A run that delivers events.
 pub(super) struct Started {
     pub(super) run: Box<Run>,
     /// Whether it is the silent one, which goes on.
-    pub(super) is_silent_one: bool,
+    pub(super) is_same_run: bool,
 }
 
 /// Acquires slots and sends the request until a server delivers an event. A stream that has begun goes on only at servers of
@@ -185,7 +91,7 @@
         search: None,
         search_at: None,
         search_pause: EVENT_GAP_TIMEOUT,
-        spoken: None,
+        recovered: None,
         answer: None,
     };
     if let Some(run) = silent {
@@ -227,12 +133,12 @@
     /// Two servers have worked on the request for as long as they may.
     OverlapOver,
     /// The newest run has not delivered an event in time, and the silent one has.
-    SpokenDue,
+    RecoveredDue,
 }
 
 /// How waiting for the first event of a run ended.
 enum RunEnd {
-    Speaks(Box<Run>),
+    Delivers(Box<Run>),
     Failed(OpenError),
 }
 
@@ -254,8 +160,8 @@
     search: Option<LocalBoxFuture<'a, Result<Slot, RunError>>>,
     search_at: Option<Duration>,
     search_pause: Duration,
-    /// The silent run once it speaks again, while a newer one may still deliver an event in time.
-    spoken: Option<Box<Run>>,
+    /// The silent run once it delivers events again, while a newer one may still deliver an event in time.
+    recovered: Option<Box<Run>>,
     /// Error response of a server, for the caller if no run delivers events.
     answer: Option<(Box<response::Parts>, Bytes)>,
 }
@@ -266,8 +172,8 @@
         let Run { slot, mut stream } = *run;
         let kept = Rc::clone(&slot);
         let end = async move {
-            match stream.outwait_silence(gateway, deadline).await {
-                Ok(()) => RunEnd::Speaks(Box::new(Run { slot, stream })),
+            match stream.wait_past_silence(gateway, deadline).await {
+                Ok(()) => RunEnd::Delivers(Box::new(Run { slot, stream })),
                 Err(outcome) => RunEnd::Failed(OpenError::Failed(outcome)),
             }
         };
@@ -288,18 +194,18 @@
             && attempts.refusals < REFUSALS_MAX
     }
 
-    /// Goes on with the silent run, if it speaks again.
-    fn go_on_with_spoken(&mut self) -> Option<Step> {
-        let run = self.spoken.take()?;
-        let is_silent_one = true;
-        Some(Step::End(Box::new(Ok(Started { run, is_silent_one }))))
+    /// Goes on with the silent run, if it delivers events again.
+    fn go_on_with_recovered(&mut self) -> Option<Step> {
+        let run = self.recovered.take()?;
+        let is_same_run = true;
+        Some(Step::End(Box::new(Ok(Started { run, is_same_run }))))
     }
 
     /// Looks for another server, or ends without a run if there is nothing to wait for.
     fn search_or_end(&mut self) -> Step {
-        if self.spoken.is_some() {
+        if self.recovered.is_some() {
             return match self.open.is_empty() {
-                true => self.go_on_with_spoken().unwrap_or(Step::Wait),
+                true => self.go_on_with_recovered().unwrap_or(Step::Wait),
                 false => Step::Wait,
             };
         }
@@ -336,7 +242,7 @@
         let clock = &self.request.gateway.clock;
         let newest = self.open.last().map(|run| Rc::clone(&run.notice));
         let overlap_over_at = self.overlap_over_at();
-        let spoken_due_at = self.spoken_due_at();
+        let recovered_due_at = self.recovered_due_at();
         let search_at = self.search_at;
         let (open, search) = (&mut self.open, &mut self.search);
         let at = |time: Duration| tokio::time::sleep_until(clock.instant(time));
@@ -347,7 +253,7 @@
             found = or_pending(search.as_mut()) => RunEvent::Found(found),
             () = or_pending(newest.map(noticed)) => RunEvent::Silent,
             () = or_pending(overlap_over_at.map(at)) => RunEvent::OverlapOver,
-            () = or_pending(spoken_due_at.map(at)) => RunEvent::SpokenDue,
+            () = or_pending(recovered_due_at.map(at)) => RunEvent::RecoveredDue,
             () = or_pending(search_at.map(at)) => RunEvent::SearchDue,
         }
     }
@@ -358,10 +264,10 @@
         Some(newer.sent_at? + OVERLAP_MAX)
     }
 
-    /// When the silent run that speaks again is preferred to the newest one. That server is slow: another one is better for the
+    /// When the silent run that delivers events again is preferred to the newest one. That server is slow: another one is better for the
     /// rest of the stream, if it is there soon.
-    fn spoken_due_at(&self) -> Option<Duration> {
-        self.spoken.as_ref()?;
+    fn recovered_due_at(&self) -> Option<Duration> {
+        self.recovered.as_ref()?;
         let newest = self.open.last()?;
         Some(newest.sent_at? + FIRST_EVENT_TIMEOUT)
     }
@@ -389,7 +295,7 @@
                 self.end_oldest();
                 Step::Wait
             }
-            RunEvent::SpokenDue => self.go_on_with_spoken().unwrap_or(Step::Wait),
+            RunEvent::RecoveredDue => self.go_on_with_recovered().unwrap_or(Step::Wait),
         }
     }
 
@@ -453,21 +359,21 @@
     fn run_ended(&mut self, index: usize, end: RunEnd) -> Step {
         let ended = self.open.remove(index);
         let run = match end {
-            RunEnd::Speaks(run) => run,
+            RunEnd::Delivers(run) => run,
             RunEnd::Failed(failure) => return self.run_failed(&ended, failure),
         };
-        let is_silent_one = ended.sent_at.is_none();
-        if is_silent_one && !self.open.is_empty() {
+        let is_same_run = ended.sent_at.is_none();
+        if is_same_run && !self.open.is_empty() {
             self.search = None;
             self.search_at = None;
-            self.spoken = Some(run);
+            self.recovered = Some(run);
             return Step::Wait;
         }
-        let has_other = !self.open.is_empty() || self.spoken.is_some();
-        if !is_silent_one && has_other && !self.goes_on(&run.stream) {
+        let has_other = !self.open.is_empty() || self.recovered.is_some();
+        if !is_same_run && has_other && !self.goes_on(&run.stream) {
             return self.run_failed(&ended, OpenError::Failed(RunOutcome::Broken));
         }
-        Step::End(Box::new(Ok(Started { run, is_silent_one })))
+        Step::End(Box::new(Ok(Started { run, is_same_run })))
     }
 
     /// Whether a response has what comes next in the stream.
@@ -490,7 +396,7 @@
                 run.slot.set_outcome(outcome);
                 self.attempts.count -= 1;
                 self.attempts.refusals += 1;
-                let is_alone = self.open.is_empty() && self.spoken.is_none();
+                let is_alone = self.open.is_empty() && self.recovered.is_none();
                 if self.attempts.refusals >= REFUSALS_MAX && is_alone {
                     return Step::fail(self.last_error(SERVERS_REFUSE));
                 }
@@ -551,130 +457,23 @@
         engine,
     } = request;
     let remaining = caller.deadline.saturating_sub(gateway.clock.now());
-    let patience = Patience {
+    let wait = ResponseWait {
         timeout: remaining,
         notice: Some(&notice),
     };
     let server = &slot.server;
-    let opened = open_stream(
-        gateway,
-        server,
-        engine,
-        last_event,
-        Some(remaining),
-        patience,
-    )
-    .await;
+    let opened = open_stream(gateway, server, engine, last_event, Some(remaining), wait).await;
     let mut stream = match opened {
         Ok(stream) => stream,
         Err(failure) => return RunEnd::Failed(failure),
     };
     let first_event = stream.wait_for_first_event(gateway, &notice, caller.deadline);
     match first_event.await {
-        Ok(()) => RunEnd::Speaks(Box::new(Run { slot, stream })),
+        Ok(()) => RunEnd::Delivers(Box::new(Run { slot, stream })),
         Err(outcome) => RunEnd::Failed(OpenError::Failed(outcome)),
     }
 }
 
-/// What to find a slot for.
-struct SlotSearch {
-    excluded: Vec<BackendServerId>,
-    /// Servers that work on the request already.
-    running_at: Vec<BackendServerId>,
-    version: Option<SoftwareVersion>,
-    may_have_run: bool,
-}
-
-/// Acquires a slot of a server that does not work on the request yet.
-async fn find_slot(
-    request: StreamRequest<'_>,
-    start: StartPoint<'_>,
-    search: SlotSearch,
-) -> Result<Slot, RunError> {
-    let StreamRequest {
-        gateway,
-        caller,
-        engine,
-    } = request;
-    match start {
-        StartPoint::Begin { .. } if !search.may_have_run => {}
-        StartPoint::Begin { .. } => gateway.wait_for_verdicts(caller.deadline).await,
-        StartPoint::Resume { gap_target, .. } => {
-            // A pause beyond the target is as bad for the caller as the end of the stream.
-            let due_at = caller.deadline.min(gateway.clock.now() + gap_target);
-            gateway.wait_for_verdicts(due_at).await;
-        }
-    }
-    let may_have_run = search.may_have_run;
-    let rejection = || quarantine_error(gateway, engine, may_have_run);
-    if let Some(error) = rejection() {
-        return Err(error);
-    }
-    let now = gateway.clock.now();
-    if now >= caller.deadline {
-        return Err(RunError::TimedOut);
-    }
-    let until = gateway
-        .run_begins_until(&caller.route.name, caller.deadline)
-        .unwrap_or(Duration::MAX);
-    if now >= until {
-        return Err(match may_have_run {
-            true => RunError::Unknown(STOPPING),
-            false => RunError::Refused(STOPPING_RETRY_AFTER, STOPPING),
-        });
-    }
-    let start_by = match start {
-        StartPoint::Begin { start_by, .. } => start_by,
-        StartPoint::Resume { gap_target, .. } => now + gap_target.saturating_sub(EVENT_GAP_TIMEOUT),
-    };
-    let work = Work::Online {
-        start_by,
-        expires_at: caller.deadline.min(until),
-    };
-    let version = search.version.as_ref();
-    let acquired = acquire_slot(gateway, &caller.service, work, search.excluded, version).await;
-    let slot = match acquired {
-        Ok(slot) => slot,
-        Err(error) => return Err(slot_error(error, version.is_some(), may_have_run)),
-    };
-    if search.running_at.contains(&slot.server.id) {
-        return Err(RunError::Unknown("no_other_server"));
-    }
-    if let Some(error) = rejection() {
-        return Err(error);
-    }
-    let waited = gateway.clock.now().saturating_sub(now);
-    gateway.metrics.slot_wait_s.observe(waited.as_secs_f64());
-    Ok(slot)
-}
-
-/// Why a request gets no slot.
-fn slot_error(error: SlotError, has_version: bool, may_have_run: bool) -> RunError {
-    let (retry_after, reason) = match error {
-        SlotError::Refused(retry_after) => (retry_after, "coordinator_full"),
-        SlotError::TimedOut => (GRANT_TIMEOUT_RETRY_AFTER, "not_dealt_in_time"),
-        SlotError::NoServer if has_version => (NO_SERVER_RETRY_AFTER, VERSION_GONE),
-        SlotError::NoServer => (NO_SERVER_RETRY_AFTER, "no_server"),
-    };
-    match may_have_run {
-        true => RunError::Unknown(reason),
-        false => RunError::Refused(retry_after, reason),
-    }
-}
-
-/// Why a request must not be sent, if it crashes servers. It is to be retried after the quarantine, unless it may have run.
-fn quarantine_error(
-    gateway: &Gateway,
-    request: &EngineRequest,
-    may_have_run: bool,
-) -> Option<RunError> {
-    let rejection = gateway.rejection(&request.suspects)?;
-    Some(match may_have_run {
-        true => RunError::Unknown(rejection.reason),
-        false => RunError::Rejected(rejection),
-    })
-}
-
 /// A server's own response with an error status.
 fn answered((head, bytes): (Box<response::Parts>, Bytes)) -> RunError {
     let mut response = Response::new(ResponseBody::full(bytes));
