--- a/bamboo-gateway/src/traffic/stream_runs.rs
+++ b/bamboo-gateway/src/traffic/stream_runs.rs
@@ -37,12 +37,14 @@
 /// Time without a first event after which a resumable request is sent to another server, too. The first event takes 35 ms
 /// on a free slot, and the target is 300 ms.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(140);
-/// Time for which two servers may work on a request. The users' rules allow 400 ms, in which the end of a connection arrives.
+/// Time for which two servers may work on a request. The end of a connection still has to reach the first one.
 const OVERLAP_MAX: Duration = Duration::from_millis(350);
 /// Number of servers that may reject a request before the caller gets a rejection.
 const REFUSALS_MAX: u32 = 6;
+
 /// Reason in the log of a request that too many servers rejected.
 const SERVERS_REFUSE: &str = "servers_refuse";
+
 /// A run that has begun to deliver events, with its slot.
 pub(super) struct Run {
     pub(super) slot: Rc<Slot>,
@@ -110,7 +112,9 @@
 
 /// What to do next.
 enum Step {
+    /// Wait for the next event.
     Wait,
+    /// The runs are over: one delivers events, or none does.
     End(Box<Result<Started, RunError>>),
 }
 
@@ -138,7 +142,9 @@
 
 /// How waiting for the first event of a run ended.
 enum RunEnd {
+    /// An event with data, or the end of the response, has arrived.
     Delivers(Box<Run>),
+    /// The run delivers nothing.
     Failed(OpenError),
 }
 
