--- a/bamboo-diagnostics/src/lib.rs
+++ b/bamboo-diagnostics/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub use queue::LineCounts;
 pub use queue::queued;
+pub use start::LAST_LINES_TIMEOUT;
 pub use start::Layout;
 pub use start::Options;
 pub use start::Output;
--- a/bamboo-diagnostics/src/start.rs
+++ b/bamboo-diagnostics/src/start.rs
@@ -17,6 +17,8 @@
 
 /// Lines that wait to be written. One takes some 500 bytes.
 const LINES_MAX: usize = 4096;
+/// Time for the last lines before a process exits.
+pub const LAST_LINES_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval at which it is checked whether all lines have been written.
 const WRITTEN_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -62,19 +64,13 @@
 /// assert_eq!(dropped_lines(), 0);
 /// ```
 pub fn start(options: Options) {
-    let counts = match (options.output, options.layout) {
-        (Output::Stdout, Layout::Json) => {
-            apply(Stdout::default().with_layout(JsonLayout::default()))
-        }
-        (Output::Stdout, Layout::Text) => {
-            apply(Stdout::default().with_layout(TextLayout::default().no_color()))
-        }
-        (Output::Stderr, Layout::Json) => {
-            apply(Stderr::default().with_layout(JsonLayout::default()))
-        }
-        (Output::Stderr, Layout::Text) => {
-            apply(Stderr::default().with_layout(TextLayout::default().no_color()))
-        }
+    let layout: Box<dyn logforth::Layout> = match options.layout {
+        Layout::Json => Box::new(JsonLayout::default()),
+        Layout::Text => Box::new(TextLayout::default().no_color()),
+    };
+    let counts = match options.output {
+        Output::Stdout => apply(Stdout::default().with_layout(layout)),
+        Output::Stderr => apply(Stderr::default().with_layout(layout)),
     };
     // Set once only, since a second logger has panicked above.
     let _ = COUNTS.set(counts);
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -187,7 +187,7 @@
     };
     let mut trial = RunTrial::begin(gateway, server, trial_request);
     let watched = trial.watch(wait.timeout, exchange);
-    let response = match notify_of_silence(gateway, wait, is_direct, watched).await {
+    let response = match notify_of_silence(gateway, wait.notice, is_direct, watched).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
             log::debug!(
@@ -231,7 +231,7 @@
         false => respond_by.saturating_sub(gateway.clock.now()),
     };
     let collected = tokio::time::timeout(remaining, collected);
-    let bytes = match notify_of_silence(gateway, wait, is_direct, collected).await {
+    let bytes = match notify_of_silence(gateway, wait.notice, is_direct, collected).await {
         Ok(Ok(bytes)) => Some(bytes),
         Ok(Err(error)) => {
             log::debug!("error response of server {}: {error}", server.id);
@@ -255,14 +255,14 @@
 /// Waits for a part of a response, and tells of a silence meanwhile.
 pub(super) async fn notify_of_silence<F>(
     gateway: &Gateway,
-    wait: ResponseWait<'_>,
+    notice: Option<&SilenceNotice>,
     is_direct: bool,
     response: F,
 ) -> F::Output
 where
     F: Future,
 {
-    let Some(notice) = wait.notice else {
+    let Some(notice) = notice else {
         return response.await;
     };
     let mut response = std::pin::pin!(response);
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -27,9 +27,9 @@
 use crate::traffic::plain_send::Attempt;
 use crate::traffic::plain_send::send;
 use crate::traffic::request::CallerRequest;
-use crate::traffic::request::end_to_end_headers;
 use crate::traffic::response::ended_by_stop;
 use crate::traffic::response::not_run;
+use crate::traffic::response::pass_on;
 use crate::traffic::response::run_outcome;
 use crate::traffic::response::text_response;
 use crate::traffic::serve::COMPLETE;
@@ -149,7 +149,7 @@
     /// The attempt at this index ended.
     Ended(usize, Attempt),
     /// A server was chosen for the next attempt.
-    Chosen(Choice),
+    Chosen(Result<Rc<Server>, NotSent>),
     /// The server of the newest attempt is silent.
     Silent,
 }
@@ -162,8 +162,8 @@
     end: LocalBoxFuture<'a, Attempt>,
 }
 
-/// A server's own response with an error status, kept in case that no other server has a better one.
-struct FailureAnswer {
+/// A server's own response.
+struct ServerAnswer {
     server: BackendServerId,
     head: response::Parts,
     bytes: Bytes,
@@ -174,13 +174,14 @@
     gateway: &'a Rc<Gateway>,
     request: &'a CallerRequest,
     open: Vec<OpenSend<'a>>,
-    choice: Option<LocalBoxFuture<'a, Choice>>,
+    choice: Option<LocalBoxFuture<'a, Result<Rc<Server>, NotSent>>>,
     excluded: Vec<BackendServerId>,
     attempts: u32,
     refusals: u32,
     may_have_run: bool,
     began_at: Option<Duration>,
-    answer: Option<FailureAnswer>,
+    /// Error response of a server, kept in case that no other one has a better response.
+    answer: Option<ServerAnswer>,
 }
 
 impl<'a> OpenSends<'a> {
@@ -238,9 +239,9 @@
             Event::Chosen(choice) => {
                 self.choice = None;
                 match choice {
-                    Choice::Send(server) => self.send(server),
-                    _ if !self.open.is_empty() => {}
-                    other => return Step::end(self.not_sent(other)),
+                    Ok(server) => self.send(server),
+                    Err(_) if !self.open.is_empty() => {}
+                    Err(reason) => return Step::end(self.not_sent(reason)),
                 }
                 Step::Wait
             }
@@ -294,14 +295,14 @@
         match attempt {
             Attempt::Answered(head, bytes) => {
                 ended.run.outcome = run_outcome(head.status);
-                let answer = FailureAnswer {
+                let answer = ServerAnswer {
                     server: ended.server.id.clone(),
                     head,
                     bytes,
                 };
                 let is_idempotent = self.request.route.kind == RouteKind::Idempotent;
                 if !is_idempotent || !answer.head.status.is_server_error() {
-                    return Step::end(pass_on(answer));
+                    return Step::end(end_with(answer));
                 }
                 self.answer = Some(answer);
                 self.may_have_run = true;
@@ -339,7 +340,7 @@
     /// The response if no attempt is left to wait for.
     fn last_answer(&mut self) -> Ended {
         if let Some(answer) = self.answer.take() {
-            return pass_on(answer);
+            return end_with(answer);
         }
         match self.gateway.clock.now() >= self.request.deadline {
             true => Ended::own(
@@ -352,16 +353,16 @@
     }
 
     /// The response if the request is not sent any more.
-    fn not_sent(&mut self, choice: Choice) -> Ended {
+    fn not_sent(&mut self, reason: NotSent) -> Ended {
         if let Some(answer) = self.answer.take() {
-            return pass_on(answer);
+            return end_with(answer);
         }
-        match choice {
-            Choice::TimedOut if self.may_have_run => self.last_answer(),
-            Choice::TimedOut => {
+        match reason {
+            NotSent::TimedOut if self.may_have_run => self.last_answer(),
+            NotSent::TimedOut => {
                 Ended::own(not_run("time is up\n", BUSY_RETRY_AFTER), "timed_out", "")
             }
-            Choice::Rejected(rejection) => {
+            NotSent::Rejected(rejection) => {
                 self.gateway.metrics.count_run(rejection.reason);
                 match self.may_have_run {
                     true => unknown(rejection.text, rejection.reason),
@@ -372,13 +373,14 @@
                     ),
                 }
             }
-            Choice::Stopping if self.may_have_run => unknown("no answer of the server\n", STOPPING),
-            Choice::Stopping => Ended::own(ended_by_stop(false), "refused", STOPPING),
-            Choice::Send(_) | Choice::Refuse(_) if self.may_have_run => {
+            NotSent::Stopping if self.may_have_run => {
+                unknown("no answer of the server\n", STOPPING)
+            }
+            NotSent::Stopping => Ended::own(ended_by_stop(false), "refused", STOPPING),
+            NotSent::Refuse(_) if self.may_have_run => {
                 unknown("no answer of a server\n", "no_server")
             }
-            Choice::Send(_) => self.last_answer(),
-            Choice::Refuse(retry_after) => Ended::own(
+            NotSent::Refuse(retry_after) => Ended::own(
                 not_run("no server can take the request\n", retry_after),
                 "refused",
                 "no_server",
@@ -387,17 +389,14 @@
     }
 }
 
-/// Passes a server's own response on.
-fn pass_on(answer: FailureAnswer) -> Ended {
-    let mut response = Response::new(ResponseBody::full(answer.bytes));
-    *response.status_mut() = answer.head.status;
-    *response.headers_mut() = end_to_end_headers(&answer.head.headers);
+/// The end of a request with a server's own response.
+fn end_with(answer: ServerAnswer) -> Ended {
     Ended {
         outcome: match answer.head.status.is_success() {
             true => COMPLETE,
             false => SERVER_FAILURE,
         },
-        response,
+        response: pass_on(&answer.head, ResponseBody::full(answer.bytes)),
         reason: "",
         server: Some(answer.server),
     }
@@ -409,13 +408,11 @@
     Ended::own(response, "unknown", reason)
 }
 
-/// Server for the next attempt.
-enum Choice {
-    /// Send the request to this server now.
-    Send(Rc<Server>),
-    /// No server can take the request in time; retry after this time.
+/// Why a request is not sent.
+enum NotSent {
+    /// No server can take it in time; retry after this time.
     Refuse(Duration),
-    /// The request crashes servers.
+    /// It crashes servers.
     Rejected(Rejection),
     /// This host stops before the response would be complete.
     Stopping,
@@ -429,20 +426,20 @@
     request: &CallerRequest,
     excluded: Vec<BackendServerId>,
     may_have_run: bool,
-) -> Choice {
+) -> Result<Rc<Server>, NotSent> {
     if may_have_run {
         gateway.wait_for_verdicts(request.deadline).await;
     }
     let now = gateway.clock.now();
     if now >= request.deadline {
-        return Choice::TimedOut;
+        return Err(NotSent::TimedOut);
     }
     if let Some(rejection) = gateway.rejection(&request.suspects) {
-        return Choice::Rejected(rejection);
+        return Err(NotSent::Rejected(rejection));
     }
     let until = gateway.run_begins_until(&request.route.name, request.deadline);
     if until.is_some_and(|until| now > until) {
-        return Choice::Stopping;
+        return Err(NotSent::Stopping);
     }
     pick_server(gateway, request, &excluded).await
 }
@@ -453,14 +450,14 @@
     gateway: &Gateway,
     request: &CallerRequest,
     excluded: &[BackendServerId],
-) -> Choice {
+) -> Result<Rc<Server>, NotSent> {
     let unlimited = gateway.pick_server(&request.service, excluded, None);
     let is_usable = |server: &Rc<Server>| {
         let now = gateway.clock.now();
         gateway.load_balancer.borrow().is_usable(&server.id, now)
     };
     if let Some(server) = unlimited.as_ref().filter(|server| is_usable(server)) {
-        return Choice::Send(Rc::clone(server));
+        return Ok(Rc::clone(server));
     }
     let on_time_for = request
         .route
@@ -476,14 +473,12 @@
         (Some(Permit::Granted { server, wait }), _) => {
             actix_rt::time::sleep(wait).await;
             match gateway.directory.borrow().get(&server) {
-                Some(server) if server.state == ServerState::Ready => {
-                    Choice::Send(Rc::clone(server))
-                }
-                _ => Choice::Refuse(BUSY_RETRY_AFTER),
+                Some(server) if server.state == ServerState::Ready => Ok(Rc::clone(server)),
+                _ => Err(NotSent::Refuse(BUSY_RETRY_AFTER)),
             }
         }
-        (_, Some(unlimited)) => Choice::Send(unlimited),
-        (Some(Permit::Denied { retry_after }), None) => Choice::Refuse(retry_after),
-        (None, None) => Choice::Refuse(BUSY_RETRY_AFTER),
+        (_, Some(unlimited)) => Ok(unlimited),
+        (Some(Permit::Denied { retry_after }), None) => Err(NotSent::Refuse(retry_after)),
+        (None, None) => Err(NotSent::Refuse(BUSY_RETRY_AFTER)),
     }
 }
--- a/bamboo-gateway/src/traffic/plain_send.rs
+++ b/bamboo-gateway/src/traffic/plain_send.rs
@@ -18,7 +18,6 @@
 
 use crate::gateway::Gateway;
 use crate::traffic::buffered_body::read_whole_body;
-use crate::traffic::engine_run::ResponseWait;
 use crate::traffic::engine_run::SilenceNotice;
 use crate::traffic::engine_run::notify_of_silence;
 use crate::traffic::pool::Connection;
@@ -55,10 +54,6 @@
 ) -> Attempt {
     let is_idempotent = request.route.kind == RouteKind::Idempotent;
     let remaining = request.deadline.saturating_sub(gateway.clock.now());
-    let wait = ResponseWait {
-        timeout: remaining,
-        notice: Some(notice),
-    };
     let now = gateway.clock.now();
     // A request that must not be retried gets a new connection, so that bytes left over from an earlier response cannot
     // affect it.
@@ -85,7 +80,7 @@
     let is_direct = connection.is_direct;
     let exchange = exchange(&mut connection, outgoing, &gateway.server_buffers);
     let watched = trial.watch(remaining, exchange);
-    match notify_of_silence(gateway, wait, is_direct, watched).await {
+    match notify_of_silence(gateway, Some(notice), is_direct, watched).await {
         Ok(Ok((head, bytes))) => {
             gateway.record_heard(&connection);
             if ends_with_connection(&request.method, &head)
--- a/bamboo-gateway/src/traffic/response.rs
+++ b/bamboo-gateway/src/traffic/response.rs
@@ -13,6 +13,7 @@
 
 use crate::gateway::Gateway;
 use crate::response_body::ResponseBody;
+use crate::traffic::request::end_to_end_headers;
 
 /// `Retry-After` of a response that a stopping host gives to a request that did not run. Other hosts take it at once.
 pub(crate) const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(60);
@@ -55,6 +56,14 @@
     response
 }
 
+/// A server's own response with its status and headers, as it is passed on to the caller.
+pub(crate) fn pass_on(head: &response::Parts, body: ResponseBody) -> Response<ResponseBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status;
+    *response.headers_mut() = end_to_end_headers(&head.headers);
+    response
+}
+
 /// Whether the headers of a response tell where its body ends.
 pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -414,7 +414,7 @@
             self.gateway.record_run_time(&self.route, run_time);
         }
         let first_byte_ms = self.first_byte.map(|time| time.as_millis() as u64);
-        if first_byte_ms.is_some() && self.stream.has_begun() {
+        if self.stream.has_begun() {
             self.gateway.metrics.count_stream_end(outcome);
         }
         if !self.gateway.may_log(line_class(status, outcome)) {
--- a/bamboo-gateway/src/traffic/slot_search.rs
+++ b/bamboo-gateway/src/traffic/slot_search.rs
@@ -66,13 +66,6 @@
     pub(super) engine: &'a EngineRequest,
 }
 
-impl StreamRequest<'_> {
-    /// Whether another server can resume the stream.
-    pub(super) fn is_resumable(&self) -> bool {
-        is_resumable(self.caller)
-    }
-}
-
 /// Whether another server can resume the stream of a request.
 pub(super) fn is_resumable(request: &CallerRequest) -> bool {
     matches!(
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -19,8 +19,8 @@
 use crate::traffic::engine_run::EngineRequest;
 use crate::traffic::engine_run::StreamRead;
 use crate::traffic::request::CallerRequest;
-use crate::traffic::request::end_to_end_headers;
 use crate::traffic::response::not_run;
+use crate::traffic::response::pass_on;
 use crate::traffic::response::text_response;
 use crate::traffic::serve::CALLER_LEFT;
 use crate::traffic::serve::COMPLETE;
@@ -152,10 +152,8 @@
         gateway.metrics.count_take_up("resumed");
         log_resumption(&request, &run, last_event);
     }
-    let mut response = Response::new(ResponseBody::Full(None));
-    *response.status_mut() = run.stream.head.status;
-    *response.headers_mut() = end_to_end_headers(&run.stream.head.headers);
     let (chunks, body) = ChunkQueue::new(&gateway.server_buffers);
+    let response = pass_on(&run.stream.head, body);
     recorder.record_first_byte();
     actix_rt::spawn(async move {
         let stream_request = StreamRequest {
@@ -184,7 +182,6 @@
             }
         }
     });
-    *response.body_mut() = body;
     response
 }
 
--- a/bamboo-gateway/src/traffic/stream_runs.rs
+++ b/bamboo-gateway/src/traffic/stream_runs.rs
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
-use http::Response;
 use http::response;
 
 use crate::response_body::ResponseBody;
@@ -23,7 +22,7 @@
 use crate::traffic::overlap::OPEN_RUNS_MAX;
 use crate::traffic::overlap::first_of;
 use crate::traffic::overlap::or_pending;
-use crate::traffic::request::end_to_end_headers;
+use crate::traffic::response::pass_on;
 use crate::traffic::response::run_outcome;
 use crate::traffic::serve::StreamProgress;
 use crate::traffic::slot_search::EVENT_GAP_TIMEOUT;
@@ -33,6 +32,7 @@
 use crate::traffic::slot_search::StartPoint;
 use crate::traffic::slot_search::StreamRequest;
 use crate::traffic::slot_search::find_slot;
+use crate::traffic::slot_search::is_resumable;
 
 /// Time without a first event after which a resumable request is sent to another server, too. The first event takes 35 ms
 /// on a free slot, and the target is 300 ms.
@@ -194,7 +194,7 @@
     /// Whether the request may be sent once more.
     fn may_send(&self) -> bool {
         let attempts = &self.attempts;
-        let may_repeat = attempts.count == 0 || self.request.is_resumable();
+        let may_repeat = attempts.count == 0 || is_resumable(self.request.caller);
         may_repeat
             && attempts.count < self.request.caller.route.attempts_max.max(1)
             && attempts.refusals < REFUSALS_MAX
@@ -416,8 +416,7 @@
             OpenError::Answered(head, bytes) => {
                 metrics.count_run("answered");
                 run.slot.set_outcome(run_outcome(head.status));
-                let is_final = !head.status.is_server_error()
-                    || (self.open.is_empty() && self.search.is_none() && !self.may_send());
+                let is_final = !head.status.is_server_error();
                 let answer = (head, bytes);
                 if is_final && matches!(self.start, StartPoint::Begin { .. }) {
                     return Step::fail(answered(answer));
@@ -482,8 +481,5 @@
 
 /// A server's own response with an error status.
 fn answered((head, bytes): (Box<response::Parts>, Bytes)) -> RunError {
-    let mut response = Response::new(ResponseBody::full(bytes));
-    *response.status_mut() = head.status;
-    *response.headers_mut() = end_to_end_headers(&head.headers);
-    RunError::Answered(response)
+    RunError::Answered(pass_on(&head, ResponseBody::full(bytes)))
 }
--- a/bambood/src/main.rs
+++ b/bambood/src/main.rs
@@ -2,7 +2,6 @@
 
 use std::path::Path;
 use std::process::ExitCode;
-use std::time::Duration;
 
 use anyhow::Context;
 use bamboo_config::Settings;
@@ -23,9 +22,6 @@
 SIGTERM or SIGINT starts a graceful shutdown.
 ";
 
-/// Time for the last lines of the log before the process exits.
-const LAST_LINES_TIMEOUT: Duration = Duration::from_millis(200);
-
 fn main() -> anyhow::Result<ExitCode> {
     let mut arguments = Arguments::from_env();
     if arguments.contains(["-h", "--help"]) {
@@ -52,7 +48,7 @@
     };
     start_logging(settings.is_log_json);
     let ended = actix_rt::System::new().block_on(bamboo_node::run(settings));
-    bamboo_diagnostics::wait_until_written(LAST_LINES_TIMEOUT);
+    bamboo_diagnostics::wait_until_written(bamboo_diagnostics::LAST_LINES_TIMEOUT);
     ended?;
     Ok(ExitCode::SUCCESS)
 }
