feat: workspaces in the configuration, and the terms of a slot request

The gateway knew no workspaces: neither the keys of callers nor the rank and the rate of their workspace reached a decision. This is the ground for both: workspaces with their keys as digests in the configuration, the platform's names for them, and slot requests that name the workspace, the rank and the time by which they must begin. Hosts of protocol version 7 and before get the messages that they know. Nothing decides by it yet.

--- a/bamboo-coordination/tests/slot_messages.rs
+++ b/bamboo-coordination/tests/slot_messages.rs
@@ -18,6 +18,7 @@
 use bamboo_slots::OpenRequest;
 use bamboo_slots::PackedReport;
 use bamboo_slots::RequestReport;
+use bamboo_slots::RequestTerms;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequest;
 use bamboo_slots::SlotRequestId;
@@ -303,6 +304,7 @@
             work,
             excluded: Vec::new(),
             version: None,
+            terms: RequestTerms::default(),
             server: None,
         };
         let id = self.hosts[host].requests.open(request.clone());
@@ -636,6 +638,7 @@
         work: request.work,
         excluded: request.excluded,
         version: request.version,
+        terms: RequestTerms::default(),
     };
     (slot_request, request.server)
 }
@@ -771,6 +774,7 @@
         },
         excluded: Vec::new(),
         version: None,
+        terms: RequestTerms::default(),
         server: None,
     };
     let sender = host_info(0);
@@ -810,6 +814,7 @@
         },
         excluded: Vec::new(),
         version: None,
+        terms: RequestTerms::default(),
         server: None,
     };
     let former = host_info(0);
@@ -854,6 +859,7 @@
         },
         excluded: Vec::new(),
         version: None,
+        terms: RequestTerms::default(),
         server: None,
     };
     let sender = host_info(0);
@@ -904,6 +910,7 @@
         },
         excluded: Vec::new(),
         version: None,
+        terms: RequestTerms::default(),
     };
     let mut broker = Broker::default();
     broker.put_engine(engine(0, "v1", 1), false, Duration::ZERO);
--- a/bamboo-fleet/src/config.rs
+++ b/bamboo-fleet/src/config.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::Workspaces;
+
 /// Name of a service.
 pub type ServiceId = String;
 
@@ -62,6 +64,8 @@
     pub targets: Vec<Target>,
     /// Maximum number of backend servers that one request is sent to, the first attempt included.
     pub attempts_max: u32,
+    /// Whether its requests need no key of a workspace.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -72,7 +76,7 @@
     /// # use bamboo_fleet::{Route, RouteKind, Target};
     /// let route = Route {
     ///     name: "r".into(), host: "h".into(), path_prefix: "/".into(), kind: RouteKind::Idempotent,
-    ///     timeout: None, target_latency: Duration::ZERO, priority: 0, attempts_max: 1,
+    ///     timeout: None, target_latency: Duration::ZERO, priority: 0, attempts_max: 1, is_public: false,
     ///     targets: vec![Target { service: "a".into(), weight: 9 }, Target { service: "b".into(), weight: 1 }],
     /// };
     /// assert_eq!(route.pick_service(8).unwrap(), "a");
@@ -101,7 +105,7 @@
     /// # use bamboo_fleet::{Route, RouteKind, Target};
     /// let route = Route {
     ///     name: "r".into(), host: "h".into(), path_prefix: "/".into(), kind: RouteKind::Idempotent,
-    ///     timeout: None, target_latency: Duration::ZERO, priority: 0, attempts_max: 1,
+    ///     timeout: None, target_latency: Duration::ZERO, priority: 0, attempts_max: 1, is_public: false,
     ///     targets: vec![Target { service: "a".into(), weight: 9 }, Target { service: "b".into(), weight: 0 }],
     /// };
     /// assert!(route.leads_to("a"));
@@ -120,7 +124,7 @@
     /// # use bamboo_fleet::{Route, RouteKind};
     /// let route = Route {
     ///     name: "r".into(), host: "h".into(), path_prefix: "/".into(), kind: RouteKind::Idempotent,
-    ///     timeout: None, target_latency: Duration::ZERO, priority: 0, attempts_max: 1, targets: Vec::new(),
+    ///     timeout: None, target_latency: Duration::ZERO, priority: 0, attempts_max: 1, is_public: false, targets: Vec::new(),
     /// };
     /// assert!(!route.is_batch());
     /// ```
@@ -183,6 +187,8 @@
     pub services: HashMap<ServiceId, Service>,
     /// Limits on callers.
     pub limits: Limits,
+    /// Workspaces of callers; `None` if callers need no key.
+    pub workspaces: Option<Workspaces>,
 }
 
 impl FleetConfig {
--- a/bamboo-fleet/src/lib.rs
+++ b/bamboo-fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod silence;
 mod sse;
 mod version_knowledge;
+mod workspaces;
 
 pub use bamboo_types::SoftwareVersion;
 pub use buffer_budget::BufferBudget;
@@ -47,3 +48,6 @@
 pub use version_knowledge::SoleVersion;
 pub use version_knowledge::VersionMemory;
 pub use version_knowledge::sole_version;
+pub use workspaces::Workspace;
+pub use workspaces::WorkspaceRate;
+pub use workspaces::Workspaces;
--- a/bamboo-fleet/tests/fleet.rs
+++ b/bamboo-fleet/tests/fleet.rs
@@ -25,6 +25,7 @@
         priority: 0,
         targets: Vec::new(),
         attempts_max: 2,
+        is_public: false,
     })
 }
 
--- a/bamboo-fleet/tests/former_routes.rs
+++ b/bamboo-fleet/tests/former_routes.rs
@@ -20,6 +20,7 @@
         target_latency: Duration::ZERO,
         priority: 0,
         attempts_max: 1,
+        is_public: false,
         targets: Vec::new(),
     };
     FleetConfig {
--- a/bamboo-gateway/src/dialect.rs
+++ b/bamboo-gateway/src/dialect.rs
@@ -41,6 +41,8 @@
     pub last_event_id: HeaderName,
     /// Set by a caller that takes a stream up again: the request that brought its first event.
     pub resumes: HeaderName,
+    /// Name of the caller's workspace, for the server.
+    pub workspace: HeaderName,
 }
 
 /// A call concerning a job that has been submitted.
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -85,7 +85,7 @@
         );
         self.jobs.reset_reservation();
         self.announce_successor(&before, now);
-        self.send_to(&current, PeerMessage::Sync(self.slot_requests.infos(now)));
+        self.send_slot_requests(&current);
     }
 
     /// Tells the former coordinator and its reporters of the new one, as far as this host knows them.
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -12,6 +12,7 @@
 use bamboo_slots::Action;
 use bamboo_slots::GrantStep;
 use bamboo_slots::RequestReport;
+use bamboo_slots::RequestTerms;
 use bamboo_slots::SlotRequest;
 use bamboo_slots::SlotRequestId;
 use bamboo_slots::Work;
@@ -27,7 +28,8 @@
 use crate::mesh::PeerReply;
 use crate::mesh::PeerRequest;
 use crate::mesh::ProtocolVersion;
-use crate::mesh::SlotRequestInfo;
+use crate::mesh::REQUEST_TERMS_SINCE;
+use crate::mesh::SlotRequestOnTerms;
 use crate::request_log::LineClass;
 use crate::slot_requests::SlotDecision;
 
@@ -96,8 +98,7 @@
                 coordinator,
             } => {
                 if wants_sync {
-                    let infos = self.slot_requests.infos(self.clock.now());
-                    self.send_to(&sender.host, PeerMessage::Sync(infos));
+                    self.send_slot_requests(&sender.host);
                 }
                 if is_leaving {
                     self.coordination.borrow_mut().mark_leaving(sender);
@@ -178,28 +179,14 @@
                 }
             }
             PeerMessage::Sync(infos) => {
-                self.record_requests(sender, now);
-                if !self.is_coordinator(&self.local.host) {
-                    // The sender follows an outdated hint.
-                    self.acknowledge_heartbeat(sender, None, false, now);
-                }
-                let (mut runs, mut waiting) = (Vec::new(), Vec::new());
-                for info in infos {
-                    match slot_request(sender, info, now) {
-                        (request, Some(server)) => runs.push((request, server)),
-                        (request, None) => waiting.push(request),
-                    }
-                }
-                let mut broker = self.broker.borrow_mut();
-                broker.replace_host(&sender.host, runs, waiting, now);
-                drop(broker);
-                self.send_broker_actions();
+                let infos = infos.into_iter().map(SlotRequestOnTerms::from);
+                self.replace_requests(sender, infos.collect(), now);
             }
+            PeerMessage::SyncOnTerms(infos) => self.replace_requests(sender, infos, now),
             PeerMessage::RequestSlot(info) => {
-                self.record_requests(sender, now);
-                self.handle_slot_request(sender, info, now);
-                self.send_broker_actions();
+                self.handle_slot_request(sender, info.into(), now);
             }
+            PeerMessage::RequestSlotOnTerms(info) => self.handle_slot_request(sender, info, now),
             PeerMessage::Release {
                 request,
                 server,
@@ -271,6 +258,53 @@
         }
     }
 
+    /// Sends a slot request of this host to the coordinator.
+    pub(crate) fn send_slot_request(&self, request: SlotRequestId) {
+        let current = self.coordination.borrow().coordinator().clone();
+        self.send_slot_request_to(&current, request);
+    }
+
+    fn send_slot_request_to(&self, host: &str, request: SlotRequestId) {
+        let Some(info) = self.slot_requests.info(request, self.clock.now()) else {
+            return;
+        };
+        let message = match self.decodes_since(host, REQUEST_TERMS_SINCE) {
+            true => PeerMessage::RequestSlotOnTerms(info),
+            false => PeerMessage::RequestSlot(info.info),
+        };
+        self.send_to(host, message);
+    }
+
+    /// Sends all slot requests of this host, as they are.
+    pub(super) fn send_slot_requests(&self, host: &str) {
+        let infos = self.slot_requests.infos(self.clock.now());
+        let message = match self.decodes_since(host, REQUEST_TERMS_SINCE) {
+            true => PeerMessage::SyncOnTerms(infos),
+            false => PeerMessage::Sync(infos.into_iter().map(|info| info.info).collect()),
+        };
+        self.send_to(host, message);
+    }
+
+    /// Replaces the slot requests of a host by those that it reports anew.
+    fn replace_requests(&self, sender: &HostInfo, infos: Vec<SlotRequestOnTerms>, now: Duration) {
+        self.record_requests(sender, now);
+        if !self.is_coordinator(&self.local.host) {
+            // The sender follows an outdated hint.
+            self.acknowledge_heartbeat(sender, None, false, now);
+        }
+        let (mut runs, mut waiting) = (Vec::new(), Vec::new());
+        for info in infos {
+            match slot_request(sender, info, now) {
+                (request, Some(server)) => runs.push((request, server)),
+                (request, None) => waiting.push(request),
+            }
+        }
+        let mut broker = self.broker.borrow_mut();
+        broker.replace_host(&sender.host, runs, waiting, now);
+        drop(broker);
+        self.send_broker_actions();
+    }
+
     fn record_requests(&self, sender: &HostInfo, now: Duration) {
         let mut broker = self.broker.borrow_mut();
         self.reports
@@ -296,9 +330,7 @@
         match step {
             GrantStep::Run | GrantStep::Ignore => return,
             GrantStep::ReportRun => {
-                if let Some(info) = self.slot_requests.info(request, self.clock.now()) {
-                    self.send_to(coordinator, PeerMessage::RequestSlot(info));
-                }
+                self.send_slot_request_to(coordinator, request);
                 return;
             }
             GrantStep::Release => {}
@@ -311,12 +343,15 @@
         self.send_to(coordinator, release);
     }
 
-    fn handle_slot_request(&self, sender: &HostInfo, info: SlotRequestInfo, now: Duration) {
+    fn handle_slot_request(&self, sender: &HostInfo, info: SlotRequestOnTerms, now: Duration) {
+        self.record_requests(sender, now);
         let mut broker = self.broker.borrow_mut();
         match slot_request(sender, info, now) {
             (request, Some(server)) => broker.restore_run(request, &server, now),
             (request, None) => broker.request_slot(request, now),
         }
+        drop(broker);
+        self.send_broker_actions();
     }
 
     pub(super) fn handle_heartbeat(
@@ -531,9 +566,10 @@
 /// A slot request as the broker takes it, and the server at which it runs already, if any.
 fn slot_request(
     sender: &HostInfo,
-    info: SlotRequestInfo,
+    request: SlotRequestOnTerms,
     now: Duration,
 ) -> (SlotRequest, Option<BackendServerId>) {
+    let SlotRequestOnTerms { info, terms } = request;
     let due = match info.due_in_ms {
         overdue if overdue < 0 => now.saturating_sub(Duration::from_millis(overdue.unsigned_abs())),
         in_ms => now + Duration::from_millis(in_ms.unsigned_abs()),
@@ -554,6 +590,14 @@
         work,
         excluded: info.excluded,
         version: info.version,
+        terms: RequestTerms {
+            workspace: terms.workspace,
+            rank: terms.rank,
+            is_counted: terms.is_counted,
+            begin_by: terms
+                .begin_in_ms
+                .map(|in_ms| now + Duration::from_millis(in_ms)),
+        },
     };
     (request, info.server)
 }
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -17,6 +17,7 @@
 use bamboo_shards::ResultState;
 use bamboo_shards::item_text_max_bytes;
 use bamboo_shards::retry_pause;
+use bamboo_slots::RequestTerms;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::Work;
 use bamboo_types::BackendServerId;
@@ -295,7 +296,14 @@
         };
         let version = origin.as_ref().map(|origin| &origin.version);
         let excluded_now = std::mem::take(&mut excluded);
-        let acquired = acquire_slot(gateway, &service, work, excluded_now, version);
+        let acquired = acquire_slot(
+            gateway,
+            &service,
+            work,
+            excluded_now,
+            version,
+            RequestTerms::default(),
+        );
         let acquired = log_long_wait(gateway, job, &request, &service, acquired);
         let acquired = tokio::select! {
             acquired = acquired => acquired,
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -22,6 +22,8 @@
 pub(crate) use message::PeerReply;
 pub(crate) use message::PeerRequest;
 pub(crate) use message::SlotRequestInfo;
+pub(crate) use message::SlotRequestOnTerms;
+pub(crate) use message::TermsInfo;
 pub(crate) use tunnel::TunnelStream;
 pub(crate) use tunnel::Tunnels;
 
@@ -42,8 +44,10 @@
 pub(crate) const REQUEST_REPORTS_SINCE: ProtocolVersion = 6;
 /// First version whose hosts compare what they know of servers.
 pub(crate) const COMPARED_REPORTS_SINCE: ProtocolVersion = 7;
+/// First version whose hosts tell for which workspace a request is, and how it competes with others.
+pub(crate) const REQUEST_TERMS_SINCE: ProtocolVersion = 8;
 /// Version of this build.
-const PROTOCOL_VERSION: ProtocolVersion = 7;
+const PROTOCOL_VERSION: ProtocolVersion = 8;
 /// Path of a stream of messages, followed by the version. Version 1 had none.
 const MESSAGES_PATH: &str = "/messages";
 
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -20,11 +20,13 @@
 use bamboo_slots::LimitReport;
 use bamboo_slots::PackedReport;
 use bamboo_slots::Permit;
+use bamboo_slots::Rank;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequestId;
 use bamboo_types::BackendServerId;
 use bamboo_types::SoftwareVersion;
 use bamboo_types::StreamOrigin;
+use bamboo_types::WorkspaceId;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -56,6 +58,38 @@
     pub version: Option<SoftwareVersion>,
 }
 
+/// Terms of a slot request, with times relative to the sending of the message.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct TermsInfo {
+    /// Workspace of the caller, if any.
+    pub workspace: Option<WorkspaceId>,
+    /// Rank among online requests.
+    pub rank: Rank,
+    /// Whether the request counts towards the rate of its workspace.
+    pub is_counted: bool,
+    /// Time until the caller leaves unless the response has begun, in milliseconds.
+    pub begin_in_ms: Option<u64>,
+}
+
+/// A slot request with its terms.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct SlotRequestOnTerms {
+    /// The request.
+    pub info: SlotRequestInfo,
+    /// Its terms.
+    pub terms: TermsInfo,
+}
+
+impl From<SlotRequestInfo> for SlotRequestOnTerms {
+    /// A request of a host that names no terms.
+    fn from(info: SlotRequestInfo) -> Self {
+        SlotRequestOnTerms {
+            info,
+            terms: TermsInfo::default(),
+        }
+    }
+}
+
 /// A request that expects a reply.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum PeerRequest {
@@ -264,6 +298,10 @@
     },
     /// Digest of all that the sender knows of servers, with each heartbeat.
     ServerReportsDigest(u64),
+    /// Like [`RequestSlot`](Self::RequestSlot), with terms. For hosts of protocol version 8 or later, like the one after it.
+    RequestSlotOnTerms(SlotRequestOnTerms),
+    /// Like [`Sync`](Self::Sync), with terms.
+    SyncOnTerms(Vec<SlotRequestOnTerms>),
 }
 
 impl PeerMessage {
@@ -279,8 +317,8 @@
             } => "cluster_map",
             PeerMessage::HeartbeatAck { .. } => "heartbeat_ack",
             PeerMessage::ClusterMapChange(_) => "cluster_map_change",
-            PeerMessage::Sync(_) => "sync",
-            PeerMessage::RequestSlot(_) => "request_slot",
+            PeerMessage::Sync(_) | PeerMessage::SyncOnTerms(_) => "sync",
+            PeerMessage::RequestSlot(_) | PeerMessage::RequestSlotOnTerms(_) => "request_slot",
             PeerMessage::Release { .. } => "release",
             PeerMessage::Grant { .. } => "grant",
             PeerMessage::Queued { .. }
--- a/bamboo-gateway/src/slot_requests.rs
+++ b/bamboo-gateway/src/slot_requests.rs
@@ -12,6 +12,7 @@
 use bamboo_slots::HostRequests;
 use bamboo_slots::OpenRequest;
 use bamboo_slots::RequestReport;
+use bamboo_slots::RequestTerms;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequestId;
 use bamboo_slots::Work;
@@ -24,6 +25,8 @@
 use crate::gateway::Gateway;
 use crate::mesh::PeerMessage;
 use crate::mesh::SlotRequestInfo;
+use crate::mesh::SlotRequestOnTerms;
+use crate::mesh::TermsInfo;
 
 /// Timeout for the coordinator's first reply to an online request. A round trip between data centres takes 3 ms; the
 /// rest allows for a loaded host. It is a fifth of the latency target for the first event.
@@ -77,7 +80,7 @@
     }
 
     /// All requests as they are sent to the coordinator, with times relative to `now`.
-    pub(crate) fn infos(&self, now: Duration) -> Vec<SlotRequestInfo> {
+    pub(crate) fn infos(&self, now: Duration) -> Vec<SlotRequestOnTerms> {
         let requests = self.requests.borrow();
         requests
             .iter()
@@ -86,7 +89,7 @@
     }
 
     /// A request as it is sent to the coordinator.
-    pub(crate) fn info(&self, id: SlotRequestId, now: Duration) -> Option<SlotRequestInfo> {
+    pub(crate) fn info(&self, id: SlotRequestId, now: Duration) -> Option<SlotRequestOnTerms> {
         let requests = self.requests.borrow();
         Some(request_info(id, requests.get(id)?, now))
     }
@@ -116,7 +119,7 @@
     }
 }
 
-fn request_info(id: SlotRequestId, state: &OpenRequest, now: Duration) -> SlotRequestInfo {
+fn request_info(id: SlotRequestId, state: &OpenRequest, now: Duration) -> SlotRequestOnTerms {
     let (is_online, due, remaining_ms) = match state.work {
         Work::Online {
             start_by,
@@ -124,7 +127,7 @@
         } => (true, start_by, millis(expires_at.saturating_sub(now))),
         Work::Batch { due, remaining } => (false, due, millis(remaining)),
     };
-    SlotRequestInfo {
+    let info = SlotRequestInfo {
         id,
         service: state.service.clone(),
         is_online,
@@ -133,7 +136,16 @@
         excluded: state.excluded.clone(),
         server: state.server.clone(),
         version: state.version.clone(),
-    }
+    };
+    let terms = &state.terms;
+    let begin_by = terms.begin_by;
+    let terms = TermsInfo {
+        workspace: terms.workspace.clone(),
+        rank: terms.rank,
+        is_counted: terms.is_counted,
+        begin_in_ms: begin_by.map(|begin_by| millis(begin_by.saturating_sub(now))),
+    };
+    SlotRequestOnTerms { info, terms }
 }
 
 fn millis(time: Duration) -> u64 {
@@ -221,10 +233,20 @@
     work: Work,
     mut excluded: Vec<BackendServerId>,
     version: Option<&SoftwareVersion>,
+    mut terms: RequestTerms,
 ) -> Result<Slot, SlotError> {
     loop {
-        let (request, preempted, mut decisions) =
-            send_request(gateway, service, work, &excluded, version);
+        let open_request = OpenRequest {
+            service: service.to_owned(),
+            work,
+            excluded: excluded.clone(),
+            version: version.cloned(),
+            terms: terms.clone(),
+            server: None,
+        };
+        // A request that is made anew has been counted.
+        terms.is_counted = false;
+        let (request, preempted, mut decisions) = send_request(gateway, open_request);
         let granted = match wait_for_grant(gateway, &request, work, &mut decisions).await? {
             Some(server) => server,
             None => match place_locally(gateway, &request, service, &excluded, version) {
@@ -253,10 +275,7 @@
 
 fn send_request(
     gateway: &Rc<Gateway>,
-    service: &str,
-    work: Work,
-    excluded: &[BackendServerId],
-    version: Option<&SoftwareVersion>,
+    open_request: OpenRequest,
 ) -> (
     SlotRequestGuard,
     Rc<Notify>,
@@ -265,13 +284,6 @@
     let table = &gateway.slot_requests;
     let (decisions, receiver) = mpsc::unbounded_channel();
     let preempted = Rc::new(Notify::new());
-    let open_request = OpenRequest {
-        service: service.to_owned(),
-        work,
-        excluded: excluded.to_vec(),
-        version: version.cloned(),
-        server: None,
-    };
     let id = table.requests.borrow_mut().open(open_request);
     let waiter = Waiter {
         decisions,
@@ -283,9 +295,7 @@
         id,
         outcome: Cell::new(RunOutcome::Cancelled),
     };
-    if let Some(info) = table.info(id, gateway.clock.now()) {
-        gateway.send_to_coordinator(PeerMessage::RequestSlot(info));
-    }
+    gateway.send_slot_request(id);
     (request, preempted, receiver)
 }
 
@@ -343,7 +353,6 @@
     let server = gateway.pick_server(service, excluded, version)?;
     let table = &gateway.slot_requests;
     table.requests.borrow_mut().place(request.id, &server.id);
-    let info = table.info(request.id, gateway.clock.now())?;
-    gateway.send_to_coordinator(PeerMessage::RequestSlot(info));
+    gateway.send_slot_request(request.id);
     Some(server.id.clone())
 }
--- a/bamboo-gateway/src/traffic/request.rs
+++ b/bamboo-gateway/src/traffic/request.rs
@@ -6,9 +6,12 @@
 use std::time::Duration;
 
 use bamboo_fleet::Route;
+use bamboo_fleet::Workspace;
 use bamboo_quarantine::RequestContent;
 use bamboo_quarantine::SuspectId;
 use bamboo_quarantine::part_suspect;
+use bamboo_slots::Rank;
+use bamboo_slots::RequestTerms;
 use bamboo_types::PromptPartId;
 use bytes::Bytes;
 use http::HeaderMap;
@@ -38,6 +41,8 @@
     pub(crate) route: Rc<Route>,
     /// Service picked by the weights of the route.
     pub(crate) service: String,
+    /// Workspace of the caller, if the configuration has workspaces.
+    pub(crate) workspace: Option<Rc<Workspace>>,
     /// Method.
     pub(crate) method: Method,
     /// Path and query.
@@ -83,6 +88,20 @@
 }
 
 impl CallerRequest {
+    /// For whom the request is, and how it competes with others for a slot.
+    pub(crate) fn terms(&self) -> RequestTerms {
+        let workspace = self.workspace.as_ref();
+        RequestTerms {
+            workspace: workspace.map(|workspace| workspace.name.clone()),
+            rank: Rank {
+                workspace: workspace.map_or(0, |workspace| workspace.priority),
+                route: self.route.priority,
+            },
+            is_counted: false,
+            begin_by: None,
+        }
+    }
+
     /// The whole content of the request.
     pub(crate) fn content(&self) -> SuspectId {
         self.suspects.last().copied().unwrap_or_default()
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -149,6 +149,7 @@
         id,
         suspects,
         service: service.clone(),
+        workspace: None,
         method: head.method,
         target: head
             .uri
--- a/bamboo-gateway/src/traffic/slot_search.rs
+++ b/bamboo-gateway/src/traffic/slot_search.rs
@@ -5,6 +5,7 @@
 
 use bamboo_fleet::EventOrder;
 use bamboo_fleet::RouteKind;
+use bamboo_slots::RequestTerms;
 use bamboo_slots::Work;
 use bamboo_types::BackendServerId;
 use bamboo_types::SoftwareVersion;
@@ -111,6 +112,8 @@
     pub(super) running_at: Vec<BackendServerId>,
     pub(super) version: Option<SoftwareVersion>,
     pub(super) may_have_run: bool,
+    /// Whether it is the first one for the request.
+    pub(super) is_first: bool,
 }
 
 /// Acquires a slot of a server that does not work on the request yet.
@@ -160,7 +163,19 @@
         expires_at: caller.deadline.min(until),
     };
     let version = search.version.as_ref();
-    let acquired = acquire_slot(gateway, &caller.service, work, search.excluded, version).await;
+    let terms = RequestTerms {
+        is_counted: search.is_first,
+        ..caller.terms()
+    };
+    let acquired = acquire_slot(
+        gateway,
+        &caller.service,
+        work,
+        search.excluded,
+        version,
+        terms,
+    );
+    let acquired = acquired.await;
     let slot = match acquired {
         Ok(slot) => slot,
         Err(error) => return Err(slot_error(error, version.is_some(), may_have_run)),
--- a/bamboo-gateway/src/traffic/stream_runs.rs
+++ b/bamboo-gateway/src/traffic/stream_runs.rs
@@ -239,6 +239,7 @@
                 .collect(),
             version: attempts.version.clone(),
             may_have_run: attempts.may_have_run || !self.open.is_empty(),
+            is_first: attempts.count == 0 && attempts.refusals == 0,
         };
         self.search_at = None;
         self.search = Some(find_slot(self.request, self.start, search).boxed_local());
--- a/bamboo-slots/examples/broker_cost.rs
+++ b/bamboo-slots/examples/broker_cost.rs
@@ -5,6 +5,7 @@
 
 use bamboo_slots::Broker;
 use bamboo_slots::Engine;
+use bamboo_slots::RequestTerms;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequest;
 use bamboo_slots::Work;
@@ -32,6 +33,7 @@
         work,
         excluded: Vec::new(),
         version: None,
+        terms: RequestTerms::default(),
     }
 }
 
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -143,7 +143,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use bamboo_slots::{Action, Broker, Engine, SlotRequest, Work};
+    /// use bamboo_slots::{Action, Broker, Engine, RequestTerms, SlotRequest, Work};
     /// let mut broker = Broker::default();
     /// let engine = Engine {
     ///     server: "s".into(),
@@ -163,6 +163,7 @@
     ///     work,
     ///     excluded: vec![],
     ///     version: None,
+    ///     terms: RequestTerms::default(),
     /// };
     /// broker.request_slot(request, Duration::ZERO);
     /// assert!(matches!(broker.take_actions()[0], Action::Grant { .. }));
--- a/bamboo-slots/src/host_requests.rs
+++ b/bamboo-slots/src/host_requests.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::RequestTerms;
 use crate::SlotRequestId;
 use crate::Work;
 
@@ -126,6 +127,8 @@
     pub excluded: Vec<BackendServerId>,
     /// Version of the software that the server must have, if any.
     pub version: Option<SoftwareVersion>,
+    /// For whom it is, and how it competes with others. All instants are on the host's clock.
+    pub terms: RequestTerms,
     /// Server that runs it; `None` while the request waits.
     pub server: Option<BackendServerId>,
 }
@@ -185,7 +188,7 @@
     /// Takes a slot that the coordinator granted. A grant may come more than once, and late.
     ///
     /// ```
-    /// use bamboo_slots::{GrantStep, HostRequests, OpenRequest, Work};
+    /// use bamboo_slots::{GrantStep, HostRequests, OpenRequest, RequestTerms, Work};
     /// use std::time::Duration;
     /// let mut requests = HostRequests::new(100);
     /// let work = Work::Batch { due: Duration::from_secs(9), remaining: Duration::from_secs(2) };
@@ -194,6 +197,7 @@
     ///     work,
     ///     excluded: vec![],
     ///     version: None,
+    ///     terms: RequestTerms::default(),
     ///     server: None,
     /// });
     /// assert_eq!(requests.grant(id, "s1"), GrantStep::Run);
--- a/bamboo-slots/src/lib.rs
+++ b/bamboo-slots/src/lib.rs
@@ -17,6 +17,7 @@
 mod refusal;
 mod request;
 mod request_state;
+mod terms;
 mod versions;
 
 pub use broker::Broker;
@@ -48,3 +49,5 @@
 pub use request::SlotRequest;
 pub use request::SlotRequestId;
 pub use request::Work;
+pub use terms::Rank;
+pub use terms::RequestTerms;
--- a/bamboo-slots/src/request.rs
+++ b/bamboo-slots/src/request.rs
@@ -9,6 +9,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::RequestTerms;
+
 /// Identifier of a slot request, unique within one incarnation of a host.
 pub type SlotRequestId = u64;
 
@@ -48,6 +50,8 @@
     pub excluded: Vec<BackendServerId>,
     /// Version of the software that the server must have, for work that goes on from earlier output.
     pub version: Option<SoftwareVersion>,
+    /// For whom it is, and how it competes with others.
+    pub terms: RequestTerms,
 }
 
 /// A decision of the broker that has to be sent to a host.
--- a/bamboo-slots/tests/broker.rs
+++ b/bamboo-slots/tests/broker.rs
@@ -6,6 +6,7 @@
 use bamboo_slots::Action;
 use bamboo_slots::Broker;
 use bamboo_slots::Engine;
+use bamboo_slots::RequestTerms;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequest;
 use bamboo_slots::SlotRequestId;
@@ -36,6 +37,7 @@
         work,
         excluded: Vec::new(),
         version: None,
+        terms: RequestTerms::default(),
     }
 }
 
--- a/bamboo-slots/tests/every_host_places_alone.rs
+++ b/bamboo-slots/tests/every_host_places_alone.rs
@@ -6,6 +6,7 @@
 use bamboo_slots::Action;
 use bamboo_slots::Broker;
 use bamboo_slots::Engine;
+use bamboo_slots::RequestTerms;
 use bamboo_slots::SlotRequest;
 use bamboo_slots::Work;
 use test_case::test_case;
@@ -52,6 +53,7 @@
                 },
                 excluded: Vec::new(),
                 version: None,
+                terms: RequestTerms::default(),
             };
             broker.request_slot(request, Duration::ZERO);
         }
--- a/bamboo-slots/tests/failing_servers.rs
+++ b/bamboo-slots/tests/failing_servers.rs
@@ -6,6 +6,7 @@
 use bamboo_slots::Action;
 use bamboo_slots::Broker;
 use bamboo_slots::Engine;
+use bamboo_slots::RequestTerms;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequest;
 use bamboo_slots::Work;
@@ -59,6 +60,7 @@
                 },
                 excluded: Vec::new(),
                 version: None,
+                terms: RequestTerms::default(),
             };
             broker.request_slot(request, now);
         }
@@ -118,6 +120,7 @@
         },
         excluded: vec!["s0".to_owned()],
         version: None,
+        terms: RequestTerms::default(),
     };
     broker.request_slot(request, Duration::ZERO);
     assert!(broker.take_actions().is_empty());
@@ -163,6 +166,7 @@
         },
         excluded: vec!["s1".to_owned()],
         version: None,
+        terms: RequestTerms::default(),
     };
     broker.request_slot(request, now);
     broker.tick(now + Duration::from_millis(50));
--- a/bamboo-slots/tests/limits.rs
+++ b/bamboo-slots/tests/limits.rs
@@ -7,6 +7,7 @@
 use bamboo_slots::Broker;
 use bamboo_slots::Engine;
 use bamboo_slots::RatePer1000S;
+use bamboo_slots::RequestTerms;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequest;
 use bamboo_slots::Work;
@@ -52,6 +53,7 @@
         work,
         excluded: Vec::new(),
         version: None,
+        terms: RequestTerms::default(),
     }
 }
 
--- a/bamboo-slots/tests/loads.rs
+++ b/bamboo-slots/tests/loads.rs
@@ -9,6 +9,7 @@
 use bamboo_slots::Action;
 use bamboo_slots::Broker;
 use bamboo_slots::Engine;
+use bamboo_slots::RequestTerms;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequest;
 use bamboo_slots::SlotRequestId;
@@ -233,6 +234,7 @@
         work,
         excluded: Vec::new(),
         version: None,
+        terms: RequestTerms::default(),
     };
     broker.request_slot(request, now);
 }
--- a/bamboo-slots/tests/resetting_servers.rs
+++ b/bamboo-slots/tests/resetting_servers.rs
@@ -6,6 +6,7 @@
 use bamboo_slots::Action;
 use bamboo_slots::Broker;
 use bamboo_slots::Engine;
+use bamboo_slots::RequestTerms;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequest;
 use bamboo_slots::SlotRequestId;
@@ -45,6 +46,7 @@
         work,
         excluded: Vec::new(),
         version: None,
+        terms: RequestTerms::default(),
     };
     broker.request_slot(request, at(now_ms));
 }
--- a/bamboo-slots/tests/retries_after_an_outage.rs
+++ b/bamboo-slots/tests/retries_after_an_outage.rs
@@ -9,6 +9,7 @@
 use bamboo_slots::Broker;
 use bamboo_slots::DeadlineHistory;
 use bamboo_slots::Engine;
+use bamboo_slots::RequestTerms;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequest;
 use bamboo_slots::Work;
@@ -96,6 +97,7 @@
                 },
                 excluded: Vec::new(),
                 version: None,
+                terms: RequestTerms::default(),
             };
             broker.request_slot(request, now);
         }
--- a/bamboo-slots/tests/take_ups_under_load.rs
+++ b/bamboo-slots/tests/take_ups_under_load.rs
@@ -6,6 +6,7 @@
 use bamboo_slots::Action;
 use bamboo_slots::Broker;
 use bamboo_slots::Engine;
+use bamboo_slots::RequestTerms;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequest;
 use bamboo_slots::SlotRequestId;
@@ -50,6 +51,7 @@
         },
         excluded: Vec::new(),
         version: is_take_up.then(|| "v1".to_owned()),
+        terms: RequestTerms::default(),
     }
 }
 
--- a/bamboo-slots/tests/versions.rs
+++ b/bamboo-slots/tests/versions.rs
@@ -5,6 +5,7 @@
 use bamboo_slots::Action;
 use bamboo_slots::Broker;
 use bamboo_slots::Engine;
+use bamboo_slots::RequestTerms;
 use bamboo_slots::RunOutcome;
 use bamboo_slots::SlotRequest;
 use bamboo_slots::SlotRequestId;
@@ -35,6 +36,7 @@
         work,
         excluded: Vec::new(),
         version: version.map(str::to_owned),
+        terms: RequestTerms::default(),
     }
 }
 
