feat(gateway): callers are authenticated by the keys of workspaces

Cause: with workspaces in the configuration, every request was still served without a key, and the caller's credentials went on to the servers.

Change: a pure decision in bamboo-fleet reads the Authorization header and names the workspace. The entry of the gateway answers 401 to a missing, unknown or repeated key on a route that is not public, sets CallerRequest::workspace, removes the credentials and the caller's own workspace header, and states the workspace. Calls about jobs and submissions need a key unless the batch routes of their Host are public; former batch routes keep whether they were. Requests that crash servers are known by the workspace instead of by the key. Refusals are counted by reason, and have a class of log lines of their own. Entries of one workspace name share one workspace, and keys longer than any known one are not digested. Without workspaces nothing changes.

Ruled out: to digest the key in the suspects of a request; a key that changes would make one caller look like two.

Process tests: not run yet.

--- a/bamboo-fleet/src/former_routes.rs
+++ b/bamboo-fleet/src/former_routes.rs
@@ -9,6 +9,7 @@
 struct FormerRoute {
     host: String,
     path_prefix: String,
+    is_public: bool,
     replaced_at: Duration,
 }
 
@@ -29,6 +30,7 @@
             self.routes.push(FormerRoute {
                 host: route.host.clone(),
                 path_prefix: route.path_prefix.clone(),
+                is_public: route.is_public,
                 replaced_at: now,
             });
         }
@@ -56,4 +58,47 @@
             .iter()
             .any(|route| route.host == host && path.starts_with(&route.path_prefix))
     }
+
+    /// Whether a request on a batch route that a configuration had needs no key: all such routes of the request are public.
+    ///
+    /// ```
+    /// let former = bamboo_fleet::FormerBatchRoutes::default();
+    /// assert!(!former.is_public("host", "/jobs/1"));
+    /// ```
+    pub fn is_public(&self, host: &str, path: &str) -> bool {
+        let routes = self.routes.iter();
+        let matching =
+            routes.filter(|route| route.host == host && path.starts_with(&route.path_prefix));
+        are_all_public(matching.map(|route| route.is_public))
+    }
+
+    /// Whether a call about a job for this `Host` needs no key: its batch routes are public, or if a configuration has none,
+    /// those that were replaced.
+    ///
+    /// ```
+    /// let former = bamboo_fleet::FormerBatchRoutes::default();
+    /// assert!(!former.job_calls_are_public(&bamboo_fleet::FleetConfig::default(), "host"));
+    /// ```
+    pub fn job_calls_are_public(&self, config: &FleetConfig, host: &str) -> bool {
+        let routes = config.routes.iter();
+        let mut present = routes
+            .filter(|route| route.host == host && route.is_batch())
+            .peekable();
+        match present.peek() {
+            Some(_) => are_all_public(present.map(|route| route.is_public)),
+            None => {
+                let former = self.routes.iter().filter(|route| route.host == host);
+                are_all_public(former.map(|route| route.is_public))
+            }
+        }
+    }
+}
+
+/// Whether there are routes and all of them are public.
+fn are_all_public<I>(routes: I) -> bool
+where
+    I: Iterator<Item = bool>,
+{
+    let mut routes = routes.peekable();
+    routes.peek().is_some() && routes.all(|is_public| is_public)
 }
--- a/bamboo-fleet/src/lib.rs
+++ b/bamboo-fleet/src/lib.rs
@@ -3,6 +3,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod authentication;
 mod buffer_budget;
 mod config;
 mod directory;
@@ -14,6 +15,9 @@
 mod version_knowledge;
 mod workspaces;
 
+pub use authentication::Authentication;
+pub use authentication::AuthenticationFailure;
+pub use authentication::authenticate;
 pub use bamboo_types::SoftwareVersion;
 pub use buffer_budget::BufferBudget;
 pub use buffer_budget::BufferReservation;
--- a/bamboo-fleet/src/workspaces.rs
+++ b/bamboo-fleet/src/workspaces.rs
@@ -52,10 +52,13 @@
 pub struct Workspaces {
     by_name: HashMap<WorkspaceId, Rc<Workspace>>,
     by_key: HashMap<KeyDigest, Rc<Workspace>>,
+    /// Length of the longest key.
+    key_max_bytes: usize,
 }
 
 impl Workspaces {
-    /// Adds a workspace with its keys. A key that another workspace has stays there. Returns the number of such keys.
+    /// Adds a workspace with its keys. A key that another workspace has stays there. Returns the number of such keys. If
+    /// there is a workspace of the same name, it gets the keys and stays as it is.
     ///
     /// ```
     /// use bamboo_fleet::{Workspace, Workspaces};
@@ -71,9 +74,11 @@
         K: IntoIterator<Item = S>,
         S: AsRef<[u8]>,
     {
-        let workspace = Rc::new(workspace);
+        let named = self.by_name.entry(workspace.name.clone());
+        let workspace = Rc::clone(named.or_insert_with(|| Rc::new(workspace)));
         let mut taken = 0;
         for key in keys {
+            self.key_max_bytes = self.key_max_bytes.max(key.as_ref().len());
             let digest = KeyDigest::of(key.as_ref());
             let holder = self
                 .by_key
@@ -81,14 +86,15 @@
                 .or_insert_with(|| Rc::clone(&workspace));
             taken += usize::from(holder.name != workspace.name);
         }
-        self.by_name
-            .entry(workspace.name.clone())
-            .or_insert(workspace);
         taken
     }
 
     /// The workspace that holds a key.
     pub fn find_key(&self, key: &[u8]) -> Option<&Rc<Workspace>> {
+        // A key may be as long as the limit on headers allows; the digest of such a one takes many times the look-up.
+        if key.len() > self.key_max_bytes {
+            return None;
+        }
         self.by_key.get(&KeyDigest::of(key))
     }
 
--- a/bamboo-gateway/src/metrics.rs
+++ b/bamboo-gateway/src/metrics.rs
@@ -98,6 +98,8 @@
     registry: Registry,
     /// Responses to callers by route and status.
     pub requests: Family<RequestLabels, Counter>,
+    /// Requests that were refused because they carry no key of a workspace, by reason.
+    pub authentication_refusals: Family<KindLabel, Counter>,
     /// Time to the first byte of a response.
     pub first_byte_s: Histogram,
     /// Time that requests waited for a slot grant.
@@ -138,6 +140,7 @@
         let mut metrics = Metrics {
             registry: Registry::with_prefix("gateway"),
             requests: Family::default(),
+            authentication_refusals: Family::default(),
             first_byte_s: latency(),
             slot_wait_s: latency(),
             runs: Family::default(),
@@ -161,6 +164,11 @@
             "Answers by route and status",
             metrics.requests.clone(),
         );
+        registry.register(
+            "authentication_refusals",
+            "Requests refused because they carry no key of a workspace, by reason",
+            metrics.authentication_refusals.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time to the first byte of an answer",
@@ -248,6 +256,12 @@
         self.runs.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a request that was refused because it carries no key of a workspace.
+    pub(crate) fn count_authentication_refusal(&self, kind: &'static str) {
+        let refusals = &self.authentication_refusals;
+        refusals.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts the end of a stream that had begun.
     pub(crate) fn count_stream_end(&self, kind: &'static str) {
         self.stream_ends.get_or_create(&KindLabel { kind }).inc();
--- a/bamboo-gateway/src/request_log.rs
+++ b/bamboo-gateway/src/request_log.rs
@@ -14,6 +14,8 @@
     Served,
     /// The request was rejected and did not run.
     Refused,
+    /// The request did not carry the key of a workspace. Callers without a key must not use up the lines of others.
+    Unauthenticated,
     /// The request was accepted and did not end whole.
     Failed,
     /// The caller left, or its connection failed.
@@ -23,13 +25,14 @@
 }
 
 /// Number of classes.
-const CLASSES: usize = 5;
+const CLASSES: usize = 6;
 
 impl LineClass {
     fn name(self) -> &'static str {
         match self {
             LineClass::Served => "served",
             LineClass::Refused => "refused",
+            LineClass::Unauthenticated => "unauthenticated",
             LineClass::Failed => "failed",
             LineClass::CallerLeft => "caller_left",
             LineClass::Other => "other",
--- a/bamboo-gateway/src/traffic.rs
+++ b/bamboo-gateway/src/traffic.rs
@@ -1,6 +1,7 @@
 //! Serves callers' requests by forwarding them to backend servers.
 
 mod accept;
+mod authentication;
 mod buffered_body;
 mod engine_run;
 mod head_limit;
--- a/bamboo-gateway/src/traffic/request.rs
+++ b/bamboo-gateway/src/traffic/request.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bamboo_fleet::Authentication;
 use bamboo_fleet::Route;
 use bamboo_fleet::Workspace;
 use bamboo_quarantine::RequestContent;
@@ -123,11 +124,21 @@
         .collect()
 }
 
-/// Who sent a request: its credentials, or its address if it has none.
-pub(crate) fn caller_key(headers: &HeaderMap, address: IpAddr) -> String {
-    match headers.get(header::AUTHORIZATION) {
-        Some(credentials) => String::from_utf8_lossy(credentials.as_bytes()).into_owned(),
-        None => address.to_string(),
+/// Who sent a request, as far as it matters for requests that crash servers: its workspace, or its address. Without
+/// workspaces, its credentials come before the address.
+pub(crate) fn caller_key(
+    authentication: &Authentication,
+    headers: &HeaderMap,
+    address: IpAddr,
+) -> String {
+    let credentials = || headers.get(header::AUTHORIZATION);
+    match authentication {
+        Authentication::Known(workspace) => workspace.name.clone(),
+        Authentication::Anonymous => address.to_string(),
+        Authentication::Off => credentials().map_or_else(
+            || address.to_string(),
+            |credentials| String::from_utf8_lossy(credentials.as_bytes()).into_owned(),
+        ),
     }
 }
 
@@ -153,12 +164,17 @@
     forwarded
 }
 
-/// Returns the request headers to forward, without those that the gateway sets itself.
-pub(crate) fn forwarded_headers(headers: &HeaderMap, names: &HeaderNames) -> HeaderMap {
+/// Returns the request headers to forward, without those that the gateway sets itself and without the key of a workspace.
+pub(crate) fn forwarded_headers(
+    headers: &HeaderMap,
+    names: &HeaderNames,
+    authentication: &Authentication,
+) -> HeaderMap {
     let mut forwarded = end_to_end_headers(headers);
     forwarded.remove(&names.deadline_ms);
     forwarded.remove(&names.expected_server);
     forwarded.remove(header::CONTENT_LENGTH);
     forwarded.remove(header::EXPECT);
+    authentication.rewrite_headers(&mut forwarded, &names.workspace);
     forwarded
 }
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -8,6 +8,8 @@
 use bamboo_fleet::FleetConfig;
 use bamboo_fleet::Route;
 use bamboo_fleet::RouteKind;
+use bamboo_fleet::Workspace;
+use bamboo_fleet::authenticate;
 use bamboo_quarantine::RequestContent;
 use bytes::Bytes;
 use http::HeaderMap;
@@ -25,6 +27,9 @@
 use crate::metrics::RequestLabels;
 use crate::request_log::LineClass;
 use crate::response_body::ResponseBody;
+use crate::traffic::authentication::Access;
+use crate::traffic::authentication::authenticate_request;
+use crate::traffic::authentication::unauthorized;
 use crate::traffic::buffered_body::BodyError;
 use crate::traffic::buffered_body::read_whole_body;
 use crate::traffic::plain::serve_plain;
@@ -100,16 +105,27 @@
     let host = host_header(&request);
     let path = request.uri().path();
     // Jobs outlive their routes, so that only their shards know which ones there are.
-    if let Some(response) = answer_job_call(gateway, &config, &host, &request, progress).await {
+    let job_call = answer_job_call(gateway, &config, caller_address, &host, &request, progress);
+    if let Some(response) = job_call.await {
         return response;
     }
     let Some(route) = config.find_route(&host, path).cloned() else {
         if request.method() == Method::POST && gateway.former_routes.borrow().matches(&host, path) {
-            return serve_former_route(gateway, &config, request).await;
+            return serve_former_route(gateway, &config, caller_address, &host, request).await;
         }
         log::info!(event = "no_route", host = host.as_str(), path, version = config.version; "no route matches");
         return text_response(StatusCode::NOT_FOUND, "no route\n");
     };
+    let access = Access {
+        caller_address,
+        route: &route.name,
+        is_public: route.is_public,
+    };
+    let authentication = match authenticate_request(gateway, &config, request.headers(), access) {
+        Ok(authentication) => authentication,
+        Err(_) => return unauthorized(),
+    };
+    let workspace: Option<Rc<Workspace>> = authentication.workspace().cloned();
     let id =
         header_text(request.headers(), &gateway.dialect.headers.request_id).unwrap_or_default();
     let (head, body) = request.into_parts();
@@ -141,7 +157,7 @@
         host: &host,
         path: head.uri.path(),
         query: head.uri.query().unwrap_or_default(),
-        caller: &caller_key(&head.headers, caller_address),
+        caller: &caller_key(&authentication, &head.headers, caller_address),
         prompt: &(gateway.dialect.decode_prompt_parts)(&head.headers),
         body: &body,
     });
@@ -149,13 +165,13 @@
         id,
         suspects,
         service: service.clone(),
-        workspace: None,
+        workspace,
         method: head.method,
         target: head
             .uri
             .path_and_query()
             .map_or_else(|| "/".to_owned(), |target| target.as_str().to_owned()),
-        headers: forwarded_headers(&head.headers, &gateway.dialect.headers),
+        headers: forwarded_headers(&head.headers, &gateway.dialect.headers, &authentication),
         body,
         arrived_at,
         waited,
@@ -178,6 +194,7 @@
 async fn answer_job_call(
     gateway: &Rc<Gateway>,
     config: &FleetConfig,
+    caller_address: IpAddr,
     host: &str,
     request: &Request<Incoming>,
     progress: &RequestProgress,
@@ -188,6 +205,26 @@
     if handler == JobCallHandler::Route {
         return None;
     }
+    let access = Access {
+        caller_address,
+        route: "",
+        is_public: gateway
+            .former_routes
+            .borrow()
+            .job_calls_are_public(config, host),
+    };
+    let _workspace: Option<Rc<Workspace>> = match handler {
+        // The route may be public although calls about jobs are not.
+        JobCallHandler::ShardsFirst => {
+            let workspaces = config.workspaces.as_ref();
+            let authentication = authenticate(workspaces, request.headers(), access.is_public);
+            authentication.ok()?.workspace().cloned()
+        }
+        _ => match authenticate_request(gateway, config, request.headers(), access) {
+            Ok(authentication) => authentication.workspace().cloned(),
+            Err(_) => return Some(unauthorized()),
+        },
+    };
     if method != Method::GET {
         progress.begin_attempt();
     }
@@ -201,8 +238,21 @@
 async fn serve_former_route(
     gateway: &Rc<Gateway>,
     config: &FleetConfig,
+    caller_address: IpAddr,
+    host: &str,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
+    let path = request.uri().path();
+    let access = Access {
+        caller_address,
+        route: "",
+        is_public: gateway.former_routes.borrow().is_public(host, path),
+    };
+    let _workspace: Option<Rc<Workspace>> =
+        match authenticate_request(gateway, config, request.headers(), access) {
+            Ok(authentication) => authentication.workspace().cloned(),
+            Err(_) => return unauthorized(),
+        };
     let id =
         header_text(request.headers(), &gateway.dialect.headers.request_id).unwrap_or_default();
     // The caller sends the whole body before it reads the response.
