feat(gateway): jobs belong to the workspace of their caller

Cause: any caller could read, cancel and resubmit the jobs of all others, and the items of a job named whatever workspace their submitter wrote.

Change: JobRecord::workspace. A job of a workspace is stored in record format 3 (workspace, then the record as in format 2); all other records are still written in format 2, and formats 1 and 2 are read. submit, call and find_submitted take the workspace of the caller. The owner of the shard decides: 404 for calls of another workspace, 409 for its submissions under the same identifier, 503 while it cannot tell (no configuration, or a host of an older version that identifies no workspaces). SubmitFor, JobFor, FindSubmittedFor and ReserveFor are for hosts of protocol version 8; an owner of unknown or older version is asked for its version first. Items are sent with the workspace of the stored job. Waiting tokens are counted per queue (route and workspace); the text of a queue without workspace is the route's name. traffic/serve.rs passes no workspace yet.

Ruled out: a key of (workspace, identifier) for jobs, as the design has one name space with 409; and a new heartbeat field for queues, which older coordinators could not decode.

Process tests were not run for this commit.

--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -9,6 +9,7 @@
 use bamboo_coordination::HintAction;
 use bamboo_coordination::HostInfo;
 use bamboo_coordination::ReservationOutcome;
+use bamboo_shards::JobCaller;
 use bamboo_slots::Action;
 use bamboo_slots::GrantStep;
 use bamboo_slots::RequestReport;
@@ -18,10 +19,12 @@
 use bamboo_slots::Work;
 use bamboo_types::BackendServerId;
 use bamboo_types::HostId;
+use bamboo_types::QueueKey;
 use tokio::sync::mpsc;
 
 use crate::gateway::ConfigRecord;
 use crate::gateway::Gateway;
+use crate::jobs::JobSubmission;
 use crate::mesh::CLUSTER_MAP_CHANGES_SINCE;
 use crate::mesh::COMPARED_REPORTS_SINCE;
 use crate::mesh::PeerMessage;
@@ -37,6 +40,8 @@
 const CONFIG_FETCH_DELAY: Duration = Duration::from_millis(300);
 /// Timeout for fetching a configuration, which may be large and the link slow. A link that fails ends the fetch sooner.
 const CONFIG_FETCH_TIMEOUT: Duration = Duration::from_secs(5);
+/// Timeout of the request that makes a host connect and name its version.
+const VERSION_TIMEOUT: Duration = Duration::from_millis(300);
 
 impl Gateway {
     /// Sends a message to the coordinator, which may be this host.
@@ -405,11 +410,35 @@
     }
 
     /// Whether a host decodes messages that exist since a version.
-    pub(super) fn decodes_since(&self, host: &str, since: ProtocolVersion) -> bool {
+    pub(crate) fn decodes_since(&self, host: &str, since: ProtocolVersion) -> bool {
         let versions = self.protocol_versions.borrow();
         host == self.local.host || versions.get(host).is_some_and(|version| *version >= since)
     }
 
+    /// Whether a host decodes messages that exist since a version. A host that is not known to decode them is asked, since
+    /// hosts name their version only when they connect, and may have been replaced by a later release meanwhile.
+    pub(crate) async fn ask_decodes_since(&self, host: &str, since: ProtocolVersion) -> bool {
+        if self.decodes_since(host, since) {
+            return true;
+        }
+        // A small request that hosts of all versions answer. The version comes with the connection that brings the reply.
+        let request = PeerRequest::StreamOrigin {
+            stream: 0,
+            services: Vec::new(),
+        };
+        let now = self.clock.now();
+        self.mesh.call(host, request, VERSION_TIMEOUT, now).await;
+        self.decodes_since(host, since)
+    }
+
+    /// For whom a host passes on a call that names no workspace. Hosts of earlier releases identify none.
+    fn caller_without_workspace(&self, host: &str) -> JobCaller {
+        match self.decodes_since(host, REQUEST_TERMS_SINCE) {
+            true => JobCaller::NoWorkspace,
+            false => JobCaller::Unidentified,
+        }
+    }
+
     pub(super) fn acknowledge_heartbeat(
         &self,
         sender: &HostInfo,
@@ -471,16 +500,59 @@
                 path,
                 body,
             } => {
-                self.jobs
-                    .submit_as_owner(self, &job, &host, &path, &body)
-                    .await
+                let submission = JobSubmission {
+                    job,
+                    host,
+                    path,
+                    body: body.into(),
+                    workspace: None,
+                };
+                let caller = self.caller_without_workspace(sender);
+                self.jobs.submit_as_owner(self, &submission, &caller).await
+            }
+            PeerRequest::SubmitFor {
+                workspace,
+                job,
+                host,
+                path,
+                body,
+            } => {
+                let submission = JobSubmission {
+                    job,
+                    host,
+                    path,
+                    body: body.into(),
+                    workspace: Some(workspace.clone()),
+                };
+                let caller = JobCaller::Workspace(workspace);
+                self.jobs.submit_as_owner(self, &submission, &caller).await
+            }
+            PeerRequest::Job(call) => {
+                let caller = self.caller_without_workspace(sender);
+                self.jobs.call_as_owner(self, call, &caller).await
+            }
+            PeerRequest::JobFor { workspace, call } => {
+                let caller = JobCaller::Workspace(workspace);
+                self.jobs.call_as_owner(self, call, &caller).await
+            }
+            PeerRequest::FindSubmittedFor { workspace, job } => {
+                let caller = JobCaller::Workspace(workspace);
+                self.jobs.find_as_owner(self, &job, &caller).await
             }
-            PeerRequest::Job(call) => self.jobs.call_as_owner(self, call).await,
             PeerRequest::Reserve {
                 route,
                 tokens,
                 max_tokens,
-            } => self.reserve(sender, &route, tokens, max_tokens),
+            } => self.reserve(sender, &QueueKey::from(route), None, tokens, max_tokens),
+            PeerRequest::ReserveFor {
+                job,
+                queue,
+                tokens,
+                max_tokens,
+            } => {
+                let queue = QueueKey::from(queue);
+                self.reserve(sender, &queue, Some(&job), tokens, max_tokens)
+            }
             PeerRequest::Store(request) => PeerReply::Store(self.relay_store_call(&request).await),
             PeerRequest::Config => PeerReply::Config(
                 self.config_record()
@@ -509,11 +581,12 @@
         }
     }
 
-    /// Reserves queue capacity for a route's tokens, as the coordinator.
+    /// Reserves queue capacity for the tokens of a job, as the coordinator. Hosts of earlier releases do not name the job.
     pub(crate) fn reserve(
         &self,
         host: &str,
-        route: &str,
+        queue: &QueueKey,
+        _job: Option<&str>,
         tokens: u64,
         max_tokens: u64,
     ) -> PeerReply {
@@ -521,7 +594,7 @@
         let mut reports = self.reports.borrow_mut();
         match reports.reserve(
             host,
-            route,
+            &String::from(queue),
             tokens,
             max_tokens,
             partitions,
--- a/bamboo-gateway/src/jobs.rs
+++ b/bamboo-gateway/src/jobs.rs
@@ -18,6 +18,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bamboo_types::QueueKey;
 use tokio::sync::Notify;
 
 use crate::store::Partition;
@@ -29,6 +30,7 @@
 pub(crate) use ownership::sync_host_list;
 use shard::OwnedShard;
 use submissions::Submissions;
+pub(crate) use submit::JobSubmission;
 
 /// Number of epochs within one generation: how often one host can open shards before its epochs reach those of the next
 /// generation.
@@ -42,7 +44,7 @@
     /// By the clock that also counts the time for which the machine is suspended.
     membership_expires_at: Cell<Duration>,
     last_reservation: Cell<u64>,
-    reserved_tokens: RefCell<HashMap<String, u64>>,
+    reserved_tokens: RefCell<HashMap<QueueKey, u64>>,
     submissions: Submissions,
     run_time_estimator: RunTimeEstimator,
     item_trials: ItemTrials,
@@ -66,17 +68,18 @@
             .collect()
     }
 
-    /// Waiting tokens of the owned shards per route, including reserved ones.
+    /// Waiting tokens of the owned shards per queue, by its text, including reserved ones.
     pub(crate) fn waiting_tokens(&self) -> Vec<(String, u64)> {
-        let mut waiting: HashMap<String, u64> = self.reserved_tokens.borrow().clone();
+        let mut waiting: HashMap<QueueKey, u64> = self.reserved_tokens.borrow().clone();
         for shard in self.shards.borrow().values() {
-            for (route, tokens) in shard.state.borrow().waiting_tokens() {
-                *waiting.entry(route).or_default() += tokens;
+            for (queue, tokens) in shard.state.borrow().waiting_tokens() {
+                *waiting.entry(queue).or_default() += tokens;
             }
         }
         waiting
             .into_iter()
             .filter(|(_, tokens)| *tokens > 0)
+            .map(|(queue, tokens)| (String::from(&queue), tokens))
             .collect()
     }
 
@@ -107,16 +110,12 @@
         self.shards.borrow().get(&partition).cloned()
     }
 
-    fn add_reserved(&self, route: &str, tokens: u64) {
-        *self
-            .reserved_tokens
-            .borrow_mut()
-            .entry(route.to_owned())
-            .or_default() += tokens;
+    fn add_reserved(&self, queue: QueueKey, tokens: u64) {
+        *self.reserved_tokens.borrow_mut().entry(queue).or_default() += tokens;
     }
 
-    fn remove_reserved(&self, route: &str, tokens: u64) {
-        if let Some(reserved) = self.reserved_tokens.borrow_mut().get_mut(route) {
+    fn remove_reserved(&self, queue: &QueueKey, tokens: u64) {
+        if let Some(reserved) = self.reserved_tokens.borrow_mut().get_mut(queue) {
             *reserved = reserved.saturating_sub(tokens);
         }
     }
--- a/bamboo-gateway/src/jobs/calls.rs
+++ b/bamboo-gateway/src/jobs/calls.rs
@@ -4,7 +4,11 @@
 use std::time::Duration;
 
 use bamboo_shards::Job;
+use bamboo_shards::JobAccess;
+use bamboo_shards::JobCaller;
+use bamboo_shards::JobRecord;
 use bamboo_shards::Record;
+use bamboo_types::WorkspaceId;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -17,10 +21,12 @@
 use crate::jobs::shard::AppendOutcome;
 use crate::jobs::shard::OwnedShard;
 use crate::jobs::shard::has_latest_records;
+use crate::jobs::submit::submitted_again;
 use crate::jobs::submitted::ReadOutcome;
 use crate::jobs::submitted::read_submitted;
 use crate::mesh::PeerReply;
 use crate::mesh::PeerRequest;
+use crate::mesh::REQUEST_TERMS_SINCE;
 use crate::response_body::ResponseBody;
 use crate::store::Partition;
 use crate::store::ReadExtent;
@@ -54,6 +60,13 @@
     http_reply(StatusCode::NOT_FOUND, Vec::new())
 }
 
+/// Whether a caller may make calls about a job, by the current configuration.
+pub(super) fn access(gateway: &Gateway, job: &JobRecord, caller: &JobCaller) -> JobAccess {
+    let config = gateway.config();
+    let has_workspaces = config.map(|config| config.workspaces.is_some());
+    job.access(caller, has_workspaces)
+}
+
 /// Encodes the results from position `after` on, as many as fit into a page. How long their text is in a page depends on its
 /// characters. A result that is larger than a page gets one of its own.
 fn encode_page(gateway: &Gateway, job: &Job, after: usize) -> anyhow::Result<Vec<u8>> {
@@ -87,6 +100,16 @@
     response
 }
 
+/// Timeout of a call to the owner of a shard.
+fn owner_timeout(call: &JobCall) -> Duration {
+    OWNER_TIMEOUT
+        + match call {
+            JobCall::Read { wait, .. } => (*wait).min(RESULT_WAIT_MAX),
+            JobCall::Cancel { .. } => STORE_TIMEOUT,
+            JobCall::ItemBody { .. } => Duration::ZERO,
+        }
+}
+
 impl JobShards {
     pub(super) fn partition_of(&self, gateway: &Gateway, job: &str) -> Partition {
         (xxh3_64(job.as_bytes()) % u64::from(gateway.settings.store.shard_count)) as Partition
@@ -96,61 +119,84 @@
         self.shard(partition).is_some_and(|shard| shard.is_open())
     }
 
-    /// Answers a call about a job for a caller.
+    /// Answers a call about a job for a caller of a workspace, if any.
     pub(crate) async fn call(
         &self,
         gateway: &Rc<Gateway>,
         call: JobCall,
+        workspace: Option<WorkspaceId>,
     ) -> Response<ResponseBody> {
-        to_response(self.ask_owner(gateway, call).await)
+        let partition = self.partition_of(gateway, call.job());
+        if self.is_owned_locally(partition) {
+            let caller = JobCaller::from(workspace);
+            return to_response(Some(self.call_as_owner(gateway, call, &caller).await));
+        }
+        let timeout = owner_timeout(&call);
+        let request = match workspace {
+            Some(workspace) => PeerRequest::JobFor { workspace, call },
+            None => PeerRequest::Job(call),
+        };
+        to_response(self.ask_owner(gateway, partition, request, timeout).await)
     }
 
     /// Answers a submission whose route the configuration does not have any more: 202 if the job was accepted before, 404
-    /// if not.
+    /// if not, 409 if it is one of another workspace.
     pub(crate) async fn find_submitted(
         &self,
         gateway: &Rc<Gateway>,
         job: String,
+        workspace: Option<WorkspaceId>,
     ) -> Response<ResponseBody> {
+        let partition = self.partition_of(gateway, &job);
+        if self.is_owned_locally(partition) {
+            let caller = JobCaller::from(workspace);
+            return to_response(Some(self.find_as_owner(gateway, &job, &caller).await));
+        }
+        if let Some(workspace) = workspace {
+            let request = PeerRequest::FindSubmittedFor { workspace, job };
+            let reply = self.ask_owner(gateway, partition, request, OWNER_TIMEOUT);
+            return to_response(reply.await);
+        }
         let read = JobCall::Read {
             job,
             after: usize::MAX,
             wait: Duration::ZERO,
         };
-        let mut response = to_response(self.ask_owner(gateway, read).await);
+        let request = PeerRequest::Job(read);
+        let reply = self.ask_owner(gateway, partition, request, OWNER_TIMEOUT);
+        let mut response = to_response(reply.await);
         if response.status() == StatusCode::OK {
             response = to_response(Some(http_reply(StatusCode::ACCEPTED, Vec::new())));
         }
         response
     }
 
-    /// Passes a call to the owner of the job's shard. Returns `None` if the owner is unknown or does not reply.
-    async fn ask_owner(&self, gateway: &Rc<Gateway>, call: JobCall) -> Option<PeerReply> {
-        let partition = self.partition_of(gateway, call.job());
-        if self.is_owned_locally(partition) {
-            return Some(self.call_as_owner(gateway, call).await);
-        }
+    /// Passes a request to the other host that owns a shard. Returns `None` if the owner is unknown, does not reply, or does not
+    /// know workspaces although the request names one.
+    async fn ask_owner(
+        &self,
+        gateway: &Rc<Gateway>,
+        partition: Partition,
+        request: PeerRequest,
+        timeout: Duration,
+    ) -> Option<PeerReply> {
         let owner = gateway.coordination.borrow().owner_of(partition);
-        match owner {
-            Some(owner) if owner != gateway.local.host => {
-                let timeout = OWNER_TIMEOUT
-                    + match call {
-                        JobCall::Read { wait, .. } => wait.min(RESULT_WAIT_MAX),
-                        JobCall::Cancel { .. } => STORE_TIMEOUT,
-                        JobCall::ItemBody { .. } => Duration::ZERO,
-                    };
-                let now = gateway.clock.now();
-                gateway
-                    .mesh
-                    .call(&owner, PeerRequest::Job(call), timeout, now)
-                    .await
-            }
-            _ => None,
+        let owner = owner.filter(|owner| *owner != gateway.local.host)?;
+        let names_workspace = !matches!(request, PeerRequest::Job(_));
+        if names_workspace && !gateway.ask_decodes_since(&owner, REQUEST_TERMS_SINCE).await {
+            return None;
         }
+        let now = gateway.clock.now();
+        gateway.mesh.call(&owner, request, timeout, now).await
     }
 
     /// Answers a call as the owner of the job's shard.
-    pub(crate) async fn call_as_owner(&self, gateway: &Rc<Gateway>, call: JobCall) -> PeerReply {
+    pub(crate) async fn call_as_owner(
+        &self,
+        gateway: &Rc<Gateway>,
+        call: JobCall,
+        caller: &JobCaller,
+    ) -> PeerReply {
         let partition = self.partition_of(gateway, call.job());
         let Some(shard) = self.shard(partition).filter(|shard| shard.is_open()) else {
             return unavailable();
@@ -158,6 +204,16 @@
         if !self.is_lookup_conclusive(gateway, &shard, call.job()).await {
             return unavailable();
         }
+        let access = shard.state.borrow().job(call.job()).map_or(
+            // A call about an unknown job is answered as such below.
+            JobAccess::Granted,
+            |found| access(gateway, &found.record, caller),
+        );
+        match access {
+            JobAccess::Granted => {}
+            JobAccess::Denied => return not_found(),
+            JobAccess::Undecided => return unavailable(),
+        }
         match call {
             JobCall::Read { job, after, wait } => {
                 self.read_results(gateway, &shard, &job, after, wait).await
@@ -167,6 +223,27 @@
         }
     }
 
+    /// Answers as the owner of a job's shard whether the job was accepted, for a caller that submits it again.
+    pub(crate) async fn find_as_owner(
+        &self,
+        gateway: &Rc<Gateway>,
+        job: &str,
+        caller: &JobCaller,
+    ) -> PeerReply {
+        let partition = self.partition_of(gateway, job);
+        let Some(shard) = self.shard(partition).filter(|shard| shard.is_open()) else {
+            return unavailable();
+        };
+        if !self.is_lookup_conclusive(gateway, &shard, job).await {
+            return unavailable();
+        }
+        match shard.state.borrow().job(job) {
+            Some(found) => submitted_again(gateway, &found.record, caller),
+            None if self.is_membership_valid(gateway) => not_found(),
+            None => unavailable(),
+        }
+    }
+
     /// Whether the group membership has not expired, so that the shards are certainly still owned by this host. It also lapses
     /// while the machine is suspended.
     fn is_membership_valid(&self, gateway: &Gateway) -> bool {
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -243,7 +243,7 @@
 ) {
     let run = shard.shared_run(&job.id, item);
     let mut excluded: Vec<BackendServerId> = Vec::new();
-    let request = engine_request(gateway, job, item);
+    let mut request = engine_request(gateway, job, item);
     let mut route_missing_since = None;
     let mut fruitless_attempts = 0;
     let mut silent_in_a_row = 0;
@@ -302,7 +302,7 @@
             work,
             excluded_now,
             version,
-            RequestTerms::default(),
+            item_terms(job),
         );
         let acquired = log_long_wait(gateway, job, &request, &service, acquired);
         let acquired = tokio::select! {
@@ -326,6 +326,7 @@
         if !may_run() {
             continue;
         }
+        set_workspace(gateway, job, &mut request.headers);
         let server = slot.server.id.clone();
         let (started_at, events_before) = (gateway.clock.now(), run.borrow().event_count());
         let retention_left =
@@ -481,6 +482,41 @@
     });
 }
 
+/// Terms of the slot requests of a job's items. Items do not count towards the rate of their workspace.
+fn item_terms(job: &JobRecord) -> RequestTerms {
+    RequestTerms {
+        workspace: job.workspace.clone(),
+        ..RequestTerms::default()
+    }
+}
+
+/// Has the headers of an item name the workspace of its job to the server, whatever the submitter put there. Headers of an item
+/// stay as they were submitted if neither the job nor the configuration has workspaces.
+fn set_workspace(gateway: &Gateway, job: &JobRecord, headers: &mut HeaderMap) {
+    let config = gateway.config();
+    let has_workspaces = config.is_none_or(|config| config.workspaces.is_some());
+    if job.workspace.is_none() && !has_workspaces {
+        return;
+    }
+    headers.remove(header::AUTHORIZATION);
+    // It could declare the workspace a header of the connection, which servers may drop.
+    headers.remove(header::CONNECTION);
+    let name = &gateway.dialect.headers.workspace;
+    headers.remove(name);
+    let Some(workspace) = &job.workspace else {
+        return;
+    };
+    match HeaderValue::from_bytes(workspace.as_bytes()) {
+        Ok(value) => {
+            headers.insert(name, value);
+        }
+        Err(_) => log::warn!(
+            event = "workspace_header", job = job.id.as_str();
+            "the name of the job's workspace is no header value; its items are sent without it"
+        ),
+    }
+}
+
 fn engine_request(gateway: &Gateway, job: &JobRecord, item: ItemIndex) -> EngineRequest {
     let item = &job.items[item as usize];
     let mut headers = HeaderMap::new();
--- a/bamboo-gateway/src/jobs/submit.rs
+++ b/bamboo-gateway/src/jobs/submit.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 
 use bamboo_fleet::RouteKind;
+use bamboo_shards::JobAccess;
+use bamboo_shards::JobCaller;
 use bamboo_shards::JobRecord;
 use bamboo_shards::Record;
 use bamboo_shards::split_record;
+use bamboo_types::WorkspaceId;
 use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
@@ -15,6 +18,7 @@
 use crate::jobs::JobShards;
 use crate::jobs::append::append_bytes;
 use crate::jobs::calls::STORE_TIMEOUT;
+use crate::jobs::calls::access;
 use crate::jobs::calls::http_reply;
 use crate::jobs::calls::to_response;
 use crate::jobs::calls::unavailable;
@@ -22,6 +26,7 @@
 use crate::jobs::submitted::SUBMITTED_TOPIC;
 use crate::mesh::PeerReply;
 use crate::mesh::PeerRequest;
+use crate::mesh::REQUEST_TERMS_SINCE;
 use crate::response_body::ResponseBody;
 use crate::store::Partition;
 use crate::store::StoreError;
@@ -50,14 +55,53 @@
     matches!(reply, PeerReply::Http { status, .. } if refusals.iter().any(|code| code.as_u16() == *status))
 }
 
+/// A job that a caller submits.
+#[derive(Debug, Clone)]
+pub(crate) struct JobSubmission {
+    /// Identifier of the job.
+    pub(crate) job: String,
+    /// `Host` header.
+    pub(crate) host: String,
+    /// Path of the caller's request.
+    pub(crate) path: String,
+    /// Body of the caller's request.
+    pub(crate) body: Bytes,
+    /// Workspace of the caller, which the job then belongs to.
+    pub(crate) workspace: Option<WorkspaceId>,
+}
+
+impl JobSubmission {
+    /// The request for the owner of the job's shard.
+    fn peer_request(&self) -> PeerRequest {
+        let (job, host, path) = (self.job.clone(), self.host.clone(), self.path.clone());
+        let body = self.body.to_vec();
+        match self.workspace.clone() {
+            Some(workspace) => PeerRequest::SubmitFor {
+                workspace,
+                job,
+                host,
+                path,
+                body,
+            },
+            None => PeerRequest::Submit {
+                job,
+                host,
+                path,
+                body,
+            },
+        }
+    }
+}
+
 impl JobShards {
-    /// Submits a job for a caller.
+    /// Submits a job for a caller. It belongs to the workspace of the caller, if any.
     pub(crate) async fn submit(
         &self,
         gateway: &Rc<Gateway>,
         job: &str,
         host: &str,
         path: &str,
+        workspace: Option<WorkspaceId>,
         body: Bytes,
     ) -> Response<ResponseBody> {
         let partition = self.partition_of(gateway, job);
@@ -65,10 +109,16 @@
         // A task of its own: a caller that leaves would otherwise end it while the job is being stored.
         let submission = {
             let gateway = Rc::clone(gateway);
-            let (job, host, path) = (job.to_owned(), host.to_owned(), path.to_owned());
+            let submission = JobSubmission {
+                job: job.to_owned(),
+                host: host.to_owned(),
+                path: path.to_owned(),
+                body,
+                workspace,
+            };
             actix_rt::spawn(async move {
                 let jobs = &gateway.jobs;
-                jobs.route_submission(&gateway, partition, &job, &host, &path, &body)
+                jobs.route_submission(&gateway, partition, &submission)
                     .await
             })
         };
@@ -85,31 +135,26 @@
         response
     }
 
-    /// Submits a job to the owner of its shard or, if the owner cannot be reached, to the store. Also returns which of
-    /// them handled it.
+    /// Submits a job to the owner of its shard or, if the owner cannot be reached or does not know workspaces, to the store.
+    /// Also returns which of them handled it.
     async fn route_submission(
         &self,
         gateway: &Rc<Gateway>,
         partition: Partition,
-        job: &str,
-        host: &str,
-        path: &str,
-        body: &[u8],
+        submission: &JobSubmission,
     ) -> (PeerReply, &'static str) {
         if self.is_owned_locally(partition) {
-            let reply = self.submit_as_owner(gateway, job, host, path, body).await;
+            let caller = JobCaller::from(submission.workspace.clone());
+            let reply = self.submit_as_owner(gateway, submission, &caller).await;
             return (reply, "here");
         }
         let owner = gateway.coordination.borrow().owner_of(partition);
-        let owner = owner.filter(|owner| *owner != gateway.local.host);
         let mut may_be_accepted = false;
-        if let Some(owner) = owner {
-            let request = PeerRequest::Submit {
-                job: job.to_owned(),
-                host: host.to_owned(),
-                path: path.to_owned(),
-                body: body.to_vec(),
-            };
+        if let Some(owner) = owner.filter(|owner| *owner != gateway.local.host)
+            && (submission.workspace.is_none()
+                || gateway.ask_decodes_since(&owner, REQUEST_TERMS_SINCE).await)
+        {
+            let request = submission.peer_request();
             let now = gateway.clock.now();
             match gateway
                 .mesh
@@ -125,9 +170,7 @@
                 None => may_be_accepted = true,
             }
         }
-        let reply = self
-            .submit_to_store(gateway, partition, job, host, path, body)
-            .await;
+        let reply = self.submit_to_store(gateway, partition, submission).await;
         match may_be_accepted && is_refusal(&reply) {
             // The owner may have accepted the job, so a refusal would wrongly state that the job does not run.
             true => (outcome_unknown(), "store"),
@@ -140,12 +183,9 @@
         &self,
         gateway: &Rc<Gateway>,
         partition: Partition,
-        job: &str,
-        host: &str,
-        path: &str,
-        body: &[u8],
+        submission: &JobSubmission,
     ) -> PeerReply {
-        let record = match job_record(gateway, job, host, path, body) {
+        let record = match job_record(gateway, submission) {
             Ok(record) => Rc::new(record),
             Err(reply) => return reply,
         };
@@ -164,7 +204,7 @@
             fence: None,
         };
         let stored = gateway.store_call(&request).await;
-        self.remove_reserved(&record.route, tokens);
+        self.remove_reserved(&record.queue(), tokens);
         match stored {
             Ok(StoreReply::Appended { .. }) => http_reply(StatusCode::ACCEPTED, Vec::new()),
             Err(StoreError::Refused(_) | StoreError::Unreachable(_)) => unavailable(),
@@ -176,20 +216,19 @@
     pub(crate) async fn submit_as_owner(
         &self,
         gateway: &Rc<Gateway>,
-        job: &str,
-        host: &str,
-        path: &str,
-        body: &[u8],
+        submission: &JobSubmission,
+        caller: &JobCaller,
     ) -> PeerReply {
+        let job = submission.job.as_str();
         let partition = self.partition_of(gateway, job);
         let Some(shard) = self.shard(partition).filter(|shard| shard.is_open()) else {
             return unavailable();
         };
         let _submission = self.submissions.begin(job).await;
-        if shard.state.borrow().job(job).is_some() {
-            return http_reply(StatusCode::ACCEPTED, Vec::new());
+        if let Some(found) = shard.state.borrow().job(job) {
+            return submitted_again(gateway, &found.record, caller);
         }
-        let record = match job_record(gateway, job, host, path, body) {
+        let record = match job_record(gateway, submission) {
             Ok(record) => Rc::new(record),
             Err(reply) => return reply,
         };
@@ -203,19 +242,23 @@
         if let Err(reply) = self.reserve(gateway, &record, tokens).await {
             return reply;
         }
-        let route = record.route.clone();
+        let queue = record.queue();
         let stored = shard
             .append_and_wait(Record::Accepted(record), STORE_TIMEOUT)
             .await;
-        self.remove_reserved(&route, tokens);
+        self.remove_reserved(&queue, tokens);
         match stored {
-            AppendOutcome::Stored => http_reply(StatusCode::ACCEPTED, Vec::new()),
+            // A job that came through the store meanwhile was accepted before this one.
+            AppendOutcome::Stored => match shard.state.borrow().job(job) {
+                Some(found) => submitted_again(gateway, &found.record, caller),
+                None => http_reply(StatusCode::ACCEPTED, Vec::new()),
+            },
             AppendOutcome::NotStored => unavailable(),
             AppendOutcome::Unknown => outcome_unknown(),
         }
     }
 
-    /// Reserves queue capacity on the route of a job for its tokens.
+    /// Reserves queue capacity for the tokens of a job.
     async fn reserve(
         &self,
         gateway: &Rc<Gateway>,
@@ -235,17 +278,27 @@
             _ => return Err(unavailable()),
         };
         if max_tokens == 0 {
-            self.add_reserved(&record.route, tokens);
+            self.add_reserved(record.queue(), tokens);
             return Ok(());
         }
+        let queue = record.queue();
         let coordinator = gateway.coordination.borrow().coordinator().clone();
         let reply = if coordinator == gateway.local.host {
-            Some(gateway.reserve(&gateway.local.host, &record.route, tokens, max_tokens))
+            let host = &gateway.local.host;
+            Some(gateway.reserve(host, &queue, Some(&record.id), tokens, max_tokens))
         } else {
-            let request = PeerRequest::Reserve {
-                route: record.route.clone(),
-                tokens,
-                max_tokens,
+            let request = match gateway.decodes_since(&coordinator, REQUEST_TERMS_SINCE) {
+                true => PeerRequest::ReserveFor {
+                    job: record.id.clone(),
+                    queue: String::from(&queue),
+                    tokens,
+                    max_tokens,
+                },
+                false => PeerRequest::Reserve {
+                    route: String::from(&queue),
+                    tokens,
+                    max_tokens,
+                },
             };
             let now = gateway.clock.now();
             gateway
@@ -260,7 +313,7 @@
                     self.last_reservation
                         .set(self.last_reservation.get().max(number));
                 }
-                self.add_reserved(&record.route, tokens);
+                self.add_reserved(record.queue(), tokens);
                 Ok(())
             }
             Some(PeerReply::Reserved(None)) => {
@@ -293,13 +346,24 @@
     Ok(fragments)
 }
 
-fn job_record(
-    gateway: &Gateway,
-    job: &str,
-    host: &str,
-    path: &str,
-    body: &[u8],
-) -> Result<JobRecord, PeerReply> {
+/// Reply to the submission of a job that has been accepted before.
+pub(super) fn submitted_again(gateway: &Gateway, job: &JobRecord, caller: &JobCaller) -> PeerReply {
+    match access(gateway, job, caller) {
+        JobAccess::Granted => http_reply(StatusCode::ACCEPTED, Vec::new()),
+        JobAccess::Denied => http_reply(StatusCode::CONFLICT, Vec::new()),
+        JobAccess::Undecided => unavailable(),
+    }
+}
+
+fn job_record(gateway: &Gateway, submission: &JobSubmission) -> Result<JobRecord, PeerReply> {
+    let JobSubmission {
+        job,
+        host,
+        path,
+        body,
+        workspace,
+    } = submission;
+    let job = job.as_str();
     let items = (gateway.dialect.decode_job_items)(body).map_err(|error| {
         log::info!(event = "job_malformed", job; "cannot parse submitted job: {error:#}");
         http_reply(StatusCode::BAD_REQUEST, Vec::new())
@@ -316,12 +380,13 @@
     };
     Ok(JobRecord {
         id: job.to_owned(),
-        host: host.to_owned(),
+        host: host.clone(),
         route: route.name.clone(),
         submitted_at_ms: gateway.clock.unix_ms(),
         completion_target_ms: completion_target.as_millis() as u64,
         retention_ms: retention.as_millis() as u64,
         attempts_max: route.attempts_max.max(1),
         items,
+        workspace: workspace.clone(),
     })
 }
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -144,6 +144,45 @@
     WeighCrash(CrashReport),
     /// Asks for the recent sound runs with these suspects. For hosts of protocol version 5 or later.
     SoundRuns(Vec<SuspectId>),
+    /// Submits a job of a workspace to the owner of its partition. For hosts of protocol version 8 or later, like the three
+    /// after it.
+    SubmitFor {
+        /// Workspace of the caller.
+        workspace: WorkspaceId,
+        /// Identifier of the job.
+        job: String,
+        /// `Host` header.
+        host: String,
+        /// Path of the caller's request.
+        path: String,
+        /// Body of the caller's request.
+        body: Vec<u8>,
+    },
+    /// A call of a workspace concerning a job, for the owner of its partition.
+    JobFor {
+        /// Workspace of the caller.
+        workspace: WorkspaceId,
+        /// The call.
+        call: JobCall,
+    },
+    /// Asks the owner of its partition whether a job was accepted, for a workspace that submits it again.
+    FindSubmittedFor {
+        /// Workspace of the caller.
+        workspace: WorkspaceId,
+        /// Identifier of the job.
+        job: String,
+    },
+    /// Reserves queue capacity for the tokens of a job at the coordinator.
+    ReserveFor {
+        /// Identifier of the job.
+        job: String,
+        /// Text of the queue.
+        queue: String,
+        /// Tokens to reserve.
+        tokens: u64,
+        /// Limit on the queue's waiting tokens, summed over all hosts.
+        max_tokens: u64,
+    },
 }
 
 /// Reply to a request.
@@ -337,7 +376,11 @@
             | PeerMessage::QuarantineAck(_) => "quarantine",
             PeerMessage::Request { request, .. } => match request {
                 PeerRequest::Store(_) => "store_request",
-                PeerRequest::Submit { .. } | PeerRequest::Job(_) => "job_request",
+                PeerRequest::Submit { .. }
+                | PeerRequest::SubmitFor { .. }
+                | PeerRequest::Job(_)
+                | PeerRequest::JobFor { .. }
+                | PeerRequest::FindSubmittedFor { .. } => "job_request",
                 _ => "other_request",
             },
             PeerMessage::Reply { reply, .. } => match reply {
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -126,7 +126,10 @@
         }
         let path = head.uri.path().to_owned();
         progress.begin_attempt();
-        return gateway.jobs.submit(gateway, &id, &host, &path, body).await;
+        return gateway
+            .jobs
+            .submit(gateway, &id, &host, &path, None, body)
+            .await;
     }
     let deadline = deadline_header(gateway, &head.headers);
     let timeout = request_timeout(deadline, &route);
@@ -191,7 +194,7 @@
     if method != Method::GET {
         progress.begin_attempt();
     }
-    let response = gateway.jobs.call(gateway, call).await;
+    let response = gateway.jobs.call(gateway, call, None).await;
     let is_unknown = response.status() == StatusCode::NOT_FOUND;
     (handler == JobCallHandler::Shards || !is_unknown).then_some(response)
 }
@@ -207,7 +210,7 @@
         header_text(request.headers(), &gateway.dialect.headers.request_id).unwrap_or_default();
     // The caller sends the whole body before it reads the response.
     match read_body(gateway, request.into_body(), config.limits.body_max_bytes).await {
-        Ok(_) => gateway.jobs.find_submitted(gateway, id).await,
+        Ok(_) => gateway.jobs.find_submitted(gateway, id, None).await,
         Err(response) => response,
     }
 }
--- a/bamboo-shards/src/lib.rs
+++ b/bamboo-shards/src/lib.rs
@@ -3,6 +3,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod access;
 mod age;
 mod fragment;
 mod item_run;
@@ -10,6 +11,8 @@
 mod record;
 mod shard;
 
+pub use access::JobAccess;
+pub use access::JobCaller;
 pub use age::JobAge;
 pub use fragment::FragmentAssembler;
 pub use fragment::FragmentError;
--- a/bamboo-shards/src/record.rs
+++ b/bamboo-shards/src/record.rs
@@ -2,11 +2,16 @@
 //!
 //! Format 1 had no origin in the progress of items. Such progress is read without its output, so that the item starts
 //! anew: which servers can go on with it is not known.
+//!
+//! Format 3 is that of an accepted job of a workspace: the workspace, then the record as in format 2. All other records are
+//! written in format 2, which hosts of the former release can read.
 
 use std::rc::Rc;
 
 use bamboo_types::ItemIndex;
+use bamboo_types::QueueKey;
 use bamboo_types::StreamOrigin;
+use bamboo_types::WorkspaceId;
 use bamboo_types::decode_bincode;
 use serde::Deserialize;
 use serde::Serialize;
@@ -16,8 +21,10 @@
 use crate::FragmentError;
 use crate::ITEM_TEXT_MAX_BYTES;
 
-/// Version of the record format, written as the first byte.
-const FORMAT_VERSION: u8 = 2;
+/// Version of the format of a job that belongs to a workspace, written as the first byte.
+const FORMAT_VERSION_3: u8 = 3;
+/// Version of the format of all other records.
+const FORMAT_VERSION_2: u8 = 2;
 /// Oldest format version that can be read.
 const FORMAT_VERSION_1: u8 = 1;
 
@@ -37,13 +44,13 @@
 }
 
 /// A job as it was submitted.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobRecord {
     /// Identifier of the job.
     pub id: String,
     /// `Host` header of its requests.
     pub host: String,
-    /// Name of the route. Waiting tokens are counted per route.
+    /// Name of the route. Waiting tokens are counted per route and workspace.
     pub route: String,
     /// Time of acceptance in milliseconds since the Unix epoch.
     pub submitted_at_ms: u64,
@@ -55,6 +62,9 @@
     pub attempts_max: u32,
     /// Items in the order in which they were submitted.
     pub items: Vec<ItemRecord>,
+    /// Workspace that the job belongs to; `None` if its caller had none. Format 3 of a record holds it outside of the job.
+    #[serde(skip)]
+    pub workspace: Option<WorkspaceId>,
 }
 
 /// Final state of an item.
@@ -162,6 +172,22 @@
     ITEM_FIELDS_BYTES + job.len() + origin_bytes
 }
 
+impl JobRecord {
+    /// Queue in which the tokens of the job wait.
+    ///
+    /// ```
+    /// use bamboo_shards::JobRecord;
+    /// let job = JobRecord { route: "r".into(), workspace: Some("a".into()), ..JobRecord::default() };
+    /// assert_eq!(job.queue().workspace.as_deref(), Some("a"));
+    /// ```
+    pub fn queue(&self) -> QueueKey {
+        QueueKey {
+            route: self.route.clone(),
+            workspace: self.workspace.clone(),
+        }
+    }
+}
+
 impl ItemProgress {
     /// Upper bound of the encoded size.
     fn encoded_max_bytes(&self) -> usize {
@@ -205,11 +231,29 @@
     /// assert_eq!(bamboo_shards::Record::try_from(bytes.as_slice()).unwrap(), record);
     /// ```
     pub fn to_bytes(&self) -> Result<Vec<u8>, RecordError> {
-        let mut bytes = vec![FORMAT_VERSION];
-        bincode::serde::encode_into_std_write(self, &mut bytes, bincode::config::standard())?;
+        let config = bincode::config::standard();
+        let mut bytes = Vec::new();
+        match self.workspace() {
+            Some(workspace) => {
+                bytes.push(FORMAT_VERSION_3);
+                bincode::serde::encode_into_std_write((workspace, self), &mut bytes, config)?;
+            }
+            None => {
+                bytes.push(FORMAT_VERSION_2);
+                bincode::serde::encode_into_std_write(self, &mut bytes, config)?;
+            }
+        }
         Ok(bytes)
     }
 
+    /// Workspace of the job that the record accepts.
+    fn workspace(&self) -> Option<&WorkspaceId> {
+        match self {
+            Record::Accepted(job) => job.workspace.as_ref(),
+            _ => None,
+        }
+    }
+
     /// Decodes the record that the next fragment completes; `None` if it has further fragments. After an error the
     /// record is to be skipped: the assembler continues with the next one.
     ///
@@ -241,13 +285,27 @@
     fn try_from(bytes: &[u8]) -> Result<Self, RecordError> {
         let (version, rest) = bytes.split_first().ok_or(RecordError::Empty)?;
         match *version {
-            FORMAT_VERSION => Ok(decode_bincode(rest)?),
+            FORMAT_VERSION_3 => Ok(decode_bincode::<RecordOfWorkspace>(rest)?.into()),
+            FORMAT_VERSION_2 => Ok(decode_bincode(rest)?),
             FORMAT_VERSION_1 => Ok(Record::from(decode_bincode::<RecordV1>(rest)?)),
             other => Err(RecordError::UnsupportedVersion(other)),
         }
     }
 }
 
+/// A record in format 3.
+#[derive(Deserialize)]
+struct RecordOfWorkspace(WorkspaceId, Record);
+
+impl From<RecordOfWorkspace> for Record {
+    fn from(RecordOfWorkspace(workspace, mut record): RecordOfWorkspace) -> Self {
+        if let Record::Accepted(job) = &mut record {
+            Rc::make_mut(job).workspace = Some(workspace);
+        }
+        record
+    }
+}
+
 /// A record in format 1.
 #[derive(Deserialize)]
 enum RecordV1 {
--- a/bamboo-shards/src/shard.rs
+++ b/bamboo-shards/src/shard.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bamboo_types::ItemIndex;
+use bamboo_types::QueueKey;
 
 use crate::Job;
 use crate::Record;
@@ -92,13 +93,13 @@
         self.jobs.values()
     }
 
-    /// Waiting tokens by route. Routes without any are left out.
-    pub fn waiting_tokens(&self) -> HashMap<String, u64> {
+    /// Waiting tokens by queue. Queues without any are left out.
+    pub fn waiting_tokens(&self) -> HashMap<QueueKey, u64> {
         let mut waiting = HashMap::new();
         for job in self.jobs.values() {
             let tokens = job.waiting_tokens();
             if tokens > 0 {
-                *waiting.entry(job.record.route.clone()).or_default() += tokens;
+                *waiting.entry(job.record.queue()).or_default() += tokens;
             }
         }
         waiting
--- a/bamboo-types/src/lib.rs
+++ b/bamboo-types/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod codec;
 mod ids;
+mod queue_key;
 mod stream_origin;
 mod time;
 mod token_bucket;
@@ -30,6 +31,7 @@
 pub use ids::rendezvous_weight;
 pub use ids::shard_of_job;
 pub use ids::shard_of_key;
+pub use queue_key::QueueKey;
 pub use stream_origin::StreamOrigin;
 pub use time::Timestamp;
 pub use time::from_millis;
