feat(slots): refuse requests that cannot begin in the time that their callers wait

Cause: the queue compared the whole run with the deadline only.

Change: a request with `begin_by` is refused on arrival if those in front of it take too long, while it is queued as soon as others go in front of it too fast (rate of arrivals over 1 s against the rate at which slots become free, of which a quarter is assumed to be left to late requests), and at the latest when no first event can arrive in time. The queue is checked with requests and releases, at most every 20 ms, and not only with the tick. Refusals are counted by reason in `BrokerLoad`.

Ruled out: comparing with the queue at this moment only. Requests that come later and can still be on time go in front of late ones, so that the oldest wait to the end under a lasting overload.

--- a/bamboo-slots/src/allocate.rs
+++ b/bamboo-slots/src/allocate.rs
@@ -11,7 +11,7 @@
 use crate::SlotRequest;
 use crate::Work;
 use crate::engine::EngineState;
-use crate::online_rank;
+use crate::order::online_order;
 use crate::request_state::GrantedSlot;
 use crate::request_state::RequestKey;
 
@@ -92,14 +92,9 @@
         }
         let mut order = std::mem::take(&mut self.waiting_online);
         let requests = &self.requests;
-        // A stream that has begun comes before those that have not: fewer servers can go on with it.
         order.sort_by_cached_key(|key| {
             let request = requests.get(*key).map(|state| &state.request);
-            let has_begun = request.is_some_and(|request| request.version.is_some());
-            match request.map(|request| request.work) {
-                Some(Work::Online { start_by, .. }) => (!has_begun, online_rank(start_by, now)),
-                _ => (true, (true, Duration::MAX)),
-            }
+            request.map(|request| online_order(request, now))
         });
         self.waiting_online = self.allocate_in_order(order, now, Broker::place_online);
     }
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -12,13 +12,17 @@
 use crate::BatchItem;
 use crate::Engine;
 use crate::Health;
+use crate::RefusalCounts;
 use crate::RequestLimits;
 use crate::RunOutcome;
 use crate::SlotRequest;
 use crate::SlotRequestId;
 use crate::Work;
+use crate::arrivals::ArrivalRates;
 use crate::engine::EngineState;
 use crate::infeasible_items;
+use crate::order::is_late;
+use crate::order::online_order;
 use crate::request_state::GrantedSlot;
 use crate::request_state::RequestKey;
 use crate::request_state::RequestState;
@@ -45,6 +49,8 @@
     pub online_waiting: usize,
     /// Queued batch items.
     pub batch_waiting: usize,
+    /// Online requests refused so far.
+    pub refused: RefusalCounts,
 }
 
 /// Allocates the slots of model engines to online requests and batch items.
@@ -60,6 +66,10 @@
     batch_slots_mean: Option<f64>,
     pub(crate) actions: Vec<Action>,
     pub(crate) limits: RequestLimits,
+    pub(crate) arrivals: ArrivalRates,
+    /// When the queue was last checked for online requests to refuse.
+    pub(crate) queue_checked_at: Duration,
+    pub(crate) refused: BTreeMap<String, RefusalCounts>,
     /// Host whose order among equally suitable engines applies; without one they are ordered by identifier.
     host: Option<HostId>,
 }
@@ -185,6 +195,10 @@
             self.actions.push(action);
             return;
         }
+        if is_online && !is_late(&online_order(&request, now)) {
+            let rank = request.terms.rank;
+            self.arrivals.record(&request.service, rank, now);
+        }
         let key = self.requests.insert(RequestState {
             request,
             created_at: now,
@@ -207,6 +221,7 @@
                 request: id.1,
             });
         }
+        self.check_queue(now);
     }
 
     /// Registers a run that is already in progress, as hosts report it to a new broker.
@@ -262,6 +277,7 @@
             self.remove_request(key, outcome, now);
         }
         self.allocate(now);
+        self.check_queue(now);
     }
 
     /// Whether most servers of the service are usable. Otherwise the requests are more likely to be the cause of the errors
@@ -302,6 +318,7 @@
     /// Refuses expired online requests, defers batch items that would miss their due time, and allocates the slots of
     /// servers that are usable again.
     pub fn tick(&mut self, now: Duration) {
+        self.arrivals.forget_idle(now);
         self.refuse_expired(now);
         self.refuse_hopeless(now);
         self.reject_missing_versions(now);
@@ -394,6 +411,7 @@
                 .map(|state| state.batch.len())
                 .sum(),
             batch_waiting: self.waiting_count(&self.waiting_batch, service),
+            refused: self.refused.get(service).copied().unwrap_or_default(),
             ..self.online_load(service)
         }
     }
--- a/bamboo-slots/src/lib.rs
+++ b/bamboo-slots/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 mod allocate;
+mod arrivals;
 mod broker;
 mod deadline_history;
 mod engine;
@@ -44,6 +45,8 @@
 pub use order::batch_rank;
 pub use order::infeasible_items;
 pub use order::online_rank;
+pub use refusal::RefusalCounts;
+pub use refusal::RefusalReason;
 pub use request::Action;
 pub use request::RunOutcome;
 pub use request::SlotRequest;
--- a/bamboo-slots/src/order.rs
+++ b/bamboo-slots/src/order.rs
@@ -3,8 +3,11 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
+use crate::SlotRequest;
+use crate::Work;
+
 /// Time from the grant of a slot to the first event of the response, on a fully loaded engine.
-const FIRST_EVENT_LATENCY: Duration = Duration::from_millis(45);
+pub(crate) const FIRST_EVENT_LATENCY: Duration = Duration::from_millis(45);
 
 /// Rank of an online request. Requests that can still be on time come first, by earliest latest start. Late requests
 /// follow, the least overdue first, so that a short overload does not make every response late.
@@ -24,6 +27,23 @@
     }
 }
 
+/// Place of an online request in the queue: whether its stream has not begun, then [`online_rank`].
+pub(crate) type OnlineOrder = (bool, (bool, Duration));
+
+/// Place of a request in the queue. A stream that has begun comes before those that have not: fewer servers can go on with
+/// it.
+pub(crate) fn online_order(request: &SlotRequest, now: Duration) -> OnlineOrder {
+    match request.work {
+        Work::Online { start_by, .. } => (request.version.is_none(), online_rank(start_by, now)),
+        Work::Batch { .. } => (true, (true, Duration::MAX)),
+    }
+}
+
+/// Whether a request in this place can no longer be on time.
+pub(crate) fn is_late(order: &OnlineOrder) -> bool {
+    order.1.0
+}
+
 /// Rank of a batch item: earliest due time first, then shortest remaining run time, so that started items complete
 /// first. Deferred items follow, shortest remaining run time first.
 ///
--- a/bamboo-slots/src/refusal.rs
+++ b/bamboo-slots/src/refusal.rs
@@ -7,22 +7,127 @@
 use crate::Action;
 use crate::Broker;
 use crate::BrokerLoad;
+use crate::Rank;
 use crate::SlotRequest;
 use crate::Work;
-use crate::online_rank;
+use crate::order::FIRST_EVENT_LATENCY;
+use crate::order::OnlineOrder;
+use crate::order::is_late;
+use crate::order::online_order;
 use crate::request_state::RequestKey;
 use crate::versions::rounds;
 
+/// Shortest interval between two checks of the queue apart from those of the tick. Bounds their cost: a check sorts the queue.
+const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Share of the slots that is assumed to be left to late requests however many others arrive. The rate of arrivals is an
+/// estimate, and a burst may be about to end: with 0.1, 6% fewer streams begin under bursts of 1.5 s than with 0.3; with 0.5,
+/// callers are refused after 1.2 s at 1.1 times the capacity.
+const LATE_SHARE_MIN: f64 = 0.25;
+
+/// Why an online request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RefusalReason {
+    /// It would not complete before it expires.
+    Deadline,
+    /// On arrival: it would not begin in the time that its caller waits.
+    Start,
+    /// While queued: others went in front, so that it would not begin in the time that its caller waits.
+    Overtaken,
+    /// The time for its start, or for its completion, has passed.
+    Expired,
+}
+
+impl RefusalReason {
+    /// Name in logs and metrics.
+    ///
+    /// ```
+    /// assert_eq!(bamboo_slots::RefusalReason::Start.name(), "start");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            RefusalReason::Deadline => "deadline",
+            RefusalReason::Start => "start",
+            RefusalReason::Overtaken => "overtaken",
+            RefusalReason::Expired => "expired",
+        }
+    }
+}
+
+/// Refused online requests of a service, by reason, since the broker was created.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RefusalCounts {
+    /// [`RefusalReason::Deadline`].
+    pub deadline: u64,
+    /// [`RefusalReason::Start`].
+    pub start: u64,
+    /// [`RefusalReason::Overtaken`].
+    pub overtaken: u64,
+    /// [`RefusalReason::Expired`].
+    pub expired: u64,
+}
+
+impl RefusalCounts {
+    /// Counts by reason.
+    ///
+    /// ```
+    /// use bamboo_slots::{RefusalCounts, RefusalReason};
+    /// let counts = RefusalCounts { start: 2, ..RefusalCounts::default() };
+    /// assert!(counts.by_reason().contains(&(RefusalReason::Start, 2)));
+    /// ```
+    pub fn by_reason(&self) -> [(RefusalReason, u64); 4] {
+        [
+            (RefusalReason::Deadline, self.deadline),
+            (RefusalReason::Start, self.start),
+            (RefusalReason::Overtaken, self.overtaken),
+            (RefusalReason::Expired, self.expired),
+        ]
+    }
+
+    /// The sum of both counts.
+    ///
+    /// ```
+    /// use bamboo_slots::RefusalCounts;
+    /// let counts = RefusalCounts { start: 2, ..RefusalCounts::default() };
+    /// assert_eq!(counts.plus(&counts).start, 4);
+    /// ```
+    pub fn plus(&self, other: &RefusalCounts) -> RefusalCounts {
+        RefusalCounts {
+            deadline: self.deadline + other.deadline,
+            start: self.start + other.start,
+            overtaken: self.overtaken + other.overtaken,
+            expired: self.expired + other.expired,
+        }
+    }
+
+    fn count(&mut self, reason: RefusalReason) {
+        match reason {
+            RefusalReason::Deadline => self.deadline += 1,
+            RefusalReason::Start => self.start += 1,
+            RefusalReason::Overtaken => self.overtaken += 1,
+            RefusalReason::Expired => self.expired += 1,
+        }
+    }
+}
+
+/// A queued online request that is refused.
+struct Refusal {
+    key: RequestKey,
+    retry_after: Duration,
+    reason: RefusalReason,
+}
+
 /// A queued online request that any version may run.
 struct QueuedRequest {
     key: RequestKey,
-    start_by: Duration,
+    order: OnlineOrder,
+    rank: Rank,
     expires_at: Duration,
+    begin_by: Option<Duration>,
 }
 
 impl Broker {
-    /// Returns the refusal of a new online request that would not complete in time behind the queue.
-    pub(crate) fn refusal(&self, request: &SlotRequest, now: Duration) -> Option<Action> {
+    /// Returns the refusal of a new online request that would not begin or complete in time behind the queue.
+    pub(crate) fn refusal(&mut self, request: &SlotRequest, now: Duration) -> Option<Action> {
         let Work::Online { expires_at, .. } = request.work else {
             return None;
         };
@@ -40,12 +145,37 @@
             return None;
         }
         let wait = self.expected_slot_time().mul_f64(rounds(&load));
-        self.is_hopeless(wait, expires_at, now)
-            .then(|| Action::Refuse {
-                host: request.host.clone(),
-                request: request.id,
-                retry_after: wait,
+        let reason = match self.is_hopeless(wait, expires_at, now) {
+            true => RefusalReason::Deadline,
+            false => {
+                let begin_by = request.terms.begin_by?;
+                let is_in_time =
+                    begins_in_time(self.start_wait(request, &load, now), begin_by, now);
+                (!is_in_time).then_some(RefusalReason::Start)?
+            }
+        };
+        self.count_refusal(&request.service, reason);
+        Some(Action::Refuse {
+            host: request.host.clone(),
+            request: request.id,
+            retry_after: wait,
+        })
+    }
+
+    /// Expected time until a new request gets a slot: unlike that of the whole queue it counts only those in front of it.
+    fn start_wait(&self, request: &SlotRequest, load: &BrokerLoad, now: Duration) -> Duration {
+        let order = online_order(request, now);
+        let in_front = self.waiting_online.iter().filter(|key| {
+            let other = self.requests.get(**key).map(|state| &state.request);
+            other.is_some_and(|other| {
+                other.service == request.service
+                    && (request.version.is_none() || other.version == request.version)
+                    && online_order(other, now) <= order
             })
+        });
+        let in_front = in_front.count().min(load.online_waiting);
+        let rounds = in_front as f64 / load.slots.max(1) as f64;
+        self.expected_slot_time().mul_f64(rounds)
     }
 
     /// Whether a request that waits for so long would not complete before it expires.
@@ -53,82 +183,158 @@
         now + wait + self.expected_slot_time() > expires_at
     }
 
-    /// Refuses queued online requests that would not complete in time behind those in front of them. Requests that have
-    /// come later and can still be on time are in front, so that others may become hopeless while they wait.
+    /// Checks the queue between two ticks, unless it has been checked just before.
+    pub(crate) fn check_queue(&mut self, now: Duration) {
+        let since = now.saturating_sub(self.queue_checked_at);
+        if self.waiting_online.is_empty() || since < QUEUE_CHECK_INTERVAL {
+            return;
+        }
+        self.refuse_expired(now);
+        self.refuse_hopeless(now);
+    }
+
+    /// Refuses queued online requests that would not begin or complete in time behind those in front of them. Requests
+    /// that have come later and can still be on time are in front, so that others may become hopeless while they wait.
     pub(crate) fn refuse_hopeless(&mut self, now: Duration) {
-        let mut queues: BTreeMap<String, Vec<QueuedRequest>> = BTreeMap::new();
+        self.queue_checked_at = now;
+        let mut queues: BTreeMap<&str, Vec<QueuedRequest>> = BTreeMap::new();
         for key in &self.waiting_online {
             let Some(request) = self.requests.get(*key).map(|state| &state.request) else {
                 continue;
             };
-            let Work::Online {
-                start_by,
-                expires_at,
-            } = request.work
-            else {
+            let Work::Online { expires_at, .. } = request.work else {
                 continue;
             };
             // Requests that require a version compete for other slots.
             if request.version.is_none() {
-                let queue = queues.entry(request.service.clone()).or_default();
-                queue.push(QueuedRequest {
+                let queued = QueuedRequest {
                     key: *key,
-                    start_by,
+                    order: online_order(request, now),
+                    rank: request.terms.rank,
                     expires_at,
-                });
+                    begin_by: request.terms.begin_by,
+                };
+                queues.entry(&request.service).or_default().push(queued);
             }
         }
-        let slot_time = self.expected_slot_time();
-        let mut hopeless = Vec::new();
+        let mut refusals = Vec::new();
         for (service, mut queue) in queues {
-            let slots = self.online_load(&service).slots;
+            let slots = self.online_load(service).slots;
             if slots == 0 {
                 continue;
             }
-            queue.sort_by_key(|queued| online_rank(queued.start_by, now));
-            let mut ahead: usize = 0;
-            for queued in queue {
-                let wait = slot_time.mul_f64(ahead as f64 / slots as f64);
-                match self.is_hopeless(wait, queued.expires_at, now) {
-                    true => hopeless.push((queued.key, wait)),
-                    false => ahead += 1,
+            queue.sort_by_key(|queued| queued.order);
+            self.find_hopeless(service, slots, &queue, now, &mut refusals);
+        }
+        self.refuse_queued(refusals);
+    }
+
+    /// Finds the hopeless requests of a service, whose queue is in order.
+    fn find_hopeless(
+        &self,
+        service: &str,
+        slots: usize,
+        queue: &[QueuedRequest],
+        now: Duration,
+        refusals: &mut Vec<Refusal>,
+    ) {
+        let slot_time = self.expected_slot_time();
+        let freed_per_s = slots as f64 / slot_time.as_secs_f64().max(0.001);
+        let mut rate: Option<((Rank, bool), f64)> = None;
+        let mut ahead: usize = 0;
+        for queued in queue {
+            let wait = slot_time.mul_f64(ahead as f64 / slots as f64);
+            let class = (queued.rank, is_late(&queued.order));
+            let left_per_s = match rate {
+                Some((known, left_per_s)) if known == class => left_per_s,
+                _ => {
+                    let in_front = self.arrivals.in_front_per_s(service, class.0, class.1, now);
+                    (freed_per_s - in_front).max(freed_per_s * LATE_SHARE_MIN)
                 }
-            }
+            };
+            rate = Some((class, left_per_s));
+            let start_wait = Duration::from_secs_f64(ahead as f64 / left_per_s);
+            let begins = |begin_by| begins_in_time(start_wait, begin_by, now);
+            let reason = match self.is_hopeless(wait, queued.expires_at, now) {
+                true => RefusalReason::Deadline,
+                false if !queued.begin_by.is_none_or(begins) => RefusalReason::Overtaken,
+                false => {
+                    ahead += 1;
+                    continue;
+                }
+            };
+            refusals.push(Refusal {
+                key: queued.key,
+                retry_after: wait,
+                reason,
+            });
         }
-        self.refuse_queued(hopeless);
     }
 
     /// Refuses queued online requests, each with the time after which to retry.
-    fn refuse_queued(&mut self, refused: Vec<(RequestKey, Duration)>) {
-        let keys: HashSet<RequestKey> = refused.iter().map(|(key, _)| *key).collect();
+    fn refuse_queued(&mut self, refusals: Vec<Refusal>) {
+        if refusals.is_empty() {
+            return;
+        }
+        let keys: HashSet<RequestKey> = refusals.iter().map(|refusal| refusal.key).collect();
         self.waiting_online
             .retain(|waiting| !keys.contains(waiting));
-        for (key, retry_after) in refused {
-            let Some(state) = self.requests.remove(key) else {
+        for refusal in refusals {
+            let Some(state) = self.requests.remove(refusal.key) else {
                 continue;
             };
+            self.count_refusal(&state.request.service, refusal.reason);
             let (host, request) = (state.request.host, state.request.id);
             self.by_id.remove(&(host.clone(), request));
             self.actions.push(Action::Refuse {
                 host,
                 request,
-                retry_after,
+                retry_after: refusal.retry_after,
             });
         }
     }
 
-    /// Refuses queued online requests that have expired.
+    fn count_refusal(&mut self, service: &str, reason: RefusalReason) {
+        match self.refused.get_mut(service) {
+            Some(counts) => counts.count(reason),
+            None => {
+                let mut counts = RefusalCounts::default();
+                counts.count(reason);
+                self.refused.insert(service.to_owned(), counts);
+            }
+        }
+    }
+
+    /// Refuses queued online requests that have expired, or whose callers leave before a first event could arrive.
     pub(crate) fn refuse_expired(&mut self, now: Duration) {
         let has_expired = |key: &RequestKey| {
-            let work = self.requests.get(*key).map(|state| state.request.work);
-            match work {
-                Some(Work::Online { expires_at, .. }) => now >= expires_at,
-                _ => true,
+            let request = self.requests.get(*key).map(|state| &state.request);
+            let Some(request) = request else {
+                return true;
+            };
+            let begin_by = request.terms.begin_by;
+            match request.work {
+                Work::Online { expires_at, .. } => {
+                    now >= expires_at
+                        || begin_by
+                            .is_some_and(|begin_by| !begins_in_time(Duration::ZERO, begin_by, now))
+                }
+                Work::Batch { .. } => true,
             }
         };
         let expired = self.waiting_online.iter().copied().filter(has_expired);
         let retry_after = self.expected_slot_time();
-        let expired = expired.map(|key| (key, retry_after)).collect();
-        self.refuse_queued(expired);
+        let refusals = expired.map(|key| Refusal {
+            key,
+            retry_after,
+            reason: RefusalReason::Expired,
+        });
+        let refusals = refusals.collect();
+        self.refuse_queued(refusals);
     }
 }
+
+/// Whether the first event of a request that waits for so long arrives in the time that its caller waits.
+fn begins_in_time(wait: Duration, begin_by: Duration, now: Duration) -> bool {
+    now + wait + FIRST_EVENT_LATENCY <= begin_by
+}
