feat(slots): ask refused callers back one by one when slots become free

Cause: `Retry-After` was the time that the queue took at the refusal. Callers that were refused together came back together, while new callers still took the slots.

Change: the broker keeps the time of the last promise of each service. A refused caller is asked back behind those that are queued and behind that promise, at the rate at which new callers leave slots (arrivals over 1 s against the slots' rate, at least a tenth of it). Streams that have begun get the time as before: they go before others, and other slots count for them.

Ruled out: asking back at the whole rate of the slots, or at least a quarter of it (7% returned in vain under 1.5 times the slots' rate for 4 s). A slot request does not say that its caller returns. So under a lasting overload returns compete with new callers like any other: only overloads that end are covered (partial).

--- a/bamboo-slots/src/arrivals.rs
+++ b/bamboo-slots/src/arrivals.rs
@@ -63,6 +63,14 @@
         count / RATE_WINDOW.as_secs_f64()
     }
 
+    /// Arrivals per second of all ranks.
+    pub(crate) fn total_per_s(&self, service: &str, now: Duration) -> f64 {
+        let ranks = self.services.get(service);
+        let counts = ranks.into_iter().flat_map(BTreeMap::values);
+        let count: f64 = counts.map(|count| count.at(now)).sum();
+        count / RATE_WINDOW.as_secs_f64()
+    }
+
     /// Drops the entries of services and ranks without recent arrivals.
     pub(crate) fn forget_idle(&mut self, now: Duration) {
         for ranks in self.services.values_mut() {
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -27,6 +27,7 @@
 use crate::request_state::RequestKey;
 use crate::request_state::RequestState;
 use crate::request_state::RequestTable;
+use crate::returns::ReturnSchedule;
 
 /// Assumed time that an online request occupies a slot, until the first one has completed.
 const SLOT_TIME_INITIAL: Duration = Duration::from_millis(700);
@@ -67,6 +68,7 @@
     pub(crate) actions: Vec<Action>,
     pub(crate) limits: RequestLimits,
     pub(crate) arrivals: ArrivalRates,
+    pub(crate) returns: ReturnSchedule,
     /// When the queue was last checked for online requests to refuse.
     pub(crate) queue_checked_at: Duration,
     pub(crate) refused: BTreeMap<String, RefusalCounts>,
@@ -319,6 +321,7 @@
     /// servers that are usable again.
     pub fn tick(&mut self, now: Duration) {
         self.arrivals.forget_idle(now);
+        self.returns.forget_past(now);
         self.refuse_expired(now);
         self.refuse_hopeless(now);
         self.reject_missing_versions(now);
--- a/bamboo-slots/src/lib.rs
+++ b/bamboo-slots/src/lib.rs
@@ -18,6 +18,7 @@
 mod refusal;
 mod request;
 mod request_state;
+mod returns;
 mod terms;
 mod versions;
 
--- a/bamboo-slots/src/refusal.rs
+++ b/bamboo-slots/src/refusal.rs
@@ -23,6 +23,9 @@
 /// estimate, and a burst may be about to end: with 0.1, 6% fewer streams begin under bursts of 1.5 s than with 0.3; with 0.5,
 /// callers are refused after 1.2 s at 1.1 times the capacity.
 const LATE_SHARE_MIN: f64 = 0.25;
+/// Share of the slots' rate at which refused callers are asked back at least, so that the spread remains bounded. Callers that
+/// return while others take all slots return in vain: with 0.25, 7% of them did under 1.5 times the slots' rate for 4 s.
+const RETURN_SHARE_MIN: f64 = 0.1;
 
 /// Why an online request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -112,7 +115,6 @@
 /// A queued online request that is refused.
 struct Refusal {
     key: RequestKey,
-    retry_after: Duration,
     reason: RefusalReason,
 }
 
@@ -155,13 +157,31 @@
             }
         };
         self.count_refusal(&request.service, reason);
+        // A stream that has begun goes before others and competes for other slots.
+        let retry_after = match request.version.is_some() {
+            true => wait,
+            false => self.promise_return(&request.service, now),
+        };
         Some(Action::Refuse {
             host: request.host.clone(),
             request: request.id,
-            retry_after: wait,
+            retry_after,
         })
     }
 
+    /// Time after which a refused caller of a service is to return. Those that return compete with new callers, so that they are
+    /// asked back at the rate at which these leave slots.
+    fn promise_return(&mut self, service: &str, now: Duration) -> Duration {
+        let load = self.online_load(service);
+        let slot_time = self.expected_slot_time();
+        let freed_per_s = freed_per_s(load.slots, slot_time);
+        let arriving_per_s = self.arrivals.total_per_s(service, now);
+        let left_per_s = (freed_per_s - arriving_per_s).max(freed_per_s * RETURN_SHARE_MIN);
+        let interval = Duration::from_secs_f64(left_per_s.recip());
+        let queue_wait = Duration::from_secs_f64(load.online_waiting as f64 / left_per_s);
+        self.returns.promise(service, queue_wait, interval, now)
+    }
+
     /// Expected time until a new request gets a slot: unlike that of the whole queue it counts only those in front of it.
     fn start_wait(&self, request: &SlotRequest, load: &BrokerLoad, now: Duration) -> Duration {
         let order = online_order(request, now);
@@ -226,7 +246,7 @@
             queue.sort_by_key(|queued| queued.order);
             self.find_hopeless(service, slots, &queue, now, &mut refusals);
         }
-        self.refuse_queued(refusals);
+        self.refuse_queued(refusals, now);
     }
 
     /// Finds the hopeless requests of a service, whose queue is in order.
@@ -239,7 +259,7 @@
         refusals: &mut Vec<Refusal>,
     ) {
         let slot_time = self.expected_slot_time();
-        let freed_per_s = slots as f64 / slot_time.as_secs_f64().max(0.001);
+        let freed_per_s = freed_per_s(slots, slot_time);
         let mut rate: Option<((Rank, bool), f64)> = None;
         let mut ahead: usize = 0;
         for queued in queue {
@@ -265,14 +285,13 @@
             };
             refusals.push(Refusal {
                 key: queued.key,
-                retry_after: wait,
                 reason,
             });
         }
     }
 
     /// Refuses queued online requests, each with the time after which to retry.
-    fn refuse_queued(&mut self, refusals: Vec<Refusal>) {
+    fn refuse_queued(&mut self, refusals: Vec<Refusal>, now: Duration) {
         if refusals.is_empty() {
             return;
         }
@@ -284,12 +303,13 @@
                 continue;
             };
             self.count_refusal(&state.request.service, refusal.reason);
+            let retry_after = self.promise_return(&state.request.service, now);
             let (host, request) = (state.request.host, state.request.id);
             self.by_id.remove(&(host.clone(), request));
             self.actions.push(Action::Refuse {
                 host,
                 request,
-                retry_after: refusal.retry_after,
+                retry_after,
             });
         }
     }
@@ -323,17 +343,20 @@
             }
         };
         let expired = self.waiting_online.iter().copied().filter(has_expired);
-        let retry_after = self.expected_slot_time();
         let refusals = expired.map(|key| Refusal {
             key,
-            retry_after,
             reason: RefusalReason::Expired,
         });
         let refusals = refusals.collect();
-        self.refuse_queued(refusals);
+        self.refuse_queued(refusals, now);
     }
 }
 
+/// Slots that become free per second while all are in use.
+fn freed_per_s(slots: usize, slot_time: Duration) -> f64 {
+    slots.max(1) as f64 / slot_time.as_secs_f64().max(0.001)
+}
+
 /// Whether the first event of a request that waits for so long arrives in the time that its caller waits.
 fn begins_in_time(wait: Duration, begin_by: Duration, now: Duration) -> bool {
     now + wait + FIRST_EVENT_LATENCY <= begin_by
