--- a/bamboo-fleet/src/authentication.rs
+++ b/bamboo-fleet/src/authentication.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use bamboo_types::WorkspaceId;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -63,6 +64,15 @@
         }
     }
 
+    /// Name of the workspace of the request.
+    ///
+    /// ```
+    /// assert!(bamboo_fleet::Authentication::Off.workspace_name().is_none());
+    /// ```
+    pub fn workspace_name(&self) -> Option<WorkspaceId> {
+        Some(self.workspace()?.name.clone())
+    }
+
     /// Removes the credentials and the caller's own statement of its workspace from headers that are forwarded, and states
     /// the workspace. A name that no header can carry is left out.
     ///
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -141,10 +141,11 @@
             );
         }
         let path = head.uri.path().to_owned();
+        let workspace = authentication.workspace_name();
         progress.begin_attempt();
         return gateway
             .jobs
-            .submit(gateway, &id, &host, &path, None, body)
+            .submit(gateway, &id, &host, &path, workspace, body)
             .await;
     }
     let deadline = deadline_header(gateway, &head.headers);
@@ -216,22 +217,22 @@
             .borrow()
             .job_calls_are_public(config, host),
     };
-    let _workspace: Option<Rc<Workspace>> = match handler {
+    let workspace = match handler {
         // The route may be public although calls about jobs are not.
         JobCallHandler::ShardsFirst => {
             let workspaces = config.workspaces.as_ref();
             let authentication = authenticate(workspaces, request.headers(), access.is_public);
-            authentication.ok()?.workspace().cloned()
+            authentication.ok()?.workspace_name()
         }
         _ => match authenticate_request(gateway, config, request.headers(), access) {
-            Ok(authentication) => authentication.workspace().cloned(),
+            Ok(authentication) => authentication.workspace_name(),
             Err(_) => return Some(unauthorized()),
         },
     };
     if method != Method::GET {
         progress.begin_attempt();
     }
-    let response = gateway.jobs.call(gateway, call, None).await;
+    let response = gateway.jobs.call(gateway, call, workspace).await;
     let is_unknown = response.status() == StatusCode::NOT_FOUND;
     (handler == JobCallHandler::Shards || !is_unknown).then_some(response)
 }
@@ -251,16 +252,15 @@
         route: "",
         is_public: gateway.former_routes.borrow().is_public(host, path),
     };
-    let _workspace: Option<Rc<Workspace>> =
-        match authenticate_request(gateway, config, request.headers(), access) {
-            Ok(authentication) => authentication.workspace().cloned(),
-            Err(_) => return unauthorized(),
-        };
+    let workspace = match authenticate_request(gateway, config, request.headers(), access) {
+        Ok(authentication) => authentication.workspace_name(),
+        Err(_) => return unauthorized(),
+    };
     let id =
         header_text(request.headers(), &gateway.dialect.headers.request_id).unwrap_or_default();
     // The caller sends the whole body before it reads the response.
     match read_body(gateway, request.into_body(), config.limits.body_max_bytes).await {
-        Ok(_) => gateway.jobs.find_submitted(gateway, id, None).await,
+        Ok(_) => gateway.jobs.find_submitted(gateway, id, workspace).await,
         Err(response) => response,
     }
 }
