feat(gateway): one budget for what callers make a process hold, and bounded connections

Change: - Callers' bodies count from the first byte by capacity, reserved before it is allocated. The budget is 3/8 of memory_mb (before: 1/4) and also holds connections and the decoded copies of jobs. - A full budget evicts the slowest body older than 1 s (503, not run), else refuses the newcomer. An announced body over the limit is refused unread. A body without a byte for 5 s is given up (408). Refusals close the connection. - Connections of callers, hosts, readiness and metrics are bounded by memory and descriptors (new optional setting descriptors_max, otherwise RLIMIT_NOFILE). The one idle longest is closed first. - The peer port: 5 s for the first request, 16 KiB of headers, 64 KiB for the first frame, a budget for incomplete frames. - Metrics, a bounded log line, docs/operators/LIMITS.md, docs/design/hostile-callers.md. - rustix: feature "process", for the limit of descriptors.

Ruled out: one pool for callers and servers, since callers could then break off the responses of sound ones.

Not run: the other process tests, the unit tests of the crates, peaks at memory_mb of 120, 160 and 512, allocations per request.

--- a/bamboo-fleet/src/buffer_budget.rs
+++ b/bamboo-fleet/src/buffer_budget.rs
@@ -35,10 +35,29 @@
         })
     }
 
-    /// Begins to buffer a body.
+    /// Begins to buffer a body whose first bytes do not count.
     pub fn begin_body(self: &Arc<Self>) -> BufferReservation {
+        self.begin(UNCOUNTED_BODY_BYTES)
+    }
+
+    /// Begins to buffer a body that counts from its first byte on, as a crowd of small ones uses up the memory, too.
+    ///
+    /// ```
+    /// use bamboo_fleet::BufferBudget;
+    /// let budget = BufferBudget::new(1_000);
+    /// let mut body = budget.begin_counted_body();
+    /// assert!(!body.grow(1_001));
+    /// assert!(body.grow(1_000));
+    /// assert_eq!(budget.used_bytes(), 1_000);
+    /// ```
+    pub fn begin_counted_body(self: &Arc<Self>) -> BufferReservation {
+        self.begin(0)
+    }
+
+    fn begin(self: &Arc<Self>, uncounted_bytes: usize) -> BufferReservation {
         BufferReservation {
             budget: Arc::clone(self),
+            uncounted_bytes,
             body_bytes: 0,
             counted_bytes: 0,
         }
@@ -64,6 +83,7 @@
 #[derive(Debug)]
 pub struct BufferReservation {
     budget: Arc<BufferBudget>,
+    uncounted_bytes: usize,
     body_bytes: usize,
     counted_bytes: usize,
 }
@@ -72,7 +92,7 @@
     /// Reserves room for further bytes of the body. Returns `false`, and reserves nothing, if the budget is exhausted.
     pub fn grow(&mut self, bytes: usize) -> bool {
         let body_bytes = self.body_bytes.saturating_add(bytes);
-        let counted_bytes = body_bytes.saturating_sub(UNCOUNTED_BODY_BYTES);
+        let counted_bytes = body_bytes.saturating_sub(self.uncounted_bytes);
         if !self.budget.try_add(counted_bytes - self.counted_bytes) {
             return false;
         }
@@ -81,6 +101,26 @@
         true
     }
 
+    /// Returns what exceeds this number of bytes of the body.
+    ///
+    /// ```
+    /// use bamboo_fleet::BufferBudget;
+    /// let budget = BufferBudget::new(1_000);
+    /// let mut body = budget.begin_counted_body();
+    /// assert!(body.grow(1_000));
+    /// body.shrink_to(300);
+    /// assert_eq!(budget.used_bytes(), 300);
+    /// ```
+    pub fn shrink_to(&mut self, body_bytes: usize) {
+        self.body_bytes = self.body_bytes.min(body_bytes);
+        let counted_bytes = self.body_bytes.saturating_sub(self.uncounted_bytes);
+        let returned = self.counted_bytes - counted_bytes;
+        self.counted_bytes = counted_bytes;
+        self.budget
+            .used_bytes
+            .fetch_sub(returned, Ordering::Relaxed);
+    }
+
     /// Number of bytes of the body.
     pub fn body_bytes(&self) -> usize {
         self.body_bytes
--- a/bamboo-fleet/src/lib.rs
+++ b/bamboo-fleet/src/lib.rs
@@ -3,6 +3,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod body_progress;
 mod buffer_budget;
 mod config;
 mod directory;
@@ -15,6 +16,9 @@
 mod workspaces;
 
 pub use bamboo_types::SoftwareVersion;
+pub use body_progress::BodyProgress;
+pub use body_progress::EVICTION_GRACE;
+pub use body_progress::slowest_body;
 pub use buffer_budget::BufferBudget;
 pub use buffer_budget::BufferReservation;
 pub use buffer_budget::UNCOUNTED_BODY_BYTES;
--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -60,12 +60,16 @@
 use crate::mesh::Mesh;
 use crate::mesh::ProtocolVersion;
 use crate::mesh::Tunnels;
+use crate::metrics::KindLabel;
 use crate::metrics::Metrics;
 use crate::request_log::LineClass;
 use crate::request_log::RequestLog;
+use crate::resource_limits::ResourceLimits;
 use crate::settings::Settings;
 use crate::slot_requests::SlotRequestTable;
 use crate::store::StoreClient;
+use crate::traffic::CallerBodies;
+use crate::traffic::Connections;
 use crate::traffic::LoadBalancer;
 use crate::traffic::ServerPool;
 
@@ -90,9 +94,6 @@
     Ending,
 }
 
-/// Part of the memory limit that the bodies of callers' requests may use, and that those of servers' responses may use.
-const BUFFER_BUDGET_PARTS: u64 = 4;
-
 /// Counts a request as open until dropped, which must not be before its response has been sent.
 pub(crate) struct OpenRequest(Rc<Gateway>);
 
@@ -138,7 +139,12 @@
     pub(crate) directory: RefCell<Directory>,
     pub(crate) load_balancer: RefCell<LoadBalancer>,
     pub(crate) pool: ServerPool,
+    pub(crate) limits: ResourceLimits,
     pub(crate) caller_buffers: Arc<BufferBudget>,
+    pub(crate) caller_bodies: CallerBodies,
+    pub(crate) caller_connections: Rc<Connections>,
+    pub(crate) host_buffers: Arc<BufferBudget>,
+    pub(crate) host_connections: Rc<Connections>,
     pub(crate) server_buffers: Arc<BufferBudget>,
     pub(crate) mesh: Mesh,
     pub(crate) slot_requests: SlotRequestTable,
@@ -208,8 +214,9 @@
         let (link_failures, link_failure_queue) = mpsc::unbounded_channel();
         let metrics = Metrics::default();
         let store_metrics = metrics.store.clone();
-        let buffer_bytes = (settings.memory_mb << 20) / BUFFER_BUDGET_PARTS;
-        let buffer_bytes = usize::try_from(buffer_bytes).unwrap_or(usize::MAX);
+        let clock = Clock::start();
+        let limits = ResourceLimits::derive(&settings);
+        let caller_buffers = BufferBudget::new(limits.caller_bytes);
         let broker = Broker::new(local.host.clone());
         let gateway = Rc::new(Gateway {
             store: StoreClient::new(settings.store.address, dialect.clone())
@@ -219,15 +226,20 @@
             local,
             settings,
             dialect,
-            clock: Clock::start(),
+            clock,
             config: RefCell::new(None),
             config_record: RefCell::new(None),
             former_routes: RefCell::default(),
             directory: RefCell::new(Directory::default()),
             load_balancer: RefCell::new(LoadBalancer::default()),
             pool: ServerPool::default(),
-            caller_buffers: BufferBudget::new(buffer_bytes),
-            server_buffers: BufferBudget::new(buffer_bytes),
+            limits,
+            caller_bodies: CallerBodies::new(Arc::clone(&caller_buffers), clock),
+            caller_buffers,
+            caller_connections: Connections::new(limits.caller_connections, clock),
+            host_buffers: BufferBudget::new(limits.host_bytes),
+            host_connections: Connections::new(limits.host_connections, clock),
+            server_buffers: BufferBudget::new(limits.server_bytes),
             slot_requests: SlotRequestTable::new(),
             coordination: RefCell::new(coordination),
             stream_origins: RefCell::default(),
@@ -272,6 +284,19 @@
         self.open_requests.get()
     }
 
+    /// Counts and logs that a caller is turned away because a limit of the process is reached.
+    pub(crate) fn turn_away(&self, kind: &'static str) {
+        let counter = self.metrics.turned_away.get_or_create(&KindLabel { kind });
+        counter.inc();
+        if self.may_log(LineClass::TurnedAway) {
+            log::warn!(
+                event = "turned_away", reason = kind, buffered_bytes = self.caller_buffers.used_bytes(),
+                connections = self.caller_connections.len();
+                "a caller is turned away because a limit of this process is reached"
+            );
+        }
+    }
+
     /// Whether another line of a class may be logged in this second.
     pub(crate) fn may_log(&self, class: LineClass) -> bool {
         self.request_log.may_write(class, self.clock.now())
--- a/bamboo-gateway/src/lib.rs
+++ b/bamboo-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod metrics;
 mod net;
 mod request_log;
+mod resource_limits;
 mod response_body;
 mod run;
 mod settings;
--- a/bamboo-gateway/src/mesh/accept.rs
+++ b/bamboo-gateway/src/mesh/accept.rs
@@ -22,9 +22,17 @@
 use crate::mesh::tunnel::serve_tunnel;
 use crate::net;
 use crate::net::ConnectionUse;
+use crate::traffic::Admission;
+use crate::traffic::ConnectionPermit;
 
 /// Maximum size of a frame in bytes. The largest message is a job submission.
 const FRAME_MAX_BYTES: usize = 32 << 20;
+/// Maximum size of the first frame of a stream, in bytes. It only names the host.
+const FIRST_FRAME_MAX_BYTES: usize = 64 << 10;
+/// Maximum size of the headers of a request from another host, in bytes.
+const HEADERS_MAX_BYTES: u32 = 16 << 10;
+/// Time in which a host that connects must have sent a request. It does so at once.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -33,9 +41,20 @@
     loop {
         match listener.accept().await {
             Ok((stream, address)) => {
+                let permit = match gateway.host_connections.admit(|| false).await {
+                    Admission::Free(permit) | Admission::Replaces(permit) => Rc::new(permit),
+                    Admission::Full => {
+                        gateway.turn_away("host_connections_full");
+                        continue;
+                    }
+                };
                 let gateway = Rc::clone(&gateway);
                 actix_rt::spawn(async move {
-                    if let Err(error) = serve(gateway, stream).await {
+                    let served = tokio::select! {
+                        served = serve(gateway, stream, &permit) => served,
+                        () = permit.closed_for_another() => Ok(()),
+                    };
+                    if let Err(error) = served {
                         log::debug!("connection from host {address} failed: {error:#}");
                     }
                 });
@@ -48,15 +67,23 @@
     }
 }
 
-async fn serve(gateway: Rc<Gateway>, stream: TcpStream) -> anyhow::Result<()> {
+async fn serve(
+    gateway: Rc<Gateway>,
+    stream: TcpStream,
+    permit: &Rc<ConnectionPermit>,
+) -> anyhow::Result<()> {
     net::set_options(&stream, ConnectionUse::Messages)?;
-    let mut connection = h2::server::Builder::new()
+    let handshake = h2::server::Builder::new()
+        .max_header_list_size(HEADERS_MAX_BYTES)
         .initial_window_size(FLOW_WINDOW_BYTES)
         .initial_connection_window_size(FLOW_WINDOW_BYTES)
-        .handshake::<_, Bytes>(stream)
-        .await?;
-    while let Some(accepted) = connection.accept().await {
-        let (request, respond) = accepted?;
+        .handshake::<_, Bytes>(stream);
+    let mut connection = tokio::time::timeout(FIRST_REQUEST_TIMEOUT, handshake).await??;
+    let mut accepted = tokio::time::timeout(FIRST_REQUEST_TIMEOUT, connection.accept()).await?;
+    // A host that has sent a request is connected for good, whether it has much to say or not.
+    let _in_use = permit.begin_use();
+    while let Some(request) = accepted {
+        let (request, respond) = request?;
         if is_tunnel(&request) {
             let gateway = Rc::clone(&gateway);
             actix_rt::spawn(async move {
@@ -64,6 +91,7 @@
                     log::debug!("tunnel for another host failed: {error:#}");
                 }
             });
+            accepted = connection.accept().await;
             continue;
         }
         let path = request.uri().path();
@@ -76,6 +104,7 @@
             // Dropped earlier, it would reset the stream of the messages.
             drop(respond);
         });
+        accepted = connection.accept().await;
     }
     Ok(())
 }
@@ -87,12 +116,24 @@
 ) -> anyhow::Result<()> {
     let mut buffer = BytesMut::new();
     let mut sender: Option<HostInfo> = None;
+    let mut reservation = gateway.host_buffers.begin_body();
     while let Some(chunk) = body.data().await {
         // A connection that ends is no fault of the messages.
         let Ok(chunk) = chunk else { return Ok(()) };
         body.flow_control().release_capacity(chunk.len())?;
+        anyhow::ensure!(
+            reservation.grow(chunk.len()),
+            "messages of hosts use up their memory"
+        );
         buffer.extend_from_slice(&chunk);
-        while let Some(message) = next_message(&mut buffer)? {
+        loop {
+            let frame_max_bytes = match sender {
+                Some(_) => FRAME_MAX_BYTES,
+                None => FIRST_FRAME_MAX_BYTES,
+            };
+            let Some(message) = next_message(&mut buffer, frame_max_bytes)? else {
+                break;
+            };
             match (&sender, message) {
                 (_, PeerMessage::Hello(info)) => {
                     gateway.host_connected(&info, version);
@@ -102,18 +143,22 @@
                 (None, _) => anyhow::bail!("the first message of the stream is not Hello"),
             }
         }
+        reservation.shrink_to(buffer.len());
     }
     Ok(())
 }
 
-fn next_message(buffer: &mut BytesMut) -> anyhow::Result<Option<PeerMessage>> {
+fn next_message(
+    buffer: &mut BytesMut,
+    frame_max_bytes: usize,
+) -> anyhow::Result<Option<PeerMessage>> {
     if buffer.len() < LENGTH_PREFIX_BYTES {
         return Ok(None);
     }
     let length = u32::from_be_bytes([buffer[0], buffer[1], buffer[2], buffer[3]]) as usize;
     anyhow::ensure!(
-        length <= FRAME_MAX_BYTES,
-        "frame of {length} bytes exceeds the limit of {FRAME_MAX_BYTES}"
+        length <= frame_max_bytes,
+        "frame of {length} bytes exceeds the limit of {frame_max_bytes}"
     );
     if buffer.len() < LENGTH_PREFIX_BYTES + length {
         return Ok(None);
--- a/bamboo-gateway/src/metrics.rs
+++ b/bamboo-gateway/src/metrics.rs
@@ -128,6 +128,14 @@
     pub quarantined_parts: Gauge,
     /// Version of the configuration in force.
     pub config_version: Gauge,
+    /// Callers that were turned away because a limit of the process was reached, by reason.
+    pub turned_away: Family<KindLabel, Counter>,
+    /// Bytes in use of the budget for callers.
+    pub caller_buffer_bytes: Gauge,
+    /// Open connections of callers.
+    pub caller_connections: Gauge,
+    /// Open connections from other hosts.
+    pub host_connections: Gauge,
     /// Lines of the log that were dropped because its output was not read in time.
     pub log_lines_dropped: Gauge,
 }
@@ -153,6 +161,10 @@
             partitions: Gauge::default(),
             quarantined_parts: Gauge::default(),
             config_version: Gauge::default(),
+            turned_away: Family::default(),
+            caller_buffer_bytes: Gauge::default(),
+            caller_connections: Gauge::default(),
+            host_connections: Gauge::default(),
             log_lines_dropped: Gauge::default(),
         };
         let registry = &mut metrics.registry;
@@ -233,6 +245,26 @@
             "Version of the configuration in force",
             metrics.config_version.clone(),
         );
+        registry.register(
+            "turned_away",
+            "Callers turned away at a limit of the process, by reason",
+            metrics.turned_away.clone(),
+        );
+        registry.register(
+            "caller_buffer_bytes",
+            "Bytes in use of the budget for callers' bodies and connections",
+            metrics.caller_buffer_bytes.clone(),
+        );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            metrics.caller_connections.clone(),
+        );
+        registry.register(
+            "host_connections",
+            "Open connections from other hosts",
+            metrics.host_connections.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Lines of the log that were dropped because its output was not read in time",
--- a/bamboo-gateway/src/request_log.rs
+++ b/bamboo-gateway/src/request_log.rs
@@ -18,12 +18,14 @@
     Failed,
     /// The caller left, or its connection failed.
     CallerLeft,
+    /// A caller was turned away, or its connection closed, because a limit of the process was reached.
+    TurnedAway,
     /// Anything else.
     Other,
 }
 
 /// Number of classes.
-const CLASSES: usize = 5;
+const CLASSES: usize = 6;
 
 impl LineClass {
     fn name(self) -> &'static str {
@@ -32,6 +34,7 @@
             LineClass::Refused => "refused",
             LineClass::Failed => "failed",
             LineClass::CallerLeft => "caller_left",
+            LineClass::TurnedAway => "turned_away",
             LineClass::Other => "other",
         }
     }
--- a/bamboo-gateway/src/settings.rs
+++ b/bamboo-gateway/src/settings.rs
@@ -66,6 +66,8 @@
     pub cpu_share: f64,
     /// Memory limit in MB.
     pub memory_mb: u64,
+    /// Number of file descriptors that the process may open. If absent, the limit that the system sets for the process.
+    pub descriptors_max: Option<u64>,
     /// Settings of the store.
     pub store: StoreSettings,
     /// Times that the deployment guarantees.
@@ -94,6 +96,10 @@
             (self.data_centre.is_empty(), "data_centre is empty"),
             (self.cpu_share <= 0.0, "cpu_share must be above 0"),
             (self.memory_mb == 0, "memory_mb must be above 0"),
+            (
+                self.descriptors_max == Some(0),
+                "descriptors_max must be above 0",
+            ),
             (
                 self.store.shard_count == 0,
                 "store.shard_count must be above 0",
--- a/bamboo-gateway/src/traffic.rs
+++ b/bamboo-gateway/src/traffic.rs
@@ -2,6 +2,8 @@
 
 mod accept;
 mod buffered_body;
+mod caller_bodies;
+mod connections;
 mod engine_run;
 mod head_limit;
 mod load_balancer;
@@ -21,6 +23,10 @@
 pub(crate) use accept::serve_callers;
 pub(crate) use accept::serve_metrics;
 pub(crate) use accept::serve_readiness;
+pub(crate) use caller_bodies::CallerBodies;
+pub(crate) use connections::Admission;
+pub(crate) use connections::ConnectionPermit;
+pub(crate) use connections::Connections;
 pub(crate) use engine_run::EngineRequest;
 pub(crate) use engine_run::OpenError;
 pub(crate) use engine_run::ResponseWait;
--- a/bamboo-gateway/src/traffic/buffered_body.rs
+++ b/bamboo-gateway/src/traffic/buffered_body.rs
@@ -18,15 +18,21 @@
     /// All bodies together use up the budget.
     #[error("the budget for buffered bodies is exhausted")]
     BudgetExhausted,
+    /// The body was the slowest one when others needed its memory.
+    #[error("the body was evicted")]
+    Evicted,
+    /// Nothing of the body arrived for too long.
+    #[error("the body stopped")]
+    Silent,
     /// The connection failed before the body was complete.
     #[error("the body was truncated: {0}")]
     Truncated(#[from] hyper::Error),
 }
 
 /// Bytes of a body, which return their share of the budget with the last reference.
-struct BufferedBody {
-    bytes: Vec<u8>,
-    _reservation: BufferReservation,
+pub(super) struct BufferedBody {
+    pub(super) bytes: Vec<u8>,
+    pub(super) _reservation: BufferReservation,
 }
 
 impl AsRef<[u8]> for BufferedBody {
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -26,7 +26,6 @@
 use crate::request_log::LineClass;
 use crate::response_body::ResponseBody;
 use crate::traffic::buffered_body::BodyError;
-use crate::traffic::buffered_body::read_whole_body;
 use crate::traffic::plain::serve_plain;
 use crate::traffic::request::CallerRequest;
 use crate::traffic::request::RequestProgress;
@@ -46,6 +45,8 @@
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Timeout for reading the body, counted from the headers.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Copies of a submission that exist besides its body: the decoded items, and the records or the message made of them.
+const JOB_COPIES: usize = 2;
 
 /// Reason in the log of a request that is rejected because this host stops.
 pub(crate) const STOPPING: &str = "stopping";
@@ -118,6 +119,13 @@
         Err(response) => return response,
     };
     if route.is_batch() {
+        let Some(_copies) = gateway
+            .caller_bodies
+            .reserve(body.len().saturating_mul(JOB_COPIES))
+        else {
+            gateway.turn_away("job_buffers_full");
+            return not_run("no memory for the job\n", BUFFERS_FULL_RETRY_AFTER);
+        };
         if head.method != Method::POST {
             return text_response(
                 StatusCode::METHOD_NOT_ALLOWED,
@@ -289,29 +297,40 @@
     body: Incoming,
     max_bytes: usize,
 ) -> Result<Bytes, Response<ResponseBody>> {
-    let collected = read_whole_body(body, max_bytes, &gateway.caller_buffers);
-    match tokio::time::timeout(BODY_TIMEOUT, collected).await {
-        Ok(Ok(bytes)) => Ok(bytes),
-        Ok(Err(BodyError::TooLarge(_))) => Err(text_response(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body is too large\n",
-        )),
-        Ok(Err(BodyError::BudgetExhausted)) => {
-            log::warn!(event = "buffers_full"; "rejected a request because callers' bodies use up their memory");
-            Err(not_run(
-                "no memory for the body\n",
-                BUFFERS_FULL_RETRY_AFTER,
-            ))
+    let collected = gateway.caller_bodies.read_whole(body, max_bytes);
+    let (reason, mut response) = match tokio::time::timeout(BODY_TIMEOUT, collected).await {
+        Ok(Ok(bytes)) => return Ok(bytes),
+        Ok(Err(BodyError::TooLarge(_))) => (
+            "body_too_large",
+            text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"),
+        ),
+        Ok(Err(BodyError::BudgetExhausted)) => (
+            "buffers_full",
+            not_run("no memory for the body\n", BUFFERS_FULL_RETRY_AFTER),
+        ),
+        Ok(Err(BodyError::Evicted)) => (
+            "body_evicted",
+            not_run("no memory for a slow body\n", BUFFERS_FULL_RETRY_AFTER),
+        ),
+        Ok(Err(BodyError::Truncated(_))) => {
+            return Err(text_response(
+                StatusCode::BAD_REQUEST,
+                "the body is broken\n",
+            ));
         }
-        Ok(Err(BodyError::Truncated(_))) => Err(text_response(
-            StatusCode::BAD_REQUEST,
-            "the body is broken\n",
-        )),
-        Err(_) => Err(text_response(
-            StatusCode::REQUEST_TIMEOUT,
-            "the body did not arrive in time\n",
-        )),
-    }
+        Ok(Err(BodyError::Silent)) | Err(_) => (
+            "body_late",
+            text_response(
+                StatusCode::REQUEST_TIMEOUT,
+                "the body did not arrive in time\n",
+            ),
+        ),
+    };
+    gateway.turn_away(reason);
+    // What is left of the body is not read.
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    Err(response)
 }
 
 /// What the caller of a stream has got so far.
