--- a/bamboo-fleet/src/lib.rs
+++ b/bamboo-fleet/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 mod authentication;
+mod body_progress;
 mod buffer_budget;
 mod config;
 mod directory;
@@ -19,6 +20,9 @@
 pub use authentication::AuthenticationFailure;
 pub use authentication::authenticate;
 pub use bamboo_types::SoftwareVersion;
+pub use body_progress::BodyProgress;
+pub use body_progress::EVICTION_GRACE;
+pub use body_progress::slowest_body;
 pub use buffer_budget::BufferBudget;
 pub use buffer_budget::BufferReservation;
 pub use buffer_budget::UNCOUNTED_BODY_BYTES;
--- a/bamboo-gateway/src/request_log.rs
+++ b/bamboo-gateway/src/request_log.rs
@@ -20,6 +20,8 @@
     Failed,
     /// The caller left, or its connection failed.
     CallerLeft,
+    /// A caller was turned away, or its connection closed, because a limit of the process was reached.
+    TurnedAway,
     /// Anything else.
     Other,
 }
@@ -35,6 +37,7 @@
             LineClass::Unauthenticated => "unauthenticated",
             LineClass::Failed => "failed",
             LineClass::CallerLeft => "caller_left",
+            LineClass::TurnedAway => "turned_away",
             LineClass::Other => "other",
         }
     }
