feat(gateway): apply the rates of workspaces over all hosts

Cause: nothing applied the rate of a workspace.

Change: the coordinator takes a token when a counted slot request of a workspace with a rate arrives, and answers RateExceeded over the rate, which becomes 429 with Retry-After. It returns the token of a request that is refused or released without a slot. A host without its decision within 60 ms, or with an older coordinator, takes a token of its own share. The coordinator counts reported runs. Requests to plain services ask in a call (CountRequest). HostCount carries the number of hosts with each heartbeat reply, and from each host to a new coordinator: one that had restarted did not know it. Requests on which no coordinator has decided are not part of a Sync, but follow it one by one; they would otherwise run uncounted after each change of the coordinator.

Ruled out: checking requests of a Sync, which counts those twice that the former coordinator admitted.

Not done: the token of a plain request that is never sent is not returned. No test plays the messages between processes yet.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod peers;
 mod quarantine;
+mod rates;
 mod server_connections;
 mod server_reports;
 mod servers;
@@ -72,6 +73,7 @@
 use crashes::CrashState;
 pub(crate) use crashes::OpenCheck;
 pub(crate) use crashes::Rejection;
+use rates::Rates;
 pub(crate) use server_connections::ServerCheck;
 use server_connections::ServerChecks;
 use servers::EntriesEnd;
@@ -150,6 +152,7 @@
     /// Servers that named a limit which is no number.
     unreadable_limits: RefCell<HashSet<BackendServerId>>,
     broker: RefCell<Broker>,
+    rates: Rates,
     reports: RefCell<Reports>,
     /// Versions of the messages that other hosts decode, as they said when they opened their links. A host that was silent keeps its
     /// link, and does not say it again.
@@ -211,6 +214,8 @@
         let buffer_bytes = (settings.memory_mb << 20) / BUFFER_BUDGET_PARTS;
         let buffer_bytes = usize::try_from(buffer_bytes).unwrap_or(usize::MAX);
         let broker = Broker::new(local.host.clone());
+        let clock = Clock::start();
+        let rates = Rates::new(local.host.clone(), clock.boot_time());
         let gateway = Rc::new(Gateway {
             store: StoreClient::new(settings.store.address, dialect.clone())
                 .with_metrics(store_metrics),
@@ -219,7 +224,7 @@
             local,
             settings,
             dialect,
-            clock: Clock::start(),
+            clock,
             config: RefCell::new(None),
             config_record: RefCell::new(None),
             former_routes: RefCell::default(),
@@ -235,6 +240,7 @@
             briefed_coordinator: RefCell::default(),
             unreadable_limits: RefCell::default(),
             broker: RefCell::new(broker),
+            rates,
             reports: RefCell::new(Reports::default()),
             protocol_versions: RefCell::default(),
             store_path: RefCell::default(),
@@ -407,6 +413,7 @@
         }
         *self.config_record.borrow_mut() = Some(Rc::new(record));
         *self.config.borrow_mut() = Some(Rc::new(config));
+        self.update_rates();
         self.refresh_engines();
         self.jobs.config_changed();
         self.update_knows_servers();
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -79,12 +79,14 @@
         }
         let current = coordination.coordinator().clone();
         drop(coordination);
+        self.update_rate_role();
         log::info!(
             event = "coordinator", host = current.as_str(), before = before.as_str();
             "the coordinator changed"
         );
         self.jobs.reset_reservation();
         self.announce_successor(&before, now);
+        self.announce_host_count(&current);
         self.send_slot_requests(&current);
     }
 
@@ -165,6 +167,7 @@
     pub(super) fn tick(&self) {
         let now = self.clock.now();
         self.choose_coordinator();
+        self.tick_rates();
         let coordinator = self.coordination.borrow().coordinator().clone();
         let report = self
             .decodes_since(&coordinator, REQUEST_REPORTS_SINCE)
@@ -195,6 +198,7 @@
             log::warn!(event = "host_lost", host = lost.as_str(); "no heartbeats from a host");
             self.crashes.forget_host(&lost);
             self.broker.borrow_mut().drop_host(&lost, now);
+            self.forget_rated_requests(&lost);
         }
         self.broker.borrow_mut().tick(now);
         self.send_broker_actions();
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -198,6 +198,7 @@
                         "a host reports that a run failed"
                     );
                 }
+                self.refund_rate(&sender.host, request);
                 self.broker.borrow_mut().release(
                     &sender.host,
                     request,
@@ -223,6 +224,21 @@
                 self.slot_requests
                     .deliver(request, SlotDecision::Refused(retry_after));
             }
+            PeerMessage::RateExceeded {
+                request,
+                retry_after,
+            } if self.is_coordinator(&sender.host) => {
+                self.slot_requests
+                    .deliver(request, SlotDecision::RateExceeded(retry_after));
+            }
+            PeerMessage::HostCount(hosts)
+                if self.is_coordinator(&sender.host) || self.is_coordinator(&self.local.host) =>
+            {
+                self.record_host_count(hosts);
+            }
+            PeerMessage::UncountedRun { workspace } => {
+                self.record_uncounted_run(&sender.host, &workspace);
+            }
             PeerMessage::NoServer { request } if self.is_coordinator(&sender.host) => {
                 self.slot_requests.deliver(request, SlotDecision::NoServer);
             }
@@ -248,7 +264,9 @@
             PeerMessage::Queued { .. }
             | PeerMessage::Preempt { .. }
             | PeerMessage::NoServer { .. }
-            | PeerMessage::Refused { .. } => {}
+            | PeerMessage::Refused { .. }
+            | PeerMessage::RateExceeded { .. }
+            | PeerMessage::HostCount(_) => {}
             PeerMessage::Hello(_)
             | PeerMessage::Probe(_)
             | PeerMessage::HeartbeatAck { .. }
@@ -275,7 +293,8 @@
         self.send_to(host, message);
     }
 
-    /// Sends all slot requests of this host, as they are.
+    /// Sends all slot requests of this host, as they are. Those that no coordinator has counted yet follow one by one, because
+    /// requests that are sent together are not counted.
     pub(super) fn send_slot_requests(&self, host: &str) {
         let infos = self.slot_requests.infos(self.clock.now());
         let message = match self.decodes_since(host, REQUEST_TERMS_SINCE) {
@@ -283,6 +302,9 @@
             false => PeerMessage::Sync(infos.into_iter().map(|info| info.info).collect()),
         };
         self.send_to(host, message);
+        for request in self.slot_requests.uncounted() {
+            self.send_slot_request_to(host, request);
+        }
     }
 
     /// Replaces the slot requests of a host by those that it reports anew.
@@ -345,15 +367,46 @@
 
     fn handle_slot_request(&self, sender: &HostInfo, info: SlotRequestOnTerms, now: Duration) {
         self.record_requests(sender, now);
+        let (request, server) = slot_request(sender, info, now);
+        if let Err(retry_after) = self.count_slot_request(&request, server.is_some()) {
+            let request = request.id;
+            let message = PeerMessage::RateExceeded {
+                request,
+                retry_after,
+            };
+            self.send_to(&sender.host, message);
+            return;
+        }
         let mut broker = self.broker.borrow_mut();
-        match slot_request(sender, info, now) {
-            (request, Some(server)) => broker.restore_run(request, &server, now),
-            (request, None) => broker.request_slot(request, now),
+        match server {
+            Some(server) => broker.restore_run(request, &server, now),
+            None => broker.request_slot(request, now),
         }
         drop(broker);
         self.send_broker_actions();
     }
 
+    /// Takes a token for a slot request that counts, unless the broker knows it and thus has counted it. A run that began without
+    /// a decision is not refused.
+    fn count_slot_request(&self, request: &SlotRequest, is_running: bool) -> Result<(), Duration> {
+        let Some(workspace) = &request.terms.workspace else {
+            return Ok(());
+        };
+        let is_known = self.broker.borrow().knows(&request.host, request.id);
+        if is_running {
+            // It runs, whether or not it gets a slot here.
+            self.rate_granted(&request.host, request.id);
+        }
+        match request.terms.is_counted && !is_known {
+            false => Ok(()),
+            true if is_running => {
+                self.record_uncounted_run(&request.host, workspace);
+                Ok(())
+            }
+            true => self.admit_slot_request(&request.host, request.id, workspace),
+        }
+    }
+
     pub(super) fn handle_heartbeat(
         &self,
         sender: &HostInfo,
@@ -378,11 +431,13 @@
         drop(reports);
         if is_new {
             self.crashes.forget_host(&sender.host);
+            self.forget_rated_requests(&sender.host);
             if !self.decodes_since(&sender.host, COMPARED_REPORTS_SINCE) {
                 self.send_server_reports(sender, now);
             }
             log::info!(event = "host_joined", host = sender.host.as_str(); "a host reports to this coordinator");
         }
+        self.record_rate_heartbeat(&sender.host);
         self.send_broker_actions();
         if sender.host == self.local.host {
             if let Some(update) = map_update {
@@ -506,6 +561,7 @@
             PeerRequest::Permit { servers, max_wait } => {
                 PeerReply::Permit(self.permit(&servers, max_wait))
             }
+            PeerRequest::CountRequest { workspace } => self.answer_count_request(&workspace),
         }
     }
 
@@ -537,6 +593,13 @@
     pub(super) fn send_broker_actions(&self) {
         let actions = self.broker.borrow_mut().take_actions();
         for action in actions {
+            match &action {
+                Action::Grant { host, request, .. } => self.rate_granted(host, *request),
+                Action::NoServer { host, request } | Action::Refuse { host, request, .. } => {
+                    self.refund_rate(host, *request);
+                }
+                Action::Queue { .. } | Action::Preempt { .. } => {}
+            }
             let (host, message) = match action {
                 Action::Grant {
                     host,
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -144,6 +144,12 @@
     WeighCrash(CrashReport),
     /// Asks for the recent sound runs with these suspects. For hosts of protocol version 5 or later.
     SoundRuns(Vec<SuspectId>),
+    /// Asks the coordinator whether a request to a plain service is within the rate of its workspace. For hosts of protocol
+    /// version 8 or later.
+    CountRequest {
+        /// Workspace of the caller.
+        workspace: WorkspaceId,
+    },
 }
 
 /// Reply to a request.
@@ -183,6 +189,11 @@
     CrashWeighed,
     /// Recent sound runs with the suspects in question.
     SoundRuns(Vec<SuspectReport>),
+    /// Whether a request is within the rate of its workspace.
+    RateDecision {
+        /// Time after which to retry; `None` if the request may run.
+        retry_after: Option<Duration>,
+    },
 }
 
 /// A message between hosts.
@@ -302,6 +313,20 @@
     RequestSlotOnTerms(SlotRequestOnTerms),
     /// Like [`Sync`](Self::Sync), with terms.
     SyncOnTerms(Vec<SlotRequestOnTerms>),
+    /// The slot request is over the rate of its workspace. For hosts of protocol version 8 or later, like the two after it.
+    RateExceeded {
+        /// Slot request.
+        request: SlotRequestId,
+        /// Time after which to retry.
+        retry_after: Duration,
+    },
+    /// Number of hosts while a workspace has a rate: with each acknowledgement of a heartbeat, and to a new coordinator.
+    HostCount(u32),
+    /// A request to a plain service runs for which the coordinator was asked in vain.
+    UncountedRun {
+        /// Workspace of the caller.
+        workspace: WorkspaceId,
+    },
 }
 
 impl PeerMessage {
@@ -324,7 +349,9 @@
             PeerMessage::Queued { .. }
             | PeerMessage::Preempt { .. }
             | PeerMessage::Refused { .. }
-            | PeerMessage::NoServer { .. } => "other_decision",
+            | PeerMessage::NoServer { .. }
+            | PeerMessage::RateExceeded { .. } => "other_decision",
+            PeerMessage::HostCount(_) | PeerMessage::UncountedRun { .. } => "rates",
             PeerMessage::StreamBegan { .. } => "stream_began",
             PeerMessage::Limits(_) => "limits",
             PeerMessage::Leaving(_) => "leaving",
--- a/bamboo-gateway/src/metrics.rs
+++ b/bamboo-gateway/src/metrics.rs
@@ -1,5 +1,8 @@
 //! Prometheus metrics of the process.
 
+use std::sync::atomic::AtomicU64;
+
+use bamboo_types::WorkspaceId;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -34,6 +37,13 @@
 /// Bytes sent to other hosts by kind of message.
 pub(crate) type PeerBytes = Family<KindLabel, Counter>;
 
+/// Label of counts that are split by workspace.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct WorkspaceLabel {
+    /// Workspace; `other` for all that are not listed.
+    pub workspace: String,
+}
+
 /// Labels of the counter of calls to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StoreCallLabels {
@@ -110,6 +120,14 @@
     pub take_ups: Family<KindLabel, Counter>,
     /// Events of batch items by kind.
     pub items: Family<KindLabel, Counter>,
+    /// Requests of workspaces with a rate that this host decided on, by decision.
+    pub rate_decisions: Family<KindLabel, Counter>,
+    /// Requests that this host refused for the rate, by workspace.
+    pub rate_refusals: Family<WorkspaceLabel, Gauge>,
+    /// Fraction of the rates that this host may give out.
+    pub rate_share: Gauge<f64, AtomicU64>,
+    /// Number of hosts, as the shares of the rates count them.
+    pub rate_hosts: Gauge,
     /// Calls to the store by kind, topic and outcome, and the bytes received.
     pub store: StoreMetrics,
     /// Bytes sent to other hosts by kind of message.
@@ -144,6 +162,10 @@
             stream_ends: Family::default(),
             take_ups: Family::default(),
             items: Family::default(),
+            rate_decisions: Family::default(),
+            rate_refusals: Family::default(),
+            rate_share: Gauge::default(),
+            rate_hosts: Gauge::default(),
             store: StoreMetrics::default(),
             peer_bytes: Family::default(),
             server_bytes: Family::default(),
@@ -183,6 +205,26 @@
             metrics.take_ups.clone(),
         );
         registry.register("items", "Items of jobs by event", metrics.items.clone());
+        registry.register(
+            "rate_decisions",
+            "Requests of workspaces with a rate by this host's decision",
+            metrics.rate_decisions.clone(),
+        );
+        registry.register(
+            "rate_refusals",
+            "Requests that this host refused for the rate, by workspace",
+            metrics.rate_refusals.clone(),
+        );
+        registry.register(
+            "rate_share",
+            "Fraction of the rates that this host may give out",
+            metrics.rate_share.clone(),
+        );
+        registry.register(
+            "rate_hosts",
+            "Number of hosts, as the shares of the rates count them",
+            metrics.rate_hosts.clone(),
+        );
         registry.register(
             "store_requests",
             "Calls of the store by kind, topic and outcome",
@@ -258,6 +300,34 @@
         self.take_ups.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a decision on the rate of a workspace.
+    pub(crate) fn count_rate_decision(&self, kind: &'static str) {
+        self.rate_decisions.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Replaces the series of refusals for the rate: the first `listed` workspaces, and the sum of the rest.
+    pub(crate) fn list_rate_refusals<'a, R>(&self, refusals: R, listed: usize)
+    where
+        R: Iterator<Item = (&'a WorkspaceId, u64)>,
+    {
+        self.rate_refusals.clear();
+        let mut rest = 0;
+        for (index, (workspace, count)) in refusals.enumerate() {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            if index >= listed {
+                rest += count;
+                continue;
+            }
+            let workspace = workspace.clone();
+            let label = WorkspaceLabel { workspace };
+            self.rate_refusals.get_or_create(&label).set(count);
+        }
+        let workspace = "other".to_owned();
+        let label = WorkspaceLabel { workspace };
+        // A listed workspace may have this name.
+        self.rate_refusals.get_or_create(&label).inc_by(rest);
+    }
+
     /// Counts an event of a batch item.
     pub(crate) fn count_item(&self, kind: &'static str) {
         self.items.get_or_create(&KindLabel { kind }).inc();
--- a/bamboo-gateway/src/slot_requests.rs
+++ b/bamboo-gateway/src/slot_requests.rs
@@ -30,7 +30,7 @@
 
 /// Timeout for the coordinator's first reply to an online request. A round trip between data centres takes 3 ms; the
 /// rest allows for a loaded host. It is a fifth of the latency target for the first event.
-const DECISION_TIMEOUT: Duration = Duration::from_millis(60);
+pub(crate) const DECISION_TIMEOUT: Duration = Duration::from_millis(60);
 /// Identifier that no slot request has.
 const NO_REQUEST: SlotRequestId = 0;
 
@@ -45,12 +45,16 @@
     Refused(Duration),
     /// No ready server has the required version.
     NoServer,
+    /// The request is over the rate of its workspace; retry after this time.
+    RateExceeded(Duration),
 }
 
 /// The task that waits for a slot, or holds it.
 struct Waiter {
     decisions: mpsc::UnboundedSender<SlotDecision>,
     preempted: Rc<Notify>,
+    /// Whether a coordinator has decided on the request.
+    is_decided: Cell<bool>,
 }
 
 /// Slot requests of this host that have not been released, with the tasks that made them.
@@ -79,11 +83,32 @@
         self.requests.borrow().report()
     }
 
-    /// All requests as they are sent to the coordinator, with times relative to `now`.
+    /// Waiting requests that count towards the rate of a workspace, and on which no coordinator has decided.
+    pub(crate) fn uncounted(&self) -> Vec<SlotRequestId> {
+        let requests = self.requests.borrow();
+        requests
+            .iter()
+            .filter(|(id, request)| self.is_uncounted(*id, request))
+            .map(|(id, _)| id)
+            .collect()
+    }
+
+    fn is_uncounted(&self, id: SlotRequestId, request: &OpenRequest) -> bool {
+        let terms = &request.terms;
+        let counts = terms.is_counted && terms.workspace.is_some() && request.server.is_none();
+        let waiters = self.waiters.borrow();
+        counts
+            && waiters
+                .get(&id)
+                .is_some_and(|waiter| !waiter.is_decided.get())
+    }
+
+    /// All other requests as they are sent to the coordinator, with times relative to `now`.
     pub(crate) fn infos(&self, now: Duration) -> Vec<SlotRequestOnTerms> {
         let requests = self.requests.borrow();
         requests
             .iter()
+            .filter(|(id, request)| !self.is_uncounted(*id, request))
             .map(|(id, request)| request_info(id, request, now))
             .collect()
     }
@@ -106,6 +131,7 @@
     /// Passes a decision on to the task that waits for it.
     pub(crate) fn deliver(&self, id: SlotRequestId, decision: SlotDecision) {
         if let Some(waiter) = self.waiters.borrow().get(&id) {
+            waiter.is_decided.set(true);
             // A task that no longer waits drops the request.
             let _ = waiter.decisions.send(decision);
         }
@@ -161,6 +187,8 @@
     TimedOut,
     /// No server of the service, or of the required version, is available.
     NoServer,
+    /// The request is over the rate of its workspace; retry after this time.
+    RateExceeded(Duration),
 }
 
 /// A granted slot, released on drop.
@@ -236,6 +264,17 @@
     mut terms: RequestTerms,
 ) -> Result<Slot, SlotError> {
     loop {
+        let counted = match terms.is_counted {
+            true => terms.workspace.clone(),
+            false => None,
+        };
+        let applies_rates = gateway.coordinator_applies_rates();
+        if let Some(workspace) = counted.as_deref().filter(|_| !applies_rates) {
+            gateway
+                .admit_alone(workspace)
+                .map_err(SlotError::RateExceeded)?;
+            terms.is_counted = false;
+        }
         let open_request = OpenRequest {
             service: service.to_owned(),
             work,
@@ -249,10 +288,17 @@
         let (request, preempted, mut decisions) = send_request(gateway, open_request);
         let granted = match wait_for_grant(gateway, &request, work, &mut decisions).await? {
             Some(server) => server,
-            None => match place_locally(gateway, &request, service, &excluded, version) {
-                Some(server) => server,
-                None => return Err(SlotError::NoServer),
-            },
+            None => {
+                if let Some(workspace) = counted.as_deref().filter(|_| applies_rates) {
+                    gateway
+                        .admit_alone(workspace)
+                        .map_err(SlotError::RateExceeded)?;
+                }
+                match place_locally(gateway, &request, service, &excluded, version) {
+                    Some(server) => server,
+                    None => return Err(SlotError::NoServer),
+                }
+            }
         };
         let server = gateway.directory.borrow().get(&granted).cloned();
         match server {
@@ -288,6 +334,7 @@
     let waiter = Waiter {
         decisions,
         preempted: Rc::clone(&preempted),
+        is_decided: Cell::new(false),
     };
     table.waiters.borrow_mut().insert(id, waiter);
     let request = SlotRequestGuard {
@@ -334,6 +381,9 @@
             Some(SlotDecision::Refused(retry_after)) if is_online => {
                 return Err(SlotError::Refused(retry_after));
             }
+            Some(SlotDecision::RateExceeded(retry_after)) => {
+                return Err(SlotError::RateExceeded(retry_after));
+            }
             Some(SlotDecision::NoServer) => return Err(SlotError::NoServer),
             Some(SlotDecision::Queued) => is_queued = true,
             Some(SlotDecision::Refused(_)) => {}
--- a/bamboo-gateway/src/traffic.rs
+++ b/bamboo-gateway/src/traffic.rs
@@ -29,6 +29,7 @@
 pub(crate) use load_balancer::LoadBalancer;
 pub(crate) use pool::Connection;
 pub(crate) use pool::ServerPool;
+pub(crate) use request::CallerRequest;
 pub(crate) use request::shared_part_suspects;
 pub(crate) use response::run_outcome;
 pub(crate) use run_trial::BrokenRun;
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -29,6 +29,7 @@
 use crate::traffic::request::CallerRequest;
 use crate::traffic::response::ended_by_stop;
 use crate::traffic::response::not_run;
+use crate::traffic::response::over_rate;
 use crate::traffic::response::pass_on;
 use crate::traffic::response::run_outcome;
 use crate::traffic::response::text_response;
@@ -36,6 +37,7 @@
 use crate::traffic::serve::RequestRecorder;
 use crate::traffic::serve::SERVER_FAILURE;
 use crate::traffic::serve::STOPPING;
+use crate::traffic::slot_search::RATE_EXCEEDED;
 
 /// Share of the latency target after which an idempotent request is sent to another server, too.
 const ATTEMPT_TIMEOUT_SHARE: f64 = 0.6;
@@ -97,6 +99,10 @@
     request: CallerRequest,
 ) -> Response<ResponseBody> {
     let mut recorder = RequestRecorder::begin(&gateway, &request);
+    if let Err(retry_after) = gateway.count_plain_request(&request).await {
+        recorder.reason = RATE_EXCEEDED;
+        return recorder.finish(over_rate(retry_after), "refused");
+    }
     let mut sends = OpenSends::begin(&gateway, &request);
     let ended = loop {
         let event = sends.next_event().await;
--- a/bamboo-gateway/src/traffic/response.rs
+++ b/bamboo-gateway/src/traffic/response.rs
@@ -34,6 +34,15 @@
     retry_later(StatusCode::SERVICE_UNAVAILABLE, text, retry_after)
 }
 
+/// Response 429 to a request over the rate of its workspace. It has not run and never will.
+pub(crate) fn over_rate(retry_after: Duration) -> Response<ResponseBody> {
+    retry_later(
+        StatusCode::TOO_MANY_REQUESTS,
+        "over the rate\n",
+        retry_after,
+    )
+}
+
 /// Response to a request that is ended because the host exits. One that may have run must not look rejected.
 pub(crate) fn ended_by_stop(may_have_run: bool) -> Response<ResponseBody> {
     match may_have_run {
--- a/bamboo-gateway/src/traffic/slot_search.rs
+++ b/bamboo-gateway/src/traffic/slot_search.rs
@@ -33,6 +33,9 @@
 /// Reason in the log of a request that is rejected because no server of its version is left.
 pub(super) const VERSION_GONE: &str = "version_gone";
 
+/// Reason in the log of a request that is rejected because its workspace is over its rate.
+pub(super) const RATE_EXCEEDED: &str = "rate_exceeded";
+
 /// Why no run delivers events.
 pub(super) enum RunError {
     /// The server's own response, usually an error.
@@ -195,6 +198,7 @@
 fn slot_error(error: SlotError, has_version: bool, may_have_run: bool) -> RunError {
     let (retry_after, reason) = match error {
         SlotError::Refused(retry_after) => (retry_after, "coordinator_full"),
+        SlotError::RateExceeded(retry_after) => (retry_after, RATE_EXCEEDED),
         SlotError::TimedOut => (GRANT_TIMEOUT_RETRY_AFTER, "not_dealt_in_time"),
         SlotError::NoServer if has_version => (NO_SERVER_RETRY_AFTER, VERSION_GONE),
         SlotError::NoServer => (NO_SERVER_RETRY_AFTER, "no_server"),
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -20,6 +20,7 @@
 use crate::traffic::engine_run::StreamRead;
 use crate::traffic::request::CallerRequest;
 use crate::traffic::response::not_run;
+use crate::traffic::response::over_rate;
 use crate::traffic::response::pass_on;
 use crate::traffic::response::text_response;
 use crate::traffic::serve::CALLER_LEFT;
@@ -29,6 +30,7 @@
 use crate::traffic::serve::STOPPED;
 use crate::traffic::slot_search::EVENT_GAP_TIMEOUT;
 use crate::traffic::slot_search::NO_SERVER_RETRY_AFTER;
+use crate::traffic::slot_search::RATE_EXCEEDED;
 use crate::traffic::slot_search::RunError;
 use crate::traffic::slot_search::StartPoint;
 use crate::traffic::slot_search::StreamRequest;
@@ -111,6 +113,10 @@
     let run = match started {
         Ok(started) => started.run,
         Err(RunError::Answered(response)) => return recorder.finish(response, SERVER_FAILURE),
+        Err(RunError::Refused(retry_after, RATE_EXCEEDED)) => {
+            recorder.reason = RATE_EXCEEDED;
+            return recorder.finish(over_rate(retry_after), "refused");
+        }
         Err(RunError::Refused(retry_after, reason)) => {
             let text = match reason {
                 VERSION_GONE => {
--- a/bamboo-rates/src/limiter.rs
+++ b/bamboo-rates/src/limiter.rs
@@ -91,10 +91,15 @@
         self.hosts.record_heard(host, now);
     }
 
-    /// Records the number of hosts that the coordinator announces.
+    /// Records the number of hosts that the coordinator announces, or, to a new coordinator, one of the hosts that follow it. The latter
+    /// may know less than others.
     pub fn record_host_count(&mut self, hosts: usize, now: Duration) {
         self.detect_stall(now);
-        self.hosts.record_told(hosts, now);
+        let known = match self.is_coordinator {
+            true => self.hosts.count(now).unwrap_or(0),
+            false => 0,
+        };
+        self.hosts.record_told(hosts.max(known), now);
     }
 
     /// Number of hosts; `None` if it has not been learned.
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Whether a request of a host is queued or holds a slot.
+    pub fn knows(&self, host: &str, request: SlotRequestId) -> bool {
+        self.by_id.contains_key(&(host.to_owned(), request))
+    }
+
     /// Limits that servers name for their requests.
     pub fn limits(&self) -> &RequestLimits {
         &self.limits
