--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -183,6 +183,12 @@
         /// Limit on the queue's waiting tokens, summed over all hosts.
         max_tokens: u64,
     },
+    /// Asks the coordinator whether a request to a plain service is within the rate of its workspace. For hosts of protocol
+    /// version 8 or later.
+    CountRequest {
+        /// Workspace of the caller.
+        workspace: WorkspaceId,
+    },
 }
 
 /// Reply to a request.
@@ -225,6 +231,11 @@
     /// There is no room for a job that may have been accepted already. Only in reply to
     /// [`ReserveFor`](PeerRequest::ReserveFor).
     MayBeAccepted,
+    /// Whether a request is within the rate of its workspace.
+    RateDecision {
+        /// Time after which to retry; `None` if the request may run.
+        retry_after: Option<Duration>,
+    },
 }
 
 /// A message between hosts.
@@ -344,6 +355,20 @@
     RequestSlotOnTerms(SlotRequestOnTerms),
     /// Like [`Sync`](Self::Sync), with terms.
     SyncOnTerms(Vec<SlotRequestOnTerms>),
+    /// The slot request is over the rate of its workspace. For hosts of protocol version 8 or later, like the two after it.
+    RateExceeded {
+        /// Slot request.
+        request: SlotRequestId,
+        /// Time after which to retry.
+        retry_after: Duration,
+    },
+    /// Number of hosts while a workspace has a rate: with each acknowledgement of a heartbeat, and to a new coordinator.
+    HostCount(u32),
+    /// A request to a plain service runs for which the coordinator was asked in vain.
+    UncountedRun {
+        /// Workspace of the caller.
+        workspace: WorkspaceId,
+    },
 }
 
 impl PeerMessage {
@@ -366,7 +391,9 @@
             PeerMessage::Queued { .. }
             | PeerMessage::Preempt { .. }
             | PeerMessage::Refused { .. }
-            | PeerMessage::NoServer { .. } => "other_decision",
+            | PeerMessage::NoServer { .. }
+            | PeerMessage::RateExceeded { .. } => "other_decision",
+            PeerMessage::HostCount(_) | PeerMessage::UncountedRun { .. } => "rates",
             PeerMessage::StreamBegan { .. } => "stream_began",
             PeerMessage::Limits(_) => "limits",
             PeerMessage::Leaving(_) => "leaving",
