feat(slots): order online requests by rank, then by the share of their workspace

Cause: the queue was ordered by time alone. Quiet workspaces lost as large a part of their requests as hot ones, and urgent requests as many as others.

Change: the order is: stream has begun, rank, workspace over its max-min fair share, time. The broker counts the slots that each workspace holds; each request of the ordered queue counts towards what its workspace would hold. Less urgent requests no longer count for the deadline of an urgent one. Where no request names a workspace or rank, the order is as before.

Ruled out: comparing only the slots held at present, which would give all slots of one pass to the same workspace.

--- a/bamboo-slots/src/allocate.rs
+++ b/bamboo-slots/src/allocate.rs
@@ -11,7 +11,6 @@
 use crate::SlotRequest;
 use crate::Work;
 use crate::engine::EngineState;
-use crate::order::online_order;
 use crate::request_state::GrantedSlot;
 use crate::request_state::RequestKey;
 
@@ -90,12 +89,8 @@
         if self.waiting_online.is_empty() || !self.has_usable_engine(now, has_room) {
             return;
         }
-        let mut order = std::mem::take(&mut self.waiting_online);
-        let requests = &self.requests;
-        order.sort_by_cached_key(|key| {
-            let request = requests.get(*key).map(|state| &state.request);
-            request.map(|request| online_order(request, now))
-        });
+        let queue = self.ordered_queue(None, now).into_iter();
+        let order = queue.filter_map(|(_, key)| key).collect();
         self.waiting_online = self.allocate_in_order(order, now, Broker::place_online);
     }
 
@@ -232,6 +227,7 @@
             Work::Online { .. } => {
                 engine.freed_at.pop();
                 engine.online.push(key);
+                self.held_slots.hold(&state.request);
             }
             Work::Batch { .. } => engine.batch.push(key),
         }
--- a/bamboo-slots/src/broker.rs
+++ b/bamboo-slots/src/broker.rs
@@ -21,13 +21,13 @@
 use crate::arrivals::ArrivalRates;
 use crate::engine::EngineState;
 use crate::infeasible_items;
-use crate::order::is_late;
 use crate::order::online_order;
 use crate::request_state::GrantedSlot;
 use crate::request_state::RequestKey;
 use crate::request_state::RequestState;
 use crate::request_state::RequestTable;
 use crate::returns::ReturnSchedule;
+use crate::shares::HeldSlots;
 
 /// Assumed time that an online request occupies a slot, until the first one has completed.
 const SLOT_TIME_INITIAL: Duration = Duration::from_millis(700);
@@ -69,6 +69,7 @@
     pub(crate) limits: RequestLimits,
     pub(crate) arrivals: ArrivalRates,
     pub(crate) returns: ReturnSchedule,
+    pub(crate) held_slots: HeldSlots,
     /// When the queue was last checked for online requests to refuse.
     pub(crate) queue_checked_at: Duration,
     pub(crate) refused: BTreeMap<String, RefusalCounts>,
@@ -146,6 +147,9 @@
         };
         for key in state.online.into_iter().chain(state.batch) {
             if let Some(state) = self.requests.remove(key) {
+                if matches!(state.request.work, Work::Online { .. }) {
+                    self.held_slots.release(&state.request);
+                }
                 self.by_id.remove(&(state.request.host, state.request.id));
             }
         }
@@ -197,7 +201,7 @@
             self.actions.push(action);
             return;
         }
-        if is_online && !is_late(&online_order(&request, now)) {
+        if is_online && !online_order(&request, now).is_late() {
             let rank = request.terms.rank;
             self.arrivals.record(&request.service, rank, now);
         }
@@ -233,6 +237,9 @@
             self.remove_request(key, RunOutcome::Cancelled, now);
         }
         let is_online = matches!(request.work, Work::Online { .. });
+        if is_online {
+            self.held_slots.hold(&request);
+        }
         let granted = Some(GrantedSlot {
             server: server.to_owned(),
             granted_at: now,
@@ -483,6 +490,9 @@
             self.waiting_batch.retain(|waiting| *waiting != key);
             return;
         };
+        if matches!(state.request.work, Work::Online { .. }) {
+            self.held_slots.release(&state.request);
+        }
         if let Some(engine) = self.engines.get_mut(&granted.server) {
             engine.online.retain(|running| *running != key);
             engine.batch.retain(|running| *running != key);
--- a/bamboo-slots/src/lib.rs
+++ b/bamboo-slots/src/lib.rs
@@ -19,6 +19,7 @@
 mod request;
 mod request_state;
 mod returns;
+mod shares;
 mod terms;
 mod versions;
 
@@ -53,5 +54,6 @@
 pub use request::SlotRequest;
 pub use request::SlotRequestId;
 pub use request::Work;
+pub use shares::fair_share;
 pub use terms::Rank;
 pub use terms::RequestTerms;
--- a/bamboo-slots/src/order.rs
+++ b/bamboo-slots/src/order.rs
@@ -3,6 +3,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
+use crate::Rank;
 use crate::SlotRequest;
 use crate::Work;
 
@@ -27,21 +28,36 @@
     }
 }
 
-/// Place of an online request in the queue: whether its stream has not begun, then [`online_rank`].
-pub(crate) type OnlineOrder = (bool, (bool, Duration));
+/// Place of an online request in the queue; lower places get slots first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct OnlineOrder {
+    /// Whether its stream has not begun. Fewer servers can go on with one that has.
+    pub(crate) is_new: bool,
+    pub(crate) rank: Rank,
+    /// Whether its workspace holds its share of the slots already.
+    pub(crate) is_over_share: bool,
+    /// [`online_rank`].
+    pub(crate) by_time: (bool, Duration),
+}
 
-/// Place of a request in the queue. A stream that has begun comes before those that have not: fewer servers can go on with
-/// it.
-pub(crate) fn online_order(request: &SlotRequest, now: Duration) -> OnlineOrder {
-    match request.work {
-        Work::Online { start_by, .. } => (request.version.is_none(), online_rank(start_by, now)),
-        Work::Batch { .. } => (true, (true, Duration::MAX)),
+impl OnlineOrder {
+    /// Whether the request can no longer be on time.
+    pub(crate) fn is_late(&self) -> bool {
+        self.by_time.0
     }
 }
 
-/// Whether a request in this place can no longer be on time.
-pub(crate) fn is_late(order: &OnlineOrder) -> bool {
-    order.1.0
+/// Place of a request in the queue, if its workspace holds less than its share.
+pub(crate) fn online_order(request: &SlotRequest, now: Duration) -> OnlineOrder {
+    OnlineOrder {
+        is_new: request.version.is_none(),
+        rank: request.terms.rank,
+        is_over_share: false,
+        by_time: match request.work {
+            Work::Online { start_by, .. } => online_rank(start_by, now),
+            Work::Batch { .. } => (true, Duration::MAX),
+        },
+    }
 }
 
 /// Rank of a batch item: earliest due time first, then shortest remaining run time, so that started items complete
--- a/bamboo-slots/src/refusal.rs
+++ b/bamboo-slots/src/refusal.rs
@@ -12,8 +12,6 @@
 use crate::Work;
 use crate::order::FIRST_EVENT_LATENCY;
 use crate::order::OnlineOrder;
-use crate::order::is_late;
-use crate::order::online_order;
 use crate::request_state::RequestKey;
 use crate::versions::rounds;
 
@@ -122,7 +120,6 @@
 struct QueuedRequest {
     key: RequestKey,
     order: OnlineOrder,
-    rank: Rank,
     expires_at: Duration,
     begin_by: Option<Duration>,
 }
@@ -146,6 +143,13 @@
         if has_free_slot(&load) || load.slots == 0 {
             return None;
         }
+        // Less urgent requests do not delay this one.
+        let load = BrokerLoad {
+            online_waiting: load
+                .online_waiting
+                .saturating_sub(self.less_urgent_count(request)),
+            ..load
+        };
         let wait = self.expected_slot_time().mul_f64(rounds(&load));
         let reason = match self.is_hopeless(wait, expires_at, now) {
             true => RefusalReason::Deadline,
@@ -169,6 +173,19 @@
         })
     }
 
+    /// Number of queued online requests of the service that are less urgent than a request.
+    fn less_urgent_count(&self, request: &SlotRequest) -> usize {
+        let is_less_urgent = |key: &&RequestKey| {
+            let other = self.requests.get(**key).map(|state| &state.request);
+            other.is_some_and(|other| {
+                other.service == request.service
+                    && other.version.is_none()
+                    && other.terms.rank > request.terms.rank
+            })
+        };
+        self.waiting_online.iter().filter(is_less_urgent).count()
+    }
+
     /// Time after which a refused caller of a service is to return. Those that return compete with new callers, so that they are
     /// asked back at the rate at which these leave slots.
     fn promise_return(&mut self, service: &str, now: Duration) -> Duration {
@@ -184,13 +201,12 @@
 
     /// Expected time until a new request gets a slot: unlike that of the whole queue it counts only those in front of it.
     fn start_wait(&self, request: &SlotRequest, load: &BrokerLoad, now: Duration) -> Duration {
-        let order = online_order(request, now);
-        let in_front = self.waiting_online.iter().filter(|key| {
-            let other = self.requests.get(**key).map(|state| &state.request);
+        let queue = self.ordered_queue(Some(request), now);
+        let in_front = queue.iter().map_while(|(_, key)| *key).filter(|key| {
+            let other = self.requests.get(*key).map(|state| &state.request);
             other.is_some_and(|other| {
                 other.service == request.service
                     && (request.version.is_none() || other.version == request.version)
-                    && online_order(other, now) <= order
             })
         });
         let in_front = in_front.count().min(load.online_waiting);
@@ -218,8 +234,9 @@
     pub(crate) fn refuse_hopeless(&mut self, now: Duration) {
         self.queue_checked_at = now;
         let mut queues: BTreeMap<&str, Vec<QueuedRequest>> = BTreeMap::new();
-        for key in &self.waiting_online {
-            let Some(request) = self.requests.get(*key).map(|state| &state.request) else {
+        for (order, key) in self.ordered_queue(None, now) {
+            let Some(key) = key else { continue };
+            let Some(request) = self.requests.get(key).map(|state| &state.request) else {
                 continue;
             };
             let Work::Online { expires_at, .. } = request.work else {
@@ -228,9 +245,8 @@
             // Requests that require a version compete for other slots.
             if request.version.is_none() {
                 let queued = QueuedRequest {
-                    key: *key,
-                    order: online_order(request, now),
-                    rank: request.terms.rank,
+                    key,
+                    order,
                     expires_at,
                     begin_by: request.terms.begin_by,
                 };
@@ -238,12 +254,11 @@
             }
         }
         let mut refusals = Vec::new();
-        for (service, mut queue) in queues {
+        for (service, queue) in queues {
             let slots = self.online_load(service).slots;
             if slots == 0 {
                 continue;
             }
-            queue.sort_by_key(|queued| queued.order);
             self.find_hopeless(service, slots, &queue, now, &mut refusals);
         }
         self.refuse_queued(refusals, now);
@@ -264,7 +279,7 @@
         let mut ahead: usize = 0;
         for queued in queue {
             let wait = slot_time.mul_f64(ahead as f64 / slots as f64);
-            let class = (queued.rank, is_late(&queued.order));
+            let class = (queued.order.rank, queued.order.is_late());
             let left_per_s = match rate {
                 Some((known, left_per_s)) if known == class => left_per_s,
                 _ => {
