feat(gateway): tell the coordinator how long the caller of a stream waits

Cause: hosts set no `begin_by`, and waited for a slot until the deadline, although callers leave a stream after the longest of 2 s, four times the latency target and eight times the gap target without an event.

Change: `begin_by` of a slot request is the arrival less the time waited before, or the last event if a stream in progress is resumed, plus that time, never beyond the deadline. Hosts wait for a slot no longer than that, so that a lost refusal is noticed. A caller that comes back after having waited longer than that counts from its return: otherwise each retry after an outage of more than 2 s would be refused. Refusals by reason are in the log line `load` and the gauge `slot_refusals`.

--- a/bamboo-fleet/src/config.rs
+++ b/bamboo-fleet/src/config.rs
@@ -9,6 +9,9 @@
 /// Name of a service.
 pub type ServiceId = String;
 
+/// Time without an event that every caller of a stream waits at least.
+const EVENT_WAIT_MIN: Duration = Duration::from_secs(2);
+
 /// Type of the traffic on a route, which decides whether requests may be retried.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RouteKind {
@@ -117,6 +120,31 @@
         targets.any(|target| target.service == service && (target.weight > 0 || !has_weights))
     }
 
+    /// Longest time without an event that callers wait for a stream; `None` if the route's responses are no streams.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use bamboo_fleet::{Route, RouteKind};
+    /// let (target_latency, gap_target) = (Duration::from_millis(300), Duration::from_millis(400));
+    /// let route = Route {
+    ///     name: "r".into(), host: "h".into(), path_prefix: "/".into(),
+    ///     kind: RouteKind::Streaming { is_resumable: true, gap_target },
+    ///     timeout: None, target_latency, priority: 0, attempts_max: 1, is_public: false, targets: Vec::new(),
+    /// };
+    /// assert_eq!(route.event_wait_max(), Some(Duration::from_millis(3_200)));
+    /// ```
+    pub fn event_wait_max(&self) -> Option<Duration> {
+        let RouteKind::Streaming { gap_target, .. } = self.kind else {
+            return None;
+        };
+        let wait_max = self.target_latency.saturating_mul(4);
+        Some(
+            EVENT_WAIT_MIN
+                .max(wait_max)
+                .max(gap_target.saturating_mul(8)),
+        )
+    }
+
     /// Whether jobs are submitted on the route.
     ///
     /// ```
--- a/bamboo-gateway/src/gateway/heartbeat.rs
+++ b/bamboo-gateway/src/gateway/heartbeat.rs
@@ -9,6 +9,7 @@
 use bamboo_coordination::StartupStep;
 use bamboo_coordination::next_startup_step;
 use bamboo_slots::BATCH_GRANT_DELAY;
+use bamboo_slots::RefusalCounts;
 use bamboo_slots::SlotRequestId;
 use tokio::sync::mpsc;
 
@@ -232,6 +233,7 @@
             return;
         }
         let Some(config) = self.config() else { return };
+        let mut refused = RefusalCounts::default();
         for service in config
             .services
             .values()
@@ -240,11 +242,17 @@
             let broker = self.broker.borrow();
             let load = broker.load(&service.name);
             let ejected = broker.ejected_count(&service.name, now);
+            refused = refused.plus(&load.refused);
             log::info!(
                 event = "load", service = service.name.as_str(), slots = load.slots, ejected,
                 online_running = load.online_running, online_waiting = load.online_waiting,
-                batch_running = load.batch_running, batch_waiting = load.batch_waiting; "slot usage of a model service"
+                batch_running = load.batch_running, batch_waiting = load.batch_waiting,
+                refused_deadline = load.refused.deadline, refused_start = load.refused.start,
+                refused_overtaken = load.refused.overtaken, refused_expired = load.refused.expired; "slot usage of a model service"
             );
         }
+        for (reason, count) in refused.by_reason() {
+            self.metrics.set_slot_refusals(reason.name(), count);
+        }
     }
 }
--- a/bamboo-gateway/src/metrics.rs
+++ b/bamboo-gateway/src/metrics.rs
@@ -104,6 +104,8 @@
     pub slot_wait_s: Histogram,
     /// Runs at model engines that delivered no events, by outcome.
     pub runs: Family<KindLabel, Counter>,
+    /// Online requests that this host refused as coordinator, by reason.
+    pub slot_refusals: Family<KindLabel, Gauge>,
     /// Streams that began, by how they ended.
     pub stream_ends: Family<KindLabel, Counter>,
     /// Streams that callers took up again, by outcome.
@@ -141,6 +143,7 @@
             first_byte_s: latency(),
             slot_wait_s: latency(),
             runs: Family::default(),
+            slot_refusals: Family::default(),
             stream_ends: Family::default(),
             take_ups: Family::default(),
             items: Family::default(),
@@ -203,6 +206,11 @@
             "Bytes of servers' answers, from the same data centre and from others",
             metrics.server_bytes.clone(),
         );
+        registry.register(
+            "slot_refusals",
+            "Online requests refused a slot by this host as coordinator, by reason",
+            metrics.slot_refusals.clone(),
+        );
         registry.register(
             "tunnels",
             "Tunnels that led other hosts to servers",
@@ -243,6 +251,13 @@
 }
 
 impl Metrics {
+    /// Sets how many online requests this host has refused as coordinator.
+    pub(crate) fn set_slot_refusals(&self, kind: &'static str, count: u64) {
+        let labels = KindLabel { kind };
+        let gauge = self.slot_refusals.get_or_create(&labels);
+        gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts a run at a model engine that delivered no events.
     pub(crate) fn count_run(&self, kind: &'static str) {
         self.runs.get_or_create(&KindLabel { kind }).inc();
--- a/bamboo-gateway/src/slot_requests.rs
+++ b/bamboo-gateway/src/slot_requests.rs
@@ -246,8 +246,9 @@
         };
         // A request that is made anew has been counted.
         terms.is_counted = false;
+        let wait_until = wait_end(work, &terms);
         let (request, preempted, mut decisions) = send_request(gateway, open_request);
-        let granted = match wait_for_grant(gateway, &request, work, &mut decisions).await? {
+        let granted = match wait_for_grant(gateway, &request, wait_until, &mut decisions).await? {
             Some(server) => server,
             None => match place_locally(gateway, &request, service, &excluded, version) {
                 Some(server) => server,
@@ -299,24 +300,36 @@
     (request, preempted, receiver)
 }
 
-/// Waits for the granted server. Returns `None` if the coordinator does not reply in time and an online request cannot
+/// When an online request stops waiting for a slot: when its caller leaves or it expires. A refusal that was lost is noticed then.
+/// A batch item may wait for minutes in turn: a decision that was lost is sent again (`Broker::reconcile`), and the item
+/// itself gives a wait up that is of no use any more.
+fn wait_end(work: Work, terms: &RequestTerms) -> Option<Duration> {
+    match work {
+        Work::Online { expires_at, .. } => Some(
+            terms
+                .begin_by
+                .map_or(expires_at, |begin_by| begin_by.min(expires_at)),
+        ),
+        Work::Batch { .. } => None,
+    }
+}
+
+/// Waits for the granted server, until `wait_until` if it is an online request. Returns `None` if the coordinator does not reply in time and an online request cannot
 /// wait any longer.
 async fn wait_for_grant(
     gateway: &Rc<Gateway>,
     request: &SlotRequestGuard,
-    work: Work,
+    wait_until: Option<Duration>,
     decisions: &mut mpsc::UnboundedReceiver<SlotDecision>,
 ) -> Result<Option<BackendServerId>, SlotError> {
-    let is_online = matches!(work, Work::Online { .. });
+    let is_online = wait_until.is_some();
     let mut is_queued = false;
     loop {
         let now = gateway.clock.now();
-        let wait = match work {
-            Work::Online { .. } if !is_queued => DECISION_TIMEOUT,
-            Work::Online { expires_at, .. } => expires_at.saturating_sub(now),
-            // An item may wait for minutes in turn. A decision that was lost is sent again (`Broker::reconcile`), and the item
-            // itself gives a wait up that is of no use any more.
-            Work::Batch { .. } => Duration::MAX,
+        let wait = match wait_until {
+            Some(_) if !is_queued => DECISION_TIMEOUT,
+            Some(wait_until) => wait_until.saturating_sub(now),
+            None => Duration::MAX,
         };
         let decision = match wait {
             Duration::MAX => decisions.recv().await,
--- a/bamboo-gateway/src/traffic/slot_search.rs
+++ b/bamboo-gateway/src/traffic/slot_search.rs
@@ -93,6 +93,8 @@
         order: &'a EventOrder,
         /// Longest pause between two events that is on time.
         gap_target: Duration,
+        /// When the caller got the last event; `None` if it has got none.
+        heard_at: Option<Duration>,
     },
 }
 
@@ -105,6 +107,19 @@
     }
 }
 
+/// When the caller leaves unless an event has arrived. Callers leave a stream after a time without an event, before the first
+/// one as well as in a pause. A caller that comes back after more than that time has shown that it waits longer; its time
+/// counts from its return.
+fn begin_by(caller: &CallerRequest, start: StartPoint<'_>) -> Option<Duration> {
+    let event_wait_max = caller.route.event_wait_max()?;
+    let silent_since = match start {
+        StartPoint::Begin { .. } if caller.waited >= event_wait_max => caller.arrived_at,
+        StartPoint::Begin { .. } => caller.arrived_at.saturating_sub(caller.waited),
+        StartPoint::Resume { heard_at, .. } => heard_at?,
+    };
+    Some(caller.deadline.min(silent_since + event_wait_max))
+}
+
 /// What to find a slot for.
 pub(super) struct SlotSearch {
     pub(super) excluded: Vec<BackendServerId>,
@@ -165,6 +180,7 @@
     let version = search.version.as_ref();
     let terms = RequestTerms {
         is_counted: search.is_first,
+        begin_by: begin_by(caller, start),
         ..caller.terms()
     };
     let acquired = acquire_slot(
--- a/bamboo-gateway/src/traffic/stream.rs
+++ b/bamboo-gateway/src/traffic/stream.rs
@@ -301,6 +301,7 @@
         let start = StartPoint::Resume {
             order: &order,
             gap_target,
+            heard_at: attempts.progress.heard_at.get(),
         };
         let next_run = tokio::select! {
             started = start_run(stream, attempts, start, silent) => started,
