fix(gateway): a pause within a body does not end it

The new limit of 5 s without a byte could meet a caller inside the published limits, whose only bound for a body is the whole time. A body that stops short is ended by that, or evicted once the budget is full.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -221,7 +221,6 @@
         let limits = ResourceLimits::derive(&settings);
         let caller_buffers = BufferBudget::new(limits.caller_bytes);
         let broker = Broker::new(local.host.clone());
-        let clock = Clock::start();
         let rates = Rates::new(local.host.clone(), clock.boot_time());
         let gateway = Rc::new(Gateway {
             store: StoreClient::new(settings.store.address, dialect.clone())
--- a/bamboo-gateway/src/traffic/buffered_body.rs
+++ b/bamboo-gateway/src/traffic/buffered_body.rs
@@ -21,9 +21,6 @@
     /// The body was the slowest one when others needed its memory.
     #[error("the body was evicted")]
     Evicted,
-    /// Nothing of the body arrived for too long.
-    #[error("the body stopped")]
-    Silent,
     /// The connection failed before the body was complete.
     #[error("the body was truncated: {0}")]
     Truncated(#[from] hyper::Error),
--- a/bamboo-gateway/src/traffic/caller_bodies.rs
+++ b/bamboo-gateway/src/traffic/caller_bodies.rs
@@ -23,8 +23,6 @@
 
 /// Bytes that are allocated at first for a body that announces more. What is announced may never arrive.
 const FIRST_ALLOCATION_BYTES: usize = 8 << 10;
-/// Time without a byte after which a body is given up.
-const BODY_SILENCE_MAX: Duration = Duration::from_secs(5);
 
 type BodyId = u64;
 
@@ -98,7 +96,7 @@
             let frame = tokio::select! {
                 biased;
                 () = open.evicted.notified() => return Err(BodyError::Evicted),
-                frame = tokio::time::timeout(BODY_SILENCE_MAX, body.frame()) => frame.map_err(|_| BodyError::Silent)?,
+                frame = body.frame() => frame,
             };
             let Some(frame) = frame else { break };
             let Ok(data) = frame?.into_data() else {
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -371,7 +371,7 @@
                 "the body is broken\n",
             ));
         }
-        Ok(Err(BodyError::Silent)) | Err(_) => (
+        Err(_) => (
             "body_late",
             text_response(
                 StatusCode::REQUEST_TIMEOUT,
