--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -118,14 +119,23 @@
 }
 
 /// A configuration as the store holds it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ConfigRecord {
     /// Offset in the topic of the configuration. The next version has a higher one.
     pub offset: Offset,
-    /// Configuration in the encoding of the store.
+    /// Configuration in the encoding of the store. It has the keys of callers as text.
     pub value: Vec<u8>,
 }
 
+impl fmt::Debug for ConfigRecord {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("ConfigRecord")
+            .field("offset", &self.offset)
+            .finish_non_exhaustive()
+    }
+}
+
 /// State of the process. The process is single-threaded, so the fields are cells rather than locks.
 pub(crate) struct Gateway {
     pub(crate) settings: Settings,
