--- a/bamboo-fleet/src/workspaces.rs
+++ b/bamboo-fleet/src/workspaces.rs
@@ -91,7 +91,7 @@
 
     /// The workspace that holds a key.
     pub fn find_key(&self, key: &[u8]) -> Option<&Rc<Workspace>> {
-        // A key may be as long as the limit on headers allows; the digest of such a one takes many times the look-up.
+        // A key may be as long as the limit on headers allows; the time of its digest grows with it.
         if key.len() > self.key_max_bytes {
             return None;
         }
