revert: a job that is submitted again does not count against itself

Inferred from the code, not traced: a doubled ReserveFor now makes a second reservation with a number that the host never learns, so that it holds the room for up to 1.25 s. Before, the copy was refused and left nothing.

--- a/bamboo-coordination/src/lib.rs
+++ b/bamboo-coordination/src/lib.rs
@@ -27,7 +27,6 @@
 pub use message::Probe;
 pub use reports::Reports;
 pub use reports::ReservationOutcome;
-pub use reports::ReservationRequest;
 pub use run_times::RunTimes;
 pub use server_reports::ServerReports;
 pub use shutdown::Admission;
--- a/bamboo-coordination/src/message.rs
+++ b/bamboo-coordination/src/message.rs
@@ -29,7 +29,7 @@
 pub struct Heartbeat {
     /// Partitions of jobs that the host owns, with their epochs.
     pub partitions: Vec<(Partition, u64)>,
-    /// Tokens queued in these partitions, by the text of their queue, including those that the host has reserved.
+    /// Tokens queued in these partitions per route, including those that the host has reserved.
     pub waiting_tokens: Vec<(String, u64)>,
     /// Number of the last reservation that `waiting_tokens` includes.
     pub reservation: u64,
--- a/bamboo-coordination/src/reports.rs
+++ b/bamboo-coordination/src/reports.rs
@@ -1,7 +1,6 @@
 //! The coordinator's view of the hosts that report to it.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -11,7 +10,6 @@
 use bamboo_slots::SlotRequestId;
 use bamboo_types::HostId;
 use bamboo_types::Incarnation;
-use bamboo_types::QueueKey;
 use bamboo_types::rendezvous_weight;
 
 use crate::ClusterMap;
@@ -27,10 +25,6 @@
 /// Time after which a host has either reported a reservation or does not know of it: it waits for the reply for 300 ms, and
 /// its heartbeat follows 250 ms later at most.
 const RESERVATION_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time after a reservation for which the tokens of its job may be among those that hosts report, while the caller does not
-/// reach the owner that has the job: the job is stored within 2.2 s, and the owner is in the cluster map of all hosts two
-/// heartbeats later.
-const RECENT_JOB_TIMEOUT: Duration = Duration::from_secs(3);
 /// Share of the limit on waiting tokens that may be reserved while some partitions have no known owner.
 const PARTIAL_VIEW_SHARE: f64 = 0.5;
 
@@ -56,28 +50,12 @@
 struct Reservation {
     host: HostId,
     number: u64,
-    /// Text of the queue.
-    queue: String,
-    /// Job of the tokens; hosts of earlier releases name none.
-    job: Option<String>,
+    route: String,
     tokens: u64,
     made_at: Duration,
 }
 
-/// A request to reserve queue capacity for the tokens of a job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ReservationRequest<'a> {
-    /// Queue of the job.
-    pub queue: &'a QueueKey,
-    /// Identifier of the job; `None` if the host does not name it.
-    pub job: Option<&'a str>,
-    /// Tokens of the job.
-    pub tokens: u64,
-    /// Limit on the waiting tokens of the queue, summed over all hosts.
-    pub max_tokens: u64,
-}
-
-/// Result of a request to reserve queue capacity.
+/// Result of a request to reserve queue capacity for tokens of a route.
 #[derive(Debug, PartialEq, Eq)]
 pub enum ReservationOutcome {
     /// The tokens are reserved under this number.
@@ -86,9 +64,6 @@
     Full,
     /// Some partition owners are unknown, and the tokens estimated for all partitions are too close to the limit.
     Undecided,
-    /// There is no room, but the job had a reservation just before: it may have been accepted, and its own tokens may be among
-    /// those that leave no room.
-    MayBeAccepted,
 }
 
 /// The latest reports of all hosts, and what the coordinator derives from them.
@@ -103,8 +78,6 @@
     changes: BTreeMap<u64, ClusterMapChange>,
     reservations: Vec<Reservation>,
     next_reservation: u64,
-    /// Jobs for which room was reserved, by queue and identifier, with the time of the last reservation.
-    recent_jobs: HashMap<(String, String), Duration>,
     /// Hosts that sent slot requests but no heartbeat yet, with the time of the first request.
     unreported: BTreeMap<HostId, Duration>,
     /// Process of each host whose slot requests the broker has.
@@ -248,8 +221,6 @@
         }
         self.reservations
             .retain(|reservation| !lost.contains(&reservation.host));
-        self.recent_jobs
-            .retain(|_, made_at| now.saturating_sub(*made_at) < RECENT_JOB_TIMEOUT);
         lost
     }
 
@@ -296,8 +267,8 @@
         }
     }
 
-    /// Reserves queue capacity on a route, in the queue without workspace, for tokens of a host that does not name their job.
-    /// Otherwise like [`reserve_for_job`](Self::reserve_for_job).
+    /// Reserves queue capacity on a route for tokens of a host, unless more than `max_tokens` would then wait. A reservation
+    /// ends with a heartbeat that includes it, or that is sent so much later that the host cannot know of it.
     pub fn reserve(
         &mut self,
         host: &str,
@@ -307,97 +278,41 @@
         partition_count: u32,
         now: Duration,
     ) -> ReservationOutcome {
-        let queue = QueueKey {
-            route: route.to_owned(),
-            workspace: None,
-        };
-        let request = ReservationRequest {
-            queue: &queue,
-            job: None,
-            tokens,
-            max_tokens,
-        };
-        self.reserve_for_job(host, &request, partition_count, now)
-    }
-
-    /// Reserves capacity of a queue for the tokens of a host's job, unless more than the limit would then wait. A reservation
-    /// ends with a heartbeat that includes it, or that is sent so much later that the host cannot know of it. Reservations of
-    /// the same job, which was submitted again, share the room of the largest.
-    pub fn reserve_for_job(
-        &mut self,
-        host: &str,
-        request: &ReservationRequest<'_>,
-        partition_count: u32,
-        now: Duration,
-    ) -> ReservationOutcome {
-        let queue = String::from(request.queue);
         let known = self.cluster_map().0.owners.len() as u32;
-        let waiting = self.reported_tokens(&queue) + self.reserved_tokens_with(&queue, request);
-        let job = request.job.map(str::to_owned);
-        let recent_job = job.clone().map(|job| (queue.clone(), job));
-        let reserved_at = recent_job
-            .as_ref()
-            .and_then(|key| self.recent_jobs.get(key));
-        let may_be_accepted =
-            reserved_at.is_some_and(|at| now.saturating_sub(*at) < RECENT_JOB_TIMEOUT);
-        let refuse = |outcome| match may_be_accepted {
-            true => ReservationOutcome::MayBeAccepted,
-            false => outcome,
-        };
+        let reported: u64 = self
+            .reports
+            .values()
+            .flat_map(|report| &report.heartbeat.waiting_tokens)
+            .filter(|(name, _)| name == route)
+            .map(|(_, tokens)| tokens)
+            .sum();
+        let reserved: u64 = self
+            .reservations
+            .iter()
+            .filter(|reservation| reservation.route == route)
+            .map(|reservation| reservation.tokens)
+            .sum();
+        let waiting = reported + reserved + tokens;
         if known < partition_count {
             let scale = f64::from(partition_count) / f64::from(known.max(1));
-            if waiting as f64 * scale > request.max_tokens as f64 * PARTIAL_VIEW_SHARE {
-                return refuse(ReservationOutcome::Undecided);
+            if waiting as f64 * scale > max_tokens as f64 * PARTIAL_VIEW_SHARE {
+                return ReservationOutcome::Undecided;
             }
         }
-        if waiting > request.max_tokens {
-            return refuse(ReservationOutcome::Full);
-        }
-        if let Some(key) = recent_job {
-            self.recent_jobs.insert(key, now);
+        if waiting > max_tokens {
+            return ReservationOutcome::Full;
         }
         self.next_reservation += 1;
         self.reservations.push(Reservation {
             host: host.to_owned(),
             number: self.next_reservation,
-            queue,
-            job,
-            tokens: request.tokens,
+            route: route.to_owned(),
+            tokens,
             made_at: now,
         });
         ReservationOutcome::Reserved(self.next_reservation)
     }
 
-    /// Waiting tokens of a queue that hosts report.
-    fn reported_tokens(&self, queue: &str) -> u64 {
-        let reports = self.reports.values();
-        reports
-            .flat_map(|report| &report.heartbeat.waiting_tokens)
-            .filter(|(name, _)| name == queue)
-            .map(|(_, tokens)| tokens)
-            .sum()
-    }
-
-    /// Reserved tokens of a queue including those of a request, each job counted once.
-    fn reserved_tokens_with(&self, queue: &str, request: &ReservationRequest<'_>) -> u64 {
-        let of_queue = self.reservations.iter();
-        let of_queue = of_queue
-            .filter(|reservation| reservation.queue == queue)
-            .map(|reservation| (reservation.job.as_deref(), reservation.tokens));
-        let mut unnamed = 0;
-        let mut by_job: HashMap<&str, u64> = HashMap::new();
-        for (job, tokens) in of_queue.chain([(request.job, request.tokens)]) {
-            match job {
-                Some(job) => {
-                    let most = by_job.entry(job).or_default();
-                    *most = tokens.max(*most);
-                }
-                None => unnamed += tokens,
-            }
-        }
-        unnamed + by_job.values().sum::<u64>()
-    }
-
     /// The host with the newest configuration, and that version.
     pub fn newest_config(&self) -> Option<(HostId, u64)> {
         self.reports
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -9,7 +9,6 @@
 use bamboo_coordination::HintAction;
 use bamboo_coordination::HostInfo;
 use bamboo_coordination::ReservationOutcome;
-use bamboo_coordination::ReservationRequest;
 use bamboo_shards::JobCaller;
 use bamboo_slots::Action;
 use bamboo_slots::GrantStep;
@@ -544,28 +543,15 @@
                 route,
                 tokens,
                 max_tokens,
-            } => {
-                let request = ReservationRequest {
-                    queue: &QueueKey::from(route),
-                    job: None,
-                    tokens,
-                    max_tokens,
-                };
-                self.reserve(sender, &request)
-            }
+            } => self.reserve(sender, &QueueKey::from(route), None, tokens, max_tokens),
             PeerRequest::ReserveFor {
                 job,
                 queue,
                 tokens,
                 max_tokens,
             } => {
-                let request = ReservationRequest {
-                    queue: &QueueKey::from(queue),
-                    job: Some(&job),
-                    tokens,
-                    max_tokens,
-                };
-                self.reserve(sender, &request)
+                let queue = QueueKey::from(queue);
+                self.reserve(sender, &queue, Some(&job), tokens, max_tokens)
             }
             PeerRequest::Store(request) => PeerReply::Store(self.relay_store_call(&request).await),
             PeerRequest::Config => PeerReply::Config(
@@ -595,15 +581,28 @@
         }
     }
 
-    /// Reserves queue capacity for the tokens of a job, as the coordinator.
-    pub(crate) fn reserve(&self, host: &str, request: &ReservationRequest<'_>) -> PeerReply {
+    /// Reserves queue capacity for the tokens of a job, as the coordinator. Hosts of earlier releases do not name the job.
+    pub(crate) fn reserve(
+        &self,
+        host: &str,
+        queue: &QueueKey,
+        _job: Option<&str>,
+        tokens: u64,
+        max_tokens: u64,
+    ) -> PeerReply {
         let partitions = self.settings.store.shard_count;
         let mut reports = self.reports.borrow_mut();
-        match reports.reserve_for_job(host, request, partitions, self.clock.now()) {
+        match reports.reserve(
+            host,
+            &String::from(queue),
+            tokens,
+            max_tokens,
+            partitions,
+            self.clock.now(),
+        ) {
             ReservationOutcome::Reserved(number) => PeerReply::Reserved(Some(number)),
             ReservationOutcome::Full => PeerReply::Reserved(None),
             ReservationOutcome::Undecided => PeerReply::Undecided,
-            ReservationOutcome::MayBeAccepted => PeerReply::MayBeAccepted,
         }
     }
 
--- a/bamboo-gateway/src/jobs/submit.rs
+++ b/bamboo-gateway/src/jobs/submit.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bamboo_coordination::ReservationRequest;
 use bamboo_fleet::RouteKind;
 use bamboo_shards::JobAccess;
 use bamboo_shards::JobCaller;
@@ -286,13 +285,7 @@
         let coordinator = gateway.coordination.borrow().coordinator().clone();
         let reply = if coordinator == gateway.local.host {
             let host = &gateway.local.host;
-            let request = ReservationRequest {
-                queue: &queue,
-                job: Some(&record.id),
-                tokens,
-                max_tokens,
-            };
-            Some(gateway.reserve(host, &request))
+            Some(gateway.reserve(host, &queue, Some(&record.id), tokens, max_tokens))
         } else {
             let request = match gateway.decodes_since(&coordinator, REQUEST_TERMS_SINCE) {
                 true => PeerRequest::ReserveFor {
@@ -326,8 +319,6 @@
             Some(PeerReply::Reserved(None)) => {
                 Err(http_reply(StatusCode::TOO_MANY_REQUESTS, Vec::new()))
             }
-            // A refusal would wrongly state that the job does not run.
-            Some(PeerReply::MayBeAccepted) => Err(outcome_unknown()),
             _ => Err(unavailable()),
         }
     }
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -222,9 +222,6 @@
     CrashWeighed,
     /// Recent sound runs with the suspects in question.
     SoundRuns(Vec<SuspectReport>),
-    /// There is no room for a job that may have been accepted already. Only in reply to
-    /// [`ReserveFor`](PeerRequest::ReserveFor).
-    MayBeAccepted,
 }
 
 /// A message between hosts.
