--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -228,9 +228,6 @@
     CrashWeighed,
     /// Recent sound runs with the suspects in question.
     SoundRuns(Vec<SuspectReport>),
-    /// There is no room for a job that may have been accepted already. Only in reply to
-    /// [`ReserveFor`](PeerRequest::ReserveFor).
-    MayBeAccepted,
     /// Whether a request is within the rate of its workspace.
     RateDecision {
         /// Time after which to retry; `None` if the request may run.
