fix(gateway): the budgets of log lines follow the number of their classes

Two changes that were merged added a class each and both counted six, so that a line of the last class ended its task: with that the stream of messages from another host, which then chose another coordinator.

--- a/bamboo-gateway/src/request_log.rs
+++ b/bamboo-gateway/src/request_log.rs
@@ -22,12 +22,12 @@
     CallerLeft,
     /// A caller was turned away, or its connection closed, because a limit of the process was reached.
     TurnedAway,
-    /// Anything else.
+    /// Anything else. The last class, by which the others are counted.
     Other,
 }
 
 /// Number of classes.
-const CLASSES: usize = 6;
+const CLASSES: usize = LineClass::Other as usize + 1;
 
 impl LineClass {
     fn name(self) -> &'static str {
