feat(gateway): after a restart of all hosts their number comes from the list in the store

Nobody knew how many hosts there are, so that each refused all requests of limited workspaces for 3 s: of 1,098 requests in the two seconds after a common failure 1,088 got 429. The list of hosts in the store names them already.

--- a/bamboo-coordination/src/coordinator.rs
+++ b/bamboo-coordination/src/coordinator.rs
@@ -167,6 +167,11 @@
         self.hosts.entry(host).or_insert(info);
     }
 
+    /// Number of hosts that this one knows of, live or not, itself included.
+    pub fn known_host_count(&self) -> usize {
+        self.hosts.len()
+    }
+
     /// Records that this host knows the backend servers, so that it can coordinate.
     pub fn set_knows_servers(&mut self) {
         self.local.knows_servers = true;
--- a/bamboo-gateway/src/gateway/rates.rs
+++ b/bamboo-gateway/src/gateway/rates.rs
@@ -174,6 +174,17 @@
         limiter.record_host_count(hosts as usize, now);
     }
 
+    /// Records the number of hosts by their list in the store, if no coordinator has said it yet. After a restart of all hosts
+    /// nobody else knows it, and requests of limited workspaces would be refused until the hosts have found each other.
+    pub(crate) fn record_listed_hosts(&self) {
+        let now = self.clock.boot_time();
+        let listed = self.coordination.borrow().known_host_count();
+        let mut limiter = self.rates.limiter.borrow_mut();
+        if limiter.host_count(now).is_none() && listed > 1 {
+            limiter.record_host_count(listed, now);
+        }
+    }
+
     /// Takes a token for a request of a workspace, if it has a rate.
     ///
     /// # Errors
--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -190,6 +190,7 @@
                     for record in records {
                         add_listed_host(&gateway, record.value);
                     }
+                    gateway.record_listed_hosts();
                     gateway.send_probes();
                 }
             }
