--- a/scripts/check-checkers.sh
+++ b/scripts/check-checkers.sh
@@ -12,6 +12,15 @@
         echo "$mutation: the histories fail, as they must"
     fi
 done
+# Rates of workspaces. mutate-full-restart is not noticed yet: a host that restarts and coordinates empties its buckets with the role.
+for mutation in mutate-no-shares mutate-full-successor mutate-whole-alone; do
+    if cargo test --quiet --release -p bamboo-rates --features "$mutation" --test histories unless >/dev/null 2>&1; then
+        echo "$mutation: the histories of rates pass"
+        failed=1
+    else
+        echo "$mutation: the histories of rates fail, as they must"
+    fi
+done
 # The soak of the gateway, with a store that takes appends of any epoch.
 target=${CARGO_TARGET_DIR:-target}
 cargo build --quiet --release -p bamboo-platform -p bamboo-soak
