--- a/bamboo-gateway/src/slot_requests.rs
+++ b/bamboo-gateway/src/slot_requests.rs
@@ -361,8 +361,8 @@
     }
 }
 
-/// Waits for the granted server, until `wait_until` if it is an online request. Returns `None` if the coordinator does not reply in time and an online request cannot
-/// wait any longer.
+/// Waits for the granted server, until `wait_until` if it is an online request. Returns `None` if the coordinator does not reply
+/// in time and an online request cannot wait any longer.
 async fn wait_for_grant(
     gateway: &Rc<Gateway>,
     request: &SlotRequestGuard,
--- a/bamboo-gateway/src/traffic/caller_bodies.rs
+++ b/bamboo-gateway/src/traffic/caller_bodies.rs
@@ -75,8 +75,8 @@
     /// Reads a whole body.
     ///
     /// # Errors
-    /// Fails if the body is truncated, silent or larger than `max_bytes`, and if it is evicted or finds the budget exhausted. One
-    /// that announces more than `max_bytes` is not read at all.
+    /// Fails if the body is truncated or larger than `max_bytes`, and if it is evicted or finds the budget exhausted. One that
+    /// announces more than `max_bytes` is not read at all.
     pub(crate) async fn read_whole(
         &self,
         mut body: Incoming,
