--- a/review/harness-2/deployment.rs
+++ b/review/harness-2/deployment.rs
@@ -139,7 +139,7 @@
         let (store, id, is_alive) = (store.clone(), self.id.clone(), Arc::clone(&self.is_alive));
         let service = service.to_owned();
         let models = match kind {
-            Kind::Model | Kind::UnframedModel | Kind::SlowModel => {
+            Kind::Model | Kind::UnframedModel | Kind::SlowModel | Kind::GreyModel => {
                 r#","stage":"both","models":[{"name":"m","version":1,"adapters":[]}]"#
             }
             _ => "",
@@ -344,12 +344,13 @@
     Ok(gateways)
 }
 
-/// The manifest: a safe, a streaming and a batch route of one host.
+/// The manifest: a safe route, a stream that may be resumed, one that may not, and a batch route, of one host.
 pub fn manifest(version: u64) -> String {
     format!(
         r#"{{"version":{version},"routes":[
 {{"name":"r-sheet","host":"ficu95.example","path_prefix":"/sheet/","route_type":"safe","timeout_ms":1500,"target_latency_ms":300,"priority":2,"service":"records","max_attempts":2}},
 {{"name":"r-check","host":"ficu95.example","path_prefix":"/check/","route_type":"streaming","timeout_ms":5000,"target_latency_ms":300,"priority":0,"service":"llm","max_attempts":2,"sticky":true,"resumable":true,"gap_target_ms":250}},
+{{"name":"r-note","host":"ficu95.example","path_prefix":"/note/","route_type":"streaming","timeout_ms":5000,"target_latency_ms":300,"priority":0,"service":"llm","max_attempts":1,"sticky":true,"resumable":false,"gap_target_ms":250}},
 {{"name":"r-batch","host":"ficu95.example","path_prefix":"/batch/","route_type":"batch","timeout_ms":15000,"target_latency_ms":400,"priority":2,"service":"llm","max_attempts":3,"sticky":true,"completion_target_ms":18000,"retention_s":60,"max_queued":1900000}}],
 "services":[{{"name":"records","health_path":"/health","max_conns":110,"protocol":"h1","tls":false}},
 {{"name":"llm","health_path":"/health","max_conns":370,"protocol":"h1","tls":false,"engine":{{"slots":8,"kv_capacity":147261,"kv_token_bytes":18432,"link_mbps":130000.0,"moves":true,"backups":true,"stride":7,"max_queued":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{{"name":"m"}}]}}}}],
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -4,7 +4,9 @@
 
 mod base64;
 mod deployment;
+mod false_refusal;
 mod http;
+mod item_path;
 mod json;
 mod odd_key;
 mod quota;
@@ -39,6 +41,8 @@
         "unframed" => unframed::run(record),
         "unframed-item" => unframed_item::run(record),
         "quota" => quota::run(record),
+        "item-path" => item_path::run(record),
+        "false-refusal" => false_refusal::run(record),
         "odd-key" => odd_key::run(record),
         other => Err(format!("there is no case {other}").into()),
     }
--- a/review/harness-2/server.rs
+++ b/review/harness-2/server.rs
@@ -25,6 +25,8 @@
     UnframedModel,
     /// A stream that goes on for longer than a case.
     SlowModel,
+    /// The stream of a model server that fails part of the requests which it has begun to run, with a status of its own.
+    GreyModel,
 }
 
 impl Kind {
@@ -35,6 +37,7 @@
             Kind::Model => "model",
             Kind::UnframedModel => "unframed-model",
             Kind::SlowModel => "slow-model",
+            Kind::GreyModel => "grey-model",
         }
     }
 
@@ -45,6 +48,7 @@
             Kind::Model,
             Kind::UnframedModel,
             Kind::SlowModel,
+            Kind::GreyModel,
         ];
         kinds.into_iter().find(|kind| kind.name() == name)
     }
@@ -111,6 +115,11 @@
     }
 }
 
+/// Whether a grey server fails a request: four of ten, as its identifier says.
+fn fails(request_id: &str) -> bool {
+    request_id.bytes().map(usize::from).sum::<usize>() % 10 < 4
+}
+
 /// Answers a request. Returns whether the channel goes on.
 fn answer(
     stream: &mut TcpStream,
@@ -136,6 +145,17 @@
         return Ok(true);
     }
     say(&format!("run {request_id}"));
+    if kind == Kind::GreyModel && fails(request_id) {
+        std::thread::sleep(PIECE_TIME);
+        say(&format!("failed {request_id} with 503 of its own"));
+        let stamp = format!("{id}.1");
+        let headers = [
+            ("X-Bambooroute-Request-Id", request_id),
+            ("X-Bambooroute-Server-Stamp", stamp.as_str()),
+        ];
+        respond(stream, 503, &headers, b"the adapter could not be read")?;
+        return Ok(true);
+    }
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Bambooroute-Request-Id: {request_id}\r\nX-Bambooroute-Server-Stamp: {id}.1\r\n"
     );
@@ -153,7 +173,7 @@
             say(&format!("done {request_id}"));
             Ok(kind == Kind::Framed)
         }
-        Kind::Model | Kind::UnframedModel | Kind::SlowModel => {
+        Kind::Model | Kind::UnframedModel | Kind::SlowModel | Kind::GreyModel => {
             let is_chunked = kind != Kind::UnframedModel;
             let (events, pause) = match kind {
                 Kind::SlowModel => (1000, SLOW_EVENT_TIME),
