--- a/review/harness-2/deployment.rs
+++ b/review/harness-2/deployment.rs
@@ -262,7 +262,7 @@
         let text = format!(
             "name = \"{name}\"\nip = \"{ip}\"\ndata_centre = \"norte\"\ncaller_address = \"{ip}:{}\"\n\
              ready_address = \"{ip}:{}\"\npeer_port = {}\nmetrics_port = 9464\nseeds = [{}]\ncpu_share = 0.5\n\
-             memory_mb = 290\ndescriptors_max = 8200\n\n[store]\naddress = \"{}\"\nshard_count = {PARTS}\n\
+             memory_mb = {MEMORY_MAX_MB}\ndescriptors_max = 8200\n\n[store]\naddress = \"{}\"\nshard_count = {PARTS}\n\
              record_max_bytes = 262144\nappend_max_bytes = 2097152\nmembership_min_ms = 1000\n\n\
              [promises]\nstop_grace_s = 8\nresults_kept_s = 120\n",
             ports.front,
@@ -287,6 +287,15 @@
         })
     }
 
+    /// Memory that the process takes, in MB.
+    pub fn memory_mb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) / 1024
+    }
+
     /// Kills the process.
     pub fn crash(&mut self) {
         signal(&self.child, SIGKILL);
@@ -358,4 +367,7 @@
     )
 }
 
+/// Memory above which the platform kills a gateway, as `memory_mb` of the settings says.
+pub const MEMORY_MAX_MB: u64 = 290;
+
 pub const HOST: &str = "ficu95.example";
--- a/review/harness-2/odd_key.rs
+++ b/review/harness-2/odd_key.rs
@@ -1,4 +1,4 @@
-//! Entries of another writer are larger than a page of the newest entries, and their keys hold a blank.
+//! Entries of another writer are larger than a page of the newest entries, and their keys hold an ampersand.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,7 +7,9 @@
 use crate::Verdict;
 use crate::base64;
 use crate::deployment::Failure;
+use crate::deployment::Gateway;
 use crate::deployment::HOST;
+use crate::deployment::MEMORY_MAX_MB;
 use crate::deployment::Record;
 use crate::deployment::Server;
 use crate::deployment::free_port;
@@ -34,12 +36,12 @@
         for number in 1..=ENTRIES {
             store.put(
                 "keyed.servers",
-                &format!("catalogue {number}"),
+                &format!("R&D-{number}"),
                 &[0xff; ENTRY_BYTES],
             );
         }
         record.write(&format!(
-            "another writer: {ENTRIES} entries, 'catalogue 1' and so on, of {ENTRY_BYTES} bytes that cannot be read"
+            "another writer: {ENTRIES} entries, 'R&D-1' and so on, of {ENTRY_BYTES} bytes that cannot be read"
         ));
     }
     let ip = own_address(2);
@@ -64,7 +66,7 @@
         address,
         Kind::Framed,
     )?);
-    let gateways = start_gateways(&store, 3)?;
+    let mut gateways = start_gateways(&store, 3)?;
     std::thread::sleep(Duration::from_millis(1500));
     let job = "7c41e09b52d6a3f8";
     let items: Vec<String> = (0..ITEMS)
@@ -130,38 +132,35 @@
         ));
     }
     let deadline = Instant::now() + FINISH + Duration::from_secs(6);
-    let mut listed = 0;
+    let (mut listed, mut kills) = (0, 0);
     while Instant::now() < deadline && listed < ITEMS {
-        std::thread::sleep(Duration::from_millis(500));
+        std::thread::sleep(Duration::from_millis(200));
+        for gateway in &mut gateways {
+            let memory_mb = gateway.memory_mb();
+            if memory_mb > MEMORY_MAX_MB {
+                record.write(&format!(
+                    "platform: {} is killed, as it takes {memory_mb} MB; it starts again",
+                    gateway.name
+                ));
+                gateway.crash();
+                std::thread::sleep(Duration::from_millis(300));
+                gateway.restart()?;
+                kills += 1;
+            }
+        }
         for gateway in &gateways {
-            let headers = [("Host", HOST)];
-            let target = format!("/lots/{job}?after=0");
-            let Ok(answer) = http::call(
-                gateway.front,
-                "GET",
-                &target,
-                &headers,
-                b"",
-                Duration::from_secs(3),
-            ) else {
-                continue;
-            };
-            if let Some(page) = Json::parse(&answer.body).filter(|_| answer.status == 200) {
-                let count = page
-                    .get("results")
-                    .map_or(0, |results| results.list().len());
-                if count > listed {
-                    listed = count;
-                    record.write(&format!(
-                        "client: {} lists {count} of {ITEMS} items",
-                        gateway.name
-                    ));
-                }
+            let count = read_count(gateway, job);
+            if count > listed {
+                listed = count;
+                record.write(&format!(
+                    "client: {} lists {count} of {ITEMS} items",
+                    gateway.name
+                ));
             }
         }
     }
     record.write(&format!(
-        "{listed} of {ITEMS} items are listed; the servers are sound and idle"
+        "{listed} of {ITEMS} items are listed, the servers are sound and idle, and gateways were killed {kills} times"
     ));
     match listed < ITEMS {
         true => {
@@ -171,3 +170,22 @@
         false => Ok(Verdict::Held),
     }
 }
+
+/// Number of results of a batch job that a gateway lists; 0 if it does not answer.
+fn read_count(gateway: &Gateway, job: &str) -> usize {
+    let target = format!("/lots/{job}?after=0");
+    let called = http::call(
+        gateway.front,
+        "GET",
+        &target,
+        &[("Host", HOST)],
+        b"",
+        Duration::from_secs(1),
+    );
+    let page = called
+        .ok()
+        .filter(|answer| answer.status == 200)
+        .and_then(|answer| Json::parse(&answer.body));
+    let results = page.as_ref().and_then(|page| page.get("results"));
+    results.map_or(0, |results| results.list().len())
+}
