test(review): show an accepted job that is turned away after a restart (case 10)

Rule LOST: the batch route is removed, a gateway is stopped and started again, and the job, 8.5 s old, gets 404 there three times of three.

--- a/review/harness-2/deployment.rs
+++ b/review/harness-2/deployment.rs
@@ -25,6 +25,7 @@
 use crate::store::Store;
 
 pub const SIGKILL: i32 = 9;
+const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
@@ -302,6 +303,19 @@
         let _ = self.child.wait();
     }
 
+    /// Ends the process as the platform does: SIGTERM, and SIGKILL after the grace time.
+    pub fn stop(&mut self, grace: Duration) -> Result<(), Failure> {
+        signal(&self.child, SIGTERM);
+        let deadline = Instant::now() + grace;
+        while self.child.try_wait()?.is_none() {
+            if Instant::now() > deadline {
+                self.crash();
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        Ok(())
+    }
+
     /// Starts the process again with the same settings.
     pub fn restart(&mut self) -> Result<(), Failure> {
         self.child = start_program(&self.settings, &self.log)?;
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -10,6 +10,7 @@
 mod json;
 mod odd_key;
 mod quota;
+mod removed_route;
 mod server;
 mod store;
 mod unframed;
@@ -43,6 +44,7 @@
         "quota" => quota::run(record),
         "item-path" => item_path::run(record),
         "false-refusal" => false_refusal::run(record),
+        "removed-route" => removed_route::run(record),
         "odd-key" => odd_key::run(record),
         other => Err(format!("there is no case {other}").into()),
     }
