fix(gateway): read the entries of servers past odd keys of other writers

Cause: keys went into the store's queries as they are, so that the page after "R&D-4" was that after "R"; with a blank the call was refused before it was sent, without a line in the log. Nothing proved that the pages advance, and all were kept until the last.

Ruled out: the unreadable values and the size of the page.

--- a/bamboo-gateway/src/gateway/quarantine.rs
+++ b/bamboo-gateway/src/gateway/quarantine.rs
@@ -24,10 +24,9 @@
 use crate::store::ReadExtent;
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
+use crate::topic_reader::TopicReader;
+use crate::topic_reader::encode_keyed_record;
 use crate::traffic::format_suspects;
-use crate::watch::TopicReader;
-use crate::watch::TopicUpdate;
-use crate::watch::encode_keyed_record;
 
 /// Topic that holds the quarantine, without the prefix of keyed topics.
 const QUARANTINE_TOPIC: &str = "bamboo-quarantine";
@@ -173,11 +172,9 @@
                 actix_rt::time::sleep(FOLLOW_CHECK_INTERVAL).await;
                 continue;
             }
-            match reader.read(&self).await {
-                Ok(TopicUpdate::Newest(records) | TopicUpdate::Records(records)) => {
-                    has_read = true;
-                    self.apply_stored_quarantine(&records);
-                }
+            let apply = |records: Vec<KeyedRecord>| self.apply_stored_quarantine(&records);
+            match reader.read_whole(&self, apply).await {
+                Ok(()) => has_read = true,
                 Err(_) => actix_rt::time::sleep(STORE_RETRY_PAUSE).await,
             }
         }
--- a/bamboo-gateway/src/gateway/version_history.rs
+++ b/bamboo-gateway/src/gateway/version_history.rs
@@ -12,7 +12,7 @@
 use crate::store::StoreError;
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
-use crate::watch::parse_keyed_record;
+use crate::topic_reader::parse_keyed_record;
 
 /// What the records of the directory tell of the versions that servers have had.
 enum VersionHistory {
--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -13,15 +13,15 @@
 use crate::jobs::shard::JOBS_TOPIC;
 use crate::jobs::shard::OwnedShard;
 use crate::jobs::shard::serve_shard;
+use crate::store::KeyedRecord;
 use crate::store::Partition;
 use crate::store::ReadExtent;
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
 use crate::task::OwnedTask;
 use crate::task::ends_without_panic;
-use crate::watch::TopicReader;
-use crate::watch::TopicUpdate;
-use crate::watch::encode_keyed_record;
+use crate::topic_reader::TopicReader;
+use crate::topic_reader::encode_keyed_record;
 
 /// Group whose members the store assigns the shards to.
 const SHARD_OWNERS_GROUP: &str = "bamboo-shards";
@@ -184,12 +184,14 @@
         let is_joining = gateway.coordination.borrow().is_joining(now);
         match sync.next_step(is_joining, now) {
             HostListStep::Read => {
-                let update = reader.read(&gateway).await;
-                sync.record_read(update.is_ok(), gateway.clock.now());
-                if let Ok(TopicUpdate::Newest(records) | TopicUpdate::Records(records)) = update {
+                let add_all = |records: Vec<KeyedRecord>| {
                     for record in records {
                         add_listed_host(&gateway, record.value);
                     }
+                };
+                let read = reader.read_whole(&gateway, add_all).await;
+                sync.record_read(read.is_ok(), gateway.clock.now());
+                if read.is_ok() {
                     gateway.record_listed_hosts();
                     gateway.send_probes();
                 }
--- a/bamboo-gateway/src/lib.rs
+++ b/bamboo-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod slot_requests;
 mod store;
 mod task;
+mod topic_reader;
 mod traffic;
 mod watch;
 
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -1,5 +1,6 @@
 //! Watches the configuration and the directory entries of servers in the store.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,17 +8,13 @@
 use bamboo_fleet::OutageGracePeriod;
 use bamboo_fleet::Server;
 use bamboo_relay::LONG_POLL_MAX;
-use bamboo_relay::PollWatch;
-use bamboo_types::BackendServerId;
-use bamboo_types::Offset;
 
 use crate::gateway::ConfigRecord;
 use crate::gateway::Gateway;
 use crate::store::KeyedRecord;
 use crate::store::ReadExtent;
-use crate::store::StoreError;
-use crate::store::StoreReply;
-use crate::store::StoreRequest;
+use crate::topic_reader::TopicReader;
+use crate::topic_reader::UpdateScope;
 
 /// Long-poll time of reads of the server entries. Bounds how long a dead connection can hide the departure of a server, and
 /// keeps the directory fresh, which counts from the begin of the last read.
@@ -29,129 +26,6 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Incremental reader of a compacted topic.
-pub(crate) struct TopicReader {
-    topic: String,
-    next: Option<Offset>,
-    wait: Duration,
-    extent: ReadExtent,
-    poll_watch: PollWatch,
-}
-
-/// Result of a read.
-pub(crate) enum TopicUpdate {
-    /// The newest record of every key.
-    Newest(Vec<KeyedRecord>),
-    /// Records appended since the previous read.
-    Records(Vec<KeyedRecord>),
-}
-
-impl TopicReader {
-    /// Creates a reader that begins with the newest record of every key. `wait` is the time of a long poll for further
-    /// records.
-    pub(crate) fn new<T>(topic: T, wait: Duration, extent: ReadExtent) -> Self
-    where
-        T: Into<String>,
-    {
-        TopicReader {
-            topic: topic.into(),
-            next: None,
-            wait,
-            extent,
-            poll_watch: PollWatch::default(),
-        }
-    }
-
-    /// Goes on after a record that this host has learned of in another way. All records before it are outdated.
-    fn skip_past(&mut self, offset: Offset) {
-        if self.next.is_none_or(|next| next <= offset) {
-            self.next = Some(offset + 1);
-        }
-    }
-
-    pub(crate) async fn read(&mut self, gateway: &Gateway) -> Result<TopicUpdate, StoreError> {
-        let Some(from) = self.next else {
-            return self.read_all(gateway).await;
-        };
-        let request = StoreRequest::Read {
-            topic: self.topic.clone(),
-            partition: 0,
-            from,
-            wait: self.wait,
-            extent: self.extent,
-        };
-        match gateway.watched_read(&request, &mut self.poll_watch).await? {
-            StoreReply::Records { records, .. } => {
-                let next = from + records.len() as Offset;
-                self.next = Some(next);
-                let keyed = records.iter().zip(from..).filter_map(|(record, offset)| {
-                    let record = parse_keyed_record(record, offset);
-                    if record.is_none() {
-                        log::warn!(
-                            event = "record_unreadable", topic = self.topic.as_str(), offset;
-                            "skipped a record without a valid key"
-                        );
-                    }
-                    record
-                });
-                Ok(TopicUpdate::Records(keyed.collect()))
-            }
-            // The offset has been trimmed; start over from the newest record of each key.
-            _ => {
-                self.next = None;
-                self.read_all(gateway).await
-            }
-        }
-    }
-
-    async fn read_all(&mut self, gateway: &Gateway) -> Result<TopicUpdate, StoreError> {
-        let mut records = Vec::new();
-        let mut after = None;
-        let mut first_end = None;
-        loop {
-            let request = StoreRequest::Newest {
-                topic: self.topic.clone(),
-                after: after.clone(),
-            };
-            let StoreReply::Newest {
-                records: page,
-                has_more,
-                end,
-            } = gateway.watched_read(&request, &mut self.poll_watch).await?
-            else {
-                return Err(StoreError::Unknown("unexpected answer".to_owned()));
-            };
-            // The pages are not a consistent snapshot: records appended meanwhile are read again, from the end that the
-            // first page reported.
-            let end = *first_end.get_or_insert(end);
-            after = page.last().map(|record| record.key.clone());
-            records.extend(page);
-            if !has_more || after.is_none() {
-                self.next = Some(end);
-                return Ok(TopicUpdate::Newest(records));
-            }
-        }
-    }
-}
-
-/// Encodes a record of a compacted topic; without a value it deletes the key. The inverse of [`parse_keyed_record`].
-pub(crate) fn encode_keyed_record(key: &str, value: &[u8]) -> Vec<u8> {
-    let mut record = vec![key.len() as u8];
-    record.extend_from_slice(key.as_bytes());
-    record.extend_from_slice(value);
-    record
-}
-
-pub(crate) fn parse_keyed_record(record: &[u8], offset: Offset) -> Option<KeyedRecord> {
-    let (length, rest) = record.split_first()?;
-    let (key, value) = rest.split_at_checked(usize::from(*length))?;
-    Some(KeyedRecord {
-        key: String::from_utf8(key.to_vec()).ok()?,
-        value: (!value.is_empty()).then(|| value.to_vec()),
-        offset,
-    })
-}
-
 /// Applies new configurations from the store until the process ends.
 pub(crate) async fn watch_config(gateway: Rc<Gateway>) {
     // One record holds the whole configuration.
@@ -162,8 +36,8 @@
             reader.skip_past(record.offset);
         }
         match reader.read(&gateway).await {
-            Ok(TopicUpdate::Newest(records) | TopicUpdate::Records(records)) => {
-                for record in records {
+            Ok(update) => {
+                for record in update.records {
                     if record.key == gateway.dialect.config_key
                         && let Some(value) = record.value
                     {
@@ -171,7 +45,7 @@
                         gateway.apply_config(ConfigRecord { offset, value }, "store");
                     }
                 }
-                if gateway.config().is_none() {
+                if update.scope != UpdateScope::Page && gateway.config().is_none() {
                     actix_rt::time::sleep(RETRY_PAUSE).await;
                 }
             }
@@ -185,34 +59,34 @@
     let (topic, extent) = (gateway.dialect.servers_topic, ReadExtent::Tail);
     let mut reader = TopicReader::new(topic, SERVERS_LONG_POLL, extent);
     let mut grace_period = OutageGracePeriod::default();
+    // Servers that the pages of the newest entries have not named so far, and when the first of these pages was requested.
+    let mut unnamed = HashSet::new();
+    let mut pages_began_at = Duration::ZERO;
     loop {
         let (started, began_at) = (gateway.clock.now(), gateway.clock.boot_time());
+        if reader.is_at_start() {
+            unnamed = gateway.directory.borrow().ids().into_iter().collect();
+            pages_began_at = began_at;
+        }
         let update =
             remove_expired_during(&gateway, &mut grace_period, reader.read(&gateway)).await;
-        let (is_ok, is_anew) = (update.is_ok(), matches!(update, Ok(TopicUpdate::Newest(_))));
-        grace_period.record_store_read(is_ok, gateway.clock.now());
-        match update {
-            Ok(TopicUpdate::Newest(records)) => {
-                let missing: Vec<BackendServerId> = gateway
-                    .directory
-                    .borrow()
-                    .ids()
-                    .into_iter()
-                    .filter(|id| !records.iter().any(|record| record.key == *id))
-                    .collect();
-                for id in missing {
+        grace_period.record_store_read(update.is_ok(), gateway.clock.now());
+        let scope = update.as_ref().ok().map(|update| update.scope);
+        if let Ok(update) = update {
+            for record in &update.records {
+                unnamed.remove(&record.key);
+            }
+            apply_records(&gateway, &mut grace_period, update.records);
+        }
+        match (scope, reader.next_offset()) {
+            (Some(UpdateScope::Page), _) => continue,
+            (Some(UpdateScope::LastPage), Some(end)) => {
+                for id in unnamed.drain() {
                     defer_or_remove(&gateway, &mut grace_period, &id, "missing");
                 }
-                apply_records(&gateway, &mut grace_period, records);
-            }
-            Ok(TopicUpdate::Records(records)) => {
-                apply_records(&gateway, &mut grace_period, records)
+                gateway.newest_servers_read(pages_began_at, end).await;
             }
-            Err(_) => {}
-        }
-        match reader.next {
-            Some(end) if is_anew => gateway.newest_servers_read(began_at, end).await,
-            Some(end) if is_ok => gateway.server_changes_read(began_at, end),
+            (Some(UpdateScope::Changes), Some(end)) => gateway.server_changes_read(began_at, end),
             _ => {}
         }
         let elapsed = gateway.clock.now().saturating_sub(started);
