fix(gateway): run items on the route that their job was accepted on

Cause: the route of an item was searched for by the item's own path. Without a match the item counted as one whose route was removed; with a match of another route it went to that route's service.

Change: FleetConfig::find_job_route takes the name in the job's record, which records of earlier builds have, too. A batch route that matches the item's path stands in for a route of another name; a route for online requests does not any more.

Ruled out: an owner with an older configuration, the retention.

--- a/bamboo-fleet/src/config.rs
+++ b/bamboo-fleet/src/config.rs
@@ -232,6 +232,23 @@
             .max_by_key(|route| route.path_prefix.len())
     }
 
+    /// Finds the route of an accepted job by the name that the route had then. The paths of its items are those of its servers, so
+    /// that a route for online requests may match them, or none. A batch route that matches the path of an item stands in for one
+    /// that was renamed.
+    ///
+    /// ```
+    /// let config = bamboo_fleet::FleetConfig::default();
+    /// assert!(config.find_job_route("host", "batch", "/v1/generate").is_none());
+    /// ```
+    pub fn find_job_route(&self, host: &str, name: &str, item_path: &str) -> Option<&Rc<Route>> {
+        let mut routes = self.routes.iter();
+        let named = routes.find(|route| route.host == host && route.name == name);
+        named.or_else(|| {
+            let matching = self.find_route(host, item_path);
+            matching.filter(|route| route.is_batch())
+        })
+    }
+
     /// Whether a service consists of model engines.
     ///
     /// ```
--- a/bamboo-fleet/tests/fleet.rs
+++ b/bamboo-fleet/tests/fleet.rs
@@ -58,6 +58,44 @@
     assert_eq!(found, expected);
 }
 
+fn batch_route(name: &str, path_prefix: &str) -> Rc<Route> {
+    Rc::new(Route {
+        kind: RouteKind::Batch {
+            waiting_max_tokens: 0,
+            completion_target: Duration::ZERO,
+            retention: Duration::ZERO,
+        },
+        ..Route::clone(&route(name, path_prefix))
+    })
+}
+
+/// Guards against items that are given up, or run by the service of another route, because their path is not below the prefix of
+/// the route that their job was accepted on.
+#[test_case("h.example", "jobs", "/v1/generate", Some("jobs"); "a path of no route")]
+#[test_case("h.example", "jobs", "/online/1", Some("jobs"); "a path of a route for online requests")]
+#[test_case("h.example", "jobs", "/other/1", Some("jobs"); "a path of another batch route")]
+#[test_case("h.example", "removed", "/online/1", None; "a removed route whose items have a path of a route for online requests")]
+#[test_case("h.example", "renamed", "/other/1", Some("other"); "a renamed route")]
+#[test_case("other.example", "jobs", "/jobs/1", None; "a route of another host")]
+fn items_belong_to_the_route_of_their_job(
+    host: &str,
+    name: &str,
+    item_path: &str,
+    expected: Option<&str>,
+) {
+    let config = FleetConfig {
+        version: 1,
+        routes: vec![
+            route("online", "/online/"),
+            batch_route("other", "/other/"),
+            batch_route("jobs", "/jobs/"),
+        ],
+        ..FleetConfig::default()
+    };
+    let found = config.find_job_route(host, name, item_path);
+    assert_eq!(found.map(|route| route.name.as_str()), expected);
+}
+
 #[test]
 fn a_draining_server_is_not_ready_and_a_repeated_entry_changes_nothing() {
     let mut directory = Directory::default();
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -7,6 +7,7 @@
 use bamboo_fleet::EventCheck;
 use bamboo_fleet::EventOrder;
 use bamboo_fleet::FleetConfig;
+use bamboo_fleet::Route;
 use bamboo_shards::AttemptEnd;
 use bamboo_shards::ItemAction;
 use bamboo_shards::ItemResult;
@@ -216,6 +217,15 @@
     }
 }
 
+/// The route of an item in a configuration: that of its job.
+fn item_route<'a>(
+    config: &'a FleetConfig,
+    job: &JobRecord,
+    item: ItemIndex,
+) -> Option<&'a Rc<Route>> {
+    config.find_job_route(&job.host, &job.route, &job.items[item as usize].path)
+}
+
 /// Picks a service for an item by the current configuration: the one that began it, if its route still leads there.
 /// `None` if its route is missing.
 fn service_of(
@@ -224,8 +234,7 @@
     item: ItemIndex,
     origin: Option<&StreamOrigin>,
 ) -> Option<String> {
-    let path = &job.items[item as usize].path;
-    let route = config.find_route(&job.host, path)?;
+    let route = item_route(config, job, item)?;
     let began = origin.map(|origin| &origin.service);
     began
         .filter(|service| route.leads_to(service))
@@ -419,10 +428,9 @@
         return false;
     }
     let config = gateway.config();
-    let path = &job.items[item as usize].path;
     let route = config
         .as_ref()
-        .and_then(|config| config.find_route(&job.host, path));
+        .and_then(|config| item_route(config, job, item));
     route.is_some_and(|route| route.leads_to(service))
 }
 
