fix(gateway): do not pass on a refusal that the server did not make

Cause: servers state that they have not run a request by a header, or by 421; to callers the statuses 408, 421, 429 and 503 state it. A server's status went out unchanged, with or without the statement.

Change: without the statement such a response to a request that may run once becomes a 502 of the gateway, without the server's stamp and Retry-After, logged and counted as unfounded_refusal. Requests that may be repeated get the server's status as before.

--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -27,7 +27,10 @@
 use crate::traffic::plain_send::Attempt;
 use crate::traffic::plain_send::send;
 use crate::traffic::request::CallerRequest;
+use crate::traffic::response::UNFOUNDED_REFUSAL;
 use crate::traffic::response::ended_by_stop;
+use crate::traffic::response::is_unfounded_refusal;
+use crate::traffic::response::log_unfounded_refusal;
 use crate::traffic::response::not_run;
 use crate::traffic::response::over_rate;
 use crate::traffic::response::pass_on;
@@ -307,6 +310,12 @@
                     bytes,
                 };
                 let is_idempotent = self.request.route.kind == RouteKind::Idempotent;
+                if is_unfounded_refusal(answer.head.status, is_idempotent) {
+                    log_unfounded_refusal(&self.request.id, &answer.server, answer.head.status);
+                    self.gateway.metrics.count_run(UNFOUNDED_REFUSAL);
+                    let response = unknown("the server failed the request\n", UNFOUNDED_REFUSAL);
+                    return Step::end(response);
+                }
                 if !is_idempotent || !answer.head.status.is_server_error() {
                     return Step::end(end_with(answer));
                 }
--- a/bamboo-gateway/src/traffic/stream_runs.rs
+++ b/bamboo-gateway/src/traffic/stream_runs.rs
@@ -22,6 +22,9 @@
 use crate::traffic::overlap::OPEN_RUNS_MAX;
 use crate::traffic::overlap::first_of;
 use crate::traffic::overlap::or_pending;
+use crate::traffic::response::UNFOUNDED_REFUSAL;
+use crate::traffic::response::is_unfounded_refusal;
+use crate::traffic::response::log_unfounded_refusal;
 use crate::traffic::response::pass_on;
 use crate::traffic::response::run_outcome;
 use crate::traffic::serve::StreamProgress;
@@ -417,6 +420,13 @@
             OpenError::Answered(head, bytes) => {
                 metrics.count_run("answered");
                 run.slot.set_outcome(run_outcome(head.status));
+                let caller = self.request.caller;
+                if is_unfounded_refusal(head.status, is_resumable(caller)) {
+                    log_unfounded_refusal(&caller.id, &run.slot.server.id, head.status);
+                    metrics.count_run(UNFOUNDED_REFUSAL);
+                    self.attempts.may_have_run = true;
+                    return Step::fail(RunError::Unknown(UNFOUNDED_REFUSAL));
+                }
                 let is_final = !head.status.is_server_error();
                 let answer = (head, bytes);
                 if is_final && matches!(self.start, StartPoint::Begin { .. }) {
