fix(gateway): take a status outside of 200 to 599 for no answer

Requests that may be repeated were not sent to another server.

Cause: only the client library checks statuses, for three digits from 100 on. All but successes were passed on as the server's failure.

Change: such a response does not belong to the request; the attempt has failed, and its server is charged. Plain requests, streams and items share the check.

--- a/bamboo-gateway/src/traffic/response.rs
+++ b/bamboo-gateway/src/traffic/response.rs
@@ -114,8 +114,14 @@
     }
 }
 
-/// Whether a response is the server's own response to this request: it does not echo the identifier of another request,
-/// has no content encoding, and carries the server's stamp if its status is a success. On a reused connection it must echo
+/// Whether a status ends a request. Those below 200 announce another response, and a switch of protocols is never asked for; those
+/// from 600 on are not defined.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
+/// Whether a response is the server's own response to this request: its status ends it, it does not echo the identifier of
+/// another request, has no content encoding, and carries the server's stamp if its status is a success. On a reused connection it must echo
 /// the identifier, because a late copy of an earlier response may arrive there.
 pub(crate) fn belongs_to_request(
     gateway: &Gateway,
@@ -129,10 +135,11 @@
     let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
     let is_unstamped = head.status.is_success() && !head.headers.contains_key(&names.server_stamp);
     let is_anonymous = is_reused && echoed.is_none();
-    let is_foreign = is_other || is_anonymous || is_encoded || is_unstamped;
+    let is_no_answer = !is_final_status(head.status);
+    let is_foreign = is_other || is_anonymous || is_encoded || is_unstamped || is_no_answer;
     if is_foreign {
         log::info!(
-            event = "foreign_answer", request = id, status = head.status.as_u16(), is_other, is_anonymous, is_encoded, is_unstamped;
+            event = "foreign_answer", request = id, status = head.status.as_u16(), is_other, is_anonymous, is_encoded, is_unstamped, is_no_answer;
             "discarded a response that does not belong to this request"
         );
     }
