fix(gateway): accept a job again at a host that never knew its route

Cause: only the paths of batch routes that this process had read were taken for those of a repeated job; the job's shard was not asked.

Change: a POST without a route whose body is that of a job asks the shard for the job's identifier: 202 for one that was accepted, else 404, or 503 if that is not certain.

--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -111,11 +111,10 @@
         return response;
     }
     let Some(route) = config.find_route(&host, path).cloned() else {
-        if request.method() == Method::POST && gateway.former_routes.borrow().matches(&host, path) {
-            return serve_former_route(gateway, &config, caller_address, &host, request).await;
+        if request.method() == Method::POST {
+            return serve_without_route(gateway, &config, caller_address, &host, request).await;
         }
-        log::info!(event = "no_route", host = host.as_str(), path, version = config.version; "no route matches");
-        return text_response(StatusCode::NOT_FOUND, "no route\n");
+        return no_route(&config, &host, path);
     };
     let access = Access {
         caller_address,
@@ -245,34 +244,56 @@
     (handler == JobCallHandler::Shards || !is_unknown).then_some(response)
 }
 
-/// Answers a submission on a batch route that the configuration does not have any more. A job that was accepted before is
-/// still accepted.
-async fn serve_former_route(
+/// Answers a POST request without a route. It may submit a job again that was accepted on a batch route which the configuration does
+/// not have any more: such a job is still accepted. This host may have started after the route was removed, so that the request is
+/// known by its body.
+async fn serve_without_route(
     gateway: &Rc<Gateway>,
     config: &FleetConfig,
     caller_address: IpAddr,
     host: &str,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let path = request.uri().path();
+    let (head, body) = request.into_parts();
+    let path = head.uri.path();
+    let is_former_route = gateway.former_routes.borrow().matches(host, path);
+    let Some(id) = header_text(&head.headers, &gateway.dialect.headers.request_id) else {
+        return no_route(config, host, path);
+    };
+    // The caller sends the whole body before it reads the response.
+    let body = match read_body(gateway, body, config.limits.body_max_bytes).await {
+        Ok(body) => body,
+        Err(response) => return response,
+    };
+    let is_submission = || (gateway.dialect.decode_job_items)(&body).is_ok();
+    if !is_former_route && !is_submission() {
+        return no_route(config, host, path);
+    }
     let access = Access {
         caller_address,
         route: "",
-        is_public: gateway.former_routes.borrow().is_public(host, path),
-    };
-    let workspace = match authenticate_request(gateway, config, request.headers(), access) {
-        Ok(authentication) => authentication.workspace_name(),
-        Err(_) => return unauthorized(),
+        is_public: match is_former_route {
+            true => gateway.former_routes.borrow().is_public(host, path),
+            false => gateway
+                .former_routes
+                .borrow()
+                .job_calls_are_public(config, host),
+        },
     };
-    let id =
-        header_text(request.headers(), &gateway.dialect.headers.request_id).unwrap_or_default();
-    // The caller sends the whole body before it reads the response.
-    match read_body(gateway, request.into_body(), config.limits.body_max_bytes).await {
-        Ok(_) => gateway.jobs.find_submitted(gateway, id, workspace).await,
-        Err(response) => response,
+    match authenticate_request(gateway, config, &head.headers, access) {
+        Ok(authentication) => {
+            let workspace = authentication.workspace_name();
+            gateway.jobs.find_submitted(gateway, id, workspace).await
+        }
+        Err(_) => unauthorized(),
     }
 }
 
+fn no_route(config: &FleetConfig, host: &str, path: &str) -> Response<ResponseBody> {
+    log::info!(event = "no_route", host, path, version = config.version; "no route matches");
+    text_response(StatusCode::NOT_FOUND, "no route\n")
+}
+
 /// Size in bytes of the request target and the headers, including separators.
 fn header_bytes(request: &Request<Incoming>) -> usize {
     const SEPARATOR_BYTES: usize = 4;
