fix(gateway): do not take a restarted server for one that has finished its answer

Cause: a new connection after the answer tells that some process listens at the address. The directory looked for another entry at the address only once that of the crashed process was gone.

Change: a second connection is open during such an answer and ends with the process; if it has ended, the server is checked as before and the directory is watched for 1.5 s. Directory::has_restarted notices an entry that has appeared at the address since.

Ruled out: a server that finished, the text of the item.

--- a/bamboo-fleet/src/directory.rs
+++ b/bamboo-fleet/src/directory.rs
@@ -98,6 +98,8 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     servers: HashMap<BackendServerId, Rc<Server>>,
+    /// When the entry of each server was seen first.
+    seen_since: HashMap<BackendServerId, Duration>,
     recently_removed: Vec<(Duration, Rc<Server>)>,
     /// Services and versions of servers that were removed or came back with another version, with the time of that.
     former_versions: Vec<(Duration, ServiceId, SoftwareVersion)>,
@@ -132,13 +134,15 @@
         }
         let server = Rc::new(server);
         self.servers.insert(server.id.clone(), Rc::clone(&server));
+        self.seen_since.entry(server.id.clone()).or_insert(now);
         match is_restart {
             true => DirectoryChange::Restarted(server),
             false => DirectoryChange::Updated(server),
         }
     }
 
-    /// Whether a server has started anew since, under its identifier or under another one at its address.
+    /// Whether a server has started anew since a time, under its identifier or under another one at its address. The entry of a process
+    /// that crashed stays for a while.
     ///
     /// ```
     /// # use bamboo_fleet::*;
@@ -149,18 +153,23 @@
     /// };
     /// let mut directory = Directory::default();
     /// directory.put(server.clone(), Duration::ZERO);
-    /// assert!(!directory.has_restarted(&server));
+    /// assert!(!directory.has_restarted(&server, Duration::ZERO));
     /// directory.put(Server { started_at_ms: 2, ..server.clone() }, Duration::ZERO);
-    /// assert!(directory.has_restarted(&server));
+    /// assert!(directory.has_restarted(&server, Duration::ZERO));
     /// ```
-    pub fn has_restarted(&self, server: &Server) -> bool {
-        match self.servers.get(&server.id) {
-            Some(known) => known.started_at_ms != server.started_at_ms,
-            None => self
-                .servers
-                .values()
-                .any(|other| other.address == server.address && other.service == server.service),
+    pub fn has_restarted(&self, server: &Server, since: Duration) -> bool {
+        let known = self.servers.get(&server.id);
+        if known.is_some_and(|known| known.started_at_ms != server.started_at_ms) {
+            return true;
         }
+        let is_new = |other: &Server| {
+            let seen_since = self.seen_since.get(&other.id);
+            known.is_none() || seen_since.is_some_and(|seen| *seen >= since)
+        };
+        self.servers.values().any(|other| {
+            let is_at_address = other.address == server.address && other.service == server.service;
+            other.id != server.id && is_at_address && is_new(other)
+        })
     }
 
     /// Records that a server said that it leaves. Its current process counts as draining from then on, whatever its entry says.
@@ -253,6 +262,7 @@
 
     /// Removes a server whose entry is missing, deleted or unreadable.
     pub fn remove(&mut self, id: &str, now: Duration) -> DirectoryChange {
+        self.seen_since.remove(id);
         match self.servers.remove(id) {
             Some(server) => {
                 self.remember_version(server.service.clone(), server.version.clone(), now);
--- a/bamboo-fleet/tests/fleet.rs
+++ b/bamboo-fleet/tests/fleet.rs
@@ -117,6 +117,21 @@
     assert!(matches!(change, DirectoryChange::Restarted(_)));
 }
 
+/// Guards against a new process at the address of one that crashed, which is not noticed while the entry of the crashed one is
+/// there, and against the entry of an earlier process that is taken for a new one.
+#[test]
+fn a_server_has_restarted_if_another_entry_has_appeared_at_its_address() {
+    let at = Duration::from_secs;
+    let mut directory = Directory::default();
+    directory.put(server("earlier", ServerState::Ready, 1), at(1));
+    directory.put(server("s", ServerState::Ready, 1), at(2));
+    let running = server("s", ServerState::Ready, 1);
+    assert!(!directory.has_restarted(&running, at(3)));
+    directory.put(server("later", ServerState::Ready, 1), at(4));
+    assert!(directory.has_restarted(&running, at(3)));
+    assert!(!directory.has_restarted(&running, at(5)));
+}
+
 #[test]
 fn recently_removed_servers_are_a_fallback_for_a_limited_time() {
     let mut directory = Directory::default();
--- a/bamboo-gateway/src/traffic.rs
+++ b/bamboo-gateway/src/traffic.rs
@@ -12,6 +12,7 @@
 mod plain;
 mod plain_send;
 mod pool;
+mod process_watch;
 mod request;
 mod response;
 mod run_trial;
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -29,6 +29,7 @@
 use crate::traffic::buffered_body::read_whole_body;
 use crate::traffic::pool::Connection;
 use crate::traffic::pool::connect_outcome;
+use crate::traffic::process_watch::ProcessWatch;
 use crate::traffic::response::belongs_to_request;
 use crate::traffic::response::is_framed;
 use crate::traffic::response::observe_statements;
@@ -211,6 +212,9 @@
     }
     observe_statements(gateway, server, &head, started);
     if head.status.is_success() {
+        if !is_framed(&head.headers) {
+            trial.watch_process(ProcessWatch::begin(gateway, server).await);
+        }
         return Ok(EngineStream {
             connection,
             head,
@@ -427,9 +431,9 @@
 
     /// Whether a response without a length or chunks ended because its server crashed, which ends its connections, too. One
     /// without events is never whole.
-    async fn is_cut_by_crash(&self) -> bool {
+    async fn is_cut_by_crash(&mut self) -> bool {
         !is_framed(&self.head.headers)
-            && (!self.trial.has_event() || self.trial.is_server_down().await)
+            && (!self.trial.has_event() || self.trial.has_process_ended().await)
     }
 
     /// Returns the connection to the pool after a complete response.
--- a/bamboo-gateway/src/traffic/plain_send.rs
+++ b/bamboo-gateway/src/traffic/plain_send.rs
@@ -1,10 +1,8 @@
 //! Sends one request to a server of a plain service.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use bamboo_fleet::BufferBudget;
 use bamboo_fleet::RouteKind;
 use bamboo_fleet::Server;
 use bamboo_slots::RunOutcome;
@@ -22,6 +20,7 @@
 use crate::traffic::engine_run::notify_of_silence;
 use crate::traffic::pool::Connection;
 use crate::traffic::pool::connect_outcome;
+use crate::traffic::process_watch::ProcessWatch;
 use crate::traffic::request::CallerRequest;
 use crate::traffic::response::belongs_to_request;
 use crate::traffic::response::is_framed;
@@ -78,17 +77,18 @@
     };
     let mut trial = RunTrial::begin(gateway, server, trial_request);
     let is_direct = connection.is_direct;
-    let exchange = exchange(&mut connection, outgoing, &gateway.server_buffers);
+    let exchange = exchange(gateway, request, server, &mut connection, outgoing);
     let watched = trial.watch(remaining, exchange);
     match notify_of_silence(gateway, Some(notice), is_direct, watched).await {
-        Ok(Ok((head, bytes))) => {
+        Ok(Ok((head, bytes, process_watch))) => {
             gateway.record_heard(&connection);
+            trial.watch_process(process_watch);
             if ends_with_connection(&request.method, &head)
-                && (bytes.is_empty() || trial.is_server_down().await)
+                && (bytes.is_empty() || trial.has_process_ended().await)
             {
                 log::info!(
                     event = "answer_cut", request = request.id.as_str(), server = server.id.as_str(), bytes = bytes.len();
-                    "an answer without a length or chunks is empty, or its server takes no connections any more"
+                    "an answer without a length or chunks is empty, or its server has ended"
                 );
                 trial.run_broke();
                 return Attempt::Failed(RunOutcome::Broken);
@@ -145,14 +145,20 @@
 }
 
 async fn exchange(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    server: &Server,
     connection: &mut Connection,
     outgoing: Request<Full<Bytes>>,
-    buffers: &Arc<BufferBudget>,
-) -> anyhow::Result<(response::Parts, Bytes)> {
+) -> anyhow::Result<(response::Parts, Bytes, Option<ProcessWatch>)> {
     let response = connection.send(outgoing).await?;
     let (head, body) = response.into_parts();
-    let bytes = read_whole_body(body, RESPONSE_MAX_BYTES, buffers).await?;
-    Ok((head, bytes))
+    let process_watch = match ends_with_connection(&request.method, &head) {
+        true => ProcessWatch::begin(gateway, server).await,
+        false => None,
+    };
+    let bytes = read_whole_body(body, RESPONSE_MAX_BYTES, &gateway.server_buffers).await?;
+    Ok((head, bytes, process_watch))
 }
 
 /// Checks a complete response, and classifies the attempt by its status and headers.
--- a/bamboo-gateway/src/traffic/run_trial.rs
+++ b/bamboo-gateway/src/traffic/run_trial.rs
@@ -14,6 +14,8 @@
 use crate::gateway::Gateway;
 use crate::gateway::OpenCheck;
 use crate::gateway::ServerCheck;
+use crate::traffic::process_watch::ProcessState;
+use crate::traffic::process_watch::ProcessWatch;
 
 /// Time without a byte from a server after which it is checked.
 const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(400);
@@ -22,6 +24,8 @@
 /// Time in which the directory shows that a server has started anew, and the interval between two looks at it.
 const RESTART_SEEN_WITHIN: Duration = Duration::from_secs(3);
 const RESTART_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// The same time while a caller waits for the end of its response.
+const END_SEEN_WITHIN: Duration = Duration::from_millis(1500);
 
 /// How a run ended without a complete response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -75,6 +79,7 @@
     sent_at: Duration,
     heard_at: Duration,
     is_silence_checked: bool,
+    process_watch: Option<ProcessWatch>,
 }
 
 impl RunTrial {
@@ -96,6 +101,7 @@
             sent_at: now,
             heard_at: now,
             is_silence_checked: false,
+            process_watch: None,
         }
     }
 
@@ -164,9 +170,28 @@
         tokio::time::timeout(timeout.saturating_sub(waited), response).await
     }
 
-    /// Whether the server takes no connections now.
-    pub(crate) async fn is_server_down(&self) -> bool {
-        self.gateway.check_server(&self.server).await == ServerCheck::Down
+    /// Watches the server's process during a response without a length or chunks. The end of its connection does not tell whether the
+    /// response is whole: that of a process which crashed looks the same.
+    pub(super) fn watch_process(&mut self, process_watch: Option<ProcessWatch>) {
+        self.process_watch = process_watch;
+    }
+
+    /// Whether the server's process has ended, after such a response. It may be down, or have started anew.
+    pub(crate) async fn has_process_ended(&mut self) -> bool {
+        let state = match &mut self.process_watch {
+            Some(watch) => watch.state().await,
+            None => ProcessState::Unknown,
+        };
+        let (gateway, server) = (&self.gateway, &self.server);
+        let is_reached = || async { gateway.check_server(server).await != ServerCheck::Down };
+        let restart_seen_within = match state {
+            ProcessState::Running => Duration::ZERO,
+            _ if !is_reached().await => return true,
+            // The server may have closed an idle connection.
+            ProcessState::ConnectionEnded => END_SEEN_WITHIN,
+            ProcessState::Unknown => Duration::ZERO,
+        };
+        has_restarted(gateway, server, self.sent_at, restart_seen_within).await
     }
 
     /// Examines whether the server has crashed, after the run broke.
@@ -244,7 +269,8 @@
         }
         (RunEnd::Broken, ServerCheck::Reached | ServerCheck::ReachedByOthers) => {
             drop(open_check);
-            if has_restarted(&gateway, &run.server).await {
+            let (server, since) = (&run.server, run.sent_at);
+            if has_restarted(&gateway, server, since, RESTART_SEEN_WITHIN).await {
                 gateway.server_crashed(&run).await;
             }
         }
@@ -252,16 +278,23 @@
     }
 }
 
-/// Whether the directory shows within a while that a server has started anew.
-async fn has_restarted(gateway: &Gateway, server: &Server) -> bool {
-    let until = gateway.clock.now() + RESTART_SEEN_WITHIN;
-    while gateway.clock.now() < until {
-        if gateway.directory.borrow().has_restarted(server) {
+/// Whether the directory shows within a while that a server has started anew since a time.
+async fn has_restarted(
+    gateway: &Gateway,
+    server: &Server,
+    since: Duration,
+    within: Duration,
+) -> bool {
+    let until = gateway.clock.now() + within;
+    loop {
+        if gateway.directory.borrow().has_restarted(server, since) {
             return true;
         }
+        if gateway.clock.now() >= until {
+            return false;
+        }
         actix_rt::time::sleep(RESTART_POLL_INTERVAL).await;
     }
-    false
 }
 
 /// Suspects for the log, as hexadecimal numbers.
