fix(gateway): check the server after an answer without a length although a second connection is open

The fix of restarted servers took an open second connection for proof that the process runs.

One that ended more than 250 ms earlier tells nothing: servers close idle connections.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -81,7 +81,6 @@
 use rates::Rates;
 pub(crate) use server_connections::ServerCheck;
 use server_connections::ServerChecks;
-pub(crate) use server_connections::ServerStream;
 use servers::EntriesEnd;
 pub(crate) use streams::OriginAnswer;
 
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -213,7 +213,7 @@
     observe_statements(gateway, server, &head, started);
     if head.status.is_success() {
         if !is_framed(&head.headers) {
-            trial.watch_process(ProcessWatch::begin(gateway, server).await);
+            trial.set_process_watch(ProcessWatch::begin(gateway, server).await);
         }
         return Ok(EngineStream {
             connection,
@@ -431,7 +431,7 @@
 
     /// Whether a response without a length or chunks ended because its server crashed, which ends its connections, too. One
     /// without events is never whole.
-    async fn is_cut_by_crash(&mut self) -> bool {
+    async fn is_cut_by_crash(&self) -> bool {
         !is_framed(&self.head.headers)
             && (!self.trial.has_event() || self.trial.has_process_ended().await)
     }
--- a/bamboo-gateway/src/traffic/plain_send.rs
+++ b/bamboo-gateway/src/traffic/plain_send.rs
@@ -82,7 +82,7 @@
     match notify_of_silence(gateway, Some(notice), is_direct, watched).await {
         Ok(Ok((head, bytes, process_watch))) => {
             gateway.record_heard(&connection);
-            trial.watch_process(process_watch);
+            trial.set_process_watch(process_watch);
             if ends_with_connection(&request.method, &head)
                 && (bytes.is_empty() || trial.has_process_ended().await)
             {
--- a/bamboo-gateway/src/traffic/process_watch.rs
+++ b/bamboo-gateway/src/traffic/process_watch.rs
@@ -1,56 +1,75 @@
 //! Tells whether the process of a server ended during a response.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bamboo_fleet::Server;
 use tokio::io::AsyncReadExt;
 
 use crate::gateway::Gateway;
-use crate::gateway::ServerStream;
+use crate::task::OwnedTask;
 
 /// Timeout for connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time within which the ends of all connections of a process arrive.
 const ENDS_ARRIVE_WITHIN: Duration = Duration::from_millis(10);
+/// Time between the noticed ends of two connections that one event may have ended. This host may be busy in between.
+const SAME_EVENT_WITHIN: Duration = Duration::from_millis(250);
 
 /// What a connection tells of the process that accepted it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ProcessState {
     /// The connection is open.
     Running,
-    /// The connection has ended: the process has, or it closed an idle connection.
-    ConnectionEnded,
-    /// There was no connection.
+    /// The connection ended with that of the response. The process may have ended, or closed an idle connection.
+    EndedTogether,
+    /// There was no connection, or it ended long before.
     Unknown,
 }
 
 /// A connection on which nothing is sent. The kernel ends all connections of a process with it, those to a process that has
 /// crashed and started anew meanwhile, too.
 pub(super) struct ProcessWatch {
-    stream: ServerStream,
+    ended_at: Rc<Cell<Option<Instant>>>,
+    _task: OwnedTask,
 }
 
 impl ProcessWatch {
     /// Connects to a server. Returns `None` if it is not reached.
     pub(super) async fn begin(gateway: &Gateway, server: &Server) -> Option<Self> {
-        match gateway.connect_server(server, CONNECT_TIMEOUT).await {
-            Ok(stream) => Some(ProcessWatch { stream }),
+        let mut stream = match gateway.connect_server(server, CONNECT_TIMEOUT).await {
+            Ok(stream) => stream,
             Err(failure) => {
                 log::debug!(
                     "cannot watch the process of server {}: {failure:?}",
                     server.id
                 );
-                None
+                return None;
             }
-        }
+        };
+        let ended_at = Rc::new(Cell::new(None));
+        let noticed = Rc::clone(&ended_at);
+        let task = OwnedTask::spawn(async move {
+            // Whatever the server says here, nobody has asked.
+            while matches!(stream.read(&mut [0; 64]).await, Ok(1..)) {}
+            noticed.set(Some(Instant::now()));
+        });
+        Some(ProcessWatch {
+            ended_at,
+            _task: task,
+        })
     }
 
-    /// What the connection tells, after another one of the process has ended.
-    pub(super) async fn state(&mut self) -> ProcessState {
-        let mut byte = [0; 1];
-        match tokio::time::timeout(ENDS_ARRIVE_WITHIN, self.stream.read(&mut byte)).await {
-            Err(_) | Ok(Ok(1..)) => ProcessState::Running,
-            Ok(Ok(0) | Err(_)) => ProcessState::ConnectionEnded,
+    /// What the connection tells, just after that of the response has ended.
+    pub(super) async fn state(&self) -> ProcessState {
+        let response_ended_at = Instant::now();
+        actix_rt::time::sleep(ENDS_ARRIVE_WITHIN).await;
+        match self.ended_at.get() {
+            None => ProcessState::Running,
+            Some(at) if at + SAME_EVENT_WITHIN >= response_ended_at => ProcessState::EndedTogether,
+            Some(_) => ProcessState::Unknown,
         }
     }
 }
