fix(gateway): follow the configuration after its history was dropped

Since a read that got 410 returned before the first page was read, and the watch of the configuration then set the reader back to the offset after the known record, which gets 410 again.

Change: after 410 the first page is read at once, as before; a reader within pages is not moved. What the first page is, the update tells.

No test covered the configuration after 410 before.

--- a/bamboo-gateway/src/topic_reader.rs
+++ b/bamboo-gateway/src/topic_reader.rs
@@ -52,6 +52,8 @@
     pub(crate) records: Vec<KeyedRecord>,
     /// What they are part of.
     pub(crate) scope: UpdateScope,
+    /// Whether they are the first of the newest records.
+    pub(crate) is_first_page: bool,
 }
 
 /// What the records of a read are part of.
@@ -84,19 +86,16 @@
         }
     }
 
-    /// Goes on after a record that this host has learned of in another way. All records before it are outdated.
+    /// Goes on after a record that this host has learned of in another way, unless it reads the newest records. All records before it
+    /// are outdated.
     pub(crate) fn skip_past(&mut self, offset: Offset) {
         match self.position {
+            Position::Page(_) => {}
             Position::Offset(next) if next > offset => {}
-            _ => self.position = Position::Offset(offset + 1),
+            Position::Start | Position::Offset(_) => self.position = Position::Offset(offset + 1),
         }
     }
 
-    /// Whether the next read begins with the newest records.
-    pub(crate) fn is_at_start(&self) -> bool {
-        matches!(self.position, Position::Start)
-    }
-
     /// Offset of the next record, once the newest records have been read.
     pub(crate) fn next_offset(&self) -> Option<Offset> {
         match self.position {
@@ -107,14 +106,11 @@
 
     /// Reads a page of the newest records, or the records appended since. After a failed read of a page the pages begin anew.
     pub(crate) async fn read(&mut self, gateway: &Gateway) -> Result<TopicUpdate, StoreError> {
-        let result = match &self.position {
-            Position::Offset(from) => self.read_changes(gateway, *from).await,
-            Position::Start | Position::Page(_) => self.read_page(gateway).await,
-        };
+        let result = self.read_next(gateway).await;
         match &result {
             Ok(_) => self.is_failing = false,
             Err(error) => {
-                if !matches!(self.position, Position::Offset(_)) {
+                if matches!(self.position, Position::Page(_)) {
                     self.position = Position::Start;
                 }
                 if !std::mem::replace(&mut self.is_failing, true) {
@@ -125,6 +121,17 @@
         result
     }
 
+    async fn read_next(&mut self, gateway: &Gateway) -> Result<TopicUpdate, StoreError> {
+        if let Position::Offset(from) = self.position {
+            match self.read_changes(gateway, from).await? {
+                Some(update) => return Ok(update),
+                // The offset is no longer retained.
+                None => self.position = Position::Start,
+            }
+        }
+        self.read_page(gateway).await
+    }
+
     /// Reads until the newest records are complete, or the records appended since. Passes on the records of each read.
     pub(crate) async fn read_whole<F>(
         &mut self,
@@ -143,11 +150,12 @@
         }
     }
 
+    /// Reads the records from an offset on. Returns `None` if it is no longer retained.
     async fn read_changes(
         &mut self,
         gateway: &Gateway,
         from: Offset,
-    ) -> Result<TopicUpdate, StoreError> {
+    ) -> Result<Option<TopicUpdate>, StoreError> {
         let request = StoreRequest::Read {
             topic: self.topic.clone(),
             partition: 0,
@@ -157,12 +165,7 @@
         };
         let reply = gateway.watched_read(&request, &mut self.poll_watch).await?;
         let StoreReply::Records { records, .. } = reply else {
-            // The offset has been trimmed; start over from the newest record of each key.
-            self.position = Position::Start;
-            return Ok(TopicUpdate {
-                records: Vec::new(),
-                scope: UpdateScope::Page,
-            });
+            return Ok(None);
         };
         self.position = Position::Offset(from + records.len() as Offset);
         let keyed = records.iter().zip(from..).filter_map(|(record, offset)| {
@@ -175,10 +178,11 @@
             }
             record
         });
-        Ok(TopicUpdate {
+        Ok(Some(TopicUpdate {
             records: keyed.collect(),
             scope: UpdateScope::Changes,
-        })
+            is_first_page: false,
+        }))
     }
 
     async fn read_page(&mut self, gateway: &Gateway) -> Result<TopicUpdate, StoreError> {
@@ -186,6 +190,7 @@
             Position::Page(cursor) => Some(cursor.after.clone()),
             Position::Start | Position::Offset(_) => None,
         };
+        let is_first_page = after.is_none();
         let request = StoreRequest::Newest {
             topic: self.topic.clone(),
             after,
@@ -219,7 +224,11 @@
             }
         };
         self.position = position;
-        Ok(TopicUpdate { records, scope })
+        Ok(TopicUpdate {
+            records,
+            scope,
+            is_first_page,
+        })
     }
 }
 
--- a/bamboo-gateway/src/watch.rs
+++ b/bamboo-gateway/src/watch.rs
@@ -64,15 +64,15 @@
     let mut pages_began_at = Duration::ZERO;
     loop {
         let (started, began_at) = (gateway.clock.now(), gateway.clock.boot_time());
-        if reader.is_at_start() {
-            unnamed = gateway.directory.borrow().ids().into_iter().collect();
-            pages_began_at = began_at;
-        }
         let update =
             remove_expired_during(&gateway, &mut grace_period, reader.read(&gateway)).await;
         grace_period.record_store_read(update.is_ok(), gateway.clock.now());
         let scope = update.as_ref().ok().map(|update| update.scope);
         if let Ok(update) = update {
+            if update.is_first_page {
+                unnamed = gateway.directory.borrow().ids().into_iter().collect();
+                pages_began_at = began_at;
+            }
             for record in &update.records {
                 unnamed.remove(&record.key);
             }
