fix(gateway): take a refused second connection for the end of the server's process

Change: ProcessWatch tells a refusal from a way that is not there; the first ends the answer as one that was cut.

--- a/bamboo-gateway/src/traffic/plain_send.rs
+++ b/bamboo-gateway/src/traffic/plain_send.rs
@@ -82,7 +82,9 @@
     match notify_of_silence(gateway, Some(notice), is_direct, watched).await {
         Ok(Ok((head, bytes, process_watch))) => {
             gateway.record_heard(&connection);
-            trial.set_process_watch(process_watch);
+            if let Some(process_watch) = process_watch {
+                trial.set_process_watch(process_watch);
+            }
             if ends_with_connection(&request.method, &head)
                 && (bytes.is_empty() || trial.has_process_ended().await)
             {
@@ -154,7 +156,7 @@
     let response = connection.send(outgoing).await?;
     let (head, body) = response.into_parts();
     let process_watch = match ends_with_connection(&request.method, &head) {
-        true => ProcessWatch::begin(gateway, server).await,
+        true => Some(ProcessWatch::begin(gateway, server).await),
         false => None,
     };
     let bytes = read_whole_body(body, RESPONSE_MAX_BYTES, &gateway.server_buffers).await?;
--- a/bamboo-gateway/src/traffic/process_watch.rs
+++ b/bamboo-gateway/src/traffic/process_watch.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use bamboo_fleet::Server;
+use bamboo_relay::ConnectFailure;
 use tokio::io::AsyncReadExt;
 
 use crate::gateway::Gateway;
@@ -23,6 +24,8 @@
 pub(super) enum ProcessState {
     /// The connection is open.
     Running,
+    /// The server took no connection during the response.
+    Down,
     /// The connection ended with that of the response. The process may have ended, or closed an idle connection.
     EndedTogether,
     /// There was no connection, or it ended long before.
@@ -31,42 +34,46 @@
 
 /// A connection on which nothing is sent. The kernel ends all connections of a process with it, those to a process that has
 /// crashed and started anew meanwhile, too.
-pub(super) struct ProcessWatch {
+struct OpenConnection {
     ended_at: Rc<Cell<Option<Instant>>>,
     _task: OwnedTask,
 }
 
+/// Watches the process of a server by a connection of its own.
+pub(super) struct ProcessWatch {
+    connection: Result<OpenConnection, ConnectFailure>,
+}
+
 impl ProcessWatch {
-    /// Connects to a server. Returns `None` if it is not reached.
-    pub(super) async fn begin(gateway: &Gateway, server: &Server) -> Option<Self> {
-        let mut stream = match gateway.connect_server(server, CONNECT_TIMEOUT).await {
-            Ok(stream) => stream,
-            Err(failure) => {
-                log::debug!(
-                    "cannot watch the process of server {}: {failure:?}",
-                    server.id
-                );
-                return None;
+    /// Connects to a server.
+    pub(super) async fn begin(gateway: &Gateway, server: &Server) -> Self {
+        let connected = gateway.connect_server(server, CONNECT_TIMEOUT).await;
+        let connection = connected.map(|mut stream| {
+            let ended_at = Rc::new(Cell::new(None));
+            let noticed = Rc::clone(&ended_at);
+            let task = OwnedTask::spawn(async move {
+                // Whatever the server says here, nobody has asked.
+                while matches!(stream.read(&mut [0; 64]).await, Ok(1..)) {}
+                noticed.set(Some(Instant::now()));
+            });
+            OpenConnection {
+                ended_at,
+                _task: task,
             }
-        };
-        let ended_at = Rc::new(Cell::new(None));
-        let noticed = Rc::clone(&ended_at);
-        let task = OwnedTask::spawn(async move {
-            // Whatever the server says here, nobody has asked.
-            while matches!(stream.read(&mut [0; 64]).await, Ok(1..)) {}
-            noticed.set(Some(Instant::now()));
         });
-        Some(ProcessWatch {
-            ended_at,
-            _task: task,
-        })
+        ProcessWatch { connection }
     }
 
     /// What the connection tells, just after that of the response has ended.
     pub(super) async fn state(&self) -> ProcessState {
         let response_ended_at = Instant::now();
+        let connection = match &self.connection {
+            Ok(connection) => connection,
+            Err(ConnectFailure::ServerDown) => return ProcessState::Down,
+            Err(ConnectFailure::NoPath) => return ProcessState::Unknown,
+        };
         actix_rt::time::sleep(ENDS_ARRIVE_WITHIN).await;
-        match self.ended_at.get() {
+        match connection.ended_at.get() {
             None => ProcessState::Running,
             Some(at) if at + SAME_EVENT_WITHIN >= response_ended_at => ProcessState::EndedTogether,
             Some(_) => ProcessState::Unknown,
--- a/bamboo-gateway/src/traffic/run_trial.rs
+++ b/bamboo-gateway/src/traffic/run_trial.rs
@@ -173,8 +173,8 @@
 
     /// Sets the watch over the server's process during a response without a length or chunks. The end of its connection does not tell
     /// whether the response is whole: that of a process which crashed looks the same.
-    pub(super) fn set_process_watch(&mut self, process_watch: Option<ProcessWatch>) {
-        self.process_watch = process_watch;
+    pub(super) fn set_process_watch(&mut self, process_watch: ProcessWatch) {
+        self.process_watch = Some(process_watch);
     }
 
     /// Whether the server's process has ended, after such a response. It may be down, or have started anew.
@@ -187,13 +187,13 @@
             }
         };
         let (state, check) = join(state, gateway.check_server(server)).await;
-        if check == ServerCheck::Down {
+        if check == ServerCheck::Down || state == ProcessState::Down {
             return true;
         }
         let restart_seen_within = match state {
             // The server may have closed an idle connection, or it has started anew.
             ProcessState::EndedTogether => END_SEEN_WITHIN,
-            ProcessState::Running | ProcessState::Unknown => Duration::ZERO,
+            ProcessState::Running | ProcessState::Down | ProcessState::Unknown => Duration::ZERO,
         };
         has_restarted(gateway, server, self.sent_at, restart_seen_within).await
     }
