--- a/bamboo-gateway/src/topic_reader.rs
+++ b/bamboo-gateway/src/topic_reader.rs
@@ -110,9 +110,6 @@
         match &result {
             Ok(_) => self.is_failing = false,
             Err(error) => {
-                if matches!(self.position, Position::Page(_)) {
-                    self.position = Position::Start;
-                }
                 if !std::mem::replace(&mut self.is_failing, true) {
                     log::info!(event = "topic_unread", topic = self.topic.as_str(); "cannot read a topic: {error}");
                 }
@@ -129,7 +126,11 @@
                 None => self.position = Position::Start,
             }
         }
-        self.read_page(gateway).await
+        let cursor = match std::mem::replace(&mut self.position, Position::Start) {
+            Position::Page(cursor) => Some(cursor),
+            Position::Start | Position::Offset(_) => None,
+        };
+        self.read_page(gateway, cursor).await
     }
 
     /// Reads until the newest records are complete, or the records appended since. Passes on the records of each read.
@@ -185,15 +186,16 @@
         }))
     }
 
-    async fn read_page(&mut self, gateway: &Gateway) -> Result<TopicUpdate, StoreError> {
-        let after = match &self.position {
-            Position::Page(cursor) => Some(cursor.after.clone()),
-            Position::Start | Position::Offset(_) => None,
-        };
-        let is_first_page = after.is_none();
+    /// Reads the page at a cursor, or the first one.
+    async fn read_page(
+        &mut self,
+        gateway: &Gateway,
+        cursor: Option<PageCursor>,
+    ) -> Result<TopicUpdate, StoreError> {
+        let is_first_page = cursor.is_none();
         let request = StoreRequest::Newest {
             topic: self.topic.clone(),
-            after,
+            after: cursor.as_ref().map(|cursor| cursor.after.clone()),
         };
         let reply = gateway.watched_read(&request, &mut self.poll_watch).await?;
         let StoreReply::Newest {
@@ -204,9 +206,9 @@
         else {
             return Err(StoreError::Unknown("unexpected answer".to_owned()));
         };
-        let (end, mut pages) = match std::mem::replace(&mut self.position, Position::Start) {
-            Position::Page(cursor) => (cursor.end, cursor.pages),
-            Position::Start | Position::Offset(_) => (end, Pages::default()),
+        let (end, mut pages) = match cursor {
+            Some(cursor) => (cursor.end, cursor.pages),
+            None => (end, Pages::default()),
         };
         let last_key = records.last().map(|record| record.key.as_str());
         let (position, scope) = match pages.step(has_more, last_key) {
--- a/bamboo-gateway/src/traffic/engine_run.rs
+++ b/bamboo-gateway/src/traffic/engine_run.rs
@@ -129,6 +129,8 @@
     /// Wait for the next event with data, if one is under way.
     silence: Option<SilenceTimer>,
     trial: RunTrial,
+    /// Watch over the server's process if the response states no length and has no chunks.
+    process_watch: Option<ProcessWatch>,
 }
 
 /// Sends a request to a server and waits for the status and headers of the response.
@@ -212,9 +214,10 @@
     }
     observe_statements(gateway, server, &head, started);
     if head.status.is_success() {
-        if !is_framed(&head.headers) {
-            trial.set_process_watch(ProcessWatch::begin(gateway, server).await);
-        }
+        let process_watch = match is_framed(&head.headers) {
+            true => None,
+            false => Some(ProcessWatch::begin(gateway, server).await),
+        };
         return Ok(EngineStream {
             connection,
             head,
@@ -224,6 +227,7 @@
             is_remote: server.data_centre != gateway.settings.data_centre,
             silence: None,
             trial,
+            process_watch,
         });
     }
     let is_not_run =
@@ -432,8 +436,10 @@
     /// Whether a response without a length or chunks ended because its server crashed, which ends its connections, too. One
     /// without events is never whole.
     async fn is_cut_by_crash(&self) -> bool {
-        !is_framed(&self.head.headers)
-            && (!self.trial.has_event() || self.trial.has_process_ended().await)
+        match &self.process_watch {
+            Some(watch) => !self.trial.has_event() || self.trial.has_process_ended(watch).await,
+            None => false,
+        }
     }
 
     /// Returns the connection to the pool after a complete response.
--- a/bamboo-gateway/src/traffic/plain.rs
+++ b/bamboo-gateway/src/traffic/plain.rs
@@ -30,7 +30,6 @@
 use crate::traffic::response::UNFOUNDED_REFUSAL;
 use crate::traffic::response::ended_by_stop;
 use crate::traffic::response::is_unfounded_refusal;
-use crate::traffic::response::log_unfounded_refusal;
 use crate::traffic::response::not_run;
 use crate::traffic::response::over_rate;
 use crate::traffic::response::pass_on;
@@ -310,9 +309,8 @@
                     bytes,
                 };
                 let is_idempotent = self.request.route.kind == RouteKind::Idempotent;
-                if is_unfounded_refusal(answer.head.status, is_idempotent) {
-                    log_unfounded_refusal(&self.request.id, &answer.server, answer.head.status);
-                    self.gateway.metrics.count_run(UNFOUNDED_REFUSAL);
+                let (id, status) = (&self.request.id, answer.head.status);
+                if is_unfounded_refusal(self.gateway, id, &answer.server, status, is_idempotent) {
                     let response = unknown("the server failed the request\n", UNFOUNDED_REFUSAL);
                     return Step::end(response);
                 }
--- a/bamboo-gateway/src/traffic/plain_send.rs
+++ b/bamboo-gateway/src/traffic/plain_send.rs
@@ -82,11 +82,8 @@
     match notify_of_silence(gateway, Some(notice), is_direct, watched).await {
         Ok(Ok((head, bytes, process_watch))) => {
             gateway.record_heard(&connection);
-            if let Some(process_watch) = process_watch {
-                trial.set_process_watch(process_watch);
-            }
-            if ends_with_connection(&request.method, &head)
-                && (bytes.is_empty() || trial.has_process_ended().await)
+            if let Some(process_watch) = process_watch
+                && (bytes.is_empty() || trial.has_process_ended(&process_watch).await)
             {
                 log::info!(
                     event = "answer_cut", request = request.id.as_str(), server = server.id.as_str(), bytes = bytes.len();
@@ -146,6 +143,7 @@
     Some(outgoing)
 }
 
+/// Sends the request and waits for the whole response. Watches the server's process during one that ends with its connection.
 async fn exchange(
     gateway: &Gateway,
     request: &CallerRequest,
--- a/bamboo-gateway/src/traffic/pool.rs
+++ b/bamboo-gateway/src/traffic/pool.rs
@@ -25,7 +25,7 @@
 use crate::traffic::head_limit::HeadLimitedStream;
 
 /// Timeout for connecting: several round trips between data centres, with a margin for a loaded host.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum number of idle connections per server.
 const IDLE_PER_SERVER_MAX: usize = 6;
 /// Upper bound for the idle time after which a connection is not reused, and the default if the server states none.
--- a/bamboo-gateway/src/traffic/process_watch.rs
+++ b/bamboo-gateway/src/traffic/process_watch.rs
@@ -1,4 +1,5 @@
-//! Tells whether the process of a server ended during a response.
+//! Tells whether the process of a server ended during a response without a length or chunks, whose end looks the same if the process
+//! crashed.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -11,9 +12,8 @@
 
 use crate::gateway::Gateway;
 use crate::task::OwnedTask;
+use crate::traffic::pool::CONNECT_TIMEOUT;
 
-/// Timeout for connecting.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time within which the ends of all connections of a process arrive.
 const ENDS_ARRIVE_WITHIN: Duration = Duration::from_millis(10);
 /// Time between the noticed ends of two connections that one event may have ended. This host may be busy in between.
--- a/bamboo-gateway/src/traffic/response.rs
+++ b/bamboo-gateway/src/traffic/response.rs
@@ -76,12 +76,18 @@
     response
 }
 
-/// Whether a server's own response would tell the caller that a request has not run which its server may have run. Callers take these
-/// statuses for a promise; servers make it by a header or status 421, and such a response counts as [`NotRun`] before. A request that
-/// may be repeated gets the server's status unchanged.
+/// Whether a server's own response would tell the caller that a request has not run which its server may have run, and is not passed
+/// on therefore, which is logged. Callers take these statuses for a promise; servers make it by a header or status 421, and such a
+/// response counts as [`NotRun`] before. A request that may be repeated gets the server's status unchanged.
 ///
 /// [`NotRun`]: crate::traffic::engine_run::OpenError::NotRun
-pub(crate) fn is_unfounded_refusal(status: StatusCode, may_repeat: bool) -> bool {
+pub(crate) fn is_unfounded_refusal(
+    gateway: &Gateway,
+    request: &str,
+    server: &str,
+    status: StatusCode,
+    may_repeat: bool,
+) -> bool {
     let is_promise = matches!(
         status,
         StatusCode::REQUEST_TIMEOUT
@@ -89,15 +95,15 @@
             | StatusCode::TOO_MANY_REQUESTS
             | StatusCode::SERVICE_UNAVAILABLE
     );
-    is_promise && !may_repeat
-}
-
-/// Logs that a server's own response is replaced because it is an unfounded refusal.
-pub(crate) fn log_unfounded_refusal(request: &str, server: &str, status: StatusCode) {
-    log::info!(
-        event = UNFOUNDED_REFUSAL, request, server, status = status.as_u16();
-        "the server does not state that it has not run the request; its status would"
-    );
+    let is_unfounded = is_promise && !may_repeat;
+    if is_unfounded {
+        gateway.metrics.count_run(UNFOUNDED_REFUSAL);
+        log::info!(
+            event = UNFOUNDED_REFUSAL, request, server, status = status.as_u16();
+            "the server does not state that it has not run the request; its status would"
+        );
+    }
+    is_unfounded
 }
 
 /// Whether the headers of a response tell where its body ends.
--- a/bamboo-gateway/src/traffic/run_trial.rs
+++ b/bamboo-gateway/src/traffic/run_trial.rs
@@ -80,7 +80,6 @@
     sent_at: Duration,
     heard_at: Duration,
     is_silence_checked: bool,
-    process_watch: Option<ProcessWatch>,
 }
 
 impl RunTrial {
@@ -102,7 +101,6 @@
             sent_at: now,
             heard_at: now,
             is_silence_checked: false,
-            process_watch: None,
         }
     }
 
@@ -171,22 +169,11 @@
         tokio::time::timeout(timeout.saturating_sub(waited), response).await
     }
 
-    /// Sets the watch over the server's process during a response without a length or chunks. The end of its connection does not tell
-    /// whether the response is whole: that of a process which crashed looks the same.
-    pub(super) fn set_process_watch(&mut self, process_watch: ProcessWatch) {
-        self.process_watch = Some(process_watch);
-    }
-
-    /// Whether the server's process has ended, after such a response. It may be down, or have started anew.
-    pub(crate) async fn has_process_ended(&self) -> bool {
+    /// Whether the server's process has ended, after a response without a length or chunks during which it was watched. It may be down,
+    /// or have started anew.
+    pub(super) async fn has_process_ended(&self, process_watch: &ProcessWatch) -> bool {
         let (gateway, server) = (&self.gateway, &self.server);
-        let state = async {
-            match &self.process_watch {
-                Some(watch) => watch.state().await,
-                None => ProcessState::Unknown,
-            }
-        };
-        let (state, check) = join(state, gateway.check_server(server)).await;
+        let (state, check) = join(process_watch.state(), gateway.check_server(server)).await;
         if check == ServerCheck::Down || state == ProcessState::Down {
             return true;
         }
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -269,16 +269,17 @@
     if !is_former_route && !is_submission() {
         return no_route(config, host, path);
     }
+    let is_public = {
+        let former_routes = gateway.former_routes.borrow();
+        match is_former_route {
+            true => former_routes.is_public(host, path),
+            false => former_routes.job_calls_are_public(config, host),
+        }
+    };
     let access = Access {
         caller_address,
         route: "",
-        is_public: match is_former_route {
-            true => gateway.former_routes.borrow().is_public(host, path),
-            false => gateway
-                .former_routes
-                .borrow()
-                .job_calls_are_public(config, host),
-        },
+        is_public,
     };
     match authenticate_request(gateway, config, &head.headers, access) {
         Ok(authentication) => {
--- a/bamboo-gateway/src/traffic/stream_runs.rs
+++ b/bamboo-gateway/src/traffic/stream_runs.rs
@@ -24,7 +24,6 @@
 use crate::traffic::overlap::or_pending;
 use crate::traffic::response::UNFOUNDED_REFUSAL;
 use crate::traffic::response::is_unfounded_refusal;
-use crate::traffic::response::log_unfounded_refusal;
 use crate::traffic::response::pass_on;
 use crate::traffic::response::run_outcome;
 use crate::traffic::serve::StreamProgress;
@@ -420,10 +419,12 @@
             OpenError::Answered(head, bytes) => {
                 metrics.count_run("answered");
                 run.slot.set_outcome(run_outcome(head.status));
-                let caller = self.request.caller;
-                if is_unfounded_refusal(head.status, is_resumable(caller)) {
-                    log_unfounded_refusal(&caller.id, &run.slot.server.id, head.status);
-                    metrics.count_run(UNFOUNDED_REFUSAL);
+                let StreamRequest {
+                    gateway, caller, ..
+                } = self.request;
+                let (id, server, may_repeat) =
+                    (&caller.id, &run.slot.server.id, is_resumable(caller));
+                if is_unfounded_refusal(gateway, id, server, head.status, may_repeat) {
                     self.attempts.may_have_run = true;
                     return Step::fail(RunError::Unknown(UNFOUNDED_REFUSAL));
                 }
--- a/bamboo-relay/src/pages.rs
+++ b/bamboo-relay/src/pages.rs
@@ -43,18 +43,10 @@
         let Some(last_key) = last_key else {
             return PageStep::Stuck;
         };
-        let past_unreadable = || key_past_unreadable(last_key);
-        let candidates = std::iter::once(last_key.to_owned());
-        let unused = candidates
-            .chain(std::iter::once_with(past_unreadable).flatten())
-            .find(|key| !self.followed.contains(key));
-        match unused {
-            Some(key) => {
-                self.followed.insert(key.clone());
-                PageStep::ReadAfter(key)
-            }
-            None => PageStep::Stuck,
-        }
+        let candidates = [Some(last_key.to_owned()), key_past_unreadable(last_key)];
+        let mut candidates = candidates.into_iter().flatten();
+        let unused = candidates.find(|key| self.followed.insert(key.clone()));
+        unused.map_or(PageStep::Stuck, PageStep::ReadAfter)
     }
 }
 
