fix(gateway): bound what a submission is decoded to, here and at its owner

What callers saw: one submission of 4 MB, legal in size, took 70 MB of 64 before it got 413; twenty 79 MB, and 78 MB at the host that another one passed them on to. A process ends of a single request.

Cause: a submission reserved twice its body, but a text of a few bytes takes an allocation and an entry of a table once decoded. The number of items and the size of an append were checked afterwards. The owner of a shard decoded what others passed on without a reservation, and a submission went on without one once its caller had left.

Evidence: 330,000 headers in one item of one job show it; base64 bodies of the same size do not (31 to 35 MB).

A submission reserves three times its body and 96 bytes for each text that may still be decoded, for as long as it goes on, at the owner, too. Without room: 503, and 429 from the owner, since 503 would send the job to the store. A job that is known as accepted is answered without room.

--- a/bamboo-gateway/src/dialect.rs
+++ b/bamboo-gateway/src/dialect.rs
@@ -106,6 +106,8 @@
     pub decode_prompt_parts: fn(&HeaderMap) -> Vec<PromptPartId>,
     /// Decodes the items in the body of a job submission.
     pub decode_job_items: fn(&[u8]) -> anyhow::Result<Vec<ItemRecord>>,
+    /// Texts in the body of a job submission at most. Decoding fails at more.
+    pub job_texts_max: usize,
     /// Encodes a page of results.
     pub encode_results_page: fn(&JobRecord, &ResultPage) -> anyhow::Result<Vec<u8>>,
     /// Decodes a configuration.
--- a/bamboo-gateway/src/gateway/peers.rs
+++ b/bamboo-gateway/src/gateway/peers.rs
@@ -563,7 +563,7 @@
                     workspace: None,
                 };
                 let caller = self.caller_without_workspace(sender);
-                self.jobs.submit_as_owner(self, &submission, &caller).await
+                self.jobs.submit_for_host(self, &submission, &caller).await
             }
             PeerRequest::SubmitFor {
                 workspace,
@@ -580,7 +580,7 @@
                     workspace: Some(workspace.clone()),
                 };
                 let caller = JobCaller::Workspace(workspace);
-                self.jobs.submit_as_owner(self, &submission, &caller).await
+                self.jobs.submit_for_host(self, &submission, &caller).await
             }
             PeerRequest::Job(call) => {
                 let caller = self.caller_without_workspace(sender);
--- a/bamboo-gateway/src/jobs.rs
+++ b/bamboo-gateway/src/jobs.rs
@@ -40,6 +40,7 @@
 #[derive(Default)]
 pub(crate) struct JobShards {
     shards: RefCell<BTreeMap<Partition, Rc<OwnedShard>>>,
+pub(crate) use submit::reserve_submission;
     has_joined: Cell<bool>,
     /// By the clock that also counts the time for which the machine is suspended.
     membership_expires_at: Cell<Duration>,
--- a/bamboo-gateway/src/jobs/submit.rs
+++ b/bamboo-gateway/src/jobs/submit.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bamboo_fleet::BufferReservation;
 use bamboo_fleet::RouteKind;
 use bamboo_shards::JobAccess;
 use bamboo_shards::JobCaller;
@@ -38,6 +39,10 @@
 const SUBMIT_TIMEOUT: Duration = Duration::from_millis(2400);
 /// How long appends may have been failing before submissions are refused without an attempt.
 const STORE_FAILURE_MAX: Duration = Duration::from_millis(400);
+/// Copies of a submission that exist besides its body: the decoded items, and the records or the message made of them.
+const SUBMISSION_COPIES: usize = 3;
+/// Memory that a text of a submission takes once decoded, besides its characters.
+const DECODED_TEXT_BYTES: usize = 96;
 /// Timeout of a request to the coordinator to reserve queue capacity.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -46,6 +51,22 @@
     http_reply(StatusCode::GATEWAY_TIMEOUT, Vec::new())
 }
 
+/// Reply to a submission for which there is no memory. Unlike 503, it does not have the host that passed the job on submit it to
+/// the store.
+fn no_memory(gateway: &Gateway, reason: &'static str) -> PeerReply {
+    gateway.turn_away(reason);
+    http_reply(StatusCode::TOO_MANY_REQUESTS, Vec::new())
+}
+
+/// Reserves memory for what a submission with this body is decoded to, and for its copies. Returns `None` if there is none.
+pub(crate) fn reserve_submission(gateway: &Gateway, body: &[u8]) -> Option<BufferReservation> {
+    let texts = body.iter().filter(|byte| **byte == b'"').count() / 2;
+    let texts = texts.min(gateway.dialect.job_texts_max);
+    let copies = body.len().saturating_mul(SUBMISSION_COPIES);
+    let bytes = copies.saturating_add(texts.saturating_mul(DECODED_TEXT_BYTES));
+    gateway.caller_bodies.reserve(bytes)
+}
+
 /// Whether the reply guarantees that the call had no effect and may be retried.
 fn is_refusal(reply: &PeerReply) -> bool {
     let refusals = [
@@ -94,7 +115,9 @@
 }
 
 impl JobShards {
-    /// Submits a job for a caller. It belongs to the workspace of the caller, if any.
+    /// Submits a job for a caller. It belongs to the workspace of the caller, if any. `copies` is the memory that is reserved for
+    /// its copies.
+    #[expect(clippy::too_many_arguments)]
     pub(crate) async fn submit(
         &self,
         gateway: &Rc<Gateway>,
@@ -103,6 +126,7 @@
         path: &str,
         workspace: Option<WorkspaceId>,
         body: Bytes,
+        copies: Option<BufferReservation>,
     ) -> Response<ResponseBody> {
         let partition = self.partition_of(gateway, job);
         let started = gateway.clock.now();
@@ -118,8 +142,10 @@
             };
             actix_rt::spawn(async move {
                 let jobs = &gateway.jobs;
-                jobs.route_submission(&gateway, partition, &submission)
-                    .await
+                let routed = jobs.route_submission(&gateway, partition, &submission);
+                let reply = routed.await;
+                drop(copies);
+                reply
             })
         };
         let (reply, via) = submission.await.unwrap_or_else(|error| {
@@ -212,8 +238,29 @@
         }
     }
 
+    /// Submits a job for another host as the owner of its shard.
+    pub(crate) async fn submit_for_host(
+        &self,
+        gateway: &Rc<Gateway>,
+        submission: &JobSubmission,
+        caller: &JobCaller,
+    ) -> PeerReply {
+        // One that was accepted before is not decoded.
+        let copies = reserve_submission(gateway, &submission.body);
+        if copies.is_none() && !self.has_accepted(gateway, &submission.job) {
+            return no_memory(gateway, "job_buffers_full");
+        }
+        self.submit_as_owner(gateway, submission, caller).await
+    }
+
+    /// Whether this host owns the shard of a job and knows that it was accepted.
+    pub(crate) fn has_accepted(&self, gateway: &Gateway, job: &str) -> bool {
+        let shard = self.shard(self.partition_of(gateway, job));
+        shard.is_some_and(|shard| shard.is_open() && shard.state.borrow().job(job).is_some())
+    }
+
     /// Submits a job as the owner of its shard.
-    pub(crate) async fn submit_as_owner(
+    async fn submit_as_owner(
         &self,
         gateway: &Rc<Gateway>,
         submission: &JobSubmission,
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -24,6 +24,7 @@
 
 use crate::gateway::Gateway;
 use crate::gateway::Phase;
+use crate::jobs::reserve_submission;
 use crate::metrics::RequestLabels;
 use crate::request_log::LineClass;
 use crate::response_body::ResponseBody;
@@ -50,8 +51,6 @@
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Timeout for reading the body, counted from the headers.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Copies of a submission that exist besides its body: the decoded items, and the records or the message made of them.
-const JOB_COPIES: usize = 2;
 
 /// Reason in the log of a request that is rejected because this host stops.
 pub(crate) const STOPPING: &str = "stopping";
@@ -134,13 +133,11 @@
         Err(response) => return response,
     };
     if route.is_batch() {
-        let Some(_copies) = gateway
-            .caller_bodies
-            .reserve(body.len().saturating_mul(JOB_COPIES))
-        else {
+        let copies = reserve_submission(gateway, &body);
+        if copies.is_none() && !gateway.jobs.has_accepted(gateway, &id) {
             gateway.turn_away("job_buffers_full");
             return not_run("no memory for the job\n", BUFFERS_FULL_RETRY_AFTER);
-        };
+        }
         if head.method != Method::POST {
             return text_response(
                 StatusCode::METHOD_NOT_ALLOWED,
@@ -152,7 +149,7 @@
         progress.begin_attempt();
         return gateway
             .jobs
-            .submit(gateway, &id, &host, &path, workspace, body)
+            .submit(gateway, &id, &host, &path, workspace, body, copies)
             .await;
     }
     let deadline = deadline_header(gateway, &head.headers);
@@ -265,6 +262,10 @@
         Ok(body) => body,
         Err(response) => return response,
     };
+    let Some(_copies) = reserve_submission(gateway, &body) else {
+        gateway.turn_away("job_buffers_full");
+        return not_run("no memory for the job\n", BUFFERS_FULL_RETRY_AFTER);
+    };
     let is_submission = || (gateway.dialect.decode_job_items)(&body).is_ok();
     if !is_former_route && !is_submission() {
         return no_route(config, host, path);
