fix(gateway): reserve memory for jobs before they are accepted, and keep their contents in the store

What callers saw: crowds of finished legal jobs, all answered 202, until the process ended; then the next owner of the shards ended of reading them back. 2,400 jobs of 27 kB take 153 MB of 64, 240 jobs with 200 items 823 MB.

Cause: bodies counted while they were read, accepted jobs nowhere. Each item held its body twice, its headers twice and a task of 17 kB with a slot request; texts of results stayed for 120 s after the end of the job. Tokens are the caller's figure and max_queued 0 is no limit.

Ruled out: the same crowds unfinished (45 to 54 MB), copies of appends (17 to 21 MB with the store away).

Fix: the index of a job is reserved by what it takes before the 202, per host and shard; without room it gets 429, and one that was accepted before still 202. Bodies and texts stay in memory while they fit and are read from the store otherwise. An item takes a task and a slot request only in one of a bounded number of places, by due time, and gives its place away after 5 s without a run. A shard that does not fit is opened later. Submissions through the store are bounded per shard.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -275,7 +275,7 @@
             servers_end: tokio::sync::Mutex::new(None),
             versions_recalled: tokio::sync::Mutex::new(None),
             servers_known: Notify::new(),
-            jobs: JobShards::default(),
+            jobs: JobShards::new(&limits),
             metrics,
             phase,
             stop_began_at: Cell::new(None),
--- a/bamboo-gateway/src/gateway/store_calls.rs
+++ b/bamboo-gateway/src/gateway/store_calls.rs
@@ -167,7 +167,7 @@
         host: &HostId,
         request: &StoreRequest,
     ) -> Result<StoreReply, StoreError> {
-        let relayed = PeerRequest::Store(request.clone());
+        let relayed = PeerRequest::Store(request.for_relay());
         let timeout = match request.is_bulk() {
             true => BULK_RELAY_TIMEOUT,
             false => RELAY_TIMEOUT,
--- a/bamboo-gateway/src/jobs/append.rs
+++ b/bamboo-gateway/src/jobs/append.rs
@@ -5,9 +5,13 @@
 
 use bamboo_shards::JobAge;
 use bamboo_shards::Record;
+use bamboo_shards::RecordLocation;
+use bamboo_shards::RecordTopic;
 use bamboo_shards::ShardChange;
+use bamboo_shards::StoredRecord;
 use bamboo_shards::record_max_bytes;
 use bamboo_shards::split_record;
+use bamboo_types::Offset;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesOrdered;
 
@@ -72,8 +76,10 @@
         let mut queue = self.queue.borrow_mut();
         let mut batch = Vec::new();
         let mut size_bytes = 0;
-        while let Some(pending) = queue.front() {
-            let needed_bytes = append_bytes(&self.fragments(pending, store));
+        while let Some(pending) = queue.front_mut() {
+            let fragments = self.fragments(pending, store);
+            pending.fragments = fragments.len();
+            let needed_bytes = append_bytes(&fragments);
             if needed_bytes > store.append_max_bytes {
                 log::error!(
                     event = "record_too_large", partition = self.partition, bytes = needed_bytes;
@@ -228,10 +234,10 @@
         shard.is_appending.set(!in_flight.is_empty());
         tokio::select! {
             Some((reply, batch)) = in_flight.next(), if !in_flight.is_empty() => match reply {
-                StoreReply::Appended { end, .. } => {
+                StoreReply::Appended { offset, end } => {
                     shard.has_appended.set(true);
                     shard.end_offset.set(shard.end_offset.get().max(end));
-                    apply_batch(gateway, shard, batch);
+                    apply_batch(gateway, shard, offset, batch);
                 }
                 reply => {
                     lose_to_rejection(shard, &reply);
@@ -265,9 +271,24 @@
 }
 
 /// Applies stored records to the shard's state and notifies their waiters.
-fn apply_batch(gateway: &Rc<Gateway>, shard: &Rc<OwnedShard>, batch: Vec<PendingRecord>) {
+fn apply_batch(
+    gateway: &Rc<Gateway>,
+    shard: &Rc<OwnedShard>,
+    mut offset: Offset,
+    batch: Vec<PendingRecord>,
+) {
     for pending in batch {
-        let applied = shard.state.borrow_mut().apply(pending.record);
+        let location = RecordLocation {
+            topic: RecordTopic::Shard,
+            first: offset,
+            fragments: pending.fragments,
+        };
+        offset += pending.fragments as u64;
+        let applied = shard.state.borrow_mut().apply_stored(StoredRecord {
+            record: pending.record,
+            location: Some(location),
+            index: pending.index,
+        });
         match &applied {
             ShardChange::JobAccepted(job) => {
                 let age = JobAge::accepted(gateway.clock.now());
--- a/bamboo-gateway/src/jobs/calls.rs
+++ b/bamboo-gateway/src/jobs/calls.rs
@@ -22,6 +22,10 @@
 use crate::jobs::shard::OwnedShard;
 use crate::jobs::shard::has_latest_records;
 use crate::jobs::submit::submitted_again;
+use crate::jobs::stored::ContentsError;
+use crate::jobs::stored::LoadedPage;
+use crate::jobs::stored::item_body;
+use crate::jobs::stored::load_results;
 use crate::jobs::submitted::ReadOutcome;
 use crate::jobs::submitted::read_submitted;
 use crate::mesh::PeerReply;
@@ -69,10 +73,15 @@
 
 /// Encodes the results from position `after` on, as many as fit into a page. How long their text is in a page depends on its
 /// characters. A result that is larger than a page gets one of its own.
-fn encode_page(gateway: &Gateway, job: &Job, after: usize) -> anyhow::Result<Vec<u8>> {
+fn encode_page(
+    gateway: &Gateway,
+    job: &Job,
+    after: usize,
+    loaded: &LoadedPage,
+) -> anyhow::Result<Vec<u8>> {
     let mut text_max_bytes = PAGE_TEXT_BYTES;
     loop {
-        let page = job.page(after, text_max_bytes);
+        let page = job.page(after, text_max_bytes, &loaded.results);
         let body = (gateway.dialect.encode_results_page)(&job.record, &page)?;
         if body.len() <= PAGE_MAX_BYTES || page.results.len() <= 1 {
             return Ok(body);
@@ -218,7 +227,7 @@
             JobCall::Read { job, after, wait } => {
                 self.read_results(gateway, &shard, &job, after, wait).await
             }
-            JobCall::ItemBody { job, item } => self.item_body(&shard, &job, &item),
+            JobCall::ItemBody { job, item } => self.item_body(gateway, &shard, &job, &item).await,
             JobCall::Cancel { job } => self.cancel(&shard, &job).await,
         }
     }
@@ -289,7 +298,10 @@
                 {
                     return unavailable();
                 }
-                is_ready.then(|| encode_page(gateway, found, after))
+                is_ready.then(|| match &loaded {
+                    Some(loaded) => encode_page(gateway, found, after, loaded),
+                    None => encode_page(gateway, found, after, &LoadedPage::default()),
+                })
             };
             match encoded_page {
                 Some(Ok(body)) => return http_reply(StatusCode::OK, body),
@@ -305,19 +317,38 @@
                 }
             }
         }
+        let mut loaded: Option<LoadedPage> = None;
     }
 
-    fn item_body(&self, shard: &OwnedShard, job: &str, item: &str) -> PeerReply {
-        let state = shard.state.borrow();
-        let Some(found) = state.job(job) else {
+            let stored = match shard.state.borrow().job(job) {
+                Some(found) if loaded.is_none() => found.stored_results(after, PAGE_TEXT_BYTES),
+                _ => Vec::new(),
+            };
+            if !stored.is_empty() {
+                loaded = match load_results(gateway, shard, stored).await {
+                    Ok(page) => Some(page),
+                    Err(_) => return unavailable(),
+                };
+                continue;
+            }
+    async fn item_body(
+        &self,
+        gateway: &Gateway,
+        shard: &OwnedShard,
+        job: &str,
+        item: &str,
+    ) -> PeerReply {
+        let index = shard.state.borrow().job(job).and_then(|found| {
+            let index = found.find_item(item)?;
+            (!found.has_result(index) && !found.is_cancelled()).then_some(index)
+        });
+        let Some(index) = index else {
             return not_found();
         };
-        match found.find_item(item) {
-            Some(index) if !found.has_result(index) && !found.is_cancelled() => http_reply(
-                StatusCode::OK,
-                found.record.items[index as usize].body.clone(),
-            ),
-            _ => not_found(),
+        match item_body(gateway, shard, job, index).await {
+            Ok(body) => http_reply(StatusCode::OK, body.to_vec()),
+            Err(ContentsError::Unknown) => not_found(),
+            Err(ContentsError::NoMemory | ContentsError::NotRead) => unavailable(),
         }
     }
 
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bamboo_fleet::EventCheck;
@@ -39,6 +40,8 @@
 use crate::jobs::item_waits::wait_until_obsolete;
 use crate::jobs::shard::OwnedShard;
 use crate::jobs::shard::SharedRun;
+use crate::jobs::stored::item_body;
+use crate::jobs::waiting_items::WaitingItem;
 use crate::slot_requests::Slot;
 use crate::slot_requests::SlotError;
 use crate::slot_requests::acquire_slot;
@@ -73,6 +76,10 @@
 const EVENT_INTERVAL_INITIAL: Duration = Duration::from_millis(25);
 /// Minimum weight of a new item in the moving averages. The first items have more weight.
 const MEAN_WEIGHT_MIN: f64 = 0.05;
+/// Time after which an item that has not run gives its place to another one, if one waits.
+const PLACE_WAIT_MAX: Duration = Duration::from_secs(5);
+/// Interval at which an item checks whether it is to give its place to another one.
+const PLACE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which an item keeps its turn while it waits for a slot.
 const TURN_WAIT_MAX: Duration = Duration::from_secs(1);
 /// Pause before an item whose task panicked is begun anew.
@@ -144,21 +151,84 @@
     JobAge::replayed(job.submitted_at_ms, clock.unix_ms(), clock.now())
 }
 
-/// Starts the items of a job that have no result.
+/// Has the items of a job run that have no result, each once there is a place for it.
 pub(super) fn start_job(gateway: &Rc<Gateway>, shard: &Rc<OwnedShard>, id: &str, age: JobAge) {
     let state = shard.state.borrow();
     let Some(job) = state.job(id).filter(|job| !job.is_cancelled()) else {
         return;
     };
+    let now = gateway.clock.now();
+    let completion_target = Duration::from_millis(job.record.completion_target_ms);
+    let due = (now + completion_target).saturating_sub(age.estimate(now));
+    let id: Rc<str> = id.into();
     for item in job.open_items() {
-        let (gateway, owned, job) = (Rc::clone(gateway), Rc::clone(shard), Rc::clone(&job.record));
+        let job = Rc::clone(&id);
+        shard.waiting.add(due, WaitingItem { job, item, age });
+    }
+}
+
+/// Runs the items of a shard that wait, as places become free, until the shard is lost.
+pub(super) async fn run_waiting_items(gateway: &Rc<Gateway>, shard: &Rc<OwnedShard>) {
+    while !shard.is_lost() {
+        if !shard.waiting.has_any() {
+            shard.waiting.changed().await;
+            continue;
+        }
+        let places = Arc::clone(&gateway.jobs.item_places);
+        let Ok(place) = places.acquire_owned().await else {
+            return;
+        };
+        let Some(waiting) = shard.waiting.take_next() else {
+            continue;
+        };
+        let WaitingItem { job, item, age } = waiting;
+        let record = shard
+            .state
+            .borrow()
+            .job(&job)
+            .filter(|job| !job.is_cancelled())
+            .map(|job| Rc::clone(&job.record));
+        let Some(record) = record else { continue };
+        let (gateway, owned) = (Rc::clone(gateway), Rc::clone(shard));
         shard.add_task(OwnedTask::spawn(async move {
-            let run = || run_item(&gateway, &owned, &job, item, age);
+            let run = || run_item(&gateway, &owned, &record, item, age);
             run_despite_panics("item", PANIC_PAUSE, run).await;
+            drop(place);
         }));
     }
 }
 
+/// Returns once an item that has held its place since `placed_at` without running is to give it to another one.
+async fn wait_to_give_way(gateway: &Gateway, placed_at: Duration) {
+    while !gives_way(gateway, placed_at) {
+        actix_rt::time::sleep(PLACE_CHECK_INTERVAL).await;
+    }
+}
+
+fn gives_way(gateway: &Gateway, placed_at: Duration) -> bool {
+    let held_for = gateway.clock.now().saturating_sub(placed_at);
+    held_for >= PLACE_WAIT_MAX
+        && gateway.jobs.item_places.available_permits() == 0
+        && gateway.jobs.has_waiting_items()
+}
+
+/// Has an item wait for a place again, behind those that are due by the time that a new job would be.
+fn give_way(
+    gateway: &Gateway,
+    shard: &OwnedShard,
+    job: &JobRecord,
+    item: ItemIndex,
+    age: JobAge,
+    run: &SharedRun,
+) {
+    if run.borrow().is_new() {
+        shard.remove_run(&job.id, item);
+    }
+    let due = gateway.clock.now() + Duration::from_millis(job.completion_target_ms);
+    let job = job.id.as_str().into();
+    shard.waiting.add(due, WaitingItem { job, item, age });
+}
+
 /// Whether an item can run, and if not, why.
 enum ItemStatus {
     Runnable {
@@ -253,6 +323,7 @@
     let run = shard.shared_run(&job.id, item);
     let mut excluded: Vec<BackendServerId> = Vec::new();
     let mut request = engine_request(gateway, job, item);
+    let mut placed_at = gateway.clock.now();
     let mut route_missing_since = None;
     let mut fruitless_attempts = 0;
     let mut silent_in_a_row = 0;
@@ -268,7 +339,6 @@
         let is_route_missing = route_missing_since
             .is_some_and(|since| now.saturating_sub(since) >= ROUTE_MISSING_TIMEOUT);
         let (service, due_in) = match status {
-            ItemStatus::Runnable { service, due_in } => (service, due_in),
             ItemStatus::Closed => return shard.remove_run(&job.id, item),
             ItemStatus::NoRoute if is_route_missing => {
                 return record_result(gateway, shard, job, item, &run, ResultState::DeadLetter);
@@ -276,10 +346,14 @@
             ItemStatus::Expired => {
                 return record_result(gateway, shard, job, item, &run, ResultState::DeadLetter);
             }
+            _ if gives_way(gateway, placed_at) => {
+                return give_way(gateway, shard, job, item, age, &run);
+            }
             ItemStatus::NoRoute | ItemStatus::NoConfig => {
                 actix_rt::time::sleep(RETRY_PAUSE).await;
                 continue;
             }
+            ItemStatus::Runnable { service, due_in } => (service, due_in),
         };
         if origin
             .as_ref()
@@ -295,6 +369,7 @@
         let turn = tokio::select! {
             turn = turn => turn,
             () = wait_until_obsolete(&may_run) => continue,
+            () = wait_to_give_way(gateway, placed_at) => continue,
         };
         let work = Work::Batch {
             due: gateway.clock.now() + due_in,
@@ -317,6 +392,7 @@
         let acquired = tokio::select! {
             acquired = acquired => acquired,
             () = wait_until_obsolete(&may_run) => continue,
+            () = wait_to_give_way(gateway, placed_at) => continue,
             // Others that wait for the turn may need a server of another version.
             () = actix_rt::time::sleep(TURN_WAIT_MAX), if turn.is_some() => continue,
         };
@@ -335,6 +411,14 @@
         if !may_run() {
             continue;
         }
+        request.body = match item_body(gateway, shard, &job.id, item).await {
+            Ok(body) => body,
+            Err(_) => {
+                drop(slot);
+                actix_rt::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+        };
         set_workspace(gateway, job, &mut request.headers);
         let server = slot.server.id.clone();
         let (started_at, events_before) = (gateway.clock.now(), run.borrow().event_count());
@@ -345,7 +429,11 @@
             first_event_timeout: FIRST_EVENT_TIMEOUT * 2_u32.pow(doublings),
             deadline: started_at + retention_left,
         };
-        let (end, outcome) = run_attempt(gateway, shard, job, &slot, &request, &run, limits).await;
+        let attempt = run_attempt(gateway, shard, job, &slot, &request, &run, limits);
+        // On the heap, so that items that wait take less memory.
+        let (end, outcome) = Box::pin(attempt).await;
+        request.body = Bytes::new();
+        placed_at = gateway.clock.now();
         slot.set_outcome(outcome);
         drop(slot);
         if !matches!(outcome, RunOutcome::Done | RunOutcome::Cancelled) {
@@ -553,7 +641,8 @@
         method: Method::POST,
         target: item.path.clone(),
         headers,
-        body: Bytes::from(item.body.clone()),
+        // Filled in for each attempt.
+        body: Bytes::new(),
         is_retryable: true,
         suspects: shared_part_suspects(&parts).collect(),
         content: None,
--- a/bamboo-gateway/src/jobs/ownership.rs
+++ b/bamboo-gateway/src/jobs/ownership.rs
@@ -130,9 +130,14 @@
 
 fn open_assigned(gateway: &Rc<Gateway>, generation: u64, assigned: BTreeSet<Partition>) {
     let mut shards = gateway.jobs.shards.borrow_mut();
+    let now = gateway.clock.now();
     for partition in assigned {
+        if gateway.jobs.is_deferred(partition, now) {
+            continue;
+        }
         shards.entry(partition).or_insert_with(|| {
-            let shard = OwnedShard::new(partition, gateway.jobs.next_epoch(generation));
+            let epoch = gateway.jobs.next_epoch(generation);
+            let shard = OwnedShard::new(partition, epoch, gateway.jobs.memory.clone());
             let (gateway, served) = (Rc::clone(gateway), Rc::clone(&shard));
             shard.add_task(OwnedTask::spawn(async move {
                 let served_shard = serve_shard(gateway, Rc::clone(&served));
--- a/bamboo-gateway/src/jobs/shard.rs
+++ b/bamboo-gateway/src/jobs/shard.rs
@@ -8,11 +8,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bamboo_shards::FragmentAssembler;
+use bamboo_shards::IndexReservation;
 use bamboo_shards::ItemProgress;
 use bamboo_shards::ItemRun;
+use bamboo_shards::JobMemory;
+use bamboo_shards::JobRecord;
 use bamboo_shards::Record;
+use bamboo_shards::RecordTopic;
 use bamboo_shards::Shard;
+use bamboo_shards::StoredRecord;
 use bamboo_types::ItemIndex;
 use bamboo_types::Offset;
 use tokio::sync::Notify;
@@ -23,10 +27,13 @@
 use crate::jobs::append::run_appends;
 use crate::jobs::append::storable_record_max_bytes;
 use crate::jobs::items;
+use crate::jobs::items::run_waiting_items;
+use crate::jobs::stored::RecordReader;
 use crate::jobs::submitted::ReadOutcome;
 use crate::jobs::submitted::SubmittedCursor;
 use crate::jobs::submitted::follow_submitted;
 use crate::jobs::submitted::read_submitted;
+use crate::jobs::waiting_items::WaitingItems;
 use crate::settings::StoreSettings;
 use crate::store::Partition;
 use crate::store::ReadExtent;
@@ -64,6 +71,10 @@
 pub(super) struct PendingRecord {
     pub(super) record_id: u64,
     pub(super) record: Record,
+    /// Room for the index of the job that it accepts, if any.
+    pub(super) index: Option<IndexReservation>,
+    /// Number of its fragments, known once it is part of an append.
+    pub(super) fragments: usize,
     pub(super) waiter: Option<oneshot::Sender<AppendOutcome>>,
 }
 
@@ -89,18 +100,20 @@
     pub(super) state_changed: Notify,
     tasks: RefCell<Vec<OwnedTask>>,
     runs: RefCell<BTreeMap<(String, ItemIndex), SharedRun>>,
+    /// Items that do not run yet.
+    pub(super) waiting: WaitingItems,
     pub(super) submitted: SubmittedCursor,
     /// Identifiers of records whose waiters timed out after the records had entered an append.
     pub(super) withdrawn: RefCell<BTreeSet<u64>>,
 }
 
 impl OwnedShard {
-    pub(super) fn new(partition: Partition, epoch: u64) -> Rc<Self> {
+    pub(super) fn new(partition: Partition, epoch: u64, memory: JobMemory) -> Rc<Self> {
         Rc::new(OwnedShard {
             partition,
             epoch: Cell::new(epoch),
             claim_epoch: Cell::new(None),
-            state: RefCell::new(Shard::default()),
+            state: RefCell::new(Shard::new(memory)),
             is_open: Cell::new(false),
             is_lost: Cell::new(false),
             queue: RefCell::new(VecDeque::new()),
@@ -113,6 +126,7 @@
             state_changed: Notify::new(),
             tasks: RefCell::new(Vec::new()),
             runs: RefCell::new(BTreeMap::new()),
+            waiting: WaitingItems::default(),
             submitted: SubmittedCursor::default(),
             withdrawn: RefCell::default(),
         })
@@ -169,6 +183,7 @@
     /// Marks the shard as lost, stops its tasks and discards queued records.
     pub(super) fn close(&self) {
         self.is_lost.set(true);
+        self.waiting.stop();
         self.tasks.borrow_mut().clear();
         self.queue.borrow_mut().clear();
         self.state_changed.notify_waiters();
@@ -177,6 +192,7 @@
 
     /// Stops the running items and records their progress. Appends continue.
     pub(super) fn stop_items(&self, store: &StoreSettings) {
+        self.waiting.stop();
         // The first task runs `serve_shard`, which performs the appends.
         self.tasks.borrow_mut().truncate(1);
         self.record_progress(store);
@@ -219,14 +235,34 @@
 
     /// Queues a record without waiting until it is stored.
     pub(super) fn append(&self, record: Record) {
-        self.enqueue(record, None);
+        self.enqueue(record, None, None);
+    }
+
+    /// Queues the acceptance of a job, for whose index there is room, like [`append_and_wait`](Self::append_and_wait).
+    pub(super) async fn accept_and_wait(
+        &self,
+        job: Rc<JobRecord>,
+        index: IndexReservation,
+        timeout: Duration,
+    ) -> AppendOutcome {
+        let record = Record::Accepted(job);
+        self.enqueue_and_wait(record, Some(index), timeout).await
     }
 
     /// Queues a record and waits until it is stored. After `timeout` the record is withdrawn, unless it may have been
     /// stored already.
     pub(super) async fn append_and_wait(&self, record: Record, timeout: Duration) -> AppendOutcome {
+        self.enqueue_and_wait(record, None, timeout).await
+    }
+
+    async fn enqueue_and_wait(
+        &self,
+        record: Record,
+        index: Option<IndexReservation>,
+        timeout: Duration,
+    ) -> AppendOutcome {
         let (waiter, mut stored) = oneshot::channel();
-        let record_id = self.enqueue(record, Some(waiter));
+        let record_id = self.enqueue(record, index, Some(waiter));
         if let Ok(stored) = tokio::time::timeout(timeout, &mut stored).await {
             return stored.unwrap_or(AppendOutcome::Unknown);
         }
@@ -242,12 +278,19 @@
         }
     }
 
-    fn enqueue(&self, record: Record, waiter: Option<oneshot::Sender<AppendOutcome>>) -> u64 {
+    fn enqueue(
+        &self,
+        record: Record,
+        index: Option<IndexReservation>,
+        waiter: Option<oneshot::Sender<AppendOutcome>>,
+    ) -> u64 {
         let record_id = self.last_record_id.get() + 1;
         self.last_record_id.set(record_id);
         self.queue.borrow_mut().push_back(PendingRecord {
             record_id,
             record,
+            index,
+            fragments: 0,
             waiter,
         });
         self.queue_changed.notify_one();
@@ -267,8 +310,18 @@
 pub(super) async fn serve_shard(gateway: Rc<Gateway>, shard: Rc<OwnedShard>) {
     let started = gateway.clock.now();
     match open_shard(&gateway, &shard).await {
-        Ok(true) => {}
-        Ok(false) => {
+        Ok(OpenOutcome::Open) => {}
+        Ok(OpenOutcome::Lost) => {
+            shard.is_lost.set(true);
+            return;
+        }
+        Ok(OpenOutcome::NoMemory) => {
+            log::warn!(
+                event = "shard_deferred", partition = shard.partition,
+                index_bytes = gateway.jobs.memory.index_bytes();
+                "there is no memory for the jobs of a shard; it is opened later"
+            );
+            gateway.jobs.defer(shard.partition, gateway.clock.now());
             shard.is_lost.set(true);
             return;
         }
@@ -292,6 +345,7 @@
         run_appends(&gateway, &shard),
         record_progress_periodically(&gateway, &shard),
         follow_submitted(&gateway, &shard),
+        run_waiting_items(&gateway, &shard),
     );
 }
 
@@ -307,23 +361,38 @@
     }
 }
 
-/// Fences off earlier owners and replays the shard's records. Returns whether this host still owns the shard.
-async fn open_shard(gateway: &Rc<Gateway>, shard: &Rc<OwnedShard>) -> anyhow::Result<bool> {
+/// What came of opening a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OpenOutcome {
+    /// All of its records have been replayed.
+    Open,
+    /// Another host owns it.
+    Lost,
+    /// There is no memory for its jobs.
+    NoMemory,
+}
+
+/// Fences off earlier owners and replays the shard's records.
+async fn open_shard(gateway: &Rc<Gateway>, shard: &Rc<OwnedShard>) -> anyhow::Result<OpenOutcome> {
     let StoreReply::Appended { mut end, .. } = append(gateway, shard, 0, &mut Vec::new()).await
     else {
-        return Ok(false);
+        return Ok(OpenOutcome::Lost);
     };
     // Jobs that other hosts accepted are read first, because the shard's own records may contain their results.
     loop {
-        match read_submitted(gateway, shard, Duration::ZERO, ReadExtent::Backlog).await {
+        let permit = gateway.jobs.begin_bulk_read().await;
+        let read = read_submitted(gateway, shard, Duration::ZERO, ReadExtent::Backlog).await;
+        drop(permit);
+        match read {
             ReadOutcome::AtEnd => break,
             ReadOutcome::HasMore => {}
+            ReadOutcome::NoMemory => return Ok(OpenOutcome::NoMemory),
             ReadOutcome::Failed => actix_rt::time::sleep(RETRY_PAUSE).await,
         }
     }
     let mut from = 0;
     let mut is_waiting = false;
-    let mut assembler = FragmentAssembler::default();
+    let mut reader = RecordReader::new(RecordTopic::Shard);
     while from < end {
         let request = StoreRequest::Read {
             topic: JOBS_TOPIC.to_owned(),
@@ -332,6 +401,7 @@
             wait: Duration::ZERO,
             extent: ReadExtent::Backlog,
         };
+        let permit = gateway.jobs.begin_bulk_read().await;
         match gateway.store_call(&request).await {
             Ok(StoreReply::Records {
                 records,
@@ -340,6 +410,7 @@
                 end = end.max(current_end);
                 if records.is_empty() {
                     // The shard must not be opened without the rest: its jobs would be unknown.
+                    drop(permit);
                     log_replay_wait(shard, &mut is_waiting, from, end, "the read returned none");
                     actix_rt::time::sleep(RETRY_PAUSE).await;
                     continue;
@@ -348,23 +419,26 @@
                 let offsets = from..;
                 from += records.len() as u64;
                 for (offset, fragment) in offsets.zip(records) {
-                    apply_fragment(shard, &mut assembler, offset, &fragment);
+                    if !apply_fragment(shard, &mut reader, offset, &fragment) {
+                        return Ok(OpenOutcome::NoMemory);
+                    }
                 }
             }
             Ok(StoreReply::Trimmed { first }) => {
                 // Trimmed records belong to jobs whose retention has expired.
                 from = first;
-                assembler = FragmentAssembler::default();
+                reader = RecordReader::new(RecordTopic::Shard);
             }
             Ok(other) => anyhow::bail!("unexpected reply from the store: {other:?}"),
             Err(error) => {
+                drop(permit);
                 log_replay_wait(shard, &mut is_waiting, from, end, &error.to_string());
                 actix_rt::time::sleep(RETRY_PAUSE).await;
             }
         }
     }
     shard.end_offset.set(end);
-    Ok(true)
+    Ok(OpenOutcome::Open)
 }
 
 /// Logs that the records of a shard cannot be read yet, once until the next ones arrive.
@@ -384,23 +458,41 @@
 }
 
 /// Applies the record that a replayed fragment completes, if any. A record that cannot be read is skipped, so that the
-/// other jobs of the shard stay readable.
+/// other jobs of the shard stay readable. Returns `false` if there is no memory for the job that it accepts.
 fn apply_fragment(
     shard: &OwnedShard,
-    assembler: &mut FragmentAssembler,
+    reader: &mut RecordReader,
     offset: Offset,
     fragment: &[u8],
-) {
-    match Record::from_fragment(assembler, fragment) {
-        Ok(Some(record)) => {
-            shard.state.borrow_mut().apply(record);
+) -> bool {
+    let (record, location) = match reader.push(offset, fragment) {
+        Ok(Some(read)) => read,
+        Ok(None) => return true,
+        Err(error) => {
+            log::error!(
+                event = "record_unreadable", partition = shard.partition, offset;
+                "skipping a record that cannot be read: {error}"
+            );
+            return true;
         }
-        Ok(None) => {}
-        Err(error) => log::error!(
-            event = "record_unreadable", partition = shard.partition, offset;
-            "skipping a record that cannot be read: {error}"
-        ),
-    }
+    };
+    let mut state = shard.state.borrow_mut();
+    let index = match &record {
+        Record::Accepted(job) if state.job(&job.id).is_none() => {
+            let index = state.reserve_accepted(job);
+            if index.is_none() {
+                return false;
+            }
+            index
+        }
+        _ => None,
+    };
+    state.apply_stored(StoredRecord {
+        record,
+        location: Some(location),
+        index,
+    });
+    true
 }
 
 /// Whether this owner knows all stored records of the shard. The store may have assigned the shard to another host
--- a/bamboo-gateway/src/jobs/submit.rs
+++ b/bamboo-gateway/src/jobs/submit.rs
@@ -219,6 +219,11 @@
             Ok(records) => records,
             Err(reply) => return reply,
         };
+        let now = gateway.clock.now();
+        let index_bytes = record.index_bytes();
+        if !self.store_submissions.admit(partition, index_bytes, now) {
+            return no_memory(gateway, "store_submissions_full");
+        }
         let tokens = record.items.iter().map(|item| item.tokens).sum();
         if let Err(reply) = self.reserve(gateway, &record, tokens).await {
             return reply;
@@ -285,14 +290,15 @@
         if shard.failing_for(gateway.clock.now()) > STORE_FAILURE_MAX {
             return unavailable();
         }
+        let Some(index) = shard.state.borrow().reserve(&record) else {
+            return no_memory(gateway, "jobs_full");
+        };
         let tokens = record.items.iter().map(|item| item.tokens).sum();
         if let Err(reply) = self.reserve(gateway, &record, tokens).await {
             return reply;
         }
         let queue = record.queue();
-        let stored = shard
-            .append_and_wait(Record::Accepted(record), STORE_TIMEOUT)
-            .await;
+        let stored = shard.accept_and_wait(record, index, STORE_TIMEOUT).await;
         self.remove_reserved(&queue, tokens);
         match stored {
             // A job that came through the store meanwhile was accepted before this one.
--- a/bamboo-gateway/src/store/request.rs
+++ b/bamboo-gateway/src/store/request.rs
@@ -91,14 +91,46 @@
         /// Generation that was received last.
         generation: u64,
     },
+    /// Reads records from an offset on that are known to exist, at most as many as have this size. Hosts of earlier releases do not
+    /// decode it.
+    ReadPart {
+        /// Topic.
+        topic: String,
+        /// Partition.
+        partition: Partition,
+        /// First offset.
+        from: Offset,
+        /// Size of the records in KiB at most.
+        max_kb: usize,
+    },
 }
 
 impl StoreRequest {
+    /// The request as hosts of all releases decode it. A part is then read with whatever follows it.
+    pub(crate) fn for_relay(&self) -> Self {
+        match self {
+            StoreRequest::ReadPart {
+                topic,
+                partition,
+                from,
+                ..
+            } => StoreRequest::Read {
+                topic: topic.clone(),
+                partition: *partition,
+                from: *from,
+                wait: Duration::ZERO,
+                extent: ReadExtent::Backlog,
+            },
+            request => request.clone(),
+        }
+    }
+
     /// Whether a retry has no further effect: the store deduplicates it, or the request changes nothing.
     pub(super) fn is_idempotent(&self) -> bool {
         match self {
             StoreRequest::Append { fence, .. } => fence.is_some(),
             StoreRequest::Read { .. }
+            | StoreRequest::ReadPart { .. }
             | StoreRequest::End { .. }
             | StoreRequest::Newest { .. }
             | StoreRequest::Join { .. }
@@ -118,7 +150,7 @@
     pub(crate) fn is_read(&self) -> bool {
         matches!(
             self,
-            StoreRequest::Read { .. } | StoreRequest::Newest { .. }
+            StoreRequest::Read { .. } | StoreRequest::ReadPart { .. } | StoreRequest::Newest { .. }
         )
     }
 
@@ -126,7 +158,7 @@
     /// retry queues another one behind them.
     pub(crate) fn is_bulk(&self) -> bool {
         match self {
-            StoreRequest::Newest { .. } => true,
+            StoreRequest::Newest { .. } | StoreRequest::ReadPart { .. } => true,
             StoreRequest::Read { extent, .. } => *extent == ReadExtent::Backlog,
             StoreRequest::Append { .. }
             | StoreRequest::End { .. }
@@ -139,7 +171,7 @@
     pub(super) fn kind(&self) -> &'static str {
         match self {
             StoreRequest::Append { .. } => "append",
-            StoreRequest::Read { .. } => "read",
+            StoreRequest::Read { .. } | StoreRequest::ReadPart { .. } => "read",
             StoreRequest::End { .. } => "end",
             StoreRequest::Newest { .. } => "newest",
             StoreRequest::Join { .. } => "join",
@@ -152,6 +184,7 @@
         match self {
             StoreRequest::Append { topic, .. }
             | StoreRequest::Read { topic, .. }
+            | StoreRequest::ReadPart { topic, .. }
             | StoreRequest::End { topic }
             | StoreRequest::Newest { topic, .. } => topic,
             StoreRequest::Join { .. } | StoreRequest::Leave { .. } => "",
--- a/bamboo-gateway/src/traffic/buffered_body.rs
+++ b/bamboo-gateway/src/traffic/buffered_body.rs
@@ -27,9 +27,18 @@
 }
 
 /// Bytes of a body, which return their share of the budget with the last reference.
-pub(super) struct BufferedBody {
-    pub(super) bytes: Vec<u8>,
-    pub(super) _reservation: BufferReservation,
+pub(crate) struct BufferedBody {
+    bytes: Vec<u8>,
+    _reservation: BufferReservation,
+}
+
+impl BufferedBody {
+    pub(crate) fn new(bytes: Vec<u8>, reservation: BufferReservation) -> Self {
+        BufferedBody {
+            bytes,
+            _reservation: reservation,
+        }
+    }
 }
 
 impl AsRef<[u8]> for BufferedBody {
@@ -61,8 +70,5 @@
         }
         bytes.extend_from_slice(&data);
     }
-    Ok(Bytes::from_owner(BufferedBody {
-        bytes,
-        _reservation: reservation,
-    }))
+    Ok(Bytes::from_owner(BufferedBody::new(bytes, reservation)))
 }
--- a/bamboo-gateway/src/traffic/caller_bodies.rs
+++ b/bamboo-gateway/src/traffic/caller_bodies.rs
@@ -110,10 +110,8 @@
             self.append(&registration, &data, whole_bytes.unwrap_or(max_bytes))?;
         }
         let held = open.held.borrow_mut().take().ok_or(BodyError::Evicted)?;
-        Ok(Bytes::from_owner(BufferedBody {
-            bytes: held.bytes,
-            _reservation: held.reservation,
-        }))
+        let whole = BufferedBody::new(held.bytes, held.reservation);
+        Ok(Bytes::from_owner(whole))
     }
 
     /// Reserves memory for what is derived from a whole body. Returns `None` if the budget is exhausted.
--- a/bamboo-shards/src/item_run.rs
+++ b/bamboo-shards/src/item_run.rs
@@ -144,6 +144,14 @@
         self.origin.as_ref().filter(|_| has_output)
     }
 
+    /// Whether nothing has happened to the item yet that another run would have to know.
+    pub fn is_new(&self) -> bool {
+        self.event_count == 0
+            && self.last_event_id.is_none()
+            && self.failed_attempts == 0
+            && !self.is_dirty
+    }
+
     /// Identifier of the last event that had one.
     pub fn last_event_id(&self) -> Option<u64> {
         self.last_event_id
--- a/bamboo-shards/src/job.rs
+++ b/bamboo-shards/src/job.rs
@@ -4,12 +4,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bamboo_fleet::BufferReservation;
 use bamboo_types::ItemIndex;
 
+use crate::IndexReservation;
 use crate::ItemProgress;
 use crate::ItemResult;
 use crate::ItemRun;
+use crate::JobMemory;
 use crate::JobRecord;
+use crate::RecordLocation;
 
 /// A page of a job's results.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -22,12 +26,70 @@
     pub next: usize,
 }
 
+/// Results by item that were read from the store.
+pub type LoadedResults = HashMap<ItemIndex, Rc<ItemResult>>;
+
+/// The result of an item.
+#[derive(Debug)]
+enum KeptResult {
+    /// It is in memory.
+    Resident {
+        result: Rc<ItemResult>,
+        _room: Option<BufferReservation>,
+    },
+    /// Only the store has its text.
+    Stored {
+        item: ItemIndex,
+        text_bytes: usize,
+        location: RecordLocation,
+    },
+}
+
+impl KeptResult {
+    /// Keeps a result in memory if there is room, or if the store has no copy.
+    fn new(result: ItemResult, memory: &JobMemory, location: Option<RecordLocation>) -> Self {
+        let room = memory.reserve_contents(result.text.len());
+        match location {
+            Some(location) if room.is_none() => KeptResult::Stored {
+                item: result.item,
+                text_bytes: result.text.len(),
+                location,
+            },
+            _ => KeptResult::Resident {
+                result: Rc::new(result),
+                _room: room,
+            },
+        }
+    }
+
+    fn text_bytes(&self) -> usize {
+        match self {
+            KeptResult::Resident { result, .. } => result.text.len(),
+            KeptResult::Stored { text_bytes, .. } => *text_bytes,
+        }
+    }
+}
+
+/// Where the bodies of a job's items are.
+#[derive(Debug)]
+enum Bodies {
+    /// In memory.
+    Resident { _room: Option<BufferReservation> },
+    /// Only in the store.
+    Stored(RecordLocation),
+    /// No longer needed.
+    Dropped,
+}
+
 /// A job and the state of its items.
 #[derive(Debug)]
 pub struct Job {
-    /// The job as it was submitted.
+    /// The job as it was submitted. Its items have no bodies if [`stored_bodies`](Self::stored_bodies) tells where they are, and
+    /// only their identifiers once the job is complete or cancelled.
     pub record: Rc<JobRecord>,
-    results: Vec<Rc<ItemResult>>,
+    bodies: Bodies,
+    index: Option<IndexReservation>,
+    results: Vec<KeptResult>,
     has_result: Vec<bool>,
     is_cancelled: bool,
     closed_since: Option<Duration>,
@@ -36,7 +98,21 @@
 }
 
 impl Job {
-    pub(crate) fn new(record: Rc<JobRecord>) -> Self {
+    /// Keeps the bodies of the items in memory if there is room, or if the store has no copy.
+    pub(crate) fn new(
+        mut record: Rc<JobRecord>,
+        index: Option<IndexReservation>,
+        memory: &JobMemory,
+        location: Option<RecordLocation>,
+    ) -> Self {
+        let room = memory.reserve_contents(record.body_bytes());
+        let bodies = match location {
+            Some(location) if room.is_none() => {
+                drop_bodies(&mut record);
+                Bodies::Stored(location)
+            }
+            _ => Bodies::Resident { _room: room },
+        };
         let has_result = vec![false; record.items.len()];
         let item_index_by_id = record
             .items
@@ -46,6 +122,8 @@
             .collect();
         Job {
             record,
+            bodies,
+            index,
             results: Vec::new(),
             has_result,
             is_cancelled: false,
@@ -56,12 +134,20 @@
     }
 
     /// Adds a result. Ignored if the item is unknown or already has one. Returns whether the result was added.
-    pub(crate) fn add_result(&mut self, result: ItemResult) -> bool {
+    pub(crate) fn add_result(
+        &mut self,
+        result: ItemResult,
+        memory: &JobMemory,
+        location: Option<RecordLocation>,
+    ) -> bool {
         match self.has_result.get_mut(result.item as usize) {
             Some(has_result) if !*has_result => {
                 *has_result = true;
                 self.runs.remove(&result.item);
-                self.results.push(Rc::new(result));
+                self.results.push(KeptResult::new(result, memory, location));
+                if self.is_complete() {
+                    self.drop_item_contents();
+                }
                 true
             }
             _ => false,
@@ -71,6 +157,43 @@
     pub(crate) fn cancel(&mut self) {
         self.is_cancelled = true;
         self.runs.clear();
+        self.drop_item_contents();
+    }
+
+    /// Drops what only items without a result need.
+    fn drop_item_contents(&mut self) {
+        for item in &mut Rc::make_mut(&mut self.record).items {
+            item.path = String::new();
+            item.headers = Vec::new();
+            item.body = Vec::new();
+        }
+        self.bodies = Bodies::Dropped;
+        if let Some(index) = &mut self.index {
+            index.shrink_to(self.record.index_bytes());
+        }
+    }
+
+    /// Where the store has the bodies of the items; `None` if they are in memory.
+    pub fn stored_bodies(&self) -> Option<RecordLocation> {
+        match self.bodies {
+            Bodies::Stored(location) => Some(location),
+            Bodies::Resident { .. } | Bodies::Dropped => None,
+        }
+    }
+
+    /// Keeps the bodies of the items of a record that was read from the store, if there is room.
+    pub(crate) fn keep_bodies(&mut self, record: &JobRecord, memory: &JobMemory) {
+        if !matches!(self.bodies, Bodies::Stored(_)) {
+            return;
+        }
+        let Some(room) = memory.reserve_contents(record.body_bytes()) else {
+            return;
+        };
+        let own = Rc::make_mut(&mut self.record);
+        for (own, read) in own.items.iter_mut().zip(&record.items) {
+            own.body.clone_from(&read.body);
+        }
+        self.bodies = Bodies::Resident { _room: Some(room) };
     }
 
     /// Applies recorded progress. Ignored once the job is cancelled or the item has a result.
@@ -138,18 +261,37 @@
         after < self.results.len()
     }
 
-    /// A page of results from position `after` on, with at most `max_bytes` of text. A larger result gets a page of its
-    /// own, so that readers always advance.
-    pub fn page(&self, after: usize, max_bytes: usize) -> ResultPage {
-        let mut results = Vec::new();
+    /// Results in the page from position `after` on with at most `max_bytes` of text, a larger one alone.
+    fn in_page(&self, after: usize, max_bytes: usize) -> &[KeptResult] {
+        let results = self.results.get(after..).unwrap_or_default();
         let mut page_bytes = 0;
-        for result in self.results.iter().skip(after) {
-            page_bytes += result.text.len();
-            if page_bytes > max_bytes && !results.is_empty() {
-                break;
-            }
-            results.push(Rc::clone(result));
-        }
+        let fits = |result: &KeptResult| {
+            page_bytes += result.text_bytes();
+            page_bytes <= max_bytes
+        };
+        let count = results.iter().map(fits).take_while(|fits| *fits).count();
+        &results[..count.max(1).min(results.len())]
+    }
+
+    /// Where the store has results of the page from position `after` on that are not in memory.
+    pub fn stored_results(&self, after: usize, max_bytes: usize) -> Vec<RecordLocation> {
+        let results = self.in_page(after, max_bytes).iter();
+        let locations = results.filter_map(|result| match result {
+            KeptResult::Stored { location, .. } => Some(*location),
+            KeptResult::Resident { .. } => None,
+        });
+        locations.collect()
+    }
+
+    /// A page of results from position `after` on, with at most `max_bytes` of text. A larger result gets a page of its
+    /// own, so that readers always advance. The page ends before a result that is neither in memory nor among the loaded ones.
+    pub fn page(&self, after: usize, max_bytes: usize, loaded: &LoadedResults) -> ResultPage {
+        let results = self.in_page(after, max_bytes).iter();
+        let results = results.map_while(|result| match result {
+            KeptResult::Resident { result, .. } => Some(Rc::clone(result)),
+            KeptResult::Stored { item, .. } => loaded.get(item).map(Rc::clone),
+        });
+        let results: Vec<Rc<ItemResult>> = results.collect();
         ResultPage {
             item_count: self.record.items.len(),
             next: after + results.len(),
@@ -157,3 +299,9 @@
         }
     }
 }
+
+fn drop_bodies(record: &mut Rc<JobRecord>) {
+    for item in &mut Rc::make_mut(record).items {
+        item.body = Vec::new();
+    }
+}
--- a/bamboo-shards/src/shard.rs
+++ b/bamboo-shards/src/shard.rs
@@ -1,14 +1,19 @@
 //! The jobs of one shard.
 
 use std::collections::HashMap;
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use bamboo_fleet::BufferBudget;
 use bamboo_types::ItemIndex;
 use bamboo_types::QueueKey;
 
+use crate::IndexReservation;
 use crate::Job;
+use crate::JobMemory;
+use crate::JobRecord;
 use crate::Record;
+use crate::RecordLocation;
 
 /// Effect of a record on the jobs of a shard.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,15 +29,65 @@
     Unchanged,
 }
 
+/// A record that the store has.
+#[derive(Debug)]
+pub struct StoredRecord {
+    /// The record.
+    pub record: Record,
+    /// Where the store has it. Without it, what the record holds stays in memory.
+    pub location: Option<RecordLocation>,
+    /// Room for the index of the job that it accepts, if any.
+    pub index: Option<IndexReservation>,
+}
+
 /// The jobs of one shard, by identifier.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Shard {
     jobs: HashMap<String, Job>,
+    memory: JobMemory,
+    index_budget: Arc<BufferBudget>,
+}
+
+impl Default for Shard {
+    fn default() -> Self {
+        Shard::new(JobMemory::default())
+    }
 }
 
 impl Shard {
-    /// Applies the next record of the shard, in the order of the store. Repeated jobs, results and cancellations are
-    /// ignored.
+    /// Creates a shard without jobs.
+    ///
+    /// ```
+    /// let shard = bamboo_shards::Shard::new(bamboo_shards::JobMemory::new(1_000, 1_000));
+    /// assert!(shard.reserve(&bamboo_shards::JobRecord::default()).is_none());
+    /// ```
+    pub fn new(memory: JobMemory) -> Self {
+        Shard {
+            jobs: HashMap::new(),
+            index_budget: memory.shard_budget(),
+            memory,
+        }
+    }
+
+    /// Reserves room for the index of a job that is about to be accepted. Returns `None` if there is no room.
+    pub fn reserve(&self, job: &JobRecord) -> Option<IndexReservation> {
+        self.memory.reserve_index(job, Some(&self.index_budget))
+    }
+
+    /// Reserves room for the index of a job that was accepted before, whatever the other jobs of the shard take. Returns `None`
+    /// if there is no room.
+    pub fn reserve_accepted(&self, job: &JobRecord) -> Option<IndexReservation> {
+        self.memory.reserve_index(job, None)
+    }
+
+    /// Keeps the bodies of the items of a job that was read from the store, if there is room.
+    pub fn keep_bodies(&mut self, job: &JobRecord) {
+        if let Some(kept) = self.jobs.get_mut(&job.id) {
+            kept.keep_bodies(job, &self.memory);
+        }
+    }
+
+    /// Applies the next record of the shard, and keeps in memory what it holds.
     ///
     /// ```
     /// let mut shard = bamboo_shards::Shard::default();
@@ -40,13 +95,30 @@
     /// assert_eq!(shard.apply(record), bamboo_shards::ShardChange::Unchanged);
     /// ```
     pub fn apply(&mut self, record: Record) -> ShardChange {
+        self.apply_stored(StoredRecord {
+            record,
+            location: None,
+            index: None,
+        })
+    }
+
+    /// Applies the next record of the shard, in the order of the store. Repeated jobs, results and cancellations are
+    /// ignored.
+    pub fn apply_stored(&mut self, stored: StoredRecord) -> ShardChange {
+        let StoredRecord {
+            record,
+            location,
+            index,
+        } = stored;
+        let memory = &self.memory;
         match record {
             Record::Accepted(record) => {
                 if self.jobs.contains_key(&record.id) {
                     return ShardChange::Unchanged;
                 }
                 let id = record.id.clone();
-                self.jobs.insert(id.clone(), Job::new(Rc::clone(&record)));
+                let job = Job::new(record, index, memory, location);
+                self.jobs.insert(id.clone(), job);
                 ShardChange::JobAccepted(id)
             }
             Record::Results { job: id, results } => {
@@ -57,7 +129,7 @@
                     .into_iter()
                     .filter_map(|result| {
                         let item = result.item;
-                        job.add_result(result).then_some(item)
+                        job.add_result(result, memory, location).then_some(item)
                     })
                     .collect();
                 match added.is_empty() {
--- a/bamboo-shards/tests/fold.rs
+++ b/bamboo-shards/tests/fold.rs
@@ -11,6 +11,7 @@
 use bamboo_shards::ItemResult;
 use bamboo_shards::ItemRun;
 use bamboo_shards::JobRecord;
+use bamboo_shards::LoadedResults;
 use bamboo_shards::Record;
 use bamboo_shards::RecordError;
 use bamboo_shards::ResultState;
@@ -54,7 +55,10 @@
 }
 
 fn texts(shard: &Shard, job: &str) -> Vec<String> {
-    let page = shard.job(job).unwrap().page(0, usize::MAX);
+    let page = shard
+        .job(job)
+        .unwrap()
+        .page(0, usize::MAX, &LoadedResults::new());
     page.results
         .iter()
         .map(|result| result.text.clone())
@@ -124,11 +128,11 @@
     shard.apply(job("j", 3));
     (0..3).for_each(|item| drop(shard.apply(result("j", item, "0123456789"))));
     let found = shard.job("j").unwrap();
-    assert_eq!(found.page(0, 1).next, 1);
-    assert_eq!(found.page(0, 20).next, 2);
-    assert_eq!(found.page(3, 20).results.len(), 0);
-    assert_eq!(found.page(1, 100).next, 3);
-    assert_eq!(found.page(0, 1).item_count, 3);
+    assert_eq!(found.page(0, 1, &LoadedResults::new()).next, 1);
+    assert_eq!(found.page(0, 20, &LoadedResults::new()).next, 2);
+    assert_eq!(found.page(3, 20, &LoadedResults::new()).results.len(), 0);
+    assert_eq!(found.page(1, 100, &LoadedResults::new()).next, 3);
+    assert_eq!(found.page(0, 1, &LoadedResults::new()).item_count, 3);
 }
 
 /// How long a closed job stays readable in these tests.
