fix(gateway): count replies about jobs until they have been sent

What callers saw: none of it; 150 connections that ask 16 times for a page of 0.9 MB and read nothing made the process take 100 MB of 64.

Cause: a page belongs to its response until the connection has taken it, and nothing counted it. The kernel's buffers take the first ones, so that one request for each connection does not show it (18 MB).

Fix: bodies of replies about jobs above 4 KiB are reserved in the memory of callers until they have been sent; without room the caller gets 503 at once.

--- a/bamboo-gateway/src/jobs/calls.rs
+++ b/bamboo-gateway/src/jobs/calls.rs
@@ -9,6 +9,7 @@
 use bamboo_shards::JobRecord;
 use bamboo_shards::Record;
 use bamboo_types::WorkspaceId;
+use bytes::Bytes;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -21,11 +22,11 @@
 use crate::jobs::shard::AppendOutcome;
 use crate::jobs::shard::OwnedShard;
 use crate::jobs::shard::has_latest_records;
-use crate::jobs::submit::submitted_again;
 use crate::jobs::stored::ContentsError;
 use crate::jobs::stored::LoadedPage;
 use crate::jobs::stored::item_body;
 use crate::jobs::stored::load_results;
+use crate::jobs::submit::submitted_again;
 use crate::jobs::submitted::ReadOutcome;
 use crate::jobs::submitted::read_submitted;
 use crate::mesh::PeerReply;
@@ -34,6 +35,7 @@
 use crate::response_body::ResponseBody;
 use crate::store::Partition;
 use crate::store::ReadExtent;
+use crate::traffic::BufferedBody;
 
 /// Timeout of a request to the owner of a shard, on top of the time that the owner itself may wait.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -90,12 +92,20 @@
     }
 }
 
-pub(super) fn to_response(reply: Option<PeerReply>) -> Response<ResponseBody> {
+/// Bodies of replies up to this size are not counted: there is at most one for each connection.
+const UNCOUNTED_REPLY_BYTES: usize = 4 << 10;
+
+/// The response to a caller. Its body counts towards the memory of callers until it has been sent.
+pub(super) fn to_response(gateway: &Gateway, reply: Option<PeerReply>) -> Response<ResponseBody> {
     let (status, body) = match reply {
         Some(PeerReply::Http { status, body }) => (status, body),
         _ => (StatusCode::SERVICE_UNAVAILABLE.as_u16(), Vec::new()),
     };
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let (status, body) = match count_body(gateway, body) {
+        Some(body) => (status, body),
+        None => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+    };
     let mut response = Response::new(ResponseBody::full(body));
     *response.status_mut() = status;
     let headers = response.headers_mut();
@@ -109,6 +119,18 @@
     response
 }
 
+/// Counts the body of a reply. Returns `None` if there is no memory for it.
+fn count_body(gateway: &Gateway, body: Vec<u8>) -> Option<Bytes> {
+    if body.len() <= UNCOUNTED_REPLY_BYTES {
+        return Some(body.into());
+    }
+    let Some(room) = gateway.caller_bodies.reserve(body.capacity()) else {
+        gateway.turn_away("reply_buffers_full");
+        return None;
+    };
+    Some(Bytes::from_owner(BufferedBody::new(body, room)))
+}
+
 /// Timeout of a call to the owner of a shard.
 fn owner_timeout(call: &JobCall) -> Duration {
     OWNER_TIMEOUT
@@ -138,14 +160,20 @@
         let partition = self.partition_of(gateway, call.job());
         if self.is_owned_locally(partition) {
             let caller = JobCaller::from(workspace);
-            return to_response(Some(self.call_as_owner(gateway, call, &caller).await));
+            return to_response(
+                gateway,
+                Some(self.call_as_owner(gateway, call, &caller).await),
+            );
         }
         let timeout = owner_timeout(&call);
         let request = match workspace {
             Some(workspace) => PeerRequest::JobFor { workspace, call },
             None => PeerRequest::Job(call),
         };
-        to_response(self.ask_owner(gateway, partition, request, timeout).await)
+        to_response(
+            gateway,
+            self.ask_owner(gateway, partition, request, timeout).await,
+        )
     }
 
     /// Answers a submission whose route the configuration does not have any more: 202 if the job was accepted before, 404
@@ -159,12 +187,15 @@
         let partition = self.partition_of(gateway, &job);
         if self.is_owned_locally(partition) {
             let caller = JobCaller::from(workspace);
-            return to_response(Some(self.find_as_owner(gateway, &job, &caller).await));
+            return to_response(
+                gateway,
+                Some(self.find_as_owner(gateway, &job, &caller).await),
+            );
         }
         if let Some(workspace) = workspace {
             let request = PeerRequest::FindSubmittedFor { workspace, job };
             let reply = self.ask_owner(gateway, partition, request, OWNER_TIMEOUT);
-            return to_response(reply.await);
+            return to_response(gateway, reply.await);
         }
         let read = JobCall::Read {
             job,
@@ -173,9 +204,9 @@
         };
         let request = PeerRequest::Job(read);
         let reply = self.ask_owner(gateway, partition, request, OWNER_TIMEOUT);
-        let mut response = to_response(reply.await);
+        let mut response = to_response(gateway, reply.await);
         if response.status() == StatusCode::OK {
-            response = to_response(Some(http_reply(StatusCode::ACCEPTED, Vec::new())));
+            response = to_response(gateway, Some(http_reply(StatusCode::ACCEPTED, Vec::new())));
         }
         response
     }
@@ -283,8 +314,20 @@
         wait: Duration,
     ) -> PeerReply {
         let deadline = gateway.clock.now() + wait.min(RESULT_WAIT_MAX);
+        let mut loaded: Option<LoadedPage> = None;
         loop {
             let changed = shard.state_changed.notified();
+            let stored = match shard.state.borrow().job(job) {
+                Some(found) if loaded.is_none() => found.stored_results(after, PAGE_TEXT_BYTES),
+                _ => Vec::new(),
+            };
+            if !stored.is_empty() {
+                loaded = match load_results(gateway, shard, stored).await {
+                    Ok(page) => Some(page),
+                    Err(_) => return unavailable(),
+                };
+                continue;
+            }
             let encoded_page = {
                 let state = shard.state.borrow();
                 let Some(found) = state.job(job) else {
@@ -317,20 +360,8 @@
                 }
             }
         }
-        let mut loaded: Option<LoadedPage> = None;
     }
 
-            let stored = match shard.state.borrow().job(job) {
-                Some(found) if loaded.is_none() => found.stored_results(after, PAGE_TEXT_BYTES),
-                _ => Vec::new(),
-            };
-            if !stored.is_empty() {
-                loaded = match load_results(gateway, shard, stored).await {
-                    Ok(page) => Some(page),
-                    Err(_) => return unavailable(),
-                };
-                continue;
-            }
     async fn item_body(
         &self,
         gateway: &Gateway,
--- a/bamboo-gateway/src/jobs/submit.rs
+++ b/bamboo-gateway/src/jobs/submit.rs
@@ -152,7 +152,7 @@
             log::error!(event = "task_failed", task = "submission", job; "the task of a submission failed: {error}");
             (outcome_unknown(), "failed")
         });
-        let response = to_response(Some(reply));
+        let response = to_response(gateway, Some(reply));
         let took_ms = gateway.clock.now().saturating_sub(started).as_millis() as u64;
         log::info!(
             event = "job_submitted", job, partition, status = response.status().as_u16(), way = via, took_ms;
