fix(gateway): bound what waits for a host that stands still

Cause: links gave messages to the HTTP/2 library at once, which buffers what the connection does not take; a call that times out leaves its message behind. The queue before was bounded by number only.

Fix: what messages carry is reserved until the connection takes it, and a link sends by the capacity of its stream. A message without room is lost like one of a full queue: its call fails at once, and the caller's job goes to the store.

--- a/bamboo-gateway/src/gateway.rs
+++ b/bamboo-gateway/src/gateway.rs
@@ -236,7 +236,12 @@
             store: StoreClient::new(settings.store.address, dialect.clone())
                 .with_metrics(store_metrics),
             store_returns: watch::Sender::new(()),
-            mesh: Mesh::new(local.clone(), link_failures, metrics.peer_bytes.clone()),
+            mesh: Mesh::new(
+                local.clone(),
+                link_failures,
+                metrics.peer_bytes.clone(),
+                BufferBudget::new(limits.unsent_bytes),
+            ),
             local,
             settings,
             dialect,
--- a/bamboo-gateway/src/mesh.rs
+++ b/bamboo-gateway/src/mesh.rs
@@ -8,9 +8,11 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bamboo_coordination::HostInfo;
+use bamboo_fleet::BufferBudget;
 use bamboo_types::HostId;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -93,6 +95,7 @@
     next_call: Cell<u64>,
     link_failures: mpsc::UnboundedSender<LinkFailure>,
     sent_bytes: PeerBytes,
+    unsent: Arc<BufferBudget>,
 }
 
 impl Mesh {
@@ -100,6 +103,7 @@
         local: HostInfo,
         link_failures: mpsc::UnboundedSender<LinkFailure>,
         sent_bytes: PeerBytes,
+        unsent: Arc<BufferBudget>,
     ) -> Self {
         Mesh {
             links: RefCell::new(HashMap::new()),
@@ -109,6 +113,7 @@
             local,
             link_failures,
             sent_bytes,
+            unsent,
         }
     }
 
@@ -132,7 +137,15 @@
 
     fn open_link(&self, host: &str, now: Duration) -> Link {
         let (local, link_failures) = (self.local.clone(), self.link_failures.clone());
-        Link::open(host, local, link_failures, self.sent_bytes.clone(), now)
+        let unsent = Arc::clone(&self.unsent);
+        Link::open(
+            host,
+            local,
+            link_failures,
+            self.sent_bytes.clone(),
+            unsent,
+            now,
+        )
     }
 
     /// Records that a message arrived from a host, which is therefore up.
--- a/bamboo-gateway/src/mesh/link.rs
+++ b/bamboo-gateway/src/mesh/link.rs
@@ -1,12 +1,16 @@
 //! Outgoing link to one other host.
 
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
 use bamboo_coordination::HostInfo;
+use bamboo_fleet::BufferBudget;
+use bamboo_fleet::BufferReservation;
 use bamboo_types::HostId;
 use bytes::Bytes;
 use h2::SendStream;
@@ -33,6 +37,8 @@
 ];
 /// HTTP/2 flow-control window in bytes.
 pub(super) const FLOW_WINDOW_BYTES: u32 = 8 << 20;
+/// Part of a message that is given to the HTTP library at once.
+const PART_BYTES: usize = 64 << 10;
 /// Size of the length prefix of a frame in bytes.
 pub(super) const LENGTH_PREFIX_BYTES: usize = 4;
 
@@ -52,10 +58,17 @@
     is_host_up: Notify,
 }
 
+/// A message in the queue, with the room that its payload takes.
+struct QueuedMessage {
+    message: PeerMessage,
+    room: BufferReservation,
+}
+
 /// A link to another host. It ends with its connection; the next message opens a new link.
 pub(super) struct Link {
     host: HostId,
-    queue: mpsc::Sender<PeerMessage>,
+    queue: mpsc::Sender<QueuedMessage>,
+    unsent: Arc<BufferBudget>,
     is_congested: Cell<bool>,
     last_used_at: Cell<Duration>,
     shared: Rc<Shared>,
@@ -68,6 +81,7 @@
         local: HostInfo,
         link_failures: mpsc::UnboundedSender<LinkFailure>,
         sent_bytes: PeerBytes,
+        unsent: Arc<BufferBudget>,
         now: Duration,
     ) -> Self {
         let (queue, messages) = mpsc::channel(SEND_QUEUE_LEN);
@@ -89,6 +103,7 @@
         Link {
             host,
             queue,
+            unsent,
             is_congested: Cell::new(false),
             last_used_at: Cell::new(now),
             shared,
@@ -107,7 +122,10 @@
     pub(super) fn send(&self, message: PeerMessage, now: Duration) -> bool {
         self.last_used_at.set(now);
         let kind = message.kind();
-        let is_queued = self.queue.try_send(message).is_ok();
+        let mut room = self.unsent.begin_counted_body();
+        let has_room = room.grow(message.payload_bytes());
+        let queued = QueuedMessage { message, room };
+        let is_queued = has_room && self.queue.try_send(queued).is_ok();
         if !is_queued && !self.is_congested.get() {
             let host = self.host.as_str();
             log::warn!(event = "messages_dropped", host, kind; "messages are dropped because the link is congested or closed");
@@ -128,7 +146,7 @@
 async fn run(
     host: &str,
     local: HostInfo,
-    mut messages: mpsc::Receiver<PeerMessage>,
+    mut messages: mpsc::Receiver<QueuedMessage>,
     shared: &Shared,
     sent_bytes: &PeerBytes,
 ) -> anyhow::Result<()> {
@@ -144,18 +162,17 @@
     let path = messages_path();
     let request = http::Request::post(format!("http://{host}{path}")).body(())?;
     let (_response, mut body) = sender.send_request(request, false)?;
-    send(&mut body, &PeerMessage::Hello(local), sent_bytes)?;
-    loop {
-        tokio::select! {
-            ended = &mut connection => return ended.context("connection"),
-            message = messages.recv() => {
-                let Some(message) = message else { return Ok(()) };
-                send(&mut body, &message, sent_bytes)?;
-                while let Ok(message) = messages.try_recv() {
-                    send(&mut body, &message, sent_bytes)?;
-                }
-            }
+    let sending = async {
+        send(&mut body, &PeerMessage::Hello(local), sent_bytes).await?;
+        while let Some(QueuedMessage { message, room }) = messages.recv().await {
+            send(&mut body, &message, sent_bytes).await?;
+            drop(room);
         }
+        anyhow::Ok(())
+    };
+    tokio::select! {
+        ended = &mut connection => ended.context("connection"),
+        sent = sending => sent,
     }
 }
 
@@ -181,7 +198,8 @@
     Err(last_error)
 }
 
-fn send(
+/// Sends a message once the connection takes it, so that what is not sent stays in the queue, where it is counted.
+async fn send(
     body: &mut SendStream<Bytes>,
     message: &PeerMessage,
     sent_bytes: &PeerBytes,
@@ -193,6 +211,16 @@
     let kind = message.kind();
     let counter = sent_bytes.get_or_create(&KindLabel { kind });
     counter.inc_by(frame.len() as u64);
-    body.send_data(Bytes::from(frame), false)?;
+    let mut frame = Bytes::from(frame);
+    while !frame.is_empty() {
+        body.reserve_capacity(frame.len().min(PART_BYTES));
+        while body.capacity() == 0 {
+            // Returns only once the capacity has grown.
+            let grown = poll_fn(|context| body.poll_capacity(context)).await;
+            grown.context("the stream has ended")??;
+        }
+        let part = frame.split_to(body.capacity().min(frame.len()));
+        body.send_data(part, false)?;
+    }
     Ok(())
 }
--- a/bamboo-gateway/src/mesh/message.rs
+++ b/bamboo-gateway/src/mesh/message.rs
@@ -369,6 +369,26 @@
 }
 
 impl PeerMessage {
+    /// Size of what the message carries for callers or for the store; 0 for all other messages, which are small.
+    pub(super) fn payload_bytes(&self) -> usize {
+        let records_bytes = |records: &[Vec<u8>]| records.iter().map(Vec::len).sum();
+        match self {
+            PeerMessage::Request { request, .. } => match request {
+                PeerRequest::Submit { body, .. } | PeerRequest::SubmitFor { body, .. } => {
+                    body.len()
+                }
+                PeerRequest::Store(StoreRequest::Append { records, .. }) => records_bytes(records),
+                _ => 0,
+            },
+            PeerMessage::Reply { reply, .. } => match reply {
+                PeerReply::Http { body, .. } => body.len(),
+                PeerReply::Store(Ok(StoreReply::Records { records, .. })) => records_bytes(records),
+                _ => 0,
+            },
+            _ => 0,
+        }
+    }
+
     /// Kind of the message, for metrics.
     pub(super) fn kind(&self) -> &'static str {
         match self {
