fix(gateway): send bodies through tunnels without copying them

What callers saw: a host that reaches its servers through another host only took 85 MB of 64 with 60 whole bodies of 1 MiB while the servers stood still.

Cause: the HTTP library copies a whole body into its write buffer if the connection does not take several buffers in one write. Tunnels said that they do not. A tunnel also held up to 400 kB to send, and the other host up to 8 MiB a link.

Ruled out: the bodies themselves; the same crowd takes 35 MB at a host with its own connections.

Fix: tunnels take several buffers, so that the counted body is shared until it is sent. 32 KiB of a tunnel wait at either host; the other one counts them with the stream.

--- a/bamboo-gateway/src/mesh/accept.rs
+++ b/bamboo-gateway/src/mesh/accept.rs
@@ -18,6 +18,7 @@
 use crate::mesh::link::FLOW_WINDOW_BYTES;
 use crate::mesh::link::LENGTH_PREFIX_BYTES;
 use crate::mesh::protocol_version;
+use crate::mesh::tunnel::WINDOW_BYTES;
 use crate::mesh::tunnel::is_tunnel;
 use crate::mesh::tunnel::serve_tunnel;
 use crate::net;
@@ -29,9 +30,9 @@
 const FRAME_MAX_BYTES: usize = 32 << 20;
 /// Maximum size of the first frame of a stream, in bytes. It only names the host.
 const FIRST_FRAME_MAX_BYTES: usize = 64 << 10;
-/// Maximum size of the headers of a request from another host, in bytes.
 /// Memory of a stream besides its messages: its task, and its state in the HTTP library.
 const STREAM_BYTES: usize = 8 << 10;
+/// Maximum size of the headers of a request from another host, in bytes.
 const HEADERS_MAX_BYTES: u32 = 16 << 10;
 /// Time in which a host that connects must have sent a request. It does so at once.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
@@ -84,14 +85,30 @@
     let mut accepted = tokio::time::timeout(FIRST_REQUEST_TIMEOUT, connection.accept()).await?;
     // A host that has sent a request is connected for good, whether it has much to say or not.
     let _in_use = permit.begin_use();
+    let mut has_tunnel_windows = false;
     while let Some(request) = accepted {
-        let (request, respond) = request?;
+        let (request, mut respond) = request?;
+        let mut stream_memory = gateway.host_streams.begin_counted_body();
+        let stream_bytes = match is_tunnel(&request) {
+            true => STREAM_BYTES + WINDOW_BYTES as usize,
+            false => STREAM_BYTES,
+        };
+        if !stream_memory.grow(stream_bytes) {
+            gateway.turn_away("host_streams_full");
+            respond.send_reset(h2::Reason::REFUSED_STREAM);
+            accepted = connection.accept().await;
+            continue;
+        }
         if is_tunnel(&request) {
+            // What a server does not read waits here. Fails until the first settings are acknowledged.
+            has_tunnel_windows =
+                has_tunnel_windows || connection.set_initial_window_size(WINDOW_BYTES).is_ok();
             let gateway = Rc::clone(&gateway);
             actix_rt::spawn(async move {
                 if let Err(error) = serve_tunnel(gateway, request, respond).await {
                     log::debug!("tunnel for another host failed: {error:#}");
                 }
+                drop(stream_memory);
             });
             accepted = connection.accept().await;
             continue;
@@ -105,6 +122,7 @@
             }
             // Dropped earlier, it would reset the stream of the messages.
             drop(respond);
+            drop(stream_memory);
         });
         accepted = connection.accept().await;
     }
@@ -141,12 +159,18 @@
                 (_, PeerMessage::Hello(info)) => {
                     gateway.host_connected(&info, version);
                     sender = Some(info);
+                    reservation = gateway.host_buffers.begin_body();
                 }
                 (Some(sender), message) => gateway.handle_peer_message(sender, message),
                 (None, _) => anyhow::bail!("the first message of the stream is not Hello"),
             }
         }
+        // What is left is the beginning of a message, or was counted before the sender was known.
         reservation.shrink_to(buffer.len());
+        if buffer.is_empty() && buffer.capacity() > FIRST_FRAME_MAX_BYTES {
+            // Frees what a large message has taken.
+            buffer = BytesMut::new();
+        }
     }
     Ok(())
 }
@@ -159,18 +183,12 @@
         return Ok(None);
     }
     let length = u32::from_be_bytes([buffer[0], buffer[1], buffer[2], buffer[3]]) as usize;
-                    reservation = gateway.host_buffers.begin_body();
     anyhow::ensure!(
         length <= frame_max_bytes,
         "frame of {length} bytes exceeds the limit of {frame_max_bytes}"
     );
     if buffer.len() < LENGTH_PREFIX_BYTES + length {
-        // What is left is the beginning of a message, or was counted before the sender was known.
         return Ok(None);
-        if buffer.is_empty() && buffer.capacity() > FIRST_FRAME_MAX_BYTES {
-            // Frees what a large message has taken.
-            buffer = BytesMut::new();
-        }
     }
     buffer.advance(LENGTH_PREFIX_BYTES);
     let frame = buffer.split_to(length);
--- a/bamboo-gateway/src/mesh/tunnel.rs
+++ b/bamboo-gateway/src/mesh/tunnel.rs
@@ -41,10 +41,12 @@
 const HOST_TIMEOUT: Duration = Duration::from_millis(100);
 /// Timeout for the other host's connection to the server.
 const SERVER_TIMEOUT: Duration = Duration::from_millis(100);
-/// Bytes that the other host may send ahead on one tunnel.
-const WINDOW_BYTES: u32 = 32 << 10;
+/// Bytes that either host may send ahead on one tunnel.
+pub(super) const WINDOW_BYTES: u32 = 32 << 10;
 /// Bytes that it may send ahead on all tunnels, enough for 256 whose callers do not read, so that these do not hold up others.
 const CONNECTION_WINDOW_BYTES: u32 = 256 * WINDOW_BYTES;
+/// Bytes of a tunnel that wait to be sent.
+const SEND_BUFFER_BYTES: usize = 32 << 10;
 /// Buffer for one direction of a tunnel.
 const COPY_BUFFER_BYTES: usize = 8 << 10;
 /// Time without new tunnels after which a host lets go of its connection to another one.
@@ -118,6 +120,7 @@
         let (sender, connection) = h2::client::Builder::new()
             .initial_window_size(WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .max_send_buffer_size(SEND_BUFFER_BYTES)
             .handshake(stream)
             .await?;
         let name = host.to_owned();
@@ -277,6 +280,20 @@
         Poll::Ready(sent.map(|()| count).map_err(io::Error::other))
     }
 
+    /// Without it, the HTTP library copies whole bodies into a buffer before it writes them.
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let first = buffers.iter().find(|buffer| !buffer.is_empty());
+        self.poll_write(context, first.map_or(&[], |buffer| &**buffer))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
