fix(diagnostics): bound the queue of the log by bytes, too

What callers saw: none of it; while nobody reads the log, 6,000 requests with paths of 15 kB that match no route made the process take 74 MB of 64.

Cause: the queue was bounded by its number of lines only, and lines name what callers sent.

Fix: its lines take 1 KiB each on average at most. Others are dropped and counted as before.

--- a/bamboo-diagnostics/src/queue.rs
+++ b/bamboo-diagnostics/src/queue.rs
@@ -1,6 +1,11 @@
 //! A bounded queue before an appender.
 
+use std::collections::VecDeque;
+use std::fmt;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -9,12 +14,51 @@
 use logforth::Diagnostic;
 use logforth::Error;
 use logforth::append::asynchronous::AsyncBuilder;
+use logforth::kv::ValueView;
 use logforth::record::Record;
 
+/// Size of the lines that wait, on average at most.
+const LINE_MEAN_BYTES: usize = 1 << 10;
+/// Size of a value in a line that is no text.
+const OTHER_VALUE_BYTES: usize = 16;
+
+/// Counts the bytes of a text that is formatted.
+struct ByteCounter(usize);
+
+impl fmt::Write for ByteCounter {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        self.0 += text.len();
+        Ok(())
+    }
+}
+
+fn formatted_bytes(text: fmt::Arguments<'_>) -> usize {
+    let mut counter = ByteCounter(0);
+    // Fails only if a value cannot be formatted, which then takes no room either.
+    let _ = fmt::Write::write_fmt(&mut counter, text);
+    counter.0
+}
+
+/// Approximate size of a line.
+fn line_bytes(record: &Record<'_>) -> usize {
+    let values = record.key_values().iter().map(|(_, value)| match value {
+        ValueView::BorrowedStr(text) => text.len(),
+        ValueView::StaticStr(text) => text.len(),
+        ValueView::Bytes(bytes) => bytes.len(),
+        ValueView::Debug(value) => formatted_bytes(format_args!("{value:?}")),
+        ValueView::Display(value) => formatted_bytes(format_args!("{value}")),
+        _ => OTHER_VALUE_BYTES,
+    });
+    formatted_bytes(record.payload()) + values.sum::<usize>()
+}
+
 /// Counts of the lines of a queue.
 #[derive(Debug, Default)]
 pub struct LineCounts {
     waiting: AtomicUsize,
+    /// Sizes of the lines that wait, in their order.
+    sizes_bytes: Mutex<VecDeque<usize>>,
+    waiting_bytes: AtomicUsize,
     dropped: AtomicU64,
     told: AtomicU64,
 }
@@ -30,17 +74,32 @@
         self.dropped.load(Ordering::Relaxed)
     }
 
-    /// Takes a place in the queue. Counts the line as dropped if there is none.
-    fn enter(&self, lines_max: usize) -> bool {
-        let entered = self
-            .waiting
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |waiting| {
-                (waiting < lines_max).then_some(waiting + 1)
-            });
-        if entered.is_err() {
+    /// Takes a place in the queue for a line of this size. Counts the line as dropped if there is none.
+    fn enter(&self, lines_max: usize, line_bytes: usize) -> bool {
+        let mut sizes_bytes = self.lock_sizes();
+        let waiting_bytes = self.waiting_bytes.load(Ordering::Relaxed) + line_bytes;
+        if sizes_bytes.len() >= lines_max || waiting_bytes > lines_max * LINE_MEAN_BYTES {
             self.dropped.fetch_add(1, Ordering::Relaxed);
+            return false;
         }
-        entered.is_ok()
+        sizes_bytes.push_back(line_bytes);
+        self.waiting.store(sizes_bytes.len(), Ordering::Release);
+        self.waiting_bytes.store(waiting_bytes, Ordering::Relaxed);
+        true
+    }
+
+    /// Frees the place of the line that has waited longest.
+    fn leave(&self) {
+        let mut sizes_bytes = self.lock_sizes();
+        let line_bytes = sizes_bytes.pop_front().unwrap_or(0);
+        self.waiting.store(sizes_bytes.len(), Ordering::Release);
+        self.waiting_bytes.fetch_sub(line_bytes, Ordering::Relaxed);
+    }
+
+    fn lock_sizes(&self) -> MutexGuard<'_, VecDeque<usize>> {
+        self.sizes_bytes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Lines dropped since the last call.
@@ -50,7 +109,8 @@
     }
 }
 
-/// Puts a queue of at most `lines_max` lines before an appender, which runs on a thread of its own. Appending never waits for it.
+/// Puts a queue of at most `lines_max` lines, of 1 KiB each on average, before an appender, which runs on a thread of its own. Appending
+/// never waits for it.
 ///
 /// ```
 /// use logforth::append::Stderr;
@@ -94,7 +154,7 @@
         record: &Record<'_>,
         diagnostics: &[Box<dyn Diagnostic>],
     ) -> Result<(), Error> {
-        match self.counts.enter(self.lines_max) {
+        match self.counts.enter(self.lines_max, line_bytes(record)) {
             true => self.append.append(record, diagnostics),
             false => Ok(()),
         }
@@ -122,7 +182,7 @@
         diagnostics: &[Box<dyn Diagnostic>],
     ) -> Result<(), Error> {
         let written = self.append.append(record, diagnostics);
-        self.counts.waiting.fetch_sub(1, Ordering::AcqRel);
+        self.counts.leave();
         let dropped = self.counts.take_untold();
         if dropped > 0 {
             log::warn!(
