--- a/bamboo-gateway/src/metrics.rs
+++ b/bamboo-gateway/src/metrics.rs
@@ -154,6 +154,10 @@
     pub turned_away: Family<KindLabel, Counter>,
     /// Bytes in use of the budget for callers.
     pub caller_buffer_bytes: Gauge,
+    /// Bytes in use of the budget for the indexes of accepted jobs.
+    pub job_index_bytes: Gauge,
+    /// Bytes in use of the budget for bodies of items and texts of results.
+    pub job_contents_bytes: Gauge,
     /// Open connections of callers.
     pub caller_connections: Gauge,
     /// Open connections from other hosts.
@@ -191,6 +195,8 @@
             config_version: Gauge::default(),
             turned_away: Family::default(),
             caller_buffer_bytes: Gauge::default(),
+            job_index_bytes: Gauge::default(),
+            job_contents_bytes: Gauge::default(),
             caller_connections: Gauge::default(),
             host_connections: Gauge::default(),
             log_lines_dropped: Gauge::default(),
@@ -313,6 +319,16 @@
             "Bytes in use of the budget for callers' bodies and connections",
             metrics.caller_buffer_bytes.clone(),
         );
+        registry.register(
+            "job_index_bytes",
+            "Bytes in use of the budget for the indexes of accepted jobs",
+            metrics.job_index_bytes.clone(),
+        );
+        registry.register(
+            "job_contents_bytes",
+            "Bytes in use of the budget for bodies of items and texts of results",
+            metrics.job_contents_bytes.clone(),
+        );
         registry.register(
             "caller_connections",
             "Open connections of callers",
--- a/bamboo-gateway/src/traffic/accept.rs
+++ b/bamboo-gateway/src/traffic/accept.rs
@@ -79,6 +79,11 @@
         metrics.store_failures.set(failures as i64);
         let buffered_bytes = gateway.caller_buffers.used_bytes();
         metrics.caller_buffer_bytes.set(buffered_bytes as i64);
+        let memory = &gateway.jobs.memory;
+        metrics.job_index_bytes.set(memory.index_bytes() as i64);
+        metrics
+            .job_contents_bytes
+            .set(memory.contents_bytes() as i64);
         let connections = gateway.caller_connections.len();
         metrics.caller_connections.set(connections as i64);
         let connections = gateway.host_connections.len();
