--- a/bamboo-gateway/src/resource_limits.rs
+++ b/bamboo-gateway/src/resource_limits.rs
@@ -15,6 +15,8 @@
 const ITEMS_AT_ONCE_MIN: usize = 16;
 /// Memory of a read of many records: the response and its records.
 const BULK_READ_BYTES: usize = 4 << 20;
+/// Reads of many records at once that are possible whatever the memory.
+const BULK_READS_MIN: usize = 2;
 /// Part of the memory for indexes that the jobs may take which a host accepts through the store for one shard.
 const STORE_SUBMISSION_SHARE: usize = 32;
 /// Connections of each of the addresses for readiness and metrics. They have one or two clients.
@@ -22,7 +24,7 @@
 /// Connections from other hosts that are possible whatever the number of descriptors.
 const HOST_CONNECTIONS_MIN: usize = 64;
 
-/// Limits of the process. A fifth of the memory is left to the process itself.
+/// Limits of the process, as shares of its memory and descriptors. What one kind of caller can fill leaves room for the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ResourceLimits {
     /// Bytes of callers' bodies and connections.
@@ -72,14 +74,14 @@
             caller_bytes,
             server_bytes: part * 6,
             host_bytes: part * 3,
-            unsent_bytes: part * 3,
+            unsent_bytes: part * 2,
             greeting_bytes: part,
             host_stream_bytes: part * 2,
             job_index_bytes,
             job_contents_bytes: part * 2,
             store_submission_bytes: job_index_bytes / STORE_SUBMISSION_SHARE,
             items_at_once: (part * 2 / ITEM_TASK_BYTES).max(ITEMS_AT_ONCE_MIN),
-            bulk_reads: (part / BULK_READ_BYTES).max(1),
+            bulk_reads: (part * 2 / BULK_READ_BYTES).max(BULK_READS_MIN),
             caller_connections: by_descriptors.min(by_memory).max(1),
             host_connections: by_descriptors.max(HOST_CONNECTIONS_MIN),
             endpoint_connections: ENDPOINT_CONNECTIONS_MAX,
