--- a/bamboo-gateway/src/jobs/stored.rs
+++ b/bamboo-gateway/src/jobs/stored.rs
@@ -18,6 +18,7 @@
 use crate::jobs::shard::JOBS_TOPIC;
 use crate::jobs::shard::OwnedShard;
 use crate::jobs::submitted::SUBMITTED_TOPIC;
+use crate::request_log::LineClass;
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
 use crate::traffic::BufferedBody;
@@ -105,10 +106,12 @@
         let records = match gateway.store_call(&request).await {
             Ok(StoreReply::Records { records, .. }) if !records.is_empty() => records,
             reply => {
-                log::warn!(
-                    event = "contents_unread", partition = shard.partition, topic, from, reply:? = reply.map(|_| ());
-                    "cannot read a record of a job again"
-                );
+                if gateway.may_log(LineClass::Other) {
+                    log::warn!(
+                        event = "contents_unread", partition = shard.partition, topic, from, reply:? = reply.map(|_| ());
+                        "cannot read a record of a job again"
+                    );
+                }
                 return Err(ContentsError::NotRead);
             }
         };
