fix(gateway): do not hold the counter of sent bytes while a link waits

The fix that has links wait for the capacity of their stream held the counter of sent bytes, a lock on all counters of the family, meanwhile. Another link that then sent the first message of a kind stopped the process for good: a host of the soak, and one of crash_shapes, never answered.

--- a/bamboo-gateway/src/mesh/link.rs
+++ b/bamboo-gateway/src/mesh/link.rs
@@ -209,8 +209,10 @@
     let length = u32::try_from(frame.len() - LENGTH_PREFIX_BYTES)?;
     frame[..LENGTH_PREFIX_BYTES].copy_from_slice(&length.to_be_bytes());
     let kind = message.kind();
-    let counter = sent_bytes.get_or_create(&KindLabel { kind });
-    counter.inc_by(frame.len() as u64);
+    // The counter is a lock on its family, which must not be held while this waits.
+    sent_bytes
+        .get_or_create(&KindLabel { kind })
+        .inc_by(frame.len() as u64);
     let mut frame = Bytes::from(frame);
     while !frame.is_empty() {
         body.reserve_capacity(frame.len().min(PART_BYTES));
