--- a/bamboo-fleet/src/buffer_budget.rs
+++ b/bamboo-fleet/src/buffer_budget.rs
@@ -54,6 +54,20 @@
         self.begin(0)
     }
 
+    /// Reserves room for a number of bytes. Returns `None` if the budget is exhausted.
+    ///
+    /// ```
+    /// use bamboo_fleet::BufferBudget;
+    /// let budget = BufferBudget::new(1_000);
+    /// let first = budget.reserve(700);
+    /// assert!(first.is_some());
+    /// assert!(budget.reserve(400).is_none());
+    /// ```
+    pub fn reserve(self: &Arc<Self>, bytes: usize) -> Option<BufferReservation> {
+        let mut reservation = self.begin_counted_body();
+        reservation.grow(bytes).then_some(reservation)
+    }
+
     fn begin(self: &Arc<Self>, uncounted_bytes: usize) -> BufferReservation {
         BufferReservation {
             budget: Arc::clone(self),
--- a/bamboo-gateway/src/mesh/accept.rs
+++ b/bamboo-gateway/src/mesh/accept.rs
@@ -88,18 +88,18 @@
     let mut has_tunnel_windows = false;
     while let Some(request) = accepted {
         let (request, mut respond) = request?;
-        let mut stream_memory = gateway.host_streams.begin_counted_body();
-        let stream_bytes = match is_tunnel(&request) {
+        let is_tunnel = is_tunnel(&request);
+        let stream_bytes = match is_tunnel {
             true => STREAM_BYTES + WINDOW_BYTES as usize,
             false => STREAM_BYTES,
         };
-        if !stream_memory.grow(stream_bytes) {
+        let Some(stream_memory) = gateway.host_streams.reserve(stream_bytes) else {
             gateway.turn_away("host_streams_full");
             respond.send_reset(h2::Reason::REFUSED_STREAM);
             accepted = connection.accept().await;
             continue;
-        }
-        if is_tunnel(&request) {
+        };
+        if is_tunnel {
             // What a server does not read waits here. Fails until the first settings are acknowledged.
             has_tunnel_windows =
                 has_tunnel_windows || connection.set_initial_window_size(WINDOW_BYTES).is_ok();
--- a/bamboo-gateway/src/mesh/link.rs
+++ b/bamboo-gateway/src/mesh/link.rs
@@ -122,10 +122,11 @@
     pub(super) fn send(&self, message: PeerMessage, now: Duration) -> bool {
         self.last_used_at.set(now);
         let kind = message.kind();
-        let mut room = self.unsent.begin_counted_body();
-        let has_room = room.grow(message.payload_bytes());
-        let queued = QueuedMessage { message, room };
-        let is_queued = has_room && self.queue.try_send(queued).is_ok();
+        let room = self.unsent.reserve(message.payload_bytes());
+        let is_queued = room.is_some_and(|room| {
+            let queued = QueuedMessage { message, room };
+            self.queue.try_send(queued).is_ok()
+        });
         if !is_queued && !self.is_congested.get() {
             let host = self.host.as_str();
             log::warn!(event = "messages_dropped", host, kind; "messages are dropped because the link is congested or closed");
--- a/bamboo-gateway/src/traffic/caller_bodies.rs
+++ b/bamboo-gateway/src/traffic/caller_bodies.rs
@@ -116,8 +116,10 @@
 
     /// Reserves memory for what is derived from a whole body. Returns `None` if the budget is exhausted.
     pub(crate) fn reserve(&self, bytes: usize) -> Option<BufferReservation> {
-        let mut reservation = self.budget.begin_counted_body();
-        while !reservation.grow(bytes) {
+        loop {
+            if let Some(reservation) = self.budget.reserve(bytes) {
+                return Some(reservation);
+            }
             self.evict_slowest(None).then_some(())?;
         }
         Some(reservation)
--- a/bamboo-shards/src/memory.rs
+++ b/bamboo-shards/src/memory.rs
@@ -105,24 +105,19 @@
         shard: Option<&Arc<BufferBudget>>,
     ) -> Option<IndexReservation> {
         let bytes = record.index_bytes();
-        let reserve = |budget: &Arc<BufferBudget>| {
-            let mut reservation = budget.begin_counted_body();
-            reservation.grow(bytes).then_some(reservation)
-        };
         let shard = match shard {
-            Some(budget) => Some(reserve(budget)?),
+            Some(budget) => Some(budget.reserve(bytes)?),
             None => None,
         };
         Some(IndexReservation {
-            host: reserve(&self.index)?,
+            host: self.index.reserve(bytes)?,
             shard,
         })
     }
 
     /// Reserves room for contents. Returns `None` if there is no room.
     pub(crate) fn reserve_contents(&self, bytes: usize) -> Option<BufferReservation> {
-        let mut reservation = self.contents.begin_counted_body();
-        reservation.grow(bytes).then_some(reservation)
+        self.contents.reserve(bytes)
     }
 }
 
