--- a/bamboo-gateway/src/jobs/shard.rs
+++ b/bamboo-gateway/src/jobs/shard.rs
@@ -16,7 +16,6 @@
 use bamboo_shards::Record;
 use bamboo_shards::RecordTopic;
 use bamboo_shards::Shard;
-use bamboo_shards::StoredRecord;
 use bamboo_types::ItemIndex;
 use bamboo_types::Offset;
 use tokio::sync::Notify;
@@ -477,22 +476,7 @@
         }
     };
     let mut state = shard.state.borrow_mut();
-    let index = match &record {
-        Record::Accepted(job) if state.job(&job.id).is_none() => {
-            let index = state.reserve_accepted(job);
-            if index.is_none() {
-                return false;
-            }
-            index
-        }
-        _ => None,
-    };
-    state.apply_stored(StoredRecord {
-        record,
-        location: Some(location),
-        index,
-    });
-    true
+    state.apply_read(record, location).is_some()
 }
 
 /// Whether this owner knows all stored records of the shard. The store may have assigned the shard to another host
--- a/bamboo-gateway/src/jobs/submitted.rs
+++ b/bamboo-gateway/src/jobs/submitted.rs
@@ -8,7 +8,6 @@
 use bamboo_shards::Record;
 use bamboo_shards::RecordTopic;
 use bamboo_shards::ShardChange;
-use bamboo_shards::StoredRecord;
 use bamboo_types::Offset;
 
 use crate::gateway::Gateway;
@@ -147,20 +146,13 @@
             return Applied::Read;
         }
     };
-    let is_known = shard.state.borrow().job(&job.id).is_some();
-    if is_known {
-        return Applied::Read;
-    }
-    let Some(index) = shard.state.borrow().reserve_accepted(&job) else {
+    let age = items::replayed_age(gateway, &job);
+    let record = Record::Accepted(job);
+    let applied = shard.state.borrow_mut().apply_read(record, location);
+    let Some(applied) = applied else {
         shard.submitted.move_to(location.first);
         return Applied::NoMemory;
     };
-    let age = items::replayed_age(gateway, &job);
-    let applied = shard.state.borrow_mut().apply_stored(StoredRecord {
-        record: Record::Accepted(job),
-        location: Some(location),
-        index: Some(index),
-    });
     if let ShardChange::JobAccepted(job) = applied
         && shard.is_open()
     {
--- a/bamboo-shards/src/shard.rs
+++ b/bamboo-shards/src/shard.rs
@@ -74,12 +74,6 @@
         self.memory.reserve_index(job, Some(&self.index_budget))
     }
 
-    /// Reserves room for the index of a job that was accepted before, whatever the other jobs of the shard take. Returns `None`
-    /// if there is no room.
-    pub fn reserve_accepted(&self, job: &JobRecord) -> Option<IndexReservation> {
-        self.memory.reserve_index(job, None)
-    }
-
     /// Keeps the bodies of the items of a job that was read from the store, if there is room.
     pub fn keep_bodies(&mut self, job: &JobRecord) {
         if let Some(kept) = self.jobs.get_mut(&job.id) {
@@ -102,6 +96,30 @@
         })
     }
 
+    /// Applies a record that was read from the store like [`apply_stored`](Self::apply_stored). A job that it accepts gets room
+    /// whatever the other jobs of the shard take. Returns `None`, and applies nothing, if there is no room.
+    ///
+    /// ```
+    /// use bamboo_shards::{JobMemory, JobRecord, Record, RecordLocation, RecordTopic, Shard};
+    /// let location = RecordLocation { topic: RecordTopic::Shard, first: 0, fragments: 1 };
+    /// let accepted = Record::Accepted(JobRecord::default().into());
+    /// let mut shard = Shard::new(JobMemory::new(10, 10));
+    /// assert_eq!(shard.apply_read(accepted, location), None);
+    /// ```
+    pub fn apply_read(&mut self, record: Record, location: RecordLocation) -> Option<ShardChange> {
+        let index = match &record {
+            Record::Accepted(job) if !self.jobs.contains_key(&job.id) => {
+                Some(self.memory.reserve_index(job, None)?)
+            }
+            _ => None,
+        };
+        Some(self.apply_stored(StoredRecord {
+            record,
+            location: Some(location),
+            index,
+        }))
+    }
+
     /// Applies the next record of the shard, in the order of the store. Repeated jobs, results and cancellations are
     /// ignored.
     pub fn apply_stored(&mut self, stored: StoredRecord) -> ShardChange {
