refactor(gateway): let one timer decide whether an item may wait any longer

An item that waits was woken twice in two seconds more than before, to see whether it is to give its place away. The check that it may still run, every two seconds, asks that, too. An item gives its place away after 5 to 7 s now instead of 5 to 6.

--- a/bamboo-gateway/src/jobs/item_waits.rs
+++ b/bamboo-gateway/src/jobs/item_waits.rs
@@ -14,14 +14,14 @@
 /// Interval at which the log names an item that waits.
 const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Returns once what an item waits for is of no use to it any more.
-pub(super) async fn wait_until_obsolete<F>(may_run: F)
+/// Returns once an item may not wait any longer, as what it waits for is of no use to it, or another item is to have its place.
+pub(super) async fn wait_until_obsolete<F>(may_wait: F)
 where
     F: Fn() -> bool,
 {
     loop {
         actix_rt::time::sleep(WAIT_CHECK_INTERVAL).await;
-        if !may_run() {
+        if !may_wait() {
             return;
         }
     }
--- a/bamboo-gateway/src/jobs/items.rs
+++ b/bamboo-gateway/src/jobs/items.rs
@@ -78,8 +78,6 @@
 const MEAN_WEIGHT_MIN: f64 = 0.05;
 /// Time after which an item that has not run gives its place to another one, if one waits.
 const PLACE_WAIT_MAX: Duration = Duration::from_secs(5);
-/// Interval at which an item checks whether it is to give its place to another one.
-const PLACE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which an item keeps its turn while it waits for a slot.
 const TURN_WAIT_MAX: Duration = Duration::from_secs(1);
 /// Pause before an item whose task panicked is begun anew.
@@ -198,13 +196,7 @@
     }
 }
 
-/// Returns once an item that has held its place since `placed_at` without running is to give it to another one.
-async fn wait_to_give_way(gateway: &Gateway, placed_at: Duration) {
-    while !gives_way(gateway, placed_at) {
-        actix_rt::time::sleep(PLACE_CHECK_INTERVAL).await;
-    }
-}
-
+/// Whether an item that has held its place since `placed_at` without running is to give it to another one.
 fn gives_way(gateway: &Gateway, placed_at: Duration) -> bool {
     let held_for = gateway.clock.now().saturating_sub(placed_at);
     held_for >= PLACE_WAIT_MAX
@@ -364,12 +356,12 @@
         }
         let trials = &gateway.jobs.item_trials;
         let may_run = || may_run_at(gateway, shard, job, item, age, &service);
+        let may_wait = || may_run() && !gives_way(gateway, placed_at);
         let turn = trials.wait_for_turn(gateway, &service, &request.suspects);
         let turn = log_long_wait(gateway, job, &request, "turn", turn);
         let turn = tokio::select! {
             turn = turn => turn,
-            () = wait_until_obsolete(&may_run) => continue,
-            () = wait_to_give_way(gateway, placed_at) => continue,
+            () = wait_until_obsolete(&may_wait) => continue,
         };
         let work = Work::Batch {
             due: gateway.clock.now() + due_in,
@@ -391,8 +383,7 @@
         let acquired = log_long_wait(gateway, job, &request, &service, acquired);
         let acquired = tokio::select! {
             acquired = acquired => acquired,
-            () = wait_until_obsolete(&may_run) => continue,
-            () = wait_to_give_way(gateway, placed_at) => continue,
+            () = wait_until_obsolete(&may_wait) => continue,
             // Others that wait for the turn may need a server of another version.
             () = actix_rt::time::sleep(TURN_WAIT_MAX), if turn.is_some() => continue,
         };
