--- a/bamboo-diagnostics/src/queue.rs
+++ b/bamboo-diagnostics/src/queue.rs
@@ -7,7 +7,6 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
 use logforth::Append;
@@ -52,13 +51,18 @@
     formatted_bytes(record.payload()) + values.sum::<usize>()
 }
 
+/// Lines that have not been written yet.
+#[derive(Debug, Default)]
+struct WaitingLines {
+    /// Sizes of the lines, in their order.
+    sizes_bytes: VecDeque<usize>,
+    sum_bytes: usize,
+}
+
 /// Counts of the lines of a queue.
 #[derive(Debug, Default)]
 pub struct LineCounts {
-    waiting: AtomicUsize,
-    /// Sizes of the lines that wait, in their order.
-    sizes_bytes: Mutex<VecDeque<usize>>,
-    waiting_bytes: AtomicUsize,
+    waiting: Mutex<WaitingLines>,
     dropped: AtomicU64,
     told: AtomicU64,
 }
@@ -66,7 +70,7 @@
 impl LineCounts {
     /// Lines that have not been written yet.
     pub fn waiting(&self) -> usize {
-        self.waiting.load(Ordering::Acquire)
+        self.lock_waiting().sizes_bytes.len()
     }
 
     /// Lines that found no room.
@@ -76,30 +80,25 @@
 
     /// Takes a place in the queue for a line of this size. Counts the line as dropped if there is none.
     fn enter(&self, lines_max: usize, line_bytes: usize) -> bool {
-        let mut sizes_bytes = self.lock_sizes();
-        let waiting_bytes = self.waiting_bytes.load(Ordering::Relaxed) + line_bytes;
-        if sizes_bytes.len() >= lines_max || waiting_bytes > lines_max * LINE_MEAN_BYTES {
+        let mut waiting = self.lock_waiting();
+        let sum_bytes = waiting.sum_bytes + line_bytes;
+        if waiting.sizes_bytes.len() >= lines_max || sum_bytes > lines_max * LINE_MEAN_BYTES {
             self.dropped.fetch_add(1, Ordering::Relaxed);
             return false;
         }
-        sizes_bytes.push_back(line_bytes);
-        self.waiting.store(sizes_bytes.len(), Ordering::Release);
-        self.waiting_bytes.store(waiting_bytes, Ordering::Relaxed);
+        waiting.sizes_bytes.push_back(line_bytes);
+        waiting.sum_bytes = sum_bytes;
         true
     }
 
     /// Frees the place of the line that has waited longest.
     fn leave(&self) {
-        let mut sizes_bytes = self.lock_sizes();
-        let line_bytes = sizes_bytes.pop_front().unwrap_or(0);
-        self.waiting.store(sizes_bytes.len(), Ordering::Release);
-        self.waiting_bytes.fetch_sub(line_bytes, Ordering::Relaxed);
+        let mut waiting = self.lock_waiting();
+        waiting.sum_bytes -= waiting.sizes_bytes.pop_front().unwrap_or(0);
     }
 
-    fn lock_sizes(&self) -> MutexGuard<'_, VecDeque<usize>> {
-        self.sizes_bytes
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn lock_waiting(&self) -> MutexGuard<'_, WaitingLines> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Lines dropped since the last call.
