refactor(gateway): simplify contents from the store and submissions

One function makes counted bytes of a buffer instead of four places. Why contents are missing makes a difference to nobody but for unknown items, and results that were read need no option around them. A submission is passed as such instead of as its five fields.

--- a/bamboo-gateway/src/jobs/calls.rs
+++ b/bamboo-gateway/src/jobs/calls.rs
@@ -35,7 +35,7 @@
 use crate::response_body::ResponseBody;
 use crate::store::Partition;
 use crate::store::ReadExtent;
-use crate::traffic::BufferedBody;
+use crate::traffic::counted_bytes;
 
 /// Timeout of a request to the owner of a shard, on top of the time that the owner itself may wait.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -128,7 +128,7 @@
         gateway.turn_away("reply_buffers_full");
         return None;
     };
-    Some(Bytes::from_owner(BufferedBody::new(body, room)))
+    Some(counted_bytes(body, room))
 }
 
 /// Timeout of a call to the owner of a shard.
@@ -314,18 +314,20 @@
         wait: Duration,
     ) -> PeerReply {
         let deadline = gateway.clock.now() + wait.min(RESULT_WAIT_MAX);
-        let mut loaded: Option<LoadedPage> = None;
+        let mut loaded = LoadedPage::default();
         loop {
             let changed = shard.state_changed.notified();
             let stored = match shard.state.borrow().job(job) {
-                Some(found) if loaded.is_none() => found.stored_results(after, PAGE_TEXT_BYTES),
+                Some(found) if loaded.results.is_empty() => {
+                    found.stored_results(after, PAGE_TEXT_BYTES)
+                }
                 _ => Vec::new(),
             };
             if !stored.is_empty() {
-                loaded = match load_results(gateway, shard, stored).await {
-                    Ok(page) => Some(page),
-                    Err(_) => return unavailable(),
-                };
+                loaded = load_results(gateway, shard, stored).await;
+                if loaded.results.is_empty() {
+                    return unavailable();
+                }
                 continue;
             }
             let encoded_page = {
@@ -341,10 +343,7 @@
                 {
                     return unavailable();
                 }
-                is_ready.then(|| match &loaded {
-                    Some(loaded) => encode_page(gateway, found, after, loaded),
-                    None => encode_page(gateway, found, after, &LoadedPage::default()),
-                })
+                is_ready.then(|| encode_page(gateway, found, after, &loaded))
             };
             match encoded_page {
                 Some(Ok(body)) => return http_reply(StatusCode::OK, body),
@@ -379,7 +378,7 @@
         match item_body(gateway, shard, job, index).await {
             Ok(body) => http_reply(StatusCode::OK, body.to_vec()),
             Err(ContentsError::Unknown) => not_found(),
-            Err(ContentsError::NoMemory | ContentsError::NotRead) => unavailable(),
+            Err(ContentsError::Unavailable) => unavailable(),
         }
     }
 
--- a/bamboo-gateway/src/jobs/stored.rs
+++ b/bamboo-gateway/src/jobs/stored.rs
@@ -21,7 +21,7 @@
 use crate::request_log::LineClass;
 use crate::store::StoreReply;
 use crate::store::StoreRequest;
-use crate::traffic::BufferedBody;
+use crate::traffic::counted_bytes;
 
 /// Copies of a record that exist while it is read: the response, its fragments, the assembled record and the decoded one.
 const READ_COPIES: usize = 4;
@@ -64,13 +64,11 @@
     }
 }
 
-/// Why contents cannot be had now. They can be later.
+/// Why contents cannot be had now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ContentsError {
-    /// There is no memory for them.
-    NoMemory,
-    /// The store did not return them.
-    NotRead,
+    /// There is no memory for them, or the store did not return them.
+    Unavailable,
     /// The job or the item is not known any more.
     Unknown,
 }
@@ -86,7 +84,7 @@
     let room = gateway
         .caller_bodies
         .reserve(bytes.saturating_mul(READ_COPIES))
-        .ok_or(ContentsError::NoMemory)?;
+        .ok_or(ContentsError::Unavailable)?;
     let _permit = gateway.jobs.begin_bulk_read().await;
     let topic = match location.topic {
         RecordTopic::Shard => JOBS_TOPIC,
@@ -112,7 +110,7 @@
                         "cannot read a record of a job again"
                     );
                 }
-                return Err(ContentsError::NotRead);
+                return Err(ContentsError::Unavailable);
             }
         };
         for fragment in records {
@@ -124,16 +122,12 @@
                         event = "record_unreadable", partition = shard.partition, offset = from;
                         "cannot read a record of a job again: {error}"
                     );
-                    return Err(ContentsError::NotRead);
+                    return Err(ContentsError::Unavailable);
                 }
             }
         }
     }
-    Err(ContentsError::NotRead)
-}
-
-fn counted_bytes(bytes: Vec<u8>, reservation: BufferReservation) -> Bytes {
-    Bytes::from_owner(BufferedBody::new(bytes, reservation))
+    Err(ContentsError::Unavailable)
 }
 
 /// A copy of the body of an item, which counts towards the memory of callers until it is dropped.
@@ -155,14 +149,14 @@
             None => {
                 let body = &found.record.items[index].body;
                 let room = gateway.caller_bodies.reserve(body.len());
-                let room = room.ok_or(ContentsError::NoMemory)?;
+                let room = room.ok_or(ContentsError::Unavailable)?;
                 return Ok(counted_bytes(body.clone(), room));
             }
         }
     };
     let (record, mut room) = read_record(gateway, shard, location).await?;
     let Record::Accepted(mut record) = record else {
-        return Err(ContentsError::NotRead);
+        return Err(ContentsError::Unavailable);
     };
     shard.state.borrow_mut().keep_bodies(&record);
     let items = &mut Rc::make_mut(&mut record).items;
@@ -180,31 +174,26 @@
     _rooms: Vec<BufferReservation>,
 }
 
-/// Reads results of a job that are not in memory.
-///
-/// # Errors
-/// Fails if there is no memory for the first of them, or if the store does not return it.
+/// Reads results of a job that are not in memory, up to the first one for which there is no memory or that the store does not
+/// return.
 pub(super) async fn load_results(
     gateway: &Gateway,
     shard: &OwnedShard,
     locations: Vec<RecordLocation>,
-) -> Result<LoadedPage, ContentsError> {
+) -> LoadedPage {
     let mut page = LoadedPage::default();
     for location in locations {
-        match read_record(gateway, shard, location).await {
-            Ok((Record::Results { results, .. }, mut room)) => {
-                let bytes = results.iter().map(|result| result.text.capacity()).sum();
-                room.shrink_to(bytes);
-                let results = results.into_iter().map(Rc::<ItemResult>::new);
-                page.results
-                    .extend(results.map(|result| (result.item, result)));
-                page._rooms.push(room);
-            }
-            Ok(_) if page.results.is_empty() => return Err(ContentsError::NotRead),
-            Err(error) if page.results.is_empty() => return Err(error),
-            // The page ends before this one.
-            Ok(_) | Err(_) => break,
-        }
+        let Ok((Record::Results { results, .. }, mut room)) =
+            read_record(gateway, shard, location).await
+        else {
+            break;
+        };
+        let bytes = results.iter().map(|result| result.text.capacity()).sum();
+        room.shrink_to(bytes);
+        let results = results.into_iter().map(Rc::<ItemResult>::new);
+        page.results
+            .extend(results.map(|result| (result.item, result)));
+        page._rooms.push(room);
     }
-    Ok(page)
+    page
 }
--- a/bamboo-gateway/src/jobs/submit.rs
+++ b/bamboo-gateway/src/jobs/submit.rs
@@ -115,37 +115,24 @@
 }
 
 impl JobShards {
-    /// Submits a job for a caller. It belongs to the workspace of the caller, if any. `copies` is the memory that is reserved for
-    /// its copies.
-    #[expect(clippy::too_many_arguments)]
+    /// Submits a job for a caller. `copies` is the memory that is reserved for its copies.
     pub(crate) async fn submit(
         &self,
         gateway: &Rc<Gateway>,
-        job: &str,
-        host: &str,
-        path: &str,
-        workspace: Option<WorkspaceId>,
-        body: Bytes,
+        submission: JobSubmission,
         copies: Option<BufferReservation>,
     ) -> Response<ResponseBody> {
-        let partition = self.partition_of(gateway, job);
+        let job = submission.job.clone();
+        let partition = self.partition_of(gateway, &job);
         let started = gateway.clock.now();
         // A task of its own: a caller that leaves would otherwise end it while the job is being stored.
         let submission = {
             let gateway = Rc::clone(gateway);
-            let submission = JobSubmission {
-                job: job.to_owned(),
-                host: host.to_owned(),
-                path: path.to_owned(),
-                body,
-                workspace,
-            };
             actix_rt::spawn(async move {
+                let _copies = copies;
                 let jobs = &gateway.jobs;
-                let routed = jobs.route_submission(&gateway, partition, &submission);
-                let reply = routed.await;
-                drop(copies);
-                reply
+                jobs.route_submission(&gateway, partition, &submission)
+                    .await
             })
         };
         let (reply, via) = submission.await.unwrap_or_else(|error| {
@@ -250,7 +237,7 @@
         submission: &JobSubmission,
         caller: &JobCaller,
     ) -> PeerReply {
-        // One that was accepted before is not decoded.
+        // One that was accepted before needs no copies.
         let copies = reserve_submission(gateway, &submission.body);
         if copies.is_none() && !self.has_accepted(gateway, &submission.job) {
             return no_memory(gateway, "job_buffers_full");
--- a/bamboo-gateway/src/traffic.rs
+++ b/bamboo-gateway/src/traffic.rs
@@ -25,7 +25,7 @@
 pub(crate) use accept::serve_callers;
 pub(crate) use accept::serve_metrics;
 pub(crate) use accept::serve_readiness;
-pub(crate) use buffered_body::BufferedBody;
+pub(crate) use buffered_body::counted_bytes;
 pub(crate) use caller_bodies::CallerBodies;
 pub(crate) use connections::Admission;
 pub(crate) use connections::ConnectionPermit;
--- a/bamboo-gateway/src/traffic/buffered_body.rs
+++ b/bamboo-gateway/src/traffic/buffered_body.rs
@@ -27,18 +27,17 @@
 }
 
 /// Bytes of a body, which return their share of the budget with the last reference.
-pub(crate) struct BufferedBody {
+struct BufferedBody {
     bytes: Vec<u8>,
     _reservation: BufferReservation,
 }
 
-impl BufferedBody {
-    pub(crate) fn new(bytes: Vec<u8>, reservation: BufferReservation) -> Self {
-        BufferedBody {
-            bytes,
-            _reservation: reservation,
-        }
-    }
+/// Bytes that keep their share of the budget until the last reference is dropped.
+pub(crate) fn counted_bytes(bytes: Vec<u8>, reservation: BufferReservation) -> Bytes {
+    Bytes::from_owner(BufferedBody {
+        bytes,
+        _reservation: reservation,
+    })
 }
 
 impl AsRef<[u8]> for BufferedBody {
@@ -70,5 +69,5 @@
         }
         bytes.extend_from_slice(&data);
     }
-    Ok(Bytes::from_owner(BufferedBody::new(bytes, reservation)))
+    Ok(counted_bytes(bytes, reservation))
 }
--- a/bamboo-gateway/src/traffic/caller_bodies.rs
+++ b/bamboo-gateway/src/traffic/caller_bodies.rs
@@ -19,7 +19,7 @@
 
 use crate::clock::Clock;
 use crate::traffic::buffered_body::BodyError;
-use crate::traffic::buffered_body::BufferedBody;
+use crate::traffic::buffered_body::counted_bytes;
 
 /// Bytes that are allocated at first for a body that announces more. What is announced may never arrive.
 const FIRST_ALLOCATION_BYTES: usize = 8 << 10;
@@ -110,8 +110,7 @@
             self.append(&registration, &data, whole_bytes.unwrap_or(max_bytes))?;
         }
         let held = open.held.borrow_mut().take().ok_or(BodyError::Evicted)?;
-        let whole = BufferedBody::new(held.bytes, held.reservation);
-        Ok(Bytes::from_owner(whole))
+        Ok(counted_bytes(held.bytes, held.reservation))
     }
 
     /// Reserves memory for what is derived from a whole body. Returns `None` if the budget is exhausted.
@@ -122,7 +121,6 @@
             }
             self.evict_slowest(None).then_some(())?;
         }
-        Some(reservation)
     }
 
     /// Evicts the slowest body that is being read, unless it is `own`. Returns whether one was evicted.
--- a/bamboo-gateway/src/traffic/serve.rs
+++ b/bamboo-gateway/src/traffic/serve.rs
@@ -24,6 +24,7 @@
 
 use crate::gateway::Gateway;
 use crate::gateway::Phase;
+use crate::jobs::JobSubmission;
 use crate::jobs::reserve_submission;
 use crate::metrics::RequestLabels;
 use crate::request_log::LineClass;
@@ -144,13 +145,15 @@
                 "jobs are submitted by POST\n",
             );
         }
-        let path = head.uri.path().to_owned();
-        let workspace = authentication.workspace_name();
+        let submission = JobSubmission {
+            job: id,
+            path: head.uri.path().to_owned(),
+            workspace: authentication.workspace_name(),
+            host,
+            body,
+        };
         progress.begin_attempt();
-        return gateway
-            .jobs
-            .submit(gateway, &id, &host, &path, workspace, body, copies)
-            .await;
+        return gateway.jobs.submit(gateway, submission, copies).await;
     }
     let deadline = deadline_header(gateway, &head.headers);
     let timeout = request_timeout(deadline, &route);
