test(review): show that another route takes the calls about jobs after a restart

A gateway that starts after the batch route was removed passes reads of accepted jobs on to the servers of a route that covers their paths.

--- a/review/harness-3/gateways.rs
+++ b/review/harness-3/gateways.rs
@@ -131,6 +131,20 @@
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
+    /// SIGTERM to the process by its id, and waits for its end. Returns whether it has ended in time.
+    pub fn stop(&mut self, timeout: Duration) -> bool {
+        let Some(child) = &mut self.child else { return true };
+        let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+        let until = Instant::now() + timeout;
+        while matches!(child.try_wait(), Ok(None)) {
+            if Instant::now() > until {
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        true
+    }
+
     /// SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -1,6 +1,7 @@
 //! Cases of the third review: the project's gateways as processes, between stand-ins of the platform. One scenario a run; the exit
 //! code is 1 if a rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod covered_calls;
 mod gateways;
 mod http;
 mod jobs;
@@ -23,6 +24,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let play: fn(&mut scene::Scene, bool) -> scene::Verdict = match scenario.as_str() {
         "store_full" => store_full::play,
+        "covered_calls" => covered_calls::play,
         "small_owner" => small_owner::play,
         "unread_results" => unread_results::play,
         _ => {
--- a/review/harness-3/scene.rs
+++ b/review/harness-3/scene.rs
@@ -107,24 +107,36 @@
     pub spare_mb: Vec<u64>,
     pub servers: usize,
     pub max_queued: u64,
+    /// Whether there are servers of an application service, and a route for all paths that leads to them.
+    pub has_plain: bool,
     pub figures: Figures,
     pub work: Work,
 }
 
-/// A manifest with the batch route of the sheets (`completion_target_ms`, `retention_s` as played) and a streaming one.
-fn manifest(version: u64, size: &Size) -> String {
+/// A manifest with a streaming route, a route for all other paths of the host, and the batch route of the sheets
+/// (`completion_target_ms`, `retention_s` as played) if it `has_batch`.
+pub fn manifest(version: u64, size: &Size, has_batch: bool) -> String {
     let slots = size.work.slots;
     let max_queued = size.max_queued;
+    let others = match size.has_plain {
+        true => "{\"name\":\"r-x4c8wq2\",\"host\":\"ficu95.example\",\"path_prefix\":\"/\",\"route_type\":\"safe\",\"timeout_ms\":1500,\
+            \"target_latency_ms\":300,\"priority\":2,\"service\":\"wuno96b\",\"max_attempts\":2},",
+        false => "",
+    };
+    let batch = format!(
+        ",{{\"name\":\"r-b7k2m1p\",\"host\":\"ficu95.example\",\"path_prefix\":\"/pule252/\",\"route_type\":\"batch\",\"timeout_ms\":15000,\
+         \"target_latency_ms\":4000,\"priority\":2,\"service\":\"huvo11a\",\"max_attempts\":3,\"sticky\":true,\"resumable\":true,\"gap_target_ms\":250,\
+         \"max_queued\":{max_queued},\"completion_target_ms\":18000,\"retention_s\":60}}"
+    );
+    let batch = if has_batch { batch.as_str() } else { "" };
     format!(
-        "{{\"version\":{version},\"routes\":[\
+        "{{\"version\":{version},\"routes\":[{others}\
          {{\"name\":\"r-3d3zji9\",\"host\":\"ficu95.example\",\"path_prefix\":\"/lohu930/\",\"route_type\":\"streaming\",\"timeout_ms\":5000,\
-         \"target_latency_ms\":300,\"priority\":0,\"service\":\"huvo11a\",\"max_attempts\":2,\"sticky\":true,\"resumable\":true,\"gap_target_ms\":250}},\
-         {{\"name\":\"r-b7k2m1p\",\"host\":\"ficu95.example\",\"path_prefix\":\"/pule252/\",\"route_type\":\"batch\",\"timeout_ms\":15000,\
-         \"target_latency_ms\":4000,\"priority\":2,\"service\":\"huvo11a\",\"max_attempts\":3,\"sticky\":true,\"resumable\":true,\"gap_target_ms\":250,\
-         \"max_queued\":{max_queued},\"completion_target_ms\":18000,\"retention_s\":60}}],\
+         \"target_latency_ms\":300,\"priority\":0,\"service\":\"huvo11a\",\"max_attempts\":2,\"sticky\":true,\"resumable\":true,\"gap_target_ms\":250}}{batch}],\
          \"services\":[{{\"name\":\"huvo11a\",\"health_path\":\"/health\",\"max_conns\":370,\"protocol\":\"h1\",\"tls\":false,\
          \"engine\":{{\"slots\":{slots},\"kv_capacity\":147261,\"kv_token_bytes\":18432,\"link_mbps\":130000.0,\"max_queued\":12,\
-         \"models\":[{{\"name\":\"m\"}}]}}}}],\
+         \"models\":[{{\"name\":\"m\"}}]}}}},\
+         {{\"name\":\"wuno96b\",\"health_path\":\"/health\",\"max_conns\":110,\"protocol\":\"h1\",\"tls\":false}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}"
     )
 }
@@ -139,7 +151,10 @@
         let others = addresses.split_off(memory_mb.len());
         let store = Store::start(&others[0], size.figures.clone());
         let seen: Arc<Mutex<Seen>> = Arc::default();
-        store.put("keyed.op", "config", &manifest(7, size));
+        store.put("keyed.op", "config", &manifest(7, size, true));
+        if size.has_plain {
+            servers::start_plain(&others[1], 4, "wuno96b", "quito-norte", &store);
+        }
         servers::start(&others[1], size.servers, "huvo11a", "quito-norte", &size.work, &store, &seen);
         let mut deployment = Deployment {
             store,
--- a/review/harness-3/servers.rs
+++ b/review/harness-3/servers.rs
@@ -109,6 +109,42 @@
     servers
 }
 
+/// Servers of an application service that has nothing at any path: a sound one answers 404 then.
+pub fn start_plain(ip: &str, count: usize, service: &str, zone: &str, store: &Store) {
+    for index in 0..count {
+        let listener = TcpListener::bind((ip, 0)).expect("an address for a server");
+        let address = listener.local_addr().expect("the address of a server");
+        let id = format!("i-app{index}");
+        let entry = format!(
+            "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":6,\
+             \"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1}}"
+        );
+        store.put("keyed.servers", &id, &entry);
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let id = id.clone();
+                std::thread::spawn(move || {
+                    let Ok(mut writer) = stream.try_clone() else { return };
+                    let mut reader = BufReader::new(stream);
+                    while let Some(request) = http::read(&mut reader, false) {
+                        let name = request.header("x-bambooroute-request-id").unwrap_or_default();
+                        let stamp = "X-Bambooroute-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1";
+                        let expected = request.header("x-bambooroute-expect-instance");
+                        let status = match expected.is_some_and(|expected| expected != id) {
+                            true => "421 Misdirected Request",
+                            false => "404 Not Found",
+                        };
+                        let headers = format!("X-Bambooroute-Request-Id: {name}\r\n{stamp}\r\nX-Bambooroute-Instance-Id: {id}\r\n");
+                        if http::respond(&mut writer, status, &headers, b"no such page\n").is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+    }
+}
+
 fn serve(stream: TcpStream, id: &str, work: &Work, slots: &Slots, seen: &Mutex<Seen>) {
     let _ = stream.set_nodelay(true);
     let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
--- a/review/harness-3/small_owner.rs
+++ b/review/harness-3/small_owner.rs
@@ -36,6 +36,7 @@
         spare_mb: vec![SMALL_MB],
         servers: 30,
         max_queued: MAX_QUEUED,
+        has_plain: false,
         figures: Figures { writes_per_s: 1500.0, reads_per_s: 6000.0, ..Figures::default() },
         work: Work { slots: 7, queue: 24, events: 40, event_bytes: 80, event_interval: Duration::from_millis(40) },
     };
--- a/review/harness-3/store_full.rs
+++ b/review/harness-3/store_full.rs
@@ -38,6 +38,7 @@
         spare_mb: Vec::new(),
         servers: 48,
         max_queued: 24_000_000,
+        has_plain: false,
         figures: Figures { writes_per_s: 4000.0, reads_per_s: 16000.0, ..Figures::default() },
         work: Work { slots: 7, queue: 24, events: 80, event_bytes: 140, event_interval: Duration::from_millis(14) },
     };
--- a/review/harness-3/unread_results.rs
+++ b/review/harness-3/unread_results.rs
@@ -38,6 +38,7 @@
         spare_mb: Vec::new(),
         servers: 40,
         max_queued: 9_000_000,
+        has_plain: false,
         figures: Figures { writes_per_s: 1500.0, reads_per_s: 6000.0, ..Figures::default() },
         work: Work { slots: 7, queue: 24, events: 25, event_bytes: 80, event_interval: Duration::from_millis(16) },
     };
