--- a/review/harness-3/http.rs
+++ b/review/harness-3/http.rs
@@ -18,7 +18,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -37,7 +40,9 @@
     pub fn query(&self, name: &str) -> Option<String> {
         let query = self.target().split_once('?')?.1;
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(known, _)| *known == name).map(|(_, value)| unescape(value))
+        pairs
+            .find(|(known, _)| *known == name)
+            .map(|(_, value)| unescape(value))
     }
 
     pub fn query_number(&self, name: &str) -> Option<u64> {
@@ -45,7 +50,11 @@
     }
 
     pub fn status(&self) -> u16 {
-        self.first_line.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
+        self.first_line
+            .split(' ')
+            .nth(1)
+            .and_then(|code| code.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -90,10 +99,16 @@
             break;
         }
         let (name, value) = line.split_once(':')?;
-        message.headers.push((name.to_owned(), value.trim().to_owned()));
+        message
+            .headers
+            .push((name.to_owned(), value.trim().to_owned()));
     }
-    let is_chunked = message.header("transfer-encoding").is_some_and(|value| value.contains("chunked"));
-    let length: Option<usize> = message.header("content-length").and_then(|value| value.parse().ok());
+    let is_chunked = message
+        .header("transfer-encoding")
+        .is_some_and(|value| value.contains("chunked"));
+    let length: Option<usize> = message
+        .header("content-length")
+        .and_then(|value| value.parse().ok());
     if is_chunked {
         loop {
             let mut line = String::new();
@@ -118,8 +133,16 @@
 }
 
 /// Writes a response with a length.
-pub fn respond(stream: &mut TcpStream, status: &str, headers: &str, body: &[u8]) -> std::io::Result<()> {
-    let head = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
+pub fn respond(
+    stream: &mut TcpStream,
+    status: &str,
+    headers: &str,
+    body: &[u8],
+) -> std::io::Result<()> {
+    let head = format!(
+        "HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n",
+        body.len()
+    );
     let mut bytes = head.into_bytes();
     bytes.extend_from_slice(body);
     stream.write_all(&bytes)
@@ -134,11 +157,15 @@
     body: &[u8],
     timeout: Duration,
 ) -> Option<Message> {
-    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1).min(timeout)).ok()?;
+    let mut stream =
+        TcpStream::connect_timeout(&address, Duration::from_secs(1).min(timeout)).ok()?;
     stream.set_nodelay(true).ok()?;
     stream.set_read_timeout(Some(timeout)).ok()?;
     stream.set_write_timeout(Some(timeout)).ok()?;
-    let head = format!("{method} {target} HTTP/1.1\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
+    let head = format!(
+        "{method} {target} HTTP/1.1\r\n{headers}Content-Length: {}\r\n\r\n",
+        body.len()
+    );
     let mut bytes = head.into_bytes();
     bytes.extend_from_slice(body);
     stream.write_all(&bytes).ok()?;
--- a/review/harness-3/jobs.rs
+++ b/review/harness-3/jobs.rs
@@ -62,7 +62,13 @@
 
 impl Clients {
     pub fn new(fronts: Fronts, work: Work) -> Clients {
-        Clients { fronts, jobs: Mutex::default(), work, random: Mutex::new(0x9e37_79b9_7f4a_7c15), statuses: Mutex::default() }
+        Clients {
+            fronts,
+            jobs: Mutex::default(),
+            work,
+            random: Mutex::new(0x9e37_79b9_7f4a_7c15),
+            statuses: Mutex::default(),
+        }
     }
 
     pub fn random(&self) -> u64 {
@@ -82,7 +88,9 @@
     /// Submits a new job, again at another node after each answer that is no 202.
     pub fn submit(&self, shape: &Shape) -> Arc<Mutex<Job>> {
         let id = format!("{:016x}", self.random());
-        let items: Vec<String> = (0..shape.items).map(|_| format!("{:016x}", self.random())).collect();
+        let items: Vec<String> = (0..shape.items)
+            .map(|_| format!("{:016x}", self.random()))
+            .collect();
         let entries: Vec<String> = items
             .iter()
             .map(|item| {
@@ -104,12 +112,25 @@
             })
             .collect();
         let body = format!("{{\"items\":[{}]}}", entries.join(","));
-        let job = Arc::new(Mutex::new(Job { id: id.clone(), items, ..Job::default() }));
+        let job = Arc::new(Mutex::new(Job {
+            id: id.clone(),
+            items,
+            ..Job::default()
+        }));
         self.jobs.lock().expect("the jobs").push(Arc::clone(&job));
-        let headers = format!("Host: {HOST}\r\nX-Bambooroute-Request-Id: {id}\r\nContent-Type: application/json\r\n");
+        let headers = format!(
+            "Host: {HOST}\r\nX-Bambooroute-Request-Id: {id}\r\nContent-Type: application/json\r\n"
+        );
         for _ in 0..ATTEMPTS {
             let target = format!("/pule252/{}", &id[..6]);
-            let answer = http::call(self.front(), "POST", &target, &headers, body.as_bytes(), SUBMIT_TIMEOUT);
+            let answer = http::call(
+                self.front(),
+                "POST",
+                &target,
+                &headers,
+                body.as_bytes(),
+                SUBMIT_TIMEOUT,
+            );
             let status = answer.as_ref().map_or(0, http::Message::status);
             let mut known = job.lock().expect("a job");
             known.answers.push(status);
@@ -119,7 +140,9 @@
             }
             drop(known);
             let wait = answer.and_then(|answer| answer.header("retry-after")?.parse().ok());
-            std::thread::sleep(Duration::from_secs_f64(wait.unwrap_or(0.3f64).clamp(0.05, 1.0)));
+            std::thread::sleep(Duration::from_secs_f64(
+                wait.unwrap_or(0.3f64).clamp(0.05, 1.0),
+            ));
         }
         job
     }
@@ -127,15 +150,27 @@
     /// Reads the next results of a job at a node. Returns the status, 0 if there was no answer.
     pub fn read(&self, front: SocketAddr, job: &Mutex<Job>, waits: bool) -> u16 {
         let status = self.read_page(front, job, waits);
-        *self.statuses.lock().expect("the statuses").entry(status).or_default() += 1;
+        *self
+            .statuses
+            .lock()
+            .expect("the statuses")
+            .entry(status)
+            .or_default() += 1;
         status
     }
 
     pub fn reads(&self) -> String {
         let statuses = self.statuses.lock().expect("the statuses");
-        let mut statuses: Vec<(u16, usize)> = statuses.iter().map(|(status, count)| (*status, *count)).collect();
+        let mut statuses: Vec<(u16, usize)> = statuses
+            .iter()
+            .map(|(status, count)| (*status, *count))
+            .collect();
         statuses.sort();
-        statuses.iter().map(|(status, count)| format!("{status}: {count}")).collect::<Vec<_>>().join(", ")
+        statuses
+            .iter()
+            .map(|(status, count)| format!("{status}: {count}"))
+            .collect::<Vec<_>>()
+            .join(", ")
     }
 
     fn read_page(&self, front: SocketAddr, job: &Mutex<Job>, waits: bool) -> u16 {
@@ -144,15 +179,22 @@
             (job.id.clone(), job.results.len())
         };
         let target = format!("/lots/{id}?after={after}");
-        let waits = if waits { "X-Bambooroute-Wait-Ms: 1000\r\n" } else { "" };
+        let waits = if waits {
+            "X-Bambooroute-Wait-Ms: 1000\r\n"
+        } else {
+            ""
+        };
         let headers = format!("Host: {HOST}\r\n{waits}");
-        let Some(answer) = http::call(front, "GET", &target, &headers, b"", READ_TIMEOUT) else { return 0 };
+        let Some(answer) = http::call(front, "GET", &target, &headers, b"", READ_TIMEOUT) else {
+            return 0;
+        };
         if answer.status() != 200 {
             return answer.status();
         }
         let mut job = job.lock().expect("a job");
         let Some(page) = Json::parse(&answer.body) else {
-            job.faults.push("MIXED: a page of results can't be read".to_owned());
+            job.faults
+                .push("MIXED: a page of results can't be read".to_owned());
             return 200;
         };
         if page.get("total").number() as usize != job.items.len() {
@@ -163,7 +205,9 @@
             let result = (field("id"), field("state"), field("text"));
             let position = after + index;
             match job.results.get(position) {
-                Some(known) if *known != result => job.faults.push(format!("TWICE: position {position} holds another result than before")),
+                Some(known) if *known != result => job.faults.push(format!(
+                    "TWICE: position {position} holds another result than before"
+                )),
                 Some(_) => {}
                 None if position == job.results.len() => self.add_result(&mut job, result),
                 None => {}
@@ -174,25 +218,43 @@
 
     fn add_result(&self, job: &mut Job, result: (String, String, String)) {
         if !job.items.contains(&result.0) {
-            job.faults.push(format!("MIXED: {} is an item of another job", result.0));
+            job.faults
+                .push(format!("MIXED: {} is an item of another job", result.0));
         }
         if job.results.iter().any(|(item, _, _)| *item == result.0) {
-            job.faults.push(format!("TWICE: {} stands at two positions", result.0));
+            job.faults
+                .push(format!("TWICE: {} stands at two positions", result.0));
         }
         if result.1 == "done" && result.2 != whole_text(&result.0, &self.work) {
-            job.faults.push(format!("MIXED: the text of {} is not its whole output", result.0));
+            job.faults.push(format!(
+                "MIXED: the text of {} is not its whole output",
+                result.0
+            ));
         }
         job.results.push(result);
     }
 
     /// Reads open jobs about twice a second from several threads, each asking to wait for results if `waits`.
-    pub fn follow(self: &Arc<Self>, threads: usize, waits: bool, is_over: Arc<dyn Fn() -> bool + Send + Sync>) -> Vec<std::thread::JoinHandle<()>> {
+    pub fn follow(
+        self: &Arc<Self>,
+        threads: usize,
+        waits: bool,
+        is_over: Arc<dyn Fn() -> bool + Send + Sync>,
+    ) -> Vec<std::thread::JoinHandle<()>> {
         let follow = |thread: usize| {
             let (clients, is_over) = (Arc::clone(self), Arc::clone(&is_over));
             std::thread::spawn(move || {
                 while !is_over() {
                     let round = Instant::now();
-                    let jobs: Vec<Arc<Mutex<Job>>> = clients.jobs.lock().expect("the jobs").iter().skip(thread).step_by(threads).cloned().collect();
+                    let jobs: Vec<Arc<Mutex<Job>>> = clients
+                        .jobs
+                        .lock()
+                        .expect("the jobs")
+                        .iter()
+                        .skip(thread)
+                        .step_by(threads)
+                        .cloned()
+                        .collect();
                     for job in jobs {
                         let is_open = {
                             let job = job.lock().expect("a job");
@@ -211,7 +273,10 @@
 
     /// Reads what is left of the jobs that are not complete, each until a page brings nothing new or the time is up.
     pub fn read_rest(self: &Arc<Self>, timeout: Duration) {
-        let open = self.accepted().into_iter().filter(|job| !job.lock().expect("a job").is_complete());
+        let open = self
+            .accepted()
+            .into_iter()
+            .filter(|job| !job.lock().expect("a job").is_complete());
         let open: Arc<Mutex<Vec<_>>> = Arc::new(Mutex::new(open.collect()));
         let until = Instant::now() + timeout;
         let threads: Vec<_> = (0..16)
@@ -236,14 +301,21 @@
 
     pub fn accepted(&self) -> Vec<Arc<Mutex<Job>>> {
         let jobs = self.jobs.lock().expect("the jobs");
-        jobs.iter().filter(|job| job.lock().expect("a job").accepted.is_some()).cloned().collect()
+        jobs.iter()
+            .filter(|job| job.lock().expect("a job").accepted.is_some())
+            .cloned()
+            .collect()
     }
 }
 
 /// Items of a job that are not listed.
 pub fn unlisted(job: &Job) -> Vec<String> {
     let listed: HashSet<&String> = job.results.iter().map(|(item, _, _)| item).collect();
-    job.items.iter().filter(|item| !listed.contains(item)).cloned().collect()
+    job.items
+        .iter()
+        .filter(|item| !listed.contains(item))
+        .cloned()
+        .collect()
 }
 
 /// Waits until the conditions hold under which an unlisted item counts as lost: for 5 s the servers were under half full, and for
@@ -255,7 +327,9 @@
         let now = Instant::now();
         {
             let seen = seen.lock().expect("what was seen");
-            let has_finished = seen.last_finished.is_some_and(|at| now - at < Duration::from_secs(3));
+            let has_finished = seen
+                .last_finished
+                .is_some_and(|at| now - at < Duration::from_secs(3));
             if 2 * seen.active >= slots || has_finished {
                 calm_since = now;
             }
@@ -273,7 +347,8 @@
     let now = Instant::now();
     let seen = seen.lock().expect("what was seen");
     let runs = seen.runs.get(item).into_iter().flatten();
-    runs.into_iter().any(|run| run.ended.is_none_or(|at| now - at < Duration::from_secs(5)))
+    runs.into_iter()
+        .any(|run| run.ended.is_none_or(|at| now - at < Duration::from_secs(5)))
 }
 
 /// Lines of a record: what was sent of each job, answered and run.
@@ -281,9 +356,20 @@
     let seen = seen.lock().expect("what was seen");
     let describe = |job: &Arc<Mutex<Job>>| {
         let job = job.lock().expect("a job");
-        let runs: Vec<_> = job.items.iter().filter_map(|item| seen.runs.get(item)).collect();
-        let whole = runs.iter().filter(|runs| runs.iter().any(|run| run.is_whole)).count();
-        let last = runs.iter().flat_map(|runs| runs.iter()).filter_map(|run| run.ended).max();
+        let runs: Vec<_> = job
+            .items
+            .iter()
+            .filter_map(|item| seen.runs.get(item))
+            .collect();
+        let whole = runs
+            .iter()
+            .filter(|runs| runs.iter().any(|run| run.is_whole))
+            .count();
+        let last = runs
+            .iter()
+            .flat_map(|runs| runs.iter())
+            .filter_map(|run| run.ended)
+            .max();
         format!(
             "job {}: {} items; answers to its submission {:?}, accepted at {:.2}; items at servers {}, runs {}, finished {whole}, last run \
              ended at {:.2}; results that its client has {}",
@@ -308,5 +394,9 @@
     }
     let mut counts: Vec<(String, usize)> = counts.into_iter().collect();
     counts.sort();
-    counts.iter().map(|(word, count)| format!("{word}: {count}")).collect::<Vec<_>>().join(", ")
+    counts
+        .iter()
+        .map(|(word, count)| format!("{word}: {count}"))
+        .collect::<Vec<_>>()
+        .join(", ")
 }
--- a/review/harness-3/json.rs
+++ b/review/harness-3/json.rs
@@ -127,7 +127,8 @@
             b'n' => self.word("null", Json::Null),
             _ => {
                 let from = self.at;
-                let is_part = |byte: &u8| matches!(byte, b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E');
+                let is_part =
+                    |byte: &u8| matches!(byte, b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E');
                 while self.bytes.get(self.at).is_some_and(is_part) {
                     self.at += 1;
                 }
@@ -155,7 +156,8 @@
                         b'b' => text.push(8),
                         b'f' => text.push(12),
                         b'u' => {
-                            let digits = std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
+                            let digits =
+                                std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
                             self.at += 4;
                             let code = u32::from_str_radix(digits, 16).ok()?;
                             let letter = char::from_u32(code).unwrap_or('\u{fffd}');
@@ -175,7 +177,9 @@
 pub fn base64(bytes: &[u8]) -> String {
     let mut text = String::with_capacity(bytes.len().div_ceil(3) * 4);
     for part in bytes.chunks(3) {
-        let number = part.iter().enumerate().fold(0u32, |sum, (index, byte)| sum | u32::from(*byte) << (16 - 8 * index));
+        let number = part.iter().enumerate().fold(0u32, |sum, (index, byte)| {
+            sum | u32::from(*byte) << (16 - 8 * index)
+        });
         for index in 0..4 {
             match index <= part.len() {
                 true => text.push(DIGITS[(number >> (18 - 6 * index) & 63) as usize] as char),
--- a/review/harness-3/scene.rs
+++ b/review/harness-3/scene.rs
@@ -33,7 +33,12 @@
 }
 
 /// Runs a scenario, and ends all that it has started.
-pub fn run(name: &str, record: &str, has_trouble: bool, play: fn(&mut Scene, bool) -> Verdict) -> ExitCode {
+pub fn run(
+    name: &str,
+    record: &str,
+    has_trouble: bool,
+    play: fn(&mut Scene, bool) -> Verdict,
+) -> ExitCode {
     let folder = std::env::temp_dir().join(format!("review-3-{name}-{}", std::process::id()));
     let made = std::fs::create_dir_all(&folder).and_then(|()| std::fs::File::create(record));
     let Ok(record) = made else {
@@ -46,7 +51,10 @@
         started: Instant::now(),
         record: Arc::new(Mutex::new(record)),
     };
-    scene.note(&format!("scenario {name}, {} the disruption", if has_trouble { "with" } else { "without" }));
+    scene.note(&format!(
+        "scenario {name}, {} the disruption",
+        if has_trouble { "with" } else { "without" }
+    ));
     let verdict = play(&mut scene, has_trouble);
     let code = match verdict {
         Verdict::Held => {
@@ -73,7 +81,11 @@
     pub fn note(&self, text: &str) {
         let line = format!("{:7.2} {text}\n", self.started.elapsed().as_secs_f64());
         print!("{line}");
-        let _ = self.record.lock().expect("the record").write_all(line.as_bytes());
+        let _ = self
+            .record
+            .lock()
+            .expect("the record")
+            .write_all(line.as_bytes());
     }
 
     /// Writes what was sent, answered and run, a line a job.
@@ -119,8 +131,10 @@
     let slots = size.work.slots;
     let max_queued = size.max_queued;
     let others = match size.has_plain {
-        true => "{\"name\":\"r-x4c8wq2\",\"host\":\"ficu95.example\",\"path_prefix\":\"/\",\"route_type\":\"safe\",\"timeout_ms\":1500,\
-            \"target_latency_ms\":300,\"priority\":2,\"service\":\"wuno96b\",\"max_attempts\":2},",
+        true => {
+            "{\"name\":\"r-x4c8wq2\",\"host\":\"ficu95.example\",\"path_prefix\":\"/\",\"route_type\":\"safe\",\"timeout_ms\":1500,\
+            \"target_latency_ms\":300,\"priority\":2,\"service\":\"wuno96b\",\"max_attempts\":2},"
+        }
         false => "",
     };
     let batch = format!(
@@ -155,7 +169,15 @@
         if size.has_plain {
             servers::start_plain(&others[1], 4, "wuno96b", "quito-norte", &store);
         }
-        servers::start(&others[1], size.servers, "huvo11a", "quito-norte", &size.work, &store, &seen);
+        servers::start(
+            &others[1],
+            size.servers,
+            "huvo11a",
+            "quito-norte",
+            &size.work,
+            &store,
+            &seen,
+        );
         let mut deployment = Deployment {
             store,
             seen,
@@ -170,13 +192,19 @@
         }
         for gateway in &deployment.gateways {
             if !gateway.wait_ready(Duration::from_secs(10)) {
-                return Err(format!("the gateway at {} does not become ready", gateway.ip));
+                return Err(format!(
+                    "the gateway at {} does not become ready",
+                    gateway.ip
+                ));
             }
         }
         deployment.update_fronts();
         // All partitions are dealt and opened.
         std::thread::sleep(Duration::from_secs(3));
-        scene.note(&format!("gateways of {:?} MB are ready, {} slots at the servers", size.memory_mb, deployment.slots));
+        scene.note(&format!(
+            "gateways of {:?} MB are ready, {} slots at the servers",
+            size.memory_mb, deployment.slots
+        ));
         Ok(deployment)
     }
 
@@ -190,18 +218,28 @@
             seeds: self.addresses.iter().take(3).cloned().collect(),
             store: self.store.address,
         };
-        self.gateways.push(Gateway::start(&scene.repository, &scene.folder, &machine));
+        self.gateways
+            .push(Gateway::start(&scene.repository, &scene.folder, &machine));
     }
 
     /// Clients are sent to the gateways that run, as the platform does after two questions without a 200.
     pub fn update_fronts(&mut self) {
-        let fronts = self.gateways.iter_mut().filter_map(|gateway| gateway.runs().then(|| gateway.front()));
+        let fronts = self
+            .gateways
+            .iter_mut()
+            .filter_map(|gateway| gateway.runs().then(|| gateway.front()));
         let fronts = fronts.collect();
         *self.clients.fronts.lock().expect("the fronts") = fronts;
     }
 
     pub fn note_memory(&self, scene: &Scene) {
-        let memory = self.gateways.iter().map(|gateway| format!("{:?}", gateway.memory_mb()));
-        scene.note(&format!("memory of the gateways now and at most, MB: {}", memory.collect::<Vec<_>>().join(" ")));
+        let memory = self
+            .gateways
+            .iter()
+            .map(|gateway| format!("{:?}", gateway.memory_mb()));
+        scene.note(&format!(
+            "memory of the gateways now and at most, MB: {}",
+            memory.collect::<Vec<_>>().join(" ")
+        ));
     }
 }
--- a/review/harness-3/servers.rs
+++ b/review/harness-3/servers.rs
@@ -51,7 +51,9 @@
 pub fn event_data(item: &str, event: u64, bytes: usize) -> String {
     let mut data = format!("{item}-{event}-");
     while data.len() < bytes {
-        data.push(char::from(b'a' + ((event as usize + data.len()) % 26) as u8));
+        data.push(char::from(
+            b'a' + ((event as usize + data.len()) % 26) as u8,
+        ));
     }
     data
 }
@@ -67,7 +69,15 @@
     freed: Condvar,
 }
 
-pub fn start(ip: &str, count: usize, service: &str, zone: &str, work: &Work, store: &Store, seen: &Arc<Mutex<Seen>>) -> Vec<Server> {
+pub fn start(
+    ip: &str,
+    count: usize,
+    service: &str,
+    zone: &str,
+    work: &Work,
+    store: &Store,
+    seen: &Arc<Mutex<Seen>>,
+) -> Vec<Server> {
     let servers: Vec<Server> = (0..count)
         .map(|index| {
             let listener = TcpListener::bind((ip, 0)).expect("an address for a server");
@@ -75,20 +85,38 @@
                 id: format!("i-{index:04x}"),
                 address: listener.local_addr().expect("the address of a server"),
             };
-            let slots = Arc::new(Slots { used: Mutex::new((0, 0)), freed: Condvar::new() });
+            let slots = Arc::new(Slots {
+                used: Mutex::new((0, 0)),
+                freed: Condvar::new(),
+            });
             let (id, work, seen) = (server.id.clone(), work.clone(), Arc::clone(seen));
             std::thread::spawn(move || {
                 for stream in listener.incoming().flatten() {
-                    let (id, work, seen, slots) = (id.clone(), work.clone(), Arc::clone(&seen), Arc::clone(&slots));
+                    let (id, work, seen, slots) = (
+                        id.clone(),
+                        work.clone(),
+                        Arc::clone(&seen),
+                        Arc::clone(&slots),
+                    );
                     let serve = move || serve(stream, &id, &work, &slots, &seen);
-                    let _ = std::thread::Builder::new().stack_size(256 << 10).spawn(serve);
+                    let _ = std::thread::Builder::new()
+                        .stack_size(256 << 10)
+                        .spawn(serve);
                 }
             });
             server
         })
         .collect();
-    let entries: Vec<(String, SocketAddr)> = servers.iter().map(|server| (server.id.clone(), server.address)).collect();
-    let (store, service, zone, slots) = (store.clone(), service.to_owned(), zone.to_owned(), work.slots);
+    let entries: Vec<(String, SocketAddr)> = servers
+        .iter()
+        .map(|server| (server.id.clone(), server.address))
+        .collect();
+    let (store, service, zone, slots) = (
+        store.clone(),
+        service.to_owned(),
+        zone.to_owned(),
+        work.slots,
+    );
     let write = move |seq: u64| {
         for (id, address) in &entries {
             let entry = format!(
@@ -124,18 +152,25 @@
             for stream in listener.incoming().flatten() {
                 let id = id.clone();
                 std::thread::spawn(move || {
-                    let Ok(mut writer) = stream.try_clone() else { return };
+                    let Ok(mut writer) = stream.try_clone() else {
+                        return;
+                    };
                     let mut reader = BufReader::new(stream);
                     while let Some(request) = http::read(&mut reader, false) {
-                        let name = request.header("x-bambooroute-request-id").unwrap_or_default();
+                        let name = request
+                            .header("x-bambooroute-request-id")
+                            .unwrap_or_default();
                         let stamp = "X-Bambooroute-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1";
                         let expected = request.header("x-bambooroute-expect-instance");
                         let status = match expected.is_some_and(|expected| expected != id) {
                             true => "421 Misdirected Request",
                             false => "404 Not Found",
                         };
-                        let headers = format!("X-Bambooroute-Request-Id: {name}\r\n{stamp}\r\nX-Bambooroute-Instance-Id: {id}\r\n");
-                        if http::respond(&mut writer, status, &headers, b"no such page\n").is_err() {
+                        let headers = format!(
+                            "X-Bambooroute-Request-Id: {name}\r\n{stamp}\r\nX-Bambooroute-Instance-Id: {id}\r\n"
+                        );
+                        if http::respond(&mut writer, status, &headers, b"no such page\n").is_err()
+                        {
                             return;
                         }
                     }
@@ -148,7 +183,9 @@
 fn serve(stream: TcpStream, id: &str, work: &Work, slots: &Slots, seen: &Mutex<Seen>) {
     let _ = stream.set_nodelay(true);
     let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
-    let Ok(mut writer) = stream.try_clone() else { return };
+    let Ok(mut writer) = stream.try_clone() else {
+        return;
+    };
     let mut reader = BufReader::new(stream);
     while let Some(request) = http::read(&mut reader, false) {
         if answer(&request, &mut writer, id, work, slots, seen).is_err() {
@@ -157,7 +194,14 @@
     }
 }
 
-fn answer(request: &Message, writer: &mut TcpStream, id: &str, work: &Work, slots: &Slots, seen: &Mutex<Seen>) -> std::io::Result<()> {
+fn answer(
+    request: &Message,
+    writer: &mut TcpStream,
+    id: &str,
+    work: &Work,
+    slots: &Slots,
+    seen: &Mutex<Seen>,
+) -> std::io::Result<()> {
     let instance = format!("X-Bambooroute-Instance-Id: {id}\r\n");
     if request.path() == "/health" {
         return http::respond(writer, "200 OK", &instance, b"");
@@ -168,14 +212,32 @@
             "{{\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"busy\":false,\"seq\":1,\
              \"queue_depth\":0,\"active_count\":{busy},\"kv_used\":0,\"kv_total\":147261,\"handles\":0}}"
         );
-        return http::respond(writer, "200 OK", "Content-Type: application/json\r\n", report.as_bytes());
+        return http::respond(
+            writer,
+            "200 OK",
+            "Content-Type: application/json\r\n",
+            report.as_bytes(),
+        );
     }
     let Some(name) = request.header("x-bambooroute-request-id") else {
-        return http::respond(writer, "400 Bad Request", "X-Bambooroute-Not-Executed: 1\r\n", b"");
+        return http::respond(
+            writer,
+            "400 Bad Request",
+            "X-Bambooroute-Not-Executed: 1\r\n",
+            b"",
+        );
     };
     let echo = format!("X-Bambooroute-Request-Id: {name}\r\n");
-    if request.header("x-bambooroute-expect-instance").is_some_and(|expected| expected != id) {
-        return http::respond(writer, "421 Misdirected Request", &format!("{echo}{instance}"), b"");
+    if request
+        .header("x-bambooroute-expect-instance")
+        .is_some_and(|expected| expected != id)
+    {
+        return http::respond(
+            writer,
+            "421 Misdirected Request",
+            &format!("{echo}{instance}"),
+            b"",
+        );
     }
     {
         let mut used = slots.used.lock().expect("slots");
@@ -190,12 +252,18 @@
         used.1 -= 1;
         used.0 += 1;
     }
-    let from = request.header("last-event-id").and_then(|last| last.parse().ok()).map_or(1, |last: u64| last + 1);
+    let from = request
+        .header("last-event-id")
+        .and_then(|last| last.parse().ok())
+        .map_or(1, |last: u64| last + 1);
     let index = {
         let mut seen = seen.lock().expect("what was seen");
         seen.active += 1;
         let runs = seen.runs.entry(name.to_owned()).or_default();
-        runs.push(Run { ended: None, is_whole: false });
+        runs.push(Run {
+            ended: None,
+            is_whole: false,
+        });
         runs.len() - 1
     };
     let ended = run(name, &echo, from, writer, work);
@@ -218,7 +286,13 @@
 }
 
 /// Sends the events, and stops when the channel is closed.
-fn run(name: &str, echo: &str, from: u64, writer: &mut TcpStream, work: &Work) -> std::io::Result<()> {
+fn run(
+    name: &str,
+    echo: &str,
+    from: u64,
+    writer: &mut TcpStream,
+    work: &Work,
+) -> std::io::Result<()> {
     let head = format!(
         "HTTP/1.1 200 OK\r\n{echo}X-Bambooroute-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nX-Bambooroute-Weight-Versions: 1\r\n\
          Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -228,7 +302,10 @@
     for event in from..=work.events {
         let due = begin + work.event_interval * (event - from + 1) as u32;
         std::thread::sleep(due.saturating_duration_since(Instant::now()));
-        let text = format!("id: {event}\ndata: {}\n\n", event_data(name, event, work.event_bytes));
+        let text = format!(
+            "id: {event}\ndata: {}\n\n",
+            event_data(name, event, work.event_bytes)
+        );
         writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
         if event % 8 == 0 && is_closed(writer) {
             return Err(std::io::ErrorKind::ConnectionReset.into());
--- a/review/harness-3/small_owner.rs
+++ b/review/harness-3/small_owner.rs
@@ -30,15 +30,29 @@
 const READ_AGAIN: Duration = Duration::from_secs(15);
 
 pub fn play(scene: &mut Scene, has_trouble: bool) -> Verdict {
-    let shape = Shape { items: 200, body_bytes: 100, tokens: (160, 40) };
+    let shape = Shape {
+        items: 200,
+        body_bytes: 100,
+        tokens: (160, 40),
+    };
     let size = Size {
         memory_mb: vec![LARGE_MB],
         spare_mb: vec![SMALL_MB],
         servers: 30,
         max_queued: MAX_QUEUED,
         has_plain: false,
-        figures: Figures { writes_per_s: 1500.0, reads_per_s: 6000.0, ..Figures::default() },
-        work: Work { slots: 7, queue: 24, events: 40, event_bytes: 80, event_interval: Duration::from_millis(40) },
+        figures: Figures {
+            writes_per_s: 1500.0,
+            reads_per_s: 6000.0,
+            ..Figures::default()
+        },
+        work: Work {
+            slots: 7,
+            queue: 24,
+            events: 40,
+            event_bytes: 80,
+            event_interval: Duration::from_millis(40),
+        },
     };
     let mut deployment = match Deployment::start(scene, &size) {
         Ok(deployment) => deployment,
@@ -49,10 +63,17 @@
     let times = Arc::new(Mutex::new(times));
     let is_over = Arc::new(AtomicBool::new(false));
     let over = Arc::clone(&is_over);
-    let readers = deployment.clients.follow(32, false, Arc::new(move || over.load(Ordering::Relaxed)));
+    let readers =
+        deployment
+            .clients
+            .follow(32, false, Arc::new(move || over.load(Ordering::Relaxed)));
     let submitters: Vec<_> = (0..8)
         .map(|_| {
-            let (times, clients, shape) = (Arc::clone(&times), Arc::clone(&deployment.clients), shape.clone());
+            let (times, clients, shape) = (
+                Arc::clone(&times),
+                Arc::clone(&deployment.clients),
+                shape.clone(),
+            );
             std::thread::spawn(move || {
                 while let Some(at) = { times.lock().expect("the times").pop_front() } {
                     let at = begin + Duration::from_secs_f64(at);
@@ -62,10 +83,24 @@
             })
         })
         .collect();
-    submitters.into_iter().for_each(|thread| drop(thread.join()));
+    submitters
+        .into_iter()
+        .for_each(|thread| drop(thread.join()));
     let accepted = deployment.clients.accepted();
-    let answers: Vec<u16> = deployment.clients.jobs.lock().expect("the jobs").iter().flat_map(|job| job.lock().expect("a job").answers.clone()).collect();
-    scene.note(&format!("{} of {JOBS} jobs of {} items were accepted; answers: {}", accepted.len(), shape.items, count(answers.iter().map(u16::to_string))));
+    let answers: Vec<u16> = deployment
+        .clients
+        .jobs
+        .lock()
+        .expect("the jobs")
+        .iter()
+        .flat_map(|job| job.lock().expect("a job").answers.clone())
+        .collect();
+    scene.note(&format!(
+        "{} of {JOBS} jobs of {} items were accepted; answers: {}",
+        accepted.len(),
+        shape.items,
+        count(answers.iter().map(u16::to_string))
+    ));
     if has_trouble {
         deployment.start_gateway(scene);
         if !deployment.gateways[1].wait_ready(Duration::from_secs(10)) {
@@ -79,9 +114,15 @@
     is_over.store(true, Ordering::Relaxed);
     readers.into_iter().for_each(|thread| drop(thread.join()));
     deployment.note_memory(scene);
-    scene.note(&format!("answers to reads so far: {}", deployment.clients.reads()));
+    scene.note(&format!(
+        "answers to reads so far: {}",
+        deployment.clients.reads()
+    ));
     let unread = read_all(scene, &deployment, &accepted);
-    scene.note(&format!("{unread} of {} accepted jobs can't be read at any machine", accepted.len()));
+    scene.note(&format!(
+        "{unread} of {} accepted jobs can't be read at any machine",
+        accepted.len()
+    ));
     scene.record_jobs(&deployment);
     match unread {
         0 => Verdict::Held,
@@ -95,12 +136,20 @@
     let unread: Arc<Mutex<Vec<String>>> = Arc::default();
     let threads: Vec<_> = (0..60)
         .map(|_| {
-            let (left, unread, clients) = (Arc::clone(&left), Arc::clone(&unread), Arc::clone(&deployment.clients));
+            let (left, unread, clients) = (
+                Arc::clone(&left),
+                Arc::clone(&unread),
+                Arc::clone(&deployment.clients),
+            );
             std::thread::spawn(move || {
                 while let Some(job) = { left.lock().expect("the jobs").pop() } {
                     let fresh = {
                         let job = job.lock().expect("a job");
-                        Mutex::new(Job { id: job.id.clone(), items: job.items.clone(), ..Job::default() })
+                        Mutex::new(Job {
+                            id: job.id.clone(),
+                            items: job.items.clone(),
+                            ..Job::default()
+                        })
                     };
                     let until = Instant::now() + READ_AGAIN;
                     let mut statuses = Vec::new();
@@ -113,7 +162,10 @@
                     if statuses.last() != Some(&200) {
                         let id = fresh.lock().expect("a job").id.clone();
                         let answers = count(statuses.iter().map(u16::to_string));
-                        unread.lock().expect("the unread").push(format!("LOST: job {id} can't be read: {answers}"));
+                        unread
+                            .lock()
+                            .expect("the unread")
+                            .push(format!("LOST: job {id} can't be read: {answers}"));
                     }
                 }
             })
--- a/review/harness-3/store.rs
+++ b/review/harness-3/store.rs
@@ -90,7 +90,9 @@
     }
 
     fn drop_first(&mut self) -> usize {
-        let Some(record) = self.records.pop_front() else { return 0 };
+        let Some(record) = self.records.pop_front() else {
+            return 0;
+        };
         self.first += 1;
         self.bytes -= record.bytes.len();
         record.bytes.len()
@@ -127,7 +129,10 @@
         let mut with_more = 0;
         let mut kept = vec![false; parts];
         for part in 0..parts {
-            let Some(holder) = self.holders[part].clone().filter(|holder| self.members.contains_key(holder)) else {
+            let Some(holder) = self.holders[part]
+                .clone()
+                .filter(|holder| self.members.contains_key(holder))
+            else {
                 continue;
             };
             let count = counts.entry(holder).or_default();
@@ -144,10 +149,14 @@
                 self.targets[part] = Some((holder, self.generation));
                 continue;
             }
-            let next = members.iter().min_by_key(|member| counts.get(*member).copied().unwrap_or(0));
+            let next = members
+                .iter()
+                .min_by_key(|member| counts.get(*member).copied().unwrap_or(0));
             let next = next.cloned().unwrap_or_default();
             *counts.entry(next.clone()).or_default() += 1;
-            let is_held = self.holders[part].as_ref().is_some_and(|holder| self.members.contains_key(holder));
+            let is_held = self.holders[part]
+                .as_ref()
+                .is_some_and(|holder| self.members.contains_key(holder));
             if !is_held {
                 self.holders[part] = Some(next.clone());
             }
@@ -168,9 +177,16 @@
     fn hand_on(&mut self) {
         let mut has_changed = false;
         for part in 0..self.holders.len() {
-            let Some((target, since)) = self.targets[part].clone() else { continue };
-            let Some(holder) = self.holders[part].clone() else { continue };
-            let has_let_go = self.members.get(&holder).is_none_or(|member| member.generation >= since);
+            let Some((target, since)) = self.targets[part].clone() else {
+                continue;
+            };
+            let Some(holder) = self.holders[part].clone() else {
+                continue;
+            };
+            let has_let_go = self
+                .members
+                .get(&holder)
+                .is_none_or(|member| member.generation >= since);
             if holder != target && has_let_go {
                 self.holders[part] = Some(target);
                 has_changed = true;
@@ -255,7 +271,9 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Some(request) = http::read(&mut reader, false) {
             sleep(self.figures.answer);
@@ -308,7 +326,8 @@
     }
 
     fn append(&self, request: &Message) -> (&'static str, Vec<u8>) {
-        let (Some(topic), Some(part)) = (request.query("topic"), request.query_number("part")) else {
+        let (Some(topic), Some(part)) = (request.query("topic"), request.query_number("part"))
+        else {
             return ("400 Bad Request", Vec::new());
         };
         let Some(records) = split(&request.body) else {
@@ -326,38 +345,58 @@
             if begin - now > APPEND_QUEUE_MAX {
                 return ("503 Service Unavailable", Vec::new());
             }
-            let time = Duration::from_secs_f64(request.body.len() as f64 / self.figures.part_bytes_per_s);
+            let time =
+                Duration::from_secs_f64(request.body.len() as f64 / self.figures.part_bytes_per_s);
             let done_at = begin + self.figures.append + time;
             partition.free_at = Some(done_at);
             done_at
         };
         sleep(done_at.saturating_duration_since(Instant::now()));
         let mut state = self.lock();
-        let is_full = self.figures.total_bytes.is_some_and(|max| state.stored_bytes + request.body.len() > max);
+        let is_full = self
+            .figures
+            .total_bytes
+            .is_some_and(|max| state.stored_bytes + request.body.len() > max);
         let partition = state.topics.entry(entry).or_default();
         let end = partition.end();
         if request.query_number("at").is_some_and(|at| at != end) {
-            return ("412 Precondition Failed", format!("{{\"end\":{end}}}").into_bytes());
+            return (
+                "412 Precondition Failed",
+                format!("{{\"end\":{end}}}").into_bytes(),
+            );
         }
-        let fence = (request.query("producer"), request.query_number("epoch"), request.query_number("seq"));
+        let fence = (
+            request.query("producer"),
+            request.query_number("epoch"),
+            request.query_number("seq"),
+        );
         if let (Some(name), Some(epoch), Some(seq)) = &fence {
             let producer = partition.producers.entry(name.clone()).or_default();
             if *epoch < producer.epoch {
                 return ("409 Conflict", b"{\"why\":\"fenced\"}".to_vec());
             }
             if *epoch > producer.epoch {
-                *producer = Producer { epoch: *epoch, ..Producer::default() };
+                *producer = Producer {
+                    epoch: *epoch,
+                    ..Producer::default()
+                };
             }
             if let Some((_, response)) = producer.responses.iter().find(|(known, _)| known == seq) {
                 return ("200 OK", response.clone().into_bytes());
             }
             if let Some(last) = producer.last.filter(|last| last + 1 != *seq) {
                 let expected = last + 1;
-                return ("409 Conflict", format!("{{\"why\":\"seq\",\"seq\":{expected}}}").into_bytes());
+                return (
+                    "409 Conflict",
+                    format!("{{\"why\":\"seq\",\"seq\":{expected}}}").into_bytes(),
+                );
             }
         }
         if records.is_empty() {
-            return ("200 OK", format!("{{\"offset\":{end},\"end\":{end}}}").into_bytes());
+            return (
+                "200 OK",
+                format!("{{\"offset\":{end},\"end\":{end}}}").into_bytes(),
+            );
         }
         if is_full {
             state.refused_as_full += 1;
@@ -381,12 +420,18 @@
     }
 
     fn read(&self, request: &Message) -> (&'static str, Vec<u8>) {
-        let (Some(topic), Some(part)) = (request.query("topic"), request.query_number("part")) else {
+        let (Some(topic), Some(part)) = (request.query("topic"), request.query_number("part"))
+        else {
             return ("400 Bad Request", Vec::new());
         };
         let from = request.query_number("from").unwrap_or(0);
         let max_bytes = request.query_number("max_kb").unwrap_or(READ_MAX_KB) as usize * 1024;
-        let wait = Duration::from_millis(request.query_number("wait_ms").unwrap_or(0).min(WAIT_MAX_MS));
+        let wait = Duration::from_millis(
+            request
+                .query_number("wait_ms")
+                .unwrap_or(0)
+                .min(WAIT_MAX_MS),
+        );
         let until = Instant::now() + wait;
         let entry = (topic, part as usize);
         let mut state = self.lock();
@@ -398,7 +443,12 @@
             }
             let now = Instant::now();
             if partition.end() <= from && now < until {
-                state = self.state.1.wait_timeout(state, until - now).expect("the store's state").0;
+                state = self
+                    .state
+                    .1
+                    .wait_timeout(state, until - now)
+                    .expect("the store's state")
+                    .0;
                 continue;
             }
             let mut body = partition.end().to_be_bytes().to_vec();
@@ -438,10 +488,16 @@
                 break;
             }
             let key = String::from_utf8_lossy(key);
-            items.push(format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(value)));
+            items.push(format!(
+                "{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}",
+                base64(value)
+            ));
         }
         let end = partition.end();
-        let body = format!("{{\"items\":[{}],\"has_more\":{has_more},\"end\":{end}}}", items.join(","));
+        let body = format!(
+            "{{\"items\":[{}],\"has_more\":{has_more},\"end\":{end}}}",
+            items.join(",")
+        );
         ("200 OK", body.into_bytes())
     }
 
@@ -449,8 +505,16 @@
         let Some(call) = Json::parse(&request.body) else {
             return ("400 Bad Request", Vec::new());
         };
-        let (name, member) = (call.get("group").text().to_owned(), call.get("member").text().to_owned());
-        let topic = call.get("topics").list().first().map_or("", Json::text).to_owned();
+        let (name, member) = (
+            call.get("group").text().to_owned(),
+            call.get("member").text().to_owned(),
+        );
+        let topic = call
+            .get("topics")
+            .list()
+            .first()
+            .map_or("", Json::text)
+            .to_owned();
         let mut state = self.lock();
         let group = state.groups.entry(name).or_default();
         group.expire(self.figures.parts);
@@ -458,18 +522,31 @@
         let ttl = Duration::from_millis(call.get("ttl_ms").number() as u64);
         group.members.insert(
             member.clone(),
-            Member { expires_at: Instant::now() + ttl, generation: call.get("generation").number() as u64 },
+            Member {
+                expires_at: Instant::now() + ttl,
+                generation: call.get("generation").number() as u64,
+            },
         );
         if is_new {
             group.deal(self.figures.parts);
         }
         group.hand_on();
         let owned = |part: &usize| {
-            let is_target = group.targets[*part].as_ref().is_some_and(|(target, _)| *target == member);
+            let is_target = group.targets[*part]
+                .as_ref()
+                .is_some_and(|(target, _)| *target == member);
             is_target && group.holders[*part].as_deref() == Some(&member)
         };
-        let rows: Vec<String> = (0..self.figures.parts).filter(owned).map(|part| format!("[\"{topic}\",{part},0]")).collect();
-        let body = format!("{{\"generation\":{},\"ttl_ms\":{},\"parts\":[{}]}}", group.generation, ttl.as_millis(), rows.join(","));
+        let rows: Vec<String> = (0..self.figures.parts)
+            .filter(owned)
+            .map(|part| format!("[\"{topic}\",{part},0]"))
+            .collect();
+        let body = format!(
+            "{{\"generation\":{},\"ttl_ms\":{},\"parts\":[{}]}}",
+            group.generation,
+            ttl.as_millis(),
+            rows.join(",")
+        );
         ("200 OK", body.into_bytes())
     }
 
@@ -478,7 +555,10 @@
             return ("400 Bad Request", Vec::new());
         };
         let mut state = self.lock();
-        let group = state.groups.entry(call.get("group").text().to_owned()).or_default();
+        let group = state
+            .groups
+            .entry(call.get("group").text().to_owned())
+            .or_default();
         if group.members.remove(call.get("member").text()).is_some() {
             group.deal(self.figures.parts);
         }
@@ -487,16 +567,24 @@
 
     fn owners(&self, request: &Message) -> (&'static str, Vec<u8>) {
         let mut state = self.lock();
-        let group = state.groups.entry(request.query("group").unwrap_or_default()).or_default();
+        let group = state
+            .groups
+            .entry(request.query("group").unwrap_or_default())
+            .or_default();
         group.expire(self.figures.parts);
         let rows = group.holders.iter().enumerate();
-        let rows = rows.filter_map(|(part, holder)| Some(format!("[\"\",{part},\"{}\",0]", holder.as_ref()?)));
+        let rows = rows
+            .filter_map(|(part, holder)| Some(format!("[\"\",{part},\"{}\",0]", holder.as_ref()?)));
         let rows: Vec<String> = rows.collect();
-        ("200 OK", format!("{{\"owners\":[{}]}}", rows.join(",")).into_bytes())
+        (
+            "200 OK",
+            format!("{{\"owners\":[{}]}}", rows.join(",")).into_bytes(),
+        )
     }
 
     fn trim(&self, request: &Message) -> (&'static str, Vec<u8>) {
-        let (Some(topic), Some(part)) = (request.query("topic"), request.query_number("part")) else {
+        let (Some(topic), Some(part)) = (request.query("topic"), request.query_number("part"))
+        else {
             return ("400 Bad Request", Vec::new());
         };
         let before = request.query_number("before").unwrap_or(0);
@@ -523,15 +611,23 @@
             let (key, value) = record[1..].split_at(usize::from(record[0]));
             match value.is_empty() {
                 true => partition.newest.remove(key),
-                false => partition.newest.insert(key.to_vec(), (offset, value.to_vec())),
+                false => partition
+                    .newest
+                    .insert(key.to_vec(), (offset, value.to_vec())),
             };
         }
         added += record.len();
         partition.bytes += record.len();
-        partition.records.push_back(Record { bytes: record.into(), at: now });
+        partition.records.push_back(Record {
+            bytes: record.into(),
+            at: now,
+        });
     }
     let mut dropped = 0;
-    while partition.records.front().is_some_and(|record| now - record.at > figures.retention)
+    while partition
+        .records
+        .front()
+        .is_some_and(|record| now - record.at > figures.retention)
         || partition.bytes > figures.part_bytes
     {
         dropped += partition.drop_first();
--- a/review/harness-3/store_full.rs
+++ b/review/harness-3/store_full.rs
@@ -32,15 +32,29 @@
 
 pub fn play(scene: &mut Scene, has_trouble: bool) -> Verdict {
     // Of the site file: 10 items a batch job, 80 events of 140 B an item. Its batch jobs have 570,000 B at most; these have 150,000 B.
-    let shape = Shape { items: 10, body_bytes: 15_000, tokens: (350, 90) };
+    let shape = Shape {
+        items: 10,
+        body_bytes: 15_000,
+        tokens: (350, 90),
+    };
     let size = Size {
         memory_mb: vec![290; 4],
         spare_mb: Vec::new(),
         servers: 48,
         max_queued: 24_000_000,
         has_plain: false,
-        figures: Figures { writes_per_s: 4000.0, reads_per_s: 16000.0, ..Figures::default() },
-        work: Work { slots: 7, queue: 24, events: 80, event_bytes: 140, event_interval: Duration::from_millis(14) },
+        figures: Figures {
+            writes_per_s: 4000.0,
+            reads_per_s: 16000.0,
+            ..Figures::default()
+        },
+        work: Work {
+            slots: 7,
+            queue: 24,
+            events: 80,
+            event_bytes: 140,
+            event_interval: Duration::from_millis(14),
+        },
     };
     let deployment = match Deployment::start(scene, &size) {
         Ok(deployment) => deployment,
@@ -48,14 +62,24 @@
     };
     let begin = Instant::now();
     let times: VecDeque<f64> = submission_times(has_trouble).into();
-    scene.note(&format!("{} batch jobs are submitted in {TRAFFIC_S} s", times.len()));
+    scene.note(&format!(
+        "{} batch jobs are submitted in {TRAFFIC_S} s",
+        times.len()
+    ));
     let times = Arc::new(Mutex::new(times));
     let is_over = Arc::new(AtomicBool::new(false));
     let over = Arc::clone(&is_over);
-    let readers = deployment.clients.follow(48, false, Arc::new(move || over.load(Ordering::Relaxed)));
+    let readers =
+        deployment
+            .clients
+            .follow(48, false, Arc::new(move || over.load(Ordering::Relaxed)));
     let submitters: Vec<_> = (0..32)
         .map(|_| {
-            let (times, clients, shape) = (Arc::clone(&times), Arc::clone(&deployment.clients), shape.clone());
+            let (times, clients, shape) = (
+                Arc::clone(&times),
+                Arc::clone(&deployment.clients),
+                shape.clone(),
+            );
             std::thread::spawn(move || {
                 while let Some(at) = { times.lock().expect("the times").pop_front() } {
                     let at = begin + Duration::from_secs_f64(at);
@@ -70,10 +94,15 @@
     for step in 1..=8 {
         scene.sleep_until(traffic_end - TRAFFIC_S + f64::from(step) * 5.0);
         let (stored, refused) = deployment.store.fill();
-        scene.note(&format!("the store holds {} MB; it has refused {refused} appends with 507", stored / 1_000_000));
+        scene.note(&format!(
+            "the store holds {} MB; it has refused {refused} appends with 507",
+            stored / 1_000_000
+        ));
         is_full |= refused > 0;
     }
-    submitters.into_iter().for_each(|thread| drop(thread.join()));
+    submitters
+        .into_iter()
+        .for_each(|thread| drop(thread.join()));
     scene.sleep_until(traffic_end + FINISH_S);
     let is_calm = wait_for_calm(&deployment.seen, deployment.slots, Duration::from_secs(25));
     std::thread::sleep(Duration::from_secs(2));
@@ -83,7 +112,10 @@
     scene.note(&format!("answers to reads: {}", deployment.clients.reads()));
     let (stored, refused) = deployment.store.fill();
     is_full |= refused > 0;
-    scene.note(&format!("the store holds {} MB; it has refused {refused} appends with 507; calm: {is_calm}", stored / 1_000_000));
+    scene.note(&format!(
+        "the store holds {} MB; it has refused {refused} appends with 507; calm: {is_calm}",
+        stored / 1_000_000
+    ));
     deployment.note_memory(scene);
     judge(scene, &deployment, is_calm, is_full)
 }
@@ -94,7 +126,9 @@
     if has_trouble {
         let further = JOBS_PER_S * (BURST_X - 1.0);
         for burst in BURSTS_AT {
-            times.extend((0..(further * BURST_S) as usize).map(|index| burst + index as f64 / further));
+            times.extend(
+                (0..(further * BURST_S) as usize).map(|index| burst + index as f64 / further),
+            );
         }
     }
     times.sort_by(f64::total_cmp);
@@ -104,8 +138,19 @@
 fn judge(scene: &Scene, deployment: &Deployment, is_calm: bool, is_full: bool) -> Verdict {
     let accepted = deployment.clients.accepted();
     let all = deployment.clients.jobs.lock().expect("the jobs").len();
-    let answers = deployment.clients.jobs.lock().expect("the jobs").iter().flat_map(|job| job.lock().expect("a job").answers.clone()).collect::<Vec<_>>();
-    scene.note(&format!("{} of {all} jobs were accepted; answers: {}", accepted.len(), count(answers.iter().map(u16::to_string))));
+    let answers = deployment
+        .clients
+        .jobs
+        .lock()
+        .expect("the jobs")
+        .iter()
+        .flat_map(|job| job.lock().expect("a job").answers.clone())
+        .collect::<Vec<_>>();
+    scene.note(&format!(
+        "{} of {all} jobs were accepted; answers: {}",
+        accepted.len(),
+        count(answers.iter().map(u16::to_string))
+    ));
     let (mut lost_items, mut lost_jobs, mut done, mut finished_lost) = (0, 0, 0, 0);
     let mut faults = Vec::new();
     for job in &accepted {
@@ -113,15 +158,32 @@
         done += job.results.len();
         faults.extend(job.faults.clone());
         let open = unlisted(&job);
-        if open.is_empty() || !is_calm || open.iter().any(|item| was_at_server_lately(&deployment.seen, item)) {
+        if open.is_empty()
+            || !is_calm
+            || open
+                .iter()
+                .any(|item| was_at_server_lately(&deployment.seen, item))
+        {
             continue;
         }
         lost_jobs += 1;
         lost_items += open.len();
         let seen = deployment.seen.lock().expect("what was seen");
-        finished_lost += open.iter().filter(|item| seen.runs.get(*item).is_some_and(|runs| runs.iter().any(|run| run.is_whole))).count();
+        finished_lost += open
+            .iter()
+            .filter(|item| {
+                seen.runs
+                    .get(*item)
+                    .is_some_and(|runs| runs.iter().any(|run| run.is_whole))
+            })
+            .count();
         if lost_jobs <= 5 {
-            scene.note(&format!("LOST: job {} has {} of {} items listed", job.id, job.results.len(), job.items.len()));
+            scene.note(&format!(
+                "LOST: job {} has {} of {} items listed",
+                job.id,
+                job.results.len(),
+                job.items.len()
+            ));
         }
     }
     faults.iter().take(5).for_each(|fault| scene.note(fault));
